--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+BUILD := build
+
+.PHONY: build test demo lint format prove bench install-packages
+
+install-packages:
+	@.ci/install
+
+build: install-packages
+	@cmake -S . -B $(BUILD) -G Ninja > $(BUILD).configure.log 2>&1 || { cat $(BUILD).configure.log; exit 1; }
+	@mkdir -p $(BUILD) && mv $(BUILD).configure.log $(BUILD)/configure.log
+	@cmake --build $(BUILD)
+
+lint: build
+	@.ci/lint
+
+format:
+	@.ci/lint --fix --format-only
+
+test: build lint
+	@tests/run $(BUILD)
+
+demo: build
+	@tests/system/demo $(BUILD)
+
+prove: build
+	@tests/system/prove $(BUILD)
+
+bench: build
+	@$(BUILD)/auburndoor-bench
--- /dev/null
+++ b/modules/core/SystemClock.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "core/Clock.h"
+
+namespace auburndoor {
+
+/** The clock of the C++ runtime. */
+class SystemClock : public Clock
+{
+public:
+    TimePoint now() const override;
+    WallTime wallNow() const override;
+    bool waitUntil(std::unique_lock<std::mutex> &lock,
+                   std::condition_variable &condition,
+                   TimePoint deadline,
+                   const std::function<bool()> &predicate) override;
+};
+
+} // namespace auburndoor
--- /dev/null
+++ b/tests/core/CoreTests.cpp
@@ -0,0 +1,46 @@
+#include "core/Failure.h"
+#include "core/ManualClock.h"
+#include "core/Resources.h"
+
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+using namespace auburndoor;
+
+TEST_CASE("every step and reason has a name of its own", "[core]")
+{
+    // Guards against an enumerator that was added without its name, which would shift all later labels.
+    CHECK(name(Step::None) == "none");
+    CHECK(name(Step::Shutdown) == "shutdown");
+    CHECK(name(Reason::None) == "none");
+    CHECK(name(Reason::NoCapacity) == "no-capacity");
+    CHECK(name(Reason::OutcomeUnknown) == "outcome-unknown");
+}
+
+TEST_CASE("resources fit only if every amount fits", "[core]")
+{
+    const Resources capacity { 32'000, 65'536, 8, 8, 64 };
+    CHECK(Resources { 1000, 1024, 1, 1, 1 }.fitsIn(capacity));
+    CHECK_FALSE(Resources { 1000, 1024, 9, 1, 1 }.fitsIn(capacity));
+    CHECK_FALSE((capacity - Resources { 33'000, 0, 0, 0, 0 }).isValid());
+    CHECK(dominantShare({ 16'000, 0, 6, 0, 0 }, capacity) == Approx(0.75));
+}
+
+TEST_CASE("a manual clock wakes a waiting thread at its deadline", "[core]")
+{
+    ManualClock clock;
+    std::mutex mutex;
+    std::condition_variable condition;
+    bool isWoken = false;
+    std::thread thread([&] {
+        std::unique_lock lock(mutex);
+        isWoken = !clock.waitUntil(lock, condition, clock.now() + Milliseconds(500), [] { return false; });
+    });
+    while (clock.waiterCount() == 0) {
+        std::this_thread::yield();
+    }
+    clock.advance(Milliseconds(500));
+    thread.join();
+    CHECK(isWoken);
+}
--- /dev/null
+++ b/tests/http/HttpServerTests.cpp
@@ -0,0 +1,134 @@
+#include "core/Failure.h"
+#include "http/HttpClient.h"
+#include "http/HttpServer.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <thread>
+#include <vector>
+
+using namespace auburndoor;
+
+namespace {
+
+constexpr Milliseconds callTimeout { 10'000 };
+
+std::optional<HttpReply> post(HttpClient &client, const std::string &path, const std::string &body, Failure &failure)
+{
+    Delivery delivery = Delivery::NotSent;
+    return client.exchange("POST", path, body, {}, callTimeout, false, delivery, failure);
+}
+
+} // namespace
+
+TEST_CASE("callers that connect at the same moment are all answered without retransmitted connects", "[http]")
+{
+    // Guards against the library's listen backlog of 5: the kernel drops SYNs past it, and the callers wait 1 s or more.
+    HttpServerOptions options;
+    options.threadCount = 64;
+    HttpServer server(options);
+    server.route("POST", "/echo", [](const HttpRequest &request) { return HttpReply { 200, request.body, "text/plain", {} }; });
+    Failure failure;
+    const auto port = server.bind(failure);
+    REQUIRE(port);
+    server.start();
+
+    constexpr int callerCount = 64;
+    std::atomic<int> ready = 0;
+    std::atomic<int> answered = 0;
+    std::vector<std::chrono::steady_clock::duration> durations(callerCount);
+    std::vector<std::thread> callers;
+    for (int index = 0; index < callerCount; ++index) {
+        callers.emplace_back([&, index] {
+            HttpClient client("127.0.0.1:" + std::to_string(*port), 1);
+            ++ready;
+            while (ready < callerCount) {
+                std::this_thread::yield();
+            }
+            const auto start = std::chrono::steady_clock::now();
+            Failure callFailure;
+            const auto reply = post(client, "/echo", "caller " + std::to_string(index), callFailure);
+            durations[index] = std::chrono::steady_clock::now() - start;
+            answered += reply && reply->body == "caller " + std::to_string(index) ? 1 : 0;
+        });
+    }
+    for (auto &caller : callers) {
+        caller.join();
+    }
+    std::sort(durations.begin(), durations.end());
+    CHECK(answered == callerCount);
+    // A retransmitted SYN costs at least 1 s.
+    CHECK(durations[callerCount / 2] < std::chrono::milliseconds(900));
+}
+
+TEST_CASE("connections past the pool and its waiting limit get the overflow answer at once", "[http]")
+{
+    // Guards against callers that hang behind a full pool until their own timeout.
+    HttpServerOptions options;
+    options.threadCount = 1;
+    options.waitingConnectionLimit = 1;
+    HttpServer server(options);
+    std::atomic<bool> isHeld = false;
+    std::atomic<bool> isReleased = false;
+    server.route("POST", "/hold", [&](const HttpRequest &) {
+        isHeld = true;
+        while (!isReleased) {
+            std::this_thread::yield();
+        }
+        return HttpReply {};
+    });
+    server.setOverflowHandler([](const HttpRequest &) { return HttpReply { 503, "full", "text/plain", {} }; });
+    Failure failure;
+    const auto port = server.bind(failure);
+    REQUIRE(port);
+    server.start();
+    const auto address = "127.0.0.1:" + std::to_string(*port);
+    std::atomic<int> refused = 0;
+    std::vector<std::thread> callers;
+    const auto call = [&] {
+        HttpClient client(address, 1);
+        Failure callFailure;
+        const auto reply = post(client, "/hold", "{}", callFailure);
+        refused += reply && reply->status == 503 ? 1 : 0;
+    };
+    callers.emplace_back(call);
+    while (!isHeld) {
+        std::this_thread::yield();
+    }
+    for (int index = 0; index < 4; ++index) {
+        callers.emplace_back(call);
+    }
+    while (refused < 3) {
+        std::this_thread::yield();
+    }
+    isReleased = true;
+    for (auto &caller : callers) {
+        caller.join();
+    }
+    CHECK(refused == 3);
+}
+
+TEST_CASE("a body past the limit and an unknown path get the error handler's answer", "[http]")
+{
+    HttpServerOptions options;
+    options.maxBodyBytes = 10;
+    HttpServer server(options);
+    server.route("POST", "/echo", [](const HttpRequest &request) { return HttpReply { 200, request.body, "text/plain", {} }; });
+    server.setErrorHandler([](const HttpRequest &, int status) {
+        return HttpReply { status, "status " + std::to_string(status), "text/plain", {} };
+    });
+    Failure failure;
+    const auto port = server.bind(failure);
+    REQUIRE(port);
+    server.start();
+    HttpClient client("127.0.0.1:" + std::to_string(*port), 1);
+    const auto large = post(client, "/echo", std::string(100, 'x'), failure);
+    REQUIRE(large);
+    CHECK(large->status == 413);
+    HttpClient other("127.0.0.1:" + std::to_string(*port), 1);
+    const auto missing = post(other, "/missing", "x", failure);
+    REQUIRE(missing);
+    CHECK(missing->body == "status 404");
+}
