--- /dev/null
+++ b/modules/fleet/CellTasks.cpp
@@ -0,0 +1,76 @@
+#include "fleet/CellTasks.h"
+
+#include "core/Failure.h"
+#include "fleet/OwnerService.h"
+#include "peer/Peer.h"
+#include "peer/PeerDirectory.h"
+
+#include <algorithm>
+
+namespace auburndoor {
+
+namespace {
+
+constexpr Milliseconds longestQuestion{1000};
+
+}
+
+CellTasks::CellTasks(Clock &clock, OwnerService &own, PeerDirectory &peers)
+    : clock_(clock)
+    , own_(own)
+    , peers_(peers)
+{
+}
+
+std::optional<WorkerTask> CellTasks::query(const WorkerId &worker, const TaskId &task, TimePoint deadline, Failure &failure)
+{
+    auto state = own_.queryTask(worker, task, timeoutUntil(deadline), failure);
+    if (state || failure.reason != Reason::NotOwner) {
+        return state;
+    }
+    return askPeers(worker, deadline, failure, [&](Peer &peer, Milliseconds timeout, Failure &reason) {
+        return peer.queryTask(worker, task, timeout, reason);
+    });
+}
+
+std::optional<WorkerTask> CellTasks::cancel(const WorkerId &worker, const TaskId &task, TimePoint deadline, Failure &failure)
+{
+    auto state = own_.cancelTask(worker, task, timeoutUntil(deadline), failure);
+    if (state || failure.reason != Reason::NotOwner) {
+        return state;
+    }
+    return askPeers(worker, deadline, failure, [&](Peer &peer, Milliseconds timeout, Failure &reason) {
+        return peer.cancelTask(worker, task, timeout, reason);
+    });
+}
+
+std::optional<WorkerTask> CellTasks::askPeers(const WorkerId &worker, TimePoint deadline, Failure &failure, const AskPeer &ask)
+{
+    auto candidates = peers_.livePeers();
+    {
+        const std::lock_guard lock(mutex_);
+        if (const auto known = lastOwners_.find(worker); known != lastOwners_.end()) {
+            std::stable_partition(candidates.begin(), candidates.end(), [&](const auto &id) { return id == known->second; });
+        }
+    }
+    for (const auto &id : candidates) {
+        const auto peer = peers_.peer(id);
+        if (!peer || clock_.now() >= deadline) {
+            continue;
+        }
+        if (auto state = ask(*peer, timeoutUntil(deadline), failure)) {
+            const std::lock_guard lock(mutex_);
+            lastOwners_[worker] = id;
+            return state;
+        }
+    }
+    return std::nullopt;
+}
+
+Milliseconds CellTasks::timeoutUntil(TimePoint deadline) const
+{
+    const auto remaining = std::chrono::duration_cast<Milliseconds>(deadline - clock_.now());
+    return std::clamp(remaining, Milliseconds(1), longestQuestion);
+}
+
+}
--- /dev/null
+++ b/modules/fleet/OwnedWorker.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "core/Identifier.h"
+
+#include <memory>
+
+namespace auburndoor {
+
+class WorkerConnection;
+
+/** A worker that this instance has seized, with what an order to it needs. */
+struct OwnedWorker
+{
+    WorkerId id;
+    ShardId shard;
+    Epoch epoch = 0;
+    std::shared_ptr<WorkerConnection> connection;
+};
+
+}
--- /dev/null
+++ b/modules/fleet/OwnerService.cpp
@@ -0,0 +1,154 @@
+#include "fleet/OwnerService.h"
+
+#include "core/Failure.h"
+#include "core/RandomId.h"
+#include "fleet/WorkerManager.h"
+#include "observability/Metrics.h"
+
+namespace auburndoor {
+
+namespace {
+
+Failure notOwner(Step step, const WorkerId &worker)
+{
+    return {step, worker.text(), Reason::NotOwner, "this instance does not own worker " + worker.text()};
+}
+
+}
+
+OwnerService::OwnerService(Clock &clock, Metrics &metrics, CapacityLedger &ledger, WorkerManager &workers)
+    : clock_(clock)
+    , metrics_(metrics)
+    , ledger_(ledger)
+    , workers_(workers)
+{
+}
+
+std::vector<Hold> OwnerService::hold(const HoldRequest &request)
+{
+    std::vector<Hold> result;
+    PlacementNeed need{request.service, request.need, true, 0, {}};
+    const auto expiry = clock_.now() + request.timeLimit;
+    for (int index = 0; index < request.count; ++index) {
+        const auto holdId = "hold-" + makeRandomId();
+        const auto reservation = ledger_.reserve(need, {holdId, request.team, request.need, true});
+        if (!reservation) {
+            break;
+        }
+        const std::lock_guard lock(mutex_);
+        holds_[holdId] = {*reservation, expiry};
+        result.push_back({reservation->worker, holdId});
+    }
+    return result;
+}
+
+void OwnerService::release(const std::vector<Hold> &holds)
+{
+    for (const auto &hold : holds) {
+        std::optional<Reservation> reservation;
+        {
+            const std::lock_guard lock(mutex_);
+            if (const auto found = holds_.find(hold.holdId); found != holds_.end()) {
+                reservation = found->second.reservation;
+                holds_.erase(found);
+            }
+        }
+        if (reservation) {
+            ledger_.release(reservation->shard, reservation->worker, reservation->key);
+        }
+    }
+}
+
+std::optional<Reservation> OwnerService::take(const Hold &hold, const TaskId &task)
+{
+    std::optional<Reservation> held;
+    {
+        const std::lock_guard lock(mutex_);
+        const auto found = holds_.find(hold.holdId);
+        if (found == holds_.end()) {
+            return std::nullopt;
+        }
+        held = found->second.reservation;
+        holds_.erase(found);
+    }
+    return ledger_.rename(held->shard, held->key, task.text());
+}
+
+CallResult OwnerService::startHeld(const Hold &hold, const TaskStart &start, Milliseconds timeout, Failure &failure)
+{
+    const auto reservation = take(hold, start.id);
+    if (!reservation) {
+        failure = {Step::Start, hold.worker.text(), Reason::NotOwner, "the hold " + hold.holdId + " has lapsed"};
+        return {CallStatus::NotRun, {}};
+    }
+    const auto worker = workers_.find(hold.worker);
+    if (!worker || worker->epoch != reservation->epoch) {
+        ledger_.release(reservation->shard, reservation->worker, reservation->key);
+        failure = notOwner(Step::Start, hold.worker);
+        return {CallStatus::NotRun, {}};
+    }
+    auto order = start;
+    order.epoch = reservation->epoch;
+    auto result = worker->connection->start(order, clock_.now() + timeout, failure);
+    if (result.status == CallStatus::Answered) {
+        workers_.followTask(*reservation);
+    } else if (result.status == CallStatus::Unknown) {
+        workers_.resolveTask(*reservation);
+    } else {
+        ledger_.release(reservation->shard, reservation->worker, reservation->key);
+    }
+    if (failure.reason == Reason::StaleEpoch) {
+        workers_.reportStaleEpoch(reservation->shard, reservation->epoch);
+    }
+    return result;
+}
+
+std::optional<WorkerTask> OwnerService::queryTask(const WorkerId &worker, const TaskId &task, Milliseconds timeout, Failure &failure)
+{
+    const auto owned = workers_.find(worker);
+    if (!owned) {
+        failure = notOwner(Step::Collect, worker);
+        return std::nullopt;
+    }
+    return owned->connection->query(task, clock_.now() + timeout, failure);
+}
+
+std::optional<WorkerTask> OwnerService::cancelTask(const WorkerId &worker, const TaskId &task, Milliseconds timeout, Failure &failure)
+{
+    const auto owned = workers_.find(worker);
+    if (!owned) {
+        failure = notOwner(Step::Cancel, worker);
+        return std::nullopt;
+    }
+    auto state = owned->connection->cancel(task, owned->epoch, clock_.now() + timeout, failure);
+    if (state && state->state != TaskState::Running) {
+        ledger_.release(owned->shard, worker, task.text());
+    }
+    return state;
+}
+
+void OwnerService::releaseLapsedHolds()
+{
+    std::vector<Hold> lapsed;
+    const auto now = clock_.now();
+    {
+        const std::lock_guard lock(mutex_);
+        for (const auto &[id, held] : holds_) {
+            if (held.expiry <= now) {
+                lapsed.push_back({held.reservation.worker, id});
+            }
+        }
+    }
+    if (!lapsed.empty()) {
+        metrics_.count("holds_lapsed_total", {}, static_cast<long long>(lapsed.size()));
+        release(lapsed);
+    }
+}
+
+std::size_t OwnerService::holdCount() const
+{
+    const std::lock_guard lock(mutex_);
+    return holds_.size();
+}
+
+}
--- /dev/null
+++ b/modules/fleet/WorkerList.cpp
@@ -0,0 +1,63 @@
+#include "fleet/WorkerList.h"
+
+#include "ownership/ShardMap.h"
+
+namespace auburndoor {
+
+WorkerList::WorkerList(int shardsPerDomain)
+    : shardsPerDomain_(shardsPerDomain)
+{
+}
+
+bool WorkerList::update(const ListedWorker &worker)
+{
+    if (const auto known = workers_.find(worker.id); known != workers_.end()) {
+        capacity_ -= known->second.capacity;
+        workers_.erase(known);
+    }
+    if (worker.state == ListedState::Gone) {
+        return false;
+    }
+    workers_[worker.id] = worker;
+    capacity_ += worker.capacity;
+    return domains_.emplace(worker.failureDomain, worker.region).second;
+}
+
+ShardId WorkerList::shardOf(const ListedWorker &worker) const
+{
+    return ShardMap::shardOf(worker.id, worker.failureDomain, shardsPerDomain_);
+}
+
+std::vector<ListedWorker> WorkerList::workersOf(const ShardId &shard) const
+{
+    std::vector<ListedWorker> result;
+    for (const auto &[id, worker] : workers_) {
+        if (shardOf(worker) == shard) {
+            result.push_back(worker);
+        }
+    }
+    return result;
+}
+
+const std::map<FailureDomainId, RegionId> &WorkerList::domains() const
+{
+    return domains_;
+}
+
+const Resources &WorkerList::capacity() const
+{
+    return capacity_;
+}
+
+std::vector<ListedWorker> WorkerList::pool(const ServiceId &service) const
+{
+    std::vector<ListedWorker> result;
+    for (const auto &[id, worker] : workers_) {
+        if (worker.service == service) {
+            result.push_back(worker);
+        }
+    }
+    return result;
+}
+
+}
--- /dev/null
+++ b/modules/fleet/WorkerManager.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "core/Clock.h"
+#include "fleet/OwnedWorker.h"
+#include "ownership/ShardListener.h"
+#include "placement/CapacityLedger.h"
+#include "platform/InstanceDirectory.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace auburndoor {
+
+class Metrics;
+class WorkerConnector;
+class WorkerHealth;
+
+/** Periods of a WorkerManager and how workers are grouped. */
+struct WorkerManagerOptions
+{
+    InstanceId self;
+    int shardsPerDomain = 8;
+    Milliseconds taskLease{30'000};
+    Milliseconds renewalPeriod{10'000};
+    Milliseconds listPeriod{1000};
+    /** Time limit of one order to a worker. */
+    Milliseconds orderTimeout{2000};
+    /** Threads that seize workers and renew leases. */
+    int threadCount = 4;
+};
+
+/**
+    Keeps the workers of the owned shards: follows the platform's list, seizes each worker with the epoch of its shard, enters it into
+    the capacity ledger, renews its task leases, and gives the room of ended tasks back.
+
+    All members may be called from any thread.
+*/
+class WorkerManager : public ShardListener
+{
+public:
+    WorkerManager(const WorkerManagerOptions &options,
+                  Clock &clock,
+                  Metrics &metrics,
+                  InstanceDirectory &directory,
+                  WorkerConnector &connector,
+                  CapacityLedger &ledger,
+                  WorkerHealth &health);
+
+    /** Stops the threads. */
+    ~WorkerManager() override;
+
+    void start();
+    void stop();
+
+    void shardGained(const ShardId &shard, Epoch epoch) override;
+    void shardLost(const ShardId &shard) override;
+
+    /** A seized worker; empty if this instance does not own it now. */
+    std::optional<OwnedWorker> find(const WorkerId &worker) const;
+
+    /** Releases the room of a task once the worker reports that it has ended. Call after a start that does not wait for the answer. */
+    void followTask(const Reservation &reservation);
+
+    /** Cancels a task whose fate is not known until the worker gives a definite report, and then releases its room. */
+    void resolveTask(const Reservation &reservation);
+
+    /** Drops ownership of a shard at once because a worker has seen a higher epoch. */
+    void reportStaleEpoch(const ShardId &shard, Epoch epoch);
+
+    /** The failure domains of all listed workers, with their regions. */
+    std::map<FailureDomainId, RegionId> domains() const;
+
+    /** Sum of the capacity of all listed workers of the cell. */
+    Resources cellCapacity() const;
+
+    /** The listed workers of a pool that are not gone, for checks whether work can ever fit. */
+    std::vector<ListedWorker> pool(const ServiceId &service) const;
+
+    /** The number of workers in owned shards that have not been seized yet. */
+    int unseizedCount() const;
+
+    /** Called on the manager's threads when the set of failure domains changes. Set before start(). */
+    void setDomainListener(std::function<void(const std::map<FailureDomainId, RegionId> &)> listener);
+
+private:
+    class Implementation;
+    std::unique_ptr<Implementation> implementation_;
+};
+
+}
--- /dev/null
+++ b/modules/instance/OutcomeReply.cpp
@@ -0,0 +1,94 @@
+#include "instance/OutcomeReply.h"
+
+#include <nlohmann/json.hpp>
+
+namespace auburndoor {
+
+namespace {
+
+constexpr Milliseconds second{1000};
+
+int statusOfRefusal(const Failure &failure)
+{
+    switch (failure.reason) {
+    case Reason::BadCredentials:
+        return 401;
+    case Reason::UnknownName:
+        return 404;
+    case Reason::DuplicateKey:
+    case Reason::Conflict:
+        return 409;
+    case Reason::TooLarge:
+        return 413;
+    case Reason::MalformedInput:
+    case Reason::MissingField:
+    case Reason::OutOfRange:
+        return 400;
+    case Reason::NeverFits:
+        return 422;
+    case Reason::QuotaExceeded:
+    case Reason::QueueFull:
+    case Reason::DeadlineTooShort:
+        return 429;
+    default:
+        return 503;
+    }
+}
+
+HttpReply failureReply(int status, const char *outcome, const Failure &failure, Milliseconds retryAfter)
+{
+    HttpReply reply;
+    reply.status = status;
+    reply.body = nlohmann::ordered_json{{"outcome", outcome},
+                                        {"step", name(failure.step)},
+                                        {"peer", failure.peer},
+                                        {"reason", name(failure.reason)},
+                                        {"message", failure.message},
+                                        {"retryAfterMs", retryAfter.count()}}
+                     .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    reply.headers["Outcome"] = outcome;
+    if (retryAfter.count() > 0) {
+        reply.headers["Retry-After"] = std::to_string((retryAfter + second - Milliseconds(1)) / second);
+    }
+    return reply;
+}
+
+}
+
+HttpReply replyOf(const Outcome &outcome, const RequestId &request)
+{
+    HttpReply reply;
+    switch (outcome.status) {
+    case OutcomeStatus::Answered:
+        reply = {200, outcome.answer, "application/octet-stream", {{"Outcome", "answered"}}};
+        break;
+    case OutcomeStatus::TaskFailed:
+        reply = {502, outcome.answer, "application/octet-stream", {{"Outcome", "task-failed"}}};
+        break;
+    case OutcomeStatus::NotRun:
+        reply = refusalReply(outcome.failure, outcome.retryAfter);
+        break;
+    case OutcomeStatus::Unknown:
+        reply = failureReply(504, "unknown", outcome.failure, outcome.retryAfter);
+        break;
+    }
+    reply.headers["Request-Id"] = request.text();
+    if (!outcome.worker.isEmpty()) {
+        reply.headers["Worker"] = outcome.worker.text();
+    }
+    return reply;
+}
+
+HttpReply refusalReply(const Failure &failure, Milliseconds retryAfter)
+{
+    return failureReply(statusOfRefusal(failure), "not-run", failure, retryAfter);
+}
+
+std::string bearerToken(const HttpRequest &request)
+{
+    constexpr std::string_view scheme = "Bearer ";
+    const auto value = request.header("authorization");
+    return value.starts_with(scheme) ? value.substr(scheme.size()) : std::string();
+}
+
+}
--- /dev/null
+++ b/modules/pipeline/AuthenticateFilter.cpp
@@ -0,0 +1,20 @@
+#include "pipeline/AuthenticateFilter.h"
+
+#include "declaration/Digest.h"
+#include "pipeline/RequestContext.h"
+
+namespace auburndoor {
+
+std::optional<Outcome> AuthenticateFilter::apply(RequestContext &context)
+{
+    const auto digest = Digest::sha256(context.call.token);
+    for (const auto &[id, team] : context.configuration->declaration.teams) {
+        if (Digest::isEqual(digest, team.tokenDigest)) {
+            context.request.team = id;
+            return std::nullopt;
+        }
+    }
+    return Outcome{OutcomeStatus::NotRun, {}, {Step::Authenticate, {}, Reason::BadCredentials, "the token belongs to no team"}, {}, {}, {}};
+}
+
+}
--- /dev/null
+++ b/modules/pipeline/DescribeFilter.cpp
@@ -0,0 +1,110 @@
+#include "pipeline/DescribeFilter.h"
+
+#include "core/RandomId.h"
+#include "pipeline/RequestContext.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace auburndoor {
+
+namespace {
+
+constexpr std::size_t longestName = 128;
+
+Outcome refusal(Reason reason, std::string message)
+{
+    return {OutcomeStatus::NotRun, {}, {Step::Parse, {}, reason, std::move(message)}, {}, {}, {}};
+}
+
+/** Names and keys become parts of row keys, so that only letters, digits and a few signs are allowed. */
+bool isWellFormed(const std::string &name)
+{
+    return name.size() <= longestName && std::all_of(name.begin(), name.end(), [](unsigned char letter) {
+               return std::isalnum(letter) != 0 || letter == '-' || letter == '_' || letter == '.' || letter == ':';
+           });
+}
+
+std::optional<Outcome> describePriority(RequestContext &context)
+{
+    const auto &text = context.call.priority;
+    if (text.empty()) {
+        context.request.priority = context.service->priority;
+    } else if (text == "urgent") {
+        context.request.priority = Priority::Urgent;
+    } else if (text == "normal") {
+        context.request.priority = Priority::Normal;
+    } else if (text == "background") {
+        context.request.priority = Priority::Background;
+    } else {
+        return refusal(Reason::OutOfRange, "priority \"" + text + "\" is not one of urgent, normal, background");
+    }
+    return std::nullopt;
+}
+
+std::optional<Outcome> describeDeadline(RequestContext &context, TimePoint now)
+{
+    const auto &text = context.call.timeout;
+    auto timeout = context.service->defaultDeadline;
+    if (!text.empty()) {
+        long long milliseconds = 0;
+        const auto parsed = std::from_chars(text.data(), text.data() + text.size(), milliseconds);
+        const auto largest = context.service->maximumDeadline.count();
+        if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size() || milliseconds < 1 || milliseconds > largest) {
+            return refusal(Reason::OutOfRange, "timeout \"" + text + "\" is not a number of milliseconds from 1 to " + std::to_string(largest));
+        }
+        timeout = Milliseconds(milliseconds);
+    }
+    context.request.arrival = now;
+    context.request.deadline = now + timeout;
+    return std::nullopt;
+}
+
+std::optional<Outcome> describeRepeatability(RequestContext &context)
+{
+    const auto &service = *context.service;
+    const auto &kinds = service.nonRepeatableKinds;
+    auto &request = context.request;
+    request.isRepeatable = service.isRepeatable && std::find(kinds.begin(), kinds.end(), request.kind) == kinds.end();
+    if (!request.isRepeatable && request.idempotencyKey.empty()) {
+        return refusal(Reason::MissingField, "a request that is not repeatable needs the header Idempotency-Key");
+    }
+    return std::nullopt;
+}
+
+}
+
+DescribeFilter::DescribeFilter(Clock &clock)
+    : clock_(clock)
+{
+}
+
+std::optional<Outcome> DescribeFilter::apply(RequestContext &context)
+{
+    const auto &call = context.call;
+    if (!isWellFormed(call.kind) || !isWellFormed(call.idempotencyKey)) {
+        return refusal(Reason::MalformedInput, "kind and Idempotency-Key take up to 128 letters, digits and the signs - _ . :");
+    }
+    const auto &services = context.configuration->declaration.services;
+    const auto found = services.find(ServiceId(call.service));
+    if (found == services.end()) {
+        return refusal(Reason::UnknownName, "no service \"" + call.service.substr(0, longestName) + "\" is declared");
+    }
+    context.service = &found->second;
+    auto &request = context.request;
+    request.id = RequestId(makeRandomId());
+    request.service = found->first;
+    request.kind = call.kind;
+    request.need = context.service->need;
+    request.idempotencyKey = call.idempotencyKey;
+    request.body = call.body;
+    if (auto refused = describePriority(context)) {
+        return refused;
+    }
+    if (auto refused = describeDeadline(context, clock_.now())) {
+        return refused;
+    }
+    return describeRepeatability(context);
+}
+
+}
--- /dev/null
+++ b/modules/pipeline/DescribeFilter.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "pipeline/Filter.h"
+
+namespace auburndoor {
+
+class Clock;
+
+/** Checks a call and describes it as a request: service, need, deadline, priority, repeatable or not. */
+class DescribeFilter : public Filter
+{
+public:
+    explicit DescribeFilter(Clock &clock);
+
+    std::optional<Outcome> apply(RequestContext &context) override;
+
+private:
+    Clock &clock_;
+};
+
+}
--- /dev/null
+++ b/modules/pipeline/DispatchFilter.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "pipeline/Filter.h"
+#include "worker/WorkerConnection.h"
+
+namespace auburndoor {
+
+class CapacityLedger;
+class Clock;
+class MembershipView;
+class RequestRecords;
+class RunTimeEstimator;
+class TaskResolver;
+class WorkerHealth;
+class WorkerManager;
+
+/** The parts of an instance that DispatchFilter works with. */
+struct DispatchParts
+{
+    Clock &clock;
+    CapacityLedger &ledger;
+    WorkerManager &workers;
+    WorkerHealth &health;
+    RunTimeEstimator &estimator;
+    RequestRecords &records;
+    TaskResolver &resolver;
+    MembershipView &members;
+};
+
+/** Starts the request's task on the reserved worker, or has the chosen peer execute the request, and collects the outcome. */
+class DispatchFilter : public Filter
+{
+public:
+    explicit DispatchFilter(const DispatchParts &parts);
+
+    std::optional<Outcome> apply(RequestContext &context) override;
+
+private:
+    Outcome forward(RequestContext &context);
+    Outcome execute(RequestContext &context);
+    Outcome conclude(RequestContext &context, const CallResult &result, const Failure &failure);
+    void settleRoom(const RequestContext &context, const Outcome &outcome);
+    void settleRecord(const RequestContext &context, const Outcome &outcome);
+    TaskStart describeStart(const RequestContext &context) const;
+
+    DispatchParts parts_;
+};
+
+}
--- /dev/null
+++ b/modules/pipeline/RecordFilter.cpp
@@ -0,0 +1,105 @@
+#include "pipeline/RecordFilter.h"
+
+#include "pipeline/RequestContext.h"
+#include "pipeline/RequestRecords.h"
+#include "pipeline/TaskResolver.h"
+
+namespace auburndoor {
+
+namespace {
+
+/** Time for the start of another attempt's task to reach its worker before the task is forbidden. */
+constexpr Milliseconds startGrace{1000};
+
+Outcome notRun(Reason reason, std::string message)
+{
+    return {OutcomeStatus::NotRun, {}, {Step::Record, "table", reason, std::move(message)}, {}, {}, {}};
+}
+
+}
+
+RecordFilter::RecordFilter(RequestRecords &records, TaskResolver &resolver, CapacityLedger &ledger)
+    : records_(records)
+    , resolver_(resolver)
+    , ledger_(ledger)
+{
+}
+
+std::optional<Outcome> RecordFilter::apply(RequestContext &context)
+{
+    const auto &request = context.request;
+    if (request.isRepeatable || !context.reservation) {
+        return std::nullopt;
+    }
+    const auto key = RequestRecord::rowKey(request.team, request.idempotencyKey);
+    RequestRecord record;
+    record.task = context.task();
+    record.worker = context.reservation->worker;
+    record.requestDigest = RequestRecord::digestOf(request);
+    Failure failure;
+    const auto expected = context.record ? context.record->version : 0;
+    auto claim = records_.claim(key, expected, record, request.deadline, failure);
+    if (claim.status == ClaimStatus::Taken && claim.present.state == RecordState::NotRun) {
+        claim = records_.claim(key, claim.version, record, request.deadline, failure);
+    }
+    if (claim.status == ClaimStatus::Claimed) {
+        context.record = ClaimedRecord{key, claim.version};
+        return std::nullopt;
+    }
+    releaseRoom(context);
+    if (claim.status == ClaimStatus::Failed) {
+        return Outcome{OutcomeStatus::NotRun, {}, failure, Milliseconds(1000), {}, {}};
+    }
+    if (claim.present.requestDigest != record.requestDigest) {
+        return notRun(Reason::DuplicateKey, "the idempotency key was used for a different request");
+    }
+    return claim.present.state == RecordState::Claimed ? resolveClaim(context, claim) : answerFromRecord(context, claim);
+}
+
+Outcome RecordFilter::answerFromRecord(RequestContext &context, const ClaimResult &taken)
+{
+    const auto &record = taken.present;
+    if (record.state == RecordState::NotRun) {
+        // Another attempt was quicker twice; the next round meets its claim.
+        return notRun(Reason::Conflict, "another attempt holds the record");
+    }
+    Failure failure;
+    const auto answer = records_.answerOf(record, context.request.deadline, failure);
+    if (!answer) {
+        return {OutcomeStatus::Unknown, {}, failure, Milliseconds(1000), record.worker, {}};
+    }
+    const auto status = record.state == RecordState::Answered ? OutcomeStatus::Answered : OutcomeStatus::TaskFailed;
+    return {status, *answer, {}, {}, record.worker, {}};
+}
+
+Outcome RecordFilter::resolveClaim(RequestContext &context, const ClaimResult &taken)
+{
+    const auto key = RequestRecord::rowKey(context.request.team, context.request.idempotencyKey);
+    const ClaimedRecord claimed{key, taken.version};
+    auto outcome = resolver_.resolve(taken.present.worker, taken.present.task, startGrace, context.request.deadline);
+    auto record = taken.present;
+    switch (outcome.status) {
+    case OutcomeStatus::Answered:
+    case OutcomeStatus::TaskFailed:
+        record.state = outcome.status == OutcomeStatus::Answered ? RecordState::Answered : RecordState::TaskFailed;
+        record.answer = outcome.answer;
+        records_.finish(claimed, record);
+        return outcome;
+    case OutcomeStatus::NotRun:
+        // The earlier task can never start any more, so that the record may be claimed from its present version.
+        context.record = claimed;
+        return notRun(Reason::Conflict, "an earlier attempt was never started");
+    case OutcomeStatus::Unknown:
+        break;
+    }
+    return outcome;
+}
+
+void RecordFilter::releaseRoom(RequestContext &context)
+{
+    const auto &reservation = *context.reservation;
+    ledger_.release(reservation.shard, reservation.worker, reservation.key);
+    context.reservation.reset();
+}
+
+}
--- /dev/null
+++ b/modules/pipeline/RequestRecords.cpp
@@ -0,0 +1,148 @@
+#include "pipeline/RequestRecords.h"
+
+#include "core/Failure.h"
+#include "core/RandomId.h"
+#include "observability/Log.h"
+#include "observability/Metrics.h"
+#include "platform/ObjectStore.h"
+#include "platform/TableService.h"
+
+namespace auburndoor {
+
+namespace {
+
+constexpr std::size_t largestInlineAnswer = 16 * 1024;
+/** Outcomes past it are dropped, oldest first: the worker keeps them for 10 minutes, and a later attempt reads them back from there. */
+constexpr std::size_t pendingLimit = 10'000;
+constexpr int writerCount = 4;
+constexpr Milliseconds writeTimeout{2000};
+constexpr Milliseconds writeRetryPeriod{1000};
+
+}
+
+RequestRecords::RequestRecords(Clock &clock, Metrics &metrics, TableService &table, ObjectStore &objects)
+    : clock_(clock)
+    , metrics_(metrics)
+    , table_(table)
+    , objects_(objects)
+{
+    for (int index = 0; index < writerCount; ++index) {
+        threads_.emplace_back([this] { writeOutcomes(); });
+    }
+}
+
+RequestRecords::~RequestRecords()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        isStopping_ = true;
+    }
+    condition_.notify_all();
+    for (auto &thread : threads_) {
+        thread.join();
+    }
+}
+
+ClaimResult RequestRecords::claim(const std::string &rowKey,
+                                  long long expectedVersion,
+                                  const RequestRecord &record,
+                                  TimePoint deadline,
+                                  Failure &failure)
+{
+    const Transaction transaction{makeRandomId(), {{rowKey, expectedVersion}}, {{rowKey, record.toText()}}, WritePurpose::RequestRecord};
+    const auto result = table_.commit(transaction, deadline, failure);
+    if (result.status == CommitStatus::Committed && !result.versions.empty()) {
+        return {ClaimStatus::Claimed, result.versions.front(), {}};
+    }
+    if (result.status != CommitStatus::Conflict || result.conflicts.empty()) {
+        failure.step = Step::Record;
+        return {};
+    }
+    const auto &row = result.conflicts.front();
+    const auto present = RequestRecord::fromText(row.value);
+    if (!present) {
+        failure = {Step::Record, "table", Reason::BadReply, "the row " + rowKey + " holds no request record"};
+        return {};
+    }
+    return {ClaimStatus::Taken, row.version, *present};
+}
+
+void RequestRecords::finish(const ClaimedRecord &claimed, const RequestRecord &record)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        if (pending_.size() >= pendingLimit) {
+            pending_.pop_front();
+            metrics_.count("record_outcomes_dropped_total");
+        }
+        pending_.push_back({claimed, record, clock_.now()});
+    }
+    condition_.notify_one();
+}
+
+std::optional<std::string> RequestRecords::answerOf(const RequestRecord &record, TimePoint deadline, Failure &failure)
+{
+    if (record.answerObject.empty()) {
+        return record.answer;
+    }
+    return objects_.get(record.answerObject, deadline, failure);
+}
+
+void RequestRecords::writeOutcomes()
+{
+    std::unique_lock lock(mutex_);
+    while (true) {
+        const auto isDue = [this] { return isStopping_ || (!pending_.empty() && pending_.front().due <= clock_.now()); };
+        clock_.waitUntil(lock, condition_, clock_.now() + writeRetryPeriod, isDue);
+        if (pending_.empty() && isStopping_) {
+            return;
+        }
+        if (pending_.empty() || (!isStopping_ && pending_.front().due > clock_.now())) {
+            continue;
+        }
+        auto pending = std::move(pending_.front());
+        pending_.pop_front();
+        const auto isLastTry = isStopping_;
+        lock.unlock();
+        const auto isWritten = write(pending);
+        lock.lock();
+        if (!isWritten && !isLastTry) {
+            pending.due = clock_.now() + writeRetryPeriod;
+            pending_.push_back(std::move(pending));
+        }
+    }
+}
+
+bool RequestRecords::write(PendingOutcome &pending)
+{
+    Failure failure;
+    const auto deadline = clock_.now() + writeTimeout;
+    auto &record = pending.record;
+    if (record.answer.size() > largestInlineAnswer) {
+        const auto name = "answer/" + record.task.text();
+        if (!objects_.put(name, record.answer, deadline, failure)) {
+            metrics_.countRetry(failure);
+            return false;
+        }
+        record.answer.clear();
+        record.answerObject = name;
+    }
+    const auto &claimed = pending.claimed;
+    const Transaction transaction{makeRandomId(),
+                                  {{claimed.key, claimed.version}},
+                                  {{claimed.key, record.toText()}},
+                                  WritePurpose::RequestRecord};
+    const auto result = table_.commit(transaction, deadline, failure);
+    if (result.status == CommitStatus::Committed) {
+        return true;
+    }
+    if (result.status == CommitStatus::Conflict) {
+        // An attempt through another instance has read the same fate from the worker and written it.
+        metrics_.count("record_outcomes_superseded_total");
+        return true;
+    }
+    metrics_.countRetry(failure);
+    return false;
+}
+
+}
--- /dev/null
+++ b/modules/pipeline/RetryDecision.cpp
@@ -0,0 +1,42 @@
+#include "pipeline/RetryDecision.h"
+
+namespace auburndoor {
+
+namespace {
+
+RetryAdvice adviseAfterNotRun(const Failure &failure)
+{
+    switch (failure.reason) {
+    case Reason::NoCapacity:
+    case Reason::QuotaExceeded:
+    case Reason::NotOwner:
+    case Reason::ShuttingDown:
+    case Reason::NotReady:
+        return failure.step == Step::Queue || failure.step == Step::Admit ? RetryAdvice::Stop : RetryAdvice::RouteAgain;
+    case Reason::StaleEpoch:
+    case Reason::WorkerLeaving:
+    case Reason::ConnectionFailed:
+    case Reason::ConnectionLost:
+    case Reason::TimedOut:
+    case Reason::Throttled:
+        return failure.step == Step::Record ? RetryAdvice::Stop : RetryAdvice::RetryUnderBudget;
+    default:
+        return RetryAdvice::Stop;
+    }
+}
+
+}
+
+RetryAdvice adviseRetry(const Request &request, const Outcome &outcome)
+{
+    if (outcome.status == OutcomeStatus::NotRun) {
+        return adviseAfterNotRun(outcome.failure);
+    }
+    const auto isPeerLost = outcome.failure.step == Step::Forward && outcome.failure.reason == Reason::ConnectionLost;
+    if (outcome.status == OutcomeStatus::Unknown && request.isRepeatable && isPeerLost) {
+        return RetryAdvice::RetryUnderBudget;
+    }
+    return RetryAdvice::Stop;
+}
+
+}
--- /dev/null
+++ b/modules/pipeline/RetryDecision.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "pipeline/Request.h"
+
+namespace auburndoor {
+
+enum class RetryAdvice {
+    /** Another attempt cannot help or is not safe. */
+    Stop,
+    /** Another attempt may help; it counts against the retry budget. */
+    RetryUnderBudget,
+    /** The request was sent where there is no room; looking elsewhere is part of routing and costs no worker time. */
+    RouteAgain,
+};
+
+/**
+    Says whether a request may be attempted again after an outcome.
+
+    Only a definite not-run is repeated, and an unknown outcome only for a repeatable request whose peer was lost. A pure function.
+*/
+RetryAdvice adviseRetry(const Request &request, const Outcome &outcome);
+
+}
--- /dev/null
+++ b/modules/pipeline/TaskAccess.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "core/Clock.h"
+#include "core/Identifier.h"
+#include "worker/WorkerConnection.h"
+
+#include <optional>
+
+namespace auburndoor {
+
+struct Failure;
+
+/** Asks about tasks on any worker of the cell, whoever owns it. Any thread. */
+class TaskAccess
+{
+public:
+    virtual ~TaskAccess() = default;
+
+    /** @return empty if no owner of the worker could be reached before the deadline */
+    virtual std::optional<WorkerTask> query(const WorkerId &worker, const TaskId &task, TimePoint deadline, Failure &failure) = 0;
+
+    /** Stops a task or forbids its start. @return the state after the order, or empty as for query() */
+    virtual std::optional<WorkerTask> cancel(const WorkerId &worker, const TaskId &task, TimePoint deadline, Failure &failure) = 0;
+};
+
+}
