--- /dev/null
+++ b/modules/admission/FifoOrder.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "admission/QueueOrder.h"
+
+#include <map>
+#include <utility>
+
+namespace auburndoor {
+
+/** Baseline: in order of arrival. */
+class FifoOrder : public QueueOrder
+{
+public:
+    void add(const QueueEntry &entry) override;
+    void remove(const QueueEntry &entry) override;
+    std::vector<const QueueEntry *> heads(TimePoint now, std::size_t limit) const override;
+    void started(const QueueEntry &entry, std::size_t position) override;
+    std::size_t countAhead(const QueueEntry &entry) const override;
+
+private:
+    /** By arrival; the request id decides between equal arrivals. */
+    std::map<std::pair<TimePoint, RequestId>, const QueueEntry *> entries_;
+};
+
+} // namespace auburndoor
--- a/modules/placement/CapacityLedger.h
+++ b/modules/placement/CapacityLedger.h
@@ -55,8 +55,10 @@
     explicit CapacityLedger(const Placer &placer);
     ~CapacityLedger();
 
-    /** Adds a seized worker with what runs on it; replaces what the ledger knew of it. Ignored if its epoch is lower than the known
-     * one. */
+    /**
+        Adds a seized worker with what runs on it; replaces what the ledger knew of it. Ignored if its epoch is lower than the known
+        one. With the same epoch, what reserve() made is kept, since its start may still be on its way to the worker.
+    */
     void addWorker(const LedgerWorker &worker, const std::vector<LedgerEntry> &running);
 
     void removeWorker(const ShardId &shard, const WorkerId &worker);
@@ -67,7 +69,12 @@
     /** Opens or closes a worker for new work. */
     void setOpen(const ShardId &shard, const WorkerId &worker, bool isOpen);
 
-    /** Reserves room for a task or hold on a worker of the pool. @return empty if there is none */
+    /**
+        Reserves room for a task or hold on a worker of the pool. The need and isLong of the placement are what is charged; the key
+        has to be new.
+
+        @return empty if there is no room
+    */
     std::optional<Reservation> reserve(const PlacementNeed &need, const LedgerEntry &entry);
 
     /** Gives a key to an existing reservation, such as a task id to a hold. @return the reservation, or empty if it is not known */
--- /dev/null
+++ b/modules/placement/FirstFitPlacer.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "placement/Placer.h"
+
+namespace auburndoor {
+
+/** Baseline: chooses the first worker that has room. Any thread. */
+class FirstFitPlacer : public Placer
+{
+public:
+    std::optional<std::size_t> choose(const PlacementNeed &need, std::span<const WorkerView> workers) const override;
+};
+
+} // namespace auburndoor
--- /dev/null
+++ b/modules/placement/WorkerHealth.cpp
@@ -0,0 +1,75 @@
+#include "placement/WorkerHealth.h"
+
+#include <algorithm>
+
+namespace auburndoor {
+
+WorkerHealth::WorkerHealth(const Clock &clock, const WorkerHealthOptions &options) : clock_(clock), options_(options)
+{
+}
+
+bool WorkerHealth::recordStart(const WorkerId &worker, bool hasSucceeded)
+{
+    const std::lock_guard lock(mutex_);
+    auto &record = records_[worker];
+    if (record.state == State::Quarantined) {
+        // The end of a start from before the quarantine says nothing new.
+        return false;
+    }
+    if (record.state == State::OnTrial) {
+        if (!hasSucceeded) {
+            quarantine(record);
+            return true;
+        }
+        if (++record.successesOnTrial >= options_.trialSuccesses) {
+            record.state = State::Healthy;
+        }
+        return false;
+    }
+    record.lastStarts.push_back(hasSucceeded);
+    if (record.lastStarts.size() > options_.window) {
+        record.lastStarts.pop_front();
+    }
+    const auto failures = std::count(record.lastStarts.begin(), record.lastStarts.end(), false);
+    if (static_cast<std::size_t>(failures) < options_.failureLimit) {
+        return false;
+    }
+    quarantine(record);
+    return true;
+}
+
+bool WorkerHealth::isQuarantined(const WorkerId &worker) const
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = records_.find(worker);
+    return found != records_.end() && found->second.state == State::Quarantined && clock_.now() < found->second.quarantineEnd;
+}
+
+std::vector<WorkerId> WorkerHealth::takeReleased()
+{
+    const std::lock_guard lock(mutex_);
+    std::vector<WorkerId> released;
+    for (auto &[worker, record] : records_) {
+        if (record.state == State::Quarantined && clock_.now() >= record.quarantineEnd) {
+            record.state = State::OnTrial;
+            record.successesOnTrial = 0;
+            released.push_back(worker);
+        }
+    }
+    return released;
+}
+
+void WorkerHealth::forget(const WorkerId &worker)
+{
+    const std::lock_guard lock(mutex_);
+    records_.erase(worker);
+}
+
+void WorkerHealth::quarantine(Record &record) const
+{
+    record.state = State::Quarantined;
+    record.quarantineEnd = clock_.now() + options_.quarantine;
+    record.lastStarts.clear();
+}
+
+} // namespace auburndoor
