--- /dev/null
+++ b/modules/fleet/PoolCensus.cpp
@@ -0,0 +1,73 @@
+#include "fleet/PoolCensus.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace auburndoor {
+
+long long placesIn(const Resources &capacity, const Resources &need)
+{
+    auto places = std::numeric_limits<long long>::max();
+    const auto limit = [&places](long long available, long long needed) {
+        if (needed > 0) {
+            places = std::min(places, available / needed);
+        }
+    };
+    limit(capacity.milliCores, need.milliCores);
+    limit(capacity.memoryMiB, need.memoryMiB);
+    limit(capacity.accelerators, need.accelerators);
+    limit(capacity.slots, need.slots);
+    limit(capacity.connections, need.connections);
+    return places == std::numeric_limits<long long>::max() ? 1 : places;
+}
+
+long long PoolSize::places(const Resources &need) const
+{
+    long long sum = 0;
+    for (const auto &[capacity, count] : capacities) {
+        sum += placesIn(capacity, need) * count;
+    }
+    return sum;
+}
+
+bool PoolSize::canHold(const Resources &need) const
+{
+    return std::any_of(capacities.begin(), capacities.end(), [&](const auto &entry) { return need.fitsIn(entry.first); });
+}
+
+std::string PoolSize::nearestFit(const Resources &need) const
+{
+    if (capacities.empty()) {
+        return "the pool has no workers";
+    }
+    const auto nearest = std::min_element(capacities.begin(), capacities.end(), [&](const auto &left, const auto &right) {
+        return dominantShare(need, left.first) < dominantShare(need, right.first);
+    });
+    return "the largest worker of the pool has " + nearest->first.text();
+}
+
+void PoolCensus::update(const ServiceId &service, const std::vector<ListedWorker> &workers)
+{
+    auto size = std::make_shared<PoolSize>();
+    for (const auto &worker : workers) {
+        const auto same = std::find_if(size->capacities.begin(), size->capacities.end(), [&](const auto &entry) {
+            return entry.first == worker.capacity;
+        });
+        if (same != size->capacities.end()) {
+            ++same->second;
+        } else {
+            size->capacities.emplace_back(worker.capacity, 1);
+        }
+    }
+    const std::lock_guard lock(mutex_);
+    pools_[service] = std::move(size);
+}
+
+std::shared_ptr<const PoolSize> PoolCensus::pool(const ServiceId &service) const
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = pools_.find(service);
+    return found == pools_.end() ? nullptr : found->second;
+}
+
+}
--- /dev/null
+++ b/modules/instance/PeerService.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "peer/PeerHandler.h"
+
+#include <functional>
+
+namespace auburndoor {
+
+class Clock;
+class ConfigurationManager;
+class MembershipView;
+class OwnerService;
+class Pipeline;
+class ServiceQueues;
+
+/** The parts of an instance that serve its peers. */
+struct PeerServiceParts
+{
+    Clock &clock;
+    MembershipView &members;
+    ConfigurationManager &configuration;
+    const Pipeline &pipeline;
+    OwnerService &owner;
+    ServiceQueues &queues;
+    std::function<void(const ShardId &, const JobId &)> notifyJob;
+};
+
+/** What this instance does with the messages of its peers. Any thread. */
+class PeerService : public PeerHandler
+{
+public:
+    explicit PeerService(const PeerServiceParts &parts);
+
+    Member heartbeat(const Member &sender) override;
+    Outcome execute(const Request &request) override;
+    long long announce(const ConfigurationAnnouncement &announcement) override;
+    ConfigurationAnnouncement fetchConfiguration() override;
+    std::vector<Hold> hold(const HoldRequest &request) override;
+    void release(const std::vector<Hold> &holds) override;
+    CallResult startHeld(const Hold &hold, const TaskStart &start, Failure &failure) override;
+    std::optional<WorkerTask> queryTask(const WorkerId &worker, const TaskId &task, Failure &failure) override;
+    std::optional<WorkerTask> cancelTask(const WorkerId &worker, const TaskId &task, Failure &failure) override;
+    void notifyJob(const ShardId &shard, const JobId &job) override;
+
+private:
+    PeerServiceParts parts_;
+};
+
+}
--- /dev/null
+++ b/modules/pipeline/AdmitFilter.cpp
@@ -0,0 +1,65 @@
+#include "pipeline/AdmitFilter.h"
+
+#include "admission/AdmissionPolicy.h"
+#include "fleet/PoolCensus.h"
+#include "membership/MembershipView.h"
+#include "pipeline/RequestContext.h"
+#include "pipeline/RequestNeeds.h"
+#include "pipeline/ServiceQueues.h"
+#include "placement/RunTimeEstimator.h"
+
+namespace auburndoor {
+
+AdmitFilter::AdmitFilter(const AdmitParts &parts)
+    : parts_(parts)
+{
+}
+
+std::optional<Outcome> AdmitFilter::apply(RequestContext &context)
+{
+    const auto &request = context.request;
+    context.isLong = parts_.estimator.isLong(request.service, request.kind, Milliseconds(0), context.service->longWork);
+    const auto pool = parts_.census.pool(request.service);
+    if (!pool) {
+        return std::nullopt;
+    }
+    if (!pool->capacities.empty() && !pool->canHold(request.need)) {
+        const auto message = "the request needs " + request.need.text() + "; " + pool->nearestFit(request.need);
+        return Outcome{OutcomeStatus::NotRun, {}, {Step::Admit, {}, Reason::NeverFits, message}, {}, {}, {}};
+    }
+    return refuseLate(context, *pool);
+}
+
+std::optional<Outcome> AdmitFilter::refuseLate(const RequestContext &context, const PoolSize &pool) const
+{
+    const auto &request = context.request;
+    const auto entry = queueEntryOf(context, parts_.estimator);
+    // The balancer spreads requests evenly, so that the other instances' queues are about as long as this one's.
+    const auto instanceCount = parts_.members.livePeers().size() + 1;
+    AdmissionQuery query;
+    query.remaining = std::chrono::duration_cast<Milliseconds>(request.deadline - parts_.clock.now());
+    query.expectedRunTime = entry.expectedRunTime;
+    query.queuedAhead = parts_.queues.queue(*context.service).countAhead(entry) * instanceCount;
+    query.totalPlaces = pool.places(request.need);
+    query.freePlaces = freePlaces(context);
+    query.meanRunTime = parts_.estimator.estimate(request.service, {}, Milliseconds(0)).mean;
+    const auto decision = AdmissionPolicy::decide(query);
+    if (decision.isAdmitted) {
+        return std::nullopt;
+    }
+    const auto message = "the estimated wait of " + std::to_string(decision.estimatedWait.count()) + " ms exceeds the deadline";
+    return Outcome{OutcomeStatus::NotRun, {}, {Step::Admit, {}, Reason::DeadlineTooShort, message}, decision.retryAfter, {}, {}};
+}
+
+long long AdmitFilter::freePlaces(const RequestContext &context) const
+{
+    long long places = parts_.ledger.freePlaces(placementNeedOf(context));
+    for (const auto &member : parts_.members.liveMembers()) {
+        for (const auto &pool : member.summary.pools) {
+            places += pool.service == context.request.service ? pool.freePlaces : 0;
+        }
+    }
+    return places;
+}
+
+}
--- a/modules/pipeline/DispatchFilter.cpp
+++ b/modules/pipeline/DispatchFilter.cpp
@@ -56,7 +56,7 @@
     ++request.hopCount;
     auto outcome = peer->execute(request, remaining(request.deadline, parts_.clock.now()) + answerTravel);
     if (outcome.status == OutcomeStatus::NotRun && outcome.failure.reason == Reason::NoCapacity) {
-        context.fullPeers.insert(target);
+        context.fullPeers[target] = parts_.clock.now();
     }
     return outcome;
 }
@@ -118,10 +118,12 @@
     const auto hasRun = outcome.status == OutcomeStatus::Answered || outcome.status == OutcomeStatus::TaskFailed;
     // A refusal says nothing about the health of a worker, except that it could not be reached.
     if (hasRun || outcome.status == OutcomeStatus::Unknown || failure.reason == Reason::ConnectionFailed) {
-        parts_.health.recordStart(reservation.worker, outcome.status == OutcomeStatus::Answered);
+        if (parts_.health.recordStart(reservation.worker, outcome.status == OutcomeStatus::Answered)) {
+            parts_.ledger.setOpen(reservation.shard, reservation.worker, false);
+        }
     }
     if (hasRun) {
-        parts_.estimator.record(request.service, request.kind, parts_.clock.now() - context.started);
+        parts_.estimator.observe(request.service, request.kind, parts_.clock.now() - context.started);
     }
     return outcome;
 }
--- a/modules/pipeline/Pipeline.cpp
+++ b/modules/pipeline/Pipeline.cpp
@@ -92,7 +92,7 @@
         // The entry instance looks elsewhere; an owner that has no room says so at once.
         return !isForwarded;
     }
-    if (!budget_.tryRetry()) {
+    if (!budget_.takeRetry()) {
         metrics_.count("retry_budget_spent_total");
         return false;
     }
--- a/modules/pipeline/RequestContext.h
+++ b/modules/pipeline/RequestContext.h
@@ -5,9 +5,10 @@
 #include "pipeline/Request.h"
 #include "placement/CapacityLedger.h"
 
+#include <map>
 #include <memory>
 #include <optional>
-#include <set>
+
 #include <string>
 
 namespace auburndoor {
@@ -52,8 +53,8 @@
     std::optional<Reservation> reservation;
     /** Set by Reserve: the peer that has room. */
     InstanceId forwardTo;
-    /** Peers that refused for want of room since the last summary. */
-    std::set<InstanceId> fullPeers;
+    /** Peers that refused for want of room, with the time of the refusal. */
+    std::map<InstanceId, TimePoint> fullPeers;
     /** Set by Record. */
     std::optional<ClaimedRecord> record;
     /** When the task was started on a worker. */
--- /dev/null
+++ b/modules/pipeline/ReserveFilter.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "pipeline/Filter.h"
+
+namespace auburndoor {
+
+class CapacityLedger;
+class Clock;
+class MembershipView;
+class RunTimeEstimator;
+class ServiceQueues;
+class ShareAccounts;
+
+/** The parts of an instance that ReserveFilter works with. */
+struct ReserveParts
+{
+    Clock &clock;
+    CapacityLedger &ledger;
+    MembershipView &members;
+    RunTimeEstimator &estimator;
+    ServiceQueues &queues;
+    ShareAccounts &shares;
+};
+
+/**
+    Finds room for a request: on a worker of this instance, else at the peer with most room, else it waits in the queue.
+
+    A request that a peer has forwarded is placed at once or refused, so that it waits in one queue only, that of its entry instance.
+*/
+class ReserveFilter : public Filter
+{
+public:
+    explicit ReserveFilter(const ReserveParts &parts);
+
+    std::optional<Outcome> apply(RequestContext &context) override;
+
+private:
+    bool reserveHere(RequestContext &context);
+    bool claimAtPeer(RequestContext &context);
+
+    ReserveParts parts_;
+};
+
+}
