--- /dev/null
+++ b/modules/platform/HttpInstanceDirectory.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "platform/InstanceDirectory.h"
+
+namespace auburndoor {
+
+class PlatformConnection;
+
+/** The platform's list of workers over HTTP. */
+class HttpInstanceDirectory : public InstanceDirectory
+{
+public:
+    /** @param connection must outlive this object */
+    explicit HttpInstanceDirectory(PlatformConnection &connection);
+
+    std::optional<WorkerListing> changesSince(long long cursor, TimePoint deadline, Failure &failure) override;
+
+private:
+    PlatformConnection &connection_;
+};
+
+} // namespace auburndoor
--- /dev/null
+++ b/modules/platform/HttpTableService.cpp
@@ -0,0 +1,148 @@
+#include "platform/HttpTableService.h"
+
+#include "core/Failure.h"
+#include "platform/PlatformConnection.h"
+
+#include <nlohmann/json.hpp>
+
+namespace auburndoor {
+
+using nlohmann::json;
+
+namespace {
+
+TableRow readRow(const json &source)
+{
+    return { source.at("key"), source.at("value"), source.at("version") };
+}
+
+std::vector<TableRow> readRows(const json &source)
+{
+    std::vector<TableRow> rows;
+    for (const auto &row : source) {
+        rows.push_back(readRow(row));
+    }
+    return rows;
+}
+
+/** Empty if a string is not UTF-8, which JSON cannot carry. */
+std::optional<std::string> writeBody(const json &source, Step step, Failure &failure)
+{
+    try {
+        return source.dump();
+    } catch (const json::exception &) {
+        failure = { step, {}, Reason::MalformedInput, "a key or value is not UTF-8" };
+        return std::nullopt;
+    }
+}
+
+template<typename Read>
+bool readBody(const HttpReply &reply, const Read &read)
+{
+    try {
+        return read(json::parse(reply.body));
+    } catch (const json::exception &) {
+        return false;
+    }
+}
+
+json describe(const Transaction &transaction)
+{
+    auto checks = json::array();
+    for (const auto &check : transaction.checks) {
+        checks.push_back({ { "key", check.key }, { "version", check.version } });
+    }
+    auto writes = json::array();
+    for (const auto &write : transaction.writes) {
+        writes.push_back({ { "key", write.key }, { "value", write.value ? json(*write.value) : json(nullptr) } });
+    }
+    return { { "id", transaction.id }, { "checks", std::move(checks) }, { "writes", std::move(writes) } };
+}
+
+bool readOutcome(const json &source, std::size_t writeCount, CommitResult &result)
+{
+    const std::string outcome = source.at("outcome");
+    if (outcome == "committed") {
+        result.versions = source.at("versions").get<std::vector<long long>>();
+        result.status = CommitStatus::Committed;
+        return result.versions.size() == writeCount;
+    }
+    if (outcome == "conflict") {
+        result.conflicts = readRows(source.at("conflicts"));
+        result.status = CommitStatus::Conflict;
+        return !result.conflicts.empty();
+    }
+    return false;
+}
+
+} // namespace
+
+HttpTableService::HttpTableService(PlatformConnection &connection) : connection_(connection)
+{
+}
+
+std::optional<TableRow> HttpTableService::read(const std::string &key, TimePoint deadline, Failure &failure)
+{
+    const auto body = writeBody({ { "key", key } }, Step::ReadTable, failure);
+    TableRow row;
+    bool mayHaveArrived = false;
+    const auto reader = [&](const HttpReply &reply) {
+        return readBody(reply, [&](const json &source) {
+            row = readRow(source.at("row"));
+            return row.key == key;
+        });
+    };
+    if (!body
+        || !connection_.call({ "POST", "/v1/table/read", *body, Step::ReadTable }, deadline, reader, mayHaveArrived, failure)) {
+        return std::nullopt;
+    }
+    return row;
+}
+
+std::optional<std::vector<TableRow>> HttpTableService::readPrefix(const std::string &prefix, TimePoint deadline, Failure &failure)
+{
+    const auto body = writeBody({ { "prefix", prefix } }, Step::ReadTable, failure);
+    std::vector<TableRow> rows;
+    bool mayHaveArrived = false;
+    const auto reader = [&](const HttpReply &reply) {
+        return readBody(reply, [&](const json &source) {
+            rows = readRows(source.at("rows"));
+            return true;
+        });
+    };
+    if (!body
+        || !connection_.call(
+            { "POST", "/v1/table/read-prefix", *body, Step::ReadTable }, deadline, reader, mayHaveArrived, failure)) {
+        return std::nullopt;
+    }
+    return rows;
+}
+
+CommitResult HttpTableService::commit(const Transaction &transaction, TimePoint deadline, Failure &failure)
+{
+    const auto body = writeBody(describe(transaction), Step::WriteTable, failure);
+    if (!body) {
+        return { CommitStatus::NotWritten, {}, {} };
+    }
+    CommitResult result;
+    bool mayHaveArrived = false;
+    const auto reader = [&](const HttpReply &reply) {
+        result = {};
+        return readBody(reply, [&](const json &source) { return readOutcome(source, transaction.writes.size(), result); });
+    };
+    const PlatformCall call { "POST", "/v1/table/commit", *body, Step::WriteTable, true };
+    if (connection_.call(call, deadline, reader, mayHaveArrived, failure)) {
+        if (result.status == CommitStatus::Conflict) {
+            failure = { Step::WriteTable, "table", Reason::Conflict, "row " + result.conflicts.front().key + " has changed" };
+        }
+        return result;
+    }
+    if (!mayHaveArrived) {
+        return { CommitStatus::NotWritten, {}, {} };
+    }
+    failure.message = "the outcome is unknown; last attempt: " + std::string(name(failure.reason)) + ", " + failure.message;
+    failure.reason = Reason::OutcomeUnknown;
+    return { CommitStatus::Unknown, {}, {} };
+}
+
+} // namespace auburndoor
