--- /dev/null
+++ b/modules/declaration/DeclarationRelations.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "core/Problem.h"
+#include "declaration/Declaration.h"
+
+#include <string>
+
+namespace auburndoor {
+
+/** Adds a problem for each reference to a missing service or team and for each contradiction between two items of the file. */
+void checkRelations(const Declaration &declaration, Problems &problems);
+
+/** The same for one job. @param path where the job is; empty for a submitted one */
+void checkJob(const JobDeclaration &job, const Declaration &declaration, const std::string &path, Problems &problems);
+
+} // namespace auburndoor
