Add the worker protocol over HTTP with its stand-in

Change: HttpWorkerConnection sends a start at most once and the other orders up to three times within the deadline. Refusals are definite, lost answers unknown, answers to another task dropped and counted as crossed_answers_total. Bytes that are not UTF-8 travel in base64. standin-worker serves any number of workers by the same protocol, with faults and a history for checkers.

--- /dev/null
+++ b/modules/worker/HttpWorkerConnection.cpp
@@ -0,0 +1,277 @@
+#include "worker/HttpWorkerConnection.h"
+
+#include "core/Failure.h"
+#include "core/RandomId.h"
+#include "http/HttpClient.h"
+#include "observability/Metrics.h"
+#include "worker/WorkerMessages.h"
+
+#include <algorithm>
+
+namespace auburndoor {
+
+namespace {
+
+/** Idle connections kept for each worker: its calls are open side by side, up to the 8 slots that workers have. */
+constexpr std::size_t idleConnectionLimit = 8;
+constexpr int attemptLimit = 3;
+constexpr Milliseconds firstPause { 20 };
+constexpr int statusOk = 200;
+constexpr int statusMalformed = 400;
+constexpr int statusRefused = 409;
+constexpr int statusOverloaded = 503;
+
+Step stepOf(const std::string &path)
+{
+    if (path == "/v1/seize") {
+        return Step::Seize;
+    }
+    if (path == "/v1/renew") {
+        return Step::RenewLease;
+    }
+    if (path == "/v1/query") {
+        return Step::Collect;
+    }
+    return path == "/v1/start" || path == "/v1/call" ? Step::Start : Step::Cancel;
+}
+
+/** The definite refusal in a reply; empty if the reply is none. */
+std::optional<WorkerRefusal> refusalIn(const HttpReply &reply, const TaskId &task)
+{
+    if (reply.status == statusRefused) {
+        return decodeRefusal(reply.body);
+    }
+    if (reply.status == statusMalformed) {
+        return WorkerRefusal { task, Reason::MalformedInput, "the worker could not read the order" };
+    }
+    if (reply.status == statusOverloaded) {
+        return WorkerRefusal { task, Reason::Throttled, "the worker has no thread for the order" };
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+HttpWorkerConnection::HttpWorkerConnection(WorkerId worker, const std::string &address, Clock &clock, Metrics &metrics)
+    : worker_(std::move(worker))
+    , clock_(clock)
+    , metrics_(metrics)
+    , client_(std::make_unique<HttpClient>(address, idleConnectionLimit))
+{
+}
+
+HttpWorkerConnection::~HttpWorkerConnection() = default;
+
+std::optional<WorkerReport> HttpWorkerConnection::seize(Epoch epoch, const InstanceId &owner, TimePoint deadline, Failure &failure)
+{
+    WorkerOrder order;
+    order.owner = owner;
+    order.task.epoch = epoch;
+    return reportOrder("/v1/seize", order, deadline, failure);
+}
+
+CallResult HttpWorkerConnection::call(const TaskStart &start, TimePoint deadline, Failure &failure)
+{
+    return startOnce("/v1/call", start, deadline, failure);
+}
+
+CallResult HttpWorkerConnection::start(const TaskStart &start, TimePoint deadline, Failure &failure)
+{
+    return startOnce("/v1/start", start, deadline, failure);
+}
+
+std::optional<WorkerTask> HttpWorkerConnection::query(const TaskId &task, TimePoint deadline, Failure &failure)
+{
+    return taskOrder("/v1/query", task, {}, deadline, failure);
+}
+
+std::optional<WorkerTask> HttpWorkerConnection::cancel(const TaskId &task, Epoch epoch, TimePoint deadline, Failure &failure)
+{
+    WorkerOrder order;
+    order.task.epoch = epoch;
+    return taskOrder("/v1/cancel", task, order, deadline, failure);
+}
+
+std::optional<WorkerTask> HttpWorkerConnection::checkpoint(const TaskId &task, Epoch epoch, TimePoint deadline, Failure &failure)
+{
+    WorkerOrder order;
+    order.task.epoch = epoch;
+    return taskOrder("/v1/checkpoint", task, order, deadline, failure);
+}
+
+bool HttpWorkerConnection::throttle(const TaskId &task, Epoch epoch, int percent, TimePoint deadline, Failure &failure)
+{
+    WorkerOrder order;
+    order.task.epoch = epoch;
+    order.percent = percent;
+    return taskOrder("/v1/throttle", task, order, deadline, failure).has_value();
+}
+
+std::optional<WorkerReport> HttpWorkerConnection::renew(Epoch epoch, Milliseconds lease, TimePoint deadline, Failure &failure)
+{
+    WorkerOrder order;
+    order.task.epoch = epoch;
+    order.task.lease = lease;
+    order.mark = mark_;
+    return reportOrder("/v1/renew", order, deadline, failure);
+}
+
+CallResult HttpWorkerConnection::startOnce(const std::string &path, const TaskStart &start, TimePoint deadline, Failure &failure)
+{
+    const auto rest = std::chrono::duration_cast<Milliseconds>(deadline - clock_.now());
+    if (rest.count() <= 0) {
+        failure = { Step::Start, worker_.text(), Reason::DeadlinePassed, "the deadline passed before the start was sent" };
+        return { CallStatus::NotRun, {} };
+    }
+    WorkerOrder order;
+    order.worker = worker_;
+    order.task = start;
+    order.wait = rest;
+    Delivery delivery = Delivery::MaybeSent;
+    const auto reply = client_->exchange("POST", path, encode(order), {}, rest, false, delivery, failure);
+    if (!reply) {
+        failure.step = Step::Start;
+        failure.peer = worker_.text();
+        return { delivery == Delivery::NotSent ? CallStatus::NotRun : CallStatus::Unknown, {} };
+    }
+    return resultOf(*reply, start.id, path == "/v1/call", failure);
+}
+
+CallResult HttpWorkerConnection::resultOf(const HttpReply &reply, const TaskId &task, bool hasToEnd, Failure &failure)
+{
+    if (const auto refusal = refusalIn(reply, task)) {
+        if (refusal->task != task) {
+            countCrossed(failure);
+            return { CallStatus::Unknown, {} };
+        }
+        failure = { Step::Start, worker_.text(), refusal->reason, refusal->message };
+        return { CallStatus::NotRun, {} };
+    }
+    const auto answer = reply.status == statusOk ? decodeTask(reply.body) : std::nullopt;
+    if (!answer) {
+        failure = { Step::Collect, worker_.text(), Reason::BadReply, "status " + std::to_string(reply.status) };
+        return { CallStatus::Unknown, {} };
+    }
+    if (answer->id != task) {
+        countCrossed(failure);
+        return { CallStatus::Unknown, {} };
+    }
+    if (answer->state == TaskState::Running && hasToEnd) {
+        failure = { Step::Collect, worker_.text(), Reason::TimedOut, "the task has not ended before the deadline" };
+        return { CallStatus::Unknown, {} };
+    }
+    if (answer->state == TaskState::Done || answer->state == TaskState::Running) {
+        return { CallStatus::Answered, answer->answer };
+    }
+    if (answer->state == TaskState::Stopped) {
+        failure = { Step::Collect, worker_.text(), Reason::Cancelled, "the task was stopped" };
+    } else {
+        failure = { Step::Collect, worker_.text(), Reason::WorkerFailed, "the task failed" };
+    }
+    return { CallStatus::TaskFailed, answer->answer };
+}
+
+std::optional<WorkerTask> HttpWorkerConnection::taskOrder(const std::string &path,
+                                                          const TaskId &task,
+                                                          const WorkerOrder &order,
+                                                          TimePoint deadline,
+                                                          Failure &failure)
+{
+    std::optional<WorkerTask> result;
+    auto named = order;
+    named.task.id = task;
+    const auto accept = [&](const std::string &body) {
+        result = decodeTask(body);
+        if (result && result->id != task) {
+            result.reset();
+            countCrossed(failure);
+        }
+        return result.has_value();
+    };
+    return repeat(path, named, deadline, accept, failure) ? result : std::nullopt;
+}
+
+std::optional<WorkerReport> HttpWorkerConnection::reportOrder(const std::string &path,
+                                                              const WorkerOrder &order,
+                                                              TimePoint deadline,
+                                                              Failure &failure)
+{
+    std::optional<MarkedReport> result;
+    const auto accept = [&](const std::string &body) {
+        result = decodeReport(body);
+        if (result && result->worker != worker_) {
+            result.reset();
+            countCrossed(failure);
+        }
+        return result.has_value();
+    };
+    if (!repeat(path, order, deadline, accept, failure)) {
+        return std::nullopt;
+    }
+    auto known = mark_.load();
+    while (known < result->mark && !mark_.compare_exchange_weak(known, result->mark)) {
+    }
+    return std::move(result->report);
+}
+
+bool HttpWorkerConnection::repeat(const std::string &path,
+                                  const WorkerOrder &order,
+                                  TimePoint deadline,
+                                  const std::function<bool(const std::string &)> &accept,
+                                  Failure &failure)
+{
+    auto named = order;
+    named.worker = worker_;
+    const auto body = encode(named);
+    failure = { stepOf(path), worker_.text(), Reason::DeadlinePassed, "the deadline passed before the order was sent" };
+    for (int attempt = 0; attempt < attemptLimit; ++attempt) {
+        const auto rest = std::chrono::duration_cast<Milliseconds>(deadline - clock_.now());
+        if (rest.count() <= 0) {
+            return false;
+        }
+        // An equal share of the rest for each attempt that is left, so that a lost answer leaves time for another attempt.
+        const auto timeout = std::max(rest / (attemptLimit - attempt), Milliseconds(1));
+        Delivery delivery = Delivery::MaybeSent;
+        const auto reply = client_->exchange("POST", path, body, {}, timeout, true, delivery, failure);
+        failure.step = stepOf(path);
+        failure.peer = worker_.text();
+        if (reply && reply->status == statusOk) {
+            failure = { stepOf(path), worker_.text(), Reason::BadReply, "the answer could not be read" };
+            if (accept(reply->body)) {
+                return true;
+            }
+        } else if (reply) {
+            const auto refusal = refusalIn(*reply, order.task.id);
+            failure.reason = refusal ? refusal->reason : Reason::BadReply;
+            failure.message = refusal ? refusal->message : "status " + std::to_string(reply->status);
+            if (refusal && refusal->reason != Reason::Throttled && refusal->task == order.task.id) {
+                return false;
+            }
+        }
+        if (!pause(attempt, deadline)) {
+            return false;
+        }
+        metrics_.countRetry(failure);
+    }
+    return false;
+}
+
+bool HttpWorkerConnection::pause(int attempt, TimePoint deadline)
+{
+    const auto length = firstPause * (1 << attempt) + Milliseconds(randomBelow(firstPause.count()));
+    const auto end = clock_.now() + length;
+    if (attempt + 1 >= attemptLimit || end >= deadline) {
+        return false;
+    }
+    std::unique_lock lock(pauseMutex_);
+    clock_.waitUntil(lock, pauseCondition_, end, [] { return false; });
+    return true;
+}
+
+void HttpWorkerConnection::countCrossed(Failure &failure)
+{
+    metrics_.count("crossed_answers_total");
+    failure = { Step::Collect, worker_.text(), Reason::BadReply, "the answer belongs to another task or worker" };
+}
+
+} // namespace auburndoor
--- /dev/null
+++ b/modules/worker/WorkerMessages.cpp
@@ -0,0 +1,211 @@
+#include "worker/WorkerMessages.h"
+
+#include "core/TextEncoding.h"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+
+namespace auburndoor {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::array<std::string_view, 6> stateNames { "unknown", "running", "done", "failed", "stopped", "never-started" };
+
+Json toJson(const Resources &resources)
+{
+    return { { "milliCores", resources.milliCores },
+             { "memoryMiB", resources.memoryMiB },
+             { "accelerators", resources.accelerators },
+             { "slots", resources.slots },
+             { "connections", resources.connections } };
+}
+
+Resources toResources(const Json &json)
+{
+    return { json.value("milliCores", std::int64_t {}),
+             json.value("memoryMiB", std::int64_t {}),
+             json.value("accelerators", std::int64_t {}),
+             json.value("slots", std::int64_t {}),
+             json.value("connections", std::int64_t {}) };
+}
+
+/** Bytes that are not UTF-8 cannot stand in a JSON string; they go in base64 under a name of their own. */
+void setBytes(Json &json, const std::string &key, const std::string &bytes)
+{
+    if (isUtf8(bytes)) {
+        json[key] = bytes;
+    } else {
+        json[key + "Base64"] = toBase64(bytes);
+    }
+}
+
+std::string bytesOf(const Json &json, const std::string &key)
+{
+    const auto encoded = json.find(key + "Base64");
+    if (encoded == json.end()) {
+        return json.value(key, std::string());
+    }
+    auto bytes = fromBase64(encoded->get<std::string>());
+    if (!bytes) {
+        throw std::invalid_argument("malformed base64 in " + key);
+    }
+    return *std::move(bytes);
+}
+
+Json toJson(const WorkerTask &task)
+{
+    Json json { { "task", task.id.text() },
+                { "state", name(task.state) },
+                { "need", toJson(task.need) },
+                { "team", task.team.text() },
+                { "measuredUse", toJson(task.measuredUse) } };
+    setBytes(json, "answer", task.answer);
+    return json;
+}
+
+WorkerTask toTask(const Json &json)
+{
+    WorkerTask task;
+    task.id = TaskId(json.at("task").get<std::string>());
+    const auto state = taskState(json.at("state").get<std::string>());
+    if (!state) {
+        throw std::invalid_argument("unknown task state");
+    }
+    task.state = *state;
+    task.need = toResources(json.value("need", Json::object()));
+    task.team = TeamId(json.value("team", std::string()));
+    task.answer = bytesOf(json, "answer");
+    task.measuredUse = toResources(json.value("measuredUse", Json::object()));
+    return task;
+}
+
+Reason reasonOf(std::string_view text)
+{
+    for (int value = 0; value <= static_cast<int>(Reason::OutcomeUnknown); ++value) {
+        if (name(static_cast<Reason>(value)) == text) {
+            return static_cast<Reason>(value);
+        }
+    }
+    return Reason::BadReply;
+}
+
+/** Runs a reading function over the parsed text; any missing or ill-typed field makes the result empty. */
+template<typename Read>
+auto decode(const std::string &text, Read read) -> std::optional<decltype(read(Json()))>
+{
+    const auto json = Json::parse(text, nullptr, false);
+    if (!json.is_object()) {
+        return std::nullopt;
+    }
+    try {
+        return read(json);
+    } catch (const std::exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+std::string_view name(TaskState state)
+{
+    return stateNames.at(static_cast<std::size_t>(state));
+}
+
+std::optional<TaskState> taskState(std::string_view name)
+{
+    for (std::size_t index = 0; index < stateNames.size(); ++index) {
+        if (stateNames[index] == name) {
+            return static_cast<TaskState>(index);
+        }
+    }
+    return std::nullopt;
+}
+
+std::string encode(const WorkerOrder &order)
+{
+    const auto latest = std::chrono::duration_cast<Milliseconds>(order.task.latestStart.time_since_epoch());
+    Json json { { "worker", order.worker.text() },   { "owner", order.owner.text() },     { "task", order.task.id.text() },
+                { "epoch", order.task.epoch },       { "team", order.task.team.text() },  { "service", order.task.service.text() },
+                { "need", toJson(order.task.need) }, { "latestStartMs", latest.count() }, { "leaseMs", order.task.lease.count() },
+                { "waitMs", order.wait.count() },    { "percent", order.percent },        { "mark", order.mark } };
+    setBytes(json, "body", order.task.body);
+    return json.dump();
+}
+
+std::string encode(const WorkerTask &task)
+{
+    return toJson(task).dump();
+}
+
+std::string encode(const MarkedReport &report)
+{
+    Json tasks = Json::array();
+    for (const auto &task : report.report.tasks) {
+        tasks.push_back(toJson(task));
+    }
+    return Json {
+        { "worker", report.worker.text() },
+        { "capacity", toJson(report.report.capacity) },
+        { "tasks", tasks },
+        { "mark", report.mark }
+    }.dump();
+}
+
+std::string encode(const WorkerRefusal &refusal)
+{
+    return Json { { "task", refusal.task.text() }, { "reason", name(refusal.reason) }, { "message", refusal.message } }.dump();
+}
+
+std::optional<WorkerOrder> decodeOrder(const std::string &text)
+{
+    return decode(text, [](const Json &json) {
+        WorkerOrder order;
+        order.worker = WorkerId(json.at("worker").get<std::string>());
+        order.owner = InstanceId(json.value("owner", std::string()));
+        order.task.id = TaskId(json.value("task", std::string()));
+        order.task.epoch = json.value("epoch", Epoch {});
+        order.task.team = TeamId(json.value("team", std::string()));
+        order.task.service = ServiceId(json.value("service", std::string()));
+        order.task.need = toResources(json.value("need", Json::object()));
+        order.task.latestStart = WallTime(Milliseconds(json.value("latestStartMs", 0LL)));
+        order.task.lease = Milliseconds(json.value("leaseMs", 0LL));
+        order.task.body = bytesOf(json, "body");
+        order.wait = Milliseconds(json.value("waitMs", 0LL));
+        order.percent = json.value("percent", 0);
+        order.mark = json.value("mark", 0LL);
+        return order;
+    });
+}
+
+std::optional<WorkerTask> decodeTask(const std::string &text)
+{
+    return decode(text, [](const Json &json) { return toTask(json); });
+}
+
+std::optional<MarkedReport> decodeReport(const std::string &text)
+{
+    return decode(text, [](const Json &json) {
+        MarkedReport report;
+        report.worker = WorkerId(json.at("worker").get<std::string>());
+        report.report.capacity = toResources(json.at("capacity"));
+        for (const auto &task : json.at("tasks")) {
+            report.report.tasks.push_back(toTask(task));
+        }
+        report.mark = json.value("mark", 0LL);
+        return report;
+    });
+}
+
+std::optional<WorkerRefusal> decodeRefusal(const std::string &text)
+{
+    return decode(text, [](const Json &json) {
+        return WorkerRefusal { TaskId(json.value("task", std::string())),
+                               reasonOf(json.at("reason").get<std::string>()),
+                               json.value("message", std::string()) };
+    });
+}
+
+} // namespace auburndoor
--- /dev/null
+++ b/modules/worker/WorkerMessages.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "core/Failure.h"
+#include "worker/WorkerConnection.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace auburndoor {
+
+/** The fields of an order to a worker; each order uses those that docs/protocols/worker.md names for it. */
+struct WorkerOrder
+{
+    /** The worker that is meant; a worker refuses orders for another one, as after the reuse of an address. */
+    WorkerId worker;
+    InstanceId owner;
+    /** Start and call, whose epoch and id the other orders use too. */
+    TaskStart task;
+    /** Call: how long the worker may wait for the end of the task. */
+    Milliseconds wait { 0 };
+    /** Throttle: share of the processors. */
+    int percent = 0;
+    /** Renew: the mark of the last report that arrived. */
+    long long mark = 0;
+};
+
+/** A worker's answer to a seizure or a renewal. */
+struct MarkedReport
+{
+    WorkerId worker;
+    WorkerReport report;
+    /** Grows with each task that ends; given back with the next renewal. */
+    long long mark = 0;
+};
+
+/** A worker's refusal of an order. */
+struct WorkerRefusal
+{
+    /** The task of the refused order; empty for orders without one. */
+    TaskId task;
+    Reason reason = Reason::BadReply;
+    std::string message;
+};
+
+/** The name of a task state in messages and records, such as "never-started". */
+std::string_view name(TaskState state);
+
+/** The state of that name; empty if there is none. */
+std::optional<TaskState> taskState(std::string_view name);
+
+std::string encode(const WorkerOrder &order);
+std::string encode(const WorkerTask &task);
+std::string encode(const MarkedReport &report);
+std::string encode(const WorkerRefusal &refusal);
+
+/** The message as read from JSON text; empty if it is malformed or lacks a field. */
+std::optional<WorkerOrder> decodeOrder(const std::string &text);
+std::optional<WorkerTask> decodeTask(const std::string &text);
+std::optional<MarkedReport> decodeReport(const std::string &text);
+std::optional<WorkerRefusal> decodeRefusal(const std::string &text);
+
+} // namespace auburndoor
--- a/tests/fakes/FakeTask.cpp
+++ b/tests/fakes/FakeTask.cpp
@@ -1,5 +1,7 @@
 #include "fakes/FakeTask.h"
 
+#include "core/TextEncoding.h"
+
 #include <nlohmann/json.hpp>
 
 namespace auburndoor {
@@ -33,7 +35,11 @@
 
 std::string FakeTask::ownAnswer() const
 {
-    return nlohmann::json { { isFailing ? "error" : "echo", echo }, { "task", start.id.text() } }.dump();
+    const std::string key = isFailing ? "error" : "echo";
+    if (!isUtf8(echo)) {
+        return nlohmann::json { { key + "Base64", toBase64(echo) }, { "task", start.id.text() } }.dump();
+    }
+    return nlohmann::json { { key, echo }, { "task", start.id.text() } }.dump();
 }
 
 } // namespace auburndoor
--- a/tests/fakes/FakeWorker.cpp
+++ b/tests/fakes/FakeWorker.cpp
@@ -144,7 +144,7 @@
         const std::lock_guard lock(mutex_);
         mark = seenMark_;
     }
-    const auto result = renewAfter(epoch, lease, mark, failure);
+    auto result = renewAfter(epoch, lease, mark, failure);
     const std::lock_guard lock(mutex_);
     if (!result || isCut(Step::RenewLease, failure)) {
         return std::nullopt;
--- /dev/null
+++ b/tests/standins/worker/FakeTask.cpp
@@ -0,0 +1,1 @@
+../../fakes/FakeTask.cpp
--- /dev/null
+++ b/tests/standins/worker/FakeWorker.cpp
@@ -0,0 +1,1 @@
+../../fakes/FakeWorker.cpp
--- /dev/null
+++ b/tests/standins/worker/WorkerServer.cpp
@@ -0,0 +1,1 @@
+../../fakes/WorkerServer.cpp
