--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 	@tests/run $(BUILD)
 
 demo: build
-	@tests/system/demo $(BUILD)
+	@$(BUILD)/auburndoor-demo --programs=$(BUILD) --folder=$(BUILD)/demo
 
 prove: build
 	@tests/system/prove $(BUILD)
--- a/apps/auburndoord/main.cpp
+++ b/apps/auburndoord/main.cpp
@@ -40,8 +40,8 @@
     const auto temporary = fileName + ".tmp";
     {
         std::ofstream file(temporary);
-        file << "{\"callers\":" << instance.callersPort() << ",\"operators\":" << instance.operatorsPort() << ",\"peers\":" << instance.peersPort()
-             << "}\n";
+        file << "{\"callers\":" << instance.callersPort() << ",\"operators\":" << instance.operatorsPort()
+             << ",\"peers\":" << instance.peersPort() << "}\n";
         if (!file) {
             return false;
         }
@@ -84,13 +84,14 @@
     return instance.shutDown() ? exitDone : exitDeadlinePassed;
 }
 
-}
+} // namespace
 
 int main(int argc, char **argv)
 {
-    absl::SetProgramUsageMessage("auburndoord --settings=FILE [--check_settings] [--port_file=FILE]: one entry instance of a cell.\n"
-                                 "Exit codes: 0 stopped gracefully or settings are valid, 1 usage, 2 bad settings, 3 cannot start, "
-                                 "4 the shutdown deadline passed with requests in flight.");
+    absl::SetProgramUsageMessage(
+        "auburndoord --settings=FILE [--check_settings] [--port_file=FILE]: one entry instance of a cell.\n"
+        "Exit codes: 0 stopped gracefully or settings are valid, 1 usage, 2 bad settings, 3 cannot start, "
+        "4 the shutdown deadline passed with requests in flight.");
     absl::ParseCommandLine(argc, argv);
     const auto fileName = absl::GetFlag(FLAGS_settings);
     if (fileName.empty()) {
--- a/modules/fleet/CellTasks.cpp
+++ b/modules/fleet/CellTasks.cpp
@@ -11,14 +11,11 @@
 
 namespace {
 
-constexpr Milliseconds longestQuestion{1000};
+constexpr Milliseconds longestQuestion { 1000 };
 
 }
 
-CellTasks::CellTasks(Clock &clock, OwnerService &own, PeerDirectory &peers)
-    : clock_(clock)
-    , own_(own)
-    , peers_(peers)
+CellTasks::CellTasks(Clock &clock, OwnerService &own, PeerDirectory &peers) : clock_(clock), own_(own), peers_(peers)
 {
 }
 
@@ -73,4 +70,4 @@
     return std::clamp(remaining, Milliseconds(1), longestQuestion);
 }
 
-}
+} // namespace auburndoor
--- a/modules/fleet/CellTasks.h
+++ b/modules/fleet/CellTasks.h
@@ -35,4 +35,4 @@
     std::map<WorkerId, InstanceId> lastOwners_;
 };
 
-}
+} // namespace auburndoor
--- a/modules/fleet/FollowedTasks.cpp
+++ b/modules/fleet/FollowedTasks.cpp
@@ -7,14 +7,14 @@
 
 namespace {
 
-constexpr Milliseconds shortestQuestionPeriod{250};
+constexpr Milliseconds shortestQuestionPeriod { 250 };
 constexpr int questionsPerAge = 8;
 
-}
+} // namespace
 
 void FollowedTasks::add(const TaskId &task, FollowMode mode, TimePoint now)
 {
-    entries_[task] = {mode, now};
+    entries_[task] = { mode, now };
 }
 
 std::vector<TaskId> FollowedTasks::takeEnded(const WorkerReport &report, TimePoint reportAsked)
@@ -27,7 +27,8 @@
     }
     std::vector<TaskId> ended;
     for (auto entry = entries_.begin(); entry != entries_.end();) {
-        const auto isEnded = entry->second.mode == FollowMode::Running && entry->second.since < reportAsked && !running.contains(entry->first);
+        const auto isEnded = entry->second.mode == FollowMode::Running && entry->second.since < reportAsked
+                             && !running.contains(entry->first);
         if (isEnded) {
             ended.push_back(entry->first);
             entry = entries_.erase(entry);
@@ -69,4 +70,4 @@
     return now + period;
 }
 
-}
+} // namespace auburndoor
--- a/modules/fleet/FollowedTasks.h
+++ b/modules/fleet/FollowedTasks.h
@@ -38,8 +38,8 @@
     /**
         When the worker should be asked again.
 
-        A task of age a is asked for every a/8, so that at most an eighth of its run time passes before its room is free again, with a
-        number of questions that grows with the logarithm of the run time.
+        A task of age a is asked for every a/8, so that at most an eighth of its run time passes before its room is free again, with
+       a number of questions that grows with the logarithm of the run time.
     */
     TimePoint nextQuestion(TimePoint now, Milliseconds longest) const;
 
@@ -53,4 +53,4 @@
     std::map<TaskId, Entry> entries_;
 };
 
-}
+} // namespace auburndoor
--- a/modules/fleet/OwnedWorker.h
+++ b/modules/fleet/OwnedWorker.h
@@ -17,4 +17,4 @@
     std::shared_ptr<WorkerConnection> connection;
 };
 
-}
+} // namespace auburndoor
--- a/modules/fleet/OwnerService.cpp
+++ b/modules/fleet/OwnerService.cpp
@@ -11,33 +11,30 @@
 
 Failure notOwner(Step step, const WorkerId &worker)
 {
-    return {step, worker.text(), Reason::NotOwner, "this instance does not own worker " + worker.text()};
+    return { step, worker.text(), Reason::NotOwner, "this instance does not own worker " + worker.text() };
 }
 
-}
+} // namespace
 
 OwnerService::OwnerService(Clock &clock, Metrics &metrics, CapacityLedger &ledger, WorkerManager &workers)
-    : clock_(clock)
-    , metrics_(metrics)
-    , ledger_(ledger)
-    , workers_(workers)
+    : clock_(clock), metrics_(metrics), ledger_(ledger), workers_(workers)
 {
 }
 
 std::vector<Hold> OwnerService::hold(const HoldRequest &request)
 {
     std::vector<Hold> result;
-    PlacementNeed need{request.service, request.need, true, 0, {}};
+    PlacementNeed need { request.service, request.need, true, 0, {} };
     const auto expiry = clock_.now() + request.timeLimit;
     for (int index = 0; index < request.count; ++index) {
         const auto holdId = "hold-" + makeRandomId();
-        const auto reservation = ledger_.reserve(need, {holdId, request.team, request.need, true});
+        const auto reservation = ledger_.reserve(need, { holdId, request.team, request.need, true });
         if (!reservation) {
             break;
         }
         const std::lock_guard lock(mutex_);
-        holds_[holdId] = {*reservation, expiry};
-        result.push_back({reservation->worker, holdId});
+        holds_[holdId] = { *reservation, expiry };
+        result.push_back({ reservation->worker, holdId });
     }
     return result;
 }
@@ -78,14 +75,14 @@
 {
     const auto reservation = take(hold, start.id);
     if (!reservation) {
-        failure = {Step::Start, hold.worker.text(), Reason::NotOwner, "the hold " + hold.holdId + " has lapsed"};
-        return {CallStatus::NotRun, {}};
+        failure = { Step::Start, hold.worker.text(), Reason::NotOwner, "the hold " + hold.holdId + " has lapsed" };
+        return { CallStatus::NotRun, {} };
     }
     const auto worker = workers_.find(hold.worker);
     if (!worker || worker->epoch != reservation->epoch) {
         ledger_.release(reservation->shard, reservation->worker, reservation->key);
         failure = notOwner(Step::Start, hold.worker);
-        return {CallStatus::NotRun, {}};
+        return { CallStatus::NotRun, {} };
     }
     auto order = start;
     order.epoch = reservation->epoch;
@@ -103,7 +100,10 @@
     return result;
 }
 
-std::optional<WorkerTask> OwnerService::queryTask(const WorkerId &worker, const TaskId &task, Milliseconds timeout, Failure &failure)
+std::optional<WorkerTask> OwnerService::queryTask(const WorkerId &worker,
+                                                  const TaskId &task,
+                                                  Milliseconds timeout,
+                                                  Failure &failure)
 {
     const auto owned = workers_.find(worker);
     if (!owned) {
@@ -113,7 +113,10 @@
     return owned->connection->query(task, clock_.now() + timeout, failure);
 }
 
-std::optional<WorkerTask> OwnerService::cancelTask(const WorkerId &worker, const TaskId &task, Milliseconds timeout, Failure &failure)
+std::optional<WorkerTask> OwnerService::cancelTask(const WorkerId &worker,
+                                                   const TaskId &task,
+                                                   Milliseconds timeout,
+                                                   Failure &failure)
 {
     const auto owned = workers_.find(worker);
     if (!owned) {
@@ -135,7 +138,7 @@
         const std::lock_guard lock(mutex_);
         for (const auto &[id, held] : holds_) {
             if (held.expiry <= now) {
-                lapsed.push_back({held.reservation.worker, id});
+                lapsed.push_back({ held.reservation.worker, id });
             }
         }
     }
@@ -151,4 +154,4 @@
     return holds_.size();
 }
 
-}
+} // namespace auburndoor
--- a/modules/fleet/OwnerService.h
+++ b/modules/fleet/OwnerService.h
@@ -12,7 +12,8 @@
 class Metrics;
 class WorkerManager;
 
-/** What an owner does for the jobs of any instance: holds places in its workers and starts, queries and cancels tasks there. Any thread. */
+/** What an owner does for the jobs of any instance: holds places in its workers and starts, queries and cancels tasks there. Any
+ * thread. */
 class OwnerService
 {
 public:
@@ -53,4 +54,4 @@
     std::map<std::string, HeldPlace> holds_;
 };
 
-}
+} // namespace auburndoor
--- a/modules/fleet/PoolCensus.cpp
+++ b/modules/fleet/PoolCensus.cpp
@@ -50,9 +50,8 @@
 {
     auto size = std::make_shared<PoolSize>();
     for (const auto &worker : workers) {
-        const auto same = std::find_if(size->capacities.begin(), size->capacities.end(), [&](const auto &entry) {
-            return entry.first == worker.capacity;
-        });
+        const auto same = std::find_if(
+            size->capacities.begin(), size->capacities.end(), [&](const auto &entry) { return entry.first == worker.capacity; });
         if (same != size->capacities.end()) {
             ++same->second;
         } else {
@@ -70,4 +69,4 @@
     return found == pools_.end() ? nullptr : found->second;
 }
 
-}
+} // namespace auburndoor
--- a/modules/fleet/PoolCensus.h
+++ b/modules/fleet/PoolCensus.h
@@ -47,4 +47,4 @@
     std::map<ServiceId, std::shared_ptr<const PoolSize>> pools_;
 };
 
-}
+} // namespace auburndoor
--- a/modules/fleet/WorkerList.cpp
+++ b/modules/fleet/WorkerList.cpp
@@ -1,11 +1,8 @@
 #include "fleet/WorkerList.h"
 
-#include "ownership/ShardMap.h"
-
 namespace auburndoor {
 
-WorkerList::WorkerList(int shardsPerDomain)
-    : shardsPerDomain_(shardsPerDomain)
+WorkerList::WorkerList(int shardsPerDomain) : map_(shardsPerDomain, OwnershipMode::Sharded, {})
 {
 }
 
@@ -25,7 +22,7 @@
 
 ShardId WorkerList::shardOf(const ListedWorker &worker) const
 {
-    return ShardMap::shardOf(worker.id, worker.failureDomain, shardsPerDomain_);
+    return map_.shardOf(worker.failureDomain, worker.id);
 }
 
 std::vector<ListedWorker> WorkerList::workersOf(const ShardId &shard) const
@@ -60,4 +57,4 @@
     return result;
 }
 
-}
+} // namespace auburndoor
--- a/modules/fleet/WorkerList.h
+++ b/modules/fleet/WorkerList.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ownership/ShardMap.h"
 #include "platform/InstanceDirectory.h"
 
 #include <map>
@@ -31,10 +32,10 @@
     std::vector<ListedWorker> pool(const ServiceId &service) const;
 
 private:
-    int shardsPerDomain_;
+    ShardMap map_;
     std::map<WorkerId, ListedWorker> workers_;
     std::map<FailureDomainId, RegionId> domains_;
     Resources capacity_;
 };
 
-}
+} // namespace auburndoor
--- a/modules/fleet/WorkerManager.cpp
+++ b/modules/fleet/WorkerManager.cpp
@@ -18,8 +18,8 @@
 
 namespace {
 
-constexpr Milliseconds seizeRetryPeriod{500};
-constexpr Milliseconds idleWait{1000};
+constexpr Milliseconds seizeRetryPeriod { 500 };
+constexpr Milliseconds idleWait { 1000 };
 
 /** A worker of an owned shard. */
 struct ManagedWorker
@@ -47,7 +47,7 @@
     TimePoint asked;
 };
 
-}
+} // namespace
 
 class WorkerManager::Implementation
 {
@@ -124,7 +124,7 @@
             }
         }
         metrics_.count("shards_fenced_total");
-        Log::warning("shard-fenced", {{"shard", shard.text()}, {"epoch", std::to_string(epoch)}});
+        Log::warning("shard-fenced", { { "shard", shard.text() }, { "epoch", std::to_string(epoch) } });
         loseShard(shard);
     }
 
@@ -135,7 +135,7 @@
         if (found == workers_.end() || !found->second.isSeized) {
             return std::nullopt;
         }
-        return OwnedWorker{worker, found->second.shard, found->second.epoch, found->second.connection};
+        return OwnedWorker { worker, found->second.shard, found->second.epoch, found->second.connection };
     }
 
     void follow(const Reservation &reservation, FollowMode mode)
@@ -161,7 +161,8 @@
     int unseizedCount() const
     {
         const std::lock_guard lock(mutex_);
-        return static_cast<int>(std::count_if(workers_.begin(), workers_.end(), [](const auto &entry) { return !entry.second.isSeized; }));
+        return static_cast<int>(
+            std::count_if(workers_.begin(), workers_.end(), [](const auto &entry) { return !entry.second.isSeized; }));
     }
 
     std::function<void(const std::map<FailureDomainId, RegionId> &)> domainListener_;
@@ -292,7 +293,9 @@
         for (auto &[id, worker] : workers_) {
             if (!worker.isBusy && worker.due <= now) {
                 worker.isBusy = true;
-                return Visit{id, worker.shard, worker.epoch, worker.isSeized, worker.connection, worker.followed.unresolved(), now};
+                return Visit {
+                    id, worker.shard, worker.epoch, worker.isSeized, worker.connection, worker.followed.unresolved(), now
+                };
             }
         }
         return std::nullopt;
@@ -302,7 +305,8 @@
     ManagedWorker *managedWorker(const Visit &visit)
     {
         const auto found = workers_.find(visit.worker);
-        const auto isSame = found != workers_.end() && found->second.epoch == visit.epoch && found->second.connection == visit.connection;
+        const auto isSame = found != workers_.end() && found->second.epoch == visit.epoch
+                            && found->second.connection == visit.connection;
         return isSame ? &found->second : nullptr;
     }
 
@@ -321,7 +325,7 @@
         const auto report = visit.connection->seize(visit.epoch, options_.self, clock_.now() + options_.orderTimeout, failure);
         if (!report) {
             metrics_.countRetry(failure);
-            Log::failure("seize-failed", failure, {{"worker", visit.worker.text()}, {"shard", visit.shard.text()}});
+            Log::failure("seize-failed", failure, { { "worker", visit.worker.text() }, { "shard", visit.shard.text() } });
             finishVisit(visit, seizeRetryPeriod);
             if (failure.reason == Reason::StaleEpoch) {
                 loseShardIfAt(visit.shard, visit.epoch);
@@ -343,20 +347,20 @@
         std::vector<LedgerEntry> running;
         for (const auto &task : report.tasks) {
             if (task.state == TaskState::Running) {
-                running.push_back({task.id.text(), task.team, task.need, false});
+                running.push_back({ task.id.text(), task.team, task.need, false });
                 worker->followed.add(task.id, FollowMode::Running, visit.asked);
             }
         }
         const auto &listed = worker->listed;
-        WorkerView view{listed.id, listed.service, listed.failureDomain, report.capacity, {}, 0, isOpen(listed)};
-        ledger_.addWorker({view, listed.address, visit.shard, visit.epoch}, running);
+        WorkerView view { listed.id, listed.service, listed.failureDomain, report.capacity, {}, 0, isOpen(listed) };
+        ledger_.addWorker({ view, listed.address, visit.shard, visit.epoch }, running);
         worker->isSeized = true;
         metrics_.count("workers_seized_total");
         Log::info("worker-seized",
-                  {{"worker", visit.worker.text()},
-                   {"shard", visit.shard.text()},
-                   {"epoch", std::to_string(visit.epoch)},
-                   {"running", std::to_string(running.size())}});
+                  { { "worker", visit.worker.text() },
+                    { "shard", visit.shard.text() },
+                    { "epoch", std::to_string(visit.epoch) },
+                    { "running", std::to_string(running.size()) } });
     }
 
     void renew(const Visit &visit)
@@ -502,4 +506,4 @@
     implementation_->domainListener_ = std::move(listener);
 }
 
-}
+} // namespace auburndoor
--- a/modules/fleet/WorkerManager.h
+++ b/modules/fleet/WorkerManager.h
@@ -23,18 +23,18 @@
 {
     InstanceId self;
     int shardsPerDomain = 8;
-    Milliseconds taskLease{30'000};
-    Milliseconds renewalPeriod{10'000};
-    Milliseconds listPeriod{1000};
+    Milliseconds taskLease { 30'000 };
+    Milliseconds renewalPeriod { 10'000 };
+    Milliseconds listPeriod { 1000 };
     /** Time limit of one order to a worker. */
-    Milliseconds orderTimeout{2000};
+    Milliseconds orderTimeout { 2000 };
     /** Threads that seize workers and renew leases. */
     int threadCount = 4;
 };
 
 /**
-    Keeps the workers of the owned shards: follows the platform's list, seizes each worker with the epoch of its shard, enters it into
-    the capacity ledger, renews its task leases, and gives the room of ended tasks back.
+    Keeps the workers of the owned shards: follows the platform's list, seizes each worker with the epoch of its shard, enters it
+   into the capacity ledger, renews its task leases, and gives the room of ended tasks back.
 
     All members may be called from any thread.
 */
@@ -61,7 +61,8 @@
     /** A seized worker; empty if this instance does not own it now. */
     std::optional<OwnedWorker> find(const WorkerId &worker) const;
 
-    /** Releases the room of a task once the worker reports that it has ended. Call after a start that does not wait for the answer. */
+    /** Releases the room of a task once the worker reports that it has ended. Call after a start that does not wait for the answer.
+     */
     void followTask(const Reservation &reservation);
 
     /** Cancels a task whose fate is not known until the worker gives a definite report, and then releases its room. */
@@ -90,4 +91,4 @@
     std::unique_ptr<Implementation> implementation_;
 };
 
-}
+} // namespace auburndoor
--- a/modules/instance/CallerEndpoint.cpp
+++ b/modules/instance/CallerEndpoint.cpp
@@ -12,15 +12,12 @@
 
 namespace {
 
-constexpr Milliseconds overflowRetryAfter{1000};
+constexpr Milliseconds overflowRetryAfter { 1000 };
 
 }
 
 CallerEndpoint::CallerEndpoint(Metrics &metrics, ConfigurationManager &configuration, const Pipeline &pipeline, JobService &jobs)
-    : metrics_(metrics)
-    , configuration_(configuration)
-    , pipeline_(pipeline)
-    , jobs_(jobs)
+    : metrics_(metrics), configuration_(configuration), pipeline_(pipeline), jobs_(jobs)
 {
 }
 
@@ -60,21 +57,21 @@
 
 HttpReply CallerEndpoint::refuseOverflow()
 {
-    const Failure failure{Step::Admit, {}, Reason::QueueFull, "all connection threads of this instance are busy"};
+    const Failure failure { Step::Admit, {}, Reason::QueueFull, "all connection threads of this instance are busy" };
     metrics_.countRefusal(failure);
     return refusalReply(failure, overflowRetryAfter);
 }
 
 HttpReply CallerEndpoint::refuseUnknown(const HttpRequest &request, int status)
 {
-    Failure failure{Step::Parse, {}, Reason::MalformedInput, "the request could not be read"};
+    Failure failure { Step::Parse, {}, Reason::MalformedInput, "the request could not be read" };
     if (status == 404) {
-        failure = {Step::Parse, {}, Reason::UnknownName, "no resource " + request.method + " " + request.path.substr(0, 200)};
+        failure = { Step::Parse, {}, Reason::UnknownName, "no resource " + request.method + " " + request.path.substr(0, 200) };
     } else if (status == 413) {
-        failure = {Step::Parse, {}, Reason::TooLarge, "the body exceeds the limit of this instance"};
+        failure = { Step::Parse, {}, Reason::TooLarge, "the body exceeds the limit of this instance" };
     }
     metrics_.countRefusal(failure);
     return refusalReply(failure);
 }
 
-}
+} // namespace auburndoor
--- a/modules/instance/CallerEndpoint.h
+++ b/modules/instance/CallerEndpoint.h
@@ -32,4 +32,4 @@
     JobService &jobs_;
 };
 
-}
+} // namespace auburndoor
--- a/modules/instance/OutcomeReply.cpp
+++ b/modules/instance/OutcomeReply.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr Milliseconds second{1000};
+constexpr Milliseconds second { 1000 };
 
 int statusOfRefusal(const Failure &failure)
 {
@@ -39,13 +39,11 @@
 {
     HttpReply reply;
     reply.status = status;
-    reply.body = nlohmann::ordered_json{{"outcome", outcome},
-                                        {"step", name(failure.step)},
-                                        {"peer", failure.peer},
-                                        {"reason", name(failure.reason)},
-                                        {"message", failure.message},
-                                        {"retryAfterMs", retryAfter.count()}}
-                     .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    reply.body = nlohmann::ordered_json {
+        { "outcome", outcome },         { "step", name(failure.step) },
+        { "peer", failure.peer },       { "reason", name(failure.reason) },
+        { "message", failure.message }, { "retryAfterMs", retryAfter.count() }
+    }.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     reply.headers["Outcome"] = outcome;
     if (retryAfter.count() > 0) {
         reply.headers["Retry-After"] = std::to_string((retryAfter + second - Milliseconds(1)) / second);
@@ -53,17 +51,17 @@
     return reply;
 }
 
-}
+} // namespace
 
 HttpReply replyOf(const Outcome &outcome, const RequestId &request)
 {
     HttpReply reply;
     switch (outcome.status) {
     case OutcomeStatus::Answered:
-        reply = {200, outcome.answer, "application/octet-stream", {{"Outcome", "answered"}}};
+        reply = { 200, outcome.answer, "application/octet-stream", { { "Outcome", "answered" } } };
         break;
     case OutcomeStatus::TaskFailed:
-        reply = {502, outcome.answer, "application/octet-stream", {{"Outcome", "task-failed"}}};
+        reply = { 502, outcome.answer, "application/octet-stream", { { "Outcome", "task-failed" } } };
         break;
     case OutcomeStatus::NotRun:
         reply = refusalReply(outcome.failure, outcome.retryAfter);
@@ -91,4 +89,4 @@
     return value.starts_with(scheme) ? value.substr(scheme.size()) : std::string();
 }
 
-}
+} // namespace auburndoor
--- a/modules/instance/OutcomeReply.h
+++ b/modules/instance/OutcomeReply.h
@@ -16,4 +16,4 @@
 /** The token of the header "Authorization: Bearer <token>"; empty if there is none. */
 std::string bearerToken(const HttpRequest &request);
 
-}
+} // namespace auburndoor
--- a/modules/instance/PeerAnnouncer.cpp
+++ b/modules/instance/PeerAnnouncer.cpp
@@ -11,14 +11,12 @@
 
 namespace {
 
-constexpr Milliseconds longestExchange{1000};
-constexpr Milliseconds announceRetryPeriod{100};
+constexpr Milliseconds longestExchange { 1000 };
+constexpr Milliseconds announceRetryPeriod { 100 };
 
-}
+} // namespace
 
-PeerAnnouncer::PeerAnnouncer(Clock &clock, MembershipView &members)
-    : clock_(clock)
-    , members_(members)
+PeerAnnouncer::PeerAnnouncer(Clock &clock, MembershipView &members) : clock_(clock), members_(members)
 {
 }
 
@@ -61,7 +59,7 @@
 {
     std::vector<PeerVersion> versions;
     for (const auto &member : members_.liveMembers()) {
-        versions.push_back({member.id, member.configurationVersion});
+        versions.push_back({ member.id, member.configurationVersion });
     }
     return versions;
 }
@@ -70,7 +68,7 @@
 {
     const auto peer = members_.peer(id);
     if (!peer) {
-        failure = {Step::Forward, id.text(), Reason::ConnectionFailed, "the peer is not live"};
+        failure = { Step::Forward, id.text(), Reason::ConnectionFailed, "the peer is not live" };
         return std::nullopt;
     }
     return peer->fetchConfiguration(timeoutUntil(deadline), failure);
@@ -82,4 +80,4 @@
     return std::clamp(remaining, Milliseconds(1), longestExchange);
 }
 
-}
+} // namespace auburndoor
--- a/modules/instance/PeerAnnouncer.h
+++ b/modules/instance/PeerAnnouncer.h
@@ -28,4 +28,4 @@
     MembershipView &members_;
 };
 
-}
+} // namespace auburndoor
--- a/modules/instance/PeerService.cpp
+++ b/modules/instance/PeerService.cpp
@@ -12,20 +12,19 @@
 namespace {
 
 /** Time limit of an order to a worker on behalf of a peer. */
-constexpr Milliseconds orderTimeout{2000};
+constexpr Milliseconds orderTimeout { 2000 };
 
-}
+} // namespace
 
-PeerService::PeerService(const PeerServiceParts &parts)
-    : parts_(parts)
+PeerService::PeerService(const PeerServiceParts &parts) : parts_(parts)
 {
 }
 
 Member PeerService::heartbeat(const Member &sender)
 {
-    auto self = parts_.members.receive(sender);
-    if (sender.configurationVersion > parts_.configuration.current()->version) {
-        parts_.configuration.noticeVersion(sender.configurationVersion);
+    auto self = parts_.members->receive(sender);
+    if (sender.configurationVersion > parts_.configuration->current()->version) {
+        parts_.configuration->noticeVersion(sender.configurationVersion);
     }
     parts_.queues.roomAppeared();
     return self;
@@ -34,7 +33,7 @@
 Outcome PeerService::execute(const Request &request)
 {
     RequestContext context;
-    context.configuration = parts_.configuration.current();
+    context.configuration = parts_.configuration->current();
     context.request = request;
     const auto &services = context.configuration->declaration.services;
     const auto service = services.find(request.service);
@@ -44,12 +43,12 @@
 
 long long PeerService::announce(const ConfigurationAnnouncement &announcement)
 {
-    return parts_.configuration.offer(announcement);
+    return parts_.configuration->offer(announcement);
 }
 
 ConfigurationAnnouncement PeerService::fetchConfiguration()
 {
-    return parts_.configuration.announcement();
+    return parts_.configuration->announcement();
 }
 
 std::vector<Hold> PeerService::hold(const HoldRequest &request)
@@ -82,4 +81,4 @@
     parts_.notifyJob(shard, job);
 }
 
-}
+} // namespace auburndoor
--- a/modules/instance/PeerService.h
+++ b/modules/instance/PeerService.h
@@ -3,6 +3,7 @@
 #include "peer/PeerHandler.h"
 
 #include <functional>
+#include <memory>
 
 namespace auburndoor {
 
@@ -17,8 +18,9 @@
 struct PeerServiceParts
 {
     Clock &clock;
-    MembershipView &members;
-    ConfigurationManager &configuration;
+    // Made after the listener has been bound, and complete before it serves.
+    std::unique_ptr<MembershipView> &members;
+    std::unique_ptr<ConfigurationManager> &configuration;
     const Pipeline &pipeline;
     OwnerService &owner;
     ServiceQueues &queues;
@@ -46,4 +48,4 @@
     PeerServiceParts parts_;
 };
 
-}
+} // namespace auburndoor
--- a/modules/instance/PoolReporter.cpp
+++ b/modules/instance/PoolReporter.cpp
@@ -15,14 +15,13 @@
 namespace {
 
 /** Shortest time between two reports: below the floor of the summaries, so that they are never older than needed. */
-constexpr Milliseconds reportFloor{20};
-constexpr Milliseconds reportCeiling{1000};
-constexpr Milliseconds censusPeriod{1000};
+constexpr Milliseconds reportFloor { 20 };
+constexpr Milliseconds reportCeiling { 1000 };
+constexpr Milliseconds censusPeriod { 1000 };
 
-}
+} // namespace
 
-PoolReporter::PoolReporter(const PoolReporterParts &parts)
-    : parts_(parts)
+PoolReporter::PoolReporter(const PoolReporterParts &parts) : parts_(parts)
 {
 }
 
@@ -90,13 +89,13 @@
     std::vector<PoolSummary> pools;
     const auto configuration = parts_.configuration.current();
     for (const auto &[id, service] : configuration->declaration.services) {
-        const PlacementNeed need{id, service.need, false, 0, {}};
+        const PlacementNeed need { id, service.need, false, 0, {} };
         const auto freePlaces = parts_.ledger.freePlaces(need);
         const auto queued = static_cast<int>(parts_.queues.queued(id));
         parts_.metrics.setGauge("free_places", freePlaces, id.text());
         parts_.metrics.setGauge("queued_requests", queued, id.text());
         if (freePlaces > 0 || queued > 0) {
-            pools.push_back({id, freePlaces, queued});
+            pools.push_back({ id, freePlaces, queued });
         }
     }
     parts_.members.setPools(pools);
@@ -117,4 +116,4 @@
     parts_.metrics.setGauge("configuration_version", static_cast<double>(parts_.configuration.current()->version));
 }
 
-}
+} // namespace auburndoor
--- a/modules/instance/PoolReporter.h
+++ b/modules/instance/PoolReporter.h
@@ -68,4 +68,4 @@
     std::thread thread_;
 };
 
-}
+} // namespace auburndoor
--- a/modules/pipeline/AdmitFilter.h
+++ b/modules/pipeline/AdmitFilter.h
@@ -39,4 +39,4 @@
     AdmitParts parts_;
 };
 
-}
+} // namespace auburndoor
--- a/modules/pipeline/AuthenticateFilter.cpp
+++ b/modules/pipeline/AuthenticateFilter.cpp
@@ -7,14 +7,16 @@
 
 std::optional<Outcome> AuthenticateFilter::apply(RequestContext &context)
 {
-    const auto digest = Digest::sha256(context.call.token);
+    const auto digest = Digest::of(context.call.token);
     for (const auto &[id, team] : context.configuration->declaration.teams) {
         if (Digest::isEqual(digest, team.tokenDigest)) {
             context.request.team = id;
             return std::nullopt;
         }
     }
-    return Outcome{OutcomeStatus::NotRun, {}, {Step::Authenticate, {}, Reason::BadCredentials, "the token belongs to no team"}, {}, {}, {}};
+    return Outcome {
+        OutcomeStatus::NotRun, {}, { Step::Authenticate, {}, Reason::BadCredentials, "the token belongs to no team" }, {}, {}, {}
+    };
 }
 
-}
+} // namespace auburndoor
--- a/modules/pipeline/AuthenticateFilter.h
+++ b/modules/pipeline/AuthenticateFilter.h
@@ -11,4 +11,4 @@
     std::optional<Outcome> apply(RequestContext &context) override;
 };
 
-}
+} // namespace auburndoor
--- a/modules/pipeline/DescribeFilter.cpp
+++ b/modules/pipeline/DescribeFilter.cpp
@@ -14,7 +14,7 @@
 
 Outcome refusal(Reason reason, std::string message)
 {
-    return {OutcomeStatus::NotRun, {}, {Step::Parse, {}, reason, std::move(message)}, {}, {}, {}};
+    return { OutcomeStatus::NotRun, {}, { Step::Parse, {}, reason, std::move(message) }, {}, {}, {} };
 }
 
 /** Names and keys become parts of row keys, so that only letters, digits and a few signs are allowed. */
@@ -51,7 +51,8 @@
         const auto parsed = std::from_chars(text.data(), text.data() + text.size(), milliseconds);
         const auto largest = context.service->maximumDeadline.count();
         if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size() || milliseconds < 1 || milliseconds > largest) {
-            return refusal(Reason::OutOfRange, "timeout \"" + text + "\" is not a number of milliseconds from 1 to " + std::to_string(largest));
+            return refusal(Reason::OutOfRange,
+                           "timeout \"" + text + "\" is not a number of milliseconds from 1 to " + std::to_string(largest));
         }
         timeout = Milliseconds(milliseconds);
     }
@@ -72,10 +73,9 @@
     return std::nullopt;
 }
 
-}
+} // namespace
 
-DescribeFilter::DescribeFilter(Clock &clock)
-    : clock_(clock)
+DescribeFilter::DescribeFilter(Clock &clock) : clock_(clock)
 {
 }
 
@@ -107,4 +107,4 @@
     return describeRepeatability(context);
 }
 
-}
+} // namespace auburndoor
--- a/modules/pipeline/DescribeFilter.h
+++ b/modules/pipeline/DescribeFilter.h
@@ -18,4 +18,4 @@
     Clock &clock_;
 };
 
-}
+} // namespace auburndoor
--- a/modules/pipeline/DispatchFilter.cpp
+++ b/modules/pipeline/DispatchFilter.cpp
@@ -16,9 +16,9 @@
 namespace {
 
 /** A start that is delayed longer than this is refused by the worker. */
-constexpr Milliseconds startWindow{5000};
+constexpr Milliseconds startWindow { 5000 };
 /** Time for the answer of a peer to travel back after the deadline has passed there. */
-constexpr Milliseconds answerTravel{250};
+constexpr Milliseconds answerTravel { 250 };
 
 Milliseconds remaining(TimePoint deadline, TimePoint now)
 {
@@ -28,15 +28,14 @@
 /** The part of the remaining time that is kept for asking the worker when no answer comes. */
 Milliseconds resolveTime(TimePoint deadline, TimePoint now)
 {
-    constexpr Milliseconds longest{200};
+    constexpr Milliseconds longest { 200 };
     constexpr int fraction = 10;
     return std::min(longest, remaining(deadline, now) / fraction);
 }
 
-}
+} // namespace
 
-DispatchFilter::DispatchFilter(const DispatchParts &parts)
-    : parts_(parts)
+DispatchFilter::DispatchFilter(const DispatchParts &parts) : parts_(parts)
 {
 }
 
@@ -50,10 +49,17 @@
     const auto &target = context.forwardTo;
     const auto peer = parts_.members.peer(target);
     if (!peer) {
-        return {OutcomeStatus::NotRun, {}, {Step::Forward, target.text(), Reason::ConnectionFailed, "the peer is not live"}, {}, {}, {}};
+        return { OutcomeStatus::NotRun,
+                 {},
+                 { Step::Forward, target.text(), Reason::ConnectionFailed, "the peer is not live" },
+                 {},
+                 {},
+                 {} };
     }
     auto request = context.request;
     ++request.hopCount;
+    // Each attempt of the entry instance gets task ids of its own at the owners.
+    request.id = RequestId(context.task().text());
     auto outcome = peer->execute(request, remaining(request.deadline, parts_.clock.now()) + answerTravel);
     if (outcome.status == OutcomeStatus::NotRun && outcome.failure.reason == Reason::NoCapacity) {
         context.fullPeers[target] = parts_.clock.now();
@@ -71,6 +77,7 @@
     start.service = request.service;
     start.need = request.need;
     start.latestStart = parts_.clock.wallNow() + std::min(startWindow, remaining(request.deadline, parts_.clock.now()));
+    start.lease = parts_.taskLease;
     start.body = request.body;
     return start;
 }
@@ -80,7 +87,7 @@
     const auto worker = parts_.workers.find(context.reservation->worker);
     Outcome outcome;
     if (!worker || worker->epoch != context.reservation->epoch) {
-        outcome.failure = {Step::Start, context.reservation->worker.text(), Reason::NotOwner, "the worker's shard has moved"};
+        outcome.failure = { Step::Start, context.reservation->worker.text(), Reason::NotOwner, "the worker's shard has moved" };
     } else {
         context.started = parts_.clock.now();
         Failure failure;
@@ -97,7 +104,7 @@
 {
     const auto &reservation = *context.reservation;
     const auto &request = context.request;
-    Outcome outcome{OutcomeStatus::NotRun, result.answer, failure, {}, reservation.worker, {}};
+    Outcome outcome { OutcomeStatus::NotRun, result.answer, failure, {}, reservation.worker, {} };
     switch (result.status) {
     case CallStatus::Answered:
         outcome.status = OutcomeStatus::Answered;
@@ -135,8 +142,8 @@
         parts_.ledger.release(reservation.shard, reservation.worker, reservation.key);
         return;
     }
-    // A repeatable task is cancelled, because nobody waits for it any more. One that is not repeatable goes on, because its caller can
-    // still obtain the answer with the idempotency key.
+    // A repeatable task is cancelled, because nobody waits for it any more. One that is not repeatable goes on, because its caller
+    // can still obtain the answer with the idempotency key.
     const auto isRunning = outcome.failure.reason == Reason::DeadlinePassed;
     if (!context.request.isRepeatable && isRunning) {
         parts_.workers.followTask(reservation);
@@ -163,4 +170,4 @@
     parts_.records.finish(*context.record, record);
 }
 
-}
+} // namespace auburndoor
--- a/modules/pipeline/DispatchFilter.h
+++ b/modules/pipeline/DispatchFilter.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "core/Clock.h"
 #include "pipeline/Filter.h"
 #include "worker/WorkerConnection.h"
 
 namespace auburndoor {
 
 class CapacityLedger;
-class Clock;
 class MembershipView;
 class RequestRecords;
 class RunTimeEstimator;
@@ -25,6 +25,8 @@
     RequestRecords &records;
     TaskResolver &resolver;
     MembershipView &members;
+    /** The lease that a worker gives to a task. */
+    Milliseconds taskLease;
 };
 
 /** Starts the request's task on the reserved worker, or has the chosen peer execute the request, and collects the outcome. */
@@ -46,4 +48,4 @@
     DispatchParts parts_;
 };
 
-}
+} // namespace auburndoor
--- a/modules/pipeline/Filter.h
+++ b/modules/pipeline/Filter.h
@@ -11,8 +11,8 @@
 /**
     One step of the path from a request to its outcome.
 
-    A filter either passes the request on to the next one or ends it. It may be used by many threads at once, each with a context of its
-    own.
+    A filter either passes the request on to the next one or ends it. It may be used by many threads at once, each with a context of
+   its own.
 */
 class Filter
 {
@@ -23,4 +23,4 @@
     virtual std::optional<Outcome> apply(RequestContext &context) = 0;
 };
 
-}
+} // namespace auburndoor
--- a/modules/pipeline/Pipeline.cpp
+++ b/modules/pipeline/Pipeline.cpp
@@ -25,12 +25,9 @@
     return "unknown";
 }
 
-}
+} // namespace
 
-Pipeline::Pipeline(Clock &clock, Metrics &metrics, RetryBudget &budget)
-    : clock_(clock)
-    , metrics_(metrics)
-    , budget_(budget)
+Pipeline::Pipeline(Clock &clock, Metrics &metrics, RetryBudget &budget) : clock_(clock), metrics_(metrics), budget_(budget)
 {
 }
 
@@ -78,7 +75,7 @@
             return *outcome;
         }
     }
-    return {OutcomeStatus::NotRun, {}, {Step::Start, {}, Reason::NotReady, "no filter gave an outcome"}, {}, {}, {}};
+    return { OutcomeStatus::NotRun, {}, { Step::Start, {}, Reason::NotReady, "no filter gave an outcome" }, {}, {}, {} };
 }
 
 bool Pipeline::mayRetry(const RequestContext &context, const Outcome &outcome) const
@@ -107,16 +104,18 @@
         metrics_.countRefusal(outcome.failure);
         Log::failure("request-ended",
                      outcome.failure,
-                     {{"request", request.id.text()}, {"team", request.team.text()}, {"outcome", std::string(statusName(outcome.status))}});
+                     { { "request", request.id.text() },
+                       { "team", request.team.text() },
+                       { "outcome", std::string(statusName(outcome.status)) } });
         return;
     }
     metrics_.observe("request_duration", clock_.now() - request.arrival, request.service.text());
     Log::debug("request-ended",
-               {{"request", request.id.text()},
-                {"team", request.team.text()},
-                {"outcome", std::string(statusName(outcome.status))},
-                {"worker", outcome.worker.text()},
-                {"waitedMs", std::to_string(outcome.waited.count())}});
+               { { "request", request.id.text() },
+                 { "team", request.team.text() },
+                 { "outcome", std::string(statusName(outcome.status)) },
+                 { "worker", outcome.worker.text() },
+                 { "waitedMs", std::to_string(outcome.waited.count()) } });
 }
 
-}
+} // namespace auburndoor
--- a/modules/pipeline/Pipeline.h
+++ b/modules/pipeline/Pipeline.h
@@ -12,8 +12,8 @@
 class RetryBudget;
 
 /**
-    Runs requests through filters: first those that prepare a request, once; then those of an attempt, again after a definite not-run
-    that another attempt may mend.
+    Runs requests through filters: first those that prepare a request, once; then those of an attempt, again after a definite
+   not-run that another attempt may mend.
 
     Any thread; run() blocks its caller until the outcome is known.
 */
@@ -43,4 +43,4 @@
     std::vector<std::unique_ptr<Filter>> attempts_;
 };
 
-}
+} // namespace auburndoor
--- a/modules/pipeline/RecordFilter.cpp
+++ b/modules/pipeline/RecordFilter.cpp
@@ -9,19 +9,17 @@
 namespace {
 
 /** Time for the start of another attempt's task to reach its worker before the task is forbidden. */
-constexpr Milliseconds startGrace{1000};
+constexpr Milliseconds startGrace { 1000 };
 
 Outcome notRun(Reason reason, std::string message)
 {
-    return {OutcomeStatus::NotRun, {}, {Step::Record, "table", reason, std::move(message)}, {}, {}, {}};
+    return { OutcomeStatus::NotRun, {}, { Step::Record, "table", reason, std::move(message) }, {}, {}, {} };
 }
 
-}
+} // namespace
 
 RecordFilter::RecordFilter(RequestRecords &records, TaskResolver &resolver, CapacityLedger &ledger)
-    : records_(records)
-    , resolver_(resolver)
-    , ledger_(ledger)
+    : records_(records), resolver_(resolver), ledger_(ledger)
 {
 }
 
@@ -43,12 +41,12 @@
         claim = records_.claim(key, claim.version, record, request.deadline, failure);
     }
     if (claim.status == ClaimStatus::Claimed) {
-        context.record = ClaimedRecord{key, claim.version};
+        context.record = ClaimedRecord { key, claim.version };
         return std::nullopt;
     }
     releaseRoom(context);
     if (claim.status == ClaimStatus::Failed) {
-        return Outcome{OutcomeStatus::NotRun, {}, failure, Milliseconds(1000), {}, {}};
+        return Outcome { OutcomeStatus::NotRun, {}, failure, Milliseconds(1000), {}, {} };
     }
     if (claim.present.requestDigest != record.requestDigest) {
         return notRun(Reason::DuplicateKey, "the idempotency key was used for a different request");
@@ -66,16 +64,16 @@
     Failure failure;
     const auto answer = records_.answerOf(record, context.request.deadline, failure);
     if (!answer) {
-        return {OutcomeStatus::Unknown, {}, failure, Milliseconds(1000), record.worker, {}};
+        return { OutcomeStatus::Unknown, {}, failure, Milliseconds(1000), record.worker, {} };
     }
     const auto status = record.state == RecordState::Answered ? OutcomeStatus::Answered : OutcomeStatus::TaskFailed;
-    return {status, *answer, {}, {}, record.worker, {}};
+    return { status, *answer, {}, {}, record.worker, {} };
 }
 
 Outcome RecordFilter::resolveClaim(RequestContext &context, const ClaimResult &taken)
 {
     const auto key = RequestRecord::rowKey(context.request.team, context.request.idempotencyKey);
-    const ClaimedRecord claimed{key, taken.version};
+    const ClaimedRecord claimed { key, taken.version };
     auto outcome = resolver_.resolve(taken.present.worker, taken.present.task, startGrace, context.request.deadline);
     auto record = taken.present;
     switch (outcome.status) {
@@ -102,4 +100,4 @@
     context.reservation.reset();
 }
 
-}
+} // namespace auburndoor
--- a/modules/pipeline/RecordFilter.h
+++ b/modules/pipeline/RecordFilter.h
@@ -32,4 +32,4 @@
     CapacityLedger &ledger_;
 };
 
-}
+} // namespace auburndoor
--- a/modules/pipeline/RequestContext.h
+++ b/modules/pipeline/RequestContext.h
@@ -67,4 +67,4 @@
     }
 };
 
-}
+} // namespace auburndoor
--- a/modules/pipeline/RequestNeeds.cpp
+++ b/modules/pipeline/RequestNeeds.cpp
@@ -24,7 +24,7 @@
 {
     const auto &request = context.request;
     const auto reserve = context.service != nullptr ? context.service->shortReservePercent : 0;
-    return {request.service, request.need, context.isLong, reserve, {}};
+    return { request.service, request.need, context.isLong, reserve, {} };
 }
 
-}
+} // namespace auburndoor
--- a/modules/pipeline/RequestNeeds.h
+++ b/modules/pipeline/RequestNeeds.h
@@ -14,4 +14,4 @@
 /** What the placer is told of a request. */
 PlacementNeed placementNeedOf(const RequestContext &context);
 
-}
+} // namespace auburndoor
--- a/modules/pipeline/RequestRecord.cpp
+++ b/modules/pipeline/RequestRecord.cpp
@@ -10,19 +10,20 @@
 
 namespace {
 
-constexpr std::array<const char *, 4> stateNames{"claimed", "answered", "task-failed", "not-run"};
+constexpr std::array<const char *, 4> stateNames { "claimed", "answered", "task-failed", "not-run" };
 
 }
 
 std::string RequestRecord::toText() const
 {
-    return nlohmann::json{{"state", stateNames.at(static_cast<std::size_t>(state))},
-                          {"task", task.text()},
-                          {"worker", worker.text()},
-                          {"answer", answer},
-                          {"answerObject", answerObject},
-                          {"requestDigest", requestDigest}}
-        .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return nlohmann::json {
+        { "state", stateNames.at(static_cast<std::size_t>(state)) },
+        { "task", task.text() },
+        { "worker", worker.text() },
+        { "answer", answer },
+        { "answerObject", answerObject },
+        { "requestDigest", requestDigest }
+    }.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 std::optional<RequestRecord> RequestRecord::fromText(const std::string &text)
@@ -47,7 +48,7 @@
 
 std::string RequestRecord::digestOf(const Request &request)
 {
-    return Digest::sha256(request.service.text() + "\n" + request.kind + "\n" + request.body);
+    return Digest::of(request.service.text() + "\n" + request.kind + "\n" + request.body);
 }
 
 std::string RequestRecord::rowKey(const TeamId &team, const std::string &idempotencyKey)
@@ -55,4 +56,4 @@
     return "request/" + team.text() + "/" + idempotencyKey;
 }
 
-}
+} // namespace auburndoor
--- a/modules/pipeline/RequestRecord.h
+++ b/modules/pipeline/RequestRecord.h
@@ -41,4 +41,4 @@
     static std::string rowKey(const TeamId &team, const std::string &idempotencyKey);
 };
 
-}
+} // namespace auburndoor
--- a/modules/pipeline/RequestRecords.cpp
+++ b/modules/pipeline/RequestRecords.cpp
@@ -12,19 +12,17 @@
 namespace {
 
 constexpr std::size_t largestInlineAnswer = 16 * 1024;
-/** Outcomes past it are dropped, oldest first: the worker keeps them for 10 minutes, and a later attempt reads them back from there. */
+/** Outcomes past it are dropped, oldest first: the worker keeps them for 10 minutes, and a later attempt reads them back from
+ * there. */
 constexpr std::size_t pendingLimit = 10'000;
 constexpr int writerCount = 4;
-constexpr Milliseconds writeTimeout{2000};
-constexpr Milliseconds writeRetryPeriod{1000};
+constexpr Milliseconds writeTimeout { 2000 };
+constexpr Milliseconds writeRetryPeriod { 1000 };
 
-}
+} // namespace
 
 RequestRecords::RequestRecords(Clock &clock, Metrics &metrics, TableService &table, ObjectStore &objects)
-    : clock_(clock)
-    , metrics_(metrics)
-    , table_(table)
-    , objects_(objects)
+    : clock_(clock), metrics_(metrics), table_(table), objects_(objects)
 {
     for (int index = 0; index < writerCount; ++index) {
         threads_.emplace_back([this] { writeOutcomes(); });
@@ -49,10 +47,12 @@
                                   TimePoint deadline,
                                   Failure &failure)
 {
-    const Transaction transaction{makeRandomId(), {{rowKey, expectedVersion}}, {{rowKey, record.toText()}}, WritePurpose::RequestRecord};
+    const Transaction transaction {
+        makeRandomId(), { { rowKey, expectedVersion } }, { { rowKey, record.toText() } }, WritePurpose::RequestRecord
+    };
     const auto result = table_.commit(transaction, deadline, failure);
     if (result.status == CommitStatus::Committed && !result.versions.empty()) {
-        return {ClaimStatus::Claimed, result.versions.front(), {}};
+        return { ClaimStatus::Claimed, result.versions.front(), {} };
     }
     if (result.status != CommitStatus::Conflict || result.conflicts.empty()) {
         failure.step = Step::Record;
@@ -61,10 +61,10 @@
     const auto &row = result.conflicts.front();
     const auto present = RequestRecord::fromText(row.value);
     if (!present) {
-        failure = {Step::Record, "table", Reason::BadReply, "the row " + rowKey + " holds no request record"};
+        failure = { Step::Record, "table", Reason::BadReply, "the row " + rowKey + " holds no request record" };
         return {};
     }
-    return {ClaimStatus::Taken, row.version, *present};
+    return { ClaimStatus::Taken, row.version, *present };
 }
 
 void RequestRecords::finish(const ClaimedRecord &claimed, const RequestRecord &record)
@@ -75,7 +75,7 @@
             pending_.pop_front();
             metrics_.count("record_outcomes_dropped_total");
         }
-        pending_.push_back({claimed, record, clock_.now()});
+        pending_.push_back({ claimed, record, clock_.now() });
     }
     condition_.notify_one();
 }
@@ -128,10 +128,9 @@
         record.answerObject = name;
     }
     const auto &claimed = pending.claimed;
-    const Transaction transaction{makeRandomId(),
-                                  {{claimed.key, claimed.version}},
-                                  {{claimed.key, record.toText()}},
-                                  WritePurpose::RequestRecord};
+    const Transaction transaction {
+        makeRandomId(), { { claimed.key, claimed.version } }, { { claimed.key, record.toText() } }, WritePurpose::RequestRecord
+    };
     const auto result = table_.commit(transaction, deadline, failure);
     if (result.status == CommitStatus::Committed) {
         return true;
@@ -145,4 +144,4 @@
     return false;
 }
 
-}
+} // namespace auburndoor
--- a/modules/pipeline/RequestRecords.h
+++ b/modules/pipeline/RequestRecords.h
@@ -45,7 +45,11 @@
     ~RequestRecords();
 
     /** Writes a claim if the row has the expected version (0: absent). */
-    ClaimResult claim(const std::string &rowKey, long long expectedVersion, const RequestRecord &record, TimePoint deadline, Failure &failure);
+    ClaimResult claim(const std::string &rowKey,
+                      long long expectedVersion,
+                      const RequestRecord &record,
+                      TimePoint deadline,
+                      Failure &failure);
 
     /** Writes the outcome of a claimed request in the background; tries again while the table is down. */
     void finish(const ClaimedRecord &claimed, const RequestRecord &record);
@@ -75,4 +79,4 @@
     std::vector<std::thread> threads_;
 };
 
-}
+} // namespace auburndoor
--- a/modules/pipeline/ReserveFilter.cpp
+++ b/modules/pipeline/ReserveFilter.cpp
@@ -11,12 +11,11 @@
 namespace {
 
 /** After a refusal a peer is left out until a newer summary of it has had time to arrive. */
-constexpr Milliseconds refusalMemory{200};
+constexpr Milliseconds refusalMemory { 200 };
 
-}
+} // namespace
 
-ReserveFilter::ReserveFilter(const ReserveParts &parts)
-    : parts_(parts)
+ReserveFilter::ReserveFilter(const ReserveParts &parts) : parts_(parts)
 {
 }
 
@@ -26,7 +25,9 @@
         if (reserveHere(context)) {
             return std::nullopt;
         }
-        return Outcome{OutcomeStatus::NotRun, {}, {Step::Reserve, {}, Reason::NoCapacity, "no worker of this instance has room"}, {}, {}, {}};
+        return Outcome {
+            OutcomeStatus::NotRun, {}, { Step::Reserve, {}, Reason::NoCapacity, "no worker of this instance has room" }, {}, {}, {}
+        };
     }
     Failure failure;
     auto &queue = parts_.queues.queue(*context.service);
@@ -34,7 +35,7 @@
     if (queue.wait(queueEntryOf(context, parts_.estimator), tryStart, failure)) {
         return std::nullopt;
     }
-    return Outcome{OutcomeStatus::NotRun, {}, failure, {}, {}, {}};
+    return Outcome { OutcomeStatus::NotRun, {}, failure, {}, {}, {} };
 }
 
 bool ReserveFilter::reserveHere(RequestContext &context)
@@ -43,12 +44,13 @@
     if (!parts_.shares.isWithinQuota(request.team, request.need)) {
         return false;
     }
-    context.reservation =
-        parts_.ledger.reserve(placementNeedOf(context), {context.task().text(), request.team, request.need, context.isLong});
+    context.reservation = parts_.ledger.reserve(placementNeedOf(context),
+                                                { context.task().text(), request.team, request.need, context.isLong });
     if (!context.reservation) {
         return false;
     }
     parts_.shares.addUse(request.team, request.need);
+    parts_.noteReserved();
     return true;
 }
 
@@ -69,4 +71,4 @@
     return true;
 }
 
-}
+} // namespace auburndoor
--- a/modules/pipeline/ReserveFilter.h
+++ b/modules/pipeline/ReserveFilter.h
@@ -2,6 +2,8 @@
 
 #include "pipeline/Filter.h"
 
+#include <functional>
+
 namespace auburndoor {
 
 class CapacityLedger;
@@ -20,12 +22,15 @@
     RunTimeEstimator &estimator;
     ServiceQueues &queues;
     ShareAccounts &shares;
+    /** Called after room has been reserved here. */
+    std::function<void()> noteReserved;
 };
 
 /**
     Finds room for a request: on a worker of this instance, else at the peer with most room, else it waits in the queue.
 
-    A request that a peer has forwarded is placed at once or refused, so that it waits in one queue only, that of its entry instance.
+    A request that a peer has forwarded is placed at once or refused, so that it waits in one queue only, that of its entry
+   instance.
 */
 class ReserveFilter : public Filter
 {
@@ -41,4 +46,4 @@
     ReserveParts parts_;
 };
 
-}
+} // namespace auburndoor
--- a/modules/pipeline/RetryDecision.cpp
+++ b/modules/pipeline/RetryDecision.cpp
@@ -25,7 +25,7 @@
     }
 }
 
-}
+} // namespace
 
 RetryAdvice adviseRetry(const Request &request, const Outcome &outcome)
 {
@@ -39,4 +39,4 @@
     return RetryAdvice::Stop;
 }
 
-}
+} // namespace auburndoor
--- a/modules/pipeline/RetryDecision.h
+++ b/modules/pipeline/RetryDecision.h
@@ -20,4 +20,4 @@
 */
 RetryAdvice adviseRetry(const Request &request, const Outcome &outcome);
 
-}
+} // namespace auburndoor
--- a/modules/pipeline/ServiceQueues.cpp
+++ b/modules/pipeline/ServiceQueues.cpp
@@ -4,9 +4,7 @@
 
 namespace auburndoor {
 
-ServiceQueues::ServiceQueues(Clock &clock, OrderFactory makeOrder)
-    : clock_(clock)
-    , makeOrder_(std::move(makeOrder))
+ServiceQueues::ServiceQueues(Clock &clock, OrderFactory makeOrder) : clock_(clock), makeOrder_(std::move(makeOrder))
 {
 }
 
@@ -61,4 +59,4 @@
     return result;
 }
 
-}
+} // namespace auburndoor
--- a/modules/pipeline/ServiceQueues.h
+++ b/modules/pipeline/ServiceQueues.h
@@ -12,7 +12,8 @@
 
 namespace auburndoor {
 
-/** One wait queue for each declared service. Any thread. Queues live as long as this object, also after their service has been removed. */
+/** One wait queue for each declared service. Any thread. Queues live as long as this object, also after their service has been
+ * removed. */
 class ServiceQueues
 {
 public:
@@ -42,4 +43,4 @@
     bool isShutDown_ = false;
 };
 
-}
+} // namespace auburndoor
--- a/modules/pipeline/TaskAccess.h
+++ b/modules/pipeline/TaskAccess.h
@@ -23,4 +23,4 @@
     virtual std::optional<WorkerTask> cancel(const WorkerId &worker, const TaskId &task, TimePoint deadline, Failure &failure) = 0;
 };
 
-}
+} // namespace auburndoor
--- a/modules/pipeline/TaskResolver.cpp
+++ b/modules/pipeline/TaskResolver.cpp
@@ -8,18 +8,21 @@
 
 namespace {
 
-constexpr Milliseconds questionPeriod{50};
+constexpr Milliseconds questionPeriod { 50 };
 
 Outcome notRun(const WorkerId &worker)
 {
-    return {OutcomeStatus::NotRun, {}, {Step::Collect, worker.text(), Reason::ConnectionLost, "the task was never started"}, {}, worker, {}};
+    return { OutcomeStatus::NotRun,
+             {},
+             { Step::Collect, worker.text(), Reason::ConnectionLost, "the task was never started" },
+             {},
+             worker,
+             {} };
 }
 
-}
+} // namespace
 
-TaskResolver::TaskResolver(Clock &clock, TaskAccess &tasks)
-    : clock_(clock)
-    , tasks_(tasks)
+TaskResolver::TaskResolver(Clock &clock, TaskAccess &tasks) : clock_(clock), tasks_(tasks)
 {
 }
 
@@ -36,27 +39,32 @@
             if (auto outcome = decide(*state, worker)) {
                 return *outcome;
             }
-            failure = {Step::Collect, worker.text(), Reason::DeadlinePassed, "the task was still running at the deadline"};
+            failure = { Step::Collect, worker.text(), Reason::DeadlinePassed, "the task was still running at the deadline" };
         }
         pause(deadline);
     }
     if (failure.reason == Reason::None) {
-        failure = {Step::Collect, worker.text(), Reason::TimedOut, "the deadline passed before the worker could be asked"};
+        failure = { Step::Collect, worker.text(), Reason::TimedOut, "the deadline passed before the worker could be asked" };
     }
-    return {OutcomeStatus::Unknown, {}, failure, {}, worker, {}};
+    return { OutcomeStatus::Unknown, {}, failure, {}, worker, {} };
 }
 
 std::optional<Outcome> TaskResolver::decide(const WorkerTask &state, const WorkerId &worker) const
 {
     switch (state.state) {
     case TaskState::Done:
-        return Outcome{OutcomeStatus::Answered, state.answer, {}, {}, worker, {}};
+        return Outcome { OutcomeStatus::Answered, state.answer, {}, {}, worker, {} };
     case TaskState::Failed:
-        return Outcome{OutcomeStatus::TaskFailed, state.answer, {}, {}, worker, {}};
+        return Outcome { OutcomeStatus::TaskFailed, state.answer, {}, {}, worker, {} };
     case TaskState::NeverStarted:
         return notRun(worker);
     case TaskState::Stopped:
-        return Outcome{OutcomeStatus::Unknown, {}, {Step::Collect, worker.text(), Reason::Cancelled, "the task was stopped after its start"}, {}, worker, {}};
+        return Outcome { OutcomeStatus::Unknown,
+                         {},
+                         { Step::Collect, worker.text(), Reason::Cancelled, "the task was stopped after its start" },
+                         {},
+                         worker,
+                         {} };
     case TaskState::Running:
     case TaskState::Unknown:
         break;
@@ -70,4 +78,4 @@
     clock_.waitUntil(lock, condition_, std::min(deadline, clock_.now() + questionPeriod), [] { return false; });
 }
 
-}
+} // namespace auburndoor
--- a/modules/pipeline/TaskResolver.h
+++ b/modules/pipeline/TaskResolver.h
@@ -2,9 +2,11 @@
 
 #include "core/Clock.h"
 #include "pipeline/Request.h"
+#include "worker/WorkerConnection.h"
 
 #include <condition_variable>
 #include <mutex>
+#include <optional>
 
 namespace auburndoor {
 
@@ -37,4 +39,4 @@
     std::condition_variable condition_;
 };
 
-}
+} // namespace auburndoor
--- a/tests/cell/Cell.cpp
+++ b/tests/cell/Cell.cpp
@@ -16,8 +16,8 @@
 
 namespace {
 
-constexpr std::chrono::seconds startLimit{30};
-constexpr std::chrono::milliseconds pollPeriod{10};
+constexpr std::chrono::seconds startLimit { 30 };
+constexpr std::chrono::milliseconds pollPeriod { 10 };
 /** SHA-256 of Cell::operatorToken. */
 constexpr const char *operatorTokenDigest = "28b4d376be300676535e5c2e84ee59134f60547645a325356868e6d3ff29a33c";
 constexpr const char *peerSecret = "peer-secret-of-the-test-cell";
@@ -30,12 +30,10 @@
     return text.str();
 }
 
-}
+} // namespace
 
 Cell::Cell(std::string programs, std::string folder, CellTimes times)
-    : programs_(std::move(programs))
-    , folder_(std::move(folder))
-    , times_(times)
+    : programs_(std::move(programs)), folder_(std::move(folder)), times_(times)
 {
     std::filesystem::remove_all(folder_);
     std::filesystem::create_directories(folder_);
@@ -67,7 +65,7 @@
 void Cell::startPlatform()
 {
     platform_ = std::make_unique<ChildProcess>(
-        std::vector<std::string>{programs_ + "/standin-platform", "--port=0", "--port_file=" + path("platform.port")},
+        std::vector<std::string> { programs_ + "/standin-platform", "--port=0", "--port_file=" + path("platform.port") },
         path("platform.log"));
     platformAddress_ = "127.0.0.1:" + waitForFile("platform.port", *platform_);
 }
@@ -75,39 +73,46 @@
 void Cell::startWorkers(const WorkerGroup &group)
 {
     const auto id = group.service + "-" + group.failureDomain;
-    workers_.push_back(std::make_unique<ChildProcess>(std::vector<std::string>{programs_ + "/standin-worker",
-                                                                               "--id=" + id,
-                                                                               "--count=" + std::to_string(group.count),
-                                                                               "--service=" + group.service,
-                                                                               "--failure_domain=" + group.failureDomain,
-                                                                               "--region=" + group.region,
-                                                                               "--milli_cores=" + std::to_string(group.milliCores),
-                                                                               "--memory_mib=" + std::to_string(group.memoryMib),
-                                                                               "--accelerators=" + std::to_string(group.accelerators),
-                                                                               "--slots=" + std::to_string(group.slots),
-                                                                               "--connections=" + std::to_string(group.connections),
-                                                                               "--platform=" + platformAddress_,
-                                                                               "--port_file=" + path(id + ".port")},
-                                                      path(id + ".log")));
+    workers_.push_back(
+        std::make_unique<ChildProcess>(std::vector<std::string> { programs_ + "/standin-worker",
+                                                                  "--id=" + id + "-1",
+                                                                  "--count=" + std::to_string(group.count),
+                                                                  "--service=" + group.service,
+                                                                  "--failure_domain=" + group.failureDomain,
+                                                                  "--region=" + group.region,
+                                                                  "--milli_cores=" + std::to_string(group.milliCores),
+                                                                  "--memory_mib=" + std::to_string(group.memoryMib),
+                                                                  "--accelerators=" + std::to_string(group.accelerators),
+                                                                  "--slots=" + std::to_string(group.slots),
+                                                                  "--connections=" + std::to_string(group.connections),
+                                                                  "--platform=" + platformAddress_,
+                                                                  "--port_file=" + path(id + ".port") },
+                                       path(id + ".log")));
     waitForFile(id + ".port", *workers_.back());
 }
 
-void Cell::startInstance(const std::string &id, const std::string &failureDomain, const std::string &region, const std::string &extra)
+void Cell::startInstance(const std::string &id,
+                         const std::string &failureDomain,
+                         const std::string &region,
+                         const std::string &extra)
 {
     std::ofstream settings(path(id + ".json"));
-    settings << "{\"instance\": {\"id\": \"" << id << "\", \"failureDomain\": \"" << failureDomain << "\", \"region\": \"" << region << "\"},\n"
+    settings << "{\"instance\": {\"id\": \"" << id << "\", \"failureDomain\": \"" << failureDomain << "\", \"region\": \"" << region
+             << "\"},\n"
              << " \"callers\": {\"address\": \"127.0.0.1\", \"port\": 0},\n"
-             << " \"operators\": {\"address\": \"127.0.0.1\", \"port\": 0, \"tokenDigests\": [\"" << operatorTokenDigest << "\"]},\n"
+             << " \"operators\": {\"address\": \"127.0.0.1\", \"port\": 0, \"tokenDigests\": [\"" << operatorTokenDigest
+             << "\"]},\n"
              << " \"peers\": {\"address\": \"127.0.0.1\", \"port\": 0, \"secret\": \"" << peerSecret << "\"},\n"
              << " \"ownership\": {\"leaseMs\": " << times_.leaseMs << ", \"renewalMs\": " << times_.renewalMs << "},\n"
              << " \"platform\": {\"addresses\": [\"" << platformAddress_ << "\"]}" << extra << "}\n";
     settings.close();
     const auto portFile = id + "." + std::to_string(++startCount_) + ".ports";
-    instances_[id] = std::make_unique<ChildProcess>(
-        std::vector<std::string>{programs_ + "/auburndoord", "--settings=" + path(id + ".json"), "--port_file=" + path(portFile)},
-        path(id + ".log"));
+    instances_[id] = std::make_unique<ChildProcess>(std::vector<std::string> { programs_ + "/auburndoord",
+                                                                               "--settings=" + path(id + ".json"),
+                                                                               "--port_file=" + path(portFile) },
+                                                    path(id + ".log"));
     const auto ports = nlohmann::json::parse(waitForFile(portFile, *instances_[id]));
-    ports_[id] = {ports.at("callers"), ports.at("operators"), ports.at("peers")};
+    ports_[id] = { ports.at("callers"), ports.at("operators"), ports.at("peers") };
 }
 
 bool Cell::waitUntilReady(const std::string &id, std::chrono::milliseconds limit)
@@ -190,7 +195,7 @@
 std::optional<HttpReply> Cell::apply(const std::string &instance, const std::string &text, long long expectedVersion)
 {
     const auto target = "/v1/configuration/apply?operator=test&expected-version=" + std::to_string(expectedVersion);
-    const std::map<std::string, std::string> headers{{"Authorization", std::string("Bearer ") + operatorToken}};
+    const std::map<std::string, std::string> headers { { "Authorization", std::string("Bearer ") + operatorToken } };
     return call(operatorsAddress(instance), "POST", target, text, headers, std::chrono::milliseconds(15'000));
 }
 
@@ -206,4 +211,4 @@
     return isClean;
 }
 
-}
+} // namespace auburndoor
--- a/tests/cell/Cell.h
+++ b/tests/cell/Cell.h
@@ -41,7 +41,8 @@
     int renewalMs = 2000;
 };
 
-/** A cell of real processes on loopback: the platform's stand-in, workers and entry instances. Used by one thread, except call(). */
+/** A cell of real processes on loopback: the platform's stand-in, workers and entry instances. Used by one thread, except call().
+ */
 class Cell
 {
 public:
@@ -52,8 +53,12 @@
     void startPlatform();
     void startWorkers(const WorkerGroup &group);
 
-    /** Starts an instance and waits until its ports are known. @param extra JSON members of the settings, such as ", \"queue\": {...}" */
-    void startInstance(const std::string &id, const std::string &failureDomain, const std::string &region, const std::string &extra = {});
+    /** Starts an instance and waits until its ports are known. @param extra JSON members of the settings, such as ", \"queue\":
+     * {...}" */
+    void startInstance(const std::string &id,
+                       const std::string &failureDomain,
+                       const std::string &region,
+                       const std::string &extra = {});
 
     /** Waits until the instance reports that it is ready. */
     bool waitUntilReady(const std::string &id, std::chrono::milliseconds limit);
@@ -102,4 +107,4 @@
     int startCount_ = 0;
 };
 
-}
+} // namespace auburndoor
--- a/tests/cell/ChildProcess.cpp
+++ b/tests/cell/ChildProcess.cpp
@@ -17,7 +17,7 @@
     return WIFSIGNALED(status) ? signalBase + WTERMSIG(status) : WEXITSTATUS(status);
 }
 
-}
+} // namespace
 
 ChildProcess::ChildProcess(const std::vector<std::string> &arguments, const std::string &logFile)
 {
@@ -39,9 +39,7 @@
     }
 }
 
-ChildProcess::ChildProcess(ChildProcess &&other) noexcept
-    : id_(other.id_)
-    , exitCode_(other.exitCode_)
+ChildProcess::ChildProcess(ChildProcess &&other) noexcept : id_(other.id_), exitCode_(other.exitCode_)
 {
     other.id_ = 0;
 }
@@ -88,4 +86,4 @@
     return id_;
 }
 
-}
+} // namespace auburndoor
--- a/tests/cell/ChildProcess.h
+++ b/tests/cell/ChildProcess.h
@@ -35,4 +35,4 @@
     std::optional<int> exitCode_;
 };
 
-}
+} // namespace auburndoor
--- a/tests/standins/worker/FakeTask.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-../../fakes/FakeTask.cpp
--- a/tests/standins/worker/FakeWorker.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-../../fakes/FakeWorker.cpp
--- a/tests/standins/worker/WorkerServer.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-../../fakes/WorkerServer.cpp
