--- a/modules/pipeline/Pipeline.cpp
+++ b/modules/pipeline/Pipeline.cpp
@@ -85,6 +85,9 @@
     if (advice == RetryAdvice::Stop || clock_.now() >= context.request.deadline) {
         return false;
     }
+    if (advice == RetryAdvice::ClaimAgain) {
+        return true;
+    }
     if (advice == RetryAdvice::RouteAgain) {
         // The entry instance looks elsewhere; an owner that has no room says so at once.
         return !isForwarded;
--- a/modules/pipeline/RetryDecision.cpp
+++ b/modules/pipeline/RetryDecision.cpp
@@ -29,6 +29,9 @@
 
 RetryAdvice adviseRetry(const Request &request, const Outcome &outcome)
 {
+    if (outcome.status == OutcomeStatus::NotRun && outcome.failure.reason == Reason::Conflict) {
+        return outcome.failure.step == Step::Record ? RetryAdvice::ClaimAgain : RetryAdvice::Stop;
+    }
     if (outcome.status == OutcomeStatus::NotRun) {
         return adviseAfterNotRun(outcome.failure);
     }
--- a/modules/pipeline/RetryDecision.h
+++ b/modules/pipeline/RetryDecision.h
@@ -11,6 +11,8 @@
     RetryUnderBudget,
     /** The request was sent where there is no room; looking elsewhere is part of routing and costs no worker time. */
     RouteAgain,
+    /** The record of the request is free to be claimed; also an owner tries that again itself. */
+    ClaimAgain,
 };
 
 /**
--- /dev/null
+++ b/tests/pipeline/DecisionTests.cpp
@@ -0,0 +1,81 @@
+#include "core/ManualClock.h"
+#include "pipeline/DescribeFilter.h"
+#include "pipeline/RequestContext.h"
+#include "pipeline/RetryDecision.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace auburndoor;
+
+namespace {
+
+Outcome outcomeOf(OutcomeStatus status, Step step, Reason reason)
+{
+    return { status, {}, { step, {}, reason, {} }, {}, {}, {} };
+}
+
+std::optional<Outcome> describe(const IncomingCall &call)
+{
+    auto configuration = std::make_shared<VersionedDeclaration>();
+    ServiceDeclaration service;
+    service.id = ServiceId("namedesk");
+    service.nonRepeatableKinds = { "vetting" };
+    configuration->declaration.services[service.id] = service;
+    RequestContext context;
+    context.configuration = configuration;
+    context.call = call;
+    ManualClock clock;
+    DescribeFilter filter(clock);
+    return filter.apply(context);
+}
+
+IncomingCall callWith(const std::string &kind, const std::string &key, const std::string &timeout)
+{
+    IncomingCall call;
+    call.service = "namedesk";
+    call.kind = kind;
+    call.idempotencyKey = key;
+    call.timeout = timeout;
+    return call;
+}
+
+} // namespace
+
+TEST_CASE("a non-repeatable request is attempted again only after a definite not-run", "[pipeline]")
+{
+    // Guards against a second run after an attempt whose fate is not known.
+    Request request;
+    request.isRepeatable = false;
+    const bool isSafe = rc::check([&] {
+        const auto status = *rc::gen::element(OutcomeStatus::Answered, OutcomeStatus::TaskFailed, OutcomeStatus::Unknown);
+        const auto step = static_cast<Step>(*rc::gen::inRange(0, 23));
+        const auto reason = static_cast<Reason>(*rc::gen::inRange(0, 31));
+        RC_ASSERT(adviseRetry(request, outcomeOf(status, step, reason)) == RetryAdvice::Stop);
+    });
+    CHECK(isSafe);
+}
+
+TEST_CASE("a refusal for want of room is routed again, one that waiting cannot mend is final", "[pipeline]")
+{
+    const Request request;
+    CHECK(adviseRetry(request, outcomeOf(OutcomeStatus::NotRun, Step::Reserve, Reason::NoCapacity)) == RetryAdvice::RouteAgain);
+    CHECK(adviseRetry(request, outcomeOf(OutcomeStatus::NotRun, Step::Start, Reason::StaleEpoch)) == RetryAdvice::RetryUnderBudget);
+    CHECK(adviseRetry(request, outcomeOf(OutcomeStatus::NotRun, Step::Queue, Reason::DeadlinePassed)) == RetryAdvice::Stop);
+    CHECK(adviseRetry(request, outcomeOf(OutcomeStatus::NotRun, Step::Record, Reason::TimedOut)) == RetryAdvice::Stop);
+    CHECK(adviseRetry(request, outcomeOf(OutcomeStatus::NotRun, Step::Record, Reason::Conflict)) == RetryAdvice::ClaimAgain);
+}
+
+TEST_CASE("malformed calls are refused with the field that is wrong", "[pipeline]")
+{
+    // Guards against names that break out of a row key, and against calls without the key that makes them safe.
+    CHECK_FALSE(describe(callWith("shortlist", "", "100")));
+    CHECK(describe(callWith("vetting", "", "100"))->failure.reason == Reason::MissingField);
+    CHECK_FALSE(describe(callWith("vetting", "key-1", "100")));
+    CHECK(describe(callWith("vetting", "../other-team/key", "100"))->failure.reason == Reason::MalformedInput);
+    CHECK(describe(callWith("shortlist", "", "-1"))->failure.reason == Reason::OutOfRange);
+    CHECK(describe(callWith("shortlist", "", "99999999999999999999"))->failure.reason == Reason::OutOfRange);
+    IncomingCall unknown;
+    unknown.service = "kiln";
+    CHECK(describe(unknown)->failure.reason == Reason::UnknownName);
+}
--- /dev/null
+++ b/tests/pipeline/RecordFilterTests.cpp
@@ -0,0 +1,185 @@
+#include "pipeline/RecordedCaller.h"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <memory>
+#include <thread>
+
+using namespace auburndoor;
+
+namespace {
+
+const Resources capacity { 32'000, 131'072, 0, 64, 64 };
+
+struct Cell
+{
+    int startedTasks()
+    {
+        int count = 0;
+        for (const auto &event : worker.history()) {
+            count += event.kind == WorkerEvent::Kind::Start ? 1 : 0;
+        }
+        return count;
+    }
+
+    /** Runs a function while time moves on. */
+    template<typename Work>
+    void runWithTime(Work work)
+    {
+        std::atomic<bool> isDone = false;
+        std::thread thread([&] {
+            work();
+            isDone = true;
+        });
+        while (!isDone) {
+            clock.advance(Milliseconds(10));
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+        thread.join();
+    }
+
+    ManualClock clock;
+    FakeTableService table;
+    FakeWorker worker { WorkerId("worker"), capacity, clock };
+};
+
+} // namespace
+
+TEST_CASE("one non-repeatable request through many instances at the same moment runs once, and all callers get its answer",
+          "[pipeline]")
+{
+    // Guards against a vetting run that is billed twice because its caller tried again through another instance.
+    Cell cell;
+    constexpr int instanceCount = 8;
+    std::vector<std::unique_ptr<RecordedCaller>> instances;
+    for (int index = 0; index < instanceCount; ++index) {
+        instances.push_back(std::make_unique<RecordedCaller>(cell.clock, cell.table, cell.worker));
+    }
+    std::vector<Outcome> outcomes(instanceCount);
+    cell.runWithTime([&] {
+        std::vector<std::thread> callers;
+        for (int index = 0; index < instanceCount; ++index) {
+            callers.emplace_back([&, index] {
+                auto context = instances[index]->makeContext("request-" + std::to_string(index), "key", "vet this name");
+                outcomes[index] = instances[index]->run(context);
+            });
+        }
+        for (auto &caller : callers) {
+            caller.join();
+        }
+    });
+    CHECK(cell.startedTasks() == 1);
+    for (const auto &outcome : outcomes) {
+        CHECK(outcome.status == OutcomeStatus::Answered);
+        CHECK(outcome.answer == outcomes.front().answer);
+    }
+}
+
+TEST_CASE("negative control: without the record every instance runs the request", "[pipeline]")
+{
+    // Shows that the test above can fail.
+    Cell cell;
+    RecordedCaller first(cell.clock, cell.table, cell.worker);
+    RecordedCaller second(cell.clock, cell.table, cell.worker);
+    auto firstContext = first.makeContext("request-1", "key", "vet this name");
+    auto secondContext = second.makeContext("request-2", "key", "vet this name");
+    firstContext.attempt = 1;
+    secondContext.attempt = 1;
+    first.start(firstContext);
+    second.start(secondContext);
+    CHECK(cell.startedTasks() == 2);
+}
+
+TEST_CASE("an instance killed between the record and the start loses nothing and runs nothing twice", "[pipeline]")
+{
+    // Guards against a request that can never be tried again, or whose late start runs beside its retry.
+    Cell cell;
+    RecordedCaller killed(cell.clock, cell.table, cell.worker);
+    auto lost = killed.makeContext("lost", "key", "vet this name");
+    REQUIRE_FALSE(killed.record(lost));
+
+    RecordedCaller successor(cell.clock, cell.table, cell.worker);
+    auto retry = successor.makeContext("retry", "key", "vet this name");
+    Outcome outcome;
+    cell.runWithTime([&] { outcome = successor.run(retry); });
+    CHECK(outcome.status == OutcomeStatus::Answered);
+    CHECK(killed.start(lost).status == CallStatus::NotRun);
+    CHECK(cell.startedTasks() == 1);
+}
+
+TEST_CASE("an instance killed between the start and the answer leaves the answer to the retry", "[pipeline]")
+{
+    Cell cell;
+    RecordedCaller killed(cell.clock, cell.table, cell.worker);
+    auto lost = killed.makeContext("lost", "key", "vet this name");
+    REQUIRE_FALSE(killed.record(lost));
+    const auto unseen = killed.start(lost);
+    RecordedCaller successor(cell.clock, cell.table, cell.worker);
+    auto retry = successor.makeContext("retry", "key", "vet this name");
+    Outcome outcome;
+    cell.runWithTime([&] { outcome = successor.run(retry); });
+    CHECK(outcome.status == OutcomeStatus::Answered);
+    CHECK(outcome.answer == unseen.answer);
+    CHECK(cell.startedTasks() == 1);
+}
+
+TEST_CASE("a record whose answer is lost starts nothing, and the retry runs the request once", "[pipeline]")
+{
+    // Guards against a start after a write of unknown outcome.
+    Cell cell;
+    RecordedCaller instance(cell.clock, cell.table, cell.worker);
+    cell.table.loseAnswers(1);
+    auto context = instance.makeContext("request-1", "key", "vet this name");
+    const auto refused = instance.record(context);
+    REQUIRE(refused);
+    CHECK(refused->status == OutcomeStatus::NotRun);
+    CHECK(cell.startedTasks() == 0);
+    auto retry = instance.makeContext("request-2", "key", "vet this name");
+    Outcome outcome;
+    cell.runWithTime([&] { outcome = instance.run(retry); });
+    CHECK(outcome.status == OutcomeStatus::Answered);
+    CHECK(cell.startedTasks() == 1);
+}
+
+TEST_CASE("with the table down a non-repeatable request is not run", "[pipeline]")
+{
+    Cell cell;
+    RecordedCaller instance(cell.clock, cell.table, cell.worker);
+    cell.table.setDown(true);
+    auto context = instance.makeContext("request", "key", "vet this name");
+    const auto refused = instance.record(context);
+    REQUIRE(refused);
+    CHECK(refused->status == OutcomeStatus::NotRun);
+    CHECK(refused->failure.step == Step::Record);
+    CHECK(cell.startedTasks() == 0);
+}
+
+TEST_CASE("a key that is used again for another request is refused", "[pipeline]")
+{
+    // Guards against a caller that gets the answer of somebody else's request.
+    Cell cell;
+    RecordedCaller instance(cell.clock, cell.table, cell.worker);
+    auto context = instance.makeContext("request-1", "key", "vet this name");
+    cell.runWithTime([&] { instance.run(context); });
+    auto other = instance.makeContext("request-2", "key", "vet that name");
+    const auto refused = instance.record(other);
+    REQUIRE(refused);
+    CHECK(refused->failure.reason == Reason::DuplicateKey);
+    CHECK(cell.startedTasks() == 1);
+}
+
+TEST_CASE("after a definite not-run the same request claims its record again", "[pipeline]")
+{
+    // Guards against a request whose own first attempt stands in the way of its second.
+    Cell cell;
+    RecordedCaller instance(cell.clock, cell.table, cell.worker);
+    auto context = instance.makeContext("request", "key", "vet this name");
+    REQUIRE_FALSE(instance.record(context));
+    Failure failure;
+    REQUIRE(cell.worker.cancel(context.task(), 1, cell.clock.now() + Milliseconds(100), failure));
+    CHECK(instance.start(context).status == CallStatus::NotRun);
+    REQUIRE_FALSE(instance.record(context));
+    CHECK(instance.start(context).status == CallStatus::Answered);
+    CHECK(cell.startedTasks() == 1);
+}
--- /dev/null
+++ b/tests/pipeline/RecordedCaller.h
@@ -0,0 +1,149 @@
+#pragma once
+
+#include "core/ManualClock.h"
+#include "fakes/FakeTableService.h"
+#include "fakes/FakeWorker.h"
+#include "observability/Metrics.h"
+#include "pipeline/RecordFilter.h"
+#include "pipeline/RequestRecords.h"
+#include "pipeline/TaskAccess.h"
+#include "pipeline/TaskResolver.h"
+#include "placement/BestFitPlacer.h"
+#include "placement/CapacityLedger.h"
+#include "platform/ObjectStore.h"
+
+namespace auburndoor {
+
+/** Reaches the tasks of one fake worker. */
+class FakeTaskAccess : public TaskAccess
+{
+public:
+    explicit FakeTaskAccess(FakeWorker &worker) : worker_(worker)
+    {
+    }
+
+    std::optional<WorkerTask> query(const WorkerId &, const TaskId &task, TimePoint deadline, Failure &failure) override
+    {
+        return worker_.query(task, deadline, failure);
+    }
+
+    std::optional<WorkerTask> cancel(const WorkerId &, const TaskId &task, TimePoint deadline, Failure &failure) override
+    {
+        return worker_.cancel(task, 1, deadline, failure);
+    }
+
+private:
+    FakeWorker &worker_;
+};
+
+/** An object store that keeps nothing. */
+class NoObjectStore : public ObjectStore
+{
+public:
+    bool put(const std::string &, const std::string &, TimePoint, Failure &) override
+    {
+        return true;
+    }
+
+    std::optional<std::string> get(const std::string &, TimePoint, Failure &) override
+    {
+        return std::nullopt;
+    }
+};
+
+/** The record and start steps of one instance over a shared table and worker. */
+class RecordedCaller
+{
+public:
+    RecordedCaller(ManualClock &clock, FakeTableService &table, FakeWorker &worker)
+        : clock_(clock)
+        , worker_(worker)
+        , access_(worker)
+        , resolver_(clock, access_)
+        , records_(clock, metrics_, table, objects_)
+        , ledger_(placer_)
+        , filter_(records_, resolver_, ledger_)
+    {
+    }
+
+    /** The context of a non-repeatable request with a reservation. */
+    RequestContext makeContext(const std::string &request, const std::string &key, const std::string &body) const
+    {
+        RequestContext context;
+        context.request.id = RequestId(request);
+        context.request.team = TeamId("team");
+        context.request.service = ServiceId("namedesk");
+        context.request.idempotencyKey = key;
+        context.request.isRepeatable = false;
+        context.request.deadline = clock_.now() + std::chrono::seconds(60);
+        context.request.body = body;
+        return context;
+    }
+
+    /** The record step of one attempt. @return empty if the task may be started */
+    std::optional<Outcome> record(RequestContext &context)
+    {
+        ++context.attempt;
+        context.reservation = Reservation { context.task().text(), worker_.id(), ShardId("harbour/0"), 1, "address" };
+        return filter_.apply(context);
+    }
+
+    /** The start step of one attempt. */
+    CallResult start(const RequestContext &context)
+    {
+        TaskStart order;
+        order.id = context.task();
+        order.epoch = 1;
+        order.latestStart = clock_.wallNow() + std::chrono::hours(1);
+        order.lease = std::chrono::hours(1);
+        order.body = context.request.body;
+        Failure failure;
+        return worker_.call(order, context.request.deadline, failure);
+    }
+
+    /** Writes the outcome of an answered request. */
+    void finish(const RequestContext &context, const std::string &answer)
+    {
+        RequestRecord record;
+        record.state = RecordState::Answered;
+        record.task = context.task();
+        record.worker = worker_.id();
+        record.answer = answer;
+        record.requestDigest = RequestRecord::digestOf(context.request);
+        records_.finish(*context.record, record);
+    }
+
+    /** The whole path, with new attempts after a conflict, as Pipeline does it. */
+    Outcome run(RequestContext &context)
+    {
+        while (true) {
+            auto outcome = record(context);
+            if (outcome && outcome->failure.reason == Reason::Conflict) {
+                continue;
+            }
+            if (outcome) {
+                return *outcome;
+            }
+            const auto result = start(context);
+            if (result.status == CallStatus::Answered) {
+                finish(context, result.answer);
+                return { OutcomeStatus::Answered, result.answer, {}, {}, worker_.id(), {} };
+            }
+            // A start that another attempt has forbidden is a definite not-run: go round again.
+        }
+    }
+
+private:
+    ManualClock &clock_;
+    FakeWorker &worker_;
+    Metrics metrics_;
+    FakeTaskAccess access_;
+    TaskResolver resolver_;
+    NoObjectStore objects_;
+    RequestRecords records_;
+    BestFitPlacer placer_;
+    CapacityLedger ledger_;
+    RecordFilter filter_;
+};
+
+} // namespace auburndoor
