Test the configuration manager, and keep the logbook in the order of versions

Cause: two versions that were accepted within one millisecond were ordered in the logbook by their random ids. Change: the time of a new head is after that of the present one, unless that is more than five minutes ahead. Tests of apply, lost answers, races, readiness and propagation, with last write wins as negative control. Before and after: test-configuration "an accepted file is the next version everywhere*": failed, passes.

--- a/modules/configuration/ConfigurationManager.cpp
+++ b/modules/configuration/ConfigurationManager.cpp
@@ -33,6 +33,16 @@
     return lines;
 }
 
+/**
+    The time of the next head: after that of the present one, so that the logbook's order is that of the versions even when two
+    follow within a millisecond or the clocks of two instances differ. A head from a clock that is far ahead is not followed.
+*/
+WallTime timeAfter(const ConfigurationHead &head, WallTime now)
+{
+    constexpr Milliseconds largestSkew { 5 * 60'000 };
+    return head.time > now + largestSkew ? now : std::max(now, head.time + Milliseconds(1));
+}
+
 } // namespace
 
 /** One apply on its way; the file is valid. */
@@ -127,7 +137,8 @@
     attempt.hasDifferences = base->version == head->version;
     attempt.differences = attempt.hasDifferences ? DeclarationDiff::compare(base->declaration, attempt.declaration)
                                                  : DeclarationChanges {};
-    const ConfigurationHead next { head->version + 1, attempt.digest, attempt.operatorName, clock_.wallNow(), makeRandomId(), 0 };
+    const auto time = timeAfter(*head, clock_.wallNow());
+    const ConfigurationHead next { head->version + 1, attempt.digest, attempt.operatorName, time, makeRandomId(), 0 };
     const LogbookEntry entry { next.time,
                                next.transaction,
                                "apply",
--- /dev/null
+++ b/tests/configuration/Cell.cpp
@@ -0,0 +1,246 @@
+#include "configuration/Cell.h"
+
+#include "core/Failure.h"
+
+#include <algorithm>
+
+namespace auburndoor {
+
+TimePoint SkippingClock::now() const
+{
+    const std::lock_guard lock(mutex_);
+    return TimePoint(std::chrono::hours(1)) + elapsed_;
+}
+
+WallTime SkippingClock::wallNow() const
+{
+    const std::lock_guard lock(mutex_);
+    return WallTime(std::chrono::hours(24 * 365 * 56)) + elapsed_;
+}
+
+bool SkippingClock::waitUntil(std::unique_lock<std::mutex> &,
+                              std::condition_variable &,
+                              TimePoint deadline,
+                              const std::function<bool()> &predicate)
+{
+    if (predicate()) {
+        return true;
+    }
+    const std::lock_guard lock(mutex_);
+    const auto target = std::chrono::ceil<Milliseconds>(deadline - TimePoint(std::chrono::hours(1)));
+    elapsed_ = std::max(elapsed_, target);
+    return false;
+}
+
+bool MemoryObjectStore::put(const std::string &name, const std::string &bytes, TimePoint, Failure &failure)
+{
+    if (isDown) {
+        failure = { Step::WriteObject, "objects", Reason::ServiceDown, "the object store is down" };
+        return false;
+    }
+    const std::lock_guard lock(mutex_);
+    objects_[name] = bytes;
+    return true;
+}
+
+std::optional<std::string> MemoryObjectStore::get(const std::string &name, TimePoint, Failure &failure)
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = objects_.find(name);
+    if (isDown || found == objects_.end()) {
+        failure = { Step::ReadObject, "objects", isDown ? Reason::ServiceDown : Reason::UnknownName, "no such object" };
+        return std::nullopt;
+    }
+    return found->second;
+}
+
+void MemoryObjectStore::corrupt()
+{
+    const std::lock_guard lock(mutex_);
+    for (auto &object : objects_) {
+        object.second = fileOf(-1);
+    }
+}
+
+FaultyTable::FaultyTable(FakeTableService &table) : table_(table)
+{
+}
+
+void FaultyTable::injectFaults(unsigned seed, int percent)
+{
+    const std::lock_guard lock(mutex_);
+    random_.seed(seed);
+    percent_ = percent;
+}
+
+void FaultyTable::heal()
+{
+    const std::lock_guard lock(mutex_);
+    percent_ = 0;
+    deliverLate(true);
+}
+
+void FaultyTable::delayNextCommit(int calls)
+{
+    const std::lock_guard lock(mutex_);
+    callsUntilArrival_ = calls;
+}
+
+bool FaultyTable::isFaulty()
+{
+    return static_cast<int>(random_() % 100) < percent_;
+}
+
+void FaultyTable::deliverLate(bool isAll)
+{
+    if (!isAll && callsUntilArrival_-- > 0) {
+        return;
+    }
+    Failure failure;
+    for (const auto &transaction : late_) {
+        table_.commit(transaction, {}, failure);
+    }
+    late_.clear();
+}
+
+std::optional<TableRow> FaultyTable::read(const std::string &key, TimePoint deadline, Failure &failure)
+{
+    const std::lock_guard lock(mutex_);
+    deliverLate(false);
+    if (isFaulty()) {
+        failure = { Step::ReadTable, "table", Reason::TimedOut, "injected" };
+        return std::nullopt;
+    }
+    return table_.read(key, deadline, failure);
+}
+
+std::optional<std::vector<TableRow>> FaultyTable::readPrefix(const std::string &prefix, TimePoint deadline, Failure &failure)
+{
+    return table_.readPrefix(prefix, deadline, failure);
+}
+
+CommitResult FaultyTable::commit(const Transaction &transaction, TimePoint deadline, Failure &failure)
+{
+    CommitResult result;
+    {
+        const std::lock_guard lock(mutex_);
+        const auto isDelayed = callsUntilArrival_ >= 0 && late_.empty();
+        deliverLate(false);
+        const auto fault = isFaulty() ? random_() % 4 : 4;
+        if (isDelayed || fault == 0) {
+            late_.push_back(transaction);
+        }
+        failure = { Step::WriteTable, "table", Reason::TimedOut, "injected" };
+        if (isDelayed || fault <= 1) {
+            // Late, or lost on its way there.
+            result.status = CommitStatus::Unknown;
+        } else if (fault == 2) {
+            result.status = CommitStatus::NotWritten;
+        } else {
+            result = table_.commit(transaction, deadline, failure);
+            if (fault == 3) {
+                result = { CommitStatus::Unknown, {}, {} };
+            }
+        }
+    }
+    if (afterCommit) {
+        afterCommit();
+    }
+    return result;
+}
+
+std::vector<PeerVersion> LocalAnnouncer::announce(const ConfigurationAnnouncement &announcement, TimePoint)
+{
+    std::vector<PeerVersion> answers;
+    for (const auto &[id, peer] : peers) {
+        answers.push_back({ id, isCut ? 0 : peer->offer(announcement, self) });
+    }
+    return answers;
+}
+
+std::vector<PeerVersion> LocalAnnouncer::peerVersions(TimePoint)
+{
+    std::vector<PeerVersion> answers;
+    for (const auto &[id, peer] : peers) {
+        answers.push_back({ id, isCut ? 0 : peer->current()->version });
+    }
+    return answers;
+}
+
+std::optional<ConfigurationAnnouncement> LocalAnnouncer::fetch(const InstanceId &peer, TimePoint, Failure &failure)
+{
+    if (isCut) {
+        failure = { Step::Forward, peer.text(), Reason::ConnectionFailed, "cut" };
+        return std::nullopt;
+    }
+    return peers.at(peer)->announcement();
+}
+
+Cell::Cell(int instances) : faultyTable(table)
+{
+    for (int index = 0; index < instances; ++index) {
+        announcers.push_back(std::make_unique<LocalAnnouncer>());
+        announcers.back()->self = InstanceId("entry-" + std::to_string(index));
+        ConfigurationOptions options;
+        options.self = announcers.back()->self;
+        managers_.push_back(
+            std::make_unique<ConfigurationManager>(faultyTable, objects, clock, metrics, *announcers.back(), options));
+    }
+    for (const auto &announcer : announcers) {
+        for (int index = 0; index < instances; ++index) {
+            if (announcers[index] != announcer) {
+                announcer->peers[announcers[index]->self] = managers_[index].get();
+            }
+        }
+    }
+}
+
+ConfigurationManager &Cell::manager(int index)
+{
+    return *managers_.at(index);
+}
+
+TimePoint Cell::deadline() const
+{
+    return clock.now() + Milliseconds(10'000);
+}
+
+ApplyResult Cell::apply(int index, const std::string &text, std::optional<long long> expected)
+{
+    return manager(index).apply(text, expected, "operator-" + std::to_string(index), deadline(), failure);
+}
+
+std::vector<LogbookEntry> Cell::allEntries()
+{
+    Failure readFailure;
+    Logbook logbook(table, clock);
+    auto entries = logbook.latest(1'000'000, clock.now(), readFailure).value_or(std::vector<LogbookEntry> {});
+    std::reverse(entries.begin(), entries.end());
+    return entries;
+}
+
+std::string fileOf(int number)
+{
+    return R"({"services":{"namedesk":{"queueLimit":)" + std::to_string(number + 1)
+           + R"(,"need":{"milliCores":1000,"memoryMiB":1024}}}})";
+}
+
+std::vector<std::string> violations(const std::vector<LogbookEntry> &entries, long long headVersion)
+{
+    std::map<long long, int> winners;
+    for (const auto &entry : entries) {
+        ++winners[entry.version];
+    }
+    std::vector<std::string> found;
+    for (long long version = 1; version <= headVersion; ++version) {
+        if (winners[version] != 1) {
+            found.push_back("version " + std::to_string(version) + " has " + std::to_string(winners[version]) + " winners");
+        }
+    }
+    if (!winners.empty() && winners.rbegin()->first > headVersion) {
+        found.push_back("a version above the head was accepted");
+    }
+    return found;
+}
+
+} // namespace auburndoor
