--- a/tests/declaration/DeclarationTests.cpp
+++ b/tests/declaration/DeclarationTests.cpp
@@ -15,12 +15,17 @@
 
 namespace {
 
-std::string example(const std::string &name)
+std::string fileOfTree(const std::string &name)
 {
-    const auto path = std::filesystem::path(__FILE__).parent_path() / "../../examples" / name;
+    const auto path = std::filesystem::path(__FILE__).parent_path() / "../.." / name;
     return readTextFile(path.string(), DeclarationParser::largestFile).value_or("");
 }
 
+std::string example(const std::string &name)
+{
+    return fileOfTree("examples/" + name);
+}
+
 Json exampleValue()
 {
     return Json::parse(example("blue-mahoe.json"), nullptr, true, true);
@@ -210,6 +215,20 @@
     CHECK_FALSE(Digest::isEqual(digest, digest.substr(1)));
 }
 
+TEST_CASE("every field of the file has a line in the page", "[declaration]")
+{
+    // Guards against a field that nobody can look up.
+    const auto page = fileOfTree("docs/configuration.md");
+    const auto value = Json::parse(DeclarationWriter::write(parsed(example("blue-mahoe.json"))));
+    for (const auto &section : value.items()) {
+        const auto &item = *section.value().begin();
+        for (const auto &field : item.items()) {
+            INFO(section.key() << "." << field.key());
+            CHECK(page.find("| `" + section.key() + ".NAME." + field.key()) != std::string::npos);
+        }
+    }
+}
+
 TEST_CASE("any mutation of a valid file is refused with a problem, or accepted and written back unchanged", "[declaration]")
 {
     // Guards against a crash, a refusal without a reason, and a field that the writer or the comparison leaves out.
--- a/tests/settings/SettingsTests.cpp
+++ b/tests/settings/SettingsTests.cpp
@@ -1,5 +1,6 @@
 #include "settings/SettingsLoader.h"
 
+#include "core/RandomId.h"
 #include "core/TextFile.h"
 #include "fakes/Mutation.h"
 
@@ -44,9 +45,9 @@
     return {};
 }
 
-std::string examplePath(const std::string &name)
+std::string treePath(const std::string &name)
 {
-    return (std::filesystem::path(__FILE__).parent_path() / "../../examples" / name).string();
+    return (std::filesystem::path(__FILE__).parent_path() / "../.." / name).string();
 }
 
 } // namespace
@@ -55,7 +56,7 @@
 {
     // Guards against an example or a default that drifts away from the checks.
     Problems problems;
-    const auto example = SettingsLoader::load(examplePath("settings.json"), problems);
+    const auto example = SettingsLoader::load(treePath("examples/settings.json"), problems);
     INFO(toText(problems));
     REQUIRE(example);
     const auto settings = SettingsLoader::parse(minimalSettings().dump(), {}, problems);
@@ -143,7 +144,7 @@
 
 TEST_CASE("the secret may come from a file beside the settings", "[settings]")
 {
-    const auto folder = std::filesystem::temp_directory_path() / "auburndoor-settings-test";
+    const auto folder = std::filesystem::temp_directory_path() / ("auburndoor-settings-" + makeRandomId());
     std::filesystem::create_directories(folder);
     std::ofstream(folder / "secret") << "from-the-file-0123\n";
     auto file = minimalSettings();
@@ -170,10 +171,25 @@
     CHECK(problemsOf(std::string(100'000, '[')).front().message == "is nested deeper than 32 levels");
 }
 
+TEST_CASE("every setting of the example has a line in the page", "[settings]")
+{
+    // Guards against a setting that nobody can look up.
+    const auto page = readTextFile(treePath("docs/configuration.md"), 1 << 20).value_or("");
+    const auto text = readTextFile(treePath("examples/settings.json"), 1 << 20).value_or("");
+    const auto example = Json::parse(text, nullptr, true, true);
+    for (const auto &section : example.items()) {
+        for (const auto &setting : section.value().items()) {
+            INFO(section.key() << "." << setting.key());
+            CHECK(page.find("| `" + section.key() + "." + setting.key() + "` |") != std::string::npos);
+        }
+    }
+    CHECK(example.size() == 14);
+}
+
 TEST_CASE("any mutation of the example is accepted or refused with a problem", "[settings]")
 {
     // Guards against a crash, an exception or a refusal without a reason.
-    const auto text = readTextFile(examplePath("settings.json"), 1 << 20);
+    const auto text = readTextFile(treePath("examples/settings.json"), 1 << 20);
     REQUIRE(text);
     rc::prop("accepted or explained", [&] {
         Problems problems;
