--- a/modules/settings/Settings.h
+++ b/modules/settings/Settings.h
@@ -40,7 +40,7 @@
     std::string address = "127.0.0.1";
     /** 0 lets the system choose a free port. */
     int port = 0;
-    int threads = 4;
+    int threads = 16;
     /** Connections that may wait for a thread; those past it are refused at once. */
     int waitingConnections = 64;
     /** Bodies past it are refused. */
