Add messages between instances, membership and shard ownership

Cause: Instances need to exchange heartbeats and forwarded calls, know who is live and has room, and agree on the owner of each shard through the table.

Change: - peer: Thrift interface with generated code, ThriftPeer and PeerServer. Sockets are framed by FramedSocket, which has one deadline for a whole frame and tells whether a frame left the process whole. - membership: MembershipView and HeartbeatSender. An exchange tells both sides, so the instance with the higher id waits 25 ms longer and is mostly spared its own exchange. Unchanged fields are left out. - ownership: ShardMap, rows, OwnershipObservation, OwnershipDecision, OwnershipAgent (step by step) and OwnershipManager (its thread).

--- /dev/null
+++ b/modules/membership/MembershipView.cpp
@@ -0,0 +1,276 @@
+#include "membership/MembershipView.h"
+
+#include "core/RandomId.h"
+#include "observability/Log.h"
+#include "observability/Metrics.h"
+
+#include <algorithm>
+
+namespace auburndoor {
+
+MembershipView::MembershipView(const Member &self,
+                               PeerFactory factory,
+                               const MembershipTiming &timing,
+                               Clock &clock,
+                               Metrics &metrics)
+    : factory_(std::move(factory)), timing_(timing), clock_(clock), metrics_(metrics), self_(self)
+{
+    self_.summary.sequence = std::max(1LL, self_.summary.sequence);
+}
+
+Member MembershipView::self() const
+{
+    const std::lock_guard lock(mutex_);
+    return self_;
+}
+
+void MembershipView::setPools(const std::vector<PoolSummary> &pools)
+{
+    changeSelf([&](Member &self) {
+        const auto isEqual = [](const PoolSummary &left, const PoolSummary &right) {
+            return left.service == right.service && left.freePlaces == right.freePlaces && left.queued == right.queued;
+        };
+        const auto &present = self.summary.pools;
+        if (std::equal(pools.begin(), pools.end(), present.begin(), present.end(), isEqual)) {
+            return false;
+        }
+        self.summary.pools = pools;
+        return true;
+    });
+}
+
+void MembershipView::setConfigurationVersion(long long version)
+{
+    changeSelf([&](Member &self) { return std::exchange(self.configurationVersion, version) != version; });
+}
+
+void MembershipView::setLeaving()
+{
+    changeSelf([](Member &self) { return !std::exchange(self.isLeaving, true); });
+}
+
+void MembershipView::changeSelf(const std::function<bool(Member &)> &change)
+{
+    std::function<void()> listener;
+    {
+        const std::lock_guard lock(mutex_);
+        if (!change(self_)) {
+            return;
+        }
+        // Each change raises the sequence, so that a late message cannot bring back an older state of any field.
+        ++self_.summary.sequence;
+        ++revision_;
+        listener = changeListener_;
+    }
+    if (listener) {
+        listener();
+    }
+}
+
+long long MembershipView::revision() const
+{
+    const std::lock_guard lock(mutex_);
+    return revision_;
+}
+
+void MembershipView::setChangeListener(std::function<void()> listener)
+{
+    const std::lock_guard lock(mutex_);
+    changeListener_ = std::move(listener);
+}
+
+Member MembershipView::receive(const Member &sender)
+{
+    const std::lock_guard lock(mutex_);
+    if (accept(sender)) {
+        auto &entry = entries_.at(sender.id);
+        entry.lastTold = clock_.now();
+        entry.toldRevision = revision_;
+    }
+    return self_;
+}
+
+bool MembershipView::update(const Member &member)
+{
+    const std::lock_guard lock(mutex_);
+    return accept(member);
+}
+
+bool MembershipView::accept(const Member &member)
+{
+    if (member.id == self_.id || member.id.isEmpty()) {
+        metrics_.count("heartbeats_dropped_total", "own-id");
+        return false;
+    }
+    auto *entry = entryFor(member);
+    if (entry == nullptr) {
+        metrics_.count("heartbeats_dropped_total", "old-incarnation");
+        return false;
+    }
+    const auto now = clock_.now();
+    const auto known = entry->member.summary.sequence;
+    if (member.summary.sequence < known) {
+        metrics_.count("heartbeats_dropped_total", "old-summary");
+        return false;
+    }
+    if (member.summary.sequence > known || now - timing_.claimTime >= entry->lastClaim) {
+        entry->claims.clear();
+    }
+    entry->member = member;
+    entry->member.lastHeard = now;
+    entry->isHeard = true;
+    return true;
+}
+
+/** The entry of a member, made or replaced if needed; null if the message is of an earlier process than the known one. */
+MembershipView::Entry *MembershipView::entryFor(const Member &member)
+{
+    const auto found = entries_.find(member.id);
+    if (found != entries_.end() && member.incarnation < found->second.member.incarnation) {
+        return nullptr;
+    }
+    if (found != entries_.end() && member.incarnation == found->second.member.incarnation
+        && member.peerAddress == found->second.member.peerAddress) {
+        return &found->second;
+    }
+    Log::info("member discovered",
+              { { "member", member.id.text() },
+                { "incarnation", std::to_string(member.incarnation) },
+                { "address", member.peerAddress } });
+    auto &entry = entries_[member.id];
+    entry = Entry();
+    entry.member = member;
+    entry.member.summary = Summary();
+    entry.peer = factory_(member);
+    return &entry;
+}
+
+void MembershipView::noteTold(const InstanceId &member, long long revision)
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = entries_.find(member);
+    if (found != entries_.end()) {
+        found->second.lastTold = clock_.now();
+        found->second.toldRevision = std::max(found->second.toldRevision, revision);
+    }
+}
+
+void MembershipView::learn(const std::vector<Member> &registered)
+{
+    bool isNew = false;
+    std::function<void()> listener;
+    {
+        const std::lock_guard lock(mutex_);
+        std::set<InstanceId> ids;
+        for (const auto &member : registered) {
+            ids.insert(member.id);
+            const auto found = entries_.find(member.id);
+            if (member.id != self_.id && (found == entries_.end() || member.incarnation > found->second.member.incarnation)) {
+                entryFor(member);
+                isNew = true;
+            }
+        }
+        const auto now = clock_.now();
+        std::erase_if(entries_, [&](const auto &item) {
+            const bool isSilent = !item.second.isHeard || now - item.second.member.lastHeard >= timing_.forgetTime;
+            return !ids.contains(item.first) && isSilent;
+        });
+        listener = changeListener_;
+    }
+    if (isNew && listener) {
+        listener();
+    }
+}
+
+std::optional<Member> MembershipView::member(const InstanceId &id) const
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = entries_.find(id);
+    return found == entries_.end() ? std::nullopt : std::optional(found->second.member);
+}
+
+std::vector<Member> MembershipView::liveMembers() const
+{
+    const std::lock_guard lock(mutex_);
+    std::vector<Member> result;
+    for (const auto &[id, entry] : entries_) {
+        if (isLive(entry)) {
+            result.push_back(entry.member);
+        }
+    }
+    return result;
+}
+
+std::vector<HeartbeatTarget> MembershipView::heartbeatTargets() const
+{
+    const std::lock_guard lock(mutex_);
+    std::vector<HeartbeatTarget> result;
+    for (const auto &[id, entry] : entries_) {
+        result.push_back({ id, entry.peer, entry.lastTold, entry.toldRevision });
+    }
+    return result;
+}
+
+std::shared_ptr<Peer> MembershipView::peer(const InstanceId &instance)
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = entries_.find(instance);
+    return found != entries_.end() && isLive(found->second) ? found->second.peer : nullptr;
+}
+
+std::vector<InstanceId> MembershipView::livePeers()
+{
+    const std::lock_guard lock(mutex_);
+    std::vector<InstanceId> result;
+    for (const auto &[id, entry] : entries_) {
+        if (isLive(entry)) {
+            result.push_back(id);
+        }
+    }
+    return result;
+}
+
+std::optional<InstanceId> MembershipView::claimRoom(const ServiceId &service, const std::set<InstanceId> &excluded)
+{
+    const std::lock_guard lock(mutex_);
+    int most = 0;
+    std::vector<Entry *> best;
+    for (auto &[id, entry] : entries_) {
+        if (!isLive(entry) || entry.member.isLeaving || excluded.contains(id)) {
+            continue;
+        }
+        const auto places = freePlaces(entry, service);
+        if (places > most) {
+            most = places;
+            best.clear();
+        }
+        if (places == most && places > 0) {
+            best.push_back(&entry);
+        }
+    }
+    if (best.empty()) {
+        return std::nullopt;
+    }
+    auto &chosen = *best[static_cast<std::size_t>(randomBelow(static_cast<long long>(best.size())))];
+    ++chosen.claims[service];
+    chosen.lastClaim = clock_.now();
+    return chosen.member.id;
+}
+
+int MembershipView::freePlaces(const Entry &entry, const ServiceId &service)
+{
+    for (const auto &pool : entry.member.summary.pools) {
+        if (pool.service == service) {
+            const auto claimed = entry.claims.find(service);
+            return pool.freePlaces - (claimed == entry.claims.end() ? 0 : claimed->second);
+        }
+    }
+    return 0;
+}
+
+bool MembershipView::isLive(const Entry &entry) const
+{
+    return entry.isHeard && clock_.now() - entry.member.lastHeard < timing_.suspicionTime;
+}
+
+} // namespace auburndoor
--- /dev/null
+++ b/modules/peer/WireConversion.cpp
@@ -0,0 +1,288 @@
+#include "peer/WireConversion.h"
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace auburndoor {
+
+namespace {
+
+// A container of more elements than this is malformed; it would reserve memory before its elements are read.
+constexpr std::int32_t containerLimit = 100'000;
+constexpr std::int32_t stringLimit = 64 << 20;
+// Keeps arithmetic on received times within the range of the clocks.
+constexpr Milliseconds timeLimit = std::chrono::hours(24 * 365);
+
+std::shared_ptr<apache::thrift::protocol::TProtocol> makeProtocol(
+    const std::shared_ptr<apache::thrift::transport::TMemoryBuffer> &buffer)
+{
+    using Protocol = apache::thrift::protocol::TBinaryProtocolT<apache::thrift::transport::TMemoryBuffer>;
+    return std::make_shared<Protocol>(buffer, stringLimit, containerLimit, true, true);
+}
+
+template<typename Enumeration>
+Enumeration enumerator(std::int32_t value, Enumeration last)
+{
+    if (value < 0 || value > static_cast<std::int32_t>(last)) {
+        throw std::out_of_range("an enumeration has the value " + std::to_string(value));
+    }
+    return static_cast<Enumeration>(value);
+}
+
+Milliseconds duration(std::int64_t milliseconds)
+{
+    return Milliseconds(std::clamp<std::int64_t>(milliseconds, -timeLimit.count(), timeLimit.count()));
+}
+
+template<typename Duration>
+std::int64_t count(Duration duration)
+{
+    return std::chrono::floor<Milliseconds>(duration).count();
+}
+
+} // namespace
+
+WireBuffer::WireBuffer()
+    : transport(std::make_shared<apache::thrift::transport::TMemoryBuffer>()), protocol(makeProtocol(transport))
+{
+}
+
+WireBuffer::WireBuffer(std::string &bytes)
+    : transport(std::make_shared<apache::thrift::transport::TMemoryBuffer>(reinterpret_cast<std::uint8_t *>(bytes.data()),
+                                                                           static_cast<std::uint32_t>(bytes.size())))
+    , protocol(makeProtocol(transport))
+{
+}
+
+Step stepOf(const std::string &text)
+{
+    for (int value = 0; value <= static_cast<int>(Step::Shutdown); ++value) {
+        if (name(static_cast<Step>(value)) == text) {
+            return static_cast<Step>(value);
+        }
+    }
+    return Step::None;
+}
+
+Reason reasonOf(const std::string &text)
+{
+    for (int value = 0; value <= static_cast<int>(Reason::OutcomeUnknown); ++value) {
+        if (name(static_cast<Reason>(value)) == text) {
+            return static_cast<Reason>(value);
+        }
+    }
+    return Reason::None;
+}
+
+wire::Refusal makeRefusal(const Failure &failure)
+{
+    wire::Refusal refusal;
+    refusal.step = name(failure.step);
+    refusal.reason = name(failure.reason);
+    refusal.message = failure.message;
+    return refusal;
+}
+
+wire::Problem toWire(const Failure &failure)
+{
+    wire::Problem problem;
+    problem.step = name(failure.step);
+    problem.peer = failure.peer;
+    problem.reason = name(failure.reason);
+    problem.message = failure.message;
+    return problem;
+}
+
+Failure fromWire(const wire::Problem &problem)
+{
+    return { stepOf(problem.step), problem.peer, reasonOf(problem.reason), problem.message };
+}
+
+wire::Amounts toWire(const Resources &resources)
+{
+    wire::Amounts amounts;
+    amounts.milliCores = resources.milliCores;
+    amounts.memoryMiB = resources.memoryMiB;
+    amounts.accelerators = resources.accelerators;
+    amounts.slots = resources.slots;
+    amounts.connections = resources.connections;
+    return amounts;
+}
+
+Resources fromWire(const wire::Amounts &amounts)
+{
+    return { amounts.milliCores, amounts.memoryMiB, amounts.accelerators, amounts.slots, amounts.connections };
+}
+
+wire::ForwardedRequest toWire(const Request &request, TimePoint now)
+{
+    wire::ForwardedRequest result;
+    result.id = request.id.text();
+    result.team = request.team.text();
+    result.serviceId = request.service.text();
+    result.kind = request.kind;
+    result.priority = static_cast<std::int32_t>(request.priority);
+    result.need = toWire(request.need);
+    result.idempotencyKey = request.idempotencyKey;
+    result.isRepeatable = request.isRepeatable;
+    result.remainingMs = count(request.deadline - now);
+    result.waitedMs = count(now - request.arrival);
+    result.hopCount = request.hopCount;
+    result.body = request.body;
+    return result;
+}
+
+Request fromWire(const wire::ForwardedRequest &request, TimePoint now)
+{
+    Request result;
+    result.id = RequestId(request.id);
+    result.team = TeamId(request.team);
+    result.service = ServiceId(request.serviceId);
+    result.kind = request.kind;
+    result.priority = enumerator(request.priority, Priority::Background);
+    result.need = fromWire(request.need);
+    result.idempotencyKey = request.idempotencyKey;
+    result.isRepeatable = request.isRepeatable;
+    result.deadline = now + duration(request.remainingMs);
+    result.arrival = now - duration(request.waitedMs);
+    result.hopCount = request.hopCount;
+    result.body = request.body;
+    return result;
+}
+
+wire::ForwardedOutcome toWire(const Outcome &outcome)
+{
+    wire::ForwardedOutcome result;
+    result.status = static_cast<std::int32_t>(outcome.status);
+    result.answer = outcome.answer;
+    result.failure = toWire(outcome.failure);
+    result.retryAfterMs = outcome.retryAfter.count();
+    result.worker = outcome.worker.text();
+    result.waitedMs = outcome.waited.count();
+    return result;
+}
+
+Outcome fromWire(const wire::ForwardedOutcome &outcome)
+{
+    Outcome result;
+    result.status = enumerator(outcome.status, OutcomeStatus::Unknown);
+    result.answer = outcome.answer;
+    result.failure = fromWire(outcome.failure);
+    result.retryAfter = duration(outcome.retryAfterMs);
+    result.worker = WorkerId(outcome.worker);
+    result.waited = duration(outcome.waitedMs);
+    return result;
+}
+
+wire::Announcement toWire(const ConfigurationAnnouncement &announcement)
+{
+    wire::Announcement result;
+    result.version = announcement.version;
+    result.digest = announcement.digest;
+    result.text = announcement.text;
+    return result;
+}
+
+ConfigurationAnnouncement fromWire(const wire::Announcement &announcement)
+{
+    return { announcement.version, announcement.digest, announcement.text };
+}
+
+wire::HeldPlace toWire(const Hold &hold)
+{
+    wire::HeldPlace place;
+    place.worker = hold.worker.text();
+    place.holdId = hold.holdId;
+    return place;
+}
+
+Hold fromWire(const wire::HeldPlace &place)
+{
+    return { WorkerId(place.worker), place.holdId };
+}
+
+wire::HoldOrder toWire(const HoldRequest &request)
+{
+    wire::HoldOrder order;
+    order.job = request.job.text();
+    order.team = request.team.text();
+    order.serviceId = request.service.text();
+    order.need = toWire(request.need);
+    order.count = request.count;
+    order.timeLimitMs = request.timeLimit.count();
+    return order;
+}
+
+HoldRequest fromWire(const wire::HoldOrder &order)
+{
+    return { JobId(order.job),     TeamId(order.team), ServiceId(order.serviceId),
+             fromWire(order.need), order.count,        duration(order.timeLimitMs) };
+}
+
+wire::StartOrder toWire(const TaskStart &start, WallTime now)
+{
+    wire::StartOrder order;
+    order.id = start.id.text();
+    order.epoch = start.epoch;
+    order.team = start.team.text();
+    order.serviceId = start.service.text();
+    order.need = toWire(start.need);
+    order.latestStartMs = count(start.latestStart - now);
+    order.leaseMs = start.lease.count();
+    order.body = start.body;
+    return order;
+}
+
+TaskStart fromWire(const wire::StartOrder &order, WallTime now)
+{
+    TaskStart start;
+    start.id = TaskId(order.id);
+    start.epoch = order.epoch;
+    start.team = TeamId(order.team);
+    start.service = ServiceId(order.serviceId);
+    start.need = fromWire(order.need);
+    start.latestStart = now + duration(order.latestStartMs);
+    start.lease = duration(order.leaseMs);
+    start.body = order.body;
+    return start;
+}
+
+wire::StartResult toWire(const CallResult &result, const Failure &failure)
+{
+    wire::StartResult converted;
+    converted.status = static_cast<std::int32_t>(result.status);
+    converted.answer = result.answer;
+    converted.failure = toWire(failure);
+    return converted;
+}
+
+CallResult fromWire(const wire::StartResult &result)
+{
+    return { enumerator(result.status, CallStatus::Unknown), result.answer };
+}
+
+wire::TaskReport toWire(const WorkerTask &task)
+{
+    wire::TaskReport report;
+    report.id = task.id.text();
+    report.state = static_cast<std::int32_t>(task.state);
+    report.need = toWire(task.need);
+    report.team = task.team.text();
+    report.answer = task.answer;
+    report.measuredUse = toWire(task.measuredUse);
+    return report;
+}
+
+WorkerTask fromWire(const wire::TaskReport &report)
+{
+    WorkerTask task;
+    task.id = TaskId(report.id);
+    task.state = enumerator(report.state, TaskState::NeverStarted);
+    task.need = fromWire(report.need);
+    task.team = TeamId(report.team);
+    task.answer = report.answer;
+    task.measuredUse = fromWire(report.measuredUse);
+    return task;
+}
+
+} // namespace auburndoor
--- /dev/null
+++ b/tests/membership/HeartbeatTraffic.cpp
@@ -0,0 +1,203 @@
+#include "membership/HeartbeatTraffic.h"
+
+#include "core/Failure.h"
+#include "core/SystemClock.h"
+#include "membership/HeartbeatSender.h"
+#include "observability/Metrics.h"
+#include "peer/PeerHandler.h"
+#include "peer/PeerServer.h"
+#include "peer/ThriftPeer.h"
+
+#include <memory>
+#include <stdexcept>
+
+namespace auburndoor {
+
+namespace {
+
+// As long as a secret of 128 random bits in hexadecimal digits.
+const std::string secret(32, 'x');
+
+/** Answers heartbeats only. */
+class HeartbeatHandler : public PeerHandler
+{
+public:
+    Member heartbeat(const Member &sender) override
+    {
+        return view->receive(sender);
+    }
+
+    Outcome execute(const Request &) override
+    {
+        return {};
+    }
+
+    long long announce(const ConfigurationAnnouncement &) override
+    {
+        return 0;
+    }
+
+    ConfigurationAnnouncement fetchConfiguration() override
+    {
+        return {};
+    }
+
+    std::vector<Hold> hold(const HoldRequest &) override
+    {
+        return {};
+    }
+
+    void release(const std::vector<Hold> &) override
+    {
+    }
+
+    CallResult startHeld(const Hold &, const TaskStart &, Failure &) override
+    {
+        return {};
+    }
+
+    std::optional<WorkerTask> queryTask(const WorkerId &, const TaskId &, Failure &) override
+    {
+        return std::nullopt;
+    }
+
+    std::optional<WorkerTask> cancelTask(const WorkerId &, const TaskId &, Failure &) override
+    {
+        return std::nullopt;
+    }
+
+    void notifyJob(const ShardId &, const JobId &) override
+    {
+    }
+
+    MembershipView *view = nullptr;
+};
+
+/** Server, view and sender of one instance. */
+struct TrafficNode
+{
+    TrafficNode(int number, Clock &clock) : clock(clock), server(makeOptions(), handler, clock, metrics)
+    {
+        Failure failure;
+        const auto port = server.bind(failure);
+        if (!port) {
+            throw std::runtime_error(failure.text());
+        }
+        self.id = InstanceId("instance-" + std::to_string(number));
+        self.incarnation = 1'700'000'000'000;
+        self.peerAddress = "127.0.0.1:" + std::to_string(*port);
+        self.failureDomain = FailureDomainId("kingston-" + std::to_string(number % 4));
+        self.region = RegionId("kingston");
+        self.summary = { 1, { { ServiceId("namedesk"), 0, 0 }, { ServiceId("namestudio"), 0, 0 } } };
+        view = std::make_unique<MembershipView>(
+            self, [this](const Member &member) { return connect(member); }, MembershipTiming(), this->clock, metrics);
+        handler.view = view.get();
+        sender = std::make_unique<HeartbeatSender>(*view, HeartbeatTiming(), clock, metrics);
+        server.start();
+    }
+
+    static PeerServerOptions makeOptions()
+    {
+        PeerServerOptions options;
+        options.secret = secret;
+        options.drainTime = Milliseconds(0);
+        return options;
+    }
+
+    std::shared_ptr<Peer> connect(const Member &member)
+    {
+        ThriftPeerOptions options;
+        options.peer = member.id;
+        options.address = member.peerAddress;
+        options.secret = secret;
+        return std::make_shared<ThriftPeer>(options, clock, metrics);
+    }
+
+    long long bytes() const
+    {
+        return metrics.counter("heartbeat_bytes_total", "sent") + metrics.counter("heartbeat_bytes_total", "received");
+    }
+
+    Clock &clock;
+    Metrics metrics;
+    HeartbeatHandler handler;
+    Member self;
+    PeerServer server;
+    std::unique_ptr<MembershipView> view;
+    std::unique_ptr<HeartbeatSender> sender;
+};
+
+using Nodes = std::vector<std::unique_ptr<TrafficNode>>;
+
+struct Totals
+{
+    double exchanges = 0;
+    double bytes = 0;
+};
+
+Totals totals(const Nodes &nodes)
+{
+    Totals result;
+    for (const auto &node : nodes) {
+        result.exchanges += static_cast<double>(node->metrics.counter("heartbeats_total"));
+        result.bytes += static_cast<double>(node->bytes());
+    }
+    return result;
+}
+
+/** Lets real time pass; the summaries change in the given period. */
+void pass(SystemClock &clock, Nodes &nodes, Milliseconds changePeriod, Milliseconds duration)
+{
+    std::mutex mutex;
+    std::condition_variable condition;
+    std::unique_lock lock(mutex);
+    const auto end = clock.now() + duration;
+    for (int round = 0; clock.now() < end; ++round) {
+        const auto next = changePeriod > Milliseconds(0) ? std::min(end, clock.now() + changePeriod) : end;
+        clock.waitUntil(lock, condition, next, [] { return false; });
+        for (const auto &node : nodes) {
+            if (changePeriod > Milliseconds(0)) {
+                node->view->setPools({ { ServiceId("namedesk"), round, round }, { ServiceId("namestudio"), round, round } });
+            }
+        }
+    }
+}
+
+} // namespace
+
+HeartbeatTraffic measureHeartbeatTraffic(int instanceCount,
+                                         std::chrono::milliseconds changePeriod,
+                                         std::chrono::milliseconds duration)
+{
+    SystemClock clock;
+    Nodes nodes;
+    std::vector<Member> members;
+    for (int number = 0; number < instanceCount; ++number) {
+        nodes.push_back(std::make_unique<TrafficNode>(number, clock));
+        members.push_back(nodes.back()->self);
+    }
+    for (const auto &node : nodes) {
+        node->view->learn(members);
+        node->sender->start();
+    }
+    pass(clock, nodes, changePeriod, Milliseconds(1000));
+    const auto before = totals(nodes);
+    pass(clock, nodes, changePeriod, duration);
+    const auto after = totals(nodes);
+    for (const auto &node : nodes) {
+        node->sender->stop();
+    }
+    for (const auto &node : nodes) {
+        node->server.stop();
+    }
+    constexpr double headerBytes = 40;
+    constexpr double packetsPerExchange = 3;
+    const auto seconds = std::chrono::duration<double>(duration).count();
+    const auto exchanges = after.exchanges - before.exchanges;
+    const auto bytes = after.bytes - before.bytes;
+    // Each exchange passes through two instances.
+    const auto perInstance = 2 * (bytes + exchanges * packetsPerExchange * headerBytes) / instanceCount;
+    return { exchanges / seconds, bytes / exchanges, perInstance / seconds };
+}
+
+} // namespace auburndoor
--- /dev/null
+++ b/tests/peer/PeerTests.cpp
@@ -0,0 +1,283 @@
+#include "peer/PeerFixture.h"
+
+#include "peer/FramedSocket.h"
+
+#include <catch2/catch.hpp>
+
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <thread>
+
+using namespace auburndoor;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Milliseconds timeout { 5000 };
+
+/** Accepts one connection, reads one whole frame and closes without an answer. */
+std::thread serveWithoutAnswer(int listener)
+{
+    return std::thread([listener] {
+        FramedSocket socket(::accept(listener, nullptr, nullptr));
+        Failure failure;
+        socket.receive(1 << 20, timeout, failure);
+        ::close(listener);
+    });
+}
+
+} // namespace
+
+TEST_CASE("a request and its outcome arrive whole, with the deadline as remaining time", "[peer]")
+{
+    // Guards against a field left out of the conversion, and against deadlines that depend on the clocks of two machines.
+    PeerFixture fixture;
+    Request received;
+    fixture.handler.onExecute = [&](const Request &request) {
+        received = request;
+        return Outcome { OutcomeStatus::NotRun, std::string("a\0b", 3), { Step::Seize, "w7", Reason::NoCapacity, "full" },
+                         Milliseconds(40),      WorkerId("w7"),         Milliseconds(3) };
+    };
+    auto request = fixture.request();
+    request.team = TeamId("team");
+    request.service = ServiceId("service");
+    request.kind = "kind";
+    request.priority = Priority::Background;
+    request.need = { 1, 2, 3, 4, 5 };
+    request.idempotencyKey = "key";
+    request.isRepeatable = false;
+    request.hopCount = 1;
+    request.body = std::string("\xff\0body", 6);
+    const auto outcome = fixture.client->execute(request, timeout);
+
+    CHECK(received.id == request.id);
+    CHECK(received.team == request.team);
+    CHECK(received.service == request.service);
+    CHECK(received.kind == request.kind);
+    CHECK(received.priority == request.priority);
+    CHECK(received.need == request.need);
+    CHECK(received.idempotencyKey == request.idempotencyKey);
+    CHECK(received.isRepeatable == request.isRepeatable);
+    CHECK(received.hopCount == request.hopCount);
+    CHECK(received.body == request.body);
+    CHECK(received.deadline - fixture.serverClock.now() == 700ms);
+    CHECK(fixture.serverClock.now() - received.arrival == 30ms);
+    CHECK(outcome.status == OutcomeStatus::NotRun);
+    CHECK(outcome.answer == std::string("a\0b", 3));
+    CHECK(outcome.failure.text() == "seize no-capacity at w7: full");
+    CHECK(outcome.retryAfter == 40ms);
+    CHECK(outcome.worker == WorkerId("w7"));
+    CHECK(outcome.waited == 3ms);
+}
+
+TEST_CASE("all other calls carry their parameters and answers", "[peer]")
+{
+    // Guards against a field left out of the conversion.
+    PeerFixture fixture;
+    Failure failure;
+    CHECK(fixture.client->announce({ 4, "d", "t" }, timeout, failure) == 5);
+    CHECK(fixture.handler.lastAnnouncement.digest == "d");
+    CHECK(fixture.handler.lastAnnouncement.text == "t");
+    CHECK(fixture.client->fetchConfiguration(timeout, failure)->text == "text");
+
+    const HoldRequest order { JobId("job"), TeamId("team"), ServiceId("service"), { 1, 2, 3, 4, 5 }, 7, 1234ms };
+    const auto holds = fixture.client->hold(order, timeout, failure);
+    REQUIRE(holds);
+    CHECK(holds->at(1).worker == WorkerId("w2"));
+    const auto &seen = fixture.handler.lastHoldRequest;
+    CHECK(std::tie(seen.job, seen.team, seen.service, seen.need, seen.count, seen.timeLimit)
+          == std::tie(order.job, order.team, order.service, order.need, order.count, order.timeLimit));
+    CHECK(fixture.client->release(*holds, timeout, failure));
+    CHECK(fixture.handler.lastReleased.at(1).holdId == "h2");
+
+    TaskStart start { TaskId("t"), 12, TeamId("team"), ServiceId("s"), { 5, 4, 3, 2, 1 }, fixture.clientClock.wallNow() + 800ms,
+                      20s,         "b" };
+    CHECK(fixture.client->startHeld(holds->at(0), start, timeout, failure).status == CallStatus::NotRun);
+    CHECK(failure.text() == "start stale-epoch at w1: the epoch is old");
+    const auto &started = fixture.handler.lastStart;
+    CHECK(std::tie(started.id, started.epoch, started.team, started.service, started.need, started.lease, started.body)
+          == std::tie(start.id, start.epoch, start.team, start.service, start.need, start.lease, start.body));
+    CHECK(started.latestStart - fixture.serverClock.wallNow() == 800ms);
+
+    const auto task = fixture.client->queryTask(WorkerId("w"), TaskId("t"), timeout, failure);
+    REQUIRE(task);
+    CHECK(task->state == TaskState::Done);
+    CHECK(task->answer == std::string("\0binary", 7));
+    CHECK(task->measuredUse == Resources { 6, 7, 8, 9, 10 });
+    CHECK_FALSE(fixture.client->cancelTask(WorkerId("w"), TaskId("t"), timeout, failure));
+    CHECK(failure.reason == Reason::NotOwner);
+    CHECK(fixture.client->notifyJob(ShardId("east/1"), JobId("j"), timeout, failure));
+    CHECK(fixture.handler.lastJob == "east/1 j");
+}
+
+TEST_CASE("a wrong secret is refused before anything is done", "[peer]")
+{
+    // Guards against a process without the secret that starts work or joins the cell.
+    PeerFixture fixture;
+    const auto secret = GENERATE(as<std::string> {}, "", "the secret of the peerS", "the secret of the peers and more");
+    const auto intruder = fixture.connect(secret);
+    const auto outcome = intruder->execute(fixture.request(), timeout);
+    CHECK(outcome.status == OutcomeStatus::NotRun);
+    CHECK(outcome.failure.reason == Reason::BadCredentials);
+    CHECK(outcome.failure.text().find(fixture.secret) == std::string::npos);
+    Failure failure;
+    CHECK_FALSE(intruder->heartbeat(Member(), timeout, failure));
+    CHECK(failure.reason == Reason::BadCredentials);
+    CHECK(fixture.refused("bad-credentials") == 2);
+    CHECK(fixture.handler.executions == 0);
+}
+
+TEST_CASE("heartbeats pass while all calls are taken by long work", "[peer]")
+{
+    // Guards against an instance that is suspected because its peers wait for long requests.
+    PeerServerOptions options;
+    options.callLimit = 2;
+    PeerFixture fixture(options);
+    const auto gate = fixture.blockExecute();
+    auto first = std::async(std::launch::async, [&] { return fixture.client->execute(fixture.request("a"), timeout); });
+    auto second = std::async(std::launch::async, [&] { return fixture.client->execute(fixture.request("b"), timeout); });
+    fixture.waitForExecutions(2);
+    const auto third = fixture.client->execute(fixture.request("c"), timeout);
+    CHECK(third.status == OutcomeStatus::NotRun);
+    CHECK(third.failure.reason == Reason::Throttled);
+    Failure failure;
+    Member self;
+    self.id = InstanceId("client");
+    for (int round = 0; round < 3; ++round) {
+        CHECK(fixture.client->heartbeat(self, timeout, failure));
+    }
+    gate->set_value();
+    CHECK(first.get().answer == "answer to a");
+    CHECK(second.get().answer == "answer to b");
+}
+
+TEST_CASE("a call that was never sent gives NotRun", "[peer]")
+{
+    // Guards against an unknown outcome where the caller may safely try another peer.
+    PeerFixture fixture;
+    SECTION("nobody listens")
+    {
+        fixture.server->stop();
+        const auto outcome = fixture.client->execute(fixture.request(), timeout);
+        CHECK(outcome.status == OutcomeStatus::NotRun);
+        CHECK(outcome.failure.reason == Reason::ConnectionFailed);
+        Failure failure;
+        CHECK(fixture.client->startHeld({}, {}, timeout, failure).status == CallStatus::NotRun);
+    }
+    SECTION("the message is too large")
+    {
+        auto request = fixture.request();
+        request.body.resize(9 << 20);
+        const auto outcome = fixture.client->execute(request, timeout);
+        CHECK(outcome.status == OutcomeStatus::NotRun);
+        CHECK(outcome.failure.reason == Reason::TooLarge);
+    }
+    SECTION("all connections are in use")
+    {
+        const auto narrow = fixture.connect(fixture.secret, 1);
+        const auto gate = fixture.blockExecute();
+        auto first = std::async(std::launch::async, [&] { return narrow->execute(fixture.request(), timeout); });
+        fixture.waitForExecutions(1);
+        const auto outcome = narrow->execute(fixture.request(), 20ms);
+        CHECK(outcome.status == OutcomeStatus::NotRun);
+        CHECK(outcome.failure.reason == Reason::Throttled);
+        gate->set_value();
+        CHECK(first.get().status == OutcomeStatus::Answered);
+    }
+    CHECK(fixture.handler.executions <= 1);
+}
+
+TEST_CASE("a call whose answer is lost gives Unknown", "[peer]")
+{
+    // Guards against "not run" for work that may have run: a vetting run repeated on that word bills a client twice.
+    PeerFixture fixture;
+    Failure failure;
+    int port = 0;
+    const int listener = FramedSocket::listen("127.0.0.1", port, failure);
+    REQUIRE(listener >= 0);
+    fixture.address = "127.0.0.1:" + std::to_string(port);
+    const auto client = fixture.connect(fixture.secret);
+    ::fcntl(listener, F_SETFL, 0);
+    auto thread = serveWithoutAnswer(listener);
+    if (GENERATE(true, false)) {
+        CHECK(client->execute(fixture.request(), timeout).status == OutcomeStatus::Unknown);
+    } else {
+        CHECK(client->startHeld({}, {}, timeout, failure).status == CallStatus::Unknown);
+    }
+    thread.join();
+}
+
+TEST_CASE("an answer that is not understood gives Unknown", "[peer]")
+{
+    // Guards against taking an answer of a newer release, or an error of the handler, for a refusal.
+    PeerFixture fixture;
+    fixture.handler.onExecute = [isThrown = GENERATE(true, false)](const Request &) {
+        if (isThrown) {
+            throw std::runtime_error("the handler failed after the start");
+        }
+        Outcome outcome;
+        outcome.status = static_cast<OutcomeStatus>(17);
+        return outcome;
+    };
+    CHECK(fixture.client->execute(fixture.request(), timeout).status == OutcomeStatus::Unknown);
+}
+
+TEST_CASE("a late answer is never given to the next call", "[peer]")
+{
+    // Guards against a caller that receives the response to another request.
+    PeerFixture fixture;
+    const auto gate = fixture.blockExecute();
+    CHECK(fixture.client->execute(fixture.request("late"), 50ms).status == OutcomeStatus::Unknown);
+    gate->set_value();
+    for (int round = 0; round < 20; ++round) {
+        const auto id = "next-" + std::to_string(round);
+        CHECK(fixture.client->execute(fixture.request(id), timeout).answer == "answer to " + id);
+    }
+}
+
+TEST_CASE("a graceful stop finishes calls in flight and refuses new ones", "[peer]")
+{
+    // Guards against a planned restart that interrupts a request or leaves its outcome unknown.
+    PeerFixture fixture;
+    CHECK(fixture.client->execute(fixture.request("warm"), timeout).status == OutcomeStatus::Answered);
+    const auto gate = fixture.blockExecute();
+    auto inFlight = std::async(std::launch::async, [&] { return fixture.client->execute(fixture.request("a"), timeout); });
+    fixture.waitForExecutions(2);
+    auto stopped = std::async(std::launch::async, [&] { fixture.server->stop(); });
+    Outcome refused;
+    Failure failure;
+    do {
+        // Until the stop has begun, other calls are still answered.
+        fixture.client->announce({}, timeout, failure);
+    } while (failure.reason == Reason::None);
+    refused = fixture.client->execute(fixture.request("b"), timeout);
+    CHECK(refused.status == OutcomeStatus::NotRun);
+    CHECK(refused.failure.reason == Reason::ShuttingDown);
+    gate->set_value();
+    CHECK(inFlight.get().answer == "answer to a");
+    stopped.get();
+    CHECK(fixture.handler.executions == 2);
+}
+
+TEST_CASE("calls go on after the server was replaced on the same port", "[peer]")
+{
+    // Guards against a client that keeps using connections of a process that has ended.
+    PeerServerOptions options;
+    PeerFixture fixture;
+    CHECK(fixture.client->execute(fixture.request(), timeout).status == OutcomeStatus::Answered);
+    Failure failure;
+    Member self;
+    self.id = InstanceId("client");
+    CHECK(fixture.client->heartbeat(self, timeout, failure));
+    fixture.server->stop();
+    options.secret = fixture.secret;
+    options.port = std::stoi(fixture.address.substr(fixture.address.rfind(':') + 1));
+    PeerServer next(options, fixture.handler, fixture.serverClock, fixture.serverMetrics);
+    REQUIRE(next.bind(failure));
+    next.start();
+    CHECK(fixture.client->execute(fixture.request(), timeout).status == OutcomeStatus::Answered);
+    CHECK(fixture.client->heartbeat(self, timeout, failure));
+    CHECK(fixture.handler.lastSender.id == self.id);
+}
