Add the jobs module: records, decisions, gangs and the runner

Cause: batch, gang and service jobs have to outlive the instance that drives them without any task running twice.

Change: the owner of a shard writes the assignments of a round in one row, with a check of the shard row and of the job row, before it starts any of them. A job that ends moves to job-ended/<shard>/<id>, so that an owner reads only what it has to drive; submissions and cancels also write job-change/<shard>, which the owner polls in case the message to it was lost.

--- /dev/null
+++ b/modules/jobs/JobStore.cpp
@@ -0,0 +1,210 @@
+#include "jobs/JobStore.h"
+
+#include "core/Failure.h"
+#include "core/RandomId.h"
+#include "observability/Log.h"
+
+#include <algorithm>
+
+namespace auburndoor {
+
+namespace {
+
+/** Rows in one transaction, the limit up to which the table's writes are merged. */
+constexpr std::size_t rowsPerTransaction = 100;
+/** A cancel competes with the owner's writes, at most one in each round of the job. */
+constexpr int cancelAttempts = 10;
+
+std::string activePrefix(const ShardId &shard)
+{
+    return "job/" + shard.text() + "/";
+}
+
+std::string endedPrefix(const ShardId &shard)
+{
+    return "job-ended/" + shard.text() + "/";
+}
+
+std::string shardKey(const ShardId &shard)
+{
+    return "shard/" + shard.text();
+}
+
+std::optional<Job> decodeRow(const TableRow &row, Failure &failure)
+{
+    auto job = decodeJob(row.value);
+    if (!job) {
+        failure = { Step::ReadTable, "table", Reason::MalformedInput, "the row " + row.key + " holds no job" };
+        Log::failure("job record unreadable", failure);
+        return std::nullopt;
+    }
+    job->version = row.version;
+    return job;
+}
+
+} // namespace
+
+JobStore::JobStore(TableService &table, Clock &clock) : table_(table), clock_(clock)
+{
+}
+
+Submission JobStore::submit(const ShardId &shard, const JobDeclaration &declaration, TimePoint deadline, Failure &failure)
+{
+    auto job = makeJob(shard, declaration, clock_.wallNow());
+    const auto key = activePrefix(shard) + declaration.id.text();
+    const auto endedKey = endedPrefix(shard) + declaration.id.text();
+    const Transaction transaction { makeRandomId(),
+                                    { { key, 0 }, { endedKey, 0 } },
+                                    { { key, encode(job) }, changeWrite(shard, declaration.id) },
+                                    WritePurpose::JobProgress };
+    const auto result = table_.commit(transaction, deadline, failure);
+    switch (result.status) {
+    case CommitStatus::Committed:
+        job.version = result.versions.front();
+        return { SubmitStatus::Recorded, job };
+    case CommitStatus::NotWritten:
+        return { SubmitStatus::NotRecorded, {} };
+    case CommitStatus::Unknown:
+        return { SubmitStatus::Unknown, {} };
+    case CommitStatus::Conflict:
+        break;
+    }
+    const auto recorded = decodeRow(result.conflicts.front(), failure);
+    if (!recorded || !isSameDeclaration(recorded->declaration, declaration)) {
+        failure = { Step::Record, "table", Reason::DuplicateKey, "another job has the id " + declaration.id.text() };
+        return { SubmitStatus::DifferentJob, {} };
+    }
+    return { SubmitStatus::AlreadyRecorded, recorded };
+}
+
+std::optional<Job> JobStore::cancel(const ShardId &shard, const JobId &id, TimePoint deadline, Failure &failure)
+{
+    const auto key = activePrefix(shard) + id.text();
+    for (int attempt = 0; attempt < cancelAttempts && clock_.now() < deadline; ++attempt) {
+        auto job = load(shard, id, deadline, failure);
+        if (!job || job->phase != JobPhase::Active) {
+            return job;
+        }
+        job->phase = JobPhase::Cancelling;
+        job->reason = "cancelled";
+        const Transaction transaction {
+            makeRandomId(), { { key, job->version } }, { { key, encode(*job) }, changeWrite(shard, id) }, WritePurpose::JobProgress
+        };
+        const auto result = table_.commit(transaction, deadline, failure);
+        if (result.status == CommitStatus::Committed) {
+            job->version = result.versions.front();
+            return job;
+        }
+        if (result.status == CommitStatus::NotWritten) {
+            return std::nullopt;
+        }
+    }
+    failure.step = Step::Cancel;
+    return std::nullopt;
+}
+
+std::optional<Job> JobStore::load(const ShardId &shard, const JobId &id, TimePoint deadline, Failure &failure)
+{
+    // The row moves once, from active to ended; reading in this order cannot miss it.
+    auto job = readJob(activePrefix(shard) + id.text(), deadline, failure);
+    if (!job && failure.reason == Reason::UnknownName) {
+        job = readJob(endedPrefix(shard) + id.text(), deadline, failure);
+    }
+    return job;
+}
+
+std::optional<std::vector<Job>> JobStore::loadShard(const ShardId &shard, TimePoint deadline, Failure &failure)
+{
+    const auto rows = table_.readPrefix(activePrefix(shard), deadline, failure);
+    if (!rows) {
+        return std::nullopt;
+    }
+    std::vector<Job> jobs;
+    for (const auto &row : *rows) {
+        if (auto job = decodeRow(row, failure)) {
+            jobs.push_back(*std::move(job));
+        }
+    }
+    return jobs;
+}
+
+std::optional<long long> JobStore::changeMark(const ShardId &shard, TimePoint deadline, Failure &failure)
+{
+    const auto row = table_.read("job-change/" + shard.text(), deadline, failure);
+    return row ? std::optional(row->version) : std::nullopt;
+}
+
+Transaction JobStore::makeSave(const Job &job, long long shardRowVersion) const
+{
+    const auto key = activePrefix(job.shard) + job.declaration.id.text();
+    Transaction transaction {
+        makeRandomId(), { { shardKey(job.shard), shardRowVersion }, { key, job.version } }, {}, WritePurpose::JobProgress
+    };
+    if (job.hasEnded()) {
+        transaction.writes = { { key, std::nullopt }, { endedPrefix(job.shard) + job.declaration.id.text(), encode(job) } };
+    } else {
+        transaction.writes = { { key, encode(job) } };
+    }
+    return transaction;
+}
+
+SaveStatus JobStore::save(const Transaction &transaction, TimePoint deadline, long long &version, Failure &failure)
+{
+    const auto result = table_.commit(transaction, deadline, failure);
+    switch (result.status) {
+    case CommitStatus::Committed:
+        version = result.versions.empty() ? 0 : result.versions.back();
+        return SaveStatus::Saved;
+    case CommitStatus::NotWritten:
+        return SaveStatus::NotSaved;
+    case CommitStatus::Unknown:
+        return SaveStatus::Unknown;
+    case CommitStatus::Conflict:
+        break;
+    }
+    const auto &shard = transaction.checks.front().key;
+    const auto isShard = std::any_of(
+        result.conflicts.begin(), result.conflicts.end(), [&](const TableRow &row) { return row.key == shard; });
+    return isShard ? SaveStatus::ShardChanged : SaveStatus::JobChanged;
+}
+
+std::optional<int> JobStore::removeEnded(const ShardId &shard, WallTime before, TimePoint deadline, Failure &failure)
+{
+    const auto rows = table_.readPrefix(endedPrefix(shard), deadline, failure);
+    if (!rows) {
+        return std::nullopt;
+    }
+    Transaction transaction { makeRandomId(), {}, {}, WritePurpose::JobProgress };
+    for (const auto &row : *rows) {
+        const auto job = decodeRow(row, failure);
+        if (job && job->ended < before && transaction.writes.size() < rowsPerTransaction) {
+            transaction.checks.push_back({ row.key, row.version });
+            transaction.writes.push_back({ row.key, std::nullopt });
+        }
+    }
+    if (transaction.writes.empty()) {
+        return 0;
+    }
+    const auto result = table_.commit(transaction, deadline, failure);
+    return result.status == CommitStatus::Committed ? std::optional(static_cast<int>(transaction.writes.size())) : std::nullopt;
+}
+
+std::optional<Job> JobStore::readJob(const std::string &key, TimePoint deadline, Failure &failure)
+{
+    const auto row = table_.read(key, deadline, failure);
+    if (!row) {
+        return std::nullopt;
+    }
+    if (row->version == 0) {
+        failure = { Step::ReadTable, "table", Reason::UnknownName, "no row " + key };
+        return std::nullopt;
+    }
+    return decodeRow(*row, failure);
+}
+
+RowWrite JobStore::changeWrite(const ShardId &shard, const JobId &id) const
+{
+    return { "job-change/" + shard.text(), id.text() };
+}
+
+} // namespace auburndoor
--- a/modules/worker/WorkerMessages.cpp
+++ b/modules/worker/WorkerMessages.cpp
@@ -132,12 +132,12 @@
                 { "need", toJson(order.task.need) }, { "latestStartMs", latest.count() }, { "leaseMs", order.task.lease.count() },
                 { "waitMs", order.wait.count() },    { "percent", order.percent },        { "mark", order.mark } };
     setBytes(json, "body", order.task.body);
-    return json.dump();
+    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 std::string encode(const WorkerTask &task)
 {
-    return toJson(task).dump();
+    return toJson(task).dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 std::string encode(const MarkedReport &report)
@@ -151,12 +151,13 @@
         { "capacity", toJson(report.report.capacity) },
         { "tasks", tasks },
         { "mark", report.mark }
-    }.dump();
+    }.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 std::string encode(const WorkerRefusal &refusal)
 {
-    return Json { { "task", refusal.task.text() }, { "reason", name(refusal.reason) }, { "message", refusal.message } }.dump();
+    return Json { { "task", refusal.task.text() }, { "reason", name(refusal.reason) }, { "message", refusal.message } }.dump(
+        -1, ' ', false, Json::error_handler_t::replace);
 }
 
 std::optional<WorkerOrder> decodeOrder(const std::string &text)
--- a/tests/fakes/FakeWorker.cpp
+++ b/tests/fakes/FakeWorker.cpp
@@ -199,6 +199,13 @@
     return highest_;
 }
 
+Resources FakeWorker::use()
+{
+    const std::lock_guard lock(mutex_);
+    settle();
+    return used_;
+}
+
 int FakeWorker::startCount(const TaskId &task)
 {
     const std::lock_guard lock(mutex_);
--- a/tests/fakes/FakeWorker.h
+++ b/tests/fakes/FakeWorker.h
@@ -90,6 +90,9 @@
     /** The highest sum of needs that ran at the same time, for each resource. */
     Resources highestUse();
 
+    /** The sum of the needs of the tasks that run now. */
+    Resources use();
+
     /** The number of starts of a task that took effect; more than one is a fault of the worker. */
     int startCount(const TaskId &task);
 
--- /dev/null
+++ b/tests/jobs/Cell.h
@@ -0,0 +1,150 @@
+#pragma once
+
+#include "core/Failure.h"
+#include "core/ManualClock.h"
+#include "fakes/FakeTableService.h"
+#include "fakes/FakeWorker.h"
+#include "jobs/JobRunner.h"
+#include "jobs/JobStore.h"
+#include "observability/Metrics.h"
+#include "peer/PeerDirectory.h"
+#include "peer/PeerHandler.h"
+
+#include <functional>
+#include <memory>
+
+namespace auburndoor {
+
+/** Thrown by a hook to end an owner in the middle of a round, as a crash would. */
+struct Crash
+{
+};
+
+/** A table in memory with hooks around each commit. */
+class HookedTable : public FakeTableService
+{
+public:
+    CommitResult commit(const Transaction &transaction, TimePoint deadline, Failure &failure) override;
+
+    std::function<void()> beforeCommit;
+    std::function<void()> afterCommit;
+};
+
+/** An instance that owns some workers; seen by others as a peer. Holds end after their time limit. */
+class FakeOwner : public PeerHandler, public Peer
+{
+public:
+    FakeOwner(InstanceId id, Clock &clock);
+
+    Member heartbeat(const Member &) override;
+    Outcome execute(const Request &) override;
+    long long announce(const ConfigurationAnnouncement &) override;
+    ConfigurationAnnouncement fetchConfiguration() override;
+    std::vector<Hold> hold(const HoldRequest &request) override;
+    void release(const std::vector<Hold> &released) override;
+    CallResult startHeld(const Hold &hold, const TaskStart &start, Failure &failure) override;
+    std::optional<WorkerTask> queryTask(const WorkerId &worker, const TaskId &task, Failure &failure) override;
+    std::optional<WorkerTask> cancelTask(const WorkerId &worker, const TaskId &task, Failure &failure) override;
+    void notifyJob(const ShardId &, const JobId &) override;
+
+    std::optional<Member> heartbeat(const Member &, Milliseconds, Failure &) override;
+    Outcome execute(const Request &, Milliseconds) override;
+    std::optional<long long> announce(const ConfigurationAnnouncement &, Milliseconds, Failure &) override;
+    std::optional<ConfigurationAnnouncement> fetchConfiguration(Milliseconds, Failure &) override;
+    std::optional<std::vector<Hold>> hold(const HoldRequest &request, Milliseconds, Failure &) override;
+    bool release(const std::vector<Hold> &released, Milliseconds, Failure &) override;
+    CallResult startHeld(const Hold &hold, const TaskStart &start, Milliseconds, Failure &failure) override;
+    std::optional<WorkerTask> queryTask(const WorkerId &worker, const TaskId &task, Milliseconds, Failure &failure) override;
+    std::optional<WorkerTask> cancelTask(const WorkerId &worker, const TaskId &task, Milliseconds, Failure &failure) override;
+    bool notifyJob(const ShardId &, const JobId &, Milliseconds, Failure &) override;
+
+    /** Places that are held now. */
+    std::size_t heldCount();
+
+    /** Renews the lease of all tasks of all workers that can be reached. */
+    void renewLeases();
+
+    std::map<WorkerId, std::shared_ptr<FakeWorker>> workers;
+    std::function<void()> beforeStart;
+    std::function<void()> afterStart;
+
+private:
+    struct Held
+    {
+        WorkerId worker;
+        Resources need;
+        TimePoint end;
+    };
+
+    Resources free(const FakeWorker &worker, Resources used);
+
+    const InstanceId id_;
+    Clock &clock_;
+    std::map<std::string, Held> holds_;
+    int holdCount_ = 0;
+};
+
+using OwnerMap = std::map<InstanceId, std::shared_ptr<FakeOwner>>;
+
+/** The peers that one instance sees. */
+class FakeDirectory : public PeerDirectory
+{
+public:
+    FakeDirectory(InstanceId self, const OwnerMap &owners);
+
+    std::shared_ptr<Peer> peer(const InstanceId &instance) override;
+    std::vector<InstanceId> livePeers() override;
+
+private:
+    const InstanceId self_;
+    const OwnerMap &owners_;
+};
+
+/** A cell of a few owners with two workers each, one shard of jobs, and a runner for whichever instance owns the shard. */
+class Cell
+{
+public:
+    explicit Cell(int ownerCount = 2, const Resources &capacity = { 2000, 2000, 0, 8, 64 });
+
+    /** Ends the runner that is there, if any, without giving anything back, and lets another instance own the shard. */
+    void takeOver(const InstanceId &instance);
+
+    /** Records a job and tells the runner. */
+    Job submit(JobKind kind, int taskCount, const std::string &body = R"({"runMs": 1000})", const std::string &id = "job");
+
+    void cancel(const std::string &id = "job");
+
+    /** Rounds of the runner with time going on until the job has ended or the time is over; renews leases. @return the job */
+    Job runFor(Milliseconds time, const std::string &id = "job");
+
+    /** Pairs of assignments of the same task that ran at the same time. */
+    int overlapCount();
+
+    /** Starts of all assignments of all tasks. */
+    int startCount();
+
+    /** Sum of the needs of all tasks that run now. */
+    Resources use();
+
+    /** Places that are held now. */
+    std::size_t heldCount();
+
+    Job load(const std::string &id = "job");
+
+    ManualClock clock;
+    HookedTable table;
+    JobStore store { table, clock };
+    Metrics metrics;
+    OwnerMap owners;
+    /** What each runner so far saw; a runner that was moved away may still use its own. */
+    std::vector<std::unique_ptr<FakeDirectory>> directories;
+    std::unique_ptr<JobRunner> runner;
+    InstanceId runnerInstance;
+    Failure failure;
+    const ShardId shard { "domain/0" };
+
+private:
+    long long shardVersion_ = 0;
+};
+
+} // namespace auburndoor
