--- a/modules/platform/GroupCommitter.cpp
+++ b/modules/platform/GroupCommitter.cpp
@@ -138,9 +138,13 @@
 void GroupCommitter::form(Lock &lock, CommitMember &leader)
 {
     const auto lastMoment = leader.deadline - settleMargin;
-    clock_.waitUntil(lock, leader.condition, std::min(leader.arrival + options_.window, lastMoment), [&] {
-        return leader.state != State::Forming || queuedRows_ >= options_.rowLimit;
-    });
+    const auto isReady = [&] { return leader.state != State::Forming || queuedRows_ >= options_.rowLimit; };
+    clock_.waitUntil(lock, leader.condition, std::min(leader.arrival + options_.window, lastMoment), isReady);
+    // Another purpose's batch may move the end of the spacing during the wait.
+    while (!isReady() && leader.transaction.purpose != WritePurpose::Ownership
+           && clock_.now() < std::min(lastFormedAt_ + options_.spacing, lastMoment)) {
+        clock_.waitUntil(lock, leader.condition, std::min(lastFormedAt_ + options_.spacing, lastMoment), isReady);
+    }
     if (leader.state != State::Forming) {
         return;
     }
@@ -166,6 +170,7 @@
 {
     const auto batch = std::make_shared<CommitBatch>();
     batch->formedAt = clock_.now();
+    lastFormedAt_ = batch->formedAt;
     const auto take = [&](CommitMember &member) {
         if (!batch->tryAdd(member.transaction, options_.rowLimit, options_.byteLimit)) {
             return;
--- a/modules/platform/GroupCommitter.h
+++ b/modules/platform/GroupCommitter.h
@@ -22,6 +22,11 @@
 {
     /** How long the first transaction waits for others. */
     Milliseconds window { 5 };
+    /**
+        The shortest time between two batches, unless the row limit is reached; ownership writes do not wait for it. It bounds an
+        instance with steady load to 60 transactions a second; after an idle time it delays nothing.
+    */
+    Milliseconds spacing { 17 };
     /** Writes of a merged transaction; a larger transaction of one caller is committed alone. */
     std::size_t rowLimit = 100;
     /** Bytes of keys and values; keeps merged requests below the table's limit of 1 MiB, whatever the JSON escapes add. */
@@ -97,6 +102,7 @@
     /** The member of each queue that is in the state Forming; null if the queue is empty. */
     std::array<CommitMember *, 5> leaders_ {};
     std::size_t queuedRows_ = 0;
+    TimePoint lastFormedAt_;
     std::map<std::string, OpenOutcome> open_;
     /** When the batches of open_ were formed, and the ids, in the order in which they were recorded. */
     std::deque<std::pair<TimePoint, std::string>> openOrder_;
--- /dev/null
+++ b/tests/standins/platform/PlatformStandIn.h
@@ -0,0 +1,299 @@
+#pragma once
+
+#include "core/Clock.h"
+#include "http/HttpServer.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <vector>
+
+namespace auburndoor {
+
+/**
+    The platform's table, object store and worker list in memory, as in docs/protocols/platform.md, with faults.
+
+    It is in a header so that both the program standin-platform and in-process tests contain it. Any thread.
+*/
+class PlatformStandIn
+{
+public:
+    struct Options
+    {
+        double writesPerSecond = 300;
+        double readsPerSecond = 2000;
+        Milliseconds listLag { 1000 };
+        /** How long a lost answer is held; longer than the client's timeout. */
+        Milliseconds lostAnswerDelay { 3000 };
+    };
+
+    PlatformStandIn(const Options &options, Clock &clock)
+        : options_(options)
+        , clock_(clock)
+        , writes_ { options.writesPerSecond, options.writesPerSecond, clock.now() }
+        , reads_ { options.readsPerSecond, options.readsPerSecond, clock.now() }
+        , listLag_(options.listLag)
+    {
+    }
+
+    void addRoutes(HttpServer &server)
+    {
+        addService(server, "POST", "/v1/table/commit", writes_, &PlatformStandIn::commit);
+        addService(server, "POST", "/v1/table/read", reads_, &PlatformStandIn::read);
+        addService(server, "POST", "/v1/table/read-prefix", reads_, &PlatformStandIn::readPrefix);
+        addService(server, "PUT", "/v1/objects/(.+)", writes_, &PlatformStandIn::putObject);
+        addService(server, "GET", "/v1/objects/(.+)", reads_, &PlatformStandIn::getObject);
+        addService(server, "GET", "/v1/workers", reads_, &PlatformStandIn::listWorkers);
+        addControl(server, "PUT", "/v1/workers/(.+)", &PlatformStandIn::putWorker);
+        addControl(server, "PUT", "/v1/faults", &PlatformStandIn::putFaults);
+        addControl(server, "GET", "/v1/counters", &PlatformStandIn::getCounters);
+    }
+
+private:
+    using Json = nlohmann::json;
+    using Action = HttpReply (PlatformStandIn::*)(const HttpRequest &request);
+
+    struct Row
+    {
+        std::string value;
+        long long version = 0;
+    };
+
+    struct Outcome
+    {
+        TimePoint time;
+        std::string body;
+    };
+
+    struct WorkerChange
+    {
+        TimePoint time;
+        std::string id;
+        Json worker;
+    };
+
+    /** A token bucket that holds the tokens of one second. */
+    struct Limit
+    {
+        double rate;
+        double tokens;
+        TimePoint refilledAt;
+
+        bool take(TimePoint now)
+        {
+            const std::chrono::duration<double> elapsed = now - refilledAt;
+            refilledAt = now;
+            tokens = std::min(rate, tokens + elapsed.count() * rate);
+            if (tokens < 1) {
+                return false;
+            }
+            tokens -= 1;
+            return true;
+        }
+    };
+
+    static HttpReply reply(int status, const Json &body)
+    {
+        return { status, body.dump(), "application/json", {} };
+    }
+
+    /** Runs an action under the lock; malformed input is answered with 400. */
+    HttpReply run(Action action, const HttpRequest &request)
+    {
+        try {
+            return (this->*action)(request);
+        } catch (const Json::exception &error) {
+            return reply(400, { { "error", error.what() } });
+        } catch (const std::logic_error &error) {
+            return reply(400, { { "error", error.what() } });
+        }
+    }
+
+    void addControl(HttpServer &server, const std::string &method, const std::string &pattern, Action action)
+    {
+        server.route(method, pattern, [this, action](const HttpRequest &request) {
+            const std::lock_guard lock(mutex_);
+            return run(action, request);
+        });
+    }
+
+    /** Adds a route that is subject to faults and to a limit. */
+    void addService(HttpServer &server, const std::string &method, const std::string &pattern, Limit &limit, Action action)
+    {
+        server.route(method, pattern, [this, &limit, action](const HttpRequest &request) {
+            std::unique_lock lock(mutex_);
+            hold(lock, delay_);
+            if (isDown_) {
+                return reply(503, { { "error", "down" } });
+            }
+            if (!limit.take(clock_.now())) {
+                ++counters_["throttled"];
+                return reply(429, { { "error", "too many requests" } });
+            }
+            auto result = run(action, request);
+            if (action == &PlatformStandIn::commit && result.status == 200 && answersToLose_ > 0) {
+                --answersToLose_;
+                ++counters_["lostAnswers"];
+                hold(lock, options_.lostAnswerDelay);
+                return reply(500, { { "error", "answer lost" } });
+            }
+            return result;
+        });
+    }
+
+    void hold(std::unique_lock<std::mutex> &lock, Milliseconds duration)
+    {
+        std::condition_variable condition;
+        clock_.waitUntil(lock, condition, clock_.now() + duration, [] { return false; });
+    }
+
+    Json rowOf(const std::string &key) const
+    {
+        const auto found = rows_.find(key);
+        const auto row = found == rows_.end() ? Row() : found->second;
+        return { { "key", key }, { "value", row.value }, { "version", row.version } };
+    }
+
+    HttpReply commit(const HttpRequest &request)
+    {
+        const auto body = Json::parse(request.body);
+        const std::string id = body.at("id");
+        while (!outcomeOrder_.empty() && outcomes_.at(outcomeOrder_.front()).time + std::chrono::minutes(10) < clock_.now()) {
+            outcomes_.erase(outcomeOrder_.front());
+            outcomeOrder_.pop_front();
+        }
+        const auto known = outcomes_.find(id);
+        if (known != outcomes_.end()) {
+            ++counters_["repeatedCommits"];
+            return { 200, known->second.body, "application/json", {} };
+        }
+        const auto outcome = apply(body);
+        outcomes_[id] = { clock_.now(), outcome.dump() };
+        outcomeOrder_.push_back(id);
+        return reply(200, outcome);
+    }
+
+    Json apply(const Json &body)
+    {
+        auto conflicts = Json::array();
+        for (const auto &check : body.at("checks")) {
+            auto row = rowOf(check.at("key"));
+            if (row.at("version") != check.at("version")) {
+                conflicts.push_back(std::move(row));
+            }
+        }
+        if (!conflicts.empty()) {
+            ++counters_["conflicts"];
+            return { { "outcome", "conflict" }, { "conflicts", conflicts } };
+        }
+        std::vector<std::pair<std::string, std::optional<std::string>>> writes;
+        for (const auto &write : body.at("writes")) {
+            const auto &value = write.at("value");
+            writes.emplace_back(write.at("key"), value.is_null() ? std::nullopt : std::optional(value.get<std::string>()));
+        }
+        auto versions = Json::array();
+        for (auto &[key, value] : writes) {
+            rows_.erase(key);
+            if (value) {
+                rows_[key] = { std::move(*value), ++lastVersion_ };
+            }
+            versions.push_back(value ? lastVersion_ : 0);
+        }
+        ++counters_["commits"];
+        counters_["rows"] += static_cast<long long>(writes.size());
+        return { { "outcome", "committed" }, { "versions", versions } };
+    }
+
+    HttpReply read(const HttpRequest &request)
+    {
+        ++counters_["reads"];
+        return reply(200, { { "row", rowOf(Json::parse(request.body).at("key")) } });
+    }
+
+    HttpReply readPrefix(const HttpRequest &request)
+    {
+        ++counters_["reads"];
+        const std::string prefix = Json::parse(request.body).at("prefix");
+        auto rows = Json::array();
+        for (auto row = rows_.lower_bound(prefix); row != rows_.end() && row->first.starts_with(prefix); ++row) {
+            rows.push_back(rowOf(row->first));
+        }
+        return reply(200, { { "rows", rows } });
+    }
+
+    HttpReply putObject(const HttpRequest &request)
+    {
+        objects_[request.pathParts.at(0)] = request.body;
+        return reply(200, Json::object());
+    }
+
+    HttpReply getObject(const HttpRequest &request)
+    {
+        const auto found = objects_.find(request.pathParts.at(0));
+        return found == objects_.end() ? reply(404, { { "error", "no such object" } })
+                                       : HttpReply { 200, found->second, "application/octet-stream", {} };
+    }
+
+    HttpReply putWorker(const HttpRequest &request)
+    {
+        const auto &id = request.pathParts.at(0);
+        auto &worker = workers_.emplace(id, Json::object()).first->second;
+        worker.merge_patch({ { "id", id }, { "state", worker.value("state", "live") } });
+        worker.merge_patch(Json::parse(request.body));
+        changes_.push_back({ clock_.now(), id, worker });
+        return reply(200, worker);
+    }
+
+    HttpReply listWorkers(const HttpRequest &request)
+    {
+        ++counters_["reads"];
+        const auto since = request.queryValue("since");
+        std::size_t cursor = since.empty() ? 0 : std::stoull(since);
+        std::map<std::string, Json> latest;
+        for (; cursor < changes_.size() && changes_[cursor].time + listLag_ <= clock_.now(); ++cursor) {
+            latest[changes_[cursor].id] = changes_[cursor].worker;
+        }
+        auto workers = Json::array();
+        for (auto &[id, worker] : latest) {
+            workers.push_back(std::move(worker));
+        }
+        return reply(200, { { "workers", workers }, { "cursor", cursor } });
+    }
+
+    HttpReply putFaults(const HttpRequest &request)
+    {
+        const auto body = Json::parse(request.body);
+        isDown_ = body.value("down", isDown_);
+        delay_ = Milliseconds(body.value("delayMs", static_cast<long long>(delay_.count())));
+        answersToLose_ = body.value("loseAnswersAfterWrite", answersToLose_);
+        listLag_ = Milliseconds(body.value("listLagMs", static_cast<long long>(listLag_.count())));
+        return reply(200, Json::object());
+    }
+
+    HttpReply getCounters(const HttpRequest &)
+    {
+        return reply(200, counters_);
+    }
+
+    const Options options_;
+    Clock &clock_;
+    std::mutex mutex_;
+    Limit writes_;
+    Limit reads_;
+    std::map<std::string, Row> rows_;
+    long long lastVersion_ = 0;
+    std::map<std::string, Outcome> outcomes_;
+    std::deque<std::string> outcomeOrder_;
+    std::map<std::string, std::string> objects_;
+    std::map<std::string, Json> workers_;
+    std::vector<WorkerChange> changes_;
+    std::map<std::string, long long> counters_;
+    bool isDown_ = false;
+    Milliseconds delay_ { 0 };
+    int answersToLose_ = 0;
+    Milliseconds listLag_;
+};
+
+} // namespace auburndoor
