Serve jobs: submission, explanation, cancel, declared jobs and the job runner in the instance

Cause: the instance had the job runner's module but no path from callers and operators to it. Change: JobDirectory keeps the shard of each job in a row, because a shard chosen by hash alone would move when a failure domain is added, and the job could then be recorded and run twice. DeclaredJobs records the jobs of the file in force and cancels those left out later.

--- a/modules/instance/Instance.cpp
+++ b/modules/instance/Instance.cpp
@@ -12,12 +12,17 @@
 #include "fleet/WorkerManager.h"
 #include "http/HttpServer.h"
 #include "instance/CallerEndpoint.h"
+#include "instance/DeclaredJobs.h"
 #include "instance/InstanceOptions.h"
 #include "instance/JobService.h"
 #include "instance/OperatorEndpoint.h"
 #include "instance/PeerAnnouncer.h"
 #include "instance/PeerService.h"
 #include "instance/PoolReporter.h"
+#include "instance/ShardFanOut.h"
+#include "jobs/JobDirectory.h"
+#include "jobs/JobRunner.h"
+#include "jobs/JobStore.h"
 #include "membership/HeartbeatSender.h"
 #include "membership/MembershipView.h"
 #include "observability/Log.h"
@@ -32,6 +37,7 @@
 #include "pipeline/Pipeline.h"
 #include "pipeline/RecordFilter.h"
 #include "pipeline/RequestRecords.h"
+#include "pipeline/RequestTraces.h"
 #include "pipeline/ReserveFilter.h"
 #include "pipeline/ServiceQueues.h"
 #include "pipeline/TaskResolver.h"
@@ -81,8 +87,10 @@
         , owner_(clock, metrics, ledger_, workers_)
         , queues_(clock, [this] { return makeQueueOrder(); })
         , retryBudget_(clock, { static_cast<double>(settings.retry.budgetPercent) })
-        , entryPipeline_(clock, metrics, retryBudget_)
-        , ownerPipeline_(clock, metrics, retryBudget_)
+        , entryPipeline_(clock, metrics, retryBudget_, traces_)
+        , ownerPipeline_(clock, metrics, retryBudget_, traces_)
+        , jobStore_(table_, clock)
+        , jobDirectory_(table_, settings.ownership.shardsPerDomain)
     {
     }
 
@@ -132,8 +140,11 @@
     OwnerService owner_;
     ServiceQueues queues_;
     RetryBudget retryBudget_;
+    RequestTraces traces_;
     Pipeline entryPipeline_;
     Pipeline ownerPipeline_;
+    JobStore jobStore_;
+    JobDirectory jobDirectory_;
 
     // These need the port of the peers' listener and are made by start().
     std::unique_ptr<MembershipView> members_;
@@ -144,7 +155,10 @@
     std::unique_ptr<CellTasks> tasks_;
     std::unique_ptr<TaskResolver> resolver_;
     std::unique_ptr<RequestRecords> records_;
+    std::unique_ptr<JobRunner> jobRunner_;
     std::unique_ptr<JobService> jobs_;
+    std::unique_ptr<DeclaredJobs> declaredJobs_;
+    std::unique_ptr<ShardFanOut> shardFanOut_;
     std::unique_ptr<PoolReporter> reporter_;
     std::unique_ptr<PeerService> peerService_;
     std::unique_ptr<PeerServer> peerServer_;
@@ -208,8 +222,9 @@
     heartbeatTiming.changePeriod = settings_.membership.summaryFloor;
     heartbeatTiming.restPeriod = InstanceOptions::restPeriod(settings_);
     heartbeats_ = std::make_unique<HeartbeatSender>(*members_, heartbeatTiming, clock_, metrics_);
-    ownership_ = std::make_unique<OwnershipManager>(
-        InstanceOptions::ownership(settings_, self), table_, workers_, clock_, metrics_);
+    shardFanOut_ = std::make_unique<ShardFanOut>(workers_, jobRunner_, ownership_);
+    const auto ownershipOptions = InstanceOptions::ownership(settings_, self);
+    ownership_ = std::make_unique<OwnershipManager>(ownershipOptions, table_, *shardFanOut_, clock_, metrics_);
     announcer_ = std::make_unique<PeerAnnouncer>(clock_, *members_);
     ConfigurationOptions configurationOptions;
     configurationOptions.self = self.id;
@@ -244,7 +259,10 @@
 
 void Instance::Parts::makeEndpoints()
 {
-    jobs_ = std::make_unique<JobService>(*configuration_);
+    jobRunner_ = std::make_unique<JobRunner>(settings_.instance.id, jobStore_, *peerService_, *members_, clock_, metrics_);
+    jobs_ = std::make_unique<JobService>(
+        JobServiceParts { clock_, metrics_, *configuration_, workers_, *members_, jobStore_, jobDirectory_, *jobRunner_, traces_ });
+    declaredJobs_ = std::make_unique<DeclaredJobs>(clock_, metrics_, *members_, *jobs_);
     callerEndpoint_ = std::make_unique<CallerEndpoint>(metrics_, *configuration_, entryPipeline_, *jobs_);
     callerEndpoint_->install(*callerServer_);
     operatorEndpoint_ = std::make_unique<OperatorEndpoint>(OperatorEndpointParts { clock_,
@@ -266,7 +284,10 @@
         queues_.roomAppeared();
         reporter_->noteChange();
     });
-    workers_.setDomainListener([this](const std::map<FailureDomainId, RegionId> &domains) { ownership_->setDomains(domains); });
+    workers_.setDomainListener([this](const std::map<FailureDomainId, RegionId> &domains) {
+        ownership_->setDomains(domains);
+        jobDirectory_.setDomains(domains);
+    });
     ownership_->setInstancesListener([this](const std::vector<Member> &registered) {
         members_->learn(registered);
         budget_.setLiveInstances(static_cast<int>(members_->livePeers().size()) + 1);
@@ -274,6 +295,7 @@
     configuration_->addListener([this](const std::shared_ptr<const VersionedDeclaration> &current) {
         shares_.setTeams(current->declaration.teams);
         members_->setConfigurationVersion(current->version);
+        declaredJobs_->setDeclaration(current);
         reporter_->noteChange();
         Log::info("configuration-in-force", { { "version", std::to_string(current->version) }, { "digest", current->digest } });
     });
@@ -287,6 +309,8 @@
     heartbeats_->start();
     configuration_->start();
     reporter_->start();
+    jobRunner_->start();
+    declaredJobs_->start();
     callerServer_->start();
     operatorServer_->start();
 }
@@ -320,6 +344,8 @@
     std::unique_lock lock(mutex);
     clock_.waitUntil(lock, condition, clock_.now() + balancerNotice, [] { return false; });
     stopCallers(deadline - releaseTime);
+    declaredJobs_->stop();
+    jobRunner_->stop();
     const auto remaining = std::chrono::duration_cast<Milliseconds>(deadline - clock_.now());
     const auto isReleased = ownership_->stop(std::max(remaining, Milliseconds(1)));
     peerServer_->stop();
@@ -359,6 +385,10 @@
     if (peerServer_) {
         peerServer_->stop();
     }
+    if (declaredJobs_) {
+        declaredJobs_->stop();
+        jobRunner_->stop();
+    }
     if (reporter_) {
         reporter_->stop();
     }
@@ -368,12 +398,12 @@
     if (heartbeats_) {
         heartbeats_->stop();
     }
-    records_.reset();
-    ownership_.reset();
-    workers_.stop();
     if (operatorServer_) {
         operatorServer_->stop();
     }
+    records_.reset();
+    ownership_.reset();
+    workers_.stop();
 }
 
 Instance::Instance(const Settings &settings, Clock &clock, Metrics &metrics)
--- a/modules/instance/JobService.cpp
+++ b/modules/instance/JobService.cpp
@@ -1,55 +1,252 @@
 #include "instance/JobService.h"
 
+#include "configuration/ConfigurationManager.h"
 #include "core/Failure.h"
+#include "declaration/DeclarationParser.h"
+#include "declaration/Digest.h"
+#include "fleet/WorkerManager.h"
+#include "instance/JobReply.h"
 #include "instance/OutcomeReply.h"
+#include "jobs/JobDirectory.h"
+#include "jobs/JobExplanation.h"
+#include "jobs/JobFit.h"
+#include "jobs/JobRunner.h"
+#include "membership/MembershipView.h"
+#include "observability/Log.h"
+#include "observability/Metrics.h"
+#include "peer/Peer.h"
+#include "pipeline/RequestTraces.h"
+
+#include <algorithm>
 
 namespace auburndoor {
 
 namespace {
 
-HttpReply notReady()
+constexpr Milliseconds tableTimeout { 5000 };
+constexpr Milliseconds notifyTimeout { 300 };
+constexpr std::size_t longestKey = 96;
+
+bool isWellFormedKey(const std::string &key)
 {
-    return refusalReply({ Step::Admit, {}, Reason::NotReady, "jobs are not served yet" });
+    return !key.empty() && key.size() <= longestKey && std::all_of(key.begin(), key.end(), [](unsigned char letter) {
+        return std::isalnum(letter) != 0 || letter == '-' || letter == '_' || letter == ':';
+    });
 }
 
 } // namespace
 
-JobService::JobService(ConfigurationManager &configuration) : configuration_(configuration)
+JobService::JobService(const JobServiceParts &parts) : parts_(parts)
+{
+}
+
+HttpReply JobService::submitForTeam(const std::string &token, const std::string &idempotencyKey, const std::string &text)
+{
+    const auto team = teamOf(token);
+    if (!team) {
+        return refuse({ Step::Authenticate, {}, Reason::BadCredentials, "the token belongs to no team" });
+    }
+    return submitParsed(idempotencyKey, text, *team);
+}
+
+HttpReply JobService::submit(const std::string &idempotencyKey, const std::string &text)
+{
+    return submitParsed(idempotencyKey, text, {});
+}
+
+HttpReply JobService::submitParsed(const std::string &idempotencyKey, const std::string &text, const TeamId &team)
+{
+    if (!isWellFormedKey(idempotencyKey)) {
+        return refuse(
+            { Step::Parse, {}, Reason::MissingField, "Idempotency-Key takes 1 to 96 letters, digits and the signs - _ :" });
+    }
+    Problems problems;
+    const auto configuration = parts_.configuration.current();
+    auto job = DeclarationParser::parseJob(JobId(idempotencyKey), text, configuration->declaration, problems);
+    if (!job) {
+        parts_.metrics.countRefusal({ Step::Validate, {}, Reason::MalformedInput, {} });
+        return { 422, toJson(problems), "application/json", {} };
+    }
+    if (!team.isEmpty() && job->team != team) {
+        return refuse(
+            { Step::Authenticate, {}, Reason::BadCredentials, "the token is not one of team \"" + job->team.text() + "\"" });
+    }
+    // A name of the team in front keeps teams from meeting each other's keys.
+    job->id = JobId(job->team.text() + "." + idempotencyKey);
+    Failure failure;
+    if (!canFit(*job, failure)) {
+        return refuse(failure);
+    }
+    const auto submission = record(*job, failure);
+    return submissionReply(submission, job->id, failure);
+}
+
+HttpReply JobService::submissionReply(const Submission &submission, const JobId &job, const Failure &failure)
+{
+    switch (submission.status) {
+    case SubmitStatus::Recorded:
+        return JobReply::accepted(job, *submission.job, 202);
+    case SubmitStatus::AlreadyRecorded:
+        return JobReply::accepted(job, *submission.job, 200);
+    case SubmitStatus::DifferentJob:
+        return refuse({ Step::Record, "table", Reason::DuplicateKey, "another job was submitted with this idempotency key" });
+    case SubmitStatus::NotRecorded:
+        return refuse(failure);
+    case SubmitStatus::Unknown:
+        break;
+    }
+    return JobReply::unknown(job, failure);
+}
+
+Submission JobService::record(const JobDeclaration &job, Failure &failure)
 {
+    const auto until = deadline();
+    const auto shard = parts_.directory.assign(job.id, until, failure);
+    if (!shard) {
+        return { SubmitStatus::NotRecorded, std::nullopt };
+    }
+    auto submission = parts_.store.submit(*shard, job, until, failure);
+    if (submission.status == SubmitStatus::Recorded) {
+        parts_.metrics.count("jobs_recorded_total");
+        Log::info("job-recorded", { { "job", job.id.text() }, { "team", job.team.text() }, { "shard", shard->text() } });
+        tellOwner(*shard, job.id);
+    }
+    return submission;
 }
 
-HttpReply JobService::submitForTeam(const std::string &, const std::string &, const std::string &)
+bool JobService::submitDeclared(const JobDeclaration &job)
 {
-    return notReady();
+    Failure failure;
+    const auto submission = record(job, failure);
+    if (submission.status == SubmitStatus::DifferentJob) {
+        parts_.metrics.count("declared_jobs_changed_total");
+        Log::warning("declared-job-changed",
+                     { { "job", job.id.text() }, { "message", "a recorded job never changes; declare it under a new name" } });
+        return true;
+    }
+    return submission.status == SubmitStatus::Recorded || submission.status == SubmitStatus::AlreadyRecorded;
 }
 
-HttpReply JobService::showForTeam(const std::string &, const JobId &)
+bool JobService::cancelDeclared(const JobId &job)
 {
-    return notReady();
+    Failure failure;
+    const auto shard = parts_.directory.find(job, deadline(), failure);
+    if (!shard) {
+        return failure.reason == Reason::UnknownName;
+    }
+    if (!parts_.store.cancel(*shard, job, deadline(), failure)) {
+        return failure.reason == Reason::UnknownName;
+    }
+    tellOwner(*shard, job);
+    return true;
 }
 
-HttpReply JobService::submit(const std::string &, const std::string &)
+bool JobService::canFit(const JobDeclaration &job, Failure &failure) const
 {
-    return notReady();
+    std::vector<WorkerCapacity> capacities;
+    for (const auto &worker : parts_.workers.pool(job.service)) {
+        capacities.push_back({ worker.id, worker.service, worker.capacity });
+    }
+    return canEverFit(job, capacities, failure);
 }
 
-void JobService::noticeJob(const ShardId &, const JobId &)
+HttpReply JobService::showForTeam(const std::string &token, const JobId &id)
 {
+    const auto team = teamOf(token);
+    if (!team) {
+        return refuse({ Step::Authenticate, {}, Reason::BadCredentials, "the token belongs to no team" });
+    }
+    Failure failure;
+    const auto shard = parts_.directory.find(id, deadline(), failure);
+    const auto job = shard ? parts_.store.load(*shard, id, deadline(), failure) : std::nullopt;
+    if (!job) {
+        return refuse(failure);
+    }
+    if (job->declaration.team != *team) {
+        // As for an unknown job, so that a team learns nothing of the others' keys.
+        return refuse({ Step::ReadTable, "table", Reason::UnknownName, "no job \"" + id.text() + "\" is recorded" });
+    }
+    return JobReply::job(*job);
 }
 
 HttpReply JobService::list()
 {
-    return notReady();
+    std::vector<Job> jobs;
+    for (const auto &shard : parts_.directory.shards()) {
+        Failure failure;
+        const auto loaded = parts_.store.loadShard(shard, deadline(), failure);
+        if (!loaded) {
+            return refuse(failure);
+        }
+        jobs.insert(jobs.end(), loaded->begin(), loaded->end());
+    }
+    return JobReply::jobs(jobs);
+}
+
+HttpReply JobService::explain(const std::string &id)
+{
+    if (const auto trace = parts_.traces.find(RequestId(id))) {
+        return JobReply::trace(*trace);
+    }
+    const JobId job(id);
+    if (const auto explanation = parts_.runner.explain(job)) {
+        return JobReply::explanation(job, *explanation);
+    }
+    Failure failure;
+    const auto shard = parts_.directory.find(job, deadline(), failure);
+    const auto loaded = shard ? parts_.store.load(*shard, job, deadline(), failure) : std::nullopt;
+    return loaded ? JobReply::explanation(job, explainRecord(*loaded)) : refuse(failure);
+}
+
+HttpReply JobService::cancel(const JobId &id)
+{
+    Failure failure;
+    const auto shard = parts_.directory.find(id, deadline(), failure);
+    const auto job = shard ? parts_.store.cancel(*shard, id, deadline(), failure) : std::nullopt;
+    if (!job) {
+        return refuse(failure);
+    }
+    tellOwner(*shard, id);
+    return JobReply::job(*job);
+}
+
+void JobService::noticeJob(const ShardId &shard, const JobId &job)
+{
+    parts_.runner.notifyJob(shard, job);
+}
+
+/** The owner also polls, so that a message that is lost costs time only. */
+void JobService::tellOwner(const ShardId &shard, const JobId &job)
+{
+    parts_.runner.notifyJob(shard, job);
+    for (const auto &id : parts_.members.livePeers()) {
+        Failure failure;
+        if (const auto peer = parts_.members.peer(id)) {
+            peer->notifyJob(shard, job, notifyTimeout, failure);
+        }
+    }
+}
+
+HttpReply JobService::refuse(const Failure &failure)
+{
+    parts_.metrics.countRefusal(failure);
+    return refusalReply(failure);
 }
 
-HttpReply JobService::explain(const std::string &)
+std::optional<TeamId> JobService::teamOf(const std::string &token) const
 {
-    return notReady();
+    const auto digest = Digest::of(token);
+    for (const auto &[id, team] : parts_.configuration.current()->declaration.teams) {
+        if (Digest::isEqual(digest, team.tokenDigest)) {
+            return id;
+        }
+    }
+    return std::nullopt;
 }
 
-HttpReply JobService::cancel(const JobId &)
+TimePoint JobService::deadline() const
 {
-    return notReady();
+    return parts_.clock.now() + tableTimeout;
 }
 
 } // namespace auburndoor
--- a/modules/jobs/JobStore.cpp
+++ b/modules/jobs/JobStore.cpp
@@ -2,6 +2,7 @@
 
 #include "core/Failure.h"
 #include "core/RandomId.h"
+#include "jobs/JobDirectory.h"
 #include "observability/Log.h"
 
 #include <algorithm>
@@ -180,13 +181,14 @@
         if (job && job->ended < before && transaction.writes.size() < rowsPerTransaction) {
             transaction.checks.push_back({ row.key, row.version });
             transaction.writes.push_back({ row.key, std::nullopt });
+            transaction.writes.push_back({ JobDirectory::rowKey(job->declaration.id), std::nullopt });
         }
     }
     if (transaction.writes.empty()) {
         return 0;
     }
     const auto result = table_.commit(transaction, deadline, failure);
-    return result.status == CommitStatus::Committed ? std::optional(static_cast<int>(transaction.writes.size())) : std::nullopt;
+    return result.status == CommitStatus::Committed ? std::optional(static_cast<int>(transaction.checks.size())) : std::nullopt;
 }
 
 std::optional<Job> JobStore::readJob(const std::string &key, TimePoint deadline, Failure &failure)
--- a/modules/pipeline/Pipeline.cpp
+++ b/modules/pipeline/Pipeline.cpp
@@ -4,30 +4,14 @@
 #include "observability/Log.h"
 #include "observability/Metrics.h"
 #include "pipeline/RequestContext.h"
+#include "pipeline/RequestTraces.h"
 #include "pipeline/RetryDecision.h"
 
 namespace auburndoor {
 
-namespace {
-
-std::string_view statusName(OutcomeStatus status)
-{
-    switch (status) {
-    case OutcomeStatus::Answered:
-        return "answered";
-    case OutcomeStatus::TaskFailed:
-        return "task-failed";
-    case OutcomeStatus::NotRun:
-        return "not-run";
-    case OutcomeStatus::Unknown:
-        break;
-    }
-    return "unknown";
-}
-
-} // namespace
-
-Pipeline::Pipeline(Clock &clock, Metrics &metrics, RetryBudget &budget) : clock_(clock), metrics_(metrics), budget_(budget)
+Pipeline::Pipeline(Clock &clock, Metrics &metrics, RetryBudget &budget, RequestTraces &traces)
+    : clock_(clock), metrics_(metrics), budget_(budget)
+    , traces_(traces)
 {
 }
 
@@ -102,21 +86,22 @@
 void Pipeline::report(const RequestContext &context, const Outcome &outcome) const
 {
     const auto &request = context.request;
-    metrics_.count("outcomes_total", statusName(outcome.status));
+    metrics_.count("outcomes_total", name(outcome.status));
+    traces_.add({ request.id, request.team, request.service, request.kind, context.attempt, outcome });
     if (outcome.status == OutcomeStatus::NotRun || outcome.status == OutcomeStatus::Unknown) {
         metrics_.countRefusal(outcome.failure);
         Log::failure("request-ended",
                      outcome.failure,
                      { { "request", request.id.text() },
                        { "team", request.team.text() },
-                       { "outcome", std::string(statusName(outcome.status)) } });
+                       { "outcome", std::string(name(outcome.status)) } });
         return;
     }
     metrics_.observe("request_duration", clock_.now() - request.arrival, request.service.text());
     Log::debug("request-ended",
                { { "request", request.id.text() },
                  { "team", request.team.text() },
-                 { "outcome", std::string(statusName(outcome.status)) },
+                 { "outcome", std::string(name(outcome.status)) },
                  { "worker", outcome.worker.text() },
                  { "waitedMs", std::to_string(outcome.waited.count()) } });
 }
--- a/modules/pipeline/Pipeline.h
+++ b/modules/pipeline/Pipeline.h
@@ -9,6 +9,7 @@
 namespace auburndoor {
 
 class Metrics;
+class RequestTraces;
 class RetryBudget;
 
 /**
@@ -20,7 +21,7 @@
 class Pipeline
 {
 public:
-    Pipeline(Clock &clock, Metrics &metrics, RetryBudget &budget);
+    Pipeline(Clock &clock, Metrics &metrics, RetryBudget &budget, RequestTraces &traces);
 
     void addPreparation(std::unique_ptr<Filter> filter);
     void addAttempt(std::unique_ptr<Filter> filter);
@@ -39,6 +40,7 @@
     Clock &clock_;
     Metrics &metrics_;
     RetryBudget &budget_;
+    RequestTraces &traces_;
     std::vector<std::unique_ptr<Filter>> preparations_;
     std::vector<std::unique_ptr<Filter>> attempts_;
 };
--- a/modules/pipeline/Request.h
+++ b/modules/pipeline/Request.h
@@ -7,6 +7,7 @@
 #include "declaration/Declaration.h"
 
 #include <string>
+#include <string_view>
 
 namespace auburndoor {
 
@@ -42,6 +43,9 @@
     Unknown,
 };
 
+/** The name of a status as logs, metrics and answers show it, such as "not-run". */
+std::string_view name(OutcomeStatus status);
+
 /** What became of a request. */
 struct Outcome
 {
