--- a/modules/instance/JobReply.cpp
+++ b/modules/instance/JobReply.cpp
@@ -1,17 +1,24 @@
 #include "instance/JobReply.h"
 
 #include "core/Failure.h"
+#include "instance/OutcomeReply.h"
 #include "jobs/JobExplanation.h"
 #include "pipeline/RequestTraces.h"
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <array>
+#include <numeric>
+
 namespace auburndoor {
 
 namespace {
 
 using Json = nlohmann::ordered_json;
 
+constexpr std::array<const char *, 3> kindNames { "batch", "gang", "service" };
+
 HttpReply reply(int status, const Json &json)
 {
     return { status, json.dump(-1, ' ', false, Json::error_handler_t::replace), "application/json", {} };
@@ -19,35 +26,46 @@
 
 Json summaryOf(const Job &job)
 {
-    std::map<std::string, int> phases;
-    for (const auto &task : job.tasks) {
-        ++phases[std::string(name(task.phase))];
-    }
+    const auto count = [&job](TaskPhase phase) {
+        return std::count_if(job.tasks.begin(), job.tasks.end(), [phase](const JobTask &task) { return task.phase == phase; });
+    };
+    const auto failures = std::accumulate(
+        job.tasks.begin(), job.tasks.end(), 0, [](int sum, const JobTask &task) { return sum + task.failures; });
     return { { "id", job.declaration.id.text() },
+             { "kind", kindNames.at(static_cast<std::size_t>(job.declaration.kind)) },
              { "team", job.declaration.team.text() },
+             { "state", name(job.phase) },
+             { "tasks", job.tasks.size() },
+             { "running", count(TaskPhase::Assigned) },
+             { "done", count(TaskPhase::Done) },
+             { "failed", failures },
              { "service", job.declaration.service.text() },
              { "shard", job.shard.text() },
-             { "phase", name(job.phase) },
-             { "reason", job.reason },
-             { "tasks", phases } };
+             { "reason", job.reason } };
 }
 
 } // namespace
 
-HttpReply JobReply::accepted(const JobId &id, const Job &job, int status)
+HttpReply JobReply::accepted(const JobId &id, int status)
 {
-    return reply(status, { { "id", id.text() }, { "phase", name(job.phase) } });
+    return reply(status, { { "id", id.text() }, { "state", "accepted" } });
 }
 
 HttpReply JobReply::unknown(const JobId &id, const Failure &failure)
 {
-    return reply(504,
-                 { { "outcome", "unknown" },
-                   { "id", id.text() },
-                   { "step", name(failure.step) },
-                   { "peer", failure.peer },
-                   { "reason", name(failure.reason) },
-                   { "message", failure.message + "; submit the job again with the same key" } });
+    auto answer = refusalReply(failure);
+    answer.status = 504;
+    auto json = Json::parse(answer.body);
+    json["outcome"] = "unknown";
+    json["id"] = id.text();
+    answer.body = json.dump();
+    answer.headers["Outcome"] = "unknown";
+    return answer;
+}
+
+HttpReply JobReply::cancelling(const Job &job)
+{
+    return reply(202, { { "id", job.declaration.id.text() }, { "state", name(job.phase) } });
 }
 
 HttpReply JobReply::job(const Job &job)
@@ -55,7 +73,7 @@
     auto json = summaryOf(job);
     json["taskList"] = Json::array();
     for (const auto &task : job.tasks) {
-        json["taskList"].push_back({ { "phase", name(task.phase) },
+        json["taskList"].push_back({ { "state", name(task.phase) },
                                      { "worker", task.worker.text() },
                                      { "assignments", task.assignments },
                                      { "failures", task.failures },
@@ -75,27 +93,27 @@
 
 HttpReply JobReply::explanation(const JobId &id, const JobExplanation &explanation)
 {
-    return reply(200,
-                 { { "id", id.text() },
-                   { "phase", name(explanation.phase) },
-                   { "summary", explanation.summary },
-                   { "tasks", explanation.tasks } });
+    auto lines = Json::array({ explanation.summary });
+    for (const auto &line : explanation.tasks) {
+        lines.push_back(line);
+    }
+    return reply(200, { { "id", id.text() }, { "state", name(explanation.phase) }, { "explanation", lines } });
 }
 
 HttpReply JobReply::trace(const RequestTrace &trace)
 {
     const auto &outcome = trace.outcome;
     const auto hasFailed = outcome.status == OutcomeStatus::NotRun || outcome.status == OutcomeStatus::Unknown;
+    const auto summary = hasFailed ? outcome.failure.text() : "ran on worker " + outcome.worker.text();
+    const auto history = "waited " + std::to_string(outcome.waited.count()) + " ms for room; " + std::to_string(trace.attempts)
+                         + " attempt(s)";
     return reply(200,
                  { { "id", trace.request.text() },
+                   { "state", name(outcome.status) },
                    { "team", trace.team.text() },
                    { "service", trace.service.text() },
                    { "kind", trace.kind },
-                   { "attempts", trace.attempts },
-                   { "outcome", name(outcome.status) },
-                   { "worker", outcome.worker.text() },
-                   { "waitedMs", outcome.waited.count() },
-                   { "summary", hasFailed ? outcome.failure.text() : "ran on worker " + outcome.worker.text() } });
+                   { "explanation", Json::array({ summary, history }) } });
 }
 
 } // namespace auburndoor
--- a/modules/instance/JobService.cpp
+++ b/modules/instance/JobService.cpp
@@ -85,9 +85,9 @@
 {
     switch (submission.status) {
     case SubmitStatus::Recorded:
-        return JobReply::accepted(job, *submission.job, 202);
+        return JobReply::accepted(job, 202);
     case SubmitStatus::AlreadyRecorded:
-        return JobReply::accepted(job, *submission.job, 200);
+        return JobReply::accepted(job, 200);
     case SubmitStatus::DifferentJob:
         return refuse({ Step::Record, "table", Reason::DuplicateKey, "another job was submitted with this idempotency key" });
     case SubmitStatus::NotRecorded:
@@ -207,7 +207,7 @@
         return refuse(failure);
     }
     tellOwner(*shard, id);
-    return JobReply::job(*job);
+    return JobReply::cancelling(*job);
 }
 
 void JobService::noticeJob(const ShardId &shard, const JobId &job)
--- a/modules/instance/OperatorEndpoint.cpp
+++ b/modules/instance/OperatorEndpoint.cpp
@@ -13,6 +13,8 @@
 #include "observability/Metrics.h"
 #include "ownership/OwnershipManager.h"
 
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
 #include <charconv>
 
@@ -20,9 +22,11 @@
 
 namespace {
 
-constexpr Milliseconds applyTimeout { 10'000 };
+constexpr long long defaultApplyMs = 10'000;
+constexpr long long smallestApplyMs = 100;
+constexpr long long largestApplyMs = 3'600'000;
 constexpr Milliseconds readTimeout { 5000 };
-constexpr std::size_t defaultLogbookLimit = 50;
+constexpr std::size_t defaultLogbookLimit = 20;
 constexpr std::size_t largestLogbookLimit = 1000;
 
 HttpReply json(int status, const std::string &body)
@@ -41,6 +45,17 @@
     return number;
 }
 
+/** The time that the operator gives an apply; empty if it is out of range. */
+std::optional<Milliseconds> timeoutOf(const HttpRequest &request)
+{
+    const auto text = request.queryValue("deadline-ms");
+    const auto number = text.empty() ? std::optional(defaultApplyMs) : numberOf(text);
+    if (!number || *number < smallestApplyMs || *number > largestApplyMs) {
+        return std::nullopt;
+    }
+    return Milliseconds(*number);
+}
+
 } // namespace
 
 OperatorEndpoint::OperatorEndpoint(const OperatorEndpointParts &parts) : parts_(parts)
@@ -76,11 +91,7 @@
 
 void OperatorEndpoint::installConfiguration(HttpServer &server)
 {
-    server.route("POST", "/v1/configuration/validate", authenticated([](const HttpRequest &request) {
-                     Problems problems;
-                     const auto isValid = DeclarationParser::parse(request.body, problems).has_value();
-                     return json(isValid ? 200 : 422, toJson(problems));
-                 }));
+    server.route("POST", "/v1/configuration/validate", authenticated([](const HttpRequest &request) { return validate(request); }));
     server.route("POST", "/v1/configuration/plan", authenticated([this](const HttpRequest &request) { return plan(request); }));
     server.route("POST", "/v1/configuration/apply", authenticated([this](const HttpRequest &request) { return apply(request); }));
     server.route("GET", "/v1/configuration", authenticated([this](const HttpRequest &) { return showConfiguration(); }));
@@ -122,23 +133,37 @@
     };
 }
 
+HttpReply OperatorEndpoint::validate(const HttpRequest &request)
+{
+    Problems problems;
+    const auto declaration = DeclarationParser::parse(request.body, problems);
+    if (!declaration) {
+        return json(422, toJson(problems));
+    }
+    return json(200,
+                R"({"services": )" + std::to_string(declaration->services.size()) + R"(, "teams": )"
+                    + std::to_string(declaration->teams.size()) + R"(, "jobs": )" + std::to_string(declaration->jobs.size()) + "}");
+}
+
 HttpReply OperatorEndpoint::apply(const HttpRequest &request)
 {
+    const auto operatorName = request.queryValue("operator");
     const auto expectedText = request.queryValue("expected-version");
     const auto expected = numberOf(expectedText);
-    if (!expectedText.empty() && !expected) {
-        return json(400,
-                    toJson(Failure {
-                        Step::Parse, {}, Reason::OutOfRange, "expected-version \"" + expectedText + "\" is not a whole number" }));
+    const auto timeout = timeoutOf(request);
+    if (operatorName.empty() || (!expectedText.empty() && !expected) || !timeout) {
+        const Failure failure { Step::Parse,
+                                {},
+                                Reason::OutOfRange,
+                                "operator is required; expected-version is a whole number; deadline-ms is 100 to 3600000" };
+        parts_.metrics.countRefusal(failure);
+        return json(400, toJson(failure));
     }
     Failure failure;
-    const auto deadline = parts_.clock.now() + applyTimeout;
-    const auto result = parts_.configuration.apply(request.body, expected, request.queryValue("operator"), deadline, failure);
+    const auto result = parts_.configuration.apply(request.body, expected, operatorName, parts_.clock.now() + *timeout, failure);
     parts_.metrics.count("applies_total", name(result.status));
     Log::info("apply",
-              { { "operator", request.queryValue("operator") },
-                { "status", name(result.status) },
-                { "version", std::to_string(result.version) } });
+              { { "operator", operatorName }, { "status", name(result.status) }, { "version", std::to_string(result.version) } });
     return json(httpStatus(result.status), toJson(result, failure));
 }
 
@@ -151,10 +176,8 @@
 HttpReply OperatorEndpoint::showConfiguration() const
 {
     const auto current = parts_.configuration.current();
-    return { 200,
-             current->text,
-             "application/json",
-             { { "Configuration-Version", std::to_string(current->version) }, { "Configuration-Digest", current->digest } } };
+    const nlohmann::ordered_json body { { "version", current->version }, { "digest", current->digest }, { "text", current->text } };
+    return json(200, body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
 HttpReply OperatorEndpoint::showStatus() const
--- a/modules/instance/OperatorEndpoint.h
+++ b/modules/instance/OperatorEndpoint.h
@@ -51,6 +51,7 @@
     void installConfiguration(HttpServer &server);
     void installJobs(HttpServer &server);
     Handler authenticated(Handler handler);
+    static HttpReply validate(const HttpRequest &request);
     HttpReply apply(const HttpRequest &request);
     HttpReply plan(const HttpRequest &request);
     HttpReply showConfiguration() const;
--- a/modules/instance/OutcomeReply.cpp
+++ b/modules/instance/OutcomeReply.cpp
@@ -39,11 +39,11 @@
 {
     HttpReply reply;
     reply.status = status;
-    reply.body = nlohmann::ordered_json {
-        { "outcome", outcome },         { "step", name(failure.step) },
-        { "peer", failure.peer },       { "reason", name(failure.reason) },
-        { "message", failure.message }, { "retryAfterMs", retryAfter.count() }
-    }.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    const nlohmann::ordered_json error {
+        { "step", name(failure.step) }, { "peer", failure.peer }, { "reason", name(failure.reason) }, { "message", failure.message }
+    };
+    const nlohmann::ordered_json body { { "outcome", outcome }, { "error", error }, { "retryAfterMs", retryAfter.count() } };
+    reply.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     reply.headers["Outcome"] = outcome;
     if (retryAfter.count() > 0) {
         reply.headers["Retry-After"] = std::to_string((retryAfter + second - Milliseconds(1)) / second);
--- a/modules/instance/StatusReport.cpp
+++ b/modules/instance/StatusReport.cpp
@@ -19,15 +19,28 @@
 
 Json memberOf(const Member &member, TimePoint now)
 {
-    return { { "id", member.id.text() },
-             { "failureDomain", member.failureDomain.text() },
-             { "region", member.region.text() },
+    return { { "instance", member.id.text() },
              { "configurationVersion", member.configurationVersion },
-             { "isLeaving", member.isLeaving },
+             { "leaving", member.isLeaving },
+             { "failureDomain", member.failureDomain.text() },
              { "heardMsAgo", std::chrono::duration_cast<Milliseconds>(now - member.lastHeard).count() },
              { "pools", poolsOf(member.summary) } };
 }
 
+/** The pools of this instance with the number of workers that it owns in each. */
+Json ownPoolsOf(const StatusReport &report)
+{
+    std::map<std::string, int> workers;
+    for (const auto &worker : report.workers) {
+        ++workers[worker.view.service.text()];
+    }
+    auto pools = poolsOf(report.self.summary);
+    for (auto &pool : pools) {
+        pool["workers"] = workers[pool.at("service")];
+    }
+    return pools;
+}
+
 Json workerOf(const LedgerWorker &worker)
 {
     const auto &view = worker.view;
@@ -40,14 +53,15 @@
 
 std::string StatusReport::text(const StatusReport &report)
 {
-    Json json { { "id", report.self.id.text() },
-                { "incarnation", report.self.incarnation },
+    Json json { { "instance", report.self.id.text() },
                 { "failureDomain", report.self.failureDomain.text() },
                 { "region", report.self.region.text() },
                 { "ready", report.whyNotReady.empty() },
                 { "reason", report.whyNotReady },
+                { "draining", report.self.isLeaving },
+                { "incarnation", report.self.incarnation },
                 { "configurationVersion", report.configurationVersion },
-                { "pools", poolsOf(report.self.summary) } };
+                { "pools", ownPoolsOf(report) } };
     json["peers"] = Json::array();
     for (const auto &peer : report.peers) {
         json["peers"].push_back(memberOf(peer, report.now));
--- a/modules/pipeline/Pipeline.cpp
+++ b/modules/pipeline/Pipeline.cpp
@@ -10,8 +10,7 @@
 namespace auburndoor {
 
 Pipeline::Pipeline(Clock &clock, Metrics &metrics, RetryBudget &budget, RequestTraces &traces)
-    : clock_(clock), metrics_(metrics), budget_(budget)
-    , traces_(traces)
+    : clock_(clock), metrics_(metrics), budget_(budget), traces_(traces)
 {
 }
 
--- a/tests/cell/Callers.cpp
+++ b/tests/cell/Callers.cpp
@@ -87,7 +87,9 @@
         record.body = reply->body;
         record.requestId = reply->headers.contains("request-id") ? reply->headers.at("request-id") : "";
         const auto json = nlohmann::json::parse(reply->body, nullptr, false);
-        record.reason = json.is_object() && record.outcome != "answered" ? json.value("reason", "") : "";
+        if (json.is_object() && json.contains("error")) {
+            record.reason = json.at("error").value("reason", "");
+        }
     }
     return record;
 }
--- a/tests/system/SystemFixture.cpp
+++ b/tests/system/SystemFixture.cpp
@@ -134,7 +134,8 @@
 {
     const std::map<std::string, std::string> headers { { "Authorization", std::string("Bearer ") + Cell::operatorToken } };
     const auto reply = Cell::call(cell.operatorsAddress(instance), "GET", "/v1/configuration", {}, headers, callTimeout);
-    return reply && reply->headers.contains("configuration-version") ? std::stoll(reply->headers.at("configuration-version")) : -1;
+    const auto json = nlohmann::json::parse(reply ? reply->body : "{}", nullptr, false);
+    return json.is_object() ? json.value("version", -1LL) : -1;
 }
 
 std::vector<std::string> SystemFixture::judge(const std::string &promise, const std::string &faults)
