--- /dev/null
+++ b/tests/platform/GroupCommitterTests.cpp
@@ -0,0 +1,340 @@
+#include "core/Failure.h"
+#include "core/ManualClock.h"
+#include "core/SystemClock.h"
+#include "fakes/FakeTableService.h"
+#include "observability/Metrics.h"
+#include "platform/CommitBatch.h"
+#include "platform/GroupCommitter.h"
+#include "platform/WriteBudget.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <trompeloeil.hpp>
+
+#include <algorithm>
+#include <thread>
+
+using namespace auburndoor;
+
+namespace {
+
+/** Long enough in manual time for every outcome. */
+constexpr Milliseconds patience { 60'000 };
+constexpr Milliseconds shortPatience { 200 };
+
+class MockTable : public trompeloeil::mock_interface<TableService>
+{
+public:
+    IMPLEMENT_MOCK3(read);
+    IMPLEMENT_MOCK3(readPrefix);
+    IMPLEMENT_MOCK3(commit);
+};
+
+Transaction put(const std::string &id, const std::string &key, long long version = 0)
+{
+    return { id, { { key, version } }, { { key, "value of " + id } }, WritePurpose::RequestRecord };
+}
+
+/** Commits transactions side by side through a committer under manual time. */
+struct Fixture
+{
+    explicit Fixture(TableService &table) : budget(1000, clock), committer(table, budget, clock, metrics)
+    {
+    }
+
+    std::vector<CommitResult> commitAll(const std::vector<Transaction> &transactions, Milliseconds timeout = patience)
+    {
+        std::vector<CommitResult> results(transactions.size());
+        std::atomic<std::size_t> running = transactions.size();
+        std::vector<std::thread> callers;
+        for (std::size_t index = 0; index < transactions.size(); ++index) {
+            callers.emplace_back([&, index] {
+                Failure failure;
+                results[index] = committer.commit(transactions[index], clock.now() + timeout, failure);
+                --running;
+            });
+        }
+        // All callers are in the queue, or have returned already, before the first window ends.
+        while (clock.waiterCount() < running) {
+            std::this_thread::yield();
+        }
+        // Longer than the poll of ManualClock, so that the callers act between two steps.
+        std::mutex mutex;
+        std::unique_lock lock(mutex);
+        std::condition_variable condition;
+        while (!condition.wait_for(lock, Milliseconds(3), [&] { return running == 0; })) {
+            clock.advance(Milliseconds(5));
+        }
+        for (auto &caller : callers) {
+            caller.join();
+        }
+        return results;
+    }
+
+    ManualClock clock;
+    WriteBudget budget;
+    Metrics metrics;
+    GroupCommitter committer;
+};
+
+std::vector<CommitStatus> statuses(const std::vector<CommitResult> &results)
+{
+    std::vector<CommitStatus> result;
+    std::transform(results.begin(), results.end(), std::back_inserter(result), [](const auto &each) { return each.status; });
+    return result;
+}
+
+std::map<std::string, std::string> rowsOf(TableService &table)
+{
+    Failure failure;
+    std::map<std::string, std::string> rows;
+    const auto all = table.readPrefix("", TimePoint(), failure);
+    for (const auto &row : all.value()) {
+        rows[row.key] = row.value;
+    }
+    return rows;
+}
+
+/** Commits one by one, in the order of the versions that were reported, and compares rows and conflicts. */
+bool isSerial(const std::vector<Transaction> &transactions, const std::vector<CommitResult> &results, TableService &table)
+{
+    std::vector<std::pair<long long, const Transaction *>> order;
+    for (std::size_t index = 0; index < transactions.size(); ++index) {
+        if (results[index].status == CommitStatus::Committed) {
+            order.emplace_back(results[index].versions.front(), &transactions[index]);
+        }
+    }
+    std::sort(order.begin(), order.end());
+    FakeTableService serial;
+    Failure failure;
+    // A conflict is explained if the transaction conflicts with some state of the serial run.
+    std::vector<bool> isExplained;
+    for (const auto &result : results) {
+        isExplained.push_back(result.status == CommitStatus::Committed);
+    }
+    for (std::size_t step = 0; step <= order.size(); ++step) {
+        for (std::size_t index = 0; index < transactions.size(); ++index) {
+            for (const auto &check : transactions[index].checks) {
+                const auto conflicts = serial.read(check.key, TimePoint(), failure)->version != check.version;
+                isExplained[index] = isExplained[index] || (conflicts && results[index].status == CommitStatus::Conflict);
+            }
+        }
+        if (step < order.size() && serial.commit(*order[step].second, TimePoint(), failure).status != CommitStatus::Committed) {
+            return false;
+        }
+    }
+    return std::all_of(isExplained.begin(), isExplained.end(), [](bool each) { return each; }) && rowsOf(serial) == rowsOf(table);
+}
+
+} // namespace
+
+TEST_CASE("transactions with disjoint rows become one, and a conflict stays with its member", "[platform][group]")
+{
+    // Guards against writes that cost one transaction each, and against one failed check that fails its neighbours.
+    FakeTableService table;
+    Fixture fixture(table);
+    const auto results = fixture.commitAll({ put("a", "1"), put("b", "2"), put("c", "3", 9), put("d", "4") });
+    using enum CommitStatus;
+    CHECK(statuses(results) == std::vector { Committed, Committed, Conflict, Committed });
+    CHECK(results[2].conflicts.front().key == "3");
+    CHECK(table.commitCount() == 1);
+    // Negative control: the merged transaction alone conflicts as a whole.
+    CommitBatch batch;
+    REQUIRE((batch.tryAdd(put("e", "5"), 100, 1000) && batch.tryAdd(put("f", "3", 9), 100, 1000)));
+    Failure failure;
+    CHECK(table.commit(batch.merged(), TimePoint(), failure).status == Conflict);
+}
+
+TEST_CASE("a batch whose answer is lost is repeated with its id", "[platform][group]")
+{
+    // Guards against members that conflict with their own first attempt.
+    FakeTableService table;
+    table.loseAnswers(2);
+    Fixture fixture(table);
+    const auto results = fixture.commitAll({ put("a", "1"), put("b", "2") });
+    CHECK(statuses(results) == std::vector(2, CommitStatus::Committed));
+    CHECK(table.commitCount() == 1);
+}
+
+TEST_CASE("a member whose deadline passes gets unknown and learns its first outcome later", "[platform][group]")
+{
+    // Guards against a repeated commit that is sent under another id than the batch that may have taken effect.
+    FakeTableService table;
+    table.loseAnswers(100'000);
+    Fixture fixture(table);
+    const std::vector transactions { put("a", "1"), put("b", "2") };
+    CHECK(statuses(fixture.commitAll(transactions, shortPatience)) == std::vector(2, CommitStatus::Unknown));
+    table.loseAnswers(0);
+    CHECK(fixture.commitAll({ transactions[0] }).front().status == CommitStatus::Committed);
+    CHECK(table.commitCount() == 1);
+    Failure failure;
+    // Negative control: the table does not know the member's own id.
+    CHECK(table.commit(transactions[1], TimePoint(), failure).status == CommitStatus::Conflict);
+}
+
+TEST_CASE("a refusal after an attempt that may have arrived does not make a batch not written", "[platform][group]")
+{
+    // Guards against "not written" taken from the last call alone: the mock's last result is NotWritten.
+    MockTable table;
+    Fixture fixture(table);
+    trompeloeil::sequence order;
+    const CommitResult unknown { CommitStatus::Unknown, {}, {} };
+    REQUIRE_CALL(table, commit(trompeloeil::_, trompeloeil::_, trompeloeil::_)).IN_SEQUENCE(order).RETURN(unknown);
+    ALLOW_CALL(table, commit(trompeloeil::_, trompeloeil::_, trompeloeil::_)).IN_SEQUENCE(order).RETURN(CommitResult());
+    CHECK(fixture.commitAll({ put("a", "1") }, shortPatience).front().status == CommitStatus::Unknown);
+}
+
+TEST_CASE("a member that the table refuses as malformed fails alone", "[platform][group]")
+{
+    // Guards against one caller's content that fails the writes of others.
+    MockTable table;
+    Fixture fixture(table);
+    const auto isMalformed = [](const Transaction &transaction) {
+        return std::any_of(
+            transaction.writes.begin(), transaction.writes.end(), [](const auto &write) { return write.key == "2"; });
+    };
+    ALLOW_CALL(table, commit(trompeloeil::_, trompeloeil::_, trompeloeil::_))
+        .WITH(isMalformed(_1))
+        .LR_SIDE_EFFECT(_3.reason = Reason::MalformedInput)
+        .RETURN(CommitResult());
+    ALLOW_CALL(table, commit(trompeloeil::_, trompeloeil::_, trompeloeil::_))
+        .WITH(!isMalformed(_1))
+        .RETURN(CommitResult { CommitStatus::Committed, std::vector<long long>(_1.writes.size(), 1), {} });
+    using enum CommitStatus;
+    CHECK(statuses(fixture.commitAll({ put("a", "1"), put("b", "2"), put("c", "3") }))
+          == std::vector { Committed, NotWritten, Committed });
+}
+
+TEST_CASE("committed members equal some serial order", "[platform][group]")
+{
+    // Guards against merging of transactions that depend on each other.
+    REQUIRE(rc::check("concurrent transactions on four keys", [] {
+        const auto count = *rc::gen::inRange(1, 6);
+        std::vector<Transaction> transactions;
+        for (int index = 0; index < count; ++index) {
+            Transaction transaction { std::to_string(index), {}, {}, static_cast<WritePurpose>(*rc::gen::inRange(0, 5)) };
+            // Each of the four keys is a bit.
+            const auto checked = *rc::gen::inRange(0, 16);
+            const auto written = *rc::gen::inRange(1, 16);
+            for (int key = 0; key < 4; ++key) {
+                if ((checked >> key & 1) != 0) {
+                    transaction.checks.push_back({ std::to_string(key), *rc::gen::element(0, 0, 0, 1) });
+                }
+                if ((written >> key & 1) != 0) {
+                    transaction.writes.push_back({ std::to_string(key), transaction.id });
+                }
+            }
+            transactions.push_back(transaction);
+        }
+        FakeTableService table;
+        table.loseAnswers(*rc::gen::inRange(0, 3));
+        const auto results = Fixture(table).commitAll(transactions);
+        RC_ASSERT(isSerial(transactions, results, table));
+    }));
+    // Negative control: merged without regard to common rows, both members seem to have found the row absent.
+    FakeTableService table;
+    const std::vector transactions { put("a", "1"), put("b", "1") };
+    Failure failure;
+    const Transaction naive { "n", transactions[0].checks, { transactions[0].writes[0], transactions[1].writes[0] } };
+    const auto merged = table.commit(naive, TimePoint(), failure);
+    REQUIRE(merged.status == CommitStatus::Committed);
+    const std::vector<CommitResult> results { { CommitStatus::Committed, { 1 }, {} }, { CommitStatus::Committed, { 2 }, {} } };
+    CHECK_FALSE(isSerial(transactions, results, table));
+}
+
+namespace {
+
+/** A table with a round trip of 10 ms. */
+class SlowTable : public FakeTableService
+{
+public:
+    explicit SlowTable(Clock &clock) : clock_(clock)
+    {
+    }
+
+    CommitResult commit(const Transaction &transaction, TimePoint deadline, Failure &failure) override
+    {
+        std::mutex mutex;
+        std::unique_lock lock(mutex);
+        std::condition_variable condition;
+        clock_.waitUntil(lock, condition, clock_.now() + Milliseconds(10), [] { return false; });
+        return FakeTableService::commit(transaction, deadline, failure);
+    }
+
+private:
+    Clock &clock_;
+};
+
+struct Load
+{
+    double transactionsPerSecond;
+    int failed;
+    long long medianMs;
+    long long worstMs;
+};
+
+/** Sends 600 record writes a second for 3 s, in the open loop, from 60 threads. */
+Load measure(double writesPerSecond, const GroupCommitOptions &options)
+{
+    constexpr int threadCount = 60;
+    constexpr int writesPerThread = 30;
+    SystemClock clock;
+    SlowTable table(clock);
+    WriteBudget budget(writesPerSecond, clock);
+    Metrics metrics;
+    GroupCommitter committer(table, budget, clock, metrics, options);
+    std::mutex mutex;
+    std::vector<long long> durations;
+    int failed = 0;
+    const auto start = clock.now();
+    const auto run = [&](int thread) {
+        for (int write = 0; write < writesPerThread; ++write) {
+            const auto at = start + std::chrono::microseconds(100'000 * write + 1667 * thread);
+            std::unique_lock lock(mutex);
+            std::condition_variable condition;
+            clock.waitUntil(lock, condition, at, [] { return false; });
+            lock.unlock();
+            const auto id = std::to_string(thread) + "/" + std::to_string(write);
+            Failure failure;
+            const auto result = committer.commit(put(id, "request/" + id), at + std::chrono::seconds(5), failure);
+            lock.lock();
+            failed += result.status == CommitStatus::Committed ? 0 : 1;
+            durations.push_back(std::chrono::duration_cast<Milliseconds>(clock.now() - at).count());
+        }
+    };
+    std::vector<std::thread> threads;
+    for (int thread = 0; thread < threadCount; ++thread) {
+        threads.emplace_back(run, thread);
+    }
+    for (auto &thread : threads) {
+        thread.join();
+    }
+    const std::chrono::duration<double> elapsed = clock.now() - start;
+    std::sort(durations.begin(), durations.end());
+    return { table.commitCount() / elapsed.count(), failed, durations[durations.size() / 2], durations.back() };
+}
+
+} // namespace
+
+TEST_CASE("600 record writes a second need at most 60 transactions a second", "[platform][group][measure]")
+{
+    // Guards against a control plane whose cost grows with each request. The lines are in decision note 0002.
+    const auto print = [](const std::string &way, const Load &load) {
+        WARN(way << ": " << load.transactionsPerSecond << " transactions/s, " << load.failed << " failed, median " << load.medianMs
+                 << " ms, worst " << load.worstMs << " ms");
+    };
+    GroupCommitOptions windowOnly;
+    windowOnly.spacing = Milliseconds(0);
+    const auto naive = measure(300, windowOnly);
+    print("window only, budget 300/s", naive);
+    // Negative control: the window alone leaves far more transactions.
+    CHECK(naive.transactionsPerSecond > 80);
+    const auto spaced = measure(300, {});
+    print("window and spacing, budget 300/s", spaced);
+    CHECK(spaced.transactionsPerSecond <= 62);
+    CHECK(spaced.failed == 0);
+    const auto shared = measure(37.5, {});
+    print("window and spacing, budget 37.5/s", shared);
+    CHECK(shared.transactionsPerSecond <= 40);
+    CHECK(shared.failed == 0);
+}
