--- a/apps/auburndoor/main.cpp
+++ b/apps/auburndoor/main.cpp
@@ -4,6 +4,7 @@
 #include <absl/flags/parse.h>
 #include <absl/time/time.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <iostream>
 #include <string_view>
@@ -93,6 +94,10 @@
         std::cerr << "auburndoor: --timeout must be from 1ms to 1h\n";
         return static_cast<int>(ExitCode::Usage);
     }
+    if (absl::GetFlag(FLAGS_expected_version) < -1) {
+        std::cerr << "auburndoor: --expected-version must be at least 0\n";
+        return static_cast<int>(ExitCode::Usage);
+    }
     OperatorCommand command(options, std::cout, std::cerr);
     return static_cast<int>(command.run(subcommand, { positional.begin() + 1, positional.end() }));
 }
--- a/modules/configuration/ConfigurationManager.cpp
+++ b/modules/configuration/ConfigurationManager.cpp
@@ -133,10 +133,7 @@
         fillConflict(attempt, *head, result);
         return true;
     }
-    const auto base = current();
-    attempt.hasDifferences = base->version == head->version;
-    attempt.differences = attempt.hasDifferences ? DeclarationDiff::compare(base->declaration, attempt.declaration)
-                                                 : DeclarationChanges {};
+    compare(attempt, *head);
     const auto time = timeAfter(*head, clock_.wallNow());
     const ConfigurationHead next { head->version + 1, attempt.digest, attempt.operatorName, time, makeRandomId(), 0 };
     const LogbookEntry entry { next.time,
@@ -164,6 +161,15 @@
     return false;
 }
 
+/** Finds what the file changes in the head's version, if that is in force here. */
+void ConfigurationManager::compare(Attempt &attempt, const ConfigurationHead &head) const
+{
+    const auto base = current();
+    attempt.hasDifferences = base->version == head.version;
+    attempt.differences = attempt.hasDifferences ? DeclarationDiff::compare(base->declaration, attempt.declaration)
+                                                 : DeclarationChanges {};
+}
+
 void ConfigurationManager::fillConflict(const Attempt &attempt, const ConfigurationHead &present, ApplyResult &result)
 {
     takeHead(present, attempt.deadline);
--- a/modules/configuration/ConfigurationManager.h
+++ b/modules/configuration/ConfigurationManager.h
@@ -122,6 +122,7 @@
 
     void applyValid(Attempt &attempt, ApplyResult &result, Failure &failure);
     bool tryOnce(Attempt &attempt, ApplyResult &result, Failure &failure);
+    void compare(Attempt &attempt, const ConfigurationHead &head) const;
     void fillConflict(const Attempt &attempt, const ConfigurationHead &present, ApplyResult &result);
     void accept(const Attempt &attempt, const ConfigurationHead &head, ApplyResult &result);
     void confirm(const ConfigurationHead &head, const std::string &text, ApplyResult &result);
