--- a/tests/jobs/Cell.cpp
+++ b/tests/jobs/Cell.cpp
@@ -114,50 +114,6 @@
     }
 }
 
-Member FakeOwner::heartbeat(const Member &)
-{
-    return {};
-}
-
-Outcome FakeOwner::execute(const Request &)
-{
-    return {};
-}
-
-long long FakeOwner::announce(const ConfigurationAnnouncement &)
-{
-    return 0;
-}
-
-ConfigurationAnnouncement FakeOwner::fetchConfiguration()
-{
-    return {};
-}
-
-void FakeOwner::notifyJob(const ShardId &, const JobId &)
-{
-}
-
-std::optional<Member> FakeOwner::heartbeat(const Member &, Milliseconds, Failure &)
-{
-    return {};
-}
-
-Outcome FakeOwner::execute(const Request &, Milliseconds)
-{
-    return {};
-}
-
-std::optional<long long> FakeOwner::announce(const ConfigurationAnnouncement &, Milliseconds, Failure &)
-{
-    return {};
-}
-
-std::optional<ConfigurationAnnouncement> FakeOwner::fetchConfiguration(Milliseconds, Failure &)
-{
-    return {};
-}
-
 std::optional<std::vector<Hold>> FakeOwner::hold(const HoldRequest &request, Milliseconds, Failure &)
 {
     return hold(request);
@@ -184,11 +140,6 @@
     return cancelTask(worker, task, failure);
 }
 
-bool FakeOwner::notifyJob(const ShardId &, const JobId &, Milliseconds, Failure &)
-{
-    return true;
-}
-
 FakeDirectory::FakeDirectory(InstanceId self, const OwnerMap &owners) : self_(std::move(self)), owners_(owners)
 {
 }
--- a/tests/jobs/Cell.h
+++ b/tests/jobs/Cell.h
@@ -10,6 +10,9 @@
 #include "peer/PeerDirectory.h"
 #include "peer/PeerHandler.h"
 
+#include <catch2/catch.hpp>
+#include <catch2/trompeloeil.hpp>
+
 #include <functional>
 #include <memory>
 
@@ -38,27 +41,28 @@
 public:
     FakeOwner(InstanceId id, Clock &clock);
 
-    Member heartbeat(const Member &) override;
-    Outcome execute(const Request &) override;
-    long long announce(const ConfigurationAnnouncement &) override;
-    ConfigurationAnnouncement fetchConfiguration() override;
     std::vector<Hold> hold(const HoldRequest &request) override;
     void release(const std::vector<Hold> &released) override;
     CallResult startHeld(const Hold &hold, const TaskStart &start, Failure &failure) override;
     std::optional<WorkerTask> queryTask(const WorkerId &worker, const TaskId &task, Failure &failure) override;
     std::optional<WorkerTask> cancelTask(const WorkerId &worker, const TaskId &task, Failure &failure) override;
-    void notifyJob(const ShardId &, const JobId &) override;
-
-    std::optional<Member> heartbeat(const Member &, Milliseconds, Failure &) override;
-    Outcome execute(const Request &, Milliseconds) override;
-    std::optional<long long> announce(const ConfigurationAnnouncement &, Milliseconds, Failure &) override;
-    std::optional<ConfigurationAnnouncement> fetchConfiguration(Milliseconds, Failure &) override;
     std::optional<std::vector<Hold>> hold(const HoldRequest &request, Milliseconds, Failure &) override;
     bool release(const std::vector<Hold> &released, Milliseconds, Failure &) override;
     CallResult startHeld(const Hold &hold, const TaskStart &start, Milliseconds, Failure &failure) override;
     std::optional<WorkerTask> queryTask(const WorkerId &worker, const TaskId &task, Milliseconds, Failure &failure) override;
     std::optional<WorkerTask> cancelTask(const WorkerId &worker, const TaskId &task, Milliseconds, Failure &failure) override;
-    bool notifyJob(const ShardId &, const JobId &, Milliseconds, Failure &) override;
+
+    // Not used by jobs: a call fails the test.
+    MAKE_MOCK1(heartbeat, Member(const Member &), override);
+    MAKE_MOCK1(execute, Outcome(const Request &), override);
+    MAKE_MOCK1(announce, long long(const ConfigurationAnnouncement &), override);
+    MAKE_MOCK0(fetchConfiguration, ConfigurationAnnouncement(), override);
+    MAKE_MOCK2(notifyJob, void(const ShardId &, const JobId &), override);
+    MAKE_MOCK3(heartbeat, std::optional<Member>(const Member &, Milliseconds, Failure &), override);
+    MAKE_MOCK2(execute, Outcome(const Request &, Milliseconds), override);
+    MAKE_MOCK3(announce, std::optional<long long>(const ConfigurationAnnouncement &, Milliseconds, Failure &), override);
+    MAKE_MOCK2(fetchConfiguration, std::optional<ConfigurationAnnouncement>(Milliseconds, Failure &), override);
+    MAKE_MOCK4(notifyJob, bool(const ShardId &, const JobId &, Milliseconds, Failure &), override);
 
     /** Places that are held now. */
     std::size_t heldCount();
