--- /dev/null
+++ b/tests/admission/WaitQueueTests.cpp
@@ -0,0 +1,362 @@
+#include "admission/FairDeadlineOrder.h"
+#include "admission/FifoOrder.h"
+#include "admission/ShareAccounts.h"
+#include "admission/WaitQueue.h"
+#include "core/Failure.h"
+#include "core/ManualClock.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <deque>
+#include <thread>
+
+using namespace auburndoor;
+
+namespace {
+
+const Resources oneSlot { 1000, 1024, 0, 1, 1 };
+
+/** Counts the waits that have begun; unlike the number of present waiters, it does not fall when an earlier one ends. */
+class CountingClock : public ManualClock
+{
+public:
+    bool waitUntil(std::unique_lock<std::mutex> &lock,
+                   std::condition_variable &condition,
+                   TimePoint deadline,
+                   const std::function<bool()> &predicate) override
+    {
+        ++waitCount_;
+        return ManualClock::waitUntil(lock, condition, deadline, predicate);
+    }
+
+    int waitCount() const
+    {
+        return waitCount_;
+    }
+
+private:
+    std::atomic<int> waitCount_ = 0;
+};
+
+/** Room for a number of places, and the order in which requests took it. */
+class Room
+{
+public:
+    bool take(const std::string &id, int places)
+    {
+        const std::lock_guard lock(mutex_);
+        if (places > free_) {
+            return false;
+        }
+        free_ -= places;
+        started_.push_back(id);
+        return true;
+    }
+
+    void add(int places)
+    {
+        const std::lock_guard lock(mutex_);
+        free_ += places;
+    }
+
+    std::vector<std::string> started() const
+    {
+        const std::lock_guard lock(mutex_);
+        return started_;
+    }
+
+private:
+    mutable std::mutex mutex_;
+    int free_ = 0;
+    std::vector<std::string> started_;
+};
+
+/** A request that waits on its own thread. */
+class Waiter
+{
+public:
+    Waiter(WaitQueue &queue, Room &room, const QueueEntry &entry, int places = 1)
+        : entry_(entry), thread_([this, &queue, &room, places] {
+            isStarted_ = queue.wait(
+                entry_, [&] { return room.take(entry_.id.text(), places); }, failure_);
+            isDone_ = true;
+        })
+    {
+    }
+
+    ~Waiter()
+    {
+        thread_.join();
+    }
+
+    Waiter(const Waiter &) = delete;
+    Waiter &operator=(const Waiter &) = delete;
+
+    /** Blocks until wait() has returned. @return its value */
+    bool result()
+    {
+        while (!isDone_) {
+            std::this_thread::yield();
+        }
+        return isStarted_;
+    }
+
+    bool isDone() const
+    {
+        return isDone_;
+    }
+
+    Reason reason() const
+    {
+        return failure_.reason;
+    }
+
+private:
+    const QueueEntry entry_;
+    Failure failure_;
+    std::atomic<bool> isStarted_ = false;
+    std::atomic<bool> isDone_ = false;
+    std::thread thread_;
+};
+
+struct Fixture
+{
+    explicit Fixture(const WaitQueueOptions &options = {}, bool isFair = false)
+        : queue(clock,
+                isFair ? std::unique_ptr<QueueOrder>(std::make_unique<FairDeadlineOrder>(shares)) : std::make_unique<FifoOrder>(),
+                options)
+    {
+    }
+
+    /** Starts a waiter and returns once it is in the queue. */
+    Waiter &add(const std::string &id, int places = 1, int deadlineMs = 5000, Priority priority = Priority::Normal)
+    {
+        QueueEntry entry { RequestId(id), TeamId("guild"), priority, oneSlot, false, {}, {}, {} };
+        entry.need.slots = places;
+        entry.arrival = clock.now();
+        entry.deadline = entry.arrival + Milliseconds(deadlineMs);
+        const auto before = clock.waitCount();
+        auto &waiter = waiters.emplace_back(queue, room, entry, places);
+        while (clock.waitCount() == before && !waiter.isDone()) {
+            std::this_thread::yield();
+        }
+        // Distinct arrival times give FifoOrder a defined order.
+        clock.advance(Milliseconds(1));
+        return waiter;
+    }
+
+    void makeRoom(int places)
+    {
+        room.add(places);
+        queue.roomAppeared();
+    }
+
+    CountingClock clock;
+    Room room;
+    ShareAccounts shares;
+    WaitQueue queue;
+    std::deque<Waiter> waiters;
+};
+
+using Ids = std::vector<std::string>;
+
+} // namespace
+
+TEST_CASE("a request starts at once if there is room and nothing waits", "[admission]")
+{
+    // Guards against a queue that needs an event before it starts anything.
+    Fixture fixture;
+    fixture.room.add(1);
+    CHECK(fixture.add("a").result());
+    CHECK(fixture.queue.size() == 0);
+}
+
+TEST_CASE("requests start in the order of the queue as room appears", "[admission]")
+{
+    // Guards against wake-ups in the order of the threads instead of the queue.
+    Fixture fixture({}, true);
+    fixture.add("normal-1");
+    fixture.add("background", 1, 5000, Priority::Background);
+    fixture.add("urgent", 1, 5000, Priority::Urgent);
+    fixture.add("normal-2");
+    for (int room = 0; room < 4; ++room) {
+        fixture.makeRoom(1);
+    }
+    for (auto &waiter : fixture.waiters) {
+        CHECK(waiter.result());
+    }
+    CHECK(fixture.room.started() == Ids { "urgent", "normal-1", "normal-2", "background" });
+}
+
+TEST_CASE("an arrival does not overtake waiting requests that fit", "[admission]")
+{
+    // Guards against a fast path past the queue: the place that appears belongs to the head.
+    Fixture fixture;
+    auto &first = fixture.add("first");
+    fixture.room.add(1);
+    // The arrival is tried behind the head, and the head is tried first as soon as the room is announced.
+    WaitQueueOptions strict;
+    strict.scanLimit = 1;
+    Fixture strictFixture(strict);
+    auto &strictFirst = strictFixture.add("first");
+    strictFixture.room.add(1);
+    strictFixture.add("second");
+    CHECK(strictFixture.room.started().empty());
+    strictFixture.queue.roomAppeared();
+    CHECK(strictFirst.result());
+    CHECK(strictFixture.room.started() == Ids { "first" });
+    strictFixture.queue.shutdown();
+    fixture.queue.roomAppeared();
+    CHECK(first.result());
+}
+
+TEST_CASE("small work is tried behind a head that does not fit", "[admission]")
+{
+    // Guards against head-of-line blocking. Negative control: without backfill the small request stays.
+    Fixture fixture;
+    fixture.add("large", 4);
+    fixture.add("small", 1);
+    fixture.makeRoom(1);
+    CHECK(fixture.room.started() == Ids { "small" });
+
+    WaitQueueOptions strict;
+    strict.scanLimit = 1;
+    Fixture strictFixture(strict);
+    strictFixture.add("large", 4);
+    strictFixture.add("small", 1);
+    strictFixture.makeRoom(1);
+    CHECK(strictFixture.room.started().empty());
+    strictFixture.queue.shutdown();
+    fixture.queue.shutdown();
+}
+
+TEST_CASE("a large head gets its room in the end although small work keeps arriving", "[admission]")
+{
+    // Guards against backfill that starves the head. Negative control: without holding back, the head never starts.
+    const auto isLargeStarted = [](int passLimit) {
+        WaitQueueOptions options;
+        options.passLimit = passLimit;
+        Fixture fixture(options);
+        auto &large = fixture.add("large", 2);
+        for (int index = 0; index < 20 && !large.isDone(); ++index) {
+            fixture.add("small-" + std::to_string(index));
+            fixture.makeRoom(1);
+        }
+        const auto started = fixture.room.started();
+        fixture.queue.shutdown();
+        return std::find(started.begin(), started.end(), "large") != started.end();
+    };
+    CHECK(isLargeStarted(8));
+    CHECK_FALSE(isLargeStarted(1000));
+}
+
+TEST_CASE("a head that never fits holds back the others only for a while", "[admission]")
+{
+    // Guards against a pool that stands still for as long as the deadline of a request that fits nowhere.
+    WaitQueueOptions options;
+    options.passLimit = 1;
+    Fixture fixture(options);
+    fixture.add("impossible", 1000, 60'000);
+    fixture.add("passes");
+    fixture.makeRoom(1);
+    CHECK(fixture.room.started() == Ids { "passes" });
+    auto &held = fixture.add("held", 1, 60'000);
+    fixture.makeRoom(1);
+    CHECK_FALSE(held.isDone());
+    fixture.clock.advance(options.holdTime);
+    fixture.queue.roomAppeared();
+    CHECK(held.result());
+    fixture.queue.shutdown();
+}
+
+TEST_CASE("a request that waits past its deadline is given up", "[admission]")
+{
+    // Guards against a start after the caller has gone, and against a wait that never ends.
+    Fixture fixture;
+    auto &waiter = fixture.add("late", 1, 1000);
+    fixture.clock.advance(Milliseconds(998));
+    CHECK_FALSE(waiter.isDone());
+    fixture.clock.advance(Milliseconds(1));
+    CHECK_FALSE(waiter.result());
+    CHECK(waiter.reason() == Reason::DeadlinePassed);
+    fixture.makeRoom(1);
+    CHECK(fixture.room.started().empty());
+}
+
+TEST_CASE("the queue limit, duplicate ids, cancellation and shutdown each end a wait with their reason", "[admission]")
+{
+    // Guards against threads that are left behind and against a wrong reason in the caller's answer.
+    WaitQueueOptions options;
+    options.limit = 2;
+    Fixture fixture(options);
+    auto &cancelled = fixture.add("cancelled");
+    auto &duplicate = fixture.add("cancelled");
+    CHECK_FALSE(duplicate.result());
+    CHECK(duplicate.reason() == Reason::DuplicateKey);
+    auto &stopped = fixture.add("stopped");
+    auto &surplus = fixture.add("surplus");
+    CHECK_FALSE(surplus.result());
+    CHECK(surplus.reason() == Reason::QueueFull);
+    CHECK(fixture.queue.cancel(RequestId("cancelled")));
+    CHECK_FALSE(fixture.queue.cancel(RequestId("unknown")));
+    CHECK_FALSE(cancelled.result());
+    CHECK(cancelled.reason() == Reason::Cancelled);
+    fixture.queue.shutdown();
+    CHECK_FALSE(stopped.result());
+    CHECK(stopped.reason() == Reason::ShuttingDown);
+    auto &afterwards = fixture.add("afterwards");
+    CHECK_FALSE(afterwards.result());
+    CHECK(afterwards.reason() == Reason::ShuttingDown);
+    CHECK(fixture.queue.size() == 0);
+}
+
+TEST_CASE("a cancellation during a start ends the wait without a second try", "[admission]")
+{
+    // Guards against a queue that frees an entry while its tryStart still runs on another thread.
+    Fixture fixture;
+    QueueEntry entry { RequestId("a"), TeamId("guild"), Priority::Normal, oneSlot, false, fixture.clock.now(), {}, {} };
+    entry.deadline = entry.arrival + Milliseconds(1000);
+    int tries = 0;
+    Failure failure;
+    const auto tryStart = [&] {
+        ++tries;
+        CHECK(fixture.queue.cancel(RequestId("a")));
+        fixture.queue.roomAppeared();
+        return false;
+    };
+    CHECK_FALSE(fixture.queue.wait(entry, tryStart, failure));
+    CHECK(failure.reason == Reason::Cancelled);
+    CHECK(tries == 1);
+}
+
+TEST_CASE("many threads share few places without a lost wake-up", "[admission]")
+{
+    // Guards against a wake-up that is lost between a failed try and the wait: the test would not end.
+    Fixture fixture;
+    constexpr int threadCount = 8;
+    constexpr int requests = 200;
+    fixture.room.add(2);
+    std::atomic<int> started = 0;
+    std::vector<std::thread> threads;
+    for (int thread = 0; thread < threadCount; ++thread) {
+        threads.emplace_back([&, thread] {
+            for (int index = 0; index < requests; ++index) {
+                const auto id = std::to_string(thread) + "/" + std::to_string(index);
+                QueueEntry entry { RequestId(id), TeamId(id), Priority::Normal, oneSlot, false, fixture.clock.now(), {}, {} };
+                entry.deadline = entry.arrival + Milliseconds(1000);
+                Failure failure;
+                started += fixture.queue.wait(
+                               entry, [&] { return fixture.room.take(id, 1); }, failure)
+                               ? 1
+                               : 0;
+                fixture.makeRoom(1);
+            }
+        });
+    }
+    for (auto &thread : threads) {
+        thread.join();
+    }
+    CHECK(started == threadCount * requests);
+}
