--- /dev/null
+++ b/bench/DecisionCost.cpp
@@ -0,0 +1,102 @@
+#include "DecisionCost.h"
+
+#include "Report.h"
+#include "Statistics.h"
+
+#include "placement/BestFitPlacer.h"
+#include "placement/CapacityLedger.h"
+
+#include <algorithm>
+#include <thread>
+
+using namespace auburndoor;
+
+namespace {
+
+const ServiceId service("namestudio");
+const Resources capacity { 32'000, 65'536, 8, 8, 64 };
+const Resources need { 2000, 4096, 1, 1, 1 };
+const PlacementNeed placement { service, need, false, 25, {} };
+constexpr int shardCount = 40;
+constexpr int runningTasks = 6000;
+
+void fill(CapacityLedger &ledger, int workers)
+{
+    for (int index = 0; index < workers; ++index) {
+        const auto name = std::to_string(index);
+        const auto shard = std::to_string(index % shardCount);
+        ledger.addWorker(
+            { { WorkerId("w" + name), service, FailureDomainId("d" + std::to_string(index % 5)), capacity, {}, 0, true },
+              "10.0.0.1:" + name,
+              ShardId("d/" + shard),
+              1 },
+            {});
+    }
+    // Small pools keep a fifth of their room, so that the measured reservations find some.
+    constexpr double filledPart = 0.8;
+    const auto tasks = std::min<double>(runningTasks, filledPart * static_cast<double>(workers * capacity.slots));
+    for (int task = 0; task < static_cast<int>(tasks); ++task) {
+        ledger.reserve(placement, { "running" + std::to_string(task), TeamId("t" + std::to_string(task % 25)), need, false });
+    }
+}
+
+/** @return the duration of each reserve and release, in microseconds */
+std::vector<double> measure(CapacityLedger &ledger, int thread, int rounds)
+{
+    std::vector<double> durations;
+    for (int round = 0; round < rounds; ++round) {
+        const auto key = std::to_string(thread) + "/" + std::to_string(round);
+        const auto start = std::chrono::steady_clock::now();
+        const auto reservation = ledger.reserve(placement, { key, TeamId("t1"), need, false });
+        if (reservation) {
+            ledger.release(reservation->shard, reservation->worker, key);
+        }
+        durations.push_back(std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - start).count());
+    }
+    return durations;
+}
+
+void measureSize(Report &report, int workers, int threadCount, int rounds)
+{
+    const BestFitPlacer placer;
+    CapacityLedger ledger(placer);
+    fill(ledger, workers);
+    std::vector<std::vector<double>> results(static_cast<std::size_t>(threadCount));
+    const auto start = std::chrono::steady_clock::now();
+    std::vector<std::thread> threads;
+    for (int thread = 0; thread < threadCount; ++thread) {
+        threads.emplace_back([&, thread] { results[static_cast<std::size_t>(thread)] = measure(ledger, thread, rounds); });
+    }
+    for (auto &thread : threads) {
+        thread.join();
+    }
+    const auto seconds = std::chrono::duration<double>(std::chrono::steady_clock::now() - start).count();
+    std::vector<double> all;
+    for (const auto &result : results) {
+        all.insert(all.end(), result.begin(), result.end());
+    }
+    const auto name = "decision cost, " + std::to_string(workers) + " workers, " + std::to_string(threadCount) + " threads: ";
+    const auto rate = static_cast<double>(all.size()) / seconds;
+    // "Thousands of placements per second, each decided in milliseconds" (section 1.2 of the design).
+    constexpr double requiredRate = 2000;
+    constexpr double requiredUs = 5000;
+    if (workers <= 1400) {
+        report.addAtLeast(name + "rate", rate, "1/s", requiredRate);
+    } else {
+        report.add(name + "rate", rate, "1/s");
+    }
+    report.add(name + "p50", quantile(all, 0.5), "us");
+    report.add(name + "p99", quantile(all, 0.99), "us");
+    report.addAtMost(name + "p99.9", quantile(all, 0.999), "us", requiredUs);
+}
+
+} // namespace
+
+void measureDecisionCost(Report &report, bool isQuick)
+{
+    const int rounds = isQuick ? 5000 : 20'000;
+    for (const int workers : { 48, 350, 1400, 5600 }) {
+        measureSize(report, workers, 1, rounds);
+    }
+    measureSize(report, 1400, 4, rounds);
+}
--- /dev/null
+++ b/bench/VirtualClock.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "core/Clock.h"
+
+/** The time of an event-driven calculation, set by it; nothing waits on it. */
+class VirtualClock : public auburndoor::Clock
+{
+public:
+    auburndoor::TimePoint now() const override
+    {
+        return now_;
+    }
+
+    auburndoor::WallTime wallNow() const override
+    {
+        return {};
+    }
+
+    bool waitUntil(std::unique_lock<std::mutex> & /*lock*/,
+                   std::condition_variable & /*condition*/,
+                   auburndoor::TimePoint /*deadline*/,
+                   const std::function<bool()> &predicate) override
+    {
+        return predicate();
+    }
+
+    void set(auburndoor::TimePoint now)
+    {
+        now_ = now;
+    }
+
+private:
+    auburndoor::TimePoint now_ { std::chrono::hours(1) };
+};
--- a/tests/placement/LedgerTests.cpp
+++ b/tests/placement/LedgerTests.cpp
@@ -56,7 +56,7 @@
     std::vector<Reservation> held;
     for (std::size_t index = 0; index < operations.size(); ++index) {
         const auto &operation = operations[index];
-        const Resources need { 1000 * operation.amount, 1024, operation.amount, 1, 1 };
+        const Resources need { 1000LL * operation.amount, 1024, operation.amount, 1, 1 };
         const auto key = std::to_string(thread) + "/" + std::to_string(index);
         if (operation.kind <= 2) {
             if (const auto reservation = ledger.reserve({ studio, need, false, 0, {} }, makeEntry(key, need))) {
--- a/tests/placement/PlacerTests.cpp
+++ b/tests/placement/PlacerTests.cpp
@@ -98,13 +98,13 @@
         const auto count = *rc::gen::inRange(0, 6);
         for (int index = 0; index < count; ++index) {
             const auto used = *rc::gen::inRange(0, 9);
-            views.push_back(makeView(std::to_string(index), { 2000 * used, 4096 * used, used, used, used }));
+            views.push_back(makeView(std::to_string(index), { 2000LL * used, 4096LL * used, used, used, used }));
             views.back().isOpen = *rc::gen::arbitrary<bool>();
             views.back().service = *rc::gen::arbitrary<bool>() ? studio : ServiceId("vitrina");
             views.back().longTasks = *rc::gen::inRange(0, 8);
         }
         const auto amount = *rc::gen::inRange(1, 9);
-        const PlacementNeed need { studio, { 2000 * amount, 1, amount, 1, 1 }, *rc::gen::arbitrary<bool>(), 25, {} };
+        const PlacementNeed need { studio, { 2000LL * amount, 1, amount, 1, 1 }, *rc::gen::arbitrary<bool>(), 25, {} };
         const bool isPossible = std::any_of(
             views.begin(), views.end(), [&need](const WorkerView &view) { return hasRoom(need, view); });
         for (const Placer *placer : std::initializer_list<const Placer *> { &bestFit, &firstFit, &random }) {
@@ -124,7 +124,7 @@
     const bool holds = rc::check([] {
         auto view = makeView("a");
         const auto used = *rc::gen::inRange(0, 9);
-        view.used = { 1000 * used, 512 * used, used, used, used };
+        view.used = { 1000LL * used, 512LL * used, used, used, used };
         view.longTasks = *rc::gen::inRange(0, 9);
         const PlacementNeed need { studio,
                                    { *rc::gen::inRange(0, 9000), *rc::gen::inRange(0, 20'000), *rc::gen::inRange(0, 4), 1, 1 },
