--- a/bench/Packing.cpp
+++ b/bench/Packing.cpp
@@ -4,6 +4,7 @@
 #include "placement/BestFitPlacer.h"
 #include "placement/CapacityLedger.h"
 #include "placement/FirstFitPlacer.h"
+#include "placement/OwnerChoice.h"
 #include "placement/RandomPlacer.h"
 
 #include <algorithm>
@@ -34,6 +35,8 @@
     double carried = 0;
     /** Whole workers that a gang gets on average. */
     double largestGang = 0;
+    /** Share of the requests that are placed at another owner. */
+    double forwarded = 0;
 };
 
 /** A pool whose workers belong to several owners; requests try the entry instance's own workers, then the peer with the most room.
@@ -41,7 +44,7 @@
 class OwnedPool
 {
 public:
-    OwnedPool(const Placer &placer, int workers, int owners)
+    OwnedPool(const Placer &placer, int workers, int owners, OwnerRule rule) : rule_(rule)
     {
         for (int owner = 0; owner < owners; ++owner) {
             ledgers_.push_back(std::make_unique<CapacityLedger>(placer));
@@ -61,27 +64,21 @@
 
     std::optional<Place> place(std::size_t entryInstance, int accelerators, const std::string &key)
     {
-        const auto first = entryInstance % ledgers_.size();
-        const LedgerEntry entry { key, TeamId("t"), needOf(accelerators), false };
-        if (auto reservation = ledgers_[first]->reserve(placementOf(accelerators), entry)) {
-            return Place { first, *reservation };
-        }
-        std::vector<std::pair<int, std::size_t>> peers;
+        std::vector<OwnerRoom> rooms;
         for (std::size_t owner = 0; owner < ledgers_.size(); ++owner) {
-            if (owner != first) {
-                peers.emplace_back(-ledgers_[owner]->freePlaces(placementOf(accelerators)), owner);
-            }
+            const auto need = placementOf(accelerators);
+            rooms.push_back({ ledgers_[owner]->freePlaces(need),
+                              ledgers_[owner]->partialPlaces(need),
+                              owner == entryInstance % ledgers_.size() });
         }
-        std::sort(peers.begin(), peers.end());
-        for (const auto &[room, owner] : peers) {
-            if (room == 0) {
-                break;
-            }
-            if (auto reservation = ledgers_[owner]->reserve(placementOf(accelerators), entry)) {
-                return Place { owner, *reservation };
-            }
+        const auto owner = chooseOwner(rooms, rule_);
+        if (!owner) {
+            return std::nullopt;
         }
-        return std::nullopt;
+        const auto reservation = ledgers_[*owner]->reserve(placementOf(accelerators),
+                                                           { key, TeamId("t"), needOf(accelerators), false });
+        hops_ += rooms[*owner].isLocal ? 0 : 1;
+        return Place { *owner, *reservation };
     }
 
     void release(const Place &place)
@@ -98,14 +95,21 @@
         return count;
     }
 
+    int hops() const
+    {
+        return hops_;
+    }
+
 private:
+    const OwnerRule rule_;
     std::vector<std::unique_ptr<CapacityLedger>> ledgers_;
+    int hops_ = 0;
 };
 
 /** Tasks of 1, 2, 4 and 8 accelerators arrive at random instances and leave again; those without room are lost. */
-Packing measureChurn(const Placer &placer, int workers, int owners, double load, int arrivals, std::uint64_t seed)
+Packing measureChurn(const Placer &placer, int workers, int owners, OwnerRule rule, double load, int arrivals, std::uint64_t seed)
 {
-    OwnedPool pool(placer, workers, owners);
+    OwnedPool pool(placer, workers, owners, rule);
     std::mt19937_64 engine(seed);
     std::uniform_real_distribution<double> unit(0, 1);
     constexpr double meanAccelerators = 0.7 * 1 + 0.15 * 2 + 0.1 * 4 + 0.05 * 8;
@@ -137,7 +141,7 @@
             places.push_back(*place);
         }
     }
-    return { carried / offered, gangs / arrivals };
+    return { carried / offered, gangs / arrivals, static_cast<double>(pool.hops()) / arrivals };
 }
 
 void comparePacking(Report &report, int workers, double load, int arrivals, std::uint64_t seed)
@@ -146,19 +150,25 @@
     const FirstFitPlacer firstFit;
     const RandomPlacer random(seed);
     const auto name = "packing, " + std::to_string(workers) + " workers, load " + std::to_string(load).substr(0, 4) + ", ";
-    const auto single = measureChurn(bestFit, workers, 1, load, arrivals, seed);
-    const auto owned = measureChurn(bestFit, workers, 8, load, arrivals, seed);
+    const auto run = [&](const Placer &placer, int owners, OwnerRule rule) {
+        return measureChurn(placer, workers, owners, rule, load, arrivals, seed);
+    };
+    const auto single = run(bestFit, 1, OwnerRule::LocalFirst);
+    const auto owned = run(bestFit, 8, OwnerRule::TightestFit);
     const auto addBaseline = [&](const std::string &policy, const Packing &packing) {
         report.add(name + policy + ": used over offered", packing.carried, "");
         report.add(name + policy + ": largest gang", packing.largestGang, "workers");
+        report.add(name + policy + ": forwarded", packing.forwarded, "");
     };
     addBaseline("single placer", single);
-    addBaseline("8 owners, first fit", measureChurn(firstFit, workers, 8, load, arrivals, seed));
-    addBaseline("8 owners, random", measureChurn(random, workers, 8, load, arrivals, seed));
+    addBaseline("8 owners, first fit", run(firstFit, 8, OwnerRule::LocalFirst));
+    addBaseline("8 owners, random", run(random, 8, OwnerRule::LocalFirst));
+    addBaseline("8 owners, best fit, local first", run(bestFit, 8, OwnerRule::LocalFirst));
+    report.add(name + "8 owners, best fit, tightest: forwarded", owned.forwarded, "");
     // "Packing at least 0.95 of the single placer's".
     constexpr double part = 0.95;
-    report.addAtLeast(name + "8 owners, best fit: used over offered", owned.carried, "", part * single.carried);
-    report.addAtLeast(name + "8 owners, best fit: largest gang", owned.largestGang, "workers", part * single.largestGang);
+    report.addAtLeast(name + "8 owners, best fit, tightest: used over offered", owned.carried, "", part * single.carried);
+    report.addAtLeast(name + "8 owners, best fit, tightest: largest gang", owned.largestGang, "workers", part * single.largestGang);
 }
 
 } // namespace
--- a/modules/placement/CapacityLedger.cpp
+++ b/modules/placement/CapacityLedger.cpp
@@ -18,7 +18,7 @@
 
     void addWorker(const LedgerWorker &worker, const std::vector<LedgerEntry> &running);
     std::optional<Reservation> reserve(const PlacementNeed &need, const LedgerEntry &entry);
-    int freePlaces(const PlacementNeed &need) const;
+    LedgerPool::Places places(const PlacementNeed &need) const;
     void notifyRoom() const;
 
     /** Runs an action on a shard under its lock. @return false if the shard is not known */
@@ -174,17 +174,19 @@
     return Reservation { entry.key, view.id, id, pool.epochs[*index], pool.addresses[*index] };
 }
 
-int CapacityLedger::Implementation::freePlaces(const PlacementNeed &need) const
+LedgerPool::Places CapacityLedger::Implementation::places(const PlacementNeed &need) const
 {
-    int places = 0;
+    LedgerPool::Places sum;
     onEachShard([&](const ShardId &, LedgerShard &shard) {
         const auto found = shard.pools.find(need.service);
         if (found == shard.pools.end()) {
             return;
         }
-        places += found->second.places(need);
+        const auto places = found->second.places(need);
+        sum.free += places.free;
+        sum.partial += places.partial;
     });
-    return places;
+    return sum;
 }
 
 void CapacityLedger::Implementation::notifyRoom() const
@@ -272,7 +274,12 @@
 
 int CapacityLedger::freePlaces(const PlacementNeed &need) const
 {
-    return implementation_->freePlaces(need);
+    return implementation_->places(need).free;
+}
+
+int CapacityLedger::partialPlaces(const PlacementNeed &need) const
+{
+    return implementation_->places(need).partial;
 }
 
 std::vector<LedgerWorker> CapacityLedger::workers(const ServiceId &service) const
--- a/modules/placement/CapacityLedger.h
+++ b/modules/placement/CapacityLedger.h
@@ -86,6 +86,9 @@
     /** The number of tasks of the given need that fit the pool now. */
     int freePlaces(const PlacementNeed &need) const;
 
+    /** The part of freePlaces() on workers that run something already, so that using it breaks up no free worker. */
+    int partialPlaces(const PlacementNeed &need) const;
+
     /** A copy of what is known of all workers, or of those of one pool. */
     std::vector<LedgerWorker> workers(const ServiceId &service = {}) const;
 
--- a/modules/placement/LedgerShard.cpp
+++ b/modules/placement/LedgerShard.cpp
@@ -6,7 +6,7 @@
 
 namespace auburndoor {
 
-int LedgerPool::places(const PlacementNeed &need)
+LedgerPool::Places LedgerPool::places(const PlacementNeed &need)
 {
     const auto known = std::find_if(counted.begin(), counted.end(), [&need](const CountedPlaces &count) {
         return count.need == need.need && count.isLong == need.isLong && count.shortReservePercent == need.shortReservePercent;
@@ -14,9 +14,11 @@
     if (known != counted.end()) {
         return known->places;
     }
-    CountedPlaces count { need.need, need.isLong, need.shortReservePercent, 0 };
+    CountedPlaces count { need.need, need.isLong, need.shortReservePercent, {} };
     for (const auto &view : views) {
-        count.places += freePlaces(need, view);
+        const auto places = freePlaces(need, view);
+        count.places.free += places;
+        count.places.partial += view.used == Resources {} ? 0 : places;
     }
     // Bounds the memory for callers that ask with ever new needs.
     constexpr std::size_t countLimit = 8;
--- a/modules/placement/LedgerShard.h
+++ b/modules/placement/LedgerShard.h
@@ -15,18 +15,25 @@
     std::vector<Epoch> epochs;
     std::unordered_map<WorkerId, std::size_t> indexes;
 
+    /** Free places, and those among them on workers that run something already. */
+    struct Places
+    {
+        int free = 0;
+        int partial = 0;
+    };
+
     /** A count of free places, valid until a worker of the pool changes. */
     struct CountedPlaces
     {
         Resources need;
         bool isLong = false;
         int shortReservePercent = 0;
-        int places = 0;
+        Places places;
     };
     std::vector<CountedPlaces> counted;
 
     /** The number of tasks of the need that fit now; counted anew only after a change. */
-    int places(const PlacementNeed &need);
+    Places places(const PlacementNeed &need);
 };
 
 /** Internal to CapacityLedger: the state of one shard. The mutex guards all of it and is held by the caller. */
--- /dev/null
+++ b/modules/placement/OwnerChoice.cpp
@@ -0,0 +1,36 @@
+#include "placement/OwnerChoice.h"
+
+#include <tuple>
+
+namespace auburndoor {
+
+namespace {
+
+/** Compared in this order; the smallest is the best. */
+using Score = std::tuple<bool, bool, int>;
+
+Score score(const OwnerRoom &owner, OwnerRule rule)
+{
+    if (rule == OwnerRule::TightestFit && owner.partialPlaces > 0) {
+        return { false, !owner.isLocal, owner.partialPlaces };
+    }
+    if (rule == OwnerRule::TightestFit) {
+        return { true, true, -owner.freePlaces };
+    }
+    return { true, !owner.isLocal, -owner.freePlaces };
+}
+
+} // namespace
+
+std::optional<std::size_t> chooseOwner(std::span<const OwnerRoom> owners, OwnerRule rule)
+{
+    std::optional<std::size_t> best;
+    for (std::size_t index = 0; index < owners.size(); ++index) {
+        if (owners[index].freePlaces > 0 && (!best || score(owners[index], rule) < score(owners[*best], rule))) {
+            best = index;
+        }
+    }
+    return best;
+}
+
+} // namespace auburndoor
