--- a/modules/membership/MembershipView.cpp
+++ b/modules/membership/MembershipView.cpp
@@ -51,7 +51,6 @@
 
 void MembershipView::changeSelf(const std::function<bool(Member &)> &change)
 {
-    std::function<void()> listener;
     {
         const std::lock_guard lock(mutex_);
         if (!change(self_)) {
@@ -60,10 +59,15 @@
         // Each change raises the sequence, so that a late message cannot bring back an older state of any field.
         ++self_.summary.sequence;
         ++revision_;
-        listener = changeListener_;
     }
-    if (listener) {
-        listener();
+    tellListener();
+}
+
+void MembershipView::tellListener()
+{
+    const std::lock_guard lock(listenerMutex_);
+    if (changeListener_) {
+        changeListener_();
     }
 }
 
@@ -75,7 +79,7 @@
 
 void MembershipView::setChangeListener(std::function<void()> listener)
 {
-    const std::lock_guard lock(mutex_);
+    const std::lock_guard lock(listenerMutex_);
     changeListener_ = std::move(listener);
 }
 
@@ -158,7 +162,6 @@
 void MembershipView::learn(const std::vector<Member> &registered)
 {
     bool isNew = false;
-    std::function<void()> listener;
     {
         const std::lock_guard lock(mutex_);
         std::set<InstanceId> ids;
@@ -175,10 +178,9 @@
             const bool isSilent = !item.second.isHeard || now - item.second.member.lastHeard >= timing_.forgetTime;
             return !ids.contains(item.first) && isSilent;
         });
-        listener = changeListener_;
     }
-    if (isNew && listener) {
-        listener();
+    if (isNew) {
+        tellListener();
     }
 }
 
--- a/modules/membership/MembershipView.h
+++ b/modules/membership/MembershipView.h
@@ -57,7 +57,12 @@
     /** Rises with each change of what is told to peers. */
     long long revision() const;
 
-    /** Called after each change of what is told to peers, on the thread that made the change, without a lock held. */
+    /**
+        Sets what is called after each change of what is told to peers, on the thread that made the change.
+
+        Returns once no call of the earlier listener is under way, so that the earlier one may then be destroyed. The listener must
+       not change the view or the listener.
+    */
     void setChangeListener(std::function<void()> listener);
 
     /** Takes in a heartbeat of a peer. @return the answer, by which the peer learns the state of this instance */
@@ -107,6 +112,7 @@
     };
 
     void changeSelf(const std::function<bool(Member &)> &change);
+    void tellListener();
     bool accept(const Member &member);
     Entry *entryFor(const Member &member);
     bool isLive(const Entry &entry) const;
@@ -119,8 +125,10 @@
     mutable std::mutex mutex_;
     Member self_;
     long long revision_ = 1;
-    std::function<void()> changeListener_;
     std::map<InstanceId, Entry> entries_;
+    /** Held while the listener runs. Taken without the other lock held. */
+    std::mutex listenerMutex_;
+    std::function<void()> changeListener_;
 };
 
 } // namespace auburndoor
--- a/modules/ownership/OwnershipAgent.cpp
+++ b/modules/ownership/OwnershipAgent.cpp
@@ -200,11 +200,13 @@
     const auto deadline = now + options_.tableTimeout;
     // setDomains() is called on the thread of step(), so that the map does not change during the decision.
     const auto actions = OwnershipDecision(map_, options_.timing).decide(snapshot(now));
-    for (const auto &order : actions.takes) {
-        take(order, deadline);
+    // What does not fit in the time is decided again at the next poll; the lease must be renewed meanwhile.
+    const auto isInTime = [&] { return clock_.now() < deadline; };
+    for (auto order = actions.takes.begin(); order != actions.takes.end() && isInTime(); ++order) {
+        take(*order, deadline);
     }
-    for (const auto &order : actions.handovers) {
-        handOver(order, deadline);
+    for (auto order = actions.handovers.begin(); order != actions.handovers.end() && isInTime(); ++order) {
+        handOver(*order, deadline);
     }
     for (const auto &id : actions.forgotten) {
         if (deleteRow(InstanceRow::key(id), observation_.instances().at(id).version, deadline)) {
--- a/modules/peer/ConnectionPool.cpp
+++ b/modules/peer/ConnectionPool.cpp
@@ -2,10 +2,12 @@
 
 #include "core/Failure.h"
 
+#include <algorithm>
+
 namespace auburndoor {
 
-ConnectionPool::ConnectionPool(std::string address, std::size_t limit, Milliseconds idleTime)
-    : address_(std::move(address)), limit_(limit), idleTime_(idleTime)
+ConnectionPool::ConnectionPool(std::string address, std::size_t limit, Milliseconds idleTime, Milliseconds connectTimeout)
+    : address_(std::move(address)), limit_(limit), idleTime_(idleTime), connectTimeout_(connectTimeout)
 {
 }
 
@@ -25,7 +27,7 @@
         }
     }
     const auto rest = std::chrono::ceil<Milliseconds>(deadline - std::chrono::steady_clock::now());
-    auto socket = FramedSocket::connect(address_, rest, failure);
+    auto socket = FramedSocket::connect(address_, std::min(rest, connectTimeout_), failure);
     if (!socket) {
         discard();
     }
--- a/modules/peer/ConnectionPool.h
+++ b/modules/peer/ConnectionPool.h
@@ -20,8 +20,9 @@
         @param limit    connections in use at the same time
         @param idleTime how long an unused connection is kept; shorter than the server keeps it, so that it does not close it under
        a call
+        @param connectTimeout how long a new connection may take, so that a vanished host leaves time to try another peer
     */
-    ConnectionPool(std::string address, std::size_t limit, Milliseconds idleTime);
+    ConnectionPool(std::string address, std::size_t limit, Milliseconds idleTime, Milliseconds connectTimeout);
 
     /** A connection for one exchange: a kept one or a new one. Waits while all are in use. @return empty with the failure filled */
     std::optional<FramedSocket> acquire(Milliseconds timeout, Failure &failure);
@@ -44,6 +45,7 @@
     const std::string address_;
     const std::size_t limit_;
     const Milliseconds idleTime_;
+    const Milliseconds connectTimeout_;
     std::mutex mutex_;
     std::condition_variable condition_;
     std::size_t inUse_ = 0;
--- a/modules/peer/PeerServer.cpp
+++ b/modules/peer/PeerServer.cpp
@@ -14,7 +14,9 @@
 #include <unistd.h>
 
 #include <atomic>
+#include <cerrno>
 #include <list>
+#include <system_error>
 #include <thread>
 
 namespace auburndoor {
@@ -97,6 +99,11 @@
     {
         const int descriptor = ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK);
         if (descriptor < 0) {
+            // Without a free descriptor the connection stays readable in the backlog; the pause keeps this loop from spinning.
+            if (errno != EAGAIN && errno != ECONNABORTED) {
+                metrics_.count("peer_refused_total", "accept-failed");
+                ::poll(nullptr, 0, static_cast<int>(housekeepingPeriod.count()));
+            }
             return;
         }
         if (connections_.size() >= options_.connectionLimit) {
@@ -105,11 +112,17 @@
             return;
         }
         auto &connection = connections_.emplace_back(descriptor);
-        connection.thread = std::thread([this, &connection] {
-            serve(connection.socket);
-            connection.socket.shutdown();
-            connection.isEnded = true;
-        });
+        try {
+            connection.thread = std::thread([this, &connection] {
+                serve(connection.socket);
+                connection.socket.shutdown();
+                connection.isEnded = true;
+            });
+        } catch (const std::system_error &exception) {
+            Log::warning("no thread for a connection of a peer", { { "error", exception.what() } });
+            metrics_.count("peer_refused_total", "no-thread");
+            connections_.pop_back();
+        }
     }
 
     void removeEnded()
@@ -126,6 +139,14 @@
     void serve(FramedSocket &socket)
     {
         const auto session = std::make_shared<PeerSession>(context_);
+        serveCalls(socket, session);
+        if (!session->isAuthenticated()) {
+            metrics_.count("peer_unauthenticated_connections_total");
+        }
+    }
+
+    void serveCalls(FramedSocket &socket, const std::shared_ptr<PeerSession> &session)
+    {
         wire::PeerServiceProcessor processor(session);
         while (socket.waitReadable(session->isAuthenticated() ? options_.idleTimeout : options_.readTimeout)) {
             Failure failure;
--- a/modules/peer/ThriftPeer.cpp
+++ b/modules/peer/ThriftPeer.cpp
@@ -64,7 +64,10 @@
 {
 public:
     Implementation(const ThriftPeerOptions &options, Clock &clock, Metrics &metrics)
-        : options_(options), clock_(clock), metrics_(metrics), pool_(options.address, options.connectionLimit, options.idleTime)
+        : options_(options)
+        , clock_(clock)
+        , metrics_(metrics)
+        , pool_(options.address, options.connectionLimit, options.idleTime, options.connectTimeout)
     {
         header_.secret = options.secret;
     }
--- a/tests/peer/PeerRobustnessTests.cpp
+++ b/tests/peer/PeerRobustnessTests.cpp
@@ -68,6 +68,13 @@
             std::string("\0\0\0\x22\x80\x01\0\x01\0\0\0\x07release\0\0\0\0\x0f\0\x02\x0c\x7f\xff\xff\xff\0\0\0\0\0\0\0\0", 38));
     CHECK(fixture.refused("malformed-input") == 2);
 
+    // Too short even for a length, as a probe of the port sends.
+    Failure failure;
+    FramedSocket::connect(fixture.address, timeout, failure)->shutdown();
+    while (fixture.serverMetrics.counter("peer_unauthenticated_connections_total") < 5) {
+        std::this_thread::yield();
+    }
+
     call->set_value();
     CHECK(inFlight.get().answer == "answer to a");
 }
