Split the worker manager and tell drivers of jobs when a lost worker's tasks have ended

Cause: the driver of a job may move a task only after its worker's lease has lapsed, but owners could not say so. Running tasks were also asked for at the worker one by one, 75 questions a second for 750 tasks. Change: WorkerRoster keeps the state of workers, WorkerManager the threads. OwnerService answers questions about running tasks from the last report, and says ConnectionFailed only when the lease and its margin have passed without a renewal.

--- a/modules/fleet/FollowedTasks.cpp
+++ b/modules/fleet/FollowedTasks.cpp
@@ -55,9 +55,9 @@
     entries_.erase(task);
 }
 
-bool FollowedTasks::isEmpty() const
+bool FollowedTasks::contains(const TaskId &task) const
 {
-    return entries_.empty();
+    return entries_.contains(task);
 }
 
 TimePoint FollowedTasks::nextQuestion(TimePoint now, Milliseconds longest) const
--- a/modules/fleet/FollowedTasks.h
+++ b/modules/fleet/FollowedTasks.h
@@ -33,7 +33,7 @@
     /** Forgets a task whose fate is known. */
     void remove(const TaskId &task);
 
-    bool isEmpty() const;
+    bool contains(const TaskId &task) const;
 
     /**
         When the worker should be asked again.
--- a/modules/fleet/OwnerService.cpp
+++ b/modules/fleet/OwnerService.cpp
@@ -105,12 +105,22 @@
                                                   Milliseconds timeout,
                                                   Failure &failure)
 {
+    if (workers_.roster().isReportedRunning(worker, task)) {
+        WorkerTask running;
+        running.id = task;
+        running.state = TaskState::Running;
+        return running;
+    }
     const auto owned = workers_.find(worker);
     if (!owned) {
-        failure = notOwner(Step::Collect, worker);
+        failure = whyNotOwned(Step::Collect, worker);
         return std::nullopt;
     }
-    return owned->connection->query(task, clock_.now() + timeout, failure);
+    auto state = owned->connection->query(task, clock_.now() + timeout, failure);
+    if (!state) {
+        failure = whyNoAnswer(worker, failure);
+    }
+    return state;
 }
 
 std::optional<WorkerTask> OwnerService::cancelTask(const WorkerId &worker,
@@ -120,16 +130,41 @@
 {
     const auto owned = workers_.find(worker);
     if (!owned) {
-        failure = notOwner(Step::Cancel, worker);
+        failure = whyNotOwned(Step::Cancel, worker);
         return std::nullopt;
     }
     auto state = owned->connection->cancel(task, owned->epoch, clock_.now() + timeout, failure);
+    if (!state) {
+        failure = whyNoAnswer(worker, failure);
+    }
     if (state && state->state != TaskState::Running) {
         ledger_.release(owned->shard, worker, task.text());
     }
     return state;
 }
 
+/** ConnectionFailed at the worker itself tells the driver of a job that the worker's tasks have ended and may be started elsewhere.
+ */
+Failure OwnerService::whyNotOwned(Step step, const WorkerId &worker) const
+{
+    if (workers_.roster().hasLapsed(worker)) {
+        return { step, worker.text(), Reason::ConnectionFailed, "the worker is gone, and its task leases have lapsed" };
+    }
+    if (workers_.roster().isUnseized(worker)) {
+        return { step, worker.text(), Reason::NotReady, "the worker has not been seized yet" };
+    }
+    return notOwner(step, worker);
+}
+
+/** A worker that gives no answer may still run its tasks until their leases have lapsed. */
+Failure OwnerService::whyNoAnswer(const WorkerId &worker, const Failure &failure) const
+{
+    if (workers_.roster().hasLapsed(worker)) {
+        return { failure.step, worker.text(), Reason::ConnectionFailed, failure.message + "; its task leases have lapsed" };
+    }
+    return { failure.step, worker.text(), Reason::NotReady, failure.message + "; its tasks may still run" };
+}
+
 void OwnerService::releaseLapsedHolds()
 {
     std::vector<Hold> lapsed;
--- a/modules/fleet/OwnerService.h
+++ b/modules/fleet/OwnerService.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/Clock.h"
+#include "core/Failure.h"
 #include "peer/Peer.h"
 #include "placement/CapacityLedger.h"
 
@@ -44,6 +45,8 @@
         TimePoint expiry;
     };
 
+    Failure whyNotOwned(Step step, const WorkerId &worker) const;
+    Failure whyNoAnswer(const WorkerId &worker, const Failure &failure) const;
     std::optional<Reservation> take(const Hold &hold, const TaskId &task);
 
     Clock &clock_;
--- a/modules/fleet/WorkerManager.h
+++ b/modules/fleet/WorkerManager.h
@@ -1,19 +1,19 @@
 #pragma once
 
 #include "core/Clock.h"
-#include "fleet/OwnedWorker.h"
+#include "fleet/WorkerRoster.h"
 #include "ownership/ShardListener.h"
 #include "placement/CapacityLedger.h"
-#include "platform/InstanceDirectory.h"
 
+#include <condition_variable>
 #include <functional>
-#include <map>
-#include <memory>
-#include <optional>
+#include <mutex>
+#include <thread>
 #include <vector>
 
 namespace auburndoor {
 
+class InstanceDirectory;
 class Metrics;
 class WorkerConnector;
 class WorkerHealth;
@@ -71,24 +71,36 @@
     /** Drops ownership of a shard at once because a worker has seen a higher epoch. */
     void reportStaleEpoch(const ShardId &shard, Epoch epoch);
 
-    /** The failure domains of all listed workers, with their regions. */
-    std::map<FailureDomainId, RegionId> domains() const;
-
-    /** Sum of the capacity of all listed workers of the cell. */
-    Resources cellCapacity() const;
-
-    /** The listed workers of a pool that are not gone, for checks whether work can ever fit. */
-    std::vector<ListedWorker> pool(const ServiceId &service) const;
-
-    /** The number of workers in owned shards that have not been seized yet. */
-    int unseizedCount() const;
+    /** What is known of the workers. */
+    const WorkerRoster &roster() const;
 
     /** Called on the manager's threads when the set of failure domains changes. Set before start(). */
     void setDomainListener(std::function<void(const std::map<FailureDomainId, RegionId> &)> listener);
 
 private:
-    class Implementation;
-    std::unique_ptr<Implementation> implementation_;
+    void followList();
+    void pollList();
+    void visitWorkers();
+    void seize(const WorkerVisit &visit);
+    void renew(const WorkerVisit &visit);
+    void cancelUnresolved(const WorkerVisit &visit);
+    void wake();
+
+    const WorkerManagerOptions options_;
+    Clock &clock_;
+    Metrics &metrics_;
+    InstanceDirectory &directory_;
+    WorkerRoster roster_;
+    std::function<void(const std::map<FailureDomainId, RegionId> &)> domainListener_;
+    /** Used by the list thread only. */
+    long long cursor_ = 0;
+
+    std::mutex mutex_;
+    std::condition_variable condition_;
+    /** Rises with each change that may make a worker due. */
+    long long changes_ = 0;
+    bool isStopping_ = false;
+    std::vector<std::thread> threads_;
 };
 
 } // namespace auburndoor
--- a/modules/instance/JobService.cpp
+++ b/modules/instance/JobService.cpp
@@ -144,7 +144,7 @@
 bool JobService::canFit(const JobDeclaration &job, Failure &failure) const
 {
     std::vector<WorkerCapacity> capacities;
-    for (const auto &worker : parts_.workers.pool(job.service)) {
+    for (const auto &worker : parts_.workers.roster().pool(job.service)) {
         capacities.push_back({ worker.id, worker.service, worker.capacity });
     }
     return canEverFit(job, capacities, failure);
--- a/modules/instance/PoolReporter.cpp
+++ b/modules/instance/PoolReporter.cpp
@@ -103,16 +103,16 @@
 
 void PoolReporter::reportShares()
 {
-    parts_.shares.setCapacity(parts_.ledger.ownedCapacity(), parts_.workers.cellCapacity());
+    parts_.shares.setCapacity(parts_.ledger.ownedCapacity(), parts_.workers.roster().cellCapacity());
     parts_.shares.setUse(parts_.ledger.useByTeam());
 }
 
 void PoolReporter::reportCensus()
 {
     for (const auto &[id, service] : parts_.configuration.current()->declaration.services) {
-        parts_.census.update(id, parts_.workers.pool(id));
+        parts_.census.update(id, parts_.workers.roster().pool(id));
     }
-    parts_.metrics.setGauge("workers_unseized", parts_.workers.unseizedCount());
+    parts_.metrics.setGauge("workers_unseized", parts_.workers.roster().unseizedCount());
     parts_.metrics.setGauge("configuration_version", static_cast<double>(parts_.configuration.current()->version));
 }
 
