--- a/modules/instance/CallerEndpoint.cpp
+++ b/modules/instance/CallerEndpoint.cpp
@@ -1,6 +1,7 @@
 #include "instance/CallerEndpoint.h"
 
 #include "configuration/ConfigurationManager.h"
+#include "core/RandomId.h"
 #include "http/HttpServer.h"
 #include "instance/JobService.h"
 #include "instance/OutcomeReply.h"
@@ -34,6 +35,7 @@
 {
     RequestContext context;
     context.configuration = configuration_.current();
+    context.request.id = RequestId(makeRandomId());
     context.call.token = bearerToken(request);
     context.call.service = request.pathParts.at(0);
     context.call.kind = request.header("request-kind");
--- a/modules/jobs/JobDirectory.cpp
+++ b/modules/jobs/JobDirectory.cpp
@@ -37,7 +37,7 @@
     if (auto known = find(job, deadline, failure); known || failure.reason != Reason::UnknownName) {
         return known;
     }
-    const auto chosen = choose(job, failure);
+    auto chosen = choose(job, failure);
     if (!chosen) {
         return std::nullopt;
     }
--- a/modules/pipeline/DescribeFilter.cpp
+++ b/modules/pipeline/DescribeFilter.cpp
@@ -1,6 +1,5 @@
 #include "pipeline/DescribeFilter.h"
 
-#include "core/RandomId.h"
 #include "pipeline/RequestContext.h"
 
 #include <algorithm>
@@ -92,7 +91,6 @@
     }
     context.service = &found->second;
     auto &request = context.request;
-    request.id = RequestId(makeRandomId());
     request.service = found->first;
     request.kind = call.kind;
     request.need = context.service->need;
--- a/modules/pipeline/RequestRecords.cpp
+++ b/modules/pipeline/RequestRecords.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::size_t largestInlineAnswer = 16 * 1024;
+constexpr std::size_t largestInlineAnswer = 16'384;
 /** Outcomes past it are dropped, oldest first: the worker keeps them for 10 minutes, and a later attempt reads them back from
  * there. */
 constexpr std::size_t pendingLimit = 10'000;
--- a/tests/cell/HistoryChecker.cpp
+++ b/tests/cell/HistoryChecker.cpp
@@ -28,7 +28,9 @@
             runs[task].endMs = event.value("timeMs", 0LL);
         } else if (kind == "refusal" && event.value("reason", "") == "no-capacity") {
             // The worker guards its capacity itself; that it had to shows that the scheduler gave it too much.
-            result.overloads.push_back(id + " was given task " + task + " beyond its capacity");
+            std::string text = id;
+            text.append(" was given task ").append(task).append(" beyond its capacity");
+            result.overloads.push_back(std::move(text));
         }
     }
     for (const auto &[task, run] : runs) {
--- a/tests/system/SystemFixture.cpp
+++ b/tests/system/SystemFixture.cpp
@@ -141,7 +141,7 @@
 std::vector<std::string> SystemFixture::judge(const std::string &promise, const std::string &faults)
 {
     const auto records = history.records();
-    const auto violations = HistoryChecker::check(records, HistoryChecker::read(cell.workerAddresses()));
+    auto violations = HistoryChecker::check(records, HistoryChecker::read(cell.workerAddresses()));
     std::cout << "proof | " << promise << " | " << faults << " | " << records.size() << " calls: " << history.count("answered")
               << " answered, " << history.count("not-run") << " not run, " << history.count("unknown") << " unknown, "
               << history.count("broken") << " broken | " << (violations.empty() ? "holds" : "VIOLATED") << std::endl;
