--- a/modules/platform/GroupCommitterDrive.cpp
+++ b/modules/platform/GroupCommitterDrive.cpp
@@ -5,7 +5,6 @@
 #include "platform/WriteBudget.h"
 
 #include <algorithm>
-#include <ranges>
 #include <utility>
 
 namespace auburndoor {
@@ -66,7 +65,8 @@
     };
     const auto isExplained = std::any_of(batch.parts().begin(), batch.parts().end(), hasFailedRows);
     // In reverse order, because each one goes to the front of its queue.
-    for (const auto &part : std::views::reverse(batch.parts())) {
+    for (auto entry = batch.parts().rbegin(); entry != batch.parts().rend(); ++entry) {
+        const auto &part = *entry;
         if (part.member == nullptr) {
             continue;
         }
@@ -85,7 +85,8 @@
 {
     const auto isBadInput = failure.reason == Reason::MalformedInput || failure.reason == Reason::TooLarge;
     const auto isSplit = isBadInput && batch.parts().size() > 1;
-    for (const auto &part : std::views::reverse(batch.parts())) {
+    for (auto entry = batch.parts().rbegin(); entry != batch.parts().rend(); ++entry) {
+        const auto &part = *entry;
         if (part.member == nullptr) {
             continue;
         }
