Write jobs into the logbook and keep a declared job from running again after its record is gone

Cause: the index row of a job was removed with its record after 24 h, so that an instance which became leader later would have recorded a job that is still declared once more, and run it again. Change: the index row is written in the transaction that records the job, and kept for declared jobs. Submissions and ends of jobs get logbook entries in the same transactions; an end says where each task ran. Before and after: not measured; the table sees the same number of transactions.

--- a/modules/configuration/ConfigurationManager.h
+++ b/modules/configuration/ConfigurationManager.h
@@ -3,9 +3,9 @@
 #include "configuration/ApplyResult.h"
 #include "configuration/ConfigurationHolder.h"
 #include "configuration/ConfigurationStore.h"
-#include "configuration/Logbook.h"
 #include "core/Clock.h"
 #include "core/Identifier.h"
+#include "logbook/Logbook.h"
 
 #include <atomic>
 #include <condition_variable>
--- a/modules/configuration/ConfigurationStore.h
+++ b/modules/configuration/ConfigurationStore.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "configuration/ConfigurationHead.h"
-#include "configuration/Logbook.h"
 #include "core/Clock.h"
+#include "logbook/Logbook.h"
 #include "platform/TableService.h"
 
 #include <optional>
--- a/modules/instance/JobService.cpp
+++ b/modules/instance/JobService.cpp
@@ -71,8 +71,7 @@
         return refuse(
             { Step::Authenticate, {}, Reason::BadCredentials, "the token is not one of team \"" + job->team.text() + "\"" });
     }
-    // A name of the team in front keeps teams from meeting each other's keys.
-    job->id = JobId(job->team.text() + "." + idempotencyKey);
+    job->id = JobDirectory::submittedId(job->team, idempotencyKey);
     Failure failure;
     if (!canFit(*job, failure)) {
         return refuse(failure);
--- a/modules/jobs/JobDirectory.cpp
+++ b/modules/jobs/JobDirectory.cpp
@@ -1,7 +1,6 @@
 #include "jobs/JobDirectory.h"
 
 #include "core/Failure.h"
-#include "core/RandomId.h"
 #include "platform/TableService.h"
 
 #include <xxhash.h>
@@ -10,6 +9,8 @@
 
 namespace {
 
+/** No identifier of the declarative file holds it, so that submitted jobs never meet declared ones. */
+constexpr char submittedSeparator = ':';
 /** Jobs whose shard is remembered; past it the table is asked again. */
 constexpr std::size_t rememberLimit = 20'000;
 
@@ -34,22 +35,8 @@
 
 std::optional<ShardId> JobDirectory::assign(const JobId &job, TimePoint deadline, Failure &failure)
 {
-    if (auto known = find(job, deadline, failure); known || failure.reason != Reason::UnknownName) {
-        return known;
-    }
-    auto chosen = choose(job, failure);
-    if (!chosen) {
-        return std::nullopt;
-    }
-    const auto key = rowKey(job);
-    const Transaction transaction { makeRandomId(), { { key, 0 } }, { { key, chosen->text() } }, WritePurpose::JobProgress };
-    const auto result = table_.commit(transaction, deadline, failure);
-    if (result.status == CommitStatus::Committed) {
-        remember(job, *chosen);
-        return chosen;
-    }
-    // Another instance was quicker, or the answer was lost: the row tells.
-    return find(job, deadline, failure);
+    auto known = find(job, deadline, failure);
+    return known || failure.reason != Reason::UnknownName ? known : choose(job, failure);
 }
 
 std::optional<ShardId> JobDirectory::find(const JobId &job, TimePoint deadline, Failure &failure)
@@ -69,6 +56,16 @@
     return ShardId(row->value);
 }
 
+JobId JobDirectory::submittedId(const TeamId &team, const std::string &idempotencyKey)
+{
+    return JobId(team.text() + submittedSeparator + idempotencyKey);
+}
+
+bool JobDirectory::isSubmitted(const JobId &job)
+{
+    return job.text().find(submittedSeparator) != std::string::npos;
+}
+
 std::string JobDirectory::rowKey(const JobId &job)
 {
     return "job-index/" + job.text();
--- a/modules/jobs/JobStore.cpp
+++ b/modules/jobs/JobStore.cpp
@@ -3,6 +3,7 @@
 #include "core/Failure.h"
 #include "core/RandomId.h"
 #include "jobs/JobDirectory.h"
+#include "logbook/Logbook.h"
 #include "observability/Log.h"
 
 #include <algorithm>
@@ -16,6 +17,30 @@
 /** A cancel competes with the owner's writes, at most one in each round of the job. */
 constexpr int cancelAttempts = 10;
 
+/** Lines of a logbook entry on the tasks of a job; a large job is cut. */
+constexpr std::size_t longestSummary = 20;
+
+/** The logbook entry on a change of a job. Once it has ended, the entry says where each task ran. */
+LogbookEntry entryOf(const Job &job, const std::string &action, const std::string &id, WallTime time)
+{
+    LogbookEntry entry;
+    entry.time = time;
+    entry.id = id;
+    entry.action = action;
+    entry.operatorName = job.declaration.team.text();
+    entry.summary = { "job " + job.declaration.id.text() + ", " + std::to_string(job.tasks.size()) + " tasks" };
+    for (std::size_t index = 0; job.hasEnded() && index < job.tasks.size(); ++index) {
+        if (entry.summary.size() > longestSummary) {
+            entry.summary.push_back("and " + std::to_string(job.tasks.size() - index) + " more");
+            break;
+        }
+        const auto &task = job.tasks[index];
+        entry.summary.push_back("task " + std::to_string(index) + ": " + std::string(name(task.phase)) + " on "
+                                + task.worker.text());
+    }
+    return entry;
+}
+
 std::string activePrefix(const ShardId &shard)
 {
     return "job/" + shard.text() + "/";
@@ -54,10 +79,13 @@
     auto job = makeJob(shard, declaration, clock_.wallNow());
     const auto key = activePrefix(shard) + declaration.id.text();
     const auto endedKey = endedPrefix(shard) + declaration.id.text();
-    const Transaction transaction { makeRandomId(),
-                                    { { key, 0 }, { endedKey, 0 } },
-                                    { { key, encode(job) }, changeWrite(shard, declaration.id) },
-                                    WritePurpose::JobProgress };
+    Transaction transaction { makeRandomId(), {}, {}, WritePurpose::JobProgress };
+    const auto indexKey = JobDirectory::rowKey(declaration.id);
+    const auto entry = entryOf(job, "job-submitted", transaction.id, job.submitted);
+    transaction.checks = { { key, 0 }, { endedKey, 0 }, { indexKey, 0 } };
+    transaction.writes = {
+        { key, encode(job) }, { indexKey, shard.text() }, { entry.rowKey(), entry.rowValue() }, changeWrite(shard, declaration.id)
+    };
     const auto result = table_.commit(transaction, deadline, failure);
     switch (result.status) {
     case CommitStatus::Committed:
@@ -70,7 +98,14 @@
     case CommitStatus::Conflict:
         break;
     }
-    const auto recorded = decodeRow(result.conflicts.front(), failure);
+    const auto record = std::find_if(result.conflicts.begin(), result.conflicts.end(), [&](const TableRow &row) {
+        return row.key == key || row.key == endedKey;
+    });
+    if (record == result.conflicts.end()) {
+        // Only the index knows the job: its record has been removed, or another instance has put it into another shard.
+        return { SubmitStatus::AlreadyRecorded, {} };
+    }
+    const auto recorded = decodeRow(*record, failure);
     if (!recorded || !isSameDeclaration(recorded->declaration, declaration)) {
         failure = { Step::Record, "table", Reason::DuplicateKey, "another job has the id " + declaration.id.text() };
         return { SubmitStatus::DifferentJob, {} };
@@ -142,7 +177,10 @@
         makeRandomId(), { { shardKey(job.shard), shardRowVersion }, { key, job.version } }, {}, WritePurpose::JobProgress
     };
     if (job.hasEnded()) {
-        transaction.writes = { { key, std::nullopt }, { endedPrefix(job.shard) + job.declaration.id.text(), encode(job) } };
+        const auto entry = entryOf(job, "job-" + std::string(name(job.phase)), transaction.id, job.ended);
+        transaction.writes = { { entry.rowKey(), entry.rowValue() },
+                               { key, std::nullopt },
+                               { endedPrefix(job.shard) + job.declaration.id.text(), encode(job) } };
     } else {
         transaction.writes = { { key, encode(job) } };
     }
@@ -181,7 +219,9 @@
         if (job && job->ended < before && transaction.writes.size() < rowsPerTransaction) {
             transaction.checks.push_back({ row.key, row.version });
             transaction.writes.push_back({ row.key, std::nullopt });
-            transaction.writes.push_back({ JobDirectory::rowKey(job->declaration.id), std::nullopt });
+            if (JobDirectory::isSubmitted(job->declaration.id)) {
+                transaction.writes.push_back({ JobDirectory::rowKey(job->declaration.id), std::nullopt });
+            }
         }
     }
     if (transaction.writes.empty()) {
--- a/modules/jobs/JobStore.h
+++ b/modules/jobs/JobStore.h
@@ -12,7 +12,7 @@
 
 enum class SubmitStatus {
     Recorded,
-    /** The same job was recorded before; nothing was changed. */
+    /** The same job was recorded before; nothing was changed. The job is empty if its record has been removed since. */
     AlreadyRecorded,
     /** Another job has this id. */
     DifferentJob,
--- a/modules/configuration/Logbook.cpp
+++ b/modules/logbook/Logbook.cpp
@@ -1,4 +1,4 @@
-#include "configuration/Logbook.h"
+#include "logbook/Logbook.h"
 
 #include "core/Failure.h"
 #include "core/WallTimeText.h"
--- a/tests/demo/main.cpp
+++ b/tests/demo/main.cpp
@@ -154,7 +154,7 @@
     };
     expectReply(checks, submit("entry-2"), 202, "a submitted job");
     expectReply(checks, submit("entry-3"), 200, "the same job again through another instance");
-    expectJobDone(checks, cell, "studio.sketches-1");
+    expectJobDone(checks, cell, "studio:sketches-1");
 }
 
 void showStatus(const Cell &cell)
