--- a/modules/admission/WaitQueue.cpp
+++ b/modules/admission/WaitQueue.cpp
@@ -75,7 +75,9 @@
     if (clock_.now() >= entry.deadline) {
         return refuse(Reason::DeadlinePassed, "the deadline had passed on arrival");
     }
-    if (items_.size() >= options_.limit) {
+    constexpr std::size_t urgentPart = 8;
+    const auto limit = options_.limit + (entry.priority == Priority::Urgent ? options_.limit / urgentPart : 0);
+    if (items_.size() >= limit) {
         return refuse(Reason::QueueFull, std::to_string(items_.size()) + " requests wait already");
     }
     if (items_.contains(entry.id)) {
--- a/modules/admission/WaitQueue.h
+++ b/modules/admission/WaitQueue.h
@@ -21,7 +21,7 @@
 /** Limits of a WaitQueue. */
 struct WaitQueueOptions
 {
-    /** Entries that wait at the same time. */
+    /** Entries that wait at the same time. Urgent ones may exceed it by an eighth, so that a full queue does not turn them away. */
     std::size_t limit = 1000;
     /** Entries from the head of the order that are looked at each time room appears. One gives a strict queue without backfill. */
     std::size_t scanLimit = 64;
--- a/tests/admission/WaitQueueTests.cpp
+++ b/tests/admission/WaitQueueTests.cpp
@@ -312,6 +312,41 @@
     CHECK(fixture.queue.size() == 0);
 }
 
+TEST_CASE("urgent work enters a queue that is full of other work", "[admission]")
+{
+    // Guards against urgent work that is refused because Normal work got there first. The eighth is a limit of its own.
+    WaitQueueOptions options;
+    options.limit = 8;
+    Fixture fixture(options, true);
+    for (int index = 0; index < 8; ++index) {
+        fixture.add("normal-" + std::to_string(index));
+    }
+    auto &surplus = fixture.add("surplus");
+    CHECK_FALSE(surplus.result());
+    CHECK(surplus.reason() == Reason::QueueFull);
+    auto &urgent = fixture.add("urgent", 1, 5000, Priority::Urgent);
+    auto &second = fixture.add("second", 1, 5000, Priority::Urgent);
+    CHECK_FALSE(second.result());
+    fixture.makeRoom(1);
+    CHECK(urgent.result());
+    fixture.queue.shutdown();
+}
+
+TEST_CASE("work behind a head that gives up is tried at once", "[admission]")
+{
+    // Guards against work that stays behind a head that has gone, although there is room, until the next event.
+    WaitQueueOptions strict;
+    strict.scanLimit = 1;
+    Fixture fixture(strict);
+    auto &large = fixture.add("large", 4, 1000);
+    auto &small = fixture.add("small", 1, 5000);
+    fixture.makeRoom(1);
+    CHECK(fixture.room.started().empty());
+    fixture.clock.advance(Milliseconds(1000));
+    CHECK_FALSE(large.result());
+    CHECK(small.result());
+}
+
 TEST_CASE("a cancellation during a start ends the wait without a second try", "[admission]")
 {
     // Guards against a queue that frees an entry while its tryStart still runs on another thread.
