Bound the wait for a connection to a peer; test what membership is told

Cause: A call that waited for one of the limited connections could spend its whole deadline, although another peer might take it. No test covered the instance rows passed to the membership.

Change: - The connect timeout of 500 ms covers the wait for a free connection. - A test of OwnershipAgent::setInstancesListener.

--- a/modules/peer/ConnectionPool.cpp
+++ b/modules/peer/ConnectionPool.cpp
@@ -13,7 +13,7 @@
 
 std::optional<FramedSocket> ConnectionPool::acquire(Milliseconds timeout, Failure &failure)
 {
-    const auto deadline = std::chrono::steady_clock::now() + timeout;
+    const auto deadline = std::chrono::steady_clock::now() + std::min(timeout, connectTimeout_);
     {
         std::unique_lock lock(mutex_);
         if (!condition_.wait_until(lock, deadline, [&] { return inUse_ < limit_; })) {
@@ -27,7 +27,7 @@
         }
     }
     const auto rest = std::chrono::ceil<Milliseconds>(deadline - std::chrono::steady_clock::now());
-    auto socket = FramedSocket::connect(address_, std::min(rest, connectTimeout_), failure);
+    auto socket = FramedSocket::connect(address_, rest, failure);
     if (!socket) {
         discard();
     }
--- a/modules/peer/ConnectionPool.h
+++ b/modules/peer/ConnectionPool.h
@@ -18,9 +18,8 @@
 public:
     /**
         @param limit    connections in use at the same time
-        @param idleTime how long an unused connection is kept; shorter than the server keeps it, so that it does not close it under
-       a call
-        @param connectTimeout how long a new connection may take, so that a vanished host leaves time to try another peer
+        @param idleTime how long an unused connection is kept; less than at the server, which would else close it under a call
+        @param connectTimeout how long acquire() may take, so that a vanished or busy host leaves time to try another peer
     */
     ConnectionPool(std::string address, std::size_t limit, Milliseconds idleTime, Milliseconds connectTimeout);
 
--- a/modules/peer/FramedSocket.h
+++ b/modules/peer/FramedSocket.h
@@ -10,12 +10,11 @@
 struct Failure;
 
 /**
-    A TCP connection that carries frames: four bytes of length in network order, then the payload, as Thrift's framed transport
-   does.
+    A TCP connection that carries frames: four bytes of length in network order, then the payload, as Thrift's framed transport.
 
-    The library's own sockets have a timeout for each read instead of one for the whole frame and do not tell whether a frame was
-   sent whole, on which the difference between NotRun and Unknown rests. Timeouts run on the real steady clock. One thread at a
-   time, except shutdownReading().
+    The library's own sockets have a timeout for each read instead of one for the whole frame, and do not tell whether a frame was
+    sent whole, on which the difference between NotRun and Unknown rests. Timeouts run on the real steady clock. Used by one thread
+    at a time, except shutdownReading().
 */
 class FramedSocket
 {
--- a/modules/peer/PeerServer.h
+++ b/modules/peer/PeerServer.h
@@ -38,7 +38,7 @@
     Serves the calls of peers: Thrift's binary protocol in framed transport.
 
     Each connection has a thread of its own. Peers send heartbeats on connections of their own, so that a long call delays no
-   heartbeat; heartbeats do not count towards the limit on calls. What is not a call with the shared secret is refused and counted
+    heartbeat; heartbeats do not count towards the limit on calls. What is not a call with the shared secret is refused and counted
     ("peer_refused_total" by reason).
 */
 class PeerServer
--- a/modules/peer/ThriftPeer.h
+++ b/modules/peer/ThriftPeer.h
@@ -20,7 +20,7 @@
     std::size_t connectionLimit = 64;
     /** How long an unused connection is kept; shorter than PeerServerOptions::idleTimeout. */
     Milliseconds idleTime { 30'000 };
-    /** How long a new connection may take, so that a vanished host leaves time to try another peer. */
+    /** How long a call may wait for a connection, so that a vanished or busy host leaves time to try another peer. */
     Milliseconds connectTimeout { 500 };
     std::size_t maxFrameBytes = 8 << 20;
 };
--- a/tests/ownership/OwnershipAgentTests.cpp
+++ b/tests/ownership/OwnershipAgentTests.cpp
@@ -264,6 +264,26 @@
     CHECK(writes >= 8 * 28);
 }
 
+TEST_CASE("each read of the instance rows is told to the membership", "[ownership]")
+{
+    // Guards against instances that never learn each other's addresses.
+    OwnershipCell cell;
+    std::vector<Member> told;
+    cell.start(0).agent->setInstancesListener([&](const std::vector<Member> &members) { told = members; });
+    auto &other = cell.start(1);
+    cell.run(3s);
+    REQUIRE(told.size() == 1);
+    CHECK(told[0].id == other.options.id);
+    CHECK(told[0].incarnation == other.options.incarnation);
+    CHECK(told[0].peerAddress == other.options.peerAddress);
+    CHECK(told[0].failureDomain == other.options.failureDomain);
+    CHECK(told[0].region == other.options.region);
+    CHECK_FALSE(told[0].isLeaving);
+    other.agent->beginLeaving();
+    cell.run(3s);
+    CHECK(told[0].isLeaving);
+}
+
 TEST_CASE("the death of an instance concerns its own shards only", "[ownership]")
 {
     // Guards against shards that gather at one instance, as they do by design in the single mode that this is compared with.
