--- a/modules/fleet/PoolCensus.cpp
+++ b/modules/fleet/PoolCensus.cpp
@@ -69,4 +69,17 @@
     return found == pools_.end() ? nullptr : found->second;
 }
 
+void PoolCensus::updateOwned(const ServiceId &service, const OwnedPool &owned)
+{
+    const std::lock_guard lock(mutex_);
+    owned_[service] = owned;
+}
+
+OwnedPool PoolCensus::owned(const ServiceId &service) const
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = owned_.find(service);
+    return found == owned_.end() ? OwnedPool() : found->second;
+}
+
 } // namespace auburndoor
--- a/modules/fleet/PoolCensus.h
+++ b/modules/fleet/PoolCensus.h
@@ -29,6 +29,14 @@
     std::string nearestFit(const Resources &need) const;
 };
 
+/** What this instance owns of one pool. */
+struct OwnedPool
+{
+    long long slots = 0;
+    /** Tasks that are expected to run long. */
+    long long longTasks = 0;
+};
+
 /** How often a need fits in a capacity. */
 long long placesIn(const Resources &capacity, const Resources &need);
 
@@ -42,8 +50,15 @@
     /** The size of a pool; empty if none has been counted yet. */
     std::shared_ptr<const PoolSize> pool(const ServiceId &service) const;
 
+    /** Replaces what this instance owns of a pool. */
+    void updateOwned(const ServiceId &service, const OwnedPool &owned);
+
+    /** What this instance owns of a pool. */
+    OwnedPool owned(const ServiceId &service) const;
+
 private:
     mutable std::mutex mutex_;
+    std::map<ServiceId, OwnedPool> owned_;
     std::map<ServiceId, std::shared_ptr<const PoolSize>> pools_;
 };
 
--- a/modules/instance/PoolReporter.cpp
+++ b/modules/instance/PoolReporter.cpp
@@ -111,6 +111,12 @@
 {
     for (const auto &[id, service] : parts_.configuration.current()->declaration.services) {
         parts_.census.update(id, parts_.workers.roster().pool(id));
+        OwnedPool owned;
+        for (const auto &worker : parts_.ledger.workers(id)) {
+            owned.slots += worker.view.capacity.slots;
+            owned.longTasks += worker.view.longTasks;
+        }
+        parts_.census.updateOwned(id, owned);
     }
     parts_.metrics.setGauge("workers_unseized", parts_.workers.roster().unseizedCount());
     parts_.metrics.setGauge("configuration_version", static_cast<double>(parts_.configuration.current()->version));
--- a/modules/pipeline/AdmitFilter.cpp
+++ b/modules/pipeline/AdmitFilter.cpp
@@ -18,6 +18,10 @@
 {
     const auto &request = context.request;
     context.isLong = parts_.estimator.isLong(request.service, request.kind, Milliseconds(0), context.service->longWork);
+    const auto expected = parts_.estimator.estimate(request.service, request.kind, Milliseconds(0)).median;
+    // The balancer spreads requests evenly, so that each instance counts its own share of the demand on its own share of the
+    // workers.
+    parts_.queues.shortReserve(request.service).recordArrival(context.isLong, expected);
     const auto pool = parts_.census.pool(request.service);
     if (!pool) {
         return std::nullopt;
@@ -39,9 +43,11 @@
     query.remaining = std::chrono::duration_cast<Milliseconds>(request.deadline - parts_.clock.now());
     query.expectedRunTime = entry.expectedRunTime;
     query.queuedAhead = parts_.queues.queue(*context.service).countAhead(entry) * instanceCount;
-    query.totalPlaces = pool.places(request.need);
     query.freePlaces = freePlaces(context);
-    query.meanRunTime = parts_.estimator.estimate(request.service, {}, Milliseconds(0)).mean;
+    // Short and long work each have the places that the other leaves them.
+    const auto longTasks = parts_.census.owned(request.service).longTasks * static_cast<long long>(instanceCount);
+    query.totalPlaces = context.isLong ? longTasks + query.freePlaces : pool.places(request.need) - longTasks;
+    query.meanRunTime = parts_.estimator.estimate(request.service, kindOfLength(context.isLong), Milliseconds(0)).mean;
     const auto decision = AdmissionPolicy::decide(query);
     if (decision.isAdmitted) {
         return std::nullopt;
@@ -54,7 +60,7 @@
 
 long long AdmitFilter::freePlaces(const RequestContext &context) const
 {
-    long long places = parts_.ledger.freePlaces(placementNeedOf(context));
+    long long places = parts_.ledger.freePlaces(context.placementNeed());
     for (const auto &member : parts_.members.liveMembers()) {
         for (const auto &pool : member.summary.pools) {
             places += pool.service == context.request.service ? pool.freePlaces : 0;
--- a/modules/pipeline/DispatchFilter.cpp
+++ b/modules/pipeline/DispatchFilter.cpp
@@ -4,6 +4,7 @@
 #include "membership/MembershipView.h"
 #include "peer/Peer.h"
 #include "pipeline/RequestContext.h"
+#include "pipeline/RequestNeeds.h"
 #include "pipeline/RequestRecords.h"
 #include "pipeline/TaskResolver.h"
 #include "placement/RunTimeEstimator.h"
@@ -130,7 +131,9 @@
         }
     }
     if (hasRun) {
-        parts_.estimator.observe(request.service, request.kind, parts_.clock.now() - context.started);
+        const auto runTime = parts_.clock.now() - context.started;
+        parts_.estimator.observe(request.service, request.kind, runTime);
+        parts_.estimator.observe(request.service, kindOfLength(context.isLong), runTime);
     }
     return outcome;
 }
--- a/modules/pipeline/RequestContext.h
+++ b/modules/pipeline/RequestContext.h
@@ -49,6 +49,8 @@
     int attempt = 0;
     /** True if the run-time estimate says that it will run long. */
     bool isLong = false;
+    /** Share of an accelerator pool's slots that long work may not fill now, in percent. */
+    int shortReservePercent = 0;
     /** Set by Reserve: room on a worker of this instance. */
     std::optional<Reservation> reservation;
     /** Set by Reserve: the peer that has room. */
@@ -60,6 +62,12 @@
     /** When the task was started on a worker. */
     TimePoint started;
 
+    /** What the placer is told of the request. */
+    PlacementNeed placementNeed() const
+    {
+        return { request.service, request.need, isLong, shortReservePercent, {} };
+    }
+
     /** The identifier of the present attempt's task. */
     TaskId task() const
     {
--- a/modules/pipeline/RequestNeeds.cpp
+++ b/modules/pipeline/RequestNeeds.cpp
@@ -20,11 +20,12 @@
     return entry;
 }
 
-PlacementNeed placementNeedOf(const RequestContext &context)
+const std::string &kindOfLength(bool isLong)
 {
-    const auto &request = context.request;
-    const auto reserve = context.service != nullptr ? context.service->shortReservePercent : 0;
-    return { request.service, request.need, context.isLong, reserve, {} };
+    // Callers cannot use these names, because a kind has no blanks.
+    static const std::string longWork = "long work";
+    static const std::string shortWork = "short work";
+    return isLong ? longWork : shortWork;
 }
 
 } // namespace auburndoor
--- a/modules/pipeline/RequestNeeds.h
+++ b/modules/pipeline/RequestNeeds.h
@@ -1,7 +1,8 @@
 #pragma once
 
 #include "admission/QueueEntry.h"
-#include "placement/Placer.h"
+
+#include <string>
 
 namespace auburndoor {
 
@@ -11,7 +12,7 @@
 /** What the wait queue is told of a request. */
 QueueEntry queueEntryOf(const RequestContext &context, const RunTimeEstimator &estimator);
 
-/** What the placer is told of a request. */
-PlacementNeed placementNeedOf(const RequestContext &context);
+/** The kind under which the run-time estimator keeps all long, or all short, work of a service. */
+const std::string &kindOfLength(bool isLong);
 
 } // namespace auburndoor
--- a/modules/pipeline/ReserveFilter.cpp
+++ b/modules/pipeline/ReserveFilter.cpp
@@ -1,10 +1,12 @@
 #include "pipeline/ReserveFilter.h"
 
 #include "admission/ShareAccounts.h"
+#include "fleet/PoolCensus.h"
 #include "membership/MembershipView.h"
 #include "pipeline/RequestContext.h"
 #include "pipeline/RequestNeeds.h"
 #include "pipeline/ServiceQueues.h"
+#include "placement/RunTimeEstimator.h"
 
 namespace auburndoor {
 
@@ -21,6 +23,7 @@
 
 std::optional<Outcome> ReserveFilter::apply(RequestContext &context)
 {
+    describePlacement(context);
     if (context.request.hopCount > 0) {
         if (reserveHere(context)) {
             return std::nullopt;
@@ -38,13 +41,25 @@
     return Outcome { OutcomeStatus::NotRun, {}, failure, {}, {}, {} };
 }
 
+/** An owner judges the length of forwarded work itself, since its estimates come from its own workers. */
+void ReserveFilter::describePlacement(RequestContext &context)
+{
+    if (context.service == nullptr) {
+        return;
+    }
+    const auto &request = context.request;
+    context.isLong = parts_.estimator.isLong(request.service, request.kind, Milliseconds(0), context.service->longWork);
+    const auto slots = parts_.census.owned(request.service).slots;
+    context.shortReservePercent = parts_.queues.shortReserve(request.service).percent(slots, context.service->shortReservePercent);
+}
+
 bool ReserveFilter::reserveHere(RequestContext &context)
 {
     const auto &request = context.request;
     if (!parts_.shares.isWithinQuota(request.team, request.need)) {
         return false;
     }
-    context.reservation = parts_.ledger.reserve(placementNeedOf(context),
+    context.reservation = parts_.ledger.reserve(context.placementNeed(),
                                                 { context.task().text(), request.team, request.need, context.isLong });
     if (!context.reservation) {
         return false;
--- a/modules/pipeline/ReserveFilter.h
+++ b/modules/pipeline/ReserveFilter.h
@@ -9,6 +9,7 @@
 class CapacityLedger;
 class Clock;
 class MembershipView;
+class PoolCensus;
 class RunTimeEstimator;
 class ServiceQueues;
 class ShareAccounts;
@@ -22,6 +23,7 @@
     RunTimeEstimator &estimator;
     ServiceQueues &queues;
     ShareAccounts &shares;
+    PoolCensus &census;
     /** Called after room has been reserved here. */
     std::function<void()> noteReserved;
 };
@@ -40,6 +42,7 @@
     std::optional<Outcome> apply(RequestContext &context) override;
 
 private:
+    void describePlacement(RequestContext &context);
     bool reserveHere(RequestContext &context);
     bool claimAtPeer(RequestContext &context);
 
--- a/modules/pipeline/ServiceQueues.cpp
+++ b/modules/pipeline/ServiceQueues.cpp
@@ -24,6 +24,16 @@
     return *queue;
 }
 
+ShortReserve &ServiceQueues::shortReserve(const ServiceId &service)
+{
+    const std::lock_guard lock(mutex_);
+    auto &reserve = reserves_[service];
+    if (!reserve) {
+        reserve = std::make_unique<ShortReserve>(clock_);
+    }
+    return *reserve;
+}
+
 void ServiceQueues::roomAppeared()
 {
     for (auto *queue : all()) {
--- a/modules/pipeline/ServiceQueues.h
+++ b/modules/pipeline/ServiceQueues.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/ShortReserve.h"
 #include "admission/WaitQueue.h"
 #include "core/Identifier.h"
 #include "declaration/Declaration.h"
@@ -12,8 +13,8 @@
 
 namespace auburndoor {
 
-/** One wait queue for each declared service. Any thread. Queues live as long as this object, also after their service has been
- * removed. */
+/** One wait queue for each declared service, and the part of its pool that is kept for short work. Any thread. Queues live as long
+ * as this object, also after their service has been removed. */
 class ServiceQueues
 {
 public:
@@ -24,6 +25,9 @@
     /** The queue of a service; it is made on first use. */
     WaitQueue &queue(const ServiceDeclaration &service);
 
+    /** The part of a service's pool that long work may not fill. */
+    ShortReserve &shortReserve(const ServiceId &service);
+
     /** Tells all queues that room has appeared. */
     void roomAppeared();
 
@@ -40,6 +44,7 @@
     const OrderFactory makeOrder_;
     mutable std::mutex mutex_;
     std::map<ServiceId, std::unique_ptr<WaitQueue>> queues_;
+    std::map<ServiceId, std::unique_ptr<ShortReserve>> reserves_;
     bool isShutDown_ = false;
 };
 
