Remove request records after 24 h, and report a repeated exchange honestly

Cause: records of non-repeatable requests were never removed. HttpClient reported NotSent when a first sending had been lost on a kept connection and the repetition was refused, although the first may have arrived. HttpClient remembers the first sending.

--- a/modules/http/HttpClient.cpp
+++ b/modules/http/HttpClient.cpp
@@ -119,7 +119,9 @@
     };
     const auto start = std::chrono::steady_clock::now();
     auto result = exchangeOnce();
+    bool mayHaveArrived = false;
     if (!result && !isFresh && isRepeatable && std::chrono::steady_clock::now() - start < timeout) {
+        mayHaveArrived = failureOf(result.error(), implementation_->address_).reason != Reason::ConnectionFailed;
         client = implementation_->makeFresh();
         result = exchangeOnce();
     }
@@ -128,7 +130,7 @@
         if (failure.reason == Reason::ConnectionLost && std::chrono::steady_clock::now() - start >= timeout) {
             failure.reason = Reason::TimedOut;
         }
-        delivery = failure.reason == Reason::ConnectionFailed ? Delivery::NotSent : Delivery::MaybeSent;
+        delivery = failure.reason == Reason::ConnectionFailed && !mayHaveArrived ? Delivery::NotSent : Delivery::MaybeSent;
         return std::nullopt;
     }
     HttpReply reply;
--- a/modules/instance/Instance.cpp
+++ b/modules/instance/Instance.cpp
@@ -12,7 +12,7 @@
 #include "fleet/WorkerManager.h"
 #include "http/HttpServer.h"
 #include "instance/CallerEndpoint.h"
-#include "instance/DeclaredJobs.h"
+#include "instance/Housekeeping.h"
 #include "instance/InstanceOptions.h"
 #include "instance/JobService.h"
 #include "instance/OperatorEndpoint.h"
@@ -157,7 +157,7 @@
     std::unique_ptr<RequestRecords> records_;
     std::unique_ptr<JobRunner> jobRunner_;
     std::unique_ptr<JobService> jobs_;
-    std::unique_ptr<DeclaredJobs> declaredJobs_;
+    std::unique_ptr<Housekeeping> housekeeping_;
     std::unique_ptr<ShardFanOut> shardFanOut_;
     std::unique_ptr<PoolReporter> reporter_;
     std::unique_ptr<PeerService> peerService_;
@@ -262,7 +262,7 @@
     jobRunner_ = std::make_unique<JobRunner>(settings_.instance.id, jobStore_, *peerService_, *members_, clock_, metrics_);
     jobs_ = std::make_unique<JobService>(
         JobServiceParts { clock_, metrics_, *configuration_, workers_, *members_, jobStore_, jobDirectory_, *jobRunner_, traces_ });
-    declaredJobs_ = std::make_unique<DeclaredJobs>(clock_, metrics_, *members_, *jobs_);
+    housekeeping_ = std::make_unique<Housekeeping>(clock_, metrics_, *members_, *jobs_, *records_);
     callerEndpoint_ = std::make_unique<CallerEndpoint>(metrics_, *configuration_, entryPipeline_, *jobs_);
     callerEndpoint_->install(*callerServer_);
     operatorEndpoint_ = std::make_unique<OperatorEndpoint>(OperatorEndpointParts { clock_,
@@ -295,7 +295,7 @@
     configuration_->addListener([this](const std::shared_ptr<const VersionedDeclaration> &current) {
         shares_.setTeams(current->declaration.teams);
         members_->setConfigurationVersion(current->version);
-        declaredJobs_->setDeclaration(current);
+        housekeeping_->setDeclaration(current);
         reporter_->noteChange();
         Log::info("configuration-in-force", { { "version", std::to_string(current->version) }, { "digest", current->digest } });
     });
@@ -310,7 +310,7 @@
     configuration_->start();
     reporter_->start();
     jobRunner_->start();
-    declaredJobs_->start();
+    housekeeping_->start();
     callerServer_->start();
     operatorServer_->start();
 }
@@ -344,7 +344,7 @@
     std::unique_lock lock(mutex);
     clock_.waitUntil(lock, condition, clock_.now() + balancerNotice, [] { return false; });
     stopCallers(deadline - releaseTime);
-    declaredJobs_->stop();
+    housekeeping_->stop();
     jobRunner_->stop();
     const auto remaining = std::chrono::duration_cast<Milliseconds>(deadline - clock_.now());
     const auto isReleased = ownership_->stop(std::max(remaining, Milliseconds(1)));
@@ -385,8 +385,8 @@
     if (peerServer_) {
         peerServer_->stop();
     }
-    if (declaredJobs_) {
-        declaredJobs_->stop();
+    if (housekeeping_) {
+        housekeeping_->stop();
         jobRunner_->stop();
     }
     if (reporter_) {
--- a/modules/pipeline/RequestRecords.cpp
+++ b/modules/pipeline/RequestRecords.cpp
@@ -7,6 +7,8 @@
 #include "platform/ObjectStore.h"
 #include "platform/TableService.h"
 
+#include <algorithm>
+
 namespace auburndoor {
 
 namespace {
@@ -17,8 +19,19 @@
 constexpr std::size_t pendingLimit = 10'000;
 constexpr int writerCount = 4;
 constexpr Milliseconds writeTimeout { 2000 };
+/** A record is kept for at least 24 h after its claim, and found for a day longer if nobody removed it in time. */
+constexpr long long keptHours = 24;
+constexpr long long searchedHours = 24;
+/** Records removed in one transaction; each has two rows. */
+constexpr std::size_t recordsPerTransaction = 50;
 constexpr Milliseconds writeRetryPeriod { 1000 };
 
+/** The rows that name the records claimed in one hour since 1970: a record's own key does not tell its age. */
+std::string expiryPrefix(long long hour)
+{
+    return "request-expiry/" + std::to_string(hour) + "/";
+}
+
 } // namespace
 
 RequestRecords::RequestRecords(Clock &clock, Metrics &metrics, TableService &table, ObjectStore &objects)
@@ -47,9 +60,11 @@
                                   TimePoint deadline,
                                   Failure &failure)
 {
-    const Transaction transaction {
-        makeRandomId(), { { rowKey, expectedVersion } }, { { rowKey, record.toText() } }, WritePurpose::RequestRecord
-    };
+    const auto hour = std::chrono::duration_cast<std::chrono::hours>(clock_.wallNow().time_since_epoch()).count();
+    const Transaction transaction { makeRandomId(),
+                                    { { rowKey, expectedVersion } },
+                                    { { rowKey, record.toText() }, { expiryPrefix(hour) + rowKey, std::string() } },
+                                    WritePurpose::RequestRecord };
     const auto result = table_.commit(transaction, deadline, failure);
     if (result.status == CommitStatus::Committed && !result.versions.empty()) {
         return { ClaimStatus::Claimed, result.versions.front(), {} };
@@ -67,6 +82,47 @@
     return { ClaimStatus::Taken, row.version, *present };
 }
 
+std::optional<long long> RequestRecords::removeExpired(Failure &failure)
+{
+    const auto now = std::chrono::duration_cast<std::chrono::hours>(clock_.wallNow().time_since_epoch()).count();
+    const auto newest = now - keptHours - 1;
+    long long removed = 0;
+    for (auto hour = newest - searchedHours; hour <= newest; ++hour) {
+        const auto count = removeHour(hour, failure);
+        if (!count) {
+            return std::nullopt;
+        }
+        removed += *count;
+    }
+    return removed;
+}
+
+std::optional<long long> RequestRecords::removeHour(long long hour, Failure &failure)
+{
+    const auto rows = table_.readPrefix(expiryPrefix(hour), clock_.now() + writeTimeout, failure);
+    if (!rows) {
+        return std::nullopt;
+    }
+    for (std::size_t begin = 0; begin < rows->size(); begin += recordsPerTransaction) {
+        if (!removeRecords(*rows, begin, std::min(rows->size(), begin + recordsPerTransaction), failure)) {
+            return std::nullopt;
+        }
+    }
+    return static_cast<long long>(rows->size());
+}
+
+bool RequestRecords::removeRecords(const std::vector<TableRow> &expiryRows, std::size_t begin, std::size_t end, Failure &failure)
+{
+    Transaction transaction { makeRandomId(), {}, {}, WritePurpose::Logbook };
+    for (auto index = begin; index < end; ++index) {
+        const auto &expiryKey = expiryRows[index].key;
+        const auto rowKey = expiryKey.substr(expiryKey.find('/', expiryKey.find('/') + 1) + 1);
+        transaction.writes.push_back({ rowKey, std::nullopt });
+        transaction.writes.push_back({ expiryKey, std::nullopt });
+    }
+    return table_.commit(transaction, clock_.now() + writeTimeout, failure).status == CommitStatus::Committed;
+}
+
 void RequestRecords::finish(const ClaimedRecord &claimed, const RequestRecord &record)
 {
     {
--- a/modules/pipeline/RequestRecords.h
+++ b/modules/pipeline/RequestRecords.h
@@ -3,6 +3,7 @@
 #include "core/Clock.h"
 #include "pipeline/RequestContext.h"
 #include "pipeline/RequestRecord.h"
+#include "platform/TableService.h"
 
 #include <condition_variable>
 #include <deque>
@@ -15,7 +16,6 @@
 
 class Metrics;
 class ObjectStore;
-class TableService;
 
 enum class ClaimStatus {
     /** This attempt holds the record and may start its task. */
@@ -51,6 +51,13 @@
                       TimePoint deadline,
                       Failure &failure);
 
+    /**
+        Removes the records that were claimed more than 24 h ago, as far as one call gets.
+
+        @return the number of removed records; empty on failure
+    */
+    std::optional<long long> removeExpired(Failure &failure);
+
     /** Writes the outcome of a claimed request in the background; tries again while the table is down. */
     void finish(const ClaimedRecord &claimed, const RequestRecord &record);
 
@@ -65,6 +72,8 @@
         TimePoint due;
     };
 
+    std::optional<long long> removeHour(long long hour, Failure &failure);
+    bool removeRecords(const std::vector<TableRow> &expiryRows, std::size_t begin, std::size_t end, Failure &failure);
     void writeOutcomes();
     bool write(PendingOutcome &pending);
 
--- a/tests/http/HttpServerTests.cpp
+++ b/tests/http/HttpServerTests.cpp
@@ -5,8 +5,12 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <arpa/inet.h>
 #include <atomic>
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
 #include <vector>
 
 using namespace auburndoor;
@@ -132,3 +136,66 @@
     REQUIRE(missing);
     CHECK(missing->body == "status 404");
 }
+
+namespace {
+
+/** A server that answers one request, reads a second one on the same connection, and goes away without an answer. */
+class VanishingServer
+{
+public:
+    VanishingServer()
+    {
+        listener_ = socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t length = sizeof address;
+        bind(listener_, reinterpret_cast<sockaddr *>(&address), length);
+        listen(listener_, 1);
+        getsockname(listener_, reinterpret_cast<sockaddr *>(&address), &length);
+        port_ = ntohs(address.sin_port);
+        thread_ = std::thread([this] { serve(); });
+    }
+
+    ~VanishingServer()
+    {
+        thread_.join();
+    }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(port_);
+    }
+
+private:
+    void serve() const
+    {
+        const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: keep-alive\r\n\r\n";
+        char buffer[4096];
+        const auto connection = accept(listener_, nullptr, nullptr);
+        recv(connection, buffer, sizeof buffer, 0);
+        send(connection, answer.data(), answer.size(), 0);
+        recv(connection, buffer, sizeof buffer, 0);
+        close(listener_);
+        close(connection);
+    }
+
+    int listener_ = -1;
+    int port_ = 0;
+    std::thread thread_;
+};
+
+} // namespace
+
+TEST_CASE("a repeated request whose first sending may have arrived is not reported as unsent", "[http]")
+{
+    // Guards against a definite "not sent" after a lost first exchange followed by a refused connection.
+    VanishingServer server;
+    HttpClient client(server.address(), 1);
+    Delivery delivery = Delivery::NotSent;
+    Failure failure;
+    REQUIRE(client.exchange("GET", "/order", {}, {}, callTimeout, true, delivery, failure));
+    CHECK_FALSE(client.exchange("GET", "/order", {}, {}, callTimeout, true, delivery, failure));
+    CHECK(failure.reason == Reason::ConnectionFailed);
+    CHECK(delivery == Delivery::MaybeSent);
+}
--- a/tests/pipeline/RecordFilterTests.cpp
+++ b/tests/pipeline/RecordFilterTests.cpp
@@ -183,3 +183,23 @@
     CHECK(instance.start(context).status == CallStatus::Answered);
     CHECK(cell.startedTasks() == 1);
 }
+
+TEST_CASE("records are removed a day after their claim, not earlier", "[pipeline]")
+{
+    // Guards against a table that grows without end, and against a retry within the day that runs its request again.
+    Cell cell;
+    RecordedCaller instance(cell.clock, cell.table, cell.worker);
+    auto context = instance.makeContext("request-1", "key", "vet this name");
+    cell.runWithTime([&] { instance.run(context); });
+    cell.clock.advance(std::chrono::hours(23));
+    CHECK(instance.removeExpired() == 0);
+    auto retry = instance.makeContext("request-2", "key", "vet this name");
+    const auto answered = instance.record(retry);
+    REQUIRE(answered);
+    CHECK(answered->status == OutcomeStatus::Answered);
+    cell.clock.advance(std::chrono::hours(3));
+    CHECK(instance.removeExpired() == 1);
+    CHECK(instance.removeExpired() == 0);
+    auto later = instance.makeContext("request-3", "key", "vet this name");
+    CHECK_FALSE(instance.record(later));
+}
--- a/tests/pipeline/RecordedCaller.h
+++ b/tests/pipeline/RecordedCaller.h
@@ -113,6 +113,13 @@
         records_.finish(*context.record, record);
     }
 
+    /** Removes old records. @return their number; -1 on failure */
+    long long removeExpired()
+    {
+        Failure failure;
+        return records_.removeExpired(failure).value_or(-1);
+    }
+
     /** The whole path, with new attempts after a conflict, as Pipeline does it. */
     Outcome run(RequestContext &context)
     {
