Stop an instance that a later process with its id has superseded

Cause: a superseded instance gave up its shards but went on serving callers under an id that another process uses. Change: it reports that it is not ready and drains.

--- a/modules/instance/Instance.cpp
+++ b/modules/instance/Instance.cpp
@@ -115,6 +115,7 @@
     void makeEndpoints();
     void connectListeners();
     void startThreads();
+    void stopIfSuperseded();
     void stopCallers(TimePoint deadline);
     void stopAll();
     std::string whyNotReady() const;
@@ -167,6 +168,7 @@
     std::unique_ptr<HttpServer> callerServer_;
     std::unique_ptr<HttpServer> operatorServer_;
     std::atomic<bool> isDraining_ = false;
+    std::atomic<bool> isSuperseded_ = false;
 };
 
 bool Instance::Parts::start(Failure &failure)
@@ -291,6 +293,7 @@
     ownership_->setInstancesListener([this](const std::vector<Member> &registered) {
         members_->learn(registered);
         budget_.setLiveInstances(static_cast<int>(members_->livePeers().size()) + 1);
+        stopIfSuperseded();
     });
     configuration_->addListener([this](const std::shared_ptr<const VersionedDeclaration> &current) {
         shares_.setTeams(current->declaration.teams);
@@ -315,8 +318,23 @@
     operatorServer_->start();
 }
 
+/** A later process with the same id has taken this one's place: two of them would answer for each other. */
+void Instance::Parts::stopIfSuperseded()
+{
+    if (!ownership_->isSuperseded() || isSuperseded_.exchange(true)) {
+        return;
+    }
+    Log::error("superseded", { { "message", "a later process has this instance's id; check the settings of both" } });
+    if (drainListener_) {
+        drainListener_();
+    }
+}
+
 std::string Instance::Parts::whyNotReady() const
 {
+    if (isSuperseded_) {
+        return "superseded by a later process with the same id";
+    }
     if (isDraining_) {
         return "draining";
     }
--- a/tests/http/HttpServerTests.cpp
+++ b/tests/http/HttpServerTests.cpp
@@ -8,6 +8,7 @@
 #include <arpa/inet.h>
 #include <atomic>
 #include <netinet/in.h>
+#include <stdexcept>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -150,7 +151,9 @@
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         socklen_t length = sizeof address;
-        bind(listener_, reinterpret_cast<sockaddr *>(&address), length);
+        if (bind(listener_, reinterpret_cast<sockaddr *>(&address), length) != 0) {
+            throw std::runtime_error("cannot bind to a loopback port");
+        }
         listen(listener_, 1);
         getsockname(listener_, reinterpret_cast<sockaddr *>(&address), &length);
         port_ = ntohs(address.sin_port);
