--- a/modules/configuration/ConfigurationHolder.cpp
+++ b/modules/configuration/ConfigurationHolder.cpp
@@ -30,14 +30,14 @@
     }
     if (Digest::of(text) != digest) {
         metrics_.count("configuration_refused_bodies_total", "digest");
-        Log::error("configuration.wrong-digest", { { "version", std::to_string(version) }, { "source", source } });
+        Log::error("configuration-digest-wrong", { { "version", std::to_string(version) }, { "source", source } });
         return before;
     }
     Problems problems;
     auto declaration = DeclarationParser::parse(text, problems);
     if (!declaration) {
         metrics_.count("configuration_refused_bodies_total", "invalid");
-        Log::error("configuration.invalid-body",
+        Log::error("configuration-body-invalid",
                    { { "version", std::to_string(version) }, { "source", source }, { "problem", problems.front().text() } });
         return before;
     }
@@ -53,7 +53,7 @@
     }
     metrics_.setGauge("configuration_version", static_cast<double>(version));
     metrics_.count("configuration_taken_total", source);
-    Log::info("configuration.taken", { { "version", std::to_string(version) }, { "digest", digest }, { "source", source } });
+    Log::info("configuration-taken", { { "version", std::to_string(version) }, { "digest", digest }, { "source", source } });
     for (const auto &listener : listeners_) {
         listener(taken);
     }
--- a/modules/configuration/ConfigurationManager.cpp
+++ b/modules/configuration/ConfigurationManager.cpp
@@ -100,7 +100,7 @@
     }
     metrics_.count("configuration_applies_total", name(result.status));
     metrics_.observe("configuration_apply", clock_.now() - start);
-    Log::info("configuration.apply",
+    Log::info("configuration-applied",
               { { "status", name(result.status) },
                 { "version", std::to_string(result.version) },
                 { "operator", result.operatorName },
--- a/modules/configuration/ConfigurationPropagation.cpp
+++ b/modules/configuration/ConfigurationPropagation.cpp
@@ -85,7 +85,7 @@
     if (const auto text = store_.fetchBody(head.digest, fetchDeadline, failure)) {
         holder_.take(head.version, head.digest, *text, "table");
     } else {
-        Log::failure("configuration.body-unavailable", failure, { { "version", std::to_string(head.version) } });
+        Log::failure("configuration-body-unavailable", failure, { { "version", std::to_string(head.version) } });
         takeFromPeers(head.version, deadline);
     }
 }
@@ -104,7 +104,7 @@
         if (const auto found = announcer_.fetch(peer.instance, deadline, failure)) {
             holder_.take(found->version, found->digest, found->text, "peer");
         } else {
-            Log::failure("configuration.peer-unavailable", failure, { { "instance", peer.instance.text() } });
+            Log::failure("configuration-peer-unavailable", failure, { { "instance", peer.instance.text() } });
         }
     }
     return current()->version >= highest;
@@ -116,7 +116,7 @@
     if (announcement.version == present->version && announcement.digest != present->digest) {
         // One version with two texts breaks the single order of versions.
         metrics_.count("configuration_refused_bodies_total", "other-digest");
-        Log::error("configuration.two-texts", { { "version", std::to_string(present->version) }, { "sender", sender.text() } });
+        Log::error("configuration-two-texts", { { "version", std::to_string(present->version) }, { "sender", sender.text() } });
     }
     if (announcement.version <= present->version) {
         return present->version;
@@ -134,7 +134,7 @@
             return holder_.take(found->version, found->digest, found->text, "peer");
         }
     }
-    Log::failure("configuration.body-unavailable", failure, { { "version", std::to_string(announcement.version) } });
+    Log::failure("configuration-body-unavailable", failure, { { "version", std::to_string(announcement.version) } });
     // Another peer may have the text: the polling thread asks them.
     noticeVersion(announcement.version);
     return current()->version;
--- a/modules/instance/Instance.cpp
+++ b/modules/instance/Instance.cpp
@@ -324,7 +324,8 @@
     if (!ownership_->isSuperseded() || isSuperseded_.exchange(true)) {
         return;
     }
-    Log::error("superseded", { { "message", "a later process has this instance's id; check the settings of both" } });
+    Log::error("instance-stopping-superseded",
+               { { "message", "a later process has this instance's id; check the settings of both" } });
     if (drainListener_) {
         drainListener_();
     }
--- a/modules/instance/PoolReporter.cpp
+++ b/modules/instance/PoolReporter.cpp
@@ -92,8 +92,8 @@
         const PlacementNeed need { id, service.need, false, 0, {} };
         const auto freePlaces = parts_.ledger.freePlaces(need);
         const auto queued = static_cast<int>(parts_.queues.queued(id));
-        parts_.metrics.setGauge("free_places", freePlaces, id.text());
-        parts_.metrics.setGauge("queued_requests", queued, id.text());
+        parts_.metrics.setGauge("free_places", freePlaces, "service=" + id.text());
+        parts_.metrics.setGauge("queued_requests", queued, "service=" + id.text());
         if (freePlaces > 0 || queued > 0) {
             pools.push_back({ id, freePlaces, queued });
         }
--- a/modules/jobs/JobRunner.cpp
+++ b/modules/jobs/JobRunner.cpp
@@ -65,7 +65,7 @@
 
 void JobRunner::shardGained(const ShardId &shard, Epoch epoch, long long shardRowVersion)
 {
-    Log::info("jobs of shard taken over", { { "shard", shard.text() }, { "epoch", std::to_string(epoch) } });
+    Log::info("jobs-taken-over", { { "shard", shard.text() }, { "epoch", std::to_string(epoch) } });
     const std::lock_guard lock(mutex_);
     shardNews_[shard] = shardRowVersion;
     condition_.notify_all();
@@ -191,7 +191,7 @@
     auto jobs = store_.loadShard(id, clock_.now() + tableTimeout, failure);
     if (!jobs) {
         shard.isLoaded = false;
-        Log::failure("jobs of shard not loaded", failure, { { "shard", id.text() } });
+        Log::failure("jobs-not-loaded", failure, { { "shard", id.text() } });
         return;
     }
     for (auto &job : *jobs) {
@@ -280,7 +280,7 @@
         loadJob(id, shard, job);
         break;
     case JobDriver::Result::ShardLost:
-        Log::warning("shard row changed, its jobs are left to the new owner", { { "shard", id.text() } });
+        Log::warning("jobs-left-to-new-owner", { { "shard", id.text() } });
         dropShard(id);
         break;
     }
--- a/modules/jobs/JobStore.cpp
+++ b/modules/jobs/JobStore.cpp
@@ -61,7 +61,7 @@
     auto job = decodeJob(row.value);
     if (!job) {
         failure = { Step::ReadTable, "table", Reason::MalformedInput, "the row " + row.key + " holds no job" };
-        Log::failure("job record unreadable", failure);
+        Log::failure("job-record-unreadable", failure);
         return std::nullopt;
     }
     job->version = row.version;
--- a/modules/logbook/Logbook.cpp
+++ b/modules/logbook/Logbook.cpp
@@ -61,7 +61,7 @@
         entry.summary = value.at("summary").get<std::vector<std::string>>();
         return entry;
     } catch (const Json::exception &error) {
-        Log::warning("logbook.malformed-row", { { "key", row.key }, { "message", error.what() } });
+        Log::warning("logbook-row-malformed", { { "key", row.key }, { "message", error.what() } });
         return std::nullopt;
     }
 }
--- a/modules/membership/HeartbeatSender.cpp
+++ b/modules/membership/HeartbeatSender.cpp
@@ -167,7 +167,7 @@
     const auto answer = peer.heartbeat(self, timing_.timeout, failure);
     if (!answer) {
         metrics_.count("heartbeat_failures_total", name(failure.reason));
-        Log::debug("a heartbeat failed", { { "member", id.text() }, { "reason", failure.text() } });
+        Log::debug("heartbeat-failed", { { "member", id.text() }, { "reason", failure.text() } });
         return;
     }
     metrics_.count("heartbeats_total");
--- a/modules/membership/MembershipView.cpp
+++ b/modules/membership/MembershipView.cpp
@@ -137,7 +137,7 @@
         && member.peerAddress == found->second.member.peerAddress) {
         return &found->second;
     }
-    Log::info("member discovered",
+    Log::info("member-discovered",
               { { "member", member.id.text() },
                 { "incarnation", std::to_string(member.incarnation) },
                 { "address", member.peerAddress } });
--- a/modules/observability/Metrics.cpp
+++ b/modules/observability/Metrics.cpp
@@ -28,18 +28,28 @@
 
 using Key = std::pair<std::string, std::string>;
 
+/** Renders "value" as reason="value", and "key=value,key=value" as key="value",key="value". */
 std::string labelText(const Key &key, const std::string &more = {})
 {
     std::string text;
-    if (!key.second.empty()) {
-        text = "reason=\"" + key.second + "\"";
+    std::istringstream parts(key.second);
+    for (std::string part; std::getline(parts, part, ',');) {
+        const auto equals = part.find('=');
+        const auto name = equals == std::string::npos ? std::string("reason") : part.substr(0, equals);
+        text.append(text.empty() ? "" : ",").append(name).append("=\"").append(part.substr(equals + 1)).append("\"");
     }
     if (!more.empty()) {
-        text += (text.empty() ? "" : ",") + more;
+        text.append(text.empty() ? "" : ",").append(more);
     }
     return text.empty() ? text : "{" + text + "}";
 }
 
+/** The labels of the step and reason of a failure. */
+std::string labelOf(const Failure &failure)
+{
+    return "step=" + std::string(name(failure.step)) + ",reason=" + std::string(name(failure.reason));
+}
+
 void printHistogram(std::ostream &stream, const Key &key, const DurationHistogram &histogram)
 {
     constexpr double millisecondsPerSecond = 1000;
@@ -88,12 +98,12 @@
 
 void Metrics::countRefusal(const Failure &failure)
 {
-    count("refusals_total", std::string(auburndoor::name(failure.step)) + "/" + std::string(auburndoor::name(failure.reason)));
+    count("refusals_total", labelOf(failure));
 }
 
 void Metrics::countRetry(const Failure &failure)
 {
-    count("retries_total", std::string(auburndoor::name(failure.step)) + "/" + std::string(auburndoor::name(failure.reason)));
+    count("retries_total", labelOf(failure));
 }
 
 void Metrics::setGauge(std::string_view name, double value, std::string_view label)
--- a/modules/observability/Metrics.h
+++ b/modules/observability/Metrics.h
@@ -24,7 +24,7 @@
     Metrics(const Metrics &) = delete;
     Metrics &operator=(const Metrics &) = delete;
 
-    /** Adds to a counter. @param label value of the label "reason", may be empty */
+    /** Adds to a counter. @param label value of the label "reason", or labels as "key=value,key=value"; may be empty */
     void count(std::string_view name, std::string_view label = {}, long long amount = 1);
 
     /** Counts a refusal: counter "refusals_total" with step and reason of the failure. */
--- a/modules/ownership/OwnershipAgent.cpp
+++ b/modules/ownership/OwnershipAgent.cpp
@@ -141,7 +141,7 @@
     }
     for (const auto &key : observation_.observe(shards, *shardRows, *instanceRows, now, std::exchange(hasGap_, false))) {
         metrics_.count("ownership_malformed_rows_total");
-        Log::error("a row of the table is malformed", { { "row", key } });
+        Log::error("ownership-row-malformed", { { "row", key } });
     }
     reconcile();
     reportInstances();
@@ -286,7 +286,7 @@
         isRegistered_ = false;
     }
     metrics_.count("ownership_superseded_total");
-    Log::error("a later process with this instance id has registered", { { "instance", options_.id.text() } });
+    Log::error("instance-superseded", { { "instance", options_.id.text() } });
     for (const auto &[shard, owned] : ownedShards()) {
         dropOwned(shard);
     }
@@ -314,7 +314,7 @@
             return { CommitStatus::Committed, { 0 }, {} };
         }
     }
-    Log::failure("an ownership write failed", failure, { { "row", transaction.writes.front().key } });
+    Log::failure("ownership-write-failed", failure, { { "row", transaction.writes.front().key } });
     return result;
 }
 
@@ -329,7 +329,7 @@
             return;
         }
     }
-    Log::info("shard gained", { { "shard", shard.text() }, { "epoch", std::to_string(owned.epoch) } });
+    Log::info("shard-gained", { { "shard", shard.text() }, { "epoch", std::to_string(owned.epoch) } });
     metrics_.count("shards_gained_total");
     listener_.shardGained(shard, owned.epoch);
 }
@@ -342,7 +342,7 @@
             return;
         }
     }
-    Log::info("shard lost", { { "shard", shard.text() } });
+    Log::info("shard-lost", { { "shard", shard.text() } });
     metrics_.count("shards_lost_total");
     listener_.shardLost(shard);
 }
--- a/modules/peer/PeerServer.cpp
+++ b/modules/peer/PeerServer.cpp
@@ -119,7 +119,7 @@
                 connection.isEnded = true;
             });
         } catch (const std::system_error &exception) {
-            Log::warning("no thread for a connection of a peer", { { "error", exception.what() } });
+            Log::warning("peer-connection-without-thread", { { "error", exception.what() } });
             metrics_.count("peer_refused_total", "no-thread");
             connections_.pop_back();
         }
@@ -175,7 +175,7 @@
         try {
             isWhole = processor.process(input.protocol, output.protocol, nullptr);
         } catch (const std::exception &exception) {
-            Log::debug("a message of a peer is malformed", { { "error", exception.what() } });
+            Log::debug("peer-message-malformed", { { "error", exception.what() } });
         }
         const auto reply = output.transport->getBufferAsString();
         if (!isWhole || reply.empty()) {
--- a/modules/pipeline/Pipeline.cpp
+++ b/modules/pipeline/Pipeline.cpp
@@ -85,7 +85,7 @@
 void Pipeline::report(const RequestContext &context, const Outcome &outcome) const
 {
     const auto &request = context.request;
-    metrics_.count("outcomes_total", name(outcome.status));
+    metrics_.count("outcomes_total", "outcome=" + std::string(name(outcome.status)));
     traces_.add({ request.id, request.team, request.service, request.kind, context.attempt, outcome });
     if (outcome.status == OutcomeStatus::NotRun || outcome.status == OutcomeStatus::Unknown) {
         metrics_.countRefusal(outcome.failure);
@@ -96,7 +96,7 @@
                        { "outcome", std::string(name(outcome.status)) } });
         return;
     }
-    metrics_.observe("request_duration", clock_.now() - request.arrival, request.service.text());
+    metrics_.observe("request_duration", clock_.now() - request.arrival, "service=" + request.service.text());
     Log::debug("request-ended",
                { { "request", request.id.text() },
                  { "team", request.team.text() },
