Count the wait for a connection thread against the caller's deadline

Cause: a connection that waited for a thread was read late, and its request then got its whole timeout anew. Change: the server tells how long a connection has waited, and the request's deadline begins when it was accepted. Before and after: test-http and test-pipeline each gained a check that fails without it.

--- a/modules/http/HttpMessage.h
+++ b/modules/http/HttpMessage.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <map>
 #include <string>
 #include <vector>
@@ -16,6 +17,8 @@
     /** The groups of the route's pattern, without the whole match. */
     std::vector<std::string> pathParts;
     std::string body;
+    /** How long its connection waited for a thread before the first request on it could be read; zero for later requests. */
+    std::chrono::milliseconds waited { 0 };
 
     /** The value of a header, given in lower case; empty if absent. */
     std::string header(const std::string &name) const
--- a/modules/http/HttpServer.cpp
+++ b/modules/http/HttpServer.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <utility>
 
 namespace auburndoor {
 
@@ -15,6 +16,9 @@
 constexpr std::size_t requestsPerConnection = 1'000'000;
 constexpr std::size_t overflowThreadCount = 2;
 
+/** How long the connection that this thread serves has waited for it; taken by the first request. */
+thread_local std::chrono::milliseconds connectionWait { 0 };
+
 /** True on the threads that answer connections past the limit. */
 thread_local bool isOverflowThread = false;
 
@@ -39,7 +43,11 @@
     {
         {
             const std::lock_guard lock(mutex_);
-            (jobs_.size() < limit_ ? jobs_ : overflowJobs_).push_back(std::move(job));
+            auto timed = [job = std::move(job), accepted = std::chrono::steady_clock::now()] {
+                connectionWait = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - accepted);
+                job();
+            };
+            (jobs_.size() < limit_ ? jobs_ : overflowJobs_).push_back(std::move(timed));
         }
         condition_.notify_all();
     }
@@ -114,6 +122,7 @@
         request.pathParts.push_back(source.matches[index]);
     }
     request.body = source.body;
+    request.waited = std::exchange(connectionWait, std::chrono::milliseconds(0));
     return request;
 }
 
--- a/modules/instance/CallerEndpoint.cpp
+++ b/modules/instance/CallerEndpoint.cpp
@@ -43,6 +43,7 @@
     context.call.idempotencyKey = request.header("idempotency-key");
     context.call.timeout = request.header("request-timeout-ms");
     context.call.body = request.body;
+    context.call.waited = request.waited;
     const auto outcome = pipeline_.run(context);
     return replyOf(outcome, context.request.id);
 }
--- a/modules/pipeline/DescribeFilter.cpp
+++ b/modules/pipeline/DescribeFilter.cpp
@@ -55,8 +55,13 @@
         }
         timeout = Milliseconds(milliseconds);
     }
-    context.request.arrival = now;
-    context.request.deadline = now + timeout;
+    context.request.arrival = now - context.call.waited;
+    context.request.deadline = context.request.arrival + timeout;
+    if (context.request.deadline <= now) {
+        auto refused = refusal(Reason::DeadlinePassed, "the call waited too long for a connection thread");
+        refused.failure.step = Step::Queue;
+        return refused;
+    }
     return std::nullopt;
 }
 
--- a/modules/pipeline/RequestContext.h
+++ b/modules/pipeline/RequestContext.h
@@ -25,6 +25,8 @@
     /** Time that the caller gives, in milliseconds as text; empty for the service's default. */
     std::string timeout;
     std::string body;
+    /** Time that the call has spent in this instance before it was read; it counts against the timeout. */
+    Milliseconds waited { 0 };
 };
 
 /** The record of a non-repeatable request that this instance has claimed. */
--- a/tests/http/HttpServerTests.cpp
+++ b/tests/http/HttpServerTests.cpp
@@ -77,7 +77,9 @@
     HttpServer server(options);
     std::atomic<bool> isHeld = false;
     std::atomic<bool> isReleased = false;
-    server.route("POST", "/hold", [&](const HttpRequest &) {
+    std::atomic<long long> longestWaitMs = 0;
+    server.route("POST", "/hold", [&](const HttpRequest &request) {
+        longestWaitMs = std::max(longestWaitMs.load(), static_cast<long long>(request.waited.count()));
         isHeld = true;
         while (!isReleased) {
             std::this_thread::yield();
@@ -108,11 +110,14 @@
     while (refused < 3) {
         std::this_thread::yield();
     }
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
     isReleased = true;
     for (auto &caller : callers) {
         caller.join();
     }
     CHECK(refused == 3);
+    // The fifth connection has waited for the thread; a server that does not say so hides it from the caller's deadline.
+    CHECK(longestWaitMs >= 50);
 }
 
 TEST_CASE("a body past the limit and an unknown path get the error handler's answer", "[http]")
--- a/tests/pipeline/DecisionTests.cpp
+++ b/tests/pipeline/DecisionTests.cpp
@@ -75,6 +75,12 @@
     CHECK(describe(callWith("vetting", "../other-team/key", "100"))->failure.reason == Reason::MalformedInput);
     CHECK(describe(callWith("shortlist", "", "-1"))->failure.reason == Reason::OutOfRange);
     CHECK(describe(callWith("shortlist", "", "99999999999999999999"))->failure.reason == Reason::OutOfRange);
+    auto late = callWith("shortlist", "", "100");
+    late.waited = Milliseconds(99);
+    CHECK_FALSE(describe(late));
+    // Guards against work for a caller that has given up while its connection waited for a thread.
+    late.waited = Milliseconds(100);
+    CHECK(describe(late)->failure.reason == Reason::DeadlinePassed);
     IncomingCall unknown;
     unknown.service = "kiln";
     CHECK(describe(unknown)->failure.reason == Reason::UnknownName);
