--- a/tests/system/SystemFixture.cpp
+++ b/tests/system/SystemFixture.cpp
@@ -251,6 +251,9 @@
 void SystemFixture::report(const Judgement &judgement, const std::string &faults) const
 {
     for (const auto &[promise, checked] : judgement.checked) {
+        if (checked == 0) {
+            continue;
+        }
         std::cout << "proof | " << name(promise) << " | " << faults << " | " << checked << " | " << seed_ << " | "
                   << (judgement.count(promise) == 0 ? "holds" : "VIOLATED") << '\n';
     }
