Measure the processes of a cell, and count the bytes of their messages

Cause: the design's budget for each node (4.8% of a core, 32 MB, 25 KB/s) had been estimated, but not measured on real processes. Only the calls that an instance makes to its peers were counted, not those that it answers, and nothing that goes to workers and the platform.

--- a/modules/http/HttpClient.cpp
+++ b/modules/http/HttpClient.cpp
@@ -6,12 +6,48 @@
 
 #include <algorithm>
 #include <mutex>
+#include <string_view>
 
 namespace auburndoor {
 
 namespace {
 
 constexpr int maxAddressPort = 65535;
+constexpr std::string_view lineEnd = "\r\n";
+
+std::size_t sizeOfHeader(std::string_view key, std::string_view value)
+{
+    constexpr std::string_view separator = ": ";
+    return key.size() + separator.size() + value.size() + lineEnd.size();
+}
+
+std::size_t sizeOfHeaders(const httplib::Headers &headers)
+{
+    std::size_t size = lineEnd.size();
+    for (const auto &[key, value] : headers) {
+        size += sizeOfHeader(key, value);
+    }
+    return size;
+}
+
+/** The bytes of a request on the wire. The library adds some headers only as it writes them, so their sizes are added here. */
+std::size_t sizeOf(const httplib::Request &request, const std::string &address)
+{
+    const auto line = request.method.size() + request.path.size() + std::string_view("  HTTP/1.1\r\n").size();
+    auto size = line + sizeOfHeaders(request.headers) + request.body.size();
+    size += sizeOfHeader("Host", address) + sizeOfHeader("Accept", "*/*");
+    size += sizeOfHeader("User-Agent", "cpp-httplib/" CPPHTTPLIB_VERSION);
+    if (!request.body.empty() || request.method != "GET") {
+        size += sizeOfHeader("Content-Length", std::to_string(request.body.size()));
+    }
+    return size;
+}
+
+std::size_t sizeOf(const httplib::Response &response)
+{
+    const auto line = response.version.size() + response.reason.size() + std::string_view(" 200 \r\n").size();
+    return line + sizeOfHeaders(response.headers) + response.body.size();
+}
 
 Failure failureOf(httplib::Error error, const std::string &address)
 {
@@ -134,6 +170,7 @@
     HttpReply reply;
     reply.status = result->status;
     reply.body = result->body;
+    reply.exchangedBytes = sizeOf(request, implementation_->address_) + sizeOf(*result);
     reply.contentType = result->get_header_value("Content-Type");
     for (const auto &[key, value] : result->headers) {
         std::string lowered = key;
--- a/modules/http/HttpMessage.h
+++ b/modules/http/HttpMessage.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <map>
 #include <string>
 #include <vector>
@@ -39,6 +40,8 @@
     std::string body;
     std::string contentType = "application/json";
     std::map<std::string, std::string> headers;
+    /** Filled by HttpClient: the bytes of the request and of this reply as HTTP/1.1 sends them, with lines and headers. */
+    std::size_t exchangedBytes = 0;
 };
 
 } // namespace auburndoor
--- a/modules/peer/PeerServer.cpp
+++ b/modules/peer/PeerServer.cpp
@@ -3,6 +3,7 @@
 #include "core/Failure.h"
 #include "observability/Log.h"
 #include "observability/Metrics.h"
+#include "observability/Traffic.h"
 #include "peer/FramedSocket.h"
 #include "peer/PeerSession.h"
 #include "peer/WireConversion.h"
@@ -158,16 +159,19 @@
                 }
                 return;
             }
-            const bool isAnswered = answer(socket, processor, *message);
+            const auto reply = answer(socket, processor, *message);
             session->leave();
-            if (!isAnswered) {
+            if (reply && session->isAuthenticated()) {
+                countTraffic(metrics_, "peer-served/" + callName(*message), sizeOfFrame(*message) + sizeOfFrame(*reply));
+            }
+            if (!reply) {
                 return;
             }
         }
     }
 
-    /** Processes one message and sends the answer. @return false if the connection must end */
-    bool answer(FramedSocket &socket, wire::PeerServiceProcessor &processor, std::string &message)
+    /** Processes one message and sends the answer. @return the answer, or empty if the connection must end */
+    std::optional<std::string> answer(FramedSocket &socket, wire::PeerServiceProcessor &processor, std::string &message)
     {
         const WireBuffer input(message);
         const WireBuffer output;
@@ -177,17 +181,17 @@
         } catch (const std::exception &exception) {
             Log::debug("a message of a peer is malformed", { { "error", exception.what() } });
         }
-        const auto reply = output.transport->getBufferAsString();
+        auto reply = output.transport->getBufferAsString();
         if (!isWhole || reply.empty()) {
             metrics_.count("peer_refused_total", name(Reason::MalformedInput));
-            return false;
+            return std::nullopt;
         }
         Failure failure;
         if (!socket.send(reply, options_.writeTimeout, failure)) {
             metrics_.count("peer_answers_lost_total", name(failure.reason));
-            return false;
+            return std::nullopt;
         }
-        return true;
+        return reply;
     }
 
     const PeerServerOptions options_;
--- a/modules/peer/ThriftPeer.cpp
+++ b/modules/peer/ThriftPeer.cpp
@@ -1,6 +1,7 @@
 #include "peer/ThriftPeer.h"
 
 #include "observability/Metrics.h"
+#include "observability/Traffic.h"
 #include "peer/ConnectionPool.h"
 #include "peer/MemberCodec.h"
 #include "peer/WireConversion.h"
@@ -133,8 +134,7 @@
     /** Counts the bytes of a frame, with its length. */
     void countBytes(std::string_view metric, std::string_view direction, const std::string &payload)
     {
-        constexpr long long lengthSize = 4;
-        metrics_.count(metric, direction, static_cast<long long>(payload.size()) + lengthSize);
+        metrics_.count(metric, direction, static_cast<long long>(sizeOfFrame(payload)));
     }
 
     static Milliseconds remaining(TimePoint deadline)
@@ -174,6 +174,7 @@
         }
         countBytes("peer_call_bytes_total", "sent", message);
         countBytes("peer_call_bytes_total", "received", *bytes);
+        countTraffic(metrics_, "peer/" + callName(message), sizeOfFrame(message) + sizeOfFrame(*bytes));
         const auto delivery = decode(*bytes, receive, failure);
         if (delivery == Delivery::Lost) {
             pool_.discard();
@@ -196,6 +197,7 @@
         }
         countBytes("heartbeat_bytes_total", "sent", message);
         countBytes("heartbeat_bytes_total", "received", *bytes);
+        countTraffic(metrics_, "peer/heartbeat", sizeOfFrame(message) + sizeOfFrame(*bytes));
         wire::MemberState answer;
         const auto receive = [&](Client &client) { client.recv_heartbeat(answer); };
         if (decode(*bytes, receive, failure) != Delivery::Answered) {
--- a/modules/peer/WireConversion.cpp
+++ b/modules/peer/WireConversion.cpp
@@ -54,6 +54,23 @@
 {
 }
 
+std::size_t sizeOfFrame(const std::string &message)
+{
+    constexpr std::size_t lengthSize = 4;
+    return message.size() + lengthSize;
+}
+
+std::string callName(const std::string &message)
+{
+    // Thrift's binary protocol: version and type (4 bytes), length of the name (4 bytes, of which names use one), name.
+    constexpr std::size_t lengthOffset = 7;
+    constexpr std::size_t nameOffset = 8;
+    if (message.size() < nameOffset) {
+        return "malformed";
+    }
+    return message.substr(nameOffset, static_cast<unsigned char>(message[lengthOffset]));
+}
+
 Step stepOf(const std::string &text)
 {
     for (int value = 0; value <= static_cast<int>(Step::Shutdown); ++value) {
--- a/modules/peer/WireConversion.h
+++ b/modules/peer/WireConversion.h
@@ -28,6 +28,12 @@
     std::shared_ptr<apache::thrift::protocol::TProtocol> protocol;
 };
 
+/** The size of a frame that carries the message, with its length field. */
+std::size_t sizeOfFrame(const std::string &message);
+
+/** The name of the call in an encoded message; "malformed" if it has none. */
+std::string callName(const std::string &message);
+
 /** The step with the given name; None if there is no such step, as in a message of a newer release. */
 Step stepOf(const std::string &text);
 
--- a/modules/platform/PlatformConnection.cpp
+++ b/modules/platform/PlatformConnection.cpp
@@ -3,6 +3,7 @@
 #include "core/RandomId.h"
 #include "http/HttpClient.h"
 #include "observability/Metrics.h"
+#include "observability/Traffic.h"
 
 #include <algorithm>
 
@@ -44,6 +45,15 @@
     }
 }
 
+/** "platform/table/commit" for a call of the table; the keys of objects and cursors are left out. */
+std::string trafficLabel(const std::string &path)
+{
+    constexpr std::string_view version = "/v1/";
+    const auto call = path.substr(version.size(), path.find('?') - version.size());
+    const auto kind = call.substr(0, call.find('/'));
+    return "platform/" + (kind == "table" ? call : kind);
+}
+
 } // namespace
 
 PlatformConnection::PlatformConnection(PlatformOptions options, Clock &clock, Metrics &metrics)
@@ -109,6 +119,7 @@
         return AttemptResult::Retry;
     }
     failure.peer = client.address();
+    countTraffic(metrics_, trafficLabel(call.path), reply->exchangedBytes);
     const auto mayHaveArrivedBefore = mayHaveArrived;
     if (reply->status == statusOk) {
         failure.reason = Reason::BadReply;
--- a/modules/worker/HttpWorkerConnection.cpp
+++ b/modules/worker/HttpWorkerConnection.cpp
@@ -4,6 +4,7 @@
 #include "core/RandomId.h"
 #include "http/HttpClient.h"
 #include "observability/Metrics.h"
+#include "observability/Traffic.h"
 #include "worker/WorkerMessages.h"
 
 #include <algorithm>
@@ -129,6 +130,7 @@
     order.wait = rest;
     Delivery delivery = Delivery::MaybeSent;
     const auto reply = client_->exchange("POST", path, encode(order), {}, rest, false, delivery, failure);
+    countExchange(path, reply);
     if (!reply) {
         failure.step = Step::Start;
         failure.peer = worker_.text();
@@ -233,6 +235,7 @@
         const auto timeout = std::max(rest / (attemptLimit - attempt), Milliseconds(1));
         Delivery delivery = Delivery::MaybeSent;
         const auto reply = client_->exchange("POST", path, body, {}, timeout, true, delivery, failure);
+        countExchange(path, reply);
         failure.step = stepOf(path);
         failure.peer = worker_.text();
         if (reply && reply->status == statusOk) {
@@ -268,6 +271,14 @@
     return true;
 }
 
+void HttpWorkerConnection::countExchange(const std::string &path, const std::optional<HttpReply> &reply)
+{
+    if (reply) {
+        constexpr std::string_view version = "/v1/";
+        countTraffic(metrics_, "worker/" + path.substr(version.size()), reply->exchangedBytes);
+    }
+}
+
 void HttpWorkerConnection::countCrossed(Failure &failure)
 {
     metrics_.count("crossed_answers_total");
--- a/modules/worker/HttpWorkerConnection.h
+++ b/modules/worker/HttpWorkerConnection.h
@@ -57,6 +57,7 @@
                 const std::function<bool(const std::string &)> &accept,
                 Failure &failure);
     bool pause(int attempt, TimePoint deadline);
+    void countExchange(const std::string &path, const std::optional<HttpReply> &reply);
     void countCrossed(Failure &failure);
 
     const WorkerId worker_;
--- /dev/null
+++ b/tests/measure/ProcessUsage.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <sys/types.h>
+
+namespace auburndoor {
+
+/** What the kernel says of one process. */
+struct ProcessUsage
+{
+    /** User and system time since its start, in steps of 10 ms. */
+    double cpuSeconds = 0;
+    /** Resident memory, with the pages of libraries that processes share. */
+    double residentMiB = 0;
+    /** Resident memory that is not backed by files: heap and stacks. */
+    double anonymousMiB = 0;
+    int threads = 0;
+
+    /** Reads /proc/<id>/stat and /proc/<id>/status. @return zeros if there is no such process */
+    static ProcessUsage read(pid_t id);
+};
+
+} // namespace auburndoor
