Leave unused fields out of orders to workers and of their reports

Cause: a lease renewal took 635 bytes, and 2,772 with 7 tasks on a worker, where the design assumes 400. Orders carried all fields of all kinds of orders, and reports repeated need, team and answer of each task, which the owner knows or takes by query.

Change: empty and zero fields are left out, as readers already assume. The tasks of a report on a renewal have id, state and measured use only; a report on a seizure keeps everything. The order `renew` is {"epoch", "leaseMs", "mark", "worker"}.

--- a/modules/worker/WorkerMessages.cpp
+++ b/modules/worker/WorkerMessages.cpp
@@ -14,13 +14,35 @@
 
 constexpr std::array<std::string_view, 6> stateNames { "unknown", "running", "done", "failed", "stopped", "never-started" };
 
+/**
+    Sets a field unless it has the value that a reader assumes when it is absent.
+
+    Renewals are a good part of an instance's control traffic, and most fields of their orders and reports are unused.
+*/
+template<typename Value>
+void setUsed(Json &json, const char *key, const Value &value)
+{
+    if (value != Value {}) {
+        json[key] = value;
+    }
+}
+
 Json toJson(const Resources &resources)
 {
-    return { { "milliCores", resources.milliCores },
-             { "memoryMiB", resources.memoryMiB },
-             { "accelerators", resources.accelerators },
-             { "slots", resources.slots },
-             { "connections", resources.connections } };
+    Json json = Json::object();
+    setUsed(json, "milliCores", resources.milliCores);
+    setUsed(json, "memoryMiB", resources.memoryMiB);
+    setUsed(json, "accelerators", resources.accelerators);
+    setUsed(json, "slots", resources.slots);
+    setUsed(json, "connections", resources.connections);
+    return json;
+}
+
+void setResources(Json &json, const char *key, const Resources &resources)
+{
+    if (auto value = toJson(resources); !value.empty()) {
+        json[key] = std::move(value);
+    }
 }
 
 Resources toResources(const Json &json)
@@ -35,6 +57,9 @@
 /** Bytes that are not UTF-8 cannot stand in a JSON string; they go in base64 under a name of their own. */
 void setBytes(Json &json, const std::string &key, const std::string &bytes)
 {
+    if (bytes.empty()) {
+        return;
+    }
     if (isUtf8(bytes)) {
         json[key] = bytes;
     } else {
@@ -57,11 +82,10 @@
 
 Json toJson(const WorkerTask &task)
 {
-    Json json { { "task", task.id.text() },
-                { "state", name(task.state) },
-                { "need", toJson(task.need) },
-                { "team", task.team.text() },
-                { "measuredUse", toJson(task.measuredUse) } };
+    Json json { { "task", task.id.text() }, { "state", name(task.state) } };
+    setResources(json, "need", task.need);
+    setUsed(json, "team", task.team.text());
+    setResources(json, "measuredUse", task.measuredUse);
     setBytes(json, "answer", task.answer);
     return json;
 }
@@ -82,6 +106,14 @@
     return task;
 }
 
+/** What an owner does not know yet of a task that it follows. */
+Json toRenewalJson(const WorkerTask &task)
+{
+    Json json { { "task", task.id.text() }, { "state", name(task.state) } };
+    setResources(json, "measuredUse", task.measuredUse);
+    return json;
+}
+
 Reason reasonOf(std::string_view text)
 {
     for (int value = 0; value <= static_cast<int>(Reason::OutcomeUnknown); ++value) {
@@ -127,10 +159,18 @@
 std::string encode(const WorkerOrder &order)
 {
     const auto latest = std::chrono::duration_cast<Milliseconds>(order.task.latestStart.time_since_epoch());
-    Json json { { "worker", order.worker.text() },   { "owner", order.owner.text() },     { "task", order.task.id.text() },
-                { "epoch", order.task.epoch },       { "team", order.task.team.text() },  { "service", order.task.service.text() },
-                { "need", toJson(order.task.need) }, { "latestStartMs", latest.count() }, { "leaseMs", order.task.lease.count() },
-                { "waitMs", order.wait.count() },    { "percent", order.percent },        { "mark", order.mark } };
+    Json json { { "worker", order.worker.text() } };
+    setUsed(json, "owner", order.owner.text());
+    setUsed(json, "task", order.task.id.text());
+    setUsed(json, "epoch", order.task.epoch);
+    setUsed(json, "team", order.task.team.text());
+    setUsed(json, "service", order.task.service.text());
+    setResources(json, "need", order.task.need);
+    setUsed(json, "latestStartMs", latest.count());
+    setUsed(json, "leaseMs", order.task.lease.count());
+    setUsed(json, "waitMs", order.wait.count());
+    setUsed(json, "percent", order.percent);
+    setUsed(json, "mark", order.mark);
     setBytes(json, "body", order.task.body);
     return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
@@ -140,11 +180,11 @@
     return toJson(task).dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
-std::string encode(const MarkedReport &report)
+std::string encode(const MarkedReport &report, ReportKind kind)
 {
     Json tasks = Json::array();
     for (const auto &task : report.report.tasks) {
-        tasks.push_back(toJson(task));
+        tasks.push_back(kind == ReportKind::Seizure ? toJson(task) : toRenewalJson(task));
     }
     return Json {
         { "worker", report.worker.text() },
--- a/modules/worker/WorkerMessages.h
+++ b/modules/worker/WorkerMessages.h
@@ -34,6 +34,14 @@
     long long mark = 0;
 };
 
+/** The order that a report answers. */
+enum class ReportKind {
+    /** The new owner learns everything about each task. */
+    Seizure,
+    /** The owner knows need and team of the tasks, and takes answers by query; the report leaves them out. */
+    Renewal,
+};
+
 /** A worker's refusal of an order. */
 struct WorkerRefusal
 {
@@ -51,7 +59,7 @@
 
 std::string encode(const WorkerOrder &order);
 std::string encode(const WorkerTask &task);
-std::string encode(const MarkedReport &report);
+std::string encode(const MarkedReport &report, ReportKind kind);
 std::string encode(const WorkerRefusal &refusal);
 
 /** The message as read from JSON text; empty if it is malformed or lacks a field. */
--- a/tests/fakes/WorkerServer.cpp
+++ b/tests/fakes/WorkerServer.cpp
@@ -159,7 +159,7 @@
                 return refuse({}, failure);
             }
             report.report = *seized;
-            return Answer { 200, encode(report) };
+            return Answer { 200, encode(report, ReportKind::Seizure) };
         });
         route("/v1/renew", [this](const WorkerOrder &order) {
             Failure failure;
@@ -169,7 +169,7 @@
                 return refuse({}, failure);
             }
             report.report = *renewed;
-            return Answer { 200, encode(report) };
+            return Answer { 200, encode(report, ReportKind::Renewal) };
         });
     }
 
--- a/tests/worker/HttpWorkerTests.cpp
+++ b/tests/worker/HttpWorkerTests.cpp
@@ -72,6 +72,20 @@
     CHECK(order->task.body == "\xFF");
     CHECK_FALSE(decodeOrder(R"({"task": "t"})"));
     CHECK_FALSE(decodeTask(R"({"task": "t", "state": "asleep"})"));
+    WorkerOrder renewal;
+    renewal.worker = WorkerId("w");
+    renewal.task.epoch = 7;
+    renewal.task.lease = Milliseconds(30'000);
+    CHECK(encode(renewal) == R"({"epoch":7,"leaseMs":30000,"worker":"w"})");
+    const WorkerTask task { TaskId("t"), TaskState::Running, { 500, 64, 0, 1, 0 }, TeamId("red"), "answer", { 400, 0, 0, 0, 0 } };
+    const MarkedReport report { WorkerId("w"), { { 1000, 0, 0, 8, 0 }, { task } }, 3 };
+    CHECK(encode(report, ReportKind::Renewal)
+          == R"({"capacity":{"milliCores":1000,"slots":8},"mark":3,)"
+             R"("tasks":[{"measuredUse":{"milliCores":400},"state":"running","task":"t"}],"worker":"w"})");
+    const auto seized = decodeReport(encode(report, ReportKind::Seizure));
+    REQUIRE(seized);
+    CHECK(seized->report.tasks.at(0).need == task.need);
+    CHECK(seized->report.tasks.at(0).team == task.team);
     CHECK(encode(WorkerRefusal { TaskId("t"), Reason::StaleEpoch, "m" }) == R"({"message":"m","reason":"stale-epoch","task":"t"})");
 }
 
