Leave empty fields out of the reports about tasks between instances

Cause: most answers to queryTask say only that a task runs, and half of their bytes were zero amounts.

Change: need, team, answer and measured use of TaskReport are optional on the wire and absent if empty; older readers take absent fields for the same defaults. The command in the comment of auburndoor.thrift is the one that makes the committed code: it named moveable_types, with which the code has not been generated.

--- a/modules/peer/WireConversion.cpp
+++ b/modules/peer/WireConversion.cpp
@@ -283,10 +283,18 @@
     wire::TaskReport report;
     report.id = task.id.text();
     report.state = static_cast<std::int32_t>(task.state);
-    report.need = toWire(task.need);
-    report.team = task.team.text();
-    report.answer = task.answer;
-    report.measuredUse = toWire(task.measuredUse);
+    if (task.need != Resources {}) {
+        report.__set_need(toWire(task.need));
+    }
+    if (!task.team.isEmpty()) {
+        report.__set_team(task.team.text());
+    }
+    if (!task.answer.empty()) {
+        report.__set_answer(task.answer);
+    }
+    if (task.measuredUse != Resources {}) {
+        report.__set_measuredUse(toWire(task.measuredUse));
+    }
     return report;
 }
 
--- a/modules/peer/auburndoor.thrift
+++ b/modules/peer/auburndoor.thrift
@@ -1,6 +1,6 @@
 // Messages between the entry instances of one cell: binary protocol, framed transport.
 // Times are remaining milliseconds, because the clocks of different machines are never compared.
-// Generated code: thrift -r --gen cpp:no_skeleton,moveable_types -out modules/peer/generated modules/peer/auburndoor.thrift
+// Generated code: thrift -r --gen cpp:no_skeleton -out modules/peer/generated modules/peer/auburndoor.thrift
 
 namespace cpp auburndoor.wire
 
@@ -108,13 +108,14 @@
     3: Problem failure
 }
 
+/** Empty fields are left out: most reports only say that a task runs. */
 struct TaskReport {
     1: string id
     2: i32 state
-    3: Amounts need
-    4: string team
-    5: binary answer
-    6: Amounts measuredUse
+    3: optional Amounts need
+    4: optional string team
+    5: optional binary answer
+    6: optional Amounts measuredUse
 }
 
 service PeerService {
