Take a task for running only while its worker's report is younger than a lease

Cause: an owner answered questions about a task from the worker's last report, however old it was. A worker that dies without leaving the platform's list thus kept its tasks running in the eyes of their job (read in the code; the test shows the answer of the owner).

Change: a report counts for one task lease. After that the question goes to the worker, and its silence leads to the restart elsewhere.

--- a/modules/fleet/WorkerRoster.cpp
+++ b/modules/fleet/WorkerRoster.cpp
@@ -251,11 +251,17 @@
     return OwnedWorker { worker, found->second.shard, found->second.epoch, found->second.connection };
 }
 
+/** A worker that has not answered for a task lease may have died, and stops its tasks if it has not. */
+bool WorkerRoster::isReportFresh(const Entry &entry) const
+{
+    return entry.isSeized && clock_.now() - entry.lastReport <= options_.taskLease;
+}
+
 bool WorkerRoster::isReportedRunning(const WorkerId &worker, const TaskId &task) const
 {
     const std::lock_guard lock(mutex_);
     const auto found = workers_.find(worker);
-    if (found == workers_.end() || !found->second.isSeized) {
+    if (found == workers_.end() || !isReportFresh(found->second)) {
         return false;
     }
     // Only the ends of followed tasks are asked for often enough.
--- a/modules/fleet/WorkerRoster.h
+++ b/modules/fleet/WorkerRoster.h
@@ -146,6 +146,7 @@
     void noteGone(const ListedWorker &changed);
     bool isOpen(const ListedWorker &worker) const;
     Entry *entryOf(const WorkerVisit &visit);
+    bool isReportFresh(const Entry &entry) const;
     static void noteReport(Entry &entry, const WorkerReport &report, TimePoint asked);
 
     const WorkerRosterOptions options_;
--- a/tests/fleet/WorkerManagerTests.cpp
+++ b/tests/fleet/WorkerManagerTests.cpp
@@ -115,6 +115,25 @@
     CHECK(late.status == CallStatus::NotRun);
 }
 
+TEST_CASE("a task counts as running only while its worker's last report is younger than a task lease", "[fleet]")
+{
+    // Guards against a job that waits forever for a task of a worker that has died without leaving the platform's list.
+    FleetFixture fixture;
+    FleetOwner owner(fixture, "owner");
+    owner.gain(1);
+    const auto reservation = owner.reserve("job/0/1");
+    REQUIRE(reservation);
+    Failure failure;
+    const auto deadline = fixture.clock.now() + Milliseconds(1000);
+    REQUIRE(fixture.worker().start(owner.start(*reservation, endlessBody), deadline, failure).status == CallStatus::Answered);
+    owner.workers.followTask(*reservation);
+    const auto &roster = owner.workers.roster();
+    owner.waitUntil([&] { return roster.isReportedRunning(reservation->worker, TaskId("job/0/1")); });
+    fixture.worker().setReachable(false);
+    fixture.clock.advance(Milliseconds(31'000));
+    CHECK_FALSE(roster.isReportedRunning(reservation->worker, TaskId("job/0/1")));
+}
+
 TEST_CASE("the room of a task is free again soon after the worker reports its end", "[fleet]")
 {
     FleetFixture fixture;
