--- a/modules/peer/WireConversion.cpp
+++ b/modules/peer/WireConversion.cpp
@@ -54,6 +54,23 @@
 {
 }
 
+std::size_t sizeOfFrame(const std::string &message)
+{
+    constexpr std::size_t lengthSize = 4;
+    return message.size() + lengthSize;
+}
+
+std::string callName(const std::string &message)
+{
+    // Thrift's binary protocol: version and type (4 bytes), length of the name (4 bytes, of which names use one), name.
+    constexpr std::size_t lengthOffset = 7;
+    constexpr std::size_t nameOffset = 8;
+    if (message.size() < nameOffset) {
+        return "malformed";
+    }
+    return message.substr(nameOffset, static_cast<unsigned char>(message[lengthOffset]));
+}
+
 Step stepOf(const std::string &text)
 {
     for (int value = 0; value <= static_cast<int>(Step::Shutdown); ++value) {
@@ -266,10 +283,18 @@
     wire::TaskReport report;
     report.id = task.id.text();
     report.state = static_cast<std::int32_t>(task.state);
-    report.need = toWire(task.need);
-    report.team = task.team.text();
-    report.answer = task.answer;
-    report.measuredUse = toWire(task.measuredUse);
+    if (task.need != Resources {}) {
+        report.__set_need(toWire(task.need));
+    }
+    if (!task.team.isEmpty()) {
+        report.__set_team(task.team.text());
+    }
+    if (!task.answer.empty()) {
+        report.__set_answer(task.answer);
+    }
+    if (task.measuredUse != Resources {}) {
+        report.__set_measuredUse(toWire(task.measuredUse));
+    }
     return report;
 }
 
--- a/modules/peer/auburndoor.thrift
+++ b/modules/peer/auburndoor.thrift
@@ -108,13 +108,14 @@
     3: Problem failure
 }
 
+/** Empty fields are left out: most reports only say that a task runs. */
 struct TaskReport {
     1: string id
     2: i32 state
-    3: Amounts need
-    4: string team
-    5: binary answer
-    6: Amounts measuredUse
+    3: optional Amounts need
+    4: optional string team
+    5: optional binary answer
+    6: optional Amounts measuredUse
 }
 
 service PeerService {
