Attempt a request again only after a definite not-run, and start nothing at its deadline

After a peer was killed, its entry instance attempted a repeatable request again while the first attempt still ran at a worker: the request ran in two places for some 7 ms. After an outage of the table, records that were written milliseconds before the deadline still led to a start, and the callers were told "unknown". Ruled out: a stall of the process; all late requests had been waiting for their record. Change: adviseRetry() stops after any unknown outcome. RecordFilter gives the claim only the time up to the latest sensible start, and records the request as not run if that has passed.

--- a/modules/instance/Instance.cpp
+++ b/modules/instance/Instance.cpp
@@ -254,7 +254,7 @@
     const auto noteReserved = [this] { reporter_->noteChange(); };
     pipeline.addAttempt(std::make_unique<ReserveFilter>(ReserveParts {
         clock_, ledger_, *members_, estimator_, queues_, shares_, census_, settings_.placement.rule, noteReserved }));
-    pipeline.addAttempt(std::make_unique<RecordFilter>(*records_, *resolver_, ledger_));
+    pipeline.addAttempt(std::make_unique<RecordFilter>(clock_, *records_, *resolver_, ledger_, estimator_));
     pipeline.addAttempt(std::make_unique<DispatchFilter>(
         DispatchParts { clock_, ledger_, workers_, health_, estimator_, *records_, *resolver_, *members_, settings_.tasks.lease }));
 }
--- a/modules/pipeline/Pipeline.cpp
+++ b/modules/pipeline/Pipeline.cpp
@@ -63,7 +63,7 @@
 
 bool Pipeline::mayRetry(const RequestContext &context, const Outcome &outcome) const
 {
-    const auto advice = adviseRetry(context.request, outcome);
+    const auto advice = adviseRetry(outcome);
     const auto isForwarded = context.request.hopCount > 0;
     if (advice == RetryAdvice::Stop || clock_.now() >= context.request.deadline) {
         return false;
--- a/modules/pipeline/RecordFilter.cpp
+++ b/modules/pipeline/RecordFilter.cpp
@@ -1,9 +1,12 @@
 #include "pipeline/RecordFilter.h"
 
 #include "pipeline/RequestContext.h"
+#include "pipeline/RequestNeeds.h"
 #include "pipeline/RequestRecords.h"
 #include "pipeline/TaskResolver.h"
 
+#include <algorithm>
+
 namespace auburndoor {
 
 namespace {
@@ -18,8 +21,12 @@
 
 } // namespace
 
-RecordFilter::RecordFilter(RequestRecords &records, TaskResolver &resolver, CapacityLedger &ledger)
-    : records_(records), resolver_(resolver), ledger_(ledger)
+RecordFilter::RecordFilter(Clock &clock,
+                           RequestRecords &records,
+                           TaskResolver &resolver,
+                           CapacityLedger &ledger,
+                           const RunTimeEstimator &estimator)
+    : clock_(clock), records_(records), resolver_(resolver), ledger_(ledger), estimator_(estimator)
 {
 }
 
@@ -36,13 +43,14 @@
     record.requestDigest = RequestRecord::digestOf(request);
     Failure failure;
     const auto expected = context.record ? context.record->version : 0;
-    auto claim = records_.claim(key, expected, record, request.deadline, failure);
+    const auto startBy = latestStart(context);
+    auto claim = records_.claim(key, expected, record, startBy, failure);
     if (claim.status == ClaimStatus::Taken && claim.present.state == RecordState::NotRun) {
-        claim = records_.claim(key, claim.version, record, request.deadline, failure);
+        claim = records_.claim(key, claim.version, record, startBy, failure);
     }
     if (claim.status == ClaimStatus::Claimed) {
         context.record = ClaimedRecord { key, claim.version };
-        return std::nullopt;
+        return refuseLateStart(context, record, startBy);
     }
     releaseRoom(context);
     if (claim.status == ClaimStatus::Failed) {
@@ -54,6 +62,28 @@
     return claim.present.state == RecordState::Claimed ? resolveClaim(context, claim) : answerFromRecord(context, claim);
 }
 
+/** The last moment at which a start makes sense: a task that begins at its deadline would end as unknown. */
+TimePoint RecordFilter::latestStart(const RequestContext &context) const
+{
+    constexpr Milliseconds shortestRun { 100 };
+    const auto deadline = context.request.deadline;
+    const auto remaining = std::chrono::duration_cast<Milliseconds>(deadline - clock_.now());
+    return std::min(queueEntryOf(context, estimator_).latestStart(), deadline - std::min(shortestRun, remaining / 2));
+}
+
+/** The record may have been written late, as after an outage of the table; its task is then not started. */
+std::optional<Outcome> RecordFilter::refuseLateStart(RequestContext &context, const RequestRecord &record, TimePoint startBy)
+{
+    if (clock_.now() <= startBy) {
+        return std::nullopt;
+    }
+    auto notStarted = record;
+    notStarted.state = RecordState::NotRun;
+    records_.finish(*context.record, notStarted);
+    releaseRoom(context);
+    return notRun(Reason::DeadlinePassed, "the record was written too late for a start before the deadline");
+}
+
 Outcome RecordFilter::answerFromRecord(RequestContext &context, const ClaimResult &taken)
 {
     const auto &record = taken.present;
--- a/modules/pipeline/RecordFilter.h
+++ b/modules/pipeline/RecordFilter.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "core/Clock.h"
 #include "pipeline/Filter.h"
 
 namespace auburndoor {
 
 class CapacityLedger;
 class RequestRecords;
+class RunTimeEstimator;
 class TaskResolver;
 struct RequestRecord;
 struct ClaimResult;
@@ -18,7 +20,11 @@
 class RecordFilter : public Filter
 {
 public:
-    RecordFilter(RequestRecords &records, TaskResolver &resolver, CapacityLedger &ledger);
+    RecordFilter(Clock &clock,
+                 RequestRecords &records,
+                 TaskResolver &resolver,
+                 CapacityLedger &ledger,
+                 const RunTimeEstimator &estimator);
 
     std::optional<Outcome> apply(RequestContext &context) override;
 
@@ -27,9 +33,14 @@
     Outcome resolveClaim(RequestContext &context, const ClaimResult &taken);
     void releaseRoom(RequestContext &context);
 
+    TimePoint latestStart(const RequestContext &context) const;
+    std::optional<Outcome> refuseLateStart(RequestContext &context, const RequestRecord &record, TimePoint startBy);
+
+    Clock &clock_;
     RequestRecords &records_;
     TaskResolver &resolver_;
     CapacityLedger &ledger_;
+    const RunTimeEstimator &estimator_;
 };
 
 } // namespace auburndoor
--- a/modules/pipeline/RetryDecision.cpp
+++ b/modules/pipeline/RetryDecision.cpp
@@ -27,7 +27,7 @@
 
 } // namespace
 
-RetryAdvice adviseRetry(const Request &request, const Outcome &outcome)
+RetryAdvice adviseRetry(const Outcome &outcome)
 {
     if (outcome.status == OutcomeStatus::NotRun && outcome.failure.reason == Reason::Conflict) {
         return outcome.failure.step == Step::Record ? RetryAdvice::ClaimAgain : RetryAdvice::Stop;
@@ -35,10 +35,6 @@
     if (outcome.status == OutcomeStatus::NotRun) {
         return adviseAfterNotRun(outcome.failure);
     }
-    const auto isPeerLost = outcome.failure.step == Step::Forward && outcome.failure.reason == Reason::ConnectionLost;
-    if (outcome.status == OutcomeStatus::Unknown && request.isRepeatable && isPeerLost) {
-        return RetryAdvice::RetryUnderBudget;
-    }
     return RetryAdvice::Stop;
 }
 
--- a/modules/pipeline/RetryDecision.h
+++ b/modules/pipeline/RetryDecision.h
@@ -18,8 +18,9 @@
 /**
     Says whether a request may be attempted again after an outcome.
 
-    Only a definite not-run is repeated, and an unknown outcome only for a repeatable request whose peer was lost. A pure function.
+    Only a definite not-run is repeated. An attempt of unknown outcome may still run, and a second one beside it would run the
+   request in two places at once. A pure function.
 */
-RetryAdvice adviseRetry(const Request &request, const Outcome &outcome);
+RetryAdvice adviseRetry(const Outcome &outcome);
 
 } // namespace auburndoor
--- a/tests/pipeline/DecisionTests.cpp
+++ b/tests/pipeline/DecisionTests.cpp
@@ -42,28 +42,25 @@
 
 } // namespace
 
-TEST_CASE("a non-repeatable request is attempted again only after a definite not-run", "[pipeline]")
+TEST_CASE("a request is attempted again only after a definite not-run", "[pipeline]")
 {
-    // Guards against a second run after an attempt whose fate is not known.
-    Request request;
-    request.isRepeatable = false;
+    // Guards against a second run beside an attempt whose fate is not known, also of a repeatable request.
     const bool isSafe = rc::check([&] {
         const auto status = *rc::gen::element(OutcomeStatus::Answered, OutcomeStatus::TaskFailed, OutcomeStatus::Unknown);
         const auto step = static_cast<Step>(*rc::gen::inRange(0, 23));
         const auto reason = static_cast<Reason>(*rc::gen::inRange(0, 31));
-        RC_ASSERT(adviseRetry(request, outcomeOf(status, step, reason)) == RetryAdvice::Stop);
+        RC_ASSERT(adviseRetry(outcomeOf(status, step, reason)) == RetryAdvice::Stop);
     });
     CHECK(isSafe);
 }
 
 TEST_CASE("a refusal for want of room is routed again, one that waiting cannot mend is final", "[pipeline]")
 {
-    const Request request;
-    CHECK(adviseRetry(request, outcomeOf(OutcomeStatus::NotRun, Step::Reserve, Reason::NoCapacity)) == RetryAdvice::RouteAgain);
-    CHECK(adviseRetry(request, outcomeOf(OutcomeStatus::NotRun, Step::Start, Reason::StaleEpoch)) == RetryAdvice::RetryUnderBudget);
-    CHECK(adviseRetry(request, outcomeOf(OutcomeStatus::NotRun, Step::Queue, Reason::DeadlinePassed)) == RetryAdvice::Stop);
-    CHECK(adviseRetry(request, outcomeOf(OutcomeStatus::NotRun, Step::Record, Reason::TimedOut)) == RetryAdvice::Stop);
-    CHECK(adviseRetry(request, outcomeOf(OutcomeStatus::NotRun, Step::Record, Reason::Conflict)) == RetryAdvice::ClaimAgain);
+    CHECK(adviseRetry(outcomeOf(OutcomeStatus::NotRun, Step::Reserve, Reason::NoCapacity)) == RetryAdvice::RouteAgain);
+    CHECK(adviseRetry(outcomeOf(OutcomeStatus::NotRun, Step::Start, Reason::StaleEpoch)) == RetryAdvice::RetryUnderBudget);
+    CHECK(adviseRetry(outcomeOf(OutcomeStatus::NotRun, Step::Queue, Reason::DeadlinePassed)) == RetryAdvice::Stop);
+    CHECK(adviseRetry(outcomeOf(OutcomeStatus::NotRun, Step::Record, Reason::TimedOut)) == RetryAdvice::Stop);
+    CHECK(adviseRetry(outcomeOf(OutcomeStatus::NotRun, Step::Record, Reason::Conflict)) == RetryAdvice::ClaimAgain);
 }
 
 TEST_CASE("malformed calls are refused with the field that is wrong", "[pipeline]")
--- a/tests/pipeline/RecordFilterTests.cpp
+++ b/tests/pipeline/RecordFilterTests.cpp
@@ -155,6 +155,42 @@
     CHECK(cell.startedTasks() == 0);
 }
 
+namespace {
+
+/** A table that answers only after a time. */
+class SlowTable : public FakeTableService
+{
+public:
+    SlowTable(ManualClock &clock, Milliseconds delay) : clock_(clock), delay_(delay)
+    {
+    }
+
+    CommitResult commit(const Transaction &transaction, TimePoint deadline, Failure &failure) override
+    {
+        clock_.advance(delay_);
+        return FakeTableService::commit(transaction, deadline, failure);
+    }
+
+private:
+    ManualClock &clock_;
+    const Milliseconds delay_;
+};
+
+} // namespace
+
+TEST_CASE("a record that is written just before the deadline starts nothing", "[pipeline]")
+{
+    // Guards against a task that begins at its deadline, as after an outage of the table, and whose caller is told "unknown".
+    Cell cell;
+    SlowTable table(cell.clock, Milliseconds(59'950));
+    RecordedCaller instance(cell.clock, table, cell.worker);
+    auto context = instance.makeContext("request", "key", "vet this name");
+    const auto refused = instance.record(context);
+    REQUIRE(refused);
+    CHECK(refused->status == OutcomeStatus::NotRun);
+    CHECK(refused->failure.reason == Reason::DeadlinePassed);
+}
+
 TEST_CASE("a key that is used again for another request is refused", "[pipeline]")
 {
     // Guards against a caller that gets the answer of somebody else's request.
--- a/tests/pipeline/RecordedCaller.h
+++ b/tests/pipeline/RecordedCaller.h
@@ -10,6 +10,7 @@
 #include "pipeline/TaskResolver.h"
 #include "placement/BestFitPlacer.h"
 #include "placement/CapacityLedger.h"
+#include "placement/RunTimeEstimator.h"
 #include "platform/ObjectStore.h"
 
 namespace auburndoor {
@@ -55,14 +56,14 @@
 class RecordedCaller
 {
 public:
-    RecordedCaller(ManualClock &clock, FakeTableService &table, FakeWorker &worker)
+    RecordedCaller(ManualClock &clock, TableService &table, FakeWorker &worker)
         : clock_(clock)
         , worker_(worker)
         , access_(worker)
         , resolver_(clock, access_)
         , records_(clock, metrics_, table, objects_)
         , ledger_(placer_)
-        , filter_(records_, resolver_, ledger_)
+        , filter_(clock, records_, resolver_, ledger_, estimator_)
     {
     }
 
@@ -150,6 +151,7 @@
     RequestRecords records_;
     BestFitPlacer placer_;
     CapacityLedger ledger_;
+    RunTimeEstimator estimator_;
     RecordFilter filter_;
 };
 
