Ask an owner once for all running tasks of a job

Cause: a driver asked after each task by itself. The questions of a job came at different moments, and each round of the driver goes over all tasks of the job: with 6,000 tasks at 8 instances, rounds took most of an instance's processor time.

Ruled out: a longest period of more than 10 s between questions, which would delay the restart of a service task that ends.

Change: runningTasks(job) returns what the callee's workers last reported as running, for the own instance and for peers. A driver asks it if several tasks of the owner are due soon, which also brings their next questions together. A task that is not in the answer, or a peer that does not know the call, is asked after by queryTask as before.

The unit test counts at most 10 questions in 50 s for 32 tasks of a peer.

--- a/modules/fleet/OwnerService.cpp
+++ b/modules/fleet/OwnerService.cpp
@@ -123,6 +123,11 @@
     return state;
 }
 
+std::vector<TaskId> OwnerService::runningTasks(const JobId &job) const
+{
+    return workers_.roster().reportedRunning(job);
+}
+
 std::optional<WorkerTask> OwnerService::cancelTask(const WorkerId &worker,
                                                    const TaskId &task,
                                                    Milliseconds timeout,
--- a/modules/fleet/OwnerService.h
+++ b/modules/fleet/OwnerService.h
@@ -30,6 +30,9 @@
 
     std::optional<WorkerTask> queryTask(const WorkerId &worker, const TaskId &task, Milliseconds timeout, Failure &failure);
 
+    /** The tasks of a job that owned workers reported as running. */
+    std::vector<TaskId> runningTasks(const JobId &job) const;
+
     std::optional<WorkerTask> cancelTask(const WorkerId &worker, const TaskId &task, Milliseconds timeout, Failure &failure);
 
     /** Releases the holds whose time limit has passed. */
--- a/modules/fleet/WorkerRoster.cpp
+++ b/modules/fleet/WorkerRoster.cpp
@@ -268,6 +268,25 @@
     return found->second.followed.contains(task) && found->second.running.contains(task);
 }
 
+std::vector<TaskId> WorkerRoster::reportedRunning(const JobId &job) const
+{
+    const auto prefix = job.text() + "/";
+    std::vector<TaskId> tasks;
+    const std::lock_guard lock(mutex_);
+    for (const auto &[id, entry] : workers_) {
+        if (!isReportFresh(entry)) {
+            continue;
+        }
+        for (auto task = entry.running.lower_bound(TaskId(prefix)); task != entry.running.end() && task->text().starts_with(prefix);
+             ++task) {
+            if (entry.followed.contains(*task)) {
+                tasks.push_back(*task);
+            }
+        }
+    }
+    return tasks;
+}
+
 bool WorkerRoster::hasLapsed(const WorkerId &worker) const
 {
     const auto lapse = options_.taskLease + leaseMargin;
--- a/modules/fleet/WorkerRoster.h
+++ b/modules/fleet/WorkerRoster.h
@@ -100,6 +100,9 @@
     */
     bool isReportedRunning(const WorkerId &worker, const TaskId &task) const;
 
+    /** The tasks of a job for which isReportedRunning() holds. */
+    std::vector<TaskId> reportedRunning(const JobId &job) const;
+
     /**
         True if no task of the worker can run any more.
 
--- a/modules/instance/PeerService.cpp
+++ b/modules/instance/PeerService.cpp
@@ -81,4 +81,9 @@
     parts_.notifyJob(shard, job);
 }
 
+std::vector<TaskId> PeerService::runningTasks(const JobId &job)
+{
+    return parts_.owner.runningTasks(job);
+}
+
 } // namespace auburndoor
--- a/modules/instance/PeerService.h
+++ b/modules/instance/PeerService.h
@@ -43,6 +43,7 @@
     std::optional<WorkerTask> queryTask(const WorkerId &worker, const TaskId &task, Failure &failure) override;
     std::optional<WorkerTask> cancelTask(const WorkerId &worker, const TaskId &task, Failure &failure) override;
     void notifyJob(const ShardId &shard, const JobId &job) override;
+    std::vector<TaskId> runningTasks(const JobId &job) override;
 
 private:
     PeerServiceParts parts_;
--- a/modules/jobs/JobDriver.cpp
+++ b/modules/jobs/JobDriver.cpp
@@ -6,6 +6,7 @@
 #include "observability/Metrics.h"
 
 #include <algorithm>
+#include <map>
 
 namespace auburndoor {
 
@@ -25,6 +26,8 @@
 constexpr Milliseconds outcomeDelay { 1000 };
 /** Until the first question after a task that has just been started. */
 constexpr Milliseconds firstQuery { 250 };
+/** A task in the answer to a question about all tasks takes about a tenth of the bytes of a question of its own. */
+constexpr std::size_t tasksPerQuestion = 10;
 /** A round without anything else to wait for. */
 constexpr Milliseconds longestWait { 10'000 };
 
@@ -113,6 +116,7 @@
 {
     const auto view = enterReports();
     const auto cancels = tasksToCancel(view);
+    followRunning(cancels);
     for (std::size_t index = 0; index < job_.tasks.size(); ++index) {
         const auto &task = job_.tasks[index];
         auto &followed = live_[index];
@@ -138,6 +142,53 @@
     }
 }
 
+/**
+    Asks each owner once for all running tasks of the job if many of them are due soon; the rest is asked after one by one.
+
+    One question for each task would be most of an instance's control traffic with 750 running tasks, and one round for each
+   question most of its processor time, since a round goes over all tasks.
+*/
+void JobDriver::followRunning(const std::vector<std::size_t> &cancels)
+{
+    struct Share
+    {
+        std::vector<std::size_t> tasks;
+        std::size_t soon = 0;
+        bool isDue = false;
+    };
+    const auto now = services_.clock.now();
+    std::map<InstanceId, Share> shares;
+    for (std::size_t index = 0; index < job_.tasks.size(); ++index) {
+        const auto &task = job_.tasks[index];
+        const auto &followed = live_[index];
+        const bool isFollowed = task.phase == TaskPhase::Assigned && !followed.report && !followed.isRecalled
+                                && !std::binary_search(cancels.begin(), cancels.end(), index);
+        if (isFollowed) {
+            auto &share = shares[services_.gateway.ownerOf(task.worker, task.owner)];
+            const auto period = queryPeriod(std::chrono::duration_cast<Milliseconds>(now - followed.since));
+            share.tasks.push_back(index);
+            share.soon += followed.nextQuery <= now + period / 2 ? 1 : 0;
+            share.isDue = share.isDue || followed.nextQuery <= now;
+        }
+    }
+    for (const auto &[owner, share] : shares) {
+        if (!owner.isEmpty() && share.isDue && share.soon > 1 && share.soon * tasksPerQuestion >= share.tasks.size()) {
+            enterRunning(owner, share.tasks);
+        }
+    }
+}
+
+void JobDriver::enterRunning(const InstanceId &owner, const std::vector<std::size_t> &tasks)
+{
+    auto running = services_.gateway.runningTasks(owner, job_.declaration.id);
+    std::sort(running.begin(), running.end());
+    for (const auto index : tasks) {
+        if (std::binary_search(running.begin(), running.end(), live_[index].id)) {
+            services_.follower.enterRunning(live_[index]);
+        }
+    }
+}
+
 Job JobDriver::enterReports() const
 {
     auto next = job_;
--- a/modules/jobs/JobDriver.h
+++ b/modules/jobs/JobDriver.h
@@ -77,6 +77,8 @@
     };
 
     void followTasks();
+    void followRunning(const std::vector<std::size_t> &cancels);
+    void enterRunning(const InstanceId &owner, const std::vector<std::size_t> &tasks);
     Job enterReports() const;
     std::vector<Placement> placeTasks(Job &next);
     std::vector<HeldPlace> findPlaces(const std::vector<std::size_t> &tasks);
--- a/modules/jobs/OwnerGateway.cpp
+++ b/modules/jobs/OwnerGateway.cpp
@@ -92,6 +92,22 @@
     return ask(Order::Query, hint, worker, task, failure);
 }
 
+const InstanceId &OwnerGateway::ownerOf(const WorkerId &worker, const InstanceId &hint) const
+{
+    const auto known = owners_.find(worker);
+    return known == owners_.end() ? hint : known->second;
+}
+
+std::vector<TaskId> OwnerGateway::runningTasks(const InstanceId &instance, const JobId &job)
+{
+    if (instance == self_) {
+        return local_.runningTasks(job);
+    }
+    Failure failure;
+    const auto peer = peers_.peer(instance);
+    return peer ? peer->runningTasks(job, memoryTimeout, failure).value_or(std::vector<TaskId>()) : std::vector<TaskId>();
+}
+
 std::optional<WorkerTask> OwnerGateway::cancel(const InstanceId &hint, const WorkerId &worker, const TaskId &task, Failure &failure)
 {
     return ask(Order::Cancel, hint, worker, task, failure);
--- a/modules/jobs/OwnerGateway.h
+++ b/modules/jobs/OwnerGateway.h
@@ -48,6 +48,12 @@
     /** The state of a task, from the present owner of its worker. @param hint the owner when it was assigned */
     std::optional<WorkerTask> query(const InstanceId &hint, const WorkerId &worker, const TaskId &task, Failure &failure);
 
+    /** The instance that owned the worker when it last answered; the hint if it has not. */
+    const InstanceId &ownerOf(const WorkerId &worker, const InstanceId &hint) const;
+
+    /** The tasks of a job that the workers of an instance reported as running; none if it cannot be reached. */
+    std::vector<TaskId> runningTasks(const InstanceId &instance, const JobId &job);
+
     /** Cancels a task through the present owner of its worker. */
     std::optional<WorkerTask> cancel(const InstanceId &hint, const WorkerId &worker, const TaskId &task, Failure &failure);
 
--- a/modules/jobs/TaskFollower.cpp
+++ b/modules/jobs/TaskFollower.cpp
@@ -38,6 +38,14 @@
     }
 }
 
+void TaskFollower::enterRunning(FollowedTask &task)
+{
+    WorkerTask report;
+    report.id = task.id;
+    report.state = TaskState::Running;
+    enter(task, report);
+}
+
 void TaskFollower::cancel(FollowedTask &task, const InstanceId &owner, const WorkerId &worker)
 {
     if (isKnownSilent(task, worker)) {
--- a/modules/jobs/TaskFollower.h
+++ b/modules/jobs/TaskFollower.h
@@ -46,6 +46,9 @@
     /** Asks after a task. A worker that does not know the task is told never to start it. @param owner hint */
     void query(FollowedTask &task, const InstanceId &owner, const WorkerId &worker);
 
+    /** Enters that the owner of the task's worker has reported it as running. */
+    void enterRunning(FollowedTask &task);
+
     /** Orders a task to stop. */
     void cancel(FollowedTask &task, const InstanceId &owner, const WorkerId &worker);
 
--- a/modules/peer/Peer.h
+++ b/modules/peer/Peer.h
@@ -86,6 +86,16 @@
 
     /** Tells the peer that a job in one of its shards has been recorded or changed. */
     virtual bool notifyJob(const ShardId &shard, const JobId &job, Milliseconds timeout, Failure &failure) = 0;
+
+    /**
+        The tasks of a job that run on workers of the peer, as the workers last reported; empty if the peer does not tell.
+
+        A task that is not among them may run nevertheless; only queryTask() tells. A peer need not implement this.
+    */
+    virtual std::optional<std::vector<TaskId>> runningTasks(const JobId &, Milliseconds, Failure &)
+    {
+        return std::nullopt;
+    }
 };
 
 } // namespace auburndoor
--- a/modules/peer/PeerHandler.h
+++ b/modules/peer/PeerHandler.h
@@ -20,6 +20,7 @@
     virtual std::optional<WorkerTask> queryTask(const WorkerId &worker, const TaskId &task, Failure &failure) = 0;
     virtual std::optional<WorkerTask> cancelTask(const WorkerId &worker, const TaskId &task, Failure &failure) = 0;
     virtual void notifyJob(const ShardId &shard, const JobId &job) = 0;
+    virtual std::vector<TaskId> runningTasks(const JobId &job) = 0;
 };
 
 } // namespace auburndoor
--- a/modules/peer/PeerSession.cpp
+++ b/modules/peer/PeerSession.cpp
@@ -172,4 +172,12 @@
     context_.handler.notifyJob(ShardId(shard), JobId(job));
 }
 
+void PeerSession::runningTasks(std::vector<std::string> &answer, const wire::CallHeader &header, const std::string &job)
+{
+    admit(header);
+    for (const auto &task : context_.handler.runningTasks(JobId(job))) {
+        answer.push_back(task.text().substr(job.size() + 1));
+    }
+}
+
 } // namespace auburndoor
--- a/modules/peer/PeerSession.h
+++ b/modules/peer/PeerSession.h
@@ -54,6 +54,7 @@
                     const std::string &worker,
                     const std::string &task) override;
     void notifyJob(const wire::CallHeader &header, const std::string &shard, const std::string &job) override;
+    void runningTasks(std::vector<std::string> &answer, const wire::CallHeader &header, const std::string &job) override;
 
 private:
     void authenticate(const wire::CallHeader &header);
--- a/modules/peer/ThriftPeer.cpp
+++ b/modules/peer/ThriftPeer.cpp
@@ -375,4 +375,22 @@
     return delivery == Delivery::Answered;
 }
 
+std::optional<std::vector<TaskId>> ThriftPeer::runningTasks(const JobId &job, Milliseconds timeout, Failure &failure)
+{
+    std::vector<TaskId> tasks;
+    const auto delivery = implementation_->call(
+        Step::Collect,
+        timeout,
+        failure,
+        [&](Client &client) { client.send_runningTasks(implementation_->header(), job.text()); },
+        [&](Client &client) {
+            std::vector<std::string> answer;
+            client.recv_runningTasks(answer);
+            for (const auto &task : answer) {
+                tasks.emplace_back(job.text() + "/" + task);
+            }
+        });
+    return delivery == Delivery::Answered ? std::optional(tasks) : std::nullopt;
+}
+
 } // namespace auburndoor
--- a/modules/peer/ThriftPeer.h
+++ b/modules/peer/ThriftPeer.h
@@ -50,6 +50,7 @@
                                          Milliseconds timeout,
                                          Failure &failure) override;
     bool notifyJob(const ShardId &shard, const JobId &job, Milliseconds timeout, Failure &failure) override;
+    std::optional<std::vector<TaskId>> runningTasks(const JobId &job, Milliseconds timeout, Failure &failure) override;
 
 private:
     class Implementation;
--- a/modules/peer/auburndoor.thrift
+++ b/modules/peer/auburndoor.thrift
@@ -129,4 +129,6 @@
     TaskReport queryTask(1: CallHeader header, 2: string worker, 3: string task) throws (1: Refusal refusal)
     TaskReport cancelTask(1: CallHeader header, 2: string worker, 3: string task) throws (1: Refusal refusal)
     void notifyJob(1: CallHeader header, 2: string shard, 3: string job) throws (1: Refusal refusal)
+    /** The tasks of a job that run on the callee's workers, as their last reports say: each id without "<job>/". */
+    list<string> runningTasks(1: CallHeader header, 2: string job) throws (1: Refusal refusal)
 }
--- a/tests/fleet/WorkerManagerTests.cpp
+++ b/tests/fleet/WorkerManagerTests.cpp
@@ -129,9 +129,12 @@
     owner.workers.followTask(*reservation);
     const auto &roster = owner.workers.roster();
     owner.waitUntil([&] { return roster.isReportedRunning(reservation->worker, TaskId("job/0/1")); });
+    CHECK(roster.reportedRunning(JobId("job")) == std::vector { TaskId("job/0/1") });
+    CHECK(roster.reportedRunning(JobId("jo")).empty());
     fixture.worker().setReachable(false);
     fixture.clock.advance(Milliseconds(31'000));
     CHECK_FALSE(roster.isReportedRunning(reservation->worker, TaskId("job/0/1")));
+    CHECK(roster.reportedRunning(JobId("job")).empty());
 }
 
 TEST_CASE("the room of a task is free again soon after the worker reports its end", "[fleet]")
--- a/tests/jobs/Cell.cpp
+++ b/tests/jobs/Cell.cpp
@@ -130,8 +130,31 @@
     return startHeld(hold, start, failure);
 }
 
+std::vector<TaskId> FakeOwner::runningTasks(const JobId &job)
+{
+    std::vector<TaskId> running;
+    for (const auto &[id, worker] : workers) {
+        for (const auto &event : worker->history()) {
+            Failure failure;
+            const auto isOfJob = event.kind == WorkerEvent::Kind::Start && event.task.text().starts_with(job.text() + "/");
+            const auto task = isOfJob ? worker->query(event.task, clock_.now() + tick, failure) : std::nullopt;
+            if (task && task->state == TaskState::Running) {
+                running.push_back(event.task);
+            }
+        }
+    }
+    return running;
+}
+
+std::optional<std::vector<TaskId>> FakeOwner::runningTasks(const JobId &job, Milliseconds, Failure &)
+{
+    ++jobQuestions;
+    return runningTasks(job);
+}
+
 std::optional<WorkerTask> FakeOwner::queryTask(const WorkerId &worker, const TaskId &task, Milliseconds, Failure &failure)
 {
+    ++taskQuestions;
     return queryTask(worker, task, failure);
 }
 
--- a/tests/jobs/Cell.h
+++ b/tests/jobs/Cell.h
@@ -52,6 +52,9 @@
     std::optional<WorkerTask> queryTask(const WorkerId &worker, const TaskId &task, Milliseconds, Failure &failure) override;
     std::optional<WorkerTask> cancelTask(const WorkerId &worker, const TaskId &task, Milliseconds, Failure &failure) override;
 
+    std::vector<TaskId> runningTasks(const JobId &job) override;
+    std::optional<std::vector<TaskId>> runningTasks(const JobId &job, Milliseconds, Failure &) override;
+
     // Not used by jobs: a call fails the test.
     MAKE_MOCK1(heartbeat, Member(const Member &), override);
     MAKE_MOCK1(execute, Outcome(const Request &), override);
@@ -71,6 +74,9 @@
     void renewLeases();
 
     std::map<WorkerId, std::shared_ptr<FakeWorker>> workers;
+    /** Questions of peers about one task, and about all running tasks of a job. */
+    int taskQuestions = 0;
+    int jobQuestions = 0;
     std::function<void()> beforeStart;
     std::function<void()> afterStart;
 
--- a/tests/jobs/JobRunnerTests.cpp
+++ b/tests/jobs/JobRunnerTests.cpp
@@ -243,6 +243,27 @@
     CHECK(cell.use() == Resources {});
 }
 
+TEST_CASE("a peer is asked once for all running tasks of a job", "[jobs]")
+{
+    // Guards against one question for each task, which at 750 running tasks alone exceeded an instance's budget for control
+    // traffic. The four workers have just enough slots, so that each owner runs half of the tasks.
+    Cell cell(2, { 1'000'000, 1'000'000, 0, 16, 1000 });
+    cell.submit(JobKind::Batch, 64, R"({"runMs": 300000})");
+    cell.runFor(Milliseconds(100'000));
+    const auto &peer = cell.owners.at(cell.owners.begin()->first == cell.runnerInstance ? cell.owners.rbegin()->first
+                                                                                        : cell.owners.begin()->first);
+    peer->taskQuestions = 0;
+    peer->jobQuestions = 0;
+    cell.runFor(Milliseconds(50'000));
+    CHECK(peer->taskQuestions == 0);
+    // One question for each 10 s, and one more where tasks were started in rounds.
+    CHECK(peer->jobQuestions > 0);
+    CHECK(peer->jobQuestions <= 10);
+    const auto job = cell.runFor(Milliseconds(300'000));
+    CHECK(job.phase == JobPhase::Done);
+    CHECK(cell.startCount() == 64);
+}
+
 TEST_CASE("a gang waits without holding places, and says why", "[jobs]")
 {
     // Guards against a gang that keeps places from others while it waits for more.
--- a/tests/membership/HeartbeatTraffic.cpp
+++ b/tests/membership/HeartbeatTraffic.cpp
@@ -61,6 +61,11 @@
         return std::nullopt;
     }
 
+    std::vector<TaskId> runningTasks(const JobId &) override
+    {
+        return {};
+    }
+
     std::optional<WorkerTask> cancelTask(const WorkerId &, const TaskId &, Failure &) override
     {
         return std::nullopt;
--- a/tests/peer/PeerFixture.h
+++ b/tests/peer/PeerFixture.h
@@ -71,6 +71,11 @@
         };
     }
 
+    std::vector<TaskId> runningTasks(const JobId &job) override
+    {
+        return { TaskId(job.text() + "/0/1"), TaskId(job.text() + "/12/3") };
+    }
+
     std::optional<WorkerTask> cancelTask(const WorkerId &worker, const TaskId &, Failure &failure) override
     {
         failure = { Step::Cancel, worker.text(), Reason::NotOwner, "the worker is not owned here" };
--- a/tests/peer/PeerTests.cpp
+++ b/tests/peer/PeerTests.cpp
@@ -108,6 +108,8 @@
     CHECK(task->measuredUse == Resources { 6, 7, 8, 9, 10 });
     CHECK_FALSE(fixture.client->cancelTask(WorkerId("w"), TaskId("t"), timeout, failure));
     CHECK(failure.reason == Reason::NotOwner);
+    const auto running = fixture.client->runningTasks(JobId("j"), timeout, failure);
+    CHECK(running == std::vector { TaskId("j/0/1"), TaskId("j/12/3") });
     CHECK(fixture.client->notifyJob(ShardId("east/1"), JobId("j"), timeout, failure));
     CHECK(fixture.handler.lastJob == "east/1 j");
 }
