--- a/tests/cell/HistoryChecker.cpp
+++ b/tests/cell/HistoryChecker.cpp
@@ -121,7 +121,8 @@
 Judgement HistoryChecker::check(const std::vector<CallRecord> &calls, const WorkerHistory &workers)
 {
     Judgement result;
-    result.checked[Promise::Capacity] = static_cast<long long>(workers.runs.size() + workers.overloads.size());
+    result.checked[Promise::Capacity] = static_cast<long long>(workers.runs.size())
+                                        + static_cast<long long>(workers.overloads.size());
     for (const auto &overload : workers.overloads) {
         result.violations.push_back({ Promise::Capacity, overload });
     }
