Release shards at the beginning of a planned stop, and use a leaving owner until it has released them

Cause: a stopping instance released its shards only after its callers were done, and peers gave a leaving instance nothing. While the table was down, nobody used the workers of the leaving owner for up to 3 s; requests waited to the end of their deadlines, were started with a millisecond left, and ended as unknown. Ruled out: a stall of the successor; its shards came 0.4 s after the release. Change: the release begins with the stop and runs beside the completion of callers' requests. A request that waited is started only with its expected run time and 100 ms left.

--- a/modules/instance/Instance.cpp
+++ b/modules/instance/Instance.cpp
@@ -358,15 +358,14 @@
     members_->setLeaving();
     ownership_->beginLeaving();
     callerServer_->setDraining();
-    std::mutex mutex;
-    std::condition_variable condition;
-    std::unique_lock lock(mutex);
-    clock_.waitUntil(lock, condition, clock_.now() + balancerNotice, [] { return false; });
-    stopCallers(deadline - releaseTime);
     housekeeping_->stop();
     jobRunner_->stop();
-    const auto remaining = std::chrono::duration_cast<Milliseconds>(deadline - clock_.now());
-    const auto isReleased = ownership_->stop(std::max(remaining, Milliseconds(1)));
+    // The shards go first, so that the successors use their workers at once. While the table is down that waits, and this instance
+    // goes on serving its callers and peers with them.
+    bool isReleased = false;
+    std::thread release([&] { isReleased = ownership_->stop(settings_.shutdown.deadline); });
+    stopCallers(deadline - releaseTime);
+    release.join();
     peerServer_->stop();
     const auto isInTime = clock_.now() <= deadline;
     stopAll();
@@ -374,11 +373,16 @@
     return isInTime;
 }
 
-/** Finishes the callers' requests. Those that still wait for room near the deadline are refused as not run. */
+/** Waits for the balancer, then finishes the callers' requests. Those that still wait for room near the deadline are refused as not
+ * run. */
 void Instance::Parts::stopCallers(TimePoint deadline)
 {
     std::mutex mutex;
     std::condition_variable condition;
+    {
+        std::unique_lock lock(mutex);
+        clock_.waitUntil(lock, condition, clock_.now() + balancerNotice, [] { return false; });
+    }
     bool isStopped = false;
     std::thread watch([&] {
         std::unique_lock lock(mutex);
--- a/modules/membership/MembershipView.cpp
+++ b/modules/membership/MembershipView.cpp
@@ -284,7 +284,7 @@
 
 bool MembershipView::isCandidate(const Entry &entry, const std::set<InstanceId> &excluded) const
 {
-    return isLive(entry) && !entry.member.isLeaving && !excluded.contains(entry.member.id);
+    return isLive(entry) && !excluded.contains(entry.member.id);
 }
 
 void MembershipView::claim(Entry &entry, const ServiceId &service)
--- a/modules/membership/MembershipView.h
+++ b/modules/membership/MembershipView.h
@@ -100,7 +100,8 @@
     /**
         Chooses the live peer with the most free places in a pool and lowers its places here until its next summary.
 
-        Leaving members and members without a free place are never chosen; ties are broken at random.
+        A leaving member is chosen for as long as it announces room: until it has released its shards nobody else can use its
+       workers, and once it refuses calls it does so definitely. Ties are broken at random.
         @param excluded instances that have already refused
         @return         empty if no peer has room
     */
--- a/modules/pipeline/ReserveFilter.cpp
+++ b/modules/pipeline/ReserveFilter.cpp
@@ -35,7 +35,7 @@
     Failure failure;
     auto &queue = parts_.queues.queue(*context.service);
     const auto tryStart = [&] { return findRoom(context); };
-    if (queue.wait(queueEntryOf(context, parts_.estimator), tryStart, failure)) {
+    if (queue.wait(waitingEntry(context), tryStart, failure)) {
         return std::nullopt;
     }
     return Outcome { OutcomeStatus::NotRun, {}, failure, {}, {}, {} };
@@ -69,6 +69,17 @@
     return true;
 }
 
+/** A request that waited is started only with time left for a run and for reading its fate back; else its caller would be told
+ * "unknown". */
+QueueEntry ReserveFilter::waitingEntry(const RequestContext &context) const
+{
+    constexpr Milliseconds startMargin { 100 };
+    const auto &request = context.request;
+    auto entry = queueEntryOf(context, parts_.estimator);
+    entry.expectedRunTime = parts_.estimator.estimate(request.service, request.kind, Milliseconds(0)).p95 + startMargin;
+    return entry;
+}
+
 bool ReserveFilter::findRoom(RequestContext &context)
 {
     if (parts_.rule == OwnerRule::LocalFirst) {
--- a/modules/pipeline/ReserveFilter.h
+++ b/modules/pipeline/ReserveFilter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/QueueEntry.h"
 #include "core/Identifier.h"
 #include "pipeline/Filter.h"
 #include "placement/OwnerChoice.h"
@@ -48,6 +49,7 @@
 
 private:
     void describePlacement(RequestContext &context);
+    QueueEntry waitingEntry(const RequestContext &context) const;
     bool findRoom(RequestContext &context);
     bool findTightestRoom(RequestContext &context);
     std::set<InstanceId> fullPeers(const RequestContext &context) const;
