--- a/modules/instance/Instance.h
+++ b/modules/instance/Instance.h
@@ -7,6 +7,7 @@
 
 namespace auburndoor {
 
+class InstanceParts;
 class Metrics;
 struct Failure;
 struct Settings;
@@ -45,8 +46,7 @@
     int peersPort() const;
 
 private:
-    class Parts;
-    std::unique_ptr<Parts> parts_;
+    std::unique_ptr<InstanceParts> parts_;
 };
 
 } // namespace auburndoor
--- /dev/null
+++ b/modules/instance/InstanceParts.cpp
@@ -0,0 +1,234 @@
+#include "instance/InstanceParts.h"
+
+namespace auburndoor {
+
+InstanceParts::InstanceParts(const Settings &settings, Clock &clock, Metrics &metrics)
+    : settings_(settings)
+    , clock_(clock)
+    , metrics_(metrics)
+    , platform_(InstanceOptions::platform(settings), clock, metrics)
+    , rawTable_(platform_)
+    , objects_(platform_)
+    , directory_(platform_)
+    , budget_(settings.platform.writesPerSecond, clock)
+    , table_(rawTable_, budget_, clock, metrics)
+    , placer_(InstanceOptions::placer(settings))
+    , ledger_(*placer_)
+    , health_(clock)
+    , connector_(clock, metrics)
+    , workers_(InstanceOptions::workers(settings), clock, metrics, directory_, connector_, ledger_, health_)
+    , owner_(clock, metrics, ledger_, workers_)
+    , queues_(clock, [this] { return makeQueueOrder(); })
+    , retryBudget_(clock, { static_cast<double>(settings.retry.budgetPercent) })
+    , entryPipeline_(clock, metrics, retryBudget_, traces_)
+    , ownerPipeline_(clock, metrics, retryBudget_, traces_)
+    , jobStore_(table_, clock)
+    , jobDirectory_(table_, settings.ownership.shardsPerDomain)
+{
+}
+
+InstanceParts::~InstanceParts()
+{
+    stopAll();
+}
+
+void InstanceParts::setDrainListener(std::function<void()> listener)
+{
+    drainListener_ = std::move(listener);
+}
+
+int InstanceParts::callersPort() const
+{
+    return callersPort_;
+}
+
+int InstanceParts::operatorsPort() const
+{
+    return operatorsPort_;
+}
+
+int InstanceParts::peersPort() const
+{
+    return peersPort_;
+}
+
+bool InstanceParts::start(Failure &failure)
+{
+    callerServer_ = std::make_unique<HttpServer>(InstanceOptions::callers(settings_));
+    operatorServer_ = std::make_unique<HttpServer>(InstanceOptions::operators(settings_));
+    const auto callersPort = callerServer_->bind(failure);
+    const auto operatorsPort = callersPort ? operatorServer_->bind(failure) : std::nullopt;
+    if (!operatorsPort || !bindPeers(failure)) {
+        return false;
+    }
+    callersPort_ = *callersPort;
+    operatorsPort_ = *operatorsPort;
+    makeMembership();
+    makePipelines();
+    makeEndpoints();
+    connectListeners();
+    startThreads();
+    Log::info("instance-started",
+              { { "callersPort", std::to_string(callersPort_) },
+                { "operatorsPort", std::to_string(operatorsPort_) },
+                { "peersPort", std::to_string(peersPort_) } });
+    return true;
+}
+
+/** The server is bound before its handler is complete, because the port is part of what this instance tells of itself. */
+bool InstanceParts::bindPeers(Failure &failure)
+{
+    peerService_ = std::make_unique<PeerService>(PeerServiceParts {
+        clock_, members_, configuration_, ownerPipeline_, owner_, queues_, [this](const ShardId &shard, const JobId &job) {
+            jobs_->noticeJob(shard, job);
+        } });
+    peerServer_ = std::make_unique<PeerServer>(InstanceOptions::peers(settings_), *peerService_, clock_, metrics_);
+    const auto port = peerServer_->bind(failure);
+    peersPort_ = port.value_or(0);
+    return port.has_value();
+}
+
+void InstanceParts::makeMembership()
+{
+    const auto self = InstanceOptions::self(settings_, peersPort_, clock_);
+    const auto makePeer = [this](const Member &member) -> std::shared_ptr<Peer> {
+        ThriftPeerOptions options;
+        options.peer = member.id;
+        options.address = member.peerAddress;
+        options.secret = settings_.peers.secret;
+        return std::make_shared<ThriftPeer>(options, clock_, metrics_);
+    };
+    MembershipTiming timing;
+    timing.suspicionTime = settings_.membership.suspicion;
+    members_ = std::make_unique<MembershipView>(self, makePeer, timing, clock_, metrics_);
+    HeartbeatTiming heartbeatTiming;
+    heartbeatTiming.changePeriod = settings_.membership.summaryFloor;
+    heartbeatTiming.restPeriod = InstanceOptions::restPeriod(settings_);
+    heartbeats_ = std::make_unique<HeartbeatSender>(*members_, heartbeatTiming, clock_, metrics_);
+    shardFanOut_ = std::make_unique<ShardFanOut>(workers_, jobRunner_, ownership_);
+    const auto ownershipOptions = InstanceOptions::ownership(settings_, self);
+    ownership_ = std::make_unique<OwnershipManager>(ownershipOptions, table_, *shardFanOut_, clock_, metrics_);
+    announcer_ = std::make_unique<PeerAnnouncer>(clock_, *members_);
+    ConfigurationOptions configurationOptions;
+    configurationOptions.self = self.id;
+    configurationOptions.poll = settings_.configuration.poll;
+    configuration_ = std::make_unique<ConfigurationManager>(table_, objects_, clock_, metrics_, *announcer_, configurationOptions);
+}
+
+void InstanceParts::makePipelines()
+{
+    tasks_ = std::make_unique<CellTasks>(clock_, owner_, *members_);
+    resolver_ = std::make_unique<TaskResolver>(clock_, *tasks_);
+    records_ = std::make_unique<RequestRecords>(clock_, metrics_, table_, objects_);
+    reporter_ = std::make_unique<PoolReporter>(
+        PoolReporterParts { clock_, metrics_, *configuration_, ledger_, workers_, owner_, census_, shares_, queues_, *members_ });
+    entryPipeline_.addPreparation(std::make_unique<AuthenticateFilter>());
+    entryPipeline_.addPreparation(std::make_unique<DescribeFilter>(clock_));
+    entryPipeline_.addPreparation(
+        std::make_unique<AdmitFilter>(AdmitParts { clock_, ledger_, *members_, census_, estimator_, queues_ }));
+    addAttempts(entryPipeline_);
+    addAttempts(ownerPipeline_);
+}
+
+void InstanceParts::addAttempts(Pipeline &pipeline)
+{
+    const auto noteReserved = [this] { reporter_->noteChange(); };
+    pipeline.addAttempt(std::make_unique<ReserveFilter>(ReserveParts {
+        clock_, ledger_, *members_, estimator_, queues_, shares_, census_, settings_.placement.rule, noteReserved }));
+    pipeline.addAttempt(std::make_unique<RecordFilter>(clock_, *records_, *resolver_, ledger_, estimator_));
+    pipeline.addAttempt(std::make_unique<DispatchFilter>(
+        DispatchParts { clock_, ledger_, workers_, health_, estimator_, *records_, *resolver_, *members_, settings_.tasks.lease }));
+}
+
+void InstanceParts::makeEndpoints()
+{
+    jobRunner_ = std::make_unique<JobRunner>(settings_.instance.id, jobStore_, *peerService_, *members_, clock_, metrics_);
+    jobs_ = std::make_unique<JobService>(
+        JobServiceParts { clock_, metrics_, *configuration_, workers_, *members_, jobStore_, jobDirectory_, *jobRunner_, traces_ });
+    housekeeping_ = std::make_unique<Housekeeping>(clock_, metrics_, *members_, *jobs_, *records_);
+    callerEndpoint_ = std::make_unique<CallerEndpoint>(metrics_, *configuration_, entryPipeline_, *jobs_);
+    callerEndpoint_->install(*callerServer_);
+    operatorEndpoint_ = std::make_unique<OperatorEndpoint>(OperatorEndpointParts { clock_,
+                                                                                   metrics_,
+                                                                                   *configuration_,
+                                                                                   *members_,
+                                                                                   *ownership_,
+                                                                                   ledger_,
+                                                                                   *jobs_,
+                                                                                   settings_.operators.tokenDigests,
+                                                                                   [this] { return whyNotReady(); },
+                                                                                   drainListener_ });
+    operatorEndpoint_->install(*operatorServer_);
+}
+
+void InstanceParts::connectListeners()
+{
+    ledger_.setRoomListener([this] {
+        queues_.roomAppeared();
+        reporter_->noteChange();
+    });
+    workers_.setDomainListener([this](const std::map<FailureDomainId, RegionId> &domains) {
+        ownership_->setDomains(domains);
+        jobDirectory_.setDomains(domains);
+    });
+    ownership_->setInstancesListener([this](const std::vector<Member> &registered) {
+        members_->learn(registered);
+        budget_.setLiveInstances(static_cast<int>(members_->livePeers().size()) + 1);
+        stopIfSuperseded();
+    });
+    configuration_->addListener([this](const std::shared_ptr<const VersionedDeclaration> &current) {
+        shares_.setTeams(current->declaration.teams);
+        members_->setConfigurationVersion(current->version);
+        housekeeping_->setDeclaration(current);
+        reporter_->noteChange();
+        Log::info("configuration-in-force", { { "version", std::to_string(current->version) }, { "digest", current->digest } });
+    });
+}
+
+void InstanceParts::startThreads()
+{
+    peerServer_->start();
+    workers_.start();
+    ownership_->start();
+    heartbeats_->start();
+    configuration_->start();
+    reporter_->start();
+    jobRunner_->start();
+    housekeeping_->start();
+    callerServer_->start();
+    operatorServer_->start();
+}
+
+/** A later process with the same id has taken this one's place: two of them would answer for each other. */
+void InstanceParts::stopIfSuperseded()
+{
+    if (!ownership_->isSuperseded() || isSuperseded_.exchange(true)) {
+        return;
+    }
+    Log::error("instance-stopping-superseded",
+               { { "message", "a later process has this instance's id; check the settings of both" } });
+    if (drainListener_) {
+        drainListener_();
+    }
+}
+
+std::string InstanceParts::whyNotReady() const
+{
+    if (isSuperseded_) {
+        return "superseded by a later process with the same id";
+    }
+    if (isDraining_) {
+        return "draining";
+    }
+    return configuration_->isReady() ? std::string() : "configuration not known";
+}
+
+std::unique_ptr<QueueOrder> InstanceParts::makeQueueOrder()
+{
+    if (settings_.queue.order == QueueOrdering::Fifo) {
+        return std::make_unique<FifoOrder>();
+    }
+    return std::make_unique<FairDeadlineOrder>(shares_);
+}
+
+} // namespace auburndoor
--- a/modules/jobs/Job.cpp
+++ b/modules/jobs/Job.cpp
@@ -1,6 +1,6 @@
 #include "jobs/Job.h"
 
-#include "core/TextEncoding.h"
+#include "core/JsonBytes.h"
 
 #include <nlohmann/json.hpp>
 
@@ -34,25 +34,6 @@
     return names.at(static_cast<std::size_t>(value));
 }
 
-/** Bytes that are not UTF-8 cannot stand in a JSON string; they go in base64 under a name of their own. */
-void setBytes(Json &json, const std::string &key, const std::string &bytes)
-{
-    if (bytes.empty()) {
-        return;
-    }
-    if (isUtf8(bytes)) {
-        json[key] = bytes;
-    } else {
-        json[key + "Base64"] = toBase64(bytes);
-    }
-}
-
-std::string bytesOf(const Json &json, const std::string &key)
-{
-    const auto encoded = json.find(key + "Base64");
-    return encoded == json.end() ? json.value(key, std::string()) : fromBase64(encoded->get<std::string>()).value();
-}
-
 Json toJson(const JobDeclaration &declaration)
 {
     const auto &need = declaration.need;
--- a/modules/worker/WorkerMessages.cpp
+++ b/modules/worker/WorkerMessages.cpp
@@ -1,6 +1,6 @@
 #include "worker/WorkerMessages.h"
 
-#include "core/TextEncoding.h"
+#include "core/JsonBytes.h"
 
 #include <nlohmann/json.hpp>
 
@@ -54,32 +54,6 @@
              json.value("connections", std::int64_t {}) };
 }
 
-/** Bytes that are not UTF-8 cannot stand in a JSON string; they go in base64 under a name of their own. */
-void setBytes(Json &json, const std::string &key, const std::string &bytes)
-{
-    if (bytes.empty()) {
-        return;
-    }
-    if (isUtf8(bytes)) {
-        json[key] = bytes;
-    } else {
-        json[key + "Base64"] = toBase64(bytes);
-    }
-}
-
-std::string bytesOf(const Json &json, const std::string &key)
-{
-    const auto encoded = json.find(key + "Base64");
-    if (encoded == json.end()) {
-        return json.value(key, std::string());
-    }
-    auto bytes = fromBase64(encoded->get<std::string>());
-    if (!bytes) {
-        throw std::invalid_argument("malformed base64 in " + key);
-    }
-    return *std::move(bytes);
-}
-
 Json toJson(const WorkerTask &task)
 {
     Json json { { "task", task.id.text() }, { "state", name(task.state) } };
--- a/tests/fleet/WorkerManagerTests.cpp
+++ b/tests/fleet/WorkerManagerTests.cpp
@@ -27,6 +27,15 @@
     return owner.service.startHeld(holds.front(), start, Milliseconds(1000), failure).status == CallStatus::Answered;
 }
 
+/** Has the first owner gain the shard and start six tasks, which leave two of the worker's eight places free. */
+void startOldTasks(FleetOwner &first)
+{
+    first.gain(1);
+    for (int index = 0; index < 6; ++index) {
+        REQUIRE(startTask(first, "old-" + std::to_string(index)));
+    }
+}
+
 bool hasCapacityRefusal(FakeWorker &worker)
 {
     const auto events = worker.history();
@@ -42,10 +51,7 @@
     // Guards against a worker that is given more work than it can hold after a takeover.
     FleetFixture fixture;
     FleetOwner first(fixture, "first");
-    first.gain(1);
-    for (int index = 0; index < 6; ++index) {
-        REQUIRE(startTask(first, "old-" + std::to_string(index)));
-    }
+    startOldTasks(first);
     FleetOwner second(fixture, "second");
     second.gain(2);
     CHECK(second.freePlaces() == 2);
@@ -60,10 +66,7 @@
     // Shows that the test above can fail: the ledger of this successor begins empty.
     FleetFixture fixture;
     FleetOwner first(fixture, "first");
-    first.gain(1);
-    for (int index = 0; index < 6; ++index) {
-        REQUIRE(startTask(first, "old-" + std::to_string(index)));
-    }
+    startOldTasks(first);
     FleetOwner second(fixture, "second");
     second.gain(2);
     const auto known = second.ledger.workers().front();
