--- /dev/null
+++ b/apps/auburndoor-entry/main.cpp
@@ -0,0 +1,91 @@
+#include "NodeFile.h"
+#include "PlatformAdvisor.h"
+#include "PlatformProtocol.h"
+#include "PlatformStore.h"
+#include "PlatformWorker.h"
+#include "core/FlagNames.h"
+#include "core/TextFile.h"
+#include "entry/EntryInstance.h"
+#include "net/EventLoop.h"
+#include "observability/EventLog.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+
+ABSL_FLAG(std::string, settings, "", "the platform's settings file; the environment names it if this is empty");
+ABSL_FLAG(bool, check_settings, false, "check the settings file and exit without starting");
+
+namespace {
+
+constexpr int exitDone = 0;
+constexpr int exitUsage = 1;
+constexpr int exitBadSettings = 2;
+constexpr int exitCannotStart = 3;
+
+std::string settingsFile()
+{
+    const auto flag = absl::GetFlag(FLAGS_settings);
+    if (!flag.empty()) {
+        return flag;
+    }
+    const char *variable = std::getenv(auburndoor::platform::settingsVariable);
+    return variable == nullptr ? std::string() : variable;
+}
+
+int run(const auburndoor::EntrySettings &settings)
+{
+    using namespace auburndoor;
+    std::signal(SIGPIPE, SIG_IGN);
+    EventLog::configure(settings.nodeName);
+    EventLoop loop;
+    const platform::PlatformProtocol protocol;
+    platform::PlatformStore store(loop, settings.store);
+    platform::PlatformWorkerFactory workers(loop, settings.maxLease);
+    std::unique_ptr<platform::PlatformAdvisor> advisor;
+    if (settings.advisor) {
+        advisor = std::make_unique<platform::PlatformAdvisor>(loop, *settings.advisor);
+    }
+    EntryInstance instance({ loop, settings, protocol, store, workers, advisor.get() });
+    std::string error;
+    if (!instance.start(error)) {
+        std::cerr << error << '\n';
+        return exitCannotStart;
+    }
+    loop.onSignals({ SIGTERM, SIGINT }, [&](int) { instance.shutDown([&loop] { loop.stop(); }); });
+    loop.onSignals({ SIGHUP }, [](int) { EventLog::write("settings.signal", {}); });
+    loop.run();
+    return exitDone;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    absl::SetProgramUsageMessage("auburndoor-entry [--settings=FILE] [--check-settings]: one entry process on the platform.\n"
+                                 "Exit codes: 0 stopped or settings are valid, 1 usage, 2 bad settings, 3 cannot start.");
+    auburndoor::acceptHyphens(argc, argv);
+    absl::ParseCommandLine(argc, argv);
+    const auto fileName = settingsFile();
+    if (fileName.empty()) {
+        std::cerr << "--settings=FILE or " << auburndoor::platform::settingsVariable << " is required\n";
+        return exitUsage;
+    }
+    constexpr std::size_t maxSettingsBytes = 1 << 20;
+    std::string error = "cannot be read";
+    const auto text = auburndoor::readTextFile(fileName, maxSettingsBytes);
+    const auto settings = text ? auburndoor::platform::readNodeFile(*text, error) : std::nullopt;
+    if (!settings) {
+        std::cerr << fileName << ": " << error << '\n';
+        return exitBadSettings;
+    }
+    if (absl::GetFlag(FLAGS_check_settings)) {
+        std::cout << fileName << ": settings are valid\n";
+        return exitDone;
+    }
+    return run(*settings);
+}
--- a/modules/configuration/ConfigurationStore.cpp
+++ b/modules/configuration/ConfigurationStore.cpp
@@ -3,7 +3,7 @@
 #include "configuration/Backoff.h"
 #include "core/Failure.h"
 #include "declaration/Digest.h"
-#include "platform/ObjectStore.h"
+#include "storage/ObjectStore.h"
 
 #include <algorithm>
 
--- a/modules/configuration/ConfigurationStore.h
+++ b/modules/configuration/ConfigurationStore.h
@@ -3,7 +3,7 @@
 #include "configuration/ConfigurationHead.h"
 #include "core/Clock.h"
 #include "logbook/Logbook.h"
-#include "platform/TableService.h"
+#include "storage/TableService.h"
 
 #include <optional>
 #include <string>
--- /dev/null
+++ b/modules/dispatch/CommitLog.cpp
@@ -0,0 +1,289 @@
+#include "dispatch/CommitLog.h"
+
+#include "observability/EventLog.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace auburndoor {
+
+namespace {
+
+// The store takes 100 entries in a transaction; two expectations and the sequence row are among them.
+constexpr std::size_t maxRowsInTransaction = 90;
+// The store takes 1 MB; values grow by a third in base64.
+constexpr std::size_t maxBytesInTransaction = 600 * 1024;
+// The pause that gathers rows: an end costs its job this much at most, and the store sees at most 60 transactions a second.
+constexpr Milliseconds gatherTime { 12 };
+constexpr Milliseconds retryPause { 120 };
+constexpr Milliseconds longestRetryPause { 500 };
+// Without success for so long and with failures since, the store counts as away.
+constexpr Milliseconds stallTime { 300 };
+
+using RowName = std::pair<std::string, std::string>;
+
+} // namespace
+
+struct CommitLog::Impl : std::enable_shared_from_this<CommitLog::Impl>
+{
+    struct Entry
+    {
+        Value value;
+        std::vector<Callback> durable;
+        TimePoint since;
+    };
+    /** A transaction that was put together; it is repeated as it is until its fate is known. */
+    struct Transaction
+    {
+        StoreChange change;
+        std::vector<Callback> durable;
+        std::set<RowName> rows;
+        std::string mark;
+        TimePoint since;
+        bool maybeApplied = false;
+    };
+
+    Impl(Timers &timers, StateStore &store)
+        : timers(timers)
+        , store(store)
+    {
+    }
+
+    void schedule(Milliseconds delay);
+    void sendNext();
+    void build();
+    void transmit();
+    void onResult(StoreResult result);
+    void onConflict(const StoreResult &result);
+    void onApplied(std::int64_t sequence);
+    void retry();
+
+    Timers &timers;
+    StateStore &store;
+    std::string writer;
+    std::int64_t epochVersion = 0;
+    std::int64_t sequenceVersion = 0;
+    Callback deposed;
+    std::map<RowName, Entry> waiting;
+    std::deque<RowName> order;
+    std::optional<Transaction> current;
+    long long nextNumber = 1;
+    long long sent = 0;
+    Milliseconds pause = retryPause;
+    TimePoint lastSuccess;
+    bool hasFailed = false;
+    bool isScheduled = false;
+    bool isClosed = false;
+};
+
+void CommitLog::Impl::schedule(Milliseconds delay)
+{
+    if (isScheduled || isClosed) {
+        return;
+    }
+    isScheduled = true;
+    timers.after(delay, [self = shared_from_this()] {
+        self->isScheduled = false;
+        self->sendNext();
+    });
+}
+
+void CommitLog::Impl::sendNext()
+{
+    if (isClosed || current || waiting.empty()) {
+        return;
+    }
+    build();
+    transmit();
+}
+
+void CommitLog::Impl::build()
+{
+    Transaction transaction;
+    transaction.mark = writer + "/" + std::to_string(nextNumber++);
+    transaction.change.expected = { { OwnerRows::table, OwnerRows::epochKey, epochVersion },
+                                    { OwnerRows::table, OwnerRows::sequenceKey, sequenceVersion } };
+    transaction.change.writes.push_back({ OwnerRows::table, OwnerRows::sequenceKey, transaction.mark });
+    transaction.since = timers.now();
+    std::size_t bytes = 0;
+    while (!order.empty() && transaction.rows.size() < maxRowsInTransaction && bytes < maxBytesInTransaction) {
+        const auto rowName = order.front();
+        order.pop_front();
+        auto entry = std::move(waiting.at(rowName));
+        waiting.erase(rowName);
+        transaction.since = std::min(transaction.since, entry.since);
+        if (auto value = entry.value()) {
+            bytes += value->size();
+            transaction.change.writes.push_back({ rowName.first, rowName.second, std::move(*value) });
+        } else {
+            transaction.change.removals.push_back({ rowName.first, rowName.second, {} });
+        }
+        transaction.rows.insert(rowName);
+        std::move(entry.durable.begin(), entry.durable.end(), std::back_inserter(transaction.durable));
+    }
+    current = std::move(transaction);
+}
+
+void CommitLog::Impl::transmit()
+{
+    ++sent;
+    store.commit(current->change, [self = shared_from_this()](StoreResult result) {
+        if (!self->isClosed) {
+            self->onResult(std::move(result));
+        }
+    });
+}
+
+void CommitLog::Impl::onResult(StoreResult result)
+{
+    switch (result.outcome) {
+    case StoreOutcome::Done:
+        onApplied(result.version);
+        return;
+    case StoreOutcome::Conflict:
+        onConflict(result);
+        return;
+    case StoreOutcome::Unknown:
+        current->maybeApplied = true;
+        break;
+    default:
+        break;
+    }
+    if (!hasFailed) {
+        EventLog::write("store.lost", { { "outcome", name(result.outcome) }, { "detail", result.detail }, { "waiting", waiting.size() } });
+    }
+    hasFailed = true;
+    retry();
+}
+
+void CommitLog::Impl::retry()
+{
+    timers.after(pause, [self = shared_from_this()] {
+        if (!self->isClosed && self->current) {
+            self->transmit();
+        }
+    });
+    pause = std::min(pause * 2, longestRetryPause);
+}
+
+void CommitLog::Impl::onConflict(const StoreResult &result)
+{
+    for (const auto &row : result.rows) {
+        if (row.key == OwnerRows::sequenceKey && row.value == current->mark) {
+            // An earlier sending of this transaction was applied and its answer lost.
+            onApplied(row.version);
+            return;
+        }
+    }
+    EventLog::write("owner.deposed", { { "writer", writer }, { "by", "store conflict" } });
+    isClosed = true;
+    deposed();
+}
+
+void CommitLog::Impl::onApplied(std::int64_t sequence)
+{
+    if (hasFailed) {
+        EventLog::write("store.regained",
+                        { { "away_ms", std::chrono::duration_cast<Milliseconds>(timers.now() - lastSuccess).count() } });
+    }
+    hasFailed = false;
+    pause = retryPause;
+    lastSuccess = timers.now();
+    sequenceVersion = sequence;
+    auto durable = std::move(current->durable);
+    current.reset();
+    for (const auto &callback : durable) {
+        if (callback && !isClosed) {
+            callback();
+        }
+    }
+    if (!waiting.empty()) {
+        schedule(gatherTime);
+    }
+}
+
+CommitLog::CommitLog(Timers &timers,
+                     StateStore &store,
+                     std::string writer,
+                     std::int64_t epochVersion,
+                     std::int64_t sequenceVersion,
+                     Callback deposed)
+    : impl_(std::make_shared<Impl>(timers, store))
+{
+    impl_->writer = std::move(writer);
+    impl_->epochVersion = epochVersion;
+    impl_->sequenceVersion = sequenceVersion;
+    impl_->deposed = std::move(deposed);
+    impl_->lastSuccess = timers.now();
+}
+
+CommitLog::~CommitLog()
+{
+    close();
+}
+
+void CommitLog::put(const std::string &table, const std::string &key, Value value, Callback durable)
+{
+    const RowName rowName { table, key };
+    auto [found, isNew] = impl_->waiting.try_emplace(rowName);
+    if (isNew) {
+        impl_->order.push_back(rowName);
+        found->second.since = impl_->timers.now();
+    }
+    found->second.value = std::move(value);
+    if (durable) {
+        found->second.durable.push_back(std::move(durable));
+    }
+    if (!impl_->current) {
+        impl_->schedule(gatherTime);
+    }
+}
+
+bool CommitLog::withdraw(const std::string &table, const std::string &key)
+{
+    const RowName rowName { table, key };
+    if (impl_->waiting.erase(rowName) != 0) {
+        std::erase(impl_->order, rowName);
+        return !impl_->current || !impl_->current->rows.contains(rowName);
+    }
+    return false;
+}
+
+Milliseconds CommitLog::backlogAge() const
+{
+    auto oldest = impl_->timers.now();
+    if (impl_->current) {
+        oldest = impl_->current->since;
+    } else if (!impl_->order.empty()) {
+        oldest = impl_->waiting.at(impl_->order.front()).since;
+    }
+    return std::chrono::duration_cast<Milliseconds>(impl_->timers.now() - oldest);
+}
+
+bool CommitLog::isStalled() const
+{
+    return impl_->hasFailed || (impl_->current && backlogAge() > stallTime);
+}
+
+TimePoint CommitLog::lastSuccess() const
+{
+    return impl_->lastSuccess;
+}
+
+void CommitLog::close()
+{
+    impl_->isClosed = true;
+}
+
+bool CommitLog::isIdle() const
+{
+    return !impl_->current && impl_->waiting.empty();
+}
+
+long long CommitLog::sentCount() const
+{
+    return impl_->sent;
+}
+
+} // namespace auburndoor
--- /dev/null
+++ b/modules/dispatch/Fleet.cpp
@@ -0,0 +1,155 @@
+#include "dispatch/Fleet.h"
+
+#include "dispatch/FleetImpl.h"
+#include "observability/EventLog.h"
+
+namespace auburndoor {
+
+Fleet::Fleet(Timers &timers, WorkerOrdersFactory &factory, FleetListener &listener, FleetTimes times, std::int64_t fencingToken)
+    : impl_(std::make_shared<Impl>(timers, factory, listener, times, fencingToken))
+{
+}
+
+Fleet::~Fleet()
+{
+    close();
+}
+
+void Fleet::close()
+{
+    impl_->isClosed = true;
+}
+
+void Fleet::setEntry(const WorkerEntry &entry)
+{
+    auto &worker = impl_->obtain(entry);
+    if (entry.bornAt < worker.entry.bornAt) {
+        return;
+    }
+    if (!worker.isListed) {
+        EventLog::write("worker.listed", { { "worker", entry.id }, { "service", entry.service }, { "draining", entry.isDraining } });
+    } else if (entry.isDraining && !worker.entry.isDraining) {
+        EventLog::write("worker.draining", { { "worker", entry.id }, { "remaining_ms", entry.remaining.value_or(Milliseconds(-1)).count() } });
+    }
+    worker.isListed = true;
+    impl_->changeEntry(worker, entry);
+    impl_->enroll(worker);
+    impl_->ensureLook(worker);
+    impl_->listener.roomChanged();
+}
+
+void Fleet::addFormerWorker(const WorkerEntry &entry)
+{
+    auto &worker = impl_->obtain(entry);
+    worker.isRostered = true;
+    worker.unlistedAt = impl_->timers.now();
+    impl_->ensureLook(worker);
+}
+
+void Fleet::removeEntry(const std::string &id)
+{
+    if (auto *found = worker(id); found != nullptr && found->isListed) {
+        found->isListed = false;
+        found->unlistedAt = impl_->timers.now();
+        EventLog::write("worker.unlisted", { { "worker", id }, { "runs", found->runs.size() } });
+        impl_->forgetIfGone(id);
+    }
+}
+
+void Fleet::retainEntries(const std::set<std::string> &ids)
+{
+    std::vector<std::string> removed;
+    for (const auto &[id, worker] : impl_->workers) {
+        if (worker->isListed && !ids.contains(id)) {
+            removed.push_back(id);
+        }
+    }
+    for (const auto &id : removed) {
+        removeEntry(id);
+    }
+}
+
+void Fleet::start(const std::string &id, const StartOrder &order, const RunClaim &claim)
+{
+    auto *found = worker(id);
+    if (found == nullptr) {
+        return;
+    }
+    const RunKey key { order.task, order.attempt };
+    Run run;
+    run.key = key;
+    run.claim = claim;
+    run.startedAt = impl_->timers.now();
+    found->used += claim.need;
+    found->runs.emplace(key, run);
+    found->orders->start(order, impl_->times.lease, [impl = impl_, id, key](const WorkerOrders::Reply &reply) {
+        impl->onStartReply(id, key, reply);
+    });
+}
+
+void Fleet::stop(const std::string &id, const RunKey &key, const std::string &reason)
+{
+    auto *found = run(id, key);
+    if (found != nullptr && found->stopReason.empty()) {
+        found->stopReason = reason;
+        impl_->sendStop(id, key);
+    }
+}
+
+void Fleet::pace(const std::string &id, const RunKey &key, int percent)
+{
+    auto *found = run(id, key);
+    if (found == nullptr || found->pace == percent) {
+        return;
+    }
+    found->pace = percent;
+    worker(id)->orders->pace(key.task, key.attempt, percent, [impl = impl_, id, key](const WorkerOrders::Reply &reply) {
+        if (impl->isClosed || reply.outcome == OrderOutcome::Accepted) {
+            return;
+        }
+        // The next evaluation sets the pace again.
+        if (auto *paced = impl->findRun(id, key)) {
+            paced->pace = -1;
+        }
+    });
+}
+
+bool Fleet::isUsable(const WorkerState &worker) const
+{
+    const auto now = impl_->timers.now();
+    return worker.isListed && !worker.entry.isDraining && worker.isRead && worker.isRostered && worker.foreignRuns == 0
+           && worker.failedLooks == 0 && worker.avoidUntil <= now
+           && (worker.runs.empty() || now - worker.lastReportAt < impl_->times.suspectAfter);
+}
+
+bool Fleet::hasUnreadWorkers(const std::string &service) const
+{
+    for (const auto &[id, worker] : impl_->workers) {
+        if (!worker->isRead && worker->entry.service == service) {
+            return true;
+        }
+    }
+    return false;
+}
+
+const std::map<std::string, std::unique_ptr<WorkerState>> &Fleet::workers() const
+{
+    return impl_->workers;
+}
+
+WorkerState *Fleet::worker(const std::string &id)
+{
+    return impl_->find(id);
+}
+
+Run *Fleet::run(const std::string &id, const RunKey &key)
+{
+    return impl_->findRun(id, key);
+}
+
+long long Fleet::lookCount() const
+{
+    return impl_->looks;
+}
+
+} // namespace auburndoor
--- /dev/null
+++ b/modules/dispatch/FleetImpl.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "dispatch/Fleet.h"
+
+namespace auburndoor {
+
+/** The state of a Fleet, shared with the callbacks of orders under way. */
+struct Fleet::Impl : std::enable_shared_from_this<Fleet::Impl>
+{
+    Impl(Timers &timers, WorkerOrdersFactory &factory, FleetListener &listener, FleetTimes times, std::int64_t fencingToken);
+
+    WorkerState &obtain(const WorkerEntry &entry);
+    WorkerState *find(const std::string &id);
+    Run *findRun(const std::string &id, const RunKey &key);
+
+    /** Takes over a changed entry; a new life of the worker ends all its runs. */
+    void changeEntry(WorkerState &worker, const WorkerEntry &entry);
+    void enroll(WorkerState &worker);
+
+    /** Begins to look at a worker if there is something to look for. */
+    void ensureLook(WorkerState &worker);
+    void look(const std::string &id);
+    void lookAfter(const std::string &id, Milliseconds delay);
+    void onLookFailed(const std::string &id, const WorkerOrders::Reply &reply);
+    void onReport(const std::string &id, const WorkerReport &report, TimePoint lookSentAt);
+    void takeEnds(WorkerState &worker, const WorkerReport &report);
+    void takeRunning(WorkerState &worker, const WorkerReport &report, TimePoint lookSentAt);
+    void takeUnknownRun(WorkerState &worker, const RunningTask &running);
+    void checkMissing(WorkerState &worker, const std::set<RunKey> &listed, TimePoint lookSentAt);
+    void onEndRecorded(const std::string &id, std::int64_t bornAt, std::int64_t number);
+
+    void onStartReply(const std::string &id, const RunKey &key, const WorkerOrders::Reply &reply);
+    void sendStop(const std::string &id, const RunKey &key);
+    void onStopReply(const std::string &id, const RunKey &key, const WorkerOrders::Reply &reply);
+
+    void removeRun(WorkerState &worker, const RunKey &key);
+    void loseRun(WorkerState &worker, const RunKey &key, RunLoss loss, OrderOutcome outcome = OrderOutcome::Unknown);
+    void loseAllRuns(WorkerState &worker, RunLoss loss);
+    void noteOutcome(WorkerState &worker, bool hasFailed);
+    /** Forgets a worker that is not listed, runs nothing and cannot come back to what it ran. */
+    void forgetIfGone(const std::string &id);
+
+    Timers &timers;
+    WorkerOrdersFactory &factory;
+    FleetListener &listener;
+    FleetTimes times;
+    std::int64_t fencingToken;
+    TimePoint createdAt;
+    std::map<std::string, std::unique_ptr<WorkerState>> workers;
+    long long looks = 0;
+    bool isClosed = false;
+};
+
+} // namespace auburndoor
--- /dev/null
+++ b/modules/dispatch/JobBook.cpp
@@ -0,0 +1,226 @@
+#include "dispatch/JobBook.h"
+
+#include "dispatch/JobRecords.h"
+#include "observability/EventLog.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace auburndoor {
+
+JobBook::JobBook(Timers &timers, CommitLog &log, std::int64_t fencingToken, Hooks hooks)
+    : timers_(timers)
+    , log_(log)
+    , fencingToken_(fencingToken)
+    , hooks_(std::move(hooks))
+{
+}
+
+void JobBook::setFleet(Fleet &fleet)
+{
+    fleet_ = &fleet;
+}
+
+void JobBook::restore(const std::string &id, const std::string &description, const std::string &progress)
+{
+    auto job = std::make_unique<JobState>();
+    job->spec.id = id;
+    if (!JobRecords::readDescription(description, *job)) {
+        EventLog::write("record.unreadable", { { "job", id }, { "table", JobTables::jobs } });
+        return;
+    }
+    job->phase = JobPhase::Queued;
+    if (!progress.empty() && !JobRecords::readProgress(progress, *job, timers_.now())) {
+        EventLog::write("record.unreadable", { { "job", id }, { "table", JobTables::progress } });
+    }
+    job->shownPhase = job->phase;
+    job->isInherited = true;
+    job->seenAt = timers_.now();
+    begin(*job);
+    jobs_[id] = std::move(job);
+}
+
+void JobBook::restoreEnded(const std::string &id, const EndedJob &ended)
+{
+    ended_[id] = ended;
+    jobs_.erase(id);
+}
+
+JobState *JobBook::find(const std::string &id)
+{
+    const auto found = jobs_.find(id);
+    return found == jobs_.end() ? nullptr : found->second.get();
+}
+
+void JobBook::begin(JobState &job)
+{
+    const auto &queue = job.queue;
+    job.objective = job.seenAt + queue.latencyAllowance
+                    + Milliseconds(static_cast<std::int64_t>(static_cast<double>(job.longestChain().count()) * queue.slackFactor));
+    if (!job.spec.isScheduled && job.occurrences.empty() && job.doneOccurrences.empty()) {
+        job.addOccurrence(0, timers_.now());
+    }
+}
+
+void JobBook::submit(JobSpec spec, const QueueSpec &queue, SubmitCallback callback)
+{
+    if (ended_.contains(spec.id)) {
+        callback(SubmitOutcome::Accepted);
+        return;
+    }
+    if (auto *known = find(spec.id)) {
+        if (known->phase == JobPhase::Recording) {
+            submitters_[spec.id].push_back(std::move(callback));
+        } else {
+            callback(SubmitOutcome::Accepted);
+        }
+        return;
+    }
+    auto job = std::make_unique<JobState>();
+    const auto id = spec.id;
+    job->spec = std::move(spec);
+    job->queue = queue;
+    job->acceptedAt = timers_.wallNow();
+    job->seenAt = timers_.now();
+    begin(*job);
+    submitters_[id].push_back(std::move(callback));
+    log_.put(
+        JobTables::jobs, id, [text = JobRecords::description(*job)] { return text; },
+        [this, id] {
+            auto *stored = find(id);
+            if (stored != nullptr && stored->phase == JobPhase::Recording) {
+                stored->phase = JobPhase::Queued;
+                stored->shownPhase = JobPhase::Queued;
+                EventLog::routine("job.accepted", { { "job", id }, { "queue", stored->spec.queue }, { "steps", stored->spec.steps.size() } });
+            }
+            for (const auto &submitter : std::exchange(submitters_[id], {})) {
+                submitter(SubmitOutcome::Accepted);
+            }
+            submitters_.erase(id);
+            hooks_.workChanged();
+        });
+    jobs_[id] = std::move(job);
+}
+
+bool JobBook::withdraw(const std::string &id)
+{
+    const auto *job = find(id);
+    if (job == nullptr || job->phase != JobPhase::Recording || !log_.withdraw(JobTables::jobs, id)) {
+        return false;
+    }
+    jobs_.erase(id);
+    const auto submitters = std::exchange(submitters_[id], {});
+    submitters_.erase(id);
+    for (const auto &submitter : submitters) {
+        submitter(SubmitOutcome::Refused);
+    }
+    return true;
+}
+
+void JobBook::cancel(const std::string &id, CancelCallback callback)
+{
+    if (const auto ended = ended_.find(id); ended != ended_.end() && ended->second.isStored) {
+        callback(true);
+        return;
+    }
+    auto *job = find(id);
+    if (job == nullptr && !ended_.contains(id)) {
+        callback(false);
+        return;
+    }
+    if (job != nullptr) {
+        end(*job, JobPhase::Cancelled);
+    }
+    const auto &ended = ended_.at(id);
+    log_.put(
+        JobTables::progress,
+        id,
+        [ended] {
+            JobState tombstone;
+            tombstone.phase = ended.phase;
+            tombstone.endedAt = ended.endedAt;
+            return JobRecords::progress(tombstone);
+        },
+        [callback = std::move(callback)] { callback(true); });
+}
+
+std::optional<JobPhase> JobBook::shownPhase(const std::string &id) const
+{
+    if (const auto ended = ended_.find(id); ended != ended_.end()) {
+        return ended->second.isStored ? ended->second.phase : JobPhase::Running;
+    }
+    const auto found = jobs_.find(id);
+    if (found == jobs_.end() || found->second->phase == JobPhase::Recording) {
+        return std::nullopt;
+    }
+    return found->second->shownPhase;
+}
+
+int JobBook::pendingCount(const std::string &queue) const
+{
+    return static_cast<int>(std::count_if(jobs_.begin(), jobs_.end(), [&queue](const auto &entry) {
+        const auto &job = *entry.second;
+        return job.spec.queue == queue && !job.hasBegun && job.phase != JobPhase::Recording;
+    }));
+}
+
+std::map<std::string, std::unique_ptr<JobState>> &JobBook::jobs()
+{
+    return jobs_;
+}
+
+void JobBook::setQueues(const QueueTable &queues)
+{
+    for (const auto &[id, job] : jobs_) {
+        // A queue that was dropped keeps its last definition for the jobs that it accepted.
+        if (const auto *queue = queues.queue(job->spec.queue)) {
+            job->queue = *queue;
+        }
+    }
+}
+
+std::int64_t JobBook::nextAttempt(const Task &task) const
+{
+    // Each owner counts from a range of its own, so that no attempt of an earlier owner can have the same number.
+    constexpr std::int64_t attemptsOfOneOwner = 1000;
+    return std::max(task.lastAttempt, (fencingToken_ - 1) * attemptsOfOneOwner) + 1;
+}
+
+void JobBook::noteStart(StepState &step, int index, const RunPlace &place)
+{
+    auto &task = step.tasks[static_cast<std::size_t>(index)];
+    task.lastAttempt = std::max(task.lastAttempt, place.attempt);
+    task.runs.push_back(place);
+}
+
+void JobBook::stopRun(StepState &step, int index, const RunPlace &place, const std::string &reason)
+{
+    if (step.spec().isGang) {
+        breakGang(step, reason);
+        return;
+    }
+    fleet_->stop(place.worker, { { step.job->spec.id, step.occurrence, step.index, index }, place.attempt }, reason);
+}
+
+void JobBook::tick(Milliseconds retention, Milliseconds early)
+{
+    const auto now = timers_.now();
+    const auto wall = timers_.wallNow();
+    for (const auto &[id, job] : jobs_) {
+        while (job->spec.isScheduled && job->phase != JobPhase::Recording && job->nextOccurrence < job->spec.occurrences
+               && job->dueAt(job->nextOccurrence, now, wall) <= now + early / 2) {
+            job->addOccurrence(job->nextOccurrence, now);
+            hooks_.workChanged();
+        }
+    }
+    // The end of the retention is counted on the wall clock, which may jump: half as long again is kept.
+    std::erase_if(ended_, [&](const auto &entry) {
+        if (!entry.second.isStored || wall - entry.second.endedAt < retention + retention / 2) {
+            return false;
+        }
+        log_.put(JobTables::progress, entry.first, [] { return std::nullopt; });
+        return true;
+    });
+}
+
+} // namespace auburndoor
--- /dev/null
+++ b/modules/dispatch/JobBookRuns.cpp
@@ -0,0 +1,282 @@
+#include "dispatch/JobBook.h"
+#include "dispatch/JobRecords.h"
+#include "observability/EventLog.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace auburndoor {
+
+RunClaim JobBook::claimOf(const StepSpec &step)
+{
+    RunClaim claim { step.need, RunKind::Plain };
+    if (step.fillsIdleCapacity) {
+        claim.need.milliCores = 0;
+        claim.kind = RunKind::Fills;
+    } else if (step.isService && step.latencyTarget > Milliseconds(0)) {
+        claim.kind = RunKind::Serves;
+    }
+    return claim;
+}
+
+std::optional<RunClaim> JobBook::adoptRun(const std::string &worker, const RunningTask &running)
+{
+    auto *job = find(running.task.job);
+    auto *task = job == nullptr ? nullptr : job->task(running.task);
+    if (task == nullptr || task->isDone || job->phase == JobPhase::Recording) {
+        return std::nullopt;
+    }
+    auto &step = *job->step(running.task.occurrence, running.task.step);
+    if (!task->runs.empty() && !step.spec().allowsCopies && !step.spec().isGang) {
+        return std::nullopt;
+    }
+    task->lastAttempt = std::max(task->lastAttempt, running.attempt);
+    task->runs.push_back({ worker, running.attempt });
+    step.gangAttempt = std::max(step.gangAttempt, running.attempt);
+    job->hasBegun = true;
+    job->phase = JobPhase::Running;
+    job->shownPhase = JobPhase::Running;
+    return claimOf(step.spec());
+}
+
+void JobBook::runConfirmed(const std::string &, const Run &run)
+{
+    auto *job = find(run.key.task.job);
+    if (job == nullptr || job->hasBegun) {
+        return;
+    }
+    job->hasBegun = true;
+    if (!isEnded(job->phase)) {
+        job->phase = JobPhase::Running;
+        job->shownPhase = JobPhase::Running;
+    }
+    EventLog::routine("job.begun",
+                      { { "job", run.key.task.job },
+                        { "waited_ms", std::chrono::duration_cast<Milliseconds>(timers_.now() - job->seenAt).count() } });
+}
+
+void JobBook::save(JobState &job, std::function<void()> durable)
+{
+    const auto id = job.spec.id;
+    log_.put(
+        JobTables::progress,
+        id,
+        [this, id]() -> std::optional<std::string> {
+            if (const auto *live = find(id)) {
+                return JobRecords::progress(*live);
+            }
+            JobState tombstone;
+            const auto ended = ended_.find(id);
+            tombstone.phase = ended == ended_.end() ? JobPhase::Cancelled : ended->second.phase;
+            tombstone.endedAt = ended == ended_.end() ? timers_.wallNow() : ended->second.endedAt;
+            return JobRecords::progress(tombstone);
+        },
+        std::move(durable));
+}
+
+void JobBook::runEnded(const std::string &worker, const EndedTask &ended, std::function<void()> recorded)
+{
+    auto *job = find(ended.task.job);
+    auto *task = job == nullptr ? nullptr : job->task(ended.task);
+    if (task == nullptr) {
+        // The job has ended or its occurrence is done: nothing is left to store.
+        recorded();
+        return;
+    }
+    auto &step = *job->step(ended.task.occurrence, ended.task.step);
+    EventLog::routine("run.ended",
+                      { { "job", ended.task.job },
+                        { "occurrence", ended.task.occurrence },
+                        { "step", ended.task.step },
+                        { "index", ended.task.index },
+                        { "attempt", ended.attempt },
+                        { "worker", worker },
+                        { "how", name(ended.end) } });
+    std::erase(task->runs, RunPlace { worker, ended.attempt });
+    task->lastAttempt = std::max(task->lastAttempt, ended.attempt);
+    task->lastEndedAt = timers_.now();
+    if (!ended.checkpoint.empty() && !task->isDone) {
+        task->checkpoint = ended.checkpoint;
+    }
+    // The end is stored with the job's progress, or with the job's own end if this one leads to it.
+    save(*job, std::move(recorded));
+    if (!task->isDone && ended.end == RunEnd::Done && !step.spec().isService) {
+        taskDone(*job, step, ended.task.index);
+    } else if (!task->isDone && ended.end == RunEnd::Failed) {
+        taskFailed(*job, step, *task, worker);
+    } else if (!task->isDone && step.spec().isGang && ended.end != RunEnd::Broken) {
+        breakGang(step, name(ended.end).data());
+    }
+    hooks_.workChanged();
+}
+
+void JobBook::taskDone(JobState &job, StepState &step, int index)
+{
+    const auto markDone = [&](Task &task, int number) {
+        if (task.isDone) {
+            return;
+        }
+        task.isDone = true;
+        task.checkpoint.clear();
+        ++step.doneCount;
+        if (!step.spec().isGang) {
+            const auto runs = task.runs;
+            for (const auto &place : runs) {
+                fleet_->stop(place.worker, { { job.spec.id, step.occurrence, step.index, number }, place.attempt }, "copy is done");
+            }
+        }
+    };
+    if (step.spec().isGang) {
+        for (std::size_t member = 0; member < step.tasks.size(); ++member) {
+            markDone(step.tasks[member], static_cast<int>(member));
+        }
+    } else {
+        markDone(step.tasks[static_cast<std::size_t>(index)], index);
+    }
+    if (step.isDone()) {
+        stepDone(job, step);
+    }
+}
+
+void JobBook::stepDone(JobState &job, StepState &step)
+{
+    const auto occurrence = job.occurrences.find(step.occurrence);
+    for (auto &other : occurrence->second.steps) {
+        other.readySince = timers_.now();
+    }
+    if (!occurrence->second.isDone()) {
+        return;
+    }
+    job.doneOccurrences.insert(occurrence->first);
+    job.occurrences.erase(occurrence);
+    if (job.isWorkDone()) {
+        end(job, JobPhase::Completed);
+    }
+}
+
+void JobBook::taskFailed(JobState &job, StepState &step, Task &task, const std::string &worker)
+{
+    task.failedOn = worker;
+    if (step.spec().isService) {
+        return;
+    }
+    // A gang fails as a whole: its failures are counted on its first member, once for each attempt.
+    auto &counted = step.spec().isGang ? step.tasks.front() : task;
+    if (!step.spec().isGang || step.gangAttempt > 0) {
+        ++counted.failures;
+    }
+    if (step.spec().isGang) {
+        step.gangAttempt = 0;
+        breakGang(step, "member failed");
+    }
+    if (counted.failures >= job.queue.maxAttempts) {
+        end(job, JobPhase::Failed);
+    }
+}
+
+void JobBook::breakGang(StepState &step, const std::string &reason)
+{
+    for (std::size_t index = 0; index < step.tasks.size(); ++index) {
+        const auto runs = step.tasks[index].runs;
+        for (const auto &place : runs) {
+            fleet_->stop(place.worker,
+                         { { step.job->spec.id, step.occurrence, step.index, static_cast<int>(index) }, place.attempt },
+                         reason);
+        }
+    }
+}
+
+void JobBook::stopAllRuns(JobState &job, const std::string &reason)
+{
+    for (auto &[number, occurrence] : job.occurrences) {
+        for (auto &step : occurrence.steps) {
+            // The members of a gang that is done end by themselves.
+            if (!step.isDone()) {
+                breakGang(step, reason);
+            }
+        }
+    }
+}
+
+void JobBook::end(JobState &job, JobPhase phase)
+{
+    const auto id = job.spec.id;
+    EventLog::routine("job.ended",
+                      { { "job", id },
+                        { "phase", name(phase) },
+                        { "queue", job.spec.queue },
+                        { "after_ms", std::chrono::duration_cast<Milliseconds>(timers_.now() - job.seenAt).count() },
+                        { "late_ms", std::chrono::duration_cast<Milliseconds>(timers_.now() - job.objective).count() } });
+    stopAllRuns(job, phase == JobPhase::Cancelled ? "cancelled" : "job ended");
+    ended_[id] = { phase, timers_.wallNow(), false };
+    save(job, [this, id] {
+        if (const auto found = ended_.find(id); found != ended_.end()) {
+            found->second.isStored = true;
+        }
+    });
+    // After the end in the order of the transactions: a description without an end would run again.
+    log_.put(JobTables::jobs, id, [] { return std::nullopt; });
+    for (const auto &submitter : std::exchange(submitters_[id], {})) {
+        submitter(SubmitOutcome::Unknown);
+    }
+    submitters_.erase(id);
+    jobs_.erase(id);
+    hooks_.workChanged();
+}
+
+void JobBook::runLost(const std::string &worker, const RunKey &key, RunLoss loss, OrderOutcome outcome)
+{
+    auto *job = find(key.task.job);
+    auto *task = job == nullptr ? nullptr : job->task(key.task);
+    EventLog::routine("run.lost",
+                      { { "job", key.task.job },
+                        { "index", key.task.index },
+                        { "attempt", key.attempt },
+                        { "worker", worker },
+                        { "why", name(loss) },
+                        { "outcome", name(outcome) } });
+    if (task == nullptr) {
+        return;
+    }
+    std::erase(task->runs, RunPlace { worker, key.attempt });
+    task->lastEndedAt = timers_.now();
+    auto &step = *job->step(key.task.occurrence, key.task.step);
+    if (outcome == OrderOutcome::PermitRejected) {
+        step.advice.allowed.erase(worker);
+    }
+    if (step.spec().isGang && !task->isDone) {
+        breakGang(step, "member lost");
+    }
+    hooks_.workChanged();
+}
+
+void JobBook::checkpointSeen(const RunningTask &running)
+{
+    auto *job = find(running.task.job);
+    auto *task = job == nullptr ? nullptr : job->task(running.task);
+    if (task != nullptr && !task->isDone) {
+        task->checkpoint = running.checkpoint;
+    }
+}
+
+void JobBook::fenced(const std::string &)
+{
+    hooks_.deposed();
+}
+
+void JobBook::roomChanged()
+{
+    hooks_.workChanged();
+}
+
+void JobBook::rosterChanged(const WorkerEntry &entry, bool isMember, std::function<void()> recorded)
+{
+    const auto text = entry.service + " " + entry.address.text() + " " + std::to_string(entry.bornAt);
+    log_.put(
+        JobTables::roster,
+        entry.id,
+        [text, isMember] { return isMember ? std::optional(text) : std::nullopt; },
+        std::move(recorded));
+}
+
+} // namespace auburndoor
--- /dev/null
+++ b/modules/dispatch/JobRecords.cpp
@@ -0,0 +1,230 @@
+#include "dispatch/JobRecords.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace auburndoor {
+
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr std::array allPhases { JobPhase::Recording, JobPhase::Queued, JobPhase::Running,
+                                 JobPhase::Completed, JobPhase::Failed, JobPhase::Cancelled };
+
+/** Leaves out values that are the default, since most steps set few of them. */
+template<typename Value>
+void put(Json &json, const char *key, const Value &value, const Value &absent)
+{
+    if (value != absent) {
+        json[key] = value;
+    }
+}
+
+Json stepJson(const StepSpec &step)
+{
+    Json json { { "tasks", step.taskCount } };
+    put(json, "cores", step.need.milliCores, std::int64_t(0));
+    put(json, "memory", step.need.memoryMiB, std::int64_t(0));
+    put(json, "accelerators", step.need.accelerators, std::int64_t(0));
+    put(json, "estimate", step.estimate.count(), Milliseconds::rep(0));
+    put(json, "after", step.dependsOn, std::vector<int>());
+    put(json, "gang", step.isGang, false);
+    put(json, "one-rack", step.prefersOneRack, false);
+    put(json, "saves", step.savesProgress, false);
+    put(json, "copies", step.allowsCopies, false);
+    put(json, "service", step.isService, false);
+    put(json, "fills", step.fillsIdleCapacity, false);
+    put(json, "label", step.requiredLabel, std::string());
+    put(json, "rack", step.dataRack, std::string());
+    put(json, "per-worker", step.maxTasksPerWorker, 0);
+    put(json, "image", step.image, std::string());
+    put(json, "latency", step.latencyTarget.count(), Milliseconds::rep(0));
+    put(json, "unavailable", step.maxUnavailable, -1);
+    return json;
+}
+
+StepSpec readStep(const Json &json)
+{
+    StepSpec step;
+    step.taskCount = json.value("tasks", 1);
+    step.need.milliCores = json.value("cores", std::int64_t(0));
+    step.need.memoryMiB = json.value("memory", std::int64_t(0));
+    step.need.accelerators = json.value("accelerators", std::int64_t(0));
+    step.estimate = Milliseconds(json.value("estimate", Milliseconds::rep(0)));
+    step.dependsOn = json.value("after", std::vector<int>());
+    step.isGang = json.value("gang", false);
+    step.prefersOneRack = json.value("one-rack", false);
+    step.savesProgress = json.value("saves", false);
+    step.allowsCopies = json.value("copies", false);
+    step.isService = json.value("service", false);
+    step.fillsIdleCapacity = json.value("fills", false);
+    step.requiredLabel = json.value("label", std::string());
+    step.dataRack = json.value("rack", std::string());
+    step.maxTasksPerWorker = json.value("per-worker", 0);
+    step.image = json.value("image", std::string());
+    step.latencyTarget = Milliseconds(json.value("latency", Milliseconds::rep(0)));
+    step.maxUnavailable = json.value("unavailable", -1);
+    return step;
+}
+
+Json taskJson(const Task &task)
+{
+    // Most tasks have only one start behind them: a short row is enough.
+    Json json = Json::array({ task.isDone ? 1 : 0, task.lastAttempt, task.failures });
+    if (!task.checkpoint.empty() && !task.isDone) {
+        json.push_back(task.checkpoint);
+    }
+    return json;
+}
+
+bool readTask(const Json &json, Task &task)
+{
+    if (!json.is_array() || json.size() < 3) {
+        return false;
+    }
+    task.isDone = json[0].get<int>() != 0;
+    task.lastAttempt = json[1].get<std::int64_t>();
+    task.failures = json[2].get<int>();
+    if (json.size() > 3) {
+        task.checkpoint = json[3].get<std::string>();
+    }
+    return true;
+}
+
+void readOccurrence(const Json &json, OccurrenceState &occurrence)
+{
+    for (std::size_t index = 0; index < std::min(json.size(), occurrence.steps.size()); ++index) {
+        auto &step = occurrence.steps[index];
+        const auto &tasks = json[index];
+        for (std::size_t task = 0; task < std::min(tasks.size(), step.tasks.size()); ++task) {
+            readTask(tasks[task], step.tasks[task]);
+        }
+        step.doneCount = static_cast<int>(
+            std::count_if(step.tasks.begin(), step.tasks.end(), [](const Task &task) { return task.isDone; }));
+    }
+}
+
+} // namespace
+
+std::string JobRecords::description(const JobState &job)
+{
+    Json steps = Json::array();
+    for (const auto &step : job.spec.steps) {
+        steps.push_back(stepJson(step));
+    }
+    Json json { { "queue", job.spec.queue },
+                { "service", job.queue.service },
+                { "priority", job.queue.priority },
+                { "attempts", job.queue.maxAttempts },
+                { "slack", job.queue.slackFactor },
+                { "allowance", job.queue.latencyAllowance.count() },
+                { "accepted", job.acceptedAt.count() },
+                { "payload", job.spec.payload },
+                { "steps", std::move(steps) } };
+    if (job.spec.isScheduled) {
+        json["occurrences"] = job.spec.occurrences;
+        json["first"] = job.spec.firstDue.count();
+        json["interval"] = job.spec.interval.count();
+    }
+    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+bool JobRecords::readDescription(const std::string &text, JobState &job)
+{
+    const auto json = Json::parse(text, nullptr, false);
+    if (!json.is_object() || !json.contains("steps")) {
+        return false;
+    }
+    try {
+        job.spec.queue = json.at("queue").get<std::string>();
+        job.spec.payload = json.at("payload").get<std::string>();
+        for (const auto &step : json.at("steps")) {
+            job.spec.steps.push_back(readStep(step));
+        }
+        job.spec.isScheduled = json.contains("occurrences");
+        job.spec.occurrences = json.value("occurrences", 1);
+        job.spec.firstDue = Milliseconds(json.value("first", Milliseconds::rep(0)));
+        job.spec.interval = Milliseconds(json.value("interval", Milliseconds::rep(0)));
+        job.acceptedAt = Milliseconds(json.value("accepted", Milliseconds::rep(0)));
+        job.queue.name = job.spec.queue;
+        job.queue.service = json.at("service").get<std::string>();
+        job.queue.priority = json.value("priority", 0);
+        job.queue.maxAttempts = json.value("attempts", 1);
+        job.queue.slackFactor = json.value("slack", 1.0);
+        job.queue.latencyAllowance = Milliseconds(json.value("allowance", Milliseconds::rep(0)));
+    } catch (const Json::exception &) {
+        return false;
+    }
+    return true;
+}
+
+std::string JobRecords::progress(const JobState &job)
+{
+    Json json { { "phase", name(job.phase) } };
+    if (isEnded(job.phase)) {
+        json["ended"] = job.endedAt.count();
+        return json.dump();
+    }
+    json["begun"] = job.hasBegun;
+    json["next"] = job.nextOccurrence;
+    json["finished"] = job.doneOccurrences;
+    Json occurrences = Json::object();
+    for (const auto &[number, occurrence] : job.occurrences) {
+        Json steps = Json::array();
+        for (const auto &step : occurrence.steps) {
+            Json tasks = Json::array();
+            for (const auto &task : step.tasks) {
+                tasks.push_back(taskJson(task));
+            }
+            steps.push_back(std::move(tasks));
+        }
+        occurrences[std::to_string(number)] = std::move(steps);
+    }
+    json["occurrences"] = std::move(occurrences);
+    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+bool JobRecords::readProgress(const std::string &text, JobState &job, TimePoint now)
+{
+    const auto phase = phaseOf(text, job.endedAt);
+    if (!phase) {
+        return false;
+    }
+    job.phase = *phase;
+    if (isEnded(job.phase)) {
+        return true;
+    }
+    try {
+        const auto json = Json::parse(text);
+        job.hasBegun = json.value("begun", false);
+        job.doneOccurrences = json.value("finished", std::set<int>());
+        for (const auto &[number, steps] : json.at("occurrences").items()) {
+            job.addOccurrence(std::stoi(number), now);
+            readOccurrence(steps, job.occurrences.at(std::stoi(number)));
+        }
+        job.nextOccurrence = json.value("next", job.nextOccurrence);
+    } catch (const std::exception &) {
+        return false;
+    }
+    return true;
+}
+
+std::optional<JobPhase> JobRecords::phaseOf(const std::string &text, std::chrono::milliseconds &endedAt)
+{
+    const auto json = Json::parse(text, nullptr, false);
+    if (!json.is_object() || !json.contains("phase") || !json["phase"].is_string()) {
+        return std::nullopt;
+    }
+    const auto word = json["phase"].get<std::string>();
+    const auto found = std::find_if(allPhases.begin(), allPhases.end(), [&](JobPhase phase) { return name(phase) == word; });
+    if (found == allPhases.end()) {
+        return std::nullopt;
+    }
+    endedAt = Milliseconds(json.value("ended", Milliseconds::rep(0)));
+    return *found;
+}
+
+} // namespace auburndoor
--- /dev/null
+++ b/modules/dispatch/JobRecords.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "dispatch/JobState.h"
+
+#include <optional>
+#include <string>
+
+namespace auburndoor {
+
+/**
+    The text forms of a job in the store: its description, written once, and its progress, written after each end of a task.
+
+    They are JSON objects in the product's own names.
+*/
+class JobRecords
+{
+public:
+    /** The description: steps, payload, queue and the time of acceptance. */
+    static std::string description(const JobState &job);
+
+    /** Fills spec, queue and acceptedAt. @return whether the text could be read */
+    static bool readDescription(const std::string &text, JobState &job);
+
+    /** Phase, done tasks, failures, attempts and checkpoints. */
+    static std::string progress(const JobState &job);
+
+    /** Applies recorded progress to a job whose description was read. @return whether the text could be read */
+    static bool readProgress(const std::string &text, JobState &job, TimePoint now);
+
+    /** The phase and the time of the end that a progress text holds; empty if it cannot be read. */
+    static std::optional<JobPhase> phaseOf(const std::string &text, std::chrono::milliseconds &endedAt);
+};
+
+} // namespace auburndoor
--- /dev/null
+++ b/modules/dispatch/JobState.cpp
@@ -0,0 +1,123 @@
+#include "dispatch/JobState.h"
+
+#include <algorithm>
+
+namespace auburndoor {
+
+std::string_view name(JobPhase phase)
+{
+    switch (phase) {
+    case JobPhase::Recording:
+        return "recording";
+    case JobPhase::Queued:
+        return "queued";
+    case JobPhase::Running:
+        return "running";
+    case JobPhase::Completed:
+        return "completed";
+    case JobPhase::Failed:
+        return "failed";
+    case JobPhase::Cancelled:
+        break;
+    }
+    return "cancelled";
+}
+
+bool isEnded(JobPhase phase)
+{
+    return phase == JobPhase::Completed || phase == JobPhase::Failed || phase == JobPhase::Cancelled;
+}
+
+bool Task::hasRun(const RunPlace &place) const
+{
+    return std::find(runs.begin(), runs.end(), place) != runs.end();
+}
+
+const StepSpec &StepState::spec() const
+{
+    return job->spec.steps[static_cast<std::size_t>(index)];
+}
+
+bool StepState::hasIdleTask() const
+{
+    return std::any_of(tasks.begin(), tasks.end(), [](const Task &task) { return task.isIdle(); });
+}
+
+bool StepState::hasRuns() const
+{
+    return std::any_of(tasks.begin(), tasks.end(), [](const Task &task) { return !task.runs.empty(); });
+}
+
+bool OccurrenceState::isDone() const
+{
+    return std::all_of(steps.begin(), steps.end(), [](const StepState &step) { return step.isDone(); });
+}
+
+bool OccurrenceState::isReady(const StepState &step) const
+{
+    const auto &earlier = step.spec().dependsOn;
+    return std::all_of(earlier.begin(), earlier.end(), [this](int index) { return steps[static_cast<std::size_t>(index)].isDone(); });
+}
+
+void JobState::addOccurrence(int number, TimePoint now)
+{
+    auto &occurrence = occurrences[number];
+    for (std::size_t index = 0; index < spec.steps.size(); ++index) {
+        StepState step;
+        step.job = this;
+        step.occurrence = number;
+        step.index = static_cast<int>(index);
+        step.tasks.resize(static_cast<std::size_t>(spec.steps[index].taskCount));
+        step.readySince = now;
+        occurrence.steps.push_back(std::move(step));
+    }
+    nextOccurrence = std::max(nextOccurrence, number + 1);
+}
+
+StepState *JobState::step(int occurrence, int index)
+{
+    const auto found = occurrences.find(occurrence);
+    if (found == occurrences.end() || index < 0 || index >= static_cast<int>(found->second.steps.size())) {
+        return nullptr;
+    }
+    return &found->second.steps[static_cast<std::size_t>(index)];
+}
+
+Task *JobState::task(const TaskName &name)
+{
+    auto *found = step(name.occurrence, name.step);
+    if (found == nullptr || name.index < 0 || name.index >= static_cast<int>(found->tasks.size())) {
+        return nullptr;
+    }
+    return &found->tasks[static_cast<std::size_t>(name.index)];
+}
+
+bool JobState::isWorkDone() const
+{
+    return occurrences.empty() && static_cast<int>(doneOccurrences.size()) == spec.occurrences;
+}
+
+TimePoint JobState::dueAt(int occurrence, TimePoint now, std::chrono::milliseconds wallNow) const
+{
+    if (!spec.isScheduled) {
+        return now;
+    }
+    return now + (spec.firstDue + occurrence * spec.interval - wallNow);
+}
+
+Milliseconds JobState::longestChain() const
+{
+    std::vector<Milliseconds> ends(spec.steps.size());
+    Milliseconds longest { 0 };
+    for (std::size_t index = 0; index < spec.steps.size(); ++index) {
+        Milliseconds begin { 0 };
+        for (const int earlier : spec.steps[index].dependsOn) {
+            begin = std::max(begin, ends[static_cast<std::size_t>(earlier)]);
+        }
+        ends[index] = begin + spec.steps[index].estimate;
+        longest = std::max(longest, ends[index]);
+    }
+    return longest;
+}
+
+} // namespace auburndoor
--- /dev/null
+++ b/modules/dispatch/JobState.h
@@ -0,0 +1,138 @@
+#pragma once
+
+#include "core/Clock.h"
+#include "workload/JobSpec.h"
+#include "workload/QueueTable.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace auburndoor {
+
+enum class JobPhase {
+    /** Its record is being written; nothing of it may start. */
+    Recording,
+    Queued,
+    Running,
+    Completed,
+    Failed,
+    Cancelled,
+};
+
+std::string_view name(JobPhase phase);
+bool isEnded(JobPhase phase);
+
+/** Where a start of a task occupies a worker; the fleet holds the run itself. */
+struct RunPlace
+{
+    std::string worker;
+    std::int64_t attempt = 0;
+
+    auto operator<=>(const RunPlace &other) const = default;
+};
+
+/** One task of a step. */
+struct Task
+{
+    bool isDone = false;
+    int failures = 0;
+    std::int64_t lastAttempt = 0;
+    std::string checkpoint;
+    std::vector<RunPlace> runs;
+    /** The worker on which it last failed; others are preferred. */
+    std::string failedOn;
+    TimePoint lastEndedAt;
+
+    bool isIdle() const
+    {
+        return !isDone && runs.empty();
+    }
+    bool hasRun(const RunPlace &place) const;
+};
+
+/** What the advisory service has said of a step. The set of allowed workers of a step never changes; permits expire. */
+struct StepAdvice
+{
+    struct Entry
+    {
+        std::string ticket;
+        TimePoint expiresAt;
+        std::int64_t workerBornAt = 0;
+    };
+    std::map<std::string, Entry> allowed;
+    std::set<std::string> denied;
+    bool isAsking = false;
+    TimePoint askAgainAt;
+};
+
+struct JobState;
+
+/** One step of one occurrence of a job. */
+struct StepState
+{
+    JobState *job = nullptr;
+    int occurrence = 0;
+    int index = 0;
+    std::vector<Task> tasks;
+    int doneCount = 0;
+    StepAdvice advice;
+    /** A gang is being placed again only after all its earlier runs are gone. */
+    std::int64_t gangAttempt = 0;
+    TimePoint readySince;
+
+    const StepSpec &spec() const;
+    bool isDone() const
+    {
+        return doneCount == static_cast<int>(tasks.size());
+    }
+    bool hasIdleTask() const;
+    bool hasRuns() const;
+};
+
+/** All steps of one occurrence. */
+struct OccurrenceState
+{
+    std::vector<StepState> steps;
+    bool isDone() const;
+    /** True if all tasks of the steps that it depends on are done. */
+    bool isReady(const StepState &step) const;
+};
+
+/** One job and how far it has got. */
+struct JobState
+{
+    JobSpec spec;
+    QueueSpec queue;
+    JobPhase phase = JobPhase::Recording;
+    /** What clients are shown: an end only once it is stored. */
+    JobPhase shownPhase = JobPhase::Recording;
+    /** Since 1970, on the clock of the process that accepted it. */
+    std::chrono::milliseconds acceptedAt { 0 };
+    std::chrono::milliseconds endedAt { 0 };
+    /** On this process's clock; for a job of an earlier owner, the time of the takeover. */
+    TimePoint seenAt;
+    /** By when it is to be completed to be in time. */
+    TimePoint objective;
+    /** Accepted by an earlier owner: runs that nobody here knows of may exist. */
+    bool isInherited = false;
+    bool hasBegun = false;
+    /** The occurrences that are due, by number; those that are done are removed again. */
+    std::map<int, OccurrenceState> occurrences;
+    /** Occurrences below this number were materialized. */
+    int nextOccurrence = 0;
+    std::set<int> doneOccurrences;
+
+    void addOccurrence(int number, TimePoint now);
+    StepState *step(int occurrence, int index);
+    Task *task(const TaskName &name);
+    bool isWorkDone() const;
+    TimePoint dueAt(int occurrence, TimePoint now, std::chrono::milliseconds wallNow) const;
+    /** The longest chain of estimated run times over its steps. */
+    Milliseconds longestChain() const;
+};
+
+} // namespace auburndoor
--- /dev/null
+++ b/modules/dispatch/Placer.cpp
@@ -0,0 +1,357 @@
+#include "dispatch/Placer.h"
+
+#include "observability/EventLog.h"
+
+#include <algorithm>
+#include <limits>
+#include <set>
+
+namespace auburndoor {
+
+namespace {
+
+// Beyond this multiple of its objective a job no longer counts as late but as lost.
+constexpr int lostAfterObjectives = 3;
+// A permit is not used in its last moments: the order needs a way to the worker.
+constexpr Milliseconds permitMargin { 80 };
+// The chain of work that an objective is worked out from counts one question on so many workers.
+constexpr int maxWorkersAsked = 30;
+constexpr int minWorkersAsked = 4;
+// Of the workers named, about this share is allowed; the rest of the question is wasted time.
+constexpr double expectedAllowedShare = 0.4;
+constexpr Milliseconds adviceTimeout { 4000 };
+constexpr Milliseconds adviceRetry { 150 };
+
+bool isOvertime(const JobState &job, TimePoint now)
+{
+    return now > job.seenAt + (job.objective - job.seenAt) * lostAfterObjectives;
+}
+
+} // namespace
+
+Placer::Placer(Timers &timers, JobBook &book, Fleet &fleet, Advisor &advisor, TimePoint inheritedHold)
+    : timers_(timers)
+    , book_(book)
+    , fleet_(fleet)
+    , advisor_(advisor)
+    , inheritedHold_(inheritedHold)
+    , isAlive_(std::make_shared<bool>(true))
+{
+}
+
+Placer::~Placer()
+{
+    close();
+}
+
+void Placer::close()
+{
+    *isAlive_ = false;
+}
+
+bool Placer::mayStart(const JobState &job) const
+{
+    if (job.phase != JobPhase::Queued && job.phase != JobPhase::Running) {
+        return false;
+    }
+    return !job.isInherited || timers_.now() > inheritedHold_ || !fleet_.hasUnreadWorkers(job.queue.service);
+}
+
+std::vector<StepState *> Placer::readySteps()
+{
+    std::vector<StepState *> steps;
+    for (const auto &[id, job] : book_.jobs()) {
+        if (!mayStart(*job)) {
+            continue;
+        }
+        for (auto &[number, occurrence] : job->occurrences) {
+            for (auto &step : occurrence.steps) {
+                const bool isOpen = step.spec().isGang ? !step.isDone() && !step.hasRuns() : step.hasIdleTask();
+                if (isOpen && occurrence.isReady(step)) {
+                    steps.push_back(&step);
+                }
+            }
+        }
+    }
+    const auto now = timers_.now();
+    std::sort(steps.begin(), steps.end(), [now](const StepState *left, const StepState *right) {
+        const auto rank = [now](const StepState &step) {
+            return std::tuple(step.job->queue.priority, isOvertime(*step.job, now), step.job->objective, step.job->spec.id, step.index);
+        };
+        return rank(*left) < rank(*right);
+    });
+    return steps;
+}
+
+void Placer::place()
+{
+    for (auto *step : readySteps()) {
+        if (step->spec().isGang) {
+            placeGang(*step);
+        } else {
+            placeTasks(*step);
+        }
+    }
+}
+
+std::vector<Placer::Candidate> Placer::candidatesOf(StepState &step)
+{
+    std::vector<Candidate> candidates;
+    const auto &spec = step.spec();
+    const auto now = timers_.now();
+    const auto need = JobBook::claimOf(spec).need;
+    std::map<std::string, int> tasksOn;
+    for (const auto &task : step.tasks) {
+        for (const auto &place : task.runs) {
+            ++tasksOn[place.worker];
+        }
+    }
+    for (const auto &[id, worker] : fleet_.workers()) {
+        if (worker->entry.service != step.job->queue.service || !fleet_.isUsable(*worker) || !need.fitsIn(worker->free())
+            || (!spec.requiredLabel.empty() && !worker->entry.hasLabel(spec.requiredLabel))) {
+            continue;
+        }
+        Candidate candidate { worker.get(), worker->free(), tasksOn[id], nullptr };
+        if (spec.maxTasksPerWorker > 0 && candidate.tasksOfStep >= spec.maxTasksPerWorker) {
+            continue;
+        }
+        if (const auto permit = step.advice.allowed.find(id); permit != step.advice.allowed.end()
+            && permit->second.expiresAt > now && permit->second.workerBornAt == worker->entry.bornAt) {
+            candidate.permit = &permit->second;
+        }
+        candidates.push_back(candidate);
+    }
+    return candidates;
+}
+
+double Placer::cost(const StepState &step, const Task &task, const Candidate &candidate) const
+{
+    const auto &spec = step.spec();
+    const auto &entry = candidate.worker->entry;
+    // Best fit: what is left of the dominant resource decides; preferences outweigh it.
+    constexpr double farFromData = 10.0;
+    constexpr double failedThere = 20.0;
+    constexpr double disturbs = 5.0;
+    double result = dominantShare(candidate.free - JobBook::claimOf(spec).need, entry.capacity);
+    if (!spec.dataRack.empty() && entry.rack() != spec.dataRack) {
+        result += farFromData;
+    }
+    if (task.failedOn == entry.id) {
+        result += failedThere;
+    }
+    const auto kind = JobBook::claimOf(spec).kind;
+    if (kind != RunKind::Plain) {
+        const auto other = kind == RunKind::Fills ? RunKind::Serves : RunKind::Fills;
+        const auto &runs = candidate.worker->runs;
+        const bool meets = std::any_of(runs.begin(), runs.end(), [other](const auto &run) { return run.second.claim.kind == other; });
+        result += meets ? disturbs : 0.0;
+    }
+    return result;
+}
+
+Placer::Candidate *
+Placer::choose(const StepState &step, const Task &task, std::vector<Candidate> &candidates, const std::string &rack) const
+{
+    Candidate *best = nullptr;
+    double bestCost = std::numeric_limits<double>::max();
+    const auto &spec = step.spec();
+    const auto need = JobBook::claimOf(spec).need;
+    for (auto &candidate : candidates) {
+        const bool isPermitted = !step.job->queue.advice || candidate.permit != nullptr;
+        const bool isApart = spec.maxTasksPerWorker == 0 || candidate.tasksOfStep < spec.maxTasksPerWorker;
+        if (!isPermitted || !isApart || !need.fitsIn(candidate.free) || (!rack.empty() && candidate.worker->entry.rack() != rack)) {
+            continue;
+        }
+        const auto candidateCost = cost(step, task, candidate);
+        if (candidateCost < bestCost) {
+            bestCost = candidateCost;
+            best = &candidate;
+        }
+    }
+    return best;
+}
+
+void Placer::start(StepState &step, int index, Candidate &candidate, std::int64_t attempt)
+{
+    const auto &job = *step.job;
+    auto &task = step.tasks[static_cast<std::size_t>(index)];
+    const auto &id = candidate.worker->entry.id;
+    StartOrder order;
+    order.task = { job.spec.id, step.occurrence, step.index, index };
+    order.attempt = attempt;
+    order.payload = job.spec.payload;
+    order.checkpoint = task.checkpoint;
+    if (candidate.permit != nullptr) {
+        order.permit = candidate.permit->ticket;
+    }
+    EventLog::routine("run.start",
+                      { { "job", job.spec.id },
+                        { "occurrence", step.occurrence },
+                        { "step", step.index },
+                        { "index", index },
+                        { "attempt", attempt },
+                        { "worker", id },
+                        { "ready_ms", std::chrono::duration_cast<Milliseconds>(timers_.now() - step.readySince).count() },
+                        { "free_cores", candidate.free.milliCores } });
+    const auto claim = JobBook::claimOf(step.spec());
+    candidate.free -= claim.need;
+    ++candidate.tasksOfStep;
+    book_.noteStart(step, index, { id, attempt });
+    fleet_.start(id, order, claim);
+}
+
+void Placer::placeTasks(StepState &step)
+{
+    auto candidates = candidatesOf(step);
+    int unplaced = 0;
+    for (std::size_t index = 0; index < step.tasks.size(); ++index) {
+        auto &task = step.tasks[index];
+        if (!task.isIdle()) {
+            continue;
+        }
+        auto *candidate = candidates.empty() ? nullptr : choose(step, task, candidates, {});
+        if (candidate == nullptr) {
+            ++unplaced;
+            continue;
+        }
+        start(step, static_cast<int>(index), *candidate, book_.nextAttempt(task));
+    }
+    if (unplaced > 0 && step.job->queue.advice) {
+        askAdvice(step, candidates, unplaced);
+    }
+}
+
+std::vector<Placer::Candidate *> Placer::fitGang(StepState &step, std::vector<Candidate> &candidates, const std::string &rack) const
+{
+    std::vector<Candidate *> chosen;
+    const auto need = JobBook::claimOf(step.spec()).need;
+    for (const auto &task : step.tasks) {
+        auto *candidate = choose(step, task, candidates, rack);
+        if (candidate == nullptr) {
+            break;
+        }
+        candidate->free -= need;
+        ++candidate->tasksOfStep;
+        chosen.push_back(candidate);
+    }
+    for (auto *candidate : chosen) {
+        candidate->free += need;
+        --candidate->tasksOfStep;
+    }
+    if (chosen.size() != step.tasks.size()) {
+        chosen.clear();
+    }
+    return chosen;
+}
+
+void Placer::placeGang(StepState &step)
+{
+    auto candidates = candidatesOf(step);
+    std::vector<Candidate *> chosen;
+    if (step.spec().prefersOneRack) {
+        std::set<std::string> racks;
+        for (const auto &candidate : candidates) {
+            racks.insert(candidate.worker->entry.rack());
+        }
+        for (auto rack = racks.begin(); rack != racks.end() && chosen.empty(); ++rack) {
+            chosen = fitGang(step, candidates, *rack);
+        }
+    }
+    if (chosen.empty()) {
+        chosen = fitGang(step, candidates, {});
+    }
+    if (chosen.empty()) {
+        if (step.job->queue.advice) {
+            askAdvice(step, candidates, static_cast<int>(step.tasks.size()));
+        }
+        return;
+    }
+    // All members share the attempt and the checkpoint.
+    std::int64_t attempt = 0;
+    std::string checkpoint;
+    for (const auto &task : step.tasks) {
+        attempt = std::max(attempt, book_.nextAttempt(task));
+        checkpoint = task.checkpoint.empty() ? checkpoint : task.checkpoint;
+    }
+    step.gangAttempt = attempt;
+    for (std::size_t index = 0; index < step.tasks.size(); ++index) {
+        step.tasks[index].checkpoint = checkpoint;
+        start(step, static_cast<int>(index), *chosen[index], attempt);
+    }
+}
+
+void Placer::askAdvice(StepState &step, const std::vector<Candidate> &candidates, int unplaced)
+{
+    auto &advice = step.advice;
+    if (advice.isAsking || timers_.now() < advice.askAgainAt) {
+        return;
+    }
+    const auto need = JobBook::claimOf(step.spec()).need;
+    std::vector<const Candidate *> open;
+    for (const auto &candidate : candidates) {
+        const bool isOpen = candidate.permit == nullptr && !advice.denied.contains(candidate.worker->entry.id);
+        if (isOpen && need.fitsIn(candidate.free)) {
+            open.push_back(&candidate);
+        }
+    }
+    if (open.empty()) {
+        return;
+    }
+    // Workers that are known to be allowed first, then those with most room.
+    std::sort(open.begin(), open.end(), [&](const Candidate *left, const Candidate *right) {
+        const bool isLeftKnown = advice.allowed.contains(left->worker->entry.id);
+        const bool isRightKnown = advice.allowed.contains(right->worker->entry.id);
+        if (isLeftKnown != isRightKnown) {
+            return isLeftKnown;
+        }
+        return dominantShare(left->worker->used, left->worker->entry.capacity)
+               < dominantShare(right->worker->used, right->worker->entry.capacity);
+    });
+    const int wanted = static_cast<int>(unplaced / expectedAllowedShare) + 2;
+    const auto count = std::min<std::size_t>(open.size(), static_cast<std::size_t>(std::clamp(wanted, minWorkersAsked, maxWorkersAsked)));
+    std::vector<std::string> workers;
+    for (std::size_t index = 0; index < count; ++index) {
+        workers.push_back(open[index]->worker->entry.id);
+    }
+    advice.isAsking = true;
+    const TaskName name { step.job->spec.id, step.occurrence, step.index, 0 };
+    advisor_.ask(name, workers, adviceTimeout, [this, isAlive = isAlive_, name, workers](const AdviceResult &result) {
+        if (*isAlive) {
+            onAdvice(name, workers, result);
+        }
+    });
+}
+
+void Placer::onAdvice(const TaskName &name, const std::vector<std::string> &asked, const AdviceResult &result)
+{
+    const auto job = book_.jobs().find(name.job);
+    auto *step = job == book_.jobs().end() ? nullptr : job->second->step(name.occurrence, name.step);
+    if (step == nullptr) {
+        return;
+    }
+    auto &advice = step->advice;
+    advice.isAsking = false;
+    if (result.outcome != AdviceResult::Outcome::Answered) {
+        advice.askAgainAt = timers_.now() + adviceRetry;
+        return;
+    }
+    const auto validity = result.validity > Milliseconds(0) ? result.validity : job->second->queue.advice ? job->second->queue.advice->permitValidity : result.validity;
+    advice.denied.insert(asked.begin(), asked.end());
+    for (const auto &permit : result.permits) {
+        advice.denied.erase(permit.worker);
+        if (const auto *worker = fleet_.worker(permit.worker)) {
+            advice.allowed[permit.worker] = { permit.ticket, timers_.now() + validity - permitMargin, worker->entry.bornAt };
+        }
+    }
+    EventLog::routine("advice",
+                      { { "job", name.job }, { "step", name.step }, { "asked", asked.size() }, { "allowed", result.permits.size() } });
+    if (step->spec().isGang) {
+        if (!step->isDone() && !step->hasRuns() && job->second->occurrences.at(name.occurrence).isReady(*step) && mayStart(*job->second)) {
+            placeGang(*step);
+        }
+    } else {
+        book_.roomChanged();
+    }
+}
+
+} // namespace auburndoor
--- /dev/null
+++ b/modules/dispatch/Placer.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "dispatch/Fleet.h"
+#include "dispatch/JobBook.h"
+#include "workload/Advisor.h"
+
+#include <memory>
+#include <vector>
+
+namespace auburndoor {
+
+/**
+    Chooses workers for the tasks that are ready, and asks for advice where a queue needs it.
+
+    Steps are served by priority, then by how soon their job's objective is; jobs that can no longer be in time come last within
+    their priority. All members are called from the loop's thread.
+*/
+class Placer
+{
+public:
+    /** @param inheritedHold until then nothing of inherited jobs starts while a worker of their service is unread */
+    Placer(Timers &timers, JobBook &book, Fleet &fleet, Advisor &advisor, TimePoint inheritedHold);
+    ~Placer();
+
+    /** Places what can be placed now. */
+    void place();
+
+    /** Looks after what runs: copies of slow tasks, runs on leaving workers, the pace of tasks that fill. */
+    void tend();
+
+    void close();
+
+private:
+    /** A worker with the room that is left while a step is being placed. */
+    struct Candidate
+    {
+        WorkerState *worker = nullptr;
+        Resources free;
+        int tasksOfStep = 0;
+        const StepAdvice::Entry *permit = nullptr;
+    };
+
+    std::vector<StepState *> readySteps();
+    bool mayStart(const JobState &job) const;
+    std::vector<Candidate> candidatesOf(StepState &step);
+    Candidate *choose(const StepState &step, const Task &task, std::vector<Candidate> &candidates, const std::string &rack) const;
+    double cost(const StepState &step, const Task &task, const Candidate &candidate) const;
+    void placeTasks(StepState &step);
+    void placeGang(StepState &step);
+    std::vector<Candidate *> fitGang(StepState &step, std::vector<Candidate> &candidates, const std::string &rack) const;
+    void start(StepState &step, int index, Candidate &candidate, std::int64_t attempt);
+    void askAdvice(StepState &step, const std::vector<Candidate> &candidates, int unplaced);
+    void onAdvice(const TaskName &step, const std::vector<std::string> &asked, const AdviceResult &result);
+    void copySlowTasks(StepState &step);
+    void leaveDrainingWorkers(StepState &step);
+    void paceWorker(WorkerState &worker);
+
+    Timers &timers_;
+    JobBook &book_;
+    Fleet &fleet_;
+    Advisor &advisor_;
+    TimePoint inheritedHold_;
+    std::shared_ptr<bool> isAlive_;
+};
+
+} // namespace auburndoor
--- /dev/null
+++ b/modules/dispatch/PlacerTending.cpp
@@ -0,0 +1,102 @@
+#include "dispatch/Placer.h"
+#include "observability/EventLog.h"
+
+#include <algorithm>
+
+namespace auburndoor {
+
+namespace {
+
+// A copy is worth its room when the first run still needs longer than a fresh one is expected to take.
+constexpr Milliseconds copyAfter { 500 };
+constexpr double copyFactor = 1.3;
+
+} // namespace
+
+void Placer::tend()
+{
+    for (const auto &[id, job] : book_.jobs()) {
+        if (!mayStart(*job)) {
+            continue;
+        }
+        for (auto &[number, occurrence] : job->occurrences) {
+            for (auto &step : occurrence.steps) {
+                leaveDrainingWorkers(step);
+                if (step.spec().allowsCopies && !step.isDone()) {
+                    copySlowTasks(step);
+                }
+            }
+        }
+    }
+    for (const auto &[id, worker] : fleet_.workers()) {
+        paceWorker(*worker);
+    }
+}
+
+void Placer::copySlowTasks(StepState &step)
+{
+    const auto now = timers_.now();
+    const auto estimate = step.spec().estimate;
+    auto candidates = std::vector<Candidate>();
+    for (std::size_t index = 0; index < step.tasks.size(); ++index) {
+        auto &task = step.tasks[index];
+        if (task.isDone || task.runs.size() != 1) {
+            continue;
+        }
+        const auto place = task.runs.front();
+        const auto *run = fleet_.run(place.worker, { { step.job->spec.id, step.occurrence, step.index, static_cast<int>(index) }, place.attempt });
+        const auto *worker = fleet_.worker(place.worker);
+        if (run == nullptr || worker == nullptr || run->confirmedAt == TimePoint()) {
+            continue;
+        }
+        const auto elapsed = std::chrono::duration_cast<Milliseconds>(now - run->confirmedAt);
+        const bool isLate = elapsed > copyAfter && static_cast<double>(elapsed.count()) > static_cast<double>(estimate.count()) * copyFactor;
+        const auto remaining = run->percent <= 0 ? elapsed * 10 : elapsed * (100 - run->percent) / run->percent;
+        if (worker->failedLooks == 0 && (!isLate || remaining < estimate)) {
+            continue;
+        }
+        if (candidates.empty()) {
+            candidates = candidatesOf(step);
+            std::erase_if(candidates, [&place](const Candidate &candidate) { return candidate.worker->entry.id == place.worker; });
+        }
+        if (auto *candidate = choose(step, task, candidates, {})) {
+            EventLog::routine("run.copied", { { "job", step.job->spec.id }, { "index", index }, { "percent", run->percent }, { "elapsed_ms", elapsed.count() } });
+            start(step, static_cast<int>(index), *candidate, book_.nextAttempt(task));
+        } else if (step.job->queue.advice) {
+            askAdvice(step, candidates, 1);
+        }
+    }
+}
+
+void Placer::leaveDrainingWorkers(StepState &step)
+{
+    if (step.isDone() || (!step.spec().isService && !step.spec().savesProgress)) {
+        return;
+    }
+    for (std::size_t index = 0; index < step.tasks.size(); ++index) {
+        const auto runs = step.tasks[index].runs;
+        for (const auto &place : runs) {
+            const auto *worker = fleet_.worker(place.worker);
+            if (worker != nullptr && worker->entry.isDraining) {
+                book_.stopRun(step, static_cast<int>(index), place, "worker is draining");
+            }
+        }
+    }
+}
+
+void Placer::paceWorker(WorkerState &worker)
+{
+    bool serves = false;
+    for (const auto &[key, run] : worker.runs) {
+        serves = serves || run.claim.kind == RunKind::Serves;
+    }
+    // Tasks that fill stand still beside a task that serves; its tail may not suffer from them.
+    const int percent = serves ? 0 : 100;
+    for (auto &[key, run] : worker.runs) {
+        if (run.claim.kind == RunKind::Fills && run.phase == Run::Phase::Running && run.pace != percent) {
+            fleet_.pace(worker.entry.id, key, percent);
+        }
+    }
+}
+
+} // namespace auburndoor
--- /dev/null
+++ b/modules/entry/AdvicePool.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "net/Address.h"
+#include "workload/Advisor.h"
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace auburndoor {
+
+class EventLoop;
+
+/**
+    Spreads questions to the advisory service over the entry processes.
+
+    The service takes one call at a time from each machine, so the owner has others ask for it: each question goes to the process
+    with the least work waiting, as estimated from the queue's policy. A question that fails at another process is asked here.
+    All members are called from the loop's thread.
+*/
+class AdvicePool : public Advisor
+{
+public:
+    /**
+        @param local   asks from this machine; null if there is no advisory service
+        @param members the peer addresses of the processes that can ask, this one among them or not
+    */
+    AdvicePool(EventLoop &loop, Advisor *local, Address self, std::function<std::vector<Address>()> members);
+    ~AdvicePool() override;
+
+    void ask(const TaskName &step, const std::vector<std::string> &workers, Milliseconds timeout, Callback callback) override;
+
+private:
+    struct Impl;
+    std::shared_ptr<Impl> impl_;
+};
+
+} // namespace auburndoor
--- /dev/null
+++ b/modules/entry/CellProtocol.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "dispatch/JobState.h"
+#include "net/HttpExchange.h"
+#include "workload/QueueTable.h"
+#include "workload/StateStore.h"
+#include "workload/WorkerEntry.h"
+
+#include <optional>
+#include <string>
+
+namespace auburndoor {
+
+/** What a client asks for. */
+struct ClientCall
+{
+    enum class Kind {
+        Submit,
+        Query,
+        Cancel,
+        CountPending,
+        /** Not a call that is known. */
+        Other,
+    };
+    Kind kind = Kind::Other;
+    std::string queue;
+    std::string job;
+    /** A submission's body, as it arrived. */
+    std::string body;
+    /** How long the client waits for the answer. */
+    Milliseconds patience { 3000 };
+};
+
+/** What a client is told. */
+struct CallResult
+{
+    enum class Outcome {
+        Accepted,
+        /** The phase of the job, or the number of pending jobs. */
+        Answered,
+        Cancelled,
+        /** Not done and never will be by this call; to be tried again later. */
+        Refused,
+        /** Not known whether it was done. */
+        Unknown,
+        Malformed,
+        NoSuchJob,
+        NoSuchQueue,
+    };
+    Outcome outcome = Outcome::Unknown;
+    JobPhase phase = JobPhase::Queued;
+    int pending = 0;
+    /** With a refusal: when to come back. */
+    Milliseconds retryAfter { 0 };
+    /** What is wrong, for a person. */
+    std::string detail = {};
+};
+
+/** What clients, operators and workers speak, translated to the product's types. */
+class CellProtocol
+{
+public:
+    virtual ~CellProtocol() = default;
+
+    /** Reads a client's request; fills a result of its own if there is nothing to be done for it. */
+    virtual ClientCall readCall(const WebRequest &request, const QueueTable &queues, std::optional<CallResult> &result) const = 0;
+    virtual WebReply writeResult(const ClientCall &call, const CallResult &result) const = 0;
+    virtual std::optional<JobSpec> readJob(const std::string &body, std::string &error) const = 0;
+
+    virtual bool isReadinessRequest(const WebRequest &request) const = 0;
+
+    /** The table that holds the operator's desired state, and the reading of its rows; empty for rows that hold something else. */
+    virtual std::string operatorTable() const = 0;
+    virtual std::optional<QueueTable> readDesiredState(const StoreRow &row) const = 0;
+
+    /** The table in which workers register, and the reading of a row; empty for rows that name no usable worker. */
+    virtual std::string workerTable() const = 0;
+    virtual std::optional<WorkerEntry> readWorker(const StoreRow &row) const = 0;
+};
+
+} // namespace auburndoor
--- /dev/null
+++ b/modules/entry/Leadership.cpp
@@ -0,0 +1,423 @@
+#include "entry/Leadership.h"
+
+#include "dispatch/CommitLog.h"
+#include "net/EventLoop.h"
+#include "observability/EventLog.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <map>
+#include <random>
+
+namespace auburndoor {
+
+namespace {
+
+// An entry process that has not asked for a pulse for so long is no longer named as a member.
+constexpr Milliseconds memberMemory { 2000 };
+constexpr int processesAsked = 3;
+
+/** The row that names the owner. */
+struct EpochRow
+{
+    std::int64_t token = 0;
+    /** Empty after a planned stop. */
+    std::string owner;
+    std::string address;
+};
+
+std::string writeEpoch(const EpochRow &row)
+{
+    return nlohmann::json { { "token", row.token }, { "owner", row.owner }, { "address", row.address } }.dump();
+}
+
+EpochRow readEpoch(const std::string &text)
+{
+    EpochRow row;
+    const auto json = nlohmann::json::parse(text, nullptr, false);
+    if (json.is_object()) {
+        row.token = json.value("token", std::int64_t(0));
+        row.owner = json.value("owner", std::string());
+        row.address = json.value("address", std::string());
+    }
+    return row;
+}
+
+} // namespace
+
+struct Leadership::Impl : std::enable_shared_from_this<Leadership::Impl>
+{
+    Impl(EventLoop &loop, StateStore &store, const EntrySettings &settings, LeadershipTimes times, Hooks hooks)
+        : loop(loop)
+        , store(store)
+        , settings(settings)
+        , times(times)
+        , hooks(std::move(hooks))
+        , random(std::random_device {}())
+    {
+    }
+
+    /** Reads the epoch row and follows its owner, or takes over from the owner that is given up. */
+    void findOwner();
+    void onEpoch(const StoreResult &result);
+    void takeOver(const EpochRow &row, std::int64_t version);
+    void onTakeOver(const StoreResult &result, std::int64_t token);
+    void readSequence(std::int64_t token, std::int64_t epochVersion);
+    void follow(const EpochRow &row);
+    void sendPulse();
+    void onPulse(const SendResult &sent, std::uint64_t round);
+    void onPulseLost(const std::string &why);
+    void confirmSuspicion();
+    void giveUpOwner();
+    void later(Milliseconds delay, void (Impl::*action)());
+    Milliseconds spread();
+
+    EventLoop &loop;
+    StateStore &store;
+    const EntrySettings &settings;
+    LeadershipTimes times;
+    Hooks hooks;
+    std::mt19937_64 random;
+    /** The owner that is followed; its token is 0 while none is known. */
+    EpochRow owner;
+    std::unique_ptr<HttpChannels> pulses;
+    bool isHeard = false;
+    /** The token of the owner that is given up: its row may be replaced. */
+    std::int64_t givenUpToken = -1;
+    /** Pulses of an earlier owner are ignored. */
+    std::uint64_t round = 0;
+    std::vector<Address> knownMembers;
+    std::vector<std::shared_ptr<HttpChannels>> asked;
+    std::map<Address, TimePoint> members;
+    std::int64_t desiredVersion = 0;
+    bool isOwner = false;
+    bool isAbstaining = false;
+    bool isFinding = false;
+    bool isClosed = false;
+};
+
+Milliseconds Leadership::Impl::spread()
+{
+    return Milliseconds(std::uniform_int_distribution<Milliseconds::rep>(0, times.spread.count())(random));
+}
+
+void Leadership::Impl::later(Milliseconds delay, void (Impl::*action)())
+{
+    loop.after(delay, [self = shared_from_this(), action] {
+        if (!self->isClosed) {
+            ((*self).*action)();
+        }
+    });
+}
+
+void Leadership::Impl::findOwner()
+{
+    if (isOwner || isFinding) {
+        return;
+    }
+    isFinding = true;
+    store.readRow(OwnerRows::table, OwnerRows::epochKey, [self = shared_from_this()](const StoreResult &result) {
+        if (!self->isClosed) {
+            self->isFinding = false;
+            self->onEpoch(result);
+        }
+    });
+}
+
+void Leadership::Impl::onEpoch(const StoreResult &result)
+{
+    if (isOwner) {
+        return;
+    }
+    if (result.outcome != StoreOutcome::Done) {
+        later(times.retry + spread(), &Impl::findOwner);
+        return;
+    }
+    const auto row = result.rows.empty() ? EpochRow() : readEpoch(result.rows.front().value);
+    const auto version = result.rows.empty() ? 0 : result.rows.front().version;
+    const bool isVacant = row.owner.empty() || row.owner == settings.nodeName;
+    if (isVacant || row.token <= givenUpToken) {
+        if (!isAbstaining) {
+            takeOver(row, version);
+        } else {
+            later(times.retry + spread(), &Impl::findOwner);
+        }
+        return;
+    }
+    follow(row);
+}
+
+void Leadership::Impl::takeOver(const EpochRow &row, std::int64_t version)
+{
+    EventLog::write("owner.attempt", { { "token", row.token + 1 }, { "instead_of", row.owner } });
+    const EpochRow next { row.token + 1, settings.nodeName, settings.peers.text() };
+    StoreChange change;
+    change.expected.push_back({ OwnerRows::table, OwnerRows::epochKey, version });
+    change.writes.push_back({ OwnerRows::table, OwnerRows::epochKey, writeEpoch(next) });
+    isFinding = true;
+    store.commit(std::move(change), [self = shared_from_this(), token = next.token](const StoreResult &result) {
+        if (!self->isClosed) {
+            self->isFinding = false;
+            self->onTakeOver(result, token);
+        }
+    });
+}
+
+void Leadership::Impl::onTakeOver(const StoreResult &result, std::int64_t token)
+{
+    if (result.outcome == StoreOutcome::Done) {
+        readSequence(token, result.version);
+        return;
+    }
+    // After a lost answer the row tells whether the attempt was applied: then it names this process, and is replaced once more.
+    later(result.outcome == StoreOutcome::Conflict ? Milliseconds(0) : times.retry + spread(), &Impl::findOwner);
+}
+
+void Leadership::Impl::readSequence(std::int64_t token, std::int64_t epochVersion)
+{
+    isFinding = true;
+    store.readRow(OwnerRows::table, OwnerRows::sequenceKey, [self = shared_from_this(), token, epochVersion](const StoreResult &result) {
+        if (self->isClosed) {
+            return;
+        }
+        self->isFinding = false;
+        if (result.outcome != StoreOutcome::Done) {
+            self->loop.after(self->times.retry, [self, token, epochVersion] {
+                if (!self->isClosed) {
+                    self->readSequence(token, epochVersion);
+                }
+            });
+            return;
+        }
+        self->isOwner = true;
+        self->isHeard = false;
+        ++self->round;
+        self->owner = { token, self->settings.nodeName, self->settings.peers.text() };
+        self->pulses.reset();
+        EventLog::write("owner.won", { { "token", token } });
+        self->hooks.won({ token, epochVersion, result.rows.empty() ? 0 : result.rows.front().version });
+        self->hooks.changed();
+    });
+}
+
+void Leadership::Impl::follow(const EpochRow &row)
+{
+    const auto address = Address::parse(row.address);
+    if (!address) {
+        givenUpToken = row.token;
+        later(times.retry, &Impl::findOwner);
+        return;
+    }
+    if (row.token != owner.token || !pulses) {
+        EventLog::write("owner.followed", { { "owner", row.owner }, { "token", row.token } });
+        owner = row;
+        pulses = std::make_unique<HttpChannels>(loop, *address, HttpChannelLimits { .maxConnections = 1, .connectTimeout = Milliseconds(400) });
+    }
+    ++round;
+    sendPulse();
+}
+
+void Leadership::Impl::sendPulse()
+{
+    if (isOwner || !pulses) {
+        return;
+    }
+    auto request = PeerCodec::pulseRequest(settings.peers);
+    if (!isHeard) {
+        request.target += PeerCodec::firstPulseQuery;
+    }
+    pulses->send(std::move(request),
+                 times.pulseWait + times.pulseSlack,
+                 [self = shared_from_this(), sentRound = round](const SendResult &sent) {
+                     if (!self->isClosed) {
+                         self->onPulse(sent, sentRound);
+                     }
+                 });
+}
+
+void Leadership::Impl::onPulse(const SendResult &sent, std::uint64_t sentRound)
+{
+    if (sentRound != round || isOwner) {
+        return;
+    }
+    const auto pulse = sent.hasStatus(200) ? PeerCodec::readPulse(sent.reply) : std::nullopt;
+    if (!pulse || pulse->token != owner.token) {
+        onPulseLost(sent.outcome == SendOutcome::Answered ? "it is not the owner" : sent.error);
+        return;
+    }
+    if (!isHeard) {
+        isHeard = true;
+        hooks.changed();
+    }
+    knownMembers = pulse->members;
+    desiredVersion = pulse->desiredVersion;
+    if (pulse->storeAway > times.storeAwayLimit && !isAbstaining) {
+        // If the store answers this process, it is the owner alone that has lost it.
+        givenUpToken = owner.token;
+        later(spread(), &Impl::findOwner);
+        later(times.retry, &Impl::sendPulse);
+        return;
+    }
+    sendPulse();
+}
+
+void Leadership::Impl::onPulseLost(const std::string &why)
+{
+    const bool wasHeard = std::exchange(isHeard, false);
+    if (wasHeard) {
+        EventLog::write("owner.silent", { { "owner", owner.owner }, { "token", owner.token }, { "why", why } });
+        hooks.changed();
+    }
+    if (why == "it is not the owner") {
+        // It has released the cell or lost it: the row tells.
+        later(Milliseconds(10) + spread(), &Impl::findOwner);
+        return;
+    }
+    confirmSuspicion();
+}
+
+void Leadership::Impl::confirmSuspicion()
+{
+    struct Count
+    {
+        int open = 0;
+        int agree = 0;
+        int hear = 0;
+    };
+    auto count = std::make_shared<Count>();
+    std::vector<Address> others;
+    for (const auto &member : knownMembers) {
+        if (member != settings.peers && member.text() != owner.address) {
+            others.push_back(member);
+        }
+    }
+    std::shuffle(others.begin(), others.end(), random);
+    others.resize(std::min<std::size_t>(others.size(), processesAsked));
+    asked.clear();
+    if (others.empty()) {
+        giveUpOwner();
+        return;
+    }
+    count->open = static_cast<int>(others.size());
+    for (const auto &address : others) {
+        auto channel = std::make_shared<HttpChannels>(loop, address, HttpChannelLimits { .maxConnections = 1, .connectTimeout = times.suspicionTimeout });
+        asked.push_back(channel);
+        WebRequest request { "GET", PeerCodec::suspicionPath, {}, {} };
+        channel->send(std::move(request), times.suspicionTimeout, [self = shared_from_this(), count, suspected = owner.token](const SendResult &sent) {
+            if (self->isClosed) {
+                return;
+            }
+            --count->open;
+            count->agree += sent.hasStatus(200) && sent.reply.body.find("\"hears\":false") != std::string::npos ? 1 : 0;
+            count->hear += sent.hasStatus(200) && sent.reply.body.find("\"hears\":true") != std::string::npos ? 1 : 0;
+            if (count->open > 0 || self->owner.token != suspected || self->isOwner) {
+                return;
+            }
+            if (count->hear > 0) {
+                // The owner lives, and this process is cut off from it.
+                self->later(self->times.retry, &Impl::findOwner);
+            } else if (count->agree > 0) {
+                self->giveUpOwner();
+            } else {
+                self->later(self->times.isolationWait, &Impl::giveUpOwner);
+            }
+        });
+    }
+}
+
+void Leadership::Impl::giveUpOwner()
+{
+    if (!isHeard && !isOwner) {
+        givenUpToken = std::max(givenUpToken, owner.token);
+    }
+    later(spread(), &Impl::findOwner);
+}
+
+Leadership::Leadership(EventLoop &loop, StateStore &store, const EntrySettings &settings, LeadershipTimes times, Hooks hooks)
+    : impl_(std::make_shared<Impl>(loop, store, settings, times, std::move(hooks)))
+{
+}
+
+Leadership::~Leadership()
+{
+    impl_->isClosed = true;
+}
+
+void Leadership::start()
+{
+    impl_->findOwner();
+}
+
+void Leadership::stepDown()
+{
+    impl_->isOwner = false;
+    impl_->owner = {};
+    impl_->hooks.changed();
+    impl_->later(impl_->spread(), &Impl::findOwner);
+}
+
+void Leadership::release(const Ownership &ownership, std::function<void()> done)
+{
+    impl_->isAbstaining = true;
+    StoreChange change;
+    change.expected.push_back({ OwnerRows::table, OwnerRows::epochKey, ownership.epochVersion });
+    change.writes.push_back({ OwnerRows::table, OwnerRows::epochKey, writeEpoch({ ownership.token, {}, {} }) });
+    impl_->store.commit(std::move(change), [impl = impl_, done = std::move(done)](const StoreResult &result) {
+        EventLog::write("owner.released", { { "outcome", name(result.outcome) } });
+        impl->isOwner = false;
+        impl->owner = {};
+        done();
+        impl->later(impl->times.retry, &Impl::findOwner);
+    });
+}
+
+void Leadership::abstain()
+{
+    impl_->isAbstaining = true;
+}
+
+std::optional<Address> Leadership::ownerAddress() const
+{
+    return impl_->isHeard ? Address::parse(impl_->owner.address) : std::nullopt;
+}
+
+void Leadership::answerPulse(const WebRequest &request, HttpResponderPointer responder)
+{
+    const auto from = PeerCodec::readPulseRequest(request);
+    if (!impl_->hooks.ownPulse() || !from) {
+        responder->reply({ PeerCodec::notOwnerStatus, {}, {} });
+        return;
+    }
+    impl_->members[*from] = impl_->loop.now();
+    // A process that has just begun to follow is answered at once, so that it knows where calls go.
+    const bool isNew = request.target.ends_with(PeerCodec::firstPulseQuery);
+    impl_->loop.after(isNew ? Milliseconds(0) : impl_->times.pulseWait, [impl = impl_, responder = std::move(responder)] {
+        const auto pulse = impl->isClosed ? std::nullopt : impl->hooks.ownPulse();
+        responder->reply(pulse ? PeerCodec::pulseReply(*pulse) : WebReply { PeerCodec::notOwnerStatus, {}, {} });
+    });
+}
+
+void Leadership::answerSuspicion(HttpResponderPointer responder) const
+{
+    const bool hears = impl_->isHeard || impl_->isOwner;
+    responder->reply({ 200, hears ? "{\"hears\":true}" : "{\"hears\":false}", {} });
+}
+
+std::vector<Address> Leadership::members() const
+{
+    std::vector<Address> result;
+    const auto now = impl_->loop.now();
+    std::erase_if(impl_->members, [now](const auto &member) { return now - member.second > memberMemory; });
+    for (const auto &[address, heardAt] : impl_->members) {
+        result.push_back(address);
+    }
+    return result;
+}
+
+std::int64_t Leadership::desiredVersionOfOwner() const
+{
+    return impl_->desiredVersion;
+}
+
+} // namespace auburndoor
--- /dev/null
+++ b/modules/entry/Owner.cpp
@@ -0,0 +1,347 @@
+#include "entry/Owner.h"
+
+#include "dispatch/CommitLog.h"
+#include "dispatch/Fleet.h"
+#include "dispatch/JobBook.h"
+#include "dispatch/JobRecords.h"
+#include "dispatch/Placer.h"
+#include "entry/TableWatch.h"
+#include "observability/EventLog.h"
+
+#include <map>
+#include <set>
+
+namespace auburndoor {
+
+namespace {
+
+// Gathers the changes of a moment into one round of placement.
+constexpr Milliseconds placeDelay { 3 };
+constexpr Milliseconds tendInterval { 200 };
+// Workers report about every second and a half: reading their table more often than this shows little more.
+constexpr WatchTimes workerWatchTimes { Milliseconds(1500), Milliseconds(250), Milliseconds(200) };
+// A submission that no transaction has carried by then is refused: the client is better off trying again.
+constexpr Milliseconds submitPatience { 600 };
+constexpr Milliseconds retryAfterStall { 700 };
+// A quarter of the lease limit is left for the way of the orders and for slow clocks.
+constexpr Milliseconds preferredLease { 5000 };
+// An owner that was deposed learns of it with its first order to a worker that this one has read.
+constexpr Milliseconds deposedOwnerAllowance { 1500 };
+constexpr Milliseconds readRetry { 150 };
+
+FleetTimes fleetTimes(const EntrySettings &settings)
+{
+    FleetTimes times;
+    times.lease = std::min(preferredLease, settings.maxLease * 3 / 4);
+    return times;
+}
+
+} // namespace
+
+struct Owner::Impl : std::enable_shared_from_this<Owner::Impl>
+{
+    Impl(const OwnerParts &parts, const Ownership &ownership, std::function<void()> deposedCallback)
+        : parts(parts)
+        , ownership(ownership)
+        , deposedCallback(std::move(deposedCallback))
+        , times(fleetTimes(parts.settings))
+        , log(parts.timers,
+              parts.store,
+              parts.settings.nodeName + "#" + std::to_string(ownership.token),
+              ownership.epochVersion,
+              ownership.sequenceVersion,
+              [this] { depose(); })
+        , book(parts.timers, log, ownership.token, { [this] { workChanged(); }, [this] { depose(); } })
+        , fleet(parts.timers, parts.workers, book, times, ownership.token)
+        , placer(parts.timers,
+                 book,
+                 fleet,
+                 parts.advisor,
+                 parts.timers.now() + times.lease * 51 / 50 + deposedOwnerAllowance)
+        , workerWatch(parts.timers, parts.store, parts.protocol.workerTable(), workerWatchTimes, [this](const auto &rows, bool isWhole) {
+            takeWorkers(rows, isWhole);
+        })
+    {
+        book.setFleet(fleet);
+    }
+
+    void depose();
+    void workChanged();
+    void readTable(const std::string &table, void (Impl::*take)(const std::vector<StoreRow> &));
+    void takeProgress(const std::vector<StoreRow> &rows);
+    void takeJobs(const std::vector<StoreRow> &rows);
+    void takeRoster(const std::vector<StoreRow> &rows);
+    void takeWorkers(const std::vector<StoreRow> &rows, bool isWhole);
+    void tend();
+    void submit(const ClientCall &call, Callback callback);
+    void waitForFlush(TimePoint until, std::function<void(const Ownership &)> done);
+
+    OwnerParts parts;
+    Ownership ownership;
+    std::function<void()> deposedCallback;
+    FleetTimes times;
+    CommitLog log;
+    JobBook book;
+    Fleet fleet;
+    Placer placer;
+    TableWatch workerWatch;
+    std::map<std::string, std::string> storedProgress;
+    QueueTable queues;
+    bool isReady = false;
+    bool isClosed = false;
+    bool isPlacing = false;
+    bool isLeaving = false;
+};
+
+void Owner::Impl::depose()
+{
+    if (isClosed) {
+        return;
+    }
+    isClosed = true;
+    log.close();
+    fleet.close();
+    placer.close();
+    EventLog::write("owner.ended", { { "token", ownership.token }, { "why", "deposed" } });
+    parts.timers.after(Milliseconds(0), deposedCallback);
+}
+
+void Owner::Impl::workChanged()
+{
+    if (isPlacing || isClosed || !isReady || isLeaving) {
+        return;
+    }
+    isPlacing = true;
+    parts.timers.after(placeDelay, [self = shared_from_this()] {
+        self->isPlacing = false;
+        if (!self->isClosed && !self->isLeaving) {
+            self->placer.place();
+        }
+    });
+}
+
+void Owner::Impl::readTable(const std::string &table, void (Impl::*take)(const std::vector<StoreRow> &))
+{
+    parts.store.readAll(table, {}, [self = shared_from_this(), table, take](const StoreResult &result) {
+        if (self->isClosed) {
+            return;
+        }
+        if (result.outcome != StoreOutcome::Done) {
+            self->parts.timers.after(readRetry, [self, table, take] {
+                if (!self->isClosed) {
+                    self->readTable(table, take);
+                }
+            });
+            return;
+        }
+        ((*self).*take)(result.rows);
+    });
+}
+
+void Owner::Impl::takeProgress(const std::vector<StoreRow> &rows)
+{
+    for (const auto &row : rows) {
+        EndedJob ended;
+        const auto phase = JobRecords::phaseOf(row.value, ended.endedAt);
+        if (phase && isEnded(*phase)) {
+            ended.phase = *phase;
+            ended.isStored = true;
+            book.restoreEnded(row.key, ended);
+        } else {
+            storedProgress[row.key] = row.value;
+        }
+    }
+    readTable(JobTables::jobs, &Impl::takeJobs);
+}
+
+void Owner::Impl::takeJobs(const std::vector<StoreRow> &rows)
+{
+    for (const auto &row : rows) {
+        if (!book.shownPhase(row.key)) {
+            book.restore(row.key, row.value, storedProgress[row.key]);
+        }
+    }
+    storedProgress.clear();
+    book.setQueues(queues);
+    readTable(JobTables::roster, &Impl::takeRoster);
+}
+
+void Owner::Impl::takeRoster(const std::vector<StoreRow> &rows)
+{
+    for (const auto &row : rows) {
+        WorkerEntry entry;
+        entry.id = row.key;
+        const auto first = row.value.find(' ');
+        const auto second = row.value.find(' ', first + 1);
+        const auto address = second == std::string::npos ? std::nullopt : Address::parse(row.value.substr(first + 1, second - first - 1));
+        if (!address) {
+            EventLog::write("record.unreadable", { { "worker", row.key }, { "table", JobTables::roster } });
+            continue;
+        }
+        entry.service = row.value.substr(0, first);
+        entry.address = *address;
+        fleet.addFormerWorker(entry);
+    }
+    isReady = true;
+    EventLog::write("owner.ready", { { "token", ownership.token }, { "jobs", book.jobs().size() }, { "workers", rows.size() } });
+    workerWatch.start();
+    tend();
+    workChanged();
+}
+
+void Owner::Impl::takeWorkers(const std::vector<StoreRow> &rows, bool isWhole)
+{
+    std::set<std::string> present;
+    for (const auto &row : rows) {
+        const auto entry = row.isRemoved ? std::nullopt : parts.protocol.readWorker(row);
+        if (entry) {
+            present.insert(row.key);
+            fleet.setEntry(*entry);
+        } else if (!isWhole) {
+            fleet.removeEntry(row.key);
+        }
+    }
+    if (isWhole) {
+        fleet.retainEntries(present);
+    }
+}
+
+void Owner::Impl::tend()
+{
+    if (isClosed) {
+        return;
+    }
+    book.tick(parts.settings.statusRetention, parts.settings.earlyStart);
+    if (!isLeaving) {
+        placer.tend();
+        workChanged();
+    }
+    parts.timers.after(tendInterval, [self = shared_from_this()] { self->tend(); });
+}
+
+void Owner::Impl::submit(const ClientCall &call, Callback callback)
+{
+    std::string error;
+    auto spec = parts.protocol.readJob(call.body, error);
+    if (!spec) {
+        callback({ .outcome = CallResult::Outcome::Malformed, .detail = error });
+        return;
+    }
+    const auto *queue = queues.queue(call.queue);
+    const bool isKnown = book.shownPhase(call.job).has_value();
+    if (!isKnown && (queue == nullptr || isLeaving || log.isStalled())) {
+        callback({ .outcome = CallResult::Outcome::Refused,
+                   .retryAfter = retryAfterStall,
+                   .detail = queue == nullptr ? "the queue is not known here yet" : "the store does not take jobs" });
+        return;
+    }
+    spec->id = call.job;
+    spec->queue = call.queue;
+    book.submit(std::move(*spec), queue == nullptr ? QueueSpec() : *queue, [callback = std::move(callback)](SubmitOutcome outcome) {
+        switch (outcome) {
+        case SubmitOutcome::Accepted:
+            callback({ .outcome = CallResult::Outcome::Accepted });
+            return;
+        case SubmitOutcome::Refused:
+            callback({ .outcome = CallResult::Outcome::Refused, .retryAfter = retryAfterStall, .detail = "the store does not take jobs" });
+            return;
+        case SubmitOutcome::Unknown:
+            callback({ .outcome = CallResult::Outcome::Unknown, .detail = "the store has not answered" });
+            return;
+        }
+    });
+    parts.timers.after(submitPatience, [self = shared_from_this(), id = call.job] {
+        if (!self->isClosed) {
+            self->book.withdraw(id);
+        }
+    });
+}
+
+void Owner::Impl::waitForFlush(TimePoint until, std::function<void(const Ownership &)> done)
+{
+    if (log.isIdle() || isClosed || parts.timers.now() > until) {
+        done(ownership);
+        return;
+    }
+    constexpr Milliseconds checkInterval { 20 };
+    parts.timers.after(checkInterval, [self = shared_from_this(), until, done = std::move(done)] { self->waitForFlush(until, done); });
+}
+
+Owner::Owner(const OwnerParts &parts, const Ownership &ownership, std::function<void()> deposed)
+    : impl_(std::make_shared<Impl>(parts, ownership, std::move(deposed)))
+{
+}
+
+Owner::~Owner()
+{
+    impl_->isClosed = true;
+    impl_->log.close();
+    impl_->fleet.close();
+    impl_->placer.close();
+}
+
+void Owner::start()
+{
+    impl_->readTable(JobTables::progress, &Impl::takeProgress);
+}
+
+bool Owner::isReady() const
+{
+    return impl_->isReady && !impl_->isClosed;
+}
+
+void Owner::call(const ClientCall &call, Callback callback)
+{
+    auto &book = impl_->book;
+    switch (call.kind) {
+    case ClientCall::Kind::Submit:
+        impl_->submit(call, std::move(callback));
+        return;
+    case ClientCall::Kind::Query:
+        if (const auto phase = book.shownPhase(call.job)) {
+            callback({ .outcome = CallResult::Outcome::Answered, .phase = *phase });
+        } else {
+            callback({ .outcome = CallResult::Outcome::NoSuchJob });
+        }
+        return;
+    case ClientCall::Kind::Cancel:
+        book.cancel(call.job, [callback = std::move(callback)](bool isKnown) {
+            callback({ .outcome = isKnown ? CallResult::Outcome::Cancelled : CallResult::Outcome::NoSuchJob });
+        });
+        return;
+    case ClientCall::Kind::CountPending:
+        callback({ .outcome = CallResult::Outcome::Answered, .pending = book.pendingCount(call.queue) });
+        return;
+    case ClientCall::Kind::Other:
+        break;
+    }
+    callback({ .outcome = CallResult::Outcome::Malformed, .detail = "unknown call" });
+}
+
+void Owner::setQueues(const QueueTable &queues)
+{
+    impl_->queues = queues;
+    impl_->book.setQueues(queues);
+    impl_->workChanged();
+}
+
+Milliseconds Owner::storeAway() const
+{
+    if (!impl_->log.isStalled()) {
+        return Milliseconds(0);
+    }
+    return impl_->log.backlogAge();
+}
+
+std::int64_t Owner::token() const
+{
+    return impl_->ownership.token;
+}
+
+void Owner::flush(Milliseconds patience, std::function<void(const Ownership &)> done)
+{
+    impl_->isLeaving = true;
+    impl_->waitForFlush(impl_->parts.timers.now() + patience, std::move(done));
+}
+
+} // namespace auburndoor
--- /dev/null
+++ b/modules/entry/OwnerCalls.cpp
@@ -0,0 +1,162 @@
+#include "entry/OwnerCalls.h"
+
+#include "entry/Owner.h"
+#include "entry/PeerCodec.h"
+#include "net/EventLoop.h"
+#include "net/HttpChannels.h"
+#include "observability/EventLog.h"
+
+#include <algorithm>
+
+namespace auburndoor {
+
+namespace {
+
+constexpr HttpChannelLimits ownerLimits { .maxConnections = 12, .connectTimeout = Milliseconds(500) };
+// What is left of the client's patience for the answer's way back.
+constexpr Milliseconds answerMargin { 150 };
+// Without an owner a submission waits this long: about a takeover. Then the client is told to come back.
+constexpr Milliseconds refuseAfter { 700 };
+constexpr Milliseconds retryPause { 40 };
+constexpr Milliseconds retryAfterRefusal { 600 };
+// One try at an owner; a second one may meet the next owner.
+constexpr Milliseconds tryTimeout { 1000 };
+
+} // namespace
+
+struct OwnerCalls::Impl : std::enable_shared_from_this<OwnerCalls::Impl>
+{
+    /** One call on its way. */
+    struct Attempt
+    {
+        ClientCall call;
+        Callback callback;
+        TimePoint deadline;
+        TimePoint refuseAt;
+        /** An owner may have received it. */
+        bool maybeReceived = false;
+        bool isAnswered = false;
+        std::string lastFailure;
+    };
+    using AttemptPointer = std::shared_ptr<Attempt>;
+
+    Impl(EventLoop &loop, std::function<Owner *()> local, std::function<std::optional<Address>()> remote)
+        : loop(loop)
+        , local(std::move(local))
+        , remote(std::move(remote))
+    {
+    }
+
+    void tryOnce(const AttemptPointer &attempt);
+    void sendTo(const Address &address, const AttemptPointer &attempt);
+    void onSent(const SendResult &sent, const AttemptPointer &attempt);
+    void retry(const AttemptPointer &attempt);
+    void finish(const AttemptPointer &attempt, const CallResult &result);
+    void giveUp(const AttemptPointer &attempt);
+
+    EventLoop &loop;
+    std::function<Owner *()> local;
+    std::function<std::optional<Address>()> remote;
+    std::unique_ptr<HttpChannels> channels;
+};
+
+void OwnerCalls::Impl::finish(const AttemptPointer &attempt, const CallResult &result)
+{
+    if (!std::exchange(attempt->isAnswered, true)) {
+        attempt->callback(result);
+    }
+}
+
+void OwnerCalls::Impl::giveUp(const AttemptPointer &attempt)
+{
+    const bool changesState = attempt->call.kind == ClientCall::Kind::Submit || attempt->call.kind == ClientCall::Kind::Cancel;
+    if (attempt->maybeReceived && changesState) {
+        finish(attempt, { .outcome = CallResult::Outcome::Unknown, .detail = attempt->lastFailure });
+    } else {
+        finish(attempt, { .outcome = CallResult::Outcome::Refused, .retryAfter = retryAfterRefusal, .detail = attempt->lastFailure });
+    }
+}
+
+void OwnerCalls::Impl::tryOnce(const AttemptPointer &attempt)
+{
+    if (attempt->isAnswered) {
+        return;
+    }
+    if (auto *owner = local(); owner != nullptr && owner->isReady()) {
+        attempt->maybeReceived = true;
+        owner->call(attempt->call, [self = shared_from_this(), attempt](const CallResult &result) { self->finish(attempt, result); });
+        // An owner that is deposed meanwhile does not call back: the next one is asked.
+        loop.after(tryTimeout, [self = shared_from_this(), attempt, owner] {
+            if (self->local() != owner) {
+                self->tryOnce(attempt);
+            }
+        });
+        return;
+    }
+    if (const auto address = remote()) {
+        sendTo(*address, attempt);
+        return;
+    }
+    attempt->lastFailure = "no owner is known";
+    retry(attempt);
+}
+
+void OwnerCalls::Impl::sendTo(const Address &address, const AttemptPointer &attempt)
+{
+    if (!channels || channels->peer() != address) {
+        channels = std::make_unique<HttpChannels>(loop, address, ownerLimits);
+    }
+    const auto left = std::chrono::duration_cast<Milliseconds>(attempt->deadline - loop.now());
+    const bool isSubmission = attempt->call.kind == ClientCall::Kind::Submit;
+    auto call = attempt->call;
+    call.patience = left;
+    channels->send(PeerCodec::callRequest(call),
+                   isSubmission ? std::max(left, Milliseconds(1)) : std::clamp(left, Milliseconds(1), tryTimeout),
+                   [self = shared_from_this(), attempt](const SendResult &sent) { self->onSent(sent, attempt); });
+}
+
+void OwnerCalls::Impl::onSent(const SendResult &sent, const AttemptPointer &attempt)
+{
+    if (sent.hasStatus(200)) {
+        if (const auto result = PeerCodec::readCallReply(sent.reply)) {
+            finish(attempt, *result);
+            return;
+        }
+    }
+    if (sent.outcome == SendOutcome::Lost) {
+        attempt->maybeReceived = true;
+    }
+    attempt->lastFailure = sent.outcome == SendOutcome::Answered ? "the peer does not own the cell" : "the owner: " + sent.error;
+    retry(attempt);
+}
+
+void OwnerCalls::Impl::retry(const AttemptPointer &attempt)
+{
+    const auto now = loop.now() + retryPause;
+    if (now > attempt->deadline || (!attempt->maybeReceived && now > attempt->refuseAt)) {
+        giveUp(attempt);
+        return;
+    }
+    loop.after(retryPause, [self = shared_from_this(), attempt] { self->tryOnce(attempt); });
+}
+
+OwnerCalls::OwnerCalls(EventLoop &loop, std::function<Owner *()> local, std::function<std::optional<Address>()> remote)
+    : impl_(std::make_shared<Impl>(loop, std::move(local), std::move(remote)))
+{
+}
+
+OwnerCalls::~OwnerCalls() = default;
+
+void OwnerCalls::call(const ClientCall &call, Callback callback)
+{
+    auto attempt = std::make_shared<Impl::Attempt>();
+    attempt->call = call;
+    attempt->callback = std::move(callback);
+    attempt->deadline = impl_->loop.now() + std::max(call.patience - answerMargin, Milliseconds(0));
+    attempt->refuseAt = std::min(attempt->deadline, impl_->loop.now() + refuseAfter);
+    impl_->loop.after(std::chrono::duration_cast<Milliseconds>(attempt->deadline - impl_->loop.now()),
+                      [impl = impl_, attempt] { impl->giveUp(attempt); });
+    impl_->tryOnce(attempt);
+}
+
+} // namespace auburndoor
--- /dev/null
+++ b/modules/entry/OwnerCalls.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "entry/CellProtocol.h"
+#include "net/Address.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace auburndoor {
+
+class EventLoop;
+class Owner;
+
+/**
+    Brings clients' calls to the cell's owner, wherever it is.
+
+    All calls are idempotent, so a call whose answer was lost is repeated, at the next owner if need be, until the client's patience
+    is nearly over. Then it is refused if no owner can have received it; else the client gets no verdict. All members are called from
+    the loop's thread.
+*/
+class OwnerCalls
+{
+public:
+    using Callback = std::function<void(const CallResult &)>;
+
+    OwnerCalls(EventLoop &loop, std::function<Owner *()> local, std::function<std::optional<Address>()> remote);
+    ~OwnerCalls();
+
+    void call(const ClientCall &call, Callback callback);
+
+private:
+    struct Impl;
+    std::shared_ptr<Impl> impl_;
+};
+
+} // namespace auburndoor
--- /dev/null
+++ b/modules/entry/PeerCodec.cpp
@@ -0,0 +1,181 @@
+#include "entry/PeerCodec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace auburndoor {
+
+using Json = nlohmann::json;
+
+namespace {
+
+/** Runs a reading function; a message of another form reads as nothing. */
+template<typename Read>
+auto readJson(const std::string &text, Read read) -> std::optional<decltype(read(Json()))>
+{
+    const auto json = Json::parse(text, nullptr, false);
+    if (!json.is_object()) {
+        return std::nullopt;
+    }
+    try {
+        return read(json);
+    } catch (const Json::exception &) {
+        return std::nullopt;
+    }
+}
+
+std::string dump(const Json &json)
+{
+    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+} // namespace
+
+WebRequest PeerCodec::pulseRequest(const Address &self)
+{
+    return { "POST", pulsePath, {}, dump({ { "from", self.text() } }) };
+}
+
+std::optional<Address> PeerCodec::readPulseRequest(const WebRequest &request)
+{
+    const auto text = readJson(request.body, [](const Json &json) { return json.at("from").get<std::string>(); });
+    return text ? Address::parse(*text) : std::nullopt;
+}
+
+WebReply PeerCodec::pulseReply(const Pulse &pulse)
+{
+    Json members = Json::array();
+    for (const auto &member : pulse.members) {
+        members.push_back(member.text());
+    }
+    return { 200,
+             dump({ { "owner", pulse.owner },
+                    { "token", pulse.token },
+                    { "store_away", pulse.storeAway.count() },
+                    { "ready", pulse.isReady },
+                    { "desired", pulse.desiredVersion },
+                    { "members", std::move(members) } }),
+             {} };
+}
+
+std::optional<Pulse> PeerCodec::readPulse(const WebReply &reply)
+{
+    return readJson(reply.body, [](const Json &json) {
+        Pulse pulse;
+        pulse.owner = json.at("owner").get<std::string>();
+        pulse.token = json.at("token").get<std::int64_t>();
+        pulse.storeAway = Milliseconds(json.at("store_away").get<std::int64_t>());
+        pulse.isReady = json.at("ready").get<bool>();
+        pulse.desiredVersion = json.at("desired").get<std::int64_t>();
+        for (const auto &member : json.at("members")) {
+            if (const auto address = Address::parse(member.get<std::string>())) {
+                pulse.members.push_back(*address);
+            }
+        }
+        return pulse;
+    });
+}
+
+WebRequest PeerCodec::callRequest(const ClientCall &call)
+{
+    // The body of a submission travels as it is, beside the rest in headers: it need not be quoted again.
+    WebRequest request { "POST", callPath, {}, call.body };
+    request.headers = { { "Call-Kind", std::to_string(static_cast<int>(call.kind)) },
+                        { "Call-Queue", call.queue },
+                        { "Call-Job", call.job },
+                        { "Call-Patience", std::to_string(call.patience.count()) } };
+    return request;
+}
+
+std::optional<ClientCall> PeerCodec::readCall(const WebRequest &request)
+{
+    ClientCall call;
+    try {
+        const int kind = std::stoi(request.header("call-kind"));
+        if (kind < 0 || kind > static_cast<int>(ClientCall::Kind::Other)) {
+            return std::nullopt;
+        }
+        call.kind = static_cast<ClientCall::Kind>(kind);
+        call.patience = Milliseconds(std::stoll(request.header("call-patience")));
+    } catch (const std::exception &) {
+        return std::nullopt;
+    }
+    call.queue = request.header("call-queue");
+    call.job = request.header("call-job");
+    call.body = request.body;
+    return call;
+}
+
+WebReply PeerCodec::callReply(const CallResult &result)
+{
+    return { 200,
+             dump({ { "outcome", static_cast<int>(result.outcome) },
+                    { "phase", static_cast<int>(result.phase) },
+                    { "pending", result.pending },
+                    { "retry", result.retryAfter.count() },
+                    { "detail", result.detail } }),
+             {} };
+}
+
+std::optional<CallResult> PeerCodec::readCallReply(const WebReply &reply)
+{
+    return readJson(reply.body, [](const Json &json) {
+        CallResult result;
+        result.outcome = static_cast<CallResult::Outcome>(json.at("outcome").get<int>());
+        result.phase = static_cast<JobPhase>(json.at("phase").get<int>());
+        result.pending = json.at("pending").get<int>();
+        result.retryAfter = Milliseconds(json.at("retry").get<std::int64_t>());
+        result.detail = json.at("detail").get<std::string>();
+        return result;
+    });
+}
+
+WebRequest PeerCodec::adviceRequest(const AdviceQuestion &question)
+{
+    return { "POST",
+             advicePath,
+             {},
+             dump({ { "job", question.step.job },
+                    { "occurrence", question.step.occurrence },
+                    { "step", question.step.step },
+                    { "workers", question.workers },
+                    { "timeout", question.timeout.count() } }) };
+}
+
+std::optional<AdviceQuestion> PeerCodec::readAdviceRequest(const WebRequest &request)
+{
+    return readJson(request.body, [](const Json &json) {
+        AdviceQuestion question;
+        question.step = { json.at("job").get<std::string>(), json.at("occurrence").get<int>(), json.at("step").get<int>(), 0 };
+        question.workers = json.at("workers").get<std::vector<std::string>>();
+        question.timeout = Milliseconds(json.at("timeout").get<std::int64_t>());
+        return question;
+    });
+}
+
+WebReply PeerCodec::adviceReply(const AdviceResult &result)
+{
+    Json permits = Json::array();
+    for (const auto &permit : result.permits) {
+        permits.push_back({ permit.worker, permit.ticket });
+    }
+    return { 200,
+             dump({ { "outcome", static_cast<int>(result.outcome) },
+                    { "validity", result.validity.count() },
+                    { "permits", std::move(permits) } }),
+             {} };
+}
+
+std::optional<AdviceResult> PeerCodec::readAdviceReply(const WebReply &reply)
+{
+    return readJson(reply.body, [](const Json &json) {
+        AdviceResult result;
+        result.outcome = static_cast<AdviceResult::Outcome>(json.at("outcome").get<int>());
+        result.validity = Milliseconds(json.at("validity").get<std::int64_t>());
+        for (const auto &permit : json.at("permits")) {
+            result.permits.push_back({ permit.at(0).get<std::string>(), permit.at(1).get<std::string>() });
+        }
+        return result;
+    });
+}
+
+} // namespace auburndoor
--- /dev/null
+++ b/modules/entry/PeerCodec.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "entry/CellProtocol.h"
+#include "net/Address.h"
+#include "net/HttpExchange.h"
+#include "workload/Advisor.h"
+#include "workload/JobSpec.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace auburndoor {
+
+/** What an owner tells another entry process about itself. */
+struct Pulse
+{
+    std::string owner;
+    std::int64_t token = 0;
+    /** How long the store has not taken the owner's writes. */
+    Milliseconds storeAway { 0 };
+    /** Stored jobs are read: calls are answered. */
+    bool isReady = false;
+    /** The version of the desired state that the owner follows. */
+    std::int64_t desiredVersion = 0;
+    /** The peer addresses of the entry processes that the owner hears from. */
+    std::vector<Address> members;
+};
+
+/** A question that one entry process asks the advisory service for another. */
+struct AdviceQuestion
+{
+    TaskName step;
+    std::vector<std::string> workers;
+    Milliseconds timeout { 0 };
+};
+
+/** The messages between entry processes, as HTTP requests and replies with JSON bodies. */
+class PeerCodec
+{
+public:
+    static constexpr const char *pulsePath = "/cell/pulse";
+    /** Added to the path by a process that does not hear the owner yet: it is answered without delay. */
+    static constexpr const char *firstPulseQuery = "?first";
+    static constexpr const char *suspicionPath = "/cell/suspicion";
+    static constexpr const char *callPath = "/cell/call";
+    static constexpr const char *advicePath = "/cell/advice";
+    /** The status of a process that does not own the cell. */
+    static constexpr int notOwnerStatus = 421;
+
+    static WebRequest pulseRequest(const Address &self);
+    static std::optional<Address> readPulseRequest(const WebRequest &request);
+    static WebReply pulseReply(const Pulse &pulse);
+    static std::optional<Pulse> readPulse(const WebReply &reply);
+
+    static WebRequest callRequest(const ClientCall &call);
+    static std::optional<ClientCall> readCall(const WebRequest &request);
+    static WebReply callReply(const CallResult &result);
+    static std::optional<CallResult> readCallReply(const WebReply &reply);
+
+    static WebRequest adviceRequest(const AdviceQuestion &question);
+    static std::optional<AdviceQuestion> readAdviceRequest(const WebRequest &request);
+    static WebReply adviceReply(const AdviceResult &result);
+    static std::optional<AdviceResult> readAdviceReply(const WebReply &reply);
+};
+
+} // namespace auburndoor
--- a/modules/fleet/PoolCensus.h
+++ b/modules/fleet/PoolCensus.h
@@ -2,7 +2,7 @@
 
 #include "core/Identifier.h"
 #include "core/Resources.h"
-#include "platform/InstanceDirectory.h"
+#include "storage/InstanceDirectory.h"
 
 #include <map>
 #include <memory>
--- a/modules/fleet/WorkerList.h
+++ b/modules/fleet/WorkerList.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "ownership/ShardMap.h"
-#include "platform/InstanceDirectory.h"
+#include "storage/InstanceDirectory.h"
 
 #include <map>
 #include <vector>
--- a/modules/fleet/WorkerManager.cpp
+++ b/modules/fleet/WorkerManager.cpp
@@ -3,7 +3,7 @@
 #include "core/Failure.h"
 #include "observability/Log.h"
 #include "observability/Metrics.h"
-#include "platform/InstanceDirectory.h"
+#include "storage/InstanceDirectory.h"
 
 namespace auburndoor {
 
--- a/modules/instance/InstanceOptions.h
+++ b/modules/instance/InstanceOptions.h
@@ -5,7 +5,7 @@
 #include "membership/Member.h"
 #include "ownership/OwnershipAgent.h"
 #include "peer/PeerServer.h"
-#include "platform/PlatformConnection.h"
+#include "storage/PlatformConnection.h"
 
 #include <memory>
 
--- a/modules/jobs/JobDirectory.cpp
+++ b/modules/jobs/JobDirectory.cpp
@@ -1,7 +1,7 @@
 #include "jobs/JobDirectory.h"
 
 #include "core/Failure.h"
-#include "platform/TableService.h"
+#include "storage/TableService.h"
 
 #include <xxhash.h>
 
--- a/modules/jobs/JobStore.h
+++ b/modules/jobs/JobStore.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "jobs/Job.h"
-#include "platform/TableService.h"
+#include "storage/TableService.h"
 
 #include <optional>
 #include <vector>
--- a/modules/logbook/Logbook.h
+++ b/modules/logbook/Logbook.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/Clock.h"
-#include "platform/TableService.h"
+#include "storage/TableService.h"
 
 #include <optional>
 #include <string>
--- /dev/null
+++ b/modules/net/Address.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace auburndoor {
+
+/** An IPv4 address and a TCP port. */
+struct Address
+{
+    std::string host;
+    std::uint16_t port = 0;
+
+    /** "10.1.0.30:8149". */
+    std::string text() const;
+
+    /** Reads "HOST:PORT"; empty if it is malformed. The host is not checked to be an IP number. */
+    static std::optional<Address> parse(std::string_view text);
+
+    auto operator<=>(const Address &other) const = default;
+};
+
+} // namespace auburndoor
--- /dev/null
+++ b/modules/net/EventLoop.cpp
@@ -0,0 +1,88 @@
+// Asio 1.74 uses std::exchange without including <utility>.
+#include <utility>
+
+#include "net/EventLoop.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <list>
+
+namespace auburndoor {
+
+struct EventLoop::Impl
+{
+    // The hint of one thread lets Asio leave out its internal locking between threads.
+    boost::asio::io_context context { 1 };
+    std::list<boost::asio::signal_set> signalSets;
+};
+
+namespace {
+
+void waitForSignal(boost::asio::signal_set &set, std::function<void(int)> action)
+{
+    set.async_wait([&set, action = std::move(action)](const boost::system::error_code &error, int number) {
+        if (error) {
+            return;
+        }
+        action(number);
+        waitForSignal(set, action);
+    });
+}
+
+} // namespace
+
+EventLoop::EventLoop()
+    : impl_(std::make_unique<Impl>())
+{
+}
+
+EventLoop::~EventLoop() = default;
+
+TimePoint EventLoop::now() const
+{
+    return std::chrono::steady_clock::now();
+}
+
+std::chrono::milliseconds EventLoop::wallNow() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+}
+
+void EventLoop::after(Milliseconds delay, std::function<void()> action)
+{
+    auto timer = std::make_shared<boost::asio::steady_timer>(impl_->context, delay);
+    timer->async_wait([timer, action = std::move(action)](const boost::system::error_code &error) {
+        if (!error) {
+            action();
+        }
+    });
+}
+
+void EventLoop::onSignals(std::initializer_list<int> signals, std::function<void(int)> action)
+{
+    auto &set = impl_->signalSets.emplace_back(impl_->context);
+    for (const int number : signals) {
+        set.add(number);
+    }
+    waitForSignal(set, std::move(action));
+}
+
+void EventLoop::run()
+{
+    const auto guard = boost::asio::make_work_guard(impl_->context);
+    impl_->context.run();
+}
+
+void EventLoop::stop()
+{
+    impl_->context.stop();
+}
+
+boost::asio::io_context &EventLoop::context()
+{
+    return impl_->context;
+}
+
+} // namespace auburndoor
--- /dev/null
+++ b/modules/net/EventLoop.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "net/Timers.h"
+
+#include <initializer_list>
+#include <memory>
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace auburndoor {
+
+/**
+    The event loop of an entry process: one thread runs all sockets, timers and decisions.
+
+    All members but stop() are called from the thread that runs the loop, or before run().
+*/
+class EventLoop : public Timers
+{
+public:
+    EventLoop();
+    ~EventLoop() override;
+
+    TimePoint now() const override;
+    std::chrono::milliseconds wallNow() const override;
+    void after(Milliseconds delay, std::function<void()> action) override;
+
+    /** Calls an action on each delivery of one of the signals. */
+    void onSignals(std::initializer_list<int> signals, std::function<void(int)> action);
+
+    /** Runs until stop(). */
+    void run();
+    void stop();
+
+    /** The context that sockets are created on. */
+    boost::asio::io_context &context();
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
+} // namespace auburndoor
--- /dev/null
+++ b/modules/net/HttpChannels.cpp
@@ -0,0 +1,261 @@
+// Asio 1.74 uses std::exchange without including <utility>.
+#include <utility>
+
+#include "net/EventLoop.h"
+#include "net/HttpChannels.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <optional>
+
+namespace auburndoor {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t maxReplyHeaderBytes = 16 * 1024;
+// The largest body that a peer sends: a page of rows of the store, with their encoding.
+constexpr std::size_t maxReplyBodyBytes = 16 * 1024 * 1024;
+
+} // namespace
+
+struct HttpChannels::Impl : std::enable_shared_from_this<HttpChannels::Impl>
+{
+    class Connection;
+
+    struct Pending
+    {
+        WebRequest request;
+        TimePoint deadline;
+        SendCallback callback;
+    };
+
+    Impl(EventLoop &loop, Address peer, HttpChannelLimits limits)
+        : loop(loop)
+        , peer(std::move(peer))
+        , limits(limits)
+    {
+    }
+
+    void dispatch();
+    void removeExpired();
+    void forget(const Connection *connection);
+    void finish(Pending pending, SendResult result)
+    {
+        loop.after(Milliseconds(0), [callback = std::move(pending.callback), result = std::move(result)] { callback(result); });
+    }
+
+    EventLoop &loop;
+    Address peer;
+    HttpChannelLimits limits;
+    std::vector<std::shared_ptr<Connection>> connections;
+    std::deque<Pending> waiting;
+};
+
+/** One connection; opens itself with its first request. */
+class HttpChannels::Impl::Connection : public std::enable_shared_from_this<Connection>
+{
+public:
+    explicit Connection(std::shared_ptr<Impl> owner)
+        : owner_(std::move(owner))
+        , stream_(owner_->loop.context())
+    {
+    }
+
+    bool isIdle() const
+    {
+        return !current_;
+    }
+
+    void start(Pending pending)
+    {
+        current_ = std::move(pending);
+        isSent_ = false;
+        isReused_ = isOpen_;
+        if (isOpen_) {
+            write();
+            return;
+        }
+        const auto left = std::chrono::duration_cast<Milliseconds>(current_->deadline - owner_->loop.now());
+        stream_.expires_after(std::min(left, owner_->limits.connectTimeout));
+        error_code error;
+        const auto ip = asio::ip::make_address(owner_->peer.host, error);
+        stream_.async_connect({ ip, owner_->peer.port }, [self = shared_from_this()](const error_code &code) {
+            if (code) {
+                self->fail(code);
+                return;
+            }
+            self->isOpen_ = true;
+            error_code ignored;
+            self->stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+            self->write();
+        });
+    }
+
+    void fail(const error_code &error)
+    {
+        stream_.close();
+        auto self = shared_from_this();
+        owner_->forget(this);
+        if (!current_) {
+            return;
+        }
+        SendResult result;
+        result.outcome = isSent_ ? SendOutcome::Lost : SendOutcome::NotSent;
+        result.error = error.message();
+        auto pending = std::move(*current_);
+        current_.reset();
+        owner_->finish(std::move(pending), std::move(result));
+        owner_->dispatch();
+    }
+
+private:
+    void write()
+    {
+        request_ = {};
+        request_.method_string(current_->request.method);
+        request_.target(current_->request.target);
+        request_.version(11);
+        request_.set(http::field::host, owner_->peer.text());
+        for (const auto &[name, value] : current_->request.headers) {
+            request_.set(name, value);
+        }
+        if (!current_->request.body.empty()) {
+            request_.set(http::field::content_type, "application/json");
+        }
+        request_.body() = std::move(current_->request.body);
+        request_.prepare_payload();
+        isSent_ = true;
+        stream_.expires_at(current_->deadline);
+        http::async_write(stream_, request_, [self = shared_from_this()](const error_code &error, std::size_t) {
+            if (error) {
+                self->fail(error);
+                return;
+            }
+            self->read();
+        });
+    }
+
+    void read()
+    {
+        parser_.emplace();
+        parser_->header_limit(maxReplyHeaderBytes);
+        parser_->body_limit(maxReplyBodyBytes);
+        http::async_read(stream_, buffer_, *parser_, [self = shared_from_this()](const error_code &error, std::size_t) {
+            if (error) {
+                self->fail(error);
+                return;
+            }
+            self->onReply();
+        });
+    }
+
+    void onReply()
+    {
+        auto message = parser_->release();
+        SendResult result;
+        result.outcome = SendOutcome::Answered;
+        result.reply.status = static_cast<int>(message.result_int());
+        result.reply.body = std::move(message.body());
+        for (const auto &field : message) {
+            result.reply.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+        }
+        auto pending = std::move(*current_);
+        current_.reset();
+        stream_.expires_never();
+        const auto self = shared_from_this();
+        if (!message.keep_alive()) {
+            stream_.close();
+            owner_->forget(this);
+        }
+        pending.callback(std::move(result));
+        owner_->dispatch();
+    }
+
+    std::shared_ptr<Impl> owner_;
+    beast::tcp_stream stream_;
+    beast::flat_buffer buffer_;
+    http::request<http::string_body> request_;
+    std::optional<http::response_parser<http::string_body>> parser_;
+    std::optional<Pending> current_;
+    bool isOpen_ = false;
+    bool isSent_ = false;
+    bool isReused_ = false;
+};
+
+void HttpChannels::Impl::forget(const Connection *connection)
+{
+    std::erase_if(connections, [connection](const auto &kept) { return kept.get() == connection; });
+}
+
+void HttpChannels::Impl::dispatch()
+{
+    while (!waiting.empty()) {
+        if (waiting.front().deadline <= loop.now()) {
+            finish(std::move(waiting.front()), { SendOutcome::NotSent, {}, "no connection became free in time" });
+            waiting.pop_front();
+            continue;
+        }
+        const auto idle
+            = std::find_if(connections.begin(), connections.end(), [](const auto &connection) { return connection->isIdle(); });
+        std::shared_ptr<Connection> connection;
+        if (idle != connections.end()) {
+            connection = *idle;
+        } else if (connections.size() < limits.maxConnections) {
+            connection = connections.emplace_back(std::make_shared<Connection>(shared_from_this()));
+        } else {
+            return;
+        }
+        auto pending = std::move(waiting.front());
+        waiting.pop_front();
+        connection->start(std::move(pending));
+    }
+}
+
+HttpChannels::HttpChannels(EventLoop &loop, Address peer, HttpChannelLimits limits)
+    : impl_(std::make_shared<Impl>(loop, std::move(peer), limits))
+{
+}
+
+HttpChannels::~HttpChannels()
+{
+    reset();
+}
+
+void HttpChannels::send(WebRequest request, Milliseconds timeout, SendCallback callback)
+{
+    Impl::Pending pending { std::move(request), impl_->loop.now() + timeout, std::move(callback) };
+    if (impl_->waiting.size() >= impl_->limits.maxWaiting) {
+        impl_->finish(std::move(pending), { SendOutcome::NotSent, {}, "too many requests wait for a connection" });
+        return;
+    }
+    impl_->waiting.push_back(std::move(pending));
+    impl_->dispatch();
+}
+
+void HttpChannels::reset()
+{
+    auto waiting = std::exchange(impl_->waiting, {});
+    for (auto &pending : waiting) {
+        impl_->finish(std::move(pending), { SendOutcome::NotSent, {}, "the connections were reset" });
+    }
+    const auto connections = std::exchange(impl_->connections, {});
+    for (const auto &connection : connections) {
+        connection->fail(asio::error::operation_aborted);
+    }
+}
+
+const Address &HttpChannels::peer() const
+{
+    return impl_->peer;
+}
+
+} // namespace auburndoor
--- /dev/null
+++ b/modules/observability/EventLog.cpp
@@ -0,0 +1,145 @@
+#include "observability/EventLog.h"
+
+#include <chrono>
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace auburndoor {
+
+namespace {
+
+// A crest of 600 starts a second writes two lines for each on the owner.
+constexpr int routineLinesPerSecond = 1500;
+// Lines that the reader has not taken yet; beyond that they are dropped.
+constexpr std::size_t maxBufferedBytes = 1 << 20;
+constexpr std::size_t flushBytes = 1 << 14;
+
+struct State
+{
+    std::string process;
+    std::string buffer;
+    std::chrono::steady_clock::time_point second;
+    int linesInSecond = 0;
+    long long dropped = 0;
+    long long droppedInSecond = 0;
+    bool isEnabled = false;
+};
+
+State &state()
+{
+    static State instance;
+    return instance;
+}
+
+void appendText(std::string &line, std::string_view text)
+{
+    constexpr const char *digits = "0123456789abcdef";
+    line += '"';
+    for (const char letter : text) {
+        const auto code = static_cast<unsigned char>(letter);
+        if (letter == '"' || letter == '\\') {
+            line += '\\';
+            line += letter;
+        } else if (code < 0x20 || code >= 0x7f) {
+            line += "\\u00";
+            line += digits[code >> 4U];
+            line += digits[code & 15U];
+        } else {
+            line += letter;
+        }
+    }
+    line += '"';
+}
+
+void append(State &log, std::string_view event, std::initializer_list<EventField> fields)
+{
+    if (log.buffer.size() > maxBufferedBytes) {
+        ++log.dropped;
+        return;
+    }
+    using namespace std::chrono;
+    auto &line = log.buffer;
+    line += "{\"t\":";
+    line += std::to_string(duration_cast<milliseconds>(steady_clock::now().time_since_epoch()).count());
+    line += ",\"wall\":";
+    line += std::to_string(duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count());
+    line += ",\"process\":";
+    appendText(line, log.process);
+    line += ",\"event\":";
+    appendText(line, event);
+    for (const auto &field : fields) {
+        line += ',';
+        appendText(line, field.key);
+        line += ':';
+        if (const auto *number = std::get_if<std::int64_t>(&field.value)) {
+            line += std::to_string(*number);
+        } else {
+            appendText(line, std::get<std::string_view>(field.value));
+        }
+    }
+    line += "}\n";
+    if (line.size() > flushBytes) {
+        EventLog::flush();
+    }
+}
+
+} // namespace
+
+void EventLog::configure(const std::string &processName)
+{
+    state().process = processName;
+    state().isEnabled = true;
+    const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+    if (flags >= 0) {
+        fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+    }
+}
+
+void EventLog::write(std::string_view event, std::initializer_list<EventField> fields)
+{
+    if (state().isEnabled) {
+        append(state(), event, fields);
+    }
+}
+
+void EventLog::routine(std::string_view event, std::initializer_list<EventField> fields)
+{
+    auto &log = state();
+    if (!log.isEnabled) {
+        return;
+    }
+    const auto now = std::chrono::steady_clock::now();
+    if (now - log.second > std::chrono::seconds(1)) {
+        if (log.droppedInSecond > 0) {
+            append(log, "log.dropped", { { "lines", log.droppedInSecond } });
+        }
+        log.second = now;
+        log.linesInSecond = 0;
+        log.droppedInSecond = 0;
+    }
+    if (++log.linesInSecond > routineLinesPerSecond) {
+        ++log.dropped;
+        ++log.droppedInSecond;
+        return;
+    }
+    append(log, event, fields);
+}
+
+void EventLog::flush()
+{
+    auto &buffer = state().buffer;
+    while (!buffer.empty()) {
+        const auto written = ::write(STDOUT_FILENO, buffer.data(), buffer.size());
+        if (written <= 0) {
+            return;
+        }
+        buffer.erase(0, static_cast<std::size_t>(written));
+    }
+}
+
+long long EventLog::droppedCount()
+{
+    return state().dropped;
+}
+
+} // namespace auburndoor
--- a/modules/ownership/OwnershipAgent.h
+++ b/modules/ownership/OwnershipAgent.h
@@ -4,7 +4,7 @@
 #include "membership/Member.h"
 #include "ownership/OwnershipDecision.h"
 #include "ownership/OwnershipObservation.h"
-#include "platform/TableService.h"
+#include "storage/TableService.h"
 
 #include <functional>
 #include <map>
--- a/modules/ownership/OwnershipObservation.h
+++ b/modules/ownership/OwnershipObservation.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "ownership/OwnershipDecision.h"
-#include "platform/TableService.h"
+#include "storage/TableService.h"
 
 namespace auburndoor {
 
--- a/modules/pipeline/RequestRecords.cpp
+++ b/modules/pipeline/RequestRecords.cpp
@@ -4,8 +4,8 @@
 #include "core/RandomId.h"
 #include "observability/Log.h"
 #include "observability/Metrics.h"
-#include "platform/ObjectStore.h"
-#include "platform/TableService.h"
+#include "storage/ObjectStore.h"
+#include "storage/TableService.h"
 
 #include <algorithm>
 
--- a/modules/pipeline/RequestRecords.h
+++ b/modules/pipeline/RequestRecords.h
@@ -3,7 +3,7 @@
 #include "core/Clock.h"
 #include "pipeline/RequestContext.h"
 #include "pipeline/RequestRecord.h"
-#include "platform/TableService.h"
+#include "storage/TableService.h"
 
 #include <condition_variable>
 #include <deque>
--- a/modules/platform/CommitBatch.cpp
+++ b/modules/storage/CommitBatch.cpp
@@ -1,4 +1,4 @@
-#include "platform/CommitBatch.h"
+#include "storage/CommitBatch.h"
 
 #include "core/RandomId.h"
 
--- a/modules/platform/CommitBatch.h
+++ b/modules/storage/CommitBatch.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/Failure.h"
-#include "platform/TableService.h"
+#include "storage/TableService.h"
 
 #include <atomic>
 #include <condition_variable>
--- a/modules/platform/GroupCommitter.cpp
+++ b/modules/storage/GroupCommitter.cpp
@@ -1,8 +1,8 @@
-#include "platform/GroupCommitter.h"
+#include "storage/GroupCommitter.h"
 
 #include "observability/Metrics.h"
-#include "platform/CommitBatch.h"
-#include "platform/WriteBudget.h"
+#include "storage/CommitBatch.h"
+#include "storage/WriteBudget.h"
 
 #include <algorithm>
 
--- a/modules/platform/GroupCommitter.h
+++ b/modules/storage/GroupCommitter.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/TableService.h"
+#include "storage/TableService.h"
 
 #include <array>
 #include <condition_variable>
--- a/modules/platform/GroupCommitterDrive.cpp
+++ b/modules/storage/GroupCommitterDrive.cpp
@@ -1,8 +1,8 @@
 // The part of GroupCommitter that sends a batch and gives its members their outcomes.
 #include "observability/Metrics.h"
-#include "platform/CommitBatch.h"
-#include "platform/GroupCommitter.h"
-#include "platform/WriteBudget.h"
+#include "storage/CommitBatch.h"
+#include "storage/GroupCommitter.h"
+#include "storage/WriteBudget.h"
 
 #include <algorithm>
 #include <utility>
--- a/modules/platform/HttpInstanceDirectory.cpp
+++ b/modules/storage/HttpInstanceDirectory.cpp
@@ -1,7 +1,7 @@
-#include "platform/HttpInstanceDirectory.h"
+#include "storage/HttpInstanceDirectory.h"
 
 #include "core/Failure.h"
-#include "platform/PlatformConnection.h"
+#include "storage/PlatformConnection.h"
 
 #include <nlohmann/json.hpp>
 
--- a/modules/platform/HttpObjectStore.cpp
+++ b/modules/storage/HttpObjectStore.cpp
@@ -1,7 +1,7 @@
-#include "platform/HttpObjectStore.h"
+#include "storage/HttpObjectStore.h"
 
 #include "core/Failure.h"
-#include "platform/PlatformConnection.h"
+#include "storage/PlatformConnection.h"
 
 #include <string_view>
 
--- a/modules/platform/HttpObjectStore.h
+++ b/modules/storage/HttpObjectStore.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/ObjectStore.h"
+#include "storage/ObjectStore.h"
 
 namespace auburndoor {
 
--- a/modules/platform/HttpTableService.cpp
+++ b/modules/storage/HttpTableService.cpp
@@ -1,7 +1,7 @@
-#include "platform/HttpTableService.h"
+#include "storage/HttpTableService.h"
 
 #include "core/Failure.h"
-#include "platform/PlatformConnection.h"
+#include "storage/PlatformConnection.h"
 
 #include <nlohmann/json.hpp>
 
--- a/modules/platform/PlatformConnection.cpp
+++ b/modules/storage/PlatformConnection.cpp
@@ -1,4 +1,4 @@
-#include "platform/PlatformConnection.h"
+#include "storage/PlatformConnection.h"
 
 #include "core/RandomId.h"
 #include "http/HttpClient.h"
--- a/modules/platform/WriteBudget.cpp
+++ b/modules/storage/WriteBudget.cpp
@@ -1,4 +1,4 @@
-#include "platform/WriteBudget.h"
+#include "storage/WriteBudget.h"
 
 #include "core/Failure.h"
 
--- /dev/null
+++ b/modules/workload/StateStore.cpp
@@ -0,0 +1,22 @@
+#include "workload/StateStore.h"
+
+namespace auburndoor {
+
+std::string_view name(StoreOutcome outcome)
+{
+    switch (outcome) {
+    case StoreOutcome::Done:
+        return "done";
+    case StoreOutcome::Conflict:
+        return "conflict";
+    case StoreOutcome::HistoryLost:
+        return "history-lost";
+    case StoreOutcome::NotDone:
+        return "not-done";
+    case StoreOutcome::Unknown:
+        break;
+    }
+    return "unknown";
+}
+
+} // namespace auburndoor
--- /dev/null
+++ b/modules/workload/WorkerEntry.cpp
@@ -0,0 +1,18 @@
+#include "workload/WorkerEntry.h"
+
+#include <algorithm>
+
+namespace auburndoor {
+
+bool WorkerEntry::hasLabel(const std::string &label) const
+{
+    return std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+std::string WorkerEntry::rack() const
+{
+    // The kind comes first and the rack last.
+    return labels.size() < 2 ? std::string() : labels.back();
+}
+
+} // namespace auburndoor
--- a/tests/configuration/Cell.h
+++ b/tests/configuration/Cell.h
@@ -5,7 +5,7 @@
 #include "core/ManualClock.h"
 #include "fakes/FakeTableService.h"
 #include "observability/Metrics.h"
-#include "platform/ObjectStore.h"
+#include "storage/ObjectStore.h"
 
 #include <atomic>
 #include <functional>
--- a/tests/fakes/FakeInstanceDirectory.h
+++ b/tests/fakes/FakeInstanceDirectory.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/InstanceDirectory.h"
+#include "storage/InstanceDirectory.h"
 
 #include <mutex>
 
--- a/tests/fakes/FakeTableService.h
+++ b/tests/fakes/FakeTableService.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/TableService.h"
+#include "storage/TableService.h"
 
 #include <atomic>
 #include <map>
--- a/tests/pipeline/RecordedCaller.h
+++ b/tests/pipeline/RecordedCaller.h
@@ -11,7 +11,7 @@
 #include "placement/BestFitPlacer.h"
 #include "placement/CapacityLedger.h"
 #include "placement/RunTimeEstimator.h"
-#include "platform/ObjectStore.h"
+#include "storage/ObjectStore.h"
 
 namespace auburndoor {
 
--- a/tests/standins/platform/PlatformStandIn.h
+++ b/tests/standins/platform/PlatformStandIn.h
@@ -2,7 +2,7 @@
 
 #include "core/Failure.h"
 #include "http/HttpServer.h"
-#include "platform/WriteBudget.h"
+#include "storage/WriteBudget.h"
 
 #include <nlohmann/json.hpp>
 
--- a/tests/platform/GroupCommitterTests.cpp
+++ b/tests/storage/GroupCommitterTests.cpp
@@ -3,9 +3,9 @@
 #include "core/SystemClock.h"
 #include "fakes/FakeTableService.h"
 #include "observability/Metrics.h"
-#include "platform/CommitBatch.h"
-#include "platform/GroupCommitter.h"
-#include "platform/WriteBudget.h"
+#include "storage/CommitBatch.h"
+#include "storage/GroupCommitter.h"
+#include "storage/WriteBudget.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
--- a/tests/platform/HttpPlatformTests.cpp
+++ b/tests/storage/HttpPlatformTests.cpp
@@ -1,10 +1,10 @@
 #include "core/Failure.h"
 #include "core/SystemClock.h"
 #include "observability/Metrics.h"
-#include "platform/HttpInstanceDirectory.h"
-#include "platform/HttpObjectStore.h"
-#include "platform/HttpTableService.h"
-#include "platform/PlatformConnection.h"
+#include "storage/HttpInstanceDirectory.h"
+#include "storage/HttpObjectStore.h"
+#include "storage/HttpTableService.h"
+#include "storage/PlatformConnection.h"
 #include "standins/platform/PlatformStandIn.h"
 
 #include <catch2/catch.hpp>
--- a/tests/platform/WriteBudgetTests.cpp
+++ b/tests/storage/WriteBudgetTests.cpp
@@ -1,6 +1,6 @@
 #include "core/Failure.h"
 #include "core/ManualClock.h"
-#include "platform/WriteBudget.h"
+#include "storage/WriteBudget.h"
 
 #include <catch2/catch.hpp>
 
