Count a failed attempt once over successive owners, and refuse only calls that no owner can have

Cause: a worker lists an end to each owner until it is acknowledged, so a takeover counted one failure twice and ended jobs as failed; a submission under way to an owner was refused at its deadline and ran later. Ruled out: a lost start, advice that never returned. Change: failed attempts are kept as a set; a call under way counts as received.

--- a/modules/dispatch/FleetImpl.cpp
+++ b/modules/dispatch/FleetImpl.cpp
@@ -74,6 +74,9 @@
     worker.recordedEnds.clear();
     worker.recentFailures.clear();
     worker.isRead = false;
+    // The roster holds the life of the worker: the new one is entered before anything starts there.
+    worker.isRostered = false;
+    enroll(worker);
 }
 
 void Fleet::Impl::enroll(WorkerState &worker)
--- a/modules/dispatch/JobBook.h
+++ b/modules/dispatch/JobBook.h
@@ -113,7 +113,7 @@
     void save(JobState &job, std::function<void()> durable);
     void taskDone(JobState &job, StepState &step, int index);
     void stepDone(JobState &job, StepState &step);
-    void taskFailed(JobState &job, StepState &step, Task &task, const std::string &worker);
+    void taskFailed(JobState &job, StepState &step, Task &task, const RunPlace &place);
     void breakGang(StepState &step, const std::string &reason);
     void stopAllRuns(JobState &job, const std::string &reason);
     void end(JobState &job, JobPhase phase);
--- a/modules/dispatch/JobBookRuns.cpp
+++ b/modules/dispatch/JobBookRuns.cpp
@@ -32,7 +32,6 @@
     }
     task->lastAttempt = std::max(task->lastAttempt, running.attempt);
     task->runs.push_back({ worker, running.attempt });
-    step.gangAttempt = std::max(step.gangAttempt, running.attempt);
     job->hasBegun = true;
     job->phase = JobPhase::Running;
     job->shownPhase = JobPhase::Running;
@@ -103,7 +102,7 @@
     if (!task->isDone && ended.end == RunEnd::Done && !step.spec().isService) {
         taskDone(*job, step, ended.task.index);
     } else if (!task->isDone && ended.end == RunEnd::Failed) {
-        taskFailed(*job, step, *task, worker);
+        taskFailed(*job, step, *task, { worker, ended.attempt });
     } else if (!task->isDone && step.spec().isGang && ended.end != RunEnd::Broken) {
         breakGang(step, name(ended.end).data());
     }
@@ -154,22 +153,19 @@
     }
 }
 
-void JobBook::taskFailed(JobState &job, StepState &step, Task &task, const std::string &worker)
+void JobBook::taskFailed(JobState &job, StepState &step, Task &task, const RunPlace &place)
 {
-    task.failedOn = worker;
+    task.failedOn = place.worker;
     if (step.spec().isService) {
         return;
     }
     // A gang fails as a whole: its failures are counted on its first member, once for each attempt.
     auto &counted = step.spec().isGang ? step.tasks.front() : task;
-    if (!step.spec().isGang || step.gangAttempt > 0) {
-        ++counted.failures;
-    }
+    counted.failedAttempts.insert(place.attempt);
     if (step.spec().isGang) {
-        step.gangAttempt = 0;
         breakGang(step, "member failed");
     }
-    if (counted.failures >= job.queue.maxAttempts) {
+    if (static_cast<int>(counted.failedAttempts.size()) >= job.queue.maxAttempts) {
         end(job, JobPhase::Failed);
     }
 }
@@ -271,7 +267,7 @@
 
 void JobBook::rosterChanged(const WorkerEntry &entry, bool isMember, std::function<void()> recorded)
 {
-    const auto text = entry.service + " " + entry.address.text() + " " + std::to_string(entry.bornAt);
+    const auto text = JobRecords::rosterEntry(entry);
     log_.put(
         JobTables::roster,
         entry.id,
--- a/modules/dispatch/JobRecords.cpp
+++ b/modules/dispatch/JobRecords.cpp
@@ -73,7 +73,7 @@
 Json taskJson(const Task &task)
 {
     // Most tasks have only one start behind them: a short row is enough.
-    Json json = Json::array({ task.isDone ? 1 : 0, task.lastAttempt, task.failures });
+    Json json = Json::array({ task.isDone ? 1 : 0, task.lastAttempt, task.failedAttempts });
     if (!task.checkpoint.empty() && !task.isDone) {
         json.push_back(task.checkpoint);
     }
@@ -87,7 +87,7 @@
     }
     task.isDone = json[0].get<int>() != 0;
     task.lastAttempt = json[1].get<std::int64_t>();
-    task.failures = json[2].get<int>();
+    task.failedAttempts = json[2].get<std::set<std::int64_t>>();
     if (json.size() > 3) {
         task.checkpoint = json[3].get<std::string>();
     }
@@ -227,4 +227,28 @@
     return *found;
 }
 
+std::string JobRecords::rosterEntry(const WorkerEntry &entry)
+{
+    return Json { { "service", entry.service }, { "address", entry.address.text() }, { "born", entry.bornAt } }.dump(
+        -1, ' ', false, Json::error_handler_t::replace);
+}
+
+std::optional<WorkerEntry> JobRecords::readRosterEntry(const std::string &id, const std::string &text)
+{
+    const auto json = Json::parse(text, nullptr, false);
+    if (!json.is_object()) {
+        return std::nullopt;
+    }
+    const auto address = Address::parse(json.value("address", std::string()));
+    if (!address) {
+        return std::nullopt;
+    }
+    WorkerEntry entry;
+    entry.id = id;
+    entry.service = json.value("service", std::string());
+    entry.address = *address;
+    entry.bornAt = json.value("born", std::int64_t(0));
+    return entry;
+}
+
 } // namespace auburndoor
--- a/modules/dispatch/JobRecords.h
+++ b/modules/dispatch/JobRecords.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/JobState.h"
+#include "workload/WorkerEntry.h"
 
 #include <optional>
 #include <string>
@@ -29,6 +30,10 @@
 
     /** The phase and the time of the end that a progress text holds; empty if it cannot be read. */
     static std::optional<JobPhase> phaseOf(const std::string &text, std::chrono::milliseconds &endedAt);
+
+    /** What the next owner needs to reach a worker: service, address and life. */
+    static std::string rosterEntry(const WorkerEntry &entry);
+    static std::optional<WorkerEntry> readRosterEntry(const std::string &id, const std::string &text);
 };
 
 } // namespace auburndoor
--- a/modules/dispatch/JobState.h
+++ b/modules/dispatch/JobState.h
@@ -39,7 +39,8 @@
 struct Task
 {
     bool isDone = false;
-    int failures = 0;
+    /** The attempts that failed. A worker lists an end again to each owner until it is acknowledged: a number counts once. */
+    std::set<std::int64_t> failedAttempts;
     std::int64_t lastAttempt = 0;
     std::string checkpoint;
     std::vector<RunPlace> runs;
@@ -80,8 +81,6 @@
     std::vector<Task> tasks;
     int doneCount = 0;
     StepAdvice advice;
-    /** A gang is being placed again only after all its earlier runs are gone. */
-    std::int64_t gangAttempt = 0;
     TimePoint readySince;
 
     const StepSpec &spec() const;
--- a/modules/dispatch/Placer.cpp
+++ b/modules/dispatch/Placer.cpp
@@ -273,7 +273,6 @@
         attempt = std::max(attempt, book_.nextAttempt(task));
         checkpoint = task.checkpoint.empty() ? checkpoint : task.checkpoint;
     }
-    step.gangAttempt = attempt;
     for (std::size_t index = 0; index < step.tasks.size(); ++index) {
         step.tasks[index].checkpoint = checkpoint;
         start(step, static_cast<int>(index), *chosen[index], attempt);
--- a/modules/entry/Owner.cpp
+++ b/modules/entry/Owner.cpp
@@ -169,18 +169,11 @@
 void Owner::Impl::takeRoster(const std::vector<StoreRow> &rows)
 {
     for (const auto &row : rows) {
-        WorkerEntry entry;
-        entry.id = row.key;
-        const auto first = row.value.find(' ');
-        const auto second = row.value.find(' ', first + 1);
-        const auto address = second == std::string::npos ? std::nullopt : Address::parse(row.value.substr(first + 1, second - first - 1));
-        if (!address) {
+        if (const auto entry = JobRecords::readRosterEntry(row.key, row.value)) {
+            fleet.addFormerWorker(*entry);
+        } else {
             EventLog::write("record.unreadable", { { "worker", row.key }, { "table", JobTables::roster } });
-            continue;
         }
-        entry.service = row.value.substr(0, first);
-        entry.address = *address;
-        fleet.addFormerWorker(entry);
     }
     isReady = true;
     EventLog::write("owner.ready", { { "token", ownership.token }, { "jobs", book.jobs().size() }, { "workers", rows.size() } });
--- a/modules/entry/OwnerCalls.cpp
+++ b/modules/entry/OwnerCalls.cpp
@@ -35,6 +35,8 @@
         TimePoint refuseAt;
         /** An owner may have received it. */
         bool maybeReceived = false;
+        /** It is on its way to an owner, which may receive it. */
+        bool isUnderWay = false;
         bool isAnswered = false;
         std::string lastFailure;
     };
@@ -70,7 +72,7 @@
 void OwnerCalls::Impl::giveUp(const AttemptPointer &attempt)
 {
     const bool changesState = attempt->call.kind == ClientCall::Kind::Submit || attempt->call.kind == ClientCall::Kind::Cancel;
-    if (attempt->maybeReceived && changesState) {
+    if ((attempt->maybeReceived || attempt->isUnderWay) && changesState) {
         finish(attempt, { .outcome = CallResult::Outcome::Unknown, .detail = attempt->lastFailure });
     } else {
         finish(attempt, { .outcome = CallResult::Outcome::Refused, .retryAfter = retryAfterRefusal, .detail = attempt->lastFailure });
@@ -110,6 +112,7 @@
     const bool isSubmission = attempt->call.kind == ClientCall::Kind::Submit;
     auto call = attempt->call;
     call.patience = left;
+    attempt->isUnderWay = true;
     channels->send(PeerCodec::callRequest(call),
                    isSubmission ? std::max(left, Milliseconds(1)) : std::clamp(left, Milliseconds(1), tryTimeout),
                    [self = shared_from_this(), attempt](const SendResult &sent) { self->onSent(sent, attempt); });
@@ -117,6 +120,7 @@
 
 void OwnerCalls::Impl::onSent(const SendResult &sent, const AttemptPointer &attempt)
 {
+    attempt->isUnderWay = false;
     if (sent.hasStatus(200)) {
         if (const auto result = PeerCodec::readCallReply(sent.reply)) {
             finish(attempt, *result);
@@ -152,7 +156,7 @@
     auto attempt = std::make_shared<Impl::Attempt>();
     attempt->call = call;
     attempt->callback = std::move(callback);
-    attempt->deadline = impl_->loop.now() + std::max(call.patience - answerMargin, Milliseconds(0));
+    attempt->deadline = impl_->loop.now() + call.patience - std::min(answerMargin, call.patience / 4);
     attempt->refuseAt = std::min(attempt->deadline, impl_->loop.now() + refuseAfter);
     impl_->loop.after(std::chrono::duration_cast<Milliseconds>(attempt->deadline - impl_->loop.now()),
                       [impl = impl_, attempt] { impl->giveUp(attempt); });
