--- a/modules/dispatch/JobBook.h
+++ b/modules/dispatch/JobBook.h
@@ -117,7 +117,7 @@
     void breakGang(StepState &step, const std::string &reason);
     void stopAllRuns(JobState &job, const std::string &reason);
     void end(JobState &job, JobPhase phase);
-    static RunClaim claimOf(const StepSpec &step);
+    static RunClaim claimOf(const StepState &step);
 
     friend class Placer;
 
--- a/modules/dispatch/JobBookRuns.cpp
+++ b/modules/dispatch/JobBookRuns.cpp
@@ -7,9 +7,10 @@
 
 namespace auburndoor {
 
-RunClaim JobBook::claimOf(const StepSpec &step)
+RunClaim JobBook::claimOf(const StepState &state)
 {
-    RunClaim claim { step.need, RunKind::Plain };
+    const auto &step = state.spec();
+    RunClaim claim { step.need, RunKind::Plain, state.job->queue.priority, step.savesProgress && !step.isGang && !step.isService };
     if (step.fillsIdleCapacity) {
         claim.need.milliCores = 0;
         claim.kind = RunKind::Fills;
@@ -35,7 +36,7 @@
     job->hasBegun = true;
     job->phase = JobPhase::Running;
     job->shownPhase = JobPhase::Running;
-    return claimOf(step.spec());
+    return claimOf(step);
 }
 
 void JobBook::runConfirmed(const std::string &, const Run &run)
--- a/modules/dispatch/Placer.cpp
+++ b/modules/dispatch/Placer.cpp
@@ -61,7 +61,9 @@
 {
     std::vector<StepState *> steps;
     for (const auto &[id, job] : book_.jobs()) {
-        if (!mayStart(*job)) {
+        // The advice for a job is asked for while it is being stored.
+        const bool isPrepared = job->phase == JobPhase::Recording && job->queue.advice.has_value();
+        if (!mayStart(*job) && !isPrepared) {
             continue;
         }
         for (auto &[number, occurrence] : job->occurrences) {
@@ -85,7 +87,12 @@
 
 void Placer::place()
 {
+    rooms_ = collectRooms(fleet_);
     for (auto *step : readySteps()) {
+        if (step->job->phase == JobPhase::Recording) {
+            prepare(*step);
+            continue;
+        }
         if (step->spec().isGang) {
             placeGang(*step);
         } else {
@@ -99,7 +106,7 @@
     std::vector<Candidate> candidates;
     const auto &spec = step.spec();
     const auto now = timers_.now();
-    const auto need = JobBook::claimOf(spec).need;
+    const auto need = JobBook::claimOf(step).need;
     std::map<std::string, int> tasksOn;
     for (const auto &task : step.tasks) {
         for (const auto &place : task.runs) {
@@ -107,7 +114,9 @@
         }
     }
     for (const auto &[id, worker] : fleet_.workers()) {
-        if (worker->entry.service != step.job->queue.service || !fleet_.isUsable(*worker) || !need.fitsIn(worker->free())
+        const auto room = rooms_.find(id);
+        const bool isClaimed = room != rooms_.end() && room->second.claimedBy < step.job->queue.priority;
+        if (worker->entry.service != step.job->queue.service || isClaimed || !fleet_.isUsable(*worker) || !need.fitsIn(worker->free())
             || (!spec.requiredLabel.empty() && !worker->entry.hasLabel(spec.requiredLabel))) {
             continue;
         }
@@ -132,14 +141,14 @@
     constexpr double farFromData = 10.0;
     constexpr double failedThere = 20.0;
     constexpr double disturbs = 5.0;
-    double result = dominantShare(candidate.free - JobBook::claimOf(spec).need, entry.capacity);
+    double result = dominantShare(candidate.free - JobBook::claimOf(step).need, entry.capacity);
     if (!spec.dataRack.empty() && entry.rack() != spec.dataRack) {
         result += farFromData;
     }
     if (task.failedOn == entry.id) {
         result += failedThere;
     }
-    const auto kind = JobBook::claimOf(spec).kind;
+    const auto kind = JobBook::claimOf(step).kind;
     if (kind != RunKind::Plain) {
         const auto other = kind == RunKind::Fills ? RunKind::Serves : RunKind::Fills;
         const auto &runs = candidate.worker->runs;
@@ -155,7 +164,7 @@
     Candidate *best = nullptr;
     double bestCost = std::numeric_limits<double>::max();
     const auto &spec = step.spec();
-    const auto need = JobBook::claimOf(spec).need;
+    const auto need = JobBook::claimOf(step).need;
     for (auto &candidate : candidates) {
         const bool isPermitted = !step.job->queue.advice || candidate.permit != nullptr;
         const bool isApart = spec.maxTasksPerWorker == 0 || candidate.tasksOfStep < spec.maxTasksPerWorker;
@@ -193,7 +202,7 @@
                         { "worker", id },
                         { "ready_ms", std::chrono::duration_cast<Milliseconds>(timers_.now() - step.readySince).count() },
                         { "free_cores", candidate.free.milliCores } });
-    const auto claim = JobBook::claimOf(step.spec());
+    const auto claim = JobBook::claimOf(step);
     candidate.free -= claim.need;
     ++candidate.tasksOfStep;
     book_.noteStart(step, index, { id, attempt });
@@ -216,15 +225,24 @@
         }
         start(step, static_cast<int>(index), *candidate, book_.nextAttempt(task));
     }
+    if (unplaced > 0) {
+        reclaim(step, unplaced, false);
+    }
     if (unplaced > 0 && step.job->queue.advice) {
         askAdvice(step, candidates, unplaced);
     }
 }
 
+void Placer::prepare(StepState &step)
+{
+    auto candidates = candidatesOf(step);
+    askAdvice(step, candidates, static_cast<int>(step.tasks.size()));
+}
+
 std::vector<Placer::Candidate *> Placer::fitGang(StepState &step, std::vector<Candidate> &candidates, const std::string &rack) const
 {
     std::vector<Candidate *> chosen;
-    const auto need = JobBook::claimOf(step.spec()).need;
+    const auto need = JobBook::claimOf(step).need;
     for (const auto &task : step.tasks) {
         auto *candidate = choose(step, task, candidates, rack);
         if (candidate == nullptr) {
@@ -261,6 +279,7 @@
         chosen = fitGang(step, candidates, {});
     }
     if (chosen.empty()) {
+        reclaim(step, static_cast<int>(step.tasks.size()), true);
         if (step.job->queue.advice) {
             askAdvice(step, candidates, static_cast<int>(step.tasks.size()));
         }
@@ -285,7 +304,7 @@
     if (advice.isAsking || timers_.now() < advice.askAgainAt) {
         return;
     }
-    const auto need = JobBook::claimOf(step.spec()).need;
+    const auto need = JobBook::claimOf(step).need;
     std::vector<const Candidate *> open;
     for (const auto &candidate : candidates) {
         const bool isOpen = candidate.permit == nullptr && !advice.denied.contains(candidate.worker->entry.id);
@@ -293,6 +312,10 @@
             open.push_back(&candidate);
         }
     }
+    const auto reclaimable = open.empty() ? reclaimableWorkers(step) : std::vector<Candidate>();
+    for (const auto &candidate : reclaimable) {
+        open.push_back(&candidate);
+    }
     if (open.empty()) {
         return;
     }
--- a/modules/dispatch/Placer.h
+++ b/modules/dispatch/Placer.h
@@ -2,6 +2,7 @@
 
 #include "dispatch/Fleet.h"
 #include "dispatch/JobBook.h"
+#include "dispatch/RoomPlan.h"
 #include "workload/Advisor.h"
 
 #include <memory>
@@ -49,6 +50,13 @@
     void placeGang(StepState &step);
     std::vector<Candidate *> fitGang(StepState &step, std::vector<Candidate> &candidates, const std::string &rack) const;
     void start(StepState &step, int index, Candidate &candidate, std::int64_t attempt);
+    /** Asks for advice ahead of the moment at which the step may start. */
+    void prepare(StepState &step);
+    /** Workers on which more urgent work could take room, and of which the advice is not known or has expired. */
+    std::vector<Candidate> reclaimableWorkers(StepState &step);
+    /** Stops less urgent runs that lose nothing, so that tasks of the step fit. @param isWhole all tasks or none */
+    void reclaim(StepState &step, int taskCount, bool isWhole);
+    std::optional<std::string> findReclaimable(StepState &step, const std::map<std::string, WorkerRoom> &rooms);
     void askAdvice(StepState &step, const std::vector<Candidate> &candidates, int unplaced);
     void onAdvice(const TaskName &step, const std::vector<std::string> &asked, const AdviceResult &result);
     void copySlowTasks(StepState &step);
@@ -60,6 +68,8 @@
     Fleet &fleet_;
     Advisor &advisor_;
     TimePoint inheritedHold_;
+    /** The room of each worker as far as this round of placement has planned. */
+    std::map<std::string, WorkerRoom> rooms_;
     std::shared_ptr<bool> isAlive_;
 };
 
--- /dev/null
+++ b/modules/dispatch/PlacerReclaim.cpp
@@ -0,0 +1,85 @@
+#include "dispatch/Placer.h"
+#include "observability/EventLog.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace auburndoor {
+
+std::vector<Placer::Candidate> Placer::reclaimableWorkers(StepState &step)
+{
+    std::vector<Candidate> candidates;
+    const auto need = JobBook::claimOf(step).need;
+    const auto priority = step.job->queue.priority;
+    const auto now = timers_.now();
+    for (const auto &[id, room] : rooms_) {
+        auto *worker = fleet_.worker(id);
+        if (worker == nullptr || worker->entry.service != step.job->queue.service || !fleet_.isUsable(*worker)
+            || step.advice.denied.contains(id) || !need.fitsIn(room.reclaimableFor(priority))) {
+            continue;
+        }
+        const auto permit = step.advice.allowed.find(id);
+        if (permit == step.advice.allowed.end() || permit->second.expiresAt <= now) {
+            candidates.push_back({ worker, worker->free(), 0, nullptr });
+        }
+    }
+    return candidates;
+}
+
+std::optional<std::string> Placer::findReclaimable(StepState &step, const std::map<std::string, WorkerRoom> &rooms)
+{
+    const auto &spec = step.spec();
+    const auto need = JobBook::claimOf(step).need;
+    const auto priority = step.job->queue.priority;
+    const auto now = timers_.now();
+    std::optional<std::string> best;
+    double bestFree = -std::numeric_limits<double>::max();
+    for (const auto &[id, room] : rooms) {
+        const auto *worker = fleet_.worker(id);
+        if (worker == nullptr || worker->entry.service != step.job->queue.service || !fleet_.isUsable(*worker)
+            || room.claimedBy < priority || !need.fitsIn(room.reclaimableFor(priority))
+            || (!spec.requiredLabel.empty() && !worker->entry.hasLabel(spec.requiredLabel))) {
+            continue;
+        }
+        const auto permit = step.advice.allowed.find(id);
+        const bool isPermitted = permit != step.advice.allowed.end() && permit->second.expiresAt > now;
+        if (step.job->queue.advice && !isPermitted) {
+            continue;
+        }
+        // The worker that has to stop least.
+        const auto missing = need - room.expected;
+        const double free = -dominantShare(missing, worker->entry.capacity);
+        if (free > bestFree) {
+            bestFree = free;
+            best = id;
+        }
+    }
+    return best;
+}
+
+void Placer::reclaim(StepState &step, int taskCount, bool isWhole)
+{
+    auto rooms = rooms_;
+    std::vector<std::pair<std::string, RunKey>> stops;
+    const auto need = JobBook::claimOf(step).need;
+    for (int task = 0; task < taskCount; ++task) {
+        const auto id = findReclaimable(step, rooms);
+        if (!id) {
+            if (isWhole) {
+                return;
+            }
+            break;
+        }
+        for (const auto &key : rooms.at(*id).plan(need, step.job->queue.priority)) {
+            stops.emplace_back(*id, key);
+        }
+    }
+    rooms_ = std::move(rooms);
+    for (const auto &[id, key] : stops) {
+        EventLog::routine("run.preempted",
+                          { { "job", key.task.job }, { "index", key.task.index }, { "worker", id }, { "for", step.job->spec.id } });
+        fleet_.stop(id, key, "preempted");
+    }
+}
+
+} // namespace auburndoor
--- a/modules/dispatch/PlacerTending.cpp
+++ b/modules/dispatch/PlacerTending.cpp
@@ -15,6 +15,7 @@
 
 void Placer::tend()
 {
+    rooms_ = collectRooms(fleet_);
     for (const auto &[id, job] : book_.jobs()) {
         if (!mayStart(*job)) {
             continue;
--- a/modules/dispatch/Run.h
+++ b/modules/dispatch/Run.h
@@ -33,6 +33,10 @@
 {
     Resources need;
     RunKind kind = RunKind::Plain;
+    /** That of its queue; 0 is the most urgent. */
+    int priority = 0;
+    /** It loses nothing when it is stopped, so that more urgent work may take its room. */
+    bool isPreemptible = false;
 };
 
 /** One start of a task on a worker, from the order until its end is listed or ruled out. */
