Ask for advice once for all workers, one question a process, and hold the room meanwhile

Cause: blocked steps asked again and again about the same room; 425 s of advice for 60 s on 8 machines queued the short questions behind the long ones. Ruled out: processor time of the owner (0.09 of 0.25 cores). Change: a first question names all workers, later ones need a plan; rooms are held while a question is open; urgent questions go first.

--- a/modules/dispatch/JobState.h
+++ b/modules/dispatch/JobState.h
@@ -67,6 +67,10 @@
     std::map<std::string, Entry> allowed;
     std::set<std::string> denied;
     bool isAsking = false;
+    /** It has been asked before: the allowed workers are known in part. */
+    bool isAsked = false;
+    /** The tasks that wait for an answer, by the worker on which they would start: their room is held. */
+    std::map<std::string, int> planned;
     TimePoint askAgainAt;
 };
 
--- a/modules/dispatch/Placer.cpp
+++ b/modules/dispatch/Placer.cpp
@@ -12,15 +12,6 @@
 
 // Beyond this multiple of its objective a job no longer counts as late but as lost.
 constexpr int lostAfterObjectives = 3;
-// A permit is not used in its last moments: the order needs a way to the worker.
-constexpr Milliseconds permitMargin { 80 };
-// The chain of work that an objective is worked out from counts one question on so many workers.
-constexpr int maxWorkersAsked = 30;
-constexpr int minWorkersAsked = 4;
-// Of the workers named, about this share is allowed; the rest of the question is wasted time.
-constexpr double expectedAllowedShare = 0.4;
-constexpr Milliseconds adviceTimeout { 4000 };
-constexpr Milliseconds adviceRetry { 150 };
 
 bool isOvertime(const JobState &job, TimePoint now)
 {
@@ -85,12 +76,50 @@
     return steps;
 }
 
-void Placer::place()
+void Placer::beginRound()
 {
     rooms_ = collectRooms(fleet_);
+    usable_.clear();
+    for (const auto &[id, worker] : fleet_.workers()) {
+        if (fleet_.isUsable(*worker)) {
+            usable_[worker->entry.service].push_back(worker.get());
+        }
+    }
+    // Rooms that steps wait to use until their advice arrives.
+    for (const auto &[id, job] : book_.jobs()) {
+        for (auto &[number, occurrence] : job->occurrences) {
+            for (auto &step : occurrence.steps) {
+                holdRooms(step);
+            }
+        }
+    }
+}
+
+Resources Placer::freeFor(const StepState &step, const WorkerState &worker)
+{
+    auto free = worker.free();
+    const auto found = rooms_.find(worker.entry.id);
+    if (found == rooms_.end()) {
+        return free;
+    }
+    const auto priority = step.job->queue.priority;
+    if (found->second.claimedBy < priority) {
+        return { -1, -1, -1, 0, 0 };
+    }
+    for (const auto &hold : found->second.holds) {
+        if (hold.step != &step && hold.priority <= priority) {
+            free -= hold.need;
+        }
+    }
+    return free;
+}
+
+void Placer::place()
+{
+    beginRound();
     for (auto *step : readySteps()) {
         if (step->job->phase == JobPhase::Recording) {
-            prepare(*step);
+            askAdvice(*step, static_cast<int>(step->tasks.size()), step->spec().isGang);
             continue;
         }
         if (step->spec().isGang) {
@@ -113,14 +142,13 @@
             ++tasksOn[place.worker];
         }
     }
-    for (const auto &[id, worker] : fleet_.workers()) {
-        const auto room = rooms_.find(id);
-        const bool isClaimed = room != rooms_.end() && room->second.claimedBy < step.job->queue.priority;
-        if (worker->entry.service != step.job->queue.service || isClaimed || !fleet_.isUsable(*worker) || !need.fitsIn(worker->free())
-            || (!spec.requiredLabel.empty() && !worker->entry.hasLabel(spec.requiredLabel))) {
+    for (auto *worker : usable_[step.job->queue.service]) {
+        const auto &id = worker->entry.id;
+        const auto free = freeFor(step, *worker);
+        if (!need.fitsIn(free) || (!spec.requiredLabel.empty() && !worker->entry.hasLabel(spec.requiredLabel))) {
             continue;
         }
-        Candidate candidate { worker.get(), worker->free(), tasksOn[id], nullptr };
+        Candidate candidate { worker, free, tasksOn[id], nullptr };
         if (spec.maxTasksPerWorker > 0 && candidate.tasksOfStep >= spec.maxTasksPerWorker) {
             continue;
         }
@@ -229,15 +257,10 @@
         reclaim(step, unplaced, false);
     }
     if (unplaced > 0 && step.job->queue.advice) {
-        askAdvice(step, candidates, unplaced);
+        askAdvice(step, unplaced, false);
     }
 }
 
-void Placer::prepare(StepState &step)
-{
-    auto candidates = candidatesOf(step);
-    askAdvice(step, candidates, static_cast<int>(step.tasks.size()));
-}
 
 std::vector<Placer::Candidate *> Placer::fitGang(StepState &step, std::vector<Candidate> &candidates, const std::string &rack) const
 {
@@ -281,7 +304,7 @@
     if (chosen.empty()) {
         reclaim(step, static_cast<int>(step.tasks.size()), true);
         if (step.job->queue.advice) {
-            askAdvice(step, candidates, static_cast<int>(step.tasks.size()));
+            askAdvice(step, static_cast<int>(step.tasks.size()), true);
         }
         return;
     }
@@ -298,82 +321,4 @@
     }
 }
 
-void Placer::askAdvice(StepState &step, const std::vector<Candidate> &candidates, int unplaced)
-{
-    auto &advice = step.advice;
-    if (advice.isAsking || timers_.now() < advice.askAgainAt) {
-        return;
-    }
-    const auto need = JobBook::claimOf(step).need;
-    std::vector<const Candidate *> open;
-    for (const auto &candidate : candidates) {
-        const bool isOpen = candidate.permit == nullptr && !advice.denied.contains(candidate.worker->entry.id);
-        if (isOpen && need.fitsIn(candidate.free)) {
-            open.push_back(&candidate);
-        }
-    }
-    const auto reclaimable = open.empty() ? reclaimableWorkers(step) : std::vector<Candidate>();
-    for (const auto &candidate : reclaimable) {
-        open.push_back(&candidate);
-    }
-    if (open.empty()) {
-        return;
-    }
-    // Workers that are known to be allowed first, then those with most room.
-    std::sort(open.begin(), open.end(), [&](const Candidate *left, const Candidate *right) {
-        const bool isLeftKnown = advice.allowed.contains(left->worker->entry.id);
-        const bool isRightKnown = advice.allowed.contains(right->worker->entry.id);
-        if (isLeftKnown != isRightKnown) {
-            return isLeftKnown;
-        }
-        return dominantShare(left->worker->used, left->worker->entry.capacity)
-               < dominantShare(right->worker->used, right->worker->entry.capacity);
-    });
-    const int wanted = static_cast<int>(unplaced / expectedAllowedShare) + 2;
-    const auto count = std::min<std::size_t>(open.size(), static_cast<std::size_t>(std::clamp(wanted, minWorkersAsked, maxWorkersAsked)));
-    std::vector<std::string> workers;
-    for (std::size_t index = 0; index < count; ++index) {
-        workers.push_back(open[index]->worker->entry.id);
-    }
-    advice.isAsking = true;
-    const TaskName name { step.job->spec.id, step.occurrence, step.index, 0 };
-    advisor_.ask(name, workers, adviceTimeout, [this, isAlive = isAlive_, name, workers](const AdviceResult &result) {
-        if (*isAlive) {
-            onAdvice(name, workers, result);
-        }
-    });
-}
-
-void Placer::onAdvice(const TaskName &name, const std::vector<std::string> &asked, const AdviceResult &result)
-{
-    const auto job = book_.jobs().find(name.job);
-    auto *step = job == book_.jobs().end() ? nullptr : job->second->step(name.occurrence, name.step);
-    if (step == nullptr) {
-        return;
-    }
-    auto &advice = step->advice;
-    advice.isAsking = false;
-    if (result.outcome != AdviceResult::Outcome::Answered) {
-        advice.askAgainAt = timers_.now() + adviceRetry;
-        return;
-    }
-    const auto validity = result.validity > Milliseconds(0) ? result.validity : job->second->queue.advice ? job->second->queue.advice->permitValidity : result.validity;
-    advice.denied.insert(asked.begin(), asked.end());
-    for (const auto &permit : result.permits) {
-        advice.denied.erase(permit.worker);
-        if (const auto *worker = fleet_.worker(permit.worker)) {
-            advice.allowed[permit.worker] = { permit.ticket, timers_.now() + validity - permitMargin, worker->entry.bornAt };
-        }
-    }
-    EventLog::routine("advice",
-                      { { "job", name.job }, { "step", name.step }, { "asked", asked.size() }, { "allowed", result.permits.size() } });
-    if (step->spec().isGang) {
-        if (!step->isDone() && !step->hasRuns() && job->second->occurrences.at(name.occurrence).isReady(*step) && mayStart(*job->second)) {
-            placeGang(*step);
-        }
-    } else {
-        book_.roomChanged();
-    }
-}
-
 } // namespace auburndoor
--- a/modules/dispatch/Placer.h
+++ b/modules/dispatch/Placer.h
@@ -50,14 +50,18 @@
     void placeGang(StepState &step);
     std::vector<Candidate *> fitGang(StepState &step, std::vector<Candidate> &candidates, const std::string &rack) const;
     void start(StepState &step, int index, Candidate &candidate, std::int64_t attempt);
-    /** Asks for advice ahead of the moment at which the step may start. */
-    void prepare(StepState &step);
-    /** Workers on which more urgent work could take room, and of which the advice is not known or has expired. */
-    std::vector<Candidate> reclaimableWorkers(StepState &step);
+    /** Takes stock of workers and rooms; planning in a round sees what was planned before in it. */
+    void beginRound();
+    /** What a step may use of a worker now: its free room less what steps at least as urgent wait to use. */
+    Resources freeFor(const StepState &step, const WorkerState &worker);
+    void holdRooms(StepState &step);
     /** Stops less urgent runs that lose nothing, so that tasks of the step fit. @param isWhole all tasks or none */
     void reclaim(StepState &step, int taskCount, bool isWhole);
     std::optional<std::string> findReclaimable(StepState &step, const std::map<std::string, WorkerRoom> &rooms);
-    void askAdvice(StepState &step, const std::vector<Candidate> &candidates, int unplaced);
+    /** Asks which workers the step may use, if some of them could be used now or none is known. @param isWhole all tasks or none */
+    void askAdvice(StepState &step, int taskCount, bool isWhole);
+    std::vector<WorkerState *> workersToAsk(StepState &step, int taskCount, bool isWhole);
+    bool planRoom(StepState &step, const std::vector<WorkerState *> &workers, int taskCount, bool isWhole);
     void onAdvice(const TaskName &step, const std::vector<std::string> &asked, const AdviceResult &result);
     void copySlowTasks(StepState &step);
     void leaveDrainingWorkers(StepState &step);
@@ -70,6 +74,8 @@
     TimePoint inheritedHold_;
     /** The room of each worker as far as this round of placement has planned. */
     std::map<std::string, WorkerRoom> rooms_;
+    /** The workers of each service on which something may be started. */
+    std::map<std::string, std::vector<WorkerState *>> usable_;
     std::shared_ptr<bool> isAlive_;
 };
 
--- a/modules/dispatch/PlacerReclaim.cpp
+++ b/modules/dispatch/PlacerReclaim.cpp
@@ -6,26 +6,6 @@
 
 namespace auburndoor {
 
-std::vector<Placer::Candidate> Placer::reclaimableWorkers(StepState &step)
-{
-    std::vector<Candidate> candidates;
-    const auto need = JobBook::claimOf(step).need;
-    const auto priority = step.job->queue.priority;
-    const auto now = timers_.now();
-    for (const auto &[id, room] : rooms_) {
-        auto *worker = fleet_.worker(id);
-        if (worker == nullptr || worker->entry.service != step.job->queue.service || !fleet_.isUsable(*worker)
-            || step.advice.denied.contains(id) || !need.fitsIn(room.reclaimableFor(priority))) {
-            continue;
-        }
-        const auto permit = step.advice.allowed.find(id);
-        if (permit == step.advice.allowed.end() || permit->second.expiresAt <= now) {
-            candidates.push_back({ worker, worker->free(), 0, nullptr });
-        }
-    }
-    return candidates;
-}
-
 std::optional<std::string> Placer::findReclaimable(StepState &step, const std::map<std::string, WorkerRoom> &rooms)
 {
     const auto &spec = step.spec();
@@ -59,6 +39,14 @@
 
 void Placer::reclaim(StepState &step, int taskCount, bool isWhole)
 {
+    const auto priority = step.job->queue.priority;
+    const bool hasReclaimable = std::any_of(rooms_.begin(), rooms_.end(), [priority](const auto &room) {
+        return room.second.leastUrgent() > priority;
+    });
+    const bool hasStopping = std::any_of(rooms_.begin(), rooms_.end(), [](const auto &room) { return room.second.isFreeing; });
+    if (!hasReclaimable && !hasStopping) {
+        return;
+    }
     auto rooms = rooms_;
     std::vector<std::pair<std::string, RunKey>> stops;
     const auto need = JobBook::claimOf(step).need;
--- a/modules/dispatch/PlacerTending.cpp
+++ b/modules/dispatch/PlacerTending.cpp
@@ -15,7 +15,7 @@
 
 void Placer::tend()
 {
-    rooms_ = collectRooms(fleet_);
+    beginRound();
     for (const auto &[id, job] : book_.jobs()) {
         if (!mayStart(*job)) {
             continue;
@@ -64,7 +64,7 @@
             EventLog::routine("run.copied", { { "job", step.job->spec.id }, { "index", index }, { "percent", run->percent }, { "elapsed_ms", elapsed.count() } });
             start(step, static_cast<int>(index), *candidate, book_.nextAttempt(task));
         } else if (step.job->queue.advice) {
-            askAdvice(step, candidates, 1);
+            askAdvice(step, 1, false);
         }
     }
 }
--- a/modules/dispatch/RoomPlan.cpp
+++ b/modules/dispatch/RoomPlan.cpp
@@ -5,6 +5,15 @@
 
 namespace auburndoor {
 
+int WorkerRoom::leastUrgent() const
+{
+    int result = -1;
+    for (const auto &run : reclaimable) {
+        result = std::max(result, run.priority);
+    }
+    return result;
+}
+
 Resources WorkerRoom::reclaimableFor(int priority) const
 {
     auto result = expected;
@@ -43,6 +52,7 @@
         for (const auto &[key, run] : worker->runs) {
             if (run.phase == Run::Phase::Stopping) {
                 room.expected += run.claim.need;
+                room.isFreeing = true;
             } else if (run.phase == Run::Phase::Running && run.claim.isPreemptible) {
                 room.reclaimable.push_back({ key, run.claim.need, run.claim.priority });
             }
--- a/modules/dispatch/RoomPlan.h
+++ b/modules/dispatch/RoomPlan.h
@@ -23,9 +23,22 @@
     /** Free now or once the runs that are being stopped have ended, less what this round has planned there. */
     Resources expected;
     std::vector<ReclaimableRun> reclaimable;
+    /** Room that a step waits to use until its advice arrives. */
+    struct Hold
+    {
+        const void *step = nullptr;
+        int priority = 0;
+        Resources need;
+    };
+    std::vector<Hold> holds;
+    /** Runs are being stopped here. */
+    bool isFreeing = false;
     /** The priority of the work that waits for room here; less urgent work keeps off. */
     int claimedBy = std::numeric_limits<int>::max();
 
+    /** The priority of the least urgent run that may be stopped; negative if there is none. */
+    int leastUrgent() const;
+
     /** What would be free if all runs less urgent than the priority were stopped. */
     Resources reclaimableFor(int priority) const;
 
--- a/modules/entry/AdvicePool.cpp
+++ b/modules/entry/AdvicePool.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <map>
+#include <tuple>
 
 namespace auburndoor {
 
@@ -15,6 +16,10 @@
 constexpr HttpChannelLimits askerLimits { .maxConnections = 8, .connectTimeout = Milliseconds(400) };
 // An asker that failed is left out for a while.
 constexpr Milliseconds failurePause { 1000 };
+// Questions of urgent queues take some 30 ms, those of others 200 to 800 ms.
+constexpr Milliseconds shortQuestion { 100 };
+// One process in so many is left to short questions.
+constexpr std::size_t reservedShare = 4;
 
 } // namespace
 
@@ -24,10 +29,15 @@
     struct Asker
     {
         std::unique_ptr<HttpChannels> channels;
-        /** Workers named in open questions, with a constant for each question: the work that waits there. */
-        std::size_t openWork = 0;
+        int open = 0;
         TimePoint avoidUntil;
     };
+    struct Waiting
+    {
+        AdviceQuestion question;
+        Callback callback;
+        std::uint64_t number = 0;
+    };
 
     Impl(EventLoop &loop, Advisor *local, Address self, std::function<std::vector<Address>()> members)
         : loop(loop)
@@ -37,76 +47,93 @@
     {
     }
 
-    Address leastLoaded();
-    void askAt(const Address &address, const AdviceQuestion &question, Callback callback);
-    void askLocally(const AdviceQuestion &question, Callback callback);
+    void dispatch();
+    std::vector<Address> freeAskers(std::size_t &count);
+    void askAt(const Address &address, Waiting waiting);
+    void askLocally(Waiting waiting);
+    void finish(const Address &address, const Callback &callback, const AdviceResult &result);
 
     EventLoop &loop;
     Advisor *local;
     Address self;
     std::function<std::vector<Address>()> members;
     std::map<Address, Asker> askers;
-    bool isClosed = false;
+    std::vector<Waiting> waiting;
+    std::uint64_t nextNumber = 0;
 };
 
-namespace {
-
-/** A question costs a fixed time and a time for each worker; the first is that of about 70 workers in the deployments. */
-std::size_t workOf(const AdviceQuestion &question)
+std::vector<Address> AdvicePool::Impl::freeAskers(std::size_t &count)
 {
-    constexpr std::size_t fixedPart = 70;
-    return fixedPart + question.workers.size();
+    auto all = members();
+    all.push_back(self);
+    const auto now = loop.now();
+    std::erase_if(all, [&](const Address &address) { return askers[address].avoidUntil > now; });
+    count = all.size();
+    std::erase_if(all, [&](const Address &address) { return askers[address].open > 0; });
+    return all;
 }
 
-} // namespace
-
-Address AdvicePool::Impl::leastLoaded()
+void AdvicePool::Impl::dispatch()
 {
-    Address best = self;
-    auto bestWork = askers[self].openWork;
-    for (const auto &member : members()) {
-        auto &asker = askers[member];
-        if (asker.openWork < bestWork && asker.avoidUntil <= loop.now()) {
-            best = member;
-            bestWork = asker.openWork;
+    std::size_t count = 0;
+    auto free = freeAskers(count);
+    std::sort(waiting.begin(), waiting.end(), [](const Waiting &left, const Waiting &right) {
+        return std::tuple(left.question.priority, left.number) < std::tuple(right.question.priority, right.number);
+    });
+    const auto reserved = std::max<std::size_t>(1, count / reservedShare);
+    for (auto next = waiting.begin(); next != waiting.end() && !free.empty();) {
+        const bool isLong = next->question.expected > shortQuestion;
+        if (isLong && count > 1 && free.size() <= reserved) {
+            ++next;
+            continue;
+        }
+        auto taken = std::move(*next);
+        next = waiting.erase(next);
+        const auto address = free.front();
+        free.erase(free.begin());
+        if (address == self) {
+            askLocally(std::move(taken));
+        } else {
+            askAt(address, std::move(taken));
         }
     }
-    return best;
 }
 
-void AdvicePool::Impl::askLocally(const AdviceQuestion &question, Callback callback)
+void AdvicePool::Impl::finish(const Address &address, const Callback &callback, const AdviceResult &result)
+{
+    --askers[address].open;
+    callback(result);
+    dispatch();
+}
+
+void AdvicePool::Impl::askLocally(Waiting taken)
 {
-    askers[self].openWork += workOf(question);
-    local->ask(question.step,
-               question.workers,
-               question.timeout,
-               [impl = shared_from_this(), work = workOf(question), callback = std::move(callback)](AdviceResult result) {
-                   impl->askers[impl->self].openWork -= work;
-                   callback(std::move(result));
-               });
+    ++askers[self].open;
+    local->ask(taken.question, [impl = shared_from_this(), callback = std::move(taken.callback)](const AdviceResult &result) {
+        impl->finish(impl->self, callback, result);
+    });
 }
 
-void AdvicePool::Impl::askAt(const Address &address, const AdviceQuestion &question, Callback callback)
+void AdvicePool::Impl::askAt(const Address &address, Waiting taken)
 {
     auto &asker = askers[address];
     if (!asker.channels) {
         asker.channels = std::make_unique<HttpChannels>(loop, address, askerLimits);
     }
-    asker.openWork += workOf(question);
-    asker.channels->send(PeerCodec::adviceRequest(question),
-                         question.timeout,
-                         [impl = shared_from_this(), address, question, callback = std::move(callback)](const SendResult &sent) {
-                             auto &used = impl->askers[address];
-                             used.openWork -= workOf(question);
-                             auto result = sent.hasStatus(200) ? PeerCodec::readAdviceReply(sent.reply) : std::nullopt;
-                             if (result && result->outcome == AdviceResult::Outcome::Answered) {
-                                 callback(std::move(*result));
-                                 return;
-                             }
-                             EventLog::write("advice.failed", { { "job", question.step.job }, { "at", address.text() }, { "detail", sent.error } });
-                             used.avoidUntil = impl->loop.now() + failurePause;
-                             impl->askLocally(question, callback);
-                         });
+    ++asker.open;
+    auto request = PeerCodec::adviceRequest(taken.question);
+    asker.channels->send(std::move(request), taken.question.timeout, [impl = shared_from_this(), address, taken](const SendResult &sent) {
+        auto result = sent.hasStatus(200) ? PeerCodec::readAdviceReply(sent.reply) : std::nullopt;
+        if (result && result->outcome == AdviceResult::Outcome::Answered) {
+            impl->finish(address, taken.callback, *result);
+            return;
+        }
+        EventLog::write("advice.failed", { { "job", taken.question.step.job }, { "at", address.text() }, { "detail", sent.error } });
+        auto &used = impl->askers[address];
+        --used.open;
+        used.avoidUntil = impl->loop.now() + failurePause;
+        impl->askLocally(taken);
+    });
 }
 
 AdvicePool::AdvicePool(EventLoop &loop, Advisor *local, Address self, std::function<std::vector<Address>()> members)
@@ -116,19 +143,14 @@
 
 AdvicePool::~AdvicePool() = default;
 
-void AdvicePool::ask(const TaskName &step, const std::vector<std::string> &workers, Milliseconds timeout, Callback callback)
+void AdvicePool::ask(const AdviceQuestion &question, Callback callback)
 {
-    const AdviceQuestion question { step, workers, timeout };
     if (impl_->local == nullptr) {
         impl_->loop.after(Milliseconds(0), [callback = std::move(callback)] { callback({}); });
         return;
     }
-    const auto address = impl_->leastLoaded();
-    if (address == impl_->self) {
-        impl_->askLocally(question, std::move(callback));
-    } else {
-        impl_->askAt(address, question, std::move(callback));
-    }
+    impl_->waiting.push_back({ question, std::move(callback), impl_->nextNumber++ });
+    impl_->dispatch();
 }
 
 } // namespace auburndoor
--- a/modules/entry/AdvicePool.h
+++ b/modules/entry/AdvicePool.h
@@ -14,8 +14,9 @@
 /**
     Spreads questions to the advisory service over the entry processes.
 
-    The service takes one call at a time from each machine, so the owner has others ask for it: each question goes to the process
-    with the least work waiting, as estimated from the queue's policy. A question that fails at another process is asked here.
+    The service takes one call at a time from each machine, so the owner has others ask for it. Each process has one question under
+    way; the others wait here, the most urgent first. Long questions leave some processes to the short ones. A question that fails at
+    another process is asked from here.
     All members are called from the loop's thread.
 */
 class AdvicePool : public Advisor
@@ -28,7 +29,7 @@
     AdvicePool(EventLoop &loop, Advisor *local, Address self, std::function<std::vector<Address>()> members);
     ~AdvicePool() override;
 
-    void ask(const TaskName &step, const std::vector<std::string> &workers, Milliseconds timeout, Callback callback) override;
+    void ask(const AdviceQuestion &question, Callback callback) override;
 
 private:
     struct Impl;
--- a/modules/entry/EntryInstance.cpp
+++ b/modules/entry/EntryInstance.cpp
@@ -141,7 +141,7 @@
         responder->reply(PeerCodec::adviceReply({}));
         return;
     }
-    parts.advisor->ask(question->step, question->workers, question->timeout, [responder = std::move(responder)](const AdviceResult &result) {
+    parts.advisor->ask(*question, [responder = std::move(responder)](const AdviceResult &result) {
         responder->reply(PeerCodec::adviceReply(result));
     });
 }
--- a/modules/entry/PeerCodec.h
+++ b/modules/entry/PeerCodec.h
@@ -4,7 +4,6 @@
 #include "net/Address.h"
 #include "net/HttpExchange.h"
 #include "workload/Advisor.h"
-#include "workload/JobSpec.h"
 
 #include <optional>
 #include <string>
@@ -27,14 +26,6 @@
     std::vector<Address> members;
 };
 
-/** A question that one entry process asks the advisory service for another. */
-struct AdviceQuestion
-{
-    TaskName step;
-    std::vector<std::string> workers;
-    Milliseconds timeout { 0 };
-};
-
 /** The messages between entry processes, as HTTP requests and replies with JSON bodies. */
 class PeerCodec
 {
--- a/modules/workload/Advisor.h
+++ b/modules/workload/Advisor.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/Clock.h"
+#include "workload/JobSpec.h"
 
 #include <functional>
 #include <string>
@@ -28,6 +29,19 @@
     Milliseconds validity { 0 };
 };
 
+/** A question to the advisory service. */
+struct AdviceQuestion
+{
+    /** Names a step of one occurrence; the index has no meaning. */
+    TaskName step;
+    std::vector<std::string> workers;
+    /** How long the service is expected to work on it. */
+    Milliseconds expected { 0 };
+    Milliseconds timeout { 0 };
+    /** That of the queue; 0 is the most urgent. */
+    int priority = 0;
+};
+
 /** The service that knows which workers a step may use. It handles one call at a time for each calling machine. */
 class Advisor
 {
@@ -36,8 +50,7 @@
 
     virtual ~Advisor() = default;
 
-    /** @param step names a step of one occurrence, with index 0 */
-    virtual void ask(const struct TaskName &step, const std::vector<std::string> &workers, Milliseconds timeout, Callback callback) = 0;
+    virtual void ask(const AdviceQuestion &question, Callback callback) = 0;
 };
 
 } // namespace auburndoor
