--- a/modules/dispatch/JobBook.cpp
+++ b/modules/dispatch/JobBook.cpp
@@ -117,6 +117,15 @@
     return true;
 }
 
+void JobBook::abandonSubmissions()
+{
+    for (const auto &[id, submitters] : std::exchange(submitters_, {})) {
+        for (const auto &submitter : submitters) {
+            submitter(SubmitOutcome::Moved);
+        }
+    }
+}
+
 void JobBook::cancel(const std::string &id, CancelCallback callback)
 {
     if (const auto ended = ended_.find(id); ended != ended_.end() && ended->second.isStored) {
--- a/modules/dispatch/JobBook.h
+++ b/modules/dispatch/JobBook.h
@@ -28,8 +28,10 @@
     Accepted,
     /** The job is not stored and never will be by this submission. */
     Refused,
-    /** The store has not said whether it is stored. */
+    /** The job ended before the store said whether it is stored. */
     Unknown,
+    /** This owner was deposed; the next one knows whether it is stored. */
+    Moved,
 };
 
 /** How and when a job that is no longer worked on ended. */
@@ -79,6 +81,8 @@
     /** Withdraws a submission that no transaction has carried. @return true if the job is now refused for good */
     bool withdraw(const std::string &id);
     void cancel(const std::string &id, CancelCallback callback);
+    /** Hands all open submissions on to the next owner. */
+    void abandonSubmissions();
     /** What clients are told; empty if there is no such job. */
     std::optional<JobPhase> shownPhase(const std::string &id) const;
     /** Accepted jobs of a queue of which no task has started. */
--- a/modules/entry/CellProtocol.h
+++ b/modules/entry/CellProtocol.h
@@ -29,6 +29,8 @@
     std::string body;
     /** How long the client waits for the answer. */
     Milliseconds patience { 3000 };
+    /** How long it may wait for an owner or the store before it is refused. */
+    Milliseconds hold { 700 };
 };
 
 /** What a client is told. */
@@ -46,6 +48,8 @@
         Malformed,
         NoSuchJob,
         NoSuchQueue,
+        /** The owner was deposed meanwhile: to be asked of the next one. Never told to a client. */
+        Moved,
     };
     Outcome outcome = Outcome::Unknown;
     JobPhase phase = JobPhase::Queued;
--- a/modules/entry/Leadership.cpp
+++ b/modules/entry/Leadership.cpp
@@ -17,6 +17,7 @@
 // An entry process that has not asked for a pulse for so long is no longer named as a member.
 constexpr Milliseconds memberMemory { 2000 };
 constexpr int processesAsked = 3;
+constexpr int probesToReplace = 2;
 
 /** The row that names the owner. */
 struct EpochRow
@@ -67,6 +68,7 @@
     void follow(const EpochRow &row);
     void sendPulse();
     void onPulse(const SendResult &sent, std::uint64_t round);
+    void probeStore();
     void onPulseLost(const std::string &why);
     void confirmSuspicion();
     void giveUpOwner();
@@ -87,6 +89,8 @@
     std::int64_t givenUpToken = -1;
     /** Pulses of an earlier owner are ignored. */
     std::uint64_t round = 0;
+    /** Answers of the store, one after the other, while the owner has none. */
+    int storeProbes = 0;
     std::vector<Address> knownMembers;
     std::vector<std::shared_ptr<HttpChannels>> asked;
     std::map<Address, TimePoint> members;
@@ -252,16 +256,32 @@
     }
     knownMembers = pulse->members;
     desiredVersion = pulse->desiredVersion;
-    if (pulse->storeAway > times.storeAwayLimit && !isAbstaining) {
-        // If the store answers this process, it is the owner alone that has lost it.
-        givenUpToken = owner.token;
-        later(spread(), &Impl::findOwner);
-        later(times.retry, &Impl::sendPulse);
-        return;
+    if (pulse->storeAway < times.storeAwayLimit) {
+        storeProbes = 0;
+    } else if (!isAbstaining) {
+        probeStore();
     }
     sendPulse();
 }
 
+void Leadership::Impl::probeStore()
+{
+    // If the store answers this process and still not the owner, it is the owner alone that has lost it. One answer is not enough:
+    // the store may just have come back for all.
+    store.readRow(OwnerRows::table, OwnerRows::epochKey, [self = shared_from_this(), probed = owner.token](const StoreResult &result) {
+        if (self->isClosed || self->isOwner || self->owner.token != probed) {
+            return;
+        }
+        self->storeProbes = result.outcome == StoreOutcome::Done ? self->storeProbes + 1 : 0;
+        if (self->storeProbes >= probesToReplace) {
+            EventLog::write("owner.without_store", { { "owner", self->owner.owner }, { "token", probed } });
+            self->storeProbes = 0;
+            self->givenUpToken = probed;
+            self->findOwner();
+        }
+    });
+}
+
 void Leadership::Impl::onPulseLost(const std::string &why)
 {
     const bool wasHeard = std::exchange(isHeard, false);
@@ -303,7 +323,7 @@
     for (const auto &address : others) {
         auto channel = std::make_shared<HttpChannels>(loop, address, HttpChannelLimits { .maxConnections = 1, .connectTimeout = times.suspicionTimeout });
         asked.push_back(channel);
-        WebRequest request { "GET", PeerCodec::suspicionPath, {}, {} };
+        WebRequest request { "GET", PeerCodec::suspicionPath, {}, {}, true };
         channel->send(std::move(request), times.suspicionTimeout, [self = shared_from_this(), count, suspected = owner.token](const SendResult &sent) {
             if (self->isClosed) {
                 return;
--- a/modules/entry/Leadership.h
+++ b/modules/entry/Leadership.h
@@ -16,11 +16,11 @@
 struct LeadershipTimes
 {
     /** How long an owner holds a pulse back, so that its end is noticed by the open request. */
-    Milliseconds pulseWait { 300 };
+    Milliseconds pulseWait { 250 };
     /** Beyond that wait a pulse counts as lost. */
-    Milliseconds pulseSlack { 500 };
+    Milliseconds pulseSlack { 350 };
     /** An owner whose writes the store has not taken for so long is replaced by a process whose reads it answers. */
-    Milliseconds storeAwayLimit { 900 };
+    Milliseconds storeAwayLimit { 450 };
     /** How long other processes are asked whether they hear the owner. */
     Milliseconds suspicionTimeout { 250 };
     /** A process that nobody else answers, and that may itself be cut off, waits so much longer. */
--- a/modules/entry/Owner.cpp
+++ b/modules/entry/Owner.cpp
@@ -20,9 +20,10 @@
 constexpr Milliseconds tendInterval { 200 };
 // Workers report about every second and a half: reading their table more often than this shows little more.
 constexpr WatchTimes workerWatchTimes { Milliseconds(1500), Milliseconds(250), Milliseconds(200) };
-// A submission that no transaction has carried by then is refused: the client is better off trying again.
-constexpr Milliseconds submitPatience { 600 };
-constexpr Milliseconds retryAfterStall { 700 };
+// What a refusal needs of the client's patience to arrive in time.
+constexpr Milliseconds answerMargin { 200 };
+// Outages of the store last seconds, and a client tries a few times only.
+constexpr Milliseconds retryAfterStall { 1200 };
 // A quarter of the lease limit is left for the way of the orders and for slow clocks.
 constexpr Milliseconds preferredLease { 5000 };
 // An owner that was deposed learns of it with its first order to a worker that this one has read.
@@ -102,6 +103,7 @@
     log.close();
     fleet.close();
     placer.close();
+    book.abandonSubmissions();
     EventLog::write("owner.ended", { { "token", ownership.token }, { "why", "deposed" } });
     parts.timers.after(Milliseconds(0), deposedCallback);
 }
@@ -222,10 +224,12 @@
     }
     const auto *queue = queues.queue(call.queue);
     const bool isKnown = book.shownPhase(call.job).has_value();
-    if (!isKnown && (queue == nullptr || isLeaving || log.isStalled())) {
-        callback({ .outcome = CallResult::Outcome::Refused,
-                   .retryAfter = retryAfterStall,
-                   .detail = queue == nullptr ? "the queue is not known here yet" : "the store does not take jobs" });
+    if (!isKnown && isLeaving) {
+        callback({ .outcome = CallResult::Outcome::Moved, .detail = "the owner is stopping" });
+        return;
+    }
+    if (!isKnown && queue == nullptr) {
+        callback({ .outcome = CallResult::Outcome::Refused, .retryAfter = retryAfterStall, .detail = "the queue is not known here yet" });
         return;
     }
     spec->id = call.job;
@@ -241,9 +245,12 @@
         case SubmitOutcome::Unknown:
             callback({ .outcome = CallResult::Outcome::Unknown, .detail = "the store has not answered" });
             return;
+        case SubmitOutcome::Moved:
+            callback({ .outcome = CallResult::Outcome::Moved, .detail = "the owner was deposed" });
+            return;
         }
     });
-    parts.timers.after(submitPatience, [self = shared_from_this(), id = call.job] {
+    parts.timers.after(std::min(call.hold, call.patience - answerMargin), [self = shared_from_this(), id = call.job] {
         if (!self->isClosed) {
             self->book.withdraw(id);
         }
--- a/modules/entry/OwnerCalls.cpp
+++ b/modules/entry/OwnerCalls.cpp
@@ -15,8 +15,6 @@
 constexpr HttpChannelLimits ownerLimits { .maxConnections = 12, .connectTimeout = Milliseconds(500) };
 // What is left of the client's patience for the answer's way back.
 constexpr Milliseconds answerMargin { 150 };
-// Without an owner a submission waits this long: about a takeover. Then the client is told to come back.
-constexpr Milliseconds refuseAfter { 700 };
 constexpr Milliseconds retryPause { 40 };
 constexpr Milliseconds retryAfterRefusal { 600 };
 // One try at an owner; a second one may meet the next owner.
@@ -86,7 +84,14 @@
     }
     if (auto *owner = local(); owner != nullptr && owner->isReady()) {
         attempt->maybeReceived = true;
-        owner->call(attempt->call, [self = shared_from_this(), attempt](const CallResult &result) { self->finish(attempt, result); });
+        owner->call(attempt->call, [self = shared_from_this(), attempt](const CallResult &result) {
+            if (result.outcome == CallResult::Outcome::Moved) {
+                attempt->lastFailure = result.detail;
+                self->retry(attempt);
+            } else {
+                self->finish(attempt, result);
+            }
+        });
         // An owner that is deposed meanwhile does not call back: the next one is asked.
         loop.after(tryTimeout, [self = shared_from_this(), attempt, owner] {
             if (self->local() != owner) {
@@ -122,10 +127,12 @@
 {
     attempt->isUnderWay = false;
     if (sent.hasStatus(200)) {
-        if (const auto result = PeerCodec::readCallReply(sent.reply)) {
+        const auto result = PeerCodec::readCallReply(sent.reply);
+        if (result && result->outcome != CallResult::Outcome::Moved) {
             finish(attempt, *result);
             return;
         }
+        attempt->maybeReceived = true;
     }
     if (sent.outcome == SendOutcome::Lost) {
         attempt->maybeReceived = true;
@@ -157,7 +164,7 @@
     attempt->call = call;
     attempt->callback = std::move(callback);
     attempt->deadline = impl_->loop.now() + call.patience - std::min(answerMargin, call.patience / 4);
-    attempt->refuseAt = std::min(attempt->deadline, impl_->loop.now() + refuseAfter);
+    attempt->refuseAt = std::min(attempt->deadline, impl_->loop.now() + call.hold);
     impl_->loop.after(std::chrono::duration_cast<Milliseconds>(attempt->deadline - impl_->loop.now()),
                       [impl = impl_, attempt] { impl->giveUp(attempt); });
     impl_->tryOnce(attempt);
--- a/modules/entry/PeerCodec.cpp
+++ b/modules/entry/PeerCodec.cpp
@@ -32,7 +32,7 @@
 
 WebRequest PeerCodec::pulseRequest(const Address &self)
 {
-    return { "POST", pulsePath, {}, dump({ { "from", self.text() } }) };
+    return { "POST", pulsePath, {}, dump({ { "from", self.text() } }), true };
 }
 
 std::optional<Address> PeerCodec::readPulseRequest(const WebRequest &request)
@@ -78,11 +78,12 @@
 WebRequest PeerCodec::callRequest(const ClientCall &call)
 {
     // The body of a submission travels as it is, beside the rest in headers: it need not be quoted again.
-    WebRequest request { "POST", callPath, {}, call.body };
+    WebRequest request { "POST", callPath, {}, call.body, true };
     request.headers = { { "Call-Kind", std::to_string(static_cast<int>(call.kind)) },
                         { "Call-Queue", call.queue },
                         { "Call-Job", call.job },
-                        { "Call-Patience", std::to_string(call.patience.count()) } };
+                        { "Call-Patience", std::to_string(call.patience.count()) },
+                        { "Call-Hold", std::to_string(call.hold.count()) } };
     return request;
 }
 
@@ -96,6 +97,7 @@
         }
         call.kind = static_cast<ClientCall::Kind>(kind);
         call.patience = Milliseconds(std::stoll(request.header("call-patience")));
+        call.hold = Milliseconds(std::stoll(request.header("call-hold")));
     } catch (const std::exception &) {
         return std::nullopt;
     }
@@ -138,7 +140,8 @@
                     { "occurrence", question.step.occurrence },
                     { "step", question.step.step },
                     { "workers", question.workers },
-                    { "timeout", question.timeout.count() } }) };
+                    { "timeout", question.timeout.count() } }),
+             true };
 }
 
 std::optional<AdviceQuestion> PeerCodec::readAdviceRequest(const WebRequest &request)
--- a/modules/net/HttpChannels.cpp
+++ b/modules/net/HttpChannels.cpp
@@ -48,6 +48,7 @@
     void dispatch();
     void removeExpired();
     void forget(const Connection *connection);
+    void closeIdle();
     void finish(Pending pending, SendResult result)
     {
         loop.after(Milliseconds(0), [callback = std::move(pending.callback), result = std::move(result)] { callback(result); });
@@ -108,6 +109,17 @@
         if (!current_) {
             return;
         }
+        const bool isInTime = owner_->loop.now() < current_->deadline && error != asio::error::operation_aborted;
+        if (isReused_ && isSent_ && isInTime && current_->request.isRepeatable) {
+            // The peer may have closed the connection while it was idle; what else it left open is no better.
+            auto repeated = std::move(*current_);
+            current_.reset();
+            repeated.request.isRepeatable = false;
+            owner_->closeIdle();
+            owner_->waiting.push_front(std::move(repeated));
+            owner_->dispatch();
+            return;
+        }
         SendResult result;
         result.outcome = isSent_ ? SendOutcome::Lost : SendOutcome::NotSent;
         result.error = error.message();
@@ -131,7 +143,7 @@
         if (!current_->request.body.empty()) {
             request_.set(http::field::content_type, "application/json");
         }
-        request_.body() = std::move(current_->request.body);
+        request_.body() = current_->request.body;
         request_.prepare_payload();
         isSent_ = true;
         stream_.expires_at(current_->deadline);
@@ -196,6 +208,11 @@
     std::erase_if(connections, [connection](const auto &kept) { return kept.get() == connection; });
 }
 
+void HttpChannels::Impl::closeIdle()
+{
+    std::erase_if(connections, [](const auto &connection) { return connection->isIdle(); });
+}
+
 void HttpChannels::Impl::dispatch()
 {
     while (!waiting.empty()) {
--- a/modules/net/HttpExchange.h
+++ b/modules/net/HttpExchange.h
@@ -19,6 +19,8 @@
     std::string target;
     std::vector<HttpHeader> headers;
     std::string body;
+    /** When it is sent on a kept connection that turns out to be closed, it may be sent once more on a new one. */
+    bool isRepeatable = false;
 
     /** The value of a header, given in lower case; empty if absent. */
     std::string header(std::string_view name) const;
