--- a/modules/entry/CellProtocol.h
+++ b/modules/entry/CellProtocol.h
@@ -75,6 +75,7 @@
 
     /** The table that holds the operator's desired state, and the reading of its rows; empty for rows that hold something else. */
     virtual std::string operatorTable() const = 0;
+    virtual std::string desiredStateKey() const = 0;
     virtual std::optional<QueueTable> readDesiredState(const StoreRow &row) const = 0;
 
     /** The table in which workers register, and the reading of a row; empty for rows that name no usable worker. */
--- a/modules/entry/EntryInstance.cpp
+++ b/modules/entry/EntryInstance.cpp
@@ -23,6 +23,8 @@
 // What is kept of the grace for the exit itself.
 constexpr Milliseconds exitMargin { 700 };
 constexpr Milliseconds flushPatience { 600 };
+constexpr Milliseconds desiredStateCheck { 300 };
+constexpr Milliseconds desiredStateTimeout { 280 };
 
 } // namespace
 
@@ -38,11 +40,15 @@
     std::optional<Pulse> ownPulse();
     bool isReady() const;
     void flushLog();
+    void fetchDesiredState();
     void waitForRequests(TimePoint earliest, TimePoint latest, std::function<void()> done);
 
     EntryParts parts;
     EventLoop &loop;
     QueueTable queues;
+    /** The row that queues was read from. */
+    StoreRow desiredRow;
+    std::unique_ptr<HttpChannels> desiredSource;
     std::unique_ptr<Owner> owner;
     AdvicePool advice;
     Leadership leadership;
@@ -116,8 +122,10 @@
 {
     if (request.target.starts_with(PeerCodec::pulsePath)) {
         leadership.answerPulse(request, std::move(responder));
-    } else if (request.target == PeerCodec::suspicionPath) {
-        leadership.answerSuspicion(std::move(responder));
+    } else if (request.target == PeerCodec::sightingPath) {
+        leadership.answerSighting(std::move(responder));
+    } else if (request.target == PeerCodec::desiredStatePath) {
+        responder->reply({ 200, desiredRow.value, {} });
     } else if (request.target == PeerCodec::advicePath) {
         serveAdvice(request, std::move(responder));
     } else if (request.target == PeerCodec::callPath) {
@@ -155,6 +163,7 @@
             continue;
         }
         queues = std::move(*read);
+        desiredRow = row;
         EventLog::write("desired.taken", { { "version", queues.version }, { "queues", queues.queues.size() } });
         if (owner) {
             owner->setQueues(queues);
@@ -187,6 +196,23 @@
     loop.after(logFlushInterval, [self = shared_from_this()] { self->flushLog(); });
 }
 
+void EntryInstance::Impl::fetchDesiredState()
+{
+    loop.after(desiredStateCheck, [self = shared_from_this()] { self->fetchDesiredState(); });
+    const auto address = leadership.ownerAddress();
+    if (!address || leadership.desiredVersionOfOwner() <= queues.version) {
+        return;
+    }
+    // The store keeps this process waiting or turns it away: the owner has the newer version.
+    desiredSource = std::make_unique<HttpChannels>(loop, *address, HttpChannelLimits { .maxConnections = 1 });
+    WebRequest request { "GET", PeerCodec::desiredStatePath, {}, {}, true };
+    desiredSource->send(std::move(request), desiredStateTimeout, [self = shared_from_this()](const SendResult &sent) {
+        if (sent.hasStatus(200)) {
+            self->takeOperatorRows({ { {}, self->parts.protocol.desiredStateKey(), sent.reply.body, 1, false } });
+        }
+    });
+}
+
 void EntryInstance::Impl::waitForRequests(TimePoint earliest, TimePoint latest, std::function<void()> done)
 {
     const auto now = loop.now();
@@ -219,6 +245,7 @@
     impl_->operatorWatch.start();
     impl_->leadership.start();
     impl_->flushLog();
+    impl_->fetchDesiredState();
     EventLog::write("process.started", { { "clients", settings.clients.text() }, { "domain", settings.failureDomain } });
     return true;
 }
--- a/modules/entry/Leadership.cpp
+++ b/modules/entry/Leadership.cpp
@@ -70,6 +70,9 @@
     void onPulse(const SendResult &sent, std::uint64_t round);
     void probeStore();
     void onPulseLost(const std::string &why);
+    /** Asks some other processes whether they hear the owner. */
+    void askOthers(std::function<void(const std::vector<OwnerSighting> &)> done);
+    bool followNewest(const std::vector<OwnerSighting> &sightings);
     void confirmSuspicion();
     void giveUpOwner();
     void later(Milliseconds delay, void (Impl::*action)());
@@ -92,7 +95,6 @@
     /** Answers of the store, one after the other, while the owner has none. */
     int storeProbes = 0;
     std::vector<Address> knownMembers;
-    std::vector<std::shared_ptr<HttpChannels>> asked;
     std::map<Address, TimePoint> members;
     std::int64_t desiredVersion = 0;
     bool isOwner = false;
@@ -135,7 +137,12 @@
         return;
     }
     if (result.outcome != StoreOutcome::Done) {
-        later(times.retry + spread(), &Impl::findOwner);
+        // The store may turn away this process alone: the others know the owner.
+        askOthers([self = shared_from_this()](const std::vector<OwnerSighting> &sightings) {
+            if (!self->isHeard && !self->followNewest(sightings)) {
+                self->later(self->times.retry + self->spread(), &Impl::findOwner);
+            }
+        });
         return;
     }
     const auto row = result.rows.empty() ? EpochRow() : readEpoch(result.rows.front().value);
@@ -297,15 +304,8 @@
     confirmSuspicion();
 }
 
-void Leadership::Impl::confirmSuspicion()
+void Leadership::Impl::askOthers(std::function<void(const std::vector<OwnerSighting> &)> done)
 {
-    struct Count
-    {
-        int open = 0;
-        int agree = 0;
-        int hear = 0;
-    };
-    auto count = std::make_shared<Count>();
     std::vector<Address> others;
     for (const auto &member : knownMembers) {
         if (member != settings.peers && member.text() != owner.address) {
@@ -314,38 +314,67 @@
     }
     std::shuffle(others.begin(), others.end(), random);
     others.resize(std::min<std::size_t>(others.size(), processesAsked));
-    asked.clear();
     if (others.empty()) {
-        giveUpOwner();
+        done({});
         return;
     }
-    count->open = static_cast<int>(others.size());
+    struct Round
+    {
+        std::size_t open = 0;
+        std::vector<OwnerSighting> sightings;
+        std::vector<std::shared_ptr<HttpChannels>> channels;
+    };
+    auto asked = std::make_shared<Round>();
+    asked->open = others.size();
+    const HttpChannelLimits limits { .maxConnections = 1, .connectTimeout = times.suspicionTimeout };
     for (const auto &address : others) {
-        auto channel = std::make_shared<HttpChannels>(loop, address, HttpChannelLimits { .maxConnections = 1, .connectTimeout = times.suspicionTimeout });
-        asked.push_back(channel);
-        WebRequest request { "GET", PeerCodec::suspicionPath, {}, {}, true };
-        channel->send(std::move(request), times.suspicionTimeout, [self = shared_from_this(), count, suspected = owner.token](const SendResult &sent) {
-            if (self->isClosed) {
-                return;
-            }
-            --count->open;
-            count->agree += sent.hasStatus(200) && sent.reply.body.find("\"hears\":false") != std::string::npos ? 1 : 0;
-            count->hear += sent.hasStatus(200) && sent.reply.body.find("\"hears\":true") != std::string::npos ? 1 : 0;
-            if (count->open > 0 || self->owner.token != suspected || self->isOwner) {
-                return;
+        auto channel = asked->channels.emplace_back(std::make_shared<HttpChannels>(loop, address, limits));
+        WebRequest request { "GET", PeerCodec::sightingPath, {}, {}, true };
+        channel->send(std::move(request), times.suspicionTimeout, [self = shared_from_this(), asked, done](const SendResult &sent) {
+            if (const auto sighting = sent.hasStatus(200) ? PeerCodec::readSighting(sent.reply) : std::nullopt) {
+                asked->sightings.push_back(*sighting);
             }
-            if (count->hear > 0) {
-                // The owner lives, and this process is cut off from it.
-                self->later(self->times.retry, &Impl::findOwner);
-            } else if (count->agree > 0) {
-                self->giveUpOwner();
-            } else {
-                self->later(self->times.isolationWait, &Impl::giveUpOwner);
+            if (--asked->open == 0 && !self->isClosed && !self->isOwner) {
+                // Not from within a callback of the channels, which go with the round.
+                self->loop.after(Milliseconds(0), [asked, done] { done(asked->sightings); });
             }
         });
     }
 }
 
+bool Leadership::Impl::followNewest(const std::vector<OwnerSighting> &sightings)
+{
+    const OwnerSighting *newest = nullptr;
+    for (const auto &sighting : sightings) {
+        if (sighting.hearsOwner && sighting.token > owner.token && (newest == nullptr || sighting.token > newest->token)) {
+            newest = &sighting;
+        }
+    }
+    if (newest != nullptr) {
+        follow({ newest->token, newest->owner, newest->address });
+    }
+    return newest != nullptr;
+}
+
+void Leadership::Impl::confirmSuspicion()
+{
+    askOthers([self = shared_from_this(), suspected = owner.token](const std::vector<OwnerSighting> &sightings) {
+        if (self->owner.token != suspected || self->isHeard || self->followNewest(sightings)) {
+            return;
+        }
+        const bool isHeardByOthers = std::any_of(sightings.begin(), sightings.end(), [](const auto &sighting) { return sighting.hearsOwner; });
+        const bool isAlone = sightings.empty() && !self->knownMembers.empty();
+        if (isHeardByOthers) {
+            // The owner lives, and this process is cut off from it.
+            self->later(self->times.retry, &Impl::findOwner);
+        } else if (isAlone) {
+            self->later(self->times.isolationWait, &Impl::giveUpOwner);
+        } else {
+            self->giveUpOwner();
+        }
+    });
+}
+
 void Leadership::Impl::giveUpOwner()
 {
     if (!isHeard && !isOwner) {
@@ -418,10 +447,10 @@
     });
 }
 
-void Leadership::answerSuspicion(HttpResponderPointer responder) const
+void Leadership::answerSighting(HttpResponderPointer responder) const
 {
     const bool hears = impl_->isHeard || impl_->isOwner;
-    responder->reply({ 200, hears ? "{\"hears\":true}" : "{\"hears\":false}", {} });
+    responder->reply(PeerCodec::sightingReply({ hears, impl_->owner.owner, impl_->owner.token, impl_->owner.address }));
 }
 
 std::vector<Address> Leadership::members() const
--- a/modules/entry/Leadership.h
+++ b/modules/entry/Leadership.h
@@ -71,8 +71,8 @@
     /** Answers a pulse request of another process. */
     void answerPulse(const WebRequest &request, HttpResponderPointer responder);
 
-    /** Answers whether this process hears the owner. */
-    void answerSuspicion(HttpResponderPointer responder) const;
+    /** Answers which owner this process knows, and whether it hears it. */
+    void answerSighting(HttpResponderPointer responder) const;
 
     /** The processes that have asked this owner for a pulse lately. */
     std::vector<Address> members() const;
--- a/modules/entry/PeerCodec.cpp
+++ b/modules/entry/PeerCodec.cpp
@@ -75,6 +75,26 @@
     });
 }
 
+WebReply PeerCodec::sightingReply(const OwnerSighting &sighting)
+{
+    return { 200,
+             dump({ { "hears", sighting.hearsOwner },
+                    { "owner", sighting.owner },
+                    { "token", sighting.token },
+                    { "address", sighting.address } }),
+             {} };
+}
+
+std::optional<OwnerSighting> PeerCodec::readSighting(const WebReply &reply)
+{
+    return readJson(reply.body, [](const Json &json) {
+        return OwnerSighting { json.at("hears").get<bool>(),
+                               json.at("owner").get<std::string>(),
+                               json.at("token").get<std::int64_t>(),
+                               json.at("address").get<std::string>() };
+    });
+}
+
 WebRequest PeerCodec::callRequest(const ClientCall &call)
 {
     // The body of a submission travels as it is, beside the rest in headers: it need not be quoted again.
--- a/modules/entry/PeerCodec.h
+++ b/modules/entry/PeerCodec.h
@@ -26,6 +26,16 @@
     std::vector<Address> members;
 };
 
+/** What an entry process says of the owner when another one asks. */
+struct OwnerSighting
+{
+    /** It is the owner, or the owner answers it. */
+    bool hearsOwner = false;
+    std::string owner;
+    std::int64_t token = 0;
+    std::string address;
+};
+
 /** The messages between entry processes, as HTTP requests and replies with JSON bodies. */
 class PeerCodec
 {
@@ -33,7 +43,9 @@
     static constexpr const char *pulsePath = "/cell/pulse";
     /** Added to the path by a process that does not hear the owner yet: it is answered without delay. */
     static constexpr const char *firstPulseQuery = "?first";
-    static constexpr const char *suspicionPath = "/cell/suspicion";
+    static constexpr const char *sightingPath = "/cell/owner";
+    /** The row of the desired state as the owner has read it. */
+    static constexpr const char *desiredStatePath = "/cell/desired";
     static constexpr const char *callPath = "/cell/call";
     static constexpr const char *advicePath = "/cell/advice";
     /** The status of a process that does not own the cell. */
@@ -44,6 +56,9 @@
     static WebReply pulseReply(const Pulse &pulse);
     static std::optional<Pulse> readPulse(const WebReply &reply);
 
+    static WebReply sightingReply(const OwnerSighting &sighting);
+    static std::optional<OwnerSighting> readSighting(const WebReply &reply);
+
     static WebRequest callRequest(const ClientCall &call);
     static std::optional<ClientCall> readCall(const WebRequest &request);
     static WebReply callReply(const CallResult &result);
