--- a/modules/dispatch/CommitLog.cpp
+++ b/modules/dispatch/CommitLog.cpp
@@ -44,9 +44,7 @@
         bool maybeApplied = false;
     };
 
-    Impl(Timers &timers, StateStore &store)
-        : timers(timers)
-        , store(store)
+    Impl(Timers &timers, StateStore &store) : timers(timers), store(store)
     {
     }
 
@@ -151,7 +149,8 @@
         break;
     }
     if (!hasFailed) {
-        EventLog::write("store.lost", { { "outcome", name(result.outcome) }, { "detail", result.detail }, { "waiting", waiting.size() } });
+        EventLog::write("store.lost",
+                        { { "outcome", name(result.outcome) }, { "detail", result.detail }, { "waiting", waiting.size() } });
     }
     hasFailed = true;
     retry();
--- a/modules/dispatch/CommitLog.h
+++ b/modules/dispatch/CommitLog.h
@@ -26,9 +26,9 @@
 /**
     Group commit of the owner's rows.
 
-    One transaction is under way at a time. Each expects the versions of the epoch row and of the sequence row and writes the latter,
-    so that a transaction whose answer was lost can be told apart later and takes effect at most once, and a deposed owner writes
-    nothing. Values are taken when a transaction is put together: a row that changes often is written once.
+    One transaction is under way at a time. Each expects the versions of the epoch row and of the sequence row and writes the
+   latter, so that a transaction whose answer was lost can be told apart later and takes effect at most once, and a deposed owner
+   writes nothing. Values are taken when a transaction is put together: a row that changes often is written once.
 */
 class CommitLog
 {
--- a/modules/dispatch/Fleet.cpp
+++ b/modules/dispatch/Fleet.cpp
@@ -27,9 +27,11 @@
         return;
     }
     if (!worker.isListed) {
-        EventLog::write("worker.listed", { { "worker", entry.id }, { "service", entry.service }, { "draining", entry.isDraining } });
+        EventLog::write("worker.listed",
+                        { { "worker", entry.id }, { "service", entry.service }, { "draining", entry.isDraining } });
     } else if (entry.isDraining && !worker.entry.isDraining) {
-        EventLog::write("worker.draining", { { "worker", entry.id }, { "remaining_ms", entry.remaining.value_or(Milliseconds(-1)).count() } });
+        EventLog::write("worker.draining",
+                        { { "worker", entry.id }, { "remaining_ms", entry.remaining.value_or(Milliseconds(-1)).count() } });
     }
     worker.isListed = true;
     impl_->changeEntry(worker, entry);
--- a/modules/dispatch/Fleet.h
+++ b/modules/dispatch/Fleet.h
@@ -62,8 +62,8 @@
 /**
     The workers of the cell under one fencing token: looks at them, sends orders, and keeps account of what occupies them.
 
-    A worker's room is occupied by a run from the moment its start is sent until its end is listed, or it is ruled out that the start
-    takes effect. All members are called from the loop's thread.
+    A worker's room is occupied by a run from the moment its start is sent until its end is listed, or it is ruled out that the
+   start takes effect. All members are called from the loop's thread.
 */
 class Fleet
 {
--- a/modules/dispatch/FleetImpl.cpp
+++ b/modules/dispatch/FleetImpl.cpp
@@ -15,19 +15,20 @@
 // After a refusal of a worker that calls itself unhealthy, or has less room than it should.
 constexpr Milliseconds avoidAfterRefusal { 400 };
 constexpr Milliseconds stopRetry { 300 };
+// Longer than any report can be on its way.
+constexpr Milliseconds overRunMemory { 10000 };
 // A lease lasts longer on our clock if the worker's is slow, and an earlier owner learns within this time that it is deposed.
 constexpr double slowestClock = 1.0 / 0.98;
 constexpr Milliseconds deposedOwnerAllowance { 1500 };
 
 } // namespace
 
-Fleet::Impl::Impl(Timers &timers, WorkerOrdersFactory &factory, FleetListener &listener, FleetTimes times, std::int64_t fencingToken)
-    : timers(timers)
-    , factory(factory)
-    , listener(listener)
-    , times(times)
-    , fencingToken(fencingToken)
-    , createdAt(timers.now())
+Fleet::Impl::Impl(Timers &timers,
+                  WorkerOrdersFactory &factory,
+                  FleetListener &listener,
+                  FleetTimes times,
+                  std::int64_t fencingToken)
+    : timers(timers), factory(factory), listener(listener), times(times), fencingToken(fencingToken), createdAt(timers.now())
 {
 }
 
@@ -73,6 +74,7 @@
     worker.acknowledgedEnd = 0;
     worker.recordedEnds.clear();
     worker.recentFailures.clear();
+    worker.overRuns.clear();
     worker.isRead = false;
     // The roster holds the life of the worker: the new one is entered before anything starts there.
     worker.isRostered = false;
@@ -103,6 +105,9 @@
         --worker.foreignRuns;
     }
     worker.runs.erase(found);
+    const auto now = timers.now();
+    worker.overRuns[key] = now;
+    std::erase_if(worker.overRuns, [now](const auto &entry) { return now - entry.second > overRunMemory; });
     listener.roomChanged();
 }
 
@@ -141,7 +146,8 @@
         worker.avoidUntil = timers.now() + avoidTime;
         // After the pause a few successes or one more failure decide.
         worker.recentFailures.assign(failuresToAvoid - 1, true);
-        EventLog::write("worker.avoided", { { "worker", worker.entry.id }, { "failures", failures }, { "for_ms", avoidTime.count() } });
+        EventLog::write("worker.avoided",
+                        { { "worker", worker.entry.id }, { "failures", failures }, { "for_ms", avoidTime.count() } });
     }
 }
 
@@ -181,11 +187,10 @@
         return;
     case OrderOutcome::Unknown:
         run->phase = Run::Phase::Uncertain;
-        EventLog::write("start.unanswered", { { "job", key.task.job }, { "worker", id }, { "attempt", key.attempt }, { "detail", reply.detail } });
-        if (run->stopReason.empty()) {
-            run->stopReason = "start unanswered";
-            sendStop(id, key);
-        }
+        EventLog::write("start.unanswered",
+                        { { "job", key.task.job }, { "worker", id }, { "attempt", key.attempt }, { "detail", reply.detail } });
+        run->uncertainSince = timers.now();
+        probe(id);
         ensureLook(worker);
         return;
     case OrderOutcome::Fenced:
@@ -235,6 +240,9 @@
     }
     if (reply.outcome == OrderOutcome::Accepted || reply.outcome == OrderOutcome::Superseded) {
         run->stopAcknowledgedAt = timers.now();
+        if (run->phase == Run::Phase::Uncertain) {
+            probe(id);
+        }
         ensureLook(*find(id));
         return;
     }
--- a/modules/dispatch/FleetImpl.h
+++ b/modules/dispatch/FleetImpl.h
@@ -20,6 +20,9 @@
     /** Begins to look at a worker if there is something to look for. */
     void ensureLook(WorkerState &worker);
     void look(const std::string &id);
+    /** Looks at once, beside a look that may be waiting for an end. */
+    void probe(const std::string &id);
+    void probeUncertain(const std::string &id);
     void lookAfter(const std::string &id, Milliseconds delay);
     void onLookFailed(const std::string &id, const WorkerOrders::Reply &reply);
     void onReport(const std::string &id, const WorkerReport &report, TimePoint lookSentAt);
@@ -34,6 +37,8 @@
     void onStopReply(const std::string &id, const RunKey &key, const WorkerOrders::Reply &reply);
 
     void removeRun(WorkerState &worker, const RunKey &key);
+    /** Decides about starts without an answer, by a report that was asked for after they were sent. */
+    void resolveUncertain(WorkerState &worker, const std::set<RunKey> &listed, TimePoint lookSentAt);
     void loseRun(WorkerState &worker, const RunKey &key, RunLoss loss, OrderOutcome outcome = OrderOutcome::Unknown);
     void loseAllRuns(WorkerState &worker, RunLoss loss);
     void noteOutcome(WorkerState &worker, bool hasFailed);
--- a/modules/dispatch/FleetLooks.cpp
+++ b/modules/dispatch/FleetLooks.cpp
@@ -44,21 +44,82 @@
     }
     const auto wait = worker->isRead ? times.lookWait : Milliseconds(0);
     ++looks;
-    worker->orders->look(worker->acknowledgedEnd,
-                         times.lease,
-                         wait,
-                         [impl = shared_from_this(), id, sentAt = timers.now()](const WorkerOrders::Reply &reply, const WorkerReport &report) {
-                             auto *looked = impl->isClosed ? nullptr : impl->find(id);
-                             if (looked == nullptr) {
-                                 return;
-                             }
-                             looked->isLooking = false;
-                             if (reply.outcome == OrderOutcome::Accepted) {
-                                 impl->onReport(id, report, sentAt);
-                             } else {
-                                 impl->onLookFailed(id, reply);
-                             }
-                         });
+    worker->orders->look(
+        worker->acknowledgedEnd,
+        times.lease,
+        wait,
+        [impl = shared_from_this(), id, sentAt = timers.now()](const WorkerOrders::Reply &reply, const WorkerReport &report) {
+            auto *looked = impl->isClosed ? nullptr : impl->find(id);
+            if (looked == nullptr) {
+                return;
+            }
+            looked->isLooking = false;
+            if (reply.outcome == OrderOutcome::Accepted) {
+                impl->onReport(id, report, sentAt);
+            } else {
+                impl->onLookFailed(id, reply);
+            }
+        });
+}
+
+void Fleet::Impl::probe(const std::string &id)
+{
+    auto *worker = find(id);
+    if (worker == nullptr) {
+        return;
+    }
+    ++looks;
+    worker->orders->look(
+        worker->acknowledgedEnd,
+        times.lease,
+        Milliseconds(0),
+        [impl = shared_from_this(), id, sentAt = timers.now()](const WorkerOrders::Reply &reply, const WorkerReport &report) {
+            auto *probed = impl->isClosed ? nullptr : impl->find(id);
+            if (probed == nullptr) {
+                return;
+            }
+            if (reply.outcome == OrderOutcome::Accepted) {
+                impl->onReport(id, report, sentAt);
+            } else if (reply.outcome == OrderOutcome::Fenced) {
+                impl->listener.fenced(id);
+            } else {
+                // The regular look follows, and its failure counts.
+                impl->timers.after(impl->times.lookRetry, [impl, id] { impl->probeUncertain(id); });
+            }
+        });
+}
+
+void Fleet::Impl::probeUncertain(const std::string &id)
+{
+    const auto *worker = isClosed ? nullptr : find(id);
+    const bool isUncertain = worker != nullptr && std::any_of(worker->runs.begin(), worker->runs.end(), [](const auto &run) {
+                                 return run.second.phase == Run::Phase::Uncertain;
+                             });
+    if (isUncertain) {
+        probe(id);
+    }
+}
+
+void Fleet::Impl::resolveUncertain(WorkerState &worker, const std::set<RunKey> &listed, TimePoint lookSentAt)
+{
+    std::vector<RunKey> absent;
+    for (auto &[key, run] : worker.runs) {
+        if (run.phase != Run::Phase::Uncertain || lookSentAt < run.uncertainSince) {
+            continue;
+        }
+        if (listed.contains(key) && run.stopReason.empty()) {
+            run.phase = Run::Phase::Running;
+            run.confirmedAt = timers.now();
+            run.percentChangedAt = timers.now();
+            listener.runConfirmed(worker.entry.id, run);
+        } else if (run.stopReason.empty()) {
+            absent.push_back(key);
+        }
+    }
+    for (const auto &key : absent) {
+        worker.runs.at(key).stopReason = "start unanswered";
+        sendStop(worker.entry.id, key);
+    }
 }
 
 void Fleet::Impl::onLookFailed(const std::string &id, const WorkerOrders::Reply &reply)
@@ -150,9 +211,8 @@
             noteOutcome(worker, end.end == RunEnd::Failed);
         }
         removeRun(worker, key);
-        listener.runEnded(id, end, [impl = shared_from_this(), id, bornAt, number = end.number] {
-            impl->onEndRecorded(id, bornAt, number);
-        });
+        listener.runEnded(
+            id, end, [impl = shared_from_this(), id, bornAt, number = end.number] { impl->onEndRecorded(id, bornAt, number); });
     }
 }
 
@@ -178,7 +238,9 @@
         listed.insert(key);
         const auto found = worker.runs.find(key);
         if (found == worker.runs.end()) {
-            takeUnknownRun(worker, running);
+            if (!worker.overRuns.contains(key)) {
+                takeUnknownRun(worker, running);
+            }
             continue;
         }
         auto &run = found->second;
@@ -197,6 +259,7 @@
             listener.checkpointSeen(running);
         }
     }
+    resolveUncertain(worker, listed, lookSentAt);
     checkMissing(worker, listed, lookSentAt);
 }
 
@@ -218,8 +281,9 @@
     worker.used += run.claim.need;
     worker.foreignRuns += run.isForeign ? 1 : 0;
     worker.runs.emplace(key, run);
-    EventLog::write(claim ? "run.adopted" : "run.unwanted",
-                    { { "job", key.task.job }, { "worker", worker.entry.id }, { "attempt", key.attempt }, { "percent", running.percent } });
+    EventLog::write(
+        claim ? "run.adopted" : "run.unwanted",
+        { { "job", key.task.job }, { "worker", worker.entry.id }, { "attempt", key.attempt }, { "percent", running.percent } });
     if (!claim) {
         worker.runs.at(key).stopReason = "unwanted";
         sendStop(worker.entry.id, key);
--- a/modules/dispatch/JobBook.cpp
+++ b/modules/dispatch/JobBook.cpp
@@ -9,10 +9,7 @@
 namespace auburndoor {
 
 JobBook::JobBook(Timers &timers, CommitLog &log, std::int64_t fencingToken, Hooks hooks)
-    : timers_(timers)
-    , log_(log)
-    , fencingToken_(fencingToken)
-    , hooks_(std::move(hooks))
+    : timers_(timers), log_(log), fencingToken_(fencingToken), hooks_(std::move(hooks))
 {
 }
 
@@ -85,13 +82,16 @@
     begin(*job);
     submitters_[id].push_back(std::move(callback));
     log_.put(
-        JobTables::jobs, id, [text = JobRecords::description(*job)] { return text; },
+        JobTables::jobs,
+        id,
+        [text = JobRecords::description(*job)] { return text; },
         [this, id] {
             auto *stored = find(id);
             if (stored != nullptr && stored->phase == JobPhase::Recording) {
                 stored->phase = JobPhase::Queued;
                 stored->shownPhase = JobPhase::Queued;
-                EventLog::routine("job.accepted", { { "job", id }, { "queue", stored->spec.queue }, { "steps", stored->spec.steps.size() } });
+                EventLog::routine("job.accepted",
+                                  { { "job", id }, { "queue", stored->spec.queue }, { "steps", stored->spec.steps.size() } });
             }
             for (const auto &submitter : std::exchange(submitters_[id], {})) {
                 submitter(SubmitOutcome::Accepted);
--- a/modules/dispatch/JobState.cpp
+++ b/modules/dispatch/JobState.cpp
@@ -56,7 +56,8 @@
 bool OccurrenceState::isReady(const StepState &step) const
 {
     const auto &earlier = step.spec().dependsOn;
-    return std::all_of(earlier.begin(), earlier.end(), [this](int index) { return steps[static_cast<std::size_t>(index)].isDone(); });
+    return std::all_of(
+        earlier.begin(), earlier.end(), [this](int index) { return steps[static_cast<std::size_t>(index)].isDone(); });
 }
 
 void JobState::addOccurrence(int number, TimePoint now)
--- a/modules/dispatch/Placer.cpp
+++ b/modules/dispatch/Placer.cpp
@@ -69,7 +69,8 @@
     const auto now = timers_.now();
     std::sort(steps.begin(), steps.end(), [now](const StepState *left, const StepState *right) {
         const auto rank = [now](const StepState &step) {
-            return std::tuple(step.job->queue.priority, isOvertime(*step.job, now), step.job->objective, step.job->spec.id, step.index);
+            return std::tuple(
+                step.job->queue.priority, isOvertime(*step.job, now), step.job->objective, step.job->spec.id, step.index);
         };
         return rank(*left) < rank(*right);
     });
@@ -152,8 +153,8 @@
         if (spec.maxTasksPerWorker > 0 && candidate.tasksOfStep >= spec.maxTasksPerWorker) {
             continue;
         }
-        if (const auto permit = step.advice.allowed.find(id); permit != step.advice.allowed.end()
-            && permit->second.expiresAt > now && permit->second.workerBornAt == worker->entry.bornAt) {
+        if (const auto permit = step.advice.allowed.find(id); permit != step.advice.allowed.end() && permit->second.expiresAt > now
+                                                              && permit->second.workerBornAt == worker->entry.bornAt) {
             candidate.permit = &permit->second;
         }
         candidates.push_back(candidate);
@@ -180,14 +181,17 @@
     if (kind != RunKind::Plain) {
         const auto other = kind == RunKind::Fills ? RunKind::Serves : RunKind::Fills;
         const auto &runs = candidate.worker->runs;
-        const bool meets = std::any_of(runs.begin(), runs.end(), [other](const auto &run) { return run.second.claim.kind == other; });
+        const bool meets = std::any_of(
+            runs.begin(), runs.end(), [other](const auto &run) { return run.second.claim.kind == other; });
         result += meets ? disturbs : 0.0;
     }
     return result;
 }
 
-Placer::Candidate *
-Placer::choose(const StepState &step, const Task &task, std::vector<Candidate> &candidates, const std::string &rack) const
+Placer::Candidate *Placer::choose(const StepState &step,
+                                  const Task &task,
+                                  std::vector<Candidate> &candidates,
+                                  const std::string &rack) const
 {
     Candidate *best = nullptr;
     double bestCost = std::numeric_limits<double>::max();
@@ -261,7 +265,6 @@
     }
 }
 
-
 std::vector<Placer::Candidate *> Placer::fitGang(StepState &step, std::vector<Candidate> &candidates, const std::string &rack) const
 {
     std::vector<Candidate *> chosen;
--- a/modules/dispatch/PlacerAdvice.cpp
+++ b/modules/dispatch/PlacerAdvice.cpp
@@ -158,8 +158,8 @@
             advice.allowed[permit.worker] = { permit.ticket, timers_.now() + validity - permitMargin, worker->entry.bornAt };
         }
     }
-    EventLog::routine("advice",
-                      { { "job", name.job }, { "step", name.step }, { "asked", asked.size() }, { "allowed", result.permits.size() } });
+    EventLog::routine(
+        "advice", { { "job", name.job }, { "step", name.step }, { "asked", asked.size() }, { "allowed", result.permits.size() } });
     beginRound();
     if (!mayStart(*job->second) || !job->second->occurrences.at(name.occurrence).isReady(*step)) {
         return;
--- a/modules/dispatch/PlacerReclaim.cpp
+++ b/modules/dispatch/PlacerReclaim.cpp
@@ -40,9 +40,8 @@
 void Placer::reclaim(StepState &step, int taskCount, bool isWhole)
 {
     const auto priority = step.job->queue.priority;
-    const bool hasReclaimable = std::any_of(rooms_.begin(), rooms_.end(), [priority](const auto &room) {
-        return room.second.leastUrgent() > priority;
-    });
+    const bool hasReclaimable = std::any_of(
+        rooms_.begin(), rooms_.end(), [priority](const auto &room) { return room.second.leastUrgent() > priority; });
     const bool hasStopping = std::any_of(rooms_.begin(), rooms_.end(), [](const auto &room) { return room.second.isFreeing; });
     if (!hasReclaimable && !hasStopping) {
         return;
--- a/modules/dispatch/PlacerTending.cpp
+++ b/modules/dispatch/PlacerTending.cpp
@@ -45,13 +45,15 @@
             continue;
         }
         const auto place = task.runs.front();
-        const auto *run = fleet_.run(place.worker, { { step.job->spec.id, step.occurrence, step.index, static_cast<int>(index) }, place.attempt });
+        const auto *run = fleet_.run(
+            place.worker, { { step.job->spec.id, step.occurrence, step.index, static_cast<int>(index) }, place.attempt });
         const auto *worker = fleet_.worker(place.worker);
         if (run == nullptr || worker == nullptr || run->confirmedAt == TimePoint()) {
             continue;
         }
         const auto elapsed = std::chrono::duration_cast<Milliseconds>(now - run->confirmedAt);
-        const bool isLate = elapsed > copyAfter && static_cast<double>(elapsed.count()) > static_cast<double>(estimate.count()) * copyFactor;
+        const bool isLate = elapsed > copyAfter
+                            && static_cast<double>(elapsed.count()) > static_cast<double>(estimate.count()) * copyFactor;
         const auto remaining = run->percent <= 0 ? elapsed * 10 : elapsed * (100 - run->percent) / run->percent;
         if (worker->failedLooks == 0 && (!isLate || remaining < estimate)) {
             continue;
@@ -61,7 +63,11 @@
             std::erase_if(candidates, [&place](const Candidate &candidate) { return candidate.worker->entry.id == place.worker; });
         }
         if (auto *candidate = choose(step, task, candidates, {})) {
-            EventLog::routine("run.copied", { { "job", step.job->spec.id }, { "index", index }, { "percent", run->percent }, { "elapsed_ms", elapsed.count() } });
+            EventLog::routine("run.copied",
+                              { { "job", step.job->spec.id },
+                                { "index", index },
+                                { "percent", run->percent },
+                                { "elapsed_ms", elapsed.count() } });
             start(step, static_cast<int>(index), *candidate, book_.nextAttempt(task));
         } else if (step.job->queue.advice) {
             askAdvice(step, 1, false);
--- a/modules/dispatch/Run.h
+++ b/modules/dispatch/Run.h
@@ -67,6 +67,8 @@
     std::string stopReason;
     bool isStopOnItsWay = false;
     std::optional<TimePoint> stopAcknowledgedAt;
+    /** When the answer to its start was given up. */
+    TimePoint uncertainSince;
     /** A run of a job that this owner doesn't know or that has ended. */
     bool isForeign = false;
     /** For a task that serves: since when its tail is over its target. */
--- a/modules/dispatch/WorkerState.h
+++ b/modules/dispatch/WorkerState.h
@@ -38,6 +38,8 @@
     std::int64_t acknowledgedEnd = 0;
     std::set<std::int64_t> recordedEnds;
     int foreignRuns = 0;
+    /** Runs that are over. Reports may overtake each other, and an older one still lists them. */
+    std::map<RunKey, TimePoint> overRuns;
 
     Resources free() const
     {
--- a/modules/entry/AdvicePool.cpp
+++ b/modules/entry/AdvicePool.cpp
@@ -40,10 +40,7 @@
     };
 
     Impl(EventLoop &loop, Advisor *local, Address self, std::function<std::vector<Address>()> members)
-        : loop(loop)
-        , local(local)
-        , self(std::move(self))
-        , members(std::move(members))
+        : loop(loop), local(local), self(std::move(self)), members(std::move(members))
     {
     }
 
@@ -122,18 +119,20 @@
     }
     ++asker.open;
     auto request = PeerCodec::adviceRequest(taken.question);
-    asker.channels->send(std::move(request), taken.question.timeout, [impl = shared_from_this(), address, taken](const SendResult &sent) {
-        auto result = sent.hasStatus(200) ? PeerCodec::readAdviceReply(sent.reply) : std::nullopt;
-        if (result && result->outcome == AdviceResult::Outcome::Answered) {
-            impl->finish(address, taken.callback, *result);
-            return;
-        }
-        EventLog::write("advice.failed", { { "job", taken.question.step.job }, { "at", address.text() }, { "detail", sent.error } });
-        auto &used = impl->askers[address];
-        --used.open;
-        used.avoidUntil = impl->loop.now() + failurePause;
-        impl->askLocally(taken);
-    });
+    asker.channels->send(
+        std::move(request), taken.question.timeout, [impl = shared_from_this(), address, taken](const SendResult &sent) {
+            auto result = sent.hasStatus(200) ? PeerCodec::readAdviceReply(sent.reply) : std::nullopt;
+            if (result && result->outcome == AdviceResult::Outcome::Answered) {
+                impl->finish(address, taken.callback, *result);
+                return;
+            }
+            EventLog::write("advice.failed",
+                            { { "job", taken.question.step.job }, { "at", address.text() }, { "detail", sent.error } });
+            auto &used = impl->askers[address];
+            --used.open;
+            used.avoidUntil = impl->loop.now() + failurePause;
+            impl->askLocally(taken);
+        });
 }
 
 AdvicePool::AdvicePool(EventLoop &loop, Advisor *local, Address self, std::function<std::vector<Address>()> members)
--- a/modules/entry/AdvicePool.h
+++ b/modules/entry/AdvicePool.h
@@ -15,9 +15,8 @@
     Spreads questions to the advisory service over the entry processes.
 
     The service takes one call at a time from each machine, so the owner has others ask for it. Each process has one question under
-    way; the others wait here, the most urgent first. Long questions leave some processes to the short ones. A question that fails at
-    another process is asked from here.
-    All members are called from the loop's thread.
+    way; the others wait here, the most urgent first. Long questions leave some processes to the short ones. A question that fails
+   at another process is asked from here. All members are called from the loop's thread.
 */
 class AdvicePool : public Advisor
 {
--- a/modules/entry/EntryInstance.cpp
+++ b/modules/entry/EntryInstance.cpp
@@ -69,20 +69,27 @@
                  parts.settings,
                  {},
                  { [this](const Ownership &ownership) { onWon(ownership); }, [] {}, [this] { return ownPulse(); } })
-    , calls(parts.loop, [this] { return owner.get(); }, [this] { return leadership.ownerAddress(); })
+    , calls(
+          parts.loop,
+          [this] { return owner.get(); },
+          [this] { return leadership.ownerAddress(); })
     , operatorWatch(parts.loop,
                     parts.store,
                     parts.protocol.operatorTable(),
                     operatorWatchTimes,
                     [this](const auto &rows, bool) { takeOperatorRows(rows); })
-    , clients(parts.loop, {}, [this](WebRequest request, HttpResponderPointer responder) { serveClient(std::move(request), std::move(responder)); })
+    , clients(parts.loop,
+              {},
+              [this](WebRequest request, HttpResponderPointer responder) { serveClient(std::move(request), std::move(responder)); })
     , readiness(parts.loop,
                 {},
                 [this](const WebRequest &request, HttpResponderPointer responder) {
                     const bool isKnown = this->parts.protocol.isReadinessRequest(request);
                     responder->reply({ !isKnown ? 404 : isReady() ? 200 : 503, {}, {} });
                 })
-    , peers(parts.loop, {}, [this](WebRequest request, HttpResponderPointer responder) { servePeer(std::move(request), std::move(responder)); })
+    , peers(parts.loop, {}, [this](WebRequest request, HttpResponderPointer responder) {
+        servePeer(std::move(request), std::move(responder));
+    })
 {
 }
 
@@ -95,14 +102,17 @@
 void EntryInstance::Impl::serveClient(WebRequest request, HttpResponderPointer responder)
 {
     if (queues.version == 0) {
-        const CallResult result { .outcome = CallResult::Outcome::Refused, .retryAfter = Milliseconds(500), .detail = "no desired state yet" };
+        const CallResult result { .outcome = CallResult::Outcome::Refused,
+                                  .retryAfter = Milliseconds(500),
+                                  .detail = "no desired state yet" };
         responder->reply(parts.protocol.writeResult({}, result));
         return;
     }
     std::optional<CallResult> known;
     const auto call = parts.protocol.readCall(request, queues, known);
     if (known) {
-        EventLog::routine("call.rejected", { { "target", request.target }, { "detail", known->detail }, { "desired", queues.version } });
+        EventLog::routine("call.rejected",
+                          { { "target", request.target }, { "detail", known->detail }, { "desired", queues.version } });
         responder->reply(parts.protocol.writeResult(call, *known));
         return;
     }
@@ -187,7 +197,8 @@
     if (!owner) {
         return std::nullopt;
     }
-    return Pulse { parts.settings.nodeName, owner->token(), owner->storeAway(), owner->isReady(), queues.version, leadership.members() };
+    return Pulse { parts.settings.nodeName, owner->token(), owner->storeAway(),
+                   owner->isReady(),        queues.version, leadership.members() };
 }
 
 void EntryInstance::Impl::flushLog()
@@ -228,8 +239,7 @@
     });
 }
 
-EntryInstance::EntryInstance(const EntryParts &parts)
-    : impl_(std::make_shared<Impl>(parts))
+EntryInstance::EntryInstance(const EntryParts &parts) : impl_(std::make_shared<Impl>(parts))
 {
 }
 
--- a/modules/entry/Leadership.cpp
+++ b/modules/entry/Leadership.cpp
@@ -50,12 +50,7 @@
 struct Leadership::Impl : std::enable_shared_from_this<Leadership::Impl>
 {
     Impl(EventLoop &loop, StateStore &store, const EntrySettings &settings, LeadershipTimes times, Hooks hooks)
-        : loop(loop)
-        , store(store)
-        , settings(settings)
-        , times(times)
-        , hooks(std::move(hooks))
-        , random(std::random_device {}())
+        : loop(loop), store(store), settings(settings), times(times), hooks(std::move(hooks)), random(std::random_device {}())
     {
     }
 
@@ -188,28 +183,29 @@
 void Leadership::Impl::readSequence(std::int64_t token, std::int64_t epochVersion)
 {
     isFinding = true;
-    store.readRow(OwnerRows::table, OwnerRows::sequenceKey, [self = shared_from_this(), token, epochVersion](const StoreResult &result) {
-        if (self->isClosed) {
-            return;
-        }
-        self->isFinding = false;
-        if (result.outcome != StoreOutcome::Done) {
-            self->loop.after(self->times.retry, [self, token, epochVersion] {
-                if (!self->isClosed) {
-                    self->readSequence(token, epochVersion);
-                }
-            });
-            return;
-        }
-        self->isOwner = true;
-        self->isHeard = false;
-        ++self->round;
-        self->owner = { token, self->settings.nodeName, self->settings.peers.text() };
-        self->pulses.reset();
-        EventLog::write("owner.won", { { "token", token } });
-        self->hooks.won({ token, epochVersion, result.rows.empty() ? 0 : result.rows.front().version });
-        self->hooks.changed();
-    });
+    store.readRow(
+        OwnerRows::table, OwnerRows::sequenceKey, [self = shared_from_this(), token, epochVersion](const StoreResult &result) {
+            if (self->isClosed) {
+                return;
+            }
+            self->isFinding = false;
+            if (result.outcome != StoreOutcome::Done) {
+                self->loop.after(self->times.retry, [self, token, epochVersion] {
+                    if (!self->isClosed) {
+                        self->readSequence(token, epochVersion);
+                    }
+                });
+                return;
+            }
+            self->isOwner = true;
+            self->isHeard = false;
+            ++self->round;
+            self->owner = { token, self->settings.nodeName, self->settings.peers.text() };
+            self->pulses.reset();
+            EventLog::write("owner.won", { { "token", token } });
+            self->hooks.won({ token, epochVersion, result.rows.empty() ? 0 : result.rows.front().version });
+            self->hooks.changed();
+        });
 }
 
 void Leadership::Impl::follow(const EpochRow &row)
@@ -223,7 +219,8 @@
     if (row.token != owner.token || !pulses) {
         EventLog::write("owner.followed", { { "owner", row.owner }, { "token", row.token } });
         owner = row;
-        pulses = std::make_unique<HttpChannels>(loop, *address, HttpChannelLimits { .maxConnections = 1, .connectTimeout = Milliseconds(400) });
+        pulses = std::make_unique<HttpChannels>(
+            loop, *address, HttpChannelLimits { .maxConnections = 1, .connectTimeout = Milliseconds(400) });
     }
     ++round;
     sendPulse();
@@ -275,18 +272,19 @@
 {
     // If the store answers this process and still not the owner, it is the owner alone that has lost it. One answer is not enough:
     // the store may just have come back for all.
-    store.readRow(OwnerRows::table, OwnerRows::epochKey, [self = shared_from_this(), probed = owner.token](const StoreResult &result) {
-        if (self->isClosed || self->isOwner || self->owner.token != probed) {
-            return;
-        }
-        self->storeProbes = result.outcome == StoreOutcome::Done ? self->storeProbes + 1 : 0;
-        if (self->storeProbes >= probesToReplace) {
-            EventLog::write("owner.without_store", { { "owner", self->owner.owner }, { "token", probed } });
-            self->storeProbes = 0;
-            self->givenUpToken = probed;
-            self->findOwner();
-        }
-    });
+    store.readRow(
+        OwnerRows::table, OwnerRows::epochKey, [self = shared_from_this(), probed = owner.token](const StoreResult &result) {
+            if (self->isClosed || self->isOwner || self->owner.token != probed) {
+                return;
+            }
+            self->storeProbes = result.outcome == StoreOutcome::Done ? self->storeProbes + 1 : 0;
+            if (self->storeProbes >= probesToReplace) {
+                EventLog::write("owner.without_store", { { "owner", self->owner.owner }, { "token", probed } });
+                self->storeProbes = 0;
+                self->givenUpToken = probed;
+                self->findOwner();
+            }
+        });
 }
 
 void Leadership::Impl::onPulseLost(const std::string &why)
@@ -362,7 +360,8 @@
         if (self->owner.token != suspected || self->isHeard || self->followNewest(sightings)) {
             return;
         }
-        const bool isHeardByOthers = std::any_of(sightings.begin(), sightings.end(), [](const auto &sighting) { return sighting.hearsOwner; });
+        const bool isHeardByOthers = std::any_of(
+            sightings.begin(), sightings.end(), [](const auto &sighting) { return sighting.hearsOwner; });
         const bool isAlone = sightings.empty() && !self->knownMembers.empty();
         if (isHeardByOthers) {
             // The owner lives, and this process is cut off from it.
--- a/modules/entry/Leadership.h
+++ b/modules/entry/Leadership.h
@@ -34,9 +34,9 @@
 /**
     Decides which entry process owns the cell.
 
-    The row of the epoch names the owner; who replaces it under the condition of its version is the next owner, with the next fencing
-    token. Each other process keeps a pulse request open at the owner; when it fails and no other process hears the owner, or the
-    owner has lost the store, it tries to take over. All members are called from the loop's thread.
+    The row of the epoch names the owner; who replaces it under the condition of its version is the next owner, with the next
+   fencing token. Each other process keeps a pulse request open at the owner; when it fails and no other process hears the owner, or
+   the owner has lost the store, it tries to take over. All members are called from the loop's thread.
 */
 class Leadership
 {
--- a/modules/entry/Owner.cpp
+++ b/modules/entry/Owner.cpp
@@ -54,14 +54,12 @@
               [this] { depose(); })
         , book(parts.timers, log, ownership.token, { [this] { workChanged(); }, [this] { depose(); } })
         , fleet(parts.timers, parts.workers, book, times, ownership.token)
-        , placer(parts.timers,
-                 book,
-                 fleet,
-                 parts.advisor,
-                 parts.timers.now() + times.lease * 51 / 50 + deposedOwnerAllowance)
-        , workerWatch(parts.timers, parts.store, parts.protocol.workerTable(), workerWatchTimes, [this](const auto &rows, bool isWhole) {
-            takeWorkers(rows, isWhole);
-        })
+        , placer(parts.timers, book, fleet, parts.advisor, parts.timers.now() + times.lease * 51 / 50 + deposedOwnerAllowance)
+        , workerWatch(parts.timers,
+                      parts.store,
+                      parts.protocol.workerTable(),
+                      workerWatchTimes,
+                      [this](const auto &rows, bool isWhole) { takeWorkers(rows, isWhole); })
     {
         book.setFleet(fleet);
     }
@@ -229,7 +227,9 @@
         return;
     }
     if (!isKnown && queue == nullptr) {
-        callback({ .outcome = CallResult::Outcome::Refused, .retryAfter = retryAfterStall, .detail = "the queue is not known here yet" });
+        callback({ .outcome = CallResult::Outcome::Refused,
+                   .retryAfter = retryAfterStall,
+                   .detail = "the queue is not known here yet" });
         return;
     }
     spec->id = call.job;
@@ -240,7 +240,9 @@
             callback({ .outcome = CallResult::Outcome::Accepted });
             return;
         case SubmitOutcome::Refused:
-            callback({ .outcome = CallResult::Outcome::Refused, .retryAfter = retryAfterStall, .detail = "the store does not take jobs" });
+            callback({ .outcome = CallResult::Outcome::Refused,
+                       .retryAfter = retryAfterStall,
+                       .detail = "the store does not take jobs" });
             return;
         case SubmitOutcome::Unknown:
             callback({ .outcome = CallResult::Outcome::Unknown, .detail = "the store has not answered" });
@@ -264,7 +266,8 @@
         return;
     }
     constexpr Milliseconds checkInterval { 20 };
-    parts.timers.after(checkInterval, [self = shared_from_this(), until, done = std::move(done)] { self->waitForFlush(until, done); });
+    parts.timers.after(checkInterval,
+                       [self = shared_from_this(), until, done = std::move(done)] { self->waitForFlush(until, done); });
 }
 
 Owner::Owner(const OwnerParts &parts, const Ownership &ownership, std::function<void()> deposed)
--- a/modules/entry/Owner.h
+++ b/modules/entry/Owner.h
@@ -34,8 +34,8 @@
 /**
     The owner of the cell: it accepts jobs, places their tasks and records their progress, under one fencing token.
 
-    A new owner reads the stored jobs and the roster, then the report of each worker; it serves clients as soon as the jobs are read.
-    All members are called from the loop's thread.
+    A new owner reads the stored jobs and the roster, then the report of each worker; it serves clients as soon as the jobs are
+   read. All members are called from the loop's thread.
 */
 class Owner
 {
--- a/modules/entry/OwnerCalls.cpp
+++ b/modules/entry/OwnerCalls.cpp
@@ -41,9 +41,7 @@
     using AttemptPointer = std::shared_ptr<Attempt>;
 
     Impl(EventLoop &loop, std::function<Owner *()> local, std::function<std::optional<Address>()> remote)
-        : loop(loop)
-        , local(std::move(local))
-        , remote(std::move(remote))
+        : loop(loop), local(std::move(local)), remote(std::move(remote))
     {
     }
 
@@ -73,7 +71,8 @@
     if ((attempt->maybeReceived || attempt->isUnderWay) && changesState) {
         finish(attempt, { .outcome = CallResult::Outcome::Unknown, .detail = attempt->lastFailure });
     } else {
-        finish(attempt, { .outcome = CallResult::Outcome::Refused, .retryAfter = retryAfterRefusal, .detail = attempt->lastFailure });
+        finish(attempt,
+               { .outcome = CallResult::Outcome::Refused, .retryAfter = retryAfterRefusal, .detail = attempt->lastFailure });
     }
 }
 
--- a/modules/entry/OwnerCalls.h
+++ b/modules/entry/OwnerCalls.h
@@ -16,8 +16,8 @@
     Brings clients' calls to the cell's owner, wherever it is.
 
     All calls are idempotent, so a call whose answer was lost is repeated, at the next owner if need be, until the client's patience
-    is nearly over. Then it is refused if no owner can have received it; else the client gets no verdict. All members are called from
-    the loop's thread.
+    is nearly over. Then it is refused if no owner can have received it; else the client gets no verdict. All members are called
+   from the loop's thread.
 */
 class OwnerCalls
 {
--- a/modules/entry/TableWatch.cpp
+++ b/modules/entry/TableWatch.cpp
@@ -14,11 +14,7 @@
 struct TableWatch::Impl : std::enable_shared_from_this<TableWatch::Impl>
 {
     Impl(Timers &timers, StateStore &store, std::string table, WatchTimes times, Callback callback)
-        : timers(timers)
-        , store(store)
-        , table(std::move(table))
-        , times(times)
-        , callback(std::move(callback))
+        : timers(timers), store(store), table(std::move(table)), times(times), callback(std::move(callback))
     {
     }
 
--- a/modules/entry/TableWatch.h
+++ b/modules/entry/TableWatch.h
@@ -23,8 +23,8 @@
 /**
     Follows the changes of one table of the store.
 
-    It reads the table once, then waits for changes; where the history is lost it reads the table again. The wait is short, so that a
-    silent connection or a held-back change shows by the age of the last answer. All members are called from the loop's thread.
+    It reads the table once, then waits for changes; where the history is lost it reads the table again. The wait is short, so that
+   a silent connection or a held-back change shows by the age of the last answer. All members are called from the loop's thread.
 */
 class TableWatch
 {
--- a/modules/net/EventLoop.cpp
+++ b/modules/net/EventLoop.cpp
@@ -33,8 +33,7 @@
 
 } // namespace
 
-EventLoop::EventLoop()
-    : impl_(std::make_unique<Impl>())
+EventLoop::EventLoop() : impl_(std::make_unique<Impl>())
 {
 }
 
--- a/modules/net/HttpChannels.cpp
+++ b/modules/net/HttpChannels.cpp
@@ -38,10 +38,7 @@
         SendCallback callback;
     };
 
-    Impl(EventLoop &loop, Address peer, HttpChannelLimits limits)
-        : loop(loop)
-        , peer(std::move(peer))
-        , limits(limits)
+    Impl(EventLoop &loop, Address peer, HttpChannelLimits limits) : loop(loop), peer(std::move(peer)), limits(limits)
     {
     }
 
@@ -65,9 +62,7 @@
 class HttpChannels::Impl::Connection : public std::enable_shared_from_this<Connection>
 {
 public:
-    explicit Connection(std::shared_ptr<Impl> owner)
-        : owner_(std::move(owner))
-        , stream_(owner_->loop.context())
+    explicit Connection(std::shared_ptr<Impl> owner) : owner_(std::move(owner)), stream_(owner_->loop.context())
     {
     }
 
@@ -221,8 +216,8 @@
             waiting.pop_front();
             continue;
         }
-        const auto idle
-            = std::find_if(connections.begin(), connections.end(), [](const auto &connection) { return connection->isIdle(); });
+        const auto idle = std::find_if(
+            connections.begin(), connections.end(), [](const auto &connection) { return connection->isIdle(); });
         std::shared_ptr<Connection> connection;
         if (idle != connections.end()) {
             connection = *idle;
--- a/modules/net/HttpListener.cpp
+++ b/modules/net/HttpListener.cpp
@@ -37,10 +37,7 @@
     class Session;
 
     Impl(EventLoop &loop, HttpListenerLimits limits, HttpHandler handler)
-        : loop(loop)
-        , limits(limits)
-        , handler(std::move(handler))
-        , acceptor(loop.context())
+        : loop(loop), limits(limits), handler(std::move(handler)), acceptor(loop.context())
     {
     }
 
@@ -59,9 +56,7 @@
 class HttpListener::Impl::Session : public HttpResponder, public std::enable_shared_from_this<Session>
 {
 public:
-    Session(std::shared_ptr<Impl> owner, asio::ip::tcp::socket socket)
-        : owner_(std::move(owner))
-        , stream_(std::move(socket))
+    Session(std::shared_ptr<Impl> owner, asio::ip::tcp::socket socket) : owner_(std::move(owner)), stream_(std::move(socket))
     {
         ++owner_->openConnections;
     }
@@ -78,9 +73,8 @@
         parser_->header_limit(static_cast<std::uint32_t>(owner_->limits.maxHeaderBytes));
         parser_->body_limit(owner_->limits.maxBodyBytes);
         stream_.expires_after(owner_->limits.idleTimeout);
-        http::async_read(stream_, buffer_, *parser_, [self = shared_from_this()](const error_code &error, std::size_t) {
-            self->onRead(error);
-        });
+        http::async_read(
+            stream_, buffer_, *parser_, [self = shared_from_this()](const error_code &error, std::size_t) { self->onRead(error); });
     }
 
     void reply(WebReply reply) override
@@ -102,9 +96,8 @@
         response_.keep_alive(keepAlive_ && !owner_->isClosing);
         response_.prepare_payload();
         stream_.expires_after(owner_->limits.transferTimeout);
-        http::async_write(stream_, response_, [self = shared_from_this()](const error_code &error, std::size_t) {
-            self->onWritten(error);
-        });
+        http::async_write(
+            stream_, response_, [self = shared_from_this()](const error_code &error, std::size_t) { self->onWritten(error); });
     }
 
     void abandon() override
--- a/modules/observability/EventLog.h
+++ b/modules/observability/EventLog.h
@@ -14,26 +14,18 @@
     std::string_view key;
     std::variant<std::string_view, std::int64_t> value;
 
-    EventField(std::string_view key, std::string_view text)
-        : key(key)
-        , value(text)
+    EventField(std::string_view key, std::string_view text) : key(key), value(text)
     {
     }
-    EventField(std::string_view key, const std::string &text)
-        : key(key)
-        , value(std::string_view(text))
+    EventField(std::string_view key, const std::string &text) : key(key), value(std::string_view(text))
     {
     }
-    EventField(std::string_view key, const char *text)
-        : key(key)
-        , value(std::string_view(text))
+    EventField(std::string_view key, const char *text) : key(key), value(std::string_view(text))
     {
     }
     template<typename Number>
-        requires std::is_arithmetic_v<Number>
-    EventField(std::string_view key, Number number)
-        : key(key)
-        , value(static_cast<std::int64_t>(number))
+    requires std::is_arithmetic_v<Number> EventField(std::string_view key, Number number)
+        : key(key), value(static_cast<std::int64_t>(number))
     {
     }
 };
--- a/modules/workload/WorkerOrders.h
+++ b/modules/workload/WorkerOrders.h
@@ -124,7 +124,8 @@
     */
     virtual void look(std::int64_t acknowledged, Milliseconds lease, Milliseconds wait, ReportCallback callback) = 0;
 
-    /** The end of the longest lease that the worker may have been given, on this process's clock, with allowance for slow clocks. */
+    /** The end of the longest lease that the worker may have been given, on this process's clock, with allowance for slow clocks.
+     */
     virtual TimePoint leaseEnd() const = 0;
 
     /** Follows a change of address or life. */
