Let the lease of a silent worker run out

Ruled out: the directory, which dropped the worker in time. Change: a worker that does not answer gets no lease.

--- a/modules/dispatch/FleetLooks.cpp
+++ b/modules/dispatch/FleetLooks.cpp
@@ -44,9 +44,11 @@
     }
     const auto wait = worker->isRead ? times.lookWait : Milliseconds(0);
     ++looks;
+    // A worker that does not answer gets no longer lease: what may run there is to be over at a known time.
+    const auto lease = worker->failedLooks == 0 ? times.lease : Milliseconds(0);
     worker->orders->look(
         worker->acknowledgedEnd,
-        times.lease,
+        lease,
         wait,
         [impl = shared_from_this(), id, sentAt = timers.now()](const WorkerOrders::Reply &reply, const WorkerReport &report) {
             auto *looked = impl->isClosed ? nullptr : impl->find(id);
@@ -71,7 +73,7 @@
     ++looks;
     worker->orders->look(
         worker->acknowledgedEnd,
-        times.lease,
+        Milliseconds(0),
         Milliseconds(0),
         [impl = shared_from_this(), id, sentAt = timers.now()](const WorkerOrders::Reply &reply, const WorkerReport &report) {
             auto *probed = impl->isClosed ? nullptr : impl->find(id);
@@ -160,7 +162,7 @@
         auto entry = worker.entry;
         entry.bornAt = report.bornAt;
         changeEntry(worker, entry);
-    } else if (report.bornAt < worker.entry.bornAt) {
+    } else if (report.bornAt != 0 && report.bornAt < worker.entry.bornAt) {
         // An answer of an earlier life.
         lookAfter(id, Milliseconds(0));
         return;
