--- a/Makefile
+++ b/Makefile
@@ -12,14 +12,19 @@
 	@mkdir -p $(BUILD) && mv $(BUILD).configure.log $(BUILD)/configure.log
 	@cmake --build $(BUILD)
 
-lint: build
+lint: install-packages
 	@.ci/lint
 
 format:
 	@.ci/lint --fix --format-only
 
-test: build lint
-	@tests/run $(BUILD)
+# Lint runs beside build and tests; its output is shown at the end, and both must pass.
+test: install-packages
+	@mkdir -p $(BUILD)
+	@.ci/lint > $(BUILD)/lint.log 2>&1 & lint=$$!; \
+	$(MAKE) --no-print-directory build; built=$$?; \
+	if [ $$built -eq 0 ]; then tests/run $(BUILD); tested=$$?; else tested=$$built; fi; \
+	wait $$lint; linted=$$?; cat $(BUILD)/lint.log; [ $$tested -eq 0 ] && [ $$linted -eq 0 ]
 
 demo: build
 	@$(BUILD)/auburndoor-demo --programs=$(BUILD) --folder=$(BUILD)/demo
--- a/apps/auburndoor-entry/main.cpp
+++ b/apps/auburndoor-entry/main.cpp
@@ -29,7 +29,7 @@
 
 std::string settingsFile()
 {
-    const auto flag = absl::GetFlag(FLAGS_settings);
+    auto flag = absl::GetFlag(FLAGS_settings);
     if (!flag.empty()) {
         return flag;
     }
--- a/modules/dispatch/CommitLog.cpp
+++ b/modules/dispatch/CommitLog.cpp
@@ -13,7 +13,7 @@
 // The store takes 100 entries in a transaction; two expectations and the sequence row are among them.
 constexpr std::size_t maxRowsInTransaction = 90;
 // The store takes 1 MB; values grow by a third in base64.
-constexpr std::size_t maxBytesInTransaction = 600 * 1024;
+constexpr std::size_t maxBytesInTransaction = std::size_t(600) * 1024;
 // The pause that gathers rows: an end costs its job this much at most, and the store sees at most 60 transactions a second.
 constexpr Milliseconds gatherTime { 12 };
 constexpr Milliseconds retryPause { 120 };
--- a/modules/entry/EntryInstance.cpp
+++ b/modules/entry/EntryInstance.cpp
@@ -103,8 +103,8 @@
 {
     if (queues.version == 0) {
         const ClientResult result { .outcome = ClientResult::Outcome::Refused,
-                                  .retryAfter = Milliseconds(500),
-                                  .detail = "no desired state yet" };
+                                    .retryAfter = Milliseconds(500),
+                                    .detail = "no desired state yet" };
         responder->reply(parts.protocol.writeResult({}, result));
         return;
     }
--- a/modules/instance/InstanceParts.h
+++ b/modules/instance/InstanceParts.h
@@ -43,13 +43,13 @@
 #include "pipeline/TaskResolver.h"
 #include "placement/RunTimeEstimator.h"
 #include "placement/WorkerHealth.h"
+#include "settings/Settings.h"
 #include "storage/GroupCommitter.h"
 #include "storage/HttpInstanceDirectory.h"
 #include "storage/HttpObjectStore.h"
 #include "storage/HttpTableService.h"
 #include "storage/PlatformConnection.h"
 #include "storage/WriteBudget.h"
-#include "settings/Settings.h"
 #include "worker/HttpWorkerConnector.h"
 
 #include <atomic>
--- a/modules/net/HttpChannels.cpp
+++ b/modules/net/HttpChannels.cpp
@@ -21,9 +21,9 @@
 
 namespace {
 
-constexpr std::size_t maxReplyHeaderBytes = 16 * 1024;
+constexpr std::size_t maxReplyHeaderBytes = std::size_t(16) * 1024;
 // The largest body that a peer sends: a page of rows of the store, with their encoding.
-constexpr std::size_t maxReplyBodyBytes = 16 * 1024 * 1024;
+constexpr std::size_t maxReplyBodyBytes = std::size_t(16) * 1024 * 1024;
 
 } // namespace
 
--- a/tests/dispatch/OwnerFixture.cpp
+++ b/tests/dispatch/OwnerFixture.cpp
@@ -69,7 +69,7 @@
     entry.service = "desk";
     entry.address = { "10.0.0.1", 80 };
     entry.labels = { "a", "r1" };
-    entry.capacity = { cores * 1000, 1 << 20, 0, 0, 0 };
+    entry.capacity = { std::int64_t(cores) * 1000, 1 << 20, 0, 0, 0 };
     entry.bornAt = 1;
     auto &worker = fleet.add(entry, [this](const TaskName &task, std::int64_t attempt) { return plan(task, attempt); });
     list(id);
@@ -210,8 +210,13 @@
 
 std::string jobBody(int tasks, int milliCores, const std::string &fields)
 {
-    return R"({"spec":"payload","taskGroups":[{"count":)" + std::to_string(tasks) + R"(,"cpu":)" + std::to_string(milliCores)
-           + R"(,"memMb":10,"estimateMs":500)" + fields + "}]}";
+    std::string body = R"({"spec":"payload","taskGroups":[{"count":)";
+    body += std::to_string(tasks);
+    body += R"(,"cpu":)" + std::to_string(milliCores);
+    body += R"(,"memMb":10,"estimateMs":500)";
+    body += fields;
+    body += "}]}";
+    return body;
 }
 
 } // namespace auburndoor
--- a/tests/storage/HttpPlatformTests.cpp
+++ b/tests/storage/HttpPlatformTests.cpp
@@ -1,11 +1,11 @@
 #include "core/Failure.h"
 #include "core/SystemClock.h"
 #include "observability/Metrics.h"
+#include "standins/platform/PlatformStandIn.h"
 #include "storage/HttpInstanceDirectory.h"
 #include "storage/HttpObjectStore.h"
 #include "storage/HttpTableService.h"
 #include "storage/PlatformConnection.h"
-#include "standins/platform/PlatformStandIn.h"
 
 #include <catch2/catch.hpp>
 
