--- a/apps/auburndoor-entry/main.cpp
+++ b/apps/auburndoor-entry/main.cpp
@@ -8,6 +8,7 @@
 #include "entry/EntryInstance.h"
 #include "net/EventLoop.h"
 #include "observability/EventLog.h"
+#include "observability/Metrics.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -18,6 +19,7 @@
 #include <iostream>
 
 ABSL_FLAG(std::string, settings, "", "the platform's settings file; the environment names it if this is empty");
+ABSL_FLAG(std::uint16_t, metrics_port, 9464, "the port of GET /metrics, on the address of this machine");
 ABSL_FLAG(bool, check_settings, false, "check the settings file and exit without starting");
 
 namespace {
@@ -37,10 +39,11 @@
     return variable == nullptr ? std::string() : variable;
 }
 
-int run(const auburndoor::EntrySettings &settings)
+int run(auburndoor::EntrySettings settings)
 {
     using namespace auburndoor;
     std::signal(SIGPIPE, SIG_IGN);
+    settings.operators.port = absl::GetFlag(FLAGS_metrics_port);
     EventLog::configure(settings.nodeName);
     EventLoop loop;
     const platform::PlatformProtocol protocol;
@@ -50,7 +53,9 @@
     if (settings.advisor) {
         advisor = std::make_unique<platform::PlatformAdvisor>(loop, *settings.advisor);
     }
-    EntryInstance instance({ loop, settings, protocol, store, workers, advisor.get() });
+    Metrics metrics;
+    EventLog::setMetrics(&metrics);
+    EntryInstance instance({ loop, settings, protocol, store, workers, advisor.get(), metrics });
     std::string error;
     if (!instance.start(error)) {
         std::cerr << error << '\n';
@@ -66,7 +71,7 @@
 
 int main(int argc, char **argv)
 {
-    absl::SetProgramUsageMessage("auburndoor-entry [--settings=FILE] [--check-settings]: one entry process on the platform.\n"
+    absl::SetProgramUsageMessage("auburndoor-entry [--settings=FILE] [--metrics-port=PORT] [--check-settings]: one entry process on the platform.\n"
                                  "Exit codes: 0 stopped or settings are valid, 1 usage, 2 bad settings, 3 cannot start.");
     auburndoor::acceptHyphens(argc, argv);
     absl::ParseCommandLine(argc, argv);
--- a/modules/dispatch/JobBook.cpp
+++ b/modules/dispatch/JobBook.cpp
@@ -26,11 +26,11 @@
         EventLog::write("record.unreadable", { { "job", id }, { "table", JobTables::jobs } });
         return;
     }
-    job->phase = JobStage::Queued;
+    job->stage = JobStage::Queued;
     if (!progress.empty() && !JobRecords::readProgress(progress, *job, timers_.now())) {
         EventLog::write("record.unreadable", { { "job", id }, { "table", JobTables::progress } });
     }
-    job->shownPhase = job->phase;
+    job->shownStage = job->stage;
     job->isInherited = true;
     job->seenAt = timers_.now();
     begin(*job);
@@ -66,7 +66,7 @@
         return;
     }
     if (auto *known = find(spec.id)) {
-        if (known->phase == JobStage::Recording) {
+        if (known->stage == JobStage::Recording) {
             submitters_[spec.id].push_back(std::move(callback));
         } else {
             callback(SubmitOutcome::Accepted);
@@ -87,9 +87,9 @@
         [text = JobRecords::description(*job)] { return text; },
         [this, id] {
             auto *stored = find(id);
-            if (stored != nullptr && stored->phase == JobStage::Recording) {
-                stored->phase = JobStage::Queued;
-                stored->shownPhase = JobStage::Queued;
+            if (stored != nullptr && stored->stage == JobStage::Recording) {
+                stored->stage = JobStage::Queued;
+                stored->shownStage = JobStage::Queued;
                 EventLog::routine("job.accepted",
                                   { { "job", id }, { "queue", stored->spec.queue }, { "steps", stored->spec.steps.size() } });
             }
@@ -105,7 +105,7 @@
 bool JobBook::withdraw(const std::string &id)
 {
     const auto *job = find(id);
-    if (job == nullptr || job->phase != JobStage::Recording || !log_.withdraw(JobTables::jobs, id)) {
+    if (job == nullptr || job->stage != JobStage::Recording || !log_.withdraw(JobTables::jobs, id)) {
         return false;
     }
     jobs_.erase(id);
@@ -146,30 +146,30 @@
         id,
         [ended] {
             JobState tombstone;
-            tombstone.phase = ended.phase;
+            tombstone.stage = ended.stage;
             tombstone.endedAt = ended.endedAt;
             return JobRecords::progress(tombstone);
         },
         [callback = std::move(callback)] { callback(true); });
 }
 
-std::optional<JobStage> JobBook::shownPhase(const std::string &id) const
+std::optional<JobStage> JobBook::shownStage(const std::string &id) const
 {
     if (const auto ended = ended_.find(id); ended != ended_.end()) {
-        return ended->second.isStored ? ended->second.phase : JobStage::Running;
+        return ended->second.isStored ? ended->second.stage : JobStage::Running;
     }
     const auto found = jobs_.find(id);
-    if (found == jobs_.end() || found->second->phase == JobStage::Recording) {
+    if (found == jobs_.end() || found->second->stage == JobStage::Recording) {
         return std::nullopt;
     }
-    return found->second->shownPhase;
+    return found->second->shownStage;
 }
 
 int JobBook::pendingCount(const std::string &queue) const
 {
     return static_cast<int>(std::count_if(jobs_.begin(), jobs_.end(), [&queue](const auto &entry) {
         const auto &job = *entry.second;
-        return job.spec.queue == queue && !job.hasBegun && job.phase != JobStage::Recording;
+        return job.spec.queue == queue && !job.hasBegun && job.stage != JobStage::Recording;
     }));
 }
 
@@ -216,7 +216,7 @@
     const auto now = timers_.now();
     const auto wall = timers_.wallNow();
     for (const auto &[id, job] : jobs_) {
-        while (job->spec.isScheduled && job->phase != JobStage::Recording && job->nextOccurrence < job->spec.occurrences
+        while (job->spec.isScheduled && job->stage != JobStage::Recording && job->nextOccurrence < job->spec.occurrences
                && job->dueAt(job->nextOccurrence, now, wall) <= now + early / 2) {
             job->addOccurrence(job->nextOccurrence, now);
             hooks_.workChanged();
--- a/modules/dispatch/JobBook.h
+++ b/modules/dispatch/JobBook.h
@@ -37,7 +37,7 @@
 /** How and when a job that is no longer worked on ended. */
 struct EndedJob
 {
-    JobStage phase = JobStage::Completed;
+    JobStage stage = JobStage::Completed;
     std::chrono::milliseconds endedAt { 0 };
     /** Its record is stored: clients may be told. */
     bool isStored = false;
@@ -84,7 +84,7 @@
     /** Hands all open submissions on to the next owner. */
     void abandonSubmissions();
     /** What clients are told; empty if there is no such job. */
-    std::optional<JobStage> shownPhase(const std::string &id) const;
+    std::optional<JobStage> shownStage(const std::string &id) const;
     /** Accepted jobs of a queue of which no task has started. */
     int pendingCount(const std::string &queue) const;
 
@@ -120,7 +120,7 @@
     void taskFailed(JobState &job, StepState &step, Task &task, const RunPlace &place);
     void breakGang(StepState &step, const std::string &reason);
     void stopAllRuns(JobState &job, const std::string &reason);
-    void end(JobState &job, JobStage phase);
+    void end(JobState &job, JobStage stage);
     static RunClaim claimOf(const StepState &step);
 
     friend class TaskPlacer;
--- a/modules/dispatch/JobBookRuns.cpp
+++ b/modules/dispatch/JobBookRuns.cpp
@@ -24,7 +24,7 @@
 {
     auto *job = find(running.task.job);
     auto *task = job == nullptr ? nullptr : job->task(running.task);
-    if (task == nullptr || task->isDone || job->phase == JobStage::Recording) {
+    if (task == nullptr || task->isDone || job->stage == JobStage::Recording) {
         return std::nullopt;
     }
     auto &step = *job->step(running.task.occurrence, running.task.step);
@@ -34,8 +34,8 @@
     task->lastAttempt = std::max(task->lastAttempt, running.attempt);
     task->runs.push_back({ worker, running.attempt });
     job->hasBegun = true;
-    job->phase = JobStage::Running;
-    job->shownPhase = JobStage::Running;
+    job->stage = JobStage::Running;
+    job->shownStage = JobStage::Running;
     return claimOf(step);
 }
 
@@ -46,9 +46,9 @@
         return;
     }
     job->hasBegun = true;
-    if (!isEnded(job->phase)) {
-        job->phase = JobStage::Running;
-        job->shownPhase = JobStage::Running;
+    if (!isEnded(job->stage)) {
+        job->stage = JobStage::Running;
+        job->shownStage = JobStage::Running;
     }
     EventLog::routine("job.begun",
                       { { "job", run.key.task.job },
@@ -66,7 +66,7 @@
             }
             JobState tombstone;
             const auto ended = ended_.find(id);
-            tombstone.phase = ended == ended_.end() ? JobStage::Cancelled : ended->second.phase;
+            tombstone.stage = ended == ended_.end() ? JobStage::Cancelled : ended->second.stage;
             tombstone.endedAt = ended == ended_.end() ? timers_.wallNow() : ended->second.endedAt;
             return JobRecords::progress(tombstone);
         },
@@ -199,17 +199,17 @@
     }
 }
 
-void JobBook::end(JobState &job, JobStage phase)
+void JobBook::end(JobState &job, JobStage stage)
 {
     const auto id = job.spec.id;
     EventLog::routine("job.ended",
                       { { "job", id },
-                        { "phase", name(phase) },
+                        { "stage", name(stage) },
                         { "queue", job.spec.queue },
                         { "after_ms", std::chrono::duration_cast<Milliseconds>(timers_.now() - job.seenAt).count() },
                         { "late_ms", std::chrono::duration_cast<Milliseconds>(timers_.now() - job.objective).count() } });
-    stopAllRuns(job, phase == JobStage::Cancelled ? "cancelled" : "job ended");
-    ended_[id] = { phase, timers_.wallNow(), false };
+    stopAllRuns(job, stage == JobStage::Cancelled ? "cancelled" : "job ended");
+    ended_[id] = { stage, timers_.wallNow(), false };
     save(id, [this, id] {
         if (const auto found = ended_.find(id); found != ended_.end()) {
             found->second.isStored = true;
--- a/modules/dispatch/JobRecords.cpp
+++ b/modules/dispatch/JobRecords.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::array allPhases { JobStage::Recording, JobStage::Queued, JobStage::Running,
+constexpr std::array allStages { JobStage::Recording, JobStage::Queued, JobStage::Running,
                                  JobStage::Completed, JobStage::Failed, JobStage::Cancelled };
 
 /** Leaves out values that are the default, since most steps set few of them. */
@@ -163,8 +163,8 @@
 
 std::string JobRecords::progress(const JobState &job)
 {
-    Json json { { "phase", name(job.phase) } };
-    if (isEnded(job.phase)) {
+    Json json { { "stage", name(job.stage) } };
+    if (isEnded(job.stage)) {
         json["ended"] = job.endedAt.count();
         return json.dump();
     }
@@ -189,12 +189,12 @@
 
 bool JobRecords::readProgress(const std::string &text, JobState &job, TimePoint now)
 {
-    const auto phase = phaseOf(text, job.endedAt);
-    if (!phase) {
+    const auto stage = stageOf(text, job.endedAt);
+    if (!stage) {
         return false;
     }
-    job.phase = *phase;
-    if (isEnded(job.phase)) {
+    job.stage = *stage;
+    if (isEnded(job.stage)) {
         return true;
     }
     try {
@@ -212,15 +212,15 @@
     return true;
 }
 
-std::optional<JobStage> JobRecords::phaseOf(const std::string &text, std::chrono::milliseconds &endedAt)
+std::optional<JobStage> JobRecords::stageOf(const std::string &text, std::chrono::milliseconds &endedAt)
 {
     const auto json = Json::parse(text, nullptr, false);
-    if (!json.is_object() || !json.contains("phase") || !json["phase"].is_string()) {
+    if (!json.is_object() || !json.contains("stage") || !json["stage"].is_string()) {
         return std::nullopt;
     }
-    const auto word = json["phase"].get<std::string>();
-    const auto found = std::find_if(allPhases.begin(), allPhases.end(), [&](JobStage phase) { return name(phase) == word; });
-    if (found == allPhases.end()) {
+    const auto word = json["stage"].get<std::string>();
+    const auto found = std::find_if(allStages.begin(), allStages.end(), [&](JobStage stage) { return name(stage) == word; });
+    if (found == allStages.end()) {
         return std::nullopt;
     }
     endedAt = Milliseconds(json.value("ended", Milliseconds::rep(0)));
--- a/modules/dispatch/JobRecords.h
+++ b/modules/dispatch/JobRecords.h
@@ -22,14 +22,14 @@
     /** Fills spec, queue and acceptedAt. @return whether the text could be read */
     static bool readDescription(const std::string &text, JobState &job);
 
-    /** Phase, done tasks, failures, attempts and checkpoints. */
+    /** Stage, done tasks, failures, attempts and checkpoints. */
     static std::string progress(const JobState &job);
 
     /** Applies recorded progress to a job whose description was read. @return whether the text could be read */
     static bool readProgress(const std::string &text, JobState &job, TimePoint now);
 
-    /** The phase and the time of the end that a progress text holds; empty if it cannot be read. */
-    static std::optional<JobStage> phaseOf(const std::string &text, std::chrono::milliseconds &endedAt);
+    /** The stage and the time of the end that a progress text holds; empty if it cannot be read. */
+    static std::optional<JobStage> stageOf(const std::string &text, std::chrono::milliseconds &endedAt);
 
     /** What the next owner needs to reach a worker: service, address and life. */
     static std::string rosterEntry(const WorkerEntry &entry);
--- a/modules/dispatch/JobState.cpp
+++ b/modules/dispatch/JobState.cpp
@@ -4,9 +4,9 @@
 
 namespace auburndoor {
 
-std::string_view name(JobStage phase)
+std::string_view name(JobStage stage)
 {
-    switch (phase) {
+    switch (stage) {
     case JobStage::Recording:
         return "recording";
     case JobStage::Queued:
@@ -23,9 +23,9 @@
     return "cancelled";
 }
 
-bool isEnded(JobStage phase)
+bool isEnded(JobStage stage)
 {
-    return phase == JobStage::Completed || phase == JobStage::Failed || phase == JobStage::Cancelled;
+    return stage == JobStage::Completed || stage == JobStage::Failed || stage == JobStage::Cancelled;
 }
 
 bool Task::hasRun(const RunPlace &place) const
--- a/modules/dispatch/JobState.h
+++ b/modules/dispatch/JobState.h
@@ -23,8 +23,8 @@
     Cancelled,
 };
 
-std::string_view name(JobStage phase);
-bool isEnded(JobStage phase);
+std::string_view name(JobStage stage);
+bool isEnded(JobStage stage);
 
 /** Where a start of a task occupies a worker; the fleet holds the run itself. */
 struct RunPlace
@@ -110,9 +110,9 @@
 {
     JobSpec spec;
     QueueSpec queue;
-    JobStage phase = JobStage::Recording;
+    JobStage stage = JobStage::Recording;
     /** What clients are shown: an end only once it is stored. */
-    JobStage shownPhase = JobStage::Recording;
+    JobStage shownStage = JobStage::Recording;
     /** Since 1970, on the clock of the process that accepted it. */
     std::chrono::milliseconds acceptedAt { 0 };
     std::chrono::milliseconds endedAt { 0 };
--- a/modules/dispatch/TaskPlacer.cpp
+++ b/modules/dispatch/TaskPlacer.cpp
@@ -42,7 +42,7 @@
 
 bool TaskPlacer::mayStart(const JobState &job) const
 {
-    if (job.phase != JobStage::Queued && job.phase != JobStage::Running) {
+    if (job.stage != JobStage::Queued && job.stage != JobStage::Running) {
         return false;
     }
     return !job.isInherited || timers_.now() > inheritedHold_ || !fleet_.hasUnreadWorkers(job.queue.service);
@@ -53,7 +53,7 @@
     std::vector<StepState *> steps;
     for (const auto &[id, job] : book_.jobs()) {
         // The advice for a job is asked for while it is being stored.
-        const bool isPrepared = job->phase == JobStage::Recording && job->queue.advice.has_value();
+        const bool isPrepared = job->stage == JobStage::Recording && job->queue.advice.has_value();
         if (!mayStart(*job) && !isPrepared) {
             continue;
         }
@@ -119,7 +119,7 @@
 {
     beginRound();
     for (auto *step : readySteps()) {
-        if (step->job->phase == JobStage::Recording) {
+        if (step->job->stage == JobStage::Recording) {
             askAdvice(*step, static_cast<int>(step->tasks.size()), step->spec().isGang);
             continue;
         }
--- a/modules/entry/CellProtocol.h
+++ b/modules/entry/CellProtocol.h
@@ -38,7 +38,7 @@
 {
     enum class Outcome {
         Accepted,
-        /** The phase of the job, or the number of pending jobs. */
+        /** The stage of the job, or the number of pending jobs. */
         Answered,
         Cancelled,
         /** Not done and never will be by this call; to be tried again later. */
@@ -52,7 +52,7 @@
         Moved,
     };
     Outcome outcome = Outcome::Unknown;
-    JobStage phase = JobStage::Queued;
+    JobStage stage = JobStage::Queued;
     int pending = 0;
     /** With a refusal: when to come back. */
     Milliseconds retryAfter { 0 };
--- a/modules/entry/EntryInstance.cpp
+++ b/modules/entry/EntryInstance.cpp
@@ -9,6 +9,7 @@
 #include "net/EventLoop.h"
 #include "net/HttpListener.h"
 #include "observability/EventLog.h"
+#include "observability/Metrics.h"
 
 namespace auburndoor {
 
@@ -39,6 +40,7 @@
     void onWon(const Ownership &ownership);
     std::optional<Pulse> ownPulse();
     bool isReady() const;
+    void serveOperator(const WebRequest &request, HttpResponder &responder);
     void flushLog();
     void fetchDesiredState();
     void waitForRequests(TimePoint earliest, TimePoint latest, std::function<void()> done);
@@ -57,6 +59,7 @@
     HttpListener clients;
     HttpListener readiness;
     HttpListener peers;
+    HttpListener operators;
     bool isStopping = false;
 };
 
@@ -90,6 +93,9 @@
     , peers(parts.loop, {}, [this](WebRequest request, HttpResponderPointer responder) {
         servePeer(std::move(request), std::move(responder));
     })
+    , operators(parts.loop, { .maxConnections = 32 }, [this](const WebRequest &request, const HttpResponderPointer &responder) {
+        serveOperator(request, *responder);
+    })
 {
 }
 
@@ -152,6 +158,28 @@
     }
 }
 
+void EntryInstance::Impl::serveOperator(const WebRequest &request, HttpResponder &responder)
+{
+    if (request.method != "GET" || request.target != "/metrics") {
+        responder.reply({ 404, {}, {} });
+        return;
+    }
+    auto &metrics = parts.metrics;
+    metrics.setGauge("owner", owner ? 1 : 0);
+    metrics.setGauge("owner_known", isReady() ? 1 : 0);
+    metrics.setGauge("fencing_token", owner ? static_cast<double>(owner->token()) : 0);
+    metrics.setGauge("store_away_milliseconds", owner ? static_cast<double>(owner->storeAway().count()) : 0);
+    metrics.setGauge("desired_state_version", static_cast<double>(queues.version));
+    metrics.setGauge("desired_state_age_milliseconds", static_cast<double>(operatorWatch.age().count()));
+    metrics.setGauge("client_connections", static_cast<double>(clients.openConnections()));
+    metrics.setGauge("client_requests_open", static_cast<double>(clients.openRequests()));
+    metrics.setGauge("log_lines_dropped", static_cast<double>(EventLog::droppedCount()));
+    if (owner) {
+        owner->report(metrics);
+    }
+    responder.reply({ 200, metrics.text(), { { "Content-Type", "text/plain; version=0.0.4" } } });
+}
+
 void EntryInstance::Impl::serveAdvice(const WebRequest &request, HttpResponderPointer responder)
 {
     const auto question = PeerCodec::readAdviceRequest(request);
@@ -249,7 +277,7 @@
 {
     const auto &settings = impl_->parts.settings;
     if (!impl_->clients.listen(settings.clients, error) || !impl_->readiness.listen(settings.readiness, error)
-        || !impl_->peers.listen(settings.peers, error)) {
+        || !impl_->peers.listen(settings.peers, error) || !impl_->operators.listen(settings.operators, error)) {
         return false;
     }
     impl_->operatorWatch.start();
--- a/modules/entry/EntryInstance.h
+++ b/modules/entry/EntryInstance.h
@@ -13,6 +13,7 @@
 namespace auburndoor {
 
 class EventLoop;
+class Metrics;
 
 /** What an entry process is built from; the adapter of a platform provides it. */
 struct EntryParts
@@ -24,6 +25,7 @@
     WorkerOrdersFactory &workers;
     /** Null if the deployment has no advisory service. */
     Advisor *advisor = nullptr;
+    Metrics &metrics;
 };
 
 /** One entry process of the cell: serves clients, and owns the cell when it is its turn. */
--- a/modules/entry/Owner.cpp
+++ b/modules/entry/Owner.cpp
@@ -7,6 +7,7 @@
 #include "dispatch/TaskPlacer.h"
 #include "entry/TableWatch.h"
 #include "observability/EventLog.h"
+#include "observability/Metrics.h"
 
 #include <map>
 #include <set>
@@ -142,9 +143,9 @@
 {
     for (const auto &row : rows) {
         EndedJob ended;
-        const auto phase = JobRecords::phaseOf(row.value, ended.endedAt);
-        if (phase && isEnded(*phase)) {
-            ended.phase = *phase;
+        const auto stage = JobRecords::stageOf(row.value, ended.endedAt);
+        if (stage && isEnded(*stage)) {
+            ended.stage = *stage;
             ended.isStored = true;
             book.restoreEnded(row.key, ended);
         } else {
@@ -157,7 +158,7 @@
 void Owner::Impl::takeJobs(const std::vector<StoreRow> &rows)
 {
     for (const auto &row : rows) {
-        if (!book.shownPhase(row.key)) {
+        if (!book.shownStage(row.key)) {
             book.restore(row.key, row.value, storedProgress[row.key]);
         }
     }
@@ -221,7 +222,7 @@
         return;
     }
     const auto *queue = queues.queue(call.queue);
-    const bool isKnown = book.shownPhase(call.job).has_value();
+    const bool isKnown = book.shownStage(call.job).has_value();
     if (!isKnown && isLeaving) {
         callback({ .outcome = ClientResult::Outcome::Moved, .detail = "the owner is stopping" });
         return;
@@ -301,8 +302,8 @@
         impl_->submit(call, std::move(callback));
         return;
     case ClientCall::Kind::Query:
-        if (const auto phase = book.shownPhase(call.job)) {
-            callback({ .outcome = ClientResult::Outcome::Answered, .phase = *phase });
+        if (const auto stage = book.shownStage(call.job)) {
+            callback({ .outcome = ClientResult::Outcome::Answered, .stage = *stage });
         } else {
             callback({ .outcome = ClientResult::Outcome::NoSuchJob });
         }
@@ -341,6 +342,30 @@
     return impl_->ownership.token;
 }
 
+void Owner::report(Metrics &metrics) const
+{
+    std::map<std::string, int> jobsOfQueue;
+    for (const auto &[id, job] : impl_->book.jobs()) {
+        ++jobsOfQueue[job->spec.queue];
+    }
+    for (const auto &queue : impl_->queues.queues) {
+        metrics.setGauge("jobs", jobsOfQueue[queue.name], "queue=" + queue.name);
+        metrics.setGauge("jobs_pending", impl_->book.pendingCount(queue.name), "queue=" + queue.name);
+    }
+    std::map<std::string, int> usable;
+    std::map<std::string, int> running;
+    for (const auto &[id, worker] : impl_->fleet.workers()) {
+        usable[worker->entry.service] += impl_->fleet.isUsable(*worker) ? 1 : 0;
+        running[worker->entry.service] += static_cast<int>(worker->runs.size());
+    }
+    for (const auto &[service, count] : usable) {
+        metrics.setGauge("workers_usable", count, "service=" + service);
+        metrics.setGauge("runs", running[service], "service=" + service);
+    }
+    metrics.setGauge("worker_looks", static_cast<double>(impl_->fleet.lookCount()));
+    metrics.setGauge("store_transactions", static_cast<double>(impl_->log.sentCount()));
+}
+
 void Owner::flush(Milliseconds patience, std::function<void(const Ownership &)> done)
 {
     impl_->isLeaving = true;
--- a/modules/entry/Owner.h
+++ b/modules/entry/Owner.h
@@ -12,6 +12,8 @@
 
 namespace auburndoor {
 
+class Metrics;
+
 /** An ownership that was won: the fencing token and the versions of the rows that prove it. */
 struct Ownership
 {
@@ -62,6 +64,9 @@
 
     std::int64_t token() const;
 
+    /** Sets the gauges of queues, workers and calls. */
+    void report(Metrics &metrics) const;
+
     /** Stops starting tasks and calls back when all that waits is stored, or after the patience. */
     void flush(Milliseconds patience, std::function<void(const Ownership &)> done);
 
--- a/modules/entry/PeerCodec.cpp
+++ b/modules/entry/PeerCodec.cpp
@@ -131,7 +131,7 @@
 {
     return { 200,
              dump({ { "outcome", static_cast<int>(result.outcome) },
-                    { "phase", static_cast<int>(result.phase) },
+                    { "stage", static_cast<int>(result.stage) },
                     { "pending", result.pending },
                     { "retry", result.retryAfter.count() },
                     { "detail", result.detail } }),
@@ -143,7 +143,7 @@
     return readJson(reply.body, [](const Json &json) {
         ClientResult result;
         result.outcome = static_cast<ClientResult::Outcome>(json.at("outcome").get<int>());
-        result.phase = static_cast<JobStage>(json.at("phase").get<int>());
+        result.stage = static_cast<JobStage>(json.at("stage").get<int>());
         result.pending = json.at("pending").get<int>();
         result.retryAfter = Milliseconds(json.at("retry").get<std::int64_t>());
         result.detail = json.at("detail").get<std::string>();
--- a/modules/net/EventLoop.cpp
+++ b/modules/net/EventLoop.cpp
@@ -70,6 +70,7 @@
 
 void EventLoop::run()
 {
+    impl_->context.restart();
     const auto guard = boost::asio::make_work_guard(impl_->context);
     impl_->context.run();
 }
--- a/modules/net/HttpListener.cpp
+++ b/modules/net/HttpListener.cpp
@@ -86,12 +86,12 @@
         response_ = {};
         response_.result(static_cast<unsigned>(reply.status));
         response_.version(11);
-        for (const auto &[name, value] : reply.headers) {
-            response_.set(name, value);
-        }
         if (!reply.body.empty()) {
             response_.set(http::field::content_type, "application/json");
         }
+        for (const auto &[name, value] : reply.headers) {
+            response_.set(name, value);
+        }
         response_.body() = std::move(reply.body);
         response_.keep_alive(keepAlive_ && !owner_->isClosing);
         response_.prepare_payload();
--- a/modules/observability/EventLog.cpp
+++ b/modules/observability/EventLog.cpp
@@ -1,5 +1,7 @@
 #include "observability/EventLog.h"
 
+#include "observability/Metrics.h"
+
 #include <chrono>
 #include <fcntl.h>
 #include <unistd.h>
@@ -23,6 +25,7 @@
     long long dropped = 0;
     long long droppedInSecond = 0;
     bool isEnabled = false;
+    Metrics *metrics = nullptr;
 };
 
 State &state()
@@ -31,6 +34,23 @@
     return instance;
 }
 
+/** Counts an event by its name and reason, and its durations. */
+void count(Metrics &metrics, std::string_view event, std::initializer_list<EventField> fields)
+{
+    std::string label = "event=" + std::string(event);
+    for (const auto &field : fields) {
+        const bool isReason = field.key == "outcome" || field.key == "why" || field.key == "how" || field.key == "stage";
+        if (const auto *text = std::get_if<std::string_view>(&field.value); text != nullptr && isReason) {
+            label += ",reason=" + std::string(*text);
+        } else if (const auto *number = std::get_if<std::int64_t>(&field.value); number != nullptr && field.key.ends_with("_ms")) {
+            metrics.observe("event_milliseconds",
+                            std::chrono::milliseconds(*number),
+                            "event=" + std::string(event) + ",field=" + std::string(field.key));
+        }
+    }
+    metrics.count("events_total", label);
+}
+
 void appendText(std::string &line, std::string_view text)
 {
     constexpr const char *digits = "0123456789abcdef";
@@ -97,6 +117,9 @@
 
 void EventLog::write(std::string_view event, std::initializer_list<EventField> fields)
 {
+    if (state().metrics != nullptr) {
+        count(*state().metrics, event, fields);
+    }
     if (state().isEnabled) {
         append(state(), event, fields);
     }
@@ -105,6 +128,9 @@
 void EventLog::routine(std::string_view event, std::initializer_list<EventField> fields)
 {
     auto &log = state();
+    if (log.metrics != nullptr) {
+        count(*log.metrics, event, fields);
+    }
     if (!log.isEnabled) {
         return;
     }
@@ -137,6 +163,11 @@
     }
 }
 
+void EventLog::setMetrics(Metrics *metrics)
+{
+    state().metrics = metrics;
+}
+
 long long EventLog::droppedCount()
 {
     return state().dropped;
--- a/modules/observability/EventLog.h
+++ b/modules/observability/EventLog.h
@@ -8,6 +8,8 @@
 
 namespace auburndoor {
 
+class Metrics;
+
 /** One named value of an event; numbers are written without quotes. */
 struct EventField
 {
@@ -43,6 +45,14 @@
     /** Names this process in each line and makes standard output non-blocking. */
     static void configure(const std::string &processName);
 
+    /**
+        Counts each event from now on, whether or not its line is written.
+
+        The counter "events_total" has the event's name, and its "outcome", "why", "how" or "stage" as reason; a field whose name ends in
+        "_ms" goes into the histogram "event_milliseconds". Null to stop.
+    */
+    static void setMetrics(Metrics *metrics);
+
     /** Writes an event that must not be missing. */
     static void write(std::string_view event, std::initializer_list<EventField> fields);
 
--- /dev/null
+++ b/tests/adapter/CodecTests.cpp
@@ -0,0 +1,183 @@
+#include "DirectoryCodec.h"
+#include "JobCodec.h"
+#include "NodeFile.h"
+#include "PlatformProtocol.h"
+
+#include <catch2/catch.hpp>
+
+using namespace auburndoor;
+
+namespace {
+
+QueueTable twoQueues()
+{
+    QueueTable table;
+    table.version = 1;
+    table.queues.push_back({ .name = "outer", .host = "host.example", .pathPrefix = "/a/", .service = "s" });
+    table.queues.push_back({ .name = "inner", .host = "host.example", .pathPrefix = "/a/b/", .service = "s" });
+    return table;
+}
+
+ClientCall read(const std::string &method, const std::string &target, std::optional<ClientResult> &result)
+{
+    WebRequest request { method, target, { { "host", "host.example:80" }, { "deadline-ms", "1200" } }, "{}" };
+    return platform::PlatformProtocol().readCall(request, twoQueues(), result);
+}
+
+} // namespace
+
+TEST_CASE("a submitted job is read with all that its steps say")
+{
+    std::string error;
+    const auto job = platform::readJob(R"({"spec":"text","repeatCount":3,"startAtMs":1000,"intervalMs":50,"taskGroups":[
+        {"count":4,"cpu":500,"memMb":256,"gpu":2,"estimateMs":900,"affinity":"r1","gang":true},
+        {"count":2,"cpu":100,"dependsOn":[0],"checkpoints":true,"longRunning":true,"maxUnavailable":1,"targetMs":80,"antiAffinity":2,
+         "speculative":true,"constraints":"b","colocate":true,"fillCount":1,"image":"i"}]})",
+                                       error);
+    REQUIRE(job);
+    CHECK(job->payload == "text");
+    CHECK(job->occurrences == 3);
+    CHECK(job->isScheduled);
+    REQUIRE(job->steps.size() == 2);
+    CHECK(job->steps[0].need == Resources { 500, 256, 2, 0, 0 });
+    CHECK(job->steps[0].isGang);
+    CHECK(job->steps[0].dataRack == "r1");
+    CHECK(job->steps[0].maxUnavailable == -1);
+    const auto &second = job->steps[1];
+    CHECK(second.dependsOn == std::vector<int> { 0 });
+    CHECK((second.savesProgress && second.isService && second.allowsCopies && second.prefersOneRack && second.fillsIdleCapacity));
+    CHECK(second.maxTasksPerWorker == 2);
+    CHECK(second.requiredLabel == "b");
+    CHECK(second.maxUnavailable == 1);
+    CHECK(second.latencyTarget == Milliseconds(80));
+}
+
+// Guards against a crash or a half-read job on input that no client should send.
+TEST_CASE("a malformed job is rejected with a reason")
+{
+    const auto body = GENERATE(as<std::string>(),
+                               "",
+                               "[]",
+                               "{",
+                               R"({"spec":"x"})",
+                               R"({"spec":"x","taskGroups":[]})",
+                               R"({"spec":"x","taskGroups":[{"count":0}]})",
+                               R"({"spec":"x","taskGroups":[{"cpu":1}]})",
+                               R"({"spec":"x","taskGroups":[{"count":1,"cpu":-1}]})",
+                               R"({"spec":"x","taskGroups":[{"count":1,"dependsOn":[0]}]})",
+                               R"({"spec":"x","taskGroups":[{"count":1},{"count":1,"dependsOn":[1]}]})",
+                               R"({"spec":"x","taskGroups":[{"count":1,"dependsOn":["0"]}]})",
+                               R"({"spec":"x","taskGroups":[{"count":1e300}]})",
+                               R"({"spec":7,"taskGroups":[{"count":1}]})",
+                               R"({"spec":"x","repeatCount":-1,"taskGroups":[{"count":1}]})");
+    std::string error;
+    CHECK_FALSE(platform::readJob(body, error));
+    CHECK_FALSE(error.empty());
+}
+
+TEST_CASE("a payload over its limit is rejected")
+{
+    std::string error;
+    CHECK(platform::readJob(R"({"spec":")" + std::string(4000, 'x') + R"(","taskGroups":[{"count":1}]})", error));
+    CHECK_FALSE(platform::readJob(R"({"spec":")" + std::string(4001, 'x') + R"(","taskGroups":[{"count":1}]})", error));
+}
+
+TEST_CASE("the names of tasks are read as they are written")
+{
+    const TaskName task { "5c0e7a21d94b36f8", 3, 1, 17 };
+    CHECK(platform::taskText(task) == "5c0e7a21d94b36f8.3.1.17");
+    CHECK(platform::readTaskText("5c0e7a21d94b36f8.3.1.17") == task);
+    for (const char *text : { "", "a", "a.1.2", "a.1.2.3.4", "a.1.2.x", "a.-1.2.3", "a.1.2." }) {
+        CHECK_FALSE(platform::readTaskText(text));
+    }
+}
+
+// Guards against entries of other writers that are taken for workers.
+TEST_CASE("an entry that cannot be read names no worker")
+{
+    const std::string good = R"({"service":"s","address":"10.0.0.1:80","state":"ready","capacity":{"cpu":1,"memMb":2,"gpu":3},)"
+                             R"("labels":["a","r1"],"born":5})";
+    const auto worker = platform::readWorkerEntry({ "servers", "i-1", good, 1 });
+    REQUIRE(worker);
+    CHECK(worker->capacity == Resources { 1, 2, 3, 0, 0 });
+    CHECK(worker->rack() == "r1");
+    CHECK(worker->bornAt == 5);
+    const auto bad = GENERATE(as<std::string>(),
+                              "",
+                              "no json",
+                              "[1]",
+                              R"({"service":"s"})",
+                              R"({"service":7,"address":"10.0.0.1:80","state":"ready","capacity":{}})",
+                              R"({"service":"s","address":"nowhere","state":"ready","capacity":{}})",
+                              R"({"service":"s","address":"10.0.0.1:80","state":"gone","capacity":{}})",
+                              R"({"service":"s","address":"10.0.0.1:80","state":"ready","capacity":[]})",
+                              R"({"service":"s","address":"10.0.0.1:80","state":"ready","capacity":{"cpu":"1"}})",
+                              R"({"service":"s","address":"10.0.0.1:80","state":"ready","capacity":{"cpu":-1}})",
+                              R"({"service":"s","address":"10.0.0.1:80","state":"ready","capacity":{},"labels":[1]})");
+    CHECK_FALSE(platform::readWorkerEntry({ "servers", "i-1", bad, 1 }));
+}
+
+TEST_CASE("a desired state is read, and an unreadable one is left alone")
+{
+    const auto table = platform::readDesiredState(
+        R"({"version":7,"routes":[{"name":"q","host":"h","pathPrefix":"/p/","service":"s","priority":2,"maxAttempts":3,)"
+        R"("slackFactor":4.0,"targetLatencyMs":3000,"advisor":{"decisionMs":150.0,"periodMs":2.2,"validityMs":2000}},{"name":7}],)"
+        R"("services":[{"name":"s","enforceCapacity":false,"standby":true}],"limits":{"maxBodyBytes":1000}})");
+    REQUIRE(table);
+    CHECK(table->version == 7);
+    REQUIRE(table->queues.size() == 1);
+    CHECK(table->queues[0].advice->permitValidity == Milliseconds(2000));
+    CHECK(table->services.at(0).isStandby);
+    CHECK(table->maxBodyBytes == 1000);
+    CHECK_FALSE(platform::readDesiredState("{}"));
+    CHECK_FALSE(platform::readDesiredState("x"));
+}
+
+TEST_CASE("a request is routed by host and longest prefix")
+{
+    std::optional<ClientResult> result;
+    const auto call = read("POST", "/a/b/5c0e7a21d94b36f8", result);
+    CHECK_FALSE(result);
+    CHECK(call.kind == ClientCall::Kind::Submit);
+    CHECK(call.queue == "inner");
+    CHECK(call.job == "5c0e7a21d94b36f8");
+    CHECK(call.patience == Milliseconds(1200));
+    CHECK(read("GET", "/a/", result).kind == ClientCall::Kind::CountPending);
+    CHECK(read("DELETE", "/a/5c0e7a21d94b36f8", result).kind == ClientCall::Kind::Cancel);
+    read("GET", "/c/5c0e7a21d94b36f8", result);
+    CHECK(result->outcome == ClientResult::Outcome::NoSuchQueue);
+    result.reset();
+    read("POST", "/a/not-an-id", result);
+    CHECK(result->outcome == ClientResult::Outcome::Malformed);
+}
+
+TEST_CASE("a refusal tells when to come back")
+{
+    const ClientResult refused { .outcome = ClientResult::Outcome::Refused, .retryAfter = Milliseconds(1200) };
+    const auto reply = platform::PlatformProtocol().writeResult({}, refused);
+    CHECK(reply.status == 503);
+    CHECK(reply.body.find("\"retryAfterMs\":1200") != std::string::npos);
+    CHECK(reply.headers.at(0) == HttpHeader { "Retry-After", "2" });
+}
+
+TEST_CASE("the settings file is read, and what is missing is named")
+{
+    const std::string good
+        = R"({"nodeName":"n1","ip":"10.1.0.30","zone":"z","listen":{"front":"10.1.0.30:1","ready":"10.1.0.30:2"},)"
+          R"("portRange":[7380,7395],"limits":{"cpuShare":0.25},"bounds":{"maxHoldMs":6000,"graceS":1.5},)"
+          R"("advisor":"10.2.0.9:8","platform":{"address":"10.2.0.7:8"},"cloud":{"address":"10.2.0.1:8"},"new":1})";
+    std::string error;
+    const auto settings = platform::readNodeFile(good, error);
+    REQUIRE(settings);
+    CHECK(settings->peers == Address { "10.1.0.30", 7380 });
+    CHECK(settings->maxLease == Milliseconds(6000));
+    CHECK(settings->shutdownGrace == Milliseconds(1500));
+    CHECK(settings->advisor == Address { "10.2.0.9", 8 });
+    for (const char *name : { "nodeName", "listen", "portRange", "platform" }) {
+        auto broken = good;
+        broken.replace(broken.find(name), 4, "gone");
+        error.clear();
+        CHECK_FALSE(platform::readNodeFile(broken, error));
+        CHECK_FALSE(error.empty());
+    }
+}
--- a/tests/dispatch/OwnerFixture.cpp
+++ b/tests/dispatch/OwnerFixture.cpp
@@ -150,24 +150,24 @@
     return answer->value_or(ClientResult::Outcome::Unknown);
 }
 
-std::optional<JobStage> OwnerFixture::phase(const std::string &id)
+std::optional<JobStage> OwnerFixture::stage(const std::string &id)
 {
     ClientCall call;
     call.kind = ClientCall::Kind::Query;
     call.job = id;
-    std::optional<JobStage> phase;
-    owner->call(call, [&phase](const ClientResult &result) {
+    std::optional<JobStage> stage;
+    owner->call(call, [&stage](const ClientResult &result) {
         if (result.outcome == ClientResult::Outcome::Answered) {
-            phase = result.phase;
+            stage = result.stage;
         }
     });
-    return phase;
+    return stage;
 }
 
 bool OwnerFixture::runUntil(const std::string &id, JobStage wanted, Milliseconds limit)
 {
     for (Milliseconds passed { 0 }; passed < limit; passed += stepTime) {
-        if (owner && owner->isReady() && phase(id) == wanted) {
+        if (owner && owner->isReady() && stage(id) == wanted) {
             return true;
         }
         timers.advance(stepTime);
--- a/tests/dispatch/OwnerFixture.h
+++ b/tests/dispatch/OwnerFixture.h
@@ -53,9 +53,9 @@
     /** Hands a job in and runs until it is answered. */
     ClientResult::Outcome submit(const std::string &id, const std::string &body, const std::string &queue = "normal");
     ClientResult::Outcome cancel(const std::string &id);
-    std::optional<JobStage> phase(const std::string &id);
-    /** Runs until the job has this phase. @return false if it has not within the time */
-    bool runUntil(const std::string &id, JobStage phase, Milliseconds limit);
+    std::optional<JobStage> stage(const std::string &id);
+    /** Runs until the job has this stage. @return false if it has not within the time */
+    bool runUntil(const std::string &id, JobStage stage, Milliseconds limit);
 
     /** How each task's starts go; the default ends as done after half a second. */
     SimulatedWorker::Plan plan;
--- a/tests/dispatch/OwnerPropertyTests.cpp
+++ b/tests/dispatch/OwnerPropertyTests.cpp
@@ -147,10 +147,10 @@
             FAIL_CHECK(violation);
         }
         for (const auto &id : faulty.accepted) {
-            const auto phase = faulty.cell.phase(id);
-            REQUIRE(phase);
-            INFO(id << " is " << name(*phase));
-            CHECK(isEnded(*phase));
+            const auto stage = faulty.cell.stage(id);
+            REQUIRE(stage);
+            INFO(id << " is " << name(*stage));
+            CHECK(isEnded(*stage));
         }
     }
 }
--- a/tests/dispatch/OwnerTests.cpp
+++ b/tests/dispatch/OwnerTests.cpp
@@ -178,7 +178,7 @@
     cell.timers.advance(Milliseconds(500));
     CHECK(cell.fleet.worker("w1").runs().empty());
     cell.takeOver();
-    CHECK(cell.phase("00000000000000aa") == JobStage::Cancelled);
+    CHECK(cell.stage("00000000000000aa") == JobStage::Cancelled);
     CHECK(cell.cancel("00000000000000bb") == ClientResult::Outcome::NoSuchJob);
 }
 
@@ -240,7 +240,7 @@
     REQUIRE(cell.submit("00000000000000aa", jobBody(1, 1000)) == ClientResult::Outcome::Refused);
     cell.store.setDown(false);
     cell.timers.advance(Milliseconds(4000));
-    CHECK_FALSE(cell.phase("00000000000000aa"));
+    CHECK_FALSE(cell.stage("00000000000000aa"));
     for (const auto &start : cell.starts) {
         CHECK(start.task.job != "00000000000000aa");
     }
@@ -255,7 +255,7 @@
     cell.store.setDown(true);
     cell.timers.advance(Milliseconds(4000));
     CHECK(cell.starts.size() == 3);
-    CHECK(cell.phase("00000000000000aa") == JobStage::Running);
+    CHECK(cell.stage("00000000000000aa") == JobStage::Running);
     CHECK(cell.fleet.worker("w1").acknowledgedDone().empty());
     cell.store.setDown(false);
     CHECK(cell.runUntil("00000000000000aa", JobStage::Completed, Milliseconds(2000)));
--- /dev/null
+++ b/tests/net/HttpTests.cpp
@@ -0,0 +1,96 @@
+#include "net/EventLoop.h"
+#include "net/HttpChannels.h"
+#include "net/HttpListener.h"
+
+#include <catch2/catch.hpp>
+
+using namespace auburndoor;
+
+namespace {
+
+/** A server on loopback and a client to it, on one loop. */
+struct Loopback
+{
+    explicit Loopback(HttpHandler handler) : listener(loop, {}, std::move(handler))
+    {
+        std::string error;
+        REQUIRE(listener.listen({ "127.0.0.1", 0 }, error));
+        channels = std::make_unique<HttpChannels>(loop, Address { "127.0.0.1", listener.port() }, HttpChannelLimits {});
+    }
+
+    SendResult send(WebRequest request, Milliseconds timeout = Milliseconds(5000))
+    {
+        SendResult received;
+        channels->send(std::move(request), timeout, [&](SendResult result) {
+            received = std::move(result);
+            loop.stop();
+        });
+        loop.run();
+        return received;
+    }
+
+    EventLoop loop;
+    HttpListener listener;
+    std::unique_ptr<HttpChannels> channels;
+};
+
+} // namespace
+
+TEST_CASE("a request and its reply arrive whole, over one kept connection")
+{
+    Loopback pair([](const WebRequest &request, const HttpResponderPointer &responder) {
+        responder->reply({ 200, request.method + " " + request.target + " " + request.header("x-a") + " " + request.body, {} });
+    });
+    CHECK(pair.send({ "POST", "/p?q=1", { { "X-A", "v" } }, "body" }).reply.body == "POST /p?q=1 v body");
+    CHECK(pair.listener.openConnections() == 1);
+}
+
+// Guards against a silent peer that holds its caller up for ever.
+TEST_CASE("a reply that does not come in time is lost, and the connection is not used again")
+{
+    std::vector<HttpResponderPointer> kept;
+    Loopback pair([&](const WebRequest &request, const HttpResponderPointer &responder) {
+        if (request.target == "/silent") {
+            kept.push_back(responder);
+            return;
+        }
+        responder->reply({ 200, "late reply of nobody", {} });
+    });
+    CHECK(pair.send({ "GET", "/silent", {}, {} }, Milliseconds(50)).outcome == SendOutcome::Lost);
+}
+
+TEST_CASE("a refused connection is told apart from a lost reply")
+{
+    EventLoop loop;
+    HttpChannels channels(loop, { "127.0.0.1", 1 }, {});
+    SendOutcome outcome = SendOutcome::Answered;
+    channels.send({ "GET", "/", {}, {} }, Milliseconds(2000), [&](const SendResult &result) {
+        outcome = result.outcome;
+        loop.stop();
+    });
+    loop.run();
+    CHECK(outcome == SendOutcome::NotSent);
+}
+
+// Guards against a verdict on a request whose handler gave it up.
+TEST_CASE("an abandoned request closes the connection without a reply")
+{
+    Loopback pair([](const WebRequest &, const HttpResponderPointer &responder) { responder->abandon(); });
+    CHECK(pair.send({ "GET", "/", {}, {} }).outcome == SendOutcome::Lost);
+}
+
+TEST_CASE("a body over the limit is rejected")
+{
+    Loopback pair([](const WebRequest &, const HttpResponderPointer &responder) { responder->reply({ 200, {}, {} }); });
+    CHECK(pair.send({ "POST", "/", {}, std::string(std::size_t(2) << 20, 'x') }).outcome != SendOutcome::NotSent);
+    CHECK(pair.send({ "POST", "/", {}, "small" }).hasStatus(200));
+}
+
+TEST_CASE("addresses are read and written")
+{
+    CHECK(Address::parse("10.1.0.30:8149") == Address { "10.1.0.30", 8149 });
+    CHECK(Address { "10.1.0.30", 8149 }.text() == "10.1.0.30:8149");
+    for (const char *text : { "", "10.1.0.30", ":80", "a:b", "a:70000", "a:" }) {
+        CHECK_FALSE(Address::parse(text));
+    }
+}
