--- a/modules/entry/Leadership.cpp
+++ b/modules/entry/Leadership.cpp
@@ -1,14 +1,12 @@
 #include "entry/Leadership.h"
 
 #include "dispatch/CommitLog.h"
-#include "net/EventLoop.h"
+#include "entry/LeadershipImpl.h"
 #include "observability/EventLog.h"
 
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
-#include <map>
-#include <random>
+#include <utility>
 
 namespace auburndoor {
 
@@ -16,17 +14,6 @@
 
 // An entry process that has not asked for a pulse for so long is no longer named as a member.
 constexpr Milliseconds memberMemory { 2000 };
-constexpr int processesAsked = 3;
-constexpr int probesToReplace = 2;
-
-/** The row that names the owner. */
-struct EpochRow
-{
-    std::int64_t token = 0;
-    /** Empty after a planned stop. */
-    std::string owner;
-    std::string address;
-};
 
 std::string writeEpoch(const EpochRow &row)
 {
@@ -47,57 +34,6 @@
 
 } // namespace
 
-struct Leadership::Impl : std::enable_shared_from_this<Leadership::Impl>
-{
-    Impl(EventLoop &loop, StateStore &store, const EntrySettings &settings, LeadershipTimes times, Hooks hooks)
-        : loop(loop), store(store), settings(settings), times(times), hooks(std::move(hooks)), random(std::random_device {}())
-    {
-    }
-
-    /** Reads the epoch row and follows its owner, or takes over from the owner that is given up. */
-    void findOwner();
-    void onEpoch(const StoreResult &result);
-    void takeOver(const EpochRow &row, std::int64_t version);
-    void onTakeOver(const StoreResult &result, std::int64_t token);
-    void readSequence(std::int64_t token, std::int64_t epochVersion);
-    void follow(const EpochRow &row);
-    void sendPulse();
-    void onPulse(const SendResult &sent, std::uint64_t round);
-    void probeStore();
-    void onPulseLost(const std::string &why);
-    /** Asks some other processes whether they hear the owner. */
-    void askOthers(std::function<void(const std::vector<OwnerSighting> &)> done);
-    bool followNewest(const std::vector<OwnerSighting> &sightings);
-    void confirmSuspicion();
-    void giveUpOwner();
-    void later(Milliseconds delay, void (Impl::*action)());
-    Milliseconds spread();
-
-    EventLoop &loop;
-    StateStore &store;
-    const EntrySettings &settings;
-    LeadershipTimes times;
-    Hooks hooks;
-    std::mt19937_64 random;
-    /** The owner that is followed; its token is 0 while none is known. */
-    EpochRow owner;
-    std::unique_ptr<HttpChannels> pulses;
-    bool isHeard = false;
-    /** The token of the owner that is given up: its row may be replaced. */
-    std::int64_t givenUpToken = -1;
-    /** Pulses of an earlier owner are ignored. */
-    std::uint64_t round = 0;
-    /** Answers of the store, one after the other, while the owner has none. */
-    int storeProbes = 0;
-    std::vector<Address> knownMembers;
-    std::map<Address, TimePoint> members;
-    std::int64_t desiredVersion = 0;
-    bool isOwner = false;
-    bool isAbstaining = false;
-    bool isFinding = false;
-    bool isClosed = false;
-};
-
 Milliseconds Leadership::Impl::spread()
 {
     return Milliseconds(std::uniform_int_distribution<Milliseconds::rep>(0, times.spread.count())(random));
@@ -268,25 +204,6 @@
     sendPulse();
 }
 
-void Leadership::Impl::probeStore()
-{
-    // If the store answers this process and still not the owner, it is the owner alone that has lost it. One answer is not enough:
-    // the store may just have come back for all.
-    store.readRow(
-        OwnerRows::table, OwnerRows::epochKey, [self = shared_from_this(), probed = owner.token](const StoreResult &result) {
-            if (self->isClosed || self->isOwner || self->owner.token != probed) {
-                return;
-            }
-            self->storeProbes = result.outcome == StoreOutcome::Done ? self->storeProbes + 1 : 0;
-            if (self->storeProbes >= probesToReplace) {
-                EventLog::write("owner.without_store", { { "owner", self->owner.owner }, { "token", probed } });
-                self->storeProbes = 0;
-                self->givenUpToken = probed;
-                self->findOwner();
-            }
-        });
-}
-
 void Leadership::Impl::onPulseLost(const std::string &why)
 {
     const bool wasHeard = std::exchange(isHeard, false);
@@ -302,86 +219,6 @@
     confirmSuspicion();
 }
 
-void Leadership::Impl::askOthers(std::function<void(const std::vector<OwnerSighting> &)> done)
-{
-    std::vector<Address> others;
-    for (const auto &member : knownMembers) {
-        if (member != settings.peers && member.text() != owner.address) {
-            others.push_back(member);
-        }
-    }
-    std::shuffle(others.begin(), others.end(), random);
-    others.resize(std::min<std::size_t>(others.size(), processesAsked));
-    if (others.empty()) {
-        done({});
-        return;
-    }
-    struct Round
-    {
-        std::size_t open = 0;
-        std::vector<OwnerSighting> sightings;
-        std::vector<std::shared_ptr<HttpChannels>> channels;
-    };
-    auto asked = std::make_shared<Round>();
-    asked->open = others.size();
-    const HttpChannelLimits limits { .maxConnections = 1, .connectTimeout = times.suspicionTimeout };
-    for (const auto &address : others) {
-        auto channel = asked->channels.emplace_back(std::make_shared<HttpChannels>(loop, address, limits));
-        WebRequest request { "GET", PeerCodec::sightingPath, {}, {}, true };
-        channel->send(std::move(request), times.suspicionTimeout, [self = shared_from_this(), asked, done](const SendResult &sent) {
-            if (const auto sighting = sent.hasStatus(200) ? PeerCodec::readSighting(sent.reply) : std::nullopt) {
-                asked->sightings.push_back(*sighting);
-            }
-            if (--asked->open == 0 && !self->isClosed && !self->isOwner) {
-                // Not from within a callback of the channels, which go with the round.
-                self->loop.after(Milliseconds(0), [asked, done] { done(asked->sightings); });
-            }
-        });
-    }
-}
-
-bool Leadership::Impl::followNewest(const std::vector<OwnerSighting> &sightings)
-{
-    const OwnerSighting *newest = nullptr;
-    for (const auto &sighting : sightings) {
-        if (sighting.hearsOwner && sighting.token > owner.token && (newest == nullptr || sighting.token > newest->token)) {
-            newest = &sighting;
-        }
-    }
-    if (newest != nullptr) {
-        follow({ newest->token, newest->owner, newest->address });
-    }
-    return newest != nullptr;
-}
-
-void Leadership::Impl::confirmSuspicion()
-{
-    askOthers([self = shared_from_this(), suspected = owner.token](const std::vector<OwnerSighting> &sightings) {
-        if (self->owner.token != suspected || self->isHeard || self->followNewest(sightings)) {
-            return;
-        }
-        const bool isHeardByOthers = std::any_of(
-            sightings.begin(), sightings.end(), [](const auto &sighting) { return sighting.hearsOwner; });
-        const bool isAlone = sightings.empty() && !self->knownMembers.empty();
-        if (isHeardByOthers) {
-            // The owner lives, and this process is cut off from it.
-            self->later(self->times.retry, &Impl::findOwner);
-        } else if (isAlone) {
-            self->later(self->times.isolationWait, &Impl::giveUpOwner);
-        } else {
-            self->giveUpOwner();
-        }
-    });
-}
-
-void Leadership::Impl::giveUpOwner()
-{
-    if (!isHeard && !isOwner) {
-        givenUpToken = std::max(givenUpToken, owner.token);
-    }
-    later(spread(), &Impl::findOwner);
-}
-
 Leadership::Leadership(EventLoop &loop, StateStore &store, const EntrySettings &settings, LeadershipTimes times, Hooks hooks)
     : impl_(std::make_shared<Impl>(loop, store, settings, times, std::move(hooks)))
 {
--- a/tests/dispatch/OwnerFixture.cpp
+++ b/tests/dispatch/OwnerFixture.cpp
@@ -197,7 +197,8 @@
         other->settle();
         for (const auto &[key, run] : other->runs()) {
             if (key.first == order.task && (key.second != order.attempt || other.get() != &worker)) {
-                violations.push_back(name + " runs on " + id + " and " + worker.entry().id);
+                violations.push_back(name);
+                violations.back().append(" runs on ").append(id).append(" and ").append(worker.entry().id);
                 EventLog::write("test.violation", { { "what", violations.back() }, { "other_attempt", key.second } });
             }
         }
