--- a/modules/dispatch/RoomPlan.cpp
+++ b/modules/dispatch/RoomPlan.cpp
@@ -5,20 +5,25 @@
 
 namespace auburndoor {
 
-int WorkerRoom::leastUrgent() const
+namespace {
+
+bool mayReclaim(const ReclaimableRun &run, int priority)
 {
-    int result = -1;
-    for (const auto &run : reclaimable) {
-        result = std::max(result, run.priority);
-    }
-    return result;
+    return run.priority > priority && (run.canWait || priority == 0);
+}
+
+} // namespace
+
+bool WorkerRoom::hasReclaimable(int priority) const
+{
+    return std::any_of(reclaimable.begin(), reclaimable.end(), [priority](const auto &run) { return mayReclaim(run, priority); });
 }
 
 Resources WorkerRoom::reclaimableFor(int priority) const
 {
     auto result = expected;
     for (const auto &run : reclaimable) {
-        if (run.priority > priority) {
+        if (mayReclaim(run, priority)) {
             result += run.need;
         }
     }
@@ -33,10 +38,14 @@
         return std::tuple(left.priority, left.need.accelerators, left.need.milliCores)
                > std::tuple(right.priority, right.need.accelerators, right.need.milliCores);
     });
-    while (!need.fitsIn(expected) && !reclaimable.empty() && reclaimable.front().priority > priority) {
-        expected += reclaimable.front().need;
-        stopped.push_back(reclaimable.front().key);
-        reclaimable.erase(reclaimable.begin());
+    for (auto run = reclaimable.begin(); run != reclaimable.end() && !need.fitsIn(expected);) {
+        if (!mayReclaim(*run, priority)) {
+            ++run;
+            continue;
+        }
+        expected += run->need;
+        stopped.push_back(run->key);
+        run = reclaimable.erase(run);
     }
     expected -= need;
     claimedBy = std::min(claimedBy, priority);
@@ -54,7 +63,7 @@
                 room.expected += run.claim.need;
                 room.isFreeing = true;
             } else if (run.phase == Run::Phase::Running && run.claim.isPreemptible) {
-                room.reclaimable.push_back({ key, run.claim.need, run.claim.priority });
+                room.reclaimable.push_back({ key, run.claim.need, run.claim.priority, true });
             }
         }
     }
--- a/modules/dispatch/RoomPlan.h
+++ b/modules/dispatch/RoomPlan.h
@@ -15,6 +15,8 @@
     RunKey key;
     Resources need;
     int priority = 0;
+    /** Its job would still be in time: less urgent work than the most urgent may take its room as well. */
+    bool canWait = true;
 };
 
 /** The room of a worker with what is about to become free, and what could be freed for more urgent work. */
@@ -36,8 +38,8 @@
     /** The priority of the work that waits for room here; less urgent work keeps off. */
     int claimedBy = std::numeric_limits<int>::max();
 
-    /** The priority of the least urgent run that may be stopped; negative if there is none. */
-    int leastUrgent() const;
+    /** True if some run may be stopped for work of this priority. */
+    bool hasReclaimable(int priority) const;
 
     /** What would be free if all runs less urgent than the priority were stopped. */
     Resources reclaimableFor(int priority) const;
--- a/modules/dispatch/TaskPlacer.cpp
+++ b/modules/dispatch/TaskPlacer.cpp
@@ -13,13 +13,13 @@
 // Beyond this multiple of its objective a job no longer counts as late but as lost.
 constexpr int lostAfterObjectives = 3;
 
-bool isOvertime(const JobState &job, TimePoint now)
+} // namespace
+
+TimePoint lostAt(const JobState &job)
 {
-    return now > job.seenAt + (job.objective - job.seenAt) * lostAfterObjectives;
+    return job.seenAt + (job.objective - job.seenAt) * lostAfterObjectives;
 }
 
-} // namespace
-
 TaskPlacer::TaskPlacer(Timers &timers, JobBook &book, Fleet &fleet, Advisor &advisor, TimePoint inheritedHold)
     : timers_(timers)
     , book_(book)
@@ -70,7 +70,7 @@
     std::sort(steps.begin(), steps.end(), [now](const StepState *left, const StepState *right) {
         const auto rank = [now](const StepState &step) {
             return std::tuple(
-                step.job->queue.priority, isOvertime(*step.job, now), step.job->objective, step.job->spec.id, step.index);
+                step.job->queue.priority, now > lostAt(*step.job), step.job->objective, step.job->spec.id, step.index);
         };
         return rank(*left) < rank(*right);
     });
@@ -80,6 +80,7 @@
 void TaskPlacer::beginRound()
 {
     rooms_ = collectRooms(fleet_);
+    markUrgentRuns();
     usable_.clear();
     for (const auto &[id, worker] : fleet_.workers()) {
         if (fleet_.isUsable(*worker)) {
--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -10,6 +10,9 @@
 
 namespace auburndoor {
 
+/** The time from which on a job earns nothing any more. */
+TimePoint lostAt(const JobState &job);
+
 /**
     Chooses workers for the tasks that are ready, and asks for advice where a queue needs it.
 
@@ -55,6 +58,8 @@
     /** What a step may use of a worker now: its free room less what steps at least as urgent wait to use. */
     Resources freeFor(const StepState &step, const WorkerState &worker);
     void holdRooms(StepState &step);
+    /** Marks the runs whose jobs would be late if they were stopped now. */
+    void markUrgentRuns();
     /** Stops less urgent runs that lose nothing, so that tasks of the step fit. @param isWhole all tasks or none */
     void reclaim(StepState &step, int taskCount, bool isWhole);
     std::optional<std::string> findReclaimable(StepState &step, const std::map<std::string, WorkerRoom> &rooms);
--- a/modules/dispatch/TaskPlacerReclaim.cpp
+++ b/modules/dispatch/TaskPlacerReclaim.cpp
@@ -6,6 +6,32 @@
 
 namespace auburndoor {
 
+namespace {
+
+// What a preempted run loses until it runs again: the stop, the advice and the wait for room.
+constexpr Milliseconds preemptionDelay { 2500 };
+
+} // namespace
+
+void TaskPlacer::markUrgentRuns()
+{
+    const auto now = timers_.now();
+    for (auto &[id, room] : rooms_) {
+        for (auto &reclaimable : room.reclaimable) {
+            const auto job = book_.jobs().find(reclaimable.key.task.job);
+            const auto *run = fleet_.run(id, reclaimable.key);
+            if (job == book_.jobs().end() || run == nullptr) {
+                continue;
+            }
+            const auto &spec = job->second->spec.steps[static_cast<std::size_t>(reclaimable.key.task.step)];
+            const auto remaining = spec.estimate * (100 - run->percent) / 100;
+            // Past its objective a job still counts as late until it is lost; what is lost can wait for ever.
+            const auto limit = now < job->second->objective ? job->second->objective : lostAt(*job->second);
+            reclaimable.canWait = now > limit || limit - now - remaining > preemptionDelay;
+        }
+    }
+}
+
 std::optional<std::string> TaskPlacer::findReclaimable(StepState &step, const std::map<std::string, WorkerRoom> &rooms)
 {
     const auto &spec = step.spec();
@@ -41,7 +67,7 @@
 {
     const auto priority = step.job->queue.priority;
     const bool hasReclaimable = std::any_of(
-        rooms_.begin(), rooms_.end(), [priority](const auto &room) { return room.second.leastUrgent() > priority; });
+        rooms_.begin(), rooms_.end(), [priority](const auto &room) { return room.second.hasReclaimable(priority); });
     const bool hasStopping = std::any_of(rooms_.begin(), rooms_.end(), [](const auto &room) { return room.second.isFreeing; });
     if (!hasReclaimable && !hasStopping) {
         return;
