Collect the rooms of workers only when urgent work lacks room, and pause between rounds by their cost

Cause: each round of placement copied all rooms and runs; at 350 workers the owner was overloaded and lost its pulses. Ruled out: the size of the machine alone (an owner of 0.5 cores was overloaded as well). Change also: small machines let larger ones own the cell.

--- a/modules/dispatch/RoomPlan.cpp
+++ b/modules/dispatch/RoomPlan.cpp
@@ -52,10 +52,13 @@
     return stopped;
 }
 
-std::map<std::string, WorkerRoom> collectRooms(const Fleet &fleet)
+std::map<std::string, WorkerRoom> collectRooms(const Fleet &fleet, const std::string &service)
 {
     std::map<std::string, WorkerRoom> rooms;
     for (const auto &[id, worker] : fleet.workers()) {
+        if (worker->entry.service != service) {
+            continue;
+        }
         auto &room = rooms[id];
         room.expected = worker->free();
         for (const auto &[key, run] : worker->runs) {
--- a/modules/dispatch/RoomPlan.h
+++ b/modules/dispatch/RoomPlan.h
@@ -19,20 +19,20 @@
     bool canWait = true;
 };
 
+/** Room that a step waits to use until its advice arrives. */
+struct RoomHold
+{
+    const void *step = nullptr;
+    int priority = 0;
+    Resources need;
+};
+
 /** The room of a worker with what is about to become free, and what could be freed for more urgent work. */
 struct WorkerRoom
 {
     /** Free now or once the runs that are being stopped have ended, less what this round has planned there. */
     Resources expected;
     std::vector<ReclaimableRun> reclaimable;
-    /** Room that a step waits to use until its advice arrives. */
-    struct Hold
-    {
-        const void *step = nullptr;
-        int priority = 0;
-        Resources need;
-    };
-    std::vector<Hold> holds;
     /** Runs are being stopped here. */
     bool isFreeing = false;
     /** The priority of the work that waits for room here; less urgent work keeps off. */
@@ -52,7 +52,7 @@
     std::vector<RunKey> plan(const Resources &need, int priority);
 };
 
-/** The rooms of all workers by id. */
-std::map<std::string, WorkerRoom> collectRooms(const Fleet &fleet);
+/** The rooms of all workers of a service by id. */
+std::map<std::string, WorkerRoom> collectRooms(const Fleet &fleet, const std::string &service);
 
 } // namespace auburndoor
--- a/modules/dispatch/TaskPlacer.cpp
+++ b/modules/dispatch/TaskPlacer.cpp
@@ -79,12 +79,18 @@
 
 void TaskPlacer::beginRound()
 {
-    rooms_ = collectRooms(fleet_);
-    markUrgentRuns();
+    rooms_.clear();
+    holds_.clear();
     usable_.clear();
+    largestFree_.clear();
     for (const auto &[id, worker] : fleet_.workers()) {
         if (fleet_.isUsable(*worker)) {
             usable_[worker->entry.service].push_back(worker.get());
+            auto &largest = largestFree_[worker->entry.service];
+            const auto free = worker->free();
+            largest.milliCores = std::max(largest.milliCores, free.milliCores);
+            largest.memoryMiB = std::max(largest.memoryMiB, free.memoryMiB);
+            largest.accelerators = std::max(largest.accelerators, free.accelerators);
         }
     }
     // Rooms that steps wait to use until their advice arrives.
@@ -100,17 +106,18 @@
 Resources TaskPlacer::freeFor(const StepState &step, const WorkerState &worker)
 {
     auto free = worker.free();
-    const auto found = rooms_.find(worker.entry.id);
-    if (found == rooms_.end()) {
-        return free;
-    }
     const auto priority = step.job->queue.priority;
-    if (found->second.claimedBy < priority) {
-        return { -1, -1, -1, 0, 0 };
+    if (const auto rooms = rooms_.find(worker.entry.service); rooms != rooms_.end()) {
+        const auto room = rooms->second.find(worker.entry.id);
+        if (room != rooms->second.end() && room->second.claimedBy < priority) {
+            return { -1, -1, -1, 0, 0 };
+        }
     }
-    for (const auto &hold : found->second.holds) {
-        if (hold.step != &step && hold.priority <= priority) {
-            free -= hold.need;
+    if (const auto holds = holds_.find(worker.entry.id); holds != holds_.end()) {
+        for (const auto &hold : holds->second) {
+            if (hold.step != &step && hold.priority <= priority) {
+                free -= hold.need;
+            }
         }
     }
     return free;
@@ -138,6 +145,9 @@
     const auto &spec = step.spec();
     const auto now = timers_.now();
     const auto need = JobBook::claimOf(step).need;
+    if (!need.fitsIn(largestFree_[step.job->queue.service])) {
+        return candidates;
+    }
     std::map<std::string, int> tasksOn;
     for (const auto &task : step.tasks) {
         for (const auto &place : task.runs) {
--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -58,14 +58,17 @@
     /** What a step may use of a worker now: its free room less what steps at least as urgent wait to use. */
     Resources freeFor(const StepState &step, const WorkerState &worker);
     void holdRooms(StepState &step);
+    /** The rooms of a service in this round. */
+    std::map<std::string, WorkerRoom> &roomsOf(const std::string &service);
     /** Marks the runs whose jobs would be late if they were stopped now. */
-    void markUrgentRuns();
+    void markUrgentRuns(std::map<std::string, WorkerRoom> &rooms);
     /** Stops less urgent runs that lose nothing, so that tasks of the step fit. @param isWhole all tasks or none */
     void reclaim(StepState &step, int taskCount, bool isWhole);
     std::optional<std::string> findReclaimable(StepState &step, const std::map<std::string, WorkerRoom> &rooms);
     /** Asks which workers the step may use, if some of them could be used now or none is known. @param isWhole all tasks or none */
     void askAdvice(StepState &step, int taskCount, bool isWhole);
     std::vector<WorkerState *> workersToAsk(StepState &step, int taskCount, bool isWhole);
+    bool isReclaimable(StepState &step, const std::string &worker);
     bool planRoom(StepState &step, const std::vector<WorkerState *> &workers, int taskCount, bool isWhole);
     void onAdvice(const TaskName &step, const std::vector<std::string> &asked, const AdviceResult &result);
     void copySlowTasks(StepState &step);
@@ -77,8 +80,12 @@
     Fleet &fleet_;
     Advisor &advisor_;
     TimePoint inheritedHold_;
-    /** The room of each worker as far as this round of placement has planned. */
-    std::map<std::string, WorkerRoom> rooms_;
+    /** The rooms by service, as far as this round has planned; collected when more urgent work first lacks room. */
+    std::map<std::string, std::map<std::string, WorkerRoom>> rooms_;
+    /** What is held on each worker. */
+    std::map<std::string, std::vector<RoomHold>> holds_;
+    /** The most that any usable worker of a service has free, of each resource by itself. */
+    std::map<std::string, Resources> largestFree_;
     /** The workers of each service on which something may be started. */
     std::map<std::string, std::vector<WorkerState *>> usable_;
     std::shared_ptr<bool> isAlive_;
--- a/modules/dispatch/TaskPlacerAdvice.cpp
+++ b/modules/dispatch/TaskPlacerAdvice.cpp
@@ -26,11 +26,9 @@
 void TaskPlacer::holdRooms(StepState &step)
 {
     for (const auto &[id, count] : step.advice.planned) {
-        if (const auto room = rooms_.find(id); room != rooms_.end()) {
-            auto need = JobBook::claimOf(step).need;
-            for (int task = 0; task < count; ++task) {
-                room->second.holds.push_back({ &step, step.job->queue.priority, need });
-            }
+        const auto need = JobBook::claimOf(step).need;
+        for (int task = 0; task < count; ++task) {
+            holds_[id].push_back({ &step, step.job->queue.priority, need });
         }
     }
 }
@@ -49,10 +47,7 @@
             || !claim.need.fitsIn(worker->entry.capacity)) {
             continue;
         }
-        const auto room = rooms_.find(id);
-        const bool isReclaimable = room != rooms_.end() && room->second.claimedBy >= claim.priority
-                                   && claim.need.fitsIn(room->second.reclaimableFor(claim.priority));
-        const bool hasRoom = claim.need.fitsIn(freeFor(step, *worker)) || isReclaimable;
+        const bool hasRoom = claim.need.fitsIn(freeFor(step, *worker)) || isReclaimable(step, id);
         const auto known = advice.allowed.find(id);
         const bool isPermitted = known != advice.allowed.end() && known->second.expiresAt > now;
         if (!isPermitted || isWhole) {
@@ -80,6 +75,15 @@
     return withRoom;
 }
 
+bool TaskPlacer::isReclaimable(StepState &step, const std::string &worker)
+{
+    const auto claim = JobBook::claimOf(step);
+    auto &rooms = roomsOf(step.job->queue.service);
+    const auto room = rooms.find(worker);
+    return room != rooms.end() && room->second.claimedBy >= claim.priority
+           && claim.need.fitsIn(room->second.reclaimableFor(claim.priority));
+}
+
 bool TaskPlacer::planRoom(StepState &step, const std::vector<WorkerState *> &workers, int taskCount, bool isWhole)
 {
     const auto need = JobBook::claimOf(step).need;
--- a/modules/dispatch/TaskPlacerReclaim.cpp
+++ b/modules/dispatch/TaskPlacerReclaim.cpp
@@ -13,10 +13,20 @@
 
 } // namespace
 
-void TaskPlacer::markUrgentRuns()
+std::map<std::string, WorkerRoom> &TaskPlacer::roomsOf(const std::string &service)
+{
+    const auto [found, isNew] = rooms_.try_emplace(service);
+    if (isNew) {
+        found->second = collectRooms(fleet_, service);
+        markUrgentRuns(found->second);
+    }
+    return found->second;
+}
+
+void TaskPlacer::markUrgentRuns(std::map<std::string, WorkerRoom> &rooms)
 {
     const auto now = timers_.now();
-    for (auto &[id, room] : rooms_) {
+    for (auto &[id, room] : rooms) {
         for (auto &reclaimable : room.reclaimable) {
             const auto job = book_.jobs().find(reclaimable.key.task.job);
             const auto *run = fleet_.run(id, reclaimable.key);
@@ -66,13 +76,14 @@
 void TaskPlacer::reclaim(StepState &step, int taskCount, bool isWhole)
 {
     const auto priority = step.job->queue.priority;
+    auto &planned = roomsOf(step.job->queue.service);
     const bool hasReclaimable = std::any_of(
-        rooms_.begin(), rooms_.end(), [priority](const auto &room) { return room.second.hasReclaimable(priority); });
-    const bool hasStopping = std::any_of(rooms_.begin(), rooms_.end(), [](const auto &room) { return room.second.isFreeing; });
+        planned.begin(), planned.end(), [priority](const auto &room) { return room.second.hasReclaimable(priority); });
+    const bool hasStopping = std::any_of(planned.begin(), planned.end(), [](const auto &room) { return room.second.isFreeing; });
     if (!hasReclaimable && !hasStopping) {
         return;
     }
-    auto rooms = rooms_;
+    auto rooms = planned;
     std::vector<std::pair<std::string, RunKey>> stops;
     const auto need = JobBook::claimOf(step).need;
     for (int task = 0; task < taskCount; ++task) {
@@ -87,7 +98,7 @@
             stops.emplace_back(*id, key);
         }
     }
-    rooms_ = std::move(rooms);
+    planned = std::move(rooms);
     for (const auto &[id, key] : stops) {
         EventLog::routine("run.preempted",
                           { { "job", key.task.job }, { "index", key.task.index }, { "worker", id }, { "for", step.job->spec.id } });
--- a/modules/entry/EntryInstance.cpp
+++ b/modules/entry/EntryInstance.cpp
@@ -90,9 +90,9 @@
                     const bool isKnown = this->parts.protocol.isReadinessRequest(request);
                     responder->reply({ !isKnown ? 404 : isReady() ? 200 : 503, {}, {} });
                 })
-    , peers(parts.loop, {}, [this](WebRequest request, HttpResponderPointer responder) {
-        servePeer(std::move(request), std::move(responder));
-    })
+    , peers(parts.loop,
+            {},
+            [this](WebRequest request, HttpResponderPointer responder) { servePeer(std::move(request), std::move(responder)); })
     , operators(parts.loop, { .maxConnections = 32 }, [this](const WebRequest &request, const HttpResponderPointer &responder) {
         serveOperator(request, *responder);
     })
--- a/modules/entry/Leadership.cpp
+++ b/modules/entry/Leadership.cpp
@@ -14,6 +14,9 @@
 
 // An entry process that has not asked for a pulse for so long is no longer named as a member.
 constexpr Milliseconds memberMemory { 2000 };
+// The owner of the grown cell needs more than the smallest machines have; where all are small, they differ by the spread only.
+constexpr double preferredShare = 0.2;
+constexpr Milliseconds smallMachineDelay { 250 };
 
 std::string writeEpoch(const EpochRow &row)
 {
@@ -80,7 +83,11 @@
     const auto version = result.rows.empty() ? 0 : result.rows.front().version;
     const bool isVacant = row.owner.empty() || row.owner == settings.nodeName;
     if (isVacant || row.token <= givenUpToken) {
-        if (!isAbstaining) {
+        const bool isSmall = settings.processorShare < preferredShare;
+        if (!isAbstaining && isSmall && std::exchange(deferredToken, row.token) != row.token) {
+            // The owner has most of the work: a larger machine is to be first.
+            later(smallMachineDelay, &Impl::findOwner);
+        } else if (!isAbstaining) {
             takeOver(row, version);
         } else {
             later(times.retry + spread(), &Impl::findOwner);
--- a/modules/entry/LeadershipImpl.h
+++ b/modules/entry/LeadershipImpl.h
@@ -58,6 +58,8 @@
     bool isHeard = false;
     /** The token of the owner that is given up: its row may be replaced. */
     std::int64_t givenUpToken = -1;
+    /** The ownership for whose succession this process has let larger machines go first. */
+    std::int64_t deferredToken = -1;
     /** Pulses of an earlier owner are ignored. */
     std::uint64_t round = 0;
     /** Answers of the store, one after the other, while the owner has none. */
--- a/modules/entry/Owner.cpp
+++ b/modules/entry/Owner.cpp
@@ -18,6 +18,9 @@
 
 // Gathers the changes of a moment into one round of placement.
 constexpr Milliseconds placeDelay { 3 };
+// A round that takes long is followed by a pause this many times as long, so that a crest leaves the processor to the rest.
+constexpr int roundCostFactor = 4;
+constexpr Milliseconds longestPlaceDelay { 60 };
 constexpr Milliseconds tendInterval { 200 };
 // Workers report about every second and a half: reading their table more often than this shows little more.
 constexpr WatchTimes workerWatchTimes { Milliseconds(1500), Milliseconds(250), Milliseconds(200) };
@@ -90,6 +93,8 @@
     bool isReady = false;
     bool isClosed = false;
     bool isPlacing = false;
+    /** From a change to the next round of placement. */
+    Milliseconds roundPause { placeDelay };
     bool isLeaving = false;
 };
 
@@ -113,11 +118,15 @@
         return;
     }
     isPlacing = true;
-    parts.timers.after(placeDelay, [self = shared_from_this()] {
+    parts.timers.after(roundPause, [self = shared_from_this()] {
         self->isPlacing = false;
-        if (!self->isClosed && !self->isLeaving) {
-            self->placer.place();
+        if (self->isClosed || self->isLeaving) {
+            return;
         }
+        const auto startedAt = self->parts.timers.now();
+        self->placer.place();
+        const auto cost = std::chrono::duration_cast<Milliseconds>(self->parts.timers.now() - startedAt);
+        self->roundPause = std::clamp(cost * roundCostFactor, placeDelay, longestPlaceDelay);
     });
 }
 
