--- a/modules/dispatch/Fleet.h
+++ b/modules/dispatch/Fleet.h
@@ -52,7 +52,7 @@
     /** How long a worker may hold a look back until a task ends. */
     Milliseconds lookWait { 2000 };
     /** From an end that was reported to the next look, so that ends close to each other share one. */
-    Milliseconds gatherEnds { 60 };
+    Milliseconds gatherEnds { 120 };
     /** From a failed look to the next one. */
     Milliseconds lookRetry { 250 };
     /** A worker that has not reported for so long is started nothing on. */
