--- a/modules/dispatch/CommitLog.cpp
+++ b/modules/dispatch/CommitLog.cpp
@@ -265,11 +265,6 @@
     return impl_->hasFailed || (impl_->current && backlogAge() > stallTime);
 }
 
-TimePoint CommitLog::lastSuccess() const
-{
-    return impl_->lastSuccess;
-}
-
 void CommitLog::close()
 {
     impl_->isClosed = true;
--- a/modules/dispatch/CommitLog.h
+++ b/modules/dispatch/CommitLog.h
@@ -62,9 +62,6 @@
     /** True while the store does not take transactions. */
     bool isStalled() const;
 
-    /** The time of the last transaction that the store is known to have taken. */
-    TimePoint lastSuccess() const;
-
     /** Stops sending; callbacks are no longer called. */
     void close();
 
--- a/modules/dispatch/JobBookRuns.cpp
+++ b/modules/dispatch/JobBookRuns.cpp
@@ -98,7 +98,6 @@
                         { "how", name(ended.end) } });
     std::erase(task->runs, RunPlace { worker, ended.attempt });
     task->lastAttempt = std::max(task->lastAttempt, ended.attempt);
-    task->lastEndedAt = timers_.now();
     if (!ended.checkpoint.empty() && !task->isDone) {
         task->checkpoint = ended.checkpoint;
     }
@@ -240,7 +239,6 @@
         return;
     }
     std::erase(task->runs, RunPlace { worker, key.attempt });
-    task->lastEndedAt = timers_.now();
     auto &step = *job->step(key.task.occurrence, key.task.step);
     if (outcome == OrderOutcome::PermitRejected) {
         step.advice.allowed.erase(worker);
--- a/modules/dispatch/JobState.h
+++ b/modules/dispatch/JobState.h
@@ -46,7 +46,6 @@
     std::vector<RunPlace> runs;
     /** The worker on which it last failed; others are preferred. */
     std::string failedOn;
-    TimePoint lastEndedAt;
 
     bool isIdle() const
     {
--- a/modules/dispatch/Run.h
+++ b/modules/dispatch/Run.h
@@ -73,8 +73,6 @@
     bool isStartAnswered = false;
     /** A run of a job that this owner doesn't know or that has ended. */
     bool isForeign = false;
-    /** For a task that serves: since when its tail is over its target. */
-    std::optional<TimePoint> overTargetSince;
 };
 
 /** Why a run is gone without a listed end. */
--- a/modules/entry/EntryInstance.cpp
+++ b/modules/entry/EntryInstance.cpp
@@ -71,7 +71,7 @@
                  parts.store,
                  parts.settings,
                  {},
-                 { [this](const Ownership &ownership) { onWon(ownership); }, [] {}, [this] { return ownPulse(); } })
+                 { [this](const Ownership &ownership) { onWon(ownership); }, [this] { return ownPulse(); } })
     , calls(
           parts.loop,
           [this] { return owner.get(); },
--- a/modules/entry/EntrySettings.h
+++ b/modules/entry/EntrySettings.h
@@ -25,27 +25,17 @@
     Address store;
     /** The advisory service; empty if there is none. */
     std::optional<Address> advisor;
-    /** The interface to the workers' machines. */
-    std::optional<Address> machines;
     /** The share of a core that this process may use, from 0 to 1. */
     double processorShare = 1.0;
 
     /** The longest lease that a worker accepts. */
     Milliseconds maxLease { 10000 };
-    /** The time that a worker takes at most to stop a task. */
-    Milliseconds stopGrace { 400 };
     /** From the stop signal until the process is killed. */
     Milliseconds shutdownGrace { 6000 };
-    /** The bound after which a draining worker is started nothing on. */
-    Milliseconds drainBound { 2000 };
     /** How long the state of an ended job is kept. */
     Milliseconds statusRetention { 120000 };
     /** How early a scheduled occurrence may start. */
     Milliseconds earlyStart { 250 };
-    /** The longest time that a service's tail may stay over its target. */
-    Milliseconds latencyImpact { 4000 };
-    /** The interval at which workers report. */
-    Milliseconds workerHeartbeat { 1500 };
 };
 
 } // namespace auburndoor
--- a/modules/entry/Leadership.cpp
+++ b/modules/entry/Leadership.cpp
@@ -147,7 +147,6 @@
             self->pulses.reset();
             EventLog::write("owner.won", { { "token", token } });
             self->hooks.won({ token, epochVersion, result.rows.empty() ? 0 : result.rows.front().version });
-            self->hooks.changed();
         });
 }
 
@@ -197,10 +196,7 @@
         onPulseLost(sent.outcome == SendOutcome::Answered ? "it is not the owner" : sent.error);
         return;
     }
-    if (!isHeard) {
-        isHeard = true;
-        hooks.changed();
-    }
+    isHeard = true;
     knownMembers = pulse->members;
     desiredVersion = pulse->desiredVersion;
     if (pulse->storeAway < times.storeAwayLimit) {
@@ -216,7 +212,6 @@
     const bool wasHeard = std::exchange(isHeard, false);
     if (wasHeard) {
         EventLog::write("owner.silent", { { "owner", owner.owner }, { "token", owner.token }, { "why", why } });
-        hooks.changed();
     }
     if (why == "it is not the owner") {
         // It has released the cell or lost it: the row tells.
@@ -245,7 +240,6 @@
 {
     impl_->isOwner = false;
     impl_->owner = {};
-    impl_->hooks.changed();
     impl_->later(impl_->spread(), &Impl::findOwner);
 }
 
--- a/modules/entry/Leadership.h
+++ b/modules/entry/Leadership.h
@@ -45,8 +45,6 @@
     {
         /** The cell was won. */
         std::function<void(const Ownership &)> won;
-        /** Another process is known to own the cell, or none is. */
-        std::function<void()> changed;
         /** Whether this process owns the cell now, and what it tells others. */
         std::function<std::optional<Pulse>()> ownPulse;
     };
--- a/modules/entry/TableWatch.cpp
+++ b/modules/entry/TableWatch.cpp
@@ -38,7 +38,6 @@
     std::int64_t version = 0;
     TimePoint freshAt;
     int failures = 0;
-    bool isRead = false;
     bool isClosed = false;
 };
 
@@ -57,7 +56,6 @@
             EventLog::write("watch.regained", { { "table", self->table }, { "version", result.version } });
         }
         self->failures = 0;
-        self->isRead = true;
         self->version = result.version;
         self->freshAt = askedAt;
         self->callback(result.rows, true);
@@ -116,11 +114,6 @@
     impl_->readTable();
 }
 
-bool TableWatch::isRead() const
-{
-    return impl_->isRead;
-}
-
 Milliseconds TableWatch::age() const
 {
     return std::chrono::duration_cast<Milliseconds>(impl_->timers.now() - impl_->freshAt);
--- a/modules/entry/TableWatch.h
+++ b/modules/entry/TableWatch.h
@@ -37,9 +37,6 @@
 
     void start();
 
-    /** True once the table has been read. */
-    bool isRead() const;
-
     /** How long ago the question was sent that the last answer belongs to. */
     Milliseconds age() const;
 
--- a/modules/net/HttpListener.cpp
+++ b/modules/net/HttpListener.cpp
@@ -49,7 +49,6 @@
     asio::ip::tcp::acceptor acceptor;
     std::size_t openConnections = 0;
     std::size_t openRequests = 0;
-    bool isClosing = false;
 };
 
 /** One connection of a client. It lives as long as an operation or an unanswered request refers to it. */
@@ -93,7 +92,7 @@
             response_.set(name, value);
         }
         response_.body() = std::move(reply.body);
-        response_.keep_alive(keepAlive_ && !owner_->isClosing);
+        response_.keep_alive(keepAlive_);
         response_.prepare_payload();
         stream_.expires_after(owner_->limits.transferTimeout);
         http::async_write(
@@ -230,11 +229,6 @@
     return impl_->acceptor.local_endpoint(ignored).port();
 }
 
-void HttpListener::closeWhenIdle()
-{
-    impl_->isClosing = true;
-}
-
 std::size_t HttpListener::openConnections() const
 {
     return impl_->openConnections;
--- a/modules/net/HttpListener.h
+++ b/modules/net/HttpListener.h
@@ -51,9 +51,6 @@
     /** The bound port. */
     std::uint16_t port() const;
 
-    /** From now on each connection is closed after its current request. */
-    void closeWhenIdle();
-
     std::size_t openConnections() const;
 
     /** Requests that were read and are not yet answered. */
