--- a/modules/entry/Leadership.cpp
+++ b/modules/entry/Leadership.cpp
@@ -193,7 +193,8 @@
     }
     const auto pulse = sent.hasStatus(200) ? PeerCodec::readPulse(sent.reply) : std::nullopt;
     if (!pulse || pulse->token != owner.token) {
-        onPulseLost(sent.outcome == SendOutcome::Answered ? "it is not the owner" : sent.error);
+        const bool isNotOwner = sent.outcome == SendOutcome::Answered;
+        onPulseLost(isNotOwner, isNotOwner ? "it is not the owner" : sent.error);
         return;
     }
     isHeard = true;
@@ -207,13 +208,13 @@
     sendPulse();
 }
 
-void Leadership::Impl::onPulseLost(const std::string &why)
+void Leadership::Impl::onPulseLost(bool isNotOwner, const std::string &why)
 {
     const bool wasHeard = std::exchange(isHeard, false);
     if (wasHeard) {
         EventLog::write("owner.silent", { { "owner", owner.owner }, { "token", owner.token }, { "why", why } });
     }
-    if (why == "it is not the owner") {
+    if (isNotOwner) {
         // It has released the cell or lost it: the row tells.
         later(Milliseconds(10) + spread(), &Impl::findOwner);
         return;
--- a/modules/entry/LeadershipImpl.h
+++ b/modules/entry/LeadershipImpl.h
@@ -37,7 +37,8 @@
     void sendPulse();
     void onPulse(const SendResult &sent, std::uint64_t round);
     void probeStore();
-    void onPulseLost(const std::string &why);
+    /** @param isNotOwner it answered, and does not own the cell */
+    void onPulseLost(bool isNotOwner, const std::string &why);
     /** Asks some other processes whether they hear the owner. */
     void askOthers(std::function<void(const std::vector<OwnerSighting> &)> done);
     bool followNewest(const std::vector<OwnerSighting> &sightings);
