--- a/modules/dispatch/Fleet.h
+++ b/modules/dispatch/Fleet.h
@@ -50,7 +50,7 @@
     /** The lease of all that runs; extended with each look. */
     Milliseconds lease { 5000 };
     /** How long a worker may hold a look back until a task ends. */
-    Milliseconds lookWait { 2000 };
+    Milliseconds lookWait { 1000 };
     /** From an end that was reported to the next look, so that ends close to each other share one. */
     Milliseconds gatherEnds { 120 };
     /** From a failed look to the next one. */
