--- a/apps/auburndoor-entry/main.cpp
+++ b/apps/auburndoor-entry/main.cpp
@@ -64,15 +64,18 @@
     loop.onSignals({ SIGTERM, SIGINT }, [&](int) { instance.shutDown([&loop] { loop.stop(); }); });
     loop.onSignals({ SIGHUP }, [](int) { EventLog::write("settings.signal", {}); });
     loop.run();
-    return exitDone;
+    EventLog::flush();
+    // Handlers that are still waiting refer to each other's owners; the system closes the sockets.
+    std::quick_exit(exitDone);
 }
 
 } // namespace
 
 int main(int argc, char **argv)
 {
-    absl::SetProgramUsageMessage("auburndoor-entry [--settings=FILE] [--metrics-port=PORT] [--check-settings]: one entry process on the platform.\n"
-                                 "Exit codes: 0 stopped or settings are valid, 1 usage, 2 bad settings, 3 cannot start.");
+    absl::SetProgramUsageMessage(
+        "auburndoor-entry [--settings=FILE] [--metrics-port=PORT] [--check-settings]: one entry process on the platform.\n"
+        "Exit codes: 0 stopped or settings are valid, 1 usage, 2 bad settings, 3 cannot start.");
     auburndoor::acceptHyphens(argc, argv);
     absl::ParseCommandLine(argc, argv);
     const auto fileName = settingsFile();
--- a/modules/dispatch/JobRecords.cpp
+++ b/modules/dispatch/JobRecords.cpp
@@ -223,7 +223,10 @@
     if (found == allStages.end()) {
         return std::nullopt;
     }
-    endedAt = Milliseconds(json.value("ended", Milliseconds::rep(0)));
+    const auto ended = json.find("ended");
+    if (ended != json.end() && ended->is_number_integer()) {
+        endedAt = Milliseconds(ended->get<Milliseconds::rep>());
+    }
     return *found;
 }
 
@@ -236,19 +239,20 @@
 std::optional<WorkerEntry> JobRecords::readRosterEntry(const std::string &id, const std::string &text)
 {
     const auto json = Json::parse(text, nullptr, false);
-    if (!json.is_object()) {
-        return std::nullopt;
-    }
-    const auto address = Address::parse(json.value("address", std::string()));
-    if (!address) {
+    try {
+        const auto address = Address::parse(json.at("address").get<std::string>());
+        if (!address) {
+            return std::nullopt;
+        }
+        WorkerEntry entry;
+        entry.id = id;
+        entry.service = json.at("service").get<std::string>();
+        entry.address = *address;
+        entry.bornAt = json.at("born").get<std::int64_t>();
+        return entry;
+    } catch (const Json::exception &) {
         return std::nullopt;
     }
-    WorkerEntry entry;
-    entry.id = id;
-    entry.service = json.value("service", std::string());
-    entry.address = *address;
-    entry.bornAt = json.value("born", std::int64_t(0));
-    return entry;
 }
 
 } // namespace auburndoor
--- a/modules/entry/Leadership.cpp
+++ b/modules/entry/Leadership.cpp
@@ -27,10 +27,12 @@
 {
     EpochRow row;
     const auto json = nlohmann::json::parse(text, nullptr, false);
-    if (json.is_object()) {
-        row.token = json.value("token", std::int64_t(0));
-        row.owner = json.value("owner", std::string());
-        row.address = json.value("address", std::string());
+    try {
+        row.token = json.at("token").get<std::int64_t>();
+        row.owner = json.at("owner").get<std::string>();
+        row.address = json.at("address").get<std::string>();
+    } catch (const nlohmann::json::exception &) {
+        EventLog::write("record.unreadable", { { "table", OwnerRows::table } });
     }
     return row;
 }
