Let a larger machine take the cell over from a small one

Change: small machines wait half a second before they take over, and a larger process that hears a small owner replaces it.

--- a/modules/entry/EntryInstance.cpp
+++ b/modules/entry/EntryInstance.cpp
@@ -225,8 +225,8 @@
     if (!owner) {
         return std::nullopt;
     }
-    return Pulse { parts.settings.nodeName, owner->token(), owner->storeAway(),
-                   owner->isReady(),        queues.version, leadership.members() };
+    return Pulse { parts.settings.nodeName,       owner->token(),      owner->storeAway(), owner->isReady(), queues.version,
+                   parts.settings.processorShare, leadership.members() };
 }
 
 void EntryInstance::Impl::flushLog()
--- a/modules/entry/Leadership.cpp
+++ b/modules/entry/Leadership.cpp
@@ -16,7 +16,7 @@
 constexpr Milliseconds memberMemory { 2000 };
 // The owner of the grown cell needs more than the smallest machines have; where all are small, they differ by the spread only.
 constexpr double preferredShare = 0.2;
-constexpr Milliseconds smallMachineDelay { 250 };
+constexpr Milliseconds smallMachineDelay { 500 };
 
 std::string writeEpoch(const EpochRow &row)
 {
@@ -202,6 +202,12 @@
     isHeard = true;
     knownMembers = pulse->members;
     desiredVersion = pulse->desiredVersion;
+    const bool isOwnerSmall = pulse->processorShare < preferredShare && settings.processorShare >= preferredShare;
+    if (isOwnerSmall && pulse->isReady && !isAbstaining) {
+        // A small machine owns the cell because the larger ones were away: one of them takes over again.
+        givenUpToken = owner.token;
+        later(spread(), &Impl::findOwner);
+    }
     if (pulse->storeAway < times.storeAwayLimit) {
         storeProbes = 0;
     } else if (!isAbstaining) {
--- a/modules/entry/PeerCodec.cpp
+++ b/modules/entry/PeerCodec.cpp
@@ -53,6 +53,7 @@
                     { "store_away", pulse.storeAway.count() },
                     { "ready", pulse.isReady },
                     { "desired", pulse.desiredVersion },
+                    { "share", pulse.processorShare },
                     { "members", std::move(members) } }),
              {} };
 }
@@ -66,6 +67,7 @@
         pulse.storeAway = Milliseconds(json.at("store_away").get<std::int64_t>());
         pulse.isReady = json.at("ready").get<bool>();
         pulse.desiredVersion = json.at("desired").get<std::int64_t>();
+        pulse.processorShare = json.at("share").get<double>();
         for (const auto &member : json.at("members")) {
             if (const auto address = Address::parse(member.get<std::string>())) {
                 pulse.members.push_back(*address);
--- a/modules/entry/PeerCodec.h
+++ b/modules/entry/PeerCodec.h
@@ -22,6 +22,8 @@
     bool isReady = false;
     /** The version of the desired state that the owner follows. */
     std::int64_t desiredVersion = 0;
+    /** The owner's share of a processor. */
+    double processorShare = 1.0;
     /** The peer addresses of the entry processes that the owner hears from. */
     std::vector<Address> members;
 };
