--- a/tests/dispatch/CommitLogTests.cpp
+++ b/tests/dispatch/CommitLogTests.cpp
@@ -1,6 +1,6 @@
 #include "dispatch/CommitLog.h"
-#include "dispatch/FakeStore.h"
-#include "dispatch/ManualTimers.h"
+#include "fakes/FakeStore.h"
+#include "fakes/ManualTimers.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/dispatch/OwnerFixture.h
+++ b/tests/dispatch/OwnerFixture.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "PlatformProtocol.h"
-#include "dispatch/FakeStore.h"
-#include "dispatch/ManualTimers.h"
 #include "dispatch/SimulatedWorker.h"
 #include "entry/Owner.h"
+#include "fakes/FakeStore.h"
+#include "fakes/ManualTimers.h"
 
 #include <map>
 #include <memory>
--- a/tests/dispatch/FakeStore.cpp
+++ b/tests/fakes/FakeStore.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/FakeStore.h"
+#include "fakes/FakeStore.h"
 
 namespace auburndoor {
 
