--- a/modules/observability/EventLog.h
+++ b/modules/observability/EventLog.h
@@ -48,9 +48,8 @@
     /**
         Counts each event from now on, whether or not its line is written.
 
-        The counter "events_total" has the event's name, and its "outcome", "why", "how" or "stage" as reason; a field whose name
-       ends in
-        "_ms" goes into the histogram "event_milliseconds". Null to stop.
+        The counter "events_total" has the event's name, and its "outcome", "why", "how" or "stage" as reason. A field whose name
+        ends in "_ms" goes into the histogram "event_milliseconds". Null to stop.
     */
     static void setMetrics(Metrics *metrics);
 
