Look at the workers of a service once a round, and interrupt long rounds of placement

Cause: with a long queue each round of placement looked at all workers for each waiting step (maps copied for each try to reclaim room, names compared), each answer of the advisory service took stock anew, and a round ran to its end. On the deployment with 38 machines the owner held its loop for longer than the 600 ms of a pulse, was replaced every 2 to 3 s, and each successor read everything again. Ruled out: a limit on the steps that reclaim (tried before, no gain). Change: ServiceRooms holds the rooms of a service for a round, with bounds that pass over a step that fits nowhere; advised steps look at their permitted workers only; permits are used by the next round; a round ends after 10 ms and the next one continues it.

--- a/modules/dispatch/TaskPlacer.cpp
+++ b/modules/dispatch/TaskPlacer.cpp
@@ -12,6 +12,8 @@
 
 // Beyond this multiple of its objective a job no longer counts as late but as lost.
 constexpr int lostAfterObjectives = 3;
+// A round that takes longer is continued later: pulses and callers wait for less than a tenth of the patience they have.
+constexpr Milliseconds longestRound { 10 };
 
 } // namespace
 
@@ -40,17 +42,33 @@
     *isAlive_ = false;
 }
 
-bool TaskPlacer::mayStart(const JobState &job) const
+bool TaskPlacer::mayStart(const JobState &job)
 {
     if (job.stage != JobStage::Queued && job.stage != JobStage::Running) {
         return false;
     }
-    return !job.isInherited || timers_.now() > inheritedHold_ || !fleet_.hasUnreadWorkers(job.queue.service);
+    return !job.isInherited || timers_.now() > inheritedHold_ || !hasUnreadWorkers(job.queue.service);
 }
 
-std::vector<StepState *> TaskPlacer::readySteps()
+bool TaskPlacer::hasUnreadWorkers(const std::string &service)
 {
-    std::vector<StepState *> steps;
+    const auto [found, isNew] = unread_.try_emplace(service);
+    if (isNew) {
+        found->second = fleet_.hasUnreadWorkers(service);
+    }
+    return found->second;
+}
+
+TaskPlacer::StepRank TaskPlacer::rankOf(const StepState &step, TimePoint now)
+{
+    const auto &job = *step.job;
+    return { job.queue.priority, now > lostAt(job), job.objective, job.spec.id, step.occurrence, step.index };
+}
+
+std::vector<std::pair<TaskPlacer::StepRank, StepState *>> TaskPlacer::readySteps()
+{
+    std::vector<std::pair<StepRank, StepState *>> steps;
+    const auto now = timers_.now();
     for (const auto &[id, job] : book_.jobs()) {
         // The advice for a job is asked for while it is being stored.
         const bool isPrepared = job->stage == JobStage::Recording && job->queue.advice.has_value();
@@ -61,36 +79,22 @@
             for (auto &step : occurrence.steps) {
                 const bool isOpen = step.spec().isGang ? !step.isDone() && !step.hasRuns() : step.hasIdleTask();
                 if (isOpen && occurrence.isReady(step)) {
-                    steps.push_back(&step);
+                    steps.emplace_back(rankOf(step, now), &step);
                 }
             }
         }
     }
-    const auto now = timers_.now();
-    std::sort(steps.begin(), steps.end(), [now](const StepState *left, const StepState *right) {
-        const auto rank = [now](const StepState &step) {
-            return std::tuple(
-                step.job->queue.priority, now > lostAt(*step.job), step.job->objective, step.job->spec.id, step.index);
-        };
-        return rank(*left) < rank(*right);
-    });
+    std::sort(steps.begin(), steps.end());
     return steps;
 }
 
 void TaskPlacer::beginRound()
 {
-    rooms_.clear();
-    holds_.clear();
-    usable_.clear();
-    largestFree_.clear();
+    services_.clear();
+    unread_.clear();
     for (const auto &[id, worker] : fleet_.workers()) {
         if (fleet_.isUsable(*worker)) {
-            usable_[worker->entry.service].push_back(worker.get());
-            auto &largest = largestFree_[worker->entry.service];
-            const auto free = worker->free();
-            largest.milliCores = std::max(largest.milliCores, free.milliCores);
-            largest.memoryMiB = std::max(largest.memoryMiB, free.memoryMiB);
-            largest.accelerators = std::max(largest.accelerators, free.accelerators);
+            services_[worker->entry.service].add(*worker);
         }
     }
     // Rooms that steps wait to use until their advice arrives.
@@ -103,72 +107,88 @@
     }
 }
 
-Resources TaskPlacer::freeFor(const StepState &step, const WorkerState &worker)
+ServiceRooms &TaskPlacer::roomsOf(const StepState &step)
+{
+    return services_[step.job->queue.service];
+}
+
+bool TaskPlacer::place()
 {
-    auto free = worker.free();
-    const auto priority = step.job->queue.priority;
-    if (const auto rooms = rooms_.find(worker.entry.service); rooms != rooms_.end()) {
-        const auto room = rooms->second.find(worker.entry.id);
-        if (room != rooms->second.end() && room->second.claimedBy < priority) {
-            return { -1, -1, -1, 0, 0 };
+    const auto startedAt = timers_.now();
+    beginRound();
+    auto steps = readySteps();
+    const auto first = resumeAfter_ ? std::find_if(
+                           steps.begin(), steps.end(), [this](const auto &step) { return *resumeAfter_ < step.first; })
+                                    : steps.begin();
+    resumeAfter_.reset();
+    for (auto next = first; next != steps.end(); ++next) {
+        placeStep(*next->second);
+        if (timers_.now() - startedAt > longestRound && next + 1 != steps.end()) {
+            resumeAfter_ = next->first;
+            return false;
         }
     }
-    if (const auto holds = holds_.find(worker.entry.id); holds != holds_.end()) {
-        for (const auto &hold : holds->second) {
-            if (hold.step != &step && hold.priority <= priority) {
-                free -= hold.need;
-            }
-        }
+    // The end of an interrupted round is followed by a whole one.
+    return first == steps.begin();
+}
+
+void TaskPlacer::placeStep(StepState &step)
+{
+    if (step.job->stage == JobStage::Recording) {
+        askAdvice(step, static_cast<int>(step.tasks.size()), step.spec().isGang);
+    } else if (step.spec().isGang) {
+        placeGang(step);
+    } else {
+        placeTasks(step);
     }
-    return free;
 }
 
-void TaskPlacer::place()
+std::optional<TaskPlacer::Candidate> TaskPlacer::candidateAt(const StepState &step, WorkerRoom &room) const
 {
-    beginRound();
-    for (auto *step : readySteps()) {
-        if (step->job->stage == JobStage::Recording) {
-            askAdvice(*step, static_cast<int>(step->tasks.size()), step->spec().isGang);
-            continue;
+    const auto &spec = step.spec();
+    const auto &entry = room.worker->entry;
+    Candidate candidate { &room, room.freeFor(&step, step.job->queue.priority), 0, nullptr };
+    if (!JobBook::claimOf(step).need.fitsIn(candidate.free)
+        || (!spec.requiredLabel.empty() && !entry.hasLabel(spec.requiredLabel))) {
+        return std::nullopt;
+    }
+    if (spec.maxTasksPerWorker > 0) {
+        for (const auto &task : step.tasks) {
+            candidate.tasksOfStep += static_cast<int>(
+                std::count_if(task.runs.begin(), task.runs.end(), [&](const auto &place) { return place.worker == entry.id; }));
         }
-        if (step->spec().isGang) {
-            placeGang(*step);
-        } else {
-            placeTasks(*step);
+        if (candidate.tasksOfStep >= spec.maxTasksPerWorker) {
+            return std::nullopt;
         }
     }
+    return candidate;
 }
 
 std::vector<TaskPlacer::Candidate> TaskPlacer::candidatesOf(StepState &step)
 {
     std::vector<Candidate> candidates;
-    const auto &spec = step.spec();
-    const auto now = timers_.now();
-    const auto need = JobBook::claimOf(step).need;
-    if (!need.fitsIn(largestFree_[step.job->queue.service])) {
+    auto &service = roomsOf(step);
+    if (!service.mayHaveFree(JobBook::claimOf(step).need)) {
         return candidates;
     }
-    std::map<std::string, int> tasksOn;
-    for (const auto &task : step.tasks) {
-        for (const auto &place : task.runs) {
-            ++tasksOn[place.worker];
-        }
-    }
-    for (auto *worker : usable_[step.job->queue.service]) {
-        const auto &id = worker->entry.id;
-        const auto free = freeFor(step, *worker);
-        if (!need.fitsIn(free) || (!spec.requiredLabel.empty() && !worker->entry.hasLabel(spec.requiredLabel))) {
-            continue;
+    const auto addCandidate = [&](WorkerRoom &room, const StepAdvice::Entry *permit) {
+        if (auto candidate = candidateAt(step, room)) {
+            candidate->permit = permit;
+            candidates.push_back(*candidate);
         }
-        Candidate candidate { worker, free, tasksOn[id], nullptr };
-        if (spec.maxTasksPerWorker > 0 && candidate.tasksOfStep >= spec.maxTasksPerWorker) {
-            continue;
+    };
+    if (!step.job->queue.advice) {
+        for (auto &room : service.rooms()) {
+            addCandidate(room, nullptr);
         }
-        if (const auto permit = step.advice.allowed.find(id); permit != step.advice.allowed.end() && permit->second.expiresAt > now
-                                                              && permit->second.workerBornAt == worker->entry.bornAt) {
-            candidate.permit = &permit->second;
+        return candidates;
+    }
+    const auto now = timers_.now();
+    for (const auto &[id, permit] : step.advice.allowed) {
+        auto *room = permit.expiresAt > now ? service.find(id) : nullptr;
+        if (room != nullptr && permit.workerBornAt == room->worker->entry.bornAt) {
+            addCandidate(*room, &permit);
         }
-        candidates.push_back(candidate);
     }
     return candidates;
 }
@@ -176,7 +196,7 @@
 double TaskPlacer::cost(const StepState &step, const Task &task, const Candidate &candidate) const
 {
     const auto &spec = step.spec();
-    const auto &entry = candidate.worker->entry;
+    const auto &entry = candidate.room->worker->entry;
     // Best fit: what is left of the dominant resource decides; preferences outweigh it.
     constexpr double farFromData = 10.0;
     constexpr double failedThere = 20.0;
@@ -191,7 +211,7 @@
     const auto kind = JobBook::claimOf(step).kind;
     if (kind != RunKind::Plain) {
         const auto other = kind == RunKind::Fills ? RunKind::Serves : RunKind::Fills;
-        const auto &runs = candidate.worker->runs;
+        const auto &runs = candidate.room->worker->runs;
         const bool meets = std::any_of(
             runs.begin(), runs.end(), [other](const auto &run) { return run.second.claim.kind == other; });
         result += meets ? disturbs : 0.0;
@@ -209,9 +229,8 @@
     const auto &spec = step.spec();
     const auto need = JobBook::claimOf(step).need;
     for (auto &candidate : candidates) {
-        const bool isPermitted = !step.job->queue.advice || candidate.permit != nullptr;
         const bool isApart = spec.maxTasksPerWorker == 0 || candidate.tasksOfStep < spec.maxTasksPerWorker;
-        if (!isPermitted || !isApart || !need.fitsIn(candidate.free) || (!rack.empty() && candidate.worker->entry.rack() != rack)) {
+        if (!isApart || !need.fitsIn(candidate.free) || (!rack.empty() && candidate.room->worker->entry.rack() != rack)) {
             continue;
         }
         const auto candidateCost = cost(step, task, candidate);
@@ -227,7 +246,7 @@
 {
     const auto &job = *step.job;
     auto &task = step.tasks[static_cast<std::size_t>(index)];
-    const auto &id = candidate.worker->entry.id;
+    const auto &id = candidate.room->worker->entry.id;
     StartOrder order;
     order.task = { job.spec.id, step.occurrence, step.index, index };
     order.attempt = attempt;
@@ -247,6 +266,7 @@
                         { "free_cores", candidate.free.milliCores } });
     const auto claim = JobBook::claimOf(step);
     candidate.free -= claim.need;
+    candidate.room->expected -= claim.need;
     ++candidate.tasksOfStep;
     book_.noteStart(step, index, { id, attempt });
     fleet_.start(id, order, claim);
@@ -308,7 +328,7 @@
     if (step.spec().prefersOneRack) {
         std::set<std::string> racks;
         for (const auto &candidate : candidates) {
-            racks.insert(candidate.worker->entry.rack());
+            racks.insert(candidate.room->worker->entry.rack());
         }
         for (auto rack = racks.begin(); rack != racks.end() && chosen.empty(); ++rack) {
             chosen = fitGang(step, candidates, *rack);
--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -2,10 +2,14 @@
 
 #include "dispatch/Fleet.h"
 #include "dispatch/JobBook.h"
-#include "dispatch/RoomPlan.h"
+#include "dispatch/ServiceRooms.h"
 #include "workload/Advisor.h"
 
+#include <map>
 #include <memory>
+#include <optional>
+#include <string>
+#include <utility>
 #include <vector>
 
 namespace auburndoor {
@@ -26,8 +30,12 @@
     TaskPlacer(Timers &timers, JobBook &book, Fleet &fleet, Advisor &advisor, TimePoint inheritedHold);
     ~TaskPlacer();
 
-    /** Places what can be placed now. */
-    void place();
+    /**
+        Places what can be placed now. A round that takes long is interrupted, and the next call continues it.
+
+        @return false if steps are left for the next call
+    */
+    bool place();
 
     /** Looks after what runs: copies of slow tasks, runs on leaving workers, the pace of tasks that fill. */
     void tend();
@@ -38,38 +46,58 @@
     /** A worker with the room that is left while a step is being placed. */
     struct Candidate
     {
-        WorkerState *worker = nullptr;
+        WorkerRoom *room = nullptr;
         Resources free;
         int tasksOfStep = 0;
         const StepAdvice::Entry *permit = nullptr;
     };
 
-    std::vector<StepState *> readySteps();
-    bool mayStart(const JobState &job) const;
+    /** The order in which steps are served. */
+    struct StepRank
+    {
+        int priority = 0;
+        bool isLost = false;
+        TimePoint objective;
+        std::string job;
+        int occurrence = 0;
+        int step = 0;
+
+        auto operator<=>(const StepRank &other) const = default;
+    };
+
+    static StepRank rankOf(const StepState &step, TimePoint now);
+    std::vector<std::pair<StepRank, StepState *>> readySteps();
+    bool mayStart(const JobState &job);
+    bool hasUnreadWorkers(const std::string &service);
+    std::optional<Candidate> candidateAt(const StepState &step, WorkerRoom &room) const;
     std::vector<Candidate> candidatesOf(StepState &step);
     Candidate *choose(const StepState &step, const Task &task, std::vector<Candidate> &candidates, const std::string &rack) const;
     double cost(const StepState &step, const Task &task, const Candidate &candidate) const;
+    void placeStep(StepState &step);
     void placeTasks(StepState &step);
     void placeGang(StepState &step);
     std::vector<Candidate *> fitGang(StepState &step, std::vector<Candidate> &candidates, const std::string &rack) const;
     void start(StepState &step, int index, Candidate &candidate, std::int64_t attempt);
     /** Takes stock of workers and rooms; planning in a round sees what was planned before in it. */
     void beginRound();
-    /** What a step may use of a worker now: its free room less what steps at least as urgent wait to use. */
-    Resources freeFor(const StepState &step, const WorkerState &worker);
+    /** The rooms of the step's service in this round. */
+    ServiceRooms &roomsOf(const StepState &step);
     void holdRooms(StepState &step);
-    /** The rooms of a service in this round. */
-    std::map<std::string, WorkerRoom> &roomsOf(const std::string &service);
-    /** Marks the runs whose jobs would be late if they were stopped now. */
-    void markUrgentRuns(std::map<std::string, WorkerRoom> &rooms);
+    /** True if the run's job would still be in time if it were stopped now. */
+    bool canWait(const std::string &worker, const RunKey &key);
+    /** False if no worker can make room for a task of the step by stopping less urgent runs. */
+    bool mayReclaim(StepState &step);
+    bool isReclaimable(const StepState &step, const WorkerRoom &room) const;
+    std::vector<WorkerRoom *> reclaimableRooms(StepState &step);
+    WorkerRoom *chooseReclaimable(const StepState &step, const std::vector<WorkerRoom *> &rooms) const;
     /** Stops less urgent runs that lose nothing, so that tasks of the step fit. @param isWhole all tasks or none */
     void reclaim(StepState &step, int taskCount, bool isWhole);
-    std::optional<std::string> findReclaimable(StepState &step, const std::map<std::string, WorkerRoom> &rooms);
     /** Asks which workers the step may use, if some of them could be used now or none is known. @param isWhole all tasks or none */
     void askAdvice(StepState &step, int taskCount, bool isWhole);
-    std::vector<WorkerState *> workersToAsk(StepState &step, int taskCount, bool isWhole);
-    bool isReclaimable(StepState &step, const std::string &worker);
-    bool planRoom(StepState &step, const std::vector<WorkerState *> &workers, int taskCount, bool isWhole);
+    std::vector<WorkerRoom *> workersToAsk(StepState &step, int taskCount, bool isWhole);
+    /** Orders the workers with room by their use, and fills up with others. */
+    static void chooseAsked(const StepAdvice &advice, std::vector<WorkerRoom *> &withRoom, std::vector<WorkerRoom *> &others);
+    bool planRoom(StepState &step, const std::vector<WorkerRoom *> &rooms, int taskCount, bool isWhole);
     void onAdvice(const TaskName &step, const std::vector<std::string> &asked, const AdviceResult &result);
     void copySlowTasks(StepState &step);
     void leaveDrainingWorkers(StepState &step);
@@ -80,14 +108,12 @@
     Fleet &fleet_;
     Advisor &advisor_;
     TimePoint inheritedHold_;
-    /** The rooms by service, as far as this round has planned; collected when more urgent work first lacks room. */
-    std::map<std::string, std::map<std::string, WorkerRoom>> rooms_;
-    /** What is held on each worker. */
-    std::map<std::string, std::vector<RoomHold>> holds_;
-    /** The most that any usable worker of a service has free, of each resource by itself. */
-    std::map<std::string, Resources> largestFree_;
-    /** The workers of each service on which something may be started. */
-    std::map<std::string, std::vector<WorkerState *>> usable_;
+    /** The rooms by service in this round. */
+    std::map<std::string, ServiceRooms> services_;
+    /** Whether a service has unread workers in this round. */
+    std::map<std::string, bool> unread_;
+    /** Where an interrupted round continues. */
+    std::optional<StepRank> resumeAfter_;
     std::shared_ptr<bool> isAlive_;
 };
 
--- a/modules/dispatch/TaskPlacerAdvice.cpp
+++ b/modules/dispatch/TaskPlacerAdvice.cpp
@@ -26,75 +26,82 @@
 void TaskPlacer::holdRooms(StepState &step)
 {
     for (const auto &[id, count] : step.advice.planned) {
+        auto *room = roomsOf(step).find(id);
+        if (room == nullptr) {
+            continue;
+        }
         const auto need = JobBook::claimOf(step).need;
         for (int task = 0; task < count; ++task) {
-            holds_[id].push_back({ &step, step.job->queue.priority, need });
+            room->holds.push_back({ &step, step.job->queue.priority, need });
         }
     }
 }
 
-std::vector<WorkerState *> TaskPlacer::workersToAsk(StepState &step, int taskCount, bool isWhole)
+std::vector<WorkerRoom *> TaskPlacer::workersToAsk(StepState &step, int taskCount, bool isWhole)
 {
     auto &advice = step.advice;
     const auto claim = JobBook::claimOf(step);
     const auto now = timers_.now();
-    std::vector<WorkerState *> withRoom;
-    std::vector<WorkerState *> others;
-    for (auto *worker : usable_[step.job->queue.service]) {
-        const auto &id = worker->entry.id;
-        const auto &label = step.spec().requiredLabel;
-        if (advice.denied.contains(id) || (!label.empty() && !worker->entry.hasLabel(label))
-            || !claim.need.fitsIn(worker->entry.capacity)) {
+    const bool hasReclaimable = mayReclaim(step);
+    if (advice.isAsked && !hasReclaimable && !roomsOf(step).mayHaveFree(claim.need)) {
+        return {};
+    }
+    std::vector<WorkerRoom *> withRoom;
+    std::vector<WorkerRoom *> others;
+    const auto &label = step.spec().requiredLabel;
+    for (auto &room : roomsOf(step).rooms()) {
+        const auto &entry = room.worker->entry;
+        if (!claim.need.fitsIn(entry.capacity) || (!label.empty() && !entry.hasLabel(label)) || advice.denied.contains(entry.id)) {
             continue;
         }
-        const bool hasRoom = claim.need.fitsIn(freeFor(step, *worker)) || isReclaimable(step, id);
-        const auto known = advice.allowed.find(id);
+        const auto known = advice.allowed.find(entry.id);
         const bool isPermitted = known != advice.allowed.end() && known->second.expiresAt > now;
         if (!isPermitted || isWhole) {
-            (hasRoom ? withRoom : others).push_back(worker);
+            const bool hasRoom = claim.need.fitsIn(room.freeFor(&step, claim.priority))
+                                 || (hasReclaimable && isReclaimable(step, room));
+            (hasRoom ? withRoom : others).push_back(&room);
         }
     }
     if (advice.isAsked && !planRoom(step, withRoom, taskCount, isWhole)) {
         return {};
     }
-    const auto isKnown = [&](const WorkerState *worker) { return advice.allowed.contains(worker->entry.id); };
-    const auto byUse = [&](const WorkerState *left, const WorkerState *right) {
-        const auto rank = [&](const WorkerState *worker) {
-            return std::pair(!isKnown(worker), dominantShare(worker->used, worker->entry.capacity));
-        };
-        return rank(left) < rank(right);
-    };
-    std::sort(withRoom.begin(), withRoom.end(), byUse);
+    chooseAsked(advice, withRoom, others);
+    return withRoom;
+}
+
+void TaskPlacer::chooseAsked(const StepAdvice &advice, std::vector<WorkerRoom *> &withRoom, std::vector<WorkerRoom *> &others)
+{
+    const auto isKnown = [&](const WorkerRoom *room) { return advice.allowed.contains(room->worker->entry.id); };
+    std::vector<std::pair<std::pair<bool, double>, WorkerRoom *>> ranked;
+    ranked.reserve(withRoom.size());
+    for (auto *room : withRoom) {
+        ranked.push_back({ { !isKnown(room), dominantShare(room->worker->used, room->worker->entry.capacity) }, room });
+    }
+    std::stable_sort(ranked.begin(), ranked.end(), [](const auto &left, const auto &right) { return left.first < right.first; });
+    withRoom.clear();
+    for (const auto &[rank, room] : ranked) {
+        withRoom.push_back(room);
+    }
     withRoom.resize(std::min(withRoom.size(), maxWorkersAsked));
     if (advice.isAsked) {
-        std::erase_if(others, [&](const WorkerState *worker) { return !isKnown(worker); });
+        std::erase_if(others, [&](const WorkerRoom *room) { return !isKnown(room); });
         others.resize(std::min(others.size(), maxKnownAsked));
     }
     withRoom.insert(withRoom.end(), others.begin(), others.end());
     withRoom.resize(std::min(withRoom.size(), maxWorkersAsked));
-    return withRoom;
 }
 
-bool TaskPlacer::isReclaimable(StepState &step, const std::string &worker)
-{
-    const auto claim = JobBook::claimOf(step);
-    auto &rooms = roomsOf(step.job->queue.service);
-    const auto room = rooms.find(worker);
-    return room != rooms.end() && room->second.claimedBy >= claim.priority
-           && claim.need.fitsIn(room->second.reclaimableFor(claim.priority));
-}
-
-bool TaskPlacer::planRoom(StepState &step, const std::vector<WorkerState *> &workers, int taskCount, bool isWhole)
+bool TaskPlacer::planRoom(StepState &step, const std::vector<WorkerRoom *> &rooms, int taskCount, bool isWhole)
 {
     const auto need = JobBook::claimOf(step).need;
     auto &planned = step.advice.planned;
     planned.clear();
     int placed = 0;
-    for (auto *worker : workers) {
-        auto free = freeFor(step, *worker);
+    for (const auto *room : rooms) {
+        auto free = room->freeFor(&step, step.job->queue.priority);
         while (placed < taskCount && need.fitsIn(free)) {
             free -= need;
-            ++planned[worker->entry.id];
+            ++planned[room->worker->entry.id];
             ++placed;
         }
     }
@@ -102,7 +109,7 @@
     if (!isEnough) {
         planned.clear();
         // Room that is taken from less urgent work is not held: it is claimed when the permits are here.
-        return !isWhole && !workers.empty();
+        return !isWhole && !rooms.empty();
     }
     return true;
 }
@@ -119,8 +126,8 @@
     }
     AdviceQuestion question;
     question.step = { step.job->spec.id, step.occurrence, step.index, 0 };
-    for (const auto *worker : chosen) {
-        question.workers.push_back(worker->entry.id);
+    for (const auto *room : chosen) {
+        question.workers.push_back(room->worker->entry.id);
     }
     if (!advice.isAsked) {
         planRoom(step, chosen, taskCount, isWhole);
@@ -164,15 +171,6 @@
     }
     EventLog::routine(
         "advice", { { "job", name.job }, { "step", name.step }, { "asked", asked.size() }, { "allowed", result.permits.size() } });
-    beginRound();
-    if (!mayStart(*job->second) || !job->second->occurrences.at(name.occurrence).isReady(*step)) {
-        return;
-    }
-    if (!step->spec().isGang) {
-        placeTasks(*step);
-    } else if (!step->isDone() && !step->hasRuns()) {
-        placeGang(*step);
-    }
 }
 
 } // namespace auburndoor
--- a/modules/dispatch/TaskPlacerReclaim.cpp
+++ b/modules/dispatch/TaskPlacerReclaim.cpp
@@ -13,61 +13,69 @@
 
 } // namespace
 
-std::map<std::string, WorkerRoom> &TaskPlacer::roomsOf(const std::string &service)
+bool TaskPlacer::canWait(const std::string &worker, const RunKey &key)
 {
-    const auto [found, isNew] = rooms_.try_emplace(service);
-    if (isNew) {
-        found->second = collectRooms(fleet_, service);
-        markUrgentRuns(found->second);
+    const auto job = book_.jobs().find(key.task.job);
+    const auto *run = fleet_.run(worker, key);
+    if (job == book_.jobs().end() || run == nullptr) {
+        return true;
     }
-    return found->second;
+    const auto now = timers_.now();
+    const auto &spec = job->second->spec.steps[static_cast<std::size_t>(key.task.step)];
+    const auto remaining = spec.estimate * (100 - run->percent) / 100;
+    // Past its objective a job still counts as late until it is lost; what is lost can wait for ever.
+    const auto limit = now < job->second->objective ? job->second->objective : lostAt(*job->second);
+    return now > limit || limit - now - remaining > preemptionDelay;
 }
 
-void TaskPlacer::markUrgentRuns(std::map<std::string, WorkerRoom> &rooms)
+bool TaskPlacer::mayReclaim(StepState &step)
 {
+    auto &service = roomsOf(step);
+    service.collectReclaimable([this](const std::string &worker, const RunKey &key) { return canWait(worker, key); });
+    return service.mayHaveReclaimable(JobBook::claimOf(step).need, step.job->queue.priority);
+}
+
+bool TaskPlacer::isReclaimable(const StepState &step, const WorkerRoom &room) const
+{
+    const auto priority = step.job->queue.priority;
+    return (room.isFreeing || room.hasReclaimable(priority)) && room.claimedBy >= priority
+           && JobBook::claimOf(step).need.fitsIn(room.reclaimableFor(priority));
+}
+
+std::vector<WorkerRoom *> TaskPlacer::reclaimableRooms(StepState &step)
+{
+    std::vector<WorkerRoom *> rooms;
+    auto &service = roomsOf(step);
+    const auto &label = step.spec().requiredLabel;
+    const auto addRoom = [&](WorkerRoom &room) {
+        if (isReclaimable(step, room) && (label.empty() || room.worker->entry.hasLabel(label))) {
+            rooms.push_back(&room);
+        }
+    };
+    if (!step.job->queue.advice) {
+        std::for_each(service.rooms().begin(), service.rooms().end(), addRoom);
+        return rooms;
+    }
     const auto now = timers_.now();
-    for (auto &[id, room] : rooms) {
-        for (auto &reclaimable : room.reclaimable) {
-            const auto job = book_.jobs().find(reclaimable.key.task.job);
-            const auto *run = fleet_.run(id, reclaimable.key);
-            if (job == book_.jobs().end() || run == nullptr) {
-                continue;
-            }
-            const auto &spec = job->second->spec.steps[static_cast<std::size_t>(reclaimable.key.task.step)];
-            const auto remaining = spec.estimate * (100 - run->percent) / 100;
-            // Past its objective a job still counts as late until it is lost; what is lost can wait for ever.
-            const auto limit = now < job->second->objective ? job->second->objective : lostAt(*job->second);
-            reclaimable.canWait = now > limit || limit - now - remaining > preemptionDelay;
+    for (const auto &[id, permit] : step.advice.allowed) {
+        if (auto *room = permit.expiresAt > now ? service.find(id) : nullptr) {
+            addRoom(*room);
         }
     }
+    return rooms;
 }
 
-std::optional<std::string> TaskPlacer::findReclaimable(StepState &step, const std::map<std::string, WorkerRoom> &rooms)
+WorkerRoom *TaskPlacer::chooseReclaimable(const StepState &step, const std::vector<WorkerRoom *> &rooms) const
 {
-    const auto &spec = step.spec();
     const auto need = JobBook::claimOf(step).need;
-    const auto priority = step.job->queue.priority;
-    const auto now = timers_.now();
-    std::optional<std::string> best;
-    double bestFree = -std::numeric_limits<double>::max();
-    for (const auto &[id, room] : rooms) {
-        const auto *worker = fleet_.worker(id);
-        if (worker == nullptr || worker->entry.service != step.job->queue.service || !fleet_.isUsable(*worker)
-            || room.claimedBy < priority || !need.fitsIn(room.reclaimableFor(priority))
-            || (!spec.requiredLabel.empty() && !worker->entry.hasLabel(spec.requiredLabel))) {
-            continue;
-        }
-        const auto permit = step.advice.allowed.find(id);
-        const bool isPermitted = permit != step.advice.allowed.end() && permit->second.expiresAt > now;
-        if (step.job->queue.advice && !isPermitted) {
-            continue;
-        }
+    WorkerRoom *best = nullptr;
+    double bestMissing = std::numeric_limits<double>::max();
+    for (auto *room : rooms) {
         // The worker that has to stop least.
-        const auto missing = need - room.expected;
-        const double free = -dominantShare(missing, worker->entry.capacity);
-        if (free > bestFree) {
-            bestFree = free;
-            best = id;
+        const auto missing = dominantShare(need - room->expected, room->worker->entry.capacity);
+        if (missing < bestMissing && isReclaimable(step, *room)) {
+            bestMissing = missing;
+            best = room;
         }
     }
     return best;
@@ -75,30 +83,31 @@
 
 void TaskPlacer::reclaim(StepState &step, int taskCount, bool isWhole)
 {
-    const auto priority = step.job->queue.priority;
-    auto &planned = roomsOf(step.job->queue.service);
-    const bool hasReclaimable = std::any_of(
-        planned.begin(), planned.end(), [priority](const auto &room) { return room.second.hasReclaimable(priority); });
-    const bool hasStopping = std::any_of(planned.begin(), planned.end(), [](const auto &room) { return room.second.isFreeing; });
-    if (!hasReclaimable && !hasStopping) {
+    if (!mayReclaim(step)) {
         return;
     }
-    auto rooms = planned;
+    const auto rooms = reclaimableRooms(step);
+    std::map<WorkerRoom *, WorkerRoom> unplanned;
     std::vector<std::pair<std::string, RunKey>> stops;
     const auto need = JobBook::claimOf(step).need;
     for (int task = 0; task < taskCount; ++task) {
-        const auto id = findReclaimable(step, rooms);
-        if (!id) {
+        auto *room = chooseReclaimable(step, rooms);
+        if (room == nullptr) {
             if (isWhole) {
+                for (const auto &[planned, before] : unplanned) {
+                    *planned = before;
+                }
                 return;
             }
             break;
         }
-        for (const auto &key : rooms.at(*id).plan(need, step.job->queue.priority)) {
-            stops.emplace_back(*id, key);
+        if (isWhole) {
+            unplanned.try_emplace(room, *room);
+        }
+        for (const auto &key : room->plan(need, step.job->queue.priority)) {
+            stops.emplace_back(room->worker->entry.id, key);
         }
     }
-    planned = std::move(rooms);
     for (const auto &[id, key] : stops) {
         EventLog::routine("run.preempted",
                           { { "job", key.task.job }, { "index", key.task.index }, { "worker", id }, { "for", step.job->spec.id } });
--- a/modules/dispatch/TaskPlacerTending.cpp
+++ b/modules/dispatch/TaskPlacerTending.cpp
@@ -60,7 +60,8 @@
         }
         if (candidates.empty()) {
             candidates = candidatesOf(step);
-            std::erase_if(candidates, [&place](const Candidate &candidate) { return candidate.worker->entry.id == place.worker; });
+            std::erase_if(candidates,
+                          [&place](const Candidate &candidate) { return candidate.room->worker->entry.id == place.worker; });
         }
         if (auto *candidate = choose(step, task, candidates, {})) {
             EventLog::routine("run.copied",
--- a/modules/dispatch/RoomPlan.cpp
+++ b/modules/dispatch/WorkerRoom.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/RoomPlan.h"
+#include "dispatch/WorkerRoom.h"
 
 #include <algorithm>
 #include <tuple>
@@ -14,6 +14,33 @@
 
 } // namespace
 
+Resources WorkerRoom::freeFor(const void *step, int priority) const
+{
+    if (claimedBy < priority) {
+        return { -1, -1, -1, 0, 0 };
+    }
+    auto free = worker->free();
+    for (const auto &hold : holds) {
+        if (hold.step != step && hold.priority <= priority) {
+            free -= hold.need;
+        }
+    }
+    return free;
+}
+
+void WorkerRoom::collectRuns()
+{
+    expected = worker->free();
+    for (const auto &[key, run] : worker->runs) {
+        if (run.phase == Run::Phase::Stopping) {
+            expected += run.claim.need;
+            isFreeing = true;
+        } else if (run.phase == Run::Phase::Running && run.claim.isPreemptible) {
+            reclaimable.push_back({ key, run.claim.need, run.claim.priority, true });
+        }
+    }
+}
+
 bool WorkerRoom::hasReclaimable(int priority) const
 {
     return std::any_of(reclaimable.begin(), reclaimable.end(), [priority](const auto &run) { return mayReclaim(run, priority); });
@@ -52,25 +79,4 @@
     return stopped;
 }
 
-std::map<std::string, WorkerRoom> collectRooms(const Fleet &fleet, const std::string &service)
-{
-    std::map<std::string, WorkerRoom> rooms;
-    for (const auto &[id, worker] : fleet.workers()) {
-        if (worker->entry.service != service) {
-            continue;
-        }
-        auto &room = rooms[id];
-        room.expected = worker->free();
-        for (const auto &[key, run] : worker->runs) {
-            if (run.phase == Run::Phase::Stopping) {
-                room.expected += run.claim.need;
-                room.isFreeing = true;
-            } else if (run.phase == Run::Phase::Running && run.claim.isPreemptible) {
-                room.reclaimable.push_back({ key, run.claim.need, run.claim.priority, true });
-            }
-        }
-    }
-    return rooms;
-}
-
 } // namespace auburndoor
--- a/modules/dispatch/RoomPlan.h
+++ b/modules/dispatch/WorkerRoom.h
@@ -1,10 +1,8 @@
 #pragma once
 
-#include "dispatch/Fleet.h"
+#include "dispatch/WorkerState.h"
 
 #include <limits>
-#include <map>
-#include <string>
 #include <vector>
 
 namespace auburndoor {
@@ -27,9 +25,11 @@
     Resources need;
 };
 
-/** The room of a worker with what is about to become free, and what could be freed for more urgent work. */
+/** The room of a usable worker in one round of placement: what is free, and what could be freed for more urgent work. */
 struct WorkerRoom
 {
+    WorkerState *worker = nullptr;
+    std::vector<RoomHold> holds;
     /** Free now or once the runs that are being stopped have ended, less what this round has planned there. */
     Resources expected;
     std::vector<ReclaimableRun> reclaimable;
@@ -38,6 +38,12 @@
     /** The priority of the work that waits for room here; less urgent work keeps off. */
     int claimedBy = std::numeric_limits<int>::max();
 
+    /** What a step may use now: the free room less what other steps at least as urgent wait to use. */
+    Resources freeFor(const void *step, int priority) const;
+
+    /** Takes stock of the runs that are being stopped and of those that could be. */
+    void collectRuns();
+
     /** True if some run may be stopped for work of this priority. */
     bool hasReclaimable(int priority) const;
 
@@ -52,7 +58,4 @@
     std::vector<RunKey> plan(const Resources &need, int priority);
 };
 
-/** The rooms of all workers of a service by id. */
-std::map<std::string, WorkerRoom> collectRooms(const Fleet &fleet, const std::string &service);
-
 } // namespace auburndoor
--- a/modules/entry/Owner.cpp
+++ b/modules/entry/Owner.cpp
@@ -124,9 +124,12 @@
             return;
         }
         const auto startedAt = self->parts.timers.now();
-        self->placer.place();
+        const bool isWhole = self->placer.place();
         const auto cost = std::chrono::duration_cast<Milliseconds>(self->parts.timers.now() - startedAt);
         self->roundPause = std::clamp(cost * roundCostFactor, placeDelay, longestPlaceDelay);
+        if (!isWhole) {
+            self->workChanged();
+        }
     });
 }
 
--- /dev/null
+++ b/tests/dispatch/BacklogTests.cpp
@@ -0,0 +1,101 @@
+#include "dispatch/OwnerFixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <ctime>
+#include <functional>
+#include <random>
+
+using namespace auburndoor;
+
+namespace {
+
+std::string idOf(int number)
+{
+    auto digits = std::to_string(number);
+    return std::string(16 - digits.size(), '0') + digits;
+}
+
+/** Hands a job in and counts it once it is accepted. */
+void handIn(OwnerFixture &cell, int number, const std::string &queue, const std::string &body, std::size_t &accepted)
+{
+    ClientCall call;
+    call.kind = ClientCall::Kind::Submit;
+    call.queue = queue;
+    call.job = idOf(number);
+    call.body = body;
+    cell.owner->call(
+        call, [&accepted](const ClientResult &result) { accepted += result.outcome == ClientResult::Outcome::Accepted ? 1 : 0; });
+}
+
+} // namespace
+
+// Guards against an owner that is taken for dead since a long queue keeps it busy: each takeover reads everything again, and the
+// queue grows. An owner counts as silent after 600 ms, which is 150 ms of processor time on the quarter of a core that it may have.
+TEST_CASE("a long queue of jobs that do not fit leaves the processor free for the pulses")
+{
+    constexpr double longestSlice = 0.150;
+    constexpr int workers = 250;
+    constexpr int jobsPerSlice = 2;
+    constexpr int slices = 300;
+    OwnerFixture cell;
+    cell.fleet.onStarted = {};
+    std::mt19937 random(1);
+    const auto draw = [&random](int from, int to) { return std::uniform_int_distribution<int>(from, to)(random); };
+    for (int number = 0; number < workers; ++number) {
+        cell.addWorker("w" + std::to_string(number), number % 3 == 0 ? 16 : 32);
+    }
+    cell.plan = [&draw](const TaskName &, std::int64_t) { return SimulatedWork { Milliseconds(draw(300, 6000)), RunEnd::Done }; };
+    cell.takeOver();
+    std::size_t accepted = 0;
+    double worst = 0;
+    for (int slice = 0; slice < slices; ++slice) {
+        for (int job = 0; job < jobsPerSlice; ++job) {
+            const bool isUrgent = draw(0, 9) != 0;
+            handIn(cell,
+                   slice * jobsPerSlice + job,
+                   isUrgent ? "advised" : "normal",
+                   jobBody(draw(2, 18), draw(3000, 9000), isUrgent ? "" : R"(,"checkpoints":true)"),
+                   accepted);
+        }
+        const auto before = std::clock();
+        cell.timers.advance(Milliseconds(20));
+        worst = std::max(worst, static_cast<double>(std::clock() - before) / CLOCKS_PER_SEC);
+    }
+    CHECK(worst < longestSlice);
+}
+
+// Guards against a round of placement that holds the loop for as long as the queue is, and against steps at the end of the queue
+// that are never reached.
+TEST_CASE("a long round of placement is interrupted and continued")
+{
+    constexpr int jobs = 400;
+    constexpr Milliseconds interval { 20 };
+    OwnerFixture cell;
+    cell.fleet.onStarted = {};
+    cell.addWorker("w1", jobs);
+    cell.takeOver();
+    std::size_t accepted = 0;
+    for (int number = 0; number < jobs; ++number) {
+        handIn(cell, number, "normal", jobBody(1, 1000), accepted);
+    }
+    // Each reading of the clock stands for some work: a whole round would take over 100 ms.
+    cell.timers.chargeReadings(std::chrono::microseconds(100));
+    Milliseconds worst { 0 };
+    auto expectedAt = cell.timers.now() + interval;
+    std::function<void()> beat = [&] {
+        worst = std::max(worst, std::chrono::duration_cast<Milliseconds>(cell.timers.now() - expectedAt));
+        expectedAt = cell.timers.now() + interval;
+        cell.timers.after(interval, beat);
+    };
+    cell.timers.after(interval, beat);
+    cell.timers.advance(Milliseconds(4000));
+    CHECK(worst < Milliseconds(60));
+    CHECK(accepted > jobs / 2);
+    std::size_t completed = 0;
+    for (int number = 0; number < jobs; ++number) {
+        completed += cell.stage(idOf(number)) == JobStage::Completed ? 1 : 0;
+    }
+    CHECK(completed == accepted);
+}
--- a/tests/fakes/ManualTimers.h
+++ b/tests/fakes/ManualTimers.h
@@ -13,6 +13,7 @@
 public:
     TimePoint now() const override
     {
+        now_ += costOfReading_;
         return now_;
     }
 
@@ -36,11 +37,18 @@
             actions_.erase(actions_.begin());
             action();
         }
-        now_ = end;
+        now_ = std::max(now_, end);
+    }
+
+    /** Lets code that reads the time take time by it, so that long work can be told from short. */
+    void chargeReadings(std::chrono::microseconds cost)
+    {
+        costOfReading_ = cost;
     }
 
 private:
-    TimePoint now_ = TimePoint() + std::chrono::hours(1);
+    std::chrono::microseconds costOfReading_ { 0 };
+    mutable TimePoint now_ = TimePoint() + std::chrono::hours(1);
     std::multimap<TimePoint, std::function<void()>> actions_;
 };
 
