Keep an owner while the store is slow for all, and look at idle workers while the directory cannot be read

While the store takes 240 ms a call, a transaction of the owner that waits for the one before takes over 450 ms, so that every other process, two of whose reads the store had answered just as slowly, replaced the owner. Each successor read everything through the slow store. Idle workers are now looked at once the view of the directory is older than 3 s, and nothing starts where the last report is older than 1.6 s; a restarted worker has to stand in the roster first, which an owner without the store cannot write. Before and after: both new tests fail on the code before.

--- a/modules/dispatch/Fleet.cpp
+++ b/modules/dispatch/Fleet.cpp
@@ -71,6 +71,17 @@
     }
 }
 
+void Fleet::noteDirectoryAge(Milliseconds age)
+{
+    impl_->isDirectoryStale = age > impl_->times.directoryStaleAfter;
+    if (!impl_->isDirectoryStale) {
+        return;
+    }
+    for (const auto &[id, worker] : impl_->workers) {
+        impl_->lookAfter(id, Milliseconds(0));
+    }
+}
+
 void Fleet::start(const std::string &id, const StartOrder &order, const RunClaim &claim)
 {
     auto *found = worker(id);
@@ -121,7 +132,8 @@
     const auto now = impl_->timers.now();
     return worker.isListed && !worker.entry.isDraining && worker.isRead && worker.isRostered && worker.foreignRuns == 0
            && worker.failedLooks == 0 && worker.avoidUntil <= now
-           && (worker.runs.empty() || now - worker.lastReportAt < impl_->times.suspectAfter);
+           && (impl_->isDirectoryStale ? now - worker.lastReportAt < impl_->times.unlistedReportLimit
+                                       : worker.runs.empty() || now - worker.lastReportAt < impl_->times.suspectAfter);
 }
 
 bool Fleet::hasUnreadWorkers(const std::string &service) const
--- a/modules/dispatch/Fleet.h
+++ b/modules/dispatch/Fleet.h
@@ -57,6 +57,10 @@
     Milliseconds lookRetry { 250 };
     /** A worker that has not reported for so long is started nothing on. */
     Milliseconds suspectAfter { 3500 };
+    /** An older view of the directory is stale; it is read about every two seconds. */
+    Milliseconds directoryStaleAfter { 3000 };
+    /** With a stale view of the directory, nothing is started on a worker that has not reported for so long. */
+    Milliseconds unlistedReportLimit { 1600 };
 };
 
 /**
@@ -83,6 +87,12 @@
     /** The ids in the directory; entries that are missing count as removed. */
     void retainEntries(const std::set<std::string> &ids);
 
+    /**
+        Tells how old the view of the directory is. While it is stale a restart of an idle worker would go unnoticed, and its new
+       life knows no fencing token: idle workers are looked at, and nothing starts where the last report is old.
+    */
+    void noteDirectoryAge(Milliseconds age);
+
     void start(const std::string &worker, const StartOrder &order, const RunClaim &claim);
     void stop(const std::string &worker, const RunKey &key, const std::string &reason);
     void pace(const std::string &worker, const RunKey &key, int percent);
--- a/modules/dispatch/FleetImpl.h
+++ b/modules/dispatch/FleetImpl.h
@@ -53,6 +53,7 @@
     TimePoint createdAt;
     std::map<std::string, std::unique_ptr<WorkerState>> workers;
     long long looks = 0;
+    bool isDirectoryStale = false;
     bool isClosed = false;
 };
 
--- a/modules/entry/Leadership.cpp
+++ b/modules/entry/Leadership.cpp
@@ -202,6 +202,7 @@
     isHeard = true;
     knownMembers = pulse->members;
     desiredVersion = pulse->desiredVersion;
+    ownerStoreAway = pulse->storeAway;
     const bool isOwnerSmall = pulse->processorShare < preferredShare && settings.processorShare >= preferredShare;
     if (isOwnerSmall && pulse->isReady && !isAbstaining) {
         // A small machine owns the cell because the larger ones were away: one of them takes over again.
--- a/modules/entry/LeadershipImpl.h
+++ b/modules/entry/LeadershipImpl.h
@@ -63,6 +63,8 @@
     std::int64_t deferredToken = -1;
     /** Pulses of an earlier owner are ignored. */
     std::uint64_t round = 0;
+    /** How long the store has not taken the owner's writes, by its last pulse. */
+    Milliseconds ownerStoreAway { 0 };
     /** Answers of the store, one after the other, while the owner has none. */
     int storeProbes = 0;
     std::vector<Address> knownMembers;
--- a/modules/entry/LeadershipSuspicion.cpp
+++ b/modules/entry/LeadershipSuspicion.cpp
@@ -9,6 +9,8 @@
 constexpr int processesAsked = 3;
 // One answer may come from a store that has just come back for all.
 constexpr int probesToReplace = 2;
+// The store is slow for all, and the owner has not lost it, unless it answers this many times faster than the owner has waited.
+constexpr int fasterThanOwner = 3;
 
 } // namespace
 
@@ -16,19 +18,21 @@
 {
     // If the store answers this process and still not the owner, it is the owner alone that has lost it. One answer is not enough:
     // the store may just have come back for all.
-    store.readRow(
-        OwnerRows::table, OwnerRows::epochKey, [self = shared_from_this(), probed = owner.token](const StoreResult &result) {
-            if (self->isClosed || self->isOwner || self->owner.token != probed) {
-                return;
-            }
-            self->storeProbes = result.outcome == StoreOutcome::Done ? self->storeProbes + 1 : 0;
-            if (self->storeProbes >= probesToReplace) {
-                EventLog::write("owner.without_store", { { "owner", self->owner.owner }, { "token", probed } });
-                self->storeProbes = 0;
-                self->givenUpToken = probed;
-                self->findOwner();
-            }
-        });
+    store.readRow(OwnerRows::table,
+                  OwnerRows::epochKey,
+                  [self = shared_from_this(), probed = owner.token, askedAt = loop.now()](const StoreResult &result) {
+                      if (self->isClosed || self->isOwner || self->owner.token != probed) {
+                          return;
+                      }
+                      const bool isFast = (self->loop.now() - askedAt) * fasterThanOwner < self->ownerStoreAway;
+                      self->storeProbes = result.outcome == StoreOutcome::Done && isFast ? self->storeProbes + 1 : 0;
+                      if (self->storeProbes >= probesToReplace) {
+                          EventLog::write("owner.without_store", { { "owner", self->owner.owner }, { "token", probed } });
+                          self->storeProbes = 0;
+                          self->givenUpToken = probed;
+                          self->findOwner();
+                      }
+                  });
 }
 
 void Leadership::Impl::askOthers(std::function<void(const std::vector<OwnerSighting> &)> done)
--- a/modules/entry/Owner.cpp
+++ b/modules/entry/Owner.cpp
@@ -218,6 +218,7 @@
         return;
     }
     book.tick(parts.settings.statusRetention, parts.settings.earlyStart);
+    fleet.noteDirectoryAge(workerWatch.age());
     if (!isLeaving) {
         placer.tend();
         workChanged();
--- a/tests/dispatch/OwnerTests.cpp
+++ b/tests/dispatch/OwnerTests.cpp
@@ -260,3 +260,28 @@
     cell.store.setDown(false);
     CHECK(cell.runUntil("00000000000000aa", JobStage::Completed, Milliseconds(2000)));
 }
+
+// Guards against an owner that was deposed while the store is away: a worker that restarted unnoticed knows no token that would
+// reject its starts, and the next owner's as well.
+TEST_CASE("nothing starts on a worker that restarted while the store is away, until it stands in the roster")
+{
+    OwnerFixture cell;
+    cell.addWorker("w1", 2);
+    cell.addWorker("w2", 8);
+    cell.plan = [](const TaskName &task, std::int64_t) {
+        return SimulatedWork { Milliseconds(task.step == 0 ? 6000 : 500), RunEnd::Done };
+    };
+    cell.takeOver();
+    const std::string body = R"({"spec":"p","taskGroups":[{"count":1,"cpu":2000,"memMb":1,"estimateMs":6000},)"
+                             R"({"count":1,"cpu":6000,"memMb":1,"estimateMs":500,"dependsOn":[0]}]})";
+    REQUIRE(cell.submit("00000000000000aa", body) == ClientResult::Outcome::Accepted);
+    REQUIRE(cell.runUntil("00000000000000aa", JobStage::Running, Milliseconds(6000)));
+    cell.store.setDown(true);
+    cell.fleet.worker("w2").restart();
+    cell.timers.advance(Milliseconds(8000));
+    CHECK(cell.starts.size() == 1);
+    cell.store.setDown(false);
+    cell.list("w2");
+    CHECK(cell.runUntil("00000000000000aa", JobStage::Completed, Milliseconds(6000)));
+    CHECK(cell.starts.size() == 2);
+}
--- a/tests/entry/LeadershipTests.cpp
+++ b/tests/entry/LeadershipTests.cpp
@@ -194,6 +194,25 @@
     CHECK(cell.highestToken() == token);
 }
 
+// Guards against a takeover while the store is slow: the next owner reads everything again, slower than the writes that it waits for.
+TEST_CASE("an owner keeps the cell while the store is slow for all")
+{
+    Cell cell { 1.0, 1.0, 1.0 };
+    auto *first = cell.waitForOwner(1);
+    REQUIRE(first != nullptr);
+    cell.runFor(Milliseconds(600));
+    const auto token = first->ownership->token;
+    cell.store.setAnswerTime(Milliseconds(240));
+    first->storeAway = Milliseconds(550);
+    cell.runFor(Milliseconds(2500));
+    CHECK(cell.highestToken() == token);
+    // The store is as slow, and the owner alone does not reach it.
+    first->storeAway = Milliseconds(1500);
+    auto *second = cell.waitForOwner(token + 1);
+    REQUIRE(second != nullptr);
+    CHECK(second != first);
+}
+
 TEST_CASE("a released cell is taken over at once by another process")
 {
     Cell cell { 1.0, 1.0 };
--- a/tests/fakes/FakeStore.cpp
+++ b/tests/fakes/FakeStore.cpp
@@ -4,7 +4,6 @@
 
 namespace {
 
-constexpr Milliseconds answerTime { 8 };
 constexpr Milliseconds givenUpAfter { 500 };
 
 } // namespace
@@ -51,7 +50,7 @@
 void FakeStore::commit(StoreChange change, Callback callback)
 {
     if (isDown_) {
-        answer({ StoreOutcome::NotDone, 0, {}, "down" }, std::move(callback), answerTime);
+        answer({ StoreOutcome::NotDone, 0, {}, "down" }, std::move(callback), answerTime_);
         return;
     }
     if (answersToLose_ > 0) {
@@ -60,8 +59,8 @@
         answer({ StoreOutcome::Unknown, 0, {}, "lost" }, std::move(callback), givenUpAfter);
         return;
     }
-    timers_.after(answerTime / 2, [this, change = std::move(change), callback = std::move(callback)] {
-        answer(apply(change), callback, answerTime / 2);
+    timers_.after(answerTime_ / 2, [this, change = std::move(change), callback = std::move(callback)] {
+        answer(apply(change), callback, answerTime_ / 2);
     });
 }
 
@@ -75,7 +74,7 @@
             result.rows.push_back(stored);
         }
     }
-    answer(std::move(result), std::move(callback), answerTime);
+    answer(std::move(result), std::move(callback), answerTime_);
 }
 
 void FakeStore::readRow(const std::string &table, const std::string &key, Callback callback)
@@ -85,7 +84,7 @@
     if (const auto *stored = row(table, key); stored != nullptr && !isDown_) {
         result.rows.push_back(*stored);
     }
-    answer(std::move(result), std::move(callback), answerTime);
+    answer(std::move(result), std::move(callback), answerTime_);
 }
 
 void FakeStore::changes(const std::string &table, std::int64_t after, Milliseconds wait, Callback callback)
--- a/tests/fakes/FakeStore.h
+++ b/tests/fakes/FakeStore.h
@@ -27,6 +27,12 @@
         isDown_ = isDown;
     }
 
+    /** How long a call takes. */
+    void setAnswerTime(Milliseconds time)
+    {
+        answerTime_ = time;
+    }
+
     /** The next commits are applied after a delay, and their answers are lost. */
     void loseAnswers(int count, Milliseconds applyAfter)
     {
@@ -53,6 +59,7 @@
     std::vector<StoreRow> history_;
     std::int64_t version_ = 0;
     int commits_ = 0;
+    Milliseconds answerTime_ { 8 };
     int answersToLose_ = 0;
     Milliseconds applyAfter_ { 0 };
     bool isDown_ = false;
