Ask the advisory service again for workers that are known to be allowed, and only where a process is free to ask

Questions waited in the pool for seconds while they held room, and those whose asker had gone queued up at the owner. Ruled out: too few accelerators (the load is 60%); permits that expire while room is being freed (they last four times as long). Change: a further question names the workers that an earlier answer has allowed, as far as they have room or can make it, and holds that room; a gang that finds too few of these learns about others. A question is asked when a process is free, in the order of the round. A question that fails goes to another process.

--- a/modules/core/Resources.h
+++ b/modules/core/Resources.h
@@ -36,6 +36,15 @@
         return left -= right;
     }
 
+    friend Resources operator*(const Resources &amount, int count)
+    {
+        return { amount.milliCores * count,
+                 amount.memoryMiB * count,
+                 amount.accelerators * count,
+                 amount.slots * count,
+                 amount.connections * count };
+    }
+
     bool operator==(const Resources &other) const = default;
 
     /** "2000m cores, 512 MiB, 1 accelerators, 1 slots, 1 connections"; amounts of zero are left out. */
--- a/modules/dispatch/TaskPlacer.cpp
+++ b/modules/dispatch/TaskPlacer.cpp
@@ -143,6 +143,20 @@
     }
 }
 
+int TaskPlacer::tasksLeftFor(const StepState &step, const std::string &worker)
+{
+    const auto most = step.spec().maxTasksPerWorker;
+    if (most == 0) {
+        return std::numeric_limits<int>::max();
+    }
+    int present = 0;
+    for (const auto &task : step.tasks) {
+        present += static_cast<int>(
+            std::count_if(task.runs.begin(), task.runs.end(), [&](const auto &place) { return place.worker == worker; }));
+    }
+    return most - present;
+}
+
 std::optional<TaskPlacer::Candidate> TaskPlacer::candidateAt(const StepState &step, WorkerRoom &room) const
 {
     const auto &spec = step.spec();
@@ -152,14 +166,9 @@
         || (!spec.requiredLabel.empty() && !entry.hasLabel(spec.requiredLabel))) {
         return std::nullopt;
     }
-    if (spec.maxTasksPerWorker > 0) {
-        for (const auto &task : step.tasks) {
-            candidate.tasksOfStep += static_cast<int>(
-                std::count_if(task.runs.begin(), task.runs.end(), [&](const auto &place) { return place.worker == entry.id; }));
-        }
-        if (candidate.tasksOfStep >= spec.maxTasksPerWorker) {
-            return std::nullopt;
-        }
+    candidate.tasksLeft = tasksLeftFor(step, entry.id);
+    if (candidate.tasksLeft <= 0) {
+        return std::nullopt;
     }
     return candidate;
 }
@@ -226,11 +235,10 @@
 {
     Candidate *best = nullptr;
     double bestCost = std::numeric_limits<double>::max();
-    const auto &spec = step.spec();
     const auto need = JobBook::claimOf(step).need;
     for (auto &candidate : candidates) {
-        const bool isApart = spec.maxTasksPerWorker == 0 || candidate.tasksOfStep < spec.maxTasksPerWorker;
-        if (!isApart || !need.fitsIn(candidate.free) || (!rack.empty() && candidate.room->worker->entry.rack() != rack)) {
+        if (candidate.tasksLeft <= 0 || !need.fitsIn(candidate.free)
+            || (!rack.empty() && candidate.room->worker->entry.rack() != rack)) {
             continue;
         }
         const auto candidateCost = cost(step, task, candidate);
@@ -267,7 +275,7 @@
     const auto claim = JobBook::claimOf(step);
     candidate.free -= claim.need;
     candidate.room->expected -= claim.need;
-    ++candidate.tasksOfStep;
+    --candidate.tasksLeft;
     book_.noteStart(step, index, { id, attempt });
     fleet_.start(id, order, claim);
 }
@@ -308,12 +316,12 @@
             break;
         }
         candidate->free -= need;
-        ++candidate->tasksOfStep;
+        --candidate->tasksLeft;
         chosen.push_back(candidate);
     }
     for (auto *candidate : chosen) {
         candidate->free += need;
-        --candidate->tasksOfStep;
+        ++candidate->tasksLeft;
     }
     if (chosen.size() != step.tasks.size()) {
         chosen.clear();
--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -48,7 +48,8 @@
     {
         WorkerRoom *room = nullptr;
         Resources free;
-        int tasksOfStep = 0;
+        /** How many tasks of the step may still be placed there. */
+        int tasksLeft = 0;
         const StepAdvice::Entry *permit = nullptr;
     };
 
@@ -69,6 +70,8 @@
     std::vector<std::pair<StepRank, StepState *>> readySteps();
     bool mayStart(const JobState &job);
     bool hasUnreadWorkers(const std::string &service);
+    /** How many tasks of the step may still be placed on the worker. */
+    static int tasksLeftFor(const StepState &step, const std::string &worker);
     std::optional<Candidate> candidateAt(const StepState &step, WorkerRoom &room) const;
     std::vector<Candidate> candidatesOf(StepState &step);
     Candidate *choose(const StepState &step, const Task &task, std::vector<Candidate> &candidates, const std::string &rack) const;
@@ -94,9 +97,18 @@
     void reclaim(StepState &step, int taskCount, bool isWhole);
     /** Asks which workers the step may use, if some of them could be used now or none is known. @param isWhole all tasks or none */
     void askAdvice(StepState &step, int taskCount, bool isWhole);
+    /** Workers that a step may be allowed to use and for which it has no permit. */
+    struct AskableRooms
+    {
+        /** An earlier answer has allowed them. */
+        std::vector<WorkerRoom *> known;
+        std::vector<WorkerRoom *> unknownWithRoom;
+        std::vector<WorkerRoom *> unknown;
+    };
+    AskableRooms askableRooms(StepState &step, bool isWhole);
+    static void sortByUse(std::vector<WorkerRoom *> &rooms);
     std::vector<WorkerRoom *> workersToAsk(StepState &step, int taskCount, bool isWhole);
-    /** Orders the workers with room by their use, and fills up with others. */
-    static void chooseAsked(const StepAdvice &advice, std::vector<WorkerRoom *> &withRoom, std::vector<WorkerRoom *> &others);
+    /** Plans where the tasks would start, and holds that room. @return false if there is none, or not for all of a gang */
     bool planRoom(StepState &step, const std::vector<WorkerRoom *> &rooms, int taskCount, bool isWhole);
     void onAdvice(const TaskName &step, const std::vector<std::string> &asked, const AdviceResult &result);
     void copySlowTasks(StepState &step);
--- a/modules/dispatch/TaskPlacerAdvice.cpp
+++ b/modules/dispatch/TaskPlacerAdvice.cpp
@@ -11,8 +11,6 @@
 constexpr Milliseconds permitMargin { 80 };
 // The chain of work that an objective is worked out from counts one question on so many workers.
 constexpr std::size_t maxWorkersAsked = 30;
-// A further question names all workers that are known to be allowed, up to so many: room may appear on any of them.
-constexpr std::size_t maxKnownAsked = 12;
 constexpr Milliseconds adviceTimeout { 4000 };
 constexpr Milliseconds adviceRetry { 150 };
 
@@ -37,81 +35,109 @@
     }
 }
 
-std::vector<WorkerRoom *> TaskPlacer::workersToAsk(StepState &step, int taskCount, bool isWhole)
+TaskPlacer::AskableRooms TaskPlacer::askableRooms(StepState &step, bool isWhole)
 {
-    auto &advice = step.advice;
+    AskableRooms askable;
+    const auto &advice = step.advice;
     const auto claim = JobBook::claimOf(step);
     const auto now = timers_.now();
     const bool hasReclaimable = mayReclaim(step);
-    if (advice.isAsked && !hasReclaimable && !roomsOf(step).mayHaveFree(claim.need)) {
-        return {};
-    }
-    std::vector<WorkerRoom *> withRoom;
-    std::vector<WorkerRoom *> others;
     const auto &label = step.spec().requiredLabel;
     for (auto &room : roomsOf(step).rooms()) {
         const auto &entry = room.worker->entry;
-        if (!claim.need.fitsIn(entry.capacity) || (!label.empty() && !entry.hasLabel(label)) || advice.denied.contains(entry.id)) {
+        if (!claim.need.fitsIn(entry.capacity) || (!label.empty() && !entry.hasLabel(label)) || advice.denied.contains(entry.id)
+            || tasksLeftFor(step, entry.id) <= 0) {
             continue;
         }
         const auto known = advice.allowed.find(entry.id);
-        const bool isPermitted = known != advice.allowed.end() && known->second.expiresAt > now;
-        if (!isPermitted || isWhole) {
-            const bool hasRoom = claim.need.fitsIn(room.freeFor(&step, claim.priority))
-                                 || (hasReclaimable && isReclaimable(step, room));
-            (hasRoom ? withRoom : others).push_back(&room);
+        const bool isKnown = known != advice.allowed.end();
+        if (isKnown && known->second.expiresAt > now && !isWhole) {
+            continue;
+        }
+        const bool hasRoom = claim.need.fitsIn(room.freeFor(&step, claim.priority))
+                             || (hasReclaimable && isReclaimable(step, room));
+        if (isKnown) {
+            askable.known.push_back(&room);
+        } else if (hasRoom) {
+            askable.unknownWithRoom.push_back(&room);
+        } else {
+            askable.unknown.push_back(&room);
         }
     }
-    if (advice.isAsked && !planRoom(step, withRoom, taskCount, isWhole)) {
-        return {};
-    }
-    chooseAsked(advice, withRoom, others);
-    return withRoom;
+    return askable;
 }
 
-void TaskPlacer::chooseAsked(const StepAdvice &advice, std::vector<WorkerRoom *> &withRoom, std::vector<WorkerRoom *> &others)
+void TaskPlacer::sortByUse(std::vector<WorkerRoom *> &rooms)
 {
-    const auto isKnown = [&](const WorkerRoom *room) { return advice.allowed.contains(room->worker->entry.id); };
-    std::vector<std::pair<std::pair<bool, double>, WorkerRoom *>> ranked;
-    ranked.reserve(withRoom.size());
-    for (auto *room : withRoom) {
-        ranked.push_back({ { !isKnown(room), dominantShare(room->worker->used, room->worker->entry.capacity) }, room });
+    std::vector<std::pair<double, WorkerRoom *>> ranked;
+    ranked.reserve(rooms.size());
+    for (auto *room : rooms) {
+        ranked.emplace_back(dominantShare(room->worker->used, room->worker->entry.capacity), room);
     }
     std::stable_sort(ranked.begin(), ranked.end(), [](const auto &left, const auto &right) { return left.first < right.first; });
-    withRoom.clear();
-    for (const auto &[rank, room] : ranked) {
-        withRoom.push_back(room);
+    std::transform(ranked.begin(), ranked.end(), rooms.begin(), [](const auto &entry) { return entry.second; });
+}
+
+std::vector<WorkerRoom *> TaskPlacer::workersToAsk(StepState &step, int taskCount, bool isWhole)
+{
+    const bool isFirst = !step.advice.isAsked;
+    if (!isFirst && !mayReclaim(step) && !roomsOf(step).mayHaveFree(JobBook::claimOf(step).need)) {
+        return {};
     }
-    withRoom.resize(std::min(withRoom.size(), maxWorkersAsked));
-    if (advice.isAsked) {
-        std::erase_if(others, [&](const WorkerRoom *room) { return !isKnown(room); });
-        others.resize(std::min(others.size(), maxKnownAsked));
+    auto askable = askableRooms(step, isWhole);
+    if (planRoom(step, askable.known, taskCount, isWhole)) {
+        // The allowed workers of a step never change: these will be permitted again.
+        std::erase_if(askable.known,
+                      [&step](const WorkerRoom *room) { return !step.advice.planned.contains(room->worker->entry.id); });
+        askable.known.resize(std::min(askable.known.size(), maxWorkersAsked));
+        return askable.known;
+    }
+    auto chosen = std::move(askable.unknownWithRoom);
+    sortByUse(chosen);
+    if (isFirst || isWhole) {
+        // A gang needs several workers at the same time: all that may be allowed are to be known.
+        sortByUse(askable.unknown);
+        chosen.insert(chosen.end(), askable.unknown.begin(), askable.unknown.end());
+    }
+    chosen.resize(std::min(chosen.size(), maxWorkersAsked));
+    if (isFirst || !isWhole) {
+        planRoom(step, chosen, taskCount, isWhole);
     }
-    withRoom.insert(withRoom.end(), others.begin(), others.end());
-    withRoom.resize(std::min(withRoom.size(), maxWorkersAsked));
+    return chosen;
 }
 
 bool TaskPlacer::planRoom(StepState &step, const std::vector<WorkerRoom *> &rooms, int taskCount, bool isWhole)
 {
     const auto need = JobBook::claimOf(step).need;
+    const auto priority = step.job->queue.priority;
     auto &planned = step.advice.planned;
     planned.clear();
     int placed = 0;
-    for (const auto *room : rooms) {
-        auto free = room->freeFor(&step, step.job->queue.priority);
-        while (placed < taskCount && need.fitsIn(free)) {
-            free -= need;
-            ++planned[room->worker->entry.id];
+    const auto planAt = [&](const WorkerRoom &room, Resources available) {
+        auto &count = planned[room.worker->entry.id];
+        available -= need * count;
+        const int most = tasksLeftFor(step, room.worker->entry.id);
+        while (placed < taskCount && count < most && need.fitsIn(available)) {
+            available -= need;
+            ++count;
             ++placed;
         }
+    };
+    for (const auto *room : rooms) {
+        planAt(*room, room->freeFor(&step, priority));
     }
+    // Room that is taken from less urgent work is kept from others meanwhile, and claimed when the permits are here.
+    for (const auto *room : rooms) {
+        if (placed < taskCount && isReclaimable(step, *room)) {
+            planAt(*room, room->reclaimableFor(priority));
+        }
+    }
+    std::erase_if(planned, [](const auto &entry) { return entry.second == 0; });
     const bool isEnough = isWhole ? placed == taskCount : placed > 0;
     if (!isEnough) {
         planned.clear();
-        // Room that is taken from less urgent work is not held: it is claimed when the permits are here.
-        return !isWhole && !rooms.empty();
     }
-    return true;
+    return isEnough;
 }
 
 void TaskPlacer::askAdvice(StepState &step, int taskCount, bool isWhole)
@@ -120,6 +146,12 @@
     if (advice.isAsking || timers_.now() < advice.askAgainAt) {
         return;
     }
+    // A question that waits its turn holds room for longer than it is worth, and its answer comes too late: the next round asks by
+    // rank.
+    const auto &policy = *step.job->queue.advice;
+    if (!advisor_.isFreeFor(expectedTime(policy, maxWorkersAsked))) {
+        return;
+    }
     const auto chosen = workersToAsk(step, taskCount, isWhole);
     if (chosen.empty()) {
         return;
@@ -129,11 +161,8 @@
     for (const auto *room : chosen) {
         question.workers.push_back(room->worker->entry.id);
     }
-    if (!advice.isAsked) {
-        planRoom(step, chosen, taskCount, isWhole);
-    }
     holdRooms(step);
-    question.expected = expectedTime(*step.job->queue.advice, question.workers.size());
+    question.expected = expectedTime(policy, question.workers.size());
     question.timeout = adviceTimeout;
     question.priority = step.job->queue.priority;
     advice.isAsking = true;
--- a/modules/entry/AdvicePool.cpp
+++ b/modules/entry/AdvicePool.cpp
@@ -20,6 +20,10 @@
 constexpr Milliseconds shortQuestion { 100 };
 // One process in so many is left to short questions.
 constexpr std::size_t reservedShare = 4;
+// So many processes may fail one after the other before the question does.
+constexpr int mostTries = 4;
+// Beyond the time that the service works on a question: the ways there and back, and a busy asker.
+constexpr Milliseconds answerSlack { 700 };
 
 } // namespace
 
@@ -37,6 +41,7 @@
         AdviceQuestion question;
         Callback callback;
         std::uint64_t number = 0;
+        int failures = 0;
     };
 
     Impl(EventLoop &loop, Advisor *local, Address self, std::function<std::vector<Address>()> members)
@@ -46,6 +51,8 @@
 
     void dispatch();
     std::vector<Address> freeAskers(std::size_t &count);
+    /** Asks from another process, or gives the question up. */
+    void askAgain(Waiting waiting);
     void askAt(const Address &address, Waiting waiting);
     void askLocally(Waiting waiting);
     void finish(const Address &address, const Callback &callback, const AdviceResult &result);
@@ -119,20 +126,30 @@
     }
     ++asker.open;
     auto request = PeerCodec::adviceRequest(taken.question);
-    asker.channels->send(
-        std::move(request), taken.question.timeout, [impl = shared_from_this(), address, taken](const SendResult &sent) {
-            auto result = sent.hasStatus(200) ? PeerCodec::readAdviceReply(sent.reply) : std::nullopt;
-            if (result && result->outcome == AdviceResult::Outcome::Answered) {
-                impl->finish(address, taken.callback, *result);
-                return;
-            }
-            EventLog::write("advice.failed",
-                            { { "job", taken.question.step.job }, { "at", address.text() }, { "detail", sent.error } });
-            auto &used = impl->askers[address];
-            --used.open;
-            used.avoidUntil = impl->loop.now() + failurePause;
-            impl->askLocally(taken);
-        });
+    const auto timeout = std::min(taken.question.timeout, taken.question.expected * 3 / 2 + answerSlack);
+    asker.channels->send(std::move(request), timeout, [impl = shared_from_this(), address, taken](const SendResult &sent) {
+        auto result = sent.hasStatus(200) ? PeerCodec::readAdviceReply(sent.reply) : std::nullopt;
+        if (result && result->outcome == AdviceResult::Outcome::Answered) {
+            impl->finish(address, taken.callback, *result);
+            return;
+        }
+        EventLog::write("advice.failed",
+                        { { "job", taken.question.step.job }, { "at", address.text() }, { "detail", sent.error } });
+        auto &used = impl->askers[address];
+        --used.open;
+        used.avoidUntil = impl->loop.now() + failurePause;
+        impl->askAgain(taken);
+    });
+}
+
+void AdvicePool::Impl::askAgain(Waiting taken)
+{
+    if (++taken.failures < mostTries) {
+        waiting.push_back(std::move(taken));
+    } else {
+        taken.callback({});
+    }
+    dispatch();
 }
 
 AdvicePool::AdvicePool(EventLoop &loop, Advisor *local, Address self, std::function<std::vector<Address>()> members)
@@ -152,4 +169,15 @@
     impl_->dispatch();
 }
 
+bool AdvicePool::isFreeFor(Milliseconds expected) const
+{
+    if (impl_->local == nullptr) {
+        return true;
+    }
+    std::size_t count = 0;
+    const auto free = impl_->freeAskers(count).size();
+    const auto reserved = expected > shortQuestion && count > 1 ? std::max<std::size_t>(1, count / reservedShare) : 0;
+    return free > reserved + impl_->waiting.size();
+}
+
 } // namespace auburndoor
--- a/modules/entry/AdvicePool.h
+++ b/modules/entry/AdvicePool.h
@@ -29,6 +29,7 @@
     ~AdvicePool() override;
 
     void ask(const AdviceQuestion &question, Callback callback) override;
+    bool isFreeFor(Milliseconds expected) const override;
 
 private:
     struct Impl;
--- a/modules/workload/Advisor.h
+++ b/modules/workload/Advisor.h
@@ -51,6 +51,12 @@
     virtual ~Advisor() = default;
 
     virtual void ask(const AdviceQuestion &question, Callback callback) = 0;
+
+    /** True if a question that the service works on for so long would be sent at once. */
+    virtual bool isFreeFor(Milliseconds expected) const
+    {
+        return expected >= Milliseconds(0);
+    }
 };
 
 } // namespace auburndoor
--- a/tests/dispatch/OwnerTests.cpp
+++ b/tests/dispatch/OwnerTests.cpp
@@ -285,3 +285,45 @@
     CHECK(cell.runUntil("00000000000000aa", JobStage::Completed, Milliseconds(6000)));
     CHECK(cell.starts.size() == 2);
 }
+
+// Guards against a step that asks again and again for workers that its own tasks have used up, and never for the others.
+TEST_CASE("a task that may not share its worker with others of its step finds another one that is allowed")
+{
+    OwnerFixture cell;
+    for (int number = 0; number < 40; ++number) {
+        cell.addWorker("w" + std::to_string(100 + number), 8);
+    }
+    // Of the thirty workers that are asked for first, two are allowed.
+    for (int number = 2; number < 38; ++number) {
+        cell.advisor.denied.insert("w" + std::to_string(100 + number));
+    }
+    cell.takeOver();
+    REQUIRE(cell.submit("00000000000000aa", jobBody(4, 1000, R"(,"antiAffinity":1)"), "advised")
+            == ClientResult::Outcome::Accepted);
+    CHECK(cell.runUntil("00000000000000aa", JobStage::Completed, Milliseconds(8000)));
+    std::set<std::string> permits;
+    for (const auto &start : cell.starts) {
+        permits.insert(start.permit);
+    }
+    CHECK(permits.size() >= 2);
+}
+
+// Guards against a gang that starves: room on workers that it may use is taken by less urgent work, bit by bit, while it asks for
+// others.
+TEST_CASE("a gang takes the room of less urgent work on the workers that it was allowed before")
+{
+    OwnerFixture cell;
+    for (int number = 0; number < 10; ++number) {
+        cell.addWorker("w" + std::to_string(number), 8);
+    }
+    cell.advisor.denied = { "w0", "w1", "w2", "w3", "w4", "w5", "w6" };
+    cell.plan = [](const TaskName &task, std::int64_t) {
+        return SimulatedWork { Milliseconds(task.job.back() == 'b' ? 500 : 30000), RunEnd::Done };
+    };
+    cell.takeOver();
+    REQUIRE(cell.submit("00000000000000aa", jobBody(40, 2000, R"(,"checkpoints":true)")) == ClientResult::Outcome::Accepted);
+    // The less urgent work would be late if it were stopped now, and is lost six seconds after it was handed in.
+    cell.timers.advance(Milliseconds(3200));
+    REQUIRE(cell.submit("00000000000000ab", jobBody(3, 8000, R"(,"gang":true)"), "advised") == ClientResult::Outcome::Accepted);
+    CHECK(cell.runUntil("00000000000000ab", JobStage::Completed, Milliseconds(8000)));
+}
--- a/tests/entry/LeadershipTests.cpp
+++ b/tests/entry/LeadershipTests.cpp
@@ -194,7 +194,8 @@
     CHECK(cell.highestToken() == token);
 }
 
-// Guards against a takeover while the store is slow: the next owner reads everything again, slower than the writes that it waits for.
+// Guards against a takeover while the store is slow: the next owner reads everything again, slower than the writes that it waits
+// for.
 TEST_CASE("an owner keeps the cell while the store is slow for all")
 {
     Cell cell { 1.0, 1.0, 1.0 };
