--- a/modules/net/HttpChannels.cpp
+++ b/modules/net/HttpChannels.cpp
@@ -36,6 +36,8 @@
         WebRequest request;
         TimePoint deadline;
         SendCallback callback;
+        /** It was sent before on a connection that broke. */
+        bool maybeReceived = false;
     };
 
     Impl(EventLoop &loop, Address peer, HttpChannelLimits limits) : loop(loop), peer(std::move(peer)), limits(limits)
@@ -46,6 +48,12 @@
     void removeExpired();
     void forget(const Connection *connection);
     void closeIdle();
+    /** Ends a request without a reply. */
+    void finishUnanswered(Pending pending, const std::string &error)
+    {
+        const auto outcome = pending.maybeReceived ? SendOutcome::Lost : SendOutcome::NotSent;
+        finish(std::move(pending), { outcome, {}, error });
+    }
     void finish(Pending pending, SendResult result)
     {
         loop.after(Milliseconds(0), [callback = std::move(pending.callback), result = std::move(result)] { callback(result); });
@@ -110,17 +118,16 @@
             auto repeated = std::move(*current_);
             current_.reset();
             repeated.request.isRepeatable = false;
+            repeated.maybeReceived = true;
             owner_->closeIdle();
             owner_->waiting.push_front(std::move(repeated));
             owner_->dispatch();
             return;
         }
-        SendResult result;
-        result.outcome = isSent_ ? SendOutcome::Lost : SendOutcome::NotSent;
-        result.error = error.message();
         auto pending = std::move(*current_);
         current_.reset();
-        owner_->finish(std::move(pending), std::move(result));
+        pending.maybeReceived = pending.maybeReceived || isSent_;
+        owner_->finishUnanswered(std::move(pending), error.message());
         owner_->dispatch();
     }
 
@@ -212,7 +219,7 @@
 {
     while (!waiting.empty()) {
         if (waiting.front().deadline <= loop.now()) {
-            finish(std::move(waiting.front()), { SendOutcome::NotSent, {}, "no connection became free in time" });
+            finishUnanswered(std::move(waiting.front()), "no connection became free in time");
             waiting.pop_front();
             continue;
         }
@@ -246,7 +253,7 @@
 {
     Impl::Pending pending { std::move(request), impl_->loop.now() + timeout, std::move(callback) };
     if (impl_->waiting.size() >= impl_->limits.maxWaiting) {
-        impl_->finish(std::move(pending), { SendOutcome::NotSent, {}, "too many requests wait for a connection" });
+        impl_->finishUnanswered(std::move(pending), "too many requests wait for a connection");
         return;
     }
     impl_->waiting.push_back(std::move(pending));
@@ -257,7 +264,7 @@
 {
     auto waiting = std::exchange(impl_->waiting, {});
     for (auto &pending : waiting) {
-        impl_->finish(std::move(pending), { SendOutcome::NotSent, {}, "the connections were reset" });
+        impl_->finishUnanswered(std::move(pending), "the connections were reset");
     }
     const auto connections = std::exchange(impl_->connections, {});
     for (const auto &connection : connections) {
--- a/tests/net/HttpTests.cpp
+++ b/tests/net/HttpTests.cpp
@@ -94,3 +94,38 @@
         CHECK_FALSE(Address::parse(text));
     }
 }
+
+// Guards against a refusal of a job that its dead owner has stored: the repetition of a request that was received finds no
+// listener, and that must not count as never sent.
+TEST_CASE("a request that was received on a kept connection is lost when its repetition finds no listener")
+{
+    EventLoop loop;
+    std::unique_ptr<HttpListener> listener;
+    listener = std::make_unique<HttpListener>(
+        loop, HttpListenerLimits(), [&](const WebRequest &request, const HttpResponderPointer &responder) {
+            if (request.target == "/first") {
+                responder->reply({ 200, {}, {} });
+                return;
+            }
+            loop.after(Milliseconds(0), [&listener, responder] {
+                listener.reset();
+                responder->abandon();
+            });
+        });
+    std::string error;
+    REQUIRE(listener->listen({ "127.0.0.1", 0 }, error));
+    HttpChannels channels(loop, { "127.0.0.1", listener->port() }, {});
+    std::vector<SendResult> results;
+    const auto send = [&](const std::string &target) {
+        channels.send({ "POST", target, {}, "body", true }, Milliseconds(5000), [&](SendResult result) {
+            results.push_back(std::move(result));
+            loop.stop();
+        });
+        loop.run();
+    };
+    send("/first");
+    send("/second");
+    REQUIRE(results.size() == 2);
+    CHECK(results[0].hasStatus(200));
+    CHECK(results[1].outcome == SendOutcome::Lost);
+}
