--- a/modules/entry/EntryInstance.cpp
+++ b/modules/entry/EntryInstance.cpp
@@ -23,6 +23,8 @@
 constexpr Milliseconds shutdownCheck { 50 };
 // What is kept of the grace for the exit itself.
 constexpr Milliseconds exitMargin { 700 };
+// Before the exit all that is open gets its final answer, which needs a way to the client.
+constexpr Milliseconds lastAnswers { 400 };
 constexpr Milliseconds flushPatience { 600 };
 constexpr Milliseconds desiredStateCheck { 300 };
 constexpr Milliseconds desiredStateTimeout { 280 };
@@ -305,6 +307,8 @@
         });
     }
     const auto latest = now + impl_->parts.settings.shutdownGrace - exitMargin;
+    impl_->loop.after(std::chrono::duration_cast<Milliseconds>(latest - lastAnswers - now),
+                      [impl = impl_] { impl->calls.close(); });
     impl_->waitForRequests(std::min(now + balancerNotice, latest), latest, std::move(done));
 }
 
--- a/modules/entry/Owner.cpp
+++ b/modules/entry/Owner.cpp
@@ -5,6 +5,7 @@
 #include "dispatch/JobBook.h"
 #include "dispatch/JobRecords.h"
 #include "dispatch/TaskPlacer.h"
+#include "entry/OwnershipGuard.h"
 #include "entry/TableWatch.h"
 #include "observability/EventLog.h"
 #include "observability/Metrics.h"
@@ -64,6 +65,7 @@
                       parts.protocol.workerTable(),
                       workerWatchTimes,
                       [this](const auto &rows, bool isWhole) { takeWorkers(rows, isWhole); })
+        , guard(parts.timers, parts.store, ownership.epochVersion, [this] { depose(); })
     {
         book.setFleet(fleet);
     }
@@ -76,7 +78,10 @@
     void takeRoster(const std::vector<StoreRow> &rows);
     void takeWorkers(const std::vector<StoreRow> &rows, bool isWhole);
     void tend();
+    void serve(const ClientCall &call, Callback callback);
     void submit(const ClientCall &call, Callback callback);
+    /** Says that there is no such job, once the store confirms that this is still the owner. */
+    void confirmAbsence(Callback callback);
     void waitForFlush(TimePoint until, std::function<void(const Ownership &)> done);
 
     OwnerParts parts;
@@ -88,6 +93,7 @@
     Fleet fleet;
     TaskPlacer placer;
     TableWatch workerWatch;
+    OwnershipGuard guard;
     std::map<std::string, std::string> storedProgress;
     QueueTable queues;
     bool isReady = false;
@@ -120,7 +126,7 @@
     isPlacing = true;
     parts.timers.after(roundPause, [self = shared_from_this()] {
         self->isPlacing = false;
-        if (self->isClosed || self->isLeaving) {
+        if (self->isClosed || self->isLeaving || self->guard.isInDoubt()) {
             return;
         }
         const auto startedAt = self->parts.timers.now();
@@ -217,9 +223,10 @@
     if (isClosed) {
         return;
     }
+    guard.tick();
     book.tick(parts.settings.statusRetention, parts.settings.earlyStart);
     fleet.noteDirectoryAge(workerWatch.age());
-    if (!isLeaving) {
+    if (!isLeaving && !guard.isInDoubt()) {
         placer.tend();
         workChanged();
     }
@@ -273,6 +280,25 @@
     });
 }
 
+void Owner::Impl::confirmAbsence(Callback callback)
+{
+    guard.confirm([self = shared_from_this(), callback = std::move(callback)](OwnershipGuard::Verdict verdict) {
+        switch (verdict) {
+        case OwnershipGuard::Verdict::IsOwner:
+            callback({ .outcome = ClientResult::Outcome::NoSuchJob });
+            return;
+        case OwnershipGuard::Verdict::IsReplaced:
+            callback({ .outcome = ClientResult::Outcome::Moved, .detail = "the owner was deposed" });
+            return;
+        case OwnershipGuard::Verdict::Unknown:
+            callback({ .outcome = ClientResult::Outcome::Refused,
+                       .retryAfter = retryAfterStall,
+                       .detail = "the store does not confirm the owner" });
+            return;
+        }
+    });
+}
+
 void Owner::Impl::waitForFlush(TimePoint until, std::function<void(const Ownership &)> done)
 {
     if (log.isIdle() || isClosed || parts.timers.now() > until) {
@@ -284,6 +310,37 @@
                        [self = shared_from_this(), until, done = std::move(done)] { self->waitForFlush(until, done); });
 }
 
+void Owner::Impl::serve(const ClientCall &call, Callback callback)
+{
+    switch (call.kind) {
+    case ClientCall::Kind::Submit:
+        submit(call, std::move(callback));
+        return;
+    case ClientCall::Kind::Query:
+        if (const auto stage = book.shownStage(call.job)) {
+            callback({ .outcome = ClientResult::Outcome::Answered, .stage = *stage });
+        } else {
+            confirmAbsence(std::move(callback));
+        }
+        return;
+    case ClientCall::Kind::Cancel:
+        book.cancel(call.job, [self = shared_from_this(), callback = std::move(callback)](bool isKnown) {
+            if (isKnown) {
+                callback({ .outcome = ClientResult::Outcome::Cancelled });
+            } else {
+                self->confirmAbsence(callback);
+            }
+        });
+        return;
+    case ClientCall::Kind::CountPending:
+        callback({ .outcome = ClientResult::Outcome::Answered, .pending = book.pendingCount(call.queue) });
+        return;
+    case ClientCall::Kind::Other:
+        break;
+    }
+    callback({ .outcome = ClientResult::Outcome::Malformed, .detail = "unknown call" });
+}
+
 Owner::Owner(const OwnerParts &parts, const Ownership &ownership, std::function<void()> deposed)
     : impl_(std::make_shared<Impl>(parts, ownership, std::move(deposed)))
 {
@@ -309,30 +366,13 @@
 
 void Owner::call(const ClientCall &call, Callback callback)
 {
-    auto &book = impl_->book;
-    switch (call.kind) {
-    case ClientCall::Kind::Submit:
-        impl_->submit(call, std::move(callback));
-        return;
-    case ClientCall::Kind::Query:
-        if (const auto stage = book.shownStage(call.job)) {
-            callback({ .outcome = ClientResult::Outcome::Answered, .stage = *stage });
+    impl_->guard.whenCertain([impl = impl_, call, callback = std::move(callback)]() mutable {
+        if (impl->isClosed) {
+            callback({ .outcome = ClientResult::Outcome::Moved, .detail = "the owner was deposed" });
         } else {
-            callback({ .outcome = ClientResult::Outcome::NoSuchJob });
+            impl->serve(call, std::move(callback));
         }
-        return;
-    case ClientCall::Kind::Cancel:
-        book.cancel(call.job, [callback = std::move(callback)](bool isKnown) {
-            callback({ .outcome = isKnown ? ClientResult::Outcome::Cancelled : ClientResult::Outcome::NoSuchJob });
-        });
-        return;
-    case ClientCall::Kind::CountPending:
-        callback({ .outcome = ClientResult::Outcome::Answered, .pending = book.pendingCount(call.queue) });
-        return;
-    case ClientCall::Kind::Other:
-        break;
-    }
-    callback({ .outcome = ClientResult::Outcome::Malformed, .detail = "unknown call" });
+    });
 }
 
 void Owner::setQueues(const QueueTable &queues)
--- a/modules/entry/OwnerCalls.cpp
+++ b/modules/entry/OwnerCalls.cpp
@@ -7,6 +7,7 @@
 #include "observability/EventLog.h"
 
 #include <algorithm>
+#include <set>
 
 namespace auburndoor {
 
@@ -19,6 +20,7 @@
 constexpr Milliseconds retryAfterRefusal { 600 };
 // One try at an owner; a second one may meet the next owner.
 constexpr Milliseconds tryTimeout { 1000 };
+constexpr const char *stoppingText = "the process is stopping";
 
 } // namespace
 
@@ -56,11 +58,14 @@
     std::function<Owner *()> local;
     std::function<std::optional<Address>()> remote;
     std::unique_ptr<HttpChannels> channels;
+    std::set<AttemptPointer> open;
+    bool isClosed = false;
 };
 
 void OwnerCalls::Impl::finish(const AttemptPointer &attempt, const ClientResult &result)
 {
     if (!std::exchange(attempt->isAnswered, true)) {
+        open.erase(attempt);
         attempt->callback(result);
     }
 }
@@ -164,9 +169,24 @@
     attempt->callback = std::move(callback);
     attempt->deadline = impl_->loop.now() + call.patience - std::min(answerMargin, call.patience / 4);
     attempt->refuseAt = std::min(attempt->deadline, impl_->loop.now() + call.hold);
+    if (impl_->isClosed) {
+        attempt->lastFailure = stoppingText;
+        impl_->giveUp(attempt);
+        return;
+    }
+    impl_->open.insert(attempt);
     impl_->loop.after(std::chrono::duration_cast<Milliseconds>(attempt->deadline - impl_->loop.now()),
                       [impl = impl_, attempt] { impl->giveUp(attempt); });
     impl_->tryOnce(attempt);
 }
 
+void OwnerCalls::close()
+{
+    impl_->isClosed = true;
+    for (const auto &attempt : std::set(impl_->open)) {
+        attempt->lastFailure = stoppingText;
+        impl_->giveUp(attempt);
+    }
+}
+
 } // namespace auburndoor
--- a/modules/entry/OwnerCalls.h
+++ b/modules/entry/OwnerCalls.h
@@ -29,6 +29,9 @@
 
     void call(const ClientCall &call, Callback callback);
 
+    /** Gives every open call its final answer now, and refuses further ones: the process is about to end. */
+    void close();
+
 private:
     struct Impl;
     std::shared_ptr<Impl> impl_;
--- a/modules/net/EventLoop.cpp
+++ b/modules/net/EventLoop.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <ctime>
 #include <list>
 
 namespace auburndoor {
@@ -44,6 +45,15 @@
     return std::chrono::steady_clock::now();
 }
 
+TimePoint EventLoop::bootNow() const
+{
+    timespec time {};
+    if (clock_gettime(CLOCK_BOOTTIME, &time) != 0) {
+        return now();
+    }
+    return TimePoint() + std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+}
+
 std::chrono::milliseconds EventLoop::wallNow() const
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
--- a/modules/net/EventLoop.h
+++ b/modules/net/EventLoop.h
@@ -23,6 +23,7 @@
     ~EventLoop() override;
 
     TimePoint now() const override;
+    TimePoint bootNow() const override;
     std::chrono::milliseconds wallNow() const override;
     void after(Milliseconds delay, std::function<void()> action) override;
 
--- a/modules/net/Timers.h
+++ b/modules/net/Timers.h
@@ -15,6 +15,12 @@
     /** The steady time of the loop. */
     virtual TimePoint now() const = 0;
 
+    /** The steady time that also counts while the machine is suspended. Its zero is another than that of now(). */
+    virtual TimePoint bootNow() const
+    {
+        return now();
+    }
+
     /** The wall time, in milliseconds since 1970; it may jump. */
     virtual std::chrono::milliseconds wallNow() const = 0;
 
--- a/tests/cell/ChildProcess.cpp
+++ b/tests/cell/ChildProcess.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <fcntl.h>
+#include <linux/close_range.h>
 #include <stdexcept>
 #include <sys/wait.h>
 #include <thread>
@@ -34,6 +35,8 @@
         const auto file = open(logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
         dup2(file, STDOUT_FILENO);
         dup2(file, STDERR_FILENO);
+        // Sockets of the test must not stay open in the child.
+        close_range(STDERR_FILENO + 1, ~0U, CLOSE_RANGE_CLOEXEC);
         execv(pointers.front(), pointers.data());
         _exit(127);
     }
--- a/tests/dispatch/OwnerFixture.cpp
+++ b/tests/dispatch/OwnerFixture.cpp
@@ -44,7 +44,7 @@
     timers_.after(Milliseconds(20), [callback = std::move(callback), result] { callback(result); });
 }
 
-OwnerFixture::OwnerFixture() : store(timers), fleet(timers), advisor(timers)
+OwnerFixture::OwnerFixture() : store(timers), fleet(timers), advisor(timers), checker_(fleet)
 {
     if (std::getenv("OWNER_TRACE") != nullptr) {
         EventLog::configure("owner");
@@ -54,7 +54,10 @@
     queues_.queues = { queueOf("urgent", 0), queueOf("normal", 2), queueOf("advised", 1) };
     queues_.queues.back().advice = AdvicePolicy { AdvicePolicy().decisionTime, AdvicePolicy().timePerWorker, Milliseconds(1500) };
     plan = [](const TaskName &, std::int64_t) { return SimulatedWork(); };
-    fleet.onStarted = [this](SimulatedWorker &worker, const StartOrder &order) { checkStart(worker, order); };
+    fleet.onStarted = [this](SimulatedWorker &worker, const StartOrder &order) {
+        starts.push_back(order);
+        checker_.check(worker, order);
+    };
 }
 
 OwnerFixture::~OwnerFixture()
@@ -118,11 +121,16 @@
     owner.reset();
 }
 
+const std::vector<std::string> &OwnerFixture::violations() const
+{
+    return checker_.violations;
+}
+
 ClientResult::Outcome OwnerFixture::submit(const std::string &id, const std::string &body, const std::string &queue)
 {
     std::string error;
     if (auto spec = protocol_.readJob(body, error)) {
-        jobs_[id] = *spec;
+        checker_.addJob(id, *spec);
     }
     ClientCall call;
     call.kind = ClientCall::Kind::Submit;
@@ -175,40 +183,6 @@
     return false;
 }
 
-void OwnerFixture::checkStart(SimulatedWorker &worker, const StartOrder &order)
-{
-    starts.push_back(order);
-    EventLog::write("test.started",
-                    { { "job", order.task.job },
-                      { "step", order.task.step },
-                      { "index", order.task.index },
-                      { "attempt", order.attempt },
-                      { "worker", worker.entry().id },
-                      { "simulated", std::chrono::duration_cast<Milliseconds>(timers.now() - TimePoint()).count() } });
-    const auto name = order.task.job + "." + std::to_string(order.task.step) + "." + std::to_string(order.task.index);
-    std::int64_t used = 0;
-    for (const auto &[key, run] : worker.runs()) {
-        used += jobs_[key.first.job].steps.at(static_cast<std::size_t>(key.first.step)).need.milliCores;
-    }
-    if (used > worker.entry().capacity.milliCores) {
-        violations.push_back(name + " exceeds the capacity of " + worker.entry().id);
-    }
-    for (const auto &[id, other] : fleet.workers()) {
-        other->settle();
-        for (const auto &[key, run] : other->runs()) {
-            if (key.first == order.task && (key.second != order.attempt || other.get() != &worker)) {
-                violations.push_back(name);
-                violations.back().append(" runs on ").append(id).append(" and ").append(worker.entry().id);
-                EventLog::write("test.violation", { { "what", violations.back() }, { "other_attempt", key.second } });
-            }
-        }
-        const auto &done = other->acknowledgedDone();
-        if (std::find(done.begin(), done.end(), order.task) != done.end()) {
-            violations.push_back(name + " started after its end was acknowledged");
-        }
-    }
-}
-
 std::string jobBody(int tasks, int milliCores, const std::string &fields)
 {
     std::string body = R"({"spec":"payload","taskGroups":[{"count":)";
--- a/tests/dispatch/OwnerFixture.h
+++ b/tests/dispatch/OwnerFixture.h
@@ -1,7 +1,8 @@
 #pragma once
 
 #include "PlatformProtocol.h"
-#include "dispatch/SimulatedWorker.h"
+#include "fakes/SimulatedWorker.h"
+#include "fakes/StartChecker.h"
 #include "entry/Owner.h"
 #include "fakes/FakeStore.h"
 #include "fakes/ManualTimers.h"
@@ -57,9 +58,11 @@
     /** Runs until the job has this stage. @return false if it has not within the time */
     bool runUntil(const std::string &id, JobStage stage, Milliseconds limit);
 
+    /** What the checks of the starts found. */
+    const std::vector<std::string> &violations() const;
+
     /** How each task's starts go; the default ends as done after half a second. */
     SimulatedWorker::Plan plan;
-    std::vector<std::string> violations;
     std::vector<StartOrder> starts;
     ManualTimers timers;
     FakeStore store;
@@ -68,14 +71,12 @@
     std::unique_ptr<Owner> owner;
 
 private:
-    void checkStart(SimulatedWorker &worker, const StartOrder &order);
-
     platform::PlatformProtocol protocol_;
     EntrySettings settings_;
     QueueTable queues_;
     std::vector<std::unique_ptr<Owner>> former_;
     std::int64_t token_ = 0;
-    std::map<std::string, JobSpec> jobs_;
+    StartChecker checker_;
 };
 
 /** A body of one step. @param fields further members of the step, beginning with a comma, or empty */
--- a/tests/dispatch/OwnerPropertyTests.cpp
+++ b/tests/dispatch/OwnerPropertyTests.cpp
@@ -143,7 +143,7 @@
         INFO("seed " << seed);
         FaultyCell faulty(static_cast<unsigned>(seed));
         faulty.run();
-        for (const auto &violation : faulty.cell.violations) {
+        for (const auto &violation : faulty.cell.violations()) {
             FAIL_CHECK(violation);
         }
         for (const auto &id : faulty.accepted) {
--- a/tests/dispatch/OwnerTests.cpp
+++ b/tests/dispatch/OwnerTests.cpp
@@ -12,7 +12,7 @@
     REQUIRE(cell.submit("00000000000000aa", jobBody(6, 2000)) == ClientResult::Outcome::Accepted);
     CHECK(cell.runUntil("00000000000000aa", JobStage::Completed, Milliseconds(4000)));
     CHECK(cell.starts.size() == 6);
-    CHECK(cell.violations.empty());
+    CHECK(cell.violations().empty());
 }
 
 TEST_CASE("a job handed in twice is one job")
@@ -76,7 +76,7 @@
     cell.takeOver();
     cell.takeOver();
     CHECK(cell.runUntil("00000000000000aa", JobStage::Completed, Milliseconds(8000)));
-    CHECK(cell.violations.empty());
+    CHECK(cell.violations().empty());
 }
 
 // Guards against a worker that crashed and is promised a new lease with each look.
@@ -95,7 +95,7 @@
     CHECK(cell.starts.size() == 1);
     cell.timers.advance(Milliseconds(7500));
     CHECK(cell.starts.size() == 2);
-    CHECK(cell.violations.empty());
+    CHECK(cell.violations().empty());
 }
 
 TEST_CASE("a new owner adopts what runs and starts nothing twice")
@@ -111,7 +111,7 @@
     cell.takeOver(false);
     CHECK(cell.runUntil("00000000000000aa", JobStage::Completed, Milliseconds(6000)));
     CHECK(cell.starts.size() == 8);
-    CHECK(cell.violations.empty());
+    CHECK(cell.violations().empty());
 }
 
 // Guards against a start of a task that may run on a worker which the new owner cannot read.
@@ -132,7 +132,7 @@
     CHECK(cell.starts.back().task.job == "00000000000000bb");
     cell.timers.advance(Milliseconds(9000));
     CHECK(cell.starts.size() == 3);
-    CHECK(cell.violations.empty());
+    CHECK(cell.violations().empty());
 }
 
 TEST_CASE("a start without an answer is ruled out before the task starts elsewhere")
@@ -148,7 +148,7 @@
     CHECK(cell.runUntil("00000000000000aa", JobStage::Completed, Milliseconds(2000)));
     cell.timers.advance(Milliseconds(3000));
     CHECK(cell.starts.size() == 1);
-    CHECK(cell.violations.empty());
+    CHECK(cell.violations().empty());
 }
 
 TEST_CASE("a start of which only the answer is lost goes on running")
@@ -196,7 +196,7 @@
     cell.timers.advance(Milliseconds(500));
     REQUIRE(cell.submit("00000000000000aa", jobBody(1, 2000), "urgent") == ClientResult::Outcome::Accepted);
     CHECK(cell.runUntil("00000000000000aa", JobStage::Completed, Milliseconds(2500)) == saves);
-    CHECK(cell.violations.empty());
+    CHECK(cell.violations().empty());
 }
 
 TEST_CASE("the members of a gang start together with one attempt, or not at all")
@@ -327,3 +327,51 @@
     REQUIRE(cell.submit("00000000000000ab", jobBody(3, 8000, R"(,"gang":true)"), "advised") == ClientResult::Outcome::Accepted);
     CHECK(cell.runUntil("00000000000000ab", JobStage::Completed, Milliseconds(8000)));
 }
+
+// Guards against a process that was suspended as the owner and says, on its return, that a job of its successor does not exist.
+TEST_CASE("an owner that was replaced unnoticed does not say that a job of its successor does not exist")
+{
+    OwnerFixture cell;
+    cell.addWorker("w1", 8);
+    cell.takeOver();
+    auto *former = cell.owner.get();
+    cell.takeOver(false);
+    REQUIRE(cell.submit("00000000000000aa", jobBody(1, 1000)) == ClientResult::Outcome::Accepted);
+    const auto ask = [&](Owner &owner, ClientCall::Kind kind, const std::string &job) {
+        ClientCall call;
+        call.kind = kind;
+        call.job = job;
+        std::optional<ClientResult::Outcome> outcome;
+        owner.call(call, [&outcome](const ClientResult &result) { outcome = result.outcome; });
+        cell.timers.advance(Milliseconds(100));
+        return outcome;
+    };
+    CHECK(ask(*cell.owner, ClientCall::Kind::Query, "00000000000000bb") == ClientResult::Outcome::NoSuchJob);
+    CHECK(ask(*cell.owner, ClientCall::Kind::Cancel, "00000000000000bb") == ClientResult::Outcome::NoSuchJob);
+    CHECK(ask(*former, ClientCall::Kind::Query, "00000000000000aa") == ClientResult::Outcome::Moved);
+}
+
+// Guards against a process that was suspended as the owner and shows, on its return, what was so before its successor went on.
+TEST_CASE("an owner that was suspended asks the store whether it still is the owner before it answers or starts anything")
+{
+    OwnerFixture cell;
+    cell.addWorker("w1", 8);
+    cell.takeOver();
+    REQUIRE(cell.submit("00000000000000aa", jobBody(1, 1000)) == ClientResult::Outcome::Accepted);
+    auto *former = cell.owner.get();
+    const auto ask = [&](Owner &owner) {
+        ClientCall call;
+        call.kind = ClientCall::Kind::Query;
+        call.job = "00000000000000aa";
+        std::optional<ClientResult::Outcome> outcome;
+        owner.call(call, [&outcome](const ClientResult &result) { outcome = result.outcome; });
+        cell.timers.advance(Milliseconds(100));
+        return outcome;
+    };
+    cell.timers.suspend(Milliseconds(1000));
+    CHECK(ask(*former) == ClientResult::Outcome::Answered);
+    cell.takeOver(false);
+    cell.timers.suspend(Milliseconds(1000));
+    CHECK(ask(*former) == ClientResult::Outcome::Moved);
+    CHECK(ask(*cell.owner) == ClientResult::Outcome::Answered);
+}
--- /dev/null
+++ b/tests/entry/OwnerCallsTests.cpp
@@ -0,0 +1,60 @@
+#include "entry/OwnerCalls.h"
+#include "net/EventLoop.h"
+#include "net/HttpListener.h"
+
+#include <catch2/catch.hpp>
+
+using namespace auburndoor;
+
+// Guards against a planned stop that closes connections on which requests still wait for an owner.
+TEST_CASE("calls that are open when a process ends get their final answer")
+{
+    EventLoop loop;
+    OwnerCalls calls(
+        loop, [] { return nullptr; }, [] { return std::optional<Address>(); });
+    std::vector<ClientResult::Outcome> outcomes;
+    const auto submit = [&] {
+        ClientCall call;
+        call.kind = ClientCall::Kind::Submit;
+        call.job = "00000000000000aa";
+        calls.call(call, [&outcomes](const ClientResult &result) { outcomes.push_back(result.outcome); });
+    };
+    const auto runFor = [&loop](Milliseconds time) {
+        loop.after(time, [&loop] { loop.stop(); });
+        loop.run();
+    };
+    // No owner is known: nobody can have received it.
+    submit();
+    runFor(Milliseconds(50));
+    calls.close();
+    REQUIRE(outcomes == std::vector { ClientResult::Outcome::Refused });
+    submit();
+    CHECK(outcomes.size() == 2);
+    CHECK(outcomes.back() == ClientResult::Outcome::Refused);
+}
+
+// Guards against a refusal of a call that an owner may have received.
+TEST_CASE("a call that is under way when a process ends gets no verdict")
+{
+    EventLoop loop;
+    std::vector<HttpResponderPointer> kept;
+    HttpListener silent(
+        loop, {}, [&kept](const WebRequest &, const HttpResponderPointer &responder) { kept.push_back(responder); });
+    std::string error;
+    REQUIRE(silent.listen({ "127.0.0.1", 0 }, error));
+    OwnerCalls calls(
+        loop,
+        [] { return nullptr; },
+        [&] {
+            return Address { "127.0.0.1", silent.port() };
+        });
+    std::optional<ClientResult::Outcome> outcome;
+    ClientCall call;
+    call.kind = ClientCall::Kind::Submit;
+    calls.call(call, [&outcome](const ClientResult &result) { outcome = result.outcome; });
+    loop.after(Milliseconds(100), [&loop] { loop.stop(); });
+    loop.run();
+    REQUIRE(kept.size() == 1);
+    calls.close();
+    CHECK(outcome == ClientResult::Outcome::Unknown);
+}
--- a/tests/fakes/ManualTimers.h
+++ b/tests/fakes/ManualTimers.h
@@ -40,6 +40,12 @@
         now_ = std::max(now_, end);
     }
 
+    /** Lets time pass in which nothing runs, as while a process is suspended. */
+    void suspend(Milliseconds duration)
+    {
+        now_ += duration;
+    }
+
     /** Lets code that reads the time take time by it, so that long work can be told from short. */
     void chargeReadings(std::chrono::microseconds cost)
     {
--- a/tests/dispatch/SimulatedWorker.cpp
+++ b/tests/fakes/SimulatedWorker.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/SimulatedWorker.h"
+#include "fakes/SimulatedWorker.h"
 
 #include "observability/EventLog.h"
 
--- /dev/null
+++ b/tests/fakes/StartChecker.cpp
@@ -0,0 +1,41 @@
+#include "fakes/StartChecker.h"
+
+#include "observability/EventLog.h"
+
+#include <algorithm>
+
+namespace auburndoor {
+
+void StartChecker::check(SimulatedWorker &worker, const StartOrder &order)
+{
+    EventLog::write("test.started",
+                    { { "job", order.task.job },
+                      { "step", order.task.step },
+                      { "index", order.task.index },
+                      { "attempt", order.attempt },
+                      { "worker", worker.entry().id } });
+    const auto name = order.task.job + "." + std::to_string(order.task.step) + "." + std::to_string(order.task.index);
+    std::int64_t used = 0;
+    for (const auto &[key, run] : worker.runs()) {
+        used += jobs_[key.first.job].steps.at(static_cast<std::size_t>(key.first.step)).need.milliCores;
+    }
+    if (used > worker.entry().capacity.milliCores) {
+        violations.push_back(name + " exceeds the capacity of " + worker.entry().id);
+    }
+    for (const auto &[id, other] : fleet_.workers()) {
+        other->settle();
+        for (const auto &[key, run] : other->runs()) {
+            if (key.first == order.task && (key.second != order.attempt || other.get() != &worker)) {
+                violations.push_back(name);
+                violations.back().append(" runs on ").append(id).append(" and ").append(worker.entry().id);
+                EventLog::write("test.violation", { { "what", violations.back() }, { "other_attempt", key.second } });
+            }
+        }
+        const auto &done = other->acknowledgedDone();
+        if (std::find(done.begin(), done.end(), order.task) != done.end()) {
+            violations.push_back(name + " started after its end was acknowledged");
+        }
+    }
+}
+
+} // namespace auburndoor
--- /dev/null
+++ b/tests/soak/EntryProcess.cpp
@@ -0,0 +1,138 @@
+#include "soak/EntryProcess.h"
+
+#include "net/EventLoop.h"
+
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <fstream>
+#include <unistd.h>
+
+namespace auburndoor {
+
+namespace {
+
+constexpr int clientPort = 18149;
+constexpr int readyPort = 18141;
+constexpr int firstPeerPort = 17380;
+constexpr int metricsPort = 19464;
+// The grace of the settings, and a second for a busy machine.
+constexpr Milliseconds stopLimit { 7000 };
+
+/** An address of this test process's own, so that several can run side by side. */
+std::string loopbackAddress(int number)
+{
+    constexpr int byteValues = 256;
+    const auto id = getpid();
+    return "127." + std::to_string(id / byteValues % byteValues) + "." + std::to_string(id % byteValues) + "."
+           + std::to_string(10 + number);
+}
+
+} // namespace
+
+EntryProcess::EntryProcess(EventLoop &loop, int number, const Address &store, const std::string &folder)
+    : loop_(loop)
+    , ip_(loopbackAddress(number))
+    , name_("entry-" + std::to_string(number))
+    , settingsFile_(folder + "/" + name_ + ".json")
+    , logFile_(folder + "/" + name_ + ".log")
+    , storeLink_(loop, store)
+{
+    writeSettings(storeLink_.address());
+}
+
+void EntryProcess::writeSettings(const Address &store) const
+{
+    const auto at = [this](int port) { return ip_ + ":" + std::to_string(port); };
+    const nlohmann::json settings {
+        { "nodeName", name_ },
+        { "ip", ip_ },
+        { "zone", "z" },
+        { "listen", { { "front", at(clientPort) }, { "ready", at(readyPort) } } },
+        { "portRange", { firstPeerPort, firstPeerPort + 15 } },
+        { "limits", { { "cpuShare", 1.0 } } },
+        { "bounds", { { "maxHoldMs", 10000 }, { "graceS", 6 }, { "status_s", 120 }, { "early_ms", 250 } } },
+        { "platform", { { "address", store.text() } } },
+    };
+    std::ofstream(settingsFile_) << settings.dump(2);
+}
+
+void EntryProcess::start()
+{
+    process_.emplace(std::vector<std::string> { std::string(PROGRAM_FOLDER) + "/auburndoor-entry",
+                                                "--settings=" + settingsFile_,
+                                                "--metrics-port=" + std::to_string(metricsPort) },
+                     logFile_);
+    stoppingSince_.reset();
+    isPaused_ = false;
+}
+
+void EntryProcess::kill()
+{
+    process_.reset();
+    stoppingSince_.reset();
+}
+
+void EntryProcess::terminate()
+{
+    process_->signal(SIGTERM);
+    stoppingSince_ = loop_.now();
+}
+
+void EntryProcess::pause()
+{
+    process_->signal(SIGSTOP);
+    isPaused_ = true;
+}
+
+void EntryProcess::resume()
+{
+    if (process_) {
+        process_->signal(SIGCONT);
+    }
+    isPaused_ = false;
+}
+
+void EntryProcess::hangUp()
+{
+    process_->signal(SIGHUP);
+}
+
+bool EntryProcess::checkStop(TimePoint now)
+{
+    if (!process_ || !stoppingSince_) {
+        return true;
+    }
+    if (process_->waitForExit(std::chrono::milliseconds(0))) {
+        start();
+        return true;
+    }
+    return now - *stoppingSince_ < stopLimit;
+}
+
+bool EntryProcess::isRunning() const
+{
+    return process_.has_value();
+}
+
+bool EntryProcess::isPaused() const
+{
+    return isPaused_;
+}
+
+bool EntryProcess::isStopping() const
+{
+    return stoppingSince_.has_value();
+}
+
+Address EntryProcess::clientAddress() const
+{
+    return { ip_, clientPort };
+}
+
+FaultyLink &EntryProcess::storeLink()
+{
+    return storeLink_;
+}
+
+} // namespace auburndoor
--- /dev/null
+++ b/tests/soak/SoakCell.cpp
@@ -0,0 +1,295 @@
+#include "soak/SoakCell.h"
+
+#include "JobCodec.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace auburndoor {
+
+namespace {
+
+constexpr Milliseconds checkInterval { 100 };
+constexpr Milliseconds queryInterval { 700 };
+
+std::string desiredState()
+{
+    return R"({"version":7,"limits":{"maxBodyBytes":65536},"services":[{"name":"desk"}],)"
+           R"("routes":[{"name":"jobs","host":"cell.example","pathPrefix":"/jobs/","service":"desk","priority":1,)"
+           R"("maxAttempts":3,"slackFactor":3,"targetLatencyMs":500}]})";
+}
+
+std::string idOf(int number)
+{
+    auto digits = std::to_string(number);
+    return std::string(16 - digits.size(), '0') + digits;
+}
+
+} // namespace
+
+SoakCell::SoakCell(unsigned seed, const SoakSize &size, const std::string &folder)
+    : random_(seed), size_(size), startedAt_(loop_.now()), platform_(loop_)
+{
+    platform_.store.write("op", "config", desiredState());
+    for (int number = 0; number < size.workers; ++number) {
+        platform_.addWorker("w" + std::to_string(number), 4 + number, [this](const TaskName &, std::int64_t) {
+            return SimulatedWork { Milliseconds(draw(50, 2500)), draw(0, 19) == 0 ? RunEnd::Failed : RunEnd::Done };
+        });
+    }
+    platform_.onStarted = [this](const StartOrder &order) { startedJobs_.insert(order.task.job); };
+    std::vector<Address> addresses;
+    for (int number = 0; number < size.entries; ++number) {
+        entries_.push_back(std::make_unique<EntryProcess>(loop_, number, platform_.storeAddress(), folder));
+        entries_.back()->start();
+        addresses.push_back(entries_.back()->clientAddress());
+    }
+    clients_ = std::make_unique<SoakClients>(loop_, addresses, random_);
+}
+
+int SoakCell::draw(int from, int to)
+{
+    return std::uniform_int_distribution<int>(from, to)(random_);
+}
+
+void SoakCell::note(const std::string &what)
+{
+    const auto at = std::chrono::duration_cast<Milliseconds>(loop_.now() - startedAt_);
+    story_.push_back(std::to_string(at.count()) + " " + what);
+}
+
+std::size_t SoakCell::acceptedCount() const
+{
+    const auto &jobs = clients_->jobs();
+    return static_cast<std::size_t>(std::count_if(jobs.begin(), jobs.end(), [](const auto &job) { return job.second.isAccepted; }));
+}
+
+std::vector<std::string> SoakCell::run()
+{
+    constexpr Milliseconds warmUp { 1000 };
+    loop_.after(warmUp, [this] { submitNext(); });
+    loop_.after(warmUp, [this] { disturbNext(); });
+    loop_.after(warmUp, [this] { checkStops(); });
+    loop_.after(warmUp, [this] { queryOpenJobs(); });
+    loop_.after(size_.disturbed, [this] { heal(); });
+    loop_.run();
+    checkJobs();
+    violations_.insert(violations_.end(), clients_->violations.begin(), clients_->violations.end());
+    violations_.insert(violations_.end(), platform_.checker.violations.begin(), platform_.checker.violations.end());
+    return violations_;
+}
+
+void SoakCell::submitNext()
+{
+    if (!isDisturbing_) {
+        return;
+    }
+    const auto id = idOf(++nextJob_);
+    nlohmann::json step { { "count", draw(1, 4) }, { "cpu", draw(1, 4) * 500 }, { "memMb", 10 }, { "estimateMs", 500 } };
+    if (draw(0, 1) == 0) {
+        step["checkpoints"] = true;
+    }
+    const auto body = nlohmann::json { { "spec", "payload" }, { "taskGroups", { step } } }.dump();
+    std::string error;
+    platform_.checker.addJob(id, *platform::readJob(body, error));
+    clients_->submit(id, body);
+    loop_.after(Milliseconds(draw(40, 200)), [this] { submitNext(); });
+}
+
+void SoakCell::disturbNext()
+{
+    if (!isDisturbing_) {
+        return;
+    }
+    switch (draw(0, 2)) {
+    case 0:
+        disturbProcess();
+        break;
+    case 1:
+        disturbStore();
+        break;
+    default:
+        disturbWorker();
+        break;
+    }
+    loop_.after(Milliseconds(draw(50, 1500)), [this] { disturbNext(); });
+}
+
+void SoakCell::disturbProcess()
+{
+    const auto number = static_cast<std::size_t>(draw(0, size_.entries - 1));
+    auto &entry = *entries_.at(number);
+    const auto name = "entry " + std::to_string(number);
+    const auto kind = draw(0, 9);
+    if (kind == 0) {
+        note("kill all entries");
+        for (const auto &each : entries_) {
+            each->kill();
+            loop_.after(Milliseconds(draw(200, 1500)), [&entry = *each] {
+                if (!entry.isRunning()) {
+                    entry.start();
+                }
+            });
+        }
+        return;
+    }
+    if (!entry.isRunning() || entry.isPaused() || entry.isStopping()) {
+        return;
+    }
+    if (kind <= 3) {
+        note("kill " + name);
+        entry.kill();
+        loop_.after(Milliseconds(draw(200, 1500)), [&entry] {
+            if (!entry.isRunning()) {
+                entry.start();
+            }
+        });
+    } else if (kind <= 6) {
+        const Milliseconds time { draw(300, 4000) };
+        note("pause " + name + " for " + std::to_string(time.count()));
+        entry.pause();
+        loop_.after(time, [&entry] { entry.resume(); });
+    } else if (kind <= 8) {
+        note("stop " + name);
+        entry.terminate();
+    } else {
+        note("hang up " + name);
+        entry.hangUp();
+    }
+}
+
+void SoakCell::disturbLink(FaultyLink &link, const std::string &name)
+{
+    const auto kind = draw(0, 3);
+    const auto mode = kind == 0   ? FaultyLink::Mode::Silent
+                      : kind == 1 ? FaultyLink::Mode::NoReplies
+                      : kind == 2 ? FaultyLink::Mode::Reset
+                                  : FaultyLink::Mode::Slow;
+    const Milliseconds time { draw(300, 5000) };
+    note("link of " + name + " in mode " + std::to_string(static_cast<int>(mode)) + " for " + std::to_string(time.count()));
+    link.setMode(mode, Milliseconds(draw(50, 400)));
+    loop_.after(time, [&link] { link.setMode(FaultyLink::Mode::Open); });
+}
+
+void SoakCell::disturbStore()
+{
+    switch (draw(0, 3)) {
+    case 0: {
+        const Milliseconds time { draw(300, 4000) };
+        note("store down for " + std::to_string(time.count()));
+        platform_.store.setDown(true);
+        loop_.after(time, [this] { platform_.store.setDown(false); });
+        return;
+    }
+    case 1:
+        note("store loses answers");
+        platform_.store.loseAnswers(draw(1, 4), Milliseconds(draw(4, 4000)));
+        return;
+    case 2:
+        note("store slow");
+        platform_.store.setAnswerTime(Milliseconds(draw(100, 300)));
+        loop_.after(Milliseconds(draw(500, 3000)), [this] { platform_.store.setAnswerTime(Milliseconds(8)); });
+        return;
+    default:
+        break;
+    }
+    const auto number = static_cast<std::size_t>(draw(0, size_.entries - 1));
+    disturbLink(entries_.at(number)->storeLink(), "entry " + std::to_string(number) + " to the store");
+}
+
+void SoakCell::disturbWorker()
+{
+    const auto id = "w" + std::to_string(draw(0, size_.workers - 1));
+    switch (draw(0, 3)) {
+    case 0:
+        note("restart " + id);
+        platform_.restartWorker(id);
+        return;
+    case 1:
+        note("orders carried out late");
+        platform_.drawFault = [this] {
+            return OrderFault { draw(0, 2) == 0 ? OrderFault::Kind::Late : OrderFault::Kind::None, Milliseconds(draw(500, 6000)) };
+        };
+        loop_.after(Milliseconds(draw(500, 3000)), [this] { platform_.drawFault = {}; });
+        return;
+    case 2: {
+        note("entry of " + id + " lapses");
+        platform_.store.remove("servers", id);
+        loop_.after(Milliseconds(draw(300, 3000)), [this, id] { platform_.registerWorker(id); });
+        return;
+    }
+    default:
+        disturbLink(platform_.workerLink(id), id);
+    }
+}
+
+void SoakCell::heal()
+{
+    note("heal");
+    isDisturbing_ = false;
+    platform_.store.setDown(false);
+    platform_.store.loseAnswers(0, Milliseconds(0));
+    platform_.drawFault = {};
+    for (const auto &[id, worker] : platform_.fleet.workers()) {
+        platform_.workerLink(id).setMode(FaultyLink::Mode::Open);
+        platform_.registerWorker(id);
+    }
+    for (const auto &entry : entries_) {
+        entry->storeLink().setMode(FaultyLink::Mode::Open);
+        if (!entry->isRunning()) {
+            entry->start();
+        } else if (entry->isPaused()) {
+            entry->resume();
+        }
+    }
+    loop_.after(size_.quiet, [this] { loop_.stop(); });
+}
+
+void SoakCell::checkStops()
+{
+    for (const auto &entry : entries_) {
+        if (!entry->isPaused() && !entry->checkStop(loop_.now())) {
+            violations_.push_back("a process has not stopped within its grace");
+            entry->kill();
+            entry->start();
+        }
+    }
+    loop_.after(checkInterval, [this] { checkStops(); });
+}
+
+void SoakCell::queryOpenJobs()
+{
+    for (const auto &[id, job] : clients_->jobs()) {
+        if (job.isAccepted && (job.shown.empty() || draw(0, 3) == 0)) {
+            clients_->query(id);
+        }
+    }
+    if (!isDisturbing_ && isAllEnded()) {
+        loop_.stop();
+        return;
+    }
+    loop_.after(queryInterval, [this] { queryOpenJobs(); });
+}
+
+bool SoakCell::isAllEnded() const
+{
+    const auto &jobs = clients_->jobs();
+    return std::all_of(jobs.begin(), jobs.end(), [](const auto &entry) {
+        const auto &job = entry.second;
+        return !job.isAccepted || job.shown == "completed" || job.shown == "failed";
+    });
+}
+
+void SoakCell::checkJobs()
+{
+    for (const auto &[id, job] : clients_->jobs()) {
+        if (job.isAccepted && job.shown != "completed" && job.shown != "failed") {
+            violations_.push_back(id + " was accepted and is shown as '" + job.shown + "' at the end");
+        }
+        if (!job.isAccepted && !job.isOpen && startedJobs_.contains(id)) {
+            violations_.push_back(id + " was refused and ran");
+        }
+    }
+}
+
+} // namespace auburndoor
