Tell the story of a job from the logs of entry processes; split the owner's recovery and serving into files of their own

Ruled out: sorting by the wall clock (jumps), by the steady clock (machines differ). Change: auburndoor story JOB FILE..., ordered by each process's steady time and its usual distance from the wall clock. No change of behaviour in modules/entry. Before and after: tests/client.

--- a/modules/client/OperatorCommand.cpp
+++ b/modules/client/OperatorCommand.cpp
@@ -1,5 +1,7 @@
 #include "client/OperatorCommand.h"
 
+#include "client/JobStory.h"
+
 #include "client/OperatorClient.h"
 #include "client/TextRenderer.h"
 #include "core/Failure.h"
@@ -8,8 +10,9 @@
 #include "core/TextFile.h"
 #include "declaration/DeclarationParser.h"
 
+#include <fstream>
+#include <iostream>
 #include <nlohmann/json.hpp>
-#include <ostream>
 
 namespace auburndoor {
 
@@ -80,6 +83,9 @@
     if (usage(subcommand).empty()) {
         return fail(ExitCode::Usage, "unknown subcommand \"" + subcommand + "\"; see auburndoor --help");
     }
+    if (subcommand == "story") {
+        return tellStory(arguments);
+    }
     const std::size_t expected = takesArgument(subcommand) ? 1 : 0;
     if (arguments.size() != expected) {
         return fail(ExitCode::Usage,
@@ -97,6 +103,32 @@
     return call ? exchange(*call) : code;
 }
 
+ExitCode OperatorCommand::tellStory(const std::vector<std::string> &arguments)
+{
+    if (arguments.empty()) {
+        return fail(ExitCode::Usage, "story takes a job and files; see auburndoor story --help");
+    }
+    JobStory story(arguments.front());
+    if (arguments.size() == 1) {
+        story.read(std::cin);
+    }
+    for (std::size_t index = 1; index < arguments.size(); ++index) {
+        std::ifstream file(arguments[index]);
+        if (!file) {
+            return fail(ExitCode::Usage, "cannot read " + arguments[index]);
+        }
+        story.read(file);
+    }
+    if (story.unreadableCount() > 0) {
+        errors_ << "auburndoor: " << story.unreadableCount() << " lines are no log lines\n";
+    }
+    if (story.isEmpty()) {
+        return fail(ExitCode::InvalidFile, "no line names " + arguments.front());
+    }
+    output_ << (options_.isJson ? story.json() : story.text());
+    return ExitCode::Done;
+}
+
 ExitCode OperatorCommand::checkOptions(const std::string &subcommand)
 {
     constexpr int mostEntries = 1000;
--- a/modules/client/OperatorCommand.h
+++ b/modules/client/OperatorCommand.h
@@ -51,6 +51,9 @@
     static std::string usage(const std::string &subcommand);
 
 private:
+    /** Prints what logs say of a job. */
+    ExitCode tellStory(const std::vector<std::string> &arguments);
+
     /** What is asked of the instance. */
     struct Call
     {
--- a/modules/entry/Owner.cpp
+++ b/modules/entry/Owner.cpp
@@ -1,17 +1,10 @@
 #include "entry/Owner.h"
 
-#include "dispatch/CommitLog.h"
-#include "dispatch/Fleet.h"
-#include "dispatch/JobBook.h"
-#include "dispatch/JobRecords.h"
-#include "dispatch/TaskPlacer.h"
-#include "entry/OwnershipGuard.h"
-#include "entry/TableWatch.h"
+#include "entry/OwnerImpl.h"
 #include "observability/EventLog.h"
 #include "observability/Metrics.h"
 
-#include <map>
-#include <set>
+#include <algorithm>
 
 namespace auburndoor {
 
@@ -25,15 +18,10 @@
 constexpr Milliseconds tendInterval { 200 };
 // Workers report about every second and a half: reading their table more often than this shows little more.
 constexpr WatchTimes workerWatchTimes { Milliseconds(1500), Milliseconds(250), Milliseconds(200) };
-// What a refusal needs of the client's patience to arrive in time.
-constexpr Milliseconds answerMargin { 200 };
-// Outages of the store last seconds, and a client tries a few times only.
-constexpr Milliseconds retryAfterStall { 1200 };
 // A quarter of the lease limit is left for the way of the orders and for slow clocks.
 constexpr Milliseconds preferredLease { 5000 };
 // An owner that was deposed learns of it with its first order to a worker that this one has read.
 constexpr Milliseconds deposedOwnerAllowance { 1500 };
-constexpr Milliseconds readRetry { 150 };
 
 FleetTimes fleetTimes(const EntrySettings &settings)
 {
@@ -44,65 +32,30 @@
 
 } // namespace
 
-struct Owner::Impl : std::enable_shared_from_this<Owner::Impl>
-{
-    Impl(const OwnerParts &parts, const Ownership &ownership, std::function<void()> deposedCallback)
-        : parts(parts)
-        , ownership(ownership)
-        , deposedCallback(std::move(deposedCallback))
-        , times(fleetTimes(parts.settings))
-        , log(parts.timers,
-              parts.store,
-              parts.settings.nodeName + "#" + std::to_string(ownership.token),
-              ownership.epochVersion,
-              ownership.sequenceVersion,
-              [this] { depose(); })
-        , book(parts.timers, log, ownership.token, { [this] { workChanged(); }, [this] { depose(); } })
-        , fleet(parts.timers, parts.workers, book, times, ownership.token)
-        , placer(parts.timers, book, fleet, parts.advisor, parts.timers.now() + times.lease * 51 / 50 + deposedOwnerAllowance)
-        , workerWatch(parts.timers,
-                      parts.store,
-                      parts.protocol.workerTable(),
-                      workerWatchTimes,
-                      [this](const auto &rows, bool isWhole) { takeWorkers(rows, isWhole); })
-        , guard(parts.timers, parts.store, ownership.epochVersion, [this] { depose(); })
-    {
-        book.setFleet(fleet);
-    }
-
-    void depose();
-    void workChanged();
-    void readTable(const std::string &table, void (Impl::*take)(const std::vector<StoreRow> &));
-    void takeProgress(const std::vector<StoreRow> &rows);
-    void takeJobs(const std::vector<StoreRow> &rows);
-    void takeRoster(const std::vector<StoreRow> &rows);
-    void takeWorkers(const std::vector<StoreRow> &rows, bool isWhole);
-    void tend();
-    void serve(const ClientCall &call, Callback callback);
-    void submit(const ClientCall &call, Callback callback);
-    /** Says that there is no such job, once the store confirms that this is still the owner. */
-    void confirmAbsence(Callback callback);
-    void waitForFlush(TimePoint until, std::function<void(const Ownership &)> done);
-
-    OwnerParts parts;
-    Ownership ownership;
-    std::function<void()> deposedCallback;
-    FleetTimes times;
-    CommitLog log;
-    JobBook book;
-    Fleet fleet;
-    TaskPlacer placer;
-    TableWatch workerWatch;
-    OwnershipGuard guard;
-    std::map<std::string, std::string> storedProgress;
-    QueueTable queues;
-    bool isReady = false;
-    bool isClosed = false;
-    bool isPlacing = false;
-    /** From a change to the next round of placement. */
-    Milliseconds roundPause { placeDelay };
-    bool isLeaving = false;
-};
+Owner::Impl::Impl(const OwnerParts &parts, const Ownership &ownership, std::function<void()> deposedCallback)
+    : parts(parts)
+    , ownership(ownership)
+    , deposedCallback(std::move(deposedCallback))
+    , times(fleetTimes(parts.settings))
+    , log(parts.timers,
+          parts.store,
+          parts.settings.nodeName + "#" + std::to_string(ownership.token),
+          ownership.epochVersion,
+          ownership.sequenceVersion,
+          [this] { depose(); })
+    , book(parts.timers, log, ownership.token, { [this] { workChanged(); }, [this] { depose(); } })
+    , fleet(parts.timers, parts.workers, book, times, ownership.token)
+    , placer(parts.timers, book, fleet, parts.advisor, parts.timers.now() + times.lease * 51 / 50 + deposedOwnerAllowance)
+    , workerWatch(parts.timers,
+                  parts.store,
+                  parts.protocol.workerTable(),
+                  workerWatchTimes,
+                  [this](const auto &rows, bool isWhole) { takeWorkers(rows, isWhole); })
+    , guard(parts.timers, parts.store, ownership.epochVersion, [this] { depose(); })
+    , roundPause(placeDelay)
+{
+    book.setFleet(fleet);
+}
 
 void Owner::Impl::depose()
 {
@@ -139,85 +92,6 @@
     });
 }
 
-void Owner::Impl::readTable(const std::string &table, void (Impl::*take)(const std::vector<StoreRow> &))
-{
-    parts.store.readAll(table, {}, [self = shared_from_this(), table, take](const StoreResult &result) {
-        if (self->isClosed) {
-            return;
-        }
-        if (result.outcome != StoreOutcome::Done) {
-            self->parts.timers.after(readRetry, [self, table, take] {
-                if (!self->isClosed) {
-                    self->readTable(table, take);
-                }
-            });
-            return;
-        }
-        ((*self).*take)(result.rows);
-    });
-}
-
-void Owner::Impl::takeProgress(const std::vector<StoreRow> &rows)
-{
-    for (const auto &row : rows) {
-        EndedJob ended;
-        const auto stage = JobRecords::stageOf(row.value, ended.endedAt);
-        if (stage && isEnded(*stage)) {
-            ended.stage = *stage;
-            ended.isStored = true;
-            book.restoreEnded(row.key, ended);
-        } else {
-            storedProgress[row.key] = row.value;
-        }
-    }
-    readTable(JobTables::jobs, &Impl::takeJobs);
-}
-
-void Owner::Impl::takeJobs(const std::vector<StoreRow> &rows)
-{
-    for (const auto &row : rows) {
-        if (!book.shownStage(row.key)) {
-            book.restore(row.key, row.value, storedProgress[row.key]);
-        }
-    }
-    storedProgress.clear();
-    book.setQueues(queues);
-    readTable(JobTables::roster, &Impl::takeRoster);
-}
-
-void Owner::Impl::takeRoster(const std::vector<StoreRow> &rows)
-{
-    for (const auto &row : rows) {
-        if (const auto entry = JobRecords::readRosterEntry(row.key, row.value)) {
-            fleet.addFormerWorker(*entry);
-        } else {
-            EventLog::write("record.unreadable", { { "worker", row.key }, { "table", JobTables::roster } });
-        }
-    }
-    isReady = true;
-    EventLog::write("owner.ready", { { "token", ownership.token }, { "jobs", book.jobs().size() }, { "workers", rows.size() } });
-    workerWatch.start();
-    tend();
-    workChanged();
-}
-
-void Owner::Impl::takeWorkers(const std::vector<StoreRow> &rows, bool isWhole)
-{
-    std::set<std::string> present;
-    for (const auto &row : rows) {
-        const auto entry = row.isRemoved ? std::nullopt : parts.protocol.readWorker(row);
-        if (entry) {
-            present.insert(row.key);
-            fleet.setEntry(*entry);
-        } else if (!isWhole) {
-            fleet.removeEntry(row.key);
-        }
-    }
-    if (isWhole) {
-        fleet.retainEntries(present);
-    }
-}
-
 void Owner::Impl::tend()
 {
     if (isClosed) {
@@ -233,72 +107,6 @@
     parts.timers.after(tendInterval, [self = shared_from_this()] { self->tend(); });
 }
 
-void Owner::Impl::submit(const ClientCall &call, Callback callback)
-{
-    std::string error;
-    auto spec = parts.protocol.readJob(call.body, error);
-    if (!spec) {
-        callback({ .outcome = ClientResult::Outcome::Malformed, .detail = error });
-        return;
-    }
-    const auto *queue = queues.queue(call.queue);
-    const bool isKnown = book.shownStage(call.job).has_value();
-    if (!isKnown && isLeaving) {
-        callback({ .outcome = ClientResult::Outcome::Moved, .detail = "the owner is stopping" });
-        return;
-    }
-    if (!isKnown && queue == nullptr) {
-        callback({ .outcome = ClientResult::Outcome::Refused,
-                   .retryAfter = retryAfterStall,
-                   .detail = "the queue is not known here yet" });
-        return;
-    }
-    spec->id = call.job;
-    spec->queue = call.queue;
-    book.submit(std::move(*spec), queue == nullptr ? QueueSpec() : *queue, [callback = std::move(callback)](SubmitOutcome outcome) {
-        switch (outcome) {
-        case SubmitOutcome::Accepted:
-            callback({ .outcome = ClientResult::Outcome::Accepted });
-            return;
-        case SubmitOutcome::Refused:
-            callback({ .outcome = ClientResult::Outcome::Refused,
-                       .retryAfter = retryAfterStall,
-                       .detail = "the store does not take jobs" });
-            return;
-        case SubmitOutcome::Unknown:
-            callback({ .outcome = ClientResult::Outcome::Unknown, .detail = "the store has not answered" });
-            return;
-        case SubmitOutcome::Moved:
-            callback({ .outcome = ClientResult::Outcome::Moved, .detail = "the owner was deposed" });
-            return;
-        }
-    });
-    parts.timers.after(std::min(call.hold, call.patience - answerMargin), [self = shared_from_this(), id = call.job] {
-        if (!self->isClosed) {
-            self->book.withdraw(id);
-        }
-    });
-}
-
-void Owner::Impl::confirmAbsence(Callback callback)
-{
-    guard.confirm([self = shared_from_this(), callback = std::move(callback)](OwnershipGuard::Verdict verdict) {
-        switch (verdict) {
-        case OwnershipGuard::Verdict::IsOwner:
-            callback({ .outcome = ClientResult::Outcome::NoSuchJob });
-            return;
-        case OwnershipGuard::Verdict::IsReplaced:
-            callback({ .outcome = ClientResult::Outcome::Moved, .detail = "the owner was deposed" });
-            return;
-        case OwnershipGuard::Verdict::Unknown:
-            callback({ .outcome = ClientResult::Outcome::Refused,
-                       .retryAfter = retryAfterStall,
-                       .detail = "the store does not confirm the owner" });
-            return;
-        }
-    });
-}
-
 void Owner::Impl::waitForFlush(TimePoint until, std::function<void(const Ownership &)> done)
 {
     if (log.isIdle() || isClosed || parts.timers.now() > until) {
@@ -310,37 +118,6 @@
                        [self = shared_from_this(), until, done = std::move(done)] { self->waitForFlush(until, done); });
 }
 
-void Owner::Impl::serve(const ClientCall &call, Callback callback)
-{
-    switch (call.kind) {
-    case ClientCall::Kind::Submit:
-        submit(call, std::move(callback));
-        return;
-    case ClientCall::Kind::Query:
-        if (const auto stage = book.shownStage(call.job)) {
-            callback({ .outcome = ClientResult::Outcome::Answered, .stage = *stage });
-        } else {
-            confirmAbsence(std::move(callback));
-        }
-        return;
-    case ClientCall::Kind::Cancel:
-        book.cancel(call.job, [self = shared_from_this(), callback = std::move(callback)](bool isKnown) {
-            if (isKnown) {
-                callback({ .outcome = ClientResult::Outcome::Cancelled });
-            } else {
-                self->confirmAbsence(callback);
-            }
-        });
-        return;
-    case ClientCall::Kind::CountPending:
-        callback({ .outcome = ClientResult::Outcome::Answered, .pending = book.pendingCount(call.queue) });
-        return;
-    case ClientCall::Kind::Other:
-        break;
-    }
-    callback({ .outcome = ClientResult::Outcome::Malformed, .detail = "unknown call" });
-}
-
 Owner::Owner(const OwnerParts &parts, const Ownership &ownership, std::function<void()> deposed)
     : impl_(std::make_shared<Impl>(parts, ownership, std::move(deposed)))
 {
--- /dev/null
+++ b/modules/entry/OwnerRecovery.cpp
@@ -0,0 +1,94 @@
+#include "dispatch/JobRecords.h"
+#include "entry/OwnerImpl.h"
+#include "observability/EventLog.h"
+
+#include <set>
+
+namespace auburndoor {
+
+namespace {
+
+constexpr Milliseconds readRetry { 150 };
+
+} // namespace
+
+void Owner::Impl::readTable(const std::string &table, void (Impl::*take)(const std::vector<StoreRow> &))
+{
+    parts.store.readAll(table, {}, [self = shared_from_this(), table, take](const StoreResult &result) {
+        if (self->isClosed) {
+            return;
+        }
+        if (result.outcome != StoreOutcome::Done) {
+            self->parts.timers.after(readRetry, [self, table, take] {
+                if (!self->isClosed) {
+                    self->readTable(table, take);
+                }
+            });
+            return;
+        }
+        ((*self).*take)(result.rows);
+    });
+}
+
+void Owner::Impl::takeProgress(const std::vector<StoreRow> &rows)
+{
+    for (const auto &row : rows) {
+        EndedJob ended;
+        const auto stage = JobRecords::stageOf(row.value, ended.endedAt);
+        if (stage && isEnded(*stage)) {
+            ended.stage = *stage;
+            ended.isStored = true;
+            book.restoreEnded(row.key, ended);
+        } else {
+            storedProgress[row.key] = row.value;
+        }
+    }
+    readTable(JobTables::jobs, &Impl::takeJobs);
+}
+
+void Owner::Impl::takeJobs(const std::vector<StoreRow> &rows)
+{
+    for (const auto &row : rows) {
+        if (!book.shownStage(row.key)) {
+            book.restore(row.key, row.value, storedProgress[row.key]);
+        }
+    }
+    storedProgress.clear();
+    book.setQueues(queues);
+    readTable(JobTables::roster, &Impl::takeRoster);
+}
+
+void Owner::Impl::takeRoster(const std::vector<StoreRow> &rows)
+{
+    for (const auto &row : rows) {
+        if (const auto entry = JobRecords::readRosterEntry(row.key, row.value)) {
+            fleet.addFormerWorker(*entry);
+        } else {
+            EventLog::write("record.unreadable", { { "worker", row.key }, { "table", JobTables::roster } });
+        }
+    }
+    isReady = true;
+    EventLog::write("owner.ready", { { "token", ownership.token }, { "jobs", book.jobs().size() }, { "workers", rows.size() } });
+    workerWatch.start();
+    tend();
+    workChanged();
+}
+
+void Owner::Impl::takeWorkers(const std::vector<StoreRow> &rows, bool isWhole)
+{
+    std::set<std::string> present;
+    for (const auto &row : rows) {
+        const auto entry = row.isRemoved ? std::nullopt : parts.protocol.readWorker(row);
+        if (entry) {
+            present.insert(row.key);
+            fleet.setEntry(*entry);
+        } else if (!isWhole) {
+            fleet.removeEntry(row.key);
+        }
+    }
+    if (isWhole) {
+        fleet.retainEntries(present);
+    }
+}
+
+} // namespace auburndoor
--- /dev/null
+++ b/tests/client/JobStoryTests.cpp
@@ -0,0 +1,50 @@
+#include "client/JobStory.h"
+
+#include <catch2/catch.hpp>
+
+#include <sstream>
+
+using namespace auburndoor;
+
+namespace {
+
+std::string line(const std::string &process, int steady, int wall, const std::string &event, const std::string &fields)
+{
+    return R"({"t":)" + std::to_string(steady) + R"(,"wall":)" + std::to_string(wall) + R"(,"process":")" + process
+           + R"(","event":")" + event + "\"" + fields + "}\n";
+}
+
+} // namespace
+
+// Guards against a story in the wrong order: machines have clocks of their own, and the wall clock of one jumps.
+TEST_CASE("the story of a job is ordered across machines, also while a clock jumps")
+{
+    const std::string job = R"(,"job":"00000000000000aa")";
+    std::istringstream first(line("a", 100, 5000, "process.started", "") + line("a", 200, 5100, "job.accepted", job)
+                             + line("a", 300, 9200, "run.start", job + R"(,"worker":"w1")")
+                             + line("a", 400, 5300, "owner.ended", ""));
+    std::istringstream second(line("b", 9000, 5350, "owner.ready", "") + line("b", 9900, 6250, "run.ended", job)
+                              + "not a log line\n" + line("b", 9901, 6251, "run.ended", R"(,"job":"00000000000000bb")"));
+    JobStory story("00000000000000aa");
+    story.read(second);
+    story.read(first);
+    CHECK(story.unreadableCount() == 1);
+    const auto text = story.text();
+    INFO(text);
+    const auto accepted = text.find("job.accepted");
+    const auto started = text.find("100 ms  a  run.start  worker=w1");
+    const auto ended = text.find("1150 ms  b  run.ended  ");
+    REQUIRE(accepted != std::string::npos);
+    CHECK(accepted < started);
+    CHECK(started < ended);
+    CHECK(text.find("longest wait, 1050 ms") > ended);
+    CHECK(text.find("00000000000000bb") == std::string::npos);
+}
+
+TEST_CASE("a story of which no line tells is empty")
+{
+    std::istringstream log(line("a", 100, 5000, "job.accepted", R"(,"job":"00000000000000aa")"));
+    JobStory story("00000000000000cc");
+    story.read(log);
+    CHECK(story.isEmpty());
+}
