Make room for a step while its question to the advisory service is under way

Cause: gangs asked for the same known workers again and again: the room on them was taken back from less urgent work only with the answer (0.5 s later), and a further question was asked in the same round in which room was being made. Ruled out: permits denied for known workers (4 of 4 allowed in each of those answers). Change: a repeated question stops what is in its way at once, since the allowed workers of a step never change; no question while room is being made on permitted workers.

--- a/modules/dispatch/TaskPlacer.cpp
+++ b/modules/dispatch/TaskPlacer.cpp
@@ -297,7 +297,7 @@
         start(step, static_cast<int>(index), *candidate, book_.nextAttempt(task));
     }
     if (unplaced > 0) {
-        reclaim(step, unplaced, false);
+        unplaced -= reclaim(step, unplaced, false);
     }
     if (unplaced > 0 && step.job->queue.advice) {
         askAdvice(step, unplaced, false);
@@ -346,9 +346,9 @@
         chosen = fitGang(step, candidates, {});
     }
     if (chosen.empty()) {
-        reclaim(step, static_cast<int>(step.tasks.size()), true);
-        if (step.job->queue.advice) {
-            askAdvice(step, static_cast<int>(step.tasks.size()), true);
+        const auto members = static_cast<int>(step.tasks.size());
+        if (reclaim(step, members, true) == 0 && step.job->queue.advice) {
+            askAdvice(step, members, true);
         }
         return;
     }
--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -93,8 +93,16 @@
     bool isReclaimable(const StepState &step, const WorkerRoom &room) const;
     std::vector<WorkerRoom *> reclaimableRooms(StepState &step);
     WorkerRoom *chooseReclaimable(const StepState &step, const std::vector<WorkerRoom *> &rooms) const;
-    /** Stops less urgent runs that lose nothing, so that tasks of the step fit. @param isWhole all tasks or none */
-    void reclaim(StepState &step, int taskCount, bool isWhole);
+    /**
+        Stops less urgent runs that lose nothing, so that tasks of the step fit on workers that it may use now.
+
+        @param isWhole all tasks or none
+        @return        the tasks for which room is being made
+    */
+    int reclaim(StepState &step, int taskCount, bool isWhole);
+    /** Stops what is in the way on the workers that the step's question plans for, so that the room is free with the answer. */
+    void reclaimPlanned(StepState &step);
+    void preempt(const StepState &step, const std::vector<std::pair<std::string, RunKey>> &stops);
     /** Asks which workers the step may use, if some of them could be used now or none is known. @param isWhole all tasks or none */
     void askAdvice(StepState &step, int taskCount, bool isWhole);
     /** Workers that a step may be allowed to use and for which it has no permit. */
--- a/modules/dispatch/TaskPlacerAdvice.cpp
+++ b/modules/dispatch/TaskPlacerAdvice.cpp
@@ -86,6 +86,7 @@
     }
     auto askable = askableRooms(step, isWhole);
     if (planRoom(step, askable.known, taskCount, isWhole)) {
+        reclaimPlanned(step);
         // The allowed workers of a step never change: these will be permitted again.
         std::erase_if(askable.known,
                       [&step](const WorkerRoom *room) { return !step.advice.planned.contains(room->worker->entry.id); });
--- a/modules/dispatch/TaskPlacerReclaim.cpp
+++ b/modules/dispatch/TaskPlacerReclaim.cpp
@@ -81,23 +81,24 @@
     return best;
 }
 
-void TaskPlacer::reclaim(StepState &step, int taskCount, bool isWhole)
+int TaskPlacer::reclaim(StepState &step, int taskCount, bool isWhole)
 {
     if (!mayReclaim(step)) {
-        return;
+        return 0;
     }
     const auto rooms = reclaimableRooms(step);
     std::map<WorkerRoom *, WorkerRoom> unplanned;
     std::vector<std::pair<std::string, RunKey>> stops;
     const auto need = JobBook::claimOf(step).need;
-    for (int task = 0; task < taskCount; ++task) {
+    int planned = 0;
+    for (; planned < taskCount; ++planned) {
         auto *room = chooseReclaimable(step, rooms);
         if (room == nullptr) {
             if (isWhole) {
-                for (const auto &[planned, before] : unplanned) {
-                    *planned = before;
+                for (const auto &[changed, before] : unplanned) {
+                    *changed = before;
                 }
-                return;
+                return 0;
             }
             break;
         }
@@ -108,6 +109,27 @@
             stops.emplace_back(room->worker->entry.id, key);
         }
     }
+    preempt(step, stops);
+    return planned;
+}
+
+void TaskPlacer::reclaimPlanned(StepState &step)
+{
+    std::vector<std::pair<std::string, RunKey>> stops;
+    const auto need = JobBook::claimOf(step).need;
+    for (const auto &[id, count] : step.advice.planned) {
+        auto *room = roomsOf(step).find(id);
+        for (int task = 0; room != nullptr && task < count; ++task) {
+            for (const auto &key : room->plan(need, step.job->queue.priority)) {
+                stops.emplace_back(id, key);
+            }
+        }
+    }
+    preempt(step, stops);
+}
+
+void TaskPlacer::preempt(const StepState &step, const std::vector<std::pair<std::string, RunKey>> &stops)
+{
     for (const auto &[id, key] : stops) {
         EventLog::routine("run.preempted",
                           { { "job", key.task.job }, { "index", key.task.index }, { "worker", id }, { "for", step.job->spec.id } });
--- a/tests/dispatch/OwnerFixture.cpp
+++ b/tests/dispatch/OwnerFixture.cpp
@@ -33,6 +33,7 @@
 void FakeAdvisor::ask(const AdviceQuestion &question, Callback callback)
 {
     ++questions;
+    lastAskedAt = timers_.now();
     AdviceResult result;
     result.outcome = AdviceResult::Outcome::Answered;
     result.validity = Milliseconds(1500);
@@ -41,7 +42,7 @@
             result.permits.push_back({ worker, "ticket-" + worker });
         }
     }
-    timers_.after(Milliseconds(20), [callback = std::move(callback), result] { callback(result); });
+    timers_.after(answerTime, [callback = std::move(callback), result] { callback(result); });
 }
 
 OwnerFixture::OwnerFixture() : store(timers), fleet(timers), advisor(timers), checker_(fleet)
--- a/tests/dispatch/OwnerFixture.h
+++ b/tests/dispatch/OwnerFixture.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "PlatformProtocol.h"
-#include "fakes/SimulatedWorker.h"
-#include "fakes/StartChecker.h"
 #include "entry/Owner.h"
 #include "fakes/FakeStore.h"
 #include "fakes/ManualTimers.h"
+#include "fakes/SimulatedWorker.h"
+#include "fakes/StartChecker.h"
 
 #include <map>
 #include <memory>
@@ -28,6 +28,8 @@
     /** Workers that no step may use. */
     std::set<std::string> denied;
     int questions = 0;
+    TimePoint lastAskedAt;
+    Milliseconds answerTime { 20 };
 
 private:
     Timers &timers_;
--- a/tests/dispatch/OwnerTests.cpp
+++ b/tests/dispatch/OwnerTests.cpp
@@ -375,3 +375,29 @@
     CHECK(ask(*former) == ClientResult::Outcome::Moved);
     CHECK(ask(*cell.owner) == ClientResult::Outcome::Answered);
 }
+
+// Guards against a wait for room that begins only with the answer of the advisory service, when permits already run out.
+TEST_CASE("room on workers that are known to be allowed is made while the question is under way")
+{
+    OwnerFixture cell;
+    for (int number = 0; number < 3; ++number) {
+        cell.addWorker("w" + std::to_string(number), 8);
+    }
+    cell.advisor.answerTime = Milliseconds(600);
+    cell.plan = [](const TaskName &task, std::int64_t) {
+        return SimulatedWork { Milliseconds(task.job.back() == 'b' ? 500 : 30000), RunEnd::Done };
+    };
+    cell.takeOver();
+    REQUIRE(cell.submit("00000000000000aa", jobBody(12, 2000, R"(,"checkpoints":true)")) == ClientResult::Outcome::Accepted);
+    cell.timers.advance(Milliseconds(3200));
+    REQUIRE(cell.submit("00000000000000ab", jobBody(3, 8000, R"(,"gang":true)"), "advised") == ClientResult::Outcome::Accepted);
+    std::optional<Milliseconds> startedAfter;
+    cell.fleet.onStarted = [&](SimulatedWorker &, const StartOrder &order) {
+        if (order.task.job.back() == 'b' && !startedAfter) {
+            startedAfter = std::chrono::duration_cast<Milliseconds>(cell.timers.now() - cell.advisor.lastAskedAt);
+        }
+    };
+    cell.timers.advance(Milliseconds(9000));
+    REQUIRE(startedAfter);
+    CHECK(*startedAfter < cell.advisor.answerTime + Milliseconds(60));
+}
