Store what callers wait for before records of progress; count only an unanswered transaction as silence of the store

Cause: while the store is slow (240 ms a call and more, one transaction after the other in a partition), 90 rows a call are what the cell can store. Tried and reverted: up to four transactions under way, each with a sequence row of its own. Change: two orders of rows, urgent and routine, with room for the latter in each transaction; the description of an ended job is removed only once its end is stored, and leftovers at a takeover; the silence of the store is the time since the transaction under way was sent; the three tables are read side by side at a takeover; a changed settings file is taken up while the process runs.

--- a/apps/auburndoor-entry/main.cpp
+++ b/apps/auburndoor-entry/main.cpp
@@ -6,6 +6,7 @@
 #include "core/FlagNames.h"
 #include "core/TextFile.h"
 #include "entry/EntryInstance.h"
+#include "entry/SettingsUpdate.h"
 #include "net/EventLoop.h"
 #include "observability/EventLog.h"
 #include "observability/Metrics.h"
@@ -28,6 +29,7 @@
 constexpr int exitUsage = 1;
 constexpr int exitBadSettings = 2;
 constexpr int exitCannotStart = 3;
+constexpr std::size_t maxSettingsBytes = 1 << 20;
 
 std::string settingsFile()
 {
@@ -39,7 +41,54 @@
     return variable == nullptr ? std::string() : variable;
 }
 
-int run(auburndoor::EntrySettings settings)
+/** Takes up a changed settings file, at a signal or without one. */
+class SettingsWatch
+{
+public:
+    SettingsWatch(auburndoor::EventLoop &loop, std::string file, auburndoor::EntrySettings &settings, std::string text)
+        : loop_(loop), file_(std::move(file)), settings_(settings), text_(std::move(text))
+    {
+    }
+
+    void start()
+    {
+        loop_.after(checkInterval, [this] {
+            check();
+            start();
+        });
+    }
+
+    void check()
+    {
+        const auto text = auburndoor::readTextFile(file_, maxSettingsBytes);
+        if (!text || *text == text_) {
+            return;
+        }
+        text_ = *text;
+        std::string error;
+        const auto read = auburndoor::platform::readNodeFile(text_, error);
+        if (!read) {
+            auburndoor::EventLog::write("settings.refused", { { "detail", error } });
+            return;
+        }
+        std::string needRestart;
+        for (const auto &name : auburndoor::updateSettings(settings_, *read)) {
+            needRestart += (needRestart.empty() ? "" : " ") + name;
+        }
+        auburndoor::EventLog::write("settings.taken", { { "need_restart", needRestart } });
+    }
+
+private:
+    // Nothing that depends on the file is more urgent.
+    static constexpr auburndoor::Milliseconds checkInterval { 2000 };
+
+    auburndoor::EventLoop &loop_;
+    std::string file_;
+    auburndoor::EntrySettings &settings_;
+    std::string text_;
+};
+
+int run(auburndoor::EntrySettings settings, const std::string &file, const std::string &text)
 {
     using namespace auburndoor;
     std::signal(SIGPIPE, SIG_IGN);
@@ -62,7 +111,12 @@
         return exitCannotStart;
     }
     loop.onSignals({ SIGTERM, SIGINT }, [&](int) { instance.shutDown([&loop] { loop.stop(); }); });
-    loop.onSignals({ SIGHUP }, [](int) { EventLog::write("settings.signal", {}); });
+    SettingsWatch watch(loop, file, settings, text);
+    watch.start();
+    loop.onSignals({ SIGHUP }, [&watch](int) {
+        EventLog::write("settings.signal", {});
+        watch.check();
+    });
     loop.run();
     EventLog::flush();
     // Handlers that are still waiting refer to each other's owners; the system closes the sockets.
@@ -83,7 +137,6 @@
         std::cerr << "--settings=FILE or " << auburndoor::platform::settingsVariable << " is required\n";
         return exitUsage;
     }
-    constexpr std::size_t maxSettingsBytes = 1 << 20;
     std::string error = "cannot be read";
     const auto text = auburndoor::readTextFile(fileName, maxSettingsBytes);
     const auto settings = text ? auburndoor::platform::readNodeFile(*text, error) : std::nullopt;
@@ -95,5 +148,5 @@
         std::cout << fileName << ": settings are valid\n";
         return exitDone;
     }
-    return run(*settings);
+    return run(*settings, fileName, *text);
 }
--- a/modules/dispatch/CommitLog.cpp
+++ b/modules/dispatch/CommitLog.cpp
@@ -12,6 +12,8 @@
 
 // The store takes 100 entries in a transaction; two expectations and the sequence row are among them.
 constexpr std::size_t maxRowsInTransaction = 90;
+// While more urgent rows wait than that, some room is left to the others.
+constexpr std::size_t maxUrgentRows = 75;
 // The store takes 1 MB; values grow by a third in base64.
 constexpr std::size_t maxBytesInTransaction = std::size_t(600) * 1024;
 // The pause that gathers rows: an end costs its job this much at most, and the store sees at most 60 transactions a second.
@@ -31,7 +33,6 @@
     {
         Value value;
         std::vector<Callback> durable;
-        TimePoint since;
     };
     /** A transaction that was put together; it is repeated as it is until its fate is known. */
     struct Transaction
@@ -40,8 +41,7 @@
         std::vector<Callback> durable;
         std::set<RowName> rows;
         std::string mark;
-        TimePoint since;
-        bool maybeApplied = false;
+        TimePoint firstSentAt;
     };
 
     Impl(Timers &timers, StateStore &store) : timers(timers), store(store)
@@ -51,6 +51,8 @@
     void schedule(Milliseconds delay);
     void sendNext();
     void build();
+    /** Takes the name of the next row for a transaction that holds some already. */
+    RowName nextRow(std::size_t taken);
     void transmit();
     void onResult(StoreResult result);
     void onConflict(const StoreResult &result);
@@ -64,7 +66,9 @@
     std::int64_t sequenceVersion = 0;
     Callback deposed;
     std::map<RowName, Entry> waiting;
-    std::deque<RowName> order;
+    /** The names of what waits, in the order in which it was put. */
+    std::deque<RowName> urgent;
+    std::deque<RowName> routine;
     std::optional<Transaction> current;
     long long nextNumber = 1;
     long long sent = 0;
@@ -103,14 +107,12 @@
     transaction.change.expected = { { OwnerRows::table, OwnerRows::epochKey, epochVersion },
                                     { OwnerRows::table, OwnerRows::sequenceKey, sequenceVersion } };
     transaction.change.writes.push_back({ OwnerRows::table, OwnerRows::sequenceKey, transaction.mark });
-    transaction.since = timers.now();
+    transaction.firstSentAt = timers.now();
     std::size_t bytes = 0;
-    while (!order.empty() && transaction.rows.size() < maxRowsInTransaction && bytes < maxBytesInTransaction) {
-        const auto rowName = order.front();
-        order.pop_front();
+    while (!waiting.empty() && transaction.rows.size() < maxRowsInTransaction && bytes < maxBytesInTransaction) {
+        const auto rowName = nextRow(transaction.rows.size());
         auto entry = std::move(waiting.at(rowName));
         waiting.erase(rowName);
-        transaction.since = std::min(transaction.since, entry.since);
         if (auto value = entry.value()) {
             bytes += value->size();
             transaction.change.writes.push_back({ rowName.first, rowName.second, std::move(*value) });
@@ -123,6 +125,15 @@
     current = std::move(transaction);
 }
 
+RowName CommitLog::Impl::nextRow(std::size_t taken)
+{
+    const bool isUrgent = !urgent.empty() && (taken < maxUrgentRows || routine.empty());
+    auto &order = isUrgent ? urgent : routine;
+    auto rowName = std::move(order.front());
+    order.pop_front();
+    return rowName;
+}
+
 void CommitLog::Impl::transmit()
 {
     ++sent;
@@ -142,9 +153,6 @@
     case StoreOutcome::Conflict:
         onConflict(result);
         return;
-    case StoreOutcome::Unknown:
-        current->maybeApplied = true;
-        break;
     default:
         break;
     }
@@ -222,13 +230,14 @@
     close();
 }
 
-void CommitLog::put(const std::string &table, const std::string &key, Value value, Callback durable)
+void CommitLog::put(const std::string &table, const std::string &key, Value value, Callback durable, Urgency urgency)
 {
     const RowName rowName { table, key };
     auto [found, isNew] = impl_->waiting.try_emplace(rowName);
     if (isNew) {
-        impl_->order.push_back(rowName);
-        found->second.since = impl_->timers.now();
+        (urgency == Urgency::Urgent ? impl_->urgent : impl_->routine).push_back(rowName);
+    } else if (urgency == Urgency::Urgent && std::erase(impl_->routine, rowName) != 0) {
+        impl_->urgent.push_back(rowName);
     }
     found->second.value = std::move(value);
     if (durable) {
@@ -243,26 +252,23 @@
 {
     const RowName rowName { table, key };
     if (impl_->waiting.erase(rowName) != 0) {
-        std::erase(impl_->order, rowName);
+        std::erase(impl_->urgent, rowName);
+        std::erase(impl_->routine, rowName);
         return !impl_->current || !impl_->current->rows.contains(rowName);
     }
     return false;
 }
 
-Milliseconds CommitLog::backlogAge() const
+Milliseconds CommitLog::storeSilence() const
 {
-    auto oldest = impl_->timers.now();
-    if (impl_->current) {
-        oldest = impl_->current->since;
-    } else if (!impl_->order.empty()) {
-        oldest = impl_->waiting.at(impl_->order.front()).since;
-    }
-    return std::chrono::duration_cast<Milliseconds>(impl_->timers.now() - oldest);
+    // A queue of rows that the store takes one transaction after the other is no silence.
+    const auto now = impl_->timers.now();
+    return std::chrono::duration_cast<Milliseconds>(now - (impl_->current ? impl_->current->firstSentAt : now));
 }
 
 bool CommitLog::isStalled() const
 {
-    return impl_->hasFailed || (impl_->current && backlogAge() > stallTime);
+    return impl_->hasFailed || storeSilence() > stallTime;
 }
 
 void CommitLog::close()
--- a/modules/dispatch/CommitLog.h
+++ b/modules/dispatch/CommitLog.h
@@ -50,14 +50,26 @@
               Callback deposed);
     ~CommitLog();
 
-    /** Has a row written with the next transaction. @param durable called once the row is stored; may be empty */
-    void put(const std::string &table, const std::string &key, Value value, Callback durable = {});
+    /** Which rows go first when a transaction can't hold all that wait. */
+    enum class Urgency {
+        /** Somebody waits for it: a job that is handed in, or its end. */
+        Urgent,
+        /** Progress on the way, which a takeover can do without. */
+        Routine,
+    };
+
+    /** Has a row written with one of the next transactions. @param durable called once the row is stored; may be empty */
+    void put(const std::string &table,
+             const std::string &key,
+             Value value,
+             Callback durable = {},
+             Urgency urgency = Urgency::Urgent);
 
     /** Takes a row out again that no transaction has carried yet. @return false if one may have carried it */
     bool withdraw(const std::string &table, const std::string &key);
 
-    /** How long the oldest row that is not stored has waited; zero if there is none. */
-    Milliseconds backlogAge() const;
+    /** How long the store has not taken the transaction that is under way; zero if there is none. */
+    Milliseconds storeSilence() const;
 
     /** True while the store does not take transactions. */
     bool isStalled() const;
--- a/modules/dispatch/JobBook.cpp
+++ b/modules/dispatch/JobBook.cpp
@@ -227,7 +227,8 @@
         if (!entry.second.isStored || wall - entry.second.endedAt < retention + retention / 2) {
             return false;
         }
-        log_.put(JobTables::progress, entry.first, [] { return std::nullopt; });
+        log_.put(
+            JobTables::progress, entry.first, [] { return std::nullopt; }, {}, CommitLog::Urgency::Routine);
         return true;
     });
 }
--- a/modules/dispatch/JobBook.h
+++ b/modules/dispatch/JobBook.h
@@ -76,6 +76,9 @@
     /** Takes the stored end of a job. */
     void restoreEnded(const std::string &id, const EndedJob &ended);
 
+    /** Removes the stored description of a job whose end is stored. */
+    void dropDescription(const std::string &id);
+
     // Clients.
     void submit(JobSpec spec, const QueueSpec &queue, SubmitCallback callback);
     /** Withdraws a submission that no transaction has carried. @return true if the job is now refused for good */
@@ -114,7 +117,7 @@
 private:
     JobState *find(const std::string &id);
     void begin(JobState &job);
-    void save(const std::string &id, std::function<void()> durable);
+    void save(const std::string &id, std::function<void()> durable, CommitLog::Urgency urgency);
     void taskDone(JobState &job, StepState &step, int index);
     void stepDone(JobState &job, StepState &step);
     void taskFailed(JobState &job, StepState &step, Task &task, const RunPlace &place);
--- a/modules/dispatch/JobBookRuns.cpp
+++ b/modules/dispatch/JobBookRuns.cpp
@@ -55,7 +55,7 @@
                         { "waited_ms", std::chrono::duration_cast<Milliseconds>(timers_.now() - job->seenAt).count() } });
 }
 
-void JobBook::save(const std::string &id, std::function<void()> durable)
+void JobBook::save(const std::string &id, std::function<void()> durable, CommitLog::Urgency urgency)
 {
     log_.put(
         JobTables::progress,
@@ -70,7 +70,14 @@
             tombstone.endedAt = ended == ended_.end() ? timers_.wallNow() : ended->second.endedAt;
             return JobRecords::progress(tombstone);
         },
-        std::move(durable));
+        std::move(durable),
+        urgency);
+}
+
+void JobBook::dropDescription(const std::string &id)
+{
+    log_.put(
+        JobTables::jobs, id, [] { return std::nullopt; }, {}, CommitLog::Urgency::Routine);
 }
 
 void JobBook::runEnded(const std::string &worker, const EndedTask &ended, std::function<void()> recorded)
@@ -81,7 +88,7 @@
         // The job has ended or its occurrence is done. The end may be forgotten once that is stored.
         const auto over = ended_.find(ended.task.job);
         if (job != nullptr || (over != ended_.end() && !over->second.isStored)) {
-            save(ended.task.job, std::move(recorded));
+            save(ended.task.job, std::move(recorded), CommitLog::Urgency::Routine);
         } else {
             recorded();
         }
@@ -102,7 +109,7 @@
         task->checkpoint = ended.checkpoint;
     }
     // The end is stored with the job's progress, or with the job's own end if this one leads to it.
-    save(job->spec.id, std::move(recorded));
+    save(job->spec.id, std::move(recorded), CommitLog::Urgency::Routine);
     if (!task->isDone && ended.end == RunEnd::Done && !step.spec().isService) {
         taskDone(*job, step, ended.task.index);
     } else if (!task->isDone && ended.end == RunEnd::Failed) {
@@ -209,13 +216,16 @@
                         { "late_ms", std::chrono::duration_cast<Milliseconds>(timers_.now() - job.objective).count() } });
     stopAllRuns(job, stage == JobStage::Cancelled ? "cancelled" : "job ended");
     ended_[id] = { stage, timers_.wallNow(), false };
-    save(id, [this, id] {
-        if (const auto found = ended_.find(id); found != ended_.end()) {
-            found->second.isStored = true;
-        }
-    });
-    // After the end in the order of the transactions: a description without an end would run again.
-    log_.put(JobTables::jobs, id, [] { return std::nullopt; });
+    save(
+        id,
+        [this, id] {
+            if (const auto found = ended_.find(id); found != ended_.end()) {
+                found->second.isStored = true;
+            }
+            // Only now: without a description and without an end the job would be lost at a takeover.
+            dropDescription(id);
+        },
+        CommitLog::Urgency::Urgent);
     for (const auto &submitter : std::exchange(submitters_[id], {})) {
         submitter(SubmitOutcome::Unknown);
     }
--- a/modules/entry/Owner.cpp
+++ b/modules/entry/Owner.cpp
@@ -133,7 +133,7 @@
 
 void Owner::start()
 {
-    impl_->readTable(JobTables::progress, &Impl::takeProgress);
+    impl_->readTables();
 }
 
 bool Owner::isReady() const
@@ -164,7 +164,7 @@
     if (!impl_->log.isStalled()) {
         return Milliseconds(0);
     }
-    return impl_->log.backlogAge();
+    return impl_->log.storeSilence();
 }
 
 std::int64_t Owner::token() const
--- a/modules/entry/OwnerImpl.h
+++ b/modules/entry/OwnerImpl.h
@@ -19,7 +19,10 @@
 
     void depose();
     void workChanged();
-    void readTable(const std::string &table, void (Impl::*take)(const std::vector<StoreRow> &));
+    void readTables();
+    void readTable(const std::string &table);
+    /** Takes the stored state once all of it is read, and begins to work. */
+    void takeTables();
     void takeProgress(const std::vector<StoreRow> &rows);
     void takeJobs(const std::vector<StoreRow> &rows);
     void takeRoster(const std::vector<StoreRow> &rows);
@@ -41,6 +44,7 @@
     TaskPlacer placer;
     TableWatch workerWatch;
     OwnershipGuard guard;
+    std::map<std::string, std::vector<StoreRow>> tablesRead;
     std::map<std::string, std::string> storedProgress;
     QueueTable queues;
     bool isReady = false;
--- a/modules/entry/OwnerRecovery.cpp
+++ b/modules/entry/OwnerRecovery.cpp
@@ -12,24 +12,52 @@
 
 } // namespace
 
-void Owner::Impl::readTable(const std::string &table, void (Impl::*take)(const std::vector<StoreRow> &))
+void Owner::Impl::readTables()
 {
-    parts.store.readAll(table, {}, [self = shared_from_this(), table, take](const StoreResult &result) {
+    // No owner before this one can write any more, so the tables may be read side by side.
+    for (const auto *table : { JobTables::progress, JobTables::jobs, JobTables::roster }) {
+        readTable(table);
+    }
+}
+
+void Owner::Impl::readTable(const std::string &table)
+{
+    parts.store.readAll(table, {}, [self = shared_from_this(), table](const StoreResult &result) {
         if (self->isClosed) {
             return;
         }
         if (result.outcome != StoreOutcome::Done) {
-            self->parts.timers.after(readRetry, [self, table, take] {
+            self->parts.timers.after(readRetry, [self, table] {
                 if (!self->isClosed) {
-                    self->readTable(table, take);
+                    self->readTable(table);
                 }
             });
             return;
         }
-        ((*self).*take)(result.rows);
+        self->tablesRead[table] = result.rows;
+        self->takeTables();
     });
 }
 
+void Owner::Impl::takeTables()
+{
+    constexpr std::size_t tableCount = 3;
+    if (tablesRead.size() < tableCount) {
+        return;
+    }
+    takeProgress(tablesRead.at(JobTables::progress));
+    takeJobs(tablesRead.at(JobTables::jobs));
+    takeRoster(tablesRead.at(JobTables::roster));
+    tablesRead.clear();
+    isReady = true;
+    EventLog::write("owner.ready",
+                    { { "token", ownership.token }, { "jobs", book.jobs().size() }, { "workers", fleet.workers().size() } });
+    guard.start();
+    workerWatch.start();
+    tend();
+    workChanged();
+}
+
 void Owner::Impl::takeProgress(const std::vector<StoreRow> &rows)
 {
     for (const auto &row : rows) {
@@ -43,19 +71,20 @@
             storedProgress[row.key] = row.value;
         }
     }
-    readTable(JobTables::jobs, &Impl::takeJobs);
 }
 
 void Owner::Impl::takeJobs(const std::vector<StoreRow> &rows)
 {
     for (const auto &row : rows) {
-        if (!book.shownStage(row.key)) {
+        if (book.shownStage(row.key)) {
+            // The owner before has not come to remove it.
+            book.dropDescription(row.key);
+        } else {
             book.restore(row.key, row.value, storedProgress[row.key]);
         }
     }
     storedProgress.clear();
     book.setQueues(queues);
-    readTable(JobTables::roster, &Impl::takeRoster);
 }
 
 void Owner::Impl::takeRoster(const std::vector<StoreRow> &rows)
@@ -67,11 +96,6 @@
             EventLog::write("record.unreadable", { { "worker", row.key }, { "table", JobTables::roster } });
         }
     }
-    isReady = true;
-    EventLog::write("owner.ready", { { "token", ownership.token }, { "jobs", book.jobs().size() }, { "workers", rows.size() } });
-    workerWatch.start();
-    tend();
-    workChanged();
 }
 
 void Owner::Impl::takeWorkers(const std::vector<StoreRow> &rows, bool isWhole)
--- a/modules/entry/OwnershipGuard.cpp
+++ b/modules/entry/OwnershipGuard.cpp
@@ -21,7 +21,7 @@
 struct OwnershipGuard::Impl : std::enable_shared_from_this<Impl>
 {
     Impl(Timers &timers, StateStore &store, std::int64_t epochVersion, std::function<void()> replaced)
-        : timers(timers), store(store), epochVersion(epochVersion), replaced(std::move(replaced)), lastTick(timers.bootNow())
+        : timers(timers), store(store), epochVersion(epochVersion), replaced(std::move(replaced))
     {
     }
 
@@ -33,6 +33,7 @@
     std::int64_t epochVersion;
     std::function<void()> replaced;
     TimePoint lastTick;
+    bool isWatching = false;
     bool isInDoubt = false;
     bool isClosed = false;
     std::vector<std::function<void()>> waiting;
@@ -77,6 +78,12 @@
     impl_->isClosed = true;
 }
 
+void OwnershipGuard::start()
+{
+    impl_->lastTick = impl_->timers.bootNow();
+    impl_->isWatching = true;
+}
+
 void OwnershipGuard::tick()
 {
     isInDoubt();
@@ -87,7 +94,7 @@
 {
     const auto now = impl_->timers.bootNow();
     const auto gap = now - impl_->lastTick;
-    if (gap > shortestSuspension) {
+    if (impl_->isWatching && gap > shortestSuspension) {
         impl_->lastTick = now;
         if (!std::exchange(impl_->isInDoubt, true)) {
             EventLog::write("owner.suspended", { { "for_ms", std::chrono::duration_cast<Milliseconds>(gap).count() } });
--- a/modules/entry/OwnershipGuard.h
+++ b/modules/entry/OwnershipGuard.h
@@ -31,6 +31,9 @@
     OwnershipGuard(Timers &timers, StateStore &store, std::int64_t epochVersion, std::function<void()> replaced);
     ~OwnershipGuard();
 
+    /** Begins to watch. */
+    void start();
+
     /** Notes that the process runs; to be called every 200 ms or so. */
     void tick();
 
--- /dev/null
+++ b/modules/entry/SettingsUpdate.cpp
@@ -0,0 +1,30 @@
+#include "entry/SettingsUpdate.h"
+
+#include "entry/EntrySettings.h"
+
+namespace auburndoor {
+
+std::vector<std::string> updateSettings(EntrySettings &inForce, const EntrySettings &read)
+{
+    inForce.maxLease = read.maxLease;
+    inForce.shutdownGrace = read.shutdownGrace;
+    inForce.statusRetention = read.statusRetention;
+    inForce.earlyStart = read.earlyStart;
+    std::vector<std::string> needRestart;
+    const auto compare = [&needRestart](const char *name, bool isSame) {
+        if (!isSame) {
+            needRestart.emplace_back(name);
+        }
+    };
+    compare("nodeName", inForce.nodeName == read.nodeName);
+    compare("failureDomain", inForce.failureDomain == read.failureDomain);
+    compare("clients", inForce.clients == read.clients);
+    compare("readiness", inForce.readiness == read.readiness);
+    compare("peers", inForce.peers == read.peers);
+    compare("store", inForce.store == read.store);
+    compare("advisor", inForce.advisor == read.advisor);
+    compare("processorShare", inForce.processorShare == read.processorShare);
+    return needRestart;
+}
+
+} // namespace auburndoor
