--- a/tests/dispatch/BacklogTests.cpp
+++ b/tests/dispatch/BacklogTests.cpp
@@ -1,4 +1,5 @@
 #include "dispatch/OwnerFixture.h"
+#include "fakes/JobIds.h"
 
 #include <catch2/catch.hpp>
 
@@ -11,19 +12,13 @@
 
 namespace {
 
-std::string idOf(int number)
-{
-    auto digits = std::to_string(number);
-    return std::string(16 - digits.size(), '0') + digits;
-}
-
 /** Hands a job in and counts it once it is accepted. */
 void handIn(OwnerFixture &cell, int number, const std::string &queue, const std::string &body, std::size_t &accepted)
 {
     ClientCall call;
     call.kind = ClientCall::Kind::Submit;
     call.queue = queue;
-    call.job = idOf(number);
+    call.job = jobIdOf(number);
     call.body = body;
     cell.owner->call(
         call, [&accepted](const ClientResult &result) { accepted += result.outcome == ClientResult::Outcome::Accepted ? 1 : 0; });
@@ -95,7 +90,7 @@
     CHECK(accepted > jobs / 2);
     std::size_t completed = 0;
     for (int number = 0; number < jobs; ++number) {
-        completed += cell.stage(idOf(number)) == JobStage::Completed ? 1 : 0;
+        completed += cell.stage(jobIdOf(number)) == JobStage::Completed ? 1 : 0;
     }
     CHECK(completed == accepted);
 }
--- a/tests/dispatch/OwnerPropertyTests.cpp
+++ b/tests/dispatch/OwnerPropertyTests.cpp
@@ -1,4 +1,5 @@
 #include "dispatch/OwnerFixture.h"
+#include "fakes/JobIds.h"
 
 #include <catch2/catch.hpp>
 
@@ -18,12 +19,6 @@
     return text == nullptr ? 25 : std::atoi(text);
 }
 
-std::string idOf(int number)
-{
-    auto digits = std::to_string(number);
-    return std::string(16 - digits.size(), '0') + digits;
-}
-
 /** Runs a cell under random faults; the fixture checks each start. */
 class FaultyCell
 {
@@ -83,7 +78,7 @@
             return;
         }
         const std::string fields = draw(0, 3) == 0 ? R"(,"gang":true)" : draw(0, 1) == 0 ? R"(,"checkpoints":true)" : "";
-        const auto id = idOf(++jobs_);
+        const auto id = jobIdOf(++jobs_);
         if (fields.find("gang") != std::string::npos) {
             gangs_.insert(id);
         }
--- a/tests/soak/SoakCell.cpp
+++ b/tests/soak/SoakCell.cpp
@@ -1,6 +1,7 @@
 #include "soak/SoakCell.h"
 
 #include "JobCodec.h"
+#include "fakes/JobIds.h"
 
 #include <nlohmann/json.hpp>
 
@@ -20,12 +21,6 @@
            R"("maxAttempts":3,"slackFactor":3,"targetLatencyMs":500}]})";
 }
 
-std::string idOf(int number)
-{
-    auto digits = std::to_string(number);
-    return std::string(16 - digits.size(), '0') + digits;
-}
-
 } // namespace
 
 SoakCell::SoakCell(unsigned seed, const SoakSize &size, const std::string &folder)
@@ -84,7 +79,7 @@
     if (!isDisturbing_) {
         return;
     }
-    const auto id = idOf(++nextJob_);
+    const auto id = jobIdOf(++nextJob_);
     nlohmann::json step { { "count", draw(1, 4) }, { "cpu", draw(1, 4) * 500 }, { "memMb", 10 }, { "estimateMs", 500 } };
     if (draw(0, 1) == 0) {
         step["checkpoints"] = true;
