Order and preemption under overload: late work goes behind work that can be in time

A gang whose members fit partly into free and partly into preemptible capacity was not placed. AdvicePool::canSendNow was computed for each waiting step in a round. Ruled out: the processor alone; with --no-cpu the stops are as many. Change: StepRank puts work past its final deadline last of all, and late work last in its priority. PreemptionRight: late work preempts only what is past its final deadline; a task is preempted at most twice; a run that ends within half a second is left. Members of a gang that fit without preemption count. Advice that cannot be sent is looked up once a round.

--- a/modules/dispatch/JobState.cpp
+++ b/modules/dispatch/JobState.cpp
@@ -106,7 +106,7 @@
     return now + (spec.firstDue + occurrence * spec.interval - wallNow);
 }
 
-Milliseconds JobState::criticalPathTime() const
+Milliseconds JobState::longestChain(const std::function<Milliseconds(std::size_t step)> &timeOf) const
 {
     std::vector<Milliseconds> ends(spec.steps.size());
     Milliseconds longest { 0 };
@@ -115,10 +115,22 @@
         for (const int earlier : spec.steps[index].dependsOn) {
             begin = std::max(begin, ends[static_cast<std::size_t>(earlier)]);
         }
-        ends[index] = begin + spec.steps[index].estimate;
+        ends[index] = begin + timeOf(index);
         longest = std::max(longest, ends[index]);
     }
     return longest;
 }
 
+Milliseconds JobState::criticalPathTime() const
+{
+    return longestChain([this](std::size_t step) { return spec.steps[step].estimate; });
+}
+
+Milliseconds JobState::remainingPathTime(const OccurrenceState &occurrence) const
+{
+    return longestChain([this, &occurrence](std::size_t step) {
+        return occurrence.steps[step].isDone() ? Milliseconds(0) : spec.steps[step].estimate;
+    });
+}
+
 } // namespace auburndoor
--- a/modules/dispatch/JobState.h
+++ b/modules/dispatch/JobState.h
@@ -5,6 +5,7 @@
 #include "workload/JobSpec.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -48,6 +49,8 @@
     std::string checkpoint;
     /** Its current runs, with copies. */
     std::vector<RunPlace> runs;
+    /** How often one of its runs was stopped for more urgent work. */
+    int preemptionCount = 0;
     /** The worker on which it last failed; placement prefers others. */
     std::string failedOn;
 
@@ -149,6 +152,12 @@
     TimePoint dueAt(int occurrence, TimePoint now, std::chrono::milliseconds wallNow) const;
     /** The estimated run time of the longest chain of dependent steps. */
     Milliseconds criticalPathTime() const;
+    /** The estimated run time of the longest chain of those steps of an occurrence that are not done. */
+    Milliseconds remainingPathTime(const OccurrenceState &occurrence) const;
+
+private:
+    /** The longest chain of dependent steps, by the time that each one takes. */
+    Milliseconds longestChain(const std::function<Milliseconds(std::size_t step)> &timeOf) const;
 };
 
 } // namespace auburndoor
--- a/modules/dispatch/ServiceCapacity.cpp
+++ b/modules/dispatch/ServiceCapacity.cpp
@@ -33,7 +33,7 @@
     return found == workerCapacities_.end() || found->worker->entry.id != worker ? nullptr : &*found;
 }
 
-void ServiceCapacity::collectPreemptibleRuns(const ToleratesDelay &toleratesDelay)
+void ServiceCapacity::collectPreemptibleRuns(const CostOfPreemption &costOfPreemption)
 {
     if (std::exchange(isCollected_, true)) {
         return;
@@ -41,18 +41,18 @@
     for (auto &workerCapacity : workerCapacities_) {
         workerCapacity.collectRuns();
         for (auto &run : workerCapacity.preemptibleRuns) {
-            run.toleratesDelay = toleratesDelay(workerCapacity.worker->entry.id, run.key);
+            run.cost = costOfPreemption(workerCapacity.worker->entry.id, run.key);
         }
     }
 }
 
-bool ServiceCapacity::mayHaveFreeAfterPreemption(const Resources &need, int priority)
+bool ServiceCapacity::mayHaveFreeAfterPreemption(const Resources &need, const PreemptionRight &right)
 {
-    const auto [found, isNew] = largestFreeAfterPreemption_.try_emplace(priority);
+    const auto [found, isNew] = largestFreeAfterPreemption_.try_emplace(right);
     if (isNew) {
         for (const auto &workerCapacity : workerCapacities_) {
-            if (workerCapacity.hasStoppingRuns || workerCapacity.hasPreemptibleRuns(priority)) {
-                raiseTo(found->second, workerCapacity.freeAfterPreemption(priority));
+            if (workerCapacity.hasStoppingRuns || workerCapacity.hasPreemptibleRuns(right)) {
+                raiseTo(found->second, workerCapacity.freeAfterPreemption(right));
             }
         }
     }
--- a/modules/dispatch/ServiceCapacity.h
+++ b/modules/dispatch/ServiceCapacity.h
@@ -35,21 +35,21 @@
         return need.fitsIn(largestFree_);
     }
 
-    /** Returns true if stopping the run now would not make its job late. */
-    using ToleratesDelay = std::function<bool(const std::string &worker, const RunKey &run)>;
+    /** Returns what a stop of the run now would cost. */
+    using CostOfPreemption = std::function<PreemptionCost(const std::string &worker, const RunKey &run)>;
 
     /** Collects the preemptible runs of all workers. Repeated calls do nothing; before the first one no run is preemptible. */
-    void collectPreemptibleRuns(const ToleratesDelay &toleratesDelay);
+    void collectPreemptibleRuns(const CostOfPreemption &costOfPreemption);
 
-    /** False if no worker would have this much free after its preemptible runs less urgent than the priority were stopped. */
-    bool mayHaveFreeAfterPreemption(const Resources &need, int priority);
+    /** False if no worker would have this much free after the runs that may be preempted were stopped. */
+    bool mayHaveFreeAfterPreemption(const Resources &need, const PreemptionRight &right);
 
 private:
     std::vector<WorkerCapacity> workerCapacities_;
     Resources largestFree_;
     bool isCollected_ = false;
-    /** The bound of what preemption could free on any worker, by the priority of the work that needs it. */
-    std::map<int, Resources> largestFreeAfterPreemption_;
+    /** The bound of what preemption could free on any worker, by the right of the work that needs it. */
+    std::map<PreemptionRight, Resources> largestFreeAfterPreemption_;
 };
 
 } // namespace auburndoor
--- a/modules/dispatch/TaskPlacer.cpp
+++ b/modules/dispatch/TaskPlacer.cpp
@@ -23,6 +23,17 @@
     return job.receivedAt + (job.objective - job.receivedAt) * finalDeadlineFactor;
 }
 
+bool canBeInTime(const StepState &step, TimePoint now)
+{
+    const auto &job = *step.job;
+    // Tasks of a service run until they are cancelled, and the objective of a scheduled job is not that of each occurrence.
+    if (step.spec().isService || job.spec.isScheduled) {
+        return true;
+    }
+    const auto occurrence = job.occurrences.find(step.occurrence);
+    return occurrence == job.occurrences.end() || now + job.remainingPathTime(occurrence->second) <= job.objective;
+}
+
 TaskPlacer::TaskPlacer(Timers &timers, JobManager &jobManager, Fleet &fleet, Advisor &advisor, TimePoint inheritedJobsWaitUntil)
     : timers_(timers)
     , jobManager_(jobManager)
@@ -63,7 +74,13 @@
 TaskPlacer::StepRank TaskPlacer::computeRank(const StepState &step, TimePoint now)
 {
     const auto &job = *step.job;
-    return { job.queue.priority, now > computeFinalDeadline(job), job.objective, job.spec.id, step.occurrence, step.index };
+    return { now > computeFinalDeadline(job),
+             job.queue.priority,
+             !canBeInTime(step, now),
+             job.objective,
+             job.spec.id,
+             step.occurrence,
+             step.index };
 }
 
 std::vector<std::pair<TaskPlacer::StepRank, StepState *>> TaskPlacer::findReadySteps()
@@ -93,6 +110,7 @@
 {
     serviceCapacities_.clear();
     unreadByService_.clear();
+    unsendableAdviceTime_ = Milliseconds::max();
     for (const auto &[id, worker] : fleet_.workers()) {
         if (fleet_.isUsable(*worker)) {
             serviceCapacities_[worker->entry.service].add(*worker);
--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -17,11 +17,15 @@
 /** Returns the time after which completing the job has no value: a fixed multiple of the time allowed by its objective. */
 TimePoint computeFinalDeadline(const JobState &job);
 
+/** True if the job of a step that starts at this time can meet its objective, by the estimates of its remaining steps. */
+bool canBeInTime(const StepState &step, TimePoint now);
+
 /**
     Chooses workers for tasks that are ready to start, and requests advice for queues that need it.
 
-    Steps are served by priority, then by their job's objective, earliest first; jobs past their final deadline come last within
-    their priority. All members are called from the loop's thread.
+    Steps are served by priority, then by their job's objective, earliest first. Under overload this order alone would make every
+    job late, each by the ones before it: steps that can no longer be in time come after the others of their priority, and jobs past
+    their final deadline after all others. All members are called from the loop's thread.
 */
 class TaskPlacer
 {
@@ -64,8 +68,11 @@
     /** The sort key of a step in a round of placement; the smallest is served first. */
     struct StepRank
     {
-        int priority = 0;
+        /** Its job is past its final deadline, so that it gains nothing from going before work that is not. */
         bool isPastFinalDeadline = false;
+        int priority = 0;
+        /** Its job cannot be in time any more, even if the step started now. */
+        bool isLate = false;
         TimePoint objective;
         std::string job;
         int occurrence = 0;
@@ -106,16 +113,24 @@
     ServiceCapacity &getServiceCapacity(const StepState &step);
     /** Reserves capacity for the tasks that the step's pending advice request plans for. */
     void reservePlannedCapacity(StepState &step);
-    /** True if stopping the run now would not make its job late, or the job is past its final deadline. */
-    bool toleratesDelay(const std::string &worker, const RunKey &key);
+    /** What a stop of the run now would cost. */
+    PreemptionCost computePreemptionCost(const std::string &worker, const RunKey &key);
+    /** Which runs the step may preempt: the more it gains by its start, the more a stop may cost. Empty if it may preempt none. */
+    std::optional<PreemptionRight> preemptionRight(const StepState &step) const;
     /** False if preemption makes room for a task of the step on no worker; true does not mean that it does on one. */
     bool mayPreempt(StepState &step);
     /** True if a task of the step would fit on the worker after less urgent runs were stopped there. */
     bool mayPreemptOn(const StepState &step, const WorkerCapacity &workerCapacity) const;
-    /** The workers that the step may use now and on which a task of it would fit after preemption. */
-    std::vector<WorkerCapacity *> findPreemptionTargets(StepState &step);
+    /**
+        The workers that the step may use now and on which a task of it would fit after preemption.
+
+        @param includeFree also those on which a task fits without preemption
+    */
+    std::vector<WorkerCapacity *> findPreemptionTargets(StepState &step, bool includeFree);
     /** The worker on which the least has to be stopped to fit a task of the step; null if there is none. */
     WorkerCapacity *choosePreemptionTarget(const StepState &step, const std::vector<WorkerCapacity *> &workerCapacities) const;
+    /** True if a task of the step fits into what is free on the worker, or will be once its stopping runs have ended. */
+    static bool fitsWithoutPreemption(const StepState &step, const WorkerCapacity &workerCapacity);
     /**
         Stops less urgent preemptible runs, so that tasks of the step fit on workers that it may use now.
 
@@ -175,6 +190,8 @@
     std::map<std::string, ServiceCapacity> serviceCapacities_;
     /** The results of hasUnreadWorkers in this round, by service. */
     std::map<std::string, bool> unreadByService_;
+    /** Advice requests that are expected to take this long or longer cannot be sent in this round any more. */
+    Milliseconds unsendableAdviceTime_ = Milliseconds::max();
     /** The last step that an interrupted round has placed; the next round continues after it. */
     std::optional<StepRank> resumeAfter_;
     std::shared_ptr<bool> isAlive_;
--- a/modules/dispatch/TaskPlacerAdvice.cpp
+++ b/modules/dispatch/TaskPlacerAdvice.cpp
@@ -132,9 +132,10 @@
         planOnWorker(*workerCapacity, workerCapacity->freeFor(&step, priority));
     }
     // Capacity in use by less urgent runs is reserved while the request is pending, and preempted once the permits have arrived.
+    const auto right = preemptionRight(step);
     for (const auto *workerCapacity : workerCapacities) {
-        if (plannedCount < taskCount && mayPreemptOn(step, *workerCapacity)) {
-            planOnWorker(*workerCapacity, workerCapacity->freeAfterPreemption(priority));
+        if (right && plannedCount < taskCount && mayPreemptOn(step, *workerCapacity)) {
+            planOnWorker(*workerCapacity, workerCapacity->freeAfterPreemption(*right));
         }
     }
     std::erase_if(plannedTasks, [](const auto &entry) { return entry.second == 0; });
@@ -154,7 +155,9 @@
     // A request that has to queue would reserve capacity for too long and be answered too late. It is left to the next round, which
     // sends requests in the order of the steps' ranks.
     const auto &policy = *step.job->queue.advice;
-    if (!advisor_.canSendNow(estimateResponseTime(policy, maxWorkersPerRequest))) {
+    const auto expectedTime = estimateResponseTime(policy, maxWorkersPerRequest);
+    if (expectedTime >= unsendableAdviceTime_ || !advisor_.canSendNow(expectedTime)) {
+        unsendableAdviceTime_ = std::min(unsendableAdviceTime_, expectedTime);
         return;
     }
     const auto chosen = chooseAdviceTargets(step, taskCount, isAllOrNothing);
--- a/modules/dispatch/TaskPlacerPreemption.cpp
+++ b/modules/dispatch/TaskPlacerPreemption.cpp
@@ -10,47 +10,96 @@
 
 // The expected time until a preempted run is running again: its stop, a new advice request and the wait for capacity.
 constexpr Milliseconds preemptionDelay { 2500 };
+// Each stop costs the run a restart from its checkpoint and another wait for capacity.
+constexpr int maxPreemptionsOfTask = 2;
+// Work of this priority may make the jobs of others late.
+constexpr int mostUrgentPriority = 0;
+// A stop takes up to half a second to free the capacity: a run that ends within about that time is left to end.
+constexpr Milliseconds minRemainingTime { 500 };
+
+/** True if the run's reported progress shows that it ends about as soon as a stop would free its capacity. */
+bool endsSoon(const Run &run, TimePoint now)
+{
+    if (run.percent <= 0 || run.confirmedAt == TimePoint() || run.percentChangedAt <= run.confirmedAt) {
+        return false;
+    }
+    const auto elapsedAtReport = run.percentChangedAt - run.confirmedAt;
+    const auto remainingAtReport = elapsedAtReport * (100 - run.percent) / run.percent;
+    return remainingAtReport - (now - run.percentChangedAt) < minRemainingTime;
+}
 
 } // namespace
 
-bool TaskPlacer::toleratesDelay(const std::string &worker, const RunKey &key)
+PreemptionCost TaskPlacer::computePreemptionCost(const std::string &worker, const RunKey &key)
 {
     const auto job = jobManager_.jobs().find(key.task.job);
     const auto *run = fleet_.run(worker, key);
-    if (job == jobManager_.jobs().end() || run == nullptr) {
-        return true;
+    const auto *task = job == jobManager_.jobs().end() ? nullptr : job->second->task(key.task);
+    if (task == nullptr || run == nullptr) {
+        return PreemptionCost::Nothing;
     }
     const auto now = timers_.now();
     const auto &spec = job->second->spec.steps[static_cast<std::size_t>(key.task.step)];
+    if (task->preemptionCount >= maxPreemptionsOfTask || endsSoon(*run, now)) {
+        return PreemptionCost::Excessive;
+    }
     const auto remaining = spec.estimate * (100 - run->percent) / 100;
     // Past its objective a job still counts as late until its final deadline; after that no delay matters.
     const auto limit = now < job->second->objective ? job->second->objective : computeFinalDeadline(*job->second);
-    return now > limit || limit - now - remaining > preemptionDelay;
+    if (now > limit) {
+        return PreemptionCost::Nothing;
+    }
+    return limit - now - remaining > preemptionDelay ? PreemptionCost::Tolerable : PreemptionCost::MakesLate;
+}
+
+std::optional<PreemptionRight> TaskPlacer::preemptionRight(const StepState &step) const
+{
+    const auto now = timers_.now();
+    const auto priority = step.job->queue.priority;
+    if (now > computeFinalDeadline(*step.job)) {
+        return std::nullopt;
+    }
+    if (!canBeInTime(step, now)) {
+        return PreemptionRight { priority, PreemptionCost::Nothing };
+    }
+    return PreemptionRight { priority, priority == mostUrgentPriority ? PreemptionCost::MakesLate : PreemptionCost::Tolerable };
 }
 
 bool TaskPlacer::mayPreempt(StepState &step)
 {
+    const auto right = preemptionRight(step);
+    if (!right) {
+        return false;
+    }
     auto &serviceCapacity = getServiceCapacity(step);
     serviceCapacity.collectPreemptibleRuns(
-        [this](const std::string &worker, const RunKey &key) { return toleratesDelay(worker, key); });
-    return serviceCapacity.mayHaveFreeAfterPreemption(JobManager::makeClaim(step).need, step.job->queue.priority);
+        [this](const std::string &worker, const RunKey &key) { return computePreemptionCost(worker, key); });
+    return serviceCapacity.mayHaveFreeAfterPreemption(JobManager::makeClaim(step).need, *right);
 }
 
 bool TaskPlacer::mayPreemptOn(const StepState &step, const WorkerCapacity &workerCapacity) const
 {
-    const auto priority = step.job->queue.priority;
-    return (workerCapacity.hasStoppingRuns || workerCapacity.hasPreemptibleRuns(priority))
-           && workerCapacity.waitingPriority >= priority
-           && JobManager::makeClaim(step).need.fitsIn(workerCapacity.freeAfterPreemption(priority));
+    const auto right = preemptionRight(step);
+    return right && (workerCapacity.hasStoppingRuns || workerCapacity.hasPreemptibleRuns(*right))
+           && workerCapacity.waitingPriority >= right->priority
+           && JobManager::makeClaim(step).need.fitsIn(workerCapacity.freeAfterPreemption(*right));
 }
 
-std::vector<WorkerCapacity *> TaskPlacer::findPreemptionTargets(StepState &step)
+bool TaskPlacer::fitsWithoutPreemption(const StepState &step, const WorkerCapacity &workerCapacity)
+{
+    const auto claim = JobManager::makeClaim(step);
+    return workerCapacity.waitingPriority >= claim.priority && claim.need.fitsIn(workerCapacity.expectedFree)
+           && claim.need.fitsIn(workerCapacity.freeFor(&step, claim.priority));
+}
+
+std::vector<WorkerCapacity *> TaskPlacer::findPreemptionTargets(StepState &step, bool includeFree)
 {
     std::vector<WorkerCapacity *> workerCapacities;
     auto &serviceCapacity = getServiceCapacity(step);
     const auto &label = step.spec().requiredLabel;
     const auto addIfPreemptible = [&](WorkerCapacity &workerCapacity) {
-        if (mayPreemptOn(step, workerCapacity) && (label.empty() || workerCapacity.worker->entry.hasLabel(label))) {
+        const bool isUsable = mayPreemptOn(step, workerCapacity) || (includeFree && fitsWithoutPreemption(step, workerCapacity));
+        if (isUsable && (label.empty() || workerCapacity.worker->entry.hasLabel(label))) {
             workerCapacities.push_back(&workerCapacity);
         }
     };
@@ -76,7 +125,7 @@
     for (auto *workerCapacity : workerCapacities) {
         // The share of the worker's capacity that preemption has to free for the task.
         const auto missing = dominantShare(need - workerCapacity->expectedFree, workerCapacity->worker->entry.capacity);
-        if (missing < bestMissing && mayPreemptOn(step, *workerCapacity)) {
+        if (missing < bestMissing && (fitsWithoutPreemption(step, *workerCapacity) || mayPreemptOn(step, *workerCapacity))) {
             bestMissing = missing;
             best = workerCapacity;
         }
@@ -86,10 +135,12 @@
 
 int TaskPlacer::preemptForTasks(StepState &step, int taskCount, bool isAllOrNothing)
 {
-    if (!mayPreempt(step)) {
+    const auto right = preemptionRight(step);
+    if (!right || !mayPreempt(step)) {
         return 0;
     }
-    const auto workerCapacities = findPreemptionTargets(step);
+    // The members of a gang that fit without preemption count as well, since none of them has a worker yet.
+    const auto workerCapacities = findPreemptionTargets(step, isAllOrNothing);
     std::map<WorkerCapacity *, WorkerCapacity> savedCapacities;
     std::vector<std::pair<std::string, RunKey>> runsToStop;
     const auto need = JobManager::makeClaim(step).need;
@@ -108,7 +159,7 @@
         if (isAllOrNothing) {
             savedCapacities.try_emplace(workerCapacity, *workerCapacity);
         }
-        for (const auto &key : workerCapacity->planTask(need, step.job->queue.priority)) {
+        for (const auto &key : workerCapacity->planTask(need, *right)) {
             runsToStop.emplace_back(workerCapacity->worker->entry.id, key);
         }
     }
@@ -118,12 +169,16 @@
 
 void TaskPlacer::preemptForPlannedTasks(StepState &step)
 {
+    const auto right = preemptionRight(step);
+    if (!right) {
+        return;
+    }
     std::vector<std::pair<std::string, RunKey>> runsToStop;
     const auto need = JobManager::makeClaim(step).need;
     for (const auto &[id, count] : step.advice.plannedTasks) {
         auto *workerCapacity = getServiceCapacity(step).find(id);
         for (int task = 0; workerCapacity != nullptr && task < count; ++task) {
-            for (const auto &key : workerCapacity->planTask(need, step.job->queue.priority)) {
+            for (const auto &key : workerCapacity->planTask(need, *right)) {
                 runsToStop.emplace_back(id, key);
             }
         }
@@ -137,6 +192,10 @@
         EventLog::writeRateLimited(
             "run.preempted",
             { { "job", key.task.job }, { "index", key.task.index }, { "worker", id }, { "for", step.job->spec.id } });
+        const auto job = jobManager_.jobs().find(key.task.job);
+        if (auto *task = job == jobManager_.jobs().end() ? nullptr : job->second->task(key.task)) {
+            ++task->preemptionCount;
+        }
         fleet_.stop(id, key, "preempted");
     }
 }
--- a/modules/dispatch/WorkerCapacity.cpp
+++ b/modules/dispatch/WorkerCapacity.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-bool mayPreempt(const PreemptibleRun &run, int priority)
+bool mayPreempt(const PreemptibleRun &run, const PreemptionRight &right)
 {
-    return run.priority > priority && (run.toleratesDelay || priority == 0);
+    return run.priority > right.priority && run.cost <= right.maxCost;
 }
 
 } // namespace
@@ -37,29 +37,29 @@
             expectedFree += run.claim.need;
             hasStoppingRuns = true;
         } else if (run.phase == Run::Phase::Running && run.claim.isPreemptible) {
-            preemptibleRuns.push_back({ key, run.claim.need, run.claim.priority, true });
+            preemptibleRuns.push_back({ key, run.claim.need, run.claim.priority, PreemptionCost::Tolerable });
         }
     }
 }
 
-bool WorkerCapacity::hasPreemptibleRuns(int priority) const
+bool WorkerCapacity::hasPreemptibleRuns(const PreemptionRight &right) const
 {
     return std::any_of(
-        preemptibleRuns.begin(), preemptibleRuns.end(), [priority](const auto &run) { return mayPreempt(run, priority); });
+        preemptibleRuns.begin(), preemptibleRuns.end(), [&right](const auto &run) { return mayPreempt(run, right); });
 }
 
-Resources WorkerCapacity::freeAfterPreemption(int priority) const
+Resources WorkerCapacity::freeAfterPreemption(const PreemptionRight &right) const
 {
     auto result = expectedFree;
     for (const auto &run : preemptibleRuns) {
-        if (mayPreempt(run, priority)) {
+        if (mayPreempt(run, right)) {
             result += run.need;
         }
     }
     return result;
 }
 
-std::vector<RunKey> WorkerCapacity::planTask(const Resources &need, int priority)
+std::vector<RunKey> WorkerCapacity::planTask(const Resources &need, const PreemptionRight &right)
 {
     std::vector<RunKey> stopped;
     // The least urgent runs first, and of equal priority the largest first, so that few runs are stopped.
@@ -68,7 +68,7 @@
                > std::tuple(right.priority, right.need.accelerators, right.need.milliCores);
     });
     for (auto run = preemptibleRuns.begin(); run != preemptibleRuns.end() && !need.fitsIn(expectedFree);) {
-        if (!mayPreempt(*run, priority)) {
+        if (!mayPreempt(*run, right)) {
             ++run;
             continue;
         }
@@ -77,7 +77,7 @@
         run = preemptibleRuns.erase(run);
     }
     expectedFree -= need;
-    waitingPriority = std::min(waitingPriority, priority);
+    waitingPriority = std::min(waitingPriority, right.priority);
     return stopped;
 }
 
--- a/modules/dispatch/WorkerCapacity.h
+++ b/modules/dispatch/WorkerCapacity.h
@@ -2,19 +2,42 @@
 
 #include "dispatch/WorkerState.h"
 
+#include <compare>
 #include <limits>
 #include <vector>
 
 namespace auburndoor {
 
+/** What a stop of a run for more urgent work would cost; the smallest is the cheapest. */
+enum class PreemptionCost {
+    /** Its job is past its final deadline, so that no delay matters. */
+    Nothing,
+    /** Its job would not become late by it. */
+    Tolerable,
+    /** Its job would become late. */
+    MakesLate,
+    /** It ends about as soon by itself, or has been preempted often enough: nothing may stop it. */
+    Excessive,
+};
+
+/** Which runs a step may preempt. */
+struct PreemptionRight
+{
+    /** Only runs of less urgent priorities; 0 is the most urgent. */
+    int priority = 0;
+    /** Only runs whose stop costs at most this. */
+    PreemptionCost maxCost = PreemptionCost::Nothing;
+
+    auto operator<=>(const PreemptionRight &other) const = default;
+};
+
 /** A run that may be stopped to make room for more urgent work. */
 struct PreemptibleRun
 {
     RunKey key;
     Resources need;
     int priority = 0;
-    /** Stopping it would not make its job late; if false, only work of the most urgent priority, 0, may preempt it. */
-    bool toleratesDelay = true;
+    PreemptionCost cost = PreemptionCost::Tolerable;
 };
 
 /** Capacity reserved for one task of a step whose advice request is pending. */
@@ -45,18 +68,18 @@
     /** Collects the runs that are being stopped and the preemptible ones. */
     void collectRuns();
 
-    /** True if some run may be preempted for work of this priority. */
-    bool hasPreemptibleRuns(int priority) const;
+    /** True if some run may be preempted. */
+    bool hasPreemptibleRuns(const PreemptionRight &right) const;
 
-    /** What would be free after all runs that work of this priority may preempt were stopped. */
-    Resources freeAfterPreemption(int priority) const;
+    /** What would be free after all runs that may be preempted were stopped. */
+    Resources freeAfterPreemption(const PreemptionRight &right) const;
 
     /**
         Plans room for one task: subtracts its need from expectedFree, and preempts runs until it fits.
 
         @return the runs to stop, the least urgent first
     */
-    std::vector<RunKey> planTask(const Resources &need, int priority);
+    std::vector<RunKey> planTask(const Resources &need, const PreemptionRight &right);
 };
 
 } // namespace auburndoor
