Heartbeats that a large cell can carry, and patience for a busy owner

Cause: each heartbeat named all members, so that the owner's bytes grew with the square of the size (146 followers, 4 a second, some 3 KB each). Change: a heartbeat names 8 members, its delay grows with the cell up to 0.6 s and is announced to each follower; the owner reports the delay of its loop (LoopDelayMeter), by which followers extend their grace, 2 s at most. Tests: HeartbeatPacingTests, LoopDelayMeterTests, LeadershipTests "an owner that is late" (the owner is replaced with the earlier grace of 350 ms).

--- a/modules/entry/EntryInstance.cpp
+++ b/modules/entry/EntryInstance.cpp
@@ -240,13 +240,15 @@
     if (!owner) {
         return std::nullopt;
     }
-    return OwnerHeartbeat { dependencies.settings.nodeName,
-                            owner->token(),
-                            owner->storeStallDuration(),
-                            owner->isReady(),
-                            desiredState.version,
-                            dependencies.settings.processorShare,
-                            leadership.members() };
+    OwnerHeartbeat heartbeat;
+    heartbeat.owner = dependencies.settings.nodeName;
+    heartbeat.token = owner->token();
+    heartbeat.storeStallDuration = owner->storeStallDuration();
+    heartbeat.isReady = owner->isReady();
+    heartbeat.desiredStateVersion = desiredState.version;
+    heartbeat.processorShare = dependencies.settings.processorShare;
+    heartbeat.members = leadership.members();
+    return heartbeat;
 }
 
 void EntryInstance::Impl::flushLog()
--- a/modules/entry/Leadership.cpp
+++ b/modules/entry/Leadership.cpp
@@ -1,6 +1,7 @@
 #include "entry/Leadership.h"
 
 #include "dispatch/CommitQueue.h"
+#include "entry/HeartbeatPacing.h"
 #include "entry/LeadershipImpl.h"
 #include "observability/EventLog.h"
 
@@ -18,6 +19,9 @@
 // the smallest machines have. If all machines are small, only the jitter decides between them.
 constexpr double largeMachineShare = 0.2;
 constexpr Milliseconds smallMachineTakeoverDelay { 500 };
+// A new owner reads the reports of all workers. While it does, its heartbeats announce a delay that it has not measured yet.
+constexpr Milliseconds recoveryDuration { 3000 };
+constexpr Milliseconds recoveryLoopDelay { 500 };
 
 std::string encodeEpochRow(const EpochRow &row)
 {
@@ -144,6 +148,7 @@
                 return;
             }
             self->isOwner = true;
+            self->wonAt = self->loop.now();
             self->isOwnerResponding = false;
             ++self->heartbeatRound;
             self->owner = { token, self->settings.nodeName, self->settings.peers.text() };
@@ -168,6 +173,8 @@
             loop, *address, HttpChannelLimits { .maxConnections = 1, .connectTimeout = Milliseconds(400) });
     }
     ++heartbeatRound;
+    expectedHeartbeatDelay = timing.heartbeatDelay;
+    heartbeatGracePeriod = timing.heartbeatGracePeriod;
     requestHeartbeat();
 }
 
@@ -181,7 +188,7 @@
         request.target += PeerCodec::firstHeartbeatQuery;
     }
     heartbeatChannel->send(std::move(request),
-                           timing.heartbeatDelay + timing.heartbeatGracePeriod,
+                           expectedHeartbeatDelay + heartbeatGracePeriod,
                            [self = shared_from_this(), sentRound = heartbeatRound](const SendResult &sent) {
                                if (!self->isClosed) {
                                    self->onHeartbeat(sent, sentRound);
@@ -189,6 +196,24 @@
                            });
 }
 
+Milliseconds Leadership::Impl::reportedLoopDelay() const
+{
+    const bool isRecovering = loop.now() - wonAt < recoveryDuration;
+    return std::max(loopDelayMeter.recentDelay(), isRecovering ? recoveryLoopDelay : Milliseconds(0));
+}
+
+std::optional<OwnerHeartbeat> Leadership::Impl::makeHeartbeat(const Address &follower)
+{
+    auto heartbeat = hooks.ownHeartbeat();
+    if (heartbeat) {
+        heartbeat->loopDelay = reportedLoopDelay();
+        heartbeat->nextDelay = HeartbeatPacing::computeDelay(followers.size(), timing.heartbeatDelay);
+        heartbeat->members = HeartbeatPacing::sampleMembers(std::move(heartbeat->members), random);
+        followers[follower].announcedDelay = heartbeat->nextDelay;
+    }
+    return heartbeat;
+}
+
 void Leadership::Impl::onHeartbeat(const SendResult &sent, std::uint64_t sentRound)
 {
     if (sentRound != heartbeatRound || isOwner) {
@@ -204,6 +229,8 @@
     knownMembers = heartbeat->members;
     desiredStateVersion = heartbeat->desiredStateVersion;
     ownerStoreStallDuration = heartbeat->storeStallDuration;
+    expectedHeartbeatDelay = std::max(timing.heartbeatDelay, heartbeat->nextDelay);
+    heartbeatGracePeriod = HeartbeatPacing::computeGracePeriod(heartbeat->loopDelay, timing.heartbeatGracePeriod);
     const bool isOwnerSmall = heartbeat->processorShare < largeMachineShare && settings.processorShare >= largeMachineShare;
     if (isOwnerSmall && heartbeat->isReady && !isTakeoverDisabled) {
         // The owner runs on a small machine, because no larger one was available when it took over: take over from it.
@@ -244,6 +271,7 @@
 
 void Leadership::start()
 {
+    impl_->loopDelayMeter.start();
     impl_->findOwner();
 }
 
@@ -286,11 +314,13 @@
         responder->reply({ PeerCodec::notOwnerStatus, {}, {} });
         return;
     }
-    impl_->members[*from] = impl_->loop.now();
+    auto &follower = impl_->followers[*from];
+    follower.requestedAt = impl_->loop.now();
     // A process that has just begun to follow this owner is answered at once, so that it can forward calls.
     const bool isNew = request.target.ends_with(PeerCodec::firstHeartbeatQuery);
-    impl_->loop.after(isNew ? Milliseconds(0) : impl_->timing.heartbeatDelay, [impl = impl_, responder = std::move(responder)] {
-        const auto heartbeat = impl->isClosed ? std::nullopt : impl->hooks.ownHeartbeat();
+    const auto delay = isNew ? Milliseconds(0) : std::max(impl_->timing.heartbeatDelay, follower.announcedDelay);
+    impl_->loop.after(delay, [impl = impl_, responder = std::move(responder), from = *from] {
+        const auto heartbeat = impl->isClosed ? std::nullopt : impl->makeHeartbeat(from);
         responder->reply(heartbeat ? PeerCodec::heartbeatReply(*heartbeat) : WebReply { PeerCodec::notOwnerStatus, {}, {} });
     });
 }
@@ -305,8 +335,8 @@
 {
     std::vector<Address> result;
     const auto now = impl_->loop.now();
-    std::erase_if(impl_->members, [now](const auto &member) { return now - member.second > memberTimeout; });
-    for (const auto &[address, requestedAt] : impl_->members) {
+    std::erase_if(impl_->followers, [now](const auto &entry) { return now - entry.second.requestedAt > memberTimeout; });
+    for (const auto &[address, follower] : impl_->followers) {
         result.push_back(address);
     }
     return result;
--- a/modules/entry/Leadership.h
+++ b/modules/entry/Leadership.h
@@ -15,9 +15,12 @@
 /** Delays, timeouts and limits of owner election and of the detection of a failed owner. */
 struct LeadershipTiming
 {
-    /** How long the owner holds a heartbeat request open; if its process ends meanwhile, the broken connection shows that. */
+    /**
+        How long the owner of a small cell holds a heartbeat request open; if its process ends meanwhile, the broken connection
+        shows that. HeartbeatPacing extends it with the size of the cell.
+    */
     Milliseconds heartbeatDelay { 250 };
-    /** A heartbeat that has not arrived this long after heartbeatDelay counts as lost. */
+    /** A heartbeat of an owner that is not busy counts as lost if it has not arrived this long after its delay. */
     Milliseconds heartbeatGracePeriod { 350 };
     /** An owner whose writes the store has not accepted for this long is replaced by a process whose reads the store answers. */
     Milliseconds storeStallLimit { 450 };
@@ -47,7 +50,11 @@
     {
         /** Called when this process has become the owner. */
         std::function<void(const Ownership &)> onOwnershipWon;
-        /** Returns the heartbeat that this process sends as the owner; empty if it is not the owner. */
+        /**
+            Returns the heartbeat that this process sends as the owner; empty if it is not the owner.
+
+            Leadership adds the delays, and shortens the list of members.
+        */
         std::function<std::optional<OwnerHeartbeat>()> ownHeartbeat;
     };
 
--- a/modules/entry/LeadershipImpl.h
+++ b/modules/entry/LeadershipImpl.h
@@ -3,6 +3,7 @@
 #include "entry/Leadership.h"
 
 #include "net/EventLoop.h"
+#include "net/LoopDelayMeter.h"
 
 #include <algorithm>
 #include <map>
@@ -25,7 +26,13 @@
 struct Leadership::Impl : std::enable_shared_from_this<Leadership::Impl>
 {
     Impl(EventLoop &loop, StateStore &store, const EntrySettings &settings, LeadershipTiming timing, Hooks hooks)
-        : loop(loop), store(store), settings(settings), timing(timing), hooks(std::move(hooks)), random(std::random_device {}())
+        : loop(loop)
+        , store(store)
+        , settings(settings)
+        , timing(timing)
+        , hooks(std::move(hooks))
+        , random(std::random_device {}())
+        , loopDelayMeter(loop)
     {
     }
 
@@ -40,6 +47,10 @@
     /** Begins to request heartbeats from the owner that the row names. */
     void follow(const EpochRow &row);
     void requestHeartbeat();
+    /** The heartbeat that this process sends to a follower as the owner; empty if it is not the owner. */
+    std::optional<OwnerHeartbeat> makeHeartbeat(const Address &follower);
+    /** How busy a new owner has to expect to be, or how busy it was. */
+    Milliseconds reportedLoopDelay() const;
     /** @param sentRound the heartbeatRound when the request was sent */
     void onHeartbeat(const SendResult &sent, std::uint64_t sentRound);
     /** Reads from the store while the owner's writes stall, to find out whether the owner alone has lost it. */
@@ -81,8 +92,21 @@
     int successfulStoreProbes = 0;
     /** The peer addresses of entry processes, from the owner's last heartbeat. */
     std::vector<Address> knownMembers;
-    /** The processes that sent heartbeat requests to this process, and when each one last did. */
-    std::map<Address, TimePoint> members;
+    /** A process that requests heartbeats of this process. */
+    struct Follower
+    {
+        TimePoint requestedAt;
+        /** The delay of the next heartbeat that it was told; its timeout depends on it. */
+        Milliseconds announcedDelay { 0 };
+    };
+    /** The processes that have recently sent heartbeat requests to this process. */
+    std::map<Address, Follower> followers;
+    LoopDelayMeter loopDelayMeter;
+    /** When this process last became the owner. */
+    TimePoint wonAt;
+    /** The delay of the next heartbeat, and how long after it the heartbeat counts as lost; from the owner's last heartbeat. */
+    Milliseconds expectedHeartbeatDelay { 0 };
+    Milliseconds heartbeatGracePeriod { 0 };
     /** The version of the desired state in the owner's last heartbeat. */
     std::int64_t desiredStateVersion = 0;
     bool isOwner = false;
--- a/modules/entry/PeerCodec.cpp
+++ b/modules/entry/PeerCodec.cpp
@@ -55,6 +55,8 @@
                     { "ready", heartbeat.isReady },
                     { "desired", heartbeat.desiredStateVersion },
                     { "share", heartbeat.processorShare },
+                    { "loop_delay", heartbeat.loopDelay.count() },
+                    { "next_delay", heartbeat.nextDelay.count() },
                     { "members", std::move(members) } }),
              {} };
 }
@@ -69,6 +71,9 @@
         heartbeat.isReady = json.at("ready").get<bool>();
         heartbeat.desiredStateVersion = json.at("desired").get<std::int64_t>();
         heartbeat.processorShare = json.at("share").get<double>();
+        // Absent in the heartbeats of earlier releases, which may own the cell during a rolling restart.
+        heartbeat.loopDelay = Milliseconds(json.value("loop_delay", std::int64_t(0)));
+        heartbeat.nextDelay = Milliseconds(json.value("next_delay", std::int64_t(0)));
         for (const auto &member : json.at("members")) {
             if (const auto address = Address::parse(member.get<std::string>())) {
                 heartbeat.members.push_back(*address);
--- a/modules/entry/PeerCodec.h
+++ b/modules/entry/PeerCodec.h
@@ -26,8 +26,12 @@
     std::int64_t desiredStateVersion = 0;
     /** The share of a processor core that the owner's process may use. */
     double processorShare = 1.0;
-    /** The peer addresses of the entry processes that have recently requested a heartbeat. */
+    /** The peer addresses of some of the entry processes that have recently requested a heartbeat. */
     std::vector<Address> members;
+    /** How late the owner's event loop has recently run its timers. */
+    Milliseconds loopDelay { 0 };
+    /** The delay after which the owner will answer the next heartbeat request; zero if it does not say. */
+    Milliseconds nextDelay { 0 };
 };
 
 /** What an entry process knows of the owner, sent to another one that has lost contact with the owner or the store. */
--- a/tests/dispatch/OverloadTests.cpp
+++ b/tests/dispatch/OverloadTests.cpp
@@ -69,8 +69,8 @@
 
 } // namespace
 
-// The pattern is the domino effect of earliest-deadline-first under overload: a burst leaves a backlog that is served first although
-// it is late already, so that each later job becomes late as well, long after the burst.
+// The pattern is the domino effect of earliest-deadline-first under overload: a burst leaves a backlog that is served first
+// although it is late already, so that each later job becomes late as well, long after the burst.
 TEST_CASE("the backlog of a burst does not make the jobs that arrive after it late")
 {
     constexpr int burst = 14;
--- a/tests/entry/LeadershipTests.cpp
+++ b/tests/entry/LeadershipTests.cpp
@@ -19,14 +19,15 @@
 {
 public:
     Process(EventLoop &loop, StateStore &store, const std::string &name, double processorShare)
-        : store_(store)
+        : loop_(loop)
+        , store_(store)
         , listener_(std::make_unique<HttpListener>(loop,
                                                    HttpListenerLimits(),
                                                    [this](const WebRequest &request, const HttpResponderPointer &responder) {
                                                        if (!leadership_) {
                                                            responder->abandon();
                                                        } else if (request.target.starts_with(PeerCodec::heartbeatPath)) {
-                                                           leadership_->answerHeartbeat(request, responder);
+                                                           answerHeartbeat(request, responder);
                                                        } else {
                                                            leadership_->answerOwnerView(responder);
                                                        }
@@ -72,8 +73,23 @@
     std::optional<Ownership> ownership;
     /** The duration that this process reports in its heartbeats as the owner. */
     Milliseconds storeStallDuration { 0 };
+    /** How late this process handles heartbeat requests, as a busy one does. */
+    Milliseconds heartbeatLateness { 0 };
 
 private:
+    void answerHeartbeat(const WebRequest &request, const HttpResponderPointer &responder)
+    {
+        if (heartbeatLateness == Milliseconds(0)) {
+            leadership_->answerHeartbeat(request, responder);
+            return;
+        }
+        loop_.after(heartbeatLateness, [this, request, responder] {
+            if (leadership_) {
+                leadership_->answerHeartbeat(request, responder);
+            }
+        });
+    }
+
     std::optional<OwnerHeartbeat> ownHeartbeat()
     {
         if (!ownership) {
@@ -84,6 +100,7 @@
         return heartbeat;
     }
 
+    EventLoop &loop_;
     StateStore &store_;
     EntrySettings settings_;
     std::unique_ptr<HttpListener> listener_;
@@ -150,6 +167,22 @@
     CHECK(owner->leadership().members().size() == 2);
 }
 
+// The pattern is metastable failure: an owner that is late because it reads the reports of a large cell is replaced, and its
+// successor has to read them as well and is replaced in turn.
+TEST_CASE("an owner that is late with its heartbeats and has announced it is not replaced, and a silent one is")
+{
+    LeadershipFixture fixture { 1.0, 1.0, 1.0, 1.0 };
+    auto *owner = fixture.waitForOwner(1);
+    REQUIRE(owner != nullptr);
+    fixture.runFor(Milliseconds(300));
+    const auto token = fixture.highestToken();
+    owner->heartbeatLateness = Milliseconds(500);
+    fixture.runFor(Milliseconds(2000));
+    CHECK(fixture.highestToken() == token);
+    owner->heartbeatLateness = Milliseconds(60000);
+    CHECK(fixture.waitForOwner(token + 1, Milliseconds(10000)) != nullptr);
+}
+
 // Guards against a cell that stays without an owner after a kill.
 TEST_CASE("a killed owner is replaced by another process with a higher token")
 {
