A window for start commands: bursts wait at the owner instead of on its link

Followers also extend their grace by the lateness of the heartbeats that they got. Sockets use the executor's own type.

--- a/modules/dispatch/Fleet.cpp
+++ b/modules/dispatch/Fleet.cpp
@@ -95,9 +95,17 @@
     run.startedAt = impl_->timers.now();
     found->used += claim.need;
     found->runs.emplace(key, run);
-    found->client->start(command, impl_->timing.lease, [impl = impl_, id, key](const WorkerClient::Reply &reply) {
-        impl->onStartReply(id, key, reply);
-    });
+    impl_->startWindow.onSent();
+    found->client->start(
+        command, impl_->timing.lease, [impl = impl_, id, key, sentAt = run.startedAt](const WorkerClient::Reply &reply) {
+            impl->updateStartWindow(sentAt, reply);
+            impl->onStartReply(id, key, reply);
+        });
+}
+
+bool Fleet::maySendStart() const
+{
+    return impl_->startWindow.hasRoom();
 }
 
 void Fleet::stop(const std::string &id, const RunKey &key, const std::string &reason)
--- a/modules/dispatch/Fleet.h
+++ b/modules/dispatch/Fleet.h
@@ -107,6 +107,8 @@
 
     /** Sends a start; the run occupies the claim from now on. Does nothing if there is no such worker. */
     void start(const std::string &worker, const StartCommand &command, const RunClaim &claim);
+    /** False while so many starts are without an answer that further ones would only wait on the way. */
+    bool maySendStart() const;
     /** Stops a run, with repetitions until the worker has acknowledged it. Does nothing if the run is already being stopped. */
     void stop(const std::string &worker, const RunKey &key, const std::string &reason);
     /** Sets the share of its speed at which a run works, from 0 to 100 percent. */
--- a/modules/dispatch/FleetImpl.cpp
+++ b/modules/dispatch/FleetImpl.cpp
@@ -177,6 +177,15 @@
     listener.capacityChanged();
 }
 
+void Fleet::Impl::updateStartWindow(TimePoint sentAt, const WorkerClient::Reply &reply)
+{
+    const bool hadRoom = startWindow.hasRoom();
+    startWindow.onAnswer(sentAt, timers.now(), reply.outcome != CommandOutcome::Unknown);
+    if (!hadRoom && startWindow.hasRoom() && !isClosed) {
+        listener.capacityChanged();
+    }
+}
+
 void Fleet::Impl::onStartReply(const std::string &id, const RunKey &key, const WorkerClient::Reply &reply)
 {
     auto *run = isClosed ? nullptr : findRun(id, key);
--- a/modules/dispatch/FleetImpl.h
+++ b/modules/dispatch/FleetImpl.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/Fleet.h"
+#include "dispatch/StartWindow.h"
 
 namespace auburndoor {
 
@@ -42,6 +43,8 @@
     void onEndRecorded(const std::string &id, std::int64_t incarnation, std::int64_t number);
 
     void onStartReply(const std::string &id, const RunKey &key, const WorkerClient::Reply &reply);
+    /** Updates the window of starts, and tells the listener if starts may be sent again. */
+    void updateStartWindow(TimePoint sentAt, const WorkerClient::Reply &reply);
     /** Sends a stop unless one is pending or acknowledged. */
     void sendStop(const std::string &id, const RunKey &key);
     void onStopReply(const std::string &id, const RunKey &key, const WorkerClient::Reply &reply);
@@ -69,6 +72,7 @@
     TimePoint createdAt;
     std::map<std::string, std::unique_ptr<WorkerState>> workers;
     long long renewalsSent = 0;
+    StartWindow startWindow;
     bool isDirectoryStale = false;
     bool isClosed = false;
 };
--- a/modules/dispatch/TaskPlacer.cpp
+++ b/modules/dispatch/TaskPlacer.cpp
@@ -309,6 +309,10 @@
             continue;
         }
         auto *candidate = candidates.empty() ? nullptr : chooseCandidate(step, task, candidates, {});
+        if (candidate != nullptr && !fleet_.maySendStart()) {
+            // There is capacity: the rest starts once starts on their way are answered.
+            return;
+        }
         if (candidate == nullptr) {
             ++unplaced;
             continue;
@@ -371,6 +375,9 @@
         }
         return;
     }
+    if (!fleet_.maySendStart()) {
+        return;
+    }
     // All members start with the same attempt number and checkpoint.
     std::int64_t attempt = 0;
     std::string checkpoint;
--- a/modules/entry/Leadership.cpp
+++ b/modules/entry/Leadership.cpp
@@ -189,9 +189,9 @@
     }
     heartbeatChannel->send(std::move(request),
                            expectedHeartbeatDelay + heartbeatGracePeriod,
-                           [self = shared_from_this(), sentRound = heartbeatRound](const SendResult &sent) {
+                           [self = shared_from_this(), sentRound = heartbeatRound, sentAt = loop.now()](const SendResult &sent) {
                                if (!self->isClosed) {
-                                   self->onHeartbeat(sent, sentRound);
+                                   self->onHeartbeat(sent, sentRound, sentAt);
                                }
                            });
 }
@@ -214,7 +214,7 @@
     return heartbeat;
 }
 
-void Leadership::Impl::onHeartbeat(const SendResult &sent, std::uint64_t sentRound)
+void Leadership::Impl::onHeartbeat(const SendResult &sent, std::uint64_t sentRound, TimePoint sentAt)
 {
     if (sentRound != heartbeatRound || isOwner) {
         return;
@@ -229,8 +229,11 @@
     knownMembers = heartbeat->members;
     desiredStateVersion = heartbeat->desiredStateVersion;
     ownerStoreStallDuration = heartbeat->storeStallDuration;
+    // A heartbeat that was late on its way tells as much as a busy owner: the next one may be later still.
+    const auto lateness = std::chrono::duration_cast<Milliseconds>(loop.now() - sentAt) - expectedHeartbeatDelay;
     expectedHeartbeatDelay = std::max(timing.heartbeatDelay, heartbeat->nextDelay);
-    heartbeatGracePeriod = HeartbeatPacing::computeGracePeriod(heartbeat->loopDelay, timing.heartbeatGracePeriod);
+    heartbeatGracePeriod = HeartbeatPacing::computeGracePeriod(std::max(heartbeat->loopDelay, lateness),
+                                                               timing.heartbeatGracePeriod);
     const bool isOwnerSmall = heartbeat->processorShare < largeMachineShare && settings.processorShare >= largeMachineShare;
     if (isOwnerSmall && heartbeat->isReady && !isTakeoverDisabled) {
         // The owner runs on a small machine, because no larger one was available when it took over: take over from it.
--- a/modules/entry/LeadershipImpl.h
+++ b/modules/entry/LeadershipImpl.h
@@ -52,7 +52,7 @@
     /** How busy a new owner has to expect to be, or how busy it was. */
     Milliseconds reportedLoopDelay() const;
     /** @param sentRound the heartbeatRound when the request was sent */
-    void onHeartbeat(const SendResult &sent, std::uint64_t sentRound);
+    void onHeartbeat(const SendResult &sent, std::uint64_t sentRound, TimePoint sentAt);
     /** Reads from the store while the owner's writes stall, to find out whether the owner alone has lost it. */
     void probeStore();
     /** @param isNotOwner true if the process answered that it does not own the cell; false if it did not answer */
--- a/modules/net/HttpChannels.cpp
+++ b/modules/net/HttpChannels.cpp
@@ -21,6 +21,9 @@
 
 namespace {
 
+// A stream with the executor's own type: the type-erased one of beast::tcp_stream allocates and locks more for each operation.
+using LoopStream = beast::basic_stream<asio::ip::tcp, asio::io_context::executor_type>;
+
 constexpr std::size_t maxReplyHeaderBytes = std::size_t(16) * 1024;
 // The largest replies are pages of encoded rows from the store.
 constexpr std::size_t maxReplyBodyBytes = std::size_t(16) * 1024 * 1024;
@@ -73,7 +76,7 @@
 class HttpChannels::Impl::Connection : public std::enable_shared_from_this<Connection>
 {
 public:
-    explicit Connection(std::shared_ptr<Impl> owner) : owner_(std::move(owner)), stream_(owner_->loop.context())
+    explicit Connection(std::shared_ptr<Impl> owner) : owner_(std::move(owner)), stream_(owner_->loop.context().get_executor())
     {
     }
 
@@ -198,7 +201,7 @@
     }
 
     std::shared_ptr<Impl> owner_;
-    beast::tcp_stream stream_;
+    LoopStream stream_;
     beast::flat_buffer buffer_;
     http::request<http::string_body> request_;
     std::optional<http::response_parser<http::string_body>> parser_;
--- a/modules/net/HttpListener.cpp
+++ b/modules/net/HttpListener.cpp
@@ -20,6 +20,10 @@
 
 namespace {
 
+// Sockets with the executor's own type: the type-erased one allocates and locks more for each operation.
+using LoopExecutor = asio::io_context::executor_type;
+using LoopSocket = asio::basic_stream_socket<asio::ip::tcp, LoopExecutor>;
+
 // A load peak opens many connections at once; the kernel would drop those beyond a short backlog.
 constexpr int listenBacklog = 1024;
 
@@ -37,7 +41,7 @@
     class Session;
 
     Impl(EventLoop &loop, HttpListenerLimits limits, HttpHandler handler)
-        : loop(loop), limits(limits), handler(std::move(handler)), acceptor(loop.context())
+        : loop(loop), limits(limits), handler(std::move(handler)), acceptor(loop.context().get_executor())
     {
     }
 
@@ -46,7 +50,7 @@
     EventLoop &loop;
     HttpListenerLimits limits;
     HttpHandler handler;
-    asio::ip::tcp::acceptor acceptor;
+    asio::basic_socket_acceptor<asio::ip::tcp, LoopExecutor> acceptor;
     std::size_t openConnections = 0;
     std::size_t openRequests = 0;
 };
@@ -55,7 +59,7 @@
 class HttpListener::Impl::Session : public HttpResponder, public std::enable_shared_from_this<Session>
 {
 public:
-    Session(std::shared_ptr<Impl> owner, asio::ip::tcp::socket socket) : owner_(std::move(owner)), stream_(std::move(socket))
+    Session(std::shared_ptr<Impl> owner, LoopSocket socket) : owner_(std::move(owner)), stream_(std::move(socket))
     {
         ++owner_->openConnections;
     }
@@ -160,7 +164,7 @@
     }
 
     std::shared_ptr<Impl> owner_;
-    beast::tcp_stream stream_;
+    beast::basic_stream<asio::ip::tcp, LoopExecutor> stream_;
     beast::flat_buffer buffer_;
     std::optional<http::request_parser<http::string_body>> parser_;
     http::response<http::string_body> response_;
@@ -170,7 +174,7 @@
 
 void HttpListener::Impl::accept()
 {
-    acceptor.async_accept([self = shared_from_this()](const error_code &error, asio::ip::tcp::socket socket) {
+    acceptor.async_accept([self = shared_from_this()](const error_code &error, LoopSocket socket) {
         if (!self->acceptor.is_open()) {
             return;
         }
