--- a/modules/entry/CellProtocol.h
+++ b/modules/entry/CellProtocol.h
@@ -55,6 +55,7 @@
         /** The owner was deposed or is stopping: the call is to be sent to the next one. Never sent to a client. */
         OwnerChanged,
     };
+    static constexpr Outcome lastOutcome = Outcome::OwnerChanged;
     Outcome outcome = Outcome::Unknown;
     /** For an answered Query. */
     JobStage stage = JobStage::Queued;
--- a/modules/entry/HeartbeatPacing.cpp
+++ b/modules/entry/HeartbeatPacing.cpp
@@ -25,7 +25,12 @@
 
 Milliseconds HeartbeatPacing::computeGracePeriod(Milliseconds loopDelay, Milliseconds minGrace)
 {
-    return std::max(minGrace, std::min(loopDelay * loopDelayFactor, maxGracePeriod));
+    return std::max(minGrace, std::min(loopDelay, maxGracePeriod / loopDelayFactor) * loopDelayFactor);
+}
+
+Milliseconds HeartbeatPacing::limitAnnouncedDelay(Milliseconds announced, Milliseconds minDelay)
+{
+    return std::max(minDelay, std::min(announced, maxDelay));
 }
 
 std::vector<Address> HeartbeatPacing::sampleMembers(std::vector<Address> members, std::mt19937_64 &random)
--- a/modules/entry/HeartbeatPacing.h
+++ b/modules/entry/HeartbeatPacing.h
@@ -34,6 +34,9 @@
     */
     static Milliseconds computeGracePeriod(Milliseconds loopDelay, Milliseconds minGrace);
 
+    /** Returns the delay to expect: what the owner has announced, within the bounds of computeDelay(). */
+    static Milliseconds limitAnnouncedDelay(Milliseconds announced, Milliseconds minDelay);
+
     /** Returns up to maxSampledMembers of the members, chosen at random: a follower asks few of them about a silent owner. */
     static std::vector<Address> sampleMembers(std::vector<Address> members, std::mt19937_64 &random);
 
--- a/modules/entry/Leadership.cpp
+++ b/modules/entry/Leadership.cpp
@@ -231,7 +231,7 @@
     ownerStoreStallDuration = heartbeat->storeStallDuration;
     // A heartbeat that was late on its way tells as much as a busy owner: the next one may be later still.
     const auto lateness = std::chrono::duration_cast<Milliseconds>(loop.now() - sentAt) - expectedHeartbeatDelay;
-    expectedHeartbeatDelay = std::max(timing.heartbeatDelay, heartbeat->nextDelay);
+    expectedHeartbeatDelay = HeartbeatPacing::limitAnnouncedDelay(heartbeat->nextDelay, timing.heartbeatDelay);
     heartbeatGracePeriod = HeartbeatPacing::computeGracePeriod(std::max(heartbeat->loopDelay, lateness),
                                                                timing.heartbeatGracePeriod);
     const bool isOwnerSmall = heartbeat->processorShare < largeMachineShare && settings.processorShare >= largeMachineShare;
--- a/modules/entry/PeerCodec.cpp
+++ b/modules/entry/PeerCodec.cpp
@@ -11,7 +11,7 @@
 /** Parses a JSON object and applies a function to it. @return empty if the text is malformed or a field is missing or of another
  * type */
 template<typename Read>
-auto readJson(const std::string &text, Read read) -> std::optional<decltype(read(Json()))>
+auto readJson(const std::string &text, Read read) -> decltype(std::optional(read(Json())))
 {
     const auto json = Json::parse(text, nullptr, false);
     if (!json.is_object()) {
@@ -147,10 +147,16 @@
 
 std::optional<ClientResult> PeerCodec::readCallReply(const WebReply &reply)
 {
-    return readJson(reply.body, [](const Json &json) {
+    return readJson(reply.body, [](const Json &json) -> std::optional<ClientResult> {
+        const int outcome = json.at("outcome").get<int>();
+        const int stage = json.at("stage").get<int>();
+        if (outcome < 0 || outcome > static_cast<int>(ClientResult::lastOutcome) || stage < 0
+            || stage > static_cast<int>(JobStage::Cancelled)) {
+            return std::nullopt;
+        }
         ClientResult result;
-        result.outcome = static_cast<ClientResult::Outcome>(json.at("outcome").get<int>());
-        result.stage = static_cast<JobStage>(json.at("stage").get<int>());
+        result.outcome = static_cast<ClientResult::Outcome>(outcome);
+        result.stage = static_cast<JobStage>(stage);
         result.pending = json.at("pending").get<int>();
         result.retryAfter = Milliseconds(json.at("retry").get<std::int64_t>());
         result.detail = json.at("detail").get<std::string>();
--- a/tests/entry/HeartbeatPacingTests.cpp
+++ b/tests/entry/HeartbeatPacingTests.cpp
@@ -60,6 +60,9 @@
     CHECK(HeartbeatPacing::computeGracePeriod(Milliseconds(0), minGrace) == minGrace);
     CHECK(HeartbeatPacing::computeGracePeriod(Milliseconds(500), minGrace) >= Milliseconds(1000));
     CHECK(HeartbeatPacing::computeGracePeriod(Milliseconds(60000), minGrace) <= Milliseconds(2000));
+    CHECK(HeartbeatPacing::computeGracePeriod(Milliseconds::max(), minGrace) <= Milliseconds(2000));
+    CHECK(HeartbeatPacing::limitAnnouncedDelay(Milliseconds::max(), minDelay) < Milliseconds(1000));
+    CHECK(HeartbeatPacing::limitAnnouncedDelay(Milliseconds(0), minDelay) == minDelay);
 }
 
 TEST_CASE("a sample of the members names different ones each time")
