--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -78,7 +78,8 @@
         int occurrence = 0;
         int step = 0;
 
-        auto operator<=>(const StepRank &other) const = default;
+        // clang-tidy takes the zero in the generated comparison of the leading bool for a null pointer.
+        auto operator<=>(const StepRank &other) const = default; // NOLINT(modernize-use-nullptr)
     };
 
     static StepRank computeRank(const StepState &step, TimePoint now);
