Look up the right to preempt once a step, not once a worker

StepRank needed a suppressed finding of clang-tidy for its leading flag. Change: the callers look the right up once, WorkerCapacity::fitsAfterPreemption() takes it; the first key of StepRank is a number, and the suppression is gone. Two comments that told how a value came about say what holds. Not measured by itself; behaviour as before. test-dispatch passes.

--- a/modules/admission/QueueOrder.h
+++ b/modules/admission/QueueOrder.h
@@ -25,7 +25,7 @@
     /** The entries to try now, in order. @param limit largest number of entries to return */
     virtual std::vector<const QueueEntry *> heads(TimePoint now, std::size_t limit) const = 0;
 
-    /** Called after an entry has been removed and started. @param position its index among heads() when it was chosen */
+    /** Called after an entry has been removed and started. @param position its index among heads() before its removal */
     virtual void started(const QueueEntry &entry, std::size_t position) = 0;
 
     /** Estimates the number of entries that start before the given one, which need not be in the queue. */
--- a/modules/dispatch/StartWindow.cpp
+++ b/modules/dispatch/StartWindow.cpp
@@ -6,7 +6,9 @@
 
 namespace {
 
+// Enough to notice when answers become fast again.
 constexpr double minLimit = 8;
+// More than a large gang has members.
 constexpr double maxLimit = 512;
 // Answers take about 15 ms across zones. A start counts as unanswered after 400 ms, and other traffic waits behind the starts.
 constexpr Milliseconds slowAnswer { 120 };
--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -68,8 +68,8 @@
     /** The sort key of a step in a round of placement; the smallest is served first. */
     struct StepRank
     {
-        /** Its job is past its final deadline, so that it gains nothing from going before work that is not. */
-        bool isPastFinalDeadline = false;
+        /** 1 if its job is past its final deadline, so that it gains nothing from going before work that is not; else 0. */
+        int lostClass = 0;
         int priority = 0;
         /** Its job cannot be in time any more, even if the step started now. */
         bool isLate = false;
@@ -78,8 +78,7 @@
         int occurrence = 0;
         int step = 0;
 
-        // clang-tidy takes the zero in the generated comparison of the leading bool for a null pointer.
-        auto operator<=>(const StepRank &other) const = default; // NOLINT(modernize-use-nullptr)
+        auto operator<=>(const StepRank &other) const = default;
     };
 
     static StepRank computeRank(const StepState &step, TimePoint now);
@@ -118,19 +117,19 @@
     PreemptionCost computePreemptionCost(const std::string &worker, const RunKey &key);
     /** Which runs the step may preempt: the more it gains by its start, the more a stop may cost. Empty if it may preempt none. */
     std::optional<PreemptionRight> preemptionRight(const StepState &step) const;
-    /** False if preemption makes room for a task of the step on no worker; true does not mean that it does on one. */
-    bool mayPreempt(StepState &step);
-    /** True if a task of the step would fit on the worker after less urgent runs were stopped there. */
-    bool mayPreemptOn(const StepState &step, const WorkerCapacity &workerCapacity) const;
+    /** As preemptionRight(); empty also if preemption makes room for a task of the step on no worker. */
+    std::optional<PreemptionRight> findPreemptionRight(StepState &step);
     /**
         The workers that the step may use now and on which a task of it would fit after preemption.
 
         @param includeFree also those on which a task fits without preemption
     */
-    std::vector<WorkerCapacity *> findPreemptionTargets(StepState &step, bool includeFree);
+    std::vector<WorkerCapacity *> findPreemptionTargets(StepState &step, const PreemptionRight &right, bool includeFree);
     /** The worker on which the least has to be stopped to fit a task of the step; null if there is none. */
-    WorkerCapacity *choosePreemptionTarget(const StepState &step, const std::vector<WorkerCapacity *> &workerCapacities) const;
-    /** True if a task of the step fits into what is free on the worker, or will be once its stopping runs have ended. */
+    static WorkerCapacity *choosePreemptionTarget(const StepState &step,
+                                                  const PreemptionRight &right,
+                                                  const std::vector<WorkerCapacity *> &workerCapacities);
+    /** True if a task of the step fits into what is free on the worker, less what others have reserved or planned there. */
     static bool fitsWithoutPreemption(const StepState &step, const WorkerCapacity &workerCapacity);
     /**
         Stops less urgent preemptible runs, so that tasks of the step fit on workers that it may use now.
--- a/modules/dispatch/TaskPlacerAdvice.cpp
+++ b/modules/dispatch/TaskPlacerAdvice.cpp
@@ -41,7 +41,7 @@
     const auto &advice = step.advice;
     const auto claim = JobManager::makeClaim(step);
     const auto now = timers_.now();
-    const bool hasPreemptibleRuns = mayPreempt(step);
+    const auto right = findPreemptionRight(step);
     const auto &label = step.spec().requiredLabel;
     for (auto &workerCapacity : getServiceCapacity(step).workerCapacities()) {
         const auto &entry = workerCapacity.worker->entry;
@@ -55,7 +55,7 @@
             continue;
         }
         const bool hasCapacity = claim.need.fitsIn(workerCapacity.freeFor(&step, claim.priority))
-                                 || (hasPreemptibleRuns && mayPreemptOn(step, workerCapacity));
+                                 || (right && workerCapacity.fitsAfterPreemption(claim.need, *right));
         if (isKnown) {
             targets.known.push_back(&workerCapacity);
         } else if (hasCapacity) {
@@ -81,7 +81,7 @@
 std::vector<WorkerCapacity *> TaskPlacer::chooseAdviceTargets(StepState &step, int taskCount, bool isAllOrNothing)
 {
     const bool isFirstRequest = !step.advice.wasRequested;
-    if (!isFirstRequest && !mayPreempt(step) && !getServiceCapacity(step).mayHaveFree(JobManager::makeClaim(step).need)) {
+    if (!isFirstRequest && !findPreemptionRight(step) && !getServiceCapacity(step).mayHaveFree(JobManager::makeClaim(step).need)) {
         return {};
     }
     auto targets = findAdviceTargets(step, isAllOrNothing);
@@ -132,9 +132,9 @@
         planOnWorker(*workerCapacity, workerCapacity->freeFor(&step, priority));
     }
     // Capacity in use by less urgent runs is reserved while the request is pending, and preempted once the permits have arrived.
-    const auto right = preemptionRight(step);
+    const auto right = findPreemptionRight(step);
     for (const auto *workerCapacity : workerCapacities) {
-        if (right && plannedCount < taskCount && mayPreemptOn(step, *workerCapacity)) {
+        if (right && plannedCount < taskCount && workerCapacity->fitsAfterPreemption(need, *right)) {
             planOnWorker(*workerCapacity, workerCapacity->freeAfterPreemption(*right));
         }
     }
--- a/modules/dispatch/TaskPlacerPreemption.cpp
+++ b/modules/dispatch/TaskPlacerPreemption.cpp
@@ -65,24 +65,17 @@
     return PreemptionRight { priority, priority == mostUrgentPriority ? PreemptionCost::MakesLate : PreemptionCost::Tolerable };
 }
 
-bool TaskPlacer::mayPreempt(StepState &step)
+std::optional<PreemptionRight> TaskPlacer::findPreemptionRight(StepState &step)
 {
     const auto right = preemptionRight(step);
     if (!right) {
-        return false;
+        return std::nullopt;
     }
     auto &serviceCapacity = getServiceCapacity(step);
     serviceCapacity.collectPreemptibleRuns(
         [this](const std::string &worker, const RunKey &key) { return computePreemptionCost(worker, key); });
-    return serviceCapacity.mayHaveFreeAfterPreemption(JobManager::makeClaim(step).need, *right);
-}
-
-bool TaskPlacer::mayPreemptOn(const StepState &step, const WorkerCapacity &workerCapacity) const
-{
-    const auto right = preemptionRight(step);
-    return right && (workerCapacity.hasStoppingRuns || workerCapacity.hasPreemptibleRuns(*right))
-           && workerCapacity.waitingPriority >= right->priority
-           && JobManager::makeClaim(step).need.fitsIn(workerCapacity.freeAfterPreemption(*right));
+    const bool mayHelp = serviceCapacity.mayHaveFreeAfterPreemption(JobManager::makeClaim(step).need, *right);
+    return mayHelp ? right : std::nullopt;
 }
 
 bool TaskPlacer::fitsWithoutPreemption(const StepState &step, const WorkerCapacity &workerCapacity)
@@ -92,13 +85,15 @@
            && claim.need.fitsIn(workerCapacity.freeFor(&step, claim.priority));
 }
 
-std::vector<WorkerCapacity *> TaskPlacer::findPreemptionTargets(StepState &step, bool includeFree)
+std::vector<WorkerCapacity *> TaskPlacer::findPreemptionTargets(StepState &step, const PreemptionRight &right, bool includeFree)
 {
     std::vector<WorkerCapacity *> workerCapacities;
     auto &serviceCapacity = getServiceCapacity(step);
     const auto &label = step.spec().requiredLabel;
+    const auto need = JobManager::makeClaim(step).need;
     const auto addIfPreemptible = [&](WorkerCapacity &workerCapacity) {
-        const bool isUsable = mayPreemptOn(step, workerCapacity) || (includeFree && fitsWithoutPreemption(step, workerCapacity));
+        const bool isUsable = workerCapacity.fitsAfterPreemption(need, right)
+                              || (includeFree && fitsWithoutPreemption(step, workerCapacity));
         if (isUsable && (label.empty() || workerCapacity.worker->entry.hasLabel(label))) {
             workerCapacities.push_back(&workerCapacity);
         }
@@ -117,7 +112,8 @@
 }
 
 WorkerCapacity *TaskPlacer::choosePreemptionTarget(const StepState &step,
-                                                   const std::vector<WorkerCapacity *> &workerCapacities) const
+                                                   const PreemptionRight &right,
+                                                   const std::vector<WorkerCapacity *> &workerCapacities)
 {
     const auto need = JobManager::makeClaim(step).need;
     WorkerCapacity *best = nullptr;
@@ -125,7 +121,8 @@
     for (auto *workerCapacity : workerCapacities) {
         // The share of the worker's capacity that preemption has to free for the task.
         const auto missing = dominantShare(need - workerCapacity->expectedFree, workerCapacity->worker->entry.capacity);
-        if (missing < bestMissing && (fitsWithoutPreemption(step, *workerCapacity) || mayPreemptOn(step, *workerCapacity))) {
+        if (missing < bestMissing
+            && (fitsWithoutPreemption(step, *workerCapacity) || workerCapacity->fitsAfterPreemption(need, right))) {
             bestMissing = missing;
             best = workerCapacity;
         }
@@ -135,18 +132,18 @@
 
 int TaskPlacer::preemptForTasks(StepState &step, int taskCount, bool isAllOrNothing)
 {
-    const auto right = preemptionRight(step);
-    if (!right || !mayPreempt(step)) {
+    const auto right = findPreemptionRight(step);
+    if (!right) {
         return 0;
     }
     // The members of a gang that fit without preemption count as well, since none of them has a worker yet.
-    const auto workerCapacities = findPreemptionTargets(step, isAllOrNothing);
+    const auto workerCapacities = findPreemptionTargets(step, *right, isAllOrNothing);
     std::map<WorkerCapacity *, WorkerCapacity> savedCapacities;
     std::vector<std::pair<std::string, RunKey>> runsToStop;
     const auto need = JobManager::makeClaim(step).need;
     int plannedTasks = 0;
     for (; plannedTasks < taskCount; ++plannedTasks) {
-        auto *workerCapacity = choosePreemptionTarget(step, workerCapacities);
+        auto *workerCapacity = choosePreemptionTarget(step, *right, workerCapacities);
         if (workerCapacity == nullptr) {
             if (isAllOrNothing) {
                 for (const auto &[changed, before] : savedCapacities) {
--- a/modules/dispatch/WorkerCapacity.cpp
+++ b/modules/dispatch/WorkerCapacity.cpp
@@ -59,6 +59,12 @@
     return result;
 }
 
+bool WorkerCapacity::fitsAfterPreemption(const Resources &need, const PreemptionRight &right) const
+{
+    return waitingPriority >= right.priority && (hasStoppingRuns || hasPreemptibleRuns(right))
+           && need.fitsIn(freeAfterPreemption(right));
+}
+
 std::vector<RunKey> WorkerCapacity::planTask(const Resources &need, const PreemptionRight &right)
 {
     std::vector<RunKey> stopped;
--- a/modules/dispatch/WorkerCapacity.h
+++ b/modules/dispatch/WorkerCapacity.h
@@ -74,6 +74,9 @@
     /** What would be free after all runs that may be preempted were stopped. */
     Resources freeAfterPreemption(const PreemptionRight &right) const;
 
+    /** True if this much would be free after all runs that may be preempted were stopped, and no more urgent work waits for it. */
+    bool fitsAfterPreemption(const Resources &need, const PreemptionRight &right) const;
+
     /**
         Plans room for one task: subtracts its need from expectedFree, and preempts runs until it fits.
 
--- a/modules/entry/Leadership.cpp
+++ b/modules/entry/Leadership.cpp
@@ -19,7 +19,7 @@
 // the smallest machines have. If all machines are small, only the jitter decides between them.
 constexpr double largeMachineShare = 0.2;
 constexpr Milliseconds smallMachineTakeoverDelay { 500 };
-// A new owner reads the reports of all workers. While it does, its heartbeats announce a delay that it has not measured yet.
+// A new owner reads the reports of all workers. Until that shows in the measured delay, its heartbeats report this one.
 constexpr Milliseconds recoveryDuration { 3000 };
 constexpr Milliseconds recoveryLoopDelay { 500 };
 
