Let placement use half of the event loop, not a fifth

Cause: the pause before a round of placement was four times the duration of the last one, so that placement got a fifth of the owner's loop.

Change: PlacementPacing, a pause as long as the round within the same bounds.

--- a/modules/entry/Owner.cpp
+++ b/modules/entry/Owner.cpp
@@ -1,6 +1,7 @@
 #include "entry/Owner.h"
 
 #include "entry/OwnerImpl.h"
+#include "entry/PlacementPacing.h"
 #include "observability/EventLog.h"
 #include "observability/Metrics.h"
 
@@ -10,12 +11,6 @@
 
 namespace {
 
-// Minimum delay from a change to the round of placement for it, so that changes close together share one round.
-constexpr Milliseconds minPlacementDelay { 3 };
-// The delay before the next round is this many times the duration of the last one (at most maxPlacementDelay), so that placement
-// leaves processor time to the rest of the process under a peak load.
-constexpr int placementPauseFactor = 4;
-constexpr Milliseconds maxPlacementDelay { 60 };
 constexpr Milliseconds maintenanceInterval { 200 };
 // Workers report about every 1.5 seconds, so reading their table more often than this shows little more.
 constexpr WatchTiming workerWatchTiming { Milliseconds(1500), Milliseconds(250), Milliseconds(200) };
@@ -59,7 +54,7 @@
                   workerWatchTiming,
                   [this](const auto &rows, bool isWholeTable) { updateWorkers(rows, isWholeTable); })
     , guard(dependencies.timers, dependencies.store, ownership.epochVersion, [this] { depose(); })
-    , placementDelay(minPlacementDelay)
+    , placementDelay(PlacementPacing::minDelay)
 {
     jobManager.setFleet(fleet);
 }
@@ -91,8 +86,8 @@
         }
         const auto startedAt = self->dependencies.timers.now();
         const bool isComplete = self->placer.place();
-        const auto roundDuration = std::chrono::duration_cast<Milliseconds>(self->dependencies.timers.now() - startedAt);
-        self->placementDelay = std::clamp(roundDuration * placementPauseFactor, minPlacementDelay, maxPlacementDelay);
+        self->placementDelay = PlacementPacing::computeDelay(
+            std::chrono::duration_cast<std::chrono::microseconds>(self->dependencies.timers.now() - startedAt));
         if (!isComplete) {
             self->schedulePlacement();
         }
