Gangs under advice: all permits at one time, room until the start, no starvation

A plan on more than 30 workers named the same 30 in each request and never started.

Change: the requests of a gang go out together, as many as the learned share of allowed workers makes necessary (AdviceShares); the plan is kept until the step is placed or a permit expires; known permits that outlast the answer are not asked for again.

--- a/modules/dispatch/JobState.h
+++ b/modules/dispatch/JobState.h
@@ -74,15 +74,28 @@
     std::map<std::string, WorkerPermit> allowed;
     /** The ids of the workers that the step may not use. */
     std::set<std::string> denied;
-    bool isRequestPending = false;
+    /** The number of requests that have not been answered. */
+    int pendingRequests = 0;
     /** A request was sent before, so that the allowed workers are known in part. */
     bool wasRequested = false;
-    /** The number of tasks planned for each worker while a request is pending, by worker id; capacity is reserved for them. */
+    /** The number of tasks planned for each worker, by worker id; capacity is reserved for them. */
     std::map<std::string, int> plannedTasks;
+    /** Without a pending request the plan is dropped at this time, when the first of its permits expires. */
+    TimePoint planExpiresAt;
     /** After a request that failed, no other one is sent before this time. */
     TimePoint retryAt;
 };
 
+/** Room that is kept for a waiting gang until all its members fit: others of its priority cannot start there. */
+struct GangHold
+{
+    /** The number of members for each worker, by worker id; empty without a hold. */
+    std::map<std::string, int> members;
+    TimePoint endsAt;
+    /** The step gets no other hold before this time, so that it does not keep others out all the time. */
+    TimePoint mayRepeatAt;
+};
+
 struct JobState;
 
 /** One step of one occurrence of a job. */
@@ -95,6 +108,7 @@
     /** The number of tasks that are done. */
     int doneCount = 0;
     StepAdvice advice;
+    GangHold hold;
     /** When the step was created, or when another step of its occurrence was last done. */
     TimePoint readySince;
 
--- a/modules/dispatch/TaskPlacer.cpp
+++ b/modules/dispatch/TaskPlacer.cpp
@@ -116,11 +116,13 @@
             serviceCapacities_[worker->entry.service].add(*worker);
         }
     }
-    // Steps that wait for advice keep their planned capacity.
+    servicesWithHold_.clear();
+    // Steps that wait for advice keep their planned capacity, and waiting gangs the room that is held for them.
     for (const auto &[id, job] : jobManager_.jobs()) {
         for (auto &[number, occurrence] : job->occurrences) {
             for (auto &step : occurrence.steps) {
                 reservePlannedCapacity(step);
+                reserveHeldCapacity(step);
             }
         }
     }
@@ -160,6 +162,10 @@
     } else {
         placeTasks(step);
     }
+    // A gang keeps its plan until it starts: others of its priority would take the room while one member still waits for a stop.
+    if (step.advice.pendingRequests == 0 && (!step.spec().isGang || step.hasRuns())) {
+        releasePlannedCapacity(step);
+    }
 }
 
 int TaskPlacer::countTasksLeft(const StepState &step, const std::string &worker)
@@ -370,9 +376,13 @@
     }
     if (chosen.empty()) {
         const auto members = static_cast<int>(step.tasks.size());
-        if (preemptForTasks(step, members, true) == 0 && step.job->queue.advice) {
+        if (preemptForTasks(step, members, true) > 0) {
+            return;
+        }
+        if (step.job->queue.advice) {
             requestAdvice(step, members, true);
         }
+        holdForGang(step);
         return;
     }
     if (!fleet_.maySendStart()) {
--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dispatch/AdviceShares.h"
 #include "dispatch/Fleet.h"
 #include "dispatch/JobManager.h"
 #include "dispatch/ServiceCapacity.h"
@@ -8,6 +9,8 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
@@ -111,8 +114,17 @@
     void beginRound();
     /** The capacity of the workers of the step's service in this round. */
     ServiceCapacity &getServiceCapacity(const StepState &step);
-    /** Reserves capacity for the tasks that the step's pending advice request plans for. */
+    /** Reserves capacity for the tasks that the step's advice plans for, unless the plan has expired. */
     void reservePlannedCapacity(StepState &step);
+    /** Drops the plan of the step's advice, and its reservations in this round. */
+    void releasePlannedCapacity(StepState &step);
+    /** Reserves the room that is held for a gang, unless the hold has ended or a plan for the gang reserves room already. */
+    void reserveHeldCapacity(StepState &step);
+    /**
+        Holds room on as many workers as a gang needs that has waited for long, though they are in use: single tasks would take each
+        worker that becomes free before the next one does. Bounded in time, and for one gang of a service at a time.
+    */
+    void holdForGang(StepState &step);
     /** What a stop of the run now would cost. */
     PreemptionCost computePreemptionCost(const std::string &worker, const RunKey &key);
     /** Which runs the step may preempt: the more it gains by its start, the more a stop may cost. Empty if it may preempt none. */
@@ -143,7 +155,8 @@
     /** Sends the stops. @param step the step that the runs make room for */
     void preempt(const StepState &step, const std::vector<std::pair<std::string, RunKey>> &runsToStop);
     /**
-        Asks the advisory service which workers the step may use, unless a request is pending or could not be sent at once.
+        Asks the advisory service which workers the step may use, unless a request is pending or could not be sent at once. A gang
+        sends several requests together if one cannot name enough workers.
 
         @param taskCount      the tasks that could not be placed
         @param isAllOrNothing the tasks start only if all of them fit
@@ -167,6 +180,21 @@
     static void sortByUtilization(std::vector<WorkerCapacity *> &workerCapacities);
     /** Chooses the workers to name in an advice request and plans tasks for them; empty if no request should be sent now. */
     std::vector<WorkerCapacity *> chooseAdviceTargets(StepState &step, int taskCount, bool isAllOrNothing);
+    /**
+        How many workers to name in the next requests of a gang, so that enough of them can be expected to be allowed.
+
+        @param allowed the workers that are known to be allowed
+        @param unknown the workers to name, in this order
+    */
+    std::size_t estimateWorkersToAsk(const StepState &step,
+                                     const std::vector<WorkerCapacity *> &allowed,
+                                     const std::vector<WorkerCapacity *> &unknown,
+                                     int taskCount) const;
+    /** Sends one request that names these workers. */
+    void sendAdviceRequest(StepState &step, std::span<WorkerCapacity *const> workerCapacities);
+    /** Reduces the plan to workers with a valid permit once all requests are answered; that of a gang is kept whole or not at all.
+     */
+    void keepPermittedPlan(StepState &step);
     /**
         Plans on which of the workers the tasks would start, and stores the plan in the step's advice.
 
@@ -190,10 +218,13 @@
     std::map<std::string, ServiceCapacity> serviceCapacities_;
     /** The results of hasUnreadWorkers in this round, by service. */
     std::map<std::string, bool> unreadByService_;
+    /** The services on whose workers room is held for a gang in this round. */
+    std::set<std::string> servicesWithHold_;
     /** Advice requests that are expected to take this long or longer cannot be sent in this round any more. */
     Milliseconds unsendableAdviceTime_ = Milliseconds::max();
     /** The last step that an interrupted round has placed; the next round continues after it. */
     std::optional<StepRank> resumeAfter_;
+    AdviceShares adviceShares_;
     std::shared_ptr<bool> isAlive_;
 };
 
--- a/modules/dispatch/TaskPlacerAdvice.cpp
+++ b/modules/dispatch/TaskPlacerAdvice.cpp
@@ -11,6 +11,8 @@
 constexpr Milliseconds permitExpiryMargin { 80 };
 // The chain of work from which a job's objective is derived counts one advice request about this many workers.
 constexpr std::size_t maxWorkersPerRequest = 30;
+// The requests of a gang name this many times the workers that are expected to suffice.
+constexpr double gangRequestMargin = 1.3;
 constexpr Milliseconds adviceTimeout { 4000 };
 constexpr Milliseconds adviceRetryDelay { 150 };
 
@@ -23,6 +25,12 @@
 
 void TaskPlacer::reservePlannedCapacity(StepState &step)
 {
+    if (step.advice.plannedTasks.empty()) {
+        return;
+    }
+    if (step.advice.pendingRequests == 0 && step.advice.planExpiresAt <= timers_.now()) {
+        step.advice.plannedTasks.clear();
+    }
     for (const auto &[id, count] : step.advice.plannedTasks) {
         auto *workerCapacity = getServiceCapacity(step).find(id);
         if (workerCapacity == nullptr) {
@@ -35,6 +43,16 @@
     }
 }
 
+void TaskPlacer::releasePlannedCapacity(StepState &step)
+{
+    for (const auto &[id, count] : step.advice.plannedTasks) {
+        if (auto *workerCapacity = getServiceCapacity(step).find(id)) {
+            std::erase_if(workerCapacity->reservations, [&step](const auto &reservation) { return reservation.step == &step; });
+        }
+    }
+    step.advice.plannedTasks.clear();
+}
+
 TaskPlacer::AdviceTargets TaskPlacer::findAdviceTargets(StepState &step, bool isAllOrNothing)
 {
     AdviceTargets targets;
@@ -88,10 +106,13 @@
     if (planTasks(step, targets.known, taskCount, isAllOrNothing)) {
         preemptForPlannedTasks(step);
         // The set of allowed workers of a step never changes, so these workers will be permitted again.
-        std::erase_if(targets.known, [&step](const WorkerCapacity *workerCapacity) {
-            return !step.advice.plannedTasks.contains(workerCapacity->worker->entry.id);
+        auto &advice = step.advice;
+        const auto answeredAt = timers_.now() + estimateResponseTime(*step.job->queue.advice, maxWorkersPerRequest);
+        advice.planExpiresAt = answeredAt;
+        std::erase_if(targets.known, [&advice, answeredAt](const WorkerCapacity *workerCapacity) {
+            const auto &id = workerCapacity->worker->entry.id;
+            return !advice.plannedTasks.contains(id) || advice.allowed.at(id).expiresAt > answeredAt;
         });
-        targets.known.resize(std::min(targets.known.size(), maxWorkersPerRequest));
         return targets.known;
     }
     auto chosen = std::move(targets.unknownWithFreeCapacity);
@@ -101,13 +122,44 @@
         sortByUtilization(targets.unknownWithoutFreeCapacity);
         chosen.insert(chosen.end(), targets.unknownWithoutFreeCapacity.begin(), targets.unknownWithoutFreeCapacity.end());
     }
-    chosen.resize(std::min(chosen.size(), maxWorkersPerRequest));
+    const auto limit = isAllOrNothing ? estimateWorkersToAsk(step, targets.known, chosen, taskCount) : maxWorkersPerRequest;
+    chosen.resize(std::min(chosen.size(), limit));
     if (isFirstRequest || !isAllOrNothing) {
         planTasks(step, chosen, taskCount, isAllOrNothing);
     }
     return chosen;
 }
 
+std::size_t TaskPlacer::estimateWorkersToAsk(const StepState &step,
+                                             const std::vector<WorkerCapacity *> &allowed,
+                                             const std::vector<WorkerCapacity *> &unknown,
+                                             int taskCount) const
+{
+    const auto need = JobManager::makeClaim(step).need;
+    const auto countTasksThatFit = [&](const WorkerCapacity &workerCapacity) {
+        const auto &entry = workerCapacity.worker->entry;
+        auto available = entry.capacity;
+        const int maxTasks = countTasksLeft(step, entry.id);
+        int count = 0;
+        while (count < maxTasks && need.fitsIn(available)) {
+            available -= need;
+            ++count;
+        }
+        return count;
+    };
+    double missingTasks = taskCount;
+    for (auto next = allowed.begin(); next != allowed.end() && missingTasks > 0; ++next) {
+        missingTasks -= countTasksThatFit(**next);
+    }
+    missingTasks *= gangRequestMargin / adviceShares_.allowedShare(step.job->queue.name);
+    std::size_t count = 0;
+    while (count < unknown.size() && missingTasks > 0) {
+        missingTasks -= countTasksThatFit(*unknown[count]);
+        ++count;
+    }
+    return std::max(count, maxWorkersPerRequest);
+}
+
 bool TaskPlacer::planTasks(StepState &step,
                            const std::vector<WorkerCapacity *> &workerCapacities,
                            int taskCount,
@@ -149,7 +201,7 @@
 void TaskPlacer::requestAdvice(StepState &step, int taskCount, bool isAllOrNothing)
 {
     auto &advice = step.advice;
-    if (advice.isRequestPending || timers_.now() < advice.retryAt) {
+    if (advice.pendingRequests > 0 || timers_.now() < advice.retryAt) {
         return;
     }
     // A request that has to queue would reserve capacity for too long and be answered too late. It is left to the next round, which
@@ -160,21 +212,31 @@
         unsendableAdviceTime_ = std::min(unsendableAdviceTime_, expectedTime);
         return;
     }
+    releasePlannedCapacity(step);
     const auto chosen = chooseAdviceTargets(step, taskCount, isAllOrNothing);
-    if (chosen.empty()) {
-        return;
+    // Requests that are sent together are answered together, so that their permits are valid at the same time.
+    for (std::size_t first = 0; first < chosen.size(); first += maxWorkersPerRequest) {
+        if (first > 0 && !advisor_.canSendNow(expectedTime)) {
+            break;
+        }
+        const auto last = std::min(first + maxWorkersPerRequest, chosen.size());
+        sendAdviceRequest(step, { chosen.data() + first, last - first });
     }
+    reservePlannedCapacity(step);
+}
+
+void TaskPlacer::sendAdviceRequest(StepState &step, std::span<WorkerCapacity *const> workerCapacities)
+{
     AdviceRequest request;
     request.step = { step.job->spec.id, step.occurrence, step.index, 0 };
-    for (const auto *workerCapacity : chosen) {
+    for (const auto *workerCapacity : workerCapacities) {
         request.workers.push_back(workerCapacity->worker->entry.id);
     }
-    reservePlannedCapacity(step);
-    request.expected = estimateResponseTime(policy, request.workers.size());
+    request.expected = estimateResponseTime(*step.job->queue.advice, request.workers.size());
     request.timeout = adviceTimeout;
     request.priority = step.job->queue.priority;
-    advice.isRequestPending = true;
-    advice.wasRequested = true;
+    ++step.advice.pendingRequests;
+    step.advice.wasRequested = true;
     advisor_.ask(request, [this, isAlive = isAlive_, request](const AdviceResult &result) {
         if (*isAlive) {
             onAdvice(request.step, request.workers, result);
@@ -190,15 +252,16 @@
         return;
     }
     auto &advice = step->advice;
-    advice.isRequestPending = false;
-    advice.plannedTasks.clear();
+    --advice.pendingRequests;
     jobManager_.capacityChanged();
     if (result.outcome != AdviceResult::Outcome::Answered) {
         advice.retryAt = timers_.now() + adviceRetryDelay;
+        keepPermittedPlan(*step);
         return;
     }
     const auto &policy = job->second->queue.advice;
     const auto validity = result.validity > Milliseconds(0) || !policy ? result.validity : policy->permitValidity;
+    adviceShares_.add(job->second->queue.name, askedWorkers.size(), result.permits.size());
     advice.denied.insert(askedWorkers.begin(), askedWorkers.end());
     for (const auto &permit : result.permits) {
         advice.denied.erase(permit.worker);
@@ -208,9 +271,34 @@
                                               worker->entry.incarnation };
         }
     }
+    keepPermittedPlan(*step);
     EventLog::writeRateLimited(
         "advice",
         { { "job", name.job }, { "step", name.step }, { "asked", askedWorkers.size() }, { "allowed", result.permits.size() } });
 }
 
+void TaskPlacer::keepPermittedPlan(StepState &step)
+{
+    auto &advice = step.advice;
+    if (advice.pendingRequests > 0) {
+        return;
+    }
+    const auto now = timers_.now();
+    advice.planExpiresAt = TimePoint::max();
+    int plannedCount = 0;
+    std::erase_if(advice.plannedTasks, [&](const auto &planned) {
+        const auto permit = advice.allowed.find(planned.first);
+        if (permit == advice.allowed.end() || permit->second.expiresAt <= now) {
+            return true;
+        }
+        advice.planExpiresAt = std::min(advice.planExpiresAt, permit->second.expiresAt);
+        plannedCount += planned.second;
+        return false;
+    });
+    // A gang gains nothing from a part of its plan, which would keep others out.
+    if (step.spec().isGang && plannedCount < static_cast<int>(step.tasks.size())) {
+        advice.plannedTasks.clear();
+    }
+}
+
 } // namespace auburndoor
--- a/modules/dispatch/WorkerCapacity.h
+++ b/modules/dispatch/WorkerCapacity.h
@@ -40,7 +40,7 @@
     PreemptionCost cost = PreemptionCost::Tolerable;
 };
 
-/** Capacity reserved for one task of a step whose advice request is pending. */
+/** Capacity reserved for one task: for the plan of a step's advice, or held for a gang. */
 struct CapacityReservation
 {
     /** Identifies the step; compared only. */
--- a/modules/entry/OwnershipGuard.cpp
+++ b/modules/entry/OwnershipGuard.cpp
@@ -13,7 +13,8 @@
 namespace {
 
 // Other processes replace an owner at the earliest after it has not answered a heartbeat request for 600 ms (heartbeatDelay +
-// heartbeatGracePeriod in LeadershipTiming); an owner that has announced lateness is given longer. Shorter gaps occur in a busy process.
+// heartbeatGracePeriod in LeadershipTiming); an owner that has announced lateness is given longer. Shorter gaps occur in a busy
+// process.
 constexpr Milliseconds minSuspension { 550 };
 constexpr Milliseconds confirmRetryDelay { 150 };
 
--- a/tests/dispatch/OwnerFixture.cpp
+++ b/tests/dispatch/OwnerFixture.cpp
@@ -36,7 +36,7 @@
     lastRequestAt = timers_.now();
     AdviceResult result;
     result.outcome = AdviceResult::Outcome::Answered;
-    result.validity = Milliseconds(1500);
+    result.validity = validity;
     for (const auto &worker : request.workers) {
         if (!denied.contains(worker)) {
             result.permits.push_back({ worker, "ticket-" + worker });
--- a/tests/dispatch/OwnerFixture.h
+++ b/tests/dispatch/OwnerFixture.h
@@ -30,6 +30,8 @@
     int requestCount = 0;
     TimePoint lastRequestAt;
     Milliseconds responseTime { 20 };
+    /** How long the permits of an answer are valid. */
+    Milliseconds validity { 1500 };
 
 private:
     Timers &timers_;
