Compare step ranks by an operator that clang-tidy reads without a false positive

Change: operator< with std::tie, and isLost is a bool again. No check is silenced. Behaviour is unchanged.

--- a/modules/dispatch/TaskPlacer.cpp
+++ b/modules/dispatch/TaskPlacer.cpp
@@ -74,7 +74,7 @@
 TaskPlacer::StepRank TaskPlacer::computeRank(const StepState &step, TimePoint now)
 {
     const auto &job = *step.job;
-    return { now > computeFinalDeadline(job) ? 1 : 0,
+    return { now > computeFinalDeadline(job),
              job.queue.priority,
              !canBeInTime(step, now),
              job.objective,
--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -12,6 +12,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -71,8 +72,8 @@
     /** The sort key of a step in a round of placement; the smallest is served first. */
     struct StepRank
     {
-        /** 1 if its job is past its final deadline, so that it gains nothing from going before work that is not; else 0. */
-        int lostClass = 0;
+        /** Its job is past its final deadline, so that it gains nothing from going before work that is not. */
+        bool isLost = false;
         int priority = 0;
         /** Its job cannot be in time any more, even if the step started now. */
         bool isLate = false;
@@ -81,7 +82,11 @@
         int occurrence = 0;
         int step = 0;
 
-        auto operator<=>(const StepRank &other) const = default;
+        bool operator<(const StepRank &other) const
+        {
+            return std::tie(isLost, priority, isLate, objective, job, occurrence, step)
+                   < std::tie(other.isLost, other.priority, other.isLate, other.objective, other.job, other.occurrence, other.step);
+        }
     };
 
     static StepRank computeRank(const StepState &step, TimePoint now);
