A process that has just started waits longer for its first heartbeat

Also: a gang with a kept plan does not search again until the plan expires, one that found nothing to ask searches again after 50 ms, and holds are searched for once a second: each search visits all workers of the service.

--- a/modules/dispatch/TaskPlacerAdvice.cpp
+++ b/modules/dispatch/TaskPlacerAdvice.cpp
@@ -15,6 +15,8 @@
 constexpr double gangRequestMargin = 1.3;
 constexpr Milliseconds adviceTimeout { 4000 };
 constexpr Milliseconds adviceRetryDelay { 150 };
+// Time until a gang that has found no workers to ask for searches again.
+constexpr Milliseconds gangSearchDelay { 50 };
 
 Milliseconds estimateResponseTime(const AdvicePolicy &policy, std::size_t workers)
 {
@@ -201,7 +203,9 @@
 void TaskPlacer::requestAdvice(StepState &step, int taskCount, bool isAllOrNothing)
 {
     auto &advice = step.advice;
-    if (advice.pendingRequests > 0 || timers_.now() < advice.retryAt) {
+    const auto now = timers_.now();
+    const bool hasKeptPlan = isAllOrNothing && !advice.plannedTasks.empty() && now < advice.planExpiresAt;
+    if (advice.pendingRequests > 0 || now < advice.retryAt || hasKeptPlan) {
         return;
     }
     // A request that has to queue would reserve capacity for too long and be answered too late. It is left to the next round, which
@@ -214,6 +218,10 @@
     }
     releasePlannedCapacity(step);
     const auto chosen = chooseAdviceTargets(step, taskCount, isAllOrNothing);
+    if (chosen.empty() && isAllOrNothing) {
+        // The search visits each worker of the service for each waiting gang, and there is a round every few milliseconds.
+        advice.retryAt = now + gangSearchDelay;
+    }
     // Requests that are sent together are answered together, so that their permits are valid at the same time.
     for (std::size_t first = 0; first < chosen.size(); first += maxWorkersPerRequest) {
         if (first > 0 && !advisor_.canSendNow(expectedTime)) {
--- a/modules/dispatch/TaskPlacerGangs.cpp
+++ b/modules/dispatch/TaskPlacerGangs.cpp
@@ -8,6 +8,8 @@
 // Room that is held stands empty, so a hold is the last resort against starvation.
 constexpr Milliseconds minWaitBeforeHold { 10000 };
 constexpr Milliseconds maxHoldDuration { 3000 };
+// Time until the next search after one that has found too few workers.
+constexpr Milliseconds retryDelay { 1000 };
 
 } // namespace
 
@@ -65,6 +67,8 @@
         }
     }
     if (missing > 0) {
+        // The search visits each worker of the service, and there is a round of placement every few milliseconds.
+        step.hold.mayRepeatAt = now + retryDelay;
         return;
     }
     EventLog::writeRateLimited("gang.held",
--- a/modules/entry/Leadership.cpp
+++ b/modules/entry/Leadership.cpp
@@ -174,7 +174,8 @@
     }
     ++heartbeatRound;
     expectedHeartbeatDelay = timing.heartbeatDelay;
-    heartbeatGracePeriod = timing.heartbeatGracePeriod;
+    // Nothing is known yet of how busy the owner is, nor of members that could be asked about it.
+    heartbeatGracePeriod = HeartbeatPacing::computeGracePeriod(Milliseconds::max(), timing.heartbeatGracePeriod);
     requestHeartbeat();
 }
 
--- a/tests/entry/LeadershipTests.cpp
+++ b/tests/entry/LeadershipTests.cpp
@@ -183,6 +183,25 @@
     CHECK(fixture.waitForOwner(token + 1, Milliseconds(10000)) != nullptr);
 }
 
+// The pattern is a judge without evidence: a process that has just started knows neither the owner's pace nor other processes that it
+// could ask, and replaces an owner that is busy with the requests of many such processes.
+TEST_CASE("a process that has just started does not replace an owner whose first heartbeat is late")
+{
+    LeadershipFixture fixture { 1.0 };
+    auto *owner = fixture.waitForOwner(1);
+    REQUIRE(owner != nullptr);
+    const auto token = fixture.highestToken();
+    owner->heartbeatLateness = Milliseconds(1200);
+    for (int number = 1; number <= 3; ++number) {
+        fixture.processes.push_back(std::make_unique<Process>(fixture.loop, fixture.store, "n" + std::to_string(number), 1.0));
+    }
+    fixture.runFor(Milliseconds(4000));
+    CHECK(fixture.highestToken() == token);
+    // An owner that does not answer at all is replaced by them nevertheless.
+    owner->heartbeatLateness = Milliseconds(60000);
+    CHECK(fixture.waitForOwner(token + 1, Milliseconds(10000)) != nullptr);
+}
+
 // Guards against a cell that stays without an owner after a kill.
 TEST_CASE("a killed owner is replaced by another process with a higher token")
 {
