--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -197,8 +197,7 @@
                                      int taskCount) const;
     /** Sends one request that names these workers. */
     void sendAdviceRequest(StepState &step, std::span<WorkerCapacity *const> workerCapacities);
-    /** Reduces the plan to workers with a valid permit once all requests are answered; that of a gang is kept whole or not at all.
-     */
+    /** Once all requests are answered, keeps the plan of a gang that has all its permits, and drops any other. */
     void keepPermittedPlan(StepState &step);
     /**
         Plans on which of the workers the tasks would start, and stores the plan in the step's advice.
--- a/modules/dispatch/TaskPlacerAdvice.cpp
+++ b/modules/dispatch/TaskPlacerAdvice.cpp
@@ -303,8 +303,9 @@
         plannedCount += planned.second;
         return false;
     });
-    // A gang gains nothing from a part of its plan, which would keep others out.
-    if (step.spec().isGang && plannedCount < static_cast<int>(step.tasks.size())) {
+    // Single tasks start one by one where there is room, and a gang gains nothing from a part of its plan: both would keep others
+    // out until the step's turn, which a long queue delays.
+    if (!step.spec().isGang || plannedCount < static_cast<int>(step.tasks.size())) {
         advice.plannedTasks.clear();
     }
 }
--- a/tests/entry/LeadershipTests.cpp
+++ b/tests/entry/LeadershipTests.cpp
@@ -183,8 +183,8 @@
     CHECK(fixture.waitForOwner(token + 1, Milliseconds(10000)) != nullptr);
 }
 
-// The pattern is a judge without evidence: a process that has just started knows neither the owner's pace nor other processes that it
-// could ask, and replaces an owner that is busy with the requests of many such processes.
+// The pattern is a judge without evidence: a process that has just started knows neither the owner's pace nor other processes that
+// it could ask, and replaces an owner that is busy with the requests of many such processes.
 TEST_CASE("a process that has just started does not replace an owner whose first heartbeat is late")
 {
     LeadershipFixture fixture { 1.0 };
