--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -185,6 +185,8 @@
     static void sortByUtilization(std::vector<WorkerCapacity *> &workerCapacities);
     /** Chooses the workers to name in an advice request and plans tasks for them; empty if no request should be sent now. */
     std::vector<WorkerCapacity *> chooseAdviceTargets(StepState &step, int taskCount, bool isAllOrNothing);
+    /** How many more tasks of the step the worker could hold without its other work. */
+    static int countTasksThatFit(const StepState &step, const WorkerCapacity &workerCapacity);
     /**
         How many workers to name in the next requests of a gang, so that enough of them can be expected to be allowed.
 
--- a/modules/dispatch/TaskPlacerAdvice.cpp
+++ b/modules/dispatch/TaskPlacerAdvice.cpp
@@ -132,31 +132,33 @@
     return chosen;
 }
 
+int TaskPlacer::countTasksThatFit(const StepState &step, const WorkerCapacity &workerCapacity)
+{
+    const auto need = JobManager::makeClaim(step).need;
+    const auto &entry = workerCapacity.worker->entry;
+    auto available = entry.capacity;
+    const int maxTasks = countTasksLeft(step, entry.id);
+    int count = 0;
+    while (count < maxTasks && need.fitsIn(available)) {
+        available -= need;
+        ++count;
+    }
+    return count;
+}
+
 std::size_t TaskPlacer::estimateWorkersToAsk(const StepState &step,
                                              const std::vector<WorkerCapacity *> &allowed,
                                              const std::vector<WorkerCapacity *> &unknown,
                                              int taskCount) const
 {
-    const auto need = JobManager::makeClaim(step).need;
-    const auto countTasksThatFit = [&](const WorkerCapacity &workerCapacity) {
-        const auto &entry = workerCapacity.worker->entry;
-        auto available = entry.capacity;
-        const int maxTasks = countTasksLeft(step, entry.id);
-        int count = 0;
-        while (count < maxTasks && need.fitsIn(available)) {
-            available -= need;
-            ++count;
-        }
-        return count;
-    };
     double missingTasks = taskCount;
     for (auto next = allowed.begin(); next != allowed.end() && missingTasks > 0; ++next) {
-        missingTasks -= countTasksThatFit(**next);
+        missingTasks -= countTasksThatFit(step, **next);
     }
     missingTasks *= gangRequestMargin / adviceShares_.allowedShare(step.job->queue.name);
     std::size_t count = 0;
     while (count < unknown.size() && missingTasks > 0) {
-        missingTasks -= countTasksThatFit(*unknown[count]);
+        missingTasks -= countTasksThatFit(step, *unknown[count]);
         ++count;
     }
     return std::max(count, maxWorkersPerRequest);
--- a/modules/dispatch/TaskPlacerGangs.cpp
+++ b/modules/dispatch/TaskPlacerGangs.cpp
@@ -1,6 +1,8 @@
 #include "dispatch/TaskPlacer.h"
 #include "observability/EventLog.h"
 
+#include <algorithm>
+
 namespace auburndoor {
 
 namespace {
@@ -9,7 +11,7 @@
 constexpr Milliseconds minWaitBeforeHold { 10000 };
 constexpr Milliseconds maxHoldDuration { 3000 };
 // Time until the next search after one that has found too few workers.
-constexpr Milliseconds retryDelay { 1000 };
+constexpr Milliseconds holdSearchDelay { 1000 };
 
 } // namespace
 
@@ -44,7 +46,6 @@
         return;
     }
     auto &serviceCapacity = getServiceCapacity(step);
-    const auto claim = JobManager::makeClaim(step);
     const auto &label = step.spec().requiredLabel;
     std::vector<WorkerCapacity *> usable;
     for (auto &workerCapacity : serviceCapacity.workerCapacities()) {
@@ -55,20 +56,17 @@
     }
     sortByUtilization(usable);
     std::map<std::string, int> members;
-    std::size_t missing = step.tasks.size();
+    auto missing = static_cast<int>(step.tasks.size());
     for (auto next = usable.begin(); next != usable.end() && missing > 0; ++next) {
-        const auto &entry = (*next)->worker->entry;
-        auto available = entry.capacity;
-        const int maxTasks = countTasksLeft(step, entry.id);
-        for (int task = 0; task < maxTasks && missing > 0 && claim.need.fitsIn(available); ++task) {
-            available -= claim.need;
-            ++members[entry.id];
-            --missing;
+        const auto count = std::min(missing, countTasksThatFit(step, **next));
+        if (count > 0) {
+            members[(*next)->worker->entry.id] = count;
+            missing -= count;
         }
     }
     if (missing > 0) {
         // The search visits each worker of the service, and there is a round of placement every few milliseconds.
-        step.hold.mayRepeatAt = now + retryDelay;
+        step.hold.mayRepeatAt = now + holdSearchDelay;
         return;
     }
     EventLog::writeRateLimited("gang.held",
