--- a/modules/dispatch/TaskPlacerGangs.cpp
+++ b/modules/dispatch/TaskPlacerGangs.cpp
@@ -2,6 +2,7 @@
 #include "observability/EventLog.h"
 
 #include <algorithm>
+#include <set>
 
 namespace auburndoor {
 
@@ -15,6 +16,74 @@
 
 } // namespace
 
+std::vector<TaskPlacer::Candidate *> TaskPlacer::fitGang(StepState &step,
+                                                         std::vector<Candidate> &candidates,
+                                                         const std::string &rack) const
+{
+    std::vector<Candidate *> chosen;
+    const auto need = JobManager::makeClaim(step).need;
+    for (const auto &task : step.tasks) {
+        auto *candidate = chooseCandidate(step, task, candidates, rack);
+        if (candidate == nullptr) {
+            break;
+        }
+        candidate->free -= need;
+        --candidate->tasksLeft;
+        chosen.push_back(candidate);
+    }
+    for (auto *candidate : chosen) {
+        candidate->free += need;
+        ++candidate->tasksLeft;
+    }
+    if (chosen.size() != step.tasks.size()) {
+        chosen.clear();
+    }
+    return chosen;
+}
+
+void TaskPlacer::placeGang(StepState &step)
+{
+    auto candidates = findCandidates(step);
+    std::vector<Candidate *> chosen;
+    if (step.spec().prefersOneRack) {
+        std::set<std::string> racks;
+        for (const auto &candidate : candidates) {
+            racks.insert(candidate.workerCapacity->worker->entry.rack());
+        }
+        for (auto rack = racks.begin(); rack != racks.end() && chosen.empty(); ++rack) {
+            chosen = fitGang(step, candidates, *rack);
+        }
+    }
+    if (chosen.empty()) {
+        chosen = fitGang(step, candidates, {});
+    }
+    if (chosen.empty()) {
+        const auto members = static_cast<int>(step.tasks.size());
+        if (preemptForTasks(step, members, true) > 0) {
+            return;
+        }
+        if (step.job->queue.advice) {
+            requestAdvice(step, members, true);
+        }
+        holdForGang(step);
+        return;
+    }
+    if (!fleet_.maySendStart()) {
+        return;
+    }
+    // All members start with the same attempt number and checkpoint.
+    std::int64_t attempt = 0;
+    std::string checkpoint;
+    for (const auto &task : step.tasks) {
+        attempt = std::max(attempt, jobManager_.nextAttempt(task));
+        checkpoint = task.checkpoint.empty() ? checkpoint : task.checkpoint;
+    }
+    for (std::size_t index = 0; index < step.tasks.size(); ++index) {
+        step.tasks[index].checkpoint = checkpoint;
+        start(step, static_cast<int>(index), *chosen[index], attempt);
+    }
+}
+
 void TaskPlacer::reserveHeldCapacity(StepState &step)
 {
     auto &members = step.hold.members;
