Report what rounds of placement cost, and services whose tasks wait

Callers saw accepted services that did not run (LOST) and too little served (SHORT) on a deployment of 1,100 workers.

Change: the event placement.rounds once a second (rounds, interrupted ones, steps passed and searched, workers visited, time, longest round, backlog), and service.waiting for tasks of a running service that have not been at work for over 2 s (how long, whether they rank as lost work, allowed workers, pending requests). No decision changes.

--- a/modules/dispatch/JobManagerRuns.cpp
+++ b/modules/dispatch/JobManagerRuns.cpp
@@ -105,6 +105,7 @@
                                  { "worker", worker },
                                  { "how", name(ended.end) } });
     std::erase(task->runs, RunPlace { worker, ended.attempt });
+    task->idleSince = timers_.now();
     task->lastAttempt = std::max(task->lastAttempt, ended.attempt);
     if (!ended.checkpoint.empty() && !task->isDone) {
         task->checkpoint = ended.checkpoint;
@@ -250,6 +251,7 @@
         return;
     }
     std::erase(task->runs, RunPlace { worker, key.attempt });
+    task->idleSince = timers_.now();
     auto &step = *job->step(key.task.occurrence, key.task.step);
     if (outcome == CommandOutcome::PermitRejected) {
         step.advice.allowed.erase(worker);
--- a/modules/dispatch/JobState.h
+++ b/modules/dispatch/JobState.h
@@ -51,6 +51,8 @@
     std::vector<RunPlace> runs;
     /** How often one of its runs was stopped for more urgent work. */
     int preemptionCount = 0;
+    /** When its last run ended or was lost; TimePoint() if none has. */
+    TimePoint idleSince;
     /** The worker on which it last failed; placement prefers others. */
     std::string failedOn;
 
--- a/modules/dispatch/TaskPlacer.cpp
+++ b/modules/dispatch/TaskPlacer.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace auburndoor {
 
@@ -110,6 +111,7 @@
     serviceCapacities_.clear();
     unreadByService_.clear();
     unsendableAdviceTime_ = Milliseconds::max();
+    statistics_.workersVisited += static_cast<long long>(fleet_.workers().size());
     for (const auto &[id, worker] : fleet_.workers()) {
         if (fleet_.isUsable(*worker)) {
             serviceCapacities_[worker->entry.service].add(*worker);
@@ -132,16 +134,35 @@
     return serviceCapacities_[step.job->queue.service];
 }
 
+PlacementStatistics TaskPlacer::takeStatistics()
+{
+    return std::exchange(statistics_, {});
+}
+
 bool TaskPlacer::place()
+{
+    const auto startedAt = timers_.now();
+    const bool isComplete = runRound();
+    const auto duration = std::chrono::duration_cast<std::chrono::microseconds>(timers_.now() - startedAt);
+    ++statistics_.rounds;
+    statistics_.interruptedRounds += isComplete ? 0 : 1;
+    statistics_.duration += duration;
+    statistics_.longestRound = std::max(statistics_.longestRound, duration);
+    return isComplete;
+}
+
+bool TaskPlacer::runRound()
 {
     const auto startedAt = timers_.now();
     beginRound();
     auto steps = findReadySteps();
+    statistics_.backlog = static_cast<long long>(steps.size());
     const auto first = resumeAfter_ ? std::find_if(
                            steps.begin(), steps.end(), [this](const auto &step) { return *resumeAfter_ < step.first; })
                                     : steps.begin();
     resumeAfter_.reset();
     for (auto next = first; next != steps.end(); ++next) {
+        ++statistics_.stepsPassed;
         placeStep(*next->second);
         if (timers_.now() - startedAt > maxRoundDuration && next + 1 != steps.end()) {
             resumeAfter_ = next->first;
@@ -204,7 +225,9 @@
     if (!serviceCapacity.mayHaveFree(JobManager::makeClaim(step).need)) {
         return candidates;
     }
+    ++statistics_.stepsSearched;
     const auto addCandidate = [&](WorkerCapacity &workerCapacity, const StepAdvice::WorkerPermit *permit) {
+        ++statistics_.workersVisited;
         if (auto candidate = makeCandidate(step, workerCapacity)) {
             candidate->permit = permit;
             candidates.push_back(*candidate);
--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -3,6 +3,7 @@
 #include "dispatch/AdviceShares.h"
 #include "dispatch/Fleet.h"
 #include "dispatch/JobManager.h"
+#include "dispatch/PlacementStatistics.h"
 #include "dispatch/ServiceCapacity.h"
 #include "workload/Advisor.h"
 
@@ -56,6 +57,9 @@
     /** Ignores answers to advice requests from now on. */
     void close();
 
+    /** Returns what the rounds since the last call have cost. */
+    PlacementStatistics takeStatistics();
+
 private:
     /** A worker on which tasks of a step may start now. */
     struct Candidate
@@ -89,6 +93,8 @@
         }
     };
 
+    /** Places the steps in the order of their ranks. @return false if the next call has to go on */
+    bool runRound();
     static StepRank computeRank(const StepState &step, TimePoint now);
     /** The steps that have tasks to place, in the order of their ranks. */
     std::vector<std::pair<StepRank, StepState *>> findReadySteps();
@@ -210,6 +216,8 @@
     void onAdvice(const TaskName &step, const std::vector<std::string> &askedWorkers, const AdviceResult &result);
     /** Starts a copy of each task whose only run is slow, or runs on a worker that does not answer polls. */
     void startSpeculativeCopies(StepState &step);
+    /** Logs that a task of a running service has not been at work for long. */
+    void reportWaitingServiceTasks(const StepState &step) const;
     /** Stops runs that can go on elsewhere, those of services and of steps that save their progress. */
     void stopRunsOnDrainingWorkers(StepState &step);
     /** Pauses best-effort runs while a latency-sensitive run is on the worker, and resumes them afterwards. */
@@ -231,6 +239,7 @@
     /** The last step that an interrupted round has placed; the next round continues after it. */
     std::optional<StepRank> resumeAfter_;
     AdviceShares adviceShares_;
+    PlacementStatistics statistics_;
     std::shared_ptr<bool> isAlive_;
 };
 
--- a/modules/dispatch/TaskPlacerAdvice.cpp
+++ b/modules/dispatch/TaskPlacerAdvice.cpp
@@ -63,6 +63,7 @@
     const auto now = timers_.now();
     const auto right = findPreemptionRight(step);
     const auto &label = step.spec().requiredLabel;
+    statistics_.workersVisited += static_cast<long long>(getServiceCapacity(step).workerCapacities().size());
     for (auto &workerCapacity : getServiceCapacity(step).workerCapacities()) {
         const auto &entry = workerCapacity.worker->entry;
         if (!claim.need.fitsIn(entry.capacity) || (!label.empty() && !entry.hasLabel(label)) || advice.denied.contains(entry.id)
--- a/modules/dispatch/TaskPlacerMaintenance.cpp
+++ b/modules/dispatch/TaskPlacerMaintenance.cpp
@@ -11,6 +11,8 @@
 // time is at least the estimate of a new run.
 constexpr Milliseconds minElapsedBeforeCopy { 500 };
 constexpr double slowTaskFactor = 1.3;
+// A task of a running service that has not been at work for longer is logged.
+constexpr Milliseconds maxServiceAbsence { 2000 };
 
 } // namespace
 
@@ -24,6 +26,7 @@
         for (auto &[number, occurrence] : job->occurrences) {
             for (auto &step : occurrence.steps) {
                 stopRunsOnDrainingWorkers(step);
+                reportWaitingServiceTasks(step);
                 if (step.spec().allowsCopies && !step.isDone()) {
                     startSpeculativeCopies(step);
                 }
@@ -78,6 +81,33 @@
     }
 }
 
+void TaskPlacer::reportWaitingServiceTasks(const StepState &step) const
+{
+    if (!step.spec().isService || !step.job->hasBegun) {
+        return;
+    }
+    const auto now = timers_.now();
+    int waitingTasks = 0;
+    Milliseconds longestWait { 0 };
+    for (const auto &task : step.tasks) {
+        const auto wait = std::chrono::duration_cast<Milliseconds>(now - std::max(task.idleSince, step.readySince));
+        if (task.isIdle() && wait > maxServiceAbsence) {
+            ++waitingTasks;
+            longestWait = std::max(longestWait, wait);
+        }
+    }
+    if (waitingTasks > 0) {
+        const auto rank = computeRank(step, now);
+        EventLog::writeRateLimited("service.waiting",
+                                   { { "job", step.job->spec.id },
+                                     { "tasks", waitingTasks },
+                                     { "waited_ms", longestWait.count() },
+                                     { "ranked_lost", rank.isLost },
+                                     { "allowed", step.advice.allowed.size() },
+                                     { "pending_requests", step.advice.pendingRequests } });
+    }
+}
+
 void TaskPlacer::stopRunsOnDrainingWorkers(StepState &step)
 {
     if (step.isDone() || (!step.spec().isService && !step.spec().savesProgress)) {
--- a/modules/entry/Owner.cpp
+++ b/modules/entry/Owner.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr Milliseconds maintenanceInterval { 200 };
+constexpr Milliseconds placementReportInterval { 1000 };
 // Workers report about every 1.5 seconds, so reading their table more often than this shows little more.
 constexpr WatchTiming workerWatchTiming { Milliseconds(1500), Milliseconds(250), Milliseconds(200) };
 // The lease for workers; fleetTiming() lowers it to 3/4 of the longest lease that they accept. The remaining quarter allows for the
@@ -94,6 +95,28 @@
     });
 }
 
+void Owner::Impl::reportPlacement()
+{
+    const auto now = dependencies.timers.now();
+    if (now - placementReportedAt < placementReportInterval) {
+        return;
+    }
+    placementReportedAt = now;
+    const auto statistics = placer.takeStatistics();
+    if (statistics.rounds == 0) {
+        return;
+    }
+    EventLog::write("placement.rounds",
+                    { { "rounds", statistics.rounds },
+                      { "interrupted", statistics.interruptedRounds },
+                      { "steps_passed", statistics.stepsPassed },
+                      { "steps_searched", statistics.stepsSearched },
+                      { "workers_visited", statistics.workersVisited },
+                      { "duration_us", statistics.duration.count() },
+                      { "longest_us", statistics.longestRound.count() },
+                      { "backlog", statistics.backlog } });
+}
+
 void Owner::Impl::runMaintenance()
 {
     if (isClosed) {
@@ -102,6 +125,7 @@
     guard.tick();
     jobManager.tick(dependencies.settings.statusRetention, dependencies.settings.earlyStart);
     fleet.setDirectoryAge(workerWatch.age());
+    reportPlacement();
     if (!isStopping && !guard.isUncertain()) {
         placer.tend();
         schedulePlacement();
--- a/modules/entry/OwnerImpl.h
+++ b/modules/entry/OwnerImpl.h
@@ -32,6 +32,8 @@
     void updateWorkers(const std::vector<StoreRow> &rows, bool isWholeTable);
     /** Does the periodic work and schedules itself again. */
     void runMaintenance();
+    /** Logs what the rounds of placement have cost, once a second. */
+    void reportPlacement();
     void handleCall(const ClientCall &call, Callback callback);
     void submit(const ClientCall &call, Callback callback);
     /** Answers that there is no such job, once the store has confirmed that this is still the owner. */
@@ -58,6 +60,7 @@
     bool isPlacementScheduled = false;
     /** Delay from a change to the next round of placement. */
     Milliseconds placementDelay;
+    TimePoint placementReportedAt;
     bool isStopping = false;
 };
 
