Tell placement which jobs and workers have changed

A round of placement reads all workers and all steps of all jobs, whatever has changed since the last one, since nobody tells it.

Change: JobManager::takeChangedJobs() and Fleet::takeChangedWorkers() list what was added, removed or changed since the last call. Nothing reads them yet. Tests of tests/dispatch pass as before.

--- a/modules/dispatch/Fleet.cpp
+++ b/modules/dispatch/Fleet.cpp
@@ -3,6 +3,8 @@
 #include "dispatch/FleetImpl.h"
 #include "observability/EventLog.h"
 
+#include <utility>
+
 namespace auburndoor {
 
 Fleet::Fleet(Timers &timers, WorkerClientFactory &factory, FleetListener &listener, FleetTiming timing, std::int64_t fencingToken)
@@ -52,6 +54,7 @@
 {
     if (auto *found = worker(id); found != nullptr && found->isListed) {
         found->isListed = false;
+        impl_->noteChange(*found);
         found->unlistedAt = impl_->timers.now();
         EventLog::write("worker.unlisted", { { "worker", id }, { "runs", found->runs.size() } });
         impl_->removeIfGone(id);
@@ -94,6 +97,7 @@
     run.claim = claim;
     run.startedAt = impl_->timers.now();
     found->used += claim.need;
+    impl_->noteChange(*found);
     found->runs.emplace(key, run);
     impl_->startWindow.onSent();
     found->client->start(
@@ -159,6 +163,16 @@
     return impl_->workers;
 }
 
+std::vector<std::string> Fleet::takeChangedWorkers()
+{
+    for (const auto &id : impl_->changedWorkers) {
+        if (auto *changed = impl_->find(id)) {
+            changed->isChangeNoted = false;
+        }
+    }
+    return std::exchange(impl_->changedWorkers, {});
+}
+
 WorkerState *Fleet::worker(const std::string &id)
 {
     return impl_->find(id);
--- a/modules/dispatch/Fleet.h
+++ b/modules/dispatch/Fleet.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace auburndoor {
 
@@ -121,6 +122,11 @@
     bool hasUnreadWorkers(const std::string &service) const;
 
     const std::map<std::string, std::unique_ptr<WorkerState>> &workers() const;
+    /**
+        The ids of the workers that were added or removed, or whose runs, report or usability changed since the last call. A worker
+        also becomes unusable, or usable again, by the passing of time, which is not listed.
+    */
+    std::vector<std::string> takeChangedWorkers();
     /** Null if there is no such worker. */
     WorkerState *worker(const std::string &id);
     /** Null if there is no such run. */
--- a/modules/dispatch/FleetImpl.cpp
+++ b/modules/dispatch/FleetImpl.cpp
@@ -3,6 +3,7 @@
 #include "observability/EventLog.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace auburndoor {
 
@@ -41,6 +42,7 @@
         workerState->entry = entry;
         workerState->client = factory.create(entry, fencingToken);
         workerState->lastReportAt = timers.now();
+        noteChange(*workerState);
     }
     return *workerState;
 }
@@ -61,9 +63,17 @@
     return found == worker->runs.end() ? nullptr : &found->second;
 }
 
+void Fleet::Impl::noteChange(WorkerState &worker)
+{
+    if (!std::exchange(worker.isChangeNoted, true)) {
+        changedWorkers.push_back(worker.entry.id);
+    }
+}
+
 void Fleet::Impl::updateEntry(WorkerState &worker, const WorkerEntry &entry)
 {
     const bool hasRestarted = entry.incarnation > worker.entry.incarnation;
+    noteChange(worker);
     worker.client->update(entry);
     worker.entry = entry;
     if (!hasRestarted) {
@@ -97,6 +107,7 @@
     listener.rosterChanged(worker.entry, true, [impl = shared_from_this(), id = worker.entry.id] {
         if (auto *rosteredWorker = impl->isClosed ? nullptr : impl->find(id)) {
             rosteredWorker->isInRoster = true;
+            impl->noteChange(*rosteredWorker);
             impl->listener.capacityChanged();
         }
     });
@@ -113,6 +124,7 @@
         --worker.unwantedRuns;
     }
     worker.runs.erase(found);
+    noteChange(worker);
     const auto now = timers.now();
     worker.recentlyEndedRuns[key] = now;
     std::erase_if(worker.recentlyEndedRuns, [now](const auto &entry) { return now - entry.second > endedRunRetention; });
@@ -173,6 +185,7 @@
     }
     EventLog::write("worker.forgotten", { { "worker", id } });
     listener.rosterChanged(worker->entry, false, [] {});
+    noteChange(*worker);
     workers.erase(id);
     listener.capacityChanged();
 }
@@ -200,6 +213,7 @@
             run->phase = Run::Phase::Running;
             run->confirmedAt = timers.now();
             run->percentChangedAt = timers.now();
+            noteChange(worker);
             listener.runConfirmed(id, *run);
         }
         ensurePolling(worker);
@@ -218,6 +232,7 @@
     case CommandOutcome::Unavailable:
     case CommandOutcome::NoCapacity:
         worker.avoidUntil = timers.now() + avoidanceAfterRefusal;
+        noteChange(worker);
         break;
     default:
         break;
@@ -227,6 +242,7 @@
     reportLostRun(worker, key, RunLoss::Refused, reply.outcome);
     if (reply.outcome == CommandOutcome::WrongWorker || reply.outcome == CommandOutcome::NotSent) {
         worker.failedPolls = std::max(worker.failedPolls, 1);
+        noteChange(worker);
         schedulePoll(id, Milliseconds(0));
     }
 }
@@ -238,10 +254,12 @@
         return;
     }
     run->isStopPending = true;
+    auto &worker = *find(id);
     if (run->phase == Run::Phase::Running) {
         run->phase = Run::Phase::Stopping;
+        noteChange(worker);
     }
-    find(id)->client->stop(key.task, key.attempt, [impl = shared_from_this(), id, key](const WorkerClient::Reply &reply) {
+    worker.client->stop(key.task, key.attempt, [impl = shared_from_this(), id, key](const WorkerClient::Reply &reply) {
         impl->onStopReply(id, key, reply);
     });
 }
--- a/modules/dispatch/FleetImpl.h
+++ b/modules/dispatch/FleetImpl.h
@@ -16,6 +16,9 @@
     /** Null if there is no such run. */
     Run *findRun(const std::string &id, const RunKey &key);
 
+    /** Lists the worker in Fleet::takeChangedWorkers(). */
+    void noteChange(WorkerState &worker);
+
     /** Takes over a changed entry. If the worker has restarted, all its runs become uncertain until a later report decides. */
     void updateEntry(WorkerState &worker, const WorkerEntry &entry);
     /** Has the worker entered in the roster unless it is there. */
@@ -71,6 +74,7 @@
     std::int64_t fencingToken;
     TimePoint createdAt;
     std::map<std::string, std::unique_ptr<WorkerState>> workers;
+    std::vector<std::string> changedWorkers;
     long long renewalsSent = 0;
     StartWindow startWindow;
     bool isDirectoryStale = false;
--- a/modules/dispatch/FleetPolling.cpp
+++ b/modules/dispatch/FleetPolling.cpp
@@ -143,6 +143,7 @@
         listener.fenced(id);
         return;
     }
+    noteChange(worker);
     if (++worker.failedPolls == 1) {
         EventLog::write("worker.silent", { { "worker", id }, { "outcome", name(reply.outcome) }, { "runs", worker.runs.size() } });
     }
@@ -185,6 +186,7 @@
     }
     worker.failedPolls = 0;
     worker.lastReportAt = timers.now();
+    noteChange(worker);
     const auto lastSeenEndBefore = worker.lastSeenEnd;
     const bool wasReportRead = worker.isReportRead;
     worker.isReportRead = true;
--- a/modules/dispatch/JobManager.cpp
+++ b/modules/dispatch/JobManager.cpp
@@ -35,12 +35,14 @@
     job->receivedAt = timers_.now();
     initialize(*job);
     jobs_[id] = std::move(job);
+    changedJobs_.push_back(id);
 }
 
 void JobManager::restoreEnded(const std::string &id, const EndedJob &ended)
 {
     ended_[id] = ended;
     jobs_.erase(id);
+    changedJobs_.push_back(id);
 }
 
 JobState *JobManager::find(const std::string &id)
@@ -91,6 +93,7 @@
             if (stored != nullptr && stored->stage == JobStage::Recording) {
                 stored->stage = JobStage::Queued;
                 stored->shownStage = JobStage::Queued;
+                changedJobs_.push_back(id);
                 EventLog::writeRateLimited(
                     "job.accepted", { { "job", id }, { "queue", stored->spec.queue }, { "steps", stored->spec.steps.size() } });
             }
@@ -101,6 +104,7 @@
             hooks_.workChanged();
         });
     jobs_[id] = std::move(job);
+    changedJobs_.push_back(id);
 }
 
 bool JobManager::withdraw(const std::string &id)
@@ -110,6 +114,7 @@
         return false;
     }
     jobs_.erase(id);
+    changedJobs_.push_back(id);
     const auto submitCallbacks = std::exchange(submitCallbacks_[id], {});
     submitCallbacks_.erase(id);
     for (const auto &submitCallback : submitCallbacks) {
@@ -179,12 +184,18 @@
     return jobs_;
 }
 
+std::vector<std::string> JobManager::takeChangedJobs()
+{
+    return std::exchange(changedJobs_, {});
+}
+
 void JobManager::setDesiredState(const DesiredState &desiredState)
 {
     for (const auto &[id, job] : jobs_) {
         // The jobs of a removed queue keep its last definition.
         if (const auto *queue = desiredState.queue(job->spec.queue)) {
             job->queue = *queue;
+            changedJobs_.push_back(id);
         }
     }
 }
@@ -220,6 +231,7 @@
         while (job->spec.isScheduled && job->stage != JobStage::Recording && job->nextOccurrence < job->spec.occurrences
                && job->dueAt(job->nextOccurrence, now, wallTime) <= now + earlyStart / 2) {
             job->addOccurrence(job->nextOccurrence, now);
+            changedJobs_.push_back(id);
             hooks_.workChanged();
         }
     }
--- a/modules/dispatch/JobManager.h
+++ b/modules/dispatch/JobManager.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace auburndoor {
 
@@ -98,6 +99,11 @@
     // Placement.
     /** The jobs that have not ended, by id. */
     std::map<std::string, std::unique_ptr<JobState>> &jobs();
+    /**
+        The ids of the jobs that were added, removed or changed otherwise than by recordStart() since the last call; an id may be
+        listed more than once.
+    */
+    std::vector<std::string> takeChangedJobs();
     /** Applies a new version of the desired state to the queues of the jobs. */
     void setDesiredState(const DesiredState &desiredState);
     /** Records a start that is about to be sent. */
@@ -152,6 +158,7 @@
     std::map<std::string, std::unique_ptr<JobState>> jobs_;
     std::map<std::string, EndedJob> ended_;
     std::map<std::string, std::vector<SubmitCallback>> submitCallbacks_;
+    std::vector<std::string> changedJobs_;
 };
 
 } // namespace auburndoor
--- a/modules/dispatch/JobManagerRuns.cpp
+++ b/modules/dispatch/JobManagerRuns.cpp
@@ -33,6 +33,7 @@
     }
     task->lastAttempt = std::max(task->lastAttempt, running.attempt);
     task->runs.push_back({ worker, running.attempt });
+    changedJobs_.push_back(running.task.job);
     job->hasBegun = true;
     job->stage = JobStage::Running;
     job->shownStage = JobStage::Running;
@@ -106,6 +107,7 @@
                                  { "how", name(ended.end) } });
     std::erase(task->runs, RunPlace { worker, ended.attempt });
     task->idleSince = timers_.now();
+    changedJobs_.push_back(ended.task.job);
     task->lastAttempt = std::max(task->lastAttempt, ended.attempt);
     if (!ended.checkpoint.empty() && !task->isDone) {
         task->checkpoint = ended.checkpoint;
@@ -233,6 +235,7 @@
     }
     submitCallbacks_.erase(id);
     jobs_.erase(id);
+    changedJobs_.push_back(id);
     hooks_.workChanged();
 }
 
@@ -252,6 +255,7 @@
     }
     std::erase(task->runs, RunPlace { worker, key.attempt });
     task->idleSince = timers_.now();
+    changedJobs_.push_back(key.task.job);
     auto &step = *job->step(key.task.occurrence, key.task.step);
     if (outcome == CommandOutcome::PermitRejected) {
         step.advice.allowed.erase(worker);
--- a/modules/dispatch/WorkerState.h
+++ b/modules/dispatch/WorkerState.h
@@ -49,6 +49,9 @@
     /** Runs that are over, with the time of their removal. Reports may overtake each other, so an older one may still list them. */
     std::map<RunKey, TimePoint> recentlyEndedRuns;
 
+    /** It is listed in Fleet::takeChangedWorkers(). */
+    bool isChangeNoted = false;
+
     Resources free() const
     {
         return entry.capacity - used;
