--- a/modules/dispatch/JobState.cpp
+++ b/modules/dispatch/JobState.cpp
@@ -33,6 +33,11 @@
     return std::find(runs.begin(), runs.end(), place) != runs.end();
 }
 
+bool StepState::hasTasksToPlace() const
+{
+    return spec().isGang ? !isDone() && !hasRuns() : hasIdleTask();
+}
+
 const StepSpec &StepState::spec() const
 {
     return job->spec.steps[static_cast<std::size_t>(index)];
--- a/modules/dispatch/JobState.h
+++ b/modules/dispatch/JobState.h
@@ -98,6 +98,19 @@
     TimePoint mayRepeatAt;
 };
 
+/** What earlier rounds of placement have found out about a step. */
+struct StepSearch
+{
+    /** All workers were searched for room for its waiting tasks: only one that has more free than then can have room. */
+    bool isExhausted = false;
+    /** The ServiceCapacity::growth() up to which workers were searched. */
+    std::uint64_t seenGrowth = 0;
+    /** All workers are searched again at this time, as runs may have become preemptible meanwhile. */
+    TimePoint repeatAt;
+    /** No workers to ask advice for are searched before this time, as the last search has found none. */
+    TimePoint adviceSearchAt;
+};
+
 struct JobState;
 
 /** One step of one occurrence of a job. */
@@ -111,6 +124,7 @@
     int doneCount = 0;
     StepAdvice advice;
     GangHold hold;
+    StepSearch search;
     /** When the step was created, or when another step of its occurrence was last done. */
     TimePoint readySince;
 
@@ -121,6 +135,8 @@
     }
     bool hasIdleTask() const;
     bool hasRuns() const;
+    /** True if tasks of the step wait for a worker; those of a gang all do, or none. */
+    bool hasTasksToPlace() const;
 };
 
 /** All steps of one occurrence of a job. */
--- a/modules/dispatch/ServiceCapacity.cpp
+++ b/modules/dispatch/ServiceCapacity.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+// Steps that have not seen an older growth search all workers again.
+constexpr std::size_t maxKnownGrowth = 256;
+
 void raiseTo(Resources &bound, const Resources &amount)
 {
     bound.milliCores = std::max(bound.milliCores, amount.milliCores);
@@ -16,32 +19,181 @@
 
 } // namespace
 
-void ServiceCapacity::add(WorkerState &worker)
+ServiceCapacity::ServiceCapacity(CostOfPreemption costOfPreemption) : costOfPreemption_(std::move(costOfPreemption))
 {
-    auto &workerCapacity = workerCapacities_.emplace_back();
-    workerCapacity.worker = &worker;
-    raiseTo(largestFree_, worker.free());
 }
 
-WorkerCapacity *ServiceCapacity::find(const std::string &worker)
+std::vector<WorkerCapacity>::iterator ServiceCapacity::lowerBound(const std::string &worker)
 {
-    const auto found = std::lower_bound(
-        workerCapacities_.begin(),
-        workerCapacities_.end(),
-        worker,
-        [](const WorkerCapacity &workerCapacity, const std::string &id) { return workerCapacity.worker->entry.id < id; });
-    return found == workerCapacities_.end() || found->worker->entry.id != worker ? nullptr : &*found;
+    return std::lower_bound(workerCapacities_.begin(),
+                            workerCapacities_.end(),
+                            worker,
+                            [](const WorkerCapacity &workerCapacity, const std::string &id) { return workerCapacity.id < id; });
+}
+
+void ServiceCapacity::update(WorkerState &worker, bool isUsable)
+{
+    const auto &id = worker.entry.id;
+    auto found = lowerBound(id);
+    if (found == workerCapacities_.end() || found->id != id) {
+        rooms_.emplace(rooms_.begin() + (found - workerCapacities_.begin()));
+        found = workerCapacities_.emplace(found);
+        found->id = id;
+    }
+    auto &room = roomOf(*found);
+    grownCapacities_.reset();
+    const auto free = worker.free();
+    const bool hasGrown = isUsable && (!found->isUsable || !free.fitsIn(room.free));
+    found->worker = &worker;
+    found->isUsable = isUsable;
+    found->isCollected = false;
+    room = { free, dominantShare(worker.used, worker.entry.capacity), isUsable };
+    if (isUsable) {
+        raiseTo(largestFree_, free);
+        uncollected_.push_back(id);
+    } else {
+        found->reservations.clear();
+    }
+    if (hasGrown) {
+        noteGrowth(id);
+    }
 }
 
-void ServiceCapacity::collectPreemptibleRuns(const CostOfPreemption &costOfPreemption)
+void ServiceCapacity::remove(const std::string &worker)
 {
-    if (std::exchange(isCollected_, true)) {
-        return;
+    if (const auto found = lowerBound(worker); found != workerCapacities_.end() && found->id == worker) {
+        rooms_.erase(rooms_.begin() + (found - workerCapacities_.begin()));
+        workerCapacities_.erase(found);
+        grownCapacities_.reset();
     }
+}
+
+ServiceCapacity::Room &ServiceCapacity::roomOf(const WorkerCapacity &workerCapacity)
+{
+    return rooms_[static_cast<std::size_t>(&workerCapacity - workerCapacities_.data())];
+}
+
+void ServiceCapacity::recordStart(WorkerCapacity &workerCapacity, const Resources &need, int priority)
+{
+    workerCapacity.recordStart(need, priority);
+    auto &room = roomOf(workerCapacity);
+    room.free = workerCapacity.worker->free();
+    room.utilization = dominantShare(workerCapacity.worker->used, workerCapacity.worker->entry.capacity);
+}
+
+void ServiceCapacity::tightenBounds()
+{
+    largestFree_ = Resources();
+    largestFreeAfterPreemption_.clear();
     for (auto &workerCapacity : workerCapacities_) {
-        workerCapacity.collectRuns();
-        for (auto &run : workerCapacity.preemptibleRuns) {
-            run.cost = costOfPreemption(workerCapacity.worker->entry.id, run.key);
+        if (!workerCapacity.isUsable) {
+            continue;
+        }
+        raiseTo(largestFree_, roomOf(workerCapacity).free);
+        if (!workerCapacity.reservations.empty() || workerCapacity.waitingPriority < WorkerCapacity::noPriority) {
+            workerCapacity.reservations.clear();
+            workerCapacity.clearPlan();
+            noteGrowth(workerCapacity.id);
+        }
+        // What a stop costs changes with the time.
+        workerCapacity.isCollected = false;
+        uncollected_.push_back(workerCapacity.id);
+    }
+}
+
+std::vector<WorkerCapacity *> ServiceCapacity::findLeastUtilized(const Resources &need,
+                                                                 std::size_t limit,
+                                                                 const std::function<bool(const WorkerCapacity &)> &isWanted)
+{
+    using Entry = std::pair<double, std::size_t>;
+    std::vector<Entry> heap;
+    for (std::size_t index = 0; index < rooms_.size(); ++index) {
+        if (rooms_[index].isUsable && need.fitsIn(rooms_[index].free)) {
+            heap.emplace_back(rooms_[index].utilization, index);
+        }
+    }
+    std::make_heap(heap.begin(), heap.end(), std::greater<Entry>());
+    std::vector<WorkerCapacity *> result;
+    while (!heap.empty() && result.size() < limit) {
+        auto &workerCapacity = workerCapacities_[heap.front().second];
+        if (isWanted(workerCapacity)) {
+            result.push_back(&workerCapacity);
+        }
+        std::pop_heap(heap.begin(), heap.end(), std::greater<Entry>());
+        heap.pop_back();
+    }
+    return result;
+}
+
+WorkerCapacity *ServiceCapacity::find(const std::string &worker)
+{
+    const auto found = lowerBound(worker);
+    return found == workerCapacities_.end() || found->id != worker || !found->isUsable ? nullptr : &*found;
+}
+
+void ServiceCapacity::noteGrowth(const std::string &worker)
+{
+    ++growth_;
+    grown_.push_back(worker);
+    if (grown_.size() > maxKnownGrowth) {
+        grown_.pop_front();
+    }
+    grownCapacities_.reset();
+}
+
+bool ServiceCapacity::visitGrown(std::uint64_t since, const std::function<bool(WorkerCapacity &)> &function)
+{
+    if (!grownCapacities_) {
+        grownCapacities_.emplace();
+        for (const auto &id : grown_) {
+            grownCapacities_->push_back(find(id));
+        }
+    }
+    const auto &known = *grownCapacities_;
+    const auto count = std::min<std::size_t>(known.size(), growth_ - since);
+    return std::any_of(known.end() - static_cast<std::ptrdiff_t>(count), known.end(), [&function](auto *workerCapacity) {
+        return workerCapacity != nullptr && function(*workerCapacity);
+    });
+}
+
+std::vector<WorkerCapacity *> ServiceCapacity::findGrownSince(std::uint64_t since)
+{
+    std::vector<WorkerCapacity *> result;
+    visitGrown(since, [&result](WorkerCapacity &workerCapacity) {
+        result.push_back(&workerCapacity);
+        return false;
+    });
+    std::sort(result.begin(), result.end());
+    result.erase(std::unique(result.begin(), result.end()), result.end());
+    return result;
+}
+
+bool ServiceCapacity::hasGrownRoom(std::uint64_t since, const Resources &need)
+{
+    return growth_ != since
+           && visitGrown(since, [this, &need](WorkerCapacity &workerCapacity) { return need.fitsIn(roomOf(workerCapacity).free); });
+}
+
+void ServiceCapacity::collect(WorkerCapacity &workerCapacity) const
+{
+    workerCapacity.collectRuns();
+    for (auto &run : workerCapacity.preemptibleRuns) {
+        run.cost = costOfPreemption_(workerCapacity.worker->runs.at(run.key));
+    }
+}
+
+void ServiceCapacity::collectPreemptibleRuns()
+{
+    for (const auto &id : std::exchange(uncollected_, {})) {
+        auto *workerCapacity = find(id);
+        if (workerCapacity == nullptr || workerCapacity->isCollected) {
+            continue;
+        }
+        collect(*workerCapacity);
+        for (auto &[right, bound] : largestFreeAfterPreemption_) {
+            if (workerCapacity->hasStoppingRuns || workerCapacity->hasPreemptibleRuns(right)) {
+                raiseTo(bound, workerCapacity->freeAfterPreemption(right));
+            }
         }
     }
 }
@@ -51,7 +203,7 @@
     const auto [found, isNew] = largestFreeAfterPreemption_.try_emplace(right);
     if (isNew) {
         for (const auto &workerCapacity : workerCapacities_) {
-            if (workerCapacity.hasStoppingRuns || workerCapacity.hasPreemptibleRuns(right)) {
+            if (workerCapacity.isUsable && (workerCapacity.hasStoppingRuns || workerCapacity.hasPreemptibleRuns(right))) {
                 raiseTo(found->second, workerCapacity.freeAfterPreemption(right));
             }
         }
--- /dev/null
+++ b/modules/dispatch/StepRank.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "core/Clock.h"
+
+#include <string>
+#include <tuple>
+
+namespace auburndoor {
+
+/** The sort key of a step among the steps that have tasks to place; the smallest is served first. */
+struct StepRank
+{
+    /** Its job is past its final deadline, so that it gains nothing from going before work that is not. */
+    bool isLost = false;
+    int priority = 0;
+    /** Its job cannot be in time any more, even if the step started now. */
+    bool isLate = false;
+    TimePoint objective;
+    std::string job;
+    int occurrence = 0;
+    int step = 0;
+
+    bool operator<(const StepRank &other) const
+    {
+        return std::tie(isLost, priority, isLate, objective, job, occurrence, step)
+               < std::tie(other.isLost, other.priority, other.isLate, other.objective, other.job, other.occurrence, other.step);
+    }
+};
+
+} // namespace auburndoor
--- a/modules/dispatch/TaskPlacer.cpp
+++ b/modules/dispatch/TaskPlacer.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <tuple>
 #include <utility>
 
 namespace auburndoor {
@@ -12,10 +13,8 @@
 
 // A job that takes longer than this multiple of its objective no longer counts as late but as lost.
 constexpr int finalDeadlineFactor = 3;
-// A longer round is interrupted and continued later, so that it delays the owner's pulses and client calls by less than a tenth of
-// their timeouts.
-constexpr Milliseconds maxRoundDuration { 10 };
-
+// Time until all workers are searched again for a step that has found no room, besides those that get more free.
+constexpr Milliseconds searchInterval { 300 };
 } // namespace
 
 TimePoint computeFinalDeadline(const JobState &job)
@@ -54,24 +53,7 @@
     *isAlive_ = false;
 }
 
-bool TaskPlacer::mayStart(const JobState &job)
-{
-    if (job.stage != JobStage::Queued && job.stage != JobStage::Running) {
-        return false;
-    }
-    return !job.isInherited || timers_.now() > inheritedJobsWaitUntil_ || !hasUnreadWorkers(job.queue.service);
-}
-
-bool TaskPlacer::hasUnreadWorkers(const std::string &service)
-{
-    const auto [found, isNew] = unreadByService_.try_emplace(service);
-    if (isNew) {
-        found->second = fleet_.hasUnreadWorkers(service);
-    }
-    return found->second;
-}
-
-TaskPlacer::StepRank TaskPlacer::computeRank(const StepState &step, TimePoint now)
+StepRank TaskPlacer::computeRank(const StepState &step, TimePoint now)
 {
     const auto &job = *step.job;
     return { now > computeFinalDeadline(job),
@@ -83,135 +65,103 @@
              step.index };
 }
 
-std::vector<std::pair<TaskPlacer::StepRank, StepState *>> TaskPlacer::findReadySteps()
+bool TaskPlacer::hasRoomToSearch(StepState &step)
 {
-    std::vector<std::pair<StepRank, StepState *>> steps;
-    const auto now = timers_.now();
-    for (const auto &[id, job] : jobManager_.jobs()) {
-        // Advice for a job is already requested while its record is being stored.
-        const bool mayRequestAdvice = job->stage == JobStage::Recording && job->queue.advice.has_value();
-        if (!mayStart(*job) && !mayRequestAdvice) {
-            continue;
-        }
-        for (auto &[number, occurrence] : job->occurrences) {
-            for (auto &step : occurrence.steps) {
-                const bool hasTasksToStart = step.spec().isGang ? !step.isDone() && !step.hasRuns() : step.hasIdleTask();
-                if (hasTasksToStart && occurrence.isReady(step)) {
-                    steps.emplace_back(computeRank(step, now), &step);
-                }
-            }
-        }
+    auto &search = step.search;
+    if (!search.isExhausted) {
+        return true;
     }
-    std::sort(steps.begin(), steps.end());
-    return steps;
-}
-
-void TaskPlacer::beginRound()
-{
-    serviceCapacities_.clear();
-    unreadByService_.clear();
-    unsendableAdviceTime_ = Milliseconds::max();
-    statistics_.workersVisited += static_cast<long long>(fleet_.workers().size());
-    for (const auto &[id, worker] : fleet_.workers()) {
-        if (fleet_.isUsable(*worker)) {
-            serviceCapacities_[worker->entry.service].add(*worker);
-        }
+    auto &serviceCapacity = getServiceCapacity(step);
+    if (timers_.now() >= search.repeatAt || !serviceCapacity.isGrowthKnownSince(search.seenGrowth)) {
+        search.isExhausted = false;
+        return true;
     }
-    servicesWithHold_.clear();
-    // Steps that wait for advice keep their planned capacity, and waiting gangs the room that is held for them.
-    for (const auto &[id, job] : jobManager_.jobs()) {
-        for (auto &[number, occurrence] : job->occurrences) {
-            for (auto &step : occurrence.steps) {
-                reservePlannedCapacity(step);
-                reserveHeldCapacity(step);
-            }
-        }
+    if (serviceCapacity.hasGrownRoom(search.seenGrowth, JobManager::makeClaim(step).need)) {
+        return true;
     }
+    search.seenGrowth = serviceCapacity.growth();
+    return false;
 }
 
-ServiceCapacity &TaskPlacer::getServiceCapacity(const StepState &step)
-{
-    return serviceCapacities_[step.job->queue.service];
-}
-
-PlacementStatistics TaskPlacer::takeStatistics()
-{
-    return std::exchange(statistics_, {});
-}
-
-bool TaskPlacer::place()
-{
-    const auto startedAt = timers_.now();
-    const bool isComplete = runRound();
-    const auto duration = std::chrono::duration_cast<std::chrono::microseconds>(timers_.now() - startedAt);
-    ++statistics_.rounds;
-    statistics_.interruptedRounds += isComplete ? 0 : 1;
-    statistics_.duration += duration;
-    statistics_.longestRound = std::max(statistics_.longestRound, duration);
-    return isComplete;
-}
-
-bool TaskPlacer::runRound()
+bool TaskPlacer::mayUseSomeWorker(const StepState &step) const
 {
-    const auto startedAt = timers_.now();
-    beginRound();
-    auto steps = findReadySteps();
-    statistics_.backlog = static_cast<long long>(steps.size());
-    const auto first = resumeAfter_ ? std::find_if(
-                           steps.begin(), steps.end(), [this](const auto &step) { return *resumeAfter_ < step.first; })
-                                    : steps.begin();
-    resumeAfter_.reset();
-    for (auto next = first; next != steps.end(); ++next) {
-        ++statistics_.stepsPassed;
-        placeStep(*next->second);
-        if (timers_.now() - startedAt > maxRoundDuration && next + 1 != steps.end()) {
-            resumeAfter_ = next->first;
-            return false;
-        }
-    }
-    // A call that continued an interrupted round has skipped the first steps: a full round follows.
-    return first == steps.begin();
+    const auto now = timers_.now();
+    const auto &allowed = step.advice.allowed;
+    return !step.job->queue.advice
+           || std::any_of(allowed.begin(), allowed.end(), [now](const auto &entry) { return entry.second.expiresAt > now; });
 }
 
 void TaskPlacer::placeStep(StepState &step)
 {
+    const bool isGang = step.spec().isGang;
     if (step.job->stage == JobStage::Recording) {
-        requestAdvice(step, static_cast<int>(step.tasks.size()), step.spec().isGang);
-    } else if (step.spec().isGang) {
+        requestAdvice(step, static_cast<int>(step.tasks.size()), isGang);
+    } else if (!fleet_.maySendStart() && mayUseSomeWorker(step)) {
+        // The search waits as well: nothing that it finds could start.
+        return;
+    } else if (!hasRoomToSearch(step)) {
+        if (step.job->queue.advice) {
+            requestAdvice(step, countIdleTasks(step), isGang);
+        }
+        return;
+    } else if (isGang) {
         placeGang(step);
     } else {
         placeTasks(step);
     }
+    step.search.seenGrowth = getServiceCapacity(step).growth();
     // A gang keeps its plan until it starts: others of its priority would take the room while one member still waits for a stop.
-    if (step.advice.pendingRequests == 0 && (!step.spec().isGang || step.hasRuns())) {
+    if (step.advice.pendingRequests == 0 && (!isGang || step.hasRuns())) {
         releasePlannedCapacity(step);
     }
 }
 
-int TaskPlacer::countTasksLeft(const StepState &step, const std::string &worker)
+int TaskPlacer::countIdleTasks(const StepState &step)
+{
+    return static_cast<int>(std::count_if(step.tasks.begin(), step.tasks.end(), [](const Task &task) { return task.isIdle(); }));
+}
+
+std::unordered_map<std::string, int> TaskPlacer::countRunsByWorker(const StepState &step)
+{
+    std::unordered_map<std::string, int> counts;
+    if (step.spec().maxTasksPerWorker == 0) {
+        return counts;
+    }
+    for (const auto &task : step.tasks) {
+        for (const auto &place : task.runs) {
+            ++counts[place.worker];
+        }
+    }
+    return counts;
+}
+
+int TaskPlacer::countTasksLeft(const StepState &step,
+                               const std::string &worker,
+                               const std::unordered_map<std::string, int> &runsByWorker)
 {
     const auto maxTasks = step.spec().maxTasksPerWorker;
     if (maxTasks == 0) {
         return std::numeric_limits<int>::max();
     }
-    int runsOnWorker = 0;
-    for (const auto &task : step.tasks) {
-        runsOnWorker += static_cast<int>(
-            std::count_if(task.runs.begin(), task.runs.end(), [&](const auto &place) { return place.worker == worker; }));
-    }
-    return maxTasks - runsOnWorker;
+    const auto found = runsByWorker.find(worker);
+    return found == runsByWorker.end() ? maxTasks : maxTasks - found->second;
 }
 
-std::optional<TaskPlacer::Candidate> TaskPlacer::makeCandidate(const StepState &step, WorkerCapacity &workerCapacity) const
+std::optional<TaskPlacer::Candidate> TaskPlacer::makeCandidate(const StepState &step,
+                                                               WorkerCapacity &workerCapacity,
+                                                               const std::unordered_map<std::string, int> &runsByWorker) const
 {
     const auto &spec = step.spec();
+    if (!workerCapacity.isUsable) {
+        return std::nullopt;
+    }
     const auto &entry = workerCapacity.worker->entry;
     Candidate candidate { &workerCapacity, workerCapacity.freeFor(&step, step.job->queue.priority), 0, nullptr };
     if (!JobManager::makeClaim(step).need.fitsIn(candidate.free)
         || (!spec.requiredLabel.empty() && !entry.hasLabel(spec.requiredLabel))) {
         return std::nullopt;
     }
-    candidate.tasksLeft = countTasksLeft(step, entry.id);
+    candidate.tasksLeft = countTasksLeft(step, entry.id, runsByWorker);
     if (candidate.tasksLeft <= 0) {
         return std::nullopt;
     }
@@ -226,20 +176,37 @@
         return candidates;
     }
     ++statistics_.stepsSearched;
+    const auto runsByWorker = countRunsByWorker(step);
     const auto addCandidate = [&](WorkerCapacity &workerCapacity, const StepAdvice::WorkerPermit *permit) {
         ++statistics_.workersVisited;
-        if (auto candidate = makeCandidate(step, workerCapacity)) {
+        if (auto candidate = makeCandidate(step, workerCapacity, runsByWorker)) {
             candidate->permit = permit;
             candidates.push_back(*candidate);
         }
     };
-    if (!step.job->queue.advice) {
+    const auto now = timers_.now();
+    const auto findPermit = [&](const WorkerCapacity &workerCapacity) -> const StepAdvice::WorkerPermit * {
+        const auto found = step.advice.allowed.find(workerCapacity.id);
+        const bool isValid = found != step.advice.allowed.end() && found->second.expiresAt > now
+                             && found->second.workerIncarnation == workerCapacity.worker->entry.incarnation;
+        return isValid ? &found->second : nullptr;
+    };
+    const bool needsPermit = step.job->queue.advice.has_value();
+    if (step.search.isExhausted && !step.spec().isGang) {
+        for (auto *workerCapacity : serviceCapacity.findGrownSince(step.search.seenGrowth)) {
+            const auto *permit = needsPermit ? findPermit(*workerCapacity) : nullptr;
+            if (!needsPermit || permit != nullptr) {
+                addCandidate(*workerCapacity, permit);
+            }
+        }
+        return candidates;
+    }
+    if (!needsPermit) {
         for (auto &workerCapacity : serviceCapacity.workerCapacities()) {
             addCandidate(workerCapacity, nullptr);
         }
         return candidates;
     }
-    const auto now = timers_.now();
     for (const auto &[id, permit] : step.advice.allowed) {
         auto *workerCapacity = permit.expiresAt > now ? serviceCapacity.find(id) : nullptr;
         if (workerCapacity != nullptr && permit.workerIncarnation == workerCapacity->worker->entry.incarnation) {
@@ -249,21 +216,17 @@
     return candidates;
 }
 
-double TaskPlacer::computeCost(const StepState &step, const Task &task, const Candidate &candidate) const
+double TaskPlacer::computeCost(const StepState &step, const Candidate &candidate) const
 {
     const auto &spec = step.spec();
     const auto &entry = candidate.workerCapacity->worker->entry;
     // Best fit: the base cost is the dominant share left free, at most 1; each preference outweighs it.
     constexpr double remoteDataCost = 10.0;
-    constexpr double earlierFailureCost = 20.0;
     constexpr double interferenceCost = 5.0;
     double result = dominantShare(candidate.free - JobManager::makeClaim(step).need, entry.capacity);
     if (!spec.dataRack.empty() && entry.rack() != spec.dataRack) {
         result += remoteDataCost;
     }
-    if (task.failedOn == entry.id) {
-        result += earlierFailureCost;
-    }
     const auto kind = JobManager::makeClaim(step).kind;
     if (kind != RunKind::Plain) {
         const auto other = kind == RunKind::BestEffort ? RunKind::LatencySensitive : RunKind::BestEffort;
@@ -282,13 +245,16 @@
 {
     Candidate *best = nullptr;
     double bestCost = std::numeric_limits<double>::max();
+    // Outweighs every preference in computeCost().
+    constexpr double earlierFailureCost = 20.0;
     const auto need = JobManager::makeClaim(step).need;
     for (auto &candidate : candidates) {
         if (candidate.tasksLeft <= 0 || !need.fitsIn(candidate.free)
             || (!rack.empty() && candidate.workerCapacity->worker->entry.rack() != rack)) {
             continue;
         }
-        const auto candidateCost = computeCost(step, task, candidate);
+        const bool hasFailedHere = task.failedOn == candidate.workerCapacity->id;
+        const auto candidateCost = computeCost(step, candidate) + (hasFailedHere ? earlierFailureCost : 0.0);
         if (candidateCost < bestCost) {
             bestCost = candidateCost;
             best = &candidate;
@@ -321,24 +287,95 @@
                                  { "free_cores", candidate.free.milliCores } });
     const auto claim = JobManager::makeClaim(step);
     candidate.free -= claim.need;
-    candidate.workerCapacity->expectedFree -= claim.need;
     --candidate.tasksLeft;
     jobManager_.recordStart(step, index, { id, attempt });
     fleet_.start(id, command, claim);
+    getServiceCapacity(step).recordStart(*candidate.workerCapacity, claim.need, claim.priority);
+}
+
+class TaskPlacer::CandidateHeap
+{
+public:
+    CandidateHeap(const TaskPlacer &placer, const StepState &step, std::vector<Candidate> &candidates)
+        : placer_(placer), step_(step), candidates_(candidates), need_(JobManager::makeClaim(step).need)
+    {
+        heap_.reserve(candidates.size());
+        for (auto &candidate : candidates) {
+            candidate.cost = placer.computeCost(step, candidate);
+            heap_.push_back(&candidate);
+        }
+        std::make_heap(heap_.begin(), heap_.end(), isWorse);
+    }
+
+    /** The candidate with the lowest cost for the task; null if the task fits on none. */
+    Candidate *best(const Task &task)
+    {
+        dropFull();
+        if (heap_.empty() || heap_.front()->workerCapacity->id != task.failedOn) {
+            return heap_.empty() ? nullptr : heap_.front();
+        }
+        return placer_.chooseCandidate(step_, task, candidates_, {});
+    }
+
+    /** To be called after a task was placed on the candidate. */
+    void update(Candidate &candidate)
+    {
+        if (heap_.front() != &candidate) {
+            candidate.cost = placer_.computeCost(step_, candidate);
+            std::make_heap(heap_.begin(), heap_.end(), isWorse);
+            return;
+        }
+        std::pop_heap(heap_.begin(), heap_.end(), isWorse);
+        candidate.cost = placer_.computeCost(step_, candidate);
+        std::push_heap(heap_.begin(), heap_.end(), isWorse);
+    }
+
+private:
+    static bool isWorse(const Candidate *left, const Candidate *right)
+    {
+        return std::tie(right->cost, right) < std::tie(left->cost, left);
+    }
+
+    void dropFull()
+    {
+        while (!heap_.empty() && (heap_.front()->tasksLeft <= 0 || !need_.fitsIn(heap_.front()->free))) {
+            std::pop_heap(heap_.begin(), heap_.end(), isWorse);
+            heap_.pop_back();
+        }
+    }
+
+    const TaskPlacer &placer_;
+    const StepState &step_;
+    std::vector<Candidate> &candidates_;
+    Resources need_;
+    std::vector<Candidate *> heap_;
+};
+
+bool TaskPlacer::noteSearch(StepState &step, bool hasPlacedAll)
+{
+    const bool isNewlyExhausted = !hasPlacedAll && !step.search.isExhausted;
+    step.search.isExhausted = !hasPlacedAll;
+    if (isNewlyExhausted) {
+        step.search.repeatAt = timers_.now() + searchInterval;
+    }
+    return isNewlyExhausted;
 }
 
 void TaskPlacer::placeTasks(StepState &step)
 {
+    const auto isWindowFull = [this] { return !fleet_.maySendStart(); };
     auto candidates = findCandidates(step);
+    CandidateHeap heap(*this, step, candidates);
     int unplaced = 0;
     for (std::size_t index = 0; index < step.tasks.size(); ++index) {
         auto &task = step.tasks[index];
         if (!task.isIdle()) {
             continue;
         }
-        auto *candidate = candidates.empty() ? nullptr : chooseCandidate(step, task, candidates, {});
-        if (candidate != nullptr && !fleet_.maySendStart()) {
+        auto *candidate = heap.best(task);
+        if (candidate != nullptr && isWindowFull()) {
             // There is capacity: the rest starts once starts on their way are answered.
+            step.search.isExhausted = false;
             return;
         }
         if (candidate == nullptr) {
@@ -346,8 +383,9 @@
             continue;
         }
         start(step, static_cast<int>(index), *candidate, jobManager_.nextAttempt(task));
+        heap.update(*candidate);
     }
-    if (unplaced > 0) {
+    if (noteSearch(step, unplaced == 0)) {
         unplaced -= preemptForTasks(step, unplaced, false);
     }
     if (unplaced > 0 && step.job->queue.advice) {
--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -4,6 +4,7 @@
 #include "dispatch/Fleet.h"
 #include "dispatch/JobManager.h"
 #include "dispatch/PlacementStatistics.h"
+#include "dispatch/ReadySteps.h"
 #include "dispatch/ServiceCapacity.h"
 #include "workload/Advisor.h"
 
@@ -13,7 +14,7 @@
 #include <set>
 #include <span>
 #include <string>
-#include <tuple>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -45,9 +46,10 @@
     /**
         Runs a round of placement: starts tasks on free workers, preempts less urgent runs and requests advice.
 
-        A round that takes too long is interrupted, and the next call continues it.
+        A round that takes too long is interrupted. The next call begins with the first step again, as the order may have changed;
+        the steps that were searched in vain cost it little.
 
-        @return false if the next call has to go on: this round was interrupted or continued an interrupted one
+        @return false if this round was interrupted, so that the next call has to go on
     */
     bool place();
 
@@ -71,73 +73,96 @@
         int tasksLeft = 0;
         /** The advisory service's permit; null if the queue needs none. */
         const StepAdvice::WorkerPermit *permit = nullptr;
+        /** As computeCost(), without what depends on the task. */
+        double cost = 0;
     };
 
-    /** The sort key of a step in a round of placement; the smallest is served first. */
-    struct StepRank
+    /** The room that is reserved on a worker for a step. */
+    struct ReservedRoom
     {
-        /** Its job is past its final deadline, so that it gains nothing from going before work that is not. */
-        bool isLost = false;
-        int priority = 0;
-        /** Its job cannot be in time any more, even if the step started now. */
-        bool isLate = false;
-        TimePoint objective;
-        std::string job;
-        int occurrence = 0;
-        int step = 0;
-
-        bool operator<(const StepRank &other) const
-        {
-            return std::tie(isLost, priority, isLate, objective, job, occurrence, step)
-                   < std::tie(other.isLost, other.priority, other.isLate, other.objective, other.job, other.occurrence, other.step);
-        }
+        /** Identifies the step; compared only. */
+        const void *step = nullptr;
+        std::string service;
+        std::string worker;
     };
 
-    /** Places the steps in the order of their ranks. @return false if the next call has to go on */
+    /** Places the steps in the order of their ranks. @return false if the round was interrupted */
     bool runRound();
     static StepRank computeRank(const StepState &step, TimePoint now);
-    /** The steps that have tasks to place, in the order of their ranks. */
-    std::vector<std::pair<StepRank, StepState *>> findReadySteps();
+    /** Reads all jobs and workers again, in place of the changes since the last round. */
+    void readAll();
+    /** Follows the jobs and workers that have changed since the last round. */
+    void applyChanges();
+    void updateJob(const std::string &id);
+    void updateWorker(const std::string &id);
+    /** Enters the job's steps that have tasks to place, and what is reserved for any of its steps. */
+    void addJob(JobState &job);
+    void dropReservations(const std::string &job, const void *step);
+    /** False if all workers were searched for the step, and none has got enough room since. */
+    bool hasRoomToSearch(StepState &step);
+    /** True if the step needs no permit or has a valid one. */
+    bool mayUseSomeWorker(const StepState &step) const;
     /** True if tasks of the job may start now. */
     bool mayStart(const JobState &job);
     /** As Fleet::hasUnreadWorkers, looked up once in a round. */
     bool hasUnreadWorkers(const std::string &service);
-    /** How many more tasks of the step may be placed on the worker under the step's limit of tasks per worker. */
-    static int countTasksLeft(const StepState &step, const std::string &worker);
+    static int countIdleTasks(const StepState &step);
+    /**
+        How many more tasks of the step may be placed on the worker under the step's limit of tasks per worker.
+
+        @param runsByWorker as countRunsByWorker()
+    */
+    static int countTasksLeft(const StepState &step,
+                              const std::string &worker,
+                              const std::unordered_map<std::string, int> &runsByWorker);
+    /** The number of runs of the step on each worker; empty if the step has no limit of tasks per worker. */
+    static std::unordered_map<std::string, int> countRunsByWorker(const StepState &step);
     /** Empty if no task of the step can be placed on the worker now. */
-    std::optional<Candidate> makeCandidate(const StepState &step, WorkerCapacity &workerCapacity) const;
-    /** The workers on which tasks of the step may start now; with advice, only those with a valid permit. */
+    std::optional<Candidate> makeCandidate(const StepState &step,
+                                           WorkerCapacity &workerCapacity,
+                                           const std::unordered_map<std::string, int> &runsByWorker) const;
+    /**
+        The workers on which tasks of the step may start now; with advice, only those with a valid permit. If all workers were
+        searched before, only those that have more free than then.
+    */
     std::vector<Candidate> findCandidates(StepState &step);
-    /** The candidate with the lowest cost for the task. @param rack empty for any @return null if the task fits on none */
+    /** The candidate with the lowest cost for the task; one on which it has failed comes last. @param rack empty for any @return
+     * null if the task fits on none */
     Candidate *chooseCandidate(const StepState &step,
                                const Task &task,
                                std::vector<Candidate> &candidates,
                                const std::string &rack) const;
-    /** The cost of placing the task on the candidate; lower is better. */
-    double computeCost(const StepState &step, const Task &task, const Candidate &candidate) const;
+    /** The cost of placing a task of the step on the candidate; lower is better. */
+    double computeCost(const StepState &step, const Candidate &candidate) const;
     void placeStep(StepState &step);
+    /** Notes the result of a search for room. @return true if all workers were searched in vain, so that preemption may help */
+    bool noteSearch(StepState &step, bool hasPlacedAll);
     void placeTasks(StepState &step);
     void placeGang(StepState &step);
     /** One candidate for each task of the gang, in the order of the tasks; empty if not all fit. @param rack empty for any */
     std::vector<Candidate *> fitGang(StepState &step, std::vector<Candidate> &candidates, const std::string &rack) const;
+    /** As chooseCandidate() for each of several tasks; a heap keeps the best candidate first. */
+    class CandidateHeap;
     void start(StepState &step, int index, Candidate &candidate, std::int64_t attempt);
-    /** Collects the capacity of all usable workers, less what steps that wait for advice have reserved. */
-    void beginRound();
-    /** The capacity of the workers of the step's service in this round. */
+    /** The capacity of the workers of the step's service. */
     ServiceCapacity &getServiceCapacity(const StepState &step);
-    /** Reserves capacity for the tasks that the step's advice plans for, unless the plan has expired. */
+    ServiceCapacity &getServiceCapacity(const std::string &service);
+    /** Reserves the room that the step's advice plans for or that is held for a gang; replaces the step's earlier reservations. */
+    void reserveCapacity(StepState &step);
+    /** Reserves room for the tasks that the step's advice plans for, unless the plan has expired. */
     void reservePlannedCapacity(StepState &step);
-    /** Drops the plan of the step's advice, and its reservations in this round. */
+    /** Drops the plan of the step's advice, and its reservations. */
     void releasePlannedCapacity(StepState &step);
     /** Reserves the room that is held for a gang, unless the hold has ended or a plan for the gang reserves room already. */
     void reserveHeldCapacity(StepState &step);
+    void reserveOnWorker(const StepState &step, const std::string &worker, int count);
     /**
         Holds room on as many workers as a gang needs that has waited for long, though they are in use: single tasks would take each
         worker that becomes free before the next one does. Bounded in time, and for one gang of a service at a time.
     */
     void holdForGang(StepState &step);
     /** What a stop of the run now would cost. */
-    PreemptionCost computePreemptionCost(const std::string &worker, const RunKey &key);
+    PreemptionCost computePreemptionCost(const Run &run);
     /** Which runs the step may preempt: the more it gains by its start, the more a stop may cost. Empty if it may preempt none. */
     std::optional<PreemptionRight> preemptionRight(const StepState &step) const;
     /** As preemptionRight(); empty also if preemption makes room for a task of the step on no worker. */
@@ -173,20 +198,14 @@
         @param isAllOrNothing the tasks start only if all of them fit
     */
     void requestAdvice(StepState &step, int taskCount, bool isAllOrNothing);
-    /**
-        Workers that a step may ask for: not denied, large enough for one of its tasks and, if the tasks may start one by one,
-        without a valid permit.
-    */
-    struct AdviceTargets
-    {
-        /** Workers that an earlier answer allowed. */
-        std::vector<WorkerCapacity *> known;
-        /** Workers without an answer so far on which a task fits now, or would after preemption. */
-        std::vector<WorkerCapacity *> unknownWithFreeCapacity;
-        /** Workers without an answer so far that are too full for a task. */
-        std::vector<WorkerCapacity *> unknownWithoutFreeCapacity;
-    };
-    AdviceTargets findAdviceTargets(StepState &step, bool isAllOrNothing);
+    /** True if the step may use the worker, as far as its capacity, label and the step's limit of tasks per worker tell. */
+    static bool isLargeEnough(const StepState &step,
+                              const WorkerCapacity &workerCapacity,
+                              const std::unordered_map<std::string, int> &runsByWorker);
+    /** The workers that an earlier answer has allowed. */
+    std::vector<WorkerCapacity *> findAllowedTargets(StepState &step, bool isAllOrNothing);
+    /** The workers without an answer so far, in the order in which to ask for them. @param limit the most workers to return */
+    std::vector<WorkerCapacity *> findUnknownTargets(StepState &step, bool isAllOrNothing, std::size_t limit);
     /** Sorts by the dominant share in use, the least used worker first. */
     static void sortByUtilization(std::vector<WorkerCapacity *> &workerCapacities);
     /** Chooses the workers to name in an advice request and plans tasks for them; empty if no request should be sent now. */
@@ -228,16 +247,23 @@
     Fleet &fleet_;
     Advisor &advisor_;
     TimePoint inheritedJobsWaitUntil_;
-    /** The capacity of each service's workers in this round. */
+    /** The capacity of each service's workers. */
     std::map<std::string, ServiceCapacity> serviceCapacities_;
+    /** The service of each worker in serviceCapacities_, by worker. */
+    std::unordered_map<std::string, std::string> serviceOfWorker_;
+    ReadySteps readySteps_;
+    /** The room that is reserved on workers, by job. */
+    std::unordered_map<std::string, std::vector<ReservedRoom>> reservedRoom_;
+    /** When the next round reads all jobs and workers again. */
+    TimePoint readAllAt_;
+    /** Some inherited job waits for reports of workers, of which changes of the job or of a worker do not tell. */
+    bool hasJobsWaitingForReports_ = false;
     /** The results of hasUnreadWorkers in this round, by service. */
     std::map<std::string, bool> unreadByService_;
     /** The services on whose workers room is held for a gang in this round. */
     std::set<std::string> servicesWithHold_;
     /** Advice requests that are expected to take this long or longer cannot be sent in this round any more. */
     Milliseconds unsendableAdviceTime_ = Milliseconds::max();
-    /** The last step that an interrupted round has placed; the next round continues after it. */
-    std::optional<StepRank> resumeAfter_;
     AdviceShares adviceShares_;
     PlacementStatistics statistics_;
     std::shared_ptr<bool> isAlive_;
--- a/modules/dispatch/TaskPlacerAdvice.cpp
+++ b/modules/dispatch/TaskPlacerAdvice.cpp
@@ -2,6 +2,7 @@
 #include "observability/EventLog.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace auburndoor {
 
@@ -15,7 +16,8 @@
 constexpr double gangRequestMargin = 1.3;
 constexpr Milliseconds adviceTimeout { 4000 };
 constexpr Milliseconds adviceRetryDelay { 150 };
-// Time until a gang that has found no workers to ask for searches again.
+// Time until a step that has found no workers to ask for searches again.
+constexpr Milliseconds searchDelay { 20 };
 constexpr Milliseconds gangSearchDelay { 50 };
 
 Milliseconds estimateResponseTime(const AdvicePolicy &policy, std::size_t workers)
@@ -34,57 +36,84 @@
         step.advice.plannedTasks.clear();
     }
     for (const auto &[id, count] : step.advice.plannedTasks) {
-        auto *workerCapacity = getServiceCapacity(step).find(id);
-        if (workerCapacity == nullptr) {
-            continue;
-        }
-        const auto need = JobManager::makeClaim(step).need;
-        for (int task = 0; task < count; ++task) {
-            workerCapacity->reservations.push_back({ &step, step.job->queue.priority, need });
-        }
+        reserveOnWorker(step, id, count);
     }
 }
 
 void TaskPlacer::releasePlannedCapacity(StepState &step)
 {
-    for (const auto &[id, count] : step.advice.plannedTasks) {
-        if (auto *workerCapacity = getServiceCapacity(step).find(id)) {
-            std::erase_if(workerCapacity->reservations, [&step](const auto &reservation) { return reservation.step == &step; });
-        }
+    if (step.advice.plannedTasks.empty()) {
+        return;
     }
     step.advice.plannedTasks.clear();
+    reserveCapacity(step);
 }
 
-TaskPlacer::AdviceTargets TaskPlacer::findAdviceTargets(StepState &step, bool isAllOrNothing)
+bool TaskPlacer::isLargeEnough(const StepState &step,
+                               const WorkerCapacity &workerCapacity,
+                               const std::unordered_map<std::string, int> &runsByWorker)
 {
-    AdviceTargets targets;
-    const auto &advice = step.advice;
-    const auto claim = JobManager::makeClaim(step);
-    const auto now = timers_.now();
-    const auto right = findPreemptionRight(step);
+    const auto &entry = workerCapacity.worker->entry;
     const auto &label = step.spec().requiredLabel;
-    statistics_.workersVisited += static_cast<long long>(getServiceCapacity(step).workerCapacities().size());
-    for (auto &workerCapacity : getServiceCapacity(step).workerCapacities()) {
-        const auto &entry = workerCapacity.worker->entry;
-        if (!claim.need.fitsIn(entry.capacity) || (!label.empty() && !entry.hasLabel(label)) || advice.denied.contains(entry.id)
-            || countTasksLeft(step, entry.id) <= 0) {
-            continue;
+    return JobManager::makeClaim(step).need.fitsIn(entry.capacity) && (label.empty() || entry.hasLabel(label))
+           && countTasksLeft(step, entry.id, runsByWorker) > 0;
+}
+
+std::vector<WorkerCapacity *> TaskPlacer::findAllowedTargets(StepState &step, bool isAllOrNothing)
+{
+    std::vector<WorkerCapacity *> targets;
+    const auto now = timers_.now();
+    const auto runsByWorker = countRunsByWorker(step);
+    auto &serviceCapacity = getServiceCapacity(step);
+    for (const auto &[id, permit] : step.advice.allowed) {
+        // Tasks that may start one by one are placed without a request where the permit is valid.
+        auto *workerCapacity = permit.expiresAt > now && !isAllOrNothing ? nullptr : serviceCapacity.find(id);
+        if (workerCapacity != nullptr && isLargeEnough(step, *workerCapacity, runsByWorker)) {
+            targets.push_back(workerCapacity);
         }
-        const auto known = advice.allowed.find(entry.id);
-        const bool isKnown = known != advice.allowed.end();
-        if (isKnown && known->second.expiresAt > now && !isAllOrNothing) {
+    }
+    return targets;
+}
+
+std::vector<WorkerCapacity *> TaskPlacer::findUnknownTargets(StepState &step, bool isAllOrNothing, std::size_t limit)
+{
+    const auto claim = JobManager::makeClaim(step);
+    const auto runsByWorker = countRunsByWorker(step);
+    const auto isUnknown = [&](const WorkerCapacity &workerCapacity) {
+        return !step.advice.denied.contains(workerCapacity.id) && !step.advice.allowed.contains(workerCapacity.id)
+               && isLargeEnough(step, workerCapacity, runsByWorker);
+    };
+    const auto hasRoom = [&](const WorkerCapacity &workerCapacity) {
+        return claim.need.fitsIn(workerCapacity.freeFor(&step, claim.priority));
+    };
+    auto &serviceCapacity = getServiceCapacity(step);
+    auto targets = serviceCapacity.findLeastUtilized(claim.need, limit, [&](const WorkerCapacity &workerCapacity) {
+        ++statistics_.workersVisited;
+        return hasRoom(workerCapacity) && isUnknown(workerCapacity);
+    });
+    // A gang needs several workers at the same time, so full workers are asked for too.
+    const bool includesFull = !step.advice.wasRequested || isAllOrNothing;
+    const auto right = findPreemptionRight(step);
+    if (targets.size() >= limit || (!includesFull && !right)) {
+        return targets;
+    }
+    std::vector<WorkerCapacity *> preemptible;
+    std::vector<WorkerCapacity *> full;
+    for (auto &workerCapacity : serviceCapacity.workerCapacities()) {
+        ++statistics_.workersVisited;
+        if (!workerCapacity.isUsable || hasRoom(workerCapacity)) {
             continue;
         }
-        const bool hasCapacity = claim.need.fitsIn(workerCapacity.freeFor(&step, claim.priority))
-                                 || (right && workerCapacity.fitsAfterPreemption(claim.need, *right));
-        if (isKnown) {
-            targets.known.push_back(&workerCapacity);
-        } else if (hasCapacity) {
-            targets.unknownWithFreeCapacity.push_back(&workerCapacity);
-        } else {
-            targets.unknownWithoutFreeCapacity.push_back(&workerCapacity);
+        const bool isPreemptible = right && workerCapacity.fitsAfterPreemption(claim.need, *right);
+        if ((isPreemptible || includesFull) && isUnknown(workerCapacity)) {
+            (isPreemptible ? preemptible : full).push_back(&workerCapacity);
         }
     }
+    for (auto *others : { &preemptible, &full }) {
+        sortByUtilization(*others);
+        targets.insert(targets.end(), others->begin(), others->end());
+    }
+    targets.resize(std::min(targets.size(), limit));
     return targets;
 }
 
@@ -105,28 +134,24 @@
     if (!isFirstRequest && !findPreemptionRight(step) && !getServiceCapacity(step).mayHaveFree(JobManager::makeClaim(step).need)) {
         return {};
     }
-    auto targets = findAdviceTargets(step, isAllOrNothing);
-    if (planTasks(step, targets.known, taskCount, isAllOrNothing)) {
+    auto allowed = findAllowedTargets(step, isAllOrNothing);
+    if (planTasks(step, allowed, taskCount, isAllOrNothing)) {
         preemptForPlannedTasks(step);
         // The set of allowed workers of a step never changes, so these workers will be permitted again.
         auto &advice = step.advice;
         const auto answeredAt = timers_.now() + estimateResponseTime(*step.job->queue.advice, maxWorkersPerRequest);
         advice.planExpiresAt = answeredAt;
-        std::erase_if(targets.known, [&advice, answeredAt](const WorkerCapacity *workerCapacity) {
-            const auto &id = workerCapacity->worker->entry.id;
+        std::erase_if(allowed, [&advice, answeredAt](const WorkerCapacity *workerCapacity) {
+            const auto &id = workerCapacity->id;
             return !advice.plannedTasks.contains(id) || advice.allowed.at(id).expiresAt > answeredAt;
         });
-        return targets.known;
+        return allowed;
     }
-    auto chosen = std::move(targets.unknownWithFreeCapacity);
-    sortByUtilization(chosen);
-    if (isFirstRequest || isAllOrNothing) {
-        // A gang needs several workers at the same time, so full workers are asked for too.
-        sortByUtilization(targets.unknownWithoutFreeCapacity);
-        chosen.insert(chosen.end(), targets.unknownWithoutFreeCapacity.begin(), targets.unknownWithoutFreeCapacity.end());
+    const auto mostWorkers = isAllOrNothing ? std::numeric_limits<std::size_t>::max() : maxWorkersPerRequest;
+    auto chosen = findUnknownTargets(step, isAllOrNothing, mostWorkers);
+    if (isAllOrNothing) {
+        chosen.resize(std::min(chosen.size(), estimateWorkersToAsk(step, allowed, chosen, taskCount)));
     }
-    const auto limit = isAllOrNothing ? estimateWorkersToAsk(step, targets.known, chosen, taskCount) : maxWorkersPerRequest;
-    chosen.resize(std::min(chosen.size(), limit));
     if (isFirstRequest || !isAllOrNothing) {
         planTasks(step, chosen, taskCount, isAllOrNothing);
     }
@@ -138,7 +163,7 @@
     const auto need = JobManager::makeClaim(step).need;
     const auto &entry = workerCapacity.worker->entry;
     auto available = entry.capacity;
-    const int maxTasks = countTasksLeft(step, entry.id);
+    const int maxTasks = countTasksLeft(step, entry.id, countRunsByWorker(step));
     int count = 0;
     while (count < maxTasks && need.fitsIn(available)) {
         available -= need;
@@ -175,10 +200,11 @@
     auto &plannedTasks = step.advice.plannedTasks;
     plannedTasks.clear();
     int plannedCount = 0;
+    const auto runsByWorker = countRunsByWorker(step);
     const auto planOnWorker = [&](const WorkerCapacity &workerCapacity, Resources available) {
         auto &count = plannedTasks[workerCapacity.worker->entry.id];
         available -= need * count;
-        const int maxTasks = countTasksLeft(step, workerCapacity.worker->entry.id);
+        const int maxTasks = countTasksLeft(step, workerCapacity.id, runsByWorker);
         while (plannedCount < taskCount && count < maxTasks && need.fitsIn(available)) {
             available -= need;
             ++count;
@@ -208,7 +234,7 @@
     auto &advice = step.advice;
     const auto now = timers_.now();
     const bool hasKeptPlan = isAllOrNothing && !advice.plannedTasks.empty() && now < advice.planExpiresAt;
-    if (advice.pendingRequests > 0 || now < advice.retryAt || hasKeptPlan) {
+    if (advice.pendingRequests > 0 || now < std::max(advice.retryAt, step.search.adviceSearchAt) || hasKeptPlan) {
         return;
     }
     // A request that has to queue would reserve capacity for too long and be answered too late. It is left to the next round, which
@@ -221,9 +247,9 @@
     }
     releasePlannedCapacity(step);
     const auto chosen = chooseAdviceTargets(step, taskCount, isAllOrNothing);
-    if (chosen.empty() && isAllOrNothing) {
-        // The search visits each worker of the service for each waiting gang, and there is a round every few milliseconds.
-        advice.retryAt = now + gangSearchDelay;
+    if (chosen.empty()) {
+        // The search visits each worker of the service for each waiting step, and there is a round every few milliseconds.
+        step.search.adviceSearchAt = now + (isAllOrNothing ? gangSearchDelay : searchDelay);
     }
     // Requests that are sent together are answered together, so that their permits are valid at the same time.
     for (std::size_t first = 0; first < chosen.size(); first += maxWorkersPerRequest) {
@@ -233,7 +259,7 @@
         const auto last = std::min(first + maxWorkersPerRequest, chosen.size());
         sendAdviceRequest(step, { chosen.data() + first, last - first });
     }
-    reservePlannedCapacity(step);
+    reserveCapacity(step);
 }
 
 void TaskPlacer::sendAdviceRequest(StepState &step, std::span<WorkerCapacity *const> workerCapacities)
@@ -264,10 +290,12 @@
     }
     auto &advice = step->advice;
     --advice.pendingRequests;
+    step->search = StepSearch();
     jobManager_.capacityChanged();
     if (result.outcome != AdviceResult::Outcome::Answered) {
         advice.retryAt = timers_.now() + adviceRetryDelay;
         keepPermittedPlan(*step);
+        reserveCapacity(*step);
         return;
     }
     const auto &policy = job->second->queue.advice;
@@ -283,6 +311,7 @@
         }
     }
     keepPermittedPlan(*step);
+    reserveCapacity(*step);
     EventLog::writeRateLimited(
         "advice",
         { { "job", name.job }, { "step", name.step }, { "asked", askedWorkers.size() }, { "allowed", result.permits.size() } });
--- a/modules/dispatch/TaskPlacerGangs.cpp
+++ b/modules/dispatch/TaskPlacerGangs.cpp
@@ -57,9 +57,10 @@
     if (chosen.empty()) {
         chosen = fitGang(step, candidates, {});
     }
+    const bool isNewlyExhausted = noteSearch(step, !chosen.empty());
     if (chosen.empty()) {
         const auto members = static_cast<int>(step.tasks.size());
-        if (preemptForTasks(step, members, true) > 0) {
+        if (isNewlyExhausted && preemptForTasks(step, members, true) > 0) {
             return;
         }
         if (step.job->queue.advice) {
@@ -98,12 +99,8 @@
     if (!step.advice.plannedTasks.empty()) {
         return;
     }
-    const auto claim = JobManager::makeClaim(step);
     for (const auto &[id, count] : members) {
-        if (auto *workerCapacity = getServiceCapacity(step).find(id)) {
-            workerCapacity->reservations.insert(
-                workerCapacity->reservations.end(), static_cast<std::size_t>(count), { &step, claim.priority, claim.need });
-        }
+        reserveOnWorker(step, id, count);
     }
 }
 
@@ -118,6 +115,9 @@
     const auto &label = step.spec().requiredLabel;
     std::vector<WorkerCapacity *> usable;
     for (auto &workerCapacity : serviceCapacity.workerCapacities()) {
+        if (!workerCapacity.isUsable) {
+            continue;
+        }
         const auto &entry = workerCapacity.worker->entry;
         if ((label.empty() || entry.hasLabel(label)) && (!step.job->queue.advice || step.advice.allowed.contains(entry.id))) {
             usable.push_back(&workerCapacity);
@@ -144,7 +144,7 @@
                                  { "workers", members.size() },
                                  { "waited_ms", std::chrono::duration_cast<Milliseconds>(now - step.readySince).count() } });
     step.hold = { std::move(members), now + maxHoldDuration, now + 2 * maxHoldDuration };
-    reserveHeldCapacity(step);
+    reserveCapacity(step);
 }
 
 } // namespace auburndoor
--- a/modules/dispatch/TaskPlacerMaintenance.cpp
+++ b/modules/dispatch/TaskPlacerMaintenance.cpp
@@ -18,7 +18,7 @@
 
 void TaskPlacer::tend()
 {
-    beginRound();
+    applyChanges();
     for (const auto &[id, job] : jobManager_.jobs()) {
         if (!mayStart(*job)) {
             continue;
--- a/modules/dispatch/TaskPlacerPreemption.cpp
+++ b/modules/dispatch/TaskPlacerPreemption.cpp
@@ -30,20 +30,20 @@
 
 } // namespace
 
-PreemptionCost TaskPlacer::computePreemptionCost(const std::string &worker, const RunKey &key)
+PreemptionCost TaskPlacer::computePreemptionCost(const Run &run)
 {
-    const auto job = jobManager_.jobs().find(key.task.job);
-    const auto *run = fleet_.run(worker, key);
-    const auto *task = job == jobManager_.jobs().end() ? nullptr : job->second->task(key.task);
-    if (task == nullptr || run == nullptr) {
+    const auto &name = run.key.task;
+    const auto job = jobManager_.jobs().find(name.job);
+    const auto *task = job == jobManager_.jobs().end() ? nullptr : job->second->task(name);
+    if (task == nullptr) {
         return PreemptionCost::Nothing;
     }
     const auto now = timers_.now();
-    const auto &spec = job->second->spec.steps[static_cast<std::size_t>(key.task.step)];
-    if (task->preemptionCount >= maxPreemptionsOfTask || endsSoon(*run, now)) {
+    const auto &spec = job->second->spec.steps[static_cast<std::size_t>(name.step)];
+    if (task->preemptionCount >= maxPreemptionsOfTask || endsSoon(run, now)) {
         return PreemptionCost::Excessive;
     }
-    const auto remaining = spec.estimate * (100 - run->percent) / 100;
+    const auto remaining = spec.estimate * (100 - run.percent) / 100;
     // Past its objective a job still counts as late until its final deadline; after that no delay matters.
     const auto limit = now < job->second->objective ? job->second->objective : computeFinalDeadline(*job->second);
     if (now > limit) {
@@ -72,8 +72,7 @@
         return std::nullopt;
     }
     auto &serviceCapacity = getServiceCapacity(step);
-    serviceCapacity.collectPreemptibleRuns(
-        [this](const std::string &worker, const RunKey &key) { return computePreemptionCost(worker, key); });
+    serviceCapacity.collectPreemptibleRuns();
     const bool mayHelp = serviceCapacity.mayHaveFreeAfterPreemption(JobManager::makeClaim(step).need, *right);
     return mayHelp ? right : std::nullopt;
 }
@@ -92,9 +91,10 @@
     const auto &label = step.spec().requiredLabel;
     const auto need = JobManager::makeClaim(step).need;
     const auto addIfPreemptible = [&](WorkerCapacity &workerCapacity) {
-        const bool isUsable = workerCapacity.fitsAfterPreemption(need, right)
-                              || (includeFree && fitsWithoutPreemption(step, workerCapacity));
-        if (isUsable && (label.empty() || workerCapacity.worker->entry.hasLabel(label))) {
+        const bool fits = workerCapacity.isUsable
+                          && (workerCapacity.fitsAfterPreemption(need, right)
+                              || (includeFree && fitsWithoutPreemption(step, workerCapacity)));
+        if (fits && (label.empty() || workerCapacity.worker->entry.hasLabel(label))) {
             workerCapacities.push_back(&workerCapacity);
         }
     };
@@ -170,6 +170,7 @@
     if (!right) {
         return;
     }
+    getServiceCapacity(step).collectPreemptibleRuns();
     std::vector<std::pair<std::string, RunKey>> runsToStop;
     const auto need = JobManager::makeClaim(step).need;
     for (const auto &[id, count] : step.advice.plannedTasks) {
--- /dev/null
+++ b/modules/dispatch/TaskPlacerRounds.cpp
@@ -0,0 +1,216 @@
+#include "dispatch/TaskPlacer.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace auburndoor {
+
+namespace {
+
+// A longer round is interrupted, so that it delays the owner's pulses and client calls by less than a tenth of
+// their timeouts.
+constexpr Milliseconds maxRoundDuration { 10 };
+// Ranks, permits and the usability of workers also change by the passing of time, which only a full reading shows.
+constexpr Milliseconds readAllInterval { 200 };
+// A full reading takes at most this share of the time.
+constexpr int readAllPauseFactor = 20;
+
+} // namespace
+
+PlacementStatistics TaskPlacer::takeStatistics()
+{
+    return std::exchange(statistics_, {});
+}
+
+bool TaskPlacer::place()
+{
+    const auto startedAt = timers_.now();
+    const bool isComplete = runRound();
+    const auto duration = std::chrono::duration_cast<std::chrono::microseconds>(timers_.now() - startedAt);
+    ++statistics_.rounds;
+    statistics_.interruptedRounds += isComplete ? 0 : 1;
+    statistics_.duration += duration;
+    statistics_.longestRound = std::max(statistics_.longestRound, duration);
+    return isComplete;
+}
+
+bool TaskPlacer::runRound()
+{
+    const auto startedAt = timers_.now();
+    unreadByService_.clear();
+    unsendableAdviceTime_ = Milliseconds::max();
+    if (startedAt >= readAllAt_ || hasJobsWaitingForReports_) {
+        readAll();
+        const auto duration = std::chrono::duration_cast<Milliseconds>(timers_.now() - startedAt);
+        readAllAt_ = startedAt + std::max(readAllInterval, duration * readAllPauseFactor);
+    } else {
+        applyChanges();
+    }
+    auto &entries = readySteps_.entries();
+    statistics_.backlog = static_cast<long long>(entries.size());
+    // Following the changes is left out, so that it cannot use up the time of all rounds under load.
+    const auto placingSince = timers_.now();
+    for (auto next = entries.begin(); next != entries.end();) {
+        auto &step = *next->second;
+        ++statistics_.stepsPassed;
+        placeStep(step);
+        next = step.hasTasksToPlace() ? std::next(next) : readySteps_.erase(next);
+        if (timers_.now() - placingSince > maxRoundDuration && next != entries.end()) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void TaskPlacer::readAll()
+{
+    applyChanges();
+    readySteps_.clear();
+    reservedRoom_.clear();
+    servicesWithHold_.clear();
+    hasJobsWaitingForReports_ = false;
+    statistics_.workersVisited += static_cast<long long>(fleet_.workers().size());
+    for (const auto &[id, worker] : fleet_.workers()) {
+        getServiceCapacity(worker->entry.service).update(*worker, fleet_.isUsable(*worker));
+    }
+    for (auto &[service, serviceCapacity] : serviceCapacities_) {
+        serviceCapacity.tightenBounds();
+    }
+    for (const auto &[id, job] : jobManager_.jobs()) {
+        addJob(*job);
+    }
+}
+
+void TaskPlacer::applyChanges()
+{
+    auto jobs = jobManager_.takeChangedJobs();
+    std::sort(jobs.begin(), jobs.end());
+    jobs.erase(std::unique(jobs.begin(), jobs.end()), jobs.end());
+    for (const auto &id : jobs) {
+        updateJob(id);
+    }
+    for (const auto &id : fleet_.takeChangedWorkers()) {
+        updateWorker(id);
+    }
+}
+
+void TaskPlacer::updateJob(const std::string &id)
+{
+    readySteps_.removeJob(id);
+    dropReservations(id, nullptr);
+    const auto found = jobManager_.jobs().find(id);
+    if (found != jobManager_.jobs().end()) {
+        addJob(*found->second);
+    }
+}
+
+void TaskPlacer::updateWorker(const std::string &id)
+{
+    ++statistics_.workersVisited;
+    auto *worker = fleet_.worker(id);
+    auto known = serviceOfWorker_.find(id);
+    if (known != serviceOfWorker_.end() && (worker == nullptr || worker->entry.service != known->second)) {
+        getServiceCapacity(known->second).remove(id);
+        serviceOfWorker_.erase(known);
+    }
+    if (worker != nullptr) {
+        serviceOfWorker_[id] = worker->entry.service;
+        getServiceCapacity(worker->entry.service).update(*worker, fleet_.isUsable(*worker));
+    }
+}
+
+void TaskPlacer::addJob(JobState &job)
+{
+    // Advice for a job is already requested while its record is being stored.
+    const bool mayRequestAdvice = job.stage == JobStage::Recording && job.queue.advice.has_value();
+    const bool isReady = mayStart(job) || mayRequestAdvice;
+    const auto now = timers_.now();
+    for (auto &[number, occurrence] : job.occurrences) {
+        for (auto &step : occurrence.steps) {
+            reserveCapacity(step);
+            if (isReady && step.hasTasksToPlace() && occurrence.isReady(step)) {
+                readySteps_.insert(computeRank(step, now), step);
+            }
+        }
+    }
+}
+
+void TaskPlacer::dropReservations(const std::string &job, const void *step)
+{
+    const auto found = reservedRoom_.find(job);
+    if (found == reservedRoom_.end()) {
+        return;
+    }
+    std::erase_if(found->second, [&](const ReservedRoom &room) {
+        if (step != nullptr && room.step != step) {
+            return false;
+        }
+        auto &serviceCapacity = getServiceCapacity(room.service);
+        if (auto *workerCapacity = serviceCapacity.find(room.worker)) {
+            std::erase_if(workerCapacity->reservations, [&](const auto &reservation) { return reservation.step == room.step; });
+        }
+        serviceCapacity.noteGrowth(room.worker);
+        return true;
+    });
+    if (found->second.empty()) {
+        reservedRoom_.erase(found);
+    }
+}
+
+void TaskPlacer::reserveCapacity(StepState &step)
+{
+    dropReservations(step.job->spec.id, &step);
+    reservePlannedCapacity(step);
+    reserveHeldCapacity(step);
+}
+
+void TaskPlacer::reserveOnWorker(const StepState &step, const std::string &worker, int count)
+{
+    auto &serviceCapacity = getServiceCapacity(step);
+    auto *workerCapacity = serviceCapacity.find(worker);
+    if (workerCapacity == nullptr || count <= 0) {
+        return;
+    }
+    const auto claim = JobManager::makeClaim(step);
+    workerCapacity->reservations.insert(
+        workerCapacity->reservations.end(), static_cast<std::size_t>(count), { &step, claim.priority, claim.need });
+    reservedRoom_[step.job->spec.id].push_back({ &step, step.job->queue.service, worker });
+}
+
+bool TaskPlacer::mayStart(const JobState &job)
+{
+    if (job.stage != JobStage::Queued && job.stage != JobStage::Running) {
+        return false;
+    }
+    if (!job.isInherited || timers_.now() > inheritedJobsWaitUntil_ || !hasUnreadWorkers(job.queue.service)) {
+        return true;
+    }
+    hasJobsWaitingForReports_ = true;
+    return false;
+}
+
+bool TaskPlacer::hasUnreadWorkers(const std::string &service)
+{
+    const auto [found, isNew] = unreadByService_.try_emplace(service);
+    if (isNew) {
+        found->second = fleet_.hasUnreadWorkers(service);
+    }
+    return found->second;
+}
+
+ServiceCapacity &TaskPlacer::getServiceCapacity(const StepState &step)
+{
+    return getServiceCapacity(step.job->queue.service);
+}
+
+ServiceCapacity &TaskPlacer::getServiceCapacity(const std::string &service)
+{
+    const auto found = serviceCapacities_.find(service);
+    if (found != serviceCapacities_.end()) {
+        return found->second;
+    }
+    ServiceCapacity capacity([this](const Run &run) { return computePreemptionCost(run); });
+    return serviceCapacities_.emplace(service, std::move(capacity)).first->second;
+}
+
+} // namespace auburndoor
--- a/modules/dispatch/WorkerCapacity.cpp
+++ b/modules/dispatch/WorkerCapacity.cpp
@@ -14,6 +14,20 @@
 
 } // namespace
 
+void WorkerCapacity::clearPlan()
+{
+    planned = Resources();
+    waitingPriority = noPriority;
+}
+
+void WorkerCapacity::recordStart(const Resources &need, int priority)
+{
+    expectedFree -= need;
+    if (waitingPriority < noPriority && priority <= waitingPriority) {
+        clearPlan();
+    }
+}
+
 Resources WorkerCapacity::freeFor(const void *step, int priority) const
 {
     if (waitingPriority < priority) {
@@ -31,7 +45,10 @@
 
 void WorkerCapacity::collectRuns()
 {
-    expectedFree = worker->free();
+    isCollected = true;
+    hasStoppingRuns = false;
+    preemptibleRuns.clear();
+    expectedFree = worker->free() - planned;
     for (const auto &[key, run] : worker->runs) {
         if (run.phase == Run::Phase::Stopping) {
             expectedFree += run.claim.need;
@@ -83,6 +100,7 @@
         run = preemptibleRuns.erase(run);
     }
     expectedFree -= need;
+    planned += need;
     waitingPriority = std::min(waitingPriority, right.priority);
     return stopped;
 }
--- a/modules/dispatch/WorkerCapacity.h
+++ b/modules/dispatch/WorkerCapacity.h
@@ -4,6 +4,7 @@
 
 #include <compare>
 #include <limits>
+#include <string>
 #include <vector>
 
 namespace auburndoor {
@@ -49,18 +50,32 @@
     Resources need;
 };
 
-/** The capacity of a usable worker in one round of placement: what is free, and what preemption could free. */
+/** The capacity of a worker as placement sees it: what is free, and what preemption could free. */
 struct WorkerCapacity
 {
+    static constexpr int noPriority = std::numeric_limits<int>::max();
+
+    std::string id;
     WorkerState *worker = nullptr;
+    /** Tasks may start on it, as of the last update. */
+    bool isUsable = false;
     std::vector<CapacityReservation> reservations;
-    /** What will be free once the runs being stopped have ended, less what this round has planned there. Set by collectRuns(). */
+    /** What will be free once the runs being stopped have ended, less what is planned here. Set by collectRuns(). */
     Resources expectedFree;
     std::vector<PreemptibleRun> preemptibleRuns;
     /** Some runs on the worker are being stopped. */
     bool hasStoppingRuns = false;
-    /** The priority of the most urgent work for which this round has planned room here; less urgent work may not start here. */
-    int waitingPriority = std::numeric_limits<int>::max();
+    /** The runs were collected since the last update. */
+    bool isCollected = false;
+    /** The room planned for tasks that wait for runs to be stopped. */
+    Resources planned;
+    /** The priority of the most urgent work for which room is planned here; less urgent work may not start here. */
+    int waitingPriority = noPriority;
+
+    /** Forgets the room that is planned here. */
+    void clearPlan();
+    /** Follows the start of a task here, which may be one that room was planned for. */
+    void recordStart(const Resources &need, int priority);
 
     /** What a step may use now: the free capacity less the reservations of other steps that are at least as urgent. */
     Resources freeFor(const void *step, int priority) const;
