Repairs of services first, and a deadline of its own for each occurrence

Cause: a step ranked as lost work once its JOB was older than three times its objective. A service is older than that after some seconds, so each of its tasks that failed or lost its worker came behind all other work, and could preempt nothing. Occurrences of a scheduled job that come due late in the job's life had the same rank, and their runs counted as free to stop.

Ruled out: advice (valid permits and no pending request in the log while tasks waited: service.waiting with ranked_lost=1 in every line after 12.5 s).

Change: a service that has lost tasks ranks before all other steps and may preempt less urgent runs; it is never lost work. The objective and the final deadline of a scheduled job count from the time at which each occurrence is due.

--- a/modules/dispatch/JobState.cpp
+++ b/modules/dispatch/JobState.cpp
@@ -4,6 +4,13 @@
 
 namespace auburndoor {
 
+namespace {
+
+// A job that takes longer than this multiple of its objective no longer counts as late but as lost.
+constexpr int finalDeadlineFactor = 3;
+
+} // namespace
+
 std::string_view name(JobStage stage)
 {
     switch (stage) {
@@ -38,6 +45,13 @@
     return spec().isGang ? !isDone() && !hasRuns() : hasIdleTask();
 }
 
+bool StepState::isRepair() const
+{
+    return spec().isService && job->hasBegun && std::any_of(tasks.begin(), tasks.end(), [](const Task &task) {
+               return task.isIdle() && task.idleSince != TimePoint();
+           });
+}
+
 const StepSpec &StepState::spec() const
 {
     return job->spec.steps[static_cast<std::size_t>(index)];
@@ -68,6 +82,7 @@
 void JobState::addOccurrence(int number, TimePoint now)
 {
     auto &occurrence = occurrences[number];
+    occurrence.dueSince = now;
     for (std::size_t index = 0; index < spec.steps.size(); ++index) {
         StepState step;
         step.job = this;
@@ -111,6 +126,17 @@
     return now + (spec.firstDue + occurrence * spec.interval - wallNow);
 }
 
+TimePoint JobState::objectiveOf(int occurrence) const
+{
+    const auto found = spec.isScheduled ? occurrences.find(occurrence) : occurrences.end();
+    return found == occurrences.end() ? objective : found->second.dueSince + (objective - receivedAt);
+}
+
+TimePoint JobState::finalDeadlineOf(int occurrence) const
+{
+    return objectiveOf(occurrence) + (objective - receivedAt) * (finalDeadlineFactor - 1);
+}
+
 Milliseconds JobState::longestChain(const std::function<Milliseconds(std::size_t step)> &timeOf) const
 {
     std::vector<Milliseconds> ends(spec.steps.size());
--- a/modules/dispatch/JobState.h
+++ b/modules/dispatch/JobState.h
@@ -137,12 +137,16 @@
     bool hasRuns() const;
     /** True if tasks of the step wait for a worker; those of a gang all do, or none. */
     bool hasTasksToPlace() const;
+    /** True if it is a service that was at work before, so that its users miss each task that waits. */
+    bool isRepair() const;
 };
 
 /** All steps of one occurrence of a job. */
 struct OccurrenceState
 {
     std::vector<StepState> steps;
+    /** When it became due; for one of an earlier owner, the time of the takeover. */
+    TimePoint dueSince;
     bool isDone() const;
     /** True if all steps that the step depends on are done. */
     bool isReady(const StepState &step) const;
@@ -182,6 +186,10 @@
     bool isWorkDone() const;
     /** When an occurrence is due, on the clock of now; at once for a job without a schedule. @param wallNow the wall clock's now */
     TimePoint dueAt(int occurrence, TimePoint now, std::chrono::milliseconds wallNow) const;
+    /** The time by which an occurrence has to be done to be in time; its own time counts if the job has a schedule. */
+    TimePoint objectiveOf(int occurrence) const;
+    /** The time after which completing an occurrence has no value: a fixed multiple of the time allowed by its objective. */
+    TimePoint finalDeadlineOf(int occurrence) const;
     /** The estimated run time of the longest chain of dependent steps. */
     Milliseconds criticalPathTime() const;
     /** The estimated run time of the longest chain of those steps of an occurrence that are not done. */
--- a/modules/dispatch/StepRank.h
+++ b/modules/dispatch/StepRank.h
@@ -10,6 +10,8 @@
 /** The sort key of a step among the steps that have tasks to place; the smallest is served first. */
 struct StepRank
 {
+    /** It is a service that has lost tasks: they are few, and its users miss each of them. */
+    bool isRepair = false;
     /** Its job is past its final deadline, so that it gains nothing from going before work that is not. */
     bool isLost = false;
     int priority = 0;
@@ -22,6 +24,9 @@
 
     bool operator<(const StepRank &other) const
     {
+        if (isRepair != other.isRepair) {
+            return isRepair;
+        }
         return std::tie(isLost, priority, isLate, objective, job, occurrence, step)
                < std::tie(other.isLost, other.priority, other.isLate, other.objective, other.job, other.occurrence, other.step);
     }
--- a/modules/dispatch/TaskPlacer.cpp
+++ b/modules/dispatch/TaskPlacer.cpp
@@ -11,26 +11,25 @@
 
 namespace {
 
-// A job that takes longer than this multiple of its objective no longer counts as late but as lost.
-constexpr int finalDeadlineFactor = 3;
 // Time until all workers are searched again for a step that has found no room, besides those that get more free.
 constexpr Milliseconds searchInterval { 300 };
 } // namespace
 
-TimePoint computeFinalDeadline(const JobState &job)
+bool isPastFinalDeadline(const StepState &step, TimePoint now)
 {
-    return job.receivedAt + (job.objective - job.receivedAt) * finalDeadlineFactor;
+    return !step.spec().isService && now > step.job->finalDeadlineOf(step.occurrence);
 }
 
 bool canBeInTime(const StepState &step, TimePoint now)
 {
     const auto &job = *step.job;
-    // Tasks of a service run until they are cancelled, and the objective of a scheduled job is not that of each occurrence.
-    if (step.spec().isService || job.spec.isScheduled) {
+    // Tasks of a service run until they are cancelled.
+    if (step.spec().isService) {
         return true;
     }
     const auto occurrence = job.occurrences.find(step.occurrence);
-    return occurrence == job.occurrences.end() || now + job.remainingPathTime(occurrence->second) <= job.objective;
+    return occurrence == job.occurrences.end()
+           || now + job.remainingPathTime(occurrence->second) <= job.objectiveOf(step.occurrence);
 }
 
 TaskPlacer::TaskPlacer(Timers &timers, JobManager &jobManager, Fleet &fleet, Advisor &advisor, TimePoint inheritedJobsWaitUntil)
@@ -56,10 +55,11 @@
 StepRank TaskPlacer::computeRank(const StepState &step, TimePoint now)
 {
     const auto &job = *step.job;
-    return { now > computeFinalDeadline(job),
+    return { step.isRepair(),
+             isPastFinalDeadline(step, now),
              job.queue.priority,
              !canBeInTime(step, now),
-             job.objective,
+             job.objectiveOf(step.occurrence),
              job.spec.id,
              step.occurrence,
              step.index };
--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -20,18 +20,18 @@
 
 namespace auburndoor {
 
-/** Returns the time after which completing the job has no value: a fixed multiple of the time allowed by its objective. */
-TimePoint computeFinalDeadline(const JobState &job);
-
-/** True if the job of a step that starts at this time can meet its objective, by the estimates of its remaining steps. */
+/** True if the occurrence of a step that starts at this time can meet its objective, by the estimates of its remaining steps. */
 bool canBeInTime(const StepState &step, TimePoint now);
 
+/** True if completing the occurrence of the step has no value any more. Tasks of a service are of value until it is cancelled. */
+bool isPastFinalDeadline(const StepState &step, TimePoint now);
+
 /**
     Chooses workers for tasks that are ready to start, and requests advice for queues that need it.
 
-    Steps are served by priority, then by their job's objective, earliest first. Under overload this order alone would make every
-    job late, each by the ones before it: steps that can no longer be in time come after the others of their priority, and jobs past
-    their final deadline after all others. All members are called from the loop's thread.
+    Services that have lost tasks come first. Steps are served by priority, then by their objective, earliest first. Under overload
+   this order alone would make every job late, each by the ones before it: steps that can no longer be in time come after the others
+   of their priority, and jobs past their final deadline after all others. All members are called from the loop's thread.
 */
 class TaskPlacer
 {
--- a/modules/dispatch/TaskPlacerPreemption.cpp
+++ b/modules/dispatch/TaskPlacerPreemption.cpp
@@ -45,7 +45,8 @@
     }
     const auto remaining = spec.estimate * (100 - run.percent) / 100;
     // Past its objective a job still counts as late until its final deadline; after that no delay matters.
-    const auto limit = now < job->second->objective ? job->second->objective : computeFinalDeadline(*job->second);
+    const auto objective = job->second->objectiveOf(name.occurrence);
+    const auto limit = now < objective ? objective : job->second->finalDeadlineOf(name.occurrence);
     if (now > limit) {
         return PreemptionCost::Nothing;
     }
@@ -56,9 +57,12 @@
 {
     const auto now = timers_.now();
     const auto priority = step.job->queue.priority;
-    if (now > computeFinalDeadline(*step.job)) {
+    if (isPastFinalDeadline(step, now)) {
         return std::nullopt;
     }
+    if (step.isRepair()) {
+        return PreemptionRight { priority, PreemptionCost::MakesLate };
+    }
     if (!canBeInTime(step, now)) {
         return PreemptionRight { priority, PreemptionCost::Nothing };
     }
