Test: a process whose first connection times out replaces a working owner

The channel for the first heartbeat has a connect timeout of 400 ms, though an owner's first heartbeat has 2 s (docs/incidents/0010.md). It fails without a log line; the process knows no members to ask and replaces the owner, after another 500 ms on a small machine.

--- /dev/null
+++ b/tests/entry/HandOverTests.cpp
@@ -0,0 +1,99 @@
+#include "dispatch/CommitQueue.h"
+#include "entry/Leadership.h"
+#include "fakes/FakeStore.h"
+#include "net/EventLoop.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <array>
+#include <netinet/in.h>
+#include <optional>
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace auburndoor;
+
+namespace {
+
+/** A process that is too busy to accept connections: its queue of connections is full, so that further ones wait. */
+class BusyListener
+{
+public:
+    BusyListener()
+    {
+        listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        REQUIRE(::bind(listener_, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0);
+        REQUIRE(::listen(listener_, 0) == 0);
+        socklen_t length = sizeof(address);
+        REQUIRE(::getsockname(listener_, reinterpret_cast<sockaddr *>(&address), &length) == 0);
+        port_ = ntohs(address.sin_port);
+        // One connection more than the queue of a listener without a backlog holds.
+        for (auto &client : clients_) {
+            client = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+            ::connect(client, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
+        }
+    }
+
+    BusyListener(const BusyListener &) = delete;
+    BusyListener &operator=(const BusyListener &) = delete;
+
+    ~BusyListener()
+    {
+        std::for_each(clients_.begin(), clients_.end(), [](int client) { ::close(client); });
+        ::close(listener_);
+    }
+
+    Address address() const
+    {
+        return { "127.0.0.1", port_ };
+    }
+
+private:
+    int listener_ = -1;
+    std::uint16_t port_ = 0;
+    std::array<int, 3> clients_ {};
+};
+
+} // namespace
+
+// Guards against a takeover without evidence: all processes of a large cell restart together, their connections wait in the owner's
+// queue, and one whose connect times out replaces the owner while it reads the reports of the workers.
+TEST_CASE("a process that has just started does not replace an owner that is slow to accept its connection")
+{
+    const double processorShare = GENERATE(0.12, 0.5);
+    CAPTURE(processorShare);
+    BusyListener busyOwner;
+    EventLoop loop;
+    FakeStore store(loop);
+    store.write(FencingRows::table,
+                FencingRows::epochKey,
+                R"({"token":1,"owner":"busy","address":")" + busyOwner.address().text() + R"("})");
+    EntrySettings settings;
+    settings.nodeName = "started";
+    settings.processorShare = processorShare;
+    settings.peers = { "127.0.0.1", 1 };
+    std::optional<Ownership> won;
+    Leadership leadership(
+        loop,
+        store,
+        settings,
+        LeadershipTiming(),
+        Leadership::Hooks { [&won](const Ownership &ownership) { won = ownership; }, [] { return std::nullopt; } });
+    leadership.start();
+    const auto runFor = [&loop](Milliseconds duration) {
+        loop.after(duration, [&loop] { loop.stop(); });
+        loop.run();
+    };
+    // Until its first heartbeat an owner has 2 s.
+    runFor(Milliseconds(1800));
+    CHECK_FALSE(won.has_value());
+    // An owner that accepts no connection for longer is replaced nevertheless.
+    runFor(Milliseconds(4000));
+    CHECK(won.has_value());
+}
