Placement reads the clock once for each search; steps that are passed over cost no reading

Cause: each step that is passed over read the clock up to three times, and each job once when all are read. On the platform a reading is charged like a system call.

Change: the placer keeps the time as read at the start of a round and after each search.

Test: LongQueueTests compares the jobs that started with those that were accepted: with each reading charged at 600 us some submissions are refused in time, so that 600 of 600 could not be reached.

--- a/modules/dispatch/TaskPlacer.cpp
+++ b/modules/dispatch/TaskPlacer.cpp
@@ -23,13 +23,12 @@
 bool canBeInTime(const StepState &step, TimePoint now)
 {
     const auto &job = *step.job;
-    // Tasks of a service run until they are cancelled.
-    if (step.spec().isService) {
+    // Tasks of a service run until they are cancelled, and an occurrence keeps its place until its final deadline.
+    if (step.spec().isService || job.spec.isScheduled) {
         return true;
     }
     const auto occurrence = job.occurrences.find(step.occurrence);
-    return occurrence == job.occurrences.end()
-           || now + job.remainingPathTime(occurrence->second) <= job.objectiveOf(step.occurrence);
+    return occurrence == job.occurrences.end() || now + job.remainingPathTime(occurrence->second) <= job.objective;
 }
 
 TaskPlacer::TaskPlacer(Timers &timers, JobManager &jobManager, Fleet &fleet, Advisor &advisor, TimePoint inheritedJobsWaitUntil)
@@ -72,7 +71,7 @@
         return true;
     }
     auto &serviceCapacity = getServiceCapacity(step);
-    if (timers_.now() >= search.repeatAt || !serviceCapacity.isGrowthKnownSince(search.seenGrowth)) {
+    if (now_ >= search.repeatAt || !serviceCapacity.isGrowthKnownSince(search.seenGrowth)) {
         search.isExhausted = false;
         return true;
     }
@@ -85,26 +84,25 @@
 
 bool TaskPlacer::mayUseSomeWorker(const StepState &step) const
 {
-    const auto now = timers_.now();
     const auto &allowed = step.advice.allowed;
     return !step.job->queue.advice
-           || std::any_of(allowed.begin(), allowed.end(), [now](const auto &entry) { return entry.second.expiresAt > now; });
+           || std::any_of(allowed.begin(), allowed.end(), [this](const auto &entry) { return entry.second.expiresAt > now_; });
 }
 
-void TaskPlacer::placeStep(StepState &step)
+bool TaskPlacer::placeStep(StepState &step)
 {
     const bool isGang = step.spec().isGang;
     if (step.job->stage == JobStage::Recording) {
-        requestAdvice(step, static_cast<int>(step.tasks.size()), isGang);
-    } else if (!fleet_.maySendStart() && mayUseSomeWorker(step)) {
+        return requestAdvice(step, static_cast<int>(step.tasks.size()), isGang);
+    }
+    if (!fleet_.maySendStart() && mayUseSomeWorker(step)) {
         // The search waits as well: nothing that it finds could start.
-        return;
-    } else if (!hasRoomToSearch(step)) {
-        if (step.job->queue.advice) {
-            requestAdvice(step, countIdleTasks(step), isGang);
-        }
-        return;
-    } else if (isGang) {
+        return false;
+    }
+    if (!hasRoomToSearch(step)) {
+        return step.job->queue.advice && requestAdvice(step, countIdleTasks(step), isGang);
+    }
+    if (isGang) {
         placeGang(step);
     } else {
         placeTasks(step);
@@ -114,6 +112,7 @@
     if (step.advice.pendingRequests == 0 && (!isGang || step.hasRuns())) {
         releasePlannedCapacity(step);
     }
+    return true;
 }
 
 int TaskPlacer::countIdleTasks(const StepState &step)
@@ -184,10 +183,9 @@
             candidates.push_back(*candidate);
         }
     };
-    const auto now = timers_.now();
     const auto findPermit = [&](const WorkerCapacity &workerCapacity) -> const StepAdvice::WorkerPermit * {
         const auto found = step.advice.allowed.find(workerCapacity.id);
-        const bool isValid = found != step.advice.allowed.end() && found->second.expiresAt > now
+        const bool isValid = found != step.advice.allowed.end() && found->second.expiresAt > now_
                              && found->second.workerIncarnation == workerCapacity.worker->entry.incarnation;
         return isValid ? &found->second : nullptr;
     };
@@ -208,7 +206,7 @@
         return candidates;
     }
     for (const auto &[id, permit] : step.advice.allowed) {
-        auto *workerCapacity = permit.expiresAt > now ? serviceCapacity.find(id) : nullptr;
+        auto *workerCapacity = permit.expiresAt > now_ ? serviceCapacity.find(id) : nullptr;
         if (workerCapacity != nullptr && permit.workerIncarnation == workerCapacity->worker->entry.incarnation) {
             addCandidate(*workerCapacity, &permit);
         }
@@ -283,7 +281,7 @@
                                  { "index", index },
                                  { "attempt", attempt },
                                  { "worker", id },
-                                 { "ready_ms", std::chrono::duration_cast<Milliseconds>(timers_.now() - step.readySince).count() },
+                                 { "ready_ms", std::chrono::duration_cast<Milliseconds>(now_ - step.readySince).count() },
                                  { "free_cores", candidate.free.milliCores } });
     const auto claim = JobManager::makeClaim(step);
     candidate.free -= claim.need;
@@ -356,7 +354,7 @@
     const bool isNewlyExhausted = !hasPlacedAll && !step.search.isExhausted;
     step.search.isExhausted = !hasPlacedAll;
     if (isNewlyExhausted) {
-        step.search.repeatAt = timers_.now() + searchInterval;
+        step.search.repeatAt = now_ + searchInterval;
     }
     return isNewlyExhausted;
 }
--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -134,7 +134,8 @@
                                const std::string &rack) const;
     /** The cost of placing a task of the step on the candidate; lower is better. */
     double computeCost(const StepState &step, const Candidate &candidate) const;
-    void placeStep(StepState &step);
+    /** Starts tasks of the step, or requests advice for it. @return false if nothing was searched */
+    bool placeStep(StepState &step);
     /** Notes the result of a search for room. @return true if all workers were searched in vain, so that preemption may help */
     bool noteSearch(StepState &step, bool hasPlacedAll);
     void placeTasks(StepState &step);
@@ -196,8 +197,9 @@
 
         @param taskCount      the tasks that could not be placed
         @param isAllOrNothing the tasks start only if all of them fit
+        @return               true if workers were searched
     */
-    void requestAdvice(StepState &step, int taskCount, bool isAllOrNothing);
+    bool requestAdvice(StepState &step, int taskCount, bool isAllOrNothing);
     /** True if the step may use the worker, as far as its capacity, label and the step's limit of tasks per worker tell. */
     static bool isLargeEnough(const StepState &step,
                               const WorkerCapacity &workerCapacity,
@@ -247,6 +249,8 @@
     Fleet &fleet_;
     Advisor &advisor_;
     TimePoint inheritedJobsWaitUntil_;
+    /** The time as last read: the clock is read once for each search, not for each step that is passed over. */
+    TimePoint now_;
     /** The capacity of each service's workers. */
     std::map<std::string, ServiceCapacity> serviceCapacities_;
     /** The service of each worker in serviceCapacities_, by worker. */
--- a/modules/dispatch/TaskPlacerAdvice.cpp
+++ b/modules/dispatch/TaskPlacerAdvice.cpp
@@ -32,7 +32,7 @@
     if (step.advice.plannedTasks.empty()) {
         return;
     }
-    if (step.advice.pendingRequests == 0 && step.advice.planExpiresAt <= timers_.now()) {
+    if (step.advice.pendingRequests == 0 && step.advice.planExpiresAt <= now_) {
         step.advice.plannedTasks.clear();
     }
     for (const auto &[id, count] : step.advice.plannedTasks) {
@@ -62,12 +62,11 @@
 std::vector<WorkerCapacity *> TaskPlacer::findAllowedTargets(StepState &step, bool isAllOrNothing)
 {
     std::vector<WorkerCapacity *> targets;
-    const auto now = timers_.now();
     const auto runsByWorker = countRunsByWorker(step);
     auto &serviceCapacity = getServiceCapacity(step);
     for (const auto &[id, permit] : step.advice.allowed) {
         // Tasks that may start one by one are placed without a request where the permit is valid.
-        auto *workerCapacity = permit.expiresAt > now && !isAllOrNothing ? nullptr : serviceCapacity.find(id);
+        auto *workerCapacity = permit.expiresAt > now_ && !isAllOrNothing ? nullptr : serviceCapacity.find(id);
         if (workerCapacity != nullptr && isLargeEnough(step, *workerCapacity, runsByWorker)) {
             targets.push_back(workerCapacity);
         }
@@ -139,7 +138,7 @@
         preemptForPlannedTasks(step);
         // The set of allowed workers of a step never changes, so these workers will be permitted again.
         auto &advice = step.advice;
-        const auto answeredAt = timers_.now() + estimateResponseTime(*step.job->queue.advice, maxWorkersPerRequest);
+        const auto answeredAt = now_ + estimateResponseTime(*step.job->queue.advice, maxWorkersPerRequest);
         advice.planExpiresAt = answeredAt;
         std::erase_if(allowed, [&advice, answeredAt](const WorkerCapacity *workerCapacity) {
             const auto &id = workerCapacity->id;
@@ -229,13 +228,12 @@
     return isEnough;
 }
 
-void TaskPlacer::requestAdvice(StepState &step, int taskCount, bool isAllOrNothing)
+bool TaskPlacer::requestAdvice(StepState &step, int taskCount, bool isAllOrNothing)
 {
     auto &advice = step.advice;
-    const auto now = timers_.now();
-    const bool hasKeptPlan = isAllOrNothing && !advice.plannedTasks.empty() && now < advice.planExpiresAt;
-    if (advice.pendingRequests > 0 || now < std::max(advice.retryAt, step.search.adviceSearchAt) || hasKeptPlan) {
-        return;
+    const bool hasKeptPlan = isAllOrNothing && !advice.plannedTasks.empty() && now_ < advice.planExpiresAt;
+    if (advice.pendingRequests > 0 || now_ < std::max(advice.retryAt, step.search.adviceSearchAt) || hasKeptPlan) {
+        return false;
     }
     // A request that has to queue would reserve capacity for too long and be answered too late. It is left to the next round, which
     // sends requests in the order of the steps' ranks.
@@ -243,13 +241,13 @@
     const auto expectedTime = estimateResponseTime(policy, maxWorkersPerRequest);
     if (expectedTime >= unsendableAdviceTime_ || !advisor_.canSendNow(expectedTime)) {
         unsendableAdviceTime_ = std::min(unsendableAdviceTime_, expectedTime);
-        return;
+        return false;
     }
     releasePlannedCapacity(step);
     const auto chosen = chooseAdviceTargets(step, taskCount, isAllOrNothing);
     if (chosen.empty()) {
         // The search visits each worker of the service for each waiting step, and there is a round every few milliseconds.
-        step.search.adviceSearchAt = now + (isAllOrNothing ? gangSearchDelay : searchDelay);
+        step.search.adviceSearchAt = now_ + (isAllOrNothing ? gangSearchDelay : searchDelay);
     }
     // Requests that are sent together are answered together, so that their permits are valid at the same time.
     for (std::size_t first = 0; first < chosen.size(); first += maxWorkersPerRequest) {
@@ -260,6 +258,7 @@
         sendAdviceRequest(step, { chosen.data() + first, last - first });
     }
     reserveCapacity(step);
+    return true;
 }
 
 void TaskPlacer::sendAdviceRequest(StepState &step, std::span<WorkerCapacity *const> workerCapacities)
@@ -290,10 +289,11 @@
     }
     auto &advice = step->advice;
     --advice.pendingRequests;
+    now_ = timers_.now();
     step->search = StepSearch();
     jobManager_.capacityChanged();
     if (result.outcome != AdviceResult::Outcome::Answered) {
-        advice.retryAt = timers_.now() + adviceRetryDelay;
+        advice.retryAt = now_ + adviceRetryDelay;
         keepPermittedPlan(*step);
         reserveCapacity(*step);
         return;
@@ -305,9 +305,7 @@
     for (const auto &permit : result.permits) {
         advice.denied.erase(permit.worker);
         if (const auto *worker = fleet_.worker(permit.worker)) {
-            advice.allowed[permit.worker] = { permit.ticket,
-                                              timers_.now() + validity - permitExpiryMargin,
-                                              worker->entry.incarnation };
+            advice.allowed[permit.worker] = { permit.ticket, now_ + validity - permitExpiryMargin, worker->entry.incarnation };
         }
     }
     keepPermittedPlan(*step);
@@ -323,12 +321,11 @@
     if (advice.pendingRequests > 0) {
         return;
     }
-    const auto now = timers_.now();
     advice.planExpiresAt = TimePoint::max();
     int plannedCount = 0;
     std::erase_if(advice.plannedTasks, [&](const auto &planned) {
         const auto permit = advice.allowed.find(planned.first);
-        if (permit == advice.allowed.end() || permit->second.expiresAt <= now) {
+        if (permit == advice.allowed.end() || permit->second.expiresAt <= now_) {
             return true;
         }
         advice.planExpiresAt = std::min(advice.planExpiresAt, permit->second.expiresAt);
--- a/modules/dispatch/TaskPlacerGangs.cpp
+++ b/modules/dispatch/TaskPlacerGangs.cpp
@@ -91,7 +91,7 @@
     if (members.empty()) {
         return;
     }
-    if (step.hold.endsAt <= timers_.now() || step.hasRuns() || step.isDone()) {
+    if (step.hold.endsAt <= now_ || step.hasRuns() || step.isDone()) {
         members.clear();
         return;
     }
@@ -106,9 +106,8 @@
 
 void TaskPlacer::holdForGang(StepState &step)
 {
-    const auto now = timers_.now();
-    if (servicesWithHold_.contains(step.job->queue.service) || now < step.hold.mayRepeatAt
-        || now - step.readySince < minWaitBeforeHold) {
+    if (servicesWithHold_.contains(step.job->queue.service) || now_ < step.hold.mayRepeatAt
+        || now_ - step.readySince < minWaitBeforeHold) {
         return;
     }
     auto &serviceCapacity = getServiceCapacity(step);
@@ -135,15 +134,15 @@
     }
     if (missing > 0) {
         // The search visits each worker of the service, and there is a round of placement every few milliseconds.
-        step.hold.mayRepeatAt = now + holdSearchDelay;
+        step.hold.mayRepeatAt = now_ + holdSearchDelay;
         return;
     }
     EventLog::writeRateLimited("gang.held",
                                { { "job", step.job->spec.id },
                                  { "step", step.index },
                                  { "workers", members.size() },
-                                 { "waited_ms", std::chrono::duration_cast<Milliseconds>(now - step.readySince).count() } });
-    step.hold = { std::move(members), now + maxHoldDuration, now + 2 * maxHoldDuration };
+                                 { "waited_ms", std::chrono::duration_cast<Milliseconds>(now_ - step.readySince).count() } });
+    step.hold = { std::move(members), now_ + maxHoldDuration, now_ + 2 * maxHoldDuration };
     reserveCapacity(step);
 }
 
--- a/modules/dispatch/TaskPlacerMaintenance.cpp
+++ b/modules/dispatch/TaskPlacerMaintenance.cpp
@@ -18,6 +18,8 @@
 
 void TaskPlacer::tend()
 {
+    now_ = timers_.now();
+    unreadByService_.clear();
     applyChanges();
     for (const auto &[id, job] : jobManager_.jobs()) {
         if (!mayStart(*job)) {
@@ -40,7 +42,6 @@
 
 void TaskPlacer::startSpeculativeCopies(StepState &step)
 {
-    const auto now = timers_.now();
     const auto estimate = step.spec().estimate;
     auto candidates = std::vector<Candidate>();
     for (std::size_t index = 0; index < step.tasks.size(); ++index) {
@@ -55,7 +56,7 @@
         if (run == nullptr || worker == nullptr || run->confirmedAt == TimePoint()) {
             continue;
         }
-        const auto elapsed = std::chrono::duration_cast<Milliseconds>(now - run->confirmedAt);
+        const auto elapsed = std::chrono::duration_cast<Milliseconds>(now_ - run->confirmedAt);
         const bool isSlow = elapsed > minElapsedBeforeCopy
                             && static_cast<double>(elapsed.count()) > static_cast<double>(estimate.count()) * slowTaskFactor;
         const auto remaining = run->percent <= 0 ? elapsed * 10 : elapsed * (100 - run->percent) / run->percent;
@@ -86,18 +87,17 @@
     if (!step.spec().isService || !step.job->hasBegun) {
         return;
     }
-    const auto now = timers_.now();
     int waitingTasks = 0;
     Milliseconds longestWait { 0 };
     for (const auto &task : step.tasks) {
-        const auto wait = std::chrono::duration_cast<Milliseconds>(now - std::max(task.idleSince, step.readySince));
+        const auto wait = std::chrono::duration_cast<Milliseconds>(now_ - std::max(task.idleSince, step.readySince));
         if (task.isIdle() && wait > maxServiceAbsence) {
             ++waitingTasks;
             longestWait = std::max(longestWait, wait);
         }
     }
     if (waitingTasks > 0) {
-        const auto rank = computeRank(step, now);
+        const auto rank = computeRank(step, now_);
         EventLog::writeRateLimited("service.waiting",
                                    { { "job", step.job->spec.id },
                                      { "tasks", waitingTasks },
--- a/modules/dispatch/TaskPlacerPreemption.cpp
+++ b/modules/dispatch/TaskPlacerPreemption.cpp
@@ -38,32 +38,30 @@
     if (task == nullptr) {
         return PreemptionCost::Nothing;
     }
-    const auto now = timers_.now();
     const auto &spec = job->second->spec.steps[static_cast<std::size_t>(name.step)];
-    if (task->preemptionCount >= maxPreemptionsOfTask || endsSoon(run, now)) {
+    if (task->preemptionCount >= maxPreemptionsOfTask || endsSoon(run, now_)) {
         return PreemptionCost::Excessive;
     }
     const auto remaining = spec.estimate * (100 - run.percent) / 100;
     // Past its objective a job still counts as late until its final deadline; after that no delay matters.
     const auto objective = job->second->objectiveOf(name.occurrence);
-    const auto limit = now < objective ? objective : job->second->finalDeadlineOf(name.occurrence);
-    if (now > limit) {
+    const auto limit = now_ < objective ? objective : job->second->finalDeadlineOf(name.occurrence);
+    if (now_ > limit) {
         return PreemptionCost::Nothing;
     }
-    return limit - now - remaining > preemptionDelay ? PreemptionCost::Tolerable : PreemptionCost::MakesLate;
+    return limit - now_ - remaining > preemptionDelay ? PreemptionCost::Tolerable : PreemptionCost::MakesLate;
 }
 
 std::optional<PreemptionRight> TaskPlacer::preemptionRight(const StepState &step) const
 {
-    const auto now = timers_.now();
     const auto priority = step.job->queue.priority;
-    if (isPastFinalDeadline(step, now)) {
+    if (isPastFinalDeadline(step, now_)) {
         return std::nullopt;
     }
     if (step.isRepair()) {
         return PreemptionRight { priority, PreemptionCost::MakesLate };
     }
-    if (!canBeInTime(step, now)) {
+    if (!canBeInTime(step, now_)) {
         return PreemptionRight { priority, PreemptionCost::Nothing };
     }
     return PreemptionRight { priority, priority == mostUrgentPriority ? PreemptionCost::MakesLate : PreemptionCost::Tolerable };
@@ -106,9 +104,8 @@
         std::for_each(serviceCapacity.workerCapacities().begin(), serviceCapacity.workerCapacities().end(), addIfPreemptible);
         return workerCapacities;
     }
-    const auto now = timers_.now();
     for (const auto &[id, permit] : step.advice.allowed) {
-        if (auto *workerCapacity = permit.expiresAt > now ? serviceCapacity.find(id) : nullptr) {
+        if (auto *workerCapacity = permit.expiresAt > now_ ? serviceCapacity.find(id) : nullptr) {
             addIfPreemptible(*workerCapacity);
         }
     }
--- a/modules/dispatch/TaskPlacerRounds.cpp
+++ b/modules/dispatch/TaskPlacerRounds.cpp
@@ -36,26 +36,32 @@
 
 bool TaskPlacer::runRound()
 {
-    const auto startedAt = timers_.now();
+    now_ = timers_.now();
     unreadByService_.clear();
     unsendableAdviceTime_ = Milliseconds::max();
-    if (startedAt >= readAllAt_ || hasJobsWaitingForReports_) {
+    if (now_ >= readAllAt_ || hasJobsWaitingForReports_) {
         readAll();
-        const auto duration = std::chrono::duration_cast<Milliseconds>(timers_.now() - startedAt);
-        readAllAt_ = startedAt + std::max(readAllInterval, duration * readAllPauseFactor);
+        const auto duration = std::chrono::duration_cast<Milliseconds>(timers_.now() - now_);
+        readAllAt_ = now_ + std::max(readAllInterval, duration * readAllPauseFactor);
     } else {
         applyChanges();
     }
     auto &entries = readySteps_.entries();
     statistics_.backlog = static_cast<long long>(entries.size());
     // Following the changes is left out, so that it cannot use up the time of all rounds under load.
-    const auto placingSince = timers_.now();
+    now_ = timers_.now();
+    const auto placingSince = now_;
     for (auto next = entries.begin(); next != entries.end();) {
         auto &step = *next->second;
         ++statistics_.stepsPassed;
-        placeStep(step);
+        const bool hasSearched = placeStep(step);
+        if (!hasSearched) {
+            ++next;
+            continue;
+        }
         next = step.hasTasksToPlace() ? std::next(next) : readySteps_.erase(next);
-        if (timers_.now() - placingSince > maxRoundDuration && next != entries.end()) {
+        now_ = timers_.now();
+        if (now_ - placingSince > maxRoundDuration && next != entries.end()) {
             return false;
         }
     }
@@ -124,12 +130,11 @@
     // Advice for a job is already requested while its record is being stored.
     const bool mayRequestAdvice = job.stage == JobStage::Recording && job.queue.advice.has_value();
     const bool isReady = mayStart(job) || mayRequestAdvice;
-    const auto now = timers_.now();
     for (auto &[number, occurrence] : job.occurrences) {
         for (auto &step : occurrence.steps) {
             reserveCapacity(step);
             if (isReady && step.hasTasksToPlace() && occurrence.isReady(step)) {
-                readySteps_.insert(computeRank(step, now), step);
+                readySteps_.insert(computeRank(step, now_), step);
             }
         }
     }
@@ -182,7 +187,7 @@
     if (job.stage != JobStage::Queued && job.stage != JobStage::Running) {
         return false;
     }
-    if (!job.isInherited || timers_.now() > inheritedJobsWaitUntil_ || !hasUnreadWorkers(job.queue.service)) {
+    if (!job.isInherited || now_ > inheritedJobsWaitUntil_ || !hasUnreadWorkers(job.queue.service)) {
         return true;
     }
     hasJobsWaitingForReports_ = true;
