Measure what one HTTP exchange costs

The owner of a cell of 1,100 workers makes thousands of exchanges a second, and no figure said what one of them costs.

--- a/bench/measure/main.cpp
+++ b/bench/measure/main.cpp
@@ -1,3 +1,4 @@
+#include "measure/ExchangeCost.h"
 #include "measure/Report.h"
 
 #include <absl/flags/flag.h>
@@ -13,7 +14,7 @@
 ABSL_FLAG(std::string, folder, "build/measure", "folder for logs, settings and port files of the cells");
 ABSL_FLAG(std::string, json, "", "file to which all figures are written as JSON");
 ABSL_FLAG(bool, quick, false, "one repetition, fewer sizes");
-ABSL_FLAG(std::string, part, "all", "all, one (instance), three, eight (instances, applies, tasks) or ownership");
+ABSL_FLAG(std::string, part, "all", "all, one (instance), three, eight (instances, applies, tasks), ownership or exchange");
 
 namespace {
 
@@ -33,6 +34,9 @@
     if (isSelected("eight")) {
         sizes.measureEightInstances();
     }
+    if (isSelected("exchange")) {
+        printExchangeCost();
+    }
     // Runs between the two measurements of the eight instances, while their tasks reach the age that measureOldTasks() needs.
     if (isSelected("ownership")) {
         measurements.ownership = compareOwnership(options);
