Tests of long queues: bounds that hold for work of one priority, and steps that fit nowhere

'An occurrence that is due late' asked for more than its rank gives: among work of its own priority at three times the capacity only a third can be in time. It is an urgent occurrence among normal work now, every occurrence of it, which the age of its job pushed behind all of it. 'Steps that need advice start' counted submissions that were refused, and starts that the fake worker does not report when a run ends at the same time; now all jobs are accepted before the load begins, and have to be completed.

New: 600 urgent steps that fit nowhere use up each interrupted round, so that 19 steps behind them that fit do not start within 5 s.

--- a/tests/dispatch/LongQueueTests.cpp
+++ b/tests/dispatch/LongQueueTests.cpp
@@ -22,14 +22,15 @@
         cell.takeOver();
     }
 
-    void submit(int firstNumber, int jobs, const std::string &queue)
+    /** @param cores what the one task of each job needs */
+    void submit(int firstNumber, int jobs, const std::string &queue, int cores = 1)
     {
         for (int number = firstNumber; number < firstNumber + jobs; ++number) {
             ClientCall call;
             call.kind = ClientCall::Kind::Submit;
             call.queue = queue;
             call.job = jobIdOf(number);
-            call.body = jobBody(1, 1000);
+            call.body = jobBody(1, cores * 1000);
             cell.owner->call(call, [](const ClientResult &) {});
         }
     }
@@ -45,11 +46,19 @@
 TEST_CASE("steps that need advice start in a long queue though a pass over it takes longer than a permit is valid")
 {
     constexpr int jobs = 600;
-    BusyCell busy(jobs);
-    busy.cell.timers.chargeReadings(std::chrono::microseconds(600));
+    BusyCell busy(1);
+    busy.cell.advisor.denied.insert("w1");
+    busy.cell.plan = [](const TaskName &, std::int64_t) { return SimulatedWork { Milliseconds(300), RunOutcome::Done }; };
     busy.submit(0, jobs, "advised");
+    busy.cell.timers.advance(Milliseconds(2000));
+    busy.cell.timers.chargeReadings(std::chrono::microseconds(600));
+    busy.cell.addWorker("w2", jobs);
     busy.cell.timers.advance(Milliseconds(30000));
-    CHECK(busy.startedJobs.size() == jobs);
+    int completed = 0;
+    for (int number = 0; number < jobs; ++number) {
+        completed += busy.cell.stage(jobIdOf(number)) == JobStage::Completed ? 1 : 0;
+    }
+    CHECK(completed == jobs);
 }
 
 // Guards against priority inversion by an interrupted round: the next one went on behind the step at which it ended, so that urgent
@@ -71,3 +80,25 @@
     }
     CHECK(std::chrono::duration_cast<Milliseconds>(busy.cell.timers.now() - submittedAt).count() <= maxWait.count());
 }
+
+// Guards against starvation at the head of the queue: rounds that are interrupted and begin again with the most urgent steps never
+// reach those behind them, though the first ones fit nowhere.
+TEST_CASE("steps that fit nowhere do not keep those behind them from their turn")
+{
+    const std::string queue = GENERATE("normal", "advised");
+    CAPTURE(queue);
+    constexpr int largeJobs = 600;
+    constexpr int smallJobs = 20;
+    constexpr Milliseconds maxWait { 5000 };
+    BusyCell busy(smallJobs);
+    // Each of the first jobs needs a whole worker, which a long run keeps busy.
+    busy.submit(0, 1, "urgent");
+    busy.cell.timers.advance(Milliseconds(500));
+    REQUIRE(busy.startedJobs.size() == 1);
+    busy.submit(1, largeJobs, "urgent", smallJobs);
+    busy.cell.timers.advance(Milliseconds(1000));
+    busy.cell.timers.chargeReadings(std::chrono::microseconds(100));
+    busy.submit(1 + largeJobs, smallJobs - 1, queue);
+    busy.cell.timers.advance(maxWait);
+    CHECK(busy.startedJobs.size() == smallJobs);
+}
--- a/tests/dispatch/ServiceRepairTests.cpp
+++ b/tests/dispatch/ServiceRepairTests.cpp
@@ -158,10 +158,11 @@
     CHECK(full.measureLongestAbsence(Milliseconds(10000)).count() <= maxRepairTime.count());
 }
 
-// Guards against an occurrence that counts as late by the age of its job: its objective is counted from the time it is due.
+// Guards against an occurrence that counts as lost by the age of its job, and waits behind less urgent work: its deadlines are
+// counted from the time it is due.
 TEST_CASE("an occurrence that is due late in the life of its job keeps its rank")
 {
-    constexpr int firstChecked = 3;
+    constexpr int occurrences = 6;
     constexpr Milliseconds interval { 5000 };
     // Three times its work and the allowance of its queue, as for a job without a schedule.
     constexpr Milliseconds objective { 2000 };
@@ -176,16 +177,14 @@
     const auto firstDueAt = full.cell.timers.now() + interval;
     auto body = jobBody(1, 1000);
     body.insert(body.size() - 1,
-                R"(,"repeatCount":6,"intervalMs":)" + std::to_string(interval.count()) + R"(,"startAtMs":)"
-                    + std::to_string((full.cell.timers.wallNow() + interval).count()));
-    REQUIRE(full.cell.submit(scheduledId, body) == ClientResult::Outcome::Accepted);
-    full.advanceUnderLoad(interval * 7);
-    for (int occurrence = firstChecked; occurrence < 6; ++occurrence) {
+                R"(,"repeatCount":)" + std::to_string(occurrences) + R"(,"intervalMs":)" + std::to_string(interval.count())
+                    + R"(,"startAtMs":)" + std::to_string((full.cell.timers.wallNow() + interval).count()));
+    REQUIRE(full.cell.submit(scheduledId, body, "urgent") == ClientResult::Outcome::Accepted);
+    full.advanceUnderLoad(interval * (occurrences + 1));
+    for (int occurrence = 0; occurrence < occurrences; ++occurrence) {
         CAPTURE(occurrence);
-        CHECK(startedAt.contains(occurrence));
-        if (startedAt.contains(occurrence)) {
-            const auto wait = std::chrono::duration_cast<Milliseconds>(startedAt[occurrence] - firstDueAt - interval * occurrence);
-            CHECK(wait.count() <= objective.count());
-        }
+        REQUIRE(startedAt.contains(occurrence));
+        const auto wait = std::chrono::duration_cast<Milliseconds>(startedAt[occurrence] - firstDueAt - interval * occurrence);
+        CHECK(wait.count() <= objective.count());
     }
 }
