A closed commit queue lets go of the callbacks that wait

Cause: the callbacks of waiting rows hold the owner that holds the queue, and close() kept them.

Change: close() drops the waiting rows and the callbacks of the transaction in flight; put() after it does nothing.

Test: tests/dispatch/DeposedOwnerTests 'an owner that has ended lets go of the calls that wait for the store' failed before and passes.

--- a/modules/dispatch/CommitQueue.cpp
+++ b/modules/dispatch/CommitQueue.cpp
@@ -240,6 +240,9 @@
 
 void CommitQueue::put(const std::string &table, const std::string &key, Value value, Callback durable, Urgency urgency)
 {
+    if (impl_->isClosed) {
+        return;
+    }
     const RowName rowName { table, key };
     auto [found, isNew] = impl_->waitingRows.try_emplace(rowName);
     if (isNew) {
@@ -283,6 +286,11 @@
 void CommitQueue::close()
 {
     impl_->isClosed = true;
+    // The callbacks may keep the owner of this queue alive.
+    const auto waitingRows = std::exchange(impl_->waitingRows, {});
+    impl_->urgent.clear();
+    impl_->routine.clear();
+    const auto durable = impl_->inFlight ? std::exchange(impl_->inFlight->durable, {}) : std::vector<Callback>();
 }
 
 bool CommitQueue::isIdle() const
