Write the ends of a job's tasks that come close to each other as one row

Cause: each end of a task writes the progress of its whole job, and a transaction took what had waited for 12 ms.

Change: routine rows wait for 40 ms, so that ends that come close to each other share a row and a transaction; submissions and ends of jobs go after 12 ms as before. The worker is asked for its next ends after 120 ms, by when these are stored as before.

Test: CommitQueueTests 'routine rows that are put shortly after each other share one write' (fails without the delay) and 'an urgent row does not wait for routine rows'.

--- a/modules/dispatch/CommitQueue.cpp
+++ b/modules/dispatch/CommitQueue.cpp
@@ -19,6 +19,9 @@
 // The delay that gathers rows into one transaction. The end of a task delays its job by at most this, and the store gets at most 60
 // transactions a second.
 constexpr Milliseconds batchDelay { 12 };
+// Routine rows wait this long, so that the ends of a job's tasks that come close to each other are written as one row. Workers are asked
+// for the next ends after 120 ms, by when these should be stored.
+constexpr Milliseconds routineDelay { 40 };
 constexpr Milliseconds minRetryDelay { 120 };
 constexpr Milliseconds maxRetryDelay { 500 };
 // A transaction without success for longer than this counts as stalled.
@@ -53,6 +56,13 @@
 
     /** Calls sendNext() after the delay, unless a call is scheduled. */
     void schedule(Milliseconds delay);
+    /** Makes the routine rows due after routineDelay, unless that is scheduled. */
+    void scheduleRoutine();
+    /** True if a row is to be sent. */
+    bool hasDueRows() const
+    {
+        return !urgent.empty() || !dueRoutine.empty();
+    }
     /** Builds and sends a transaction if rows are waiting and none is in flight. */
     void sendNext();
     void buildTransaction();
@@ -77,6 +87,8 @@
     /** The names of the waiting rows by urgency, in the order of their put() calls. */
     std::deque<RowName> urgent;
     std::deque<RowName> routine;
+    /** The routine rows that have waited long enough. */
+    std::deque<RowName> dueRoutine;
     std::optional<Transaction> inFlight;
     long long nextTransactionNumber = 1;
     long long sentTransactions = 0;
@@ -84,6 +96,7 @@
     TimePoint lastSuccess;
     bool hasFailed = false;
     bool isScheduled = false;
+    bool isRoutineScheduled = false;
     bool isClosed = false;
 };
 
@@ -99,9 +112,24 @@
     });
 }
 
+void CommitQueue::Impl::scheduleRoutine()
+{
+    if (std::exchange(isRoutineScheduled, true)) {
+        return;
+    }
+    timers.after(routineDelay, [self = shared_from_this()] {
+        self->isRoutineScheduled = false;
+        std::move(self->routine.begin(), self->routine.end(), std::back_inserter(self->dueRoutine));
+        self->routine.clear();
+        if (!self->inFlight) {
+            self->sendNext();
+        }
+    });
+}
+
 void CommitQueue::Impl::sendNext()
 {
-    if (isClosed || inFlight || waitingRows.empty()) {
+    if (isClosed || inFlight || !hasDueRows()) {
         return;
     }
     buildTransaction();
@@ -117,7 +145,7 @@
     transaction.change.writes.push_back({ FencingRows::table, FencingRows::sequenceKey, transaction.sequenceValue });
     transaction.firstSentAt = timers.now();
     std::size_t bytes = 0;
-    while (!waitingRows.empty() && transaction.rows.size() < maxRowsInTransaction && bytes < maxBytesInTransaction) {
+    while (hasDueRows() && transaction.rows.size() < maxRowsInTransaction && bytes < maxBytesInTransaction) {
         const auto rowName = nextRow(transaction.rows.size());
         auto waitingRow = std::move(waitingRows.at(rowName));
         waitingRows.erase(rowName);
@@ -135,8 +163,8 @@
 
 RowName CommitQueue::Impl::nextRow(std::size_t rowsTaken)
 {
-    const bool isUrgent = !urgent.empty() && (rowsTaken < maxUrgentRows || routine.empty());
-    auto &names = isUrgent ? urgent : routine;
+    const bool isUrgent = !urgent.empty() && (rowsTaken < maxUrgentRows || dueRoutine.empty());
+    auto &names = isUrgent ? urgent : dueRoutine;
     auto rowName = std::move(names.front());
     names.pop_front();
     return rowName;
@@ -213,7 +241,7 @@
             callback();
         }
     }
-    if (!waitingRows.empty()) {
+    if (hasDueRows()) {
         schedule(batchDelay);
     }
 }
@@ -247,14 +275,16 @@
     auto [found, isNew] = impl_->waitingRows.try_emplace(rowName);
     if (isNew) {
         (urgency == Urgency::Urgent ? impl_->urgent : impl_->routine).push_back(rowName);
-    } else if (urgency == Urgency::Urgent && std::erase(impl_->routine, rowName) != 0) {
+    } else if (urgency == Urgency::Urgent && std::erase(impl_->routine, rowName) + std::erase(impl_->dueRoutine, rowName) != 0) {
         impl_->urgent.push_back(rowName);
     }
     found->second.value = std::move(value);
     if (durable) {
         found->second.durable.push_back(std::move(durable));
     }
-    if (!impl_->inFlight) {
+    if (urgency == Urgency::Routine) {
+        impl_->scheduleRoutine();
+    } else if (!impl_->inFlight) {
         impl_->schedule(batchDelay);
     }
 }
@@ -265,6 +295,7 @@
     if (impl_->waitingRows.erase(rowName) != 0) {
         std::erase(impl_->urgent, rowName);
         std::erase(impl_->routine, rowName);
+        std::erase(impl_->dueRoutine, rowName);
         return !impl_->inFlight || !impl_->inFlight->rows.contains(rowName);
     }
     return false;
@@ -290,6 +321,7 @@
     const auto waitingRows = std::exchange(impl_->waitingRows, {});
     impl_->urgent.clear();
     impl_->routine.clear();
+    impl_->dueRoutine.clear();
     const auto durable = impl_->inFlight ? std::exchange(impl_->inFlight->durable, {}) : std::vector<Callback>();
 }
 
--- a/tests/dispatch/CommitQueueTests.cpp
+++ b/tests/dispatch/CommitQueueTests.cpp
@@ -56,6 +56,33 @@
     CHECK(fixture.durableCount == 3);
 }
 
+// Guards against a record of progress for each single end of a task: the tasks of a step end within some tens of milliseconds, and each
+// record holds all tasks of the job.
+TEST_CASE("routine rows that are put shortly after each other share one write")
+{
+    CommitQueueFixture fixture;
+    const int before = fixture.store.commitCount();
+    constexpr int ends = 6;
+    for (int end = 1; end <= ends; ++end) {
+        fixture.put("a", std::to_string(end), CommitQueue::Urgency::Routine);
+        fixture.timers.advance(Milliseconds(5));
+    }
+    fixture.timers.advance(Milliseconds(60));
+    CHECK(fixture.store.commitCount() == before + 1);
+    CHECK(fixture.store.row("jobs", "a")->value == std::to_string(ends));
+    CHECK(fixture.durableCount == ends);
+}
+
+TEST_CASE("an urgent row does not wait for routine rows")
+{
+    CommitQueueFixture fixture;
+    fixture.put("a", "1", CommitQueue::Urgency::Routine);
+    fixture.put("b", "1");
+    fixture.timers.advance(Milliseconds(20));
+    CHECK(fixture.store.row("jobs", "b") != nullptr);
+    CHECK(fixture.store.row("jobs", "a") == nullptr);
+}
+
 // Guards against an older value that overwrites a newer one when the store applies a transaction late.
 TEST_CASE("a transaction whose answer was lost takes effect once, whenever it is applied")
 {
