Search for a waiting gang at most every 50 ms

Cause: a gang needs room on several workers at a time, and each worker that got more free led to a search over all workers that it may use.

Change: after a search in vain a gang is searched for again after 50 ms at the earliest.

--- a/modules/dispatch/JobState.h
+++ b/modules/dispatch/JobState.h
@@ -107,6 +107,9 @@
     std::uint64_t seenGrowth = 0;
     /** All workers are searched again at this time, as runs may have become preemptible meanwhile. */
     TimePoint repeatAt;
+    /** A gang is not searched for before this time: it needs room on several workers at a time, and each search visits all of them.
+     */
+    TimePoint gangSearchAt;
     /** No workers to ask advice for are searched before this time, as the last search has found none. */
     TimePoint adviceSearchAt;
 };
--- a/modules/dispatch/TaskPlacer.cpp
+++ b/modules/dispatch/TaskPlacer.cpp
@@ -70,6 +70,9 @@
     if (!search.isExhausted) {
         return true;
     }
+    if (now_ < search.gangSearchAt) {
+        return false;
+    }
     auto &serviceCapacity = getServiceCapacity(step);
     if (now_ >= search.repeatAt || !serviceCapacity.isGrowthKnownSince(search.seenGrowth)) {
         search.isExhausted = false;
--- a/modules/dispatch/TaskPlacerGangs.cpp
+++ b/modules/dispatch/TaskPlacerGangs.cpp
@@ -11,7 +11,9 @@
 // Room that is held stands empty, so a hold is the last resort against starvation.
 constexpr Milliseconds minWaitBeforeHold { 10000 };
 constexpr Milliseconds maxHoldDuration { 3000 };
-// Time until the next search after one that has found too few workers.
+// Time until a gang that has found no room is searched for again.
+constexpr Milliseconds gangSearchDelay { 50 };
+// Time until the next search for a hold after one that has found too few workers.
 constexpr Milliseconds holdSearchDelay { 1000 };
 
 } // namespace
@@ -59,6 +61,7 @@
     }
     const bool isNewlyExhausted = noteSearch(step, !chosen.empty());
     if (chosen.empty()) {
+        step.search.gangSearchAt = now_ + gangSearchDelay;
         const auto members = static_cast<int>(step.tasks.size());
         if (isNewlyExhausted && preemptForTasks(step, members, true) > 0) {
             return;
