Test: steps that search in vain keep those behind them from free room

Each run that ends makes all steps search that its room would suffice for, also those that may not use its worker; a round that they use up begins at the front again.

--- a/tests/dispatch/LongQueueTests.cpp
+++ b/tests/dispatch/LongQueueTests.cpp
@@ -22,15 +22,15 @@
         cell.takeOver();
     }
 
-    /** @param cores what the one task of each job needs */
-    void submit(int firstNumber, int jobs, const std::string &queue, int cores = 1)
+    /** @param cores what the one task of each job needs @param fields as for jobBody() */
+    void submit(int firstNumber, int jobs, const std::string &queue, int cores = 1, const std::string &fields = {})
     {
         for (int number = firstNumber; number < firstNumber + jobs; ++number) {
             ClientCall call;
             call.kind = ClientCall::Kind::Submit;
             call.queue = queue;
             call.job = jobIdOf(number);
-            call.body = jobBody(1, cores * 1000);
+            call.body = jobBody(1, cores * 1000, fields);
             cell.owner->call(call, [](const ClientResult &) {});
         }
     }
@@ -102,3 +102,43 @@
     busy.cell.timers.advance(maxWait);
     CHECK(busy.startedJobs.size() == smallJobs);
 }
+
+// Guards against starvation by searches in vain: each run that ends makes all steps search that the room would suffice for, also
+// those that may not use its worker. They use up each round, and those behind them do not start on room that is free all the time.
+TEST_CASE("steps that may not use the free room do not keep those behind them from it")
+{
+    constexpr int waitingJobs = 300;
+    constexpr int lastJobs = 20;
+    constexpr Milliseconds timeStep { 20 };
+    constexpr Milliseconds maxWait { 5000 };
+    BusyCell busy(1);
+    auto &cell = busy.cell;
+    const auto idOfLast = jobIdOf(waitingJobs + lastJobs);
+    cell.plan = [&](const TaskName &task, std::int64_t) {
+        return task.job <= idOfLast ? SimulatedWork { std::chrono::minutes(5), RunOutcome::Done }
+                                    : SimulatedWork { Milliseconds(60), RunOutcome::Done };
+    };
+    // The first jobs may use w1 only, which the first of them fills; the room of w2 suffices for all that come later.
+    cell.advisor.denied.insert("w2");
+    busy.submit(0, waitingJobs, "advised", 1, R"(,"estimateMs":60000)");
+    cell.timers.advance(Milliseconds(3000));
+    REQUIRE(busy.startedJobs.size() == 1);
+    cell.addWorker("w2", lastJobs + 20);
+    int nextJob = waitingJobs + lastJobs + 1;
+    const auto advanceUnderLoad = [&](Milliseconds duration) {
+        for (Milliseconds elapsed { 0 }; elapsed < duration; elapsed += timeStep) {
+            busy.submit(nextJob, 2, "urgent");
+            nextJob += 2;
+            cell.timers.advance(timeStep);
+        }
+    };
+    cell.timers.chargeReadings(std::chrono::microseconds(200));
+    advanceUnderLoad(Milliseconds(2000));
+    busy.submit(waitingJobs, lastJobs, "normal");
+    advanceUnderLoad(maxWait);
+    int started = 0;
+    for (int number = waitingJobs; number < waitingJobs + lastJobs; ++number) {
+        started += cell.stage(jobIdOf(number)) == JobStage::Running ? 1 : 0;
+    }
+    CHECK(started == lastJobs);
+}
