A process that has never heard the owner needs evidence to replace it

Cause: a heartbeat channel that does not open within 400 ms counted as a lost heartbeat. A process without heartbeats knows no others to ask, so it gave the owner up at once. A lost first packet (repeated after 1 s) or a full listen queue is enough. Change: before the first heartbeat an owner is given up after two refused connections, or after 2 s without a connection in which the sequence row has not changed. Each write of an owner changes that row. Why it works: the evidence is that the owner's writes no longer take effect, not that one packet was lost.

--- a/modules/entry/Leadership.cpp
+++ b/modules/entry/Leadership.cpp
@@ -19,6 +19,7 @@
 // the smallest machines have. If all machines are small, only the jitter decides between them.
 constexpr double largeMachineShare = 0.2;
 constexpr Milliseconds smallMachineTakeoverDelay { 500 };
+constexpr Milliseconds heartbeatConnectTimeout { 400 };
 // A new owner reads the reports of all workers. Until that shows in the measured delay, its heartbeats report this one.
 constexpr Milliseconds recoveryDuration { 3000 };
 constexpr Milliseconds recoveryLoopDelay { 500 };
@@ -170,7 +171,9 @@
         EventLog::write("owner.followed", { { "owner", row.owner }, { "token", row.token } });
         owner = row;
         heartbeatChannel = std::make_unique<HttpChannels>(
-            loop, *address, HttpChannelLimits { .maxConnections = 1, .connectTimeout = Milliseconds(400) });
+            loop, *address, HttpChannelLimits { .maxConnections = 1, .connectTimeout = heartbeatConnectTimeout });
+        unheardOwner = UnheardOwner { std::nullopt, loop.now(), 0 };
+        readOwnerProgress([this](const StoreResult &result) { noteOwnerProgress(result); });
     }
     ++heartbeatRound;
     expectedHeartbeatDelay = timing.heartbeatDelay;
@@ -223,10 +226,12 @@
     const auto heartbeat = sent.hasStatus(200) ? PeerCodec::readHeartbeat(sent.reply) : std::nullopt;
     if (!heartbeat || heartbeat->token != owner.token) {
         const bool isNotOwner = sent.outcome == SendOutcome::Answered;
-        onHeartbeatLost(isNotOwner, isNotOwner ? "it is not the owner" : sent.error);
+        const bool isRefused = sent.outcome == SendOutcome::NotSent && loop.now() - sentAt < heartbeatConnectTimeout;
+        onHeartbeatLost(isNotOwner, isRefused, isNotOwner ? "it is not the owner" : sent.error);
         return;
     }
     isOwnerResponding = true;
+    unheardOwner.reset();
     knownMembers = heartbeat->members;
     desiredStateVersion = heartbeat->desiredStateVersion;
     ownerStoreStallDuration = heartbeat->storeStallDuration;
@@ -249,7 +254,7 @@
     requestHeartbeat();
 }
 
-void Leadership::Impl::onHeartbeatLost(bool isNotOwner, const std::string &why)
+void Leadership::Impl::onHeartbeatLost(bool isNotOwner, bool isRefused, const std::string &why)
 {
     const bool wasOwnerResponding = std::exchange(isOwnerResponding, false);
     if (wasOwnerResponding) {
@@ -260,7 +265,11 @@
         runAfter(Milliseconds(10) + jitter(), &Impl::findOwner);
         return;
     }
-    verifyOwnerFailure();
+    if (unheardOwner) {
+        verifyUnheardOwnerFailure(isRefused);
+    } else {
+        verifyOwnerFailure();
+    }
 }
 
 Leadership::Leadership(EventLoop &loop, StateStore &store, const EntrySettings &settings, LeadershipTiming timing, Hooks hooks)
--- a/modules/entry/Leadership.h
+++ b/modules/entry/Leadership.h
@@ -28,6 +28,11 @@
     Milliseconds peerQueryTimeout { 250 };
     /** If no other process answers, this process may be the isolated one: it waits this long before it replaces the owner. */
     Milliseconds isolationWait { 1500 };
+    /**
+        A process without any heartbeat of the owner replaces a silent one after this time, if the owner has written nothing to the
+        store meanwhile. It fits several attempts to connect, of which some may be lost.
+    */
+    Milliseconds unheardOwnerTimeout { 2000 };
     /** Delay before the epoch row is read again, and before a failed store access is repeated. */
     Milliseconds retryDelay { 150 };
     /** Upper bound of the random delay that keeps several processes from trying at the same time. */
--- a/modules/entry/LeadershipFailureDetection.cpp
+++ b/modules/entry/LeadershipFailureDetection.cpp
@@ -12,6 +12,8 @@
 constexpr int probesBeforeReplacement = 2;
 // The store counts as slow for everyone unless it answers this process this many times faster than the owner has been waiting.
 constexpr int minStoreSpeedRatio = 3;
+// A process whose listener is not open yet, or that has just restarted, refuses connections for a moment.
+constexpr int refusalsBeforeReplacement = 2;
 
 } // namespace
 
@@ -37,6 +39,57 @@
                   });
 }
 
+void Leadership::Impl::readOwnerProgress(std::function<void(const StoreResult &)> done)
+{
+    store.readRow(FencingRows::table,
+                  FencingRows::sequenceKey,
+                  [self = shared_from_this(), readToken = owner.token, done = std::move(done)](const StoreResult &result) {
+                      if (!self->isClosed && !self->isOwner && self->unheardOwner && self->owner.token == readToken) {
+                          done(result);
+                      }
+                  });
+}
+
+void Leadership::Impl::noteOwnerProgress(const StoreResult &result)
+{
+    if (result.outcome != StoreOutcome::Done) {
+        return;
+    }
+    const std::int64_t version = result.rows.empty() ? 0 : result.rows.front().version;
+    if (unheardOwner->sequenceVersion && *unheardOwner->sequenceVersion != version) {
+        unheardOwner->unchangedSince = loop.now();
+    }
+    unheardOwner->sequenceVersion = version;
+}
+
+void Leadership::Impl::verifyUnheardOwnerFailure(bool isRefused)
+{
+    unheardOwner->refusals = isRefused ? unheardOwner->refusals + 1 : 0;
+    if (unheardOwner->refusals >= refusalsBeforeReplacement) {
+        verifyOwnerFailure();
+        return;
+    }
+    if (isRefused) {
+        runAfter(timing.retryDelay, &Impl::findOwner);
+        return;
+    }
+    readOwnerProgress([this](const StoreResult &result) {
+        // Without a version from before there is nothing to compare with.
+        const bool isComparable = unheardOwner->sequenceVersion && result.outcome == StoreOutcome::Done;
+        noteOwnerProgress(result);
+        if (isComparable && loop.now() - unheardOwner->unchangedSince >= timing.unheardOwnerTimeout) {
+            EventLog::write("owner.unheard",
+                            { { "owner", owner.owner },
+                              { "token", owner.token },
+                              { "unchanged_ms",
+                                std::chrono::duration_cast<Milliseconds>(loop.now() - unheardOwner->unchangedSince).count() } });
+            verifyOwnerFailure();
+        } else {
+            runAfter(timing.retryDelay + jitter(), &Impl::findOwner);
+        }
+    });
+}
+
 void Leadership::Impl::queryPeers(std::function<void(const std::vector<OwnerView> &)> done)
 {
     std::vector<Address> peerAddresses;
--- a/modules/entry/LeadershipImpl.h
+++ b/modules/entry/LeadershipImpl.h
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <random>
 
 namespace auburndoor {
@@ -53,10 +54,25 @@
     Milliseconds reportedLoopDelay() const;
     /** @param sentRound the heartbeatRound when the request was sent */
     void onHeartbeat(const SendResult &sent, std::uint64_t sentRound, TimePoint sentAt);
+    /** Reads the version of the sequence row, which each write of the owner changes; nothing is done if the owner has changed
+     * meanwhile. */
+    void readOwnerProgress(std::function<void(const StoreResult &)> done);
+    /** Notes whether the unheard owner has written to the store since the last reading. */
+    void noteOwnerProgress(const StoreResult &result);
+    /**
+        Looks for evidence that an owner of which this process has had no heartbeat has failed, and otherwise asks for a heartbeat
+        again: such a process knows neither how busy the owner is nor other processes that it could ask.
+
+        @param isRefused the owner's machine has answered that nothing listens at the owner's address
+    */
+    void verifyUnheardOwnerFailure(bool isRefused);
     /** Reads from the store while the owner's writes stall, to find out whether the owner alone has lost it. */
     void probeStore();
-    /** @param isNotOwner true if the process answered that it does not own the cell; false if it did not answer */
-    void onHeartbeatLost(bool isNotOwner, const std::string &why);
+    /**
+        @param isNotOwner the process answered that it does not own the cell
+        @param isRefused  no connection could be opened, which was known before a timeout
+    */
+    void onHeartbeatLost(bool isNotOwner, bool isRefused, const std::string &why);
     /** Asks some of the other processes whether they reach the owner; done gets the answers that arrived, maybe none. */
     void queryPeers(std::function<void(const std::vector<OwnerView> &)> done);
     /** Follows the reachable owner with the highest token. @return false if none has a higher token than the known owner */
@@ -80,6 +96,18 @@
     std::unique_ptr<HttpChannels> heartbeatChannel;
     /** True if the last heartbeat request to the owner was answered; false if this process is the owner. */
     bool isOwnerResponding = false;
+    /** What is known of an owner before its first heartbeat. */
+    struct UnheardOwner
+    {
+        /** The last known version of the sequence row; empty before the first answer of the store. */
+        std::optional<std::int64_t> sequenceVersion;
+        /** Since when the sequence row has this version, or since when the owner is followed. */
+        TimePoint unchangedSince;
+        /** Successive connections that were refused. */
+        int refusals = 0;
+    };
+    /** Empty once a heartbeat of the owner has arrived. */
+    std::optional<UnheardOwner> unheardOwner;
     /** The epoch row may be replaced if its token is not higher than this. */
     std::int64_t replaceableToken = -1;
     /** The token of the last owner for whose replacement this process, on a small machine, waited to let a larger one go first. */
--- a/tests/entry/LeadershipTests.cpp
+++ b/tests/entry/LeadershipTests.cpp
@@ -6,9 +6,15 @@
 
 #include <catch2/catch.hpp>
 
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <memory>
 #include <optional>
+#include <vector>
 
 using namespace auburndoor;
 
@@ -107,6 +113,48 @@
     std::unique_ptr<Leadership> leadership_;
 };
 
+/** A local address at which connections neither open nor are refused, as at a process with a full listen queue. */
+class UnresponsiveAddress
+{
+public:
+    UnresponsiveAddress()
+    {
+        constexpr int connections = 8;
+        sockets_.push_back(socket(AF_INET, SOCK_STREAM, 0));
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t length = sizeof(address);
+        auto *generic = reinterpret_cast<sockaddr *>(&address);
+        REQUIRE(bind(sockets_.front(), generic, length) == 0);
+        REQUIRE(listen(sockets_.front(), 0) == 0);
+        REQUIRE(getsockname(sockets_.front(), generic, &length) == 0);
+        port_ = ntohs(address.sin_port);
+        for (int number = 0; number < connections; ++number) {
+            sockets_.push_back(socket(AF_INET, SOCK_STREAM, 0));
+            fcntl(sockets_.back(), F_SETFL, O_NONBLOCK);
+            connect(sockets_.back(), generic, length);
+        }
+    }
+    ~UnresponsiveAddress()
+    {
+        for (const int descriptor : sockets_) {
+            close(descriptor);
+        }
+    }
+    UnresponsiveAddress(const UnresponsiveAddress &) = delete;
+    UnresponsiveAddress &operator=(const UnresponsiveAddress &) = delete;
+
+    Address address() const
+    {
+        return { "127.0.0.1", port_ };
+    }
+
+private:
+    std::vector<int> sockets_;
+    std::uint16_t port_ = 0;
+};
+
 /** Entry processes that share one store and one event loop. */
 struct LeadershipFixture
 {
@@ -123,6 +171,22 @@
         loop.run();
     }
 
+    /** Names a process outside of the fixture in the epoch row, as the owner. */
+    void writeOwner(std::int64_t token, const Address &address)
+    {
+        store.write(FencingRows::table,
+                    FencingRows::epochKey,
+                    R"({"token":)" + std::to_string(token) + R"(,"owner":"outside","address":")" + address.text() + R"("})");
+    }
+
+    /** Starts processes at the same time. */
+    void addProcesses(int count)
+    {
+        for (int number = 0; number < count; ++number) {
+            processes.push_back(std::make_unique<Process>(loop, store, "n" + std::to_string(processes.size()), 1.0));
+        }
+    }
+
     /** Runs until a process is the owner with at least this token. @return null if none is within the limit */
     Process *waitForOwner(std::int64_t token, Milliseconds limit = Milliseconds(20000))
     {
@@ -202,6 +266,46 @@
     CHECK(fixture.waitForOwner(token + 1, Milliseconds(10000)) != nullptr);
 }
 
+// The pattern is a judge without evidence: a connection that does not open in time, since its first packet is lost or the owner's
+// listen queue is full, is no sign of a failed owner.
+TEST_CASE(
+    "a process that has just started does not replace an owner to which it cannot connect while that owner writes to the store")
+{
+    LeadershipFixture fixture {};
+    const UnresponsiveAddress unresponsive;
+    fixture.writeOwner(7, unresponsive.address());
+    bool isOwnerWriting = true;
+    int sequence = 0;
+    std::function<void()> writeSequence = [&] {
+        if (isOwnerWriting) {
+            fixture.store.write(FencingRows::table, FencingRows::sequenceKey, std::to_string(++sequence));
+            fixture.loop.after(Milliseconds(300), writeSequence);
+        }
+    };
+    writeSequence();
+    fixture.addProcesses(3);
+    fixture.runFor(Milliseconds(6000));
+    CHECK(fixture.highestToken() == 0);
+    // An owner that has stopped writing is replaced by them nevertheless.
+    isOwnerWriting = false;
+    CHECK(fixture.waitForOwner(8, Milliseconds(4500)) != nullptr);
+}
+
+// Guards against a cold start that waits for an owner whose machine is lost: both bounds are small beside the 12 s in which the
+// cell has to serve again.
+TEST_CASE("processes that start together replace an owner that is gone")
+{
+    LeadershipFixture refused {};
+    refused.writeOwner(7, { "127.0.0.1", 9 });
+    refused.addProcesses(3);
+    CHECK(refused.waitForOwner(8, Milliseconds(600)) != nullptr);
+    LeadershipFixture silent {};
+    const UnresponsiveAddress unresponsive;
+    silent.writeOwner(7, unresponsive.address());
+    silent.addProcesses(3);
+    CHECK(silent.waitForOwner(8, Milliseconds(3200)) != nullptr);
+}
+
 // Guards against a cell that stays without an owner after a kill.
 TEST_CASE("a killed owner is replaced by another process with a higher token")
 {
