An owner asks the store after a suspension of 300 ms instead of 550

What callers saw: nothing yet; found by reading, from the operators' list (a paused process that acts on a permission that has run out). Cause: the threshold assumed that an owner is replaced after 600 ms without an answer. A heartbeat request is held for 250 ms of these by the owner itself: if the suspension begins when it is due, 350 ms are enough for followers to lose the owner, and a suspension of 350 to 550 ms went unnoticed. The owner then showed outdated states and placed tasks until a write or a worker refused it. Change: 300 ms, measured since the last check instead of since the last tick, so that a busy loop that handles calls is not taken for a suspended process. Before and after: FormerOwnerTests "an owner that was replaced during a suspension of less than half a second does not answer any more" answers Answered before and OwnerChanged after.

--- a/modules/entry/OwnershipGuard.cpp
+++ b/modules/entry/OwnershipGuard.cpp
@@ -12,10 +12,9 @@
 
 namespace {
 
-// Other processes replace an owner at the earliest after it has not answered a heartbeat request for 600 ms (heartbeatDelay +
-// heartbeatGracePeriod in LeadershipTiming); an owner that has announced lateness is given longer. Shorter gaps occur in a busy
-// process.
-constexpr Milliseconds minSuspension { 550 };
+// Other processes replace an owner at the earliest when it has not run for heartbeatGracePeriod (350 ms, LeadershipTiming): a
+// heartbeat request that was due to be answered when the suspension began is lost then. Less than that by the interval of tick().
+constexpr Milliseconds minSuspension { 300 };
 constexpr Milliseconds confirmRetryDelay { 150 };
 
 } // namespace
@@ -34,7 +33,7 @@
     StateStore &store;
     std::int64_t epochVersion;
     std::function<void()> onReplaced;
-    TimePoint lastTick;
+    TimePoint lastSeenRunningAt;
     bool isWatching = false;
     bool isUncertain = false;
     bool isClosed = false;
@@ -82,26 +81,22 @@
 
 void OwnershipGuard::start()
 {
-    impl_->lastTick = impl_->timers.bootNow();
+    impl_->lastSeenRunningAt = impl_->timers.bootNow();
     impl_->isWatching = true;
 }
 
 void OwnershipGuard::tick()
 {
     isUncertain();
-    impl_->lastTick = impl_->timers.bootNow();
 }
 
 bool OwnershipGuard::isUncertain()
 {
     const auto now = impl_->timers.bootNow();
-    const auto gap = now - impl_->lastTick;
-    if (impl_->isWatching && gap > minSuspension) {
-        impl_->lastTick = now;
-        if (!std::exchange(impl_->isUncertain, true)) {
-            EventLog::write("owner.suspended", { { "for_ms", std::chrono::duration_cast<Milliseconds>(gap).count() } });
-            impl_->confirmUntilKnown();
-        }
+    const auto gap = now - std::exchange(impl_->lastSeenRunningAt, now);
+    if (impl_->isWatching && gap > minSuspension && !std::exchange(impl_->isUncertain, true)) {
+        EventLog::write("owner.suspended", { { "for_ms", std::chrono::duration_cast<Milliseconds>(gap).count() } });
+        impl_->confirmUntilKnown();
     }
     return impl_->isUncertain;
 }
--- a/modules/entry/OwnershipGuard.h
+++ b/modules/entry/OwnershipGuard.h
@@ -40,7 +40,11 @@
     /** Records that the process is running; to be called about every 200 ms. */
     void tick();
 
-    /** True from a suspension that was long enough for a takeover until the store has answered whether there was one. */
+    /**
+        True from a suspension that was long enough for a takeover until the store has answered whether there was one.
+
+        Each call also records that the process is running.
+    */
     bool isUncertain();
 
     /** Runs an action at once, or, while isUncertain(), after the store has answered whether this is still the owner. */
--- a/tests/dispatch/FormerOwnerTests.cpp
+++ b/tests/dispatch/FormerOwnerTests.cpp
@@ -1,3 +1,4 @@
+#include "dispatch/CommitQueue.h"
 #include "dispatch/OwnerFixture.h"
 
 #include <catch2/catch.hpp>
@@ -53,3 +54,24 @@
     CHECK(callAndWait(*formerOwner) == ClientResult::Outcome::OwnerChanged);
     CHECK(callAndWait(*cell.owner) == ClientResult::Outcome::Answered);
 }
+
+// Guards against a process that was suspended for less than a heartbeat's period and the time after which its followers replace it:
+// a heartbeat that was due when the suspension began is lost after 350 ms.
+TEST_CASE("an owner that was replaced during a suspension of less than half a second does not answer any more")
+{
+    OwnerFixture cell;
+    cell.addWorker("w1", 8);
+    cell.takeOver();
+    REQUIRE(cell.submit("00000000000000aa", jobBody(1, 1000)) == ClientResult::Outcome::Accepted);
+    auto *formerOwner = cell.owner.get();
+    cell.timers.advance(Milliseconds(100));
+    cell.store.write(FencingRows::table, FencingRows::epochKey, "token 2");
+    cell.timers.suspend(Milliseconds(420));
+    ClientCall call;
+    call.kind = ClientCall::Kind::Query;
+    call.job = "00000000000000aa";
+    std::optional<ClientResult::Outcome> outcome;
+    formerOwner->call(call, [&outcome](const ClientResult &result) { outcome = result.outcome; });
+    cell.timers.advance(Milliseconds(100));
+    CHECK(outcome == ClientResult::Outcome::OwnerChanged);
+}
