The number of pending jobs is answered only by the owner that the store names

Cause: an owner that its followers have lost and replaced learns so from the store or from a worker. One that has nothing to write and no runs to poll went on counting the pending jobs of its own time, without bound. Change: the count is given if the store has confirmed the ownership within 1.5 s, and after a reading of the epoch row otherwise; calls share a reading. While the store does not answer, the count is given as before. Before and after: FormerOwnerTests "an owner that was replaced without its knowledge does not answer how many jobs are pending" fails before (Answered) and passes.

--- a/modules/entry/OwnerImpl.h
+++ b/modules/entry/OwnerImpl.h
@@ -36,6 +36,8 @@
     void reportPlacement();
     void handleCall(const ClientCall &call, Callback callback);
     void submit(const ClientCall &call, Callback callback);
+    /** Answers with the result, or with OwnerChanged if the store names another owner; it is asked if maxAge has passed since. */
+    void answerAsOwner(const ClientResult &result, Milliseconds maxAge, Callback callback);
     /** Answers that there is no such job, once the store has confirmed that this is still the owner. */
     void confirmNoSuchJob(Callback callback);
     void waitForFlush(TimePoint flushDeadline, std::function<void(const Ownership &)> done);
--- a/modules/entry/OwnerServing.cpp
+++ b/modules/entry/OwnerServing.cpp
@@ -10,6 +10,8 @@
 constexpr Milliseconds answerMargin { 200 };
 // Retry time given to clients: outages of the store last seconds, and a client retries only a few times.
 constexpr Milliseconds retryAfterStall { 1200 };
+// The number of pending jobs may be two seconds old.
+constexpr Milliseconds maxAgeOfCount { 1500 };
 
 } // namespace
 
@@ -36,7 +38,9 @@
         });
         return;
     case ClientCall::Kind::CountPending:
-        callback({ .outcome = ClientResult::Outcome::Answered, .pending = jobManager.pendingCount(call.queue) });
+        answerAsOwner({ .outcome = ClientResult::Outcome::Answered, .pending = jobManager.pendingCount(call.queue) },
+                      maxAgeOfCount,
+                      std::move(callback));
         return;
     case ClientCall::Kind::Other:
         break;
@@ -94,6 +98,18 @@
                               });
 }
 
+void Owner::Impl::answerAsOwner(const ClientResult &result, Milliseconds maxAge, Callback callback)
+{
+    guard.confirmWithin(maxAge, [result, callback = std::move(callback)](OwnershipGuard::Status status) {
+        if (status == OwnershipGuard::Status::IsReplaced) {
+            callback({ .outcome = ClientResult::Outcome::OwnerChanged, .detail = "the owner was deposed" });
+        } else {
+            // While the store answers nobody, clients are answered all the same.
+            callback(result);
+        }
+    });
+}
+
 void Owner::Impl::confirmNoSuchJob(Callback callback)
 {
     guard.confirm([self = shared_from_this(), callback = std::move(callback)](OwnershipGuard::Status status) {
--- a/modules/entry/OwnershipGuard.cpp
+++ b/modules/entry/OwnershipGuard.cpp
@@ -5,6 +5,7 @@
 #include "observability/EventLog.h"
 #include "workload/StateStore.h"
 
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -34,6 +35,10 @@
     std::int64_t epochVersion;
     std::function<void()> onReplaced;
     TimePoint lastSeenRunningAt;
+    /** When the last reading that has confirmed the ownership was sent, on the boot clock. */
+    std::optional<TimePoint> confirmedAt;
+    /** The callers of confirmWithin() that wait for a reading. */
+    std::vector<std::function<void(Status)>> confirmWaiters;
     bool isWatching = false;
     bool isUncertain = false;
     bool isClosed = false;
@@ -42,17 +47,21 @@
 
 void OwnershipGuard::Impl::confirm(std::function<void(Status)> done)
 {
-    store.readRow(
-        FencingRows::table, FencingRows::epochKey, [self = shared_from_this(), done = std::move(done)](const StoreResult &result) {
-            const bool isSameVersion = !result.rows.empty() && result.rows.front().version == self->epochVersion;
-            const auto status = result.outcome != StoreOutcome::Done ? Status::Unknown
-                                : isSameVersion                      ? Status::IsOwner
-                                                                     : Status::IsReplaced;
-            if (status == Status::IsReplaced && !self->isClosed) {
-                self->onReplaced();
-            }
-            done(status);
-        });
+    store.readRow(FencingRows::table,
+                  FencingRows::epochKey,
+                  [self = shared_from_this(), sentAt = timers.bootNow(), done = std::move(done)](const StoreResult &result) {
+                      const bool isSameVersion = !result.rows.empty() && result.rows.front().version == self->epochVersion;
+                      const auto status = result.outcome != StoreOutcome::Done ? Status::Unknown
+                                          : isSameVersion                      ? Status::IsOwner
+                                                                               : Status::IsReplaced;
+                      if (status == Status::IsOwner) {
+                          self->confirmedAt = sentAt;
+                      }
+                      if (status == Status::IsReplaced && !self->isClosed) {
+                          self->onReplaced();
+                      }
+                      done(status);
+                  });
 }
 
 void OwnershipGuard::Impl::confirmUntilKnown()
@@ -115,4 +124,21 @@
     impl_->confirm(std::move(done));
 }
 
+void OwnershipGuard::confirmWithin(Milliseconds maxAge, std::function<void(Status)> done)
+{
+    if (impl_->confirmedAt && impl_->timers.bootNow() - *impl_->confirmedAt <= maxAge) {
+        done(Status::IsOwner);
+        return;
+    }
+    impl_->confirmWaiters.push_back(std::move(done));
+    if (impl_->confirmWaiters.size() > 1) {
+        return;
+    }
+    impl_->confirm([impl = impl_](Status status) {
+        for (const auto &waiter : std::exchange(impl->confirmWaiters, {})) {
+            waiter(status);
+        }
+    });
+}
+
 } // namespace auburndoor
--- a/modules/entry/OwnershipGuard.h
+++ b/modules/entry/OwnershipGuard.h
@@ -53,6 +53,9 @@
     /** Asks the store once whether this is still the owner. */
     void confirm(std::function<void(Status)> done);
 
+    /** As confirm(), but calls back at once if the store has confirmed the ownership within maxAge. Calls share one reading. */
+    void confirmWithin(Milliseconds maxAge, std::function<void(Status)> done);
+
 private:
     struct Impl;
     std::shared_ptr<Impl> impl_;
--- a/tests/dispatch/FormerOwnerTests.cpp
+++ b/tests/dispatch/FormerOwnerTests.cpp
@@ -75,3 +75,26 @@
     cell.timers.advance(Milliseconds(100));
     CHECK(outcome == ClientResult::Outcome::OwnerChanged);
 }
+
+// Guards against an owner that does not know that it was replaced, has nothing to write, and counts the jobs of its own time only.
+TEST_CASE("an owner that was replaced without its knowledge does not answer how many jobs are pending")
+{
+    OwnerFixture cell;
+    cell.takeOver();
+    auto *formerOwner = cell.owner.get();
+    cell.timers.advance(Milliseconds(2000));
+    cell.takeOver(false);
+    REQUIRE(cell.submit("00000000000000aa", jobBody(1, 1000)) == ClientResult::Outcome::Accepted);
+    cell.timers.advance(Milliseconds(2000));
+    const auto count = [&cell](Owner &owner) {
+        ClientCall call;
+        call.kind = ClientCall::Kind::CountPending;
+        call.queue = "normal";
+        ClientResult answer;
+        owner.call(call, [&answer](const ClientResult &result) { answer = result; });
+        cell.timers.advance(Milliseconds(100));
+        return answer;
+    };
+    CHECK(count(*cell.owner).pending == 1);
+    CHECK(count(*formerOwner).outcome == ClientResult::Outcome::OwnerChanged);
+}
