A refusal after a lost attempt of the same call is passed on as unknown

Cause: a submission whose connection to the owner broke is sent again. The owner may read the first request after the second, since it reads its connections in any order when it is busy: it then accepts what the client was told is refused for good. Before and after: OwnerCallForwarderTests "a submission that an owner refuses after an attempt that was lost ends with an unknown outcome" gives Refused before and Unknown after.

--- a/modules/entry/OwnerCallForwarder.cpp
+++ b/modules/entry/OwnerCallForwarder.cpp
@@ -22,6 +22,11 @@
 constexpr Milliseconds attemptTimeout { 1000 };
 constexpr const char *stoppingMessage = "the entry process is stopping";
 
+bool changesState(const ClientCall &call)
+{
+    return call.kind == ClientCall::Kind::Submit || call.kind == ClientCall::Kind::Cancel;
+}
+
 } // namespace
 
 struct OwnerCallForwarder::Impl : std::enable_shared_from_this<OwnerCallForwarder::Impl>
@@ -37,6 +42,8 @@
         TimePoint ownerWaitDeadline;
         /** An owner may have received it in an earlier attempt. */
         bool mayHaveBeenReceived = false;
+        /** An attempt ended without a reply. The owner may still read it, after a later attempt that it refuses. */
+        bool wasAttemptLost = false;
         /** A request that carries it is in flight to another process. */
         bool isInFlight = false;
         bool isAnswered = false;
@@ -77,8 +84,7 @@
 
 void OwnerCallForwarder::Impl::giveUp(const OpenCallPointer &openCall)
 {
-    const bool changesState = openCall->call.kind == ClientCall::Kind::Submit || openCall->call.kind == ClientCall::Kind::Cancel;
-    if ((openCall->mayHaveBeenReceived || openCall->isInFlight) && changesState) {
+    if ((openCall->mayHaveBeenReceived || openCall->isInFlight) && changesState(openCall->call)) {
         finish(openCall, { .outcome = ClientResult::Outcome::Unknown, .detail = openCall->lastFailure });
     } else {
         finish(openCall,
@@ -136,8 +142,11 @@
 {
     openCall->isInFlight = false;
     if (sent.hasStatus(200)) {
-        const auto result = PeerCodec::readCallReply(sent.reply);
+        auto result = PeerCodec::readCallReply(sent.reply);
         if (result && result->outcome != ClientResult::Outcome::OwnerChanged) {
+            if (result->outcome == ClientResult::Outcome::Refused && openCall->wasAttemptLost && changesState(openCall->call)) {
+                result->outcome = ClientResult::Outcome::Unknown;
+            }
             finish(openCall, *result);
             return;
         }
@@ -145,6 +154,7 @@
     }
     if (sent.outcome == SendOutcome::Lost) {
         openCall->mayHaveBeenReceived = true;
+        openCall->wasAttemptLost = true;
     }
     openCall->lastFailure = sent.outcome == SendOutcome::Answered ? "the process at the owner's address does not own the cell"
                                                                   : "the call to the owner failed: " + sent.error;
--- a/tests/entry/OwnerCallForwarderTests.cpp
+++ b/tests/entry/OwnerCallForwarderTests.cpp
@@ -1,4 +1,5 @@
 #include "entry/OwnerCallForwarder.h"
+#include "entry/PeerCodec.h"
 #include "net/EventLoop.h"
 #include "net/HttpListener.h"
 
@@ -59,3 +60,35 @@
     forwarder.close();
     CHECK(outcome == ClientResult::Outcome::Unknown);
 }
+
+// Guards against a refusal that turns out to be untrue: the owner may read the request of a broken connection after the next one.
+TEST_CASE("a submission that an owner refuses after an attempt that was lost ends with an unknown outcome")
+{
+    EventLoop loop;
+    int requests = 0;
+    HttpListener owner(loop, {}, [&requests](const WebRequest &, const HttpResponderPointer &responder) {
+        if (++requests == 1) {
+            responder->abandon();
+        } else {
+            responder->reply(PeerCodec::callReply({ .outcome = ClientResult::Outcome::Refused, .retryAfter = Milliseconds(900) }));
+        }
+    });
+    std::string error;
+    REQUIRE(owner.listen({ "127.0.0.1", 0 }, error));
+    OwnerCallForwarder forwarder(
+        loop,
+        [] { return nullptr; },
+        [&] {
+            return Address { "127.0.0.1", owner.port() };
+        });
+    std::vector<ClientResult::Outcome> outcomes;
+    ClientCall call;
+    call.kind = ClientCall::Kind::Submit;
+    for (const char *job : { "00000000000000aa", "00000000000000bb" }) {
+        call.job = job;
+        forwarder.call(call, [&outcomes](const ClientResult &result) { outcomes.push_back(result.outcome); });
+        loop.after(Milliseconds(300), [&loop] { loop.stop(); });
+        loop.run();
+    }
+    CHECK(outcomes == std::vector { ClientResult::Outcome::Unknown, ClientResult::Outcome::Refused });
+}
