An owner that falls behind refuses jobs that would wait for long

Cause: nothing bounded what an owner accepts. Once its processor cannot place what comes in, each further job makes all the others late, and the backlog keeps it late after the load has ended (metastable failure). Ruled out: the delay of the loop as the sign of it. Change: AdmissionControl. While the loop stays late, or no round of placement gets through all steps, a new submission is admitted only if the jobs that go before it begin within 800 ms at the present rate. Refused clients get times to return one after another. Why it works: the queue of accepted jobs stays shorter than their allowance, and a refusal costs a few percent of a job.

--- a/modules/entry/Owner.cpp
+++ b/modules/entry/Owner.cpp
@@ -55,6 +55,7 @@
                   workerWatchTiming,
                   [this](const auto &rows, bool isWholeTable) { updateWorkers(rows, isWholeTable); })
     , guard(dependencies.timers, dependencies.store, ownership.epochVersion, [this] { depose(); })
+    , admission(static_cast<std::uint_fast32_t>(ownership.token))
     , placementDelay(PlacementPacing::minDelay)
 {
     jobManager.setFleet(fleet);
@@ -89,7 +90,10 @@
         const bool isComplete = self->placer.place();
         self->placementDelay = PlacementPacing::computeDelay(
             std::chrono::duration_cast<std::chrono::microseconds>(self->dependencies.timers.now() - startedAt));
-        if (!isComplete) {
+        if (isComplete) {
+            self->placementBehindSince.reset();
+        } else {
+            self->placementBehindSince = self->placementBehindSince.value_or(startedAt);
             self->schedulePlacement();
         }
     });
@@ -219,6 +223,9 @@
         metrics.setGauge("workers_usable", count, "service=" + service);
         metrics.setGauge("runs", running[service], "service=" + service);
     }
+    metrics.setGauge("overloaded", impl_->admission.isOverloaded() ? 1 : 0);
+    metrics.setGauge("jobs_not_begun", impl_->notBegunCount());
+    metrics.setGauge("jobs_begun_per_second", impl_->beginRate);
     metrics.setGauge("worker_looks", static_cast<double>(impl_->fleet.renewalCount()));
     metrics.setGauge("store_transactions", static_cast<double>(impl_->commitQueue.sentCount()));
 }
--- a/modules/entry/OwnerImpl.h
+++ b/modules/entry/OwnerImpl.h
@@ -4,11 +4,13 @@
 #include "dispatch/Fleet.h"
 #include "dispatch/JobManager.h"
 #include "dispatch/TaskPlacer.h"
+#include "entry/AdmissionControl.h"
 #include "entry/Owner.h"
 #include "entry/OwnershipGuard.h"
 #include "entry/TableWatch.h"
 
 #include <map>
+#include <optional>
 
 namespace auburndoor {
 
@@ -36,6 +38,18 @@
     void reportPlacement();
     void handleCall(const ClientCall &call, Callback callback);
     void submit(const ClientCall &call, Callback callback);
+    /** Refuses a new submission if the owner is overloaded. Nothing of it is kept. @return true if it was refused */
+    bool refuseUnderOverload(const QueueSpec &queue, const Callback &callback);
+    /** Measures how far the loop and the placement are behind. */
+    void sampleLoad();
+    /** Calls sampleLoad() at intervals. */
+    void scheduleLoadSample();
+    void reportLoad(const AdmissionControl::Load &load);
+    /** Counts the jobs that have not begun, and updates the rate at which jobs begin. */
+    void countBacklog(TimePoint now);
+    int notBegunCount() const;
+    /** The jobs that have not begun and go before a new one of this priority. */
+    AdmissionControl::Backlog backlogBefore(int priority) const;
     /** Answers with the result, or with OwnerChanged if the store names another owner; it is asked if maxAge has passed since. */
     void answerAsOwner(const ClientResult &result, Milliseconds maxAge, Callback callback);
     /** Answers that there is no such job, once the store has confirmed that this is still the owner. */
@@ -52,6 +66,20 @@
     TaskPlacer placer;
     TableWatch workerWatch;
     OwnershipGuard guard;
+    AdmissionControl admission;
+    TimePoint loadSampleDueAt;
+    TimePoint loadReportedAt;
+    /** The longest delay of the loop since the last report. */
+    Milliseconds longestLoopDelay { 0 };
+    TimePoint backlogCountedAt;
+    /** The jobs without a schedule that have not begun, by priority: those at the last count, and those admitted since. */
+    std::map<int, int> backlog;
+    /** How many jobs have begun in a second lately. */
+    double recentBeginRate = 0.0;
+    /** How many can begin in a second; the first figure lets a new owner measure it before it refuses anything. */
+    double beginRate = 100.0;
+    /** New submissions refused under overload since the last report. */
+    int shedSubmissions = 0;
     /** The rows of the tables read so far, by table, until restoreState(). */
     std::map<std::string, std::vector<StoreRow>> tablesRead;
     /** The progress records of jobs that have not ended, by job, until restoreJobs(). */
@@ -63,6 +91,8 @@
     /** Delay from a change to the next round of placement. */
     Milliseconds placementDelay;
     TimePoint placementReportedAt;
+    /** Since when no round of placement has got through all steps; empty if the last one has. */
+    std::optional<TimePoint> placementBehindSince;
     bool isStopping = false;
 };
 
--- a/modules/entry/OwnerRecovery.cpp
+++ b/modules/entry/OwnerRecovery.cpp
@@ -56,6 +56,9 @@
     workerWatch.start();
     runMaintenance();
     schedulePlacement();
+    backlogCountedAt = dependencies.timers.now();
+    loadReportedAt = backlogCountedAt;
+    scheduleLoadSample();
 }
 
 void Owner::Impl::restoreProgress(const std::vector<StoreRow> &rows)
--- a/modules/entry/OwnerServing.cpp
+++ b/modules/entry/OwnerServing.cpp
@@ -50,13 +50,18 @@
 
 void Owner::Impl::submit(const ClientCall &call, Callback callback)
 {
+    const auto *queue = desiredState.queue(call.queue);
+    // A repeated submission of a job that is known, or that is being stored, is never refused: the first one may be accepted.
+    const bool isNew = !jobManager.jobs().contains(call.job) && !jobManager.shownStage(call.job);
+    if (isNew && !isStopping && queue != nullptr && refuseUnderOverload(*queue, callback)) {
+        return;
+    }
     std::string error;
     auto spec = dependencies.protocol.readJob(call.body, error);
     if (!spec) {
         callback({ .outcome = ClientResult::Outcome::Malformed, .detail = error });
         return;
     }
-    const auto *queue = desiredState.queue(call.queue);
     const bool isKnown = jobManager.shownStage(call.job).has_value();
     if (!isKnown && isStopping) {
         callback({ .outcome = ClientResult::Outcome::OwnerChanged, .detail = "the owner is stopping" });
@@ -68,6 +73,9 @@
                    .detail = "the queue is not known here yet" });
         return;
     }
+    if (isNew && queue != nullptr && !spec->isScheduled) {
+        ++backlog[queue->priority];
+    }
     spec->id = call.job;
     spec->queue = call.queue;
     jobManager.submit(
--- a/modules/entry/OwnershipGuard.h
+++ b/modules/entry/OwnershipGuard.h
@@ -37,7 +37,7 @@
     /** Starts the detection; the owner is not uncertain before. */
     void start();
 
-    /** Records that the process is running; to be called about every 200 ms. */
+    /** Records that the process is running; to be called about every 50 ms. */
     void tick();
 
     /**
