--- a/modules/entry/AdmissionControl.cpp
+++ b/modules/entry/AdmissionControl.cpp
@@ -16,8 +16,10 @@
 constexpr Milliseconds maxBehindTime { 1000 };
 // One sample counts for so long at most: while the loop stands still it takes no samples, and the delay may have ended since.
 constexpr Milliseconds maxSampleWeight { 100 };
-// A burst that drains faster than this leads to no refusal. Jobs that wait for less can still be in time.
-constexpr Milliseconds maxWait { 800 };
+// A job that waits for longer than its queue allows is hardly in time any more. The bounds are for queues that allow nothing, and for
+// the jobs that were accepted before.
+constexpr Milliseconds minWaitLimit { 300 };
+constexpr Milliseconds maxWaitLimit { 800 };
 // Each of the few round trips from a submission to a start waits for the loop.
 constexpr int loopDelaysBeforeStart = 2;
 constexpr Milliseconds minRetryDelay { 700 };
@@ -55,7 +57,7 @@
 std::optional<Milliseconds> AdmissionControl::refuse(const QueueSpec &queue, const Backlog &backlog)
 {
     const auto wait = backlog.expectedWait + loopDelay_ * loopDelaysBeforeStart;
-    if (!isOverloaded_ || wait <= maxWait) {
+    if (!isOverloaded_ || wait <= std::clamp(queue.latencyAllowance, minWaitLimit, maxWaitLimit)) {
         return std::nullopt;
     }
     return reserveReturn(queue, wait, backlog.beginInterval);
--- a/modules/entry/OwnerLoad.cpp
+++ b/modules/entry/OwnerLoad.cpp
@@ -74,7 +74,7 @@
     backlog.clear();
     for (const auto &[id, job] : jobManager.jobs()) {
         // A job past its final deadline is placed after all others.
-        if (!job->hasBegun && !job->spec.isScheduled && now <= computeFinalDeadline(*job)) {
+        if (!job->hasBegun && !job->spec.isScheduled && now <= job->finalDeadlineOf(0)) {
             ++backlog[job->queue.priority];
         }
     }
