--- a/modules/net/HttpChannels.cpp
+++ b/modules/net/HttpChannels.cpp
@@ -3,10 +3,10 @@
 
 #include "net/EventLoop.h"
 #include "net/HttpChannels.h"
+#include "net/HttpStream.h"
+#include "net/HttpWriter.h"
 
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
+#include <boost/beast/core/error.hpp>
 
 #include <algorithm>
 #include <deque>
@@ -16,14 +16,10 @@
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
-namespace http = boost::beast::http;
 using boost::system::error_code;
 
 namespace {
 
-// A stream with the executor's own type: the type-erased one of beast::tcp_stream allocates and locks more for each operation.
-using LoopStream = beast::basic_stream<asio::ip::tcp, asio::io_context::executor_type>;
-
 constexpr std::size_t maxReplyHeaderBytes = std::size_t(16) * 1024;
 // The largest replies are pages of encoded rows from the store.
 constexpr std::size_t maxReplyBodyBytes = std::size_t(16) * 1024 * 1024;
@@ -44,7 +40,8 @@
         bool maybeReceived = false;
     };
 
-    Impl(EventLoop &loop, Address peer, HttpChannelLimits limits) : loop(loop), peer(std::move(peer)), limits(limits)
+    Impl(EventLoop &loop, Address peer, HttpChannelLimits limits)
+        : loop(loop), peer(std::move(peer)), peerText(this->peer.text()), limits(limits)
     {
     }
 
@@ -67,6 +64,7 @@
 
     EventLoop &loop;
     Address peer;
+    std::string peerText;
     HttpChannelLimits limits;
     std::vector<std::shared_ptr<Connection>> connections;
     std::deque<PendingRequest> waiting;
@@ -76,7 +74,8 @@
 class HttpChannels::Impl::Connection : public std::enable_shared_from_this<Connection>
 {
 public:
-    explicit Connection(std::shared_ptr<Impl> owner) : owner_(std::move(owner)), stream_(owner_->loop.context().get_executor())
+    explicit Connection(std::shared_ptr<Impl> owner)
+        : owner_(std::move(owner)), stream_(owner_->loop, [this] { fail(beast::error::timeout); })
     {
     }
 
@@ -94,22 +93,21 @@
             write();
             return;
         }
-        const auto timeLeft = std::chrono::duration_cast<Milliseconds>(currentRequest_->deadline - owner_->loop.now());
-        stream_.expires_after(std::min(timeLeft, owner_->limits.connectTimeout));
+        stream_.deadline().set(std::min(currentRequest_->deadline, owner_->loop.now() + owner_->limits.connectTimeout));
         error_code error;
         const auto ip = asio::ip::make_address(owner_->peer.host, error);
-        stream_.async_connect({ ip, owner_->peer.port }, [self = shared_from_this()](const error_code &code) {
-            if (code) {
+        stream_.socket().async_connect({ ip, owner_->peer.port }, [self = shared_from_this()](const error_code &code) {
+            if (code || !self->currentRequest_) {
                 self->fail(code);
                 return;
             }
             self->isOpen_ = true;
-            error_code ignored;
-            self->stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+            self->stream_.configure();
             self->write();
         });
     }
 
+    /** Closes the connection and ends its request, if it still has one. */
     void fail(const error_code &error)
     {
         stream_.close();
@@ -140,23 +138,13 @@
 private:
     void write()
     {
-        request_ = {};
-        request_.method_string(currentRequest_->request.method);
-        request_.target(currentRequest_->request.target);
-        request_.version(11);
-        request_.set(http::field::host, owner_->peer.text());
-        for (const auto &[name, value] : currentRequest_->request.headers) {
-            request_.set(name, value);
-        }
-        if (!currentRequest_->request.body.empty()) {
-            request_.set(http::field::content_type, "application/json");
-        }
-        request_.body() = currentRequest_->request.body;
-        request_.prepare_payload();
+        auto &output = stream_.output();
+        output.clear();
+        appendRequest(output, currentRequest_->request, owner_->peerText);
         isSent_ = true;
-        stream_.expires_at(currentRequest_->deadline);
-        http::async_write(stream_, request_, [self = shared_from_this()](const error_code &error, std::size_t) {
-            if (error) {
+        stream_.deadline().set(currentRequest_->deadline);
+        stream_.write([self = shared_from_this()](const error_code &error) {
+            if (error || !self->currentRequest_) {
                 self->fail(error);
                 return;
             }
@@ -166,11 +154,9 @@
 
     void read()
     {
-        parser_.emplace();
-        parser_->header_limit(maxReplyHeaderBytes);
-        parser_->body_limit(maxReplyBodyBytes);
-        http::async_read(stream_, buffer_, *parser_, [self = shared_from_this()](const error_code &error, std::size_t) {
-            if (error) {
+        parser_.emplace(maxReplyHeaderBytes, maxReplyBodyBytes);
+        stream_.read(*parser_, [self = shared_from_this()](const error_code &error) {
+            if (error || !self->currentRequest_) {
                 self->fail(error);
                 return;
             }
@@ -180,31 +166,22 @@
 
     void onReply()
     {
-        auto message = parser_->release();
-        SendResult result;
-        result.outcome = SendOutcome::Answered;
-        result.reply.status = static_cast<int>(message.result_int());
-        result.reply.body = std::move(message.body());
-        for (const auto &field : message) {
-            result.reply.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
-        }
         auto pending = std::move(*currentRequest_);
         currentRequest_.reset();
-        stream_.expires_never();
         const auto self = shared_from_this();
-        if (!message.keep_alive()) {
+        if (parser_->keep_alive()) {
+            stream_.deadline().clear();
+        } else {
             stream_.close();
             owner_->removeConnection(this);
         }
-        pending.callback(std::move(result));
+        pending.callback({ SendOutcome::Answered, std::move(parser_->message()), {} });
         owner_->dispatch();
     }
 
     std::shared_ptr<Impl> owner_;
-    LoopStream stream_;
-    beast::flat_buffer buffer_;
-    http::request<http::string_body> request_;
-    std::optional<http::response_parser<http::string_body>> parser_;
+    HttpStream stream_;
+    std::optional<HttpParser<false>> parser_;
     std::optional<PendingRequest> currentRequest_;
     bool isOpen_ = false;
     /** Sending the current request has begun. */
--- a/modules/net/HttpExchange.h
+++ b/modules/net/HttpExchange.h
@@ -31,6 +31,7 @@
 {
     int status = 200;
     std::string body;
+    /** Empty in received replies: HttpChannels doesn't keep their headers, which no caller needs. */
     std::vector<HttpHeader> headers;
 };
 
--- a/modules/net/HttpListener.cpp
+++ b/modules/net/HttpListener.cpp
@@ -3,37 +3,22 @@
 
 #include "net/EventLoop.h"
 #include "net/HttpListener.h"
+#include "net/HttpStream.h"
+#include "net/HttpWriter.h"
 
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
-
-#include <algorithm>
 #include <optional>
 
 namespace auburndoor {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
 namespace {
 
-// Sockets with the executor's own type: the type-erased one allocates and locks more for each operation.
-using LoopExecutor = asio::io_context::executor_type;
-using LoopSocket = asio::basic_stream_socket<asio::ip::tcp, LoopExecutor>;
-
 // A load peak opens many connections at once; the kernel would drop those beyond a short backlog.
 constexpr int listenBacklog = 1024;
 
-std::string toLowerCase(beast::string_view text)
-{
-    std::string result(text);
-    std::transform(result.begin(), result.end(), result.begin(), [](unsigned char character) { return std::tolower(character); });
-    return result;
-}
-
 } // namespace
 
 struct HttpListener::Impl : std::enable_shared_from_this<HttpListener::Impl>
@@ -50,7 +35,7 @@
     EventLoop &loop;
     HttpListenerLimits limits;
     HttpHandler handler;
-    asio::basic_socket_acceptor<asio::ip::tcp, LoopExecutor> acceptor;
+    asio::basic_socket_acceptor<asio::ip::tcp, asio::io_context::executor_type> acceptor;
     std::size_t openConnections = 0;
     std::size_t openRequests = 0;
 };
@@ -59,8 +44,10 @@
 class HttpListener::Impl::Session : public HttpResponder, public std::enable_shared_from_this<Session>
 {
 public:
-    Session(std::shared_ptr<Impl> owner, LoopSocket socket) : owner_(std::move(owner)), stream_(std::move(socket))
+    Session(std::shared_ptr<Impl> owner, LoopSocket socket)
+        : owner_(std::move(owner)), stream_(std::move(socket), owner_->loop, [this] { close(); })
     {
+        stream_.configure();
         ++owner_->openConnections;
     }
 
@@ -72,12 +59,14 @@
 
     void read()
     {
-        parser_.emplace();
-        parser_->header_limit(static_cast<std::uint32_t>(owner_->limits.maxHeaderBytes));
-        parser_->body_limit(owner_->limits.maxBodyBytes);
-        stream_.expires_after(owner_->limits.idleTimeout);
-        http::async_read(
-            stream_, buffer_, *parser_, [self = shared_from_this()](const error_code &error, std::size_t) { self->onRead(error); });
+        parser_.emplace(owner_->limits.maxHeaderBytes, owner_->limits.maxBodyBytes);
+        stream_.deadline().set(owner_->loop.now() + owner_->limits.idleTimeout);
+        if (stream_.hasInput()) {
+            // On the next turn, so that a series of requests that arrived together doesn't nest their handlers.
+            asio::post(owner_->loop.context(), [self = shared_from_this()] { self->readRest(); });
+            return;
+        }
+        readRest();
     }
 
     void reply(WebReply reply) override
@@ -86,21 +75,11 @@
             return;
         }
         finishRequest();
-        response_ = {};
-        response_.result(static_cast<unsigned>(reply.status));
-        response_.version(11);
-        if (!reply.body.empty()) {
-            response_.set(http::field::content_type, "application/json");
-        }
-        for (const auto &[name, value] : reply.headers) {
-            response_.set(name, value);
-        }
-        response_.body() = std::move(reply.body);
-        response_.keep_alive(keepAlive_);
-        response_.prepare_payload();
-        stream_.expires_after(owner_->limits.transferTimeout);
-        http::async_write(
-            stream_, response_, [self = shared_from_this()](const error_code &error, std::size_t) { self->onWritten(error); });
+        auto &output = stream_.output();
+        output.clear();
+        appendReply(output, reply, keepAlive_);
+        stream_.deadline().set(owner_->loop.now() + owner_->limits.transferTimeout);
+        stream_.write([self = shared_from_this()](const error_code &error) { self->onWritten(error); });
     }
 
     void abandon() override
@@ -110,6 +89,17 @@
     }
 
 private:
+    void readRest()
+    {
+        error_code error;
+        stream_.parse(*parser_, error);
+        if (error || parser_->is_done()) {
+            onRead(error);
+            return;
+        }
+        stream_.read(*parser_, [self = shared_from_this()](const error_code &error) { self->onRead(error); });
+    }
+
     void onRead(const error_code &error)
     {
         if (error == http::error::body_limit || error == http::error::header_limit) {
@@ -123,24 +113,16 @@
             close();
             return;
         }
-        auto message = parser_->release();
-        keepAlive_ = message.keep_alive();
-        WebRequest request;
-        request.method = std::string(message.method_string());
-        request.target = std::string(message.target());
-        for (const auto &field : message) {
-            request.headers.emplace_back(toLowerCase(field.name_string()), std::string(field.value()));
-        }
-        request.body = std::move(message.body());
+        keepAlive_ = parser_->keep_alive();
         isReplyPending_ = true;
         ++owner_->openRequests;
-        stream_.expires_never();
-        owner_->handler(std::move(request), shared_from_this());
+        stream_.deadline().clear();
+        owner_->handler(std::move(parser_->message()), shared_from_this());
     }
 
     void onWritten(const error_code &error)
     {
-        if (error || !response_.keep_alive()) {
+        if (error || !keepAlive_) {
             close();
             return;
         }
@@ -164,10 +146,8 @@
     }
 
     std::shared_ptr<Impl> owner_;
-    beast::basic_stream<asio::ip::tcp, LoopExecutor> stream_;
-    beast::flat_buffer buffer_;
-    std::optional<http::request_parser<http::string_body>> parser_;
-    http::response<http::string_body> response_;
+    HttpStream stream_;
+    std::optional<HttpParser<true>> parser_;
     bool keepAlive_ = true;
     bool isReplyPending_ = false;
 };
@@ -185,8 +165,6 @@
             return;
         }
         if (self->openConnections < self->limits.maxConnections) {
-            error_code ignored;
-            socket.set_option(asio::ip::tcp::no_delay(true), ignored);
             std::make_shared<Session>(self, std::move(socket))->read();
         }
         self->accept();
--- a/tests/net/HttpTests.cpp
+++ b/tests/net/HttpTests.cpp
@@ -1,7 +1,12 @@
+// Asio 1.74 uses std::exchange without including <utility>.
+#include <utility>
+
 #include "net/EventLoop.h"
 #include "net/HttpChannels.h"
 #include "net/HttpListener.h"
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 using namespace auburndoor;
@@ -34,6 +39,64 @@
     std::unique_ptr<HttpChannels> channels;
 };
 
+using Tcp = boost::asio::ip::tcp;
+
+/** A peer that answers one request with given bytes, in pieces, and then closes the connection. */
+struct ScriptedPeer
+{
+    explicit ScriptedPeer(std::vector<std::string> pieces) : pieces(std::move(pieces))
+    {
+    }
+
+    SendResult answer()
+    {
+        HttpChannels channels(loop, { "127.0.0.1", acceptor.local_endpoint().port() }, {});
+        SendResult received;
+        loop.after(Milliseconds(10), [this] {
+            acceptor.accept(socket);
+            // A close with unread bytes would reset the connection.
+            std::string request(1024, '\0');
+            socket.read_some(boost::asio::buffer(request));
+            sendNext();
+        });
+        channels.send({ "GET", "/", {}, {} }, Milliseconds(3000), [&](SendResult result) {
+            received = std::move(result);
+            loop.stop();
+        });
+        loop.run();
+        return received;
+    }
+
+    void sendNext()
+    {
+        if (next == pieces.size()) {
+            socket.close();
+            return;
+        }
+        boost::asio::write(socket, boost::asio::buffer(pieces[next++]));
+        loop.after(Milliseconds(2), [this] { sendNext(); });
+    }
+
+    EventLoop loop;
+    Tcp::acceptor acceptor { loop.context(), { boost::asio::ip::address_v4::loopback(), 0 } };
+    Tcp::socket socket { loop.context() };
+    std::vector<std::string> pieces;
+    std::size_t next = 0;
+};
+
+/** Sends bytes to a listener on a connection of its own. @return what arrived within 100 ms */
+std::string exchangeBytes(Loopback &loopback, const std::string &sent)
+{
+    Tcp::socket socket(loopback.loop.context());
+    socket.connect({ boost::asio::ip::address_v4::loopback(), loopback.listener.port() });
+    boost::asio::write(socket, boost::asio::buffer(sent));
+    loopback.loop.after(Milliseconds(100), [&] { loopback.loop.stop(); });
+    loopback.loop.run();
+    std::string received(std::size_t(64) * 1024, '\0');
+    received.resize(socket.available() == 0 ? 0 : socket.read_some(boost::asio::buffer(received)));
+    return received;
+}
+
 } // namespace
 
 TEST_CASE("a request and its reply arrive whole, over one kept connection")
@@ -129,3 +192,93 @@
     CHECK(results[0].hasStatus(200));
     CHECK(results[1].outcome == SendOutcome::Lost);
 }
+
+// Guards against parts of large messages that are lost when the socket takes only some of the bytes at once.
+TEST_CASE("messages larger than the buffers of the sockets arrive whole")
+{
+    Loopback loopback([](const WebRequest &request, const HttpResponderPointer &responder) {
+        responder->reply({ 200, request.body + std::string(std::size_t(8) << 20, 'r'), {} });
+    });
+    const std::string sent(std::size_t(1) << 20, 'q');
+    for (int exchange = 0; exchange < 3; ++exchange) {
+        const auto result = loopback.send({ "POST", "/", {}, sent });
+        REQUIRE(result.hasStatus(200));
+        CHECK(result.reply.body == sent + std::string(std::size_t(8) << 20, 'r'));
+    }
+    CHECK(loopback.listener.openConnections() == 1);
+}
+
+TEST_CASE("a reply that arrives in pieces is read whole")
+{
+    ScriptedPeer peer({ "HTTP/1.1 20", "0 OK\r\nContent-Le", "ngth: 6\r\n", "\r\nab", "cd", "ef" });
+    const auto result = peer.answer();
+    CHECK(result.hasStatus(200));
+    CHECK(result.reply.body == "abcdef");
+}
+
+TEST_CASE("a chunked reply is read whole")
+{
+    ScriptedPeer peer({ "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nab", "c\r\n2\r\nde\r\n", "0\r\n\r\n" });
+    CHECK(peer.answer().reply.body == "abcde");
+}
+
+TEST_CASE("a reply without a length ends with its connection")
+{
+    ScriptedPeer peer({ "HTTP/1.1 200 OK\r\n\r\nab", "cd" });
+    const auto result = peer.answer();
+    CHECK(result.hasStatus(200));
+    CHECK(result.reply.body == "abcd");
+}
+
+// Guards against half a report that is taken for a whole one.
+TEST_CASE("a reply that is cut off is lost")
+{
+    CHECK(ScriptedPeer({ "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nabc" }).answer().outcome == SendOutcome::Lost);
+    CHECK(ScriptedPeer({ "HTTP/1.1 200 OK\r\nContent-" }).answer().outcome == SendOutcome::Lost);
+    CHECK(ScriptedPeer({ "no HTTP\r\n\r\n" }).answer().outcome == SendOutcome::Lost);
+}
+
+// Guards against requests that are forgotten because they arrived together with the one before.
+TEST_CASE("requests that arrive together are answered in their order")
+{
+    Loopback loopback([](const WebRequest &request, const HttpResponderPointer &responder) {
+        responder->reply({ 200, request.target + request.body, {} });
+    });
+    std::string sent;
+    std::string expected;
+    for (int index = 0; index < 200; ++index) {
+        const auto target = "/" + std::to_string(index);
+        sent += "POST " + target + " HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nb";
+        expected += "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(target.size() + 1)
+                    + "\r\n\r\n" + target + "b";
+    }
+    CHECK(exchangeBytes(loopback, sent) == expected);
+}
+
+TEST_CASE("a request with too large headers is rejected, and one that is no HTTP closes the connection")
+{
+    Loopback loopback([](const WebRequest &, const HttpResponderPointer &responder) { responder->reply({ 200, {}, {} }); });
+    CHECK(exchangeBytes(loopback, "GET / HTTP/1.1\r\nA: " + std::string(20000, 'a') + "\r\n\r\n").starts_with("HTTP/1.1 413 "));
+    CHECK(exchangeBytes(loopback, "no HTTP\r\n\r\n").empty());
+}
+
+// Guards against connections that keep their descriptors after their client has gone silent.
+TEST_CASE("a connection that is idle for the idle timeout is closed")
+{
+    EventLoop loop;
+    HttpListenerLimits limits;
+    limits.idleTimeout = Milliseconds(50);
+    HttpListener listener(loop, limits, [](const WebRequest &, const HttpResponderPointer &responder) {
+        responder->reply({ 200, {}, {} });
+    });
+    std::string error;
+    REQUIRE(listener.listen({ "127.0.0.1", 0 }, error));
+    HttpChannels channels(loop, { "127.0.0.1", listener.port() }, {});
+    int answered = 0;
+    channels.send({ "GET", "/", {}, {} }, Milliseconds(3000), [&](const SendResult &result) { answered += result.hasStatus(200); });
+    loop.after(Milliseconds(30), [&] { CHECK(listener.openConnections() == 1); });
+    loop.after(Milliseconds(150), [&] { loop.stop(); });
+    loop.run();
+    CHECK(answered == 1);
+    CHECK(listener.openConnections() == 0);
+}
