AdvicePool keeps the number of free processes

What callers saw: AdvicePool::canSendNow(), which placement calls for each step that waits for advice, took 25 us in a cell of 147 entry processes; it and the sending of waiting requests had 5 of 100 samples of an owner of 1,100 workers.

Cause: each call copied the addresses of all members twice and looked each up in a map. Sending sorted all waiting requests, with their lists of workers, and copied the request into the callback of its reply.

Change: the pool reads the list of members at most every 100 ms, and counts free and usable processes again only after a request was sent, ended or failed, or after a process is no longer avoided. This process counts once, also if the members include it.

Tests: the counts after a failure, after the end of its backoff, after a member has left and after one has joined.

--- a/tests/entry/AdvicePoolTests.cpp
+++ b/tests/entry/AdvicePoolTests.cpp
@@ -95,3 +95,52 @@
     fixture.localAdvisor.adviceRequests.front().second({ AdviceResult::Outcome::Answered, {}, Milliseconds(2000) });
     CHECK(pool.canSendNow(Milliseconds(50)));
 }
+
+// Guards against a pool that seems full, or free, after requests have failed: its count is kept and not taken anew for each call.
+TEST_CASE("a process at which a request failed counts neither as free nor as busy until it is used again")
+{
+    AdvicePoolFixture fixture;
+    const Address self { "127.0.0.1", 2 };
+    AdvicePool pool(fixture.loop, &fixture.localAdvisor, self, [&] { return std::vector<Address> { endedProcess, self }; });
+    pool.ask(adviceRequestFor("a"), [](const AdviceResult &) {});
+    CHECK(pool.canSendNow(Milliseconds(50)));
+    // The request fails at the ended process and is then in flight at this one.
+    fixture.runFor(Milliseconds(100));
+    REQUIRE(fixture.localAdvisor.adviceRequests.size() == 1);
+    CHECK_FALSE(pool.canSendNow(Milliseconds(50)));
+    fixture.localAdvisor.adviceRequests.front().second({ AdviceResult::Outcome::Answered, {}, Milliseconds(2000) });
+    CHECK(pool.canSendNow(Milliseconds(50)));
+    // One usable process has none to keep free for short requests. Two have, once the ended one is no longer avoided.
+    CHECK(pool.canSendNow(Milliseconds(500)));
+    pool.ask(adviceRequestFor("b"), [](const AdviceResult &) {});
+    CHECK_FALSE(pool.canSendNow(Milliseconds(50)));
+    fixture.runFor(Milliseconds(1000));
+    CHECK(pool.canSendNow(Milliseconds(50)));
+    CHECK_FALSE(pool.canSendNow(Milliseconds(500)));
+}
+
+// Guards against requests to processes that have left the cell.
+TEST_CASE("a process that left the cell is not counted, and one that joined is")
+{
+    AdvicePoolFixture fixture;
+    const Address peer { "127.0.0.1", fixture.listener.port() };
+    std::vector<Address> members { peer };
+    AdvicePool pool(fixture.loop, &fixture.localAdvisor, { "127.0.0.1", 2 }, [&] { return members; });
+    CHECK(pool.canSendNow(Milliseconds(500)));
+    members.clear();
+    fixture.runFor(Milliseconds(150));
+    pool.ask(adviceRequestFor("a"), [](const AdviceResult &) {});
+    CHECK(fixture.localAdvisor.adviceRequests.size() == 1);
+    CHECK_FALSE(pool.canSendNow(Milliseconds(50)));
+    members.push_back(peer);
+    fixture.runFor(Milliseconds(150));
+    CHECK(pool.canSendNow(Milliseconds(50)));
+    int answered = 0;
+    pool.ask(adviceRequestFor("b"),
+             [&answered](const AdviceResult &result) { answered += result.outcome == AdviceResult::Outcome::Answered ? 1 : 0; });
+    CHECK_FALSE(pool.canSendNow(Milliseconds(50)));
+    fixture.runFor(Milliseconds(100));
+    CHECK(fixture.receivedByPeer == 1);
+    CHECK(answered == 1);
+    CHECK(pool.canSendNow(Milliseconds(50)));
+}
