EventLog and Metrics without allocations for each event

Cause: each event built its label as new strings, and Metrics made a key of two strings for each look-up. Lines were appended byte by byte.

Change: labels are built in strings that keep their memory, Metrics finds by views, and the text of a line is appended in runs of plain characters.

--- a/modules/observability/EventLog.cpp
+++ b/modules/observability/EventLog.cpp
@@ -2,6 +2,8 @@
 
 #include "observability/Metrics.h"
 
+#include <algorithm>
+#include <charconv>
 #include <chrono>
 #include <fcntl.h>
 #include <unistd.h>
@@ -18,7 +20,11 @@
 
 struct State
 {
+    /** The process name as a JSON string. */
     std::string process;
+    /** The labels of the metrics of the present event; kept so that their memory is used again. */
+    std::string label;
+    std::string durationLabel;
     std::string buffer;
     std::chrono::steady_clock::time_point secondStart;
     int linesInSecond = 0;
@@ -35,20 +41,27 @@
 }
 
 /** Counts an event by its name and reason, and adds its durations to the histogram. */
-void countEvent(Metrics &metrics, std::string_view event, std::initializer_list<EventField> fields)
+void countEvent(State &log, std::string_view event, std::initializer_list<EventField> fields)
 {
-    std::string label = "event=" + std::string(event);
+    auto &label = log.label;
+    label.assign("event=").append(event);
     for (const auto &field : fields) {
-        const bool isReason = field.key == "outcome" || field.key == "why" || field.key == "how" || field.key == "stage";
-        if (const auto *text = std::get_if<std::string_view>(&field.value); text != nullptr && isReason) {
-            label += ",reason=" + std::string(*text);
-        } else if (const auto *number = std::get_if<std::int64_t>(&field.value); number != nullptr && field.key.ends_with("_ms")) {
-            metrics.observe("event_milliseconds",
-                            std::chrono::milliseconds(*number),
-                            "event=" + std::string(event) + ",field=" + std::string(field.key));
+        if (const auto *number = std::get_if<std::int64_t>(&field.value)) {
+            if (field.key.ends_with("_ms")) {
+                log.durationLabel.assign("event=").append(event).append(",field=").append(field.key);
+                log.metrics->observe("event_milliseconds", std::chrono::milliseconds(*number), log.durationLabel);
+            }
+        } else if (field.key == "outcome" || field.key == "why" || field.key == "how" || field.key == "stage") {
+            label.append(",reason=").append(std::get<std::string_view>(field.value));
         }
     }
-    metrics.count("events_total", label);
+    log.metrics->count("events_total", label);
+}
+
+bool isPlain(char character)
+{
+    const auto code = static_cast<unsigned char>(character);
+    return code >= 0x20 && code < 0x7f && character != '"' && character != '\\';
 }
 
 /** Appends a quoted JSON string; each byte outside printable ASCII is written as an escape of its own. */
@@ -56,22 +69,34 @@
 {
     constexpr const char *hexDigits = "0123456789abcdef";
     line += '"';
-    for (const char character : text) {
-        const auto code = static_cast<unsigned char>(character);
+    while (!text.empty()) {
+        const auto plainLength = static_cast<std::size_t>(std::find_if_not(text.begin(), text.end(), isPlain) - text.begin());
+        line.append(text.substr(0, plainLength));
+        text.remove_prefix(plainLength);
+        if (text.empty()) {
+            break;
+        }
+        const char character = text.front();
+        text.remove_prefix(1);
         if (character == '"' || character == '\\') {
             line += '\\';
             line += character;
-        } else if (code < 0x20 || code >= 0x7f) {
+        } else {
+            const auto code = static_cast<unsigned char>(character);
             line += "\\u00";
             line += hexDigits[code >> 4U];
             line += hexDigits[code & 15U];
-        } else {
-            line += character;
         }
     }
     line += '"';
 }
 
+void appendNumber(std::string &line, std::int64_t number)
+{
+    char digits[20];
+    line.append(digits, std::to_chars(std::begin(digits), std::end(digits), number).ptr);
+}
+
 /** Appends one line to the buffer, or counts it as dropped if the buffer is full. */
 void appendEvent(State &log, std::string_view event, std::initializer_list<EventField> fields)
 {
@@ -82,11 +107,11 @@
     using namespace std::chrono;
     auto &line = log.buffer;
     line += "{\"t\":";
-    line += std::to_string(duration_cast<milliseconds>(steady_clock::now().time_since_epoch()).count());
+    appendNumber(line, duration_cast<milliseconds>(steady_clock::now().time_since_epoch()).count());
     line += ",\"wall\":";
-    line += std::to_string(duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count());
+    appendNumber(line, duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count());
     line += ",\"process\":";
-    appendJsonString(line, log.process);
+    line += log.process;
     line += ",\"event\":";
     appendJsonString(line, event);
     for (const auto &field : fields) {
@@ -94,7 +119,7 @@
         appendJsonString(line, field.key);
         line += ':';
         if (const auto *number = std::get_if<std::int64_t>(&field.value)) {
-            line += std::to_string(*number);
+            appendNumber(line, *number);
         } else {
             appendJsonString(line, std::get<std::string_view>(field.value));
         }
@@ -109,7 +134,8 @@
 
 void EventLog::configure(const std::string &processName)
 {
-    state().process = processName;
+    state().process.clear();
+    appendJsonString(state().process, processName);
     state().isEnabled = true;
     const int flags = fcntl(STDOUT_FILENO, F_GETFL);
     if (flags >= 0) {
@@ -120,7 +146,7 @@
 void EventLog::write(std::string_view event, std::initializer_list<EventField> fields)
 {
     if (state().metrics != nullptr) {
-        countEvent(*state().metrics, event, fields);
+        countEvent(state(), event, fields);
     }
     if (state().isEnabled) {
         appendEvent(state(), event, fields);
@@ -131,7 +157,7 @@
 {
     auto &log = state();
     if (log.metrics != nullptr) {
-        countEvent(*log.metrics, event, fields);
+        countEvent(log, event, fields);
     }
     if (!log.isEnabled) {
         return;
--- a/modules/observability/Metrics.cpp
+++ b/modules/observability/Metrics.cpp
@@ -28,6 +28,32 @@
 
 /** The name and label of a metric. */
 using MetricKey = std::pair<std::string, std::string>;
+using MetricKeyView = std::pair<std::string_view, std::string_view>;
+
+/** The order of metrics. A metric is found by views, without a key being made for each use. */
+struct MetricKeyLess
+{
+    using is_transparent = void;
+
+    bool operator()(const MetricKeyView &left, const MetricKeyView &right) const
+    {
+        return left < right;
+    }
+};
+
+template<typename Value>
+using MetricMap = std::map<MetricKey, Value, MetricKeyLess>;
+
+/** Finds a metric, or creates it. */
+template<typename Value>
+Value &findOrCreate(MetricMap<Value> &metrics, std::string_view name, std::string_view label)
+{
+    const auto found = metrics.lower_bound(MetricKeyView(name, label));
+    if (found != metrics.end() && MetricKeyView(found->first) == MetricKeyView(name, label)) {
+        return found->second;
+    }
+    return metrics.try_emplace(found, MetricKey(name, label))->second;
+}
 
 /**
     Renders the label of a metric in the Prometheus text format.
@@ -79,9 +105,9 @@
 struct Metrics::Shard
 {
     std::mutex mutex;
-    std::map<MetricKey, long long> counters;
-    std::map<MetricKey, double> gauges;
-    std::map<MetricKey, DurationHistogram> histograms;
+    MetricMap<long long> counters;
+    MetricMap<double> gauges;
+    MetricMap<DurationHistogram> histograms;
 };
 
 Metrics::Metrics() : shards_(std::make_unique<Shard[]>(shardCount))
@@ -100,7 +126,7 @@
 {
     auto &shard = shardOf(name, label);
     const std::lock_guard lock(shard.mutex);
-    shard.counters[MetricKey(name, label)] += amount;
+    findOrCreate(shard.counters, name, label) += amount;
 }
 
 void Metrics::countRefusal(const Failure &failure)
@@ -117,14 +143,14 @@
 {
     auto &shard = shardOf(name, label);
     const std::lock_guard lock(shard.mutex);
-    shard.gauges[MetricKey(name, label)] = value;
+    findOrCreate(shard.gauges, name, label) = value;
 }
 
 void Metrics::observe(std::string_view name, std::chrono::nanoseconds duration, std::string_view label)
 {
     auto &shard = shardOf(name, label);
     const std::lock_guard lock(shard.mutex);
-    auto &histogram = shard.histograms[MetricKey(name, label)];
+    auto &histogram = findOrCreate(shard.histograms, name, label);
     histogram.buckets(std::chrono::duration<double, std::milli>(duration).count());
     histogram.sumSeconds += std::chrono::duration<double>(duration).count();
     ++histogram.count;
@@ -134,7 +160,7 @@
 {
     auto &shard = shardOf(name, label);
     const std::lock_guard lock(shard.mutex);
-    const auto found = shard.counters.find(MetricKey(name, label));
+    const auto found = shard.counters.find(MetricKeyView(name, label));
     return found == shard.counters.end() ? 0 : found->second;
 }
 
@@ -142,7 +168,7 @@
 {
     auto &shard = shardOf(name, label);
     const std::lock_guard lock(shard.mutex);
-    const auto found = shard.histograms.find(MetricKey(name, label));
+    const auto found = shard.histograms.find(MetricKeyView(name, label));
     if (found == shard.histograms.end()) {
         return {};
     }
