--- a/modules/net/HttpWriter.h
+++ b/modules/net/HttpWriter.h
@@ -7,9 +7,9 @@
 namespace auburndoor {
 
 /**
-    Appends a request as it is sent. The headers must not contain Host, Content-Type or Content-Length, which are added.
+    Appends a request as it is sent. The headers must not contain Content-Type or Content-Length, which are added.
 
-    @param host the value of the header Host
+    @param host the value of the header Host, unless the request has one
 */
 void appendRequest(std::string &output, const WebRequest &request, const std::string &host);
 
--- a/tests/net/HttpWriterTests.cpp
+++ b/tests/net/HttpWriterTests.cpp
@@ -60,6 +60,7 @@
              { "POST", "/api/run-start", { { "Target-Instance", "w-1" } }, R"({"attempt":1})" },
              { "POST", "/empty", { { "A", "1" }, { "B", "" } }, {} },
              { "PUT", "/empty", {}, {} },
+             { "GET", "/job", { { "Host", "queue.example" }, { "A", "1" } }, {} },
              { "GET", "/api/rows?after=3", {}, {} },
              { "DELETE", "/job", {}, {} },
              { "GET", "/body", {}, "body" },
