Give up a task that crashes the workers that start it

Cause: a run that ends with its worker counted as the worker's misfortune only. The task started again on the next worker at once, and a copy of it on another one as soon as the first was silent.

Change: a crash is told by a later incarnation under the worker's id, or another worker at its address, unless it was draining (PossibleCrashes). Each task counts the incarnations that have crashed under it (CrashLedger): from the first on it gets no copies, from the second on it starts alone, and after the third its job fails. Counts and the last runs of suspected tasks are in the progress row, for the next owner. Events run.crashed, job.given_up and task.cleared.

Ruled out: expired leases, cut-off workers and planned stops as evidence; tests show that they blame nobody.

--- /dev/null
+++ b/modules/dispatch/CrashLedger.cpp
@@ -0,0 +1,43 @@
+#include "dispatch/CrashLedger.h"
+
+#include <algorithm>
+
+namespace auburndoor {
+
+namespace {
+
+// Unrelated crashes rarely hit the same task twice, so few sound tasks are isolated.
+constexpr std::size_t crashesBeforeIsolation = 2;
+// Two crashes entitle to give a task up; the third, in isolation, tells it from the tasks that were beside it.
+constexpr std::size_t crashesBeforeProof = 3;
+// Without an isolated run a task is given up after this many crashes, so that a crowded cell does not start it on and on.
+constexpr std::size_t crashesWithoutIsolation = 4;
+
+} // namespace
+
+bool CrashLedger::record(const HostedRun &crash)
+{
+    const bool isKnown = std::any_of(crashes_.begin(), crashes_.end(), [&crash](const HostedRun &known) {
+        return known.worker == crash.worker && known.incarnation == crash.incarnation;
+    });
+    return !isKnown && crashes_.insert(crash).second;
+}
+
+Suspicion CrashLedger::suspicion() const
+{
+    const bool hasCrashAlone = std::any_of(crashes_.begin(), crashes_.end(), [](const HostedRun &crash) { return crash.isAlone; });
+    if (crashes_.size() >= crashesWithoutIsolation || (crashes_.size() >= crashesBeforeProof && hasCrashAlone)) {
+        return Suspicion::Proven;
+    }
+    if (crashes_.size() >= crashesBeforeIsolation) {
+        return Suspicion::Isolated;
+    }
+    return crashes_.empty() ? Suspicion::None : Suspicion::Suspected;
+}
+
+void CrashLedger::clear()
+{
+    crashes_.clear();
+}
+
+} // namespace auburndoor
--- a/modules/dispatch/Fleet.cpp
+++ b/modules/dispatch/Fleet.cpp
@@ -37,6 +37,7 @@
     }
     worker.isListed = true;
     impl_->updateEntry(worker, entry);
+    impl_->reportReplacedWorkers(entry);
     impl_->addToRoster(worker);
     impl_->ensurePolling(worker);
     impl_->listener.capacityChanged();
@@ -50,6 +51,16 @@
     impl_->ensurePolling(worker);
 }
 
+void Fleet::expectRun(const std::string &id, std::int64_t incarnation, const RunKey &key)
+{
+    WorkerCrash crash;
+    crash.worker = id;
+    crash.incarnation = incarnation;
+    crash.runs = { key };
+    crash.areAllRunsKnown = false;
+    impl_->possibleCrashes.add(crash, impl_->timers.now());
+}
+
 void Fleet::removeEntry(const std::string &id)
 {
     if (auto *found = worker(id); found != nullptr && found->isListed) {
@@ -96,7 +107,9 @@
     run.key = key;
     run.claim = claim;
     run.startedAt = impl_->timers.now();
+    run.incarnation = found->entry.incarnation;
     found->used += claim.need;
+    found->isolatedRuns += claim.isIsolated ? 1 : 0;
     impl_->noteChange(*found);
     found->runs.emplace(key, run);
     impl_->startWindow.onSent();
@@ -121,6 +134,17 @@
     }
 }
 
+void Fleet::clearSuspicion(const std::string &id, const RunKey &key)
+{
+    if (auto *found = run(id, key)) {
+        auto &host = *worker(id);
+        host.isolatedRuns -= found->claim.isIsolated ? 1 : 0;
+        found->claim.isSuspected = false;
+        found->claim.isIsolated = false;
+        impl_->noteChange(host);
+    }
+}
+
 void Fleet::throttle(const std::string &id, const RunKey &key, int percent)
 {
     auto *found = run(id, key);
--- a/modules/dispatch/Fleet.h
+++ b/modules/dispatch/Fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dispatch/WorkerCrash.h"
 #include "dispatch/WorkerState.h"
 #include "net/Timers.h"
 
@@ -37,6 +38,12 @@
     /** A run is gone without a listed end. @param outcome why its start was refused or not sent; else Unknown */
     virtual void runLost(const std::string &worker, const RunKey &key, RunLoss loss, CommandOutcome outcome) = 0;
 
+    /**
+        A worker has crashed under runs and is back. Its runs were reported as lost before, long before if their leases expired
+       while the worker was away.
+    */
+    virtual void workerCrashed(const WorkerCrash &crash) = 0;
+
     /** A running task has reported a checkpoint. */
     virtual void checkpointSeen(const RunningTask &running) = 0;
 
@@ -92,6 +99,13 @@
     /** Adds a worker of the roster: an earlier owner may have sent it commands, and the directory may not list it. */
     void addFormerWorker(const WorkerEntry &entry);
 
+    /**
+        Adds a run that an earlier owner has recorded: if its worker is found in a later incarnation, it has crashed under the run.
+
+        @param incarnation the worker's incarnation in which the run was known to run
+    */
+    void expectRun(const std::string &worker, std::int64_t incarnation, const RunKey &key);
+
     /** Follows the removal of a worker's entry from the directory. */
     void removeEntry(const std::string &id);
 
@@ -112,6 +126,8 @@
     bool maySendStart() const;
     /** Stops a run, with repetitions until the worker has acknowledged it. Does nothing if the run is already being stopped. */
     void stop(const std::string &worker, const RunKey &key, const std::string &reason);
+    /** Allows runs of other jobs beside a run again. Does nothing if there is no such run. */
+    void clearSuspicion(const std::string &worker, const RunKey &key);
     /** Sets the share of its speed at which a run works, from 0 to 100 percent. */
     void throttle(const std::string &worker, const RunKey &key, int percent);
 
--- a/modules/dispatch/FleetImpl.cpp
+++ b/modules/dispatch/FleetImpl.cpp
@@ -74,6 +74,9 @@
 {
     const bool hasRestarted = entry.incarnation > worker.entry.incarnation;
     noteChange(worker);
+    if (hasRestarted) {
+        notePossibleCrash(worker);
+    }
     worker.client->update(entry);
     worker.entry = entry;
     if (!hasRestarted) {
@@ -99,6 +102,33 @@
     addToRoster(worker);
 }
 
+void Fleet::Impl::notePossibleCrash(const WorkerState &worker)
+{
+    // The runs of a draining worker end with its planned stop.
+    if (worker.entry.isDraining) {
+        return;
+    }
+    WorkerCrash crash;
+    crash.worker = worker.entry.id;
+    crash.address = worker.entry.address;
+    crash.incarnation = worker.entry.incarnation;
+    for (const auto &[key, run] : worker.runs) {
+        if (run.incarnation == worker.entry.incarnation) {
+            crash.runs.push_back(key);
+        }
+    }
+    if (!crash.runs.empty()) {
+        possibleCrashes.add(std::move(crash), timers.now());
+    }
+}
+
+void Fleet::Impl::reportReplacedWorkers(const WorkerEntry &entry)
+{
+    for (const auto &crash : possibleCrashes.takeReplaced(entry.address, entry.id)) {
+        listener.workerCrashed(crash);
+    }
+}
+
 void Fleet::Impl::addToRoster(WorkerState &worker)
 {
     if (worker.isInRoster) {
@@ -120,6 +150,7 @@
         return;
     }
     worker.used -= found->second.claim.need;
+    worker.isolatedRuns -= found->second.claim.isIsolated ? 1 : 0;
     if (found->second.isUnwanted) {
         --worker.unwantedRuns;
     }
--- a/modules/dispatch/FleetImpl.h
+++ b/modules/dispatch/FleetImpl.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/Fleet.h"
+#include "dispatch/PossibleCrashes.h"
 #include "dispatch/StartWindow.h"
 
 namespace auburndoor {
@@ -21,6 +22,8 @@
 
     /** Takes over a changed entry. If the worker has restarted, all its runs become uncertain until a later report decides. */
     void updateEntry(WorkerState &worker, const WorkerEntry &entry);
+    /** Notes the runs of an incarnation that has ended or fallen silent, so that its return tells whether it has crashed. */
+    void notePossibleCrash(const WorkerState &worker);
     /** Has the worker entered in the roster unless it is there. */
     void addToRoster(WorkerState &worker);
 
@@ -61,6 +64,10 @@
     void resolveUncertainRuns(WorkerState &worker, const std::set<RunKey> &listed, TimePoint pollSentAt);
     /** Removes the run, and tells the listener unless the run was unwanted. */
     void reportLostRun(WorkerState &worker, const RunKey &key, RunLoss loss, CommandOutcome outcome = CommandOutcome::Unknown);
+    /** Tells the listener of the crashes that an entry shows by its address, which workers had that have fallen silent. */
+    void reportReplacedWorkers(const WorkerEntry &entry);
+    /** Tells the listener of the crashes that the report of a later incarnation shows. */
+    void reportCrashes(const std::string &id, const TaskReport &report, TimePoint pollSentAt);
     void reportAllRunsLost(WorkerState &worker, RunLoss loss);
     /** Records how a run ended, and avoids the worker for a while if most of its last runs failed. */
     void recordOutcome(WorkerState &worker, bool hasFailed);
@@ -77,6 +84,7 @@
     std::vector<std::string> changedWorkers;
     long long renewalsSent = 0;
     StartWindow startWindow;
+    PossibleCrashes possibleCrashes;
     bool isDirectoryStale = false;
     bool isClosed = false;
 };
--- a/modules/dispatch/FleetPolling.cpp
+++ b/modules/dispatch/FleetPolling.cpp
@@ -155,10 +155,14 @@
         if (!worker.runs.empty()) {
             EventLog::write("worker.lost", { { "worker", id }, { "runs", worker.runs.size() }, { "other", isWrongWorker } });
         }
+        notePossibleCrash(worker);
         reportAllRunsLost(worker, isWrongWorker ? RunLoss::WorkerRestarted : RunLoss::LeaseExpired);
         if (isWrongWorker) {
             worker.isReportRead = true;
             worker.acknowledgedEnd = worker.lastSeenEnd;
+            for (const auto &crash : possibleCrashes.takeReplaced(id)) {
+                listener.workerCrashed(crash);
+            }
         }
         if (!worker.isListed && (isWrongWorker || timers.now() - worker.unlistedAt > unlistedGracePeriod)) {
             worker.isReportRead = true;
@@ -192,6 +196,7 @@
     worker.isReportRead = true;
     processEnds(worker, report);
     processRunning(worker, report, pollSentAt);
+    reportCrashes(id, report, pollSentAt);
     if (!wasReportRead) {
         listener.capacityChanged();
     }
@@ -207,6 +212,22 @@
     }
 }
 
+void Fleet::Impl::reportCrashes(const std::string &id, const TaskReport &report, TimePoint pollSentAt)
+{
+    for (auto &crash : possibleCrashes.take(id, report.incarnation, pollSentAt)) {
+        // A start that was answered by the later incarnation, before its entry was known, has not ended with the earlier one.
+        const auto isListed = [&report](const RunKey &key) {
+            const auto hasKey = [&key](const auto &item) { return item.task == key.task && item.attempt == key.attempt; };
+            return std::any_of(report.running.begin(), report.running.end(), hasKey)
+                   || std::any_of(report.ended.begin(), report.ended.end(), hasKey);
+        };
+        std::erase_if(crash.runs, isListed);
+        if (!crash.runs.empty()) {
+            listener.workerCrashed(crash);
+        }
+    }
+}
+
 void Fleet::Impl::processEnds(WorkerState &worker, const TaskReport &report)
 {
     auto ended = report.ended;
@@ -262,6 +283,7 @@
             continue;
         }
         auto &run = found->second;
+        run.incarnation = worker.entry.incarnation;
         if (run.percent != running.percent) {
             run.percent = running.percent;
             run.percentChangedAt = now;
@@ -290,6 +312,7 @@
     run.phase = Run::Phase::Running;
     run.startedAt = now;
     run.confirmedAt = now;
+    run.incarnation = worker.entry.incarnation;
     run.percent = running.percent;
     run.percentChangedAt = now;
     run.latencyOrProcessorUse = running.latencyOrProcessorUse;
@@ -297,6 +320,7 @@
     run.isUnwanted = !claim;
     run.claim = claim.value_or(RunClaim());
     worker.used += run.claim.need;
+    worker.isolatedRuns += run.claim.isIsolated ? 1 : 0;
     worker.unwantedRuns += run.isUnwanted ? 1 : 0;
     worker.runs.emplace(key, run);
     EventLog::write(
--- /dev/null
+++ b/modules/dispatch/HostedRun.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace auburndoor {
+
+/** A run of a task together with the incarnation of the worker that it was known to run on. */
+struct HostedRun
+{
+    std::string worker;
+    std::int64_t incarnation = 0;
+    std::int64_t attempt = 0;
+    /** No run of another job was on the worker. */
+    bool isAlone = false;
+
+    auto operator<=>(const HostedRun &other) const = default;
+};
+
+} // namespace auburndoor
--- a/modules/dispatch/JobManager.cpp
+++ b/modules/dispatch/JobManager.cpp
@@ -34,6 +34,7 @@
     job->isInherited = true;
     job->receivedAt = timers_.now();
     initialize(*job);
+    restoreHostedRuns(*job);
     jobs_[id] = std::move(job);
     changedJobs_.push_back(id);
 }
@@ -212,6 +213,12 @@
     auto &task = step.tasks[static_cast<std::size_t>(index)];
     task.lastAttempt = std::max(task.lastAttempt, place.attempt);
     task.runs.push_back(place);
+    if (task.crashes.suspicion() != Suspicion::None) {
+        const auto &id = step.job->spec.id;
+        const auto &worker = *fleet_->worker(place.worker);
+        task.hostedRuns.push_back({ place.worker, worker.entry.incarnation, place.attempt, !worker.hasOtherJobs(id) });
+        saveProgress(id, {}, CommitQueue::Urgency::Routine);
+    }
 }
 
 void JobManager::stopRun(StepState &step, int index, const RunPlace &place, const std::string &reason)
@@ -235,6 +242,7 @@
             hooks_.workChanged();
         }
     }
+    clearSoundTasks();
     // The retention is measured on the wall clock, which may jump, so that ended jobs are kept half as long again.
     std::erase_if(ended_, [&](const auto &entry) {
         if (!entry.second.isStored || wallTime - entry.second.endedAt < endedJobRetention + endedJobRetention / 2) {
--- a/modules/dispatch/JobManager.h
+++ b/modules/dispatch/JobManager.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -125,6 +126,7 @@
     void runConfirmed(const std::string &worker, const Run &run) override;
     void runEnded(const std::string &worker, const EndedTask &ended, std::function<void()> recorded) override;
     void runLost(const std::string &worker, const RunKey &key, RunLoss loss, CommandOutcome outcome) override;
+    void workerCrashed(const WorkerCrash &crash) override;
     void checkpointSeen(const RunningTask &running) override;
     void fenced(const std::string &worker) override;
     void capacityChanged() override;
@@ -147,6 +149,18 @@
     void endJob(JobState &job, JobStage stage);
     /** What each run of the step claims of its worker. */
     static RunClaim makeClaim(const StepState &step);
+    /** What a run of the task claims of this worker. */
+    RunClaim makeClaim(const StepState &step, const Task &task, const std::string &worker) const;
+    /** True if the task may only start on a worker without runs of other jobs; it waits for one for a limited time. */
+    bool isWaitingForIsolation(const Task &task) const;
+    /** Records a crash under a run of the task, unless it is recorded already. */
+    void recordCrash(JobState &job, Task &task, const RunKey &key, const HostedRun &crash);
+    /** Tells the fleet which runs of suspected tasks an earlier owner has recorded. */
+    void restoreHostedRuns(JobState &job);
+    /** Drops the suspicion against tasks that have run for long enough since, and forgets jobs without suspected tasks. */
+    void clearSoundTasks();
+    /** Drops the suspicion against a task that has run for long enough since. @return true if it is still suspected */
+    bool clearIfSound(StepState &step, int index);
 
     friend class TaskPlacer;
 
@@ -159,6 +173,8 @@
     std::map<std::string, EndedJob> ended_;
     std::map<std::string, std::vector<SubmitCallback>> submitCallbacks_;
     std::vector<std::string> changedJobs_;
+    /** The jobs with tasks under which workers have crashed. */
+    std::set<std::string> suspectedJobs_;
 };
 
 } // namespace auburndoor
--- /dev/null
+++ b/modules/dispatch/JobManagerCrashes.cpp
@@ -0,0 +1,153 @@
+#include "dispatch/JobManager.h"
+#include "observability/EventLog.h"
+
+#include <algorithm>
+#include <set>
+
+namespace auburndoor {
+
+namespace {
+
+// A task that crashes its worker does so while it does its work, and slow workers take several times as long for it.
+constexpr Milliseconds minSoundRunTime { 10000 };
+constexpr int soundRunEstimates = 3;
+// A job whose turn has come is not held back for longer by a crowded service.
+constexpr Milliseconds maxWaitForIsolation { 1500 };
+
+} // namespace
+
+bool JobManager::isWaitingForIsolation(const Task &task) const
+{
+    return task.crashes.suspicion() == Suspicion::Isolated && timers_.now() - task.idleSince < maxWaitForIsolation;
+}
+
+RunClaim JobManager::makeClaim(const StepState &step, const Task &task, const std::string &worker) const
+{
+    auto claim = makeClaim(step);
+    const auto suspicion = task.crashes.suspicion();
+    claim.isSuspected = suspicion != Suspicion::None;
+    const auto *found = fleet_->worker(worker);
+    claim.isIsolated = suspicion >= Suspicion::Isolated && found != nullptr && !found->hasOtherJobs(step.job->spec.id);
+    return claim;
+}
+
+void JobManager::restoreHostedRuns(JobState &job)
+{
+    for (auto &[number, occurrence] : job.occurrences) {
+        for (auto &step : occurrence.steps) {
+            for (std::size_t index = 0; index < step.tasks.size(); ++index) {
+                auto &task = step.tasks[index];
+                if (task.crashes.suspicion() != Suspicion::None) {
+                    suspectedJobs_.insert(job.spec.id);
+                    task.idleSince = timers_.now();
+                }
+                for (const auto &run : task.hostedRuns) {
+                    const TaskName name { job.spec.id, number, step.index, static_cast<int>(index) };
+                    fleet_->expectRun(run.worker, run.incarnation, { name, run.attempt });
+                }
+            }
+        }
+    }
+}
+
+void JobManager::workerCrashed(const WorkerCrash &crash)
+{
+    std::set<std::string> jobsOnWorker;
+    for (const auto &key : crash.runs) {
+        jobsOnWorker.insert(key.task.job);
+    }
+    for (const auto &key : crash.runs) {
+        auto *job = find(key.task.job);
+        auto *task = job == nullptr ? nullptr : job->task(key.task);
+        if (task == nullptr || task->isDone) {
+            continue;
+        }
+        const bool isAlone = crash.areAllRunsKnown ? jobsOnWorker.size() == 1
+                                                   : std::find(task->hostedRuns.begin(),
+                                                               task->hostedRuns.end(),
+                                                               HostedRun { crash.worker, crash.incarnation, key.attempt, true })
+                                                         != task->hostedRuns.end();
+        recordCrash(*job, *task, key, { crash.worker, crash.incarnation, key.attempt, isAlone });
+    }
+    hooks_.workChanged();
+}
+
+void JobManager::recordCrash(JobState &job, Task &task, const RunKey &key, const HostedRun &crash)
+{
+    task.eraseHostedRun({ crash.worker, key.attempt });
+    if (!task.crashes.record(crash)) {
+        return;
+    }
+    task.failedOn = crash.worker;
+    suspectedJobs_.insert(job.spec.id);
+    changedJobs_.push_back(job.spec.id);
+    EventLog::writeRateLimited("run.crashed",
+                               { { "job", job.spec.id },
+                                 { "occurrence", key.task.occurrence },
+                                 { "step", key.task.step },
+                                 { "index", key.task.index },
+                                 { "attempt", key.attempt },
+                                 { "worker", crash.worker },
+                                 { "born", crash.incarnation },
+                                 { "alone", crash.isAlone ? 1 : 0 },
+                                 { "crashes", task.crashes.crashes().size() } });
+    if (task.crashes.suspicion() != Suspicion::Proven) {
+        // As urgent as the removal of the worker from the roster, after which a new owner could not find the crash.
+        saveProgress(job.spec.id, {}, CommitQueue::Urgency::Urgent);
+        return;
+    }
+    EventLog::writeRateLimited("job.given_up",
+                               { { "job", job.spec.id },
+                                 { "step", key.task.step },
+                                 { "index", key.task.index },
+                                 { "crashes", task.crashes.crashes().size() } });
+    endJob(job, JobStage::Failed);
+}
+
+void JobManager::clearSoundTasks()
+{
+    std::erase_if(suspectedJobs_, [this](const std::string &id) {
+        auto *job = find(id);
+        bool isSuspected = false;
+        if (job == nullptr) {
+            return true;
+        }
+        for (auto &[number, occurrence] : job->occurrences) {
+            for (auto &step : occurrence.steps) {
+                for (int index = 0; index < static_cast<int>(step.tasks.size()); ++index) {
+                    isSuspected = clearIfSound(step, index) || isSuspected;
+                }
+            }
+        }
+        return !isSuspected;
+    });
+}
+
+bool JobManager::clearIfSound(StepState &step, int index)
+{
+    auto &task = step.tasks[static_cast<std::size_t>(index)];
+    if (task.isDone || task.crashes.suspicion() == Suspicion::None) {
+        return false;
+    }
+    const auto soundRunTime = std::max(minSoundRunTime, step.spec().estimate * soundRunEstimates);
+    for (const auto &place : task.runs) {
+        const auto *run = fleet_->run(place.worker, { { step.job->spec.id, step.occurrence, step.index, index }, place.attempt });
+        if (run == nullptr || run->phase != Run::Phase::Running || timers_.now() - run->confirmedAt < soundRunTime) {
+            continue;
+        }
+        task.crashes.clear();
+        task.hostedRuns.clear();
+        fleet_->clearSuspicion(place.worker, run->key);
+        EventLog::writeRateLimited("task.cleared",
+                                   { { "job", step.job->spec.id },
+                                     { "step", step.index },
+                                     { "index", index },
+                                     { "attempt", place.attempt },
+                                     { "worker", place.worker } });
+        saveProgress(step.job->spec.id, {}, CommitQueue::Urgency::Routine);
+        return false;
+    }
+    return true;
+}
+
+} // namespace auburndoor
--- a/modules/dispatch/JobManagerRuns.cpp
+++ b/modules/dispatch/JobManagerRuns.cpp
@@ -37,7 +37,7 @@
     job->hasBegun = true;
     job->stage = JobStage::Running;
     job->shownStage = JobStage::Running;
-    return makeClaim(step);
+    return makeClaim(step, *task, worker);
 }
 
 void JobManager::runConfirmed(const std::string &, const Run &run)
@@ -106,6 +106,7 @@
                                  { "worker", worker },
                                  { "how", name(ended.end) } });
     std::erase(task->runs, RunPlace { worker, ended.attempt });
+    task->eraseHostedRun({ worker, ended.attempt });
     task->idleSince = timers_.now();
     changedJobs_.push_back(ended.task.job);
     task->lastAttempt = std::max(task->lastAttempt, ended.attempt);
@@ -254,6 +255,9 @@
         return;
     }
     std::erase(task->runs, RunPlace { worker, key.attempt });
+    if (loss != RunLoss::WorkerRestarted && loss != RunLoss::LeaseExpired) {
+        task->eraseHostedRun({ worker, key.attempt });
+    }
     task->idleSince = timers_.now();
     changedJobs_.push_back(key.task.job);
     auto &step = *job->step(key.task.occurrence, key.task.step);
--- a/modules/dispatch/JobRecordCodec.cpp
+++ b/modules/dispatch/JobRecordCodec.cpp
@@ -70,16 +70,46 @@
     return step;
 }
 
+/** A row of [worker, incarnation, attempt, alone] for each run. */
+template<typename Runs>
+Json hostedRunsJson(const Runs &runs)
+{
+    Json json = Json::array();
+    for (const HostedRun &run : runs) {
+        json.push_back(Json::array({ run.worker, run.incarnation, run.attempt, run.isAlone ? 1 : 0 }));
+    }
+    return json;
+}
+
 Json taskJson(const Task &task)
 {
     // A short array, since most tasks have had only one start.
     Json json = Json::array({ task.isDone ? 1 : 0, task.lastAttempt, task.failedAttempts });
-    if (!task.checkpoint.empty() && !task.isDone) {
+    const bool isSuspected = !task.isDone && task.crashes.suspicion() != Suspicion::None;
+    if ((!task.checkpoint.empty() && !task.isDone) || isSuspected) {
         json.push_back(task.checkpoint);
     }
+    if (isSuspected) {
+        json.push_back(hostedRunsJson(task.crashes.crashes()));
+        json.push_back(hostedRunsJson(task.hostedRuns));
+    }
     return json;
 }
 
+/** Reads what hostedRunsJson() has written, without the elements that cannot be read. */
+std::vector<HostedRun> readHostedRuns(const Json &json)
+{
+    std::vector<HostedRun> runs;
+    for (const auto &row : json.is_array() ? json : Json::array()) {
+        if (row.is_array() && row.size() >= 4 && row[0].is_string() && row[1].is_number_integer() && row[2].is_number_integer()
+            && row[3].is_number_integer()) {
+            runs.push_back(
+                { row[0].get<std::string>(), row[1].get<std::int64_t>(), row[2].get<std::int64_t>(), row[3].get<int>() != 0 });
+        }
+    }
+    return runs;
+}
+
 bool readTask(const Json &json, Task &task)
 {
     if (!json.is_array() || json.size() < 3) {
@@ -91,6 +121,12 @@
     if (json.size() > 3) {
         task.checkpoint = json[3].get<std::string>();
     }
+    if (json.size() > 5) {
+        for (const auto &crash : readHostedRuns(json[4])) {
+            task.crashes.record(crash);
+        }
+        task.hostedRuns = readHostedRuns(json[5]);
+    }
     return true;
 }
 
--- a/modules/dispatch/JobState.cpp
+++ b/modules/dispatch/JobState.cpp
@@ -52,6 +52,12 @@
            });
 }
 
+void Task::eraseHostedRun(const RunPlace &place)
+{
+    std::erase_if(hostedRuns,
+                  [&place](const HostedRun &run) { return run.worker == place.worker && run.attempt == place.attempt; });
+}
+
 const StepSpec &StepState::spec() const
 {
     return job->spec.steps[static_cast<std::size_t>(index)];
--- a/modules/dispatch/JobState.h
+++ b/modules/dispatch/JobState.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/Clock.h"
+#include "dispatch/CrashLedger.h"
 #include "workload/DesiredState.h"
 #include "workload/JobSpec.h"
 
@@ -55,12 +56,17 @@
     TimePoint idleSince;
     /** The worker on which it last failed; placement prefers others. */
     std::string failedOn;
+    /** The crashes of workers under its runs. */
+    CrashLedger crashes;
+    /** Of a suspected task: the runs without a known end, by which a new owner finds crashes that no owner has recorded. */
+    std::vector<HostedRun> hostedRuns;
 
     bool isIdle() const
     {
         return !isDone && runs.empty();
     }
     bool hasRun(const RunPlace &place) const;
+    void eraseHostedRun(const RunPlace &place);
 };
 
 /** The answers of the advisory service about a step. The set of workers that a step may use never changes, but permits expire. */
--- a/modules/dispatch/Run.h
+++ b/modules/dispatch/Run.h
@@ -37,6 +37,10 @@
     int priority = 0;
     /** It saves its progress, so that it may be stopped for more urgent work. */
     bool isPreemptible = false;
+    /** Workers have crashed under its task. */
+    bool isSuspected = false;
+    /** It is to run alone: no run of another job is started beside it. */
+    bool isIsolated = false;
 };
 
 /** One start of a task on a worker, from the start command until its end is listed or it is certain that it will not run. */
@@ -59,6 +63,8 @@
     TimePoint startedAt;
     /** When the run was first known to run; TimePoint() before. */
     TimePoint confirmedAt;
+    /** The incarnation of the worker to which its start was sent, or which has listed it. */
+    std::int64_t incarnation = 0;
     /** The progress of the task, from 0 to 100, as last reported. */
     int percent = 0;
     TimePoint percentChangedAt;
--- a/modules/dispatch/TaskPlacer.cpp
+++ b/modules/dispatch/TaskPlacer.cpp
@@ -152,7 +152,7 @@
                                                                const std::unordered_map<std::string, int> &runsByWorker) const
 {
     const auto &spec = step.spec();
-    if (!workerCapacity.isUsable) {
+    if (!workerCapacity.isUsable || workerCapacity.worker->isIsolatedFrom(step.job->spec.id)) {
         return std::nullopt;
     }
     const auto &entry = workerCapacity.worker->entry;
@@ -247,14 +247,22 @@
     double bestCost = std::numeric_limits<double>::max();
     // Outweighs every preference in computeCost().
     constexpr double earlierFailureCost = 20.0;
+    // Suspected tasks of several jobs on one worker could not be told from each other by its next crash.
+    constexpr double otherSuspectsCost = 40.0;
+    const auto &job = step.job->spec.id;
+    const bool isSuspected = task.crashes.suspicion() != Suspicion::None;
+    const bool mustBeAlone = jobManager_.isWaitingForIsolation(task);
     const auto need = JobManager::makeClaim(step).need;
     for (auto &candidate : candidates) {
         if (candidate.tasksLeft <= 0 || !need.fitsIn(candidate.free)
-            || (!rack.empty() && candidate.workerCapacity->worker->entry.rack() != rack)) {
+            || (!rack.empty() && candidate.workerCapacity->worker->entry.rack() != rack)
+            || (mustBeAlone && candidate.workerCapacity->worker->hasOtherJobs(job))) {
             continue;
         }
         const bool hasFailedHere = task.failedOn == candidate.workerCapacity->id;
-        const auto candidateCost = computeCost(step, candidate) + (hasFailedHere ? earlierFailureCost : 0.0);
+        const bool hasOtherSuspects = isSuspected && candidate.workerCapacity->worker->hasOtherSuspects(job);
+        const auto candidateCost = computeCost(step, candidate) + (hasFailedHere ? earlierFailureCost : 0.0)
+                                   + (hasOtherSuspects ? otherSuspectsCost : 0.0);
         if (candidateCost < bestCost) {
             bestCost = candidateCost;
             best = &candidate;
@@ -285,7 +293,7 @@
                                  { "worker", id },
                                  { "ready_ms", std::chrono::duration_cast<Milliseconds>(timers_.now() - step.readySince).count() },
                                  { "free_cores", candidate.free.milliCores } });
-    const auto claim = JobManager::makeClaim(step);
+    const auto claim = jobManager_.makeClaim(step, task, id);
     candidate.free -= claim.need;
     --candidate.tasksLeft;
     jobManager_.recordStart(step, index, { id, attempt });
@@ -311,7 +319,8 @@
     Candidate *best(const Task &task)
     {
         dropFull();
-        if (heap_.empty() || heap_.front()->workerCapacity->id != task.failedOn) {
+        const bool isSuspected = task.crashes.suspicion() != Suspicion::None;
+        if (heap_.empty() || (heap_.front()->workerCapacity->id != task.failedOn && !isSuspected)) {
             return heap_.empty() ? nullptr : heap_.front();
         }
         return placer_.chooseCandidate(step_, task, candidates_, {});
@@ -379,7 +388,8 @@
             return;
         }
         if (candidate == nullptr) {
-            ++unplaced;
+            // Preemption or advice does not empty a worker.
+            unplaced += !candidates.empty() && jobManager_.isWaitingForIsolation(task) ? 0 : 1;
             continue;
         }
         start(step, static_cast<int>(index), *candidate, jobManager_.nextAttempt(task));
--- a/modules/dispatch/TaskPlacerMaintenance.cpp
+++ b/modules/dispatch/TaskPlacerMaintenance.cpp
@@ -45,7 +45,7 @@
     auto candidates = std::vector<Candidate>();
     for (std::size_t index = 0; index < step.tasks.size(); ++index) {
         auto &task = step.tasks[index];
-        if (task.isDone || task.runs.size() != 1) {
+        if (task.isDone || task.runs.size() != 1 || task.crashes.suspicion() != Suspicion::None) {
             continue;
         }
         const auto place = task.runs.front();
--- a/modules/dispatch/WorkerState.h
+++ b/modules/dispatch/WorkerState.h
@@ -4,6 +4,7 @@
 #include "workload/WorkerClient.h"
 #include "workload/WorkerEntry.h"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <memory>
@@ -46,12 +47,30 @@
     std::int64_t deliveredAcknowledgement = 0;
     /** The number of its runs that are unwanted. */
     int unwantedRuns = 0;
+    /** The number of its runs that are isolated. */
+    int isolatedRuns = 0;
     /** Runs that are over, with the time of their removal. Reports may overtake each other, so an older one may still list them. */
     std::map<RunKey, TimePoint> recentlyEndedRuns;
 
     /** It is listed in Fleet::takeChangedWorkers(). */
     bool isChangeNoted = false;
 
+    /** True if a run of another job is on the worker. */
+    bool hasOtherJobs(const std::string &job) const
+    {
+        return hasRunOfOtherJob(job, [](const RunClaim &) { return true; });
+    }
+    /** True if a suspected task of another job runs on the worker. */
+    bool hasOtherSuspects(const std::string &job) const
+    {
+        return hasRunOfOtherJob(job, [](const RunClaim &claim) { return claim.isSuspected; });
+    }
+    /** True if the worker is left to a run of another job. */
+    bool isIsolatedFrom(const std::string &job) const
+    {
+        return isolatedRuns > 0 && hasRunOfOtherJob(job, [](const RunClaim &claim) { return claim.isIsolated; });
+    }
+
     Resources free() const
     {
         return entry.capacity - used;
@@ -70,6 +89,14 @@
     {
         return lastSeenEnd > acknowledgedEnd;
     }
+
+private:
+    template<typename Predicate>
+    bool hasRunOfOtherJob(const std::string &job, Predicate isMatch) const
+    {
+        return std::any_of(
+            runs.begin(), runs.end(), [&](const auto &run) { return run.first.task.job != job && isMatch(run.second.claim); });
+    }
 };
 
 } // namespace auburndoor
--- a/tests/dispatch/OwnerFixture.cpp
+++ b/tests/dispatch/OwnerFixture.cpp
@@ -73,7 +73,7 @@
     WorkerEntry entry;
     entry.id = id;
     entry.service = "desk";
-    entry.address = { "10.0.0.1", 80 };
+    entry.address = { "10.0.0.1", static_cast<std::uint16_t>(80 + fleet.workers().size()) };
     entry.labels = { "a", "r1" };
     entry.capacity = { std::int64_t(cores) * 1000, 1 << 20, 0, 0, 0 };
     entry.incarnation = 1;
--- a/tests/fakes/SimulatedWorker.cpp
+++ b/tests/fakes/SimulatedWorker.cpp
@@ -144,6 +144,11 @@
     ++entry_.incarnation;
 }
 
+void SimulatedWorker::setCapacity(const Resources &capacity)
+{
+    entry_.capacity = capacity;
+}
+
 const WorkerEntry &SimulatedWorker::entry() const
 {
     return entry_;
@@ -216,6 +221,10 @@
             });
             return;
         }
+        if (fleet_.worker(id_).isReplaced) {
+            timers.after(wayThere, [callback = std::move(callback)] { callback({ CommandOutcome::WrongWorker, {} }, {}); });
+            return;
+        }
         timers.after(wayThere, [&timers, &fleet = fleet_, id = id_, token = token_, acknowledged, deadline, wait, callback] {
             const auto incarnation = fleet.worker(id).entry().incarnation;
             waitForEnd(fleet, timers, id, token, acknowledged, deadline, timers.now() + wait, incarnation, callback);
@@ -286,13 +295,14 @@
             timers.after(givenUpAfter, [callback = std::move(callback)] { callback({ CommandOutcome::Unknown, "no answer" }); });
             return;
         }
-        timers.after(wayThere, [&timers, fault, action = std::move(action), callback = std::move(callback)] {
-            const auto outcome = action();
-            const bool isLost = fault.kind == CommandFault::Kind::AnswerLost;
-            timers.after(isLost ? givenUpAfter : wayThere, [callback, outcome, isLost] {
-                callback({ isLost ? CommandOutcome::Unknown : outcome, {} });
-            });
-        });
+        timers.after(wayThere,
+                     [&timers, &fleet = fleet_, id = id_, fault, action = std::move(action), callback = std::move(callback)] {
+                         const auto outcome = fleet.worker(id).isReplaced ? CommandOutcome::WrongWorker : action();
+                         const bool isLost = fault.kind == CommandFault::Kind::AnswerLost;
+                         timers.after(isLost ? givenUpAfter : wayThere, [callback, outcome, isLost] {
+                             callback({ isLost ? CommandOutcome::Unknown : outcome, {} });
+                         });
+                     });
     }
 
     SimulatedFleet &fleet_;
--- a/tests/fakes/SimulatedWorker.h
+++ b/tests/fakes/SimulatedWorker.h
@@ -55,6 +55,12 @@
     /** While cut off, no order arrives and nothing is answered; it runs on. */
     bool isCutOff = false;
 
+    /** Another worker has its address and answers that it is not this one. */
+    bool isReplaced = false;
+
+    /** Changes the capacity that its entry shows; what runs goes on. */
+    void setCapacity(const Resources &capacity);
+
     const WorkerEntry &entry() const;
     const std::map<std::pair<TaskName, std::int64_t>, LiveRun> &runs() const;
     const std::vector<EndedTask> &listedEnds() const;
