Start nothing on a restarted worker before its new entry is known

What callers would see: LIMIT, on a worker that restarts under its id with a smaller capacity.

Cause: a report shows the new incarnation before the directory does. The owner went on with the entry of the earlier one, whose capacity and labels the new one need not have.

--- a/modules/dispatch/Fleet.cpp
+++ b/modules/dispatch/Fleet.cpp
@@ -36,6 +36,7 @@
                         { { "worker", entry.id }, { "remaining_ms", entry.remaining.value_or(Milliseconds(-1)).count() } });
     }
     worker.isListed = true;
+    worker.isEntryCurrent = true;
     impl_->updateEntry(worker, entry);
     impl_->reportReplacedWorkers(entry);
     impl_->addToRoster(worker);
@@ -166,8 +167,8 @@
 bool Fleet::isUsable(const WorkerState &worker) const
 {
     const auto now = impl_->timers.now();
-    return worker.isListed && !worker.entry.isDraining && worker.isReportRead && worker.isInRoster && worker.unwantedRuns == 0
-           && worker.failedPolls == 0 && worker.avoidUntil <= now
+    return worker.isListed && worker.isEntryCurrent && !worker.entry.isDraining && worker.isReportRead && worker.isInRoster
+           && worker.unwantedRuns == 0 && worker.failedPolls == 0 && worker.avoidUntil <= now
            && (impl_->isDirectoryStale ? now - worker.lastReportAt < impl_->timing.maxReportAgeWhenDirectoryStale
                                        : worker.runs.empty() || now - worker.lastReportAt < impl_->timing.maxReportAge);
 }
--- a/modules/dispatch/FleetPolling.cpp
+++ b/modules/dispatch/FleetPolling.cpp
@@ -179,6 +179,7 @@
     if (report.incarnation > worker.entry.incarnation) {
         auto entry = worker.entry;
         entry.incarnation = report.incarnation;
+        worker.isEntryCurrent = false;
         updateEntry(worker, entry);
     } else if (report.incarnation != 0 && report.incarnation < worker.entry.incarnation) {
         // A late answer of an earlier incarnation.
--- a/modules/dispatch/WorkerState.h
+++ b/modules/dispatch/WorkerState.h
@@ -24,6 +24,8 @@
     bool isReportRead = false;
     /** It is in the directory. */
     bool isListed = false;
+    /** Its entry is that of its current incarnation, which may have another capacity and other labels than the one before. */
+    bool isEntryCurrent = true;
     /** When it left the directory, or was added without being listed. */
     TimePoint unlistedAt;
     /** Its current incarnation is stored in the roster, which the next owner reads. */
