Record the runs of a silent worker for the next owner

Cause: a crash is known when the worker is back, 3.3 s after it. An owner killed between took the first crashes of ten tasks with it, since nothing was stored about tasks without a crash. And in a crowded service no worker was free for a trial, so that proof took a fourth crash.

Change: when a worker stops answering, its runs are stored with the progress of their jobs, for the next owner to count. Three crashes are proof too if the task was the one started last each time: a crash follows such a start at once.

Ruled out: giving up after three crashes in any company.

--- a/modules/dispatch/CrashLedger.cpp
+++ b/modules/dispatch/CrashLedger.cpp
@@ -8,10 +8,10 @@
 
 // Unrelated crashes rarely hit the same task twice, so few sound tasks are isolated.
 constexpr std::size_t crashesBeforeIsolation = 2;
-// Two crashes entitle to give a task up; the third, in isolation, tells it from the tasks that were beside it.
+// Two crashes entitle to give a task up; the third tells it from the tasks that were beside it.
 constexpr std::size_t crashesBeforeProof = 3;
-// Without an isolated run a task is given up after this many crashes, so that a crowded cell does not start it on and on.
-constexpr std::size_t crashesWithoutIsolation = 4;
+// Without such evidence a task is given up after this many crashes, so that a crowded cell does not start it on and on.
+constexpr std::size_t crashesWithoutEvidence = 4;
 
 } // namespace
 
@@ -25,8 +25,9 @@
 
 Suspicion CrashLedger::suspicion() const
 {
-    const bool hasCrashAlone = std::any_of(crashes_.begin(), crashes_.end(), [](const HostedRun &crash) { return crash.isAlone; });
-    if (crashes_.size() >= crashesWithoutIsolation || (crashes_.size() >= crashesBeforeProof && hasCrashAlone)) {
+    const bool wasAlone = std::any_of(crashes_.begin(), crashes_.end(), [](const HostedRun &crash) { return crash.isAlone; });
+    const bool wasAlwaysLast = std::all_of(crashes_.begin(), crashes_.end(), [](const HostedRun &crash) { return crash.isLast; });
+    if (crashes_.size() >= crashesWithoutEvidence || (crashes_.size() >= crashesBeforeProof && (wasAlone || wasAlwaysLast))) {
         return Suspicion::Proven;
     }
     if (crashes_.size() >= crashesBeforeIsolation) {
--- a/modules/dispatch/CrashLedger.h
+++ b/modules/dispatch/CrashLedger.h
@@ -21,8 +21,8 @@
     The crashes of workers under one task, and what follows from them.
 
     A crash puts all tasks of its worker under suspicion, most of them wrongly. A task is therefore proven to be the cause only by
-    crashes of several incarnations of workers of which one was its own: it ran there without other jobs. Crashes of many workers at
-    once add one crash to each of their tasks, which isolates none.
+    crashes of several incarnations of workers, if it ran without other jobs on one of them, or had always been started last.
+    Crashes of many workers at once add one crash to each of their tasks, which isolates none.
 */
 class CrashLedger
 {
--- a/modules/dispatch/Fleet.cpp
+++ b/modules/dispatch/Fleet.cpp
@@ -52,14 +52,9 @@
     impl_->ensurePolling(worker);
 }
 
-void Fleet::expectRun(const std::string &id, std::int64_t incarnation, const RunKey &key)
-{
-    WorkerCrash crash;
-    crash.worker = id;
-    crash.incarnation = incarnation;
-    crash.runs = { key };
-    crash.areAllRunsKnown = false;
-    impl_->possibleCrashes.add(crash, impl_->timers.now());
+void Fleet::expectRun(const std::string &id, std::int64_t incarnation, const WorkerCrash::AffectedRun &run)
+{
+    impl_->possibleCrashes.add({ id, Address(), incarnation, { run } }, impl_->timers.now());
 }
 
 void Fleet::removeEntry(const std::string &id)
--- a/modules/dispatch/Fleet.h
+++ b/modules/dispatch/Fleet.h
@@ -38,6 +38,9 @@
     /** A run is gone without a listed end. @param outcome why its start was refused or not sent; else Unknown */
     virtual void runLost(const std::string &worker, const RunKey &key, RunLoss loss, CommandOutcome outcome) = 0;
 
+    /** A worker with runs does not answer; it may have crashed, or be cut off. */
+    virtual void workerSilent(const WorkerCrash &possibleCrash) = 0;
+
     /**
         A worker has crashed under runs and is back. Its runs were reported as lost before, long before if their leases expired
        while the worker was away.
@@ -104,7 +107,7 @@
 
         @param incarnation the worker's incarnation in which the run was known to run
     */
-    void expectRun(const std::string &worker, std::int64_t incarnation, const RunKey &key);
+    void expectRun(const std::string &worker, std::int64_t incarnation, const WorkerCrash::AffectedRun &run);
 
     /** Follows the removal of a worker's entry from the directory. */
     void removeEntry(const std::string &id);
--- a/modules/dispatch/FleetImpl.cpp
+++ b/modules/dispatch/FleetImpl.cpp
@@ -75,7 +75,7 @@
     const bool hasRestarted = entry.incarnation > worker.entry.incarnation;
     noteChange(worker);
     if (hasRestarted) {
-        notePossibleCrash(worker);
+        possibleCrashes.add(makePossibleCrash(worker), timers.now());
     }
     worker.client->update(entry);
     worker.entry = entry;
@@ -102,24 +102,28 @@
     addToRoster(worker);
 }
 
-void Fleet::Impl::notePossibleCrash(const WorkerState &worker)
+WorkerCrash Fleet::Impl::makePossibleCrash(const WorkerState &worker)
 {
+    WorkerCrash crash { worker.entry.id, worker.entry.address, worker.entry.incarnation, {} };
     // The runs of a draining worker end with its planned stop.
     if (worker.entry.isDraining) {
-        return;
+        return crash;
     }
-    WorkerCrash crash;
-    crash.worker = worker.entry.id;
-    crash.address = worker.entry.address;
-    crash.incarnation = worker.entry.incarnation;
+    const auto isAffected = [&worker](const auto &item) { return item.second.incarnation == worker.entry.incarnation; };
     for (const auto &[key, run] : worker.runs) {
-        if (run.incarnation == worker.entry.incarnation) {
-            crash.runs.push_back(key);
+        if (run.incarnation != worker.entry.incarnation) {
+            continue;
         }
+        WorkerCrash::AffectedRun affected { key, true, true };
+        for (const auto &other : worker.runs) {
+            if (other.first.task.job != key.task.job && isAffected(other)) {
+                affected.isAlone = false;
+                affected.isLast = affected.isLast && other.second.startedAt <= run.startedAt;
+            }
+        }
+        crash.runs.push_back(affected);
     }
-    if (!crash.runs.empty()) {
-        possibleCrashes.add(std::move(crash), timers.now());
-    }
+    return crash;
 }
 
 void Fleet::Impl::reportReplacedWorkers(const WorkerEntry &entry)
--- a/modules/dispatch/FleetImpl.h
+++ b/modules/dispatch/FleetImpl.h
@@ -22,8 +22,8 @@
 
     /** Takes over a changed entry. If the worker has restarted, all its runs become uncertain until a later report decides. */
     void updateEntry(WorkerState &worker, const WorkerEntry &entry);
-    /** Notes the runs of an incarnation that has ended or fallen silent, so that its return tells whether it has crashed. */
-    void notePossibleCrash(const WorkerState &worker);
+    /** The runs that would end if the worker's present incarnation has crashed; none if it is draining. */
+    static WorkerCrash makePossibleCrash(const WorkerState &worker);
     /** Has the worker entered in the roster unless it is there. */
     void addToRoster(WorkerState &worker);
 
--- a/modules/dispatch/FleetPolling.cpp
+++ b/modules/dispatch/FleetPolling.cpp
@@ -146,6 +146,7 @@
     noteChange(worker);
     if (++worker.failedPolls == 1) {
         EventLog::write("worker.silent", { { "worker", id }, { "outcome", name(reply.outcome) }, { "runs", worker.runs.size() } });
+        listener.workerSilent(makePossibleCrash(worker));
     }
     const bool isWrongWorker = reply.outcome == CommandOutcome::WrongWorker;
     const auto inheritedLeaseEnd = createdAt + timing.lease * 51 / 50 + Milliseconds(1500);
@@ -155,7 +156,7 @@
         if (!worker.runs.empty()) {
             EventLog::write("worker.lost", { { "worker", id }, { "runs", worker.runs.size() }, { "other", isWrongWorker } });
         }
-        notePossibleCrash(worker);
+        possibleCrashes.add(makePossibleCrash(worker), timers.now());
         reportAllRunsLost(worker, isWrongWorker ? RunLoss::WorkerRestarted : RunLoss::LeaseExpired);
         if (isWrongWorker) {
             worker.isReportRead = true;
@@ -217,8 +218,8 @@
 {
     for (auto &crash : possibleCrashes.take(id, report.incarnation, pollSentAt)) {
         // A start that was answered by the later incarnation, before its entry was known, has not ended with the earlier one.
-        const auto isListed = [&report](const RunKey &key) {
-            const auto hasKey = [&key](const auto &item) { return item.task == key.task && item.attempt == key.attempt; };
+        const auto isListed = [&report](const WorkerCrash::AffectedRun &run) {
+            const auto hasKey = [&run](const auto &item) { return item.task == run.key.task && item.attempt == run.key.attempt; };
             return std::any_of(report.running.begin(), report.running.end(), hasKey)
                    || std::any_of(report.ended.begin(), report.ended.end(), hasKey);
         };
--- a/modules/dispatch/HostedRun.h
+++ b/modules/dispatch/HostedRun.h
@@ -13,6 +13,8 @@
     std::int64_t attempt = 0;
     /** No run of another job was on the worker. */
     bool isAlone = false;
+    /** No run of another job was started on the worker after it. */
+    bool isLast = false;
 
     auto operator<=>(const HostedRun &other) const = default;
 };
--- a/modules/dispatch/JobManager.cpp
+++ b/modules/dispatch/JobManager.cpp
@@ -216,7 +216,7 @@
     if (task.crashes.suspicion() != Suspicion::None) {
         const auto &id = step.job->spec.id;
         const auto &worker = *fleet_->worker(place.worker);
-        task.hostedRuns.push_back({ place.worker, worker.entry.incarnation, place.attempt, !worker.hasOtherJobs(id) });
+        task.setHostedRun({ place.worker, worker.entry.incarnation, place.attempt, !worker.hasOtherJobs(id), true });
         saveProgress(id, {}, CommitQueue::Urgency::Routine);
     }
 }
--- a/modules/dispatch/JobManager.h
+++ b/modules/dispatch/JobManager.h
@@ -126,6 +126,7 @@
     void runConfirmed(const std::string &worker, const Run &run) override;
     void runEnded(const std::string &worker, const EndedTask &ended, std::function<void()> recorded) override;
     void runLost(const std::string &worker, const RunKey &key, RunLoss loss, CommandOutcome outcome) override;
+    void workerSilent(const WorkerCrash &possibleCrash) override;
     void workerCrashed(const WorkerCrash &crash) override;
     void checkpointSeen(const RunningTask &running) override;
     void fenced(const std::string &worker) override;
@@ -155,7 +156,7 @@
     bool isWaitingForIsolation(const Task &task) const;
     /** Records a crash under a run of the task, unless it is recorded already. */
     void recordCrash(JobState &job, Task &task, const RunKey &key, const HostedRun &crash);
-    /** Tells the fleet which runs of suspected tasks an earlier owner has recorded. */
+    /** Tells the fleet which runs an earlier owner has recorded for the case that their workers have crashed. */
     void restoreHostedRuns(JobState &job);
     /** Drops the suspicion against tasks that have run for long enough since, and forgets jobs without suspected tasks. */
     void clearSoundTasks();
--- a/modules/dispatch/JobManagerCrashes.cpp
+++ b/modules/dispatch/JobManagerCrashes.cpp
@@ -2,7 +2,6 @@
 #include "observability/EventLog.h"
 
 #include <algorithm>
-#include <set>
 
 namespace auburndoor {
 
@@ -43,31 +42,33 @@
                 }
                 for (const auto &run : task.hostedRuns) {
                     const TaskName name { job.spec.id, number, step.index, static_cast<int>(index) };
-                    fleet_->expectRun(run.worker, run.incarnation, { name, run.attempt });
+                    fleet_->expectRun(run.worker, run.incarnation, { { name, run.attempt }, run.isAlone, run.isLast });
                 }
             }
         }
     }
 }
 
-void JobManager::workerCrashed(const WorkerCrash &crash)
+void JobManager::workerSilent(const WorkerCrash &possibleCrash)
 {
-    std::set<std::string> jobsOnWorker;
-    for (const auto &key : crash.runs) {
-        jobsOnWorker.insert(key.task.job);
+    for (const auto &run : possibleCrash.runs) {
+        auto *job = find(run.key.task.job);
+        auto *task = job == nullptr ? nullptr : job->task(run.key.task);
+        if (task != nullptr && !task->isDone) {
+            task->setHostedRun({ possibleCrash.worker, possibleCrash.incarnation, run.key.attempt, run.isAlone, run.isLast });
+            saveProgress(job->spec.id, {}, CommitQueue::Urgency::Routine);
+        }
     }
-    for (const auto &key : crash.runs) {
-        auto *job = find(key.task.job);
-        auto *task = job == nullptr ? nullptr : job->task(key.task);
-        if (task == nullptr || task->isDone) {
-            continue;
+}
+
+void JobManager::workerCrashed(const WorkerCrash &crash)
+{
+    for (const auto &run : crash.runs) {
+        auto *job = find(run.key.task.job);
+        auto *task = job == nullptr ? nullptr : job->task(run.key.task);
+        if (task != nullptr && !task->isDone) {
+            recordCrash(*job, *task, run.key, { crash.worker, crash.incarnation, run.key.attempt, run.isAlone, run.isLast });
         }
-        const bool isAlone = crash.areAllRunsKnown ? jobsOnWorker.size() == 1
-                                                   : std::find(task->hostedRuns.begin(),
-                                                               task->hostedRuns.end(),
-                                                               HostedRun { crash.worker, crash.incarnation, key.attempt, true })
-                                                         != task->hostedRuns.end();
-        recordCrash(*job, *task, key, { crash.worker, crash.incarnation, key.attempt, isAlone });
     }
     hooks_.workChanged();
 }
@@ -90,6 +91,7 @@
                                  { "worker", crash.worker },
                                  { "born", crash.incarnation },
                                  { "alone", crash.isAlone ? 1 : 0 },
+                                 { "last", crash.isLast ? 1 : 0 },
                                  { "crashes", task.crashes.crashes().size() } });
     if (task.crashes.suspicion() != Suspicion::Proven) {
         // As urgent as the removal of the worker from the roster, after which a new owner could not find the crash.
--- a/modules/dispatch/JobRecordCodec.cpp
+++ b/modules/dispatch/JobRecordCodec.cpp
@@ -70,13 +70,13 @@
     return step;
 }
 
-/** A row of [worker, incarnation, attempt, alone] for each run. */
+/** A row of [worker, incarnation, attempt, alone, last] for each run. */
 template<typename Runs>
 Json hostedRunsJson(const Runs &runs)
 {
     Json json = Json::array();
     for (const HostedRun &run : runs) {
-        json.push_back(Json::array({ run.worker, run.incarnation, run.attempt, run.isAlone ? 1 : 0 }));
+        json.push_back(Json::array({ run.worker, run.incarnation, run.attempt, run.isAlone ? 1 : 0, run.isLast ? 1 : 0 }));
     }
     return json;
 }
@@ -85,11 +85,11 @@
 {
     // A short array, since most tasks have had only one start.
     Json json = Json::array({ task.isDone ? 1 : 0, task.lastAttempt, task.failedAttempts });
-    const bool isSuspected = !task.isDone && task.crashes.suspicion() != Suspicion::None;
-    if ((!task.checkpoint.empty() && !task.isDone) || isSuspected) {
+    const bool hasCrashes = !task.isDone && (!task.crashes.crashes().empty() || !task.hostedRuns.empty());
+    if ((!task.checkpoint.empty() && !task.isDone) || hasCrashes) {
         json.push_back(task.checkpoint);
     }
-    if (isSuspected) {
+    if (hasCrashes) {
         json.push_back(hostedRunsJson(task.crashes.crashes()));
         json.push_back(hostedRunsJson(task.hostedRuns));
     }
@@ -101,10 +101,15 @@
 {
     std::vector<HostedRun> runs;
     for (const auto &row : json.is_array() ? json : Json::array()) {
-        if (row.is_array() && row.size() >= 4 && row[0].is_string() && row[1].is_number_integer() && row[2].is_number_integer()
-            && row[3].is_number_integer()) {
-            runs.push_back(
-                { row[0].get<std::string>(), row[1].get<std::int64_t>(), row[2].get<std::int64_t>(), row[3].get<int>() != 0 });
+        const bool isReadable = row.is_array() && row.size() >= 5 && row[0].is_string()
+                                && std::all_of(
+                                    row.begin() + 1, row.end(), [](const Json &item) { return item.is_number_integer(); });
+        if (isReadable) {
+            runs.push_back({ row[0].get<std::string>(),
+                             row[1].get<std::int64_t>(),
+                             row[2].get<std::int64_t>(),
+                             row[3].get<int>() != 0,
+                             row[4].get<int>() != 0 });
         }
     }
     return runs;
--- a/modules/dispatch/JobState.cpp
+++ b/modules/dispatch/JobState.cpp
@@ -40,6 +40,12 @@
     return std::find(runs.begin(), runs.end(), place) != runs.end();
 }
 
+void Task::setHostedRun(const HostedRun &run)
+{
+    eraseHostedRun({ run.worker, run.attempt });
+    hostedRuns.push_back(run);
+}
+
 bool StepState::hasTasksToPlace() const
 {
     return spec().isGang ? !isDone() && !hasRuns() : hasIdleTask();
--- a/modules/dispatch/JobState.h
+++ b/modules/dispatch/JobState.h
@@ -58,7 +58,10 @@
     std::string failedOn;
     /** The crashes of workers under its runs. */
     CrashLedger crashes;
-    /** Of a suspected task: the runs without a known end, by which a new owner finds crashes that no owner has recorded. */
+    /**
+        Its runs on workers that do not answer and, once workers have crashed under it, all its runs without a known end. A new
+       owner finds by them crashes that no owner has recorded.
+    */
     std::vector<HostedRun> hostedRuns;
 
     bool isIdle() const
@@ -67,6 +70,8 @@
     }
     bool hasRun(const RunPlace &place) const;
     void eraseHostedRun(const RunPlace &place);
+    /** Adds a hosted run, or replaces what is known of it. */
+    void setHostedRun(const HostedRun &run);
 };
 
 /** The answers of the advisory service about a step. The set of workers that a step may use never changes, but permits expire. */
--- a/modules/dispatch/PossibleCrashes.cpp
+++ b/modules/dispatch/PossibleCrashes.cpp
@@ -15,6 +15,9 @@
 
 void PossibleCrashes::add(WorkerCrash crash, TimePoint now)
 {
+    if (crash.runs.empty()) {
+        return;
+    }
     for (auto &[worker, entries] : entries_) {
         std::erase_if(entries, [now](const Entry &entry) { return now - entry.addedAt > retention; });
     }
--- a/modules/dispatch/PossibleCrashes.h
+++ b/modules/dispatch/PossibleCrashes.h
@@ -20,7 +20,7 @@
 class PossibleCrashes
 {
 public:
-    /** Adds the runs of an incarnation that may have crashed. */
+    /** Adds the runs of an incarnation that may have crashed; without runs it does nothing. */
     void add(WorkerCrash crash, TimePoint now);
 
     /**
--- a/modules/dispatch/WorkerCrash.h
+++ b/modules/dispatch/WorkerCrash.h
@@ -9,20 +9,22 @@
 
 namespace auburndoor {
 
-/**
-    The end of an incarnation of a worker that was not draining, shown by a later incarnation under its id or by another worker at
-   its address.
-*/
+/** The end, or the silence, of an incarnation of a worker that was not draining, with the runs that it had. */
 struct WorkerCrash
 {
+    /** A run that was sent to the incarnation and has no known end. */
+    struct AffectedRun
+    {
+        RunKey key;
+        /** As in HostedRun. */
+        bool isAlone = false;
+        bool isLast = false;
+    };
+
     std::string worker;
     Address address;
-    /** The incarnation that ended. */
     std::int64_t incarnation = 0;
-    /** The runs that were sent to that incarnation and have no known end. */
-    std::vector<RunKey> runs;
-    /** False if an earlier owner has started the runs, so that there may have been others. */
-    bool areAllRunsKnown = true;
+    std::vector<AffectedRun> runs;
 };
 
 } // namespace auburndoor
--- a/tests/dispatch/CrashLedgerTests.cpp
+++ b/tests/dispatch/CrashLedgerTests.cpp
@@ -9,22 +9,27 @@
 {
     CrashLedger ledger;
     CHECK(ledger.suspicion() == Suspicion::None);
-    CHECK(ledger.record({ "w1", 1, 1, false }));
+    CHECK(ledger.record({ "w1", 1, 1, false, false }));
     CHECK(ledger.suspicion() == Suspicion::Suspected);
-    CHECK(ledger.record({ "w2", 1, 2, false }));
+    CHECK(ledger.record({ "w2", 1, 2, false, false }));
     CHECK(ledger.suspicion() == Suspicion::Isolated);
     SECTION("alone")
     {
-        CHECK(ledger.record({ "w3", 1, 3, true }));
+        CHECK(ledger.record({ "w3", 1, 3, true, false }));
         CHECK(ledger.suspicion() == Suspicion::Proven);
     }
     SECTION("in company")
     {
-        CHECK(ledger.record({ "w3", 1, 3, false }));
+        CHECK(ledger.record({ "w3", 1, 3, false, false }));
         CHECK(ledger.suspicion() == Suspicion::Isolated);
-        CHECK(ledger.record({ "w4", 1, 4, false }));
+        CHECK(ledger.record({ "w4", 1, 4, false, false }));
         CHECK(ledger.suspicion() == Suspicion::Proven);
     }
+    SECTION("started last, but not always")
+    {
+        CHECK(ledger.record({ "w3", 1, 3, false, true }));
+        CHECK(ledger.suspicion() == Suspicion::Isolated);
+    }
     SECTION("cleared")
     {
         ledger.clear();
@@ -32,15 +37,25 @@
     }
 }
 
+TEST_CASE("a task that was always started last on the workers that crashed is proven to crash them")
+{
+    CrashLedger ledger;
+    CHECK(ledger.record({ "w1", 1, 1, false, true }));
+    CHECK(ledger.record({ "w2", 1, 2, false, true }));
+    CHECK(ledger.suspicion() == Suspicion::Isolated);
+    CHECK(ledger.record({ "w3", 1, 3, false, true }));
+    CHECK(ledger.suspicion() == Suspicion::Proven);
+}
+
 // Guards against one crash that two owners, or a report and an entry, count twice.
 TEST_CASE("the crash of an incarnation of a worker counts once")
 {
     CrashLedger ledger;
-    CHECK(ledger.record({ "w1", 1, 1, false }));
-    CHECK_FALSE(ledger.record({ "w1", 1, 1, true }));
-    CHECK_FALSE(ledger.record({ "w1", 1, 1001, false }));
+    CHECK(ledger.record({ "w1", 1, 1, false, false }));
+    CHECK_FALSE(ledger.record({ "w1", 1, 1, true, false }));
+    CHECK_FALSE(ledger.record({ "w1", 1, 1001, false, false }));
     CHECK(ledger.crashes().size() == 1);
-    CHECK(ledger.record({ "w1", 2, 2, false }));
+    CHECK(ledger.record({ "w1", 2, 2, false, false }));
     CHECK(ledger.crashes().size() == 2);
 }
 
@@ -52,7 +67,7 @@
     crash.worker = worker;
     crash.address = { "10.0.0.1", port };
     crash.incarnation = 5;
-    crash.runs = { { { "00000000000000aa", 0, 0, 0 }, 1 } };
+    crash.runs = { { { { "00000000000000aa", 0, 0, 0 }, 1 }, false, false } };
     return crash;
 }
 
--- a/tests/dispatch/CrashTests.cpp
+++ b/tests/dispatch/CrashTests.cpp
@@ -95,11 +95,11 @@
     cell.addWorkers(10, 16);
     cell.takeOver();
     REQUIRE(cell.submit(deadlyJob, jobBody(1, 3000)) == ClientResult::Outcome::Accepted);
-    // From the second crash on, each owner ends while the worker is down.
-    while (cell.crashCount() < 2) {
+    // Each owner ends while the worker is down that has crashed under it.
+    while (cell.crashCount() < 1) {
         cell.timers.advance(Milliseconds(20));
     }
-    for (int crashes = 2; crashes < 8 && cell.stage(deadlyJob) != JobStage::Failed; ++crashes) {
+    for (int crashes = 1; crashes < 8 && cell.stage(deadlyJob) != JobStage::Failed; ++crashes) {
         cell.timers.advance(Milliseconds(500));
         cell.takeOver();
         for (int step = 0; step < 1000 && cell.crashCount() == crashes && cell.stage(deadlyJob) != JobStage::Failed; ++step) {
--- a/tests/dispatch/JobRecordCodecTests.cpp
+++ b/tests/dispatch/JobRecordCodecTests.cpp
@@ -48,9 +48,9 @@
     job.stage = JobStage::Running;
     auto &task = job.occurrences.at(0).steps[0].tasks[0];
     task.lastAttempt = 3;
-    task.crashes.record({ "w1", 1700000000001, 1, false });
-    task.crashes.record({ "w2", 1700000000002, 2, true });
-    task.hostedRuns = { { "w3", 1700000000003, 3, true } };
+    task.crashes.record({ "w1", 1700000000001, 1, false, true });
+    task.crashes.record({ "w2", 1700000000002, 2, true, true });
+    task.hostedRuns = { { "w3", 1700000000003, 3, true, false } };
     return job;
 }
 
@@ -102,7 +102,7 @@
 TEST_CASE("crashes that cannot be read are left out of a task's progress")
 {
     const auto read = readProgress(
-        R"({"stage":"running","occurrences":{"0":[[[0,2,[],"",[["w1",1,1,0],["w2"],7,["w3","x",1,0]],{"a":1}]]]}})");
+        R"({"stage":"running","occurrences":{"0":[[[0,2,[],"",[["w1",1,1,0,0],["w2"],7,["w3","x",1,0,0]],{"a":1}]]]}})");
     const auto &task = read.occurrences.at(0).steps[0].tasks[0];
     CHECK(task.crashes.crashes().size() == 1);
     CHECK(task.hostedRuns.empty());
