--- a/modules/dispatch/FleetImpl.cpp
+++ b/modules/dispatch/FleetImpl.cpp
@@ -74,6 +74,9 @@
 {
     const bool hasRestarted = entry.incarnation > worker.entry.incarnation;
     noteChange(worker);
+    if (hasRestarted) {
+        possibleCrashes.add(makePossibleCrash(worker), timers.now());
+    }
     worker.client->update(entry);
     worker.entry = entry;
     if (!hasRestarted) {
@@ -99,6 +102,37 @@
     addToRoster(worker);
 }
 
+WorkerCrash Fleet::Impl::makePossibleCrash(const WorkerState &worker)
+{
+    WorkerCrash crash { worker.entry.id, worker.entry.address, worker.entry.incarnation, {} };
+    // The runs of a draining worker end with its planned stop.
+    if (worker.entry.isDraining) {
+        return crash;
+    }
+    const auto isAffected = [&worker](const auto &item) { return item.second.incarnation == worker.entry.incarnation; };
+    for (const auto &[key, run] : worker.runs) {
+        if (run.incarnation != worker.entry.incarnation) {
+            continue;
+        }
+        WorkerCrash::AffectedRun affected { key, true, true };
+        for (const auto &other : worker.runs) {
+            if (other.first.task.job != key.task.job && isAffected(other)) {
+                affected.isAlone = false;
+                affected.isLast = affected.isLast && other.second.startedAt <= run.startedAt;
+            }
+        }
+        crash.runs.push_back(affected);
+    }
+    return crash;
+}
+
+void Fleet::Impl::reportReplacedWorkers(const WorkerEntry &entry)
+{
+    for (const auto &crash : possibleCrashes.takeReplaced(entry.address, entry.id)) {
+        listener.workerCrashed(crash);
+    }
+}
+
 void Fleet::Impl::addToRoster(WorkerState &worker)
 {
     if (worker.isInRoster) {
@@ -120,6 +154,7 @@
         return;
     }
     worker.used -= found->second.claim.need;
+    worker.isolatedRuns -= found->second.claim.isIsolated ? 1 : 0;
     if (found->second.isUnwanted) {
         --worker.unwantedRuns;
     }
