Search in vain less often for steps that have waited long, and only where they may start

Cause: a round begins with the most urgent step, and each run that ended made all steps search that its room would have sufficed for, also those without a permit for its worker.

Change: a step searches again only if it has a valid permit for a worker that has got more free; a search of all workers, or for workers to ask advice for, is repeated after an eighth of the time that the step has waited, at most 1 s.

Test: LongQueueTests 'steps that may not use the free room do not keep those behind them from it' failed (0 of 20 started in 5 s) and passes.

--- a/modules/dispatch/CommitQueue.cpp
+++ b/modules/dispatch/CommitQueue.cpp
@@ -19,8 +19,8 @@
 // The delay that gathers rows into one transaction. The end of a task delays its job by at most this, and the store gets at most 60
 // transactions a second.
 constexpr Milliseconds batchDelay { 12 };
-// Routine rows wait this long, so that the ends of a job's tasks that come close to each other are written as one row. Workers are asked
-// for the next ends after 120 ms, by when these should be stored.
+// Routine rows wait this long, so that the ends of a job's tasks that come close to each other are written as one row. Workers are
+// asked for the next ends after 120 ms, by when these should be stored.
 constexpr Milliseconds routineDelay { 40 };
 constexpr Milliseconds minRetryDelay { 120 };
 constexpr Milliseconds maxRetryDelay { 500 };
--- a/modules/dispatch/ServiceCapacity.cpp
+++ b/modules/dispatch/ServiceCapacity.cpp
@@ -168,10 +168,13 @@
     return result;
 }
 
-bool ServiceCapacity::hasGrownRoom(std::uint64_t since, const Resources &need)
+bool ServiceCapacity::hasGrownRoom(std::uint64_t since,
+                                   const Resources &need,
+                                   const std::function<bool(const WorkerCapacity &)> &isWanted)
 {
-    return growth_ != since
-           && visitGrown(since, [this, &need](WorkerCapacity &workerCapacity) { return need.fitsIn(roomOf(workerCapacity).free); });
+    return growth_ != since && visitGrown(since, [&](WorkerCapacity &workerCapacity) {
+               return need.fitsIn(roomOf(workerCapacity).free) && isWanted(workerCapacity);
+           });
 }
 
 void ServiceCapacity::collect(WorkerCapacity &workerCapacity) const
--- a/modules/dispatch/ServiceCapacity.h
+++ b/modules/dispatch/ServiceCapacity.h
@@ -69,8 +69,8 @@
     }
     /** The usable workers that have got more free since growth() had this value. */
     std::vector<WorkerCapacity *> findGrownSince(std::uint64_t since);
-    /** True if one of the workers of findGrownSince() has this much free. */
-    bool hasGrownRoom(std::uint64_t since, const Resources &need);
+    /** True if one of the workers of findGrownSince() has this much free and the step may use it, as isWanted tells. */
+    bool hasGrownRoom(std::uint64_t since, const Resources &need, const std::function<bool(const WorkerCapacity &)> &isWanted);
 
     /** False if no worker has this much free. True does not mean that one has, as the bound of each resource is separate. */
     bool mayHaveFree(const Resources &need) const
--- a/modules/dispatch/TaskPlacer.cpp
+++ b/modules/dispatch/TaskPlacer.cpp
@@ -13,6 +13,9 @@
 
 // Time until all workers are searched again for a step that has found no room, besides those that get more free.
 constexpr Milliseconds searchInterval { 300 };
+// The longer a step has waited, the less often it is searched for: a search in vain takes time from the steps behind it.
+constexpr int searchDelayDivisor = 8;
+constexpr Milliseconds maxSearchDelay { 1000 };
 } // namespace
 
 bool isPastFinalDeadline(const StepState &step, TimePoint now)
@@ -64,6 +67,20 @@
              step.index };
 }
 
+const StepAdvice::WorkerPermit *TaskPlacer::findPermit(const StepState &step, const WorkerCapacity &workerCapacity) const
+{
+    const auto found = step.advice.allowed.find(workerCapacity.id);
+    const bool isValid = found != step.advice.allowed.end() && found->second.expiresAt > now_
+                         && found->second.workerIncarnation == workerCapacity.worker->entry.incarnation;
+    return isValid ? &found->second : nullptr;
+}
+
+Milliseconds TaskPlacer::computeSearchDelay(const StepState &step, Milliseconds shortest) const
+{
+    const auto waited = std::chrono::duration_cast<Milliseconds>(now_ - step.readySince);
+    return std::max(shortest, std::min(waited / searchDelayDivisor, maxSearchDelay));
+}
+
 bool TaskPlacer::hasRoomToSearch(StepState &step)
 {
     auto &search = step.search;
@@ -78,7 +95,11 @@
         search.isExhausted = false;
         return true;
     }
-    if (serviceCapacity.hasGrownRoom(search.seenGrowth, JobManager::makeClaim(step).need)) {
+    const bool needsPermit = step.job->queue.advice.has_value();
+    const auto mayUse = [&](const WorkerCapacity &workerCapacity) {
+        return !needsPermit || findPermit(step, workerCapacity) != nullptr;
+    };
+    if (serviceCapacity.hasGrownRoom(search.seenGrowth, JobManager::makeClaim(step).need, mayUse)) {
         return true;
     }
     search.seenGrowth = serviceCapacity.growth();
@@ -186,16 +207,10 @@
             candidates.push_back(*candidate);
         }
     };
-    const auto findPermit = [&](const WorkerCapacity &workerCapacity) -> const StepAdvice::WorkerPermit * {
-        const auto found = step.advice.allowed.find(workerCapacity.id);
-        const bool isValid = found != step.advice.allowed.end() && found->second.expiresAt > now_
-                             && found->second.workerIncarnation == workerCapacity.worker->entry.incarnation;
-        return isValid ? &found->second : nullptr;
-    };
     const bool needsPermit = step.job->queue.advice.has_value();
     if (step.search.isExhausted && !step.spec().isGang) {
         for (auto *workerCapacity : serviceCapacity.findGrownSince(step.search.seenGrowth)) {
-            const auto *permit = needsPermit ? findPermit(*workerCapacity) : nullptr;
+            const auto *permit = needsPermit ? findPermit(step, *workerCapacity) : nullptr;
             if (!needsPermit || permit != nullptr) {
                 addCandidate(*workerCapacity, permit);
             }
@@ -366,7 +381,7 @@
     const bool isNewlyExhausted = !hasPlacedAll && !step.search.isExhausted;
     step.search.isExhausted = !hasPlacedAll;
     if (isNewlyExhausted) {
-        step.search.repeatAt = now_ + searchInterval;
+        step.search.repeatAt = now_ + computeSearchDelay(step, searchInterval);
     }
     return isNewlyExhausted;
 }
--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -98,7 +98,11 @@
     /** Enters the job's steps that have tasks to place, and what is reserved for any of its steps. */
     void addJob(JobState &job);
     void dropReservations(const std::string &job, const void *step);
-    /** False if all workers were searched for the step, and none has got enough room since. */
+    /** The valid permit of the step for the worker; null if there is none. */
+    const StepAdvice::WorkerPermit *findPermit(const StepState &step, const WorkerCapacity &workerCapacity) const;
+    /** The delay before a search in vain is repeated, which grows with the time that the step has waited. */
+    Milliseconds computeSearchDelay(const StepState &step, Milliseconds shortest) const;
+    /** False if all workers were searched for the step, and none that it may use has got enough room since. */
     bool hasRoomToSearch(StepState &step);
     /** True if the step needs no permit or has a valid one. */
     bool mayUseSomeWorker(const StepState &step) const;
--- a/modules/dispatch/TaskPlacerAdvice.cpp
+++ b/modules/dispatch/TaskPlacerAdvice.cpp
@@ -247,7 +247,7 @@
     const auto chosen = chooseAdviceTargets(step, taskCount, isAllOrNothing);
     if (chosen.empty()) {
         // The search visits each worker of the service for each waiting step, and there is a round every few milliseconds.
-        step.search.adviceSearchAt = now_ + (isAllOrNothing ? gangSearchDelay : searchDelay);
+        step.search.adviceSearchAt = now_ + computeSearchDelay(step, isAllOrNothing ? gangSearchDelay : searchDelay);
     }
     // Requests that are sent together are answered together, so that their permits are valid at the same time.
     for (std::size_t first = 0; first < chosen.size(); first += maxWorkersPerRequest) {
