--- a/modules/entry/EntryInstance.cpp
+++ b/modules/entry/EntryInstance.cpp
@@ -247,7 +247,6 @@
     heartbeat.isReady = owner->isReady();
     heartbeat.desiredStateVersion = desiredState.version;
     heartbeat.processorShare = dependencies.settings.processorShare;
-    heartbeat.members = leadership.members();
     return heartbeat;
 }
 
--- a/modules/entry/HeartbeatPacing.cpp
+++ b/modules/entry/HeartbeatPacing.cpp
@@ -1,6 +1,7 @@
 #include "entry/HeartbeatPacing.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace auburndoor {
 
@@ -33,13 +34,11 @@
     return std::max(minDelay, std::min(announced, maxDelay));
 }
 
-std::vector<Address> HeartbeatPacing::sampleMembers(std::vector<Address> members, std::mt19937_64 &random)
+std::vector<Address> HeartbeatPacing::sampleMembers(const std::vector<Address> &members, std::mt19937_64 &random)
 {
-    if (members.size() > maxSampledMembers) {
-        std::shuffle(members.begin(), members.end(), random);
-        members.resize(maxSampledMembers);
-    }
-    return members;
+    std::vector<Address> sample;
+    std::sample(members.begin(), members.end(), std::back_inserter(sample), maxSampledMembers, random);
+    return sample;
 }
 
 } // namespace auburndoor
--- a/modules/entry/HeartbeatPacing.h
+++ b/modules/entry/HeartbeatPacing.h
@@ -38,7 +38,7 @@
     static Milliseconds limitAnnouncedDelay(Milliseconds announced, Milliseconds minDelay);
 
     /** Returns up to maxSampledMembers of the members, chosen at random: a follower asks few of them about a silent owner. */
-    static std::vector<Address> sampleMembers(std::vector<Address> members, std::mt19937_64 &random);
+    static std::vector<Address> sampleMembers(const std::vector<Address> &members, std::mt19937_64 &random);
 
     /** The most members that a heartbeat names. */
     static constexpr std::size_t maxSampledMembers = 8;
--- a/modules/entry/Leadership.cpp
+++ b/modules/entry/Leadership.cpp
@@ -15,6 +15,8 @@
 
 // An entry process that has sent no heartbeat request for this long is no longer listed as a member.
 constexpr Milliseconds memberTimeout { 2000 };
+// The owner of a large cell sends hundreds of heartbeats a second, each with some of the members.
+constexpr Milliseconds memberListInterval { 100 };
 // From this processor share on a machine counts as large and is preferred as the owner: in a large cell the owner needs more than
 // the smallest machines have. If all machines are small, only the jitter decides between them.
 constexpr double largeMachineShare = 0.2;
@@ -212,7 +214,7 @@
     if (heartbeat) {
         heartbeat->loopDelay = reportedLoopDelay();
         heartbeat->nextDelay = HeartbeatPacing::computeDelay(followers.size(), timing.heartbeatDelay);
-        heartbeat->members = HeartbeatPacing::sampleMembers(std::move(heartbeat->members), random);
+        heartbeat->members = HeartbeatPacing::sampleMembers(recentMembers(), random);
         followers[follower].announcedDelay = heartbeat->nextDelay;
     }
     return heartbeat;
@@ -344,15 +346,24 @@
     responder->reply(PeerCodec::ownerViewReply({ isReachable, impl_->owner.owner, impl_->owner.token, impl_->owner.address }));
 }
 
-std::vector<Address> Leadership::members() const
+const std::vector<Address> &Leadership::Impl::recentMembers()
 {
-    std::vector<Address> result;
-    const auto now = impl_->loop.now();
-    std::erase_if(impl_->followers, [now](const auto &entry) { return now - entry.second.requestedAt > memberTimeout; });
-    for (const auto &[address, follower] : impl_->followers) {
-        result.push_back(address);
+    const auto now = loop.now();
+    if (now - membersListedAt < memberListInterval) {
+        return listedMembers;
+    }
+    membersListedAt = now;
+    std::erase_if(followers, [now](const auto &entry) { return now - entry.second.requestedAt > memberTimeout; });
+    listedMembers.clear();
+    for (const auto &[address, follower] : followers) {
+        listedMembers.push_back(address);
     }
-    return result;
+    return listedMembers;
+}
+
+std::vector<Address> Leadership::members() const
+{
+    return impl_->recentMembers();
 }
 
 std::int64_t Leadership::desiredStateVersionOfOwner() const
--- a/modules/entry/LeadershipImpl.h
+++ b/modules/entry/LeadershipImpl.h
@@ -50,6 +50,8 @@
     void requestHeartbeat();
     /** The heartbeat that this process sends to a follower as the owner; empty if it is not the owner. */
     std::optional<OwnerHeartbeat> makeHeartbeat(const Address &follower);
+    /** The members as Leadership::members(), listed at most every 100 ms. */
+    const std::vector<Address> &recentMembers();
     /** How busy a new owner has to expect to be, or how busy it was. */
     Milliseconds reportedLoopDelay() const;
     /** @param sentRound the heartbeatRound when the request was sent */
@@ -129,6 +131,9 @@
     };
     /** The processes that have recently sent heartbeat requests to this process. */
     std::map<Address, Follower> followers;
+    /** The addresses of the followers when they were last listed. */
+    std::vector<Address> listedMembers;
+    TimePoint membersListedAt;
     LoopDelayMeter loopDelayMeter;
     /** When this process last became the owner. */
     TimePoint wonAt;
