A follower whose connection to the owner breaks asks again on a new one

Cause: the HTTP client repeated a heartbeat request whose connection was reset within the time of the first request, while the owner held the repeated one for the whole delay (600 ms in a large cell) again. A reset late in the delay so counted as a silent owner. Ruled out: a busy or suspended owner; its log goes on without either. Change: the request is not repeated there. The follower asks on a new connection for a heartbeat at once, three times in a row at most. A killed owner refuses that connection.

--- a/modules/entry/AdmissionControl.cpp
+++ b/modules/entry/AdmissionControl.cpp
@@ -16,8 +16,8 @@
 constexpr Milliseconds maxBehindTime { 1000 };
 // One sample counts for so long at most: while the loop stands still it takes no samples, and the delay may have ended since.
 constexpr Milliseconds maxSampleWeight { 100 };
-// A burst that drains within its queue's allowance leads to no refusal. Placement serves what can be in time first, so that a shorter
-// queue than the lower bound gains little; the upper bound is for the jobs that were accepted before.
+// A burst that drains within its queue's allowance leads to no refusal. Placement serves what can be in time first, so that a
+// shorter queue than the lower bound gains little; the upper bound is for the jobs that were accepted before.
 constexpr Milliseconds minWaitLimit { 800 };
 constexpr Milliseconds maxWaitLimit { 1200 };
 // Each of the few round trips from a submission to a start waits for the loop.
--- a/modules/entry/Leadership.cpp
+++ b/modules/entry/Leadership.cpp
@@ -20,6 +20,8 @@
 constexpr double largeMachineShare = 0.2;
 constexpr Milliseconds smallMachineTakeoverDelay { 500 };
 constexpr Milliseconds heartbeatConnectTimeout { 400 };
+// Connections may be reset several times in a row; a process that closes each of them answers nobody.
+constexpr int maxReconnections = 3;
 // A new owner reads the reports of all workers. Until that shows in the measured delay, its heartbeats report this one.
 constexpr Milliseconds recoveryDuration { 3000 };
 constexpr Milliseconds recoveryLoopDelay { 500 };
@@ -176,6 +178,7 @@
         readOwnerProgress([this](const StoreResult &result) { noteOwnerProgress(result); });
     }
     ++heartbeatRound;
+    reconnections = 0;
     expectedHeartbeatDelay = timing.heartbeatDelay;
     // Nothing is known yet of how busy the owner is, nor of members that could be asked about it.
     heartbeatGracePeriod = HeartbeatPacing::computeGracePeriod(Milliseconds::max(), timing.heartbeatGracePeriod);
@@ -188,11 +191,14 @@
         return;
     }
     auto request = PeerCodec::heartbeatRequest(settings.peers);
-    if (!isOwnerResponding) {
+    // The channel would repeat it within the time of the first request, though the owner holds the repeated one for the whole
+    // delay.
+    request.isRepeatable = false;
+    if (!isOwnerResponding || reconnections > 0) {
         request.target += PeerCodec::firstHeartbeatQuery;
     }
     heartbeatChannel->send(std::move(request),
-                           expectedHeartbeatDelay + heartbeatGracePeriod,
+                           heartbeatTimeout(),
                            [self = shared_from_this(), sentRound = heartbeatRound, sentAt = loop.now()](const SendResult &sent) {
                                if (!self->isClosed) {
                                    self->onHeartbeat(sent, sentRound, sentAt);
@@ -200,6 +206,12 @@
                            });
 }
 
+Milliseconds Leadership::Impl::heartbeatTimeout() const
+{
+    // The first request on a new connection is answered at once.
+    return reconnections > 0 ? heartbeatGracePeriod : expectedHeartbeatDelay + heartbeatGracePeriod;
+}
+
 Milliseconds Leadership::Impl::reportedLoopDelay() const
 {
     const bool isRecovering = loop.now() - wonAt < recoveryDuration;
@@ -224,19 +236,29 @@
         return;
     }
     const auto heartbeat = sent.hasStatus(200) ? PeerCodec::readHeartbeat(sent.reply) : std::nullopt;
+    const auto expectedDelay = reconnections > 0 ? Milliseconds(0) : expectedHeartbeatDelay;
     if (!heartbeat || heartbeat->token != owner.token) {
+        const bool isBroken = sent.outcome == SendOutcome::Lost && loop.now() - sentAt < heartbeatTimeout();
+        if (isBroken && isOwnerResponding && reconnections < maxReconnections) {
+            // A reset connection is no sign of a failed owner, unless the next one is refused.
+            ++reconnections;
+            requestHeartbeat();
+            return;
+        }
+        reconnections = 0;
         const bool isNotOwner = sent.outcome == SendOutcome::Answered;
         const bool isRefused = sent.outcome == SendOutcome::NotSent && loop.now() - sentAt < heartbeatConnectTimeout;
         onHeartbeatLost(isNotOwner, isRefused, isNotOwner ? "it is not the owner" : sent.error);
         return;
     }
     isOwnerResponding = true;
+    reconnections = 0;
     unheardOwner.reset();
     knownMembers = heartbeat->members;
     desiredStateVersion = heartbeat->desiredStateVersion;
     ownerStoreStallDuration = heartbeat->storeStallDuration;
     // A heartbeat that was late on its way tells as much as a busy owner: the next one may be later still.
-    const auto lateness = std::chrono::duration_cast<Milliseconds>(loop.now() - sentAt) - expectedHeartbeatDelay;
+    const auto lateness = std::chrono::duration_cast<Milliseconds>(loop.now() - sentAt) - expectedDelay;
     expectedHeartbeatDelay = HeartbeatPacing::limitAnnouncedDelay(heartbeat->nextDelay, timing.heartbeatDelay);
     heartbeatGracePeriod = HeartbeatPacing::computeGracePeriod(std::max(heartbeat->loopDelay, lateness),
                                                                timing.heartbeatGracePeriod);
--- a/modules/entry/LeadershipImpl.h
+++ b/modules/entry/LeadershipImpl.h
@@ -52,6 +52,8 @@
     std::optional<OwnerHeartbeat> makeHeartbeat(const Address &follower);
     /** How busy a new owner has to expect to be, or how busy it was. */
     Milliseconds reportedLoopDelay() const;
+    /** How long after its request a heartbeat counts as lost. */
+    Milliseconds heartbeatTimeout() const;
     /** @param sentRound the heartbeatRound when the request was sent */
     void onHeartbeat(const SendResult &sent, std::uint64_t sentRound, TimePoint sentAt);
     /** Reads the version of the sequence row, which each write of the owner changes; nothing is done if the owner has changed
@@ -96,6 +98,8 @@
     std::unique_ptr<HttpChannels> heartbeatChannel;
     /** True if the last heartbeat request to the owner was answered; false if this process is the owner. */
     bool isOwnerResponding = false;
+    /** Successive connections to the owner that broke before a heartbeat arrived, each of which was followed by a new one. */
+    int reconnections = 0;
     /** What is known of an owner before its first heartbeat. */
     struct UnheardOwner
     {
--- a/tests/entry/LeadershipTests.cpp
+++ b/tests/entry/LeadershipTests.cpp
@@ -133,7 +133,7 @@
         for (int number = 0; number < connections; ++number) {
             sockets_.push_back(socket(AF_INET, SOCK_STREAM, 0));
             fcntl(sockets_.back(), F_SETFL, O_NONBLOCK);
-            connect(sockets_.back(), generic, length);
+            static_cast<void>(connect(sockets_.back(), generic, length));
         }
     }
     ~UnresponsiveAddress()
