A request whose time has passed is not sent when its connection opens

Callers saw: a start that its sender had given up could still be sent. A process that was suspended while a connection opened wrote the request when it went on, whatever time had passed.

Cause: the deadline of a request was checked when a connection was chosen for it, and by a timer on the steady clock, which does not advance while a machine is suspended. When the process goes on, the connection and the timer are both ready, in either order.

Change: the deadline on the clock that also counts suspended time is checked immediately before the request is written. Such a request ends as not sent.

Why it works: nothing runs between the check and the write.

--- a/modules/net/HttpChannels.cpp
+++ b/modules/net/HttpChannels.cpp
@@ -39,6 +39,8 @@
     {
         WebRequest request;
         TimePoint deadline;
+        /** The deadline on Timers::bootNow(), which advances while this machine is suspended. */
+        TimePoint bootDeadline;
         SendCallback callback;
         /** The request was sent, so the peer may have received it. */
         bool maybeReceived = false;
@@ -140,6 +142,12 @@
 private:
     void write()
     {
+        if (owner_->loop.bootNow() >= currentRequest_->bootDeadline) {
+            // The process was suspended while the connection opened or was busy: the caller may have decided otherwise meanwhile,
+            // and the peer may have restarted.
+            fail(asio::error::timed_out);
+            return;
+        }
         request_ = {};
         request_.method_string(currentRequest_->request.method);
         request_.target(currentRequest_->request.target);
@@ -259,7 +267,9 @@
 
 void HttpChannels::send(WebRequest request, Milliseconds timeout, SendCallback callback)
 {
-    Impl::PendingRequest pending { std::move(request), impl_->loop.now() + timeout, std::move(callback) };
+    Impl::PendingRequest pending {
+        std::move(request), impl_->loop.now() + timeout, impl_->loop.bootNow() + timeout, std::move(callback)
+    };
     if (impl_->waiting.size() >= impl_->limits.maxWaiting) {
         impl_->finishUnanswered(std::move(pending), "too many requests wait for a connection");
         return;
--- a/tests/net/HttpTests.cpp
+++ b/tests/net/HttpTests.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <thread>
+
 using namespace auburndoor;
 
 namespace {
@@ -59,6 +61,25 @@
     CHECK(loopback.send({ "GET", "/silent", {}, {} }, Milliseconds(50)).outcome == SendOutcome::Lost);
 }
 
+// Guards against commands that a process sends after it was suspended while their connection opened: what they asked for may have
+// been decided otherwise since.
+TEST_CASE("a request whose time passes while its connection opens is not sent")
+{
+    int received = 0;
+    Loopback loopback([&received](const WebRequest &, const HttpResponderPointer &responder) {
+        ++received;
+        responder->reply({ 200, {}, {} });
+    });
+    SendOutcome outcome = SendOutcome::Answered;
+    loopback.channels->send(
+        { "POST", "/", {}, {} }, Milliseconds(50), [&outcome](const SendResult &result) { outcome = result.outcome; });
+    std::this_thread::sleep_for(Milliseconds(100));
+    loopback.loop.after(Milliseconds(50), [&loopback] { loopback.loop.stop(); });
+    loopback.loop.run();
+    CHECK(outcome == SendOutcome::NotSent);
+    CHECK(received == 0);
+}
+
 TEST_CASE("a refused connection is distinguished from a lost reply")
 {
     EventLoop loop;
