--- a/apps/auburndoor-entry/main.cpp
+++ b/apps/auburndoor-entry/main.cpp
@@ -2,7 +2,7 @@
 #include "PlatformAdvisor.h"
 #include "PlatformProtocol.h"
 #include "PlatformStore.h"
-#include "PlatformWorkerClient.h"
+#include "PlatformWorkerChannel.h"
 #include "core/FlagNames.h"
 #include "core/TextFile.h"
 #include "entry/EntryInstance.h"
@@ -24,6 +24,10 @@
           "",
           "the platform's settings file; if empty, the environment variable AUBURNDOOR_NODE_FILE names it");
 ABSL_FLAG(std::uint16_t, metrics_port, 9464, "the port of GET /metrics, on the address of this machine");
+ABSL_FLAG(std::uint32_t,
+          max_direct_workers,
+          200,
+          "up to this number of workers, the owner sends all commands itself; with more, other entry processes are its relays");
 ABSL_FLAG(bool, check_settings, false, "check the settings file and exit without starting");
 
 namespace {
@@ -98,11 +102,12 @@
     using namespace auburndoor;
     std::signal(SIGPIPE, SIG_IGN);
     settings.operators.port = absl::GetFlag(FLAGS_metrics_port);
+    settings.maxDirectWorkers = absl::GetFlag(FLAGS_max_direct_workers);
     EventLog::configure(settings.nodeName);
     EventLoop loop;
     const platform::PlatformProtocol protocol;
     platform::PlatformStore store(loop, settings.store);
-    platform::PlatformWorkerClientFactory workers(loop, settings.maxLease);
+    platform::PlatformWorkerChannelFactory workers(loop);
     std::unique_ptr<platform::PlatformAdvisor> advisor;
     if (settings.advisor) {
         advisor = std::make_unique<platform::PlatformAdvisor>(loop, *settings.advisor);
@@ -133,9 +138,9 @@
 
 int main(int argc, char **argv)
 {
-    absl::SetProgramUsageMessage(
-        "auburndoor-entry [--settings=FILE] [--metrics-port=PORT] [--check-settings]: one entry process on the platform.\n"
-        "Exit codes: 0 stopped or settings are valid, 1 usage, 2 bad settings, 3 cannot start.");
+    absl::SetProgramUsageMessage("auburndoor-entry [--settings=FILE] [--metrics-port=PORT] [--max-direct-workers=COUNT] "
+                                 "[--check-settings]: one entry process on the platform.\n"
+                                 "Exit codes: 0 stopped or settings are valid, 1 usage, 2 bad settings, 3 cannot start.");
     auburndoor::acceptHyphens(argc, argv);
     absl::ParseCommandLine(argc, argv);
     const auto fileName = settingsFile();
--- a/modules/entry/EntryInstance.cpp
+++ b/modules/entry/EntryInstance.cpp
@@ -1,11 +1,15 @@
 #include "entry/EntryInstance.h"
 
 #include "entry/AdvicePool.h"
+#include "entry/HttpRelayTransport.h"
 #include "entry/Leadership.h"
 #include "entry/Owner.h"
 #include "entry/OwnerCallForwarder.h"
 #include "entry/PeerCodec.h"
+#include "entry/RelayedWorkerClientFactory.h"
 #include "entry/TableWatch.h"
+#include "entry/WorkerRelay.h"
+#include "entry/WorkerRelayPool.h"
 #include "net/EventLoop.h"
 #include "net/HttpListener.h"
 #include "observability/EventLog.h"
@@ -64,6 +68,11 @@
     std::unique_ptr<Owner> owner;
     AdvicePool advicePool;
     Leadership leadership;
+    HttpRelayTransport relayTransport;
+    WorkerRelayPool relayPool;
+    RelayedWorkerClientFactory workerClients;
+    /** Carries out the commands of another process that is the owner. */
+    WorkerRelay workerRelay;
     OwnerCallForwarder callForwarder;
     TableWatch operatorWatch;
     HttpListener clientListener;
@@ -82,6 +91,18 @@
                  dependencies.settings,
                  {},
                  { [this](const Ownership &ownership) { onOwnershipWon(ownership); }, [this] { return ownHeartbeat(); } })
+    , relayTransport(dependencies.loop)
+    , relayPool(
+          dependencies.loop,
+          relayTransport,
+          [this] { return leadership.members(); },
+          dependencies.settings.maxDirectWorkers)
+    , workerClients(dependencies.loop, relayPool, dependencies.workerChannels, dependencies.settings.maxLease)
+    , workerRelay(
+          dependencies.loop,
+          dependencies.workerChannels,
+          [&settings = dependencies.settings] { return settings.processorShare; },
+          dependencies.settings.failureDomain)
     , callForwarder(
           dependencies.loop,
           [this] { return owner.get(); },
@@ -158,6 +179,10 @@
         responder->reply({ 200, desiredStateRow.value, {} });
     } else if (request.target == PeerCodec::advicePath) {
         serveAdvice(request, std::move(responder));
+    } else if (request.target == PeerCodec::relayPath) {
+        workerRelay.serve(request.body, [responder = std::move(responder)](int status, std::string message) {
+            responder->reply({ status, std::move(message), {} });
+        });
     } else if (request.target == PeerCodec::callPath) {
         const auto call = PeerCodec::readCall(request);
         if (!owner || !owner->isReady() || !call) {
@@ -187,6 +212,8 @@
     metrics.setGauge("desired_state_age_milliseconds", static_cast<double>(operatorWatch.age().count()));
     metrics.setGauge("client_connections", static_cast<double>(clientListener.openConnections()));
     metrics.setGauge("client_requests_open", static_cast<double>(clientListener.openRequests()));
+    workerRelay.updateMetrics(metrics);
+    relayPool.updateMetrics(metrics);
     metrics.setGauge("log_lines_dropped", static_cast<double>(EventLog::droppedCount()));
     if (owner) {
         owner->updateMetrics(metrics);
@@ -225,7 +252,7 @@
 
 void EntryInstance::Impl::onOwnershipWon(const Ownership &ownership)
 {
-    const OwnerDependencies ownerDependencies { loop,       dependencies.store,    dependencies.workerClients,
+    const OwnerDependencies ownerDependencies { loop,       dependencies.store,    workerClients,
                                                 advicePool, dependencies.protocol, dependencies.settings };
     owner = std::make_unique<Owner>(ownerDependencies, ownership, [this] {
         owner.reset();
--- a/modules/entry/EntryInstance.h
+++ b/modules/entry/EntryInstance.h
@@ -4,7 +4,7 @@
 #include "entry/EntrySettings.h"
 #include "workload/Advisor.h"
 #include "workload/StateStore.h"
-#include "workload/WorkerClient.h"
+#include "workload/WorkerChannel.h"
 
 #include <functional>
 #include <memory>
@@ -22,7 +22,7 @@
     const EntrySettings &settings;
     const CellProtocol &protocol;
     StateStore &store;
-    WorkerClientFactory &workerClients;
+    WorkerChannelFactory &workerChannels;
     /** Null if the deployment has no advisory service. */
     Advisor *advisor = nullptr;
     Metrics &metrics;
--- a/modules/entry/EntrySettings.h
+++ b/modules/entry/EntrySettings.h
@@ -3,6 +3,7 @@
 #include "core/Clock.h"
 #include "net/Address.h"
 
+#include <cstddef>
 #include <optional>
 #include <string>
 
@@ -30,6 +31,8 @@
     /** The share of a processor core that this process may use, from 0 to 1. */
     double processorShare = 1.0;
 
+    /** Up to this number of workers, the owner sends all commands itself; with more, other entry processes are its relays. */
+    std::size_t maxDirectWorkers = 200;
     /** The longest lease that a worker accepts. */
     Milliseconds maxLease { 10000 };
     /** Time from the stop signal until the process is killed. */
--- a/modules/entry/PeerCodec.h
+++ b/modules/entry/PeerCodec.h
@@ -59,6 +59,8 @@
     static constexpr const char *desiredStatePath = "/cell/desired";
     static constexpr const char *callPath = "/cell/call";
     static constexpr const char *advicePath = "/cell/advice";
+    /** Takes messages of WorkerRelayCodec. */
+    static constexpr const char *relayPath = "/cell/relay";
     /** The HTTP status with which a process answers that it does not own the cell. */
     static constexpr int notOwnerStatus = 421;
 
--- a/platform/PlatformWorkerClient.h
+++ b/modules/workload/LeasedWorkerClient.h
@@ -1,21 +1,21 @@
 #pragma once
 
-#include "net/HttpChannels.h"
 #include "workload/WorkerClient.h"
 
+#include <memory>
+
 namespace auburndoor {
-class Timers;
-}
 
-namespace auburndoor::platform {
+class Timers;
+class WorkerChannel;
 
-/** HTTP client of one worker. */
-class PlatformWorkerClient : public WorkerClient
+/** Sends the commands of a WorkerClient over a channel, and computes the deadlines of leases. */
+class LeasedWorkerClient : public WorkerClient
 {
 public:
     /** @param maxLease the longest lease that a worker accepts; longer ones are shortened to it */
-    PlatformWorkerClient(EventLoop &loop, const WorkerEntry &entry, std::int64_t fencingToken, Milliseconds maxLease);
-    ~PlatformWorkerClient() override;
+    LeasedWorkerClient(Timers &timers, const WorkerEntry &entry, std::unique_ptr<WorkerChannel> channel, Milliseconds maxLease);
+    ~LeasedWorkerClient() override;
 
     void start(const StartCommand &command, Milliseconds lease, CommandCallback callback) override;
     void stop(const TaskName &task, std::int64_t attempt, CommandCallback callback) override;
@@ -26,20 +26,12 @@
 
 private:
     struct State;
-    std::shared_ptr<State> state_;
-};
 
-/** Creates HTTP clients of workers. */
-class PlatformWorkerClientFactory : public WorkerClientFactory
-{
-public:
-    PlatformWorkerClientFactory(EventLoop &loop, Milliseconds maxLease);
-
-    std::unique_ptr<WorkerClient> create(const WorkerEntry &entry, std::int64_t fencingToken) override;
+    /** Wraps a callback so that the reply's reading of the worker's clock is recorded first. */
+    CommandCallback recordClock(CommandCallback callback) const;
 
-private:
-    EventLoop &loop_;
-    Milliseconds maxLease_;
+    std::shared_ptr<State> state_;
+    std::unique_ptr<WorkerChannel> channel_;
 };
 
-} // namespace auburndoor::platform
+} // namespace auburndoor
--- a/modules/workload/WorkerClient.h
+++ b/modules/workload/WorkerClient.h
@@ -6,6 +6,8 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -115,6 +117,8 @@
         CommandOutcome outcome = CommandOutcome::Unknown;
         /** Describes a failure, for logs. */
         std::string detail;
+        /** The worker's clock when it replied; empty if the reply does not tell. */
+        std::optional<Milliseconds> workerClock = {};
     };
     using CommandCallback = std::function<void(const Reply &)>;
     using ReportCallback = std::function<void(const Reply &, const TaskReport &)>;
--- /dev/null
+++ b/modules/workload/WorkerLease.cpp
@@ -0,0 +1,60 @@
+#include "workload/WorkerLease.h"
+
+#include "net/Timers.h"
+
+#include <algorithm>
+
+namespace auburndoor {
+
+namespace {
+
+// A worker's clock may run up to 2% slow, so a lease on that clock may last this many times as long on the clock of this process.
+constexpr double slowClockFactor = 1.0 / 0.98;
+constexpr Milliseconds clockMargin { 50 };
+
+Milliseconds scale(Milliseconds duration, double factor)
+{
+    return Milliseconds(static_cast<std::int64_t>(static_cast<double>(duration.count()) * factor));
+}
+
+} // namespace
+
+WorkerLease::WorkerLease(Timers &timers, Milliseconds maxLease) : timers_(timers), maxLease_(maxLease)
+{
+}
+
+void WorkerLease::updateClock(Milliseconds workerClock)
+{
+    workerClock_ = workerClock;
+    clockReceivedAt_ = timers_.now();
+    isClockKnown_ = true;
+}
+
+void WorkerLease::resetClock()
+{
+    isClockKnown_ = false;
+}
+
+bool WorkerLease::isClockKnown() const
+{
+    return isClockKnown_;
+}
+
+Milliseconds WorkerLease::grant(Milliseconds lease)
+{
+    lease = std::min(lease, maxLease_);
+    const auto now = timers_.now();
+    const auto sinceReading = std::chrono::duration_cast<Milliseconds>(now - clockReceivedAt_);
+    // The worker read its clock before its reply arrived here. The estimate of that clock is therefore behind by the delay of
+    // the reply, which can only shorten the lease.
+    // If the worker's clock has run slow since its reading, it reaches the deadline later by the last summand but one.
+    end_ = std::max(end_, now + scale(lease, slowClockFactor) + scale(sinceReading, slowClockFactor - 1.0) + clockMargin);
+    return workerClock_ + sinceReading + lease;
+}
+
+TimePoint WorkerLease::end() const
+{
+    return end_;
+}
+
+} // namespace auburndoor
--- a/tests/dispatch/OwnerFixture.cpp
+++ b/tests/dispatch/OwnerFixture.cpp
@@ -113,7 +113,8 @@
     const Ownership ownership { fencingToken_,
                                 store.row(FencingRows::table, FencingRows::epochKey)->version,
                                 sequence == nullptr ? 0 : sequence->version };
-    owner = std::make_unique<Owner>(OwnerDependencies { timers, store, fleet, advisor, protocol_, settings_ }, ownership, [] {});
+    auto &factory = clients == nullptr ? fleet : *clients;
+    owner = std::make_unique<Owner>(OwnerDependencies { timers, store, factory, advisor, protocol_, settings_ }, ownership, [] {});
     owner->setDesiredState(desiredState_);
     owner->start();
     timers.advance(Milliseconds(600));
--- a/tests/dispatch/OwnerFixture.h
+++ b/tests/dispatch/OwnerFixture.h
@@ -75,6 +75,8 @@
     SimulatedFleet fleet;
     FakeAdvisor advisor;
     std::unique_ptr<Owner> owner;
+    /** Creates the next owner's clients of workers; null for the fleet itself. */
+    WorkerClientFactory *clients = nullptr;
 
 private:
     platform::PlatformProtocol protocol_;
--- /dev/null
+++ b/tests/entry/WorkerRelayTests.cpp
@@ -0,0 +1,502 @@
+#include "entry/HttpRelayTransport.h"
+#include "entry/PeerCodec.h"
+#include "entry/WorkerRelay.h"
+#include "entry/WorkerRelayAssignment.h"
+#include "entry/WorkerRelayCodec.h"
+#include "entry/WorkerRelayLink.h"
+#include "fakes/ManualTimers.h"
+#include "fakes/RelayedFleet.h"
+#include "net/EventLoop.h"
+#include "net/HttpListener.h"
+#include "workload/ConfirmingWorkerChannel.h"
+#include "workload/WorkerLease.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace auburndoor;
+
+namespace {
+
+const Address relayAddress { "10.0.0.9", 7000 };
+
+WorkerEntry makeWorker(const std::string &id)
+{
+    WorkerEntry entry;
+    entry.id = id;
+    entry.address = { "10.0.0.1", 80 };
+    entry.capacity = { 8000, 1 << 20, 0, 0, 0 };
+    entry.incarnation = 1;
+    return entry;
+}
+
+RelayCommand makeStart(std::int64_t number, const std::string &worker, int index)
+{
+    RelayCommand command;
+    command.number = number;
+    command.kind = RelayCommand::Kind::Start;
+    command.worker = worker;
+    command.task = { { "job", 0, 0, index }, 1001, "payload", "", "permit" };
+    command.deadline = Milliseconds(1'000'000'000);
+    return command;
+}
+
+Milliseconds sinceEpoch(const Timers &timers)
+{
+    return std::chrono::duration_cast<Milliseconds>(timers.bootNow().time_since_epoch());
+}
+
+RelayBatch makeBatch(const Timers &timers, std::int64_t session, std::vector<RelayCommand> commands)
+{
+    return { 5, session, sinceEpoch(timers), { makeWorker("w1") }, std::move(commands) };
+}
+
+/** A relay with one simulated worker, in simulated time. */
+struct RelayFixture
+{
+    RelayFixture()
+        : fleet(timers)
+        , channels(timers, fleet)
+        , relay(
+              timers,
+              channels,
+              [] { return 0.5; },
+              "zone-a")
+    {
+        fleet.add(makeWorker("w1"), [](const TaskName &, std::int64_t) { return SimulatedWork { Milliseconds(5000) }; });
+    }
+
+    /** Serves a message; the answer is added to answers. */
+    void serve(const std::string &message)
+    {
+        relay.serve(message, [this](int status, const std::string &text) {
+            std::string error;
+            answers.emplace_back(status, WorkerRelayCodec::decodeReplies(text, error).value_or(RelayReplies()));
+        });
+    }
+
+    /** Begins a session, as an owner does before it sends commands. */
+    void introduce()
+    {
+        serve(WorkerRelayCodec::encodeBatch(makeBatch(timers, 0, {})));
+        timers.advance(WorkerRelay::maxAnswerDelay);
+        REQUIRE(answers.size() == 1);
+        session = answers.front().second.session;
+        answers.clear();
+    }
+
+    ManualTimers timers;
+    SimulatedFleet fleet;
+    SimulatedChannels channels;
+    WorkerRelay relay;
+    std::int64_t session = 0;
+    std::vector<std::pair<int, RelayReplies>> answers;
+};
+
+/** Replaces, inserts and removes random bytes of a message. */
+std::string withChangedBytes(std::string message)
+{
+    const auto changes = *rc::gen::inRange(1, 6);
+    for (int change = 0; change < changes && !message.empty(); ++change) {
+        const auto position = *rc::gen::inRange<std::size_t>(0, message.size());
+        const auto byte = *rc::gen::arbitrary<char>();
+        switch (*rc::gen::inRange(0, 3)) {
+        case 0:
+            message[position] = byte;
+            break;
+        case 1:
+            message.insert(position, 1, byte);
+            break;
+        default:
+            message.erase(position, 1);
+            break;
+        }
+    }
+    return message;
+}
+
+TaskReport makeReport()
+{
+    TaskReport report;
+    report.incarnation = 7;
+    report.running = { { { "job", 1, 2, 3 }, 1001, "checkpoint", 42, 17 } };
+    report.ended = { { 9, { "other", 0, 0, 0 }, 1002, RunOutcome::Failed, "" } };
+    return report;
+}
+
+std::vector<WorkerRelayAssignment::Relay> makeRelays(int large, int small)
+{
+    std::vector<WorkerRelayAssignment::Relay> relays;
+    for (int number = 0; number < large + small; ++number) {
+        WorkerRelayAssignment::Relay relay;
+        relay.address = { "10.0.0." + std::to_string(number), 7000 };
+        relay.failureDomain = number % 2 == 0 ? "a" : "b";
+        relay.processorShare = number < large ? 0.5 : 0.12;
+        relays.push_back(relay);
+    }
+    return relays;
+}
+
+std::vector<WorkerRelayAssignment::Worker> makeWorkers(int count)
+{
+    std::vector<WorkerRelayAssignment::Worker> workers;
+    for (int number = 0; number < count; ++number) {
+        workers.push_back({ "w" + std::to_string(number), number % 2 == 0 ? "a" : "b" });
+    }
+    return workers;
+}
+
+/** The channel of a worker that records the requests for reports, and answers with this incarnation. */
+class RecordingChannel : public WorkerChannel
+{
+public:
+    explicit RecordingChannel(std::vector<std::int64_t> &acknowledgements, std::int64_t &incarnation, bool &isFailing)
+        : acknowledgements_(acknowledgements), incarnation_(incarnation), isFailing_(isFailing)
+    {
+    }
+
+    void start(const StartCommand &, Milliseconds, WorkerClient::CommandCallback) override
+    {
+    }
+    void stop(const TaskName &, std::int64_t, WorkerClient::CommandCallback) override
+    {
+    }
+    void throttle(const TaskName &, std::int64_t, int, WorkerClient::CommandCallback) override
+    {
+    }
+    void readReport(const ReportRequest &request, WorkerClient::ReportCallback callback) override
+    {
+        acknowledgements_.push_back(request.acknowledged);
+        TaskReport report;
+        report.incarnation = incarnation_;
+        callback({ isFailing_ ? CommandOutcome::Unknown : CommandOutcome::Accepted, {} }, report);
+    }
+    void update(const WorkerEntry &) override
+    {
+    }
+
+private:
+    std::vector<std::int64_t> &acknowledgements_;
+    std::int64_t &incarnation_;
+    bool &isFailing_;
+};
+
+} // namespace
+
+// Guards against fields that one side writes and the other reads elsewhere.
+TEST_CASE("messages between the owner and a relay are read as they were written")
+{
+    auto throttle = makeStart(3, "w1", 4);
+    throttle.kind = RelayCommand::Kind::Throttle;
+    throttle.percent = 40;
+    RelayCommand report;
+    report.number = 4;
+    report.worker = "w1";
+    report.report = { 12, 1, Milliseconds(99), Milliseconds(1000) };
+    const RelayBatch batch { 5, 6, Milliseconds(77), { makeWorker("w1") }, { makeStart(2, "w1", 3), throttle, report } };
+    std::string error;
+    const auto read = WorkerRelayCodec::decodeBatch(WorkerRelayCodec::encodeBatch(batch), error);
+    REQUIRE(read);
+    CHECK(read->fencingToken == 5);
+    CHECK(read->session == 6);
+    CHECK(read->sentAt == Milliseconds(77));
+    REQUIRE(read->workers.size() == 1);
+    CHECK(read->workers.front().address == batch.workers.front().address);
+    REQUIRE(read->commands.size() == 3);
+    CHECK(read->commands[0].number == 2);
+    CHECK(read->commands[0].task.task == TaskName { "job", 0, 0, 3 });
+    CHECK(read->commands[0].task.attempt == 1001);
+    CHECK(read->commands[0].task.payload == "payload");
+    CHECK(read->commands[0].task.permit == "permit");
+    CHECK(read->commands[0].deadline == batch.commands[0].deadline);
+    CHECK(read->commands[1].kind == RelayCommand::Kind::Throttle);
+    CHECK(read->commands[1].percent == 40);
+    CHECK(read->commands[2].report.acknowledged == 12);
+    CHECK(read->commands[2].report.incarnation == 1);
+    CHECK(read->commands[2].report.deadline == Milliseconds(99));
+    CHECK(read->commands[2].report.maxWait == Milliseconds(1000));
+
+    const RelayReplies replies { 8,
+                                 0.25,
+                                 "zone-a",
+                                 { { 4, { CommandOutcome::Accepted, "", Milliseconds(55) }, makeReport() },
+                                   { 5, { CommandOutcome::Unknown, "lost" }, std::nullopt } } };
+    const auto readReplies = WorkerRelayCodec::decodeReplies(WorkerRelayCodec::encodeReplies(replies), error);
+    REQUIRE(readReplies);
+    CHECK(readReplies->session == 8);
+    CHECK(readReplies->processorShare == 0.25);
+    CHECK(readReplies->failureDomain == "zone-a");
+    REQUIRE(readReplies->replies.size() == 2);
+    CHECK(readReplies->replies[0].reply.workerClock == Milliseconds(55));
+    REQUIRE(readReplies->replies[0].report);
+    const auto &reportRead = *readReplies->replies[0].report;
+    CHECK(reportRead.incarnation == 7);
+    REQUIRE(reportRead.running.size() == 1);
+    CHECK(reportRead.running[0].task == TaskName { "job", 1, 2, 3 });
+    CHECK(reportRead.running[0].checkpoint == "checkpoint");
+    CHECK(reportRead.running[0].percent == 42);
+    CHECK(reportRead.running[0].latencyOrProcessorUse == 17);
+    REQUIRE(reportRead.ended.size() == 1);
+    CHECK(reportRead.ended[0].number == 9);
+    CHECK(reportRead.ended[0].end == RunOutcome::Failed);
+    CHECK(readReplies->replies[1].reply.outcome == CommandOutcome::Unknown);
+    CHECK_FALSE(readReplies->replies[1].reply.workerClock);
+    CHECK_FALSE(readReplies->replies[1].report);
+}
+
+// Guards against a message that ends the process: it costs only what it carries.
+TEST_CASE("malformed messages of a relay are refused")
+{
+    RelayFixture fixture;
+    RelayCommand report;
+    report.worker = "w1";
+    const auto batch = WorkerRelayCodec::encodeBatch(makeBatch(fixture.timers, fixture.session, { makeStart(1, "w1", 0), report }));
+    const auto replies = WorkerRelayCodec::encodeReplies(
+        { 1, 0.5, "a", { { 1, { CommandOutcome::Accepted, "" }, makeReport() } } });
+    std::string error;
+    CHECK(rc::check("batch", [&] { WorkerRelayCodec::decodeBatch(withChangedBytes(batch), error); }));
+    CHECK(rc::check("replies", [&] { WorkerRelayCodec::decodeReplies(withChangedBytes(replies), error); }));
+    for (const auto &message : { std::string(), std::string("{}"), std::string(1'000'000, '\x91'), std::string("\x91\x02", 2) }) {
+        CHECK_FALSE(WorkerRelayCodec::decodeBatch(message, error));
+        CHECK_FALSE(WorkerRelayCodec::decodeReplies(message, error));
+    }
+    fixture.serve(batch.substr(0, batch.size() / 2));
+    REQUIRE(fixture.answers.size() == 1);
+    CHECK(fixture.answers.front().first == 400);
+    CHECK(fixture.channels.sentCount == 0);
+}
+
+// Guards the owner against one message for each reply.
+TEST_CASE("replies that arrive close to each other share an answer")
+{
+    RelayFixture fixture;
+    fixture.introduce();
+    fixture.serve(WorkerRelayCodec::encodeBatch(
+        makeBatch(fixture.timers, fixture.session, { makeStart(1, "w1", 0), makeStart(2, "w1", 1), makeStart(3, "w1", 2) })));
+    fixture.timers.advance(Milliseconds(50));
+    REQUIRE(fixture.answers.size() == 1);
+    CHECK(fixture.answers.front().second.replies.size() == 3);
+    CHECK(fixture.answers.front().second.failureDomain == "zone-a");
+    CHECK(fixture.fleet.worker("w1").runs().size() == 3);
+}
+
+// Guards against replies that are lost because no message of the owner was open when they arrived.
+TEST_CASE("replies that arrive while no message is open are in the answer to the next one")
+{
+    RelayFixture fixture;
+    fixture.introduce();
+    RelayCommand report;
+    report.number = 1;
+    report.worker = "w1";
+    report.report.maxWait = Milliseconds(1000);
+    fixture.serve(WorkerRelayCodec::encodeBatch(makeBatch(fixture.timers, fixture.session, { report })));
+    fixture.timers.advance(WorkerRelay::maxAnswerDelay);
+    REQUIRE(fixture.answers.size() == 1);
+    CHECK(fixture.answers[0].second.replies.empty());
+    fixture.timers.advance(Milliseconds(1000));
+    fixture.serve(WorkerRelayCodec::encodeBatch(makeBatch(fixture.timers, fixture.session, {})));
+    fixture.timers.advance(Milliseconds(20));
+    REQUIRE(fixture.answers.size() == 2);
+    REQUIRE(fixture.answers[1].second.replies.size() == 1);
+    CHECK(fixture.answers[1].second.replies[0].report);
+}
+
+// Guards against commands that waited at a suspended relay until the owner has decided otherwise.
+TEST_CASE("a relay does not carry out the commands of a batch that was on its way for too long")
+{
+    RelayFixture fixture;
+    fixture.introduce();
+    const auto late = WorkerRelayCodec::encodeBatch(makeBatch(fixture.timers, fixture.session, { makeStart(1, "w1", 0) }));
+    fixture.timers.advance(Milliseconds(1000));
+    fixture.serve(late);
+    fixture.timers.advance(Milliseconds(50));
+    CHECK(fixture.fleet.worker("w1").runs().empty());
+    REQUIRE(fixture.answers.size() == 1);
+    REQUIRE(fixture.answers.front().second.replies.size() == 1);
+    CHECK(fixture.answers.front().second.replies.front().reply.outcome == CommandOutcome::NotSent);
+}
+
+// Guards against commands that a relay gets after its restart: it has seen no earlier message that would tell how late they are.
+TEST_CASE("a relay does not carry out the commands of a session that it does not know")
+{
+    RelayFixture fixture;
+    fixture.introduce();
+    fixture.session += 1;
+    fixture.serve(WorkerRelayCodec::encodeBatch(makeBatch(fixture.timers, fixture.session, { makeStart(1, "w1", 0) })));
+    fixture.timers.advance(Milliseconds(50));
+    CHECK(fixture.fleet.worker("w1").runs().empty());
+    REQUIRE(fixture.answers.size() == 1);
+    CHECK(fixture.answers.front().second.replies.size() == 1);
+}
+
+// Guards against commands whose callback is never called, so that the worker is not polled any more.
+TEST_CASE("each command given to a link ends, whatever the relay does")
+{
+    ManualTimers timers;
+    SimulatedFleet fleet(timers);
+    fleet.add(makeWorker("w1"), [](const TaskName &, std::int64_t) { return SimulatedWork(); });
+    SimulatedRelays relays(timers, fleet);
+    relays.add(relayAddress);
+    auto link = std::make_unique<WorkerRelayLink>(timers, relays, relayAddress, 5);
+    REQUIRE(link->introduce());
+    timers.advance(Milliseconds(400));
+    REQUIRE(link->isUsable());
+    std::vector<RelayOutcome> outcomes;
+    const auto record = [&outcomes](RelayOutcome outcome, const RelayReply &) { outcomes.push_back(outcome); };
+
+    SECTION("it answers")
+    {
+        link->send(makeStart(0, "w1", 0), makeWorker("w1"), record);
+        timers.advance(Milliseconds(60));
+        CHECK(outcomes == std::vector { RelayOutcome::Answered });
+        CHECK(link->isUsable());
+    }
+    SECTION("it ends before and after the command was sent")
+    {
+        link->send(makeStart(0, "w1", 0), makeWorker("w1"), record);
+        timers.advance(Milliseconds(4));
+        link->send(makeStart(0, "w1", 1), makeWorker("w1"), record);
+        relays.kill(relayAddress);
+        timers.advance(Milliseconds(100));
+        CHECK(outcomes.size() == 2);
+        CHECK(outcomes.front() == RelayOutcome::Lost);
+        CHECK_FALSE(link->isUsable());
+        CHECK_FALSE(link->introduce());
+    }
+    SECTION("it is suspended")
+    {
+        relays.pause(relayAddress);
+        link->send(makeStart(0, "w1", 0), makeWorker("w1"), record);
+        timers.advance(Milliseconds(1000));
+        CHECK(outcomes == std::vector { RelayOutcome::Lost });
+        CHECK_FALSE(link->isUsable());
+    }
+    SECTION("the link is dropped")
+    {
+        link->send(makeStart(0, "w1", 0), makeWorker("w1"), record);
+        link.reset();
+        timers.advance(Milliseconds(1000));
+        CHECK(outcomes.size() == 1);
+    }
+}
+
+// Guards against workers that all change their relay, and so their connections, whenever a member comes or goes.
+TEST_CASE("few workers change their relay when relays come and go")
+{
+    auto relays = makeRelays(8, 20);
+    const auto workers = makeWorkers(600);
+    const auto before = WorkerRelayAssignment::assign(relays, workers);
+    for (const auto &position : before) {
+        REQUIRE(position);
+        relays[*position].isInUse = true;
+    }
+    // Of the same share as the largest, but not in use yet.
+    relays.push_back({ { "10.0.1.1", 7000 }, "a", 0.5, false });
+    CHECK(WorkerRelayAssignment::assign(relays, workers) == before);
+    relays.pop_back();
+    const auto lost = *before.front();
+    auto fewer = relays;
+    fewer.erase(fewer.begin() + static_cast<std::ptrdiff_t>(lost));
+    const auto after = WorkerRelayAssignment::assign(fewer, workers);
+    std::size_t moved = 0;
+    std::size_t orphaned = 0;
+    for (std::size_t index = 0; index < workers.size(); ++index) {
+        REQUIRE(after[index]);
+        orphaned += *before[index] == lost ? 1 : 0;
+        moved += fewer[*after[index]].address != relays[*before[index]].address ? 1 : 0;
+    }
+    CHECK(moved <= orphaned + workers.size() / 10);
+}
+
+// Guards against a small process that gets the work of a large one, and against traffic between failure domains.
+TEST_CASE("no relay gets more workers than its share of a processor carries, and those of its failure domain first")
+{
+    const auto relays = makeRelays(3, 20);
+    const auto workers = makeWorkers(700);
+    const auto assigned = WorkerRelayAssignment::assign(relays, workers);
+    std::vector<std::size_t> counts(relays.size());
+    for (std::size_t index = 0; index < workers.size(); ++index) {
+        REQUIRE(assigned[index]);
+        ++counts[*assigned[index]];
+        CHECK(relays[*assigned[index]].failureDomain == workers[index].failureDomain);
+    }
+    for (std::size_t position = 0; position < relays.size(); ++position) {
+        CHECK(counts[position] <= WorkerRelayAssignment::capacity(relays[position].processorShare));
+    }
+    const auto tooMany = makeWorkers(5000);
+    const auto rest = WorkerRelayAssignment::assign(relays, tooMany);
+    CHECK(std::count(rest.begin(), rest.end(), std::nullopt) > 0);
+}
+
+// Guards against an acknowledgement that makes a restarted worker forget ends that no owner has read.
+TEST_CASE("a channel acknowledges only what is known to be of the worker's incarnation at its other end")
+{
+    std::vector<std::int64_t> sent;
+    std::int64_t incarnation = 1;
+    bool isFailing = false;
+    ConfirmingWorkerChannel channel(std::make_unique<RecordingChannel>(sent, incarnation, isFailing));
+    const auto acknowledge = [&channel](std::int64_t acknowledged, std::int64_t knownIncarnation) {
+        channel.readReport({ acknowledged, knownIncarnation, std::nullopt, Milliseconds(0) }, [](const auto &, const auto &) {});
+    };
+    acknowledge(4, 1);
+    CHECK(sent == std::vector<std::int64_t> { 0, 4 });
+    acknowledge(5, 1);
+    CHECK(sent == std::vector<std::int64_t> { 0, 4, 5 });
+    isFailing = true;
+    acknowledge(0, 1);
+    isFailing = false;
+    incarnation = 2;
+    acknowledge(6, 1);
+    CHECK(sent == std::vector<std::int64_t> { 0, 4, 5, 0, 0 });
+}
+
+// Guards against leases that outlast what the owner assumes because a relay was slow to pass a reading of the clock on.
+TEST_CASE("a late reading of the worker's clock shortens a lease and does not extend it")
+{
+    ManualTimers timers;
+    WorkerLease lease(timers, Milliseconds(10000));
+    const auto readAt = sinceEpoch(timers);
+    timers.advance(Milliseconds(3000));
+    lease.updateClock(readAt);
+    const auto deadline = lease.grant(Milliseconds(5000));
+    CHECK(deadline <= sinceEpoch(timers) + Milliseconds(5000));
+    CHECK(TimePoint() + deadline <= lease.end());
+}
+
+// Guards the way over the network: path, status and body of the messages.
+TEST_CASE("a link exchanges messages with a relay over HTTP")
+{
+    EventLoop loop;
+    SimulatedFleet fleet(loop);
+    fleet.add(makeWorker("w1"), [](const TaskName &, std::int64_t) { return SimulatedWork { Milliseconds(5000) }; });
+    SimulatedChannels channels(loop, fleet);
+    WorkerRelay relay(
+        loop, channels, [] { return 0.5; }, "zone-a");
+    HttpListener listener(loop, {}, [&relay](const WebRequest &request, HttpResponderPointer responder) {
+        REQUIRE(request.target == PeerCodec::relayPath);
+        relay.serve(request.body, [responder = std::move(responder)](int status, std::string message) {
+            responder->reply({ status, std::move(message), {} });
+        });
+    });
+    std::string error;
+    REQUIRE(listener.listen({ "127.0.0.1", 0 }, error));
+    HttpRelayTransport transport(loop);
+    WorkerRelayLink link(loop, transport, { "127.0.0.1", listener.port() }, 5);
+    link.introduce();
+    loop.after(WorkerRelay::maxAnswerDelay + Milliseconds(100), [&loop] { loop.stop(); });
+    loop.run();
+    REQUIRE(link.isUsable());
+    std::vector<CommandOutcome> outcomes;
+    for (int index = 0; index < 20; ++index) {
+        auto command = makeStart(0, "w1", index);
+        command.deadline = sinceEpoch(loop) + Milliseconds(5000);
+        link.send(command, makeWorker("w1"), [&outcomes](RelayOutcome, const RelayReply &reply) {
+            outcomes.push_back(reply.reply.outcome);
+        });
+    }
+    loop.after(Milliseconds(400), [&loop] { loop.stop(); });
+    loop.run();
+    CHECK(outcomes == std::vector<CommandOutcome>(20, CommandOutcome::Accepted));
+    CHECK(link.statistics().batches < 6);
+    CHECK(link.isUsable());
+}
--- /dev/null
+++ b/tests/fakes/RelayedFleet.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "entry/RelayTransport.h"
+#include "entry/WorkerRelay.h"
+#include "fakes/SimulatedWorker.h"
+#include "workload/WorkerChannel.h"
+
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace auburndoor {
+
+/** Timers of one process: while it is paused, its actions wait. */
+class PausableTimers : public Timers
+{
+public:
+    explicit PausableTimers(Timers &timers) : timers_(timers)
+    {
+    }
+
+    TimePoint now() const override;
+    std::chrono::milliseconds wallNow() const override;
+    void after(Milliseconds delay, std::function<void()> action) override;
+
+    void pause();
+    /** Runs what has become due meanwhile. */
+    void resume();
+    bool isPaused() const;
+
+private:
+    Timers &timers_;
+    bool isPaused_ = false;
+    std::vector<std::function<void()>> due_;
+};
+
+/**
+    Channels to simulated workers, as one process opens them.
+
+    A new channel leads to the present incarnation of its worker. A restart breaks it: its next request for a report fails, and the
+    one after that leads to the new incarnation.
+*/
+class SimulatedChannels : public WorkerChannelFactory
+{
+public:
+    SimulatedChannels(Timers &timers, SimulatedFleet &fleet);
+
+    std::unique_ptr<WorkerChannel> create(const WorkerEntry &entry, std::int64_t fencingToken) override;
+
+    /** The commands and requests sent so far. */
+    int sentCount = 0;
+    /** While true, nothing that is sent arrives, and nothing is answered. */
+    bool isCutOff = false;
+
+private:
+    class Channel;
+
+    Timers &timers_;
+    SimulatedFleet &fleet_;
+};
+
+/** Relays in memory and the network that leads to them. */
+class SimulatedRelays : public RelayTransport
+{
+public:
+    SimulatedRelays(Timers &timers, SimulatedFleet &fleet);
+    ~SimulatedRelays() override;
+
+    void send(const Address &relay, std::string message, Milliseconds timeout, SendCallback callback) override;
+
+    /** Starts a relay, also in place of one that was killed. */
+    void add(const Address &relay);
+    /** Ends a relay: its connections are reset, and commands that it has not sent are gone. */
+    void kill(const Address &relay);
+    /** Suspends a relay; what arrives waits at it. */
+    void pause(const Address &relay);
+    void resume(const Address &relay);
+    /** The channels of a relay to the workers. */
+    SimulatedChannels &channels(const Address &relay);
+    std::vector<Address> members() const;
+
+    int messageCount = 0;
+    /** An answer of a relay is lost with this probability, in percent; drawn by drawPercent. */
+    int lostAnswers = 0;
+    std::function<int()> drawPercent;
+
+private:
+    struct Message;
+    struct Relay;
+
+    void finish(const std::shared_ptr<Message> &message, SendResult result);
+    /** The relay receives a message. */
+    void deliver(Relay &relay, const std::shared_ptr<Message> &message);
+
+    Timers &timers_;
+    SimulatedFleet &fleet_;
+    std::map<Address, std::unique_ptr<Relay>> relays_;
+    /** Killed relays, which callbacks still refer to. */
+    std::vector<std::unique_ptr<Relay>> killed_;
+};
+
+} // namespace auburndoor
