--- a/modules/entry/OwnerServing.cpp
+++ b/modules/entry/OwnerServing.cpp
@@ -10,6 +10,8 @@
 constexpr Milliseconds answerMargin { 200 };
 // Retry time given to clients: outages of the store last seconds, and a client retries only a few times.
 constexpr Milliseconds retryAfterStall { 1200 };
+// The number of pending jobs may be two seconds old.
+constexpr Milliseconds maxAgeOfCount { 1500 };
 
 } // namespace
 
@@ -36,7 +38,9 @@
         });
         return;
     case ClientCall::Kind::CountPending:
-        callback({ .outcome = ClientResult::Outcome::Answered, .pending = jobManager.pendingCount(call.queue) });
+        answerAsOwner({ .outcome = ClientResult::Outcome::Answered, .pending = jobManager.pendingCount(call.queue) },
+                      maxAgeOfCount,
+                      std::move(callback));
         return;
     case ClientCall::Kind::Other:
         break;
@@ -46,13 +50,18 @@
 
 void Owner::Impl::submit(const ClientCall &call, Callback callback)
 {
+    const auto *queue = desiredState.queue(call.queue);
+    // A repeated submission of a job that is known, or that is being stored, is never refused: the first one may be accepted.
+    const bool isNew = !jobManager.jobs().contains(call.job) && !jobManager.shownStage(call.job);
+    if (isNew && !isStopping && queue != nullptr && refuseUnderOverload(*queue, callback)) {
+        return;
+    }
     std::string error;
     auto spec = dependencies.protocol.readJob(call.body, error);
     if (!spec) {
         callback({ .outcome = ClientResult::Outcome::Malformed, .detail = error });
         return;
     }
-    const auto *queue = desiredState.queue(call.queue);
     const bool isKnown = jobManager.shownStage(call.job).has_value();
     if (!isKnown && isStopping) {
         callback({ .outcome = ClientResult::Outcome::OwnerChanged, .detail = "the owner is stopping" });
@@ -64,6 +73,9 @@
                    .detail = "the queue is not known here yet" });
         return;
     }
+    if (isNew && queue != nullptr && !spec->isScheduled) {
+        ++backlog[queue->priority];
+    }
     spec->id = call.job;
     spec->queue = call.queue;
     jobManager.submit(
@@ -94,6 +106,18 @@
                               });
 }
 
+void Owner::Impl::answerAsOwner(const ClientResult &result, Milliseconds maxAge, Callback callback)
+{
+    guard.confirmWithin(maxAge, [result, callback = std::move(callback)](OwnershipGuard::Status status) {
+        if (status == OwnershipGuard::Status::IsReplaced) {
+            callback({ .outcome = ClientResult::Outcome::OwnerChanged, .detail = "the owner was deposed" });
+        } else {
+            // While the store answers nobody, clients are answered all the same.
+            callback(result);
+        }
+    });
+}
+
 void Owner::Impl::confirmNoSuchJob(Callback callback)
 {
     guard.confirm([self = shared_from_this(), callback = std::move(callback)](OwnershipGuard::Status status) {
--- a/modules/entry/OwnershipGuard.cpp
+++ b/modules/entry/OwnershipGuard.cpp
@@ -5,6 +5,7 @@
 #include "observability/EventLog.h"
 #include "workload/StateStore.h"
 
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -12,10 +13,9 @@
 
 namespace {
 
-// Other processes replace an owner at the earliest after it has not answered a heartbeat request for 600 ms (heartbeatDelay +
-// heartbeatGracePeriod in LeadershipTiming); an owner that has announced lateness is given longer. Shorter gaps occur in a busy
-// process.
-constexpr Milliseconds minSuspension { 550 };
+// Other processes replace an owner at the earliest when it has not run for heartbeatGracePeriod (350 ms, LeadershipTiming): a
+// heartbeat request that was due to be answered when the suspension began is lost then. Less than that by the interval of tick().
+constexpr Milliseconds minSuspension { 300 };
 constexpr Milliseconds confirmRetryDelay { 150 };
 
 } // namespace
@@ -34,7 +34,11 @@
     StateStore &store;
     std::int64_t epochVersion;
     std::function<void()> onReplaced;
-    TimePoint lastTick;
+    TimePoint lastSeenRunningAt;
+    /** When the last reading that has confirmed the ownership was sent, on the boot clock. */
+    std::optional<TimePoint> confirmedAt;
+    /** The callers of confirmWithin() that wait for a reading. */
+    std::vector<std::function<void(Status)>> confirmWaiters;
     bool isWatching = false;
     bool isUncertain = false;
     bool isClosed = false;
@@ -43,17 +47,21 @@
 
 void OwnershipGuard::Impl::confirm(std::function<void(Status)> done)
 {
-    store.readRow(
-        FencingRows::table, FencingRows::epochKey, [self = shared_from_this(), done = std::move(done)](const StoreResult &result) {
-            const bool isSameVersion = !result.rows.empty() && result.rows.front().version == self->epochVersion;
-            const auto status = result.outcome != StoreOutcome::Done ? Status::Unknown
-                                : isSameVersion                      ? Status::IsOwner
-                                                                     : Status::IsReplaced;
-            if (status == Status::IsReplaced && !self->isClosed) {
-                self->onReplaced();
-            }
-            done(status);
-        });
+    store.readRow(FencingRows::table,
+                  FencingRows::epochKey,
+                  [self = shared_from_this(), sentAt = timers.bootNow(), done = std::move(done)](const StoreResult &result) {
+                      const bool isSameVersion = !result.rows.empty() && result.rows.front().version == self->epochVersion;
+                      const auto status = result.outcome != StoreOutcome::Done ? Status::Unknown
+                                          : isSameVersion                      ? Status::IsOwner
+                                                                               : Status::IsReplaced;
+                      if (status == Status::IsOwner) {
+                          self->confirmedAt = sentAt;
+                      }
+                      if (status == Status::IsReplaced && !self->isClosed) {
+                          self->onReplaced();
+                      }
+                      done(status);
+                  });
 }
 
 void OwnershipGuard::Impl::confirmUntilKnown()
@@ -82,26 +90,22 @@
 
 void OwnershipGuard::start()
 {
-    impl_->lastTick = impl_->timers.bootNow();
+    impl_->lastSeenRunningAt = impl_->timers.bootNow();
     impl_->isWatching = true;
 }
 
 void OwnershipGuard::tick()
 {
     isUncertain();
-    impl_->lastTick = impl_->timers.bootNow();
 }
 
 bool OwnershipGuard::isUncertain()
 {
     const auto now = impl_->timers.bootNow();
-    const auto gap = now - impl_->lastTick;
-    if (impl_->isWatching && gap > minSuspension) {
-        impl_->lastTick = now;
-        if (!std::exchange(impl_->isUncertain, true)) {
-            EventLog::write("owner.suspended", { { "for_ms", std::chrono::duration_cast<Milliseconds>(gap).count() } });
-            impl_->confirmUntilKnown();
-        }
+    const auto gap = now - std::exchange(impl_->lastSeenRunningAt, now);
+    if (impl_->isWatching && gap > minSuspension && !std::exchange(impl_->isUncertain, true)) {
+        EventLog::write("owner.suspended", { { "for_ms", std::chrono::duration_cast<Milliseconds>(gap).count() } });
+        impl_->confirmUntilKnown();
     }
     return impl_->isUncertain;
 }
@@ -120,4 +124,21 @@
     impl_->confirm(std::move(done));
 }
 
+void OwnershipGuard::confirmWithin(Milliseconds maxAge, std::function<void(Status)> done)
+{
+    if (impl_->confirmedAt && impl_->timers.bootNow() - *impl_->confirmedAt <= maxAge) {
+        done(Status::IsOwner);
+        return;
+    }
+    impl_->confirmWaiters.push_back(std::move(done));
+    if (impl_->confirmWaiters.size() > 1) {
+        return;
+    }
+    impl_->confirm([impl = impl_](Status status) {
+        for (const auto &waiter : std::exchange(impl->confirmWaiters, {})) {
+            waiter(status);
+        }
+    });
+}
+
 } // namespace auburndoor
--- a/modules/entry/OwnershipGuard.h
+++ b/modules/entry/OwnershipGuard.h
@@ -37,10 +37,14 @@
     /** Starts the detection; the owner is not uncertain before. */
     void start();
 
-    /** Records that the process is running; to be called about every 200 ms. */
+    /** Records that the process is running; to be called about every 50 ms. */
     void tick();
 
-    /** True from a suspension that was long enough for a takeover until the store has answered whether there was one. */
+    /**
+        True from a suspension that was long enough for a takeover until the store has answered whether there was one.
+
+        Each call also records that the process is running.
+    */
     bool isUncertain();
 
     /** Runs an action at once, or, while isUncertain(), after the store has answered whether this is still the owner. */
@@ -49,6 +53,9 @@
     /** Asks the store once whether this is still the owner. */
     void confirm(std::function<void(Status)> done);
 
+    /** As confirm(), but calls back at once if the store has confirmed the ownership within maxAge. Calls share one reading. */
+    void confirmWithin(Milliseconds maxAge, std::function<void(Status)> done);
+
 private:
     struct Impl;
     std::shared_ptr<Impl> impl_;
--- a/modules/net/HttpWriter.cpp
+++ b/modules/net/HttpWriter.cpp
@@ -40,7 +40,10 @@
 
 void appendRequest(std::string &output, const WebRequest &request, const std::string &host)
 {
-    output.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\nHost: ").append(host).append("\r\n");
+    output.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
+    if (request.header("Host").empty()) {
+        output.append("Host: ").append(host).append("\r\n");
+    }
     appendHeaders(output, request.headers);
     if (!request.body.empty()) {
         output.append(jsonContentType);
