--- a/modules/entry/LeadershipImpl.h
+++ b/modules/entry/LeadershipImpl.h
@@ -50,8 +50,12 @@
     void requestHeartbeat();
     /** The heartbeat that this process sends to a follower as the owner; empty if it is not the owner. */
     std::optional<OwnerHeartbeat> makeHeartbeat(const Address &follower);
+    /** The members as Leadership::members(), listed at most every 100 ms. */
+    const std::vector<Address> &recentMembers();
     /** How busy a new owner has to expect to be, or how busy it was. */
     Milliseconds reportedLoopDelay() const;
+    /** How long after its request a heartbeat counts as lost. */
+    Milliseconds heartbeatTimeout() const;
     /** @param sentRound the heartbeatRound when the request was sent */
     void onHeartbeat(const SendResult &sent, std::uint64_t sentRound, TimePoint sentAt);
     /** Reads the version of the sequence row, which each write of the owner changes; nothing is done if the owner has changed
@@ -96,6 +100,8 @@
     std::unique_ptr<HttpChannels> heartbeatChannel;
     /** True if the last heartbeat request to the owner was answered; false if this process is the owner. */
     bool isOwnerResponding = false;
+    /** Successive connections to the owner that broke before a heartbeat arrived, each of which was followed by a new one. */
+    int reconnections = 0;
     /** What is known of an owner before its first heartbeat. */
     struct UnheardOwner
     {
@@ -129,6 +135,9 @@
     };
     /** The processes that have recently sent heartbeat requests to this process. */
     std::map<Address, Follower> followers;
+    /** The addresses of the followers when they were last listed. */
+    std::vector<Address> listedMembers;
+    TimePoint membersListedAt;
     LoopDelayMeter loopDelayMeter;
     /** When this process last became the owner. */
     TimePoint wonAt;
