--- a/tests/dispatch/CommitQueueTests.cpp
+++ b/tests/dispatch/CommitQueueTests.cpp
@@ -56,8 +56,8 @@
     CHECK(fixture.durableCount == 3);
 }
 
-// Guards against a record of progress for each single end of a task: the tasks of a step end within some tens of milliseconds, and each
-// record holds all tasks of the job.
+// Guards against a record of progress for each single end of a task: the tasks of a step end within some tens of milliseconds, and
+// each record holds all tasks of the job.
 TEST_CASE("routine rows that are put shortly after each other share one write")
 {
     CommitQueueFixture fixture;
