--- a/modules/dispatch/JobState.cpp
+++ b/modules/dispatch/JobState.cpp
@@ -40,6 +40,12 @@
     return std::find(runs.begin(), runs.end(), place) != runs.end();
 }
 
+void Task::setHostedRun(const HostedRun &run)
+{
+    eraseHostedRun({ run.worker, run.attempt });
+    hostedRuns.push_back(run);
+}
+
 bool StepState::hasTasksToPlace() const
 {
     return spec().isGang ? !isDone() && !hasRuns() : hasIdleTask();
@@ -52,6 +58,12 @@
            });
 }
 
+void Task::eraseHostedRun(const RunPlace &place)
+{
+    std::erase_if(hostedRuns,
+                  [&place](const HostedRun &run) { return run.worker == place.worker && run.attempt == place.attempt; });
+}
+
 const StepSpec &StepState::spec() const
 {
     return job->spec.steps[static_cast<std::size_t>(index)];
