--- a/modules/entry/AdmissionControl.cpp
+++ b/modules/entry/AdmissionControl.cpp
@@ -8,8 +8,8 @@
 
 // A loop that is late by less still answers and places well within the objectives of the most urgent jobs.
 constexpr Milliseconds maxLoopDelay { 60 };
-// If only workers are missing, rounds of placement get through all steps within a few tens of milliseconds.
-constexpr Milliseconds maxPlacementDelay { 250 };
+// If only workers are missing, placement gets to the last step within a few rounds.
+constexpr Milliseconds maxPlacementDelay { 400 };
 // The owner has to be behind for this long, so that one long callback leads to no refusal, and not behind for up to maxBehindTime
 // until it counts as recovered, so that clients that return together are not all admitted.
 constexpr Milliseconds behindTimeOfOverload { 150 };
