--- a/modules/dispatch/Fleet.cpp
+++ b/modules/dispatch/Fleet.cpp
@@ -36,7 +36,9 @@
                         { { "worker", entry.id }, { "remaining_ms", entry.remaining.value_or(Milliseconds(-1)).count() } });
     }
     worker.isListed = true;
+    worker.isEntryCurrent = true;
     impl_->updateEntry(worker, entry);
+    impl_->reportReplacedWorkers(entry);
     impl_->addToRoster(worker);
     impl_->ensurePolling(worker);
     impl_->listener.capacityChanged();
@@ -50,6 +52,11 @@
     impl_->ensurePolling(worker);
 }
 
+void Fleet::expectRun(const std::string &id, std::int64_t incarnation, const WorkerCrash::AffectedRun &run)
+{
+    impl_->possibleCrashes.add({ id, Address(), incarnation, { run } }, impl_->timers.now());
+}
+
 void Fleet::removeEntry(const std::string &id)
 {
     if (auto *found = worker(id); found != nullptr && found->isListed) {
@@ -96,7 +103,9 @@
     run.key = key;
     run.claim = claim;
     run.startedAt = impl_->timers.now();
+    run.incarnation = found->entry.incarnation;
     found->used += claim.need;
+    found->isolatedRuns += claim.isIsolated ? 1 : 0;
     impl_->noteChange(*found);
     found->runs.emplace(key, run);
     impl_->startWindow.onSent();
@@ -121,6 +130,17 @@
     }
 }
 
+void Fleet::clearSuspicion(const std::string &id, const RunKey &key)
+{
+    if (auto *found = run(id, key)) {
+        auto &host = *worker(id);
+        host.isolatedRuns -= found->claim.isIsolated ? 1 : 0;
+        found->claim.isSuspected = false;
+        found->claim.isIsolated = false;
+        impl_->noteChange(host);
+    }
+}
+
 void Fleet::throttle(const std::string &id, const RunKey &key, int percent)
 {
     auto *found = run(id, key);
@@ -142,8 +162,8 @@
 bool Fleet::isUsable(const WorkerState &worker) const
 {
     const auto now = impl_->timers.now();
-    return worker.isListed && !worker.entry.isDraining && worker.isReportRead && worker.isInRoster && worker.unwantedRuns == 0
-           && worker.failedPolls == 0 && worker.avoidUntil <= now
+    return worker.isListed && worker.isEntryCurrent && !worker.entry.isDraining && worker.isReportRead && worker.isInRoster
+           && worker.unwantedRuns == 0 && worker.failedPolls == 0 && worker.avoidUntil <= now
            && (impl_->isDirectoryStale ? now - worker.lastReportAt < impl_->timing.maxReportAgeWhenDirectoryStale
                                        : worker.runs.empty() || now - worker.lastReportAt < impl_->timing.maxReportAge);
 }
--- a/modules/dispatch/JobRecordCodec.cpp
+++ b/modules/dispatch/JobRecordCodec.cpp
@@ -70,16 +70,51 @@
     return step;
 }
 
+/** A row of [worker, incarnation, attempt, alone, last] for each run. */
+template<typename Runs>
+Json hostedRunsJson(const Runs &runs)
+{
+    Json json = Json::array();
+    for (const HostedRun &run : runs) {
+        json.push_back(Json::array({ run.worker, run.incarnation, run.attempt, run.isAlone ? 1 : 0, run.isLast ? 1 : 0 }));
+    }
+    return json;
+}
+
 Json taskJson(const Task &task)
 {
     // A short array, since most tasks have had only one start.
     Json json = Json::array({ task.isDone ? 1 : 0, task.lastAttempt, task.failedAttempts });
-    if (!task.checkpoint.empty() && !task.isDone) {
+    const bool hasCrashes = !task.isDone && (!task.crashes.crashes().empty() || !task.hostedRuns.empty());
+    if ((!task.checkpoint.empty() && !task.isDone) || hasCrashes) {
         json.push_back(task.checkpoint);
     }
+    if (hasCrashes) {
+        json.push_back(hostedRunsJson(task.crashes.crashes()));
+        json.push_back(hostedRunsJson(task.hostedRuns));
+    }
     return json;
 }
 
+/** Reads what hostedRunsJson() has written, without the elements that cannot be read. */
+std::vector<HostedRun> readHostedRuns(const Json &json)
+{
+    std::vector<HostedRun> runs;
+    for (const auto &row : json.is_array() ? json : Json::array()) {
+        const bool isReadable = row.is_array() && row.size() >= 5 && row[0].is_string()
+                                && std::all_of(
+                                    row.begin() + 1, row.end(), [](const Json &item) { return item.is_number_integer(); });
+        if (isReadable) {
+            runs.push_back({ row[0].get<std::string>(),
+                             row[1].get<std::int64_t>(),
+                             row[2].get<std::int64_t>(),
+                             row[3].get<int>() != 0,
+                             row[4].get<int>() != 0 });
+        }
+    }
+    return runs;
+}
+
 bool readTask(const Json &json, Task &task)
 {
     if (!json.is_array() || json.size() < 3) {
@@ -91,6 +126,12 @@
     if (json.size() > 3) {
         task.checkpoint = json[3].get<std::string>();
     }
+    if (json.size() > 5) {
+        for (const auto &crash : readHostedRuns(json[4])) {
+            task.crashes.record(crash);
+        }
+        task.hostedRuns = readHostedRuns(json[5]);
+    }
     return true;
 }
 
--- a/modules/dispatch/JobState.h
+++ b/modules/dispatch/JobState.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/Clock.h"
+#include "dispatch/CrashLedger.h"
 #include "workload/DesiredState.h"
 #include "workload/JobSpec.h"
 
@@ -55,12 +56,22 @@
     TimePoint idleSince;
     /** The worker on which it last failed; placement prefers others. */
     std::string failedOn;
+    /** The crashes of workers under its runs. */
+    CrashLedger crashes;
+    /**
+        Its runs on workers that do not answer and, once workers have crashed under it, all its runs without a known end. A new
+       owner finds by them crashes that no owner has recorded.
+    */
+    std::vector<HostedRun> hostedRuns;
 
     bool isIdle() const
     {
         return !isDone && runs.empty();
     }
     bool hasRun(const RunPlace &place) const;
+    void eraseHostedRun(const RunPlace &place);
+    /** Adds a hosted run, or replaces what is known of it. */
+    void setHostedRun(const HostedRun &run);
 };
 
 /** The answers of the advisory service about a step. The set of workers that a step may use never changes, but permits expire. */
@@ -107,6 +118,9 @@
     std::uint64_t seenGrowth = 0;
     /** All workers are searched again at this time, as runs may have become preemptible meanwhile. */
     TimePoint repeatAt;
+    /** A gang is not searched for before this time: it needs room on several workers at a time, and each search visits all of them.
+     */
+    TimePoint gangSearchAt;
     /** No workers to ask advice for are searched before this time, as the last search has found none. */
     TimePoint adviceSearchAt;
 };
