A crash long after a task's start is no proof against the task

Cause: being alone on a worker, or started last, counted as evidence however long the task had been running there. And a long task was cleared after three times its estimate only.

Change: both count only if the worker fell silent within 2 s of the start. A task is cleared after 10 s of running.

Tests: "three crashes of workers long after a task's start do not fail its job", "a task that has run for long enough is cleared of earlier crashes".

--- a/modules/dispatch/FleetImpl.cpp
+++ b/modules/dispatch/FleetImpl.cpp
@@ -16,6 +16,8 @@
 // The pause after a worker refused a start as unhealthy or for lack of capacity.
 constexpr Milliseconds avoidanceAfterRefusal { 400 };
 constexpr Milliseconds stopRetryDelay { 300 };
+// A task that crashes its worker does so when it starts; a silent worker is noticed at most 1.4 s later.
+constexpr Milliseconds maxTimeToCrash { 2000 };
 // Longer than any report can be in transit.
 constexpr Milliseconds endedRunRetention { 10000 };
 // A lease lasts longer on this process's clock if the worker's clock is slow.
@@ -102,8 +104,9 @@
     addToRoster(worker);
 }
 
-WorkerCrash Fleet::Impl::makePossibleCrash(const WorkerState &worker)
+WorkerCrash Fleet::Impl::makePossibleCrash(const WorkerState &worker) const
 {
+    const auto endedAt = worker.failedPolls > 0 ? worker.silentSince : timers.now();
     WorkerCrash crash { worker.entry.id, worker.entry.address, worker.entry.incarnation, {} };
     // The runs of a draining worker end with its planned stop.
     if (worker.entry.isDraining) {
@@ -114,7 +117,8 @@
         if (run.incarnation != worker.entry.incarnation) {
             continue;
         }
-        WorkerCrash::AffectedRun affected { key, true, true };
+        const bool isEarly = endedAt - run.startedAt < maxTimeToCrash;
+        WorkerCrash::AffectedRun affected { key, isEarly, isEarly };
         for (const auto &other : worker.runs) {
             if (other.first.task.job != key.task.job && isAffected(other)) {
                 affected.isAlone = false;
--- a/modules/dispatch/FleetPolling.cpp
+++ b/modules/dispatch/FleetPolling.cpp
@@ -145,6 +145,7 @@
     }
     noteChange(worker);
     if (++worker.failedPolls == 1) {
+        worker.silentSince = timers.now();
         EventLog::write("worker.silent", { { "worker", id }, { "outcome", name(reply.outcome) }, { "runs", worker.runs.size() } });
         listener.workerSilent(makePossibleCrash(worker));
     }
--- a/modules/dispatch/JobManagerCrashes.cpp
+++ b/modules/dispatch/JobManagerCrashes.cpp
@@ -7,9 +7,8 @@
 
 namespace {
 
-// A task that crashes its worker does so while it does its work, and slow workers take several times as long for it.
-constexpr Milliseconds minSoundRunTime { 10000 };
-constexpr int soundRunEstimates = 3;
+// A task that crashes its worker does so soon after its start.
+constexpr Milliseconds soundRunTime { 10000 };
 // A job whose turn has come is not held back for longer by a crowded service.
 constexpr Milliseconds maxWaitForIsolation { 1500 };
 
@@ -131,7 +130,6 @@
     if (task.isDone || task.crashes.suspicion() == Suspicion::None) {
         return false;
     }
-    const auto soundRunTime = std::max(minSoundRunTime, step.spec().estimate * soundRunEstimates);
     for (const auto &place : task.runs) {
         const auto *run = fleet_->run(place.worker, { { step.job->spec.id, step.occurrence, step.index, index }, place.attempt });
         if (run == nullptr || run->phase != Run::Phase::Running || timers_.now() - run->confirmedAt < soundRunTime) {
--- a/modules/dispatch/PossibleCrashes.cpp
+++ b/modules/dispatch/PossibleCrashes.cpp
@@ -22,7 +22,8 @@
         std::erase_if(entries, [now](const Entry &entry) { return now - entry.addedAt > retention; });
     }
     std::erase_if(entries_, [](const auto &item) { return item.second.empty(); });
-    entries_[crash.worker].push_back({ std::move(crash), now });
+    auto &entries = entries_[crash.worker];
+    entries.push_back({ std::move(crash), now });
 }
 
 std::vector<WorkerCrash> PossibleCrashes::take(const std::string &worker, std::int64_t incarnation, TimePoint pollSentAt)
--- a/modules/dispatch/WorkerState.h
+++ b/modules/dispatch/WorkerState.h
@@ -35,6 +35,8 @@
     TimePoint lastReportAt;
     /** The polls that failed since the last report. */
     int failedPolls = 0;
+    /** When the first of them failed. */
+    TimePoint silentSince;
     /** Nothing is started on it before this time, after failures or refusals. */
     TimePoint avoidUntil;
     /** The outcomes of the last runs that were done or failed; true for a failure. */
--- a/tests/dispatch/CrashTests.cpp
+++ b/tests/dispatch/CrashTests.cpp
@@ -202,6 +202,56 @@
     CHECK(cell.violations().empty());
 }
 
+// Guards against a long task that is given up because the workers that it had been running on for seconds crashed.
+TEST_CASE("three crashes of workers long after a task's start do not fail its job")
+{
+    CrashFixture cell;
+    cell.getsNewId = GENERATE(false, true);
+    cell.plan = [](const TaskName &, std::int64_t attempt) {
+        return SimulatedWork { Milliseconds(attempt <= 3 ? 60000 : 1000), RunOutcome::Done };
+    };
+    cell.addWorkers(8, 16);
+    cell.takeOver();
+    REQUIRE(cell.submit(deadlyJob, jobBody(1, 3000)) == ClientResult::Outcome::Accepted);
+    for (std::size_t crashes = 0; crashes < 3; ++crashes) {
+        for (int step = 0; step < 500 && cell.starts.size() == crashes; ++step) {
+            cell.timers.advance(Milliseconds(20));
+        }
+        cell.timers.advance(Milliseconds(4000));
+        for (const auto &[id, worker] : cell.fleet.workers()) {
+            if (!worker->runs().empty()) {
+                cell.crash(id);
+                break;
+            }
+        }
+    }
+    CHECK(cell.runUntil(deadlyJob, JobStage::Completed, Milliseconds(20000)));
+    CHECK(cell.crashCount() == 3);
+}
+
+// Guards against a service that is given up although it ran soundly between crashes.
+TEST_CASE("a task that has run for long enough is cleared of earlier crashes")
+{
+    CrashFixture cell;
+    cell.getsNewId = GENERATE(false, true);
+    cell.plan = [](const TaskName &, std::int64_t) { return SimulatedWork { Milliseconds(600000), RunOutcome::Done }; };
+    cell.addWorkers(8, 16);
+    cell.takeOver();
+    REQUIRE(cell.submit(deadlyJob, jobBody(1, 3000, R"(,"longRunning":true)")) == ClientResult::Outcome::Accepted);
+    for (int crashes = 0; crashes < 8; ++crashes) {
+        cell.timers.advance(Milliseconds(18000));
+        for (const auto &[id, worker] : cell.fleet.workers()) {
+            if (!worker->runs().empty()) {
+                cell.crash(id);
+                break;
+            }
+        }
+    }
+    CHECK(cell.crashCount() == 8);
+    cell.timers.advance(Milliseconds(8000));
+    CHECK(cell.stage(deadlyJob) == JobStage::Running);
+}
+
 // Guards against workers that crash for reasons of their own, many at once: no job may fail for it, and the service goes on.
 TEST_CASE("crashes of many workers at once fail no job and hardly slow the rest down")
 {
