Steps behind an interrupted round have their turn in the next one; inherited jobs keep their age

Cause 1: an interrupted round begins at the front again, so that searches in vain in front kept the steps behind from room that was free all the time. Cause 2: a new owner counted the age of the jobs that it inherits from its takeover, so that a backlog past its final deadline ranked as new work and went before the jobs that came after it.

Change: the front has half of a round; the other half goes on behind the last step that had a turn. The age of an inherited job counts by the wall clock, between 0 and 60 s, as that clock may jump.

Test: tests/dispatch/InheritedJobsTests failed before the second change and passes; LongQueueTests pass.

--- a/modules/dispatch/JobManager.cpp
+++ b/modules/dispatch/JobManager.cpp
@@ -8,6 +8,13 @@
 
 namespace auburndoor {
 
+namespace {
+
+// Jobs with an objective are past their final deadline by then.
+constexpr Milliseconds maxInheritedAge { 60000 };
+
+} // namespace
+
 JobManager::JobManager(Timers &timers, CommitQueue &commitQueue, std::int64_t fencingToken, Hooks hooks)
     : timers_(timers), commitQueue_(commitQueue), fencingToken_(fencingToken), hooks_(std::move(hooks))
 {
@@ -32,7 +39,9 @@
     }
     job->shownStage = job->stage;
     job->isInherited = true;
-    job->receivedAt = timers_.now();
+    // Its age counts for its rank, or a backlog past its deadlines would go before newer jobs. The wall clock may have jumped.
+    const auto age = std::chrono::duration_cast<Milliseconds>(timers_.wallNow() - job->acceptedAt);
+    job->receivedAt = timers_.now() - std::clamp(age, Milliseconds(0), maxInheritedAge);
     initialize(*job);
     restoreHostedRuns(*job);
     jobs_[id] = std::move(job);
--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -46,8 +46,8 @@
     /**
         Runs a round of placement: starts tasks on free workers, preempts less urgent runs and requests advice.
 
-        A round that takes too long is interrupted. The next call begins with the first step again, as the order may have changed;
-        the steps that were searched in vain cost it little.
+        A round that takes too long is interrupted. The next call begins with the first step again, as the order may have changed,
+       and spends half of its time on the steps that had no turn.
 
         @return false if this round was interrupted, so that the next call has to go on
     */
@@ -88,6 +88,8 @@
 
     /** Places the steps in the order of their ranks. @return false if the round was interrupted */
     bool runRound();
+    /** Places the steps from the first one on, until the end of the time. @return the first step that had no turn */
+    ReadySteps::Entries::iterator placeSteps(ReadySteps::Entries::iterator first, TimePoint end);
     static StepRank computeRank(const StepState &step, TimePoint now);
     /** Reads all jobs and workers again, in place of the changes since the last round. */
     void readAll();
@@ -270,6 +272,8 @@
     std::map<std::string, bool> unreadByService_;
     /** The services on whose workers room is held for a gang in this round. */
     std::set<std::string> servicesWithHold_;
+    /** The first step without a turn in the rounds since the last whole one. */
+    std::optional<StepRank> resumeAt_;
     /** Advice requests that are expected to take this long or longer cannot be sent in this round any more. */
     Milliseconds unsendableAdviceTime_ = Milliseconds::max();
     AdviceShares adviceShares_;
--- a/modules/dispatch/TaskPlacerRounds.cpp
+++ b/modules/dispatch/TaskPlacerRounds.cpp
@@ -50,22 +50,37 @@
     statistics_.backlog = static_cast<long long>(entries.size());
     // Following the changes is left out, so that it cannot use up the time of all rounds under load.
     now_ = timers_.now();
-    const auto placingSince = now_;
-    for (auto next = entries.begin(); next != entries.end();) {
+    const auto end = now_ + maxRoundDuration;
+    auto next = placeSteps(entries.begin(), now_ + maxRoundDuration / 2);
+    if (next == entries.end()) {
+        resumeAt_.reset();
+        return true;
+    }
+    // The steps in front have had their turn. The others have theirs in the second half, so that searches in vain in front do not
+    // keep them from free room.
+    if (resumeAt_ && next->first < *resumeAt_) {
+        next = entries.lower_bound(*resumeAt_);
+    }
+    next = placeSteps(next, end);
+    resumeAt_ = next == entries.end() ? std::nullopt : std::optional(next->first);
+    return false;
+}
+
+ReadySteps::Entries::iterator TaskPlacer::placeSteps(ReadySteps::Entries::iterator first, TimePoint end)
+{
+    auto &entries = readySteps_.entries();
+    auto next = first;
+    while (next != entries.end() && now_ < end) {
         auto &step = *next->second;
         ++statistics_.stepsPassed;
-        const bool hasSearched = placeStep(step);
-        if (!hasSearched) {
+        if (!placeStep(step)) {
             ++next;
             continue;
         }
         next = step.hasTasksToPlace() ? std::next(next) : readySteps_.erase(next);
         now_ = timers_.now();
-        if (now_ - placingSince > maxRoundDuration && next != entries.end()) {
-            return false;
-        }
     }
-    return true;
+    return next;
 }
 
 void TaskPlacer::readAll()
