--- a/tests/entry/WorkerRelayTests.cpp
+++ b/tests/entry/WorkerRelayTests.cpp
@@ -432,9 +432,12 @@
 TEST_CASE("a channel acknowledges only what is known to be of the worker's incarnation at its other end")
 {
     std::vector<std::int64_t> sent;
-    std::int64_t incarnation = 1;
-    bool isFailing = false;
-    ConfirmingWorkerChannel channel(std::make_unique<RecordingChannel>(sent, incarnation, isFailing));
+    struct
+    {
+        std::int64_t incarnation = 1;
+        bool isFailing = false;
+    } worker;
+    ConfirmingWorkerChannel channel(std::make_unique<RecordingChannel>(sent, worker.incarnation, worker.isFailing));
     const auto acknowledge = [&channel](std::int64_t acknowledged, std::int64_t knownIncarnation) {
         channel.readReport({ acknowledged, knownIncarnation, std::nullopt, Milliseconds(0) }, [](const auto &, const auto &) {});
     };
@@ -442,10 +445,10 @@
     CHECK(sent == std::vector<std::int64_t> { 0, 4 });
     acknowledge(5, 1);
     CHECK(sent == std::vector<std::int64_t> { 0, 4, 5 });
-    isFailing = true;
+    worker.isFailing = true;
     acknowledge(0, 1);
-    isFailing = false;
-    incarnation = 2;
+    worker.isFailing = false;
+    worker.incarnation = 2;
     acknowledge(6, 1);
     CHECK(sent == std::vector<std::int64_t> { 0, 4, 5, 0, 0 });
 }
--- a/tests/observability/EventLogTests.cpp
+++ b/tests/observability/EventLogTests.cpp
@@ -86,7 +86,7 @@
     CHECK(lines.front().at("event") == "text");
     CHECK(lines.front().at("plain") == "a b");
     CHECK(lines.front().at("escaped") == "\"\\\n\x7f");
-    CHECK(lines.front().at("empty") == "");
+    CHECK(lines.front().at("empty").get<std::string>().empty());
     CHECK(lines.front().at("number") == -12);
     CHECK(lines.back().at("event") == "exempt");
     // The events may fall into two seconds.
