--- /dev/null
+++ b/tests/dispatch/ServiceRepairTests.cpp
@@ -0,0 +1,191 @@
+#include "dispatch/OwnerFixture.h"
+#include "fakes/JobIds.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace auburndoor;
+
+namespace {
+
+constexpr Milliseconds timeStep { 20 };
+// "Within seconds": the platform counts a task of a service as lost 6 s after its last run; half of that leaves room for its start.
+constexpr Milliseconds maxRepairTime { 3000 };
+const std::string serviceId = "00000000000000aa";
+
+/**
+    A cell of four workers of four cores with a service of four tasks, and a backlog that keeps the cell full: each job is one task
+    of one core and half a second.
+*/
+class FullCell
+{
+public:
+    /** @param serviceQueue the queue of the service @param backlogQueue the queue of the jobs of the backlog */
+    FullCell(const std::string &serviceQueue, std::string backlogQueue) : backlogQueue_(std::move(backlogQueue))
+    {
+        cell.fleet.onStarted = {};
+        for (const auto &id : workers) {
+            cell.addWorker(id, 4);
+        }
+        cell.plan = [this](const TaskName &task, std::int64_t attempt) {
+            if (task.job != serviceId) {
+                return SimulatedWork {};
+            }
+            const bool isFailing = task.index == 0 && attempt == 1;
+            return isFailing ? SimulatedWork { firstRunDuration, RunOutcome::Failed }
+                             : SimulatedWork { std::chrono::hours(1), RunOutcome::Done };
+        };
+        cell.takeOver();
+        REQUIRE(cell.submit(serviceId, jobBody(serviceTasks, 1000, R"(,"longRunning":true)"), serviceQueue)
+                == ClientResult::Outcome::Accepted);
+    }
+
+    /** Advances the time without new jobs. */
+    void advance(Milliseconds duration)
+    {
+        cell.timers.advance(duration);
+    }
+
+    /** Advances the time; the backlog grows by two jobs a step, three times what the cell can carry. */
+    void advanceUnderLoad(Milliseconds duration)
+    {
+        for (Milliseconds elapsed { 0 }; elapsed < duration; elapsed += timeStep) {
+            for (int job = 0; job < 2; ++job) {
+                ClientCall call;
+                call.kind = ClientCall::Kind::Submit;
+                call.queue = backlogQueue_;
+                call.job = jobIdOf(nextJob_++);
+                call.body = jobBody(1, 1000);
+                cell.owner->call(call, [](const ClientResult &) {});
+            }
+            cell.timers.advance(timeStep);
+        }
+    }
+
+    /** The tasks of the service that are at work on some worker. */
+    int countRunningTasks()
+    {
+        int count = 0;
+        for (const auto &id : workers) {
+            cell.fleet.worker(id).settle();
+            count += countRunningTasks(id);
+        }
+        return count;
+    }
+
+    /** Restarts a worker that runs tasks of the service: its runs are gone, and it is there again at once. */
+    void crashWorkerOfService()
+    {
+        const auto crashed = std::find_if(
+            workers.begin(), workers.end(), [this](const auto &id) { return countRunningTasks(id) > 0; });
+        REQUIRE(crashed != workers.end());
+        cell.fleet.worker(*crashed).restart();
+        cell.list(*crashed);
+    }
+
+    /** The longest time within the duration in which the service was not whole, under load. */
+    Milliseconds measureLongestAbsence(Milliseconds duration)
+    {
+        Milliseconds longest { 0 };
+        Milliseconds current { 0 };
+        for (Milliseconds elapsed { 0 }; elapsed < duration; elapsed += timeStep) {
+            advanceUnderLoad(timeStep);
+            current = countRunningTasks() < serviceTasks ? current + timeStep : Milliseconds(0);
+            longest = std::max(longest, current);
+        }
+        return longest;
+    }
+
+    const std::vector<std::string> workers { "w1", "w2", "w3", "w4" };
+    /** The first run of the service's first task fails after this time. */
+    static constexpr Milliseconds firstRunDuration { 65000 };
+    static constexpr int serviceTasks = 4;
+    OwnerFixture cell;
+
+private:
+    int countRunningTasks(const std::string &worker)
+    {
+        const auto &runs = cell.fleet.worker(worker).runs();
+        return static_cast<int>(
+            std::count_if(runs.begin(), runs.end(), [](const auto &run) { return run.first.first.job == serviceId; }));
+    }
+
+    std::string backlogQueue_;
+    int nextJob_ = 1;
+};
+
+} // namespace
+
+// Guards against a failed task of a service that waits behind all other work because its job was accepted long ago.
+TEST_CASE("a service whose task fails is whole again within seconds in a cell that a backlog keeps full")
+{
+    const std::string queue = GENERATE("normal", "advised", "urgent");
+    CAPTURE(queue);
+    FullCell full(queue, queue);
+    full.advance(Milliseconds(60000));
+    REQUIRE(full.countRunningTasks() == FullCell::serviceTasks);
+    const auto absence = full.measureLongestAbsence(Milliseconds(20000));
+    CHECK(absence > Milliseconds(0));
+    CHECK(absence.count() <= maxRepairTime.count());
+}
+
+// Guards against tasks of a service that wait behind all other work after the crash of their worker.
+TEST_CASE("a service whose worker crashes is whole again within seconds in a cell that a backlog keeps full")
+{
+    const std::string queue = GENERATE("normal", "advised", "urgent");
+    CAPTURE(queue);
+    FullCell full(queue, queue);
+    full.advance(Milliseconds(50000));
+    full.advanceUnderLoad(Milliseconds(3000));
+    REQUIRE(full.countRunningTasks() == FullCell::serviceTasks);
+    full.crashWorkerOfService();
+    CHECK(full.measureLongestAbsence(Milliseconds(10000)).count() <= maxRepairTime.count());
+}
+
+// Guards against more urgent work that keeps a service from being repaired for as long as its backlog lasts.
+TEST_CASE("a service whose worker crashes is whole again within seconds though more urgent work waits")
+{
+    FullCell full("normal", "urgent");
+    full.advance(Milliseconds(50000));
+    full.advanceUnderLoad(Milliseconds(3000));
+    REQUIRE(full.countRunningTasks() == FullCell::serviceTasks);
+    full.crashWorkerOfService();
+    CHECK(full.measureLongestAbsence(Milliseconds(10000)).count() <= maxRepairTime.count());
+}
+
+// Guards against an occurrence that counts as late by the age of its job: its objective is counted from the time it is due.
+TEST_CASE("an occurrence that is due late in the life of its job keeps its rank")
+{
+    constexpr int firstChecked = 3;
+    constexpr Milliseconds interval { 5000 };
+    // Three times its work and the allowance of its queue, as for a job without a schedule.
+    constexpr Milliseconds objective { 2000 };
+    FullCell full("normal", "normal");
+    std::map<int, TimePoint> startedAt;
+    const std::string scheduledId = "00000000000000bb";
+    full.cell.fleet.onStarted = [&](SimulatedWorker &, const StartCommand &command) {
+        if (command.task.job == scheduledId) {
+            startedAt.try_emplace(command.task.occurrence, full.cell.timers.now());
+        }
+    };
+    const auto firstDueAt = full.cell.timers.now() + interval;
+    auto body = jobBody(1, 1000);
+    body.insert(body.size() - 1,
+                R"(,"repeatCount":6,"intervalMs":)" + std::to_string(interval.count()) + R"(,"startAtMs":)"
+                    + std::to_string((full.cell.timers.wallNow() + interval).count()));
+    REQUIRE(full.cell.submit(scheduledId, body) == ClientResult::Outcome::Accepted);
+    full.advanceUnderLoad(interval * 7);
+    for (int occurrence = firstChecked; occurrence < 6; ++occurrence) {
+        CAPTURE(occurrence);
+        CHECK(startedAt.contains(occurrence));
+        if (startedAt.contains(occurrence)) {
+            const auto wait = std::chrono::duration_cast<Milliseconds>(startedAt[occurrence] - firstDueAt - interval * occurrence);
+            CHECK(wait.count() <= objective.count());
+        }
+    }
+}
