A lease granted before a restarted worker's clock is read ends in time

What callers could see: a task that runs twice, on a worker that was cut off right after its restart and elsewhere.

Cause: a reading of the clock in the reply to a request that was sent before the restart was known was dropped, also if the reply came from the new incarnation. A start then counted its lease on the former incarnation's clock, which had run for longer: the worker took the longest lease that it accepts (10 s), and the owner assumed 5 s.

Change: a reading counts for the incarnation that the report names. Until there is one, the clock of a restarted worker is taken to have begun when the restart became known, which can only shorten a lease.

Test: WorkerRelayTests 'a lease that is granted after a restart...', which fails before (487,300 ms instead of 5,300 ms by the arithmetic of grant(); the failing run was not made).

--- a/modules/workload/LeasedWorkerClient.cpp
+++ b/modules/workload/LeasedWorkerClient.cpp
@@ -8,10 +8,11 @@
 /** Shared with the callbacks of commands in flight. */
 struct LeasedWorkerClient::State
 {
-    /** Records the worker's clock, unless the command was sent before a restart became known: it may be the former clock. */
-    void updateClock(const Reply &reply, std::int64_t sentToIncarnation)
+    /** Records the worker's clock, unless it may be that of a former incarnation. @param readIn the incarnation that it was read in
+     */
+    void updateClock(const Reply &reply, std::int64_t readIn)
     {
-        if (reply.workerClock && sentToIncarnation == incarnation) {
+        if (reply.workerClock && readIn == incarnation) {
             lease.updateClock(*reply.workerClock);
         }
     }
@@ -70,7 +71,7 @@
     channel_->readReport(request,
                          [state = state_, incarnation = state_->incarnation, callback = std::move(callback)](
                              const Reply &reply, const TaskReport &report) {
-                             state->updateClock(reply, incarnation);
+                             state->updateClock(reply, report.incarnation != 0 ? report.incarnation : incarnation);
                              callback(reply, report);
                          });
 }
--- a/modules/workload/WorkerLease.cpp
+++ b/modules/workload/WorkerLease.cpp
@@ -33,6 +33,9 @@
 void WorkerLease::resetClock()
 {
     isClockKnown_ = false;
+    // The clock of a restarted worker began at zero, before now: this estimate can only shorten a lease.
+    workerClock_ = Milliseconds(0);
+    clockReceivedAt_ = timers_.now();
 }
 
 bool WorkerLease::isClockKnown() const
@@ -47,7 +50,7 @@
     const auto sinceReading = std::chrono::duration_cast<Milliseconds>(now - clockReceivedAt_);
     // The worker read its clock before its reply arrived here. The estimate of that clock is therefore behind by the delay of
     // the reply, which can only shorten the lease.
-    // If the worker's clock has run slow since its reading, it reaches the deadline later by the last summand but one.
+    // The third term allows for a clock that has run slow since its reading.
     end_ = std::max(end_, now + scale(lease, slowClockFactor) + scale(sinceReading, slowClockFactor - 1.0) + clockMargin);
     return workerClock_ + sinceReading + lease;
 }
--- a/tests/entry/WorkerRelayTests.cpp
+++ b/tests/entry/WorkerRelayTests.cpp
@@ -453,6 +453,21 @@
     CHECK(sent == std::vector<std::int64_t> { 0, 4, 5, 0, 0 });
 }
 
+// Guards against a lease that outlasts what the owner assumes: the clock of a restarted worker begins anew, and a deadline on the
+// former clock would give its tasks the longest lease that it accepts.
+TEST_CASE("a lease that is granted after a restart, before the clock is read, ends in time on the new clock")
+{
+    ManualTimers timers;
+    WorkerLease lease(timers, Milliseconds(10000));
+    lease.updateClock(Milliseconds(480000));
+    timers.advance(Milliseconds(2000));
+    lease.resetClock();
+    CHECK_FALSE(lease.isClockKnown());
+    timers.advance(Milliseconds(300));
+    CHECK(lease.grant(Milliseconds(5000)) == Milliseconds(5300));
+    CHECK(lease.end() >= timers.now() + Milliseconds(5000));
+}
+
 // Guards against leases that outlast what the owner assumes because a relay was slow to pass a reading of the clock on.
 TEST_CASE("a late reading of the worker's clock shortens a lease and does not extend it")
 {
