Store the run of a suspected task before its worker can crash for long

Cause: the run of a suspected task, by which the next owner counts a crash that this one did not see, waited 40 ms as routine; a crash follows a start within some 10 ms. Found by review.

Change: the record is urgent. CrashTests pass; that a takeover in these milliseconds loses no crash is not shown by a test.

--- a/modules/dispatch/JobManager.cpp
+++ b/modules/dispatch/JobManager.cpp
@@ -226,7 +226,8 @@
         const auto &id = step.job->spec.id;
         const auto &worker = *fleet_->worker(place.worker);
         task.setHostedRun({ place.worker, worker.entry.incarnation, place.attempt, !worker.hasOtherJobs(id), true });
-        saveProgress(id, {}, CommitQueue::Urgency::Routine);
+        // A crash follows within milliseconds, and the next owner counts it by this record.
+        saveProgress(id, {}, CommitQueue::Urgency::Urgent);
     }
 }
 
