Rounds of placement: time for the second half, paced readings, and growth by a plan that ends

Cause, each found by review: the second half of an interrupted round had none of its time left if the last search of the first half took long; a full reading ran in each round while inherited jobs wait for reports, up to 6.6 s after a takeover, and was up to 20 times its length away otherwise; steps that are passed over were not interruptible; a plan that ended with a start did not count as more room.

Change: the second half has 5 ms of its own; full readings come every 30 ms while jobs wait for reports, and after 500 ms at the latest; the clock is read after 64 steps that are passed over; idle tasks are counted only when advice may be requested; waiting gangs are searched for less often the longer they wait, as other steps.

--- a/modules/dispatch/ServiceCapacity.cpp
+++ b/modules/dispatch/ServiceCapacity.cpp
@@ -75,7 +75,11 @@
 
 void ServiceCapacity::recordStart(WorkerCapacity &workerCapacity, const Resources &need, int priority)
 {
+    const bool hadPlan = workerCapacity.waitingPriority < WorkerCapacity::noPriority;
     workerCapacity.recordStart(need, priority);
+    if (hadPlan && workerCapacity.waitingPriority == WorkerCapacity::noPriority) {
+        noteGrowth(workerCapacity.id);
+    }
     auto &room = roomOf(workerCapacity);
     room.free = workerCapacity.worker->free();
     room.utilization = dominantShare(workerCapacity.worker->used, workerCapacity.worker->entry.capacity);
--- a/modules/dispatch/TaskPlacer.cpp
+++ b/modules/dispatch/TaskPlacer.cpp
@@ -111,6 +111,11 @@
            || std::any_of(allowed.begin(), allowed.end(), [this](const auto &entry) { return entry.second.expiresAt > now_; });
 }
 
+bool TaskPlacer::mayRequestAdvice(const StepState &step) const
+{
+    return step.advice.pendingRequests == 0 && now_ >= std::max(step.advice.retryAt, step.search.adviceSearchAt);
+}
+
 bool TaskPlacer::placeStep(StepState &step)
 {
     const bool isGang = step.spec().isGang;
@@ -122,6 +127,9 @@
         return false;
     }
     if (!hasRoomToSearch(step)) {
+        if (!mayRequestAdvice(step)) {
+            return false;
+        }
         return step.job->queue.advice && requestAdvice(step, countIdleTasks(step), isGang);
     }
     if (isGang) {
--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -106,6 +106,8 @@
     Milliseconds computeSearchDelay(const StepState &step, Milliseconds shortest) const;
     /** False if all workers were searched for the step, and none that it may use has got enough room since. */
     bool hasRoomToSearch(StepState &step);
+    /** False while a request of the step is pending, or was in vain shortly before. */
+    bool mayRequestAdvice(const StepState &step) const;
     /** True if the step needs no permit or has a valid one. */
     bool mayUseSomeWorker(const StepState &step) const;
     /** True if tasks of the job may start now. */
--- a/modules/dispatch/TaskPlacerAdvice.cpp
+++ b/modules/dispatch/TaskPlacerAdvice.cpp
@@ -232,7 +232,7 @@
 {
     auto &advice = step.advice;
     const bool hasKeptPlan = isAllOrNothing && !advice.plannedTasks.empty() && now_ < advice.planExpiresAt;
-    if (advice.pendingRequests > 0 || now_ < std::max(advice.retryAt, step.search.adviceSearchAt) || hasKeptPlan) {
+    if (!mayRequestAdvice(step) || hasKeptPlan) {
         return false;
     }
     // A request that has to queue would reserve capacity for too long and be answered too late. It is left to the next round, which
--- a/modules/dispatch/TaskPlacerGangs.cpp
+++ b/modules/dispatch/TaskPlacerGangs.cpp
@@ -61,7 +61,7 @@
     }
     const bool isNewlyExhausted = noteSearch(step, !chosen.empty());
     if (chosen.empty()) {
-        step.search.gangSearchAt = now_ + gangSearchDelay;
+        step.search.gangSearchAt = now_ + computeSearchDelay(step, gangSearchDelay);
         const auto members = static_cast<int>(step.tasks.size());
         if (isNewlyExhausted && preemptForTasks(step, members, true) > 0) {
             return;
--- a/modules/dispatch/TaskPlacerRounds.cpp
+++ b/modules/dispatch/TaskPlacerRounds.cpp
@@ -12,8 +12,13 @@
 constexpr Milliseconds maxRoundDuration { 10 };
 // Ranks, permits and the usability of workers also change by the passing of time, which only a full reading shows.
 constexpr Milliseconds readAllInterval { 200 };
-// A full reading takes at most this share of the time.
+// Inherited jobs may start as soon as the last report of their service's workers is read.
+constexpr Milliseconds readAllIntervalWhileRecovering { 30 };
+// A full reading takes a twentieth of the time, unless that would delay it for too long.
 constexpr int readAllPauseFactor = 20;
+constexpr Milliseconds maxReadAllInterval { 500 };
+// The clock is read after each search, and after this many steps that were passed over.
+constexpr int stepsForReadingOfClock = 64;
 
 } // namespace
 
@@ -39,10 +44,11 @@
     now_ = timers_.now();
     unreadByService_.clear();
     unsendableAdviceTime_ = Milliseconds::max();
-    if (now_ >= readAllAt_ || hasJobsWaitingForReports_) {
+    if (now_ >= readAllAt_) {
         readAll();
         const auto duration = std::chrono::duration_cast<Milliseconds>(timers_.now() - now_);
-        readAllAt_ = now_ + std::max(readAllInterval, duration * readAllPauseFactor);
+        const auto interval = hasJobsWaitingForReports_ ? readAllIntervalWhileRecovering : readAllInterval;
+        readAllAt_ = now_ + std::clamp(duration * readAllPauseFactor, interval, maxReadAllInterval);
     } else {
         applyChanges();
     }
@@ -50,7 +56,6 @@
     statistics_.backlog = static_cast<long long>(entries.size());
     // Following the changes is left out, so that it cannot use up the time of all rounds under load.
     now_ = timers_.now();
-    const auto end = now_ + maxRoundDuration;
     auto next = placeSteps(entries.begin(), now_ + maxRoundDuration / 2);
     if (next == entries.end()) {
         resumeAt_.reset();
@@ -61,7 +66,7 @@
     if (resumeAt_ && next->first < *resumeAt_) {
         next = entries.lower_bound(*resumeAt_);
     }
-    next = placeSteps(next, end);
+    next = placeSteps(next, now_ + maxRoundDuration / 2);
     resumeAt_ = next == entries.end() ? std::nullopt : std::optional(next->first);
     return false;
 }
@@ -70,11 +75,15 @@
 {
     auto &entries = readySteps_.entries();
     auto next = first;
+    int passedOver = 0;
     while (next != entries.end() && now_ < end) {
         auto &step = *next->second;
         ++statistics_.stepsPassed;
         if (!placeStep(step)) {
             ++next;
+            if (++passedOver % stepsForReadingOfClock == 0) {
+                now_ = timers_.now();
+            }
             continue;
         }
         next = step.hasTasksToPlace() ? std::next(next) : readySteps_.erase(next);
