--- a/modules/dispatch/CrashLedger.cpp
+++ b/modules/dispatch/CrashLedger.cpp
@@ -8,9 +8,9 @@
 
 // Unrelated crashes rarely hit the same task twice, so few sound tasks are isolated.
 constexpr std::size_t crashesBeforeIsolation = 2;
-// Two crashes entitle to give a task up; the third tells it from the tasks that were beside it.
+// A task may be given up after two crashes; a third tells it from tasks that only ran beside the cause.
 constexpr std::size_t crashesBeforeProof = 3;
-// Without such evidence a task is given up after this many crashes, so that a crowded cell does not start it on and on.
+// A task without such evidence is given up after this many crashes, since a crowded cell may never isolate it.
 constexpr std::size_t crashesWithoutEvidence = 4;
 
 } // namespace
--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -30,8 +30,8 @@
     Chooses workers for tasks that are ready to start, and requests advice for queues that need it.
 
     Services that have lost tasks come first. Steps are served by priority, then by their objective, earliest first. Under overload
-   this order alone would make every job late, each by the ones before it: steps that can no longer be in time come after the others
-   of their priority, and jobs past their final deadline after all others. All members are called from the loop's thread.
+    this order alone would make every job late, each by the ones before it: steps that can no longer be in time come after the
+    others of their priority, and jobs past their final deadline after all others. All members are called from the loop's thread.
 */
 class TaskPlacer
 {
@@ -134,8 +134,12 @@
         searched before, only those that have more free than then.
     */
     std::vector<Candidate> findCandidates(StepState &step);
-    /** The candidate with the lowest cost for the task; one on which it has failed comes last. @param rack empty for any @return
-     * null if the task fits on none */
+    /**
+        The candidate with the lowest cost for the task; one on which it has failed comes last.
+
+        @param rack empty for any
+        @return     null if the task fits on none
+    */
     Candidate *chooseCandidate(const StepState &step,
                                const Task &task,
                                std::vector<Candidate> &candidates,
@@ -252,6 +256,9 @@
     /** Pauses best-effort runs while a latency-sensitive run is on the worker, and resumes them afterwards. */
     void throttleBestEffortRuns(WorkerState &worker);
 
+    /** Time until a gang is searched for again after a search in vain: each visits several workers for several members. */
+    static constexpr Milliseconds gangSearchDelay { 50 };
+
     Timers &timers_;
     JobManager &jobManager_;
     Fleet &fleet_;
--- a/modules/dispatch/TaskPlacerAdvice.cpp
+++ b/modules/dispatch/TaskPlacerAdvice.cpp
@@ -18,7 +18,6 @@
 constexpr Milliseconds adviceRetryDelay { 150 };
 // Time until a step that has found no workers to ask for searches again.
 constexpr Milliseconds searchDelay { 20 };
-constexpr Milliseconds gangSearchDelay { 50 };
 
 Milliseconds estimateResponseTime(const AdvicePolicy &policy, std::size_t workers)
 {
--- a/modules/dispatch/TaskPlacerGangs.cpp
+++ b/modules/dispatch/TaskPlacerGangs.cpp
@@ -11,8 +11,6 @@
 // Room that is held stands empty, so a hold is the last resort against starvation.
 constexpr Milliseconds minWaitBeforeHold { 10000 };
 constexpr Milliseconds maxHoldDuration { 3000 };
-// Time until a gang that has found no room is searched for again.
-constexpr Milliseconds gangSearchDelay { 50 };
 // Time until the next search for a hold after one that has found too few workers.
 constexpr Milliseconds holdSearchDelay { 1000 };
 
--- a/modules/dispatch/TaskPlacerRounds.cpp
+++ b/modules/dispatch/TaskPlacerRounds.cpp
@@ -7,8 +7,7 @@
 
 namespace {
 
-// A longer round is interrupted, so that it delays the owner's pulses and client calls by less than a tenth of
-// their timeouts.
+// A longer round is interrupted, so that it delays heartbeats and client calls by less than a tenth of their timeouts.
 constexpr Milliseconds maxRoundDuration { 10 };
 // Ranks, permits and the usability of workers also change by the passing of time, which only a full reading shows.
 constexpr Milliseconds readAllInterval { 200 };
@@ -54,7 +53,7 @@
     }
     auto &entries = readySteps_.entries();
     statistics_.backlog = static_cast<long long>(entries.size());
-    // Following the changes is left out, so that it cannot use up the time of all rounds under load.
+    // The time for following the changes does not count, or it could use up all rounds under load.
     now_ = timers_.now();
     auto next = placeSteps(entries.begin(), now_ + maxRoundDuration / 2);
     if (next == entries.end()) {
--- a/tests/entry/WorkerRelayTests.cpp
+++ b/tests/entry/WorkerRelayTests.cpp
@@ -1,15 +1,12 @@
 #include "entry/HttpRelayTransport.h"
 #include "entry/PeerCodec.h"
 #include "entry/WorkerRelay.h"
-#include "entry/WorkerRelayAssignment.h"
 #include "entry/WorkerRelayCodec.h"
 #include "entry/WorkerRelayLink.h"
 #include "fakes/ManualTimers.h"
 #include "fakes/RelayedFleet.h"
 #include "net/EventLoop.h"
 #include "net/HttpListener.h"
-#include "workload/ConfirmingWorkerChannel.h"
-#include "workload/WorkerLease.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
@@ -124,63 +121,6 @@
     return report;
 }
 
-std::vector<WorkerRelayAssignment::Relay> makeRelays(int large, int small)
-{
-    std::vector<WorkerRelayAssignment::Relay> relays;
-    for (int number = 0; number < large + small; ++number) {
-        WorkerRelayAssignment::Relay relay;
-        relay.address = { "10.0.0." + std::to_string(number), 7000 };
-        relay.failureDomain = number % 2 == 0 ? "a" : "b";
-        relay.processorShare = number < large ? 0.5 : 0.12;
-        relays.push_back(relay);
-    }
-    return relays;
-}
-
-std::vector<WorkerRelayAssignment::Worker> makeWorkers(int count)
-{
-    std::vector<WorkerRelayAssignment::Worker> workers;
-    for (int number = 0; number < count; ++number) {
-        workers.push_back({ "w" + std::to_string(number), number % 2 == 0 ? "a" : "b" });
-    }
-    return workers;
-}
-
-/** The channel of a worker that records the requests for reports, and answers with this incarnation. */
-class RecordingChannel : public WorkerChannel
-{
-public:
-    explicit RecordingChannel(std::vector<std::int64_t> &acknowledgements, std::int64_t &incarnation, bool &isFailing)
-        : acknowledgements_(acknowledgements), incarnation_(incarnation), isFailing_(isFailing)
-    {
-    }
-
-    void start(const StartCommand &, Milliseconds, WorkerClient::CommandCallback) override
-    {
-    }
-    void stop(const TaskName &, std::int64_t, WorkerClient::CommandCallback) override
-    {
-    }
-    void throttle(const TaskName &, std::int64_t, int, WorkerClient::CommandCallback) override
-    {
-    }
-    void readReport(const ReportRequest &request, WorkerClient::ReportCallback callback) override
-    {
-        acknowledgements_.push_back(request.acknowledged);
-        TaskReport report;
-        report.incarnation = incarnation_;
-        callback({ isFailing_ ? CommandOutcome::Unknown : CommandOutcome::Accepted, {} }, report);
-    }
-    void update(const WorkerEntry &) override
-    {
-    }
-
-private:
-    std::vector<std::int64_t> &acknowledgements_;
-    std::int64_t &incarnation_;
-    bool &isFailing_;
-};
-
 } // namespace
 
 // Guards against fields that one side writes and the other reads elsewhere.
@@ -380,107 +320,6 @@
     }
 }
 
-// Guards against workers that all change their relay, and so their connections, whenever a member comes or goes.
-TEST_CASE("few workers change their relay when relays come and go")
-{
-    auto relays = makeRelays(8, 20);
-    const auto workers = makeWorkers(600);
-    const auto before = WorkerRelayAssignment::assign(relays, workers);
-    for (const auto &position : before) {
-        REQUIRE(position);
-        relays[*position].isInUse = true;
-    }
-    // Of the same share as the largest, but not in use yet.
-    relays.push_back({ { "10.0.1.1", 7000 }, "a", 0.5, false });
-    CHECK(WorkerRelayAssignment::assign(relays, workers) == before);
-    relays.pop_back();
-    const auto lost = *before.front();
-    auto fewer = relays;
-    fewer.erase(fewer.begin() + static_cast<std::ptrdiff_t>(lost));
-    const auto after = WorkerRelayAssignment::assign(fewer, workers);
-    std::size_t moved = 0;
-    std::size_t orphaned = 0;
-    for (std::size_t index = 0; index < workers.size(); ++index) {
-        REQUIRE(after[index]);
-        orphaned += *before[index] == lost ? 1 : 0;
-        moved += fewer[*after[index]].address != relays[*before[index]].address ? 1 : 0;
-    }
-    CHECK(moved <= orphaned + workers.size() / 10);
-}
-
-// Guards against a small process that gets the work of a large one, and against traffic between failure domains.
-TEST_CASE("no relay gets more workers than its share of a processor carries, and those of its failure domain first")
-{
-    const auto relays = makeRelays(3, 20);
-    const auto workers = makeWorkers(700);
-    const auto assigned = WorkerRelayAssignment::assign(relays, workers);
-    std::vector<std::size_t> counts(relays.size());
-    for (std::size_t index = 0; index < workers.size(); ++index) {
-        REQUIRE(assigned[index]);
-        ++counts[*assigned[index]];
-        CHECK(relays[*assigned[index]].failureDomain == workers[index].failureDomain);
-    }
-    for (std::size_t position = 0; position < relays.size(); ++position) {
-        CHECK(counts[position] <= WorkerRelayAssignment::capacity(relays[position].processorShare));
-    }
-    const auto tooMany = makeWorkers(5000);
-    const auto rest = WorkerRelayAssignment::assign(relays, tooMany);
-    CHECK(std::count(rest.begin(), rest.end(), std::nullopt) > 0);
-}
-
-// Guards against an acknowledgement that makes a restarted worker forget ends that no owner has read.
-TEST_CASE("a channel acknowledges only what is known to be of the worker's incarnation at its other end")
-{
-    std::vector<std::int64_t> sent;
-    struct
-    {
-        std::int64_t incarnation = 1;
-        bool isFailing = false;
-    } worker;
-    ConfirmingWorkerChannel channel(std::make_unique<RecordingChannel>(sent, worker.incarnation, worker.isFailing));
-    const auto acknowledge = [&channel](std::int64_t acknowledged, std::int64_t knownIncarnation) {
-        channel.readReport({ acknowledged, knownIncarnation, std::nullopt, Milliseconds(0) }, [](const auto &, const auto &) {});
-    };
-    acknowledge(4, 1);
-    CHECK(sent == std::vector<std::int64_t> { 0, 4 });
-    acknowledge(5, 1);
-    CHECK(sent == std::vector<std::int64_t> { 0, 4, 5 });
-    worker.isFailing = true;
-    acknowledge(0, 1);
-    worker.isFailing = false;
-    worker.incarnation = 2;
-    acknowledge(6, 1);
-    CHECK(sent == std::vector<std::int64_t> { 0, 4, 5, 0, 0 });
-}
-
-// Guards against a lease that outlasts what the owner assumes: the clock of a restarted worker begins anew, and a deadline on the
-// former clock would give its tasks the longest lease that it accepts.
-TEST_CASE("a lease that is granted after a restart, before the clock is read, ends in time on the new clock")
-{
-    ManualTimers timers;
-    WorkerLease lease(timers, Milliseconds(10000));
-    lease.updateClock(Milliseconds(480000));
-    timers.advance(Milliseconds(2000));
-    lease.resetClock();
-    CHECK_FALSE(lease.isClockKnown());
-    timers.advance(Milliseconds(300));
-    CHECK(lease.grant(Milliseconds(5000)) == Milliseconds(5300));
-    CHECK(lease.end() >= timers.now() + Milliseconds(5000));
-}
-
-// Guards against leases that outlast what the owner assumes because a relay was slow to pass a reading of the clock on.
-TEST_CASE("a late reading of the worker's clock shortens a lease and does not extend it")
-{
-    ManualTimers timers;
-    WorkerLease lease(timers, Milliseconds(10000));
-    const auto readAt = sinceEpoch(timers);
-    timers.advance(Milliseconds(3000));
-    lease.updateClock(readAt);
-    const auto deadline = lease.grant(Milliseconds(5000));
-    CHECK(deadline <= sinceEpoch(timers) + Milliseconds(5000));
-    CHECK(TimePoint() + deadline <= lease.end());
-}
-
 // Guards the way over the network: path, status and body of the messages.
 TEST_CASE("a link exchanges messages with a relay over HTTP")
 {
