Relays from fewer workers on where the owner's link is slow

Change: an owner sends commands itself to at most 20 workers for each Mbit/s of its link, and to 200 in all.

--- a/modules/entry/EntryInstance.cpp
+++ b/modules/entry/EntryInstance.cpp
@@ -9,12 +9,15 @@
 #include "entry/RelayedWorkerClientFactory.h"
 #include "entry/TableWatch.h"
 #include "entry/WorkerRelay.h"
+#include "entry/WorkerRelayAssignment.h"
 #include "entry/WorkerRelayPool.h"
 #include "net/EventLoop.h"
 #include "net/HttpListener.h"
 #include "observability/EventLog.h"
 #include "observability/Metrics.h"
 
+#include <algorithm>
+
 namespace auburndoor {
 
 namespace {
@@ -96,7 +99,7 @@
           dependencies.loop,
           relayTransport,
           [this] { return leadership.members(); },
-          dependencies.settings.maxDirectWorkers)
+          std::min(dependencies.settings.maxDirectWorkers, WorkerRelayAssignment::directCapacity(dependencies.settings.linkMbps)))
     , workerClients(dependencies.loop, relayPool, dependencies.workerChannels, dependencies.settings.maxLease)
     , workerRelay(
           dependencies.loop,
--- a/modules/entry/EntrySettings.h
+++ b/modules/entry/EntrySettings.h
@@ -30,8 +30,11 @@
     std::optional<Address> advisor;
     /** The share of a processor core that this process may use, from 0 to 1. */
     double processorShare = 1.0;
+    /** The bandwidth of this machine's link, in Mbit/s. */
+    double linkMbps = 1000.0;
 
-    /** Up to this number of workers, the owner sends all commands itself; with more, other entry processes are its relays. */
+    /** Up to this number of workers, the owner sends all commands itself; with more, other entry processes are its relays. Fewer on
+     * a slow link. */
     std::size_t maxDirectWorkers = 200;
     /** The longest lease that a worker accepts. */
     Milliseconds maxLease { 10000 };
--- a/modules/entry/SettingsUpdate.cpp
+++ b/modules/entry/SettingsUpdate.cpp
@@ -24,6 +24,7 @@
     compare("store", inForce.store == read.store);
     compare("advisor", inForce.advisor == read.advisor);
     compare("processorShare", inForce.processorShare == read.processorShare);
+    compare("linkMbps", inForce.linkMbps == read.linkMbps);
     return needRestart;
 }
 
--- a/modules/entry/WorkerRelayAssignment.cpp
+++ b/modules/entry/WorkerRelayAssignment.cpp
@@ -12,6 +12,9 @@
 
 // A busy worker takes about 3 calls a second of some 80 us each, so this many take about a tenth of the relay's share.
 constexpr double workersPerCore = 400;
+// Each start carries the payload of its job, up to 4 kB, and a burst starts several tasks on each worker: over a slow link the
+// commands of one job share a batch to a relay, which names the payload once.
+constexpr double directWorkersPerMbps = 20;
 
 /** A uniformly distributed number in (0, 1) for a pair of a worker and a relay. */
 double draw(std::uint64_t workerHash, std::uint64_t relayHash)
@@ -105,6 +108,12 @@
 
 } // namespace
 
+std::size_t WorkerRelayAssignment::directCapacity(double linkMbps)
+{
+    constexpr double maxLinkMbps = 1e6;
+    return static_cast<std::size_t>(std::clamp(linkMbps, 0.0, maxLinkMbps) * directWorkersPerMbps);
+}
+
 std::size_t WorkerRelayAssignment::capacity(double processorShare)
 {
     return static_cast<std::size_t>(std::clamp(processorShare, 0.0, 1.0) * workersPerCore);
--- a/modules/entry/WorkerRelayAssignment.h
+++ b/modules/entry/WorkerRelayAssignment.h
@@ -40,6 +40,9 @@
 
     /** The most workers that a process with this share of a core can be the relay of. */
     static std::size_t capacity(double processorShare);
+
+    /** The most workers to which a process should send all commands itself over a link of this bandwidth, in Mbit/s. */
+    static std::size_t directCapacity(double linkMbps);
 };
 
 } // namespace auburndoor
--- a/tests/entry/WorkerRelayAssignmentTests.cpp
+++ b/tests/entry/WorkerRelayAssignmentTests.cpp
@@ -79,3 +79,12 @@
     const auto rest = WorkerRelayAssignment::assign(relays, tooMany);
     CHECK(std::count(rest.begin(), rest.end(), std::nullopt) > 0);
 }
+
+// Guards against an owner whose commands fill its link: a burst of starts then delays its heartbeats and polls, and all followers
+// lose it.
+TEST_CASE("an owner on a slow link sends the commands to fewer workers itself")
+{
+    CHECK(WorkerRelayAssignment::directCapacity(2.0) < 120);
+    CHECK(WorkerRelayAssignment::directCapacity(20.0) > 200);
+    CHECK(WorkerRelayAssignment::directCapacity(0.0) == 0);
+}
