--- a/modules/dispatch/TaskPlacerAdvice.cpp
+++ b/modules/dispatch/TaskPlacerAdvice.cpp
@@ -18,7 +18,6 @@
 constexpr Milliseconds adviceRetryDelay { 150 };
 // Time until a step that has found no workers to ask for searches again.
 constexpr Milliseconds searchDelay { 20 };
-constexpr Milliseconds gangSearchDelay { 50 };
 
 Milliseconds estimateResponseTime(const AdvicePolicy &policy, std::size_t workers)
 {
@@ -232,7 +231,7 @@
 {
     auto &advice = step.advice;
     const bool hasKeptPlan = isAllOrNothing && !advice.plannedTasks.empty() && now_ < advice.planExpiresAt;
-    if (advice.pendingRequests > 0 || now_ < std::max(advice.retryAt, step.search.adviceSearchAt) || hasKeptPlan) {
+    if (!mayRequestAdvice(step) || hasKeptPlan) {
         return false;
     }
     // A request that has to queue would reserve capacity for too long and be answered too late. It is left to the next round, which
