--- a/review/standins/cell.py
+++ b/review/standins/cell.py
@@ -32,6 +32,8 @@
         self.started = time.monotonic()
 
     def write(self, text):
+        if self.file.closed:
+            return
         self.file.write("%8.1f %s\n" % ((time.monotonic() - self.started) * 1000, text))
 
     def close(self):
@@ -157,6 +159,7 @@
         self.version = 0
         self.changed = asyncio.Event()
         self.mode = "up"
+        self.too_large = 0
         self.servers = []
 
     async def listen(self):
@@ -229,6 +232,8 @@
             return 412, self._reply([self._row(*name, *self.rows[name]) for name in current if name in self.rows])
         changes = [(row["table"], row["key"], base64.b64decode(row["value"])) for row in writes]
         if any(len(value) > self.MAX_ROW_BYTES for _, _, value in changes):
+            self.too_large += 1
+            self.record.write("store refuses a transaction: a value of %d bytes" % max(len(value) for _, _, value in changes))
             return 400, {"error": "a value is larger than maxRowBytes"}
         self._apply(changes + [(row["table"], row["key"], None) for row in removals])
         return 200, self._reply([])
