--- a/review/standins/cell.py
+++ b/review/standins/cell.py
@@ -160,6 +160,7 @@
         self.changed = asyncio.Event()
         self.mode = "up"
         self.too_large = 0
+        self.awaited = {}
         self.servers = []
 
     async def listen(self):
@@ -167,6 +168,10 @@
         self.servers.append(server)
         return address
 
+    def stored(self, row):
+        """A future that is done once the row (table, key) is stored for the first time."""
+        return self.awaited.setdefault(row, asyncio.get_running_loop().create_future())
+
     def put(self, table, key, value):
         """A write of the operator, of a worker or of a transaction."""
         self._apply([(table, key, value)])
@@ -179,6 +184,8 @@
             else:
                 self.rows[(table, key)] = (value, self.version)
             self.history.append((time.monotonic(), self.version, table, key, value))
+            if value is not None and (table, key) in self.awaited:
+                self.awaited.pop((table, key)).set_result(None)
         limit = time.monotonic() - self.HISTORY_S
         while self.history and self.history[0][0] < limit:
             self.history.pop(0)
