--- a/review/standins/cell.py
+++ b/review/standins/cell.py
@@ -17,6 +17,8 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 PROGRAM = os.path.join(ROOT, "target", "auburndoor-entry")
 HOST = "cell.example"
+# A run that has not ended by then ends its processes and could not run.
+LONGEST_RUN_S = 105
 
 
 def trouble():
@@ -621,4 +623,9 @@
     if not os.path.exists(PROGRAM):
         print("target/auburndoor-entry is not built")
         raise SystemExit(2)
-    raise SystemExit(asyncio.run(scenario()))
+    try:
+        code = asyncio.run(asyncio.wait_for(scenario(), LONGEST_RUN_S))
+    except Exception as error:  # pylint: disable=broad-except
+        print("the case could not run: %s %s" % (type(error).__name__, error))
+        code = 2
+    raise SystemExit(code)
