A successor looks for the runs of a job on all services that it ran on

Cause: a successor holds inherited jobs back while a worker is unread on which their runs may be, and took the workers of the queue's present service for these. What the queue says now was taken for what the runs were placed by. Services between two moves were stored nowhere, and a worker whose entry names another service without a restart was looked for under the new one only.

Change: a job keeps the services on whose workers its runs may be, in its progress row; a further service is stored before a task of the job starts there. A successor waits for the unread workers of these services and no others. The roster keeps the earlier services of an incarnation.

Why it works: nothing starts on a service that the store does not name for the job, so a successor needs no guess; the wait itself is as long as before and covers no service on which the job never was.

No row more is written for jobs whose queue does not move.

--- a/modules/dispatch/Fleet.cpp
+++ b/modules/dispatch/Fleet.cpp
@@ -171,7 +171,7 @@
 bool Fleet::hasUnreadWorkers(const std::string &service) const
 {
     for (const auto &[id, worker] : impl_->workers) {
-        if (!worker->isReportRead && worker->entry.service == service) {
+        if (!worker->isReportRead && worker->entry.hasServed(service)) {
             return true;
         }
     }
--- a/modules/dispatch/Fleet.h
+++ b/modules/dispatch/Fleet.h
@@ -137,7 +137,10 @@
     /** True if a task may be started on the worker now. */
     bool isUsable(const WorkerState &worker) const;
 
-    /** True while the report of some worker of the service is unread, so that the worker may have runs unknown to this owner. */
+    /**
+        True while the report of some worker is unread that serves the service, or has served it in its present incarnation, so that
+        it may have runs unknown to this owner.
+    */
     bool hasUnreadWorkers(const std::string &service) const;
 
     const std::map<std::string, std::unique_ptr<WorkerState>> &workers() const;
--- a/modules/dispatch/FleetImpl.cpp
+++ b/modules/dispatch/FleetImpl.cpp
@@ -80,10 +80,12 @@
         possibleCrashes.add(makePossibleCrash(worker), timers.now());
     }
     worker.client->update(entry);
-    worker.entry = entry;
+    const auto former = std::exchange(worker.entry, entry);
     if (!hasRestarted) {
+        keepEarlierServices(worker, former);
         return;
     }
+    worker.entry.earlierServices.clear();
     EventLog::write("worker.reborn", { { "worker", entry.id }, { "born", entry.incarnation }, { "runs", worker.runs.size() } });
     // A start that was sent before the restart was known may have reached the new incarnation, or may still: its report decides.
     for (auto &[key, run] : worker.runs) {
@@ -104,6 +106,19 @@
     addToRoster(worker);
 }
 
+void Fleet::Impl::keepEarlierServices(WorkerState &worker, const WorkerEntry &former)
+{
+    worker.entry.earlierServices = former.earlierServices;
+    if (former.service == worker.entry.service) {
+        return;
+    }
+    worker.entry.earlierServices.insert(former.service);
+    EventLog::write("worker.moved", { { "worker", former.id }, { "from", former.service }, { "to", worker.entry.service } });
+    // A new owner learns by the roster that runs of jobs of the former service may be there.
+    worker.isInRoster = false;
+    addToRoster(worker);
+}
+
 WorkerCrash Fleet::Impl::makePossibleCrash(const WorkerState &worker) const
 {
     const auto endedAt = worker.failedPolls > 0 ? worker.silentSince : timers.now();
@@ -142,13 +157,18 @@
     if (worker.isInRoster) {
         return;
     }
-    listener.rosterChanged(worker.entry, true, [impl = shared_from_this(), id = worker.entry.id] {
-        if (auto *rosteredWorker = impl->isClosed ? nullptr : impl->find(id)) {
-            rosteredWorker->isInRoster = true;
-            impl->noteChange(*rosteredWorker);
-            impl->listener.capacityChanged();
-        }
-    });
+    const auto &entry = worker.entry;
+    listener.rosterChanged(
+        entry, true, [impl = shared_from_this(), id = entry.id, born = entry.incarnation, service = entry.service] {
+            auto *rosteredWorker = impl->isClosed ? nullptr : impl->find(id);
+            // The row that was stored may be that of an earlier entry, while the present one waits.
+            if (rosteredWorker != nullptr && rosteredWorker->entry.incarnation == born
+                && rosteredWorker->entry.service == service) {
+                rosteredWorker->isInRoster = true;
+                impl->noteChange(*rosteredWorker);
+                impl->listener.capacityChanged();
+            }
+        });
 }
 
 void Fleet::Impl::removeRun(WorkerState &worker, const RunKey &key)
--- a/modules/dispatch/FleetImpl.h
+++ b/modules/dispatch/FleetImpl.h
@@ -22,6 +22,8 @@
 
     /** Takes over a changed entry. If the worker has restarted, all its runs become uncertain until a later report decides. */
     void updateEntry(WorkerState &worker, const WorkerEntry &entry);
+    /** Keeps the services of an incarnation whose entry now names another one. @param former the entry before */
+    void keepEarlierServices(WorkerState &worker, const WorkerEntry &former);
     /** The runs that would end if the worker's present incarnation has crashed; none if it is draining. */
     WorkerCrash makePossibleCrash(const WorkerState &worker) const;
     /** Has the worker entered in the roster unless it is there. */
--- a/modules/dispatch/JobManager.cpp
+++ b/modules/dispatch/JobManager.cpp
@@ -90,6 +90,7 @@
     const auto id = spec.id;
     job->spec = std::move(spec);
     job->queue = queue;
+    job->services[queue.service] = true;
     job->acceptedAt = timers_.wallNow();
     job->receivedAt = timers_.now();
     initialize(*job);
@@ -210,6 +211,24 @@
     }
 }
 
+void JobManager::storeService(JobState &job)
+{
+    const auto &service = job.queue.service;
+    if (!job.services.emplace(service, false).second) {
+        return;
+    }
+    const auto &id = job.spec.id;
+    EventLog::writeRateLimited("job.moved", { { "job", id }, { "queue", job.spec.queue }, { "service", service } });
+    const auto markStored = [this, id, service] {
+        if (auto *moved = find(id)) {
+            moved->services[service] = true;
+            changedJobs_.push_back(id);
+            hooks_.workChanged();
+        }
+    };
+    saveProgress(id, markStored, CommitQueue::Urgency::Urgent);
+}
+
 std::int64_t JobManager::nextAttempt(const Task &task) const
 {
     // Each owner numbers attempts in a range of its own, so that no attempt of an earlier owner has the same number.
--- a/modules/dispatch/JobManager.h
+++ b/modules/dispatch/JobManager.h
@@ -107,6 +107,11 @@
     std::vector<std::string> takeChangedJobs();
     /** Applies a new version of the desired state to the queues of the jobs. */
     void setDesiredState(const DesiredState &desiredState);
+    /**
+        Stores that the job may get runs on workers of its queue's present service, unless that is stored or being stored. The job's
+        tasks may start there once JobState::isServiceStored().
+    */
+    void storeService(JobState &job);
     /** Records a start that is about to be sent. */
     void recordStart(StepState &step, int index, const RunPlace &place);
     /** The lowest number that no earlier attempt of the task can have. */
--- a/modules/dispatch/JobRecordCodec.cpp
+++ b/modules/dispatch/JobRecordCodec.cpp
@@ -192,6 +192,7 @@
         job.acceptedAt = Milliseconds(json.value("accepted", Milliseconds::rep(0)));
         job.queue.name = job.spec.queue;
         job.queue.service = json.at("service").get<std::string>();
+        job.services[job.queue.service] = true;
         job.queue.priority = json.value("priority", 0);
         job.queue.maxAttempts = json.value("attempts", 1);
         job.queue.slackFactor = json.value("slack", 1.0);
@@ -212,6 +213,12 @@
     json["begun"] = job.hasBegun;
     json["next"] = job.nextOccurrence;
     json["finished"] = job.doneOccurrences;
+    // The description holds the first service, and most queues never move.
+    if (job.services.size() > 1) {
+        for (const auto &[service, isStored] : job.services) {
+            json["services"].push_back(service);
+        }
+    }
     Json occurrences = Json::object();
     for (const auto &[number, occurrence] : job.occurrences) {
         Json steps = Json::array();
@@ -242,6 +249,9 @@
         const auto json = Json::parse(text);
         job.hasBegun = json.value("begun", false);
         job.doneOccurrences = json.value("finished", std::set<int>());
+        for (const auto &service : json.value("services", std::vector<std::string>())) {
+            job.services[service] = true;
+        }
         for (const auto &[number, steps] : json.at("occurrences").items()) {
             job.addOccurrence(std::stoi(number), now);
             readOccurrence(steps, job.occurrences.at(std::stoi(number)));
@@ -273,8 +283,9 @@
 
 std::string JobRecordCodec::rosterEntry(const WorkerEntry &entry)
 {
-    return Json { { "service", entry.service }, { "address", entry.address.text() }, { "born", entry.incarnation } }.dump(
-        -1, ' ', false, Json::error_handler_t::replace);
+    Json json { { "service", entry.service }, { "address", entry.address.text() }, { "born", entry.incarnation } };
+    putUnlessDefault(json, "earlier", entry.earlierServices, std::set<std::string>());
+    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 std::optional<WorkerEntry> JobRecordCodec::readRosterEntry(const std::string &id, const std::string &text)
@@ -288,6 +299,7 @@
         WorkerEntry entry;
         entry.id = id;
         entry.service = json.at("service").get<std::string>();
+        entry.earlierServices = json.value("earlier", std::set<std::string>());
         entry.address = *address;
         entry.incarnation = json.at("born").get<std::int64_t>();
         return entry;
--- a/modules/dispatch/JobState.cpp
+++ b/modules/dispatch/JobState.cpp
@@ -107,6 +107,12 @@
     nextOccurrence = std::max(nextOccurrence, number + 1);
 }
 
+bool JobState::isServiceStored() const
+{
+    const auto found = services.find(queue.service);
+    return found != services.end() && found->second;
+}
+
 StepState *JobState::step(int occurrence, int index)
 {
     const auto found = occurrences.find(occurrence);
--- a/modules/dispatch/JobState.h
+++ b/modules/dispatch/JobState.h
@@ -183,6 +183,11 @@
     TimePoint objective;
     /** It was accepted by an earlier owner, so that it may have runs unknown to this owner. */
     bool isInherited = false;
+    /**
+        The services on whose workers its runs may be, with whether the store holds that: its queue may have moved from one service
+        to another since they started.
+    */
+    std::map<std::string, bool> services;
     /** One of its tasks was known to run. */
     bool hasBegun = false;
     /** The occurrences that are due and not done, by number. */
@@ -192,6 +197,8 @@
     std::set<int> doneOccurrences;
 
     void addOccurrence(int number, TimePoint now);
+    /** True if the store holds that the job may have runs on workers of its queue's present service. */
+    bool isServiceStored() const;
     /** Null if there is no such step, or if its occurrence is not due or done. */
     StepState *step(int occurrence, int index);
     /** Null if there is no such task, or if its occurrence is not due or done. */
--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -110,8 +110,10 @@
     bool mayRequestAdvice(const StepState &step) const;
     /** True if the step needs no permit or has a valid one. */
     bool mayUseSomeWorker(const StepState &step) const;
-    /** True if tasks of the job may start now. */
+    /** True if tasks of the job may start now, once JobState::isServiceStored(). */
     bool mayStart(const JobState &job);
+    /** True while the report of some worker is unread on which an earlier owner may have started tasks of the job. */
+    bool mayHaveUnknownRuns(const JobState &job);
     /** As Fleet::hasUnreadWorkers, looked up once in a round. */
     bool hasUnreadWorkers(const std::string &service);
     static int countIdleTasks(const StepState &step);
--- a/modules/dispatch/TaskPlacerMaintenance.cpp
+++ b/modules/dispatch/TaskPlacerMaintenance.cpp
@@ -29,8 +29,13 @@
             for (auto &step : occurrence.steps) {
                 stopRunsOnDrainingWorkers(step);
                 reportWaitingServiceTasks(step);
-                if (step.spec().allowsCopies && !step.isDone()) {
+                if (!step.spec().allowsCopies || step.isDone()) {
+                    continue;
+                }
+                if (job->isServiceStored()) {
                     startSpeculativeCopies(step);
+                } else {
+                    jobManager_.storeService(*job);
                 }
             }
         }
--- a/modules/dispatch/TaskPlacerRounds.cpp
+++ b/modules/dispatch/TaskPlacerRounds.cpp
@@ -156,8 +156,13 @@
     for (auto &[number, occurrence] : job.occurrences) {
         for (auto &step : occurrence.steps) {
             reserveCapacity(step);
-            if (isReady && step.hasTasksToPlace() && occurrence.isReady(step)) {
+            if (!isReady || !step.hasTasksToPlace() || !occurrence.isReady(step)) {
+                continue;
+            }
+            if (job.stage == JobStage::Recording || job.isServiceStored()) {
                 readySteps_.insert(computeRank(step, now_), step);
+            } else {
+                jobManager_.storeService(job);
             }
         }
     }
@@ -210,13 +215,21 @@
     if (job.stage != JobStage::Queued && job.stage != JobStage::Running) {
         return false;
     }
-    if (!job.isInherited || now_ > inheritedJobsWaitUntil_ || !hasUnreadWorkers(job.queue.service)) {
+    if (!job.isInherited || now_ > inheritedJobsWaitUntil_ || !mayHaveUnknownRuns(job)) {
         return true;
     }
     hasJobsWaitingForReports_ = true;
     return false;
 }
 
+bool TaskPlacer::mayHaveUnknownRuns(const JobState &job)
+{
+    // Owners of earlier releases did not store the services that a queue has moved to, so the present one counts in any case.
+    return hasUnreadWorkers(job.queue.service) || std::any_of(job.services.begin(), job.services.end(), [this](const auto &entry) {
+               return hasUnreadWorkers(entry.first);
+           });
+}
+
 bool TaskPlacer::hasUnreadWorkers(const std::string &service)
 {
     const auto [found, isNew] = unreadByService_.try_emplace(service);
--- a/modules/workload/WorkerEntry.h
+++ b/modules/workload/WorkerEntry.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -16,6 +17,8 @@
 {
     std::string id;
     std::string service;
+    /** The services under which this incarnation was registered before; the directory does not tell, a Fleet does. */
+    std::set<std::string> earlierServices;
     Address address;
     std::string failureDomain;
     std::vector<std::string> labels;
@@ -29,6 +32,9 @@
 
     bool hasLabel(const std::string &label) const;
 
+    /** True if this incarnation is registered under the service, or was before. */
+    bool hasServed(const std::string &name) const;
+
     /** The worker's rack, which is its last label; empty if there are fewer than two labels. */
     std::string rack() const;
 };
--- a/tests/dispatch/OwnerFixture.cpp
+++ b/tests/dispatch/OwnerFixture.cpp
@@ -68,11 +68,11 @@
     EventLog::flush();
 }
 
-SimulatedWorker &OwnerFixture::addWorker(const std::string &id, int cores)
+SimulatedWorker &OwnerFixture::addWorker(const std::string &id, int cores, const std::string &service)
 {
     WorkerEntry entry;
     entry.id = id;
-    entry.service = "desk";
+    entry.service = service;
     entry.address = { "10.0.0.1", static_cast<std::uint16_t>(80 + fleet.workers().size()) };
     entry.labels = { "a", "r1" };
     entry.capacity = { std::int64_t(cores) * 1000, 1 << 20, 0, 0, 0 };
@@ -101,6 +101,15 @@
     store.remove("servers", id);
 }
 
+void OwnerFixture::moveQueue(const std::string &queue, const std::string &service)
+{
+    ++desiredState_.version;
+    for (auto &candidate : desiredState_.queues) {
+        candidate.service = candidate.name == queue ? service : candidate.service;
+    }
+    owner->setDesiredState(desiredState_);
+}
+
 void OwnerFixture::takeOver(bool isFormerOwnerKilled)
 {
     if (isFormerOwnerKilled) {
--- a/tests/dispatch/OwnerFixture.h
+++ b/tests/dispatch/OwnerFixture.h
@@ -44,13 +44,16 @@
     OwnerFixture();
     ~OwnerFixture();
 
-    /** Adds a worker of the service "desk" with this many cores, and writes its directory entry. */
-    SimulatedWorker &addWorker(const std::string &id, int cores);
+    /** Adds a worker with this many cores, and writes its directory entry. */
+    SimulatedWorker &addWorker(const std::string &id, int cores, const std::string &service = "desk");
     /** Writes the directory entry of a worker with its current incarnation. */
     void list(const std::string &id, bool isDraining = false);
     /** Removes the directory entry of a worker. */
     void unlist(const std::string &id);
 
+    /** Applies a new version of the desired state that sends a queue to another service. */
+    void moveQueue(const std::string &queue, const std::string &service);
+
     /** A new owner takes over. @param isFormerOwnerKilled if false, the former owner goes on until it learns that it is deposed */
     void takeOver(bool isFormerOwnerKilled = true);
     /** Ends the owner without a successor. */
--- a/tests/fakes/SimulatedWorker.cpp
+++ b/tests/fakes/SimulatedWorker.cpp
@@ -149,6 +149,11 @@
     entry_.capacity = capacity;
 }
 
+void SimulatedWorker::setService(const std::string &service)
+{
+    entry_.service = service;
+}
+
 const WorkerEntry &SimulatedWorker::entry() const
 {
     return entry_;
--- a/tests/fakes/SimulatedWorker.h
+++ b/tests/fakes/SimulatedWorker.h
@@ -60,6 +60,8 @@
 
     /** Changes the capacity that its entry shows; what runs goes on. */
     void setCapacity(const Resources &capacity);
+    /** Changes the service that its entry shows; what runs goes on. */
+    void setService(const std::string &service);
 
     const WorkerEntry &entry() const;
     const std::map<std::pair<TaskName, std::int64_t>, LiveRun> &runs() const;
