The progress of a wide job is stored in parts, and a row that the store does not take holds up no other

Cause: the progress of a job was one row with all its tasks. Attempt numbers grow with each takeover, so the row passed the limit of 65,536 bytes after the restart. The commit queue took the refusal (400) for a busy store and repeated the whole transaction unchanged, with the rows of all other jobs in it, and so did each successor.

Change: a job of more than 200 tasks has a row for each 200 tasks of a step, in the table `parts`. An end is acknowledged once its part is stored, or the row that takes the place of a closed part. What an earlier release has left in one row is replaced once all parts are stored. Records that are too large all the same leave out checkpoints and crashes. A description above the limit is refused at once. Finished occurrences are stored as ranges, and the due occurrences of one job are bounded. The commit queue tells a call that is rejected for good from a busy store, sends its rows in smaller transactions, and sets the row aside that the store does not take; a log event and a gauge show it.

Why it works: no row grows with the size of a job or the age of the cell, and a row that the store refuses no longer shares its fate with others.

--- a/modules/dispatch/CommitQueue.cpp
+++ b/modules/dispatch/CommitQueue.cpp
@@ -1,5 +1,6 @@
 #include "dispatch/CommitQueue.h"
 
+#include "dispatch/WaitingRows.h"
 #include "observability/EventLog.h"
 
 #include <algorithm>
@@ -12,8 +13,6 @@
 
 // The store accepts 100 entries in a transaction, and the two expected rows and the sequence row count too.
 constexpr std::size_t maxRowsInTransaction = 90;
-// A transaction takes at most this many urgent rows while routine rows wait, so that these are not starved.
-constexpr std::size_t maxUrgentRows = 75;
 // The store accepts 1 MB in a transaction, and base64 makes values a third longer.
 constexpr std::size_t maxBytesInTransaction = std::size_t(600) * 1024;
 // The delay that gathers rows into one transaction. The end of a task delays its job by at most this, and the store gets at most 60
@@ -26,25 +25,18 @@
 constexpr Milliseconds maxRetryDelay { 500 };
 // A transaction without success for longer than this counts as stalled.
 constexpr Milliseconds stallThreshold { 300 };
-
-using RowName = std::pair<std::string, std::string>;
+// A row that the store does not take may shrink, as when its job ends.
+constexpr Milliseconds setAsideDelay { 5000 };
 
 } // namespace
 
 struct CommitQueue::Impl : std::enable_shared_from_this<CommitQueue::Impl>
 {
-    /** A row that no transaction holds yet. */
-    struct WaitingRow
-    {
-        Value value;
-        std::vector<Callback> durable;
-    };
     /** A transaction in flight; it is sent again unchanged until its outcome is known. */
     struct Transaction
     {
         StoreChange change;
-        std::vector<Callback> durable;
-        std::set<RowName> rows;
+        std::vector<std::pair<RowName, WaitingRow>> rows;
         /** What it writes to the sequence row; identifies the transaction. */
         std::string sequenceValue;
         TimePoint firstSentAt;
@@ -58,18 +50,18 @@
     void schedule(Milliseconds delay);
     /** Makes the routine rows due after routineDelay, unless that is scheduled. */
     void scheduleRoutine();
-    /** True if a row is to be sent. */
-    bool hasDueRows() const
-    {
-        return !urgent.empty() || !dueRoutine.empty();
-    }
     /** Builds and sends a transaction if rows are waiting and none is in flight. */
     void sendNext();
-    void buildTransaction();
-    /** Takes the name of the next row out of the waiting ones. @param rowsTaken the rows that the transaction holds already */
-    RowName nextRow(std::size_t rowsTaken);
+    /** Puts the due rows into a transaction, as many as it takes; it has none if the store takes none of them. */
+    Transaction buildTransaction();
+    /** Adds the value of a row to a transaction. @return its size; empty if the row is too large and was set aside */
+    std::optional<std::size_t> addRow(Transaction &transaction, const RowName &rowName, WaitingRow &row);
     void sendTransaction();
     void onResult(StoreResult result);
+    /** Sends the rows of a transaction that the store does not take again in smaller ones, and sets aside a row that is alone. */
+    void onRejected(const StoreResult &result);
+    /** Keeps a row from holding up the others. @param detail why the store does not take it */
+    void setAside(const RowName &rowName, WaitingRow row, const std::string &detail);
     /** Tells an applied transaction whose answer was lost from one that another owner has fenced off. */
     void onConflict(const StoreResult &result);
     /** @param sequence the new version of the sequence row */
@@ -83,20 +75,20 @@
     std::int64_t epochVersion = 0;
     std::int64_t sequenceVersion = 0;
     Callback deposed;
-    std::map<RowName, WaitingRow> waitingRows;
-    /** The names of the waiting rows by urgency, in the order of their put() calls. */
-    std::deque<RowName> urgent;
-    std::deque<RowName> routine;
-    /** The routine rows that have waited long enough. */
-    std::deque<RowName> dueRoutine;
+    std::size_t maxRowBytes = defaultMaxRowBytes;
+    WaitingRows waitingRows;
     std::optional<Transaction> inFlight;
     long long nextTransactionNumber = 1;
     long long sentTransactions = 0;
+    long long rejectedRows = 0;
+    /** The most rows of the next transaction; fewer after one that the store has rejected. */
+    std::size_t rowLimit = maxRowsInTransaction;
     Milliseconds retryDelay = minRetryDelay;
     TimePoint lastSuccess;
     bool hasFailed = false;
     bool isScheduled = false;
     bool isRoutineScheduled = false;
+    bool isReleaseScheduled = false;
     bool isClosed = false;
 };
 
@@ -119,24 +111,24 @@
     }
     timers.after(routineDelay, [self = shared_from_this()] {
         self->isRoutineScheduled = false;
-        std::move(self->routine.begin(), self->routine.end(), std::back_inserter(self->dueRoutine));
-        self->routine.clear();
-        if (!self->inFlight) {
-            self->sendNext();
-        }
+        self->waitingRows.releaseRoutine();
+        self->sendNext();
     });
 }
 
 void CommitQueue::Impl::sendNext()
 {
-    if (isClosed || inFlight || !hasDueRows()) {
+    if (isClosed || inFlight || !waitingRows.hasDue()) {
         return;
     }
-    buildTransaction();
-    sendTransaction();
+    auto transaction = buildTransaction();
+    if (!transaction.rows.empty()) {
+        inFlight = std::move(transaction);
+        sendTransaction();
+    }
 }
 
-void CommitQueue::Impl::buildTransaction()
+CommitQueue::Impl::Transaction CommitQueue::Impl::buildTransaction()
 {
     Transaction transaction;
     transaction.sequenceValue = writer + "/" + std::to_string(nextTransactionNumber++);
@@ -145,29 +137,45 @@
     transaction.change.writes.push_back({ FencingRows::table, FencingRows::sequenceKey, transaction.sequenceValue });
     transaction.firstSentAt = timers.now();
     std::size_t bytes = 0;
-    while (hasDueRows() && transaction.rows.size() < maxRowsInTransaction && bytes < maxBytesInTransaction) {
-        const auto rowName = nextRow(transaction.rows.size());
-        auto waitingRow = std::move(waitingRows.at(rowName));
-        waitingRows.erase(rowName);
-        if (auto value = waitingRow.value()) {
-            bytes += value->size();
-            transaction.change.writes.push_back({ rowName.first, rowName.second, std::move(*value) });
-        } else {
-            transaction.change.removals.push_back({ rowName.first, rowName.second, {} });
+    while (waitingRows.hasDue() && transaction.rows.size() < rowLimit && bytes < maxBytesInTransaction) {
+        auto [rowName, row] = waitingRows.takeNext(transaction.rows.size());
+        if (const auto size = addRow(transaction, rowName, row)) {
+            bytes += *size;
+            transaction.rows.emplace_back(rowName, std::move(row));
         }
-        transaction.rows.insert(rowName);
-        std::move(waitingRow.durable.begin(), waitingRow.durable.end(), std::back_inserter(transaction.durable));
     }
-    inFlight = std::move(transaction);
+    return transaction;
+}
+
+std::optional<std::size_t> CommitQueue::Impl::addRow(Transaction &transaction, const RowName &rowName, WaitingRow &row)
+{
+    auto value = row.value();
+    if (!value) {
+        transaction.change.removals.push_back({ rowName.first, rowName.second, {} });
+        return 0;
+    }
+    const auto size = value->size();
+    if (size > maxRowBytes) {
+        setAside(rowName, std::move(row), std::to_string(size) + " bytes, limit " + std::to_string(maxRowBytes));
+        return std::nullopt;
+    }
+    transaction.change.writes.push_back({ rowName.first, rowName.second, std::move(*value) });
+    return size;
 }
 
-RowName CommitQueue::Impl::nextRow(std::size_t rowsTaken)
+void CommitQueue::Impl::setAside(const RowName &rowName, WaitingRow row, const std::string &detail)
 {
-    const bool isUrgent = !urgent.empty() && (rowsTaken < maxUrgentRows || dueRoutine.empty());
-    auto &names = isUrgent ? urgent : dueRoutine;
-    auto rowName = std::move(names.front());
-    names.pop_front();
-    return rowName;
+    ++rejectedRows;
+    EventLog::write("store.row_rejected", { { "table", rowName.first }, { "key", rowName.second }, { "detail", detail } });
+    waitingRows.setAside(rowName, std::move(row));
+    if (std::exchange(isReleaseScheduled, true)) {
+        return;
+    }
+    timers.after(setAsideDelay, [self = shared_from_this()] {
+        self->isReleaseScheduled = false;
+        self->waitingRows.releaseSetAside();
+        self->sendNext();
+    });
 }
 
 void CommitQueue::Impl::sendTransaction()
@@ -189,17 +197,34 @@
     case StoreOutcome::Conflict:
         onConflict(result);
         return;
+    case StoreOutcome::Rejected:
+        onRejected(result);
+        return;
     default:
         break;
     }
     if (!hasFailed) {
         EventLog::write("store.lost",
-                        { { "outcome", name(result.outcome) }, { "detail", result.detail }, { "waiting", waitingRows.size() } });
+                        { { "outcome", name(result.outcome) }, { "detail", result.detail }, { "waiting", waitingRows.count() } });
     }
     hasFailed = true;
     retry();
 }
 
+void CommitQueue::Impl::onRejected(const StoreResult &result)
+{
+    auto rows = std::move(inFlight->rows);
+    inFlight.reset();
+    if (rows.size() == 1) {
+        setAside(rows.front().first, std::move(rows.front().second), result.detail);
+    } else {
+        EventLog::writeRateLimited("store.transaction_rejected", { { "rows", rows.size() }, { "detail", result.detail } });
+        rowLimit = rows.size() / 2;
+        std::for_each(rows.rbegin(), rows.rend(), [this](auto &row) { waitingRows.putBack(row.first, std::move(row.second)); });
+    }
+    schedule(batchDelay);
+}
+
 void CommitQueue::Impl::retry()
 {
     timers.after(retryDelay, [self = shared_from_this()] {
@@ -234,14 +259,17 @@
     retryDelay = minRetryDelay;
     lastSuccess = timers.now();
     sequenceVersion = sequence;
-    auto durable = std::move(inFlight->durable);
+    rowLimit = std::min(rowLimit * 2, maxRowsInTransaction);
+    const auto rows = std::move(inFlight->rows);
     inFlight.reset();
-    for (const auto &callback : durable) {
-        if (callback && !isClosed) {
-            callback();
+    for (const auto &[rowName, row] : rows) {
+        for (const auto &callback : row.durable) {
+            if (!isClosed) {
+                callback();
+            }
         }
     }
-    if (hasDueRows()) {
+    if (waitingRows.hasDue()) {
         schedule(batchDelay);
     }
 }
@@ -251,7 +279,8 @@
                          std::string writer,
                          std::int64_t epochVersion,
                          std::int64_t sequenceVersion,
-                         Callback deposed)
+                         Callback deposed,
+                         std::size_t maxRowBytes)
     : impl_(std::make_shared<Impl>(timers, store))
 {
     impl_->writer = std::move(writer);
@@ -259,6 +288,7 @@
     impl_->sequenceVersion = sequenceVersion;
     impl_->deposed = std::move(deposed);
     impl_->lastSuccess = timers.now();
+    impl_->maxRowBytes = maxRowBytes;
 }
 
 CommitQueue::~CommitQueue()
@@ -271,17 +301,7 @@
     if (impl_->isClosed) {
         return;
     }
-    const RowName rowName { table, key };
-    auto [found, isNew] = impl_->waitingRows.try_emplace(rowName);
-    if (isNew) {
-        (urgency == Urgency::Urgent ? impl_->urgent : impl_->routine).push_back(rowName);
-    } else if (urgency == Urgency::Urgent && std::erase(impl_->routine, rowName) + std::erase(impl_->dueRoutine, rowName) != 0) {
-        impl_->urgent.push_back(rowName);
-    }
-    found->second.value = std::move(value);
-    if (durable) {
-        found->second.durable.push_back(std::move(durable));
-    }
+    impl_->waitingRows.put({ table, key }, std::move(value), std::move(durable), urgency);
     if (urgency == Urgency::Routine) {
         impl_->scheduleRoutine();
     } else if (!impl_->inFlight) {
@@ -292,13 +312,14 @@
 bool CommitQueue::withdraw(const std::string &table, const std::string &key)
 {
     const RowName rowName { table, key };
-    if (impl_->waitingRows.erase(rowName) != 0) {
-        std::erase(impl_->urgent, rowName);
-        std::erase(impl_->routine, rowName);
-        std::erase(impl_->dueRoutine, rowName);
-        return !impl_->inFlight || !impl_->inFlight->rows.contains(rowName);
-    }
-    return false;
+    const auto isSent = [&rowName](const auto &row) { return row.first == rowName; };
+    return impl_->waitingRows.remove(rowName)
+           && (!impl_->inFlight || std::none_of(impl_->inFlight->rows.begin(), impl_->inFlight->rows.end(), isSent));
+}
+
+std::vector<CommitQueue::Callback> CommitQueue::take(const std::string &table, const std::string &key)
+{
+    return impl_->waitingRows.remove({ table, key }).value_or(std::vector<Callback>());
 }
 
 Milliseconds CommitQueue::stallDuration() const
@@ -317,17 +338,14 @@
 void CommitQueue::close()
 {
     impl_->isClosed = true;
+    impl_->waitingRows.clear();
     // The callbacks may keep the owner of this queue alive.
-    const auto waitingRows = std::exchange(impl_->waitingRows, {});
-    impl_->urgent.clear();
-    impl_->routine.clear();
-    impl_->dueRoutine.clear();
-    const auto durable = impl_->inFlight ? std::exchange(impl_->inFlight->durable, {}) : std::vector<Callback>();
+    const auto rows = impl_->inFlight ? std::exchange(impl_->inFlight->rows, {}) : std::vector<std::pair<RowName, WaitingRow>>();
 }
 
 bool CommitQueue::isIdle() const
 {
-    return !impl_->inFlight && impl_->waitingRows.empty();
+    return !impl_->inFlight && impl_->waitingRows.count() == 0;
 }
 
 long long CommitQueue::sentCount() const
@@ -335,4 +353,14 @@
     return impl_->sentTransactions;
 }
 
+long long CommitQueue::rejectedRowCount() const
+{
+    return impl_->rejectedRows;
+}
+
+std::size_t CommitQueue::maxRowBytes() const
+{
+    return impl_->maxRowBytes;
+}
+
 } // namespace auburndoor
--- a/modules/dispatch/CommitQueue.h
+++ b/modules/dispatch/CommitQueue.h
@@ -3,13 +3,13 @@
 #include "net/Timers.h"
 #include "workload/StateStore.h"
 
-#include <deque>
+#include <cstddef>
+#include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
+#include <vector>
 
 namespace auburndoor {
 
@@ -29,6 +29,10 @@
     One transaction is in flight at a time. Each expects the versions of the epoch row and the sequence row, and writes the sequence
     row. Therefore a transaction whose answer was lost takes effect at most once and is recognized later, and a deposed owner writes
     nothing. The value of a row is computed when its transaction is built, so that a row that changes often is written once.
+
+    A row that the store does not take holds up no other: it is set aside, and tried again after some seconds or when it is put
+   again. To find it, a transaction that the store has rejected is sent again in parts.
+
     All members are called from the loop's thread, and callbacks are called from it.
 */
 class CommitQueue
@@ -38,18 +42,22 @@
     using Value = std::function<std::optional<std::string>()>;
     using Callback = std::function<void()>;
 
+    static constexpr std::size_t defaultMaxRowBytes = 65536;
+
     /**
         @param writer          a name unique to this owner; it begins the values of the sequence row
         @param epochVersion    the version of the epoch row that this owner wrote
         @param sequenceVersion the version of the sequence row at that time
         @param deposed         called once when another owner has taken over
+        @param maxRowBytes     the largest value that the store takes for a row
     */
     CommitQueue(Timers &timers,
                 StateStore &store,
                 std::string writer,
                 std::int64_t epochVersion,
                 std::int64_t sequenceVersion,
-                Callback deposed);
+                Callback deposed,
+                std::size_t maxRowBytes = defaultMaxRowBytes);
     ~CommitQueue();
 
     /** Which rows go first when one transaction cannot hold all waiting rows. */
@@ -74,6 +82,13 @@
     /** Removes a waiting row. @return false if the row may be in the store: a transaction with it was sent, or none is waiting */
     bool withdraw(const std::string &table, const std::string &key);
 
+    /**
+        Removes a waiting row.
+
+        @return what was to be called once the row is stored; the caller passes it on to the row that takes its place
+    */
+    std::vector<Callback> take(const std::string &table, const std::string &key);
+
     /** How long the transaction in flight has been without success; zero if there is none. */
     Milliseconds stallDuration() const;
 
@@ -83,12 +98,18 @@
     /** Stops sending; callbacks are no longer called. */
     void close();
 
-    /** True if no row is waiting and no transaction is in flight. */
+    /** True if no row is waiting and no transaction is in flight; rows that were set aside do not count. */
     bool isIdle() const;
 
     /** The number of transactions sent, including repetitions. */
     long long sentCount() const;
 
+    /** The number of times that a row was set aside because the store does not take it. */
+    long long rejectedRowCount() const;
+
+    /** The largest value that the store takes for a row, in bytes. */
+    std::size_t maxRowBytes() const;
+
 private:
     struct Impl;
     std::shared_ptr<Impl> impl_;
--- a/modules/dispatch/JobManager.cpp
+++ b/modules/dispatch/JobManager.cpp
@@ -25,7 +25,10 @@
     fleet_ = &fleet;
 }
 
-void JobManager::restore(const std::string &id, const std::string &description, const std::string &progress)
+void JobManager::restore(const std::string &id,
+                         const std::string &description,
+                         const std::string &progress,
+                         const StoredParts &parts)
 {
     auto job = std::make_unique<JobState>();
     job->spec.id = id;
@@ -37,6 +40,7 @@
     if (!progress.empty() && !JobRecordCodec::readProgress(progress, *job, timers_.now())) {
         EventLog::write("record.unreadable", { { "job", id }, { "table", JobTables::progress } });
     }
+    restoreParts(*job, parts);
     job->shownStage = job->stage;
     job->isInherited = true;
     // Its age counts for its rank, or a backlog past its deadlines would go before newer jobs. The wall clock may have jumped.
@@ -94,11 +98,18 @@
     job->acceptedAt = timers_.wallNow();
     job->receivedAt = timers_.now();
     initialize(*job);
+    auto description = JobRecordCodec::description(*job);
+    if (description.size() > commitQueue_.maxRowBytes()) {
+        EventLog::write("job.too_large",
+                        { { "job", id }, { "bytes", description.size() }, { "limit", commitQueue_.maxRowBytes() } });
+        callback(SubmitOutcome::TooLarge);
+        return;
+    }
     submitCallbacks_[id].push_back(std::move(callback));
     commitQueue_.put(
         JobTables::jobs,
         id,
-        [text = JobRecordCodec::description(*job)] { return text; },
+        [text = std::move(description)] { return text; },
         [this, id] {
             auto *stored = find(id);
             if (stored != nullptr && stored->stage == JobStage::Recording) {
@@ -211,24 +222,6 @@
     }
 }
 
-void JobManager::storeService(JobState &job)
-{
-    const auto &service = job.queue.service;
-    if (!job.services.emplace(service, false).second) {
-        return;
-    }
-    const auto &id = job.spec.id;
-    EventLog::writeRateLimited("job.moved", { { "job", id }, { "queue", job.spec.queue }, { "service", service } });
-    const auto markStored = [this, id, service] {
-        if (auto *moved = find(id)) {
-            moved->services[service] = true;
-            changedJobs_.push_back(id);
-            hooks_.workChanged();
-        }
-    };
-    saveProgress(id, markStored, CommitQueue::Urgency::Urgent);
-}
-
 std::int64_t JobManager::nextAttempt(const Task &task) const
 {
     // Each owner numbers attempts in a range of its own, so that no attempt of an earlier owner has the same number.
@@ -246,7 +239,7 @@
         const auto &worker = *fleet_->worker(place.worker);
         task.setHostedRun({ place.worker, worker.entry.incarnation, place.attempt, !worker.hasOtherJobs(id), true });
         // A crash follows within milliseconds, and the next owner counts it by this record.
-        saveProgress(id, {}, CommitQueue::Urgency::Urgent);
+        saveTask(*step.job, { id, step.occurrence, step.index, index }, {}, CommitQueue::Urgency::Urgent);
     }
 }
 
@@ -265,7 +258,7 @@
     const auto wallTime = timers_.wallNow();
     for (const auto &[id, job] : jobs_) {
         while (job->spec.isScheduled && job->stage != JobStage::Recording && job->nextOccurrence < job->spec.occurrences
-               && job->dueAt(job->nextOccurrence, now, wallTime) <= now + earlyStart / 2) {
+               && job->hasRoomForOccurrence() && job->dueAt(job->nextOccurrence, now, wallTime) <= now + earlyStart / 2) {
             job->addOccurrence(job->nextOccurrence, now);
             changedJobs_.push_back(id);
             hooks_.workChanged();
--- a/modules/dispatch/JobManager.h
+++ b/modules/dispatch/JobManager.h
@@ -2,7 +2,9 @@
 
 #include "dispatch/CommitQueue.h"
 #include "dispatch/Fleet.h"
+#include "dispatch/JobPart.h"
 #include "dispatch/JobState.h"
+#include "dispatch/TaskRecordCodec.h"
 
 #include <functional>
 #include <map>
@@ -20,6 +22,8 @@
     static constexpr const char *jobs = "jobs";
     /** The progress of jobs, and the stage and time of the end of ended ones. */
     static constexpr const char *progress = "progress";
+    /** The progress of the tasks of wide jobs, by JobPart::key(). */
+    static constexpr const char *parts = "parts";
     /** The workers that may have runs. */
     static constexpr const char *roster = "roster";
 };
@@ -30,6 +34,8 @@
     Accepted,
     /** The job is not stored, and this submission will not store it later. */
     Refused,
+    /** The store does not take the description of the job, which is too large; it is not stored. */
+    TooLarge,
     /** The job was ended before the store confirmed that it is stored. */
     Unknown,
     /** This owner was deposed; the next one knows whether the job is stored. */
@@ -54,6 +60,8 @@
 class JobManager : public FleetListener
 {
 public:
+    /** The texts of the stored parts of a job. */
+    using StoredParts = std::map<JobPart, std::string>;
     using SubmitCallback = std::function<void(SubmitOutcome)>;
     /** Called once: with true when the end of the job is stored, with false if there is no such job. */
     using CancelCallback = std::function<void(bool isKnown)>;
@@ -73,14 +81,15 @@
     void setFleet(Fleet &fleet);
 
     // Recovery, before the fleet reports anything.
-    /** Adds a job from its stored description; progress is empty if none is stored. A job with an unreadable description is
-     * skipped. */
-    void restore(const std::string &id, const std::string &description, const std::string &progress);
+    /** Adds a job from its stored texts; progress is empty if none is stored. A job with an unreadable description is skipped. */
+    void restore(const std::string &id, const std::string &description, const std::string &progress, const StoredParts &parts);
     /** Adds an ended job from its stored end. */
     void restoreEnded(const std::string &id, const EndedJob &ended);
 
     /** Removes the stored description of a job whose end is stored. */
     void dropDescription(const std::string &id);
+    /** Removes a stored part of a job that has ended, or of an occurrence that is done. */
+    void dropPart(const std::string &id, const JobPart &part);
 
     // Clients.
     /** Stores a job, unless one with its id is known. @param callback called once, from within the call if the job is stored
@@ -143,8 +152,25 @@
     JobState *find(const std::string &id);
     /** Sets the objective of a job, and adds the only occurrence of one without a schedule. */
     void initialize(JobState &job);
+    /** Has the stored parts of a wide job applied, and stores anew what an earlier release has stored as one row. */
+    void restoreParts(JobState &job, const StoredParts &parts);
+    /** Writes the progress of a task: the row of its part, or of its job unless that is wide. @param durable as saveProgress() */
+    void saveTask(JobState &job, const TaskName &task, std::function<void()> durable, CommitQueue::Urgency urgency);
+    /** Writes the row of a part of a job that has not ended. */
+    void savePart(JobState &job, const JobPart &part, std::function<void()> durable, CommitQueue::Urgency urgency);
     /** Writes the progress row of a job, or its end. @param durable called once the row is stored */
     void saveProgress(const std::string &id, std::function<void()> durable, CommitQueue::Urgency urgency);
+    /** As saveProgress(), also while parts of the job have to be stored first. */
+    void putProgressRow(const std::string &id, std::function<void()> durable, CommitQueue::Urgency urgency);
+    /**
+        Removes parts of a wide job from the job and, once the progress row that takes their place is stored, from the store.
+
+        @param isClosed true for the parts to remove
+        @return         to be called once that row is stored; calls what waited for the parts
+    */
+    std::function<void()> closeParts(JobState &job, const std::function<bool(const JobPart &)> &isClosed);
+    /** The first text that fits into a row of the store, of those with less and less detail; the last one if none fits. */
+    std::string fitRow(const std::string &id, const std::function<std::string(RecordDetail)> &text) const;
     void onTaskDone(JobState &job, StepState &step, int index);
     void onStepDone(JobState &job, StepState &step);
     void onTaskFailed(JobState &job, StepState &step, Task &task, const RunPlace &place);
--- a/modules/dispatch/JobManagerCrashes.cpp
+++ b/modules/dispatch/JobManagerCrashes.cpp
@@ -55,7 +55,7 @@
         auto *task = job == nullptr ? nullptr : job->task(run.key.task);
         if (task != nullptr && !task->isDone) {
             task->setHostedRun({ possibleCrash.worker, possibleCrash.incarnation, run.key.attempt, run.isAlone, run.isLast });
-            saveProgress(job->spec.id, {}, CommitQueue::Urgency::Routine);
+            saveTask(*job, run.key.task, {}, CommitQueue::Urgency::Routine);
         }
     }
 }
@@ -94,7 +94,7 @@
                                  { "crashes", task.crashes.crashes().size() } });
     if (task.crashes.suspicion() != Suspicion::Proven) {
         // As urgent as the removal of the worker from the roster, after which a new owner could not find the crash.
-        saveProgress(job.spec.id, {}, CommitQueue::Urgency::Urgent);
+        saveTask(job, key.task, {}, CommitQueue::Urgency::Urgent);
         return;
     }
     EventLog::writeRateLimited("job.given_up",
@@ -144,7 +144,7 @@
                                      { "index", index },
                                      { "attempt", place.attempt },
                                      { "worker", place.worker } });
-        saveProgress(step.job->spec.id, {}, CommitQueue::Urgency::Routine);
+        saveTask(*step.job, run->key.task, {}, CommitQueue::Urgency::Routine);
         return false;
     }
     return true;
--- a/modules/dispatch/JobManagerRuns.cpp
+++ b/modules/dispatch/JobManagerRuns.cpp
@@ -57,31 +57,6 @@
           { "waited_ms", std::chrono::duration_cast<Milliseconds>(timers_.now() - job->receivedAt).count() } });
 }
 
-void JobManager::saveProgress(const std::string &id, std::function<void()> durable, CommitQueue::Urgency urgency)
-{
-    commitQueue_.put(
-        JobTables::progress,
-        id,
-        [this, id]() -> std::optional<std::string> {
-            if (const auto *live = find(id)) {
-                return JobRecordCodec::progress(*live);
-            }
-            JobState tombstone;
-            const auto ended = ended_.find(id);
-            tombstone.stage = ended == ended_.end() ? JobStage::Cancelled : ended->second.stage;
-            tombstone.endedAt = ended == ended_.end() ? timers_.wallNow() : ended->second.endedAt;
-            return JobRecordCodec::progress(tombstone);
-        },
-        std::move(durable),
-        urgency);
-}
-
-void JobManager::dropDescription(const std::string &id)
-{
-    commitQueue_.put(
-        JobTables::jobs, id, [] { return std::nullopt; }, {}, CommitQueue::Urgency::Routine);
-}
-
 void JobManager::runEnded(const std::string &worker, const EndedTask &ended, std::function<void()> recorded)
 {
     auto *job = find(ended.task.job);
@@ -114,7 +89,7 @@
         task->checkpoint = ended.checkpoint;
     }
     // The end of the run is stored with the job's progress, or with the end of the job if this run leads to it.
-    saveProgress(job->spec.id, std::move(recorded), CommitQueue::Urgency::Routine);
+    saveTask(*job, ended.task, std::move(recorded), CommitQueue::Urgency::Routine);
     if (!task->isDone && ended.end == RunOutcome::Done && !step.spec().isService) {
         onTaskDone(*job, step, ended.task.index);
     } else if (!task->isDone && ended.end == RunOutcome::Failed) {
@@ -162,8 +137,14 @@
     if (!occurrence->second.isDone()) {
         return;
     }
-    job.doneOccurrences.insert(occurrence->first);
+    const int number = occurrence->first;
+    job.doneOccurrences.insert(number);
     job.occurrences.erase(occurrence);
+    if (job.isWide()) {
+        saveProgress(job.spec.id,
+                     closeParts(job, [number](const JobPart &part) { return part.occurrence == number; }),
+                     CommitQueue::Urgency::Routine);
+    }
     if (job.isWorkDone()) {
         endJob(job, JobStage::Completed);
     }
@@ -221,9 +202,10 @@
                                  { "late_ms", std::chrono::duration_cast<Milliseconds>(timers_.now() - job.objective).count() } });
     stopJobRuns(job, stage == JobStage::Cancelled ? "cancelled" : "job ended");
     ended_[id] = { stage, timers_.wallNow(), false };
-    saveProgress(
+    putProgressRow(
         id,
-        [this, id] {
+        [this, id, onStored = closeParts(job, [](const JobPart &) { return true; })] {
+            onStored();
             if (const auto found = ended_.find(id); found != ended_.end()) {
                 found->second.isStored = true;
             }
--- a/modules/dispatch/JobRecordCodec.cpp
+++ b/modules/dispatch/JobRecordCodec.cpp
@@ -1,5 +1,8 @@
 #include "dispatch/JobRecordCodec.h"
 
+#include "dispatch/JobPart.h"
+#include "dispatch/TaskRecordCodec.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -70,82 +73,51 @@
     return step;
 }
 
-/** A row of [worker, incarnation, attempt, alone, last] for each run. */
-template<typename Runs>
-Json hostedRunsJson(const Runs &runs)
-{
-    Json json = Json::array();
-    for (const HostedRun &run : runs) {
-        json.push_back(Json::array({ run.worker, run.incarnation, run.attempt, run.isAlone ? 1 : 0, run.isLast ? 1 : 0 }));
-    }
-    return json;
-}
-
-Json taskJson(const Task &task)
-{
-    // A short array, since most tasks have had only one start.
-    Json json = Json::array({ task.isDone ? 1 : 0, task.lastAttempt, task.failedAttempts });
-    const bool hasCrashes = !task.isDone && (!task.crashes.crashes().empty() || !task.hostedRuns.empty());
-    if ((!task.checkpoint.empty() && !task.isDone) || hasCrashes) {
-        json.push_back(task.checkpoint);
-    }
-    if (hasCrashes) {
-        json.push_back(hostedRunsJson(task.crashes.crashes()));
-        json.push_back(hostedRunsJson(task.hostedRuns));
-    }
-    return json;
-}
-
-/** Reads what hostedRunsJson() has written, without the elements that cannot be read. */
-std::vector<HostedRun> readHostedRuns(const Json &json)
+void readOccurrence(const Json &json, OccurrenceState &occurrence)
 {
-    std::vector<HostedRun> runs;
-    for (const auto &row : json.is_array() ? json : Json::array()) {
-        const bool isReadable = row.is_array() && row.size() >= 5 && row[0].is_string()
-                                && std::all_of(
-                                    row.begin() + 1, row.end(), [](const Json &item) { return item.is_number_integer(); });
-        if (isReadable) {
-            runs.push_back({ row[0].get<std::string>(),
-                             row[1].get<std::int64_t>(),
-                             row[2].get<std::int64_t>(),
-                             row[3].get<int>() != 0,
-                             row[4].get<int>() != 0 });
+    for (std::size_t index = 0; index < std::min(json.size(), occurrence.steps.size()); ++index) {
+        auto &step = occurrence.steps[index];
+        const auto &tasks = json[index];
+        for (std::size_t task = 0; task < std::min(tasks.size(), step.tasks.size()); ++task) {
+            TaskRecordCodec::read(tasks[task], step.tasks[task]);
         }
+        step.countDoneTasks();
     }
-    return runs;
 }
 
-bool readTask(const Json &json, Task &task)
+/** The numbers of the occurrences that are done; each range of many as an array of its first and last one. */
+Json doneOccurrencesJson(const std::set<int> &numbers)
 {
-    if (!json.is_array() || json.size() < 3) {
-        return false;
-    }
-    task.isDone = json[0].get<int>() != 0;
-    task.lastAttempt = json[1].get<std::int64_t>();
-    task.failedAttempts = json[2].get<std::set<std::int64_t>>();
-    if (json.size() > 3) {
-        task.checkpoint = json[3].get<std::string>();
+    // Owners of earlier releases read single numbers only.
+    constexpr std::size_t maxSingleNumbers = 1000;
+    if (numbers.size() <= maxSingleNumbers) {
+        return numbers;
     }
-    if (json.size() > 5) {
-        for (const auto &crash : readHostedRuns(json[4])) {
-            task.crashes.record(crash);
+    Json json = Json::array();
+    for (auto first = numbers.begin(); first != numbers.end();) {
+        auto last = first;
+        auto next = std::next(first);
+        while (next != numbers.end() && *next == *last + 1) {
+            last = next++;
         }
-        task.hostedRuns = readHostedRuns(json[5]);
+        json.push_back(Json::array({ *first, *last }));
+        first = next;
     }
-    return true;
+    return json;
 }
 
-void readOccurrence(const Json &json, OccurrenceState &occurrence)
+/** Reads what doneOccurrencesJson() has returned. @param count the number of occurrences of the job */
+std::set<int> readDoneOccurrences(const Json &json, int count)
 {
-    for (std::size_t index = 0; index < std::min(json.size(), occurrence.steps.size()); ++index) {
-        auto &step = occurrence.steps[index];
-        const auto &tasks = json[index];
-        for (std::size_t task = 0; task < std::min(tasks.size(), step.tasks.size()); ++task) {
-            readTask(tasks[task], step.tasks[task]);
+    std::set<int> numbers;
+    for (const auto &item : json) {
+        const int first = std::max(item.is_array() ? item.at(0).get<int>() : item.get<int>(), 0);
+        const int last = std::min(item.is_array() ? item.at(1).get<int>() : first, count - 1);
+        for (int number = first; number <= last; ++number) {
+            numbers.insert(number);
         }
-        step.doneCount = static_cast<int>(
-            std::count_if(step.tasks.begin(), step.tasks.end(), [](const Task &task) { return task.isDone; }));
     }
+    return numbers;
 }
 
 } // namespace
@@ -203,7 +175,7 @@
     return true;
 }
 
-std::string JobRecordCodec::progress(const JobState &job)
+std::string JobRecordCodec::progress(const JobState &job, RecordDetail detail)
 {
     Json json { { "stage", name(job.stage) } };
     if (isEnded(job.stage)) {
@@ -212,7 +184,7 @@
     }
     json["begun"] = job.hasBegun;
     json["next"] = job.nextOccurrence;
-    json["finished"] = job.doneOccurrences;
+    json["finished"] = doneOccurrencesJson(job.doneOccurrences);
     // The description holds the first service, and most queues never move.
     if (job.services.size() > 1) {
         for (const auto &[service, isStored] : job.services) {
@@ -220,16 +192,18 @@
         }
     }
     Json occurrences = Json::object();
-    for (const auto &[number, occurrence] : job.occurrences) {
-        Json steps = Json::array();
-        for (const auto &step : occurrence.steps) {
-            Json tasks = Json::array();
-            for (const auto &task : step.tasks) {
-                tasks.push_back(taskJson(task));
+    if (!job.isWide()) {
+        for (const auto &[number, occurrence] : job.occurrences) {
+            Json steps = Json::array();
+            for (const auto &step : occurrence.steps) {
+                Json tasks = Json::array();
+                for (const auto &task : step.tasks) {
+                    tasks.push_back(TaskRecordCodec::write(task, detail));
+                }
+                steps.push_back(std::move(tasks));
             }
-            steps.push_back(std::move(tasks));
+            occurrences[std::to_string(number)] = std::move(steps);
         }
-        occurrences[std::to_string(number)] = std::move(steps);
     }
     json["occurrences"] = std::move(occurrences);
     return json.dump(-1, ' ', false, Json::error_handler_t::replace);
@@ -248,21 +222,50 @@
     try {
         const auto json = Json::parse(text);
         job.hasBegun = json.value("begun", false);
-        job.doneOccurrences = json.value("finished", std::set<int>());
+        job.doneOccurrences = readDoneOccurrences(json.value("finished", Json::array()), job.spec.occurrences);
         for (const auto &service : json.value("services", std::vector<std::string>())) {
             job.services[service] = true;
         }
-        for (const auto &[number, steps] : json.at("occurrences").items()) {
-            job.addOccurrence(std::stoi(number), now);
-            readOccurrence(steps, job.occurrences.at(std::stoi(number)));
+        for (const auto &[key, steps] : json.at("occurrences").items()) {
+            const int number = std::stoi(key);
+            if (number >= 0 && number < job.spec.occurrences && !job.doneOccurrences.contains(number)) {
+                job.addOccurrence(number, now);
+                readOccurrence(steps, job.occurrences.at(number));
+            }
         }
-        job.nextOccurrence = json.value("next", job.nextOccurrence);
+        job.nextOccurrence = std::max(job.nextOccurrence, std::min(json.value("next", 0), job.spec.occurrences));
     } catch (const std::exception &) {
         return false;
     }
     return true;
 }
 
+std::string JobRecordCodec::part(const StepState &step, int firstTask, RecordDetail detail)
+{
+    Json tasks = Json::array();
+    const auto end = std::min(step.tasks.size(), static_cast<std::size_t>(firstTask) + JobPart::maxTasks);
+    for (auto index = static_cast<std::size_t>(firstTask); index < end; ++index) {
+        tasks.push_back(TaskRecordCodec::write(step.tasks[index], detail));
+    }
+    return Json { { "tasks", std::move(tasks) } }.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+bool JobRecordCodec::readPart(const std::string &text, int firstTask, StepState &step)
+{
+    const auto json = Json::parse(text, nullptr, false);
+    if (!json.is_object() || !json.contains("tasks") || !json["tasks"].is_array()) {
+        return false;
+    }
+    const auto &tasks = json["tasks"];
+    bool isValid = true;
+    for (std::size_t offset = 0; offset < tasks.size(); ++offset) {
+        const auto index = static_cast<std::size_t>(firstTask) + offset;
+        isValid = index < step.tasks.size() && TaskRecordCodec::read(tasks[offset], step.tasks[index]) && isValid;
+    }
+    step.countDoneTasks();
+    return isValid;
+}
+
 std::optional<JobStage> JobRecordCodec::stageOf(const std::string &text, std::chrono::milliseconds &endedAt)
 {
     const auto json = Json::parse(text, nullptr, false);
--- a/modules/dispatch/JobRecordCodec.h
+++ b/modules/dispatch/JobRecordCodec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/JobState.h"
+#include "dispatch/TaskRecordCodec.h"
 #include "workload/WorkerEntry.h"
 
 #include <optional>
@@ -11,8 +12,8 @@
 /**
     Converts jobs and roster entries to and from the texts in the store.
 
-    A job has two texts: its description, written once, and its progress, written after each end of a run. All texts are JSON
-    objects with keys of auburndoor's own, not the platform's.
+    A job has two texts: its description, written once, and its progress, written after each end of a run. A wide job has a further
+    one for each JobPart. All texts are JSON objects with keys of auburndoor's own, not the platform's.
 */
 class JobRecordCodec
 {
@@ -23,12 +24,20 @@
     /** Fills the job's spec, queue and acceptedAt. @return false if the text cannot be read; the job may be filled in part then */
     static bool readDescription(const std::string &text, JobState &job);
 
-    /** Returns the progress of a job: its stage, done tasks, failures, attempts and checkpoints; for an ended job, its end. */
-    static std::string progress(const JobState &job);
+    /**
+        Returns the progress of a job: its stage, done tasks, failures, attempts and checkpoints; for an ended job, its end. The
+       tasks of a wide job are in its parts.
+    */
+    static std::string progress(const JobState &job, RecordDetail detail = RecordDetail::Full);
 
     /** Applies stored progress to a job whose description was read. @return false if the text cannot be read */
     static bool readProgress(const std::string &text, JobState &job, TimePoint now);
 
+    /** Returns the progress of the tasks of a part of a wide job. @param firstTask as JobPart::firstTask */
+    static std::string part(const StepState &step, int firstTask, RecordDetail detail = RecordDetail::Full);
+    /** Applies a stored part. @return false if it cannot be read as a whole; the readable tasks are applied */
+    static bool readPart(const std::string &text, int firstTask, StepState &step);
+
     /** Returns the stage in a progress text, and sets endedAt if the text holds the time of an end. Empty if it cannot be read. */
     static std::optional<JobStage> stageOf(const std::string &text, std::chrono::milliseconds &endedAt);
 
--- a/modules/dispatch/JobState.cpp
+++ b/modules/dispatch/JobState.cpp
@@ -8,6 +8,9 @@
 
 // A job that takes longer than this multiple of its objective no longer counts as late but as lost.
 constexpr int finalDeadlineFactor = 3;
+// Bounds of what the due occurrences of one job take of the memory of an entry machine and of a row of the store.
+constexpr std::size_t maxOpenOccurrences = 1000;
+constexpr std::int64_t maxOpenTasks = 20000;
 
 } // namespace
 
@@ -69,6 +72,11 @@
     return job->spec.steps[static_cast<std::size_t>(index)];
 }
 
+void StepState::countDoneTasks()
+{
+    doneCount = static_cast<int>(std::count_if(tasks.begin(), tasks.end(), [](const Task &task) { return task.isDone; }));
+}
+
 bool StepState::hasIdleTask() const
 {
     return std::any_of(tasks.begin(), tasks.end(), [](const Task &task) { return task.isIdle(); });
@@ -107,6 +115,27 @@
     nextOccurrence = std::max(nextOccurrence, number + 1);
 }
 
+void JobState::addMissingOccurrences(TimePoint now)
+{
+    for (int number = 0; number < nextOccurrence; ++number) {
+        if (!doneOccurrences.contains(number) && !occurrences.contains(number)) {
+            addOccurrence(number, now);
+        }
+    }
+}
+
+bool JobState::hasRoomForOccurrence() const
+{
+    return occurrences.empty()
+           || (occurrences.size() < maxOpenOccurrences
+               && static_cast<std::int64_t>(occurrences.size() + 1) * spec.taskCount() <= maxOpenTasks);
+}
+
+bool JobState::isWide() const
+{
+    return spec.taskCount() * spec.occurrences > JobPart::maxTasks;
+}
+
 bool JobState::isServiceStored() const
 {
     const auto found = services.find(queue.service);
--- a/modules/dispatch/JobState.h
+++ b/modules/dispatch/JobState.h
@@ -2,6 +2,7 @@
 
 #include "core/Clock.h"
 #include "dispatch/CrashLedger.h"
+#include "dispatch/JobPart.h"
 #include "workload/DesiredState.h"
 #include "workload/JobSpec.h"
 
@@ -143,6 +144,8 @@
     TimePoint readySince;
 
     const StepSpec &spec() const;
+    /** Sets doneCount by the tasks. */
+    void countDoneTasks();
     bool isDone() const
     {
         return doneCount == static_cast<int>(tasks.size());
@@ -195,8 +198,21 @@
     /** The number of the next occurrence to be added. */
     int nextOccurrence = 0;
     std::set<int> doneOccurrences;
+    /** Of a wide job: the parts that may be in the store. */
+    std::set<JobPart> parts;
+    /** Parts that have to be stored before the progress row, which an earlier release has written with all tasks, may be replaced.
+     */
+    std::set<JobPart> unstoredParts;
+    /** What waits until unstoredParts is empty, for the row to be stored after that. */
+    std::vector<std::function<void()>> waitingForParts;
 
     void addOccurrence(int number, TimePoint now);
+    /** Adds the occurrences that are due but not done, and that no record names, since they had made no progress. */
+    void addMissingOccurrences(TimePoint now);
+    /** True if one more occurrence may be added: those that wait take memory, and one after the other gets its turn. */
+    bool hasRoomForOccurrence() const;
+    /** True if the progress of its tasks takes more than one row of the store; does not change during its life. */
+    bool isWide() const;
     /** True if the store holds that the job may have runs on workers of its queue's present service. */
     bool isServiceStored() const;
     /** Null if there is no such step, or if its occurrence is not due or done. */
--- a/modules/entry/Owner.cpp
+++ b/modules/entry/Owner.cpp
@@ -36,12 +36,14 @@
     , ownership(ownership)
     , deposedCallback(std::move(deposedCallback))
     , timing(fleetTiming(dependencies.settings))
-    , commitQueue(dependencies.timers,
-                  dependencies.store,
-                  dependencies.settings.nodeName + "#" + std::to_string(ownership.token),
-                  ownership.epochVersion,
-                  ownership.sequenceVersion,
-                  [this] { depose(); })
+    , commitQueue(
+          dependencies.timers,
+          dependencies.store,
+          dependencies.settings.nodeName + "#" + std::to_string(ownership.token),
+          ownership.epochVersion,
+          ownership.sequenceVersion,
+          [this] { depose(); },
+          dependencies.settings.maxRowBytes)
     , jobManager(dependencies.timers, commitQueue, ownership.token, { [this] { schedulePlacement(); }, [this] { depose(); } })
     , fleet(dependencies.timers, dependencies.workerClients, jobManager, timing, ownership.token)
     , placer(dependencies.timers,
@@ -228,6 +230,7 @@
     metrics.setGauge("jobs_begun_per_second", impl_->beginRate);
     metrics.setGauge("worker_looks", static_cast<double>(impl_->fleet.renewalCount()));
     metrics.setGauge("store_transactions", static_cast<double>(impl_->commitQueue.sentCount()));
+    metrics.setGauge("store_rows_rejected", static_cast<double>(impl_->commitQueue.rejectedRowCount()));
 }
 
 void Owner::flush(Milliseconds timeout, std::function<void(const Ownership &)> done)
--- a/modules/entry/OwnerImpl.h
+++ b/modules/entry/OwnerImpl.h
@@ -28,6 +28,7 @@
     /** Restores the state from the stored tables once all are read, and starts to work. */
     void restoreState();
     void restoreProgress(const std::vector<StoreRow> &rows);
+    void restoreParts(const std::vector<StoreRow> &rows);
     void restoreJobs(const std::vector<StoreRow> &rows);
     void restoreRoster(const std::vector<StoreRow> &rows);
     /** Passes rows of the platform's worker table to the fleet. @param isWholeTable false if the rows are changes */
@@ -84,6 +85,8 @@
     std::map<std::string, std::vector<StoreRow>> tablesRead;
     /** The progress records of jobs that have not ended, by job, until restoreJobs(). */
     std::map<std::string, std::string> storedProgress;
+    /** The parts of wide jobs, by job, until restoreJobs(). */
+    std::map<std::string, JobManager::StoredParts> storedParts;
     DesiredState desiredState;
     bool isReady = false;
     bool isClosed = false;
--- a/modules/entry/OwnerRecovery.cpp
+++ b/modules/entry/OwnerRecovery.cpp
@@ -15,7 +15,7 @@
 void Owner::Impl::readTables()
 {
     // No earlier owner can write any more, so the tables can be read in parallel.
-    for (const auto *table : { JobTables::progress, JobTables::jobs, JobTables::roster }) {
+    for (const auto *table : { JobTables::progress, JobTables::parts, JobTables::jobs, JobTables::roster }) {
         readTable(table);
     }
 }
@@ -41,11 +41,12 @@
 
 void Owner::Impl::restoreState()
 {
-    constexpr std::size_t tableCount = 3;
+    constexpr std::size_t tableCount = 4;
     if (tablesRead.size() < tableCount) {
         return;
     }
     restoreProgress(tablesRead.at(JobTables::progress));
+    restoreParts(tablesRead.at(JobTables::parts));
     restoreJobs(tablesRead.at(JobTables::jobs));
     restoreRoster(tablesRead.at(JobTables::roster));
     tablesRead.clear();
@@ -76,6 +77,17 @@
     }
 }
 
+void Owner::Impl::restoreParts(const std::vector<StoreRow> &rows)
+{
+    for (const auto &row : rows) {
+        if (const auto named = JobPart::readKey(row.key)) {
+            storedParts[named->first][named->second] = row.value;
+        } else {
+            EventLog::write("record.unreadable", { { "job", row.key }, { "table", JobTables::parts } });
+        }
+    }
+}
+
 void Owner::Impl::restoreJobs(const std::vector<StoreRow> &rows)
 {
     for (const auto &row : rows) {
@@ -83,9 +95,17 @@
             // The job's end is stored; the previous owner did not get to remove its description.
             jobManager.dropDescription(row.key);
         } else {
-            jobManager.restore(row.key, row.value, storedProgress[row.key]);
+            jobManager.restore(row.key, row.value, storedProgress[row.key], storedParts[row.key]);
+            storedParts.erase(row.key);
+        }
+    }
+    // The jobs of the others have ended, and the previous owner did not get to remove them.
+    for (const auto &[job, parts] : storedParts) {
+        for (const auto &[part, text] : parts) {
+            jobManager.dropPart(job, part);
         }
     }
+    storedParts.clear();
     storedProgress.clear();
     jobManager.setDesiredState(desiredState);
 }
--- a/modules/entry/OwnerServing.cpp
+++ b/modules/entry/OwnerServing.cpp
@@ -89,6 +89,10 @@
                            .retryAfter = retryAfterStall,
                            .detail = "the store does not take jobs" });
                 return;
+            case SubmitOutcome::TooLarge:
+                callback({ .outcome = ClientResult::Outcome::Malformed,
+                           .detail = "the description of the job takes more bytes than the store holds in a row" });
+                return;
             case SubmitOutcome::Unknown:
                 callback({ .outcome = ClientResult::Outcome::Unknown,
                            .detail = "the job ended before the store confirmed that it is stored" });
--- a/modules/workload/JobSpec.h
+++ b/modules/workload/JobSpec.h
@@ -3,6 +3,7 @@
 #include "core/Clock.h"
 #include "core/Resources.h"
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -61,6 +62,9 @@
     /** The wall time at which the first occurrence is due, since 1970. */
     std::chrono::milliseconds firstDue { 0 };
     std::chrono::milliseconds interval { 0 };
+
+    /** The number of tasks of all steps together, in one occurrence. */
+    std::int64_t taskCount() const;
 };
 
 /** The name of one task: job, occurrence, step and index. */
--- a/modules/workload/StateStore.cpp
+++ b/modules/workload/StateStore.cpp
@@ -13,6 +13,8 @@
         return "history-lost";
     case StoreOutcome::NotDone:
         return "not-done";
+    case StoreOutcome::Rejected:
+        return "rejected";
     case StoreOutcome::Unknown:
         break;
     }
--- a/modules/workload/StateStore.h
+++ b/modules/workload/StateStore.h
@@ -51,6 +51,8 @@
     HistoryCompacted,
     /** The store refused the call or could not be reached; nothing was applied. */
     NotDone,
+    /** The store does not take this call, such as one with a row that is too large, and never will; nothing was applied. */
+    Rejected,
     /** No reply: the change may have been applied, or may still be applied later if its expectations then hold. */
     Unknown,
 };
--- a/tests/dispatch/CommitQueueTests.cpp
+++ b/tests/dispatch/CommitQueueTests.cpp
@@ -193,3 +193,57 @@
     CHECK(fixture.store.row("jobs", "progress100") != nullptr);
     CHECK(fixture.durableCount > before);
 }
+
+// Guards against a row that the store never takes and that keeps all others from being stored, for this owner and each successor.
+TEST_CASE("a row that the store does not take holds up no other")
+{
+    CommitQueueFixture fixture;
+    constexpr std::size_t limit = 100;
+    fixture.store.setMaxRowBytes(limit);
+    constexpr int rows = 40;
+    for (int row = 0; row < rows; ++row) {
+        fixture.put(std::to_string(row), row % 13 == 5 ? std::string(limit + 1, 'x') : "v");
+    }
+    fixture.timers.advance(Milliseconds(1500));
+    for (int row = 0; row < rows; ++row) {
+        CHECK((fixture.store.row("jobs", std::to_string(row)) != nullptr) == (row % 13 != 5));
+    }
+    CHECK(fixture.commitQueue->rejectedRowCount() == 3);
+    CHECK(fixture.durableCount == rows - 3);
+    CHECK_FALSE(fixture.commitQueue->isStalled());
+    CHECK(fixture.commitQueue->isIdle());
+    CHECK(fixture.deposedCount == 0);
+    // A row that shrinks is stored, and what waited for it is told.
+    fixture.put("5", "small");
+    fixture.timers.advance(Milliseconds(200));
+    CHECK(fixture.store.row("jobs", "5")->value == "small");
+    CHECK(fixture.durableCount == rows - 3 + 2);
+    CHECK(fixture.commitQueue->withdraw("jobs", "18"));
+}
+
+// Guards against a transaction that is sent although one of its rows is known to be too large.
+TEST_CASE("a row above the limit of the settings is not sent")
+{
+    CommitQueueFixture fixture;
+    constexpr std::size_t limit = 100;
+    fixture.commitQueue = std::make_unique<CommitQueue>(
+        fixture.timers,
+        fixture.store,
+        "node#1",
+        fixture.store.row(FencingRows::table, FencingRows::epochKey)->version,
+        0,
+        [&fixture] { ++fixture.deposedCount; },
+        limit);
+    fixture.store.setMaxRowBytes(limit);
+    std::size_t size = limit + 1;
+    fixture.commitQueue->put("jobs", "a", [&size] { return std::string(size, 'x'); });
+    fixture.put("b", "v");
+    fixture.timers.advance(Milliseconds(200));
+    CHECK(fixture.store.row("jobs", "b") != nullptr);
+    CHECK(fixture.store.rejectedCount() == 0);
+    CHECK(fixture.commitQueue->rejectedRowCount() == 1);
+    // It is tried again without another put().
+    size = limit;
+    fixture.timers.advance(Milliseconds(6000));
+    CHECK(fixture.store.row("jobs", "a") != nullptr);
+}
--- a/tests/fakes/FakeStore.cpp
+++ b/tests/fakes/FakeStore.cpp
@@ -1,5 +1,7 @@
 #include "fakes/FakeStore.h"
 
+#include <algorithm>
+
 namespace auburndoor {
 
 namespace {
@@ -30,6 +32,13 @@
         }
         return result;
     }
+    const auto isTooLarge = [this](const StoreRow &row) { return row.value.size() > maxRowBytes_; };
+    if (std::any_of(change.writes.begin(), change.writes.end(), isTooLarge)) {
+        ++rejected_;
+        result.outcome = StoreOutcome::Rejected;
+        result.detail = "a value is too large";
+        return result;
+    }
     ++commits_;
     ++version_;
     for (const auto &written : change.writes) {
@@ -116,6 +125,17 @@
     apply(change);
 }
 
+std::vector<std::string> FakeStore::keys(const std::string &table) const
+{
+    std::vector<std::string> keys;
+    for (const auto &[name, stored] : rows_) {
+        if (name.first == table) {
+            keys.push_back(name.second);
+        }
+    }
+    return keys;
+}
+
 const StoreRow *FakeStore::row(const std::string &table, const std::string &key) const
 {
     const auto found = rows_.find({ table, key });
--- a/tests/fakes/FakeStore.h
+++ b/tests/fakes/FakeStore.h
@@ -3,8 +3,11 @@
 #include "net/Timers.h"
 #include "workload/StateStore.h"
 
+#include <cstdint>
 #include <map>
+#include <string>
 #include <utility>
+#include <vector>
 
 namespace auburndoor {
 
@@ -40,6 +43,12 @@
         applyAfter_ = applyAfter;
     }
 
+    /** A transaction with a larger value is rejected for good. */
+    void setMaxRowBytes(std::size_t bytes)
+    {
+        maxRowBytes_ = bytes;
+    }
+
     /** Writes a row as another writer would. */
     void write(const std::string &table, const std::string &key, const std::string &value);
     void remove(const std::string &table, const std::string &key);
@@ -49,6 +58,13 @@
     {
         return commits_;
     }
+    /** The transactions that were rejected for good. */
+    int rejectedCount() const
+    {
+        return rejected_;
+    }
+    /** The keys of the rows of a table. */
+    std::vector<std::string> keys(const std::string &table) const;
 
 private:
     StoreResult apply(const StoreChange &change);
@@ -59,6 +75,8 @@
     std::vector<StoreRow> history_;
     std::int64_t version_ = 0;
     int commits_ = 0;
+    int rejected_ = 0;
+    std::size_t maxRowBytes_ = SIZE_MAX;
     Milliseconds answerTime_ { 8 };
     int answersToLose_ = 0;
     Milliseconds applyAfter_ { 0 };
