A report with as many ended runs as a worker lists decides nothing about runs that it does not list

Cause: a worker lists its ended runs 500 at a time. The owner took a run that was neither running nor among them for gone and started its task again. A new owner took a first report of that kind for whole.

Change: a report with 500 ends is marked as cut off, also through relays. It confirms what it lists; runs that are missing, uncertain or stopped, and crashes, wait for a whole report. A worker counts as read once a report is whole, and a new owner waits for that as long as it extends the worker's lease. The next poll follows at once when the listed ends are stored. Ends that cannot be read are acknowledged with the others, so that they cannot fill the list for good.

Why it works: absence counts only where the list is known to be whole, and the list drains without a start or a stop in between.

--- a/modules/dispatch/Fleet.cpp
+++ b/modules/dispatch/Fleet.cpp
@@ -3,6 +3,7 @@
 #include "dispatch/FleetImpl.h"
 #include "observability/EventLog.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace auburndoor {
@@ -168,14 +169,14 @@
                                        : worker.runs.empty() || now - worker.lastReportAt < impl_->timing.maxReportAge);
 }
 
-bool Fleet::hasUnreadWorkers(const std::string &service) const
+bool Fleet::hasUnreadWorkers(const std::string &service, bool areInheritedLeasesOver) const
 {
-    for (const auto &[id, worker] : impl_->workers) {
-        if (!worker->isReportRead && worker->entry.hasServed(service)) {
-            return true;
-        }
-    }
-    return false;
+    const auto now = impl_->timers.now();
+    return std::any_of(impl_->workers.begin(), impl_->workers.end(), [&](const auto &entry) {
+        const auto &worker = *entry.second;
+        const bool hasLease = !areInheritedLeasesOver || (worker.isReportCutOff && now <= worker.client->leaseEnd());
+        return !worker.isReportRead && hasLease && worker.entry.hasServed(service);
+    });
 }
 
 const std::map<std::string, std::unique_ptr<WorkerState>> &Fleet::workers() const
--- a/modules/dispatch/Fleet.h
+++ b/modules/dispatch/Fleet.h
@@ -140,8 +140,11 @@
     /**
         True while the report of some worker is unread that serves the service, or has served it in its present incarnation, so that
         it may have runs unknown to this owner.
+
+        @param areInheritedLeasesOver no lease of an earlier owner holds any more: only workers whose reports are cut off, and whose
+                                      leases this owner has extended, count
     */
-    bool hasUnreadWorkers(const std::string &service) const;
+    bool hasUnreadWorkers(const std::string &service, bool areInheritedLeasesOver) const;
 
     const std::map<std::string, std::unique_ptr<WorkerState>> &workers() const;
     /**
--- a/modules/dispatch/FleetImpl.cpp
+++ b/modules/dispatch/FleetImpl.cpp
@@ -96,7 +96,8 @@
     }
     worker.lastSeenEnd = 0;
     worker.acknowledgedEnd = 0;
-    worker.recordedEnds.clear();
+    worker.unrecordedEnds.clear();
+    worker.isReportCutOff = false;
     worker.deliveredAcknowledgement = 0;
     worker.recentFailures.clear();
     worker.recentlyEndedRuns.clear();
@@ -236,6 +237,9 @@
     if (worker == nullptr || worker->isListed || !worker->runs.empty() || worker->hasUnacknowledgedEnds()) {
         return;
     }
+    if (worker->isReportCutOff && worker->failedPolls == 0) {
+        return;
+    }
     const auto inheritedLease = Milliseconds(
         static_cast<std::int64_t>(static_cast<double>(timing.lease.count()) * slowestClockFactor));
     const auto safeAt = std::max(worker->client->leaseEnd(), createdAt + inheritedLease + deposedOwnerAllowance);
--- a/modules/dispatch/FleetPolling.cpp
+++ b/modules/dispatch/FleetPolling.cpp
@@ -121,6 +121,8 @@
             run.confirmedAt = timers.now();
             run.percentChangedAt = timers.now();
             listener.runConfirmed(worker.entry.id, run);
+        } else if (worker.isReportCutOff) {
+            continue;
         } else if (!listed.contains(key) && run.isStartAnswered) {
             lost.push_back(key);
         } else if (run.stopReason.empty()) {
@@ -196,17 +198,27 @@
     noteChange(worker);
     const auto lastSeenEndBefore = worker.lastSeenEnd;
     const bool wasReportRead = worker.isReportRead;
-    worker.isReportRead = true;
+    const bool isNewlyCutOff = report.isCutOff && !worker.isReportCutOff;
+    worker.isReportCutOff = report.isCutOff;
+    // Runs that have ended beyond the listed ends are unknown until these are acknowledged.
+    worker.isReportRead = wasReportRead || !report.isCutOff;
+    if (isNewlyCutOff) {
+        EventLog::write(
+            "worker.cut_off",
+            { { "worker", id }, { "ends", report.ended.size() }, { "runs", worker.runs.size() }, { "read", wasReportRead } });
+    }
     processEnds(worker, report);
     processRunning(worker, report, pollSentAt);
     reportCrashes(id, report, pollSentAt);
-    if (!wasReportRead) {
+    if (!wasReportRead && worker.isReportRead) {
         listener.capacityChanged();
     }
     const bool hasNewEnds = worker.lastSeenEnd > lastSeenEndBefore;
     if (worker.hasUnacknowledgedEnds()) {
         // The worker answers at once while it lists unacknowledged ends: the next poll is delayed until they may be stored.
         schedulePoll(id, hasNewEnds ? timing.endBatchDelay : pollDelayWithUnrecordedEnds);
+    } else if (worker.isReportCutOff) {
+        schedulePoll(id, Milliseconds(0));
     } else if (!worker.runs.empty()) {
         schedulePoll(id, wasReportRead ? Milliseconds(2) : Milliseconds(0));
     }
@@ -217,6 +229,9 @@
 
 void Fleet::Impl::reportCrashes(const std::string &id, const TaskReport &report, TimePoint pollSentAt)
 {
+    if (report.isCutOff) {
+        return;
+    }
     for (auto &crash : possibleCrashes.take(id, report.incarnation, pollSentAt)) {
         // A start that was answered by the later incarnation, before its entry was known, has not ended with the earlier one.
         const auto isListed = [&report](const WorkerCrash::AffectedRun &run) {
@@ -252,6 +267,7 @@
             recordOutcome(worker, end.end == RunOutcome::Failed);
         }
         removeRun(worker, key);
+        worker.unrecordedEnds.insert(end.number);
         listener.runEnded(id, end, [impl = shared_from_this(), id, incarnation, number = end.number] {
             impl->onEndRecorded(id, incarnation, number);
         });
@@ -264,11 +280,9 @@
     if (worker == nullptr || worker->entry.incarnation != incarnation) {
         return;
     }
-    worker->recordedEnds.insert(number);
-    while (!worker->recordedEnds.empty() && *worker->recordedEnds.begin() <= worker->acknowledgedEnd + 1) {
-        worker->acknowledgedEnd = std::max(worker->acknowledgedEnd, *worker->recordedEnds.begin());
-        worker->recordedEnds.erase(worker->recordedEnds.begin());
-    }
+    worker->unrecordedEnds.erase(number);
+    const auto recorded = worker->unrecordedEnds.empty() ? worker->lastSeenEnd : *worker->unrecordedEnds.begin() - 1;
+    worker->acknowledgedEnd = std::max(worker->acknowledgedEnd, recorded);
 }
 
 void Fleet::Impl::processRunning(WorkerState &worker, const TaskReport &report, TimePoint pollSentAt)
@@ -339,6 +353,9 @@
 
 void Fleet::Impl::reportMissingRuns(WorkerState &worker, const std::set<RunKey> &listed, TimePoint pollSentAt)
 {
+    if (worker.isReportCutOff) {
+        return;
+    }
     std::vector<std::pair<RunKey, RunLoss>> missing;
     for (const auto &[key, run] : worker.runs) {
         if (listed.contains(key)) {
--- a/modules/dispatch/TaskPlacerRounds.cpp
+++ b/modules/dispatch/TaskPlacerRounds.cpp
@@ -215,7 +215,7 @@
     if (job.stage != JobStage::Queued && job.stage != JobStage::Running) {
         return false;
     }
-    if (!job.isInherited || now_ > inheritedJobsWaitUntil_ || !mayHaveUnknownRuns(job)) {
+    if (!job.isInherited || !mayHaveUnknownRuns(job)) {
         return true;
     }
     hasJobsWaitingForReports_ = true;
@@ -234,7 +234,7 @@
 {
     const auto [found, isNew] = unreadByService_.try_emplace(service);
     if (isNew) {
-        found->second = fleet_.hasUnreadWorkers(service);
+        found->second = fleet_.hasUnreadWorkers(service, now_ > inheritedJobsWaitUntil_);
     }
     return found->second;
 }
--- a/modules/dispatch/WorkerState.h
+++ b/modules/dispatch/WorkerState.h
@@ -22,6 +22,8 @@
     Resources used;
     /** All its runs are known: its report was read under this owner's token, or none of its earlier runs can go on. */
     bool isReportRead = false;
+    /** Its last report did not list all its ended runs, so that the absence of a run tells nothing. */
+    bool isReportCutOff = false;
     /** It is in the directory. */
     bool isListed = false;
     /** Its entry is that of its current incarnation, which may have another capacity and other labels than the one before. */
@@ -45,8 +47,8 @@
     std::int64_t lastSeenEnd = 0;
     /** All ends up to this number are stored, so that the worker may forget them. */
     std::int64_t acknowledgedEnd = 0;
-    /** The numbers of stored ends above acknowledgedEnd. */
-    std::set<std::int64_t> recordedEnds;
+    /** The numbers of processed ends that are not stored yet. */
+    std::set<std::int64_t> unrecordedEnds;
     /** The highest acknowledgement that the worker is known to have received. */
     std::int64_t deliveredAcknowledgement = 0;
     /** The number of its runs that are unwanted. */
--- a/modules/entry/WorkerRelayCodec.cpp
+++ b/modules/entry/WorkerRelayCodec.cpp
@@ -234,8 +234,8 @@
     return command;
 }
 
-// A report is [incarnation, running tasks, finished runs]; a running task is its fields and [percentage, latency or processor use,
-// checkpoint], a finished run its fields and [number, outcome, checkpoint].
+// A report is [incarnation, running tasks, finished runs, whether it is cut off]; a running task is its fields and [percentage,
+// latency or processor use, checkpoint], a finished run its fields and [number, outcome, checkpoint].
 Json encodeReport(const TaskReport &report, TextTable &jobs)
 {
     Json::array_t running;
@@ -261,10 +261,11 @@
         ended.emplace_back(std::move(row));
     }
     Json::array_t json;
-    json.reserve(3);
+    json.reserve(4);
     json.emplace_back(report.incarnation);
     json.emplace_back(std::move(running));
     json.emplace_back(std::move(ended));
+    json.emplace_back(report.isCutOff ? 1 : 0);
     return json;
 }
 
@@ -288,6 +289,8 @@
         ended.checkpoint = readText(row.at(taskFieldCount + 2));
         report.ended.push_back(std::move(ended));
     }
+    // Absent in the reports of relays of earlier releases.
+    report.isCutOff = json.size() > 3 && readInteger(json.at(3)) != 0;
     return report;
 }
 
--- a/modules/workload/WorkerClient.h
+++ b/modules/workload/WorkerClient.h
@@ -88,6 +88,8 @@
     std::vector<EndedTask> ended;
     /** The worker's incarnation, as in WorkerEntry. */
     std::int64_t incarnation = 0;
+    /** The worker may have finished more runs than it lists: one that is in neither list may have ended in any way. */
+    bool isCutOff = false;
 };
 
 /** The command to start one attempt of a task. */
--- a/tests/adapter/CodecTests.cpp
+++ b/tests/adapter/CodecTests.cpp
@@ -2,8 +2,10 @@
 #include "JobCodec.h"
 #include "NodeFile.h"
 #include "PlatformProtocol.h"
+#include "WorkerReportCodec.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace auburndoor;
 
@@ -183,3 +185,37 @@
         CHECK_FALSE(error.empty());
     }
 }
+
+// Guards against a report that is taken for whole although the worker may have more ended runs than it lists.
+TEST_CASE("a report with as many ended runs as a worker lists at a time is cut off")
+{
+    const int ends = GENERATE(0, 499, 500);
+    CAPTURE(ends);
+    nlohmann::json root { { "born", 7 }, { "running", nlohmann::json::array() }, { "finished", nlohmann::json::array() } };
+    for (int number = 1; number <= ends; ++number) {
+        root["finished"].push_back({ number, "00000000000000aa.0.0." + std::to_string(number), 1, "done", "" });
+    }
+    const auto report = platform::readTaskReport(root);
+    CHECK(report.ended.size() == static_cast<std::size_t>(ends));
+    CHECK(report.isCutOff == (ends == 500));
+}
+
+// Guards against an end that is never acknowledged since it cannot be read, and that keeps those behind it from being listed.
+TEST_CASE("malformed rows of a report are no running tasks, and their ends can be acknowledged")
+{
+    const auto root = nlohmann::json::parse(R"({"born":7,
+        "running":[["00000000000000aa.0.0.1",1,"",40],["x",1,"",40],["00000000000000aa.0.0.2",1e300,"",40],7,
+                   ["00000000000000aa.0.0.3",2,"",1e300],["00000000000000aa.0.0.4",2,"",50,-1e300]],
+        "finished":[[1,"00000000000000aa.0.0.5",1,"done",""],[2,"00000000000000aa.0.0.6",1,"vanished",""],[3],
+                    [4,"00000000000000aa.0.0.99999999999",1,"done",""],[1e300,"00000000000000aa.0.0.7",1,"done",""],{"a":[]}]})");
+    const auto report = platform::readTaskReport(root);
+    REQUIRE(report.running.size() == 2);
+    CHECK(report.running[0].task.index == 1);
+    CHECK(report.running[1].task.index == 4);
+    CHECK(report.running[1].latencyOrProcessorUse == -1);
+    REQUIRE(report.ended.size() == 4);
+    for (std::size_t index = 0; index < report.ended.size(); ++index) {
+        CHECK(report.ended[index].number == static_cast<std::int64_t>(index) + 1);
+        CHECK(report.ended[index].task.job.empty() == (index > 0));
+    }
+}
--- a/tests/fakes/SimulatedWorker.cpp
+++ b/tests/fakes/SimulatedWorker.cpp
@@ -126,7 +126,8 @@
         const auto percent = run.duration.count() == 0 ? 100 : static_cast<int>(elapsed * 100 / run.duration);
         report.running.push_back({ key.first, key.second, {}, std::min(percent, 99) });
     }
-    report.ended = ended_;
+    report.isCutOff = ended_.size() >= maxListedEnds;
+    report.ended.assign(ended_.begin(), ended_.begin() + static_cast<std::ptrdiff_t>(std::min(ended_.size(), maxListedEnds)));
     report.incarnation = entry_.incarnation;
     return CommandOutcome::Accepted;
 }
--- a/tests/fakes/SimulatedWorker.h
+++ b/tests/fakes/SimulatedWorker.h
@@ -55,6 +55,9 @@
     /** While cut off, no order arrives and nothing is answered; it runs on. */
     bool isCutOff = false;
 
+    /** The most ended runs that a report lists, those with the lowest numbers. */
+    std::size_t maxListedEnds = 500;
+
     /** Another worker has its address and answers that it is not this one. */
     bool isReplaced = false;
 
