Readers of what other writers leave bound the depth of the text and the range of its numbers

After an epoch row that cannot be read the next token was 1, which every worker has fenced off.

Change: parseBoundedJson() for the entries and reports of workers, desired state, submissions, settings, the cell's own tables, messages of peers and relays, and the rows and messages of auburndoord. Numbers outside the range of their use make an entry unusable. The token after an unreadable epoch row is above the version of the row.

--- a/modules/client/JobTimeline.cpp
+++ b/modules/client/JobTimeline.cpp
@@ -1,5 +1,7 @@
 #include "client/JobTimeline.h"
 
+#include "core/BoundedJson.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -48,7 +50,7 @@
         if (text.empty()) {
             continue;
         }
-        const auto line = nlohmann::json::parse(text, nullptr, false);
+        const auto line = parseBoundedJson(text);
         const bool isLogLine = line.is_object() && line.contains("t") && line["t"].is_number() && line.contains("wall")
                                && line["wall"].is_number() && line.contains("process") && line["process"].is_string()
                                && line.contains("event") && line["event"].is_string();
--- a/modules/client/OperatorCommand.cpp
+++ b/modules/client/OperatorCommand.cpp
@@ -3,6 +3,7 @@
 #include "client/JobTimeline.h"
 #include "client/OperatorClient.h"
 #include "client/TextRenderer.h"
+#include "core/BoundedJson.h"
 #include "core/Failure.h"
 #include "core/JsonFields.h"
 #include "core/RandomId.h"
@@ -280,7 +281,7 @@
         const auto path = call.path.substr(0, call.path.find('?'));
         return exitCodeOf(reply.status, isFileUploadPath(path), isReadOnly(call.method, path));
     }
-    const auto value = Json::parse(reply.body, nullptr, false);
+    const auto value = parseBoundedJson(reply.body);
     if (!value.is_object()) {
         return isReadOnly(call.method, call.path)
                    ? fail(ExitCode::Refused, "the reply is not a JSON object")
@@ -301,7 +302,7 @@
     if (!isSuccess) {
         errors_ << "auburndoor: the instance replied with status " << reply.status << "\n";
     }
-    const auto value = Json::parse(reply.body, nullptr, false);
+    const auto value = parseBoundedJson(reply.body);
     if (value.is_discarded()) {
         stream << (reply.body.empty() ? "" : printable(reply.body) + "\n");
     } else if (options_.isJson) {
--- a/modules/configuration/ConfigurationHead.cpp
+++ b/modules/configuration/ConfigurationHead.cpp
@@ -1,5 +1,6 @@
 #include "configuration/ConfigurationHead.h"
 
+#include "core/BoundedJson.h"
 #include "core/Failure.h"
 #include "core/WallTimeText.h"
 
@@ -26,7 +27,7 @@
         return head;
     }
     try {
-        const auto value = nlohmann::json::parse(row.value);
+        const auto value = parseBoundedJson(row.value);
         head.version = value.at("version").get<long long>();
         head.digest = value.at("digest").get<std::string>();
         head.operatorName = value.at("operator").get<std::string>();
--- a/modules/core/Resources.cpp
+++ b/modules/core/Resources.cpp
@@ -12,7 +12,9 @@
 
 bool Resources::isValid() const
 {
-    return milliCores >= 0 && memoryMiB >= 0 && accelerators >= 0 && slots >= 0 && connections >= 0;
+    constexpr std::int64_t maxAmount = 1'000'000'000'000;
+    const auto isUsable = [](std::int64_t amount) { return amount >= 0 && amount <= maxAmount; };
+    return isUsable(milliCores) && isUsable(memoryMiB) && isUsable(accelerators) && isUsable(slots) && isUsable(connections);
 }
 
 Resources &Resources::operator+=(const Resources &other)
--- a/modules/core/Resources.h
+++ b/modules/core/Resources.h
@@ -20,7 +20,7 @@
     /** True if no amount exceeds the same amount of the other. */
     bool fitsIn(const Resources &other) const;
 
-    /** True if no amount is negative. */
+    /** True if no amount is negative or so large that the sum over all workers, or over the tasks of a job, leaves its type. */
     bool isValid() const;
 
     Resources &operator+=(const Resources &other);
--- a/modules/dispatch/JobManager.cpp
+++ b/modules/dispatch/JobManager.cpp
@@ -12,6 +12,8 @@
 
 // Jobs with an objective are past their final deadline by then.
 constexpr Milliseconds maxInheritedAge { 60000 };
+// Multiples of the time to an objective must not leave the range of a time point.
+constexpr Milliseconds maxTimeToObjective = std::chrono::hours(24 * 366);
 
 } // namespace
 
@@ -68,9 +70,9 @@
 void JobManager::initialize(JobState &job)
 {
     const auto &queue = job.queue;
+    const auto allowed = static_cast<double>(job.criticalPathTime().count()) * queue.slackFactor;
     job.objective = job.receivedAt + queue.latencyAllowance
-                    + Milliseconds(
-                        static_cast<std::int64_t>(static_cast<double>(job.criticalPathTime().count()) * queue.slackFactor));
+                    + Milliseconds(static_cast<std::int64_t>(std::min(allowed, static_cast<double>(maxTimeToObjective.count()))));
     if (!job.spec.isScheduled && job.occurrences.empty() && job.doneOccurrences.empty()) {
         job.addOccurrence(0, timers_.now());
     }
--- a/modules/dispatch/JobRecordCodec.cpp
+++ b/modules/dispatch/JobRecordCodec.cpp
@@ -1,5 +1,6 @@
 #include "dispatch/JobRecordCodec.h"
 
+#include "core/BoundedJson.h"
 #include "dispatch/JobPart.h"
 #include "dispatch/TaskRecordCodec.h"
 
@@ -7,6 +8,8 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
+#include <stdexcept>
 
 namespace auburndoor {
 
@@ -14,6 +17,12 @@
 
 namespace {
 
+// Limits of what is read. They are not below those of any submission.
+constexpr std::chrono::hours maxDuration { 24 * 366 };
+constexpr std::int64_t maxTasksPerJob = 1'000'000;
+constexpr int maxOccurrences = 10'000;
+constexpr double maxSlackFactor = 1e6;
+
 constexpr std::array allStages { JobStage::Recording, JobStage::Queued, JobStage::Running,
                                  JobStage::Completed, JobStage::Failed, JobStage::Cancelled };
 
@@ -49,14 +58,34 @@
     return json;
 }
 
+/** Reads an integer; defaultValue if it is absent. Throws std::out_of_range if it is no number, or no int64 or int as wanted. */
+template<typename Integer>
+Integer readNumber(const Json &json, const char *key, Integer defaultValue)
+{
+    const auto found = json.find(key);
+    if (found == json.end()) {
+        return defaultValue;
+    }
+    const auto number = toExactInteger(*found);
+    if (!number || *number < std::numeric_limits<Integer>::min() || *number > std::numeric_limits<Integer>::max()) {
+        throw std::out_of_range(key);
+    }
+    return static_cast<Integer>(*number);
+}
+
+Milliseconds readMilliseconds(const Json &json, const char *key)
+{
+    return Milliseconds(readNumber(json, key, std::int64_t(0)));
+}
+
 StepSpec readStep(const Json &json)
 {
     StepSpec step;
-    step.taskCount = json.value("tasks", 1);
-    step.need.milliCores = json.value("cores", std::int64_t(0));
-    step.need.memoryMiB = json.value("memory", std::int64_t(0));
-    step.need.accelerators = json.value("accelerators", std::int64_t(0));
-    step.estimate = Milliseconds(json.value("estimate", Milliseconds::rep(0)));
+    step.taskCount = readNumber(json, "tasks", 1);
+    step.need.milliCores = readNumber(json, "cores", std::int64_t(0));
+    step.need.memoryMiB = readNumber(json, "memory", std::int64_t(0));
+    step.need.accelerators = readNumber(json, "accelerators", std::int64_t(0));
+    step.estimate = readMilliseconds(json, "estimate");
     step.dependsOn = json.value("after", std::vector<int>());
     step.isGang = json.value("gang", false);
     step.prefersOneRack = json.value("one-rack", false);
@@ -66,13 +95,35 @@
     step.fillsIdleCapacity = json.value("fills", false);
     step.requiredLabel = json.value("label", std::string());
     step.dataRack = json.value("rack", std::string());
-    step.maxTasksPerWorker = json.value("per-worker", 0);
+    step.maxTasksPerWorker = readNumber(json, "per-worker", 0);
     step.image = json.value("image", std::string());
-    step.latencyTarget = Milliseconds(json.value("latency", Milliseconds::rep(0)));
-    step.maxUnavailable = json.value("unavailable", -1);
+    step.latencyTarget = readMilliseconds(json, "latency");
+    step.maxUnavailable = readNumber(json, "unavailable", -1);
     return step;
 }
 
+bool isUsableDuration(Milliseconds duration)
+{
+    return duration >= Milliseconds(0) && duration <= maxDuration;
+}
+
+/** True if a process bears the sizes and times of the job, as every submission was checked for. */
+bool isUsable(const JobState &job)
+{
+    const auto &spec = job.spec;
+    for (std::size_t index = 0; index < spec.steps.size(); ++index) {
+        const auto &step = spec.steps[index];
+        const auto isEarlier = [index](int other) { return other >= 0 && static_cast<std::size_t>(other) < index; };
+        if (step.taskCount < 1 || !step.need.isValid() || !isUsableDuration(step.estimate) || !isUsableDuration(step.latencyTarget)
+            || !std::all_of(step.dependsOn.begin(), step.dependsOn.end(), isEarlier)) {
+            return false;
+        }
+    }
+    return !spec.steps.empty() && spec.taskCount() <= maxTasksPerJob && spec.occurrences >= 1 && spec.occurrences <= maxOccurrences
+           && isUsableDuration(spec.interval) && isUsableDuration(job.queue.latencyAllowance) && job.queue.slackFactor >= 0
+           && job.queue.slackFactor <= maxSlackFactor;
+}
+
 void readOccurrence(const Json &json, OccurrenceState &occurrence)
 {
     for (std::size_t index = 0; index < std::min(json.size(), occurrence.steps.size()); ++index) {
@@ -147,7 +198,7 @@
 
 bool JobRecordCodec::readDescription(const std::string &text, JobState &job)
 {
-    const auto json = Json::parse(text, nullptr, false);
+    const auto json = parseBoundedJson(text);
     if (!json.is_object() || !json.contains("steps")) {
         return false;
     }
@@ -158,21 +209,21 @@
             job.spec.steps.push_back(readStep(step));
         }
         job.spec.isScheduled = json.contains("occurrences");
-        job.spec.occurrences = json.value("occurrences", 1);
-        job.spec.firstDue = Milliseconds(json.value("first", Milliseconds::rep(0)));
-        job.spec.interval = Milliseconds(json.value("interval", Milliseconds::rep(0)));
-        job.acceptedAt = Milliseconds(json.value("accepted", Milliseconds::rep(0)));
+        job.spec.occurrences = readNumber(json, "occurrences", 1);
+        job.spec.firstDue = readMilliseconds(json, "first");
+        job.spec.interval = readMilliseconds(json, "interval");
+        job.acceptedAt = readMilliseconds(json, "accepted");
         job.queue.name = job.spec.queue;
         job.queue.service = json.at("service").get<std::string>();
         job.services[job.queue.service] = true;
-        job.queue.priority = json.value("priority", 0);
-        job.queue.maxAttempts = json.value("attempts", 1);
+        job.queue.priority = readNumber(json, "priority", 0);
+        job.queue.maxAttempts = readNumber(json, "attempts", 1);
         job.queue.slackFactor = json.value("slack", 1.0);
-        job.queue.latencyAllowance = Milliseconds(json.value("allowance", Milliseconds::rep(0)));
-    } catch (const Json::exception &) {
+        job.queue.latencyAllowance = readMilliseconds(json, "allowance");
+        return isUsable(job);
+    } catch (const std::exception &) {
         return false;
     }
-    return true;
 }
 
 std::string JobRecordCodec::progress(const JobState &job, RecordDetail detail)
@@ -220,9 +271,11 @@
         return true;
     }
     try {
-        const auto json = Json::parse(text);
+        const auto json = parseBoundedJson(text);
         job.hasBegun = json.value("begun", false);
-        job.doneOccurrences = readDoneOccurrences(json.value("finished", Json::array()), job.spec.occurrences);
+        if (const auto finished = json.find("finished"); finished != json.end()) {
+            job.doneOccurrences = readDoneOccurrences(*finished, job.spec.occurrences);
+        }
         for (const auto &service : json.value("services", std::vector<std::string>())) {
             job.services[service] = true;
         }
@@ -233,7 +286,7 @@
                 readOccurrence(steps, job.occurrences.at(number));
             }
         }
-        job.nextOccurrence = std::max(job.nextOccurrence, std::min(json.value("next", 0), job.spec.occurrences));
+        job.nextOccurrence = std::max(job.nextOccurrence, std::min(readNumber(json, "next", 0), job.spec.occurrences));
     } catch (const std::exception &) {
         return false;
     }
@@ -252,7 +305,7 @@
 
 bool JobRecordCodec::readPart(const std::string &text, int firstTask, StepState &step)
 {
-    const auto json = Json::parse(text, nullptr, false);
+    const auto json = parseBoundedJson(text);
     if (!json.is_object() || !json.contains("tasks") || !json["tasks"].is_array()) {
         return false;
     }
@@ -268,7 +321,7 @@
 
 std::optional<JobStage> JobRecordCodec::stageOf(const std::string &text, std::chrono::milliseconds &endedAt)
 {
-    const auto json = Json::parse(text, nullptr, false);
+    const auto json = parseBoundedJson(text);
     if (!json.is_object() || !json.contains("stage") || !json["stage"].is_string()) {
         return std::nullopt;
     }
@@ -278,8 +331,8 @@
         return std::nullopt;
     }
     const auto ended = json.find("ended");
-    if (ended != json.end() && ended->is_number_integer()) {
-        endedAt = Milliseconds(ended->get<Milliseconds::rep>());
+    if (ended != json.end()) {
+        endedAt = Milliseconds(toExactInteger(*ended).value_or(0));
     }
     return *found;
 }
@@ -293,10 +346,10 @@
 
 std::optional<WorkerEntry> JobRecordCodec::readRosterEntry(const std::string &id, const std::string &text)
 {
-    const auto json = Json::parse(text, nullptr, false);
+    const auto json = parseBoundedJson(text);
     try {
         const auto address = Address::parse(json.at("address").get<std::string>());
-        if (!address) {
+        if (!address || !address->hasPort()) {
             return std::nullopt;
         }
         WorkerEntry entry;
@@ -304,9 +357,9 @@
         entry.service = json.at("service").get<std::string>();
         entry.earlierServices = json.value("earlier", std::set<std::string>());
         entry.address = *address;
-        entry.incarnation = json.at("born").get<std::int64_t>();
+        entry.incarnation = readNumber(json, "born", std::int64_t(0));
         return entry;
-    } catch (const Json::exception &) {
+    } catch (const std::exception &) {
         return std::nullopt;
     }
 }
--- a/modules/dispatch/JobState.cpp
+++ b/modules/dispatch/JobState.cpp
@@ -8,6 +8,7 @@
 
 // A job that takes longer than this multiple of its objective no longer counts as late but as lost.
 constexpr int finalDeadlineFactor = 3;
+constexpr std::chrono::hours maxScheduleDistance { 24 * 366 };
 // Bounds of what the due occurrences of one job take of the memory of an entry machine and of a row of the store.
 constexpr std::size_t maxOpenOccurrences = 1000;
 constexpr std::int64_t maxOpenTasks = 20000;
@@ -170,7 +171,9 @@
     if (!spec.isScheduled) {
         return now;
     }
-    return now + (spec.firstDue + occurrence * spec.interval - wallNow);
+    // The wall time of a schedule may be out of the range of a time point.
+    const auto untilDue = spec.firstDue + occurrence * spec.interval - wallNow;
+    return now + std::clamp<std::chrono::milliseconds>(untilDue, -maxScheduleDistance, maxScheduleDistance);
 }
 
 TimePoint JobState::objectiveOf(int occurrence) const
--- a/modules/dispatch/TaskRecordCodec.cpp
+++ b/modules/dispatch/TaskRecordCodec.cpp
@@ -1,5 +1,7 @@
 #include "dispatch/TaskRecordCodec.h"
 
+#include "core/BoundedJson.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -71,13 +73,16 @@
 
 bool TaskRecordCodec::read(const Json &json, Task &task)
 {
-    if (!json.is_array() || json.size() < 3 || !json[0].is_number_integer() || !json[1].is_number_integer()) {
+    const bool isTask = json.is_array() && json.size() >= 3;
+    const auto isDone = isTask ? toExactInteger(json[0]) : std::nullopt;
+    const auto lastAttempt = isTask ? toExactInteger(json[1]) : std::nullopt;
+    if (!isDone || !lastAttempt) {
         return false;
     }
     try {
         Task read;
-        read.isDone = json[0].get<int>() != 0;
-        read.lastAttempt = json[1].get<std::int64_t>();
+        read.isDone = *isDone != 0;
+        read.lastAttempt = *lastAttempt;
         read.failedAttempts = json[2].get<std::set<std::int64_t>>();
         if (json.size() > 3) {
             read.checkpoint = json[3].get<std::string>();
--- a/modules/entry/Leadership.cpp
+++ b/modules/entry/Leadership.cpp
@@ -1,5 +1,6 @@
 #include "entry/Leadership.h"
 
+#include "core/BoundedJson.h"
 #include "dispatch/CommitQueue.h"
 #include "entry/HeartbeatPacing.h"
 #include "entry/LeadershipImpl.h"
@@ -28,23 +29,29 @@
 constexpr Milliseconds recoveryDuration { 3000 };
 constexpr Milliseconds recoveryLoopDelay { 500 };
 
+// The attempts that an owner numbers in the range of its token fit into the integers that a double holds.
+constexpr std::int64_t maxToken = 1'000'000'000'000;
+
 std::string encodeEpochRow(const EpochRow &row)
 {
     return nlohmann::json { { "token", row.token }, { "owner", row.owner }, { "address", row.address } }.dump();
 }
 
-EpochRow decodeEpochRow(const std::string &text)
+/** Reads the row of the epoch. If it cannot be read, the cell has no owner, and the next token is above all earlier ones. */
+EpochRow decodeEpochRow(const StoreRow &stored)
 {
-    EpochRow row;
-    const auto json = nlohmann::json::parse(text, nullptr, false);
+    const auto json = parseBoundedJson(stored.value);
     try {
-        row.token = json.at("token").get<std::int64_t>();
-        row.owner = json.at("owner").get<std::string>();
-        row.address = json.at("address").get<std::string>();
+        const auto token = toExactInteger(json.at("token"));
+        if (token && *token >= 0 && *token <= maxToken) {
+            return { *token, json.at("owner").get<std::string>(), json.at("address").get<std::string>() };
+        }
     } catch (const nlohmann::json::exception &) {
-        EventLog::write("record.unreadable", { { "table", FencingRows::table } });
+        // Logged below.
     }
-    return row;
+    EventLog::write("record.unreadable", { { "table", FencingRows::table }, { "version", stored.version } });
+    // Each token was written by a transaction of its own, so that none is above the version of the row.
+    return { stored.version, {}, {} };
 }
 
 } // namespace
@@ -91,7 +98,7 @@
         });
         return;
     }
-    const auto row = result.rows.empty() ? EpochRow() : decodeEpochRow(result.rows.front().value);
+    const auto row = result.rows.empty() ? EpochRow() : decodeEpochRow(result.rows.front());
     const auto version = result.rows.empty() ? 0 : result.rows.front().version;
     const bool isVacant = row.owner.empty() || row.owner == settings.nodeName;
     if (isVacant || row.token <= replaceableToken) {
--- a/modules/entry/PeerCodec.cpp
+++ b/modules/entry/PeerCodec.cpp
@@ -1,7 +1,11 @@
 #include "entry/PeerCodec.h"
 
+#include "core/BoundedJson.h"
+
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace auburndoor {
 
 using Json = nlohmann::json;
@@ -13,7 +17,7 @@
 template<typename Read>
 auto readJson(const std::string &text, Read read) -> decltype(std::optional(read(Json())))
 {
-    const auto json = Json::parse(text, nullptr, false);
+    const auto json = parseBoundedJson(text);
     if (!json.is_object()) {
         return std::nullopt;
     }
@@ -24,6 +28,21 @@
     }
 }
 
+// Longer than any duration that processes tell each other; sums of such durations stay in the range of a time point.
+constexpr std::chrono::hours maxDuration { 24 };
+
+/** Limits a duration that another process has sent. */
+Milliseconds limitDuration(std::int64_t milliseconds)
+{
+    return std::clamp<Milliseconds>(Milliseconds(milliseconds), Milliseconds(0), maxDuration);
+}
+
+/** Reads a duration; zero if it is none. */
+Milliseconds readDuration(const Json &json)
+{
+    return limitDuration(toExactInteger(json).value_or(0));
+}
+
 std::string dump(const Json &json)
 {
     return json.dump(-1, ' ', false, Json::error_handler_t::replace);
@@ -39,7 +58,8 @@
 std::optional<Address> PeerCodec::readHeartbeatRequest(const WebRequest &request)
 {
     const auto text = readJson(request.body, [](const Json &json) { return json.at("from").get<std::string>(); });
-    return text ? Address::parse(*text) : std::nullopt;
+    const auto address = text ? Address::parse(*text) : std::nullopt;
+    return address && address->hasPort() ? address : std::nullopt;
 }
 
 WebReply PeerCodec::heartbeatReply(const OwnerHeartbeat &heartbeat)
@@ -67,15 +87,16 @@
         OwnerHeartbeat heartbeat;
         heartbeat.owner = json.at("owner").get<std::string>();
         heartbeat.token = json.at("token").get<std::int64_t>();
-        heartbeat.storeStallDuration = Milliseconds(json.at("store_away").get<std::int64_t>());
+        heartbeat.storeStallDuration = readDuration(json.at("store_away"));
         heartbeat.isReady = json.at("ready").get<bool>();
         heartbeat.desiredStateVersion = json.at("desired").get<std::int64_t>();
         heartbeat.processorShare = json.at("share").get<double>();
         // Absent in the heartbeats of earlier releases, which may own the cell during a rolling restart.
-        heartbeat.loopDelay = Milliseconds(json.value("loop_delay", std::int64_t(0)));
-        heartbeat.nextDelay = Milliseconds(json.value("next_delay", std::int64_t(0)));
+        heartbeat.loopDelay = limitDuration(json.value("loop_delay", std::int64_t(0)));
+        heartbeat.nextDelay = limitDuration(json.value("next_delay", std::int64_t(0)));
         for (const auto &member : json.at("members")) {
-            if (const auto address = Address::parse(member.get<std::string>())) {
+            const auto address = member.is_string() ? Address::parse(member.get<std::string>()) : std::nullopt;
+            if (address && address->hasPort()) {
                 heartbeat.members.push_back(*address);
             }
         }
@@ -123,8 +144,8 @@
             return std::nullopt;
         }
         call.kind = static_cast<ClientCall::Kind>(kind);
-        call.timeout = Milliseconds(std::stoll(request.header("call-patience")));
-        call.ownerWaitLimit = Milliseconds(std::stoll(request.header("call-hold")));
+        call.timeout = limitDuration(std::stoll(request.header("call-patience")));
+        call.ownerWaitLimit = limitDuration(std::stoll(request.header("call-hold")));
     } catch (const std::exception &) {
         return std::nullopt;
     }
@@ -158,7 +179,7 @@
         result.outcome = static_cast<ClientResult::Outcome>(outcome);
         result.stage = static_cast<JobStage>(stage);
         result.pending = json.at("pending").get<int>();
-        result.retryAfter = Milliseconds(json.at("retry").get<std::int64_t>());
+        result.retryAfter = readDuration(json.at("retry"));
         result.detail = json.at("detail").get<std::string>();
         return result;
     });
@@ -183,7 +204,7 @@
         AdviceRequest adviceRequest;
         adviceRequest.step = { json.at("job").get<std::string>(), json.at("occurrence").get<int>(), json.at("step").get<int>(), 0 };
         adviceRequest.workers = json.at("workers").get<std::vector<std::string>>();
-        adviceRequest.timeout = Milliseconds(json.at("timeout").get<std::int64_t>());
+        adviceRequest.timeout = readDuration(json.at("timeout"));
         return adviceRequest;
     });
 }
@@ -206,7 +227,7 @@
     return readJson(reply.body, [](const Json &json) {
         AdviceResult result;
         result.outcome = static_cast<AdviceResult::Outcome>(json.at("outcome").get<int>());
-        result.validity = Milliseconds(json.at("validity").get<std::int64_t>());
+        result.validity = readDuration(json.at("validity"));
         for (const auto &permit : json.at("permits")) {
             result.permits.push_back({ permit.at(0).get<std::string>(), permit.at(1).get<std::string>() });
         }
--- a/modules/entry/WorkerRelayCodec.cpp
+++ b/modules/entry/WorkerRelayCodec.cpp
@@ -1,5 +1,7 @@
 #include "entry/WorkerRelayCodec.h"
 
+#include "core/BoundedJson.h"
+
 #include <nlohmann/json.hpp>
 
 #include <stdexcept>
@@ -65,45 +67,13 @@
     return json.get<std::int64_t>();
 }
 
-/** Builds the value of a message, and refuses one that is nested more deeply than any valid message: the parser is recursive. */
-class MessageParser : public nlohmann::detail::json_sax_dom_parser<Json>
-{
-public:
-    explicit MessageParser(Json &result) : json_sax_dom_parser(result, false)
-    {
-    }
-
-    bool start_array(std::size_t size)
-    {
-        return ++depth_ <= maxDepth && json_sax_dom_parser::start_array(size);
-    }
-
-    bool end_array()
-    {
-        --depth_;
-        return json_sax_dom_parser::end_array();
-    }
-
-    bool start_object(std::size_t)
-    {
-        return false;
-    }
-
-private:
-    static constexpr int maxDepth = 6;
-
-    int depth_ = 0;
-};
-
 /** Parses a message and applies a function to it. @return empty if the message is malformed */
 template<typename Read>
 auto decode(const std::string &message, std::string &error, Read read) -> decltype(std::optional(read(Json())))
 {
-    Json json;
-    MessageParser parser(json);
+    const auto json = parseBoundedMessagePack(message);
     try {
-        if (!Json::sax_parse(message, &parser, Json::input_format_t::msgpack) || !json.is_array()
-            || readInteger(json.at(0)) != formatVersion) {
+        if (!json.is_array() || readInteger(json.at(0)) != formatVersion) {
             error = "not a message of version " + std::to_string(formatVersion);
             return std::nullopt;
         }
@@ -332,8 +302,8 @@
             WorkerEntry worker;
             worker.id = readText(row.at(0));
             const auto address = Address::parse(readText(row.at(1)));
-            if (!address) {
-                throw MalformedMessage("the address of a worker is not HOST:PORT");
+            if (!address || !address->hasPort()) {
+                throw MalformedMessage("the address of a worker is not HOST:PORT with a port from 1 to 65535");
             }
             worker.address = *address;
             worker.incarnation = readInteger(row.at(2));
--- a/modules/instance/JobReply.cpp
+++ b/modules/instance/JobReply.cpp
@@ -1,5 +1,6 @@
 #include "instance/JobReply.h"
 
+#include "core/BoundedJson.h"
 #include "core/Failure.h"
 #include "instance/OutcomeReply.h"
 #include "jobs/JobExplanation.h"
@@ -55,7 +56,7 @@
 {
     auto answer = makeRefusalReply(failure);
     answer.status = 504;
-    auto json = Json::parse(answer.body);
+    auto json = parseBoundedJson(answer.body);
     json["outcome"] = "unknown";
     json["id"] = id.text();
     answer.body = json.dump();
--- a/modules/jobs/Job.cpp
+++ b/modules/jobs/Job.cpp
@@ -1,5 +1,6 @@
 #include "jobs/Job.h"
 
+#include "core/BoundedJson.h"
 #include "core/JsonBytes.h"
 
 #include <nlohmann/json.hpp>
@@ -161,7 +162,7 @@
 
 std::optional<Job> decodeJob(const std::string &text)
 {
-    const auto json = Json::parse(text, nullptr, false);
+    const auto json = parseBoundedJson(text);
     if (!json.is_object()) {
         return std::nullopt;
     }
--- a/modules/net/Address.h
+++ b/modules/net/Address.h
@@ -16,6 +16,12 @@
     /** Formats the address as "HOST:PORT". */
     std::string text() const;
 
+    /** False for port 0, which no peer can be reached at. */
+    bool hasPort() const
+    {
+        return port != 0;
+    }
+
     /** Parses "HOST:PORT"; empty if it is malformed. The host is not checked to be an IP address. */
     static std::optional<Address> parse(std::string_view text);
 
--- a/modules/ownership/OwnershipRows.cpp
+++ b/modules/ownership/OwnershipRows.cpp
@@ -1,5 +1,7 @@
 #include "ownership/OwnershipRows.h"
 
+#include "core/BoundedJson.h"
+
 #include <nlohmann/json.hpp>
 
 namespace auburndoor {
@@ -20,7 +22,7 @@
 std::optional<InstanceRow> InstanceRow::fromText(const InstanceId &id, const std::string &text)
 {
     try {
-        const auto json = nlohmann::json::parse(text);
+        const auto json = parseBoundedJson(text);
         InstanceRow row;
         row.id = id;
         row.incarnation = json.at("incarnation").get<long long>();
@@ -48,7 +50,7 @@
 std::optional<ShardRow> ShardRow::fromText(const std::string &text)
 {
     try {
-        const auto json = nlohmann::json::parse(text);
+        const auto json = parseBoundedJson(text);
         ShardRow row;
         row.owner = InstanceId(json.at("owner").get<std::string>());
         row.incarnation = json.at("incarnation").get<long long>();
--- a/modules/pipeline/RequestRecord.cpp
+++ b/modules/pipeline/RequestRecord.cpp
@@ -1,5 +1,6 @@
 #include "pipeline/RequestRecord.h"
 
+#include "core/BoundedJson.h"
 #include "declaration/Digest.h"
 
 #include <nlohmann/json.hpp>
@@ -28,22 +29,26 @@
 
 std::optional<RequestRecord> RequestRecord::fromText(const std::string &text)
 {
-    const auto json = nlohmann::json::parse(text, nullptr, false);
+    const auto json = parseBoundedJson(text);
     if (!json.is_object()) {
         return std::nullopt;
     }
-    RequestRecord record;
-    const auto state = std::find(stateNames.begin(), stateNames.end(), json.value("state", std::string()));
-    if (state == stateNames.end()) {
+    try {
+        RequestRecord record;
+        const auto state = std::find(stateNames.begin(), stateNames.end(), json.value("state", std::string()));
+        if (state == stateNames.end()) {
+            return std::nullopt;
+        }
+        record.state = static_cast<RecordState>(state - stateNames.begin());
+        record.task = TaskId(json.value("task", std::string()));
+        record.worker = WorkerId(json.value("worker", std::string()));
+        record.answer = json.value("answer", std::string());
+        record.answerObject = json.value("answerObject", std::string());
+        record.requestDigest = json.value("requestDigest", std::string());
+        return record;
+    } catch (const nlohmann::json::exception &) {
         return std::nullopt;
     }
-    record.state = static_cast<RecordState>(state - stateNames.begin());
-    record.task = TaskId(json.value("task", std::string()));
-    record.worker = WorkerId(json.value("worker", std::string()));
-    record.answer = json.value("answer", std::string());
-    record.answerObject = json.value("answerObject", std::string());
-    record.requestDigest = json.value("requestDigest", std::string());
-    return record;
 }
 
 std::string RequestRecord::digestOf(const Request &request)
--- a/modules/storage/HttpTableService.cpp
+++ b/modules/storage/HttpTableService.cpp
@@ -1,5 +1,6 @@
 #include "storage/HttpTableService.h"
 
+#include "core/BoundedJson.h"
 #include "core/Failure.h"
 #include "storage/PlatformConnection.h"
 
@@ -41,7 +42,7 @@
 bool decodeBody(const HttpReply &reply, const Read &read)
 {
     try {
-        return read(json::parse(reply.body));
+        return read(parseBoundedJson(reply.body));
     } catch (const json::exception &) {
         return false;
     }
--- a/modules/worker/WorkerMessages.cpp
+++ b/modules/worker/WorkerMessages.cpp
@@ -1,10 +1,12 @@
 #include "worker/WorkerMessages.h"
 
+#include "core/BoundedJson.h"
 #include "core/JsonBytes.h"
 
 #include <nlohmann/json.hpp>
 
 #include <array>
+#include <stdexcept>
 
 namespace auburndoor {
 
@@ -45,13 +47,18 @@
     }
 }
 
+/** Reads amounts, of which absent ones are zero. Throws std::out_of_range if one is no number or no valid amount. */
 Resources toResources(const Json &json)
 {
-    return { json.value("milliCores", std::int64_t {}),
-             json.value("memoryMiB", std::int64_t {}),
-             json.value("accelerators", std::int64_t {}),
-             json.value("slots", std::int64_t {}),
-             json.value("connections", std::int64_t {}) };
+    const auto read = [&json](const char *key) {
+        const auto found = json.find(key);
+        return found == json.end() ? std::int64_t(0) : toExactInteger(*found).value_or(-1);
+    };
+    const Resources resources { read("milliCores"), read("memoryMiB"), read("accelerators"), read("slots"), read("connections") };
+    if (!resources.isValid()) {
+        throw std::out_of_range("an amount of a resource is out of range");
+    }
+    return resources;
 }
 
 Json toJson(const TaskStatus &task)
@@ -103,7 +110,7 @@
 template<typename Read>
 auto decode(const std::string &text, Read read) -> std::optional<decltype(read(Json()))>
 {
-    const auto json = Json::parse(text, nullptr, false);
+    const auto json = parseBoundedJson(text);
     if (!json.is_object()) {
         return std::nullopt;
     }
--- a/tests/soak/EntryProcess.cpp
+++ b/tests/soak/EntryProcess.cpp
@@ -115,6 +115,11 @@
     return process_.has_value();
 }
 
+bool EntryProcess::hasEndedByItself()
+{
+    return process_ && !stoppingSince_ && process_->waitForExit(std::chrono::milliseconds(0)).has_value();
+}
+
 bool EntryProcess::isPaused() const
 {
     return isPaused_;
--- a/tests/soak/EntryProcess.h
+++ b/tests/soak/EntryProcess.h
@@ -31,6 +31,8 @@
     bool restartIfStopped(TimePoint now);
 
     bool isRunning() const;
+    /** True if the process has ended although it was neither killed nor told to stop. */
+    bool hasEndedByItself();
     bool isPaused() const;
     bool isStopping() const;
 
--- a/tests/soak/PlatformServer.cpp
+++ b/tests/soak/PlatformServer.cpp
@@ -51,7 +51,11 @@
     auto rows = result.rows;
     const bool hasMore = rows.size() > maximumRows;
     rows.resize(std::min(rows.size(), maximumRows));
-    const int status = result.outcome == StoreOutcome::Done ? 200 : result.outcome == StoreOutcome::Conflict ? 412 : 503;
+    const std::map<StoreOutcome, int> statuses { { StoreOutcome::Done, 200 },
+                                                 { StoreOutcome::Conflict, 412 },
+                                                 { StoreOutcome::Rejected, 400 } };
+    const auto found = statuses.find(result.outcome);
+    const int status = found == statuses.end() ? 503 : found->second;
     responder->reply(
         { status, Json { { "rows", makeRowsJson(rows) }, { "schemaVer", result.version }, { "hasMore", hasMore } }.dump(), {} });
 }
