Only runs that are known to have run count as crashes of their workers

Cause: a crash of a worker was recorded under every run that had been sent to it, also under starts without an answer that no report had listed. Starts into a cut count as the last ones before the silence, and three of them failed the job.

Change: a run counts once its start was answered or a report has listed it. The run of a suspected task is stored at that time, no longer before its start.

--- a/modules/dispatch/FleetImpl.cpp
+++ b/modules/dispatch/FleetImpl.cpp
@@ -130,7 +130,8 @@
     }
     const auto isAffected = [&worker](const auto &item) { return item.second.incarnation == worker.entry.incarnation; };
     for (const auto &[key, run] : worker.runs) {
-        if (run.incarnation != worker.entry.incarnation) {
+        // A start without an answer that no report has listed may never have arrived, as one that is sent into a cut.
+        if (run.incarnation != worker.entry.incarnation || run.confirmedAt == TimePoint()) {
             continue;
         }
         const bool isEarly = endedAt - run.startedAt < maxTimeToCrash;
--- a/modules/dispatch/JobManager.cpp
+++ b/modules/dispatch/JobManager.cpp
@@ -236,13 +236,6 @@
     auto &task = step.tasks[static_cast<std::size_t>(index)];
     task.lastAttempt = std::max(task.lastAttempt, place.attempt);
     task.runs.push_back(place);
-    if (task.crashes.suspicion() != Suspicion::None) {
-        const auto &id = step.job->spec.id;
-        const auto &worker = *fleet_->worker(place.worker);
-        task.setHostedRun({ place.worker, worker.entry.incarnation, place.attempt, !worker.hasOtherJobs(id), true });
-        // A crash follows within milliseconds, and the next owner counts it by this record.
-        saveTask(*step.job, { id, step.occurrence, step.index, index }, {}, CommitQueue::Urgency::Urgent);
-    }
 }
 
 void JobManager::stopRun(StepState &step, int index, const RunPlace &place, const std::string &reason)
--- a/modules/dispatch/JobManager.h
+++ b/modules/dispatch/JobManager.h
@@ -185,6 +185,8 @@
     RunClaim makeClaim(const StepState &step, const Task &task, const std::string &worker) const;
     /** True if the task may only start on a worker without runs of other jobs; it waits for one for a limited time. */
     bool isWaitingForIsolation(const Task &task) const;
+    /** Stores a run of a suspected task that is known to run, for the case that its worker crashes while the owner is replaced. */
+    void recordHostedRun(JobState &job, Task &task, const std::string &worker, const Run &run);
     /** Records a crash under a run of the task, unless it is recorded already. */
     void recordCrash(JobState &job, Task &task, const RunKey &key, const HostedRun &crash);
     /** Tells the fleet which runs an earlier owner has recorded for the case that their workers have crashed. */
--- a/modules/dispatch/JobManagerCrashes.cpp
+++ b/modules/dispatch/JobManagerCrashes.cpp
@@ -48,6 +48,14 @@
     }
 }
 
+void JobManager::recordHostedRun(JobState &job, Task &task, const std::string &worker, const Run &run)
+{
+    const auto *host = fleet_->worker(worker);
+    task.setHostedRun({ worker, run.incarnation, run.key.attempt, host != nullptr && !host->hasOtherJobs(job.spec.id), true });
+    // A crash may follow within milliseconds, and the next owner counts it by this record.
+    saveTask(job, run.key.task, {}, CommitQueue::Urgency::Urgent);
+}
+
 void JobManager::workerSilent(const WorkerCrash &possibleCrash)
 {
     for (const auto &run : possibleCrash.runs) {
--- a/modules/dispatch/JobManagerRuns.cpp
+++ b/modules/dispatch/JobManagerRuns.cpp
@@ -40,9 +40,13 @@
     return makeClaim(step, *task, worker);
 }
 
-void JobManager::runConfirmed(const std::string &, const Run &run)
+void JobManager::runConfirmed(const std::string &worker, const Run &run)
 {
     auto *job = find(run.key.task.job);
+    auto *task = job == nullptr ? nullptr : job->task(run.key.task);
+    if (task != nullptr && task->crashes.suspicion() != Suspicion::None) {
+        recordHostedRun(*job, *task, worker, run);
+    }
     if (job == nullptr || job->hasBegun) {
         return;
     }
--- a/tests/dispatch/CrashTests.cpp
+++ b/tests/dispatch/CrashTests.cpp
@@ -172,6 +172,34 @@
     CHECK(cell.violations().empty());
 }
 
+// Guards against a sound job that is given up because starts of its task never arrived at workers that restarted meanwhile.
+TEST_CASE("a start that never ran does not count as a crash of its worker")
+{
+    CrashFixture cell;
+    cell.addWorkers(8, 16);
+    cell.takeOver();
+    constexpr int rounds = 8;
+    // Each start is lost, and the stop that rules it out arrives.
+    int commands = 0;
+    cell.fleet.drawFault = [&commands] {
+        return commands++ % 2 == 0 ? CommandFault { CommandFault::Kind::Late, Milliseconds(60000) } : CommandFault();
+    };
+    REQUIRE(cell.submit(deadlyJob, jobBody(1, 3000)) == ClientResult::Outcome::Accepted);
+    for (int round = 0; round < rounds; ++round) {
+        cell.timers.advance(Milliseconds(200));
+        for (const auto &[id, worker] : cell.fleet.workers()) {
+            worker->restart();
+            cell.list(id);
+        }
+        cell.timers.advance(Milliseconds(800));
+    }
+    CHECK(cell.starts.empty());
+    CHECK(commands > rounds);
+    cell.fleet.drawFault = nullptr;
+    CHECK(cell.runUntil(deadlyJob, JobStage::Completed, Milliseconds(20000)));
+    CHECK(cell.violations().empty());
+}
+
 // Guards against a planned stop of workers that counts as crashes of the tasks on them.
 TEST_CASE("a job whose workers drain and come back empty completes")
 {
