--- a/modules/entry/Leadership.cpp
+++ b/modules/entry/Leadership.cpp
@@ -1,13 +1,10 @@
 #include "entry/Leadership.h"
 
-#include "core/BoundedJson.h"
 #include "dispatch/CommitQueue.h"
 #include "entry/HeartbeatPacing.h"
 #include "entry/LeadershipImpl.h"
 #include "observability/EventLog.h"
 
-#include <nlohmann/json.hpp>
-
 #include <utility>
 
 namespace auburndoor {
@@ -29,31 +26,6 @@
 constexpr Milliseconds recoveryDuration { 3000 };
 constexpr Milliseconds recoveryLoopDelay { 500 };
 
-// The attempts that an owner numbers in the range of its token fit into the integers that a double holds.
-constexpr std::int64_t maxToken = 1'000'000'000'000;
-
-std::string encodeEpochRow(const EpochRow &row)
-{
-    return nlohmann::json { { "token", row.token }, { "owner", row.owner }, { "address", row.address } }.dump();
-}
-
-/** Reads the row of the epoch. If it cannot be read, the cell has no owner, and the next token is above all earlier ones. */
-EpochRow decodeEpochRow(const StoreRow &stored)
-{
-    const auto json = parseBoundedJson(stored.value);
-    try {
-        const auto token = toExactInteger(json.at("token"));
-        if (token && *token >= 0 && *token <= maxToken) {
-            return { *token, json.at("owner").get<std::string>(), json.at("address").get<std::string>() };
-        }
-    } catch (const nlohmann::json::exception &) {
-        // Logged below.
-    }
-    EventLog::write("record.unreadable", { { "table", FencingRows::table }, { "version", stored.version } });
-    // Each token was written by a transaction of its own, so that none is above the version of the row.
-    return { stored.version, {}, {} };
-}
-
 } // namespace
 
 Milliseconds Leadership::Impl::jitter()
@@ -98,7 +70,7 @@
         });
         return;
     }
-    const auto row = result.rows.empty() ? EpochRow() : decodeEpochRow(result.rows.front());
+    const auto row = result.rows.empty() ? EpochRow() : EpochRow::read(result.rows.front());
     const auto version = result.rows.empty() ? 0 : result.rows.front().version;
     const bool isVacant = row.owner.empty() || row.owner == settings.nodeName;
     if (isVacant || row.token <= replaceableToken) {
@@ -122,7 +94,7 @@
     const EpochRow next { row.token + 1, settings.nodeName, settings.peers.text() };
     StoreChange change;
     change.expected.push_back({ FencingRows::table, FencingRows::epochKey, version });
-    change.writes.push_back({ FencingRows::table, FencingRows::epochKey, encodeEpochRow(next) });
+    change.writes.push_back({ FencingRows::table, FencingRows::epochKey, next.toText() });
     isFencingCallInFlight = true;
     store.commit(std::move(change), [self = shared_from_this(), token = next.token](const StoreResult &result) {
         if (!self->isClosed) {
@@ -331,7 +303,8 @@
     impl_->isTakeoverDisabled = true;
     StoreChange change;
     change.expected.push_back({ FencingRows::table, FencingRows::epochKey, ownership.epochVersion });
-    change.writes.push_back({ FencingRows::table, FencingRows::epochKey, encodeEpochRow({ ownership.token, {}, {} }) });
+    const EpochRow vacant { ownership.token, {}, {} };
+    change.writes.push_back({ FencingRows::table, FencingRows::epochKey, vacant.toText() });
     impl_->store.commit(std::move(change), [impl = impl_, done = std::move(done)](const StoreResult &result) {
         EventLog::write("owner.released", { { "outcome", name(result.outcome) } });
         impl->isOwner = false;
--- a/modules/entry/LeadershipImpl.h
+++ b/modules/entry/LeadershipImpl.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "entry/EpochRow.h"
 #include "entry/Leadership.h"
 
 #include "net/EventLoop.h"
@@ -12,17 +13,6 @@
 
 namespace auburndoor {
 
-/** The row that names the owner. */
-struct EpochRow
-{
-    /** The owner's fencing token; each takeover increments it. */
-    std::int64_t token = 0;
-    /** The owner's node name; empty after a planned stop. */
-    std::string owner;
-    /** The owner's peer address. */
-    std::string address;
-};
-
 /** The state of a Leadership, shared with the callbacks of calls in flight. */
 struct Leadership::Impl : std::enable_shared_from_this<Leadership::Impl>
 {
