A new owner does not wait for workers that have drained and left

Cause: the removal of a worker from the roster is lost with its owner. Each next owner waits for the worker's report for up to a lease and 1.5 s from its own takeover, and is replaced before that.

Change: the roster holds that a worker is draining. A new owner takes it for gone once the directory has not listed it for longer than a lease can outlast the entry of a worker that is cut off (0.7 s), and no connection to it can be opened.

--- a/modules/dispatch/Fleet.cpp
+++ b/modules/dispatch/Fleet.cpp
@@ -71,6 +71,7 @@
 
 void Fleet::retainEntries(const std::set<std::string> &ids)
 {
+    impl_->directoryReadAt = impl_->directoryReadAt.value_or(impl_->timers.now());
     std::vector<std::string> removed;
     for (const auto &[id, worker] : impl_->workers) {
         if (worker->isListed && !ids.contains(id)) {
--- a/modules/dispatch/Fleet.h
+++ b/modules/dispatch/Fleet.h
@@ -76,6 +76,11 @@
     Milliseconds endBatchDelay { 120 };
     /** The delay from a failed poll to the next one. */
     Milliseconds pollRetryDelay { 250 };
+    /**
+        For how long a worker that was draining is not listed before it counts as gone. A worker that is cut off disappears from the
+        directory sooner than its last lease ends, by less than this.
+    */
+    Milliseconds minAbsence { 700 };
     /** Nothing is started on a worker with runs whose last report is older. */
     Milliseconds maxReportAge { 3500 };
     /** The view of the directory counts as stale when it is older; it is read about every two seconds. */
--- a/modules/dispatch/FleetImpl.cpp
+++ b/modules/dispatch/FleetImpl.cpp
@@ -83,6 +83,10 @@
     const auto former = std::exchange(worker.entry, entry);
     if (!hasRestarted) {
         keepEarlierServices(worker, former);
+        if (former.isDraining != entry.isDraining) {
+            // The next owner need not wait for a worker that was draining and is gone.
+            listener.rosterChanged(worker.entry, true, [] {});
+        }
         return;
     }
     worker.entry.earlierServices.clear();
--- a/modules/dispatch/FleetImpl.h
+++ b/modules/dispatch/FleetImpl.h
@@ -4,6 +4,8 @@
 #include "dispatch/PossibleCrashes.h"
 #include "dispatch/StartWindow.h"
 
+#include <optional>
+
 namespace auburndoor {
 
 /** The state of a Fleet, shared with the callbacks of pending commands and timers. */
@@ -40,6 +42,11 @@
     /** Polls the worker after the delay, unless a poll is scheduled or pending. */
     void schedulePoll(const std::string &id, Milliseconds delay);
     void onPollFailed(const std::string &id, const WorkerClient::Reply &reply);
+    /**
+        True if the worker has left as planned: it was draining, the directory has not listed it for long enough, and no connection
+        to it can be opened. Its runs have ended with it, so that nothing has to wait for its lease.
+    */
+    bool hasLeft(const WorkerState &worker, CommandOutcome pollOutcome) const;
     void onReport(const std::string &id, const TaskReport &report, TimePoint pollSentAt);
     void processEnds(WorkerState &worker, const TaskReport &report);
     void processRunning(WorkerState &worker, const TaskReport &report, TimePoint pollSentAt);
@@ -88,6 +95,8 @@
     StartWindow startWindow;
     PossibleCrashes possibleCrashes;
     bool isDirectoryStale = false;
+    /** When the whole directory was first read under this owner. */
+    std::optional<TimePoint> directoryReadAt;
     bool isClosed = false;
 };
 
--- a/modules/dispatch/FleetPolling.cpp
+++ b/modules/dispatch/FleetPolling.cpp
@@ -155,7 +155,13 @@
     const auto inheritedLeaseEnd = createdAt + timing.lease * 51 / 50 + Milliseconds(1500);
     const bool isLeaseOver = timers.now()
                              > std::max(worker.client->leaseEnd(), worker.isReportRead ? TimePoint() : inheritedLeaseEnd);
-    if (isWrongWorker || isLeaseOver) {
+    if (hasLeft(worker, reply.outcome)) {
+        EventLog::write("worker.left", { { "worker", id }, { "runs", worker.runs.size() } });
+        reportAllRunsLost(worker, RunLoss::WorkerRestarted);
+        worker.isReportRead = true;
+        worker.acknowledgedEnd = worker.lastSeenEnd;
+        removeIfGone(id);
+    } else if (isWrongWorker || isLeaseOver) {
         if (!worker.runs.empty()) {
             EventLog::write("worker.lost", { { "worker", id }, { "runs", worker.runs.size() }, { "other", isWrongWorker } });
         }
@@ -177,6 +183,12 @@
     schedulePoll(id, timing.pollRetryDelay);
 }
 
+bool Fleet::Impl::hasLeft(const WorkerState &worker, CommandOutcome pollOutcome) const
+{
+    return worker.entry.isDraining && !worker.isListed && pollOutcome == CommandOutcome::NotSent && directoryReadAt
+           && !isDirectoryStale && timers.now() - std::max(*directoryReadAt, worker.unlistedAt) >= timing.minAbsence;
+}
+
 void Fleet::Impl::onReport(const std::string &id, const TaskReport &report, TimePoint pollSentAt)
 {
     auto &worker = *find(id);
--- a/modules/dispatch/JobRecordCodec.cpp
+++ b/modules/dispatch/JobRecordCodec.cpp
@@ -340,6 +340,7 @@
 std::string JobRecordCodec::rosterEntry(const WorkerEntry &entry)
 {
     Json json { { "service", entry.service }, { "address", entry.address.text() }, { "born", entry.incarnation } };
+    putUnlessDefault(json, "draining", entry.isDraining, false);
     putUnlessDefault(json, "earlier", entry.earlierServices, std::set<std::string>());
     return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
@@ -356,6 +357,7 @@
         entry.id = id;
         entry.service = json.at("service").get<std::string>();
         entry.earlierServices = json.value("earlier", std::set<std::string>());
+        entry.isDraining = json.value("draining", false);
         entry.address = *address;
         entry.incarnation = readNumber(json, "born", std::int64_t(0));
         return entry;
--- a/modules/dispatch/JobRecordCodec.h
+++ b/modules/dispatch/JobRecordCodec.h
@@ -41,7 +41,7 @@
     /** Returns the stage in a progress text, and sets endedAt if the text holds the time of an end. Empty if it cannot be read. */
     static std::optional<JobStage> stageOf(const std::string &text, std::chrono::milliseconds &endedAt);
 
-    /** Returns what the next owner needs to reach a worker: its service, address and incarnation. */
+    /** Returns what the next owner needs to reach a worker: its services, address and incarnation, and whether it is draining. */
     static std::string rosterEntry(const WorkerEntry &entry);
     /** Empty if the text cannot be read. */
     static std::optional<WorkerEntry> readRosterEntry(const std::string &id, const std::string &text);
--- a/modules/entry/EntrySettings.h
+++ b/modules/entry/EntrySettings.h
@@ -36,6 +36,8 @@
     /** Up to this number of workers, the owner sends all commands itself; with more, other entry processes are its relays. Fewer on
      * a slow link. */
     std::size_t maxDirectWorkers = 200;
+    /** How long the directory lists a worker that has fallen silent, at least. */
+    Milliseconds entryLifetime { 4500 };
     /** The largest value that the store takes for a row, in bytes. */
     std::size_t maxRowBytes = 65536;
     /** The longest lease that a worker accepts. */
--- a/modules/entry/Owner.cpp
+++ b/modules/entry/Owner.cpp
@@ -22,10 +22,14 @@
 // deposed with its first command to a worker whose report this owner has read.
 constexpr Milliseconds deposedOwnerAllowance { 1500 };
 
+// Allows for the delay from a cut to the removal of a worker's entry.
+constexpr Milliseconds absenceMargin { 100 };
+
 FleetTiming fleetTiming(const EntrySettings &settings)
 {
     FleetTiming timing;
     timing.lease = std::min(preferredLease, settings.maxLease * 3 / 4);
+    timing.minAbsence = std::max(Milliseconds(0), timing.lease * 51 / 50 - settings.entryLifetime) + absenceMargin;
     return timing;
 }
 
--- a/tests/fakes/SimulatedWorker.cpp
+++ b/tests/fakes/SimulatedWorker.cpp
@@ -227,6 +227,12 @@
             });
             return;
         }
+        if (fleet_.worker(id_).hasExited) {
+            timers.after(wayThere, [callback = std::move(callback)] {
+                callback({ CommandOutcome::NotSent, "no connection" }, {});
+            });
+            return;
+        }
         if (fleet_.worker(id_).isReplaced) {
             timers.after(wayThere, [callback = std::move(callback)] { callback({ CommandOutcome::WrongWorker, {} }, {}); });
             return;
--- a/tests/fakes/SimulatedWorker.h
+++ b/tests/fakes/SimulatedWorker.h
@@ -55,6 +55,9 @@
     /** While cut off, no order arrives and nothing is answered; it runs on. */
     bool isCutOff = false;
 
+    /** It is gone: no connection to it can be opened. */
+    bool hasExited = false;
+
     /** The most ended runs that a report lists, those with the lowest numbers. */
     std::size_t maxListedEnds = 500;
 
