--- a/modules/dispatch/JobPart.cpp
+++ b/modules/dispatch/JobPart.cpp
@@ -1,5 +1,6 @@
 #include "dispatch/JobPart.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 
--- a/modules/dispatch/WaitingRows.cpp
+++ b/modules/dispatch/WaitingRows.cpp
@@ -81,11 +81,6 @@
     }
 }
 
-bool WaitingRows::hasSetAside() const
-{
-    return !setAside_.empty();
-}
-
 void WaitingRows::releaseRoutine()
 {
     std::move(routine_.begin(), routine_.end(), std::back_inserter(dueRoutine_));
--- a/modules/dispatch/WaitingRows.h
+++ b/modules/dispatch/WaitingRows.h
@@ -42,7 +42,6 @@
     void setAside(const RowName &name, WaitingRow row);
     /** Has the rows that were set aside wait again. */
     void releaseSetAside();
-    bool hasSetAside() const;
 
     /** Makes the routine rows due that were put so far. */
     void releaseRoutine();
