Random faults with queues that move, short lists of ended runs and wide jobs

The property test of owners gets a second form: queues move between two services, workers list three ended runs at a time, and jobs of 450 tasks store their progress in parts.

--- a/tests/dispatch/OwnerPropertyTests.cpp
+++ b/tests/dispatch/OwnerPropertyTests.cpp
@@ -19,14 +19,24 @@
     return text == nullptr ? 25 : std::atoi(text);
 }
 
+/** What a FaultyCell does beside the faults of its links, workers and owners. */
+enum class CellChanges {
+    None,
+    /** Queues move between two services, some jobs are wide, and workers list few of their ended runs at a time. */
+    MovesAndShortLists,
+};
+
 /** Runs a cell under random faults; the fixture checks each start. */
 class FaultyCell
 {
 public:
-    explicit FaultyCell(unsigned seed) : random_(seed)
+    FaultyCell(unsigned seed, CellChanges changes) : random_(seed), changes_(changes)
     {
+        constexpr std::size_t shortList = 3;
         for (int number = 0; number < 5; ++number) {
-            cell.addWorker("w" + std::to_string(number), 4 + number);
+            const bool isOfSecondService = changes == CellChanges::MovesAndShortLists && number >= 3;
+            auto &worker = cell.addWorker("w" + std::to_string(number), 4 + number, isOfSecondService ? "studio" : "desk");
+            worker.maxListedEnds = changes == CellChanges::MovesAndShortLists ? shortList : worker.maxListedEnds;
         }
         cell.plan = [this, seed](const TaskName &task, std::int64_t attempt) {
             if (gangs_.contains(task.job)) {
@@ -35,7 +45,9 @@
                 return SimulatedWork { Milliseconds(50 + gangRandom() % 2000),
                                        gangRandom() % 10 == 0 ? RunOutcome::Failed : RunOutcome::Done };
             }
-            return SimulatedWork { Milliseconds(draw(50, 2500)), draw(0, 9) == 0 ? RunOutcome::Failed : RunOutcome::Done };
+            const bool mayFail = !wideJobs_.contains(task.job);
+            return SimulatedWork { Milliseconds(draw(50, 2500)),
+                                   mayFail && draw(0, 9) == 0 ? RunOutcome::Failed : RunOutcome::Done };
         };
         cell.fleet.drawFault = [this] {
             const int roll = draw(0, 19);
@@ -78,6 +90,10 @@
         if (!cell.owner || !cell.owner->isReady() || draw(0, 1) == 0) {
             return;
         }
+        if (changes_ == CellChanges::MovesAndShortLists && draw(0, 9) == 0) {
+            submitWideJob();
+            return;
+        }
         const std::string fields = draw(0, 3) == 0 ? R"(,"gang":true)" : draw(0, 1) == 0 ? R"(,"checkpoints":true)" : "";
         const auto id = jobIdOf(++jobs_);
         if (fields.find("gang") != std::string::npos) {
@@ -89,6 +105,23 @@
         }
     }
 
+    void submitWideJob()
+    {
+        constexpr int tasks = 450;
+        const auto id = jobIdOf(++jobs_);
+        wideJobs_.insert(id);
+        if (cell.submit(id, jobBody(tasks, 50)) == ClientResult::Outcome::Accepted) {
+            accepted.push_back(id);
+        }
+    }
+
+    void moveRandomQueue()
+    {
+        if (changes_ == CellChanges::MovesAndShortLists && cell.owner) {
+            cell.moveQueue(draw(0, 1) == 0 ? "urgent" : "normal", draw(0, 1) == 0 ? "desk" : "studio");
+        }
+    }
+
     void injectRandomFault()
     {
         const auto worker = "w" + std::to_string(draw(0, 4));
@@ -118,26 +151,27 @@
         case 7:
             cell.list(worker);
             break;
+        case 8:
+            moveRandomQueue();
+            break;
         default:
             break;
         }
     }
 
     std::mt19937 random_;
+    CellChanges changes_;
     std::set<std::string> gangs_;
+    std::set<std::string> wideJobs_;
     int jobs_ = 0;
 };
 
-} // namespace
-
-// Guards against overlapping runs, runs after an acknowledged end, exceeded capacity and lost jobs while owners change, commands
-// take effect late, workers restart or are cut off, and the store loses answers, all at random times.
-TEST_CASE("no fault makes a task run twice, overloads a worker or loses a job", "[property]")
+void checkSeeds(CellChanges changes)
 {
     const int first = std::getenv("OWNER_SEED") == nullptr ? 1 : std::atoi(std::getenv("OWNER_SEED"));
     for (int seed = first; seed < first + seedCount(); ++seed) {
         INFO("seed " << seed);
-        FaultyCell faultyCell(static_cast<unsigned>(seed));
+        FaultyCell faultyCell(static_cast<unsigned>(seed), changes);
         faultyCell.run();
         for (const auto &violation : faultyCell.cell.violations()) {
             FAIL_CHECK(violation);
@@ -150,3 +184,18 @@
         }
     }
 }
+
+} // namespace
+
+// Guards against overlapping runs, runs after an acknowledged end, exceeded capacity and lost jobs while owners change, commands
+// take effect late, workers restart or are cut off, and the store loses answers, all at random times.
+TEST_CASE("no fault makes a task run twice, overloads a worker or loses a job", "[property]")
+{
+    checkSeeds(CellChanges::None);
+}
+
+// Guards against the same while queues move, workers list few ended runs at a time, and progress is stored in parts.
+TEST_CASE("no fault makes a task run twice while queues move and lists are cut off", "[property]")
+{
+    checkSeeds(CellChanges::MovesAndShortLists);
+}
