--- a/modules/dispatch/WaitingRows.h
+++ b/modules/dispatch/WaitingRows.h
@@ -38,7 +38,7 @@
     /** Removes a row. @return what was to be called once it is stored; empty if no such row waits */
     std::optional<std::vector<CommitQueue::Callback>> remove(const RowName &name);
 
-    /** Keeps a row that the store does not take apart from the others, until release() or a put() with its name. */
+    /** Keeps a row that the store does not take apart from the others, until releaseSetAside() or a put() with its name. */
     void setAside(const RowName &name, WaitingRow row);
     /** Has the rows that were set aside wait again. */
     void releaseSetAside();
