--- a/modules/dispatch/CommitQueue.cpp
+++ b/modules/dispatch/CommitQueue.cpp
@@ -335,6 +335,11 @@
     return impl_->hasFailed || stallDuration() > stallThreshold;
 }
 
+Milliseconds CommitQueue::appliedAge() const
+{
+    return std::chrono::duration_cast<Milliseconds>(impl_->timers.now() - impl_->lastSuccess);
+}
+
 void CommitQueue::close()
 {
     impl_->isClosed = true;
--- a/modules/dispatch/CommitQueue.h
+++ b/modules/dispatch/CommitQueue.h
@@ -95,6 +95,9 @@
     /** True if the last attempt failed, or the transaction in flight has been without success for too long. */
     bool isStalled() const;
 
+    /** The time since a transaction was last known to be applied, or since the construction if there was none. */
+    Milliseconds appliedAge() const;
+
     /** Stops sending; callbacks are no longer called. */
     void close();
 
--- a/modules/dispatch/FleetImpl.cpp
+++ b/modules/dispatch/FleetImpl.cpp
@@ -209,6 +209,26 @@
     }
 }
 
+void Fleet::Impl::logLoss(const WorkerState &worker, bool isWrongWorker, TimePoint leaseEnd) const
+{
+    if (worker.runs.empty()) {
+        return;
+    }
+    if (isWrongWorker) {
+        EventLog::write("worker.lost", { { "worker", worker.entry.id }, { "runs", worker.runs.size() }, { "other", true } });
+        return;
+    }
+    const auto elapsedSince = [this](TimePoint time) {
+        return std::chrono::duration_cast<Milliseconds>(timers.now() - time).count();
+    };
+    EventLog::write("worker.lost",
+                    { { "worker", worker.entry.id },
+                      { "runs", worker.runs.size() },
+                      { "other", false },
+                      { "lease_ended_ms", elapsedSince(leaseEnd) },
+                      { "silent_ms", elapsedSince(worker.silentSince) } });
+}
+
 void Fleet::Impl::reportAllRunsLost(WorkerState &worker, RunLoss loss)
 {
     std::vector<RunKey> keys;
--- a/modules/dispatch/FleetImpl.h
+++ b/modules/dispatch/FleetImpl.h
@@ -77,6 +77,8 @@
     void reportReplacedWorkers(const WorkerEntry &entry);
     /** Tells the listener of the crashes that the report of a later incarnation shows. */
     void reportCrashes(const std::string &id, const TaskReport &report, TimePoint pollSentAt);
+    /** Logs that a worker is given up with its runs, if it has any. @param leaseEnd when its last lease has ended or will end */
+    void logLoss(const WorkerState &worker, bool isWrongWorker, TimePoint leaseEnd) const;
     void reportAllRunsLost(WorkerState &worker, RunLoss loss);
     /** Records how a run ended, and avoids the worker for a while if most of its last runs failed. */
     void recordOutcome(WorkerState &worker, bool hasFailed);
--- a/modules/dispatch/FleetPolling.cpp
+++ b/modules/dispatch/FleetPolling.cpp
@@ -153,8 +153,8 @@
     }
     const bool isWrongWorker = reply.outcome == CommandOutcome::WrongWorker;
     const auto inheritedLeaseEnd = createdAt + timing.lease * 51 / 50 + Milliseconds(1500);
-    const bool isLeaseOver = timers.now()
-                             > std::max(worker.client->leaseEnd(), worker.isReportRead ? TimePoint() : inheritedLeaseEnd);
+    const auto leaseEnd = std::max(worker.client->leaseEnd(), worker.isReportRead ? TimePoint() : inheritedLeaseEnd);
+    const bool isLeaseOver = timers.now() > leaseEnd;
     if (hasLeft(worker, reply.outcome)) {
         EventLog::write("worker.left", { { "worker", id }, { "runs", worker.runs.size() } });
         reportAllRunsLost(worker, RunLoss::WorkerRestarted);
@@ -162,9 +162,7 @@
         worker.acknowledgedEnd = worker.lastSeenEnd;
         removeIfGone(id);
     } else if (isWrongWorker || isLeaseOver) {
-        if (!worker.runs.empty()) {
-            EventLog::write("worker.lost", { { "worker", id }, { "runs", worker.runs.size() }, { "other", isWrongWorker } });
-        }
+        logLoss(worker, isWrongWorker, leaseEnd);
         possibleCrashes.add(makePossibleCrash(worker), timers.now());
         reportAllRunsLost(worker, isWrongWorker ? RunLoss::WorkerRestarted : RunLoss::LeaseExpired);
         if (isWrongWorker) {
--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -59,6 +59,12 @@
     /** Ignores answers to advice requests from now on. */
     void close();
 
+    /** True if in the last round some inherited job waited for reports of workers. */
+    bool isWaitingForReports() const;
+
+    /** How long inherited jobs may still wait for any unread worker; zero once that time is over. */
+    Milliseconds remainingInheritedLease() const;
+
     /** Returns what the rounds since the last call have cost. */
     PlacementStatistics takeStatistics();
 
--- a/modules/entry/Owner.cpp
+++ b/modules/entry/Owner.cpp
@@ -61,6 +61,7 @@
                   workerWatchTiming,
                   [this](const auto &rows, bool isWholeTable) { updateWorkers(rows, isWholeTable); })
     , guard(dependencies.timers, dependencies.store, ownership.epochVersion, [this] { depose(); })
+    , ownershipReport(ownership.token)
     , admission(static_cast<std::uint_fast32_t>(ownership.token))
     , placementDelay(PlacementPacing::minDelay)
 {
@@ -140,6 +141,7 @@
         placer.tend();
         schedulePlacement();
     }
+    reportOwnership();
     dependencies.timers.after(maintenanceInterval, [self = shared_from_this()] { self->runMaintenance(); });
 }
 
@@ -235,6 +237,10 @@
     metrics.setGauge("worker_looks", static_cast<double>(impl_->fleet.renewalCount()));
     metrics.setGauge("store_transactions", static_cast<double>(impl_->commitQueue.sentCount()));
     metrics.setGauge("store_rows_rejected", static_cast<double>(impl_->commitQueue.rejectedRowCount()));
+    const auto workers = impl_->countWorkers();
+    metrics.setGauge("owner_store_age_milliseconds", static_cast<double>(impl_->storeAge().count()));
+    metrics.setGauge("workers_unread", workers.unread);
+    metrics.setGauge("workers_answering", workers.answering);
 }
 
 void Owner::flush(Milliseconds timeout, std::function<void(const Ownership &)> done)
--- a/modules/entry/OwnerImpl.h
+++ b/modules/entry/OwnerImpl.h
@@ -7,6 +7,7 @@
 #include "entry/AdmissionControl.h"
 #include "entry/Owner.h"
 #include "entry/OwnershipGuard.h"
+#include "entry/OwnershipReport.h"
 #include "entry/TableWatch.h"
 
 #include <map>
@@ -37,6 +38,11 @@
     void runMaintenance();
     /** Logs what the rounds of placement have cost, once a second. */
     void reportPlacement();
+    /** Logs a lasting lack of confirmation by the store, and the wait of inherited jobs for unread workers. */
+    void reportOwnership();
+    /** How long ago the store has confirmed the ownership, by a transaction or a reading of the epoch row. */
+    Milliseconds storeAge() const;
+    OwnershipReport::Workers countWorkers() const;
     void handleCall(const ClientCall &call, Callback callback);
     void submit(const ClientCall &call, Callback callback);
     /** Refuses a new submission if the owner is overloaded. Nothing of it is kept. @return true if it was refused */
@@ -67,6 +73,7 @@
     TaskPlacer placer;
     TableWatch workerWatch;
     OwnershipGuard guard;
+    OwnershipReport ownershipReport;
     AdmissionControl admission;
     TimePoint loadSampleDueAt;
     TimePoint loadReportedAt;
--- a/modules/entry/OwnershipGuard.cpp
+++ b/modules/entry/OwnershipGuard.cpp
@@ -141,4 +141,12 @@
     });
 }
 
+std::optional<Milliseconds> OwnershipGuard::confirmationAge() const
+{
+    if (!impl_->confirmedAt) {
+        return std::nullopt;
+    }
+    return std::chrono::duration_cast<Milliseconds>(impl_->timers.bootNow() - *impl_->confirmedAt);
+}
+
 } // namespace auburndoor
--- a/modules/entry/OwnershipGuard.h
+++ b/modules/entry/OwnershipGuard.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace auburndoor {
 
@@ -56,6 +57,9 @@
     /** As confirm(), but calls back at once if the store has confirmed the ownership within maxAge. Calls share one reading. */
     void confirmWithin(Milliseconds maxAge, std::function<void(Status)> done);
 
+    /** The time since the last reading that has confirmed the ownership was sent; empty if there was none. */
+    std::optional<Milliseconds> confirmationAge() const;
+
 private:
     struct Impl;
     std::shared_ptr<Impl> impl_;
