Soak: an owner parted with a worker from the rest runs tasks twice (fails)

The soak had no fault that parts an owner and some workers from the other processes and workers. No product code changes. Not covered: StartChecker finds no start after an end as done that is acknowledged later.

--- a/tests/soak/EntryProcess.cpp
+++ b/tests/soak/EntryProcess.cpp
@@ -130,6 +130,11 @@
     return stoppingSince_.has_value();
 }
 
+const std::string &EntryProcess::name() const
+{
+    return name_;
+}
+
 Address EntryProcess::clientAddress() const
 {
     return { ip_, clientPort };
--- a/tests/soak/PlatformServer.cpp
+++ b/tests/soak/PlatformServer.cpp
@@ -5,6 +5,8 @@
 #include "core/TextEncoding.h"
 #include "net/EventLoop.h"
 
+#include <algorithm>
+
 namespace auburndoor {
 
 using platform::Json;
@@ -215,11 +217,16 @@
 
 void PlatformServer::serveWorker(const std::string &id, const WebRequest &request, const HttpResponderPointer &responder)
 {
+    const auto body = Json::parse(request.body);
+    const auto token = body.at("fencingToken").get<std::int64_t>();
+    if (isCut(id, token)) {
+        holdWhileCut(id, token, responder);
+        return;
+    }
     if (request.target == "/api/hold") {
-        const auto body = Json::parse(request.body);
         ReportRequest reportRequest { body.value("ackSeq", std::int64_t(0)),
                                       std::nullopt,
-                                      body.at("fencingToken"),
+                                      token,
                                       loop_.now() + Milliseconds(body.value("waitMs", 0)),
                                       fleet.worker(id).entry().incarnation };
         if (body.contains("deadlineMs")) {
@@ -241,6 +248,22 @@
     }
 }
 
+bool PlatformServer::isCut(const std::string &id, std::int64_t token) const
+{
+    return std::any_of(tokenCuts.begin(), tokenCuts.end(), [&id, token](const TokenCut &cut) {
+        return cut.worker == id && cut.firstToken <= token && token <= cut.lastToken;
+    });
+}
+
+void PlatformServer::holdWhileCut(const std::string &id, std::int64_t token, const HttpResponderPointer &responder)
+{
+    if (!isCut(id, token)) {
+        responder->abandon();
+        return;
+    }
+    loop_.after(reportPollInterval, [this, id, token, responder] { holdWhileCut(id, token, responder); });
+}
+
 void PlatformServer::serveCommand(const std::string &id, const WebRequest &request, const HttpResponderPointer &responder)
 {
     auto &worker = fleet.worker(id);
@@ -273,6 +296,10 @@
         responder->abandon();
         return;
     }
+    if (isCut(id, reportRequest.token)) {
+        holdWhileCut(id, reportRequest.token, responder);
+        return;
+    }
     TaskReport report;
     const auto outcome = worker.renewLeases(reportRequest.acknowledged, reportRequest.deadline, reportRequest.token, report);
     if (outcome != CommandOutcome::Accepted) {
--- a/tests/soak/PlatformServer.h
+++ b/tests/soak/PlatformServer.h
@@ -5,12 +5,22 @@
 #include "net/HttpListener.h"
 #include "soak/FaultyLink.h"
 
+#include <limits>
+#include <list>
 #include <map>
 #include <memory>
 #include <string>
 
 namespace auburndoor {
 
+/** Cuts a worker off from the processes whose fencing tokens are in a range. */
+struct TokenCut
+{
+    std::string worker;
+    std::int64_t firstToken = 0;
+    std::int64_t lastToken = std::numeric_limits<std::int64_t>::max();
+};
+
 /**
     Serves a simulated store and simulated workers over HTTP on loopback, in the platform's protocol.
 
@@ -36,6 +46,9 @@
 
     FaultyLink &workerLink(const std::string &id);
 
+    /** The cuts in force. Requests and replies that meet one are lost; their connections are closed after its end. */
+    std::list<TokenCut> tokenCuts;
+
     FakeStore store;
     SimulatedFleet fleet;
     StartChecker checker;
@@ -69,6 +82,10 @@
     void serveCommand(const std::string &id, const WebRequest &request, const HttpResponderPointer &responder);
     void answerReportRequest(const std::string &id, const ReportRequest &reportRequest, const HttpResponderPointer &responder);
 
+    bool isCut(const std::string &id, std::int64_t token) const;
+    /** Leaves a request to a worker without a reply until no cut applies to it, then closes its connection. */
+    void holdWhileCut(const std::string &id, std::int64_t token, const HttpResponderPointer &responder);
+
     EventLoop &loop_;
     std::unique_ptr<HttpListener> storeListener_;
     std::map<std::string, WorkerEndpoint> workers_;
