Tests: cuts of one owner alone, and the check of ends that are acknowledged late

StartChecker found a start after an end whose acknowledgement came before the start, but not one whose acknowledgement came later.

Change: SimulatedWorker answers no order with a token in cutOffTokens. PartitionedStore is an owner's own link to the store; while it is cut, calls end as Unknown after 1.5 s, and replies in flight are lost. OwnerFixture::cutOff() sets both for one token. StartChecker, and with it every test that uses it, objects to an acknowledged end as done after which the task was started, if the worker's lease has not lapsed since the end. For that, SimulatedWorker takes an end before a lapse for lapsed even if both pass unobserved before the next order; that is the rule, and without it the new check objects to starts that the rule allows.

Conclusion: partitions of single owners can be tested in simulated time.

--- a/tests/dispatch/OwnerFixture.cpp
+++ b/tests/dispatch/OwnerFixture.cpp
@@ -123,12 +123,33 @@
                                 store.row(FencingRows::table, FencingRows::epochKey)->version,
                                 sequence == nullptr ? 0 : sequence->version };
     auto &factory = clients == nullptr ? fleet : *clients;
-    owner = std::make_unique<Owner>(OwnerDependencies { timers, store, factory, advisor, protocol_, settings_ }, ownership, [] {});
+    auto &link = links_.try_emplace(fencingToken_, timers, store).first->second;
+    owner = std::make_unique<Owner>(OwnerDependencies { timers, link, factory, advisor, protocol_, settings_ }, ownership, [] {});
     owner->setDesiredState(desiredState_);
     owner->start();
     timers.advance(Milliseconds(600));
 }
 
+void OwnerFixture::cutOff(std::int64_t token, const std::set<std::string> &workers, bool isStoreCut)
+{
+    links_.try_emplace(token, timers, store).first->second.isCut = isStoreCut;
+    for (const auto &[id, worker] : fleet.workers()) {
+        if (workers.contains(id)) {
+            worker->cutOffTokens.insert(token);
+        }
+    }
+}
+
+void OwnerFixture::heal()
+{
+    for (auto &[token, link] : links_) {
+        link.isCut = false;
+    }
+    for (const auto &[id, worker] : fleet.workers()) {
+        worker->cutOffTokens.clear();
+    }
+}
+
 void OwnerFixture::killOwner()
 {
     owner.reset();
--- a/tests/dispatch/OwnerFixture.h
+++ b/tests/dispatch/OwnerFixture.h
@@ -4,6 +4,7 @@
 #include "entry/Owner.h"
 #include "fakes/FakeStore.h"
 #include "fakes/ManualTimers.h"
+#include "fakes/PartitionedStore.h"
 #include "fakes/SimulatedWorker.h"
 #include "fakes/StartChecker.h"
 
@@ -56,6 +57,14 @@
 
     /** A new owner takes over. @param isFormerOwnerKilled if false, the former owner goes on until it learns that it is deposed */
     void takeOver(bool isFormerOwnerKilled = true);
+    /**
+        Cuts the owner with this token, or the one that is to have it, off from these workers.
+
+        @param isStoreCut whether that owner is cut off from the store as well
+    */
+    void cutOff(std::int64_t token, const std::set<std::string> &workers, bool isStoreCut);
+    /** Ends all cuts that cutOff() has made. */
+    void heal();
     /** Ends the owner without a successor. */
     void killOwner();
 
@@ -85,6 +94,8 @@
     platform::PlatformProtocol protocol_;
     EntrySettings settings_;
     DesiredState desiredState_;
+    /** The owners' links to the store, by token. */
+    std::map<std::int64_t, PartitionedStore> links_;
     std::vector<std::unique_ptr<Owner>> formerOwners_;
     std::int64_t fencingToken_ = 0;
     StartChecker checker_;
--- /dev/null
+++ b/tests/fakes/PartitionedStore.cpp
@@ -0,0 +1,51 @@
+#include "fakes/PartitionedStore.h"
+
+#include <utility>
+
+namespace auburndoor {
+
+namespace {
+
+constexpr Milliseconds givenUpAfter { 1500 };
+
+} // namespace
+
+void PartitionedStore::pass(const std::function<void(Callback)> &send, Callback callback)
+{
+    const auto giveUp = [this](const Callback &caller) {
+        timers_.after(givenUpAfter, [caller] { caller({ StoreOutcome::Unknown, 0, {}, "no reply" }); });
+    };
+    if (isCut) {
+        giveUp(callback);
+        return;
+    }
+    send([this, giveUp, callback = std::move(callback)](const StoreResult &result) {
+        if (isCut) {
+            giveUp(callback);
+        } else {
+            callback(result);
+        }
+    });
+}
+
+void PartitionedStore::commit(StoreChange change, Callback callback)
+{
+    pass([this, &change](Callback reply) { store_.commit(std::move(change), std::move(reply)); }, std::move(callback));
+}
+
+void PartitionedStore::readAll(const std::string &table, const std::string &firstKey, Callback callback)
+{
+    pass([&](Callback reply) { store_.readAll(table, firstKey, std::move(reply)); }, std::move(callback));
+}
+
+void PartitionedStore::readRow(const std::string &table, const std::string &key, Callback callback)
+{
+    pass([&](Callback reply) { store_.readRow(table, key, std::move(reply)); }, std::move(callback));
+}
+
+void PartitionedStore::changes(const std::string &table, std::int64_t afterVersion, Milliseconds maxWait, Callback callback)
+{
+    pass([&](Callback reply) { store_.changes(table, afterVersion, maxWait, std::move(reply)); }, std::move(callback));
+}
+
+} // namespace auburndoor
--- /dev/null
+++ b/tests/fakes/PartitionedStore.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "net/Timers.h"
+#include "workload/StateStore.h"
+
+namespace auburndoor {
+
+/** One owner's link to a store that others share. While it is cut, calls are not done and have no reply. */
+class PartitionedStore : public StateStore
+{
+public:
+    PartitionedStore(Timers &timers, StateStore &store) : timers_(timers), store_(store)
+    {
+    }
+
+    void commit(StoreChange change, Callback callback) override;
+    void readAll(const std::string &table, const std::string &firstKey, Callback callback) override;
+    void readRow(const std::string &table, const std::string &key, Callback callback) override;
+    void changes(const std::string &table, std::int64_t afterVersion, Milliseconds maxWait, Callback callback) override;
+
+    /** While cut, calls end as Unknown after a timeout; calls that are in flight may be done, but their replies are lost. */
+    bool isCut = false;
+
+private:
+    /** Passes a call on unless the link is cut. @param send makes the call at the store */
+    void pass(const std::function<void(Callback)> &send, Callback callback);
+
+    Timers &timers_;
+    StateStore &store_;
+};
+
+} // namespace auburndoor
--- a/tests/fakes/SimulatedWorker.cpp
+++ b/tests/fakes/SimulatedWorker.cpp
@@ -21,23 +21,23 @@
 {
 }
 
-void SimulatedWorker::end(const std::pair<TaskName, std::int64_t> &key, RunOutcome how)
+bool SimulatedWorker::isCutOffFrom(std::int64_t token) const
+{
+    return isCutOff || cutOffTokens.contains(token);
+}
+
+void SimulatedWorker::end(const std::pair<TaskName, std::int64_t> &key, RunOutcome how, TimePoint at)
 {
     runs_.erase(key);
     auto &over = overAttempts_[key.first];
     over = std::max(over, key.second);
+    endTimes_[nextEnd_] = at;
     ended_.push_back({ nextEnd_++, key.first, key.second, how, {} });
 }
 
 void SimulatedWorker::settle()
 {
     const auto now = timers_.now();
-    if (leaseEnd_ <= now) {
-        // Ends that were not acknowledged before the lease passed may be made up for by another run.
-        for (const auto &ended : ended_) {
-            lapsedSince_.insert(ended.number);
-        }
-    }
     std::vector<std::pair<std::pair<TaskName, std::int64_t>, RunOutcome>> due;
     for (const auto &[key, run] : runs_) {
         if (run.endsAt <= std::min(now, leaseEnd_)) {
@@ -47,7 +47,13 @@
         }
     }
     for (const auto &[key, how] : due) {
-        end(key, how);
+        end(key, how, std::min(runs_.at(key).endsAt, leaseEnd_));
+    }
+    if (leaseEnd_ <= now) {
+        // Ends that were not acknowledged before the lease passed may be made up for by another run.
+        for (const auto &ended : ended_) {
+            lapsedSince_.insert(ended.number);
+        }
     }
 }
 
@@ -108,16 +114,7 @@
     }
     for (const auto &ended : ended_) {
         if (ended.number <= acknowledged && ended.end == RunOutcome::Done && !lapsedSince_.contains(ended.number)) {
-            acknowledgedDone_.push_back(ended.task);
-            EventLog::write("test.acknowledged",
-                            { { "job", ended.task.job },
-                              { "index", ended.task.index },
-                              { "attempt", ended.attempt },
-                              { "worker", entry_.id },
-                              { "number", ended.number },
-                              { "up_to", acknowledged },
-                              { "token", token },
-                              { "simulated", std::chrono::duration_cast<Milliseconds>(timers_.now() - TimePoint()).count() } });
+            acknowledge(ended, token);
         }
     }
     std::erase_if(ended_, [acknowledged](const EndedTask &ended) { return ended.number <= acknowledged; });
@@ -132,6 +129,22 @@
     return CommandOutcome::Accepted;
 }
 
+void SimulatedWorker::acknowledge(const EndedTask &ended, std::int64_t token)
+{
+    acknowledgedDone_.push_back(ended.task);
+    EventLog::write("test.acknowledged",
+                    { { "job", ended.task.job },
+                      { "index", ended.task.index },
+                      { "attempt", ended.attempt },
+                      { "worker", entry_.id },
+                      { "number", ended.number },
+                      { "token", token },
+                      { "simulated", std::chrono::duration_cast<Milliseconds>(timers_.now() - TimePoint()).count() } });
+    if (onDoneAcknowledged) {
+        onDoneAcknowledged(ended.task, endTimes_.at(ended.number));
+    }
+}
+
 void SimulatedWorker::restart()
 {
     settle();
@@ -141,6 +154,7 @@
     highestToken_ = 0;
     nextEnd_ = 1;
     lapsedSince_.clear();
+    endTimes_.clear();
     leaseEnd_ = {};
     ++entry_.incarnation;
 }
@@ -221,7 +235,7 @@
             timers.after(wayThere, [callback = std::move(callback)] { callback({ CommandOutcome::Unknown, "reset" }, {}); });
             return;
         }
-        if (fleet_.worker(id_).isCutOff) {
+        if (fleet_.worker(id_).isCutOffFrom(token_)) {
             timers.after(wait + givenUpAfter, [callback = std::move(callback)] {
                 callback({ CommandOutcome::Unknown, "cut" }, {});
             });
@@ -271,6 +285,10 @@
                            const ReportCallback &callback)
     {
         auto &worker = fleet.worker(id);
+        if (worker.cutOffTokens.contains(token)) {
+            timers.after(givenUpAfter, [callback] { callback({ CommandOutcome::Unknown, "cut" }, {}); });
+            return;
+        }
         if (worker.entry().incarnation != incarnation) {
             // The restart has closed the connection.
             callback({ CommandOutcome::Unknown, "reset" }, {});
@@ -295,8 +313,9 @@
     {
         auto &timers = fleet_.timers_;
         const auto fault = fleet_.drawFault ? fleet_.drawFault() : CommandFault();
-        if (fleet_.worker(id_).isCutOff || fault.kind == CommandFault::Kind::Late) {
-            if (!fleet_.worker(id_).isCutOff) {
+        const bool isCutOff = fleet_.worker(id_).isCutOffFrom(token_);
+        if (isCutOff || fault.kind == CommandFault::Kind::Late) {
+            if (!isCutOff) {
                 // What is carried out late waits in the worker, and goes with its life.
                 timers.after(fault.late, [&fleet = fleet_, id = id_, incarnation = fleet_.worker(id_).entry().incarnation, action] {
                     if (fleet.worker(id).entry().incarnation == incarnation) {
@@ -308,9 +327,16 @@
             return;
         }
         timers.after(wayThere,
-                     [&timers, &fleet = fleet_, id = id_, fault, action = std::move(action), callback = std::move(callback)] {
+                     [&timers,
+                      &fleet = fleet_,
+                      id = id_,
+                      token = token_,
+                      fault,
+                      action = std::move(action),
+                      callback = std::move(callback)] {
                          const auto outcome = fleet.worker(id).isReplaced ? CommandOutcome::WrongWorker : action();
-                         const bool isLost = fault.kind == CommandFault::Kind::AnswerLost;
+                         const bool isLost = fault.kind == CommandFault::Kind::AnswerLost
+                                             || fleet.worker(id).cutOffTokens.contains(token);
                          timers.after(isLost ? givenUpAfter : wayThere, [callback, outcome, isLost] {
                              callback({ isLost ? CommandOutcome::Unknown : outcome, {} });
                          });
@@ -334,6 +360,11 @@
 {
     auto &slot = workers_[entry.id];
     slot = std::make_unique<SimulatedWorker>(timers_, entry, std::move(plan));
+    slot->onDoneAcknowledged = [this](const TaskName &task, TimePoint endedAt) {
+        if (onDoneAcknowledged) {
+            onDoneAcknowledged(task, endedAt);
+        }
+    };
     return *slot;
 }
 
--- a/tests/fakes/SimulatedWorker.h
+++ b/tests/fakes/SimulatedWorker.h
@@ -55,6 +55,14 @@
     /** While cut off, no order arrives and nothing is answered; it runs on. */
     bool isCutOff = false;
 
+    /** The fencing tokens whose orders do not arrive and get no answer, since only their owners are cut off. */
+    std::set<std::int64_t> cutOffTokens;
+    /** True if orders with this token get no answer. */
+    bool isCutOffFrom(std::int64_t token) const;
+
+    /** Called when an end as done is acknowledged and the lease has not lapsed since the end. */
+    std::function<void(const TaskName &, TimePoint endedAt)> onDoneAcknowledged;
+
     /** It is gone: no connection to it can be opened. */
     bool hasExited = false;
 
@@ -76,7 +84,8 @@
     const std::vector<TaskName> &acknowledgedDone() const;
 
 private:
-    void end(const std::pair<TaskName, std::int64_t> &key, RunOutcome how);
+    void end(const std::pair<TaskName, std::int64_t> &key, RunOutcome how, TimePoint at);
+    void acknowledge(const EndedTask &ended, std::int64_t token);
 
     Timers &timers_;
     WorkerEntry entry_;
@@ -89,6 +98,8 @@
     std::vector<EndedTask> ended_;
     std::vector<TaskName> acknowledgedDone_;
     std::set<std::int64_t> lapsedSince_;
+    /** By number; kept after the acknowledgement. */
+    std::map<std::int64_t, TimePoint> endTimes_;
 };
 
 /** Faults on the way to the workers, drawn by a test. */
@@ -121,6 +132,8 @@
     std::function<CommandFault()> drawFault;
     /** Called after each start that a worker has begun. */
     std::function<void(SimulatedWorker &, const StartCommand &)> onStarted;
+    /** Called as SimulatedWorker::onDoneAcknowledged for all workers. */
+    std::function<void(const TaskName &, TimePoint endedAt)> onDoneAcknowledged;
 
 private:
     class Orders;
--- a/tests/fakes/StartChecker.cpp
+++ b/tests/fakes/StartChecker.cpp
@@ -6,6 +6,29 @@
 
 namespace auburndoor {
 
+namespace {
+
+std::string nameOf(const TaskName &task)
+{
+    return task.job + "." + std::to_string(task.step) + "." + std::to_string(task.index);
+}
+
+} // namespace
+
+StartChecker::StartChecker(SimulatedFleet &fleet) : fleet_(fleet)
+{
+    fleet.onDoneAcknowledged = [this](const TaskName &task, TimePoint endedAt) { checkAcknowledged(task, endedAt); };
+}
+
+void StartChecker::checkAcknowledged(const TaskName &task, TimePoint endedAt)
+{
+    const auto lastStart = lastStarts_.find(task);
+    if (lastStart != lastStarts_.end() && lastStart->second > endedAt) {
+        violations.push_back(nameOf(task) + " started after an end that was acknowledged later");
+        EventLog::write("test.violation", { { "what", violations.back() } });
+    }
+}
+
 void StartChecker::check(SimulatedWorker &worker, const StartCommand &order)
 {
     EventLog::write("test.started",
@@ -14,7 +37,8 @@
                       { "index", order.task.index },
                       { "attempt", order.attempt },
                       { "worker", worker.entry().id } });
-    const auto name = order.task.job + "." + std::to_string(order.task.step) + "." + std::to_string(order.task.index);
+    const auto name = nameOf(order.task);
+    lastStarts_[order.task] = worker.runs().at({ order.task, order.attempt }).startedAt;
     std::int64_t used = 0;
     for (const auto &[key, run] : worker.runs()) {
         used += jobs_[key.first.job].steps.at(static_cast<std::size_t>(key.first.step)).need.milliCores;
--- a/tests/fakes/StartChecker.h
+++ b/tests/fakes/StartChecker.h
@@ -8,13 +8,17 @@
 
 namespace auburndoor {
 
-/** Checks each start at the workers themselves: capacity, one run of a task at a time, none after its end was acknowledged. */
+/**
+    Checks at the workers themselves: capacity, one run of a task at a time, and no start after an end as done that is acknowledged
+    before or after that start.
+*/
 class StartChecker
 {
 public:
-    explicit StartChecker(SimulatedFleet &fleet) : fleet_(fleet)
-    {
-    }
+    /** @param fleet tells this checker of acknowledgements; each start has to be handed to check() */
+    explicit StartChecker(SimulatedFleet &fleet);
+    StartChecker(const StartChecker &) = delete;
+    StartChecker &operator=(const StartChecker &) = delete;
 
     /** Makes the needs of a job's tasks known, before the job is handed in. */
     void addJob(const std::string &id, const JobSpec &spec)
@@ -29,8 +33,11 @@
     std::vector<std::string> violations;
 
 private:
+    void checkAcknowledged(const TaskName &task, TimePoint endedAt);
+
     SimulatedFleet &fleet_;
     std::map<std::string, JobSpec> jobs_;
+    std::map<TaskName, TimePoint> lastStarts_;
 };
 
 } // namespace auburndoor
