An owner's leases and starts rest on evidence of its ownership, and a successor waits for the end of that

What callers saw: work that has to run once ran twice around a takeover, at the same time or after its end was acknowledged (120 cases in the users' record, docs/incidents/0021.md).

Cause: the permission of an owner had no end. Cut off from the store and from most workers, it renewed leases and started tasks for as long as one worker accepted its token. Its successor waited for unread workers for a lease and 1.5 s, since a worker was expected to tell the former owner of the new token; no worker that both reach was left to do so. The former owner also took the runs on the workers that it did not reach for lost once its own leases had ended, though the successor had adopted them, and started them again.

Change: OwnershipEvidence. Leases end within a lease and 1 s of a moment in which the store confirmed the ownership or at least half of the roster's workers accepted commands, on the boot clock; nothing starts with less than 1 s left. A successor that has read more than half of the roster waits for that time from its reading (6.5 s instead of 6.6 s from the takeover), else 20 s longer. What the end of a lease tells, of silent workers and of inherited ones that were never read, counts only if the store has confirmed the ownership since. An owner without writes reads the epoch row. The wait for a worker that drained is left out only if it was not listed when the new owner first read the directory.

Tests changed: in three cells whose roster was a single worker, which the new owner could not read, the roster gets two more workers, since the bound of these tests holds for a new owner that reads more than half of it; the bound for one that does not is a new test.

--- a/modules/dispatch/CommitQueue.cpp
+++ b/modules/dispatch/CommitQueue.cpp
@@ -57,7 +57,7 @@
     /** Adds the value of a row to a transaction. @return its size; empty if the row is too large and was set aside */
     std::optional<std::size_t> addRow(Transaction &transaction, const RowName &rowName, WaitingRow &row);
     void sendTransaction();
-    void onResult(StoreResult result);
+    void onResult(StoreResult result, CallTime sentAt);
     /** Sends the rows of a transaction that the store does not take again in smaller ones, and sets aside a row that is alone. */
     void onRejected(const StoreResult &result);
     /** Keeps a row from holding up the others. @param detail why the store does not take it */
@@ -75,6 +75,7 @@
     std::int64_t epochVersion = 0;
     std::int64_t sequenceVersion = 0;
     Callback deposed;
+    std::function<void(CallTime sentAt)> appliedCallback;
     std::size_t maxRowBytes = defaultMaxRowBytes;
     WaitingRows waitingRows;
     std::optional<Transaction> inFlight;
@@ -181,17 +182,20 @@
 void CommitQueue::Impl::sendTransaction()
 {
     ++sentTransactions;
-    store.commit(inFlight->change, [self = shared_from_this()](StoreResult result) {
+    store.commit(inFlight->change, [self = shared_from_this(), sentAt = CallTime::now(timers)](StoreResult result) {
         if (!self->isClosed) {
-            self->onResult(std::move(result));
+            self->onResult(std::move(result), sentAt);
         }
     });
 }
 
-void CommitQueue::Impl::onResult(StoreResult result)
+void CommitQueue::Impl::onResult(StoreResult result, CallTime sentAt)
 {
     switch (result.outcome) {
     case StoreOutcome::Done:
+        if (appliedCallback) {
+            appliedCallback(sentAt);
+        }
         onApplied(result.version);
         return;
     case StoreOutcome::Conflict:
@@ -296,6 +300,11 @@
     close();
 }
 
+void CommitQueue::setAppliedCallback(std::function<void(CallTime sentAt)> callback)
+{
+    impl_->appliedCallback = std::move(callback);
+}
+
 void CommitQueue::put(const std::string &table, const std::string &key, Value value, Callback durable, Urgency urgency)
 {
     if (impl_->isClosed) {
@@ -335,11 +344,6 @@
     return impl_->hasFailed || stallDuration() > stallThreshold;
 }
 
-Milliseconds CommitQueue::appliedAge() const
-{
-    return std::chrono::duration_cast<Milliseconds>(impl_->timers.now() - impl_->lastSuccess);
-}
-
 void CommitQueue::close()
 {
     impl_->isClosed = true;
--- a/modules/dispatch/CommitQueue.h
+++ b/modules/dispatch/CommitQueue.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "net/Timers.h"
+#include "dispatch/CallTime.h"
 #include "workload/StateStore.h"
 
 #include <cstddef>
@@ -60,6 +60,9 @@
                 std::size_t maxRowBytes = defaultMaxRowBytes);
     ~CommitQueue();
 
+    /** Sets what is called with the time at which each transaction was sent that the store has applied. */
+    void setAppliedCallback(std::function<void(CallTime sentAt)> callback);
+
     /** Which rows go first when one transaction cannot hold all waiting rows. */
     enum class Urgency {
         /** A client waits for it: a submitted job, or the end of one. */
@@ -95,9 +98,6 @@
     /** True if the last attempt failed, or the transaction in flight has been without success for too long. */
     bool isStalled() const;
 
-    /** The time since a transaction was last known to be applied, or since the construction if there was none. */
-    Milliseconds appliedAge() const;
-
     /** Stops sending; callbacks are no longer called. */
     void close();
 
--- a/modules/dispatch/Fleet.cpp
+++ b/modules/dispatch/Fleet.cpp
@@ -8,8 +8,13 @@
 
 namespace auburndoor {
 
-Fleet::Fleet(Timers &timers, WorkerClientFactory &factory, FleetListener &listener, FleetTiming timing, std::int64_t fencingToken)
-    : impl_(std::make_shared<Impl>(timers, factory, listener, timing, fencingToken))
+Fleet::Fleet(Timers &timers,
+             WorkerClientFactory &factory,
+             FleetListener &listener,
+             FleetTiming timing,
+             std::int64_t fencingToken,
+             OwnershipEvidence &evidence)
+    : impl_(std::make_shared<Impl>(timers, factory, listener, timing, fencingToken, evidence))
 {
 }
 
@@ -49,6 +54,7 @@
 {
     auto &worker = impl_->findOrCreate(entry);
     worker.isInRoster = true;
+    impl_->quorum.addInherited(entry.id);
     worker.unlistedAt = impl_->timers.now();
     impl_->ensurePolling(worker);
 }
@@ -86,12 +92,31 @@
 void Fleet::setDirectoryAge(Milliseconds age)
 {
     impl_->isDirectoryStale = age > impl_->timing.directoryStaleAfter;
-    if (!impl_->isDirectoryStale) {
-        return;
+    if (impl_->isDirectoryStale) {
+        impl_->pollAll();
     }
+}
+
+void Fleet::collectEvidence()
+{
+    std::vector<TimePoint> acceptedAt;
     for (const auto &[id, worker] : impl_->workers) {
-        impl_->schedulePoll(id, Milliseconds(0));
+        if (worker->isInRoster) {
+            acceptedAt.push_back(worker->acceptedAt);
+        }
     }
+    if (const auto time = impl_->quorum.quorumTime(std::move(acceptedAt))) {
+        impl_->evidence.noteQuorum(*time);
+    }
+    if (impl_->evidence.storeAge() > impl_->timing.maxStoreAge) {
+        impl_->pollAll();
+    }
+}
+
+Milliseconds Fleet::remainingInheritedLease() const
+{
+    const auto remaining = std::chrono::ceil<Milliseconds>(impl_->inheritedLeasesEnd() - impl_->timers.now());
+    return std::max(remaining, Milliseconds(0));
 }
 
 void Fleet::start(const std::string &id, const StartCommand &command, const RunClaim &claim)
@@ -112,7 +137,7 @@
     found->runs.emplace(key, run);
     impl_->startWindow.onSent();
     found->client->start(
-        command, impl_->timing.lease, [impl = impl_, id, key, sentAt = run.startedAt](const WorkerClient::Reply &reply) {
+        command, impl_->permittedLease(), [impl = impl_, id, key, sentAt = run.startedAt](const WorkerClient::Reply &reply) {
             impl->updateStartWindow(sentAt, reply);
             impl->onStartReply(id, key, reply);
         });
@@ -170,12 +195,13 @@
                                        : worker.runs.empty() || now - worker.lastReportAt < impl_->timing.maxReportAge);
 }
 
-bool Fleet::hasUnreadWorkers(const std::string &service, bool areInheritedLeasesOver) const
+bool Fleet::hasUnreadWorkers(const std::string &service) const
 {
     const auto now = impl_->timers.now();
+    const bool areInheritedOver = impl_->areInheritedLeasesOver();
     return std::any_of(impl_->workers.begin(), impl_->workers.end(), [&](const auto &entry) {
         const auto &worker = *entry.second;
-        const bool hasLease = !areInheritedLeasesOver || (worker.isReportCutOff && now <= worker.client->leaseEnd());
+        const bool hasLease = !areInheritedOver || (worker.isReportCutOff && now <= worker.client->leaseEnd());
         return !worker.isReportRead && hasLease && worker.entry.hasServed(service);
     });
 }
--- a/modules/dispatch/Fleet.h
+++ b/modules/dispatch/Fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dispatch/OwnershipEvidence.h"
 #include "dispatch/WorkerCrash.h"
 #include "dispatch/WorkerState.h"
 #include "net/Timers.h"
@@ -87,6 +88,9 @@
     Milliseconds directoryStaleAfter { 3000 };
     /** While the view of the directory is stale, nothing is started on any worker whose last report is older. */
     Milliseconds maxReportAgeWhenDirectoryStale { 1600 };
+    EvidenceTiming evidence;
+    /** Idle workers are polled once the store has not confirmed the ownership for longer. */
+    Milliseconds maxStoreAge { 1000 };
 };
 
 /**
@@ -98,7 +102,13 @@
 class Fleet
 {
 public:
-    Fleet(Timers &timers, WorkerClientFactory &factory, FleetListener &listener, FleetTiming timing, std::int64_t fencingToken);
+    /** @param evidence limits the leases that this fleet grants, and what it concludes from their ends */
+    Fleet(Timers &timers,
+          WorkerClientFactory &factory,
+          FleetListener &listener,
+          FleetTiming timing,
+          std::int64_t fencingToken,
+          OwnershipEvidence &evidence);
     ~Fleet();
 
     /** Adds a worker of the directory, or follows a change of its entry. */
@@ -128,6 +138,16 @@
     */
     void setDirectoryAge(Milliseconds age);
 
+    /**
+        Notes in the evidence since when at least half of the roster's workers have accepted commands.
+
+        While the store does not confirm the ownership, this takes reports of idle workers too, which are polled then.
+    */
+    void collectEvidence();
+
+    /** How long a lease of an earlier owner may still hold; zero once all are over. */
+    Milliseconds remainingInheritedLease() const;
+
     /** Sends a start; the run occupies the claim from now on. Does nothing if there is no such worker. */
     void start(const std::string &worker, const StartCommand &command, const RunClaim &claim);
     /** False while so many starts are without an answer that further ones would only wait on the way. */
@@ -146,10 +166,10 @@
         True while the report of some worker is unread that serves the service, or has served it in its present incarnation, so that
         it may have runs unknown to this owner.
 
-        @param areInheritedLeasesOver no lease of an earlier owner holds any more: only workers whose reports are cut off, and whose
-                                      leases this owner has extended, count
+        Once all leases of earlier owners are over, only workers count whose reports are cut off and whose leases this owner has
+        extended.
     */
-    bool hasUnreadWorkers(const std::string &service, bool areInheritedLeasesOver) const;
+    bool hasUnreadWorkers(const std::string &service) const;
 
     const std::map<std::string, std::unique_ptr<WorkerState>> &workers() const;
     /**
--- a/modules/dispatch/FleetImpl.cpp
+++ b/modules/dispatch/FleetImpl.cpp
@@ -20,10 +20,6 @@
 constexpr Milliseconds maxTimeToCrash { 2000 };
 // Longer than any report can be in transit.
 constexpr Milliseconds endedRunRetention { 10000 };
-// A lease lasts longer on this process's clock if the worker's clock is slow.
-constexpr double slowestClockFactor = 1.0 / 0.98;
-// An earlier owner learns within this time that it is deposed.
-constexpr Milliseconds deposedOwnerAllowance { 1500 };
 
 } // namespace
 
@@ -31,8 +27,15 @@
                   WorkerClientFactory &factory,
                   FleetListener &listener,
                   FleetTiming timing,
-                  std::int64_t fencingToken)
-    : timers(timers), factory(factory), listener(listener), timing(timing), fencingToken(fencingToken), createdAt(timers.now())
+                  std::int64_t fencingToken,
+                  OwnershipEvidence &evidence)
+    : timers(timers)
+    , factory(factory)
+    , listener(listener)
+    , timing(timing)
+    , fencingToken(fencingToken)
+    , evidence(evidence)
+    , createdAt(timers.now())
 {
 }
 
@@ -98,6 +101,7 @@
         run.stopAcknowledgedAt.reset();
         run.stopReason.clear();
     }
+    worker.acceptedAt = {};
     worker.lastSeenEnd = 0;
     worker.acknowledgedEnd = 0;
     worker.unrecordedEnds.clear();
@@ -164,6 +168,7 @@
         return;
     }
     const auto &entry = worker.entry;
+    quorum.add(entry.id);
     listener.rosterChanged(
         entry, true, [impl = shared_from_this(), id = entry.id, born = entry.incarnation, service = entry.service] {
             auto *rosteredWorker = impl->isClosed ? nullptr : impl->find(id);
@@ -209,7 +214,7 @@
     }
 }
 
-void Fleet::Impl::logLoss(const WorkerState &worker, bool isWrongWorker, TimePoint leaseEnd) const
+void Fleet::Impl::logLoss(const WorkerState &worker, bool isWrongWorker) const
 {
     if (worker.runs.empty()) {
         return;
@@ -225,7 +230,7 @@
                     { { "worker", worker.entry.id },
                       { "runs", worker.runs.size() },
                       { "other", false },
-                      { "lease_ended_ms", elapsedSince(leaseEnd) },
+                      { "lease_ended_ms", elapsedSince(leaseEnd(worker)) },
                       { "silent_ms", elapsedSince(worker.silentSince) } });
 }
 
@@ -265,14 +270,15 @@
     if (worker->isReportCutOff && worker->failedPolls == 0) {
         return;
     }
-    const auto inheritedLease = Milliseconds(
-        static_cast<std::int64_t>(static_cast<double>(timing.lease.count()) * slowestClockFactor));
-    const auto safeAt = std::max(worker->client->leaseEnd(), createdAt + inheritedLease + deposedOwnerAllowance);
-    if (!worker->isReportRead && timers.now() < safeAt) {
+    if (!worker->isReportRead && !isLeaseOver(*worker)) {
         return;
     }
     EventLog::write("worker.forgotten", { { "worker", id } });
-    listener.rosterChanged(worker->entry, false, [] {});
+    listener.rosterChanged(worker->entry, false, [impl = shared_from_this(), id] {
+        if (impl->find(id) == nullptr) {
+            impl->quorum.remove(id);
+        }
+    });
     noteChange(*worker);
     workers.erase(id);
     listener.capacityChanged();
--- a/modules/dispatch/FleetImpl.h
+++ b/modules/dispatch/FleetImpl.h
@@ -2,6 +2,7 @@
 
 #include "dispatch/Fleet.h"
 #include "dispatch/PossibleCrashes.h"
+#include "dispatch/RosterQuorum.h"
 #include "dispatch/StartWindow.h"
 
 #include <optional>
@@ -11,7 +12,12 @@
 /** The state of a Fleet, shared with the callbacks of pending commands and timers. */
 struct Fleet::Impl : std::enable_shared_from_this<Fleet::Impl>
 {
-    Impl(Timers &timers, WorkerClientFactory &factory, FleetListener &listener, FleetTiming timing, std::int64_t fencingToken);
+    Impl(Timers &timers,
+         WorkerClientFactory &factory,
+         FleetListener &listener,
+         FleetTiming timing,
+         std::int64_t fencingToken,
+         OwnershipEvidence &evidence);
 
     WorkerState &findOrCreate(const WorkerEntry &entry);
     /** Null if there is no such worker. */
@@ -31,6 +37,14 @@
     /** Has the worker entered in the roster unless it is there. */
     void addToRoster(WorkerState &worker);
 
+    /** The lease that may be granted now. */
+    Milliseconds permittedLease() const;
+    /** When all leases that earlier owners granted have ended. */
+    TimePoint inheritedLeasesEnd() const;
+    /** True if all leases of earlier owners have ended, and no successor can have extended one. */
+    bool areInheritedLeasesOver() const;
+    /** Polls all workers that are not being polled. */
+    void pollAll();
     /** Starts to poll a worker whose report is unread or that has runs or unacknowledged ends. */
     void ensurePolling(WorkerState &worker);
     /** Renews the leases of a worker and reads its report. The worker may delay the answer until a task ends. */
@@ -42,6 +56,12 @@
     /** Polls the worker after the delay, unless a poll is scheduled or pending. */
     void schedulePoll(const std::string &id, Milliseconds delay);
     void onPollFailed(const std::string &id, const WorkerClient::Reply &reply);
+    /** The worker is known to have accepted a command of this owner, or to have ended. */
+    void noteReached(const std::string &id);
+    /** When the last lease ends that this owner or, unless its report was read, an earlier one has granted to the worker. */
+    TimePoint leaseEnd(const WorkerState &worker) const;
+    /** True if no lease holds on the silent worker any more, and no successor can have extended one. */
+    bool isLeaseOver(const WorkerState &worker) const;
     /**
         True if the worker has left as planned: it was draining, the directory has not listed it for long enough, and no connection
         to it can be opened. Its runs have ended with it, so that nothing has to wait for its lease.
@@ -77,8 +97,8 @@
     void reportReplacedWorkers(const WorkerEntry &entry);
     /** Tells the listener of the crashes that the report of a later incarnation shows. */
     void reportCrashes(const std::string &id, const TaskReport &report, TimePoint pollSentAt);
-    /** Logs that a worker is given up with its runs, if it has any. @param leaseEnd when its last lease has ended or will end */
-    void logLoss(const WorkerState &worker, bool isWrongWorker, TimePoint leaseEnd) const;
+    /** Logs that a worker is given up with its runs, if it has any. */
+    void logLoss(const WorkerState &worker, bool isWrongWorker) const;
     void reportAllRunsLost(WorkerState &worker, RunLoss loss);
     /** Records how a run ended, and avoids the worker for a while if most of its last runs failed. */
     void recordOutcome(WorkerState &worker, bool hasFailed);
@@ -90,7 +110,11 @@
     FleetListener &listener;
     FleetTiming timing;
     std::int64_t fencingToken;
+    OwnershipEvidence &evidence;
+    RosterQuorum quorum;
     TimePoint createdAt;
+    /** When the reports of more than half of the inherited roster's workers were read. */
+    std::optional<TimePoint> majorityReadAt;
     std::map<std::string, std::unique_ptr<WorkerState>> workers;
     std::vector<std::string> changedWorkers;
     long long renewalsSent = 0;
--- a/modules/dispatch/FleetPolling.cpp
+++ b/modules/dispatch/FleetPolling.cpp
@@ -36,6 +36,13 @@
     });
 }
 
+void Fleet::Impl::pollAll()
+{
+    for (const auto &[id, worker] : workers) {
+        schedulePoll(id, Milliseconds(0));
+    }
+}
+
 void Fleet::Impl::pollWorker(const std::string &id)
 {
     auto *worker = find(id);
@@ -45,25 +52,27 @@
     const auto wait = worker->isReportRead ? timing.pollWait : Milliseconds(0);
     ++renewalsSent;
     // The lease of a worker that does not answer is not extended, so that its runs have ended by a known time.
-    const auto lease = worker->failedPolls == 0 ? timing.lease : Milliseconds(0);
+    const auto lease = worker->failedPolls == 0 ? permittedLease() : Milliseconds(0);
     // After a failed poll the worker may have restarted: its report is read before ends are acknowledged.
     const auto acknowledgement = worker->failedPolls == 0 ? worker->acknowledgementToSend() : 0;
     worker->client->renewLeases(
         acknowledgement,
         lease,
         wait,
-        [impl = shared_from_this(), id, sentAt = timers.now(), acknowledgement](const WorkerClient::Reply &reply,
-                                                                                const TaskReport &report) {
+        [impl = shared_from_this(), id, sentAt = CallTime::now(timers), acknowledgement](const WorkerClient::Reply &reply,
+                                                                                         const TaskReport &report) {
             auto *polledWorker = impl->isClosed ? nullptr : impl->find(id);
             if (polledWorker == nullptr) {
                 return;
             }
             polledWorker->isPolling = false;
             if (reply.outcome == CommandOutcome::Accepted) {
+                impl->noteReached(id);
                 if (report.incarnation == polledWorker->entry.incarnation) {
+                    polledWorker->acceptedAt = std::max(polledWorker->acceptedAt, sentAt.boot);
                     polledWorker->deliveredAcknowledgement = std::max(polledWorker->deliveredAcknowledgement, acknowledgement);
                 }
-                impl->onReport(id, report, sentAt);
+                impl->onReport(id, report, sentAt.steady);
             } else {
                 impl->onPollFailed(id, reply);
             }
@@ -152,17 +161,17 @@
         listener.workerSilent(makePossibleCrash(worker));
     }
     const bool isWrongWorker = reply.outcome == CommandOutcome::WrongWorker;
-    const auto inheritedLeaseEnd = createdAt + timing.lease * 51 / 50 + Milliseconds(1500);
-    const auto leaseEnd = std::max(worker.client->leaseEnd(), worker.isReportRead ? TimePoint() : inheritedLeaseEnd);
-    const bool isLeaseOver = timers.now() > leaseEnd;
+    if (isWrongWorker) {
+        noteReached(id);
+    }
     if (hasLeft(worker, reply.outcome)) {
         EventLog::write("worker.left", { { "worker", id }, { "runs", worker.runs.size() } });
         reportAllRunsLost(worker, RunLoss::WorkerRestarted);
         worker.isReportRead = true;
         worker.acknowledgedEnd = worker.lastSeenEnd;
         removeIfGone(id);
-    } else if (isWrongWorker || isLeaseOver) {
-        logLoss(worker, isWrongWorker, leaseEnd);
+    } else if (isWrongWorker || isLeaseOver(worker)) {
+        logLoss(worker, isWrongWorker);
         possibleCrashes.add(makePossibleCrash(worker), timers.now());
         reportAllRunsLost(worker, isWrongWorker ? RunLoss::WorkerRestarted : RunLoss::LeaseExpired);
         if (isWrongWorker) {
@@ -181,12 +190,6 @@
     schedulePoll(id, timing.pollRetryDelay);
 }
 
-bool Fleet::Impl::hasLeft(const WorkerState &worker, CommandOutcome pollOutcome) const
-{
-    return worker.entry.isDraining && !worker.isListed && pollOutcome == CommandOutcome::NotSent && directoryReadAt
-           && !isDirectoryStale && timers.now() - std::max(*directoryReadAt, worker.unlistedAt) >= timing.minAbsence;
-}
-
 void Fleet::Impl::onReport(const std::string &id, const TaskReport &report, TimePoint pollSentAt)
 {
     auto &worker = *find(id);
--- /dev/null
+++ b/modules/dispatch/RosterQuorum.cpp
@@ -0,0 +1,53 @@
+#include "dispatch/RosterQuorum.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace auburndoor {
+
+void RosterQuorum::addInherited(const std::string &worker)
+{
+    workers_.insert(worker);
+    if (unreachedInherited_.insert(worker).second) {
+        ++inheritedCount_;
+    }
+}
+
+void RosterQuorum::add(const std::string &worker)
+{
+    workers_.insert(worker);
+}
+
+void RosterQuorum::remove(const std::string &worker)
+{
+    workers_.erase(worker);
+}
+
+void RosterQuorum::noteReached(const std::string &worker)
+{
+    unreachedInherited_.erase(worker);
+}
+
+bool RosterQuorum::hasReachedInheritedMajority() const
+{
+    const auto reached = inheritedCount_ - unreachedInherited_.size();
+    return reached > inheritedCount_ / 2 || inheritedCount_ == 0;
+}
+
+std::size_t RosterQuorum::size() const
+{
+    return workers_.size();
+}
+
+std::optional<TimePoint> RosterQuorum::quorumTime(std::vector<TimePoint> acceptedAt) const
+{
+    const auto half = (workers_.size() + 1) / 2;
+    if (half == 0 || acceptedAt.size() < half) {
+        return std::nullopt;
+    }
+    const auto position = acceptedAt.begin() + static_cast<std::ptrdiff_t>(half - 1);
+    std::nth_element(acceptedAt.begin(), position, acceptedAt.end(), std::greater<>());
+    return *position == TimePoint() ? std::nullopt : std::optional(*position);
+}
+
+} // namespace auburndoor
--- a/modules/dispatch/TaskPlacer.cpp
+++ b/modules/dispatch/TaskPlacer.cpp
@@ -32,13 +32,8 @@
     return occurrence == job.occurrences.end() || now + job.remainingPathTime(occurrence->second) <= job.objective;
 }
 
-TaskPlacer::TaskPlacer(Timers &timers, JobManager &jobManager, Fleet &fleet, Advisor &advisor, TimePoint inheritedJobsWaitUntil)
-    : timers_(timers)
-    , jobManager_(jobManager)
-    , fleet_(fleet)
-    , advisor_(advisor)
-    , inheritedJobsWaitUntil_(inheritedJobsWaitUntil)
-    , isAlive_(std::make_shared<bool>(true))
+TaskPlacer::TaskPlacer(Timers &timers, JobManager &jobManager, Fleet &fleet, Advisor &advisor)
+    : timers_(timers), jobManager_(jobManager), fleet_(fleet), advisor_(advisor), isAlive_(std::make_shared<bool>(true))
 {
 }
 
--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -36,11 +36,7 @@
 class TaskPlacer
 {
 public:
-    /**
-        @param inheritedJobsWaitUntil until this time no task of an inherited job starts while the report of some worker of the
-                                      job's service is unread
-    */
-    TaskPlacer(Timers &timers, JobManager &jobManager, Fleet &fleet, Advisor &advisor, TimePoint inheritedJobsWaitUntil);
+    TaskPlacer(Timers &timers, JobManager &jobManager, Fleet &fleet, Advisor &advisor);
     ~TaskPlacer();
 
     /**
@@ -62,9 +58,6 @@
     /** True if in the last round some inherited job waited for reports of workers. */
     bool isWaitingForReports() const;
 
-    /** How long inherited jobs may still wait for any unread worker; zero once that time is over. */
-    Milliseconds remainingInheritedLease() const;
-
     /** Returns what the rounds since the last call have cost. */
     PlacementStatistics takeStatistics();
 
@@ -271,7 +264,6 @@
     JobManager &jobManager_;
     Fleet &fleet_;
     Advisor &advisor_;
-    TimePoint inheritedJobsWaitUntil_;
     /** The time as last read: the clock is read once for each search, not for each step that is passed over. */
     TimePoint now_;
     /** The capacity of each service's workers. */
--- a/modules/dispatch/TaskPlacerMaintenance.cpp
+++ b/modules/dispatch/TaskPlacerMaintenance.cpp
@@ -50,12 +50,6 @@
     return hasJobsWaitingForReports_;
 }
 
-Milliseconds TaskPlacer::remainingInheritedLease() const
-{
-    const auto remaining = std::chrono::ceil<Milliseconds>(inheritedJobsWaitUntil_ - timers_.now());
-    return std::max(remaining, Milliseconds(0));
-}
-
 void TaskPlacer::startSpeculativeCopies(StepState &step)
 {
     const auto estimate = step.spec().estimate;
--- a/modules/dispatch/TaskPlacerRounds.cpp
+++ b/modules/dispatch/TaskPlacerRounds.cpp
@@ -234,7 +234,7 @@
 {
     const auto [found, isNew] = unreadByService_.try_emplace(service);
     if (isNew) {
-        found->second = fleet_.hasUnreadWorkers(service, now_ > inheritedJobsWaitUntil_);
+        found->second = fleet_.hasUnreadWorkers(service);
     }
     return found->second;
 }
--- a/modules/dispatch/WorkerState.h
+++ b/modules/dispatch/WorkerState.h
@@ -35,6 +35,8 @@
     /** A poll is scheduled or pending. */
     bool isPolling = false;
     TimePoint lastReportAt;
+    /** When the last poll was sent that its present incarnation has accepted, on the boot clock. */
+    TimePoint acceptedAt;
     /** The polls that failed since the last report. */
     int failedPolls = 0;
     /** When the first of them failed. */
--- a/modules/entry/Leadership.cpp
+++ b/modules/entry/Leadership.cpp
@@ -96,50 +96,52 @@
     change.expected.push_back({ FencingRows::table, FencingRows::epochKey, version });
     change.writes.push_back({ FencingRows::table, FencingRows::epochKey, next.toText() });
     isFencingCallInFlight = true;
-    store.commit(std::move(change), [self = shared_from_this(), token = next.token](const StoreResult &result) {
-        if (!self->isClosed) {
-            self->isFencingCallInFlight = false;
-            self->onTakeoverResult(result, token);
-        }
-    });
+    store.commit(std::move(change),
+                 [self = shared_from_this(), token = next.token, sentAt = CallTime::now(loop)](const StoreResult &result) {
+                     if (!self->isClosed) {
+                         self->isFencingCallInFlight = false;
+                         self->onTakeoverResult(result, token, sentAt);
+                     }
+                 });
 }
 
-void Leadership::Impl::onTakeoverResult(const StoreResult &result, std::int64_t token)
+void Leadership::Impl::onTakeoverResult(const StoreResult &result, std::int64_t token, CallTime sentAt)
 {
     if (result.outcome == StoreOutcome::Done) {
-        readSequence(token, result.version);
+        readSequence({ token, result.version, 0, sentAt });
         return;
     }
     // If the answer was lost, the row shows whether the write was applied. If it names this process, it is replaced once more.
     runAfter(result.outcome == StoreOutcome::Conflict ? Milliseconds(0) : timing.retryDelay + jitter(), &Impl::findOwner);
 }
 
-void Leadership::Impl::readSequence(std::int64_t token, std::int64_t epochVersion)
+void Leadership::Impl::readSequence(const Ownership &won)
 {
     isFencingCallInFlight = true;
-    store.readRow(
-        FencingRows::table, FencingRows::sequenceKey, [self = shared_from_this(), token, epochVersion](const StoreResult &result) {
-            if (self->isClosed) {
-                return;
-            }
-            self->isFencingCallInFlight = false;
-            if (result.outcome != StoreOutcome::Done) {
-                self->loop.after(self->timing.retryDelay, [self, token, epochVersion] {
-                    if (!self->isClosed) {
-                        self->readSequence(token, epochVersion);
-                    }
-                });
-                return;
-            }
-            self->isOwner = true;
-            self->wonAt = self->loop.now();
-            self->isOwnerResponding = false;
-            ++self->heartbeatRound;
-            self->owner = { token, self->settings.nodeName, self->settings.peers.text() };
-            self->heartbeatChannel.reset();
-            EventLog::write("owner.won", { { "token", token } });
-            self->hooks.onOwnershipWon({ token, epochVersion, result.rows.empty() ? 0 : result.rows.front().version });
-        });
+    store.readRow(FencingRows::table, FencingRows::sequenceKey, [self = shared_from_this(), won](const StoreResult &result) {
+        if (self->isClosed) {
+            return;
+        }
+        self->isFencingCallInFlight = false;
+        if (result.outcome != StoreOutcome::Done) {
+            self->loop.after(self->timing.retryDelay, [self, won] {
+                if (!self->isClosed) {
+                    self->readSequence(won);
+                }
+            });
+            return;
+        }
+        self->isOwner = true;
+        self->wonAt = self->loop.now();
+        self->isOwnerResponding = false;
+        ++self->heartbeatRound;
+        self->owner = { won.token, self->settings.nodeName, self->settings.peers.text() };
+        self->heartbeatChannel.reset();
+        EventLog::write("owner.won", { { "token", won.token } });
+        auto ownership = won;
+        ownership.sequenceVersion = result.rows.empty() ? 0 : result.rows.front().version;
+        self->hooks.onOwnershipWon(ownership);
+    });
 }
 
 void Leadership::Impl::follow(const EpochRow &row)
--- a/modules/entry/LeadershipImpl.h
+++ b/modules/entry/LeadershipImpl.h
@@ -32,9 +32,9 @@
     void onEpochRow(const StoreResult &result);
     /** Tries to replace the epoch row. @param version the version that the row must still have */
     void takeOver(const EpochRow &row, std::int64_t version);
-    void onTakeoverResult(const StoreResult &result, std::int64_t token);
-    /** Reads the sequence row's version, which completes the takeover. */
-    void readSequence(std::int64_t token, std::int64_t epochVersion);
+    void onTakeoverResult(const StoreResult &result, std::int64_t token, CallTime sentAt);
+    /** Reads the sequence row's version, which completes the takeover. @param won has no sequence version yet */
+    void readSequence(const Ownership &won);
     /** Begins to request heartbeats from the owner that the row names. */
     void follow(const EpochRow &row);
     void requestHeartbeat();
--- a/modules/entry/Owner.cpp
+++ b/modules/entry/Owner.cpp
@@ -18,9 +18,8 @@
 // The lease for workers; fleetTiming() lowers it to 3/4 of the longest lease that they accept. The remaining quarter allows for the
 // time that commands take to arrive and for slow clocks.
 constexpr Milliseconds preferredLease { 5000 };
-// Added to one lease before inherited jobs are placed although reports of workers are missing: a deposed owner learns that it is
-// deposed with its first command to a worker whose report this owner has read.
-constexpr Milliseconds deposedOwnerAllowance { 1500 };
+// Leases last as long as their evidence allows, or less: this much time may pass since the evidence before they become shorter.
+constexpr Milliseconds evidenceAllowance { 1000 };
 
 // Allows for the delay from a cut to the removal of a worker's entry.
 constexpr Milliseconds absenceMargin { 100 };
@@ -29,6 +28,7 @@
 {
     FleetTiming timing;
     timing.lease = std::min(preferredLease, settings.maxLease * 3 / 4);
+    timing.evidence.validity = timing.lease + evidenceAllowance;
     timing.minAbsence = std::max(Milliseconds(0), timing.lease * 51 / 50 - settings.entryLifetime) + absenceMargin;
     return timing;
 }
@@ -40,6 +40,7 @@
     , ownership(ownership)
     , deposedCallback(std::move(deposedCallback))
     , timing(fleetTiming(dependencies.settings))
+    , evidence(dependencies.timers, timing.evidence, ownership.takeoverSentAt)
     , commitQueue(
           dependencies.timers,
           dependencies.store,
@@ -49,23 +50,20 @@
           [this] { depose(); },
           dependencies.settings.maxRowBytes)
     , jobManager(dependencies.timers, commitQueue, ownership.token, { [this] { schedulePlacement(); }, [this] { depose(); } })
-    , fleet(dependencies.timers, dependencies.workerClients, jobManager, timing, ownership.token)
-    , placer(dependencies.timers,
-             jobManager,
-             fleet,
-             dependencies.advisor,
-             dependencies.timers.now() + timing.lease * 51 / 50 + deposedOwnerAllowance)
+    , fleet(dependencies.timers, dependencies.workerClients, jobManager, timing, ownership.token, evidence)
+    , placer(dependencies.timers, jobManager, fleet, dependencies.advisor)
     , workerWatch(dependencies.timers,
                   dependencies.store,
                   dependencies.protocol.workerTable(),
                   workerWatchTiming,
                   [this](const auto &rows, bool isWholeTable) { updateWorkers(rows, isWholeTable); })
-    , guard(dependencies.timers, dependencies.store, ownership.epochVersion, [this] { depose(); })
+    , guard(dependencies.timers, dependencies.store, ownership.epochVersion, evidence, [this] { depose(); })
     , ownershipReport(ownership.token)
     , admission(static_cast<std::uint_fast32_t>(ownership.token))
     , placementDelay(PlacementPacing::minDelay)
 {
     jobManager.setFleet(fleet);
+    commitQueue.setAppliedCallback([this](CallTime sentAt) { evidence.noteStoreConfirmation(sentAt); });
 }
 
 void Owner::Impl::depose()
@@ -90,7 +88,7 @@
     isPlacementScheduled = true;
     dependencies.timers.after(placementDelay, [self = shared_from_this()] {
         self->isPlacementScheduled = false;
-        if (self->isClosed || self->isStopping || self->guard.isUncertain()) {
+        if (self->isClosed || self->isStopping || !self->mayStartTasks()) {
             return;
         }
         const auto startedAt = self->dependencies.timers.now();
@@ -128,16 +126,30 @@
                       { "backlog", statistics.backlog } });
 }
 
-void Owner::Impl::runMaintenance()
+bool Owner::Impl::mayStartTasks()
+{
+    return !guard.isUncertain() && evidence.mayStart();
+}
+
+void Owner::Impl::watchOwnership()
 {
     if (isClosed) {
         return;
     }
     guard.tick();
+    dependencies.timers.after(maintenanceInterval, [self = shared_from_this()] { self->watchOwnership(); });
+}
+
+void Owner::Impl::runMaintenance()
+{
+    if (isClosed) {
+        return;
+    }
     jobManager.tick(dependencies.settings.statusRetention, dependencies.settings.earlyStart);
     fleet.setDirectoryAge(workerWatch.age());
+    fleet.collectEvidence();
     reportPlacement();
-    if (!isStopping && !guard.isUncertain()) {
+    if (!isStopping && mayStartTasks()) {
         placer.tend();
         schedulePlacement();
     }
@@ -173,6 +185,7 @@
 void Owner::start()
 {
     impl_->readTables();
+    impl_->watchOwnership();
 }
 
 bool Owner::isReady() const
@@ -238,7 +251,7 @@
     metrics.setGauge("store_transactions", static_cast<double>(impl_->commitQueue.sentCount()));
     metrics.setGauge("store_rows_rejected", static_cast<double>(impl_->commitQueue.rejectedRowCount()));
     const auto workers = impl_->countWorkers();
-    metrics.setGauge("owner_store_age_milliseconds", static_cast<double>(impl_->storeAge().count()));
+    metrics.setGauge("owner_store_age_milliseconds", static_cast<double>(impl_->evidence.storeAge().count()));
     metrics.setGauge("workers_unread", workers.unread);
     metrics.setGauge("workers_answering", workers.answering);
 }
--- a/modules/entry/Owner.h
+++ b/modules/entry/Owner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dispatch/CallTime.h"
 #include "entry/CellProtocol.h"
 #include "entry/EntrySettings.h"
 #include "net/Timers.h"
@@ -14,12 +15,16 @@
 
 class Metrics;
 
-/** An ownership that this process has won: its fencing token, and the versions of the epoch and sequence rows at that time. */
+/**
+    An ownership that this process has won: its fencing token, the versions of the epoch and sequence rows at that time, and when
+   the write of the epoch row was sent.
+*/
 struct Ownership
 {
     std::int64_t token = 0;
     std::int64_t epochVersion = 0;
     std::int64_t sequenceVersion = 0;
+    CallTime takeoverSentAt;
 };
 
 /** The objects that an Owner uses. */
--- a/modules/entry/OwnerImpl.h
+++ b/modules/entry/OwnerImpl.h
@@ -34,14 +34,16 @@
     void restoreRoster(const std::vector<StoreRow> &rows);
     /** Passes rows of the platform's worker table to the fleet. @param isWholeTable false if the rows are changes */
     void updateWorkers(const std::vector<StoreRow> &rows, bool isWholeTable);
+    /** False while another owner may have taken over. */
+    bool mayStartTasks();
+    /** Detects suspensions and keeps the store's confirmation of the ownership recent, also while the tables are read. */
+    void watchOwnership();
     /** Does the periodic work and schedules itself again. */
     void runMaintenance();
     /** Logs what the rounds of placement have cost, once a second. */
     void reportPlacement();
     /** Logs a lasting lack of confirmation by the store, and the wait of inherited jobs for unread workers. */
     void reportOwnership();
-    /** How long ago the store has confirmed the ownership, by a transaction or a reading of the epoch row. */
-    Milliseconds storeAge() const;
     OwnershipReport::Workers countWorkers() const;
     void handleCall(const ClientCall &call, Callback callback);
     void submit(const ClientCall &call, Callback callback);
@@ -67,6 +69,7 @@
     Ownership ownership;
     std::function<void()> deposedCallback;
     FleetTiming timing;
+    OwnershipEvidence evidence;
     CommitQueue commitQueue;
     JobManager jobManager;
     Fleet fleet;
--- a/modules/entry/OwnerReporting.cpp
+++ b/modules/entry/OwnerReporting.cpp
@@ -1,7 +1,5 @@
 #include "entry/OwnerImpl.h"
 
-#include <algorithm>
-
 namespace auburndoor {
 
 namespace {
@@ -11,12 +9,6 @@
 
 } // namespace
 
-Milliseconds Owner::Impl::storeAge() const
-{
-    const auto appliedAge = commitQueue.appliedAge();
-    return std::min(appliedAge, guard.confirmationAge().value_or(appliedAge));
-}
-
 OwnershipReport::Workers Owner::Impl::countWorkers() const
 {
     const auto now = dependencies.timers.now();
@@ -40,8 +32,9 @@
 {
     const auto now = dependencies.timers.now();
     const auto count = [this] { return countWorkers(); };
-    ownershipReport.updateConfirmation(now, storeAge(), commitQueue.stallDuration(), count);
-    ownershipReport.updateWait(now, placer.isWaitingForReports(), placer.remainingInheritedLease(), count);
+    ownershipReport.updateConfirmation(now, evidence.storeAge(), commitQueue.stallDuration(), count);
+    ownershipReport.updatePermission(evidence.mayStart(), evidence.storeAge(), count);
+    ownershipReport.updateWait(now, placer.isWaitingForReports(), fleet.remainingInheritedLease(), count);
 }
 
 } // namespace auburndoor
--- a/modules/entry/OwnershipGuard.cpp
+++ b/modules/entry/OwnershipGuard.cpp
@@ -1,11 +1,11 @@
 #include "entry/OwnershipGuard.h"
 
 #include "dispatch/CommitQueue.h"
+#include "dispatch/OwnershipEvidence.h"
 #include "net/Timers.h"
 #include "observability/EventLog.h"
 #include "workload/StateStore.h"
 
-#include <optional>
 #include <utility>
 #include <vector>
 
@@ -22,8 +22,12 @@
 
 struct OwnershipGuard::Impl : std::enable_shared_from_this<Impl>
 {
-    Impl(Timers &timers, StateStore &store, std::int64_t epochVersion, std::function<void()> onReplaced)
-        : timers(timers), store(store), epochVersion(epochVersion), onReplaced(std::move(onReplaced))
+    Impl(Timers &timers,
+         StateStore &store,
+         std::int64_t epochVersion,
+         OwnershipEvidence &evidence,
+         std::function<void()> onReplaced)
+        : timers(timers), store(store), epochVersion(epochVersion), evidence(evidence), onReplaced(std::move(onReplaced))
     {
     }
 
@@ -33,15 +37,16 @@
     Timers &timers;
     StateStore &store;
     std::int64_t epochVersion;
+    OwnershipEvidence &evidence;
     std::function<void()> onReplaced;
     TimePoint lastSeenRunningAt;
-    /** When the last reading that has confirmed the ownership was sent, on the boot clock. */
-    std::optional<TimePoint> confirmedAt;
     /** The callers of confirmWithin() that wait for a reading. */
     std::vector<std::function<void(Status)>> confirmWaiters;
     bool isWatching = false;
     bool isUncertain = false;
     bool isClosed = false;
+    /** A reading of tick() is pending. */
+    bool isConfirming = false;
     std::vector<std::function<void()>> waitingActions;
 };
 
@@ -49,13 +54,13 @@
 {
     store.readRow(FencingRows::table,
                   FencingRows::epochKey,
-                  [self = shared_from_this(), sentAt = timers.bootNow(), done = std::move(done)](const StoreResult &result) {
+                  [self = shared_from_this(), sentAt = CallTime::now(timers), done = std::move(done)](const StoreResult &result) {
                       const bool isSameVersion = !result.rows.empty() && result.rows.front().version == self->epochVersion;
                       const auto status = result.outcome != StoreOutcome::Done ? Status::Unknown
                                           : isSameVersion                      ? Status::IsOwner
                                                                                : Status::IsReplaced;
-                      if (status == Status::IsOwner) {
-                          self->confirmedAt = sentAt;
+                      if (status == Status::IsOwner && !self->isClosed) {
+                          self->evidence.noteStoreConfirmation(sentAt);
                       }
                       if (status == Status::IsReplaced && !self->isClosed) {
                           self->onReplaced();
@@ -78,8 +83,12 @@
     });
 }
 
-OwnershipGuard::OwnershipGuard(Timers &timers, StateStore &store, std::int64_t epochVersion, std::function<void()> onReplaced)
-    : impl_(std::make_shared<Impl>(timers, store, epochVersion, std::move(onReplaced)))
+OwnershipGuard::OwnershipGuard(Timers &timers,
+                               StateStore &store,
+                               std::int64_t epochVersion,
+                               OwnershipEvidence &evidence,
+                               std::function<void()> onReplaced)
+    : impl_(std::make_shared<Impl>(timers, store, epochVersion, evidence, std::move(onReplaced)))
 {
 }
 
@@ -97,6 +106,9 @@
 void OwnershipGuard::tick()
 {
     isUncertain();
+    if (impl_->evidence.isConfirmationNeeded() && !std::exchange(impl_->isConfirming, true)) {
+        impl_->confirm([impl = impl_](Status) { impl->isConfirming = false; });
+    }
 }
 
 bool OwnershipGuard::isUncertain()
@@ -126,7 +138,7 @@
 
 void OwnershipGuard::confirmWithin(Milliseconds maxAge, std::function<void(Status)> done)
 {
-    if (impl_->confirmedAt && impl_->timers.bootNow() - *impl_->confirmedAt <= maxAge) {
+    if (impl_->evidence.storeAge() <= maxAge) {
         done(Status::IsOwner);
         return;
     }
@@ -141,12 +153,4 @@
     });
 }
 
-std::optional<Milliseconds> OwnershipGuard::confirmationAge() const
-{
-    if (!impl_->confirmedAt) {
-        return std::nullopt;
-    }
-    return std::chrono::duration_cast<Milliseconds>(impl_->timers.bootNow() - *impl_->confirmedAt);
-}
-
 } // namespace auburndoor
--- a/modules/entry/OwnershipGuard.h
+++ b/modules/entry/OwnershipGuard.h
@@ -5,10 +5,10 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <optional>
 
 namespace auburndoor {
 
+class OwnershipEvidence;
 class StateStore;
 class Timers;
 
@@ -30,15 +30,23 @@
 
     /**
         @param epochVersion the version of the epoch row that names this owner
+        @param evidence     gets each confirmation of the store, and tells how old the last one is
         @param onReplaced   called when a read shows that the row no longer has this version
     */
-    OwnershipGuard(Timers &timers, StateStore &store, std::int64_t epochVersion, std::function<void()> onReplaced);
+    OwnershipGuard(Timers &timers,
+                   StateStore &store,
+                   std::int64_t epochVersion,
+                   OwnershipEvidence &evidence,
+                   std::function<void()> onReplaced);
     ~OwnershipGuard();
 
     /** Starts the detection; the owner is not uncertain before. */
     void start();
 
-    /** Records that the process is running; to be called about every 50 ms. */
+    /**
+        Records that the process is running, and asks the store whether this is still the owner if it has not confirmed that lately;
+        to be called about every 200 ms.
+    */
     void tick();
 
     /**
@@ -57,9 +65,6 @@
     /** As confirm(), but calls back at once if the store has confirmed the ownership within maxAge. Calls share one reading. */
     void confirmWithin(Milliseconds maxAge, std::function<void(Status)> done);
 
-    /** The time since the last reading that has confirmed the ownership was sent; empty if there was none. */
-    std::optional<Milliseconds> confirmationAge() const;
-
 private:
     struct Impl;
     std::shared_ptr<Impl> impl_;
--- a/modules/entry/OwnershipReport.cpp
+++ b/modules/entry/OwnershipReport.cpp
@@ -58,6 +58,19 @@
                       { "workers", workers.total } });
 }
 
+void OwnershipReport::updatePermission(bool mayStart, Milliseconds storeAge, const CountWorkers &countWorkers)
+{
+    if (mayStart == std::exchange(mayStart_, mayStart)) {
+        return;
+    }
+    const auto workers = countWorkers();
+    EventLog::write(mayStart ? "owner.permission_regained" : "owner.permission_ended",
+                    { { "token", token_ },
+                      { "store_age_ms", storeAge.count() },
+                      { "workers_answering", workers.answering },
+                      { "workers", workers.total } });
+}
+
 void OwnershipReport::updateWait(TimePoint now, bool isWaiting, Milliseconds remainingLease, const CountWorkers &countWorkers)
 {
     if (isWaiting == waitingSince_.has_value()) {
--- a/modules/entry/OwnershipReport.h
+++ b/modules/entry/OwnershipReport.h
@@ -11,7 +11,8 @@
 namespace auburndoor {
 
 /**
-    Logs how well an owner's ownership is confirmed by the store, and how long a new owner waits for unread workers.
+    Logs how well an owner's ownership is confirmed by the store, when its permission ends, and how long a new owner waits for
+   unread workers.
 
     Fed with plain values at each maintenance of the owner; the workers are counted only when a line is written. All members are
     called from the loop's thread.
@@ -46,6 +47,14 @@
     */
     void updateConfirmation(TimePoint now, Milliseconds storeAge, Milliseconds stallDuration, const CountWorkers &countWorkers);
 
+    /**
+        Writes "owner.permission_ended" and "owner.permission_regained".
+
+        @param mayStart the owner has the permission to start tasks
+        @param storeAge how long ago the store has confirmed the ownership
+    */
+    void updatePermission(bool mayStart, Milliseconds storeAge, const CountWorkers &countWorkers);
+
     /**
         Writes "takeover.waiting" and "takeover.wait_over".
 
@@ -60,6 +69,7 @@
     std::optional<TimePoint> unconfirmedSince_;
     TimePoint unconfirmedWrittenAt_;
     std::optional<TimePoint> waitingSince_;
+    bool mayStart_ = true;
 };
 
 } // namespace auburndoor
--- a/tests/dispatch/LeavingWorkerTests.cpp
+++ b/tests/dispatch/LeavingWorkerTests.cpp
@@ -16,6 +16,9 @@
     {
         plan = [](const TaskName &, std::int64_t) { return SimulatedWork { Milliseconds(600000), RunOutcome::Done }; };
         addWorker("w1", 4);
+        // More than half of the roster stays within reach of the next owner.
+        addWorker("s1", 4, "studio");
+        addWorker("s2", 4, "studio");
         takeOver();
         REQUIRE(submit(job, jobBody(1, 3000, R"(,"longRunning":true)")) == ClientResult::Outcome::Accepted);
         timers.advance(Milliseconds(500));
--- a/tests/dispatch/OwnerFixture.cpp
+++ b/tests/dispatch/OwnerFixture.cpp
@@ -121,7 +121,8 @@
     const auto *sequence = store.row(FencingRows::table, FencingRows::sequenceKey);
     const Ownership ownership { fencingToken_,
                                 store.row(FencingRows::table, FencingRows::epochKey)->version,
-                                sequence == nullptr ? 0 : sequence->version };
+                                sequence == nullptr ? 0 : sequence->version,
+                                CallTime::now(timers) };
     auto &factory = clients == nullptr ? fleet : *clients;
     auto &link = links_.try_emplace(fencingToken_, timers, store).first->second;
     owner = std::make_unique<Owner>(OwnerDependencies { timers, link, factory, advisor, protocol_, settings_ }, ownership, [] {});
--- a/tests/dispatch/OwnerTests.cpp
+++ b/tests/dispatch/OwnerTests.cpp
@@ -119,6 +119,9 @@
 {
     OwnerFixture cell;
     cell.addWorker("w1", 8);
+    // More than half of the roster stays within reach of the next owner.
+    cell.addWorker("s1", 8, "studio");
+    cell.addWorker("s2", 8, "studio");
     cell.plan = [](const TaskName &, std::int64_t) { return SimulatedWork { Milliseconds(20000), RunOutcome::Done }; };
     cell.takeOver();
     REQUIRE(cell.submit("00000000000000aa", jobBody(1, 1000)) == ClientResult::Outcome::Accepted);
--- a/tests/dispatch/OwnershipEventsTests.cpp
+++ b/tests/dispatch/OwnershipEventsTests.cpp
@@ -15,6 +15,9 @@
     {
         EventLog::setMetrics(&metrics);
         addWorker("w1", 8);
+        // More than half of the roster stays within reach of the next owner.
+        addWorker("s1", 8, "studio");
+        addWorker("s2", 8, "studio");
         takeOver();
         REQUIRE(submit("00000000000000aa", jobBody(1, 1000)) == ClientResult::Outcome::Accepted);
         timers.advance(Milliseconds(100));
@@ -46,6 +49,23 @@
     CHECK(cell.metrics.quantile("event_milliseconds", 1, "event=owner.confirmed,field=away_ms") >= Milliseconds(5000));
 }
 
+// Guards against a record that does not show why an owner has stopped starting tasks.
+TEST_CASE("an owner without the store and its workers logs the end of its permission")
+{
+    CountedCell cell;
+    cell.store.setDown(true);
+    cell.timers.advance(Milliseconds(8000));
+    CHECK(cell.count("owner.permission_ended") == 0);
+    for (const auto &[id, worker] : cell.fleet.workers()) {
+        worker->isCutOff = true;
+    }
+    cell.timers.advance(Milliseconds(8000));
+    CHECK(cell.count("owner.permission_ended") == 1);
+    cell.store.setDown(false);
+    cell.timers.advance(Milliseconds(1000));
+    CHECK(cell.count("owner.permission_regained") == 1);
+}
+
 // Guards against a record that does not show how a new owner's wait for an unread worker ended, and when a lost lease had ended.
 TEST_CASE("a new owner logs its wait for an unread worker, and the loss of a worker with its times")
 {
--- a/tests/dispatch/PartitionedOwnerTests.cpp
+++ b/tests/dispatch/PartitionedOwnerTests.cpp
@@ -193,3 +193,23 @@
     CHECK(cell.runUntil(job, JobStage::Completed, Milliseconds(120000)));
     CHECK(cell.violations().empty());
 }
+
+// Guards against an owner that takes the inherited leases of a worker which it never read for over, and starts the runs on others,
+// although its successor has read that worker and adopted them.
+TEST_CASE("an owner whose wait for an unread worker ends during a cut does not start what its successor has adopted", "[partition]")
+{
+    constexpr std::int64_t waiting = 2;
+    PartitionedCell cell;
+    cell.addWorkers({ "w1" });
+    cell.takeOver();
+    cell.submitAndStart(6, 6);
+    cell.addWorkers({ "w2", "w3" });
+    cell.cutOff(waiting, { "w1" }, false);
+    cell.takeOver();
+    cell.timers.advance(Milliseconds(2000));
+    cell.cutOff(waiting, { "w1" }, true);
+    cell.cutOff(waiting + 1, { "w2", "w3" }, false);
+    cell.replaceOwner();
+    cell.healAndCheck();
+    CHECK(cell.startCount == 6);
+}
