Fleet: an unanswered renewal or start extends the leases of a worker

Cause: haveTaskLeasesLapsed() counted from the last answered renewal. An owner went on to renew a worker whose answers were lost, every half second, and each of these renewals extended the leases. A start without an answer did not count as an extension either.

Ruled out: the driver's own series of 35 s does not help, since the renewals go on meanwhile. A start cannot come late through an old owner: its epoch is refused after the claim.

Change: the time counts from the end of the last renewal or start that was sent, answered or not, and does not run out while a renewal is under way. After a renewal without an answer the owner repeats its claim, which extends no lease, and renews once the worker answers. A renewal that the network delivers more than the margin of 5 s after its sender gave up is not covered, since a renewal carries no latest time.

Conclusion: mended, except for renewals delivered late. A worker that fails is given up 35 s after the last renewal that was sent instead of the last one answered, by calculation up to 12 s later than before.

--- a/modules/fleet/WorkerManager.cpp
+++ b/modules/fleet/WorkerManager.cpp
@@ -163,7 +163,7 @@
         metrics_.countRetry(failure);
         Log::failure("seize-failed", failure, { { "worker", exchange.worker.text() }, { "shard", exchange.shard.text() } });
     }
-    roster_.finishExchange(exchange, report ? options_.renewalPeriod : exchangeRetryPeriod);
+    roster_.finishExchange(exchange, report.has_value(), report ? options_.renewalPeriod : exchangeRetryPeriod);
     if (!report && failure.reason == FailureReason::StaleEpoch) {
         reportStaleEpoch(exchange.shard, exchange.epoch);
     }
@@ -173,14 +173,18 @@
 {
     cancelUnresolved(exchange);
     Failure failure;
-    const auto report = exchange.connection->renew(
-        exchange.epoch, options_.taskLease, clock_.now() + options_.orderTimeout, failure);
+    const auto deadline = clock_.now() + options_.orderTimeout;
+    // A repeated claim reads the worker's tasks and extends no lease, so that the leases of a silent worker have a known end.
+    const auto report = exchange.mustProbe ? exchange.connection->claim(exchange.epoch, options_.self, deadline, failure)
+                                           : exchange.connection->renew(exchange.epoch, options_.taskLease, deadline, failure);
     if (report) {
         roster_.applyReport(exchange, *report);
     } else {
         metrics_.countRetry(failure);
     }
-    roster_.finishExchange(exchange, report ? options_.renewalPeriod : exchangeRetryPeriod);
+    // After an answered probe the leases are renewed at once.
+    const auto pause = exchange.mustProbe ? Milliseconds(0) : options_.renewalPeriod;
+    roster_.finishExchange(exchange, report.has_value(), report ? pause : exchangeRetryPeriod);
     if (!report && failure.reason == FailureReason::StaleEpoch) {
         reportStaleEpoch(exchange.shard, exchange.epoch);
     }
--- a/modules/fleet/WorkerRoster.cpp
+++ b/modules/fleet/WorkerRoster.cpp
@@ -144,9 +144,9 @@
     for (auto &[id, entry] : workers_) {
         if (!entry.isBusy && entry.dueTime <= now) {
             entry.isBusy = true;
-            return WorkerExchange {
-                id, entry.shard, entry.epoch, entry.isClaimed, entry.connection, entry.tracked.unresolved(), now
-            };
+            entry.isRenewing = entry.isClaimed && !entry.mustProbe;
+            return WorkerExchange { id,  entry.shard,    entry.epoch, entry.isClaimed, entry.connection, entry.tracked.unresolved(),
+                                    now, entry.mustProbe };
         }
     }
     return std::nullopt;
@@ -171,11 +171,14 @@
     return isSame ? &found->second : nullptr;
 }
 
-void WorkerRoster::finishExchange(const WorkerExchange &exchange, Milliseconds longestPause)
+void WorkerRoster::finishExchange(const WorkerExchange &exchange, bool isAnswered, Milliseconds longestPause)
 {
     const std::lock_guard lock(mutex_);
     if (auto *entry = findEntry(exchange)) {
         entry->isBusy = false;
+        entry->lastLeaseOrderTime = entry->isRenewing ? clock_.now() : entry->lastLeaseOrderTime;
+        entry->isRenewing = false;
+        entry->mustProbe = entry->isClaimed && !isAnswered;
         entry->dueTime = entry->tracked.nextPollTime(clock_.now(), longestPause);
     }
 }
@@ -198,6 +201,8 @@
     const WorkerView view { listed.id, listed.service, listed.failureDomain, report.capacity, {}, 0, isOpen(listed) };
     ledger_.addWorker({ view, listed.address, exchange.shard, exchange.epoch }, running);
     entry->isClaimed = true;
+    // Until the claim, the former owner may have extended the leases.
+    entry->lastLeaseOrderTime = clock_.now();
     recordReport(*entry, report, exchange.requestTime);
     return true;
 }
@@ -244,6 +249,7 @@
     }
     auto &entry = found->second;
     entry.tracked.add(task, mode, clock_.now());
+    entry.lastLeaseOrderTime = clock_.now();
     entry.dueTime = std::min(entry.dueTime, entry.tracked.nextPollTime(clock_.now(), options_.renewalPeriod));
 }
 
@@ -301,7 +307,8 @@
         return clock_.now() - gone->second > lapseTime;
     }
     const auto found = workers_.find(worker);
-    return found != workers_.end() && found->second.isClaimed && clock_.now() - found->second.lastReportTime > lapseTime;
+    return found != workers_.end() && found->second.isClaimed && !found->second.isRenewing
+           && clock_.now() - found->second.lastLeaseOrderTime > lapseTime;
 }
 
 bool WorkerRoster::isUnclaimed(const WorkerId &worker) const
--- a/modules/fleet/WorkerRoster.h
+++ b/modules/fleet/WorkerRoster.h
@@ -40,6 +40,8 @@
     std::vector<TaskId> unresolved;
     /** When the exchange began; the worker's report is at least as recent. */
     TimePoint requestTime;
+    /** True if the last renewal was not answered: the worker's tasks are read, and no lease is extended until it answers. */
+    bool mustProbe = false;
 };
 
 /**
@@ -78,7 +80,7 @@
     TimePoint nextDueTime(TimePoint latest) const;
 
     /** Ends an exchange. @param longestPause the longest time until the next one with this worker */
-    void finishExchange(const WorkerExchange &exchange, Milliseconds longestPause);
+    void finishExchange(const WorkerExchange &exchange, bool isAnswered, Milliseconds longestPause);
 
     /**
         Adds a claimed worker to the ledger with the tasks that run on it.
@@ -113,8 +115,8 @@
     /**
         True if no task of the worker can run any more.
 
-        Either this instance has claimed the worker and could not renew its task leases for the lease time and a margin, so that the
-        worker has stopped its tasks itself, or the platform has listed the worker as gone for as long.
+        Either this instance has claimed the worker and has sent it no renewal and no start for the lease time and a margin, so that
+        the worker has stopped its tasks itself, or the platform has listed the worker as gone for as long.
     */
     bool haveTaskLeasesLapsed(const WorkerId &worker) const;
 
@@ -150,6 +152,12 @@
         std::set<TaskId> running;
         /** When the last claim or renewal that was answered began. */
         TimePoint lastReportTime;
+        /** When the last order was sent that may have extended a lease, whether or not it was answered. */
+        TimePoint lastLeaseOrderTime;
+        /** True while a renewal is under way. */
+        bool isRenewing = false;
+        /** True if the last renewal or probe was not answered. */
+        bool mustProbe = false;
     };
 
     /** Removes a shard and its workers. This and the following private members need the lock. */
