Ownership, fleet: leases count as lapsed only if the table confirms the owner after their end

A driver that still reaches the deposed owner asks it first, takes its word for 35 s and starts the tasks elsewhere; a query every 10 s of an old task can miss the 5 s in which the owner still says that the tasks may run, so that no other instance is asked (by reading).

Ruled out: the driver itself, since each of its writes checks the row of the job's shard. An end to ownership by the owner's own clock: it would stop the work of all owners during an outage of the store, in which they have to go on.

Change: each poll that shows the instance as the owner confirms the shard as of the beginning of its read. The leases of a worker have lapsed only if such a confirmation is later than the last renewal or start by the lease and the margin. Until then no higher epoch existed, so that nobody else has renewed. Without the table the answer is that the tasks may still run; no job could be written then anyway.

The two new tests of test-ownership guard the confirmation itself.

A worker that the platform lists as gone still counts as ended after 35 s on the platform's word alone.

--- a/modules/fleet/WorkerManager.cpp
+++ b/modules/fleet/WorkerManager.cpp
@@ -76,6 +76,11 @@
     roster_.loseShard(shard);
 }
 
+void WorkerManager::shardConfirmed(const ShardId &shard, Epoch epoch, TimePoint readTime)
+{
+    roster_.confirmShard(shard, epoch, readTime);
+}
+
 void WorkerManager::reportStaleEpoch(const ShardId &shard, Epoch epoch)
 {
     if (roster_.loseShardUnlessNewer(shard, epoch)) {
--- a/modules/fleet/WorkerManager.h
+++ b/modules/fleet/WorkerManager.h
@@ -62,6 +62,7 @@
 
     void shardGained(const ShardId &shard, Epoch epoch) override;
     void shardLost(const ShardId &shard) override;
+    void shardConfirmed(const ShardId &shard, Epoch epoch, TimePoint readTime) override;
 
     /** A claimed worker; empty if this instance does not own it now. */
     std::optional<OwnedWorker> find(const WorkerId &worker) const;
--- a/modules/fleet/WorkerRoster.cpp
+++ b/modules/fleet/WorkerRoster.cpp
@@ -93,6 +93,7 @@
         return;
     }
     shards_[shard] = epoch;
+    confirmedTimes_.erase(shard);
     for (const auto &worker : list_.workersOf(shard)) {
         add(worker, shard, epoch);
     }
@@ -104,9 +105,18 @@
     eraseShard(shard);
 }
 
+void WorkerRoster::confirmShard(const ShardId &shard, Epoch epoch, TimePoint readTime)
+{
+    const std::lock_guard lock(mutex_);
+    if (const auto known = shards_.find(shard); known != shards_.end() && known->second == epoch) {
+        confirmedTimes_[shard] = readTime;
+    }
+}
+
 void WorkerRoster::eraseShard(const ShardId &shard)
 {
     shards_.erase(shard);
+    confirmedTimes_.erase(shard);
     std::erase_if(workers_, [&](const auto &entry) { return entry.second.shard == shard; });
     ledger_.removeShard(shard);
 }
@@ -307,8 +317,11 @@
         return clock_.now() - gone->second > lapseTime;
     }
     const auto found = workers_.find(worker);
-    return found != workers_.end() && found->second.isClaimed && !found->second.isRenewing
-           && clock_.now() - found->second.lastLeaseOrderTime > lapseTime;
+    if (found == workers_.end() || !found->second.isClaimed || found->second.isRenewing) {
+        return false;
+    }
+    const auto confirmed = confirmedTimes_.find(found->second.shard);
+    return confirmed != confirmedTimes_.end() && confirmed->second - found->second.lastLeaseOrderTime > lapseTime;
 }
 
 bool WorkerRoster::isUnclaimed(const WorkerId &worker) const
--- a/modules/fleet/WorkerRoster.h
+++ b/modules/fleet/WorkerRoster.h
@@ -67,6 +67,9 @@
     /** Drops a shard and removes its workers from the ledger. */
     void loseShard(const ShardId &shard);
 
+    /** Records that the table showed this instance as the owner at readTime. Ignored unless the epoch is the known one. */
+    void confirmShard(const ShardId &shard, Epoch epoch, TimePoint readTime);
+
     /** Drops a shard unless it has been gained again with a higher epoch. @return true if it was dropped */
     bool loseShardUnlessNewer(const ShardId &shard, Epoch epoch);
 
@@ -115,8 +118,9 @@
     /**
         True if no task of the worker can run any more.
 
-        Either this instance has claimed the worker and has sent it no renewal and no start for the lease time and a margin, so that
-        the worker has stopped its tasks itself, or the platform has listed the worker as gone for as long.
+        Either this instance has claimed the worker and had sent it no renewal and no start for the lease time and a margin when the
+        table last confirmed its ownership, or the platform has listed the worker as gone for as long. Without the confirmation, a
+        successor may have claimed the worker and extended the leases.
     */
     bool haveTaskLeasesLapsed(const WorkerId &worker) const;
 
@@ -180,6 +184,8 @@
     mutable std::mutex mutex_;
     WorkerList list_;
     std::map<ShardId, Epoch> shards_;
+    /** When the table last confirmed the ownership of each shard in its present epoch. */
+    std::map<ShardId, TimePoint> confirmedTimes_;
     /** The workers of owned shards. */
     std::map<WorkerId, Entry> workers_;
     /** When the platform's list first showed a worker as gone. */
--- a/modules/instance/ShardFanOut.cpp
+++ b/modules/instance/ShardFanOut.cpp
@@ -26,4 +26,9 @@
     workers_.shardLost(shard);
 }
 
+void ShardFanOut::shardConfirmed(const ShardId &shard, Epoch epoch, TimePoint readTime)
+{
+    workers_.shardConfirmed(shard, epoch, readTime);
+}
+
 } // namespace auburndoor
--- a/modules/instance/ShardFanOut.h
+++ b/modules/instance/ShardFanOut.h
@@ -19,6 +19,7 @@
 
     void shardGained(const ShardId &shard, Epoch epoch) override;
     void shardLost(const ShardId &shard) override;
+    void shardConfirmed(const ShardId &shard, Epoch epoch, TimePoint readTime) override;
 
 private:
     WorkerManager &workers_;
--- a/modules/ownership/OwnershipAgent.cpp
+++ b/modules/ownership/OwnershipAgent.cpp
@@ -143,13 +143,13 @@
         metrics_.count("ownership_malformed_rows_total");
         Log::error("ownership-row-malformed", { { "row", key } });
     }
-    reconcile();
+    reconcile(now);
     reportInstances();
     return true;
 }
 
 /** Updates the owned shards from the observed rows: adds shards handed over to this instance, removes those of other owners. */
-void OwnershipAgent::reconcile()
+void OwnershipAgent::reconcile(TimePoint readTime)
 {
     if (!isRegistered()) {
         return;
@@ -165,6 +165,7 @@
     for (const auto &[id, shard] : observation_.shards()) {
         if (shard.row.owner == options_.id && shard.row.incarnation == options_.incarnation) {
             recordOwnedShard(id, { shard.row.epoch, shard.version });
+            listener_.shardConfirmed(id, shard.row.epoch, readTime);
         }
     }
 }
--- a/modules/ownership/OwnershipAgent.h
+++ b/modules/ownership/OwnershipAgent.h
@@ -91,7 +91,7 @@
     void adoptOwnRow(const TableRow &row);
     void markSuperseded();
     bool poll(TimePoint now);
-    void reconcile();
+    void reconcile(TimePoint readTime);
     void reportInstances() const;
     OwnershipSnapshot snapshot(TimePoint now) const;
     void executeActions(TimePoint now);
--- a/modules/ownership/ShardListener.h
+++ b/modules/ownership/ShardListener.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/Clock.h"
 #include "core/Identifier.h"
 
 namespace auburndoor {
@@ -15,6 +16,12 @@
 
     /** Called when this instance has ceased to own the shard; it must no longer place work on the shard's workers. */
     virtual void shardLost(const ShardId &shard) = 0;
+
+    /**
+        Called after each read of the table that shows this instance as the owner in this epoch. No other instance had claimed the
+        shard's workers when the read began, at readTime.
+    */
+    virtual void shardConfirmed(const ShardId &shard, Epoch epoch, TimePoint readTime) = 0;
 };
 
 } // namespace auburndoor
--- a/tests/fleet/LapsedLeaseTests.cpp
+++ b/tests/fleet/LapsedLeaseTests.cpp
@@ -22,6 +22,15 @@
     return owner.service.startHeld(holds.front(), start, 1s, failure).status;
 }
 
+/** Waits until the owner, which the table confirms all the time, reports that the leases of its worker have lapsed. */
+void waitUntilLapsed(FleetOwner &owner)
+{
+    owner.waitUntil([&] {
+        owner.workers.shardConfirmed(owner.fixture.shard, 1, owner.fixture.clock.now());
+        return owner.workers.roster().haveTaskLeasesLapsed(owner.fixture.worker().id());
+    });
+}
+
 void loseAnswers(FakeWorker &worker)
 {
     WorkerFaults faults;
@@ -39,7 +48,7 @@
     owner.gainShardAndWait(1);
     REQUIRE(startTask(owner, "job/0/1") == CallStatus::Answered);
     loseAnswers(fixture.worker());
-    owner.waitUntil([&] { return owner.workers.roster().haveTaskLeasesLapsed(fixture.worker().id()); });
+    waitUntilLapsed(owner);
     CHECK(fixture.worker().use().slots == 0);
 }
 
@@ -50,12 +59,11 @@
     FleetOwner owner(fixture, "owner");
     owner.gainShardAndWait(1);
     fixture.worker().setReachable(false);
-    const auto &roster = owner.workers.roster();
-    owner.waitUntil([&] { return roster.haveTaskLeasesLapsed(fixture.worker().id()); });
+    waitUntilLapsed(owner);
     loseAnswers(fixture.worker());
     fixture.worker().setReachable(true);
     REQUIRE(startTask(owner, "job/0/1") == CallStatus::Unknown);
-    CHECK_FALSE(roster.haveTaskLeasesLapsed(fixture.worker().id()));
+    CHECK_FALSE(owner.workers.roster().haveTaskLeasesLapsed(fixture.worker().id()));
 }
 
 TEST_CASE("a worker that answers again after unanswered renewals keeps its tasks", "[fleet]")
@@ -73,3 +81,47 @@
     CHECK(fixture.worker().use().slots == 1);
     CHECK(owner.workers.roster().isReportedRunning(fixture.worker().id(), TaskId("job/0/1")));
 }
+
+TEST_CASE("a deposed owner does not report leases as lapsed that its successor renews", "[fleet]")
+{
+    // Guards against a task that is started elsewhere since an owner without contact to the table counts only its own renewals.
+    FleetFixture fixture;
+    FleetOwner first(fixture, "first");
+    first.gainShardAndWait(1);
+    first.workers.shardConfirmed(fixture.shard, 1, fixture.clock.now());
+    const TaskId task("job/0/1");
+    REQUIRE(startTask(first, task.text()) == CallStatus::Answered);
+    // The first owner no longer reaches the worker. The second object is the same worker as its successor reaches it.
+    const auto worker = fixture.worker().id();
+    fixture.worker().setReachable(false);
+    fixture.connector.workers[worker] = std::make_shared<FakeWorker>(worker, fixture.capacity, fixture.clock);
+    FleetOwner second(fixture, "second");
+    const auto reservation = Reservation { task.text(), worker, fixture.shard, 1, {} };
+    Failure failure;
+    REQUIRE(fixture.worker().start(second.makeStart(reservation, R"({"runMs": -1})"), {}, failure).status == CallStatus::Answered);
+    second.gainShardAndWait(2);
+    const auto end = fixture.clock.now() + 60s;
+    second.waitUntil([&] { return fixture.clock.now() >= end; });
+    REQUIRE(second.workers.roster().isReportedRunning(worker, task));
+    CHECK_FALSE(first.service.queryTask(worker, task, 1s, failure));
+    CHECK(failure.reason == FailureReason::NotReady);
+}
+
+TEST_CASE("the leases of a silent worker have lapsed once the table has confirmed its owner after their end", "[fleet]")
+{
+    // Guards against a task that waits forever for a worker that has failed, and against a confirmation of another epoch.
+    FleetFixture fixture;
+    FleetOwner owner(fixture, "owner");
+    owner.gainShardAndWait(2);
+    REQUIRE(startTask(owner, "job/0/1") == CallStatus::Answered);
+    fixture.worker().setReachable(false);
+    const auto &roster = owner.workers.roster();
+    const auto end = fixture.clock.now() + 90s;
+    owner.waitUntil([&] { return fixture.clock.now() >= end; });
+    CHECK_FALSE(roster.haveTaskLeasesLapsed(fixture.worker().id()));
+    owner.workers.shardConfirmed(fixture.shard, 1, fixture.clock.now());
+    CHECK_FALSE(roster.haveTaskLeasesLapsed(fixture.worker().id()));
+    owner.workers.shardConfirmed(fixture.shard, 2, fixture.clock.now());
+    CHECK(roster.haveTaskLeasesLapsed(fixture.worker().id()));
+    CHECK(fixture.worker().use().slots == 0);
+}
--- a/tests/ownership/OwnershipAgentTests.cpp
+++ b/tests/ownership/OwnershipAgentTests.cpp
@@ -143,6 +143,48 @@
     CHECK(cell.hasOneOwnerPerShard());
 }
 
+TEST_CASE("a shard is confirmed by each read that shows it as owned, as of the beginning of the read", "[ownership]")
+{
+    // Guards against an owner that concludes the end of leases from a time at which a successor may have extended them.
+    OwnershipCell cell;
+    auto &owner = cell.start(0);
+    cell.start(1);
+    cell.run(20s);
+    REQUIRE(cell.countOwnedShards(0) == 4);
+    const auto shard = owner.owned.begin()->first;
+    const auto lastTime = [&] { return owner.confirmed.at(shard).second; };
+    CHECK(owner.confirmed.at(shard).first == owner.owned.at(shard));
+    CHECK(cell.clock.now() - lastTime() <= 1100ms);
+    cell.store.setDown(true);
+    const auto outage = cell.clock.now();
+    cell.run(10s);
+    CHECK(lastTime() <= outage);
+    cell.store.setDown(false);
+    cell.run(10s);
+    CHECK(cell.clock.now() - lastTime() <= 1100ms);
+    owner.isPaused = true;
+    cell.run(10s);
+    REQUIRE(cell.countOwnedShards(1) == 8);
+    const auto takeover = lastTime();
+    owner.isPaused = false;
+    cell.run(2s);
+    CHECK(lastTime() == takeover);
+}
+
+TEST_CASE("a read that takes long confirms a shard only until the time at which it began", "[ownership]")
+{
+    // Guards against a process that is suspended while it reads the rows and is deposed meanwhile.
+    OwnershipCell cell;
+    auto &owner = cell.start(0);
+    cell.run(20s);
+    REQUIRE(cell.countOwnedShards(0) == 8);
+    const auto begin = cell.clock.now() + 2s;
+    cell.clock.advance(2s);
+    cell.table.beforeRead = [&] { cell.clock.advance(60s); };
+    owner.agent->step();
+    CHECK(owner.confirmed.begin()->second.second == begin);
+}
+
 TEST_CASE("shards return to a preferred owner only once it has been stable", "[ownership]")
 {
     // Guards against moving shards to an instance that keeps restarting.
--- a/tests/ownership/OwnershipCell.h
+++ b/tests/ownership/OwnershipCell.h
@@ -31,6 +31,9 @@
 
     std::optional<std::vector<TableRow>> readPrefix(const std::string &prefix, TimePoint deadline, Failure &failure) override
     {
+        if (beforeRead) {
+            beforeRead();
+        }
         return table_.readPrefix(prefix, deadline, failure);
     }
 
@@ -50,6 +53,8 @@
         return table_.commit(changed, deadline, failure);
     }
 
+    /** Called before each read of several rows. */
+    std::function<void()> beforeRead;
     /** Called before each commit. */
     std::function<void(const Transaction &)> beforeCommit;
     /** Selects the checks to remove from each transaction. */
@@ -76,11 +81,18 @@
         owned.erase(shard);
     }
 
+    void shardConfirmed(const ShardId &shard, Epoch epoch, TimePoint readTime) override
+    {
+        confirmed[shard] = { epoch, readTime };
+    }
+
     OwnershipOptions options;
     Metrics metrics;
     std::unique_ptr<OwnershipAgent> agent;
     /** The shards reported as gained and not as lost, with their epochs. */
     std::map<ShardId, Epoch> owned;
+    /** The epoch and the time of the last confirmation of each shard. */
+    std::map<ShardId, std::pair<Epoch, TimePoint>> confirmed;
     std::function<void(const ShardId &, Epoch)> onShardGained;
     TimePoint nextStepTime;
     /** If true, the agent makes no steps. */
