Fleet: an owner drops a worker whose entry in the list has become unreadable

Cause: the directory passes on an entry that it cannot read as a worker that is gone, without its failure domain. The roster derived the shard from that entry, found no owned shard and kept the worker, so that the owner went on renewing it. By the list the worker counted as gone, and 35 s later every instance reported its leases as lapsed while its tasks ran.

Ruled out: a readable entry with the state gone; its failure domain leads to the shard, and the owner drops the worker.

Change: the shard of a worker that is gone is that in which it was listed before.

That a worker listed as gone runs nothing 35 s later holds only if every instance that reaches it reads the list.

--- a/modules/fleet/WorkerList.cpp
+++ b/modules/fleet/WorkerList.cpp
@@ -25,6 +25,12 @@
     return shardMap_.shardOf(worker.failureDomain, worker.id);
 }
 
+ShardId WorkerList::shardBefore(const ListedWorker &change) const
+{
+    const auto known = workers_.find(change.id);
+    return shardOf(known == workers_.end() ? change : known->second);
+}
+
 std::vector<ListedWorker> WorkerList::workersOf(const ShardId &shard) const
 {
     std::vector<ListedWorker> result;
--- a/modules/fleet/WorkerList.h
+++ b/modules/fleet/WorkerList.h
@@ -19,6 +19,9 @@
 
     ShardId shardOf(const ListedWorker &worker) const;
 
+    /** The shard of a worker as it is listed now, before a change; an unreadable entry of it has no failure domain. */
+    ShardId shardBefore(const ListedWorker &change) const;
+
     /** The workers of a shard that are not gone. */
     std::vector<ListedWorker> workersOf(const ShardId &shard) const;
 
--- a/modules/fleet/WorkerRoster.cpp
+++ b/modules/fleet/WorkerRoster.cpp
@@ -31,9 +31,10 @@
     const std::lock_guard lock(mutex_);
     bool hasNewDomain = false;
     for (const auto &changed : changes) {
+        const auto shard = changed.state == ListedState::Gone ? list_.shardBefore(changed) : list_.shardOf(changed);
         hasNewDomain = list_.update(changed) || hasNewDomain;
         recordGone(changed);
-        applyChange(changed);
+        applyChange(changed, shard);
     }
     return hasNewDomain;
 }
@@ -53,9 +54,8 @@
     }
 }
 
-void WorkerRoster::applyChange(const ListedWorker &changed)
+void WorkerRoster::applyChange(const ListedWorker &changed, const ShardId &shard)
 {
-    const auto shard = list_.shardOf(changed);
     const auto owned = shards_.find(shard);
     if (owned == shards_.end()) {
         return;
--- a/modules/fleet/WorkerRoster.h
+++ b/modules/fleet/WorkerRoster.h
@@ -167,7 +167,7 @@
     /** Removes a shard and its workers. This and the following private members need the lock. */
     void eraseShard(const ShardId &shard);
     void add(const ListedWorker &listed, const ShardId &shard, Epoch epoch);
-    void applyChange(const ListedWorker &changed);
+    void applyChange(const ListedWorker &changed, const ShardId &shard);
     void recordGone(const ListedWorker &changed);
     bool isOpen(const ListedWorker &worker) const;
     /** The entry of the worker; null if it was replaced or its shard has another epoch. */
--- a/tests/fleet/LapsedLeaseTests.cpp
+++ b/tests/fleet/LapsedLeaseTests.cpp
@@ -125,3 +125,21 @@
     CHECK(roster.haveTaskLeasesLapsed(fixture.worker().id()));
     CHECK(fixture.worker().use().slots == 0);
 }
+
+TEST_CASE("an owner stops renewing a worker whose entry in the list has become unreadable", "[fleet]")
+{
+    // Guards against a task that is started elsewhere since its worker counts as gone, while the owner goes on renewing it.
+    FleetFixture fixture;
+    FleetOwner owner(fixture, "owner");
+    owner.gainShardAndWait(1);
+    const auto worker = fixture.worker().id();
+    REQUIRE(startTask(owner, "job/0/1") == CallStatus::Answered);
+    // The directory passes on only the id of an entry that it cannot read.
+    ListedWorker unreadable;
+    unreadable.id = worker;
+    unreadable.state = ListedState::Gone;
+    fixture.directory.put(unreadable);
+    owner.waitUntil([&] { return owner.workers.roster().haveTaskLeasesLapsed(worker); });
+    CHECK(fixture.worker().use().slots == 0);
+    CHECK_FALSE(owner.workers.find(worker));
+}
