Fleet: a known red test of a worker that is listed as gone and still renewed by a cut-off owner

Cause: the roster takes a worker for ended 35 s after the list shows it as gone, by time alone. An owner that reaches neither the store nor the list, but the worker, goes on renewing its tasks; its successor never claimed the worker, so that no epoch stops it.

Ruled out: a confirmation of the successor by the table; it says nothing of orders that the deposed owner sends to an unclaimed worker. An answer by the shard's owner only: it would leave the tasks of gone workers waiting where no owner knows the entry any more. An end to the renewals of an owner without contact to store and list: by the design a long outage of the store must not stop running work.

Conclusion: open. It needs a decision on what the platform promises of a worker that is gone, or on how long an owner without contact renews.

--- a/tests/fleet/FleetFixture.h
+++ b/tests/fleet/FleetFixture.h
@@ -46,11 +46,16 @@
 /** The parts of an instance that can own the fixture's workers. */
 struct FleetOwner
 {
-    FleetOwner(FleetFixture &fixture, const std::string &name)
+    FleetOwner(FleetFixture &fixture, const std::string &name) : FleetOwner(fixture, name, fixture.directory)
+    {
+    }
+
+    /** @param directory the list as this owner reads it */
+    FleetOwner(FleetFixture &fixture, const std::string &name, InstanceDirectory &directory)
         : fixture(fixture)
         , ledger(placer)
         , health(fixture.clock)
-        , workers({ InstanceId(name), 1 }, fixture.clock, fixture.metrics, fixture.directory, fixture.connector, ledger, health)
+        , workers({ InstanceId(name), 1 }, fixture.clock, fixture.metrics, directory, fixture.connector, ledger, health)
         , service(fixture.clock, fixture.metrics, ledger, workers)
     {
         workers.start();
--- a/tests/fleet/LapsedLeaseTests.cpp
+++ b/tests/fleet/LapsedLeaseTests.cpp
@@ -143,3 +143,33 @@
     CHECK(fixture.worker().use().slots == 0);
     CHECK_FALSE(owner.workers.find(worker));
 }
+
+TEST_CASE("a worker listed as gone does not count as lapsed while a cut-off owner renews it", "[fleet][partition]")
+{
+    // Guards against a task that is started elsewhere on the word of the list, while an owner cut off with its worker renews it.
+    FleetFixture fixture;
+    FakeInstanceDirectory staleDirectory;
+    const auto worker = fixture.worker().id();
+    Failure failure;
+    auto listed = fixture.directory.changesSince(0, {}, failure)->changed.front();
+    staleDirectory.put(listed);
+    FleetOwner first(fixture, "first", staleDirectory);
+    first.gainShardAndWait(1);
+    REQUIRE(startTask(first, "job/0/1") == CallStatus::Answered);
+    // The successor does not reach the worker: another object stands for it.
+    const auto firstWorker = fixture.connector.workers.at(worker);
+    fixture.connector.workers[worker] = std::make_shared<FakeWorker>(worker, fixture.capacity, fixture.clock);
+    fixture.worker().setReachable(false);
+    FleetOwner second(fixture, "second");
+    second.workers.shardGained(fixture.shard, 2);
+    listed.state = ListedState::Gone;
+    fixture.directory.put(listed);
+    const auto end = fixture.clock.now() + 60s;
+    second.waitUntil([&] {
+        second.workers.shardConfirmed(fixture.shard, 2, fixture.clock.now());
+        return fixture.clock.now() >= end;
+    });
+    const bool isLapsedTask = second.workers.roster().haveTaskLeasesLapsed(worker);
+    const bool isLapsedTaskRunning = isLapsedTask && firstWorker->use().slots > 0;
+    CHECK_FALSE(isLapsedTaskRunning);
+}
