--- a/modules/fleet/WorkerRoster.cpp
+++ b/modules/fleet/WorkerRoster.cpp
@@ -31,9 +31,10 @@
     const std::lock_guard lock(mutex_);
     bool hasNewDomain = false;
     for (const auto &changed : changes) {
+        const auto shard = changed.state == ListedState::Gone ? list_.shardBefore(changed) : list_.shardOf(changed);
         hasNewDomain = list_.update(changed) || hasNewDomain;
         recordGone(changed);
-        applyChange(changed);
+        applyChange(changed, shard);
     }
     return hasNewDomain;
 }
@@ -53,9 +54,8 @@
     }
 }
 
-void WorkerRoster::applyChange(const ListedWorker &changed)
+void WorkerRoster::applyChange(const ListedWorker &changed, const ShardId &shard)
 {
-    const auto shard = list_.shardOf(changed);
     const auto owned = shards_.find(shard);
     if (owned == shards_.end()) {
         return;
@@ -93,6 +93,7 @@
         return;
     }
     shards_[shard] = epoch;
+    confirmedTimes_.erase(shard);
     for (const auto &worker : list_.workersOf(shard)) {
         add(worker, shard, epoch);
     }
@@ -104,9 +105,18 @@
     eraseShard(shard);
 }
 
+void WorkerRoster::confirmShard(const ShardId &shard, Epoch epoch, TimePoint readTime)
+{
+    const std::lock_guard lock(mutex_);
+    if (const auto known = shards_.find(shard); known != shards_.end() && known->second == epoch) {
+        confirmedTimes_[shard] = readTime;
+    }
+}
+
 void WorkerRoster::eraseShard(const ShardId &shard)
 {
     shards_.erase(shard);
+    confirmedTimes_.erase(shard);
     std::erase_if(workers_, [&](const auto &entry) { return entry.second.shard == shard; });
     ledger_.removeShard(shard);
 }
@@ -144,9 +154,9 @@
     for (auto &[id, entry] : workers_) {
         if (!entry.isBusy && entry.dueTime <= now) {
             entry.isBusy = true;
-            return WorkerExchange {
-                id, entry.shard, entry.epoch, entry.isClaimed, entry.connection, entry.tracked.unresolved(), now
-            };
+            entry.isRenewing = entry.isClaimed && !entry.mustProbe;
+            return WorkerExchange { id,  entry.shard,    entry.epoch, entry.isClaimed, entry.connection, entry.tracked.unresolved(),
+                                    now, entry.mustProbe };
         }
     }
     return std::nullopt;
@@ -171,11 +181,14 @@
     return isSame ? &found->second : nullptr;
 }
 
-void WorkerRoster::finishExchange(const WorkerExchange &exchange, Milliseconds longestPause)
+void WorkerRoster::finishExchange(const WorkerExchange &exchange, bool isAnswered, Milliseconds longestPause)
 {
     const std::lock_guard lock(mutex_);
     if (auto *entry = findEntry(exchange)) {
         entry->isBusy = false;
+        entry->lastLeaseOrderTime = entry->isRenewing ? clock_.now() : entry->lastLeaseOrderTime;
+        entry->isRenewing = false;
+        entry->mustProbe = entry->isClaimed && !isAnswered;
         entry->dueTime = entry->tracked.nextPollTime(clock_.now(), longestPause);
     }
 }
@@ -198,6 +211,8 @@
     const WorkerView view { listed.id, listed.service, listed.failureDomain, report.capacity, {}, 0, isOpen(listed) };
     ledger_.addWorker({ view, listed.address, exchange.shard, exchange.epoch }, running);
     entry->isClaimed = true;
+    // Until the claim, the former owner may have extended the leases.
+    entry->lastLeaseOrderTime = clock_.now();
     recordReport(*entry, report, exchange.requestTime);
     return true;
 }
@@ -244,6 +259,7 @@
     }
     auto &entry = found->second;
     entry.tracked.add(task, mode, clock_.now());
+    entry.lastLeaseOrderTime = clock_.now();
     entry.dueTime = std::min(entry.dueTime, entry.tracked.nextPollTime(clock_.now(), options_.renewalPeriod));
 }
 
@@ -301,7 +317,11 @@
         return clock_.now() - gone->second > lapseTime;
     }
     const auto found = workers_.find(worker);
-    return found != workers_.end() && found->second.isClaimed && clock_.now() - found->second.lastReportTime > lapseTime;
+    if (found == workers_.end() || !found->second.isClaimed || found->second.isRenewing) {
+        return false;
+    }
+    const auto confirmed = confirmedTimes_.find(found->second.shard);
+    return confirmed != confirmedTimes_.end() && confirmed->second - found->second.lastLeaseOrderTime > lapseTime;
 }
 
 bool WorkerRoster::isUnclaimed(const WorkerId &worker) const
--- a/modules/fleet/WorkerRoster.h
+++ b/modules/fleet/WorkerRoster.h
@@ -40,6 +40,8 @@
     std::vector<TaskId> unresolved;
     /** When the exchange began; the worker's report is at least as recent. */
     TimePoint requestTime;
+    /** True if the last renewal was not answered: the worker's tasks are read, and no lease is extended until it answers. */
+    bool mustProbe = false;
 };
 
 /**
@@ -65,6 +67,9 @@
     /** Drops a shard and removes its workers from the ledger. */
     void loseShard(const ShardId &shard);
 
+    /** Records that the table showed this instance as the owner at readTime. Ignored unless the epoch is the known one. */
+    void confirmShard(const ShardId &shard, Epoch epoch, TimePoint readTime);
+
     /** Drops a shard unless it has been gained again with a higher epoch. @return true if it was dropped */
     bool loseShardUnlessNewer(const ShardId &shard, Epoch epoch);
 
@@ -78,7 +83,7 @@
     TimePoint nextDueTime(TimePoint latest) const;
 
     /** Ends an exchange. @param longestPause the longest time until the next one with this worker */
-    void finishExchange(const WorkerExchange &exchange, Milliseconds longestPause);
+    void finishExchange(const WorkerExchange &exchange, bool isAnswered, Milliseconds longestPause);
 
     /**
         Adds a claimed worker to the ledger with the tasks that run on it.
@@ -113,8 +118,9 @@
     /**
         True if no task of the worker can run any more.
 
-        Either this instance has claimed the worker and could not renew its task leases for the lease time and a margin, so that the
-        worker has stopped its tasks itself, or the platform has listed the worker as gone for as long.
+        Either this instance has claimed the worker and had sent it no renewal and no start for the lease time and a margin when the
+        table last confirmed its ownership, or the platform has listed the worker as gone for as long. Without the confirmation, a
+        successor may have claimed the worker and extended the leases.
     */
     bool haveTaskLeasesLapsed(const WorkerId &worker) const;
 
@@ -150,12 +156,18 @@
         std::set<TaskId> running;
         /** When the last claim or renewal that was answered began. */
         TimePoint lastReportTime;
+        /** When the last order was sent that may have extended a lease, whether or not it was answered. */
+        TimePoint lastLeaseOrderTime;
+        /** True while a renewal is under way. */
+        bool isRenewing = false;
+        /** True if the last renewal or probe was not answered. */
+        bool mustProbe = false;
     };
 
     /** Removes a shard and its workers. This and the following private members need the lock. */
     void eraseShard(const ShardId &shard);
     void add(const ListedWorker &listed, const ShardId &shard, Epoch epoch);
-    void applyChange(const ListedWorker &changed);
+    void applyChange(const ListedWorker &changed, const ShardId &shard);
     void recordGone(const ListedWorker &changed);
     bool isOpen(const ListedWorker &worker) const;
     /** The entry of the worker; null if it was replaced or its shard has another epoch. */
@@ -172,6 +184,8 @@
     mutable std::mutex mutex_;
     WorkerList list_;
     std::map<ShardId, Epoch> shards_;
+    /** When the table last confirmed the ownership of each shard in its present epoch. */
+    std::map<ShardId, TimePoint> confirmedTimes_;
     /** The workers of owned shards. */
     std::map<WorkerId, Entry> workers_;
     /** When the platform's list first showed a worker as gone. */
