--- a/modules/dispatch/OwnershipEvidence.h
+++ b/modules/dispatch/OwnershipEvidence.h
@@ -47,8 +47,8 @@
     bool mayStart() const;
 
     /**
-        True if the store has confirmed the ownership since this time, on the steady clock; else isConfirmationNeeded() until it
-       has.
+        True if the store has confirmed the ownership since this time, on the steady clock. If it has not, it is to be asked:
+        isConfirmationNeeded() is true until then.
 
         The end of a lease tells that the runs of a silent worker have ended only if that is so: a successor may have adopted the
         runs and extended the lease.
--- a/modules/dispatch/RosterQuorum.cpp
+++ b/modules/dispatch/RosterQuorum.cpp
@@ -34,11 +34,6 @@
     return reached > inheritedCount_ / 2 || inheritedCount_ == 0;
 }
 
-std::size_t RosterQuorum::size() const
-{
-    return workers_.size();
-}
-
 std::optional<TimePoint> RosterQuorum::quorumTime(std::vector<TimePoint> acceptedAt) const
 {
     const auto half = (workers_.size() + 1) / 2;
--- a/modules/dispatch/RosterQuorum.h
+++ b/modules/dispatch/RosterQuorum.h
@@ -35,9 +35,6 @@
     /** True if more than half of the inherited workers have been reached, or if none were inherited. */
     bool hasReachedInheritedMajority() const;
 
-    /** The number of workers that the stored roster may hold. */
-    std::size_t size() const;
-
     /**
         The latest time since which at least half of the roster's workers have accepted commands; empty if half of them have not.
 
--- a/modules/entry/Owner.h
+++ b/modules/entry/Owner.h
@@ -16,8 +16,10 @@
 class Metrics;
 
 /**
-    An ownership that this process has won: its fencing token, the versions of the epoch and sequence rows at that time, and when
-   the write of the epoch row was sent.
+    An ownership that this process has won.
+
+    It has the fencing token, the versions of the epoch and sequence rows at that time, and the time at which the write of the epoch
+    row was sent.
 */
 struct Ownership
 {
