Soak: partitions of the owner among the random faults (fails)

Change: SoakSize::hasPartitions adds a fault kind that parts the owner and random workers for 0.3 to 15 s, beside the other faults and other partitions; a test with the tag [partition] sets it. SOAK_PARTITIONS=1 selects it for SOAK_SEED and SOAK_SEEDS. Without the option the draws, and with them the meaning of today's seeds, are the same.

--- a/tests/soak/PartitionTests.cpp
+++ b/tests/soak/PartitionTests.cpp
@@ -135,7 +135,7 @@
     std::unique_ptr<SoakClients> clients;
 };
 
-void runPartition(const std::string &folder, const std::string &steps, const SimulatedWorker::Plan &plan, bool hasPartition)
+void runJobs(const std::string &folder, const std::string &steps, const SimulatedWorker::Plan &plan, bool hasPartition)
 {
     constexpr Milliseconds startLimit { 10000 };
     PartitionCell cell(std::string(PROGRAM_FOLDER) + "/" + folder, plan);
@@ -148,17 +148,22 @@
     cell.checkOutcome();
 }
 
-const std::string longStep = makeStep(Milliseconds(12000), "");
-const std::string shortSteps = makeStep(Milliseconds(1500), "") + "," + makeStep(Milliseconds(1500), "0");
-
-SimulatedWork makeLongWork(const TaskName &, std::int64_t)
+/** Runs jobs of three tasks of 12 s. */
+void runLongTasks(const std::string &folder, bool hasPartition)
 {
-    return { Milliseconds(12000), RunOutcome::Done };
+    constexpr Milliseconds duration { 12000 };
+    const auto plan = [duration](const TaskName &, std::int64_t) { return SimulatedWork { duration, RunOutcome::Done }; };
+    runJobs(folder, makeStep(duration, ""), plan, hasPartition);
 }
 
-SimulatedWork makeShortWork(const TaskName &task, std::int64_t)
+/** Runs jobs of two dependent steps of three tasks of 1 to 2 s. */
+void runShortTasks(const std::string &folder, bool hasPartition)
 {
-    return { Milliseconds(1000 + 500 * task.index), RunOutcome::Done };
+    constexpr Milliseconds estimate { 1500 };
+    const auto plan = [](const TaskName &task, std::int64_t) {
+        return SimulatedWork { Milliseconds(1000 + 500 * task.index), RunOutcome::Done };
+    };
+    runJobs(folder, makeStep(estimate, "") + "," + makeStep(estimate, "0"), plan, hasPartition);
 }
 
 } // namespace
@@ -166,18 +171,18 @@
 // Guards against a cut-off owner that goes on starting and renewing tasks which its successor runs elsewhere.
 TEST_CASE("no task runs twice while the owner and a worker are parted from the rest", "[partition]")
 {
-    runPartition("partition-long", longStep, makeLongWork, true);
+    runLongTasks("partition-long", true);
 }
 
 // Guards against a successor that starts tasks again whose ends it sees and acknowledges only after the partition.
 TEST_CASE("no task runs again if its end on a parted worker is seen after the partition", "[partition]")
 {
-    runPartition("partition-short", shortSteps, makeShortWork, true);
+    runShortTasks("partition-short", true);
 }
 
 // Negative control: what the tests above find comes from the partition.
 TEST_CASE("the cells of the partition tests violate nothing without a partition", "[partition]")
 {
-    runPartition("partition-none-long", longStep, makeLongWork, false);
-    runPartition("partition-none-short", shortSteps, makeShortWork, false);
+    runLongTasks("partition-none-long", false);
+    runShortTasks("partition-none-short", false);
 }
--- a/tests/soak/SoakCell.cpp
+++ b/tests/soak/SoakCell.cpp
@@ -96,16 +96,19 @@
     if (!isInjectingFaults_) {
         return;
     }
-    switch (draw(0, 2)) {
+    switch (draw(0, size_.hasPartitions ? 3 : 2)) {
     case 0:
         injectProcessFault();
         break;
     case 1:
         injectStoreFault();
         break;
-    default:
+    case 2:
         injectWorkerFault();
         break;
+    default:
+        injectPartition();
+        break;
     }
     loop_.after(Milliseconds(draw(50, 1500)), [this] { injectNextFault(); });
 }
@@ -220,10 +223,38 @@
     }
 }
 
+void SoakCell::injectPartition()
+{
+    OwnerPartition::Sides sides;
+    std::string text = "owner parted;";
+    // Half of the partitions leave no worker that the owner and its successors both reach.
+    const int lastSide = draw(1, 2);
+    for (int number = 0; number < size_.workers; ++number) {
+        const auto id = "w" + std::to_string(number);
+        const int side = draw(0, lastSide);
+        if (side == 0) {
+            sides.withoutOwner.insert(id);
+            text += " " + id + " only for successors,";
+        } else if (side == 1) {
+            sides.withoutSuccessors.insert(id);
+            text += " " + id + " only for the owner,";
+        }
+    }
+    const Milliseconds duration { draw(300, 15000) };
+    const std::shared_ptr<OwnerPartition> partition = OwnerPartition::begin(platform_, entries_, sides);
+    if (!partition) {
+        return;
+    }
+    recordFault(text + " for " + std::to_string(duration.count()));
+    partitions_.insert(partition);
+    loop_.after(duration, [this, partition = std::weak_ptr(partition)] { partitions_.erase(partition.lock()); });
+}
+
 void SoakCell::endFaults()
 {
     recordFault("end of faults");
     isInjectingFaults_ = false;
+    partitions_.clear();
     platform_.store.setDown(false);
     platform_.store.loseAnswers(0, Milliseconds(0));
     platform_.drawFault = {};
--- a/tests/soak/SoakCell.h
+++ b/tests/soak/SoakCell.h
@@ -2,6 +2,7 @@
 
 #include "net/EventLoop.h"
 #include "soak/EntryProcess.h"
+#include "soak/OwnerPartition.h"
 #include "soak/PlatformServer.h"
 #include "soak/SoakClients.h"
 
@@ -21,6 +22,8 @@
     Milliseconds faultDuration { 12000 };
     /** The time after the last fault within which all accepted jobs have to end. */
     Milliseconds recoveryLimit { 40000 };
+    /** Whether partitions of the owner are among the faults; each seed then stands for other faults. */
+    bool hasPartitions = false;
 };
 
 /**
@@ -52,6 +55,8 @@
     void injectProcessFault();
     void injectStoreFault();
     void injectWorkerFault();
+    /** Parts the owner and random workers from the rest for a random time. */
+    void injectPartition();
     /** Sets a link to a random fault mode for a random time. */
     void injectLinkFault(FaultyLink &link, const std::string &name);
     /** Ends all faults, and restarts or resumes all processes. */
@@ -67,6 +72,7 @@
     TimePoint startedAt_;
     PlatformServer platform_;
     std::vector<std::unique_ptr<EntryProcess>> entries_;
+    std::set<std::shared_ptr<OwnerPartition>> partitions_;
     std::unique_ptr<SoakClients> clients_;
     std::set<std::string> startedJobs_;
     std::vector<std::string> violations_;
--- a/tests/soak/SoakTests.cpp
+++ b/tests/soak/SoakTests.cpp
@@ -5,12 +5,14 @@
 #include <array>
 #include <cstdlib>
 #include <filesystem>
+#include <span>
 
 using namespace auburndoor;
 
 namespace {
 
-// To run seeds from the command line: SOAK_SEED=7 SOAK_SEEDS=1 test-soak. The logs of the processes stay in the folder soak-SEED.
+// To run seeds from the command line: SOAK_SEED=7 SOAK_SEEDS=1 test-soak, with SOAK_PARTITIONS=1 those of the test with partitions.
+// The logs of the processes stay in the folder soak-SEED or soak-partition-SEED.
 int readIntegerVariable(const char *variable, int fallback)
 {
     const char *text = std::getenv(variable);
@@ -20,7 +22,7 @@
 void runSeed(unsigned seed, const SoakSize &size)
 {
     INFO("seed " << seed);
-    const auto folder = std::string(PROGRAM_FOLDER) + "/soak-" + std::to_string(seed);
+    const auto folder = std::string(PROGRAM_FOLDER) + (size.hasPartitions ? "/soak-partition-" : "/soak-") + std::to_string(seed);
     std::filesystem::remove_all(folder);
     std::filesystem::create_directories(folder);
     SoakCell cell(seed, size, folder);
@@ -36,12 +38,36 @@
     CHECK(cell.acceptedJobCount() > 0);
 }
 
+/** Runs the regression seeds, or the seeds from the command line if they are for tests of this kind. */
+void runSeeds(std::span<const unsigned> regressionSeeds, const SoakSize &size)
+{
+    const auto first = readIntegerVariable("SOAK_SEED", 0);
+    if (first == 0) {
+        for (const auto seed : regressionSeeds) {
+            runSeed(seed, size);
+        }
+        return;
+    }
+    if ((readIntegerVariable("SOAK_PARTITIONS", 0) != 0) != size.hasPartitions) {
+        WARN("no seed was run: SOAK_PARTITIONS selects the other test");
+        return;
+    }
+    for (auto seed = first; seed < first + readIntegerVariable("SOAK_SEEDS", 1); ++seed) {
+        runSeed(static_cast<unsigned>(seed), size);
+    }
+}
+
 // Seeds that have failed, each with the fault that it found.
 constexpr std::array regressionSeeds {
     1U, // An owner resumed after a suspension answered that a job of its successor does not exist.
     5U, // An owner resumed after a suspension reported a completed job as running.
 };
 
+constexpr std::array partitionSeeds {
+    33U, // A cut-off owner and its successor both ran a task.
+    40U, // A task was started after its end was acknowledged.
+};
+
 } // namespace
 
 // Checks the guarantees to callers and workers with real processes: accepted jobs end, refused jobs never run, no task runs twice
@@ -49,14 +75,13 @@
 // stops finish within their grace period.
 TEST_CASE("random faults on entry processes, links, store and workers violate no guarantee", "[soak]")
 {
-    const auto first = readIntegerVariable("SOAK_SEED", 0);
-    if (first == 0) {
-        for (const auto seed : regressionSeeds) {
-            runSeed(seed, {});
-        }
-        return;
-    }
-    for (auto seed = first; seed < first + readIntegerVariable("SOAK_SEEDS", 1); ++seed) {
-        runSeed(static_cast<unsigned>(seed), {});
-    }
+    runSeeds(regressionSeeds, {});
+}
+
+// Guards against an owner and a successor that both run a task while a partition keeps each from workers of the other.
+TEST_CASE("random faults with partitions of the owner violate no guarantee", "[partition]")
+{
+    SoakSize size;
+    size.hasPartitions = true;
+    runSeeds(partitionSeeds, size);
 }
