An owner without recent evidence does not show how an open job stands

Cause: an owner that is cut off from the store answers queries from what it knows, for as long as it is not deposed, while its successor completes the jobs and shows that.

Change: an owner whose last evidence (the store's confirmation, or commands that half of the roster's workers accepted) is older than 3 s refuses to tell how an open job stands or how many are pending, with the reason that it gave for unknown jobs already. Ends that are stored are shown as before. While the store is away for all, the workers' replies keep the evidence recent.

Before and after: the new test of PartitionedOwnerTests fails with the check taken out (answered) and passes with it.

--- a/modules/dispatch/OwnershipEvidence.cpp
+++ b/modules/dispatch/OwnershipEvidence.cpp
@@ -37,10 +37,14 @@
     quorumAt_ = std::max(quorumAt_, bootSentAt);
 }
 
+TimePoint OwnershipEvidence::lastEvidenceAt() const
+{
+    return std::max(confirmedAt_.boot, std::min(quorumAt_, confirmedAt_.boot + timing_.maxTimeWithoutStore));
+}
+
 Milliseconds OwnershipEvidence::remaining() const
 {
-    const auto countedQuorumAt = std::min(quorumAt_, confirmedAt_.boot + timing_.maxTimeWithoutStore);
-    const auto end = std::max(confirmedAt_.boot, countedQuorumAt) + timing_.validity;
+    const auto end = lastEvidenceAt() + timing_.validity;
     return std::max(Milliseconds(0), std::chrono::duration_cast<Milliseconds>(end - timers_.bootNow()));
 }
 
@@ -49,6 +53,11 @@
     return remaining() >= timing_.minTimeForStart;
 }
 
+bool OwnershipEvidence::isRecent() const
+{
+    return timers_.bootNow() - lastEvidenceAt() <= timing_.maxRecentAge;
+}
+
 bool OwnershipEvidence::requireConfirmation(TimePoint since)
 {
     requiredSince_ = std::max(requiredSince_, since);
--- a/modules/dispatch/OwnershipEvidence.h
+++ b/modules/dispatch/OwnershipEvidence.h
@@ -13,6 +13,8 @@
     Milliseconds maxTimeWithoutStore { 20000 };
     /** Nothing is started with less than this left, since its lease would end soon. */
     Milliseconds minTimeForStart { 1000 };
+    /** Evidence is recent for this time. Without the store, the workers' replies are evidence that is up to 2.5 s old. */
+    Milliseconds maxRecentAge { 3000 };
 };
 
 /**
@@ -46,6 +48,9 @@
     /** True if enough is left of the permission to start tasks. */
     bool mayStart() const;
 
+    /** True if the last moment of evidence is recent, so that what this owner knows of the jobs can be shown to clients. */
+    bool isRecent() const;
+
     /**
         True if the store has confirmed the ownership since this time, on the steady clock. If it has not, it is to be asked:
         isConfirmationNeeded() is true until then.
@@ -71,6 +76,9 @@
     static Milliseconds inheritedLeaseTimeWithoutMajority(const EvidenceTiming &timing);
 
 private:
+    /** The last moment of evidence, on the boot clock. */
+    TimePoint lastEvidenceAt() const;
+
     Timers &timers_;
     EvidenceTiming timing_;
     CallTime confirmedAt_;
--- a/modules/entry/OwnerImpl.h
+++ b/modules/entry/OwnerImpl.h
@@ -46,6 +46,7 @@
     void reportOwnership();
     OwnershipReport::Workers countWorkers() const;
     void handleCall(const ClientCall &call, Callback callback);
+    void answerQuery(const std::string &job, Callback callback);
     void submit(const ClientCall &call, Callback callback);
     /** Refuses a new submission if the owner is overloaded. Nothing of it is kept. @return true if it was refused */
     bool refuseUnderOverload(const QueueSpec &queue, const Callback &callback);
--- a/modules/entry/OwnerServing.cpp
+++ b/modules/entry/OwnerServing.cpp
@@ -13,6 +13,13 @@
 // The number of pending jobs may be two seconds old.
 constexpr Milliseconds maxAgeOfCount { 1500 };
 
+ClientResult unconfirmedOwnerResult()
+{
+    return { .outcome = ClientResult::Outcome::Refused,
+             .retryAfter = retryAfterStall,
+             .detail = "the store has not confirmed that this process is still the owner" };
+}
+
 } // namespace
 
 void Owner::Impl::handleCall(const ClientCall &call, Callback callback)
@@ -22,11 +29,7 @@
         submit(call, std::move(callback));
         return;
     case ClientCall::Kind::Query:
-        if (const auto stage = jobManager.shownStage(call.job)) {
-            callback({ .outcome = ClientResult::Outcome::Answered, .stage = *stage });
-        } else {
-            confirmNoSuchJob(std::move(callback));
-        }
+        answerQuery(call.job, std::move(callback));
         return;
     case ClientCall::Kind::Cancel:
         jobManager.cancel(call.job, [self = shared_from_this(), callback = std::move(callback)](bool isKnown) {
@@ -48,6 +51,19 @@
     callback({ .outcome = ClientResult::Outcome::Malformed, .detail = "unknown call" });
 }
 
+void Owner::Impl::answerQuery(const std::string &job, Callback callback)
+{
+    const auto stage = jobManager.shownStage(job);
+    if (!stage) {
+        confirmNoSuchJob(std::move(callback));
+    } else if (isEnded(*stage) || evidence.isRecent()) {
+        callback({ .outcome = ClientResult::Outcome::Answered, .stage = *stage });
+    } else {
+        // A successor may have shown the end of the job already.
+        callback(unconfirmedOwnerResult());
+    }
+}
+
 void Owner::Impl::submit(const ClientCall &call, Callback callback)
 {
     const auto *queue = desiredState.queue(call.queue);
@@ -112,12 +128,14 @@
 
 void Owner::Impl::answerAsOwner(const ClientResult &result, Milliseconds maxAge, Callback callback)
 {
-    guard.confirmWithin(maxAge, [result, callback = std::move(callback)](OwnershipGuard::Status status) {
+    guard.confirmWithin(maxAge, [self = shared_from_this(), result, callback = std::move(callback)](OwnershipGuard::Status status) {
         if (status == OwnershipGuard::Status::IsReplaced) {
             callback({ .outcome = ClientResult::Outcome::OwnerChanged, .detail = "the owner was deposed" });
-        } else {
+        } else if (status == OwnershipGuard::Status::IsOwner || self->evidence.isRecent()) {
             // While the store answers nobody, clients are answered all the same.
             callback(result);
+        } else {
+            callback(unconfirmedOwnerResult());
         }
     });
 }
@@ -133,9 +151,7 @@
             callback({ .outcome = ClientResult::Outcome::OwnerChanged, .detail = "the owner was deposed" });
             return;
         case OwnershipGuard::Status::Unknown:
-            callback({ .outcome = ClientResult::Outcome::Refused,
-                       .retryAfter = retryAfterStall,
-                       .detail = "the store has not confirmed that this process is still the owner" });
+            callback(unconfirmedOwnerResult());
             return;
         }
     });
--- a/tests/dispatch/PartitionedOwnerTests.cpp
+++ b/tests/dispatch/PartitionedOwnerTests.cpp
@@ -194,6 +194,30 @@
     CHECK(cell.violations().empty());
 }
 
+// Guards against a client that sees a job as running again, because a cut-off owner answers it, after the successor has shown the
+// job as completed.
+TEST_CASE("an owner that is cut off from the store and most workers does not answer how an open job stands", "[partition]")
+{
+    PartitionedCell cell(Milliseconds(4000));
+    cell.addWorkers({ "w1", "w2", "w3" });
+    cell.takeOver();
+    cell.submitAndStart(roomForTasks, roomForTasks);
+    auto &formerOwner = *cell.owner;
+    const auto query = [&formerOwner] {
+        ClientCall call;
+        call.kind = ClientCall::Kind::Query;
+        call.job = job;
+        ClientResult answer;
+        formerOwner.call(call, [&answer](const ClientResult &result) { answer = result; });
+        return answer.outcome;
+    };
+    CHECK(query() == ClientResult::Outcome::Answered);
+    cell.part();
+    cell.timers.advance(Milliseconds(3000));
+    CHECK(query() == ClientResult::Outcome::Refused);
+    cell.healAndCheck();
+}
+
 // Guards against an owner that takes the inherited leases of a worker which it never read for over, and starts the runs on others,
 // although its successor has read that worker and adopted them.
 TEST_CASE("an owner whose wait for an unread worker ends during a cut does not start what its successor has adopted", "[partition]")
