--- a/tests/entry/WorkerLeaseTests.cpp
+++ b/tests/entry/WorkerLeaseTests.cpp
@@ -102,3 +102,22 @@
     CHECK(deadline <= timeSinceEpoch(timers) + Milliseconds(5000));
     CHECK(TimePoint() + deadline <= lease.end());
 }
+
+// Guards against leases that outlast the wait of a new owner: the clock of a worker that is not polled while it is idle was read
+// long before the start, and has run slow since.
+TEST_CASE("a lease that is granted long after the last reading of a slow clock does not last longer than one on a fresh reading")
+{
+    constexpr Milliseconds readAt { 480000 };
+    constexpr Milliseconds granted { 5000 };
+    constexpr double slowClockRate = 0.98;
+    constexpr Milliseconds margin { 400 };
+    const auto idleTime = GENERATE(Milliseconds(1000), Milliseconds(60000));
+    CAPTURE(idleTime.count());
+    ManualTimers timers;
+    WorkerLease lease(timers, Milliseconds(10000));
+    lease.updateClock(readAt);
+    timers.advance(idleTime);
+    const auto workerClock = static_cast<double>(readAt.count()) + static_cast<double>(idleTime.count()) * slowClockRate;
+    const auto remaining = (static_cast<double>(lease.grant(granted).count()) - workerClock) / slowClockRate;
+    CHECK(remaining <= static_cast<double>(granted.count()) / slowClockRate + static_cast<double>(margin.count()));
+}
