A read worker's inherited lease counts until it has ended, however short the leases of its owner are

Cause: a deadline on a worker never shortens, and once a new owner had read a worker only its own leases counted, which are short while its permission is. If the worker fell silent, its runs were taken for lost while the former owner's lease went on. Change: the first accepted poll notes until when a lease granted before may last. Before: the test "an owner with a short permission does not take runs for lost..." of PartitionReviewTests fails; after: it passes.

--- a/modules/dispatch/FleetLeases.cpp
+++ b/modules/dispatch/FleetLeases.cpp
@@ -33,7 +33,12 @@
 
 TimePoint Fleet::Impl::leaseEnd(const WorkerState &worker) const
 {
-    return std::max(worker.client->leaseEnd(), worker.isReportRead ? TimePoint() : inheritedLeasesEnd());
+    return std::max(worker.client->leaseEnd(), worker.isReportRead ? worker.inheritedLeaseEnd : inheritedLeasesEnd());
+}
+
+bool Fleet::Impl::isAbsenceConclusive(const WorkerState &worker, const Run &run) const
+{
+    return run.incarnation == worker.entry.incarnation || evidence.requireConfirmation(worker.restartSeenAt);
 }
 
 bool Fleet::Impl::isLeaseOver(const WorkerState &worker) const
--- a/modules/dispatch/FleetPolling.cpp
+++ b/modules/dispatch/FleetPolling.cpp
@@ -68,6 +68,10 @@
             polledWorker->isPolling = false;
             if (reply.outcome == CommandOutcome::Accepted) {
                 impl->noteReached(id);
+                if (!polledWorker->isReportRead) {
+                    polledWorker->inheritedLeaseEnd = impl->timers.now() + OwnershipEvidence::maxLeaseTime(impl->timing.lease);
+                }
+                polledWorker->replacedSince.reset();
                 if (report.incarnation == polledWorker->entry.incarnation) {
                     polledWorker->acceptedAt = std::max(polledWorker->acceptedAt, sentAt.boot);
                     polledWorker->deliveredAcknowledgement = std::max(polledWorker->deliveredAcknowledgement, acknowledgement);
--- a/modules/dispatch/OwnershipEvidence.cpp
+++ b/modules/dispatch/OwnershipEvidence.cpp
@@ -74,14 +74,19 @@
     return std::chrono::duration_cast<Milliseconds>(timers_.bootNow() - confirmedAt_.boot);
 }
 
+Milliseconds OwnershipEvidence::maxLeaseTime(Milliseconds lease)
+{
+    return scaleForSlowClock(lease) + expiryMargin;
+}
+
 Milliseconds OwnershipEvidence::inheritedLeaseTime(const EvidenceTiming &timing)
 {
-    return scaleForSlowClock(timing.validity) + expiryMargin;
+    return maxLeaseTime(timing.validity);
 }
 
 Milliseconds OwnershipEvidence::inheritedLeaseTimeWithoutMajority(const EvidenceTiming &timing)
 {
-    return scaleForSlowClock(timing.validity + timing.maxTimeWithoutStore) + expiryMargin;
+    return maxLeaseTime(timing.validity + timing.maxTimeWithoutStore);
 }
 
 } // namespace auburndoor
--- a/modules/dispatch/OwnershipEvidence.h
+++ b/modules/dispatch/OwnershipEvidence.h
@@ -66,6 +66,9 @@
     /** How long ago the last call was sent in which the store confirmed the ownership. */
     Milliseconds storeAge() const;
 
+    /** How long a lease of this duration may last after the reading of a worker that accepts no later one. */
+    static Milliseconds maxLeaseTime(Milliseconds lease);
+
     /**
         How long after the reading of more than half of the inherited roster's workers all leases of earlier owners have ended,
         also if the workers' clocks are slow.
--- a/modules/dispatch/WorkerState.h
+++ b/modules/dispatch/WorkerState.h
@@ -35,6 +35,12 @@
     /** A poll is scheduled or pending. */
     bool isPolling = false;
     TimePoint lastReportAt;
+    /** When the last restart of the worker was seen. */
+    TimePoint restartSeenAt;
+    /** Since when another worker answers at its address; empty if none does. */
+    std::optional<TimePoint> replacedSince;
+    /** When the leases have ended that an earlier owner granted before this one read the report. */
+    TimePoint inheritedLeaseEnd;
     /** When the last poll was sent that its present incarnation has accepted, on the boot clock. */
     TimePoint acceptedAt;
     /** The polls that failed since the last report. */
