--- a/modules/dispatch/FleetImpl.cpp
+++ b/modules/dispatch/FleetImpl.cpp
@@ -101,6 +101,7 @@
         run.stopAcknowledgedAt.reset();
         run.stopReason.clear();
     }
+    worker.restartSeenAt = timers.now();
     worker.acceptedAt = {};
     worker.lastSeenEnd = 0;
     worker.acknowledgedEnd = 0;
--- a/modules/dispatch/FleetImpl.h
+++ b/modules/dispatch/FleetImpl.h
@@ -97,6 +97,13 @@
     void reportReplacedWorkers(const WorkerEntry &entry);
     /** Tells the listener of the crashes that the report of a later incarnation shows. */
     void reportCrashes(const std::string &id, const TaskReport &report, TimePoint pollSentAt);
+    /**
+        True if a report that does not list the run tells that it has ended.
+
+        A later incarnation of the worker tells that only if the store has confirmed the ownership since its restart was seen: a
+        successor may have seen the run end before.
+    */
+    bool isAbsenceConclusive(const WorkerState &worker, const Run &run) const;
     /** Logs that a worker is given up with its runs, if it has any. */
     void logLoss(const WorkerState &worker, bool isWrongWorker) const;
     void reportAllRunsLost(WorkerState &worker, RunLoss loss);
--- a/modules/dispatch/FleetPolling.cpp
+++ b/modules/dispatch/FleetPolling.cpp
@@ -49,7 +49,8 @@
     if (worker == nullptr) {
         return;
     }
-    const auto wait = worker->isReportRead ? timing.pollWait : Milliseconds(0);
+    // A silent worker is asked for an answer at once, so that its return, or the end of its leases, is noticed early.
+    const auto wait = worker->isReportRead && worker->failedPolls == 0 ? timing.pollWait : Milliseconds(0);
     ++renewalsSent;
     // The lease of a worker that does not answer is not extended, so that its runs have ended by a known time.
     const auto lease = worker->failedPolls == 0 ? permittedLease() : Milliseconds(0);
@@ -164,9 +165,12 @@
         EventLog::write("worker.silent", { { "worker", id }, { "outcome", name(reply.outcome) }, { "runs", worker.runs.size() } });
         listener.workerSilent(makePossibleCrash(worker));
     }
-    const bool isWrongWorker = reply.outcome == CommandOutcome::WrongWorker;
+    bool isWrongWorker = reply.outcome == CommandOutcome::WrongWorker;
     if (isWrongWorker) {
         noteReached(id);
+        worker.replacedSince = worker.replacedSince.value_or(timers.now());
+        // A successor may have seen the runs end before the worker did.
+        isWrongWorker = evidence.requireConfirmation(*worker.replacedSince);
     }
     if (hasLeft(worker, reply.outcome)) {
         EventLog::write("worker.left", { { "worker", id }, { "runs", worker.runs.size() } });
--- a/modules/dispatch/WorkerState.h
+++ b/modules/dispatch/WorkerState.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace auburndoor {
