An owner leaves the roster as it is until it has read more than half of what it inherited

Cause: half and more than half have a worker in common only in one roster. A second owner without such a reading added rows, so that a third had more than half of the grown roster without any worker that the first still reached. Change: rows are added and removed only after the reading, or after the long wait; unreadable rows count. Before: the test "a third owner does not start what the first keeps alive..." of PartitionReviewTests fails with 1 and 3 added workers; after: it passes.

--- a/modules/dispatch/Fleet.cpp
+++ b/modules/dispatch/Fleet.cpp
@@ -97,8 +97,14 @@
     }
 }
 
+void Fleet::countUnreadableRow(const std::string &id)
+{
+    impl_->quorum.addInherited(id);
+}
+
 void Fleet::collectEvidence()
 {
+    impl_->catchUpWithRoster();
     std::vector<TimePoint> acceptedAt;
     for (const auto &[id, worker] : impl_->workers) {
         if (worker->isInRoster) {
--- a/modules/dispatch/FleetImpl.cpp
+++ b/modules/dispatch/FleetImpl.cpp
@@ -169,6 +169,10 @@
         return;
     }
     const auto &entry = worker.entry;
+    if (!quorum.contains(entry.id) && !mayChangeRoster()) {
+        isRosterChangeDelayed = true;
+        return;
+    }
     quorum.add(entry.id);
     listener.rosterChanged(
         entry, true, [impl = shared_from_this(), id = entry.id, born = entry.incarnation, service = entry.service] {
@@ -274,6 +278,10 @@
     if (!worker->isReportRead && !isLeaseOver(*worker)) {
         return;
     }
+    if (!mayChangeRoster()) {
+        isRosterChangeDelayed = true;
+        return;
+    }
     EventLog::write("worker.forgotten", { { "worker", id } });
     listener.rosterChanged(worker->entry, false, [impl = shared_from_this(), id] {
         if (impl->find(id) == nullptr) {
--- a/modules/dispatch/FleetImpl.h
+++ b/modules/dispatch/FleetImpl.h
@@ -36,6 +36,10 @@
     WorkerCrash makePossibleCrash(const WorkerState &worker) const;
     /** Has the worker entered in the roster unless it is there. */
     void addToRoster(WorkerState &worker);
+    /** False while an earlier owner may still go on by its count of the inherited roster: no worker is added or removed then. */
+    bool mayChangeRoster() const;
+    /** Makes up for the changes of the roster that had to wait until mayChangeRoster(). */
+    void catchUpWithRoster();
 
     /** The lease that may be granted now. */
     Milliseconds permittedLease() const;
@@ -122,6 +126,7 @@
     TimePoint createdAt;
     /** When the reports of more than half of the inherited roster's workers were read. */
     std::optional<TimePoint> majorityReadAt;
+    bool isRosterChangeDelayed = false;
     std::map<std::string, std::unique_ptr<WorkerState>> workers;
     std::vector<std::string> changedWorkers;
     long long renewalsSent = 0;
--- a/modules/dispatch/FleetLeases.cpp
+++ b/modules/dispatch/FleetLeases.cpp
@@ -23,6 +23,30 @@
     return timers.now() > end && evidence.requireConfirmation(end);
 }
 
+bool Fleet::Impl::mayChangeRoster() const
+{
+    return quorum.hasReachedInheritedMajority() || areInheritedLeasesOver();
+}
+
+void Fleet::Impl::catchUpWithRoster()
+{
+    if (!isRosterChangeDelayed || !mayChangeRoster()) {
+        return;
+    }
+    isRosterChangeDelayed = false;
+    std::vector<std::string> unlisted;
+    for (const auto &[id, worker] : workers) {
+        if (worker->isListed) {
+            addToRoster(*worker);
+        } else {
+            unlisted.push_back(id);
+        }
+    }
+    for (const auto &id : unlisted) {
+        removeIfGone(id);
+    }
+}
+
 void Fleet::Impl::noteReached(const std::string &id)
 {
     quorum.noteReached(id);
--- a/modules/dispatch/FleetPolling.cpp
+++ b/modules/dispatch/FleetPolling.cpp
@@ -135,7 +135,7 @@
             run.confirmedAt = timers.now();
             run.percentChangedAt = timers.now();
             listener.runConfirmed(worker.entry.id, run);
-        } else if (worker.isReportCutOff) {
+        } else if (worker.isReportCutOff || (!listed.contains(key) && !isAbsenceConclusive(worker, run))) {
             continue;
         } else if (!listed.contains(key) && run.isStartAnswered) {
             lost.push_back(key);
@@ -379,7 +379,7 @@
     }
     std::vector<std::pair<RunKey, RunLoss>> missing;
     for (const auto &[key, run] : worker.runs) {
-        if (listed.contains(key)) {
+        if (listed.contains(key) || !isAbsenceConclusive(worker, run)) {
             continue;
         }
         // A poll that was sent before the start was confirmed may report the time before it.
--- a/modules/dispatch/RosterQuorum.cpp
+++ b/modules/dispatch/RosterQuorum.cpp
@@ -13,6 +13,11 @@
     }
 }
 
+bool RosterQuorum::contains(const std::string &worker) const
+{
+    return workers_.contains(worker);
+}
+
 void RosterQuorum::add(const std::string &worker)
 {
     workers_.insert(worker);
--- a/modules/dispatch/RosterQuorum.h
+++ b/modules/dispatch/RosterQuorum.h
@@ -15,7 +15,8 @@
 
     An owner that goes on needs half of the roster, one that takes over more than half, so that they have a worker in common. That
     holds only if none counts fewer rows than the store may hold: a row counts from the time at which it is put until its removal is
-    stored. All members are called from the loop's thread.
+    stored. It also holds only for one and the same roster, so an owner leaves the roster as it is until it has read more than half
+    of it. All members are called from the loop's thread.
 */
 class RosterQuorum
 {
@@ -23,6 +24,9 @@
     /** This owner has found the worker in the roster. */
     void addInherited(const std::string &worker);
 
+    /** True if the stored roster may hold the worker. */
+    bool contains(const std::string &worker) const;
+
     /** The worker's row is about to be written. */
     void add(const std::string &worker);
 
