A lease that rests on an old reading of a slow clock is no longer than the wait of a successor allows

Cause: the estimate of a worker's clock runs ahead of a clock that is 2% slow by 2% of the age of the reading, which is old for an idle worker. Change: the deadline is earlier by what exceeds 0.3 s of that. Before: the test "a lease that is granted long after the last reading..." of WorkerLeaseTests gives 6,327 ms after 60 s (bound 5,502 ms); after: it passes.

--- a/modules/workload/WorkerLease.cpp
+++ b/modules/workload/WorkerLease.cpp
@@ -11,6 +11,8 @@
 // A worker's clock may run up to 2% slow, so a lease on that clock may last this many times as long on the clock of this process.
 constexpr double slowClockFactor = 1.0 / 0.98;
 constexpr Milliseconds clockMargin { 50 };
+// What a successor allows for beyond the lease (OwnershipEvidence::maxLeaseTime) covers this much error of a deadline.
+constexpr Milliseconds maxClockError { 300 };
 
 Milliseconds scale(Milliseconds duration, double factor)
 {
@@ -52,7 +54,9 @@
     // the reply, which can only shorten the lease.
     // The third term allows for a clock that has run slow since its reading.
     end_ = std::max(end_, now + scale(lease, slowClockFactor) + scale(sinceReading, slowClockFactor - 1.0) + clockMargin);
-    return workerClock_ + sinceReading + lease;
+    // The estimate is ahead of a slow clock, the more the older the reading is.
+    const auto possibleError = scale(sinceReading, slowClockFactor - 1.0);
+    return workerClock_ + sinceReading + lease - std::max(Milliseconds(0), possibleError - maxClockError);
 }
 
 TimePoint WorkerLease::end() const
