--- a/tests/dispatch/OwnerPropertyTests.cpp
+++ b/tests/dispatch/OwnerPropertyTests.cpp
@@ -198,26 +198,32 @@
         if (takeOverAt_ && now >= *takeOverAt_) {
             takeOverAt_.reset();
             cell.takeOver(false);
+            if (draw(0, 2) == 0) {
+                cell.cutOff(cell.owner->token() + 1, cutOffFromSuccessors_, false);
+                takeOverAt_ = cell.timers.now() + Milliseconds(draw(300, 4000));
+            }
         } else if (healAt_ && now >= *healAt_) {
             healAt_.reset();
             takeOverAt_.reset();
             cell.heal();
         } else if (!healAt_ && cell.owner) {
             std::set<std::string> cutOffFromOwner;
-            std::set<std::string> cutOffFromSuccessor;
+            cutOffFromSuccessors_.clear();
+            // The owner keeps a third of the workers, or half of them.
+            const int sides = draw(1, 2);
             // Where a store or worker is away for all owners, owners do not act at the same time.
             const bool hasOtherCuts = draw(0, 2) == 0;
             cell.store.setDown(hasOtherCuts && draw(0, 1) == 0);
             for (const auto &[id, worker] : cell.fleet.workers()) {
                 worker->isCutOff = hasOtherCuts && worker->isCutOff;
-                if (draw(0, 2) != 0) {
+                if (draw(0, sides) != 0) {
                     cutOffFromOwner.insert(id);
                 } else if (draw(0, 3) != 0) {
-                    cutOffFromSuccessor.insert(id);
+                    cutOffFromSuccessors_.insert(id);
                 }
             }
             cell.cutOff(cell.owner->token(), cutOffFromOwner, true);
-            cell.cutOff(cell.owner->token() + 1, cutOffFromSuccessor, false);
+            cell.cutOff(cell.owner->token() + 1, cutOffFromSuccessors_, false);
             takeOverAt_ = now + Milliseconds(draw(300, 1500));
             healAt_ = now + Milliseconds(draw(500, 15000));
         }
@@ -227,6 +233,8 @@
     CellChanges changes_;
     std::set<std::string> gangs_;
     std::set<std::string> wideJobs_;
+    /** The workers that no successor reaches during the partition. */
+    std::set<std::string> cutOffFromSuccessors_;
     /** While a partition lasts: its end, and the takeover if that is still to come. */
     std::optional<TimePoint> healAt_;
     std::optional<TimePoint> takeOverAt_;
