--- a/modules/dispatch/FleetLeases.cpp
+++ b/modules/dispatch/FleetLeases.cpp
@@ -23,6 +23,30 @@
     return timers.now() > end && evidence.requireConfirmation(end);
 }
 
+bool Fleet::Impl::mayChangeRoster() const
+{
+    return quorum.hasReachedInheritedMajority() || areInheritedLeasesOver();
+}
+
+void Fleet::Impl::catchUpWithRoster()
+{
+    if (!isRosterChangeDelayed || !mayChangeRoster()) {
+        return;
+    }
+    isRosterChangeDelayed = false;
+    std::vector<std::string> unlisted;
+    for (const auto &[id, worker] : workers) {
+        if (worker->isListed) {
+            addToRoster(*worker);
+        } else {
+            unlisted.push_back(id);
+        }
+    }
+    for (const auto &id : unlisted) {
+        removeIfGone(id);
+    }
+}
+
 void Fleet::Impl::noteReached(const std::string &id)
 {
     quorum.noteReached(id);
@@ -33,7 +57,12 @@
 
 TimePoint Fleet::Impl::leaseEnd(const WorkerState &worker) const
 {
-    return std::max(worker.client->leaseEnd(), worker.isReportRead ? TimePoint() : inheritedLeasesEnd());
+    return std::max(worker.client->leaseEnd(), worker.isReportRead ? worker.inheritedLeaseEnd : inheritedLeasesEnd());
+}
+
+bool Fleet::Impl::isAbsenceConclusive(const WorkerState &worker, const Run &run) const
+{
+    return run.incarnation == worker.entry.incarnation || evidence.requireConfirmation(worker.restartSeenAt);
 }
 
 bool Fleet::Impl::isLeaseOver(const WorkerState &worker) const
--- a/modules/dispatch/FleetPolling.cpp
+++ b/modules/dispatch/FleetPolling.cpp
@@ -49,7 +49,8 @@
     if (worker == nullptr) {
         return;
     }
-    const auto wait = worker->isReportRead ? timing.pollWait : Milliseconds(0);
+    // A silent worker is asked for an answer at once, so that its return, or the end of its leases, is noticed early.
+    const auto wait = worker->isReportRead && worker->failedPolls == 0 ? timing.pollWait : Milliseconds(0);
     ++renewalsSent;
     // The lease of a worker that does not answer is not extended, so that its runs have ended by a known time.
     const auto lease = worker->failedPolls == 0 ? permittedLease() : Milliseconds(0);
@@ -68,6 +69,10 @@
             polledWorker->isPolling = false;
             if (reply.outcome == CommandOutcome::Accepted) {
                 impl->noteReached(id);
+                if (!polledWorker->isReportRead) {
+                    polledWorker->inheritedLeaseEnd = impl->timers.now() + OwnershipEvidence::maxLeaseTime(impl->timing.lease);
+                }
+                polledWorker->replacedSince.reset();
                 if (report.incarnation == polledWorker->entry.incarnation) {
                     polledWorker->acceptedAt = std::max(polledWorker->acceptedAt, sentAt.boot);
                     polledWorker->deliveredAcknowledgement = std::max(polledWorker->deliveredAcknowledgement, acknowledgement);
@@ -130,7 +135,7 @@
             run.confirmedAt = timers.now();
             run.percentChangedAt = timers.now();
             listener.runConfirmed(worker.entry.id, run);
-        } else if (worker.isReportCutOff) {
+        } else if (worker.isReportCutOff || (!listed.contains(key) && !isAbsenceConclusive(worker, run))) {
             continue;
         } else if (!listed.contains(key) && run.isStartAnswered) {
             lost.push_back(key);
@@ -160,9 +165,12 @@
         EventLog::write("worker.silent", { { "worker", id }, { "outcome", name(reply.outcome) }, { "runs", worker.runs.size() } });
         listener.workerSilent(makePossibleCrash(worker));
     }
-    const bool isWrongWorker = reply.outcome == CommandOutcome::WrongWorker;
+    bool isWrongWorker = reply.outcome == CommandOutcome::WrongWorker;
     if (isWrongWorker) {
         noteReached(id);
+        worker.replacedSince = worker.replacedSince.value_or(timers.now());
+        // A successor may have seen the runs end before the worker did.
+        isWrongWorker = evidence.requireConfirmation(*worker.replacedSince);
     }
     if (hasLeft(worker, reply.outcome)) {
         EventLog::write("worker.left", { { "worker", id }, { "runs", worker.runs.size() } });
@@ -371,7 +379,7 @@
     }
     std::vector<std::pair<RunKey, RunLoss>> missing;
     for (const auto &[key, run] : worker.runs) {
-        if (listed.contains(key)) {
+        if (listed.contains(key) || !isAbsenceConclusive(worker, run)) {
             continue;
         }
         // A poll that was sent before the start was confirmed may report the time before it.
