--- a/tests/dispatch/PartitionReviewTests.cpp
+++ b/tests/dispatch/PartitionReviewTests.cpp
@@ -21,7 +21,7 @@
     constexpr Milliseconds duration { 20000 };
     constexpr int tasks = 6;
     OwnerFixture cell;
-    cell.plan = [](const TaskName &, std::int64_t) { return SimulatedWork { duration, RunOutcome::Done }; };
+    cell.plan = [duration](const TaskName &, std::int64_t) { return SimulatedWork { duration, RunOutcome::Done }; };
     cell.addWorker("w1", 8);
     cell.addWorker("w2", 8);
     cell.takeOver();
@@ -63,7 +63,7 @@
     constexpr Milliseconds duration { 6000 };
     constexpr int tasks = 3;
     OwnerFixture cell;
-    cell.plan = [](const TaskName &, std::int64_t) { return SimulatedWork { duration, RunOutcome::Done }; };
+    cell.plan = [duration](const TaskName &, std::int64_t) { return SimulatedWork { duration, RunOutcome::Done }; };
     cell.addWorker("w1", 8);
     cell.takeOver();
     REQUIRE(cell.submit(job, jobBody(tasks, 1000)) == ClientResult::Outcome::Accepted);
@@ -93,7 +93,7 @@
     constexpr Milliseconds duration { 30000 };
     constexpr int tasks = 3;
     OwnerFixture cell;
-    cell.plan = [](const TaskName &, std::int64_t) { return SimulatedWork { duration, RunOutcome::Done }; };
+    cell.plan = [duration](const TaskName &, std::int64_t) { return SimulatedWork { duration, RunOutcome::Done }; };
     cell.addWorker("w1", 8);
     for (const auto *id : { "s1", "s2", "s3" }) {
         cell.addWorker(id, 8, "studio");
