--- a/modules/dispatch/Fleet.cpp
+++ b/modules/dispatch/Fleet.cpp
@@ -97,11 +97,6 @@
     }
 }
 
-void Fleet::countUnreadableRow(const std::string &id)
-{
-    impl_->quorum.addInherited(id);
-}
-
 void Fleet::collectEvidence()
 {
     impl_->catchUpWithRoster();
--- a/modules/dispatch/Fleet.h
+++ b/modules/dispatch/Fleet.h
@@ -117,9 +117,6 @@
     /** Adds a worker of the roster: an earlier owner may have sent it commands, and the directory may not list it. */
     void addFormerWorker(const WorkerEntry &entry);
 
-    /** Counts a row of the roster that cannot be read: an earlier owner may have counted its worker. */
-    void countUnreadableRow(const std::string &id);
-
     /**
         Adds a run that an earlier owner has recorded: if its worker is found in a later incarnation, it has crashed under the run.
 
--- a/modules/entry/OwnerRecovery.cpp
+++ b/modules/entry/OwnerRecovery.cpp
@@ -117,7 +117,6 @@
             fleet.addFormerWorker(*entry);
         } else {
             EventLog::write("record.unreadable", { { "worker", row.key }, { "table", JobTables::roster } });
-            fleet.countUnreadableRow(row.key);
         }
     }
 }
