--- a/modules/dispatch/FleetImpl.h
+++ b/modules/dispatch/FleetImpl.h
@@ -36,7 +36,10 @@
     WorkerCrash makePossibleCrash(const WorkerState &worker) const;
     /** Has the worker entered in the roster unless it is there. */
     void addToRoster(WorkerState &worker);
-    /** False while an earlier owner may still go on by its count of the inherited roster: no worker is added or removed then. */
+    /**
+        False until more than half of the inherited roster was read, for the time of an inherited lease at most: no worker is added
+       or removed then, since an earlier owner may go on by its count of that roster.
+    */
     bool mayChangeRoster() const;
     /** Makes up for the changes of the roster that had to wait until mayChangeRoster(). */
     void catchUpWithRoster();
--- a/modules/dispatch/FleetLeases.cpp
+++ b/modules/dispatch/FleetLeases.cpp
@@ -25,7 +25,9 @@
 
 bool Fleet::Impl::mayChangeRoster() const
 {
-    return quorum.hasReachedInheritedMajority() || areInheritedLeasesOver();
+    // Without a majority, new workers would be out of use for as long as a former owner may go on without the store.
+    const auto end = createdAt + OwnershipEvidence::inheritedLeaseTime(timing.evidence);
+    return quorum.hasReachedInheritedMajority() || timers.now() > end;
 }
 
 void Fleet::Impl::catchUpWithRoster()
--- a/modules/dispatch/RosterQuorum.h
+++ b/modules/dispatch/RosterQuorum.h
@@ -16,7 +16,7 @@
     An owner that goes on needs half of the roster, one that takes over more than half, so that they have a worker in common. That
     holds only if none counts fewer rows than the store may hold: a row counts from the time at which it is put until its removal is
     stored. It also holds only for one and the same roster, so an owner leaves the roster as it is until it has read more than half
-    of it. All members are called from the loop's thread.
+    of it, or for the time of a lease. All members are called from the loop's thread.
 */
 class RosterQuorum
 {
