Idle workers are polled only if neither the store nor busy workers have shown the ownership lately

Cause: an owner that is behind with its loop sees confirmations of the store late, and polled all idle workers once they were a second old, which adds work to an owner that is behind. Workers with runs are polled anyway and suffice as evidence. Change: idle workers are polled when the last moment of evidence is older than 1.5 s.

--- a/modules/dispatch/Fleet.cpp
+++ b/modules/dispatch/Fleet.cpp
@@ -109,7 +109,7 @@
     if (const auto time = impl_->quorum.quorumTime(std::move(acceptedAt))) {
         impl_->evidence.noteQuorum(*time);
     }
-    if (impl_->evidence.storeAge() > impl_->timing.maxStoreAge) {
+    if (impl_->evidence.age() > impl_->timing.maxEvidenceAge) {
         impl_->pollAll();
     }
 }
--- a/modules/dispatch/Fleet.h
+++ b/modules/dispatch/Fleet.h
@@ -89,8 +89,8 @@
     /** While the view of the directory is stale, nothing is started on any worker whose last report is older. */
     Milliseconds maxReportAgeWhenDirectoryStale { 1600 };
     EvidenceTiming evidence;
-    /** Idle workers are polled once the store has not confirmed the ownership for longer. */
-    Milliseconds maxStoreAge { 1000 };
+    /** Idle workers are polled once neither the store nor the workers with runs have shown for longer that this is the owner. */
+    Milliseconds maxEvidenceAge { 1500 };
 };
 
 /**
@@ -141,7 +141,7 @@
     /**
         Notes in the evidence since when at least half of the roster's workers have accepted commands.
 
-        While the store does not confirm the ownership, this takes reports of idle workers too, which are polled then.
+        While the store does not confirm the ownership and too few workers have runs, idle workers are polled for this.
     */
     void collectEvidence();
 
--- a/modules/dispatch/OwnershipEvidence.cpp
+++ b/modules/dispatch/OwnershipEvidence.cpp
@@ -55,7 +55,12 @@
 
 bool OwnershipEvidence::isRecent() const
 {
-    return timers_.bootNow() - lastEvidenceAt() <= timing_.maxRecentAge;
+    return age() <= timing_.maxRecentAge;
+}
+
+Milliseconds OwnershipEvidence::age() const
+{
+    return std::chrono::duration_cast<Milliseconds>(timers_.bootNow() - lastEvidenceAt());
 }
 
 bool OwnershipEvidence::requireConfirmation(TimePoint since)
--- a/modules/dispatch/OwnershipEvidence.h
+++ b/modules/dispatch/OwnershipEvidence.h
@@ -63,6 +63,9 @@
     /** True if the store should be asked now whether this still is the owner. */
     bool isConfirmationNeeded() const;
 
+    /** How long ago the last moment of evidence was. */
+    Milliseconds age() const;
+
     /** How long ago the last call was sent in which the store confirmed the ownership. */
     Milliseconds storeAge() const;
 
