--- a/modules/dispatch/RosterQuorum.cpp
+++ b/modules/dispatch/RosterQuorum.cpp
@@ -13,6 +13,11 @@
     }
 }
 
+bool RosterQuorum::contains(const std::string &worker) const
+{
+    return workers_.contains(worker);
+}
+
 void RosterQuorum::add(const std::string &worker)
 {
     workers_.insert(worker);
@@ -34,11 +39,6 @@
     return reached > inheritedCount_ / 2 || inheritedCount_ == 0;
 }
 
-std::size_t RosterQuorum::size() const
-{
-    return workers_.size();
-}
-
 std::optional<TimePoint> RosterQuorum::quorumTime(std::vector<TimePoint> acceptedAt) const
 {
     const auto half = (workers_.size() + 1) / 2;
