--- a/modules/dispatch/FleetImpl.h
+++ b/modules/dispatch/FleetImpl.h
@@ -36,6 +36,10 @@
     WorkerCrash makePossibleCrash(const WorkerState &worker) const;
     /** Has the worker entered in the roster unless it is there. */
     void addToRoster(WorkerState &worker);
+    /** False while an earlier owner may still go on by its count of the inherited roster: no worker is added or removed then. */
+    bool mayChangeRoster() const;
+    /** Makes up for the changes of the roster that had to wait until mayChangeRoster(). */
+    void catchUpWithRoster();
 
     /** The lease that may be granted now. */
     Milliseconds permittedLease() const;
@@ -97,6 +101,13 @@
     void reportReplacedWorkers(const WorkerEntry &entry);
     /** Tells the listener of the crashes that the report of a later incarnation shows. */
     void reportCrashes(const std::string &id, const TaskReport &report, TimePoint pollSentAt);
+    /**
+        True if a report that does not list the run tells that it has ended.
+
+        A later incarnation of the worker tells that only if the store has confirmed the ownership since its restart was seen: a
+        successor may have seen the run end before.
+    */
+    bool isAbsenceConclusive(const WorkerState &worker, const Run &run) const;
     /** Logs that a worker is given up with its runs, if it has any. */
     void logLoss(const WorkerState &worker, bool isWrongWorker) const;
     void reportAllRunsLost(WorkerState &worker, RunLoss loss);
@@ -115,6 +126,7 @@
     TimePoint createdAt;
     /** When the reports of more than half of the inherited roster's workers were read. */
     std::optional<TimePoint> majorityReadAt;
+    bool isRosterChangeDelayed = false;
     std::map<std::string, std::unique_ptr<WorkerState>> workers;
     std::vector<std::string> changedWorkers;
     long long renewalsSent = 0;
