Entry: SIGHUP during the start does not end the process

Callers: a process that is told of changed settings while it starts ends with signal 1 and is started again later. Cause: the handler of SIGHUP is installed after the settings were read and the listeners opened; until then the default action applies. Change: the signal is ignored from the first line of main(); the periodic check of the settings file finds a change that it announced.

--- a/apps/auburndoor-entry/main.cpp
+++ b/apps/auburndoor-entry/main.cpp
@@ -100,7 +100,6 @@
 int run(auburndoor::EntrySettings settings, const std::string &fileName, const std::string &settingsText)
 {
     using namespace auburndoor;
-    std::signal(SIGPIPE, SIG_IGN);
     settings.operators.port = absl::GetFlag(FLAGS_metrics_port);
     settings.maxDirectWorkers = absl::GetFlag(FLAGS_max_direct_workers);
     EventLog::configure(settings.nodeName);
@@ -138,6 +137,10 @@
 
 int main(int argc, char **argv)
 {
+    std::signal(SIGPIPE, SIG_IGN);
+    // By default the signal ends a process that has not yet installed its handler. A change that it announces is found by the
+    // periodic check.
+    std::signal(SIGHUP, SIG_IGN);
     absl::SetProgramUsageMessage("auburndoor-entry [--settings=FILE] [--metrics-port=PORT] [--max-direct-workers=COUNT] "
                                  "[--check-settings]: one entry process on the platform.\n"
                                  "Exit codes: 0 stopped or settings are valid, 1 usage, 2 bad settings, 3 cannot start.");
