service.waiting tells what a task that lasts waits for

The event counted tasks, allowed workers and requests for advice, so that a wait for reports, for advice, for room or for the step's turn looked alike. It names the cause now ("why"), the usable workers with a valid permit, and whether the step goes before other work. It is also written while a job waits for reports of workers after a takeover; before, nothing was written until that wait was over.

No logic of placement changes.

--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -85,6 +85,14 @@
         std::string worker;
     };
 
+    /** What the waiting tasks of a running service wait for; for the log. */
+    struct ServiceWait
+    {
+        const char *why = "";
+        /** The usable workers for which the step has a valid permit or needs none. */
+        int usableWorkers = 0;
+    };
+
     /** Places the steps in the order of their ranks. @return false if the round was interrupted */
     bool runRound();
     /** Places the steps from the first one on, until the end of the time. @return the first step that had no turn */
@@ -251,7 +259,9 @@
     /** Starts a copy of each task whose only run is slow, or runs on a worker that does not answer polls. */
     void startSpeculativeCopies(StepState &step);
     /** Logs that a task of a running service has not been at work for long. */
-    void reportWaitingServiceTasks(const StepState &step) const;
+    void reportWaitingServiceTasks(StepState &step);
+    /** Finds out what the waiting tasks of a running service wait for. */
+    ServiceWait findServiceWait(StepState &step);
     /** Stops runs that can go on elsewhere, those of services and of steps that save their progress. */
     void stopRunsOnDrainingWorkers(StepState &step);
     /** Pauses best-effort runs while a latency-sensitive run is on the worker, and resumes them afterwards. */
--- a/modules/dispatch/TaskPlacerMaintenance.cpp
+++ b/modules/dispatch/TaskPlacerMaintenance.cpp
@@ -22,13 +22,14 @@
     unreadByService_.clear();
     applyChanges();
     for (const auto &[id, job] : jobManager_.jobs()) {
-        if (!mayStart(*job)) {
-            continue;
-        }
+        const bool isStartable = mayStart(*job);
         for (auto &[number, occurrence] : job->occurrences) {
             for (auto &step : occurrence.steps) {
-                stopRunsOnDrainingWorkers(step);
                 reportWaitingServiceTasks(step);
+                if (!isStartable) {
+                    continue;
+                }
+                stopRunsOnDrainingWorkers(step);
                 if (!step.spec().allowsCopies || step.isDone()) {
                     continue;
                 }
@@ -92,7 +93,36 @@
     }
 }
 
-void TaskPlacer::reportWaitingServiceTasks(const StepState &step) const
+TaskPlacer::ServiceWait TaskPlacer::findServiceWait(StepState &step)
+{
+    const auto &job = *step.job;
+    if (job.isInherited && mayHaveUnknownRuns(job)) {
+        return { "reports", 0 };
+    }
+    if (!job.isServiceStored()) {
+        return { "store", 0 };
+    }
+    const bool needsPermit = job.queue.advice.has_value();
+    const auto runsByWorker = countRunsByWorker(step);
+    int usableWorkers = 0;
+    bool hasRoom = false;
+    for (auto &workerCapacity : getServiceCapacity(step).workerCapacities()) {
+        if (needsPermit && findPermit(step, workerCapacity) == nullptr) {
+            continue;
+        }
+        usableWorkers += workerCapacity.isUsable ? 1 : 0;
+        hasRoom = hasRoom || makeCandidate(step, workerCapacity, runsByWorker);
+    }
+    if (hasRoom) {
+        return { fleet_.maySendStart() ? "turn" : "starts limited", usableWorkers };
+    }
+    if (step.advice.pendingRequests > 0) {
+        return { "advice", usableWorkers };
+    }
+    return { needsPermit && usableWorkers == 0 ? "no permit" : "no room", usableWorkers };
+}
+
+void TaskPlacer::reportWaitingServiceTasks(StepState &step)
 {
     if (!step.spec().isService || !step.job->hasBegun) {
         return;
@@ -108,11 +138,15 @@
     }
     if (waitingTasks > 0) {
         const auto rank = computeRank(step, now_);
+        const auto wait = findServiceWait(step);
         EventLog::writeRateLimited("service.waiting",
                                    { { "job", step.job->spec.id },
                                      { "tasks", waitingTasks },
                                      { "waited_ms", longestWait.count() },
+                                     { "why", wait.why },
+                                     { "ranked_repair", rank.isRepair },
                                      { "ranked_lost", rank.isLost },
+                                     { "usable", wait.usableWorkers },
                                      { "allowed", step.advice.allowed.size() },
                                      { "pending_requests", step.advice.pendingRequests } });
     }
