A new owner ranks a task that lasts and has lost its run as a repair

Cause: a step counts as a repair by Task::idleSince, which only the owner has that saw the run end. Each next owner ranks the task with the backlog: more urgent work takes the room, and the requests for advice, before it.

Change: a task that waits was at work if an attempt of it is known, which the store holds. So that it does for each task, the progress of a service is stored when a run of it is confirmed; before, only ends were, and a task whose run was gone with its worker left no trace.

Two tests of ServiceRepairTests in simulated time fail on the code before: a service whose task fails while its owner stops is whole again within seconds of the takeover CHECK( absence.count() <= maxRepairTime.count() ), with expansion 10000 <= 3000 a service whose worker crashes while there is no owner is whole again within seconds of the takeover CHECK( full.measureLongestAbsence(...).count() <= maxRepairTime.count() ), with expansion 10000 <= 3000 After: all cases of ServiceRepairTests pass. A third new case, with slow advice and more urgent work, passes on both.

--- a/modules/dispatch/JobManagerRuns.cpp
+++ b/modules/dispatch/JobManagerRuns.cpp
@@ -47,18 +47,30 @@
     if (task != nullptr && task->crashes.suspicion() != Suspicion::None) {
         recordHostedRun(*job, *task, worker, run);
     }
-    if (job == nullptr || job->hasBegun) {
+    if (job == nullptr) {
         return;
     }
-    job->hasBegun = true;
-    if (!isEnded(job->stage)) {
-        job->stage = JobStage::Running;
-        job->shownStage = JobStage::Running;
+    if (task != nullptr && job->step(run.key.task.occurrence, run.key.task.step)->spec().isService) {
+        // A new owner that finds no run of the task has to know that it was at work.
+        saveTask(*job, run.key.task, {}, CommitQueue::Urgency::Routine);
+    }
+    noteBegun(*job);
+}
+
+void JobManager::noteBegun(JobState &job)
+{
+    if (job.hasBegun) {
+        return;
+    }
+    job.hasBegun = true;
+    if (!isEnded(job.stage)) {
+        job.stage = JobStage::Running;
+        job.shownStage = JobStage::Running;
     }
     EventLog::writeRateLimited(
         "job.begun",
-        { { "job", run.key.task.job },
-          { "waited_ms", std::chrono::duration_cast<Milliseconds>(timers_.now() - job->receivedAt).count() } });
+        { { "job", job.spec.id },
+          { "waited_ms", std::chrono::duration_cast<Milliseconds>(timers_.now() - job.receivedAt).count() } });
 }
 
 void JobManager::runEnded(const std::string &worker, const EndedTask &ended, std::function<void()> recorded)
--- a/modules/dispatch/JobState.cpp
+++ b/modules/dispatch/JobState.cpp
@@ -57,9 +57,8 @@
 
 bool StepState::isRepair() const
 {
-    return spec().isService && job->hasBegun && std::any_of(tasks.begin(), tasks.end(), [](const Task &task) {
-               return task.isIdle() && task.idleSince != TimePoint();
-           });
+    return spec().isService && job->hasBegun
+           && std::any_of(tasks.begin(), tasks.end(), [](const Task &task) { return task.isIdle() && task.wasStarted(); });
 }
 
 void Task::eraseHostedRun(const RunPlace &place)
--- a/modules/dispatch/JobState.h
+++ b/modules/dispatch/JobState.h
@@ -69,6 +69,11 @@
     {
         return !isDone && runs.empty();
     }
+    /** True if a run of it was started before, by this owner or, as far as the store tells, by an earlier one. */
+    bool wasStarted() const
+    {
+        return lastAttempt > 0;
+    }
     bool hasRun(const RunPlace &place) const;
     void eraseHostedRun(const RunPlace &place);
     /** Adds a hosted run, or replaces what is known of it. */
--- a/tests/dispatch/ServiceRepairTests.cpp
+++ b/tests/dispatch/ServiceRepairTests.cpp
@@ -88,6 +88,14 @@
         cell.list(*crashed);
     }
 
+    /** Stops the owner in order, so that it stores what ends but starts nothing more; the next one takes over after the delay. */
+    void replaceOwner(Milliseconds delay)
+    {
+        cell.owner->flush(std::chrono::hours(1), [](const Ownership &) {});
+        advance(delay);
+        cell.takeOver();
+    }
+
     /** The longest time within the duration in which the service was not whole, under load. */
     Milliseconds measureLongestAbsence(Milliseconds duration)
     {
@@ -158,6 +166,49 @@
     CHECK(full.measureLongestAbsence(Milliseconds(10000)).count() <= maxRepairTime.count());
 }
 
+// Guards against more urgent work that takes the room of a repair each time while its advice is asked for: the request names the
+// one worker for which it has planned, and the next one is answered as late.
+TEST_CASE("a service whose worker crashes is whole again within seconds though its advice takes long and more urgent work waits")
+{
+    FullCell full("advised", "urgent");
+    full.cell.advisor.responseTime = Milliseconds(740);
+    full.advance(Milliseconds(50000));
+    full.advanceUnderLoad(Milliseconds(3000));
+    REQUIRE(full.countRunningTasks() == FullCell::serviceTasks);
+    full.crashWorkerOfService();
+    CHECK(full.measureLongestAbsence(Milliseconds(10000)).count() <= maxRepairTime.count());
+}
+
+// Guards against a failed task of a service that a new owner takes for one that has never run, since nothing but the former owner
+// knew that it had: it waits behind all more urgent work, at each takeover anew.
+TEST_CASE("a service whose task fails while its owner stops is whole again within seconds of the takeover")
+{
+    FullCell full("advised", "urgent");
+    full.cell.advisor.responseTime = Milliseconds(740);
+    full.advance(FullCell::firstRunDuration - Milliseconds(3000));
+    full.advanceUnderLoad(Milliseconds(2000));
+    REQUIRE(full.countRunningTasks() == FullCell::serviceTasks);
+    full.replaceOwner(Milliseconds(2000));
+    // The answer to a request for advice cannot be there.
+    REQUIRE(full.countRunningTasks() == FullCell::serviceTasks - 1);
+    const auto absence = full.measureLongestAbsence(Milliseconds(10000));
+    CHECK(absence.count() <= maxRepairTime.count());
+}
+
+// Guards against a task of a service that no record names as begun: its run is gone with its worker before the next owner reads it.
+TEST_CASE("a service whose worker crashes while there is no owner is whole again within seconds of the takeover")
+{
+    FullCell full("normal", "urgent");
+    full.advance(Milliseconds(50000));
+    full.advanceUnderLoad(Milliseconds(2000));
+    REQUIRE(full.countRunningTasks() == FullCell::serviceTasks);
+    full.cell.killOwner();
+    full.crashWorkerOfService();
+    REQUIRE(full.countRunningTasks() < FullCell::serviceTasks);
+    full.cell.takeOver();
+    CHECK(full.measureLongestAbsence(Milliseconds(10000)).count() <= maxRepairTime.count());
+}
+
 // Guards against an occurrence that counts as lost by the age of its job, and waits behind less urgent work: its deadlines are
 // counted from the time it is due.
 TEST_CASE("an occurrence that is due late in the life of its job keeps its rank")
