A new owner asks for the advice of lost services while it waits for the last workers

Cause: the two waits come one after the other; a job that waits for reports asks for nothing.

Change: a service that has lost tasks asks for advice, once, when at most a twentieth of the workers is unread. Before that most of its tasks only seem to have no run. Nothing starts before the wait is over, as before.

--- a/modules/dispatch/Fleet.cpp
+++ b/modules/dispatch/Fleet.cpp
@@ -207,6 +207,14 @@
     });
 }
 
+bool Fleet::hasReadMostWorkers() const
+{
+    constexpr std::size_t minReadPerUnread = 19;
+    const auto read = static_cast<std::size_t>(
+        std::count_if(impl_->workers.begin(), impl_->workers.end(), [](const auto &entry) { return entry.second->isReportRead; }));
+    return (impl_->workers.size() - read) * minReadPerUnread <= read;
+}
+
 const std::map<std::string, std::unique_ptr<WorkerState>> &Fleet::workers() const
 {
     return impl_->workers;
--- a/modules/dispatch/TaskPlacer.cpp
+++ b/modules/dispatch/TaskPlacer.cpp
@@ -117,6 +117,9 @@
     if (step.job->stage == JobStage::Recording) {
         return requestAdvice(step, static_cast<int>(step.tasks.size()), isGang);
     }
+    if (hasJobsWaitingForReports_ && !mayStart(*step.job)) {
+        return mayRequestAdviceEarly(step) && requestAdvice(step, countIdleTasks(step), isGang);
+    }
     if (!fleet_.maySendStart() && mayUseSomeWorker(step)) {
         // The search waits as well: nothing that it finds could start.
         return false;
--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -119,6 +119,11 @@
     bool mayUseSomeWorker(const StepState &step) const;
     /** True if tasks of the job may start now, once JobState::isServiceStored(). */
     bool mayStart(const JobState &job);
+    /**
+        True if advice may be requested for a service that has lost tasks while its job still waits for reports of workers: the
+        answer takes about as long. Only once, as a permit may expire before the wait is over.
+    */
+    bool mayRequestAdviceEarly(const StepState &step) const;
     /** True while the report of some worker is unread on which an earlier owner may have started tasks of the job. */
     bool mayHaveUnknownRuns(const JobState &job);
     /** As Fleet::hasUnreadWorkers, looked up once in a round. */
@@ -287,6 +292,8 @@
     TimePoint readAllAt_;
     /** Some inherited job waits for reports of workers, of which changes of the job or of a worker do not tell. */
     bool hasJobsWaitingForReports_ = false;
+    /** As Fleet::hasReadMostWorkers(), at the last full reading. */
+    bool hasReadMostWorkers_ = false;
     /** The results of hasUnreadWorkers in this round, by service. */
     std::map<std::string, bool> unreadByService_;
     /** The services on whose workers room is held for a gang in this round. */
--- a/modules/dispatch/TaskPlacerRounds.cpp
+++ b/modules/dispatch/TaskPlacerRounds.cpp
@@ -98,6 +98,7 @@
     reservedRoom_.clear();
     servicesWithHold_.clear();
     hasJobsWaitingForReports_ = false;
+    hasReadMostWorkers_ = fleet_.hasReadMostWorkers();
     statistics_.workersVisited += static_cast<long long>(fleet_.workers().size());
     for (const auto &[id, worker] : fleet_.workers()) {
         getServiceCapacity(worker->entry.service).update(*worker, fleet_.isUsable(*worker));
@@ -150,13 +151,15 @@
 
 void TaskPlacer::addJob(JobState &job)
 {
+    const bool isStartable = mayStart(job);
     // Advice for a job is already requested while its record is being stored.
     const bool mayRequestAdvice = job.stage == JobStage::Recording && job.queue.advice.has_value();
-    const bool isReady = mayStart(job) || mayRequestAdvice;
+    const bool isReady = isStartable || mayRequestAdvice;
     for (auto &[number, occurrence] : job.occurrences) {
         for (auto &step : occurrence.steps) {
             reserveCapacity(step);
-            if (!isReady || !step.hasTasksToPlace() || !occurrence.isReady(step)) {
+            const bool mayEnter = isReady || (!isStartable && mayRequestAdviceEarly(step));
+            if (!mayEnter || !step.hasTasksToPlace() || !occurrence.isReady(step)) {
                 continue;
             }
             if (job.stage == JobStage::Recording || job.isServiceStored()) {
@@ -222,6 +225,13 @@
     return false;
 }
 
+bool TaskPlacer::mayRequestAdviceEarly(const StepState &step) const
+{
+    const auto &job = *step.job;
+    const bool isRestored = job.stage == JobStage::Queued || job.stage == JobStage::Running;
+    return isRestored && hasReadMostWorkers_ && job.queue.advice && !step.advice.wasRequested && step.isRepair();
+}
+
 bool TaskPlacer::mayHaveUnknownRuns(const JobState &job)
 {
     // Owners of earlier releases did not store the services that a queue has moved to, so the present one counts in any case.
--- a/tests/dispatch/LeavingWorkerTests.cpp
+++ b/tests/dispatch/LeavingWorkerTests.cpp
@@ -3,6 +3,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <optional>
+#include <string>
+
 using namespace auburndoor;
 
 namespace {
@@ -35,6 +38,42 @@
     }
 };
 
+/**
+    The time from a takeover to the next start of a task that lasts and whose worker has drained and left.
+
+    @param queue      the queue of the task's job
+    @param answerTime how long the advisory service takes
+*/
+Milliseconds measureRepairAfterTakeover(const std::string &queue, Milliseconds answerTime)
+{
+    OwnerFixture cell;
+    cell.plan = [](const TaskName &, std::int64_t) { return SimulatedWork { Milliseconds(600000), RunOutcome::Done }; };
+    // Only w1 has room for the task, until it leaves and w2 comes.
+    cell.addWorker("w1", 4);
+    for (int number = 0; number < 20; ++number) {
+        cell.addWorker("s" + std::to_string(number), 2);
+    }
+    cell.advisor.responseTime = answerTime;
+    cell.takeOver();
+    REQUIRE(cell.submit(job, jobBody(1, 3000, R"(,"longRunning":true)"), queue) == ClientResult::Outcome::Accepted);
+    cell.timers.advance(Milliseconds(2000));
+    REQUIRE(cell.starts.size() == 1);
+    cell.list("w1", true);
+    cell.timers.advance(Milliseconds(600));
+    cell.killOwner();
+    cell.fleet.worker("w1").restart();
+    cell.fleet.worker("w1").hasExited = true;
+    cell.unlist("w1");
+    cell.addWorker("w2", 4);
+    const auto takenOverAt = cell.timers.now();
+    std::optional<TimePoint> startedAt;
+    cell.fleet.onStarted = [&](SimulatedWorker &, const StartCommand &) { startedAt = cell.timers.now(); };
+    cell.takeOver();
+    cell.timers.advance(Milliseconds(5000));
+    REQUIRE(startedAt);
+    return std::chrono::duration_cast<Milliseconds>(*startedAt - takenOverAt);
+}
+
 } // namespace
 
 // Guards against inherited work that waits at each takeover for the lease of workers that have left as planned.
@@ -69,3 +108,16 @@
     cell.timers.advance(Milliseconds(4000));
     CHECK(cell.starts.size() == 1);
 }
+
+// Guards against advice for a lost service that is asked for only when the wait for the last workers is over: an owner that is
+// stopped soon after its takeover starts nothing then, and neither does the next one.
+TEST_CASE("a new owner asks for the advice of a lost service while it waits for a worker that has left")
+{
+    // The answer arrives within the wait, so that advice costs no more than a round or two.
+    constexpr Milliseconds answerTime { 740 };
+    constexpr Milliseconds allowance { 200 };
+    const auto waitWithoutAdvice = measureRepairAfterTakeover("normal", answerTime);
+    const auto waitWithAdvice = measureRepairAfterTakeover("advised", answerTime);
+    CHECK(waitWithoutAdvice.count() > 0);
+    CHECK(waitWithAdvice.count() <= (waitWithoutAdvice + allowance).count());
+}
