An owner that stops waits only for what it had to store by then

Cause: the stopping owner waits until no row waits at all. Hundreds of tasks run on, some end always waits to be stored, and the queue is not empty for a moment.

Change: it waits for the rows that wait when the stop begins. Later ends are not acknowledged, so workers list them to the next owner. The timeout stays.

--- a/modules/dispatch/CommitQueue.cpp
+++ b/modules/dispatch/CommitQueue.cpp
@@ -357,6 +357,18 @@
     return !impl_->inFlight && impl_->waitingRows.count() == 0;
 }
 
+std::uint64_t CommitQueue::mark() const
+{
+    return impl_->waitingRows.nextNumber();
+}
+
+bool CommitQueue::isStoredUpTo(std::uint64_t mark) const
+{
+    const auto isBefore = [mark](const auto &row) { return row.second.number < mark; };
+    const bool isInFlight = impl_->inFlight && std::any_of(impl_->inFlight->rows.begin(), impl_->inFlight->rows.end(), isBefore);
+    return !isInFlight && !impl_->waitingRows.hasRowBefore(mark);
+}
+
 long long CommitQueue::sentCount() const
 {
     return impl_->sentTransactions;
--- a/modules/dispatch/CommitQueue.h
+++ b/modules/dispatch/CommitQueue.h
@@ -104,6 +104,12 @@
     /** True if no row is waiting and no transaction is in flight; rows that were set aside do not count. */
     bool isIdle() const;
 
+    /** Marks the rows that have been put so far, for isStoredUpTo(). */
+    std::uint64_t mark() const;
+
+    /** True if all rows are stored that had been put when mark() returned this value; rows that were set aside do not count. */
+    bool isStoredUpTo(std::uint64_t mark) const;
+
     /** The number of transactions sent, including repetitions. */
     long long sentCount() const;
 
--- a/modules/dispatch/WaitingRows.cpp
+++ b/modules/dispatch/WaitingRows.cpp
@@ -21,6 +21,8 @@
 {
     auto [found, isNew] = rows_.try_emplace(name);
     auto &row = found->second;
+    row.number = isNew ? nextNumber_ : row.number;
+    ++nextNumber_;
     if (const auto apart = setAside_.extract(name)) {
         append(row.durable, std::move(apart.mapped().durable));
     }
@@ -44,6 +46,7 @@
     const auto found = rows_.find(name);
     if (found != rows_.end()) {
         append(found->second.durable, std::move(row.durable));
+        found->second.number = std::min(found->second.number, row.number);
         return;
     }
     (row.urgency == CommitQueue::Urgency::Urgent ? urgent_ : dueRoutine_).push_front(name);
@@ -102,6 +105,11 @@
     return { std::move(name), std::move(row.mapped()) };
 }
 
+bool WaitingRows::hasRowBefore(std::uint64_t number) const
+{
+    return std::any_of(rows_.begin(), rows_.end(), [number](const auto &entry) { return entry.second.number < number; });
+}
+
 std::size_t WaitingRows::count() const
 {
     return rows_.size();
--- a/modules/dispatch/WaitingRows.h
+++ b/modules/dispatch/WaitingRows.h
@@ -2,6 +2,7 @@
 
 #include "dispatch/CommitQueue.h"
 
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
@@ -22,6 +23,8 @@
     /** Called once the row is stored. */
     std::vector<CommitQueue::Callback> durable;
     CommitQueue::Urgency urgency = CommitQueue::Urgency::Urgent;
+    /** The number of the put() call since which it waits. */
+    std::uint64_t number = 0;
 };
 
 /** The rows of a CommitQueue that wait for a transaction, in the order in which they go. */
@@ -51,6 +54,14 @@
     /** Takes the next due row. @param rowsTaken the number of rows that the transaction holds already */
     std::pair<RowName, WaitingRow> takeNext(std::size_t rowsTaken);
 
+    /** The number of the next put() call. */
+    std::uint64_t nextNumber() const
+    {
+        return nextNumber_;
+    }
+    /** True if a row waits since a put() call before the one with this number; rows that were set aside do not count. */
+    bool hasRowBefore(std::uint64_t number) const;
+
     /** The number of waiting rows, without those that were set aside. */
     std::size_t count() const;
     void clear();
@@ -59,6 +70,7 @@
     /** Removes the name from the order of the rows. */
     void eraseName(const RowName &name);
 
+    std::uint64_t nextNumber_ = 0;
     std::map<RowName, WaitingRow> rows_;
     std::map<RowName, WaitingRow> setAside_;
     /** The names of the waiting rows by urgency, in the order of their put() calls. */
--- a/modules/entry/Owner.cpp
+++ b/modules/entry/Owner.cpp
@@ -157,15 +157,15 @@
     dependencies.timers.after(maintenanceInterval, [self = shared_from_this()] { self->runMaintenance(); });
 }
 
-void Owner::Impl::waitForFlush(TimePoint flushDeadline, std::function<void(const Ownership &)> done)
+void Owner::Impl::waitForFlush(std::uint64_t mark, TimePoint flushDeadline, std::function<void(const Ownership &)> done)
 {
-    if (commitQueue.isIdle() || isClosed || dependencies.timers.now() > flushDeadline) {
+    if (commitQueue.isStoredUpTo(mark) || isClosed || dependencies.timers.now() > flushDeadline) {
         done(ownership);
         return;
     }
     constexpr Milliseconds checkInterval { 20 };
-    dependencies.timers.after(checkInterval, [self = shared_from_this(), flushDeadline, done = std::move(done)] {
-        self->waitForFlush(flushDeadline, done);
+    dependencies.timers.after(checkInterval, [self = shared_from_this(), mark, flushDeadline, done = std::move(done)] {
+        self->waitForFlush(mark, flushDeadline, done);
     });
 }
 
@@ -259,7 +259,7 @@
 void Owner::flush(Milliseconds timeout, std::function<void(const Ownership &)> done)
 {
     impl_->isStopping = true;
-    impl_->waitForFlush(impl_->dependencies.timers.now() + timeout, std::move(done));
+    impl_->waitForFlush(impl_->commitQueue.mark(), impl_->dependencies.timers.now() + timeout, std::move(done));
 }
 
 } // namespace auburndoor
--- a/modules/entry/Owner.h
+++ b/modules/entry/Owner.h
@@ -81,7 +81,10 @@
     void updateMetrics(Metrics &metrics) const;
 
     /**
-        Stops starting tasks and accepting new jobs, and waits until all pending writes are stored.
+        Stops starting tasks and accepting new jobs, and waits until the writes that are pending now are stored.
+
+        Ends that workers list later are left to the next owner: while many tasks run, the writes never cease, and nothing starts
+        until the next owner has taken over.
 
         @param timeout the longest wait for the writes
         @param done    called after the writes are stored, after the timeout, or when this owner is deposed
--- a/modules/entry/OwnerImpl.h
+++ b/modules/entry/OwnerImpl.h
@@ -64,7 +64,8 @@
     void answerAsOwner(const ClientResult &result, Milliseconds maxAge, Callback callback);
     /** Answers that there is no such job, once the store has confirmed that this is still the owner. */
     void confirmNoSuchJob(Callback callback);
-    void waitForFlush(TimePoint flushDeadline, std::function<void(const Ownership &)> done);
+    /** Calls done once the rows before the mark of the commit queue are stored, or at the deadline. */
+    void waitForFlush(std::uint64_t mark, TimePoint flushDeadline, std::function<void(const Ownership &)> done);
 
     OwnerDependencies dependencies;
     Ownership ownership;
--- a/tests/dispatch/CommitQueueTests.cpp
+++ b/tests/dispatch/CommitQueueTests.cpp
@@ -137,6 +137,29 @@
     CHECK(fixture.store.row("jobs", "b") == nullptr);
 }
 
+// Guards against an owner that stops before what it had to store is stored, and against one that goes on while new rows come.
+TEST_CASE("a mark tells when the rows that were put before it are stored, and those put later do not count")
+{
+    CommitQueueFixture fixture;
+    fixture.put("sent", "v");
+    fixture.timers.advance(Milliseconds(14));
+    fixture.put("waiting", "v", CommitQueue::Urgency::Routine);
+    const auto mark = fixture.commitQueue->mark();
+    // A row that waits since before the mark counts, whatever its value is by then.
+    fixture.put("waiting", "w", CommitQueue::Urgency::Routine);
+    CHECK_FALSE(fixture.commitQueue->isStoredUpTo(mark));
+    int later = 0;
+    while (!fixture.commitQueue->isStoredUpTo(mark) && later < 1000) {
+        fixture.put("later" + std::to_string(later++), "v", CommitQueue::Urgency::Routine);
+        fixture.timers.advance(Milliseconds(1));
+    }
+    CHECK(fixture.commitQueue->isStoredUpTo(mark));
+    REQUIRE(fixture.store.row("jobs", "waiting") != nullptr);
+    CHECK(fixture.store.row("jobs", "waiting")->value == "w");
+    CHECK(fixture.store.row("jobs", "sent") != nullptr);
+    CHECK_FALSE(fixture.commitQueue->isIdle());
+}
+
 TEST_CASE("the commit queue reports for how long the store has been unavailable")
 {
     CommitQueueFixture fixture;
