A lost task of a service is searched for by its own wait, not by the service's age

A search for room or for workers to ask about that was in vain is repeated after an eighth of the time since the step became ready, a second at most. A service becomes ready once, when it is accepted, so that each task that it loses after eight seconds waits for up to a second beside free room, and has no request for advice in that time.

Change: for a service the time counts from when the last of its waiting tasks stopped running.

--- a/modules/dispatch/JobState.cpp
+++ b/modules/dispatch/JobState.cpp
@@ -55,6 +55,15 @@
     return spec().isGang ? !isDone() && !hasRuns() : hasIdleTask();
 }
 
+TimePoint StepState::waitingSince() const
+{
+    auto since = readySince;
+    for (const auto &task : tasks) {
+        since = spec().isService && task.isIdle() ? std::max(since, task.idleSince) : since;
+    }
+    return since;
+}
+
 bool StepState::isRepair() const
 {
     return spec().isService && job->hasBegun
--- a/modules/dispatch/JobState.h
+++ b/modules/dispatch/JobState.h
@@ -159,6 +159,8 @@
     bool hasRuns() const;
     /** True if tasks of the step wait for a worker; those of a gang all do, or none. */
     bool hasTasksToPlace() const;
+    /** When it became ready or, for a service, when the last one of its waiting tasks stopped running. */
+    TimePoint waitingSince() const;
     /** True if it is a service that was at work before, so that its users miss each task that waits. */
     bool isRepair() const;
 };
--- a/modules/dispatch/TaskPlacer.cpp
+++ b/modules/dispatch/TaskPlacer.cpp
@@ -70,7 +70,7 @@
 
 Milliseconds TaskPlacer::computeSearchDelay(const StepState &step, Milliseconds shortest) const
 {
-    const auto waited = std::chrono::duration_cast<Milliseconds>(now_ - step.readySince);
+    const auto waited = std::chrono::duration_cast<Milliseconds>(now_ - step.waitingSince());
     return std::max(shortest, std::min(waited / searchDelayDivisor, maxSearchDelay));
 }
 
--- a/tests/dispatch/ServiceRepairTests.cpp
+++ b/tests/dispatch/ServiceRepairTests.cpp
@@ -127,6 +127,34 @@
     int nextJob_ = 1;
 };
 
+/**
+    The time from the end of the job that fills the only sound worker to the start of a task of a service that waits for room.
+
+    @param age  how long the service has run before its worker drains
+    @param wait how long its task has waited by then
+*/
+Milliseconds measureRepairOnFreedWorker(Milliseconds age, Milliseconds wait)
+{
+    OwnerFixture cell;
+    cell.plan = [](const TaskName &, std::int64_t) { return SimulatedWork { std::chrono::hours(1), RunOutcome::Done }; };
+    cell.addWorker("w1", 4);
+    cell.takeOver();
+    REQUIRE(cell.submit(serviceId, jobBody(1, 1000, R"(,"longRunning":true)"), "advised") == ClientResult::Outcome::Accepted);
+    cell.addWorker("w2", 4);
+    cell.timers.advance(Milliseconds(2000));
+    REQUIRE(cell.submit(jobIdOf(1), jobBody(1, 4000)) == ClientResult::Outcome::Accepted);
+    cell.timers.advance(age);
+    REQUIRE(cell.starts.size() == 2);
+    cell.list("w1", true);
+    cell.timers.advance(wait);
+    cell.cancel(jobIdOf(1));
+    const auto cancelledAt = cell.timers.now();
+    while (cell.starts.size() < 3 && cell.timers.now() - cancelledAt < std::chrono::minutes(1)) {
+        cell.timers.advance(Milliseconds(10));
+    }
+    return std::chrono::duration_cast<Milliseconds>(cell.timers.now() - cancelledAt);
+}
+
 } // namespace
 
 // Guards against a failed task of a service that waits behind all other work because its job was accepted long ago.
@@ -209,6 +237,18 @@
     CHECK(full.measureLongestAbsence(Milliseconds(10000)).count() <= maxRepairTime.count());
 }
 
+// Guards against searches that become rare with the age of the service: only the time for which a task has waited counts, and a
+// search may be delayed by an eighth of it.
+TEST_CASE("a service that has run for long is repaired soon after there is room")
+{
+    constexpr int delayDivisor = 8;
+    constexpr Milliseconds answerAndStart { 200 };
+    const Milliseconds age = GENERATE(Milliseconds(4000), Milliseconds(120000));
+    const Milliseconds wait = GENERATE(Milliseconds(1500), Milliseconds(1750), Milliseconds(2000), Milliseconds(2250));
+    CAPTURE(age.count(), wait.count());
+    CHECK(measureRepairOnFreedWorker(age, wait).count() <= (wait / delayDivisor + answerAndStart).count());
+}
+
 // Guards against an occurrence that counts as lost by the age of its job, and waits behind less urgent work: its deadlines are
 // counted from the time it is due.
 TEST_CASE("an occurrence that is due late in the life of its job keeps its rank")
