Lost tasks of a service are asked about together, not one allowed worker after the other

Cause: a request that can place one task on a worker that an earlier answer has allowed names such workers only. The other lost tasks wait for its answer, 0.74 s and more, before workers without an answer are asked about.

Requests of other steps are as before.

--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -234,6 +234,13 @@
     std::vector<WorkerCapacity *> findAllowedTargets(StepState &step, bool isAllOrNothing);
     /** The workers without an answer so far, in the order in which to ask for them. @param limit the most workers to return */
     std::vector<WorkerCapacity *> findUnknownTargets(StepState &step, bool isAllOrNothing, std::size_t limit);
+    /**
+        Adds workers without an answer so far to a request, up to the most that one may name, if the plan has no room for all tasks.
+
+        @param taskCount the tasks that could not be placed
+        @param targets   the workers that the request names already
+    */
+    void addUnknownTargets(StepState &step, int taskCount, std::vector<WorkerCapacity *> &targets);
     /** Sorts by the dominant share in use, the least used worker first. */
     static void sortByUtilization(std::vector<WorkerCapacity *> &workerCapacities);
     /** Chooses the workers to name in an advice request and plans tasks for them; empty if no request should be sent now. */
--- a/modules/dispatch/TaskPlacerAdvice.cpp
+++ b/modules/dispatch/TaskPlacerAdvice.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <numeric>
 
 namespace auburndoor {
 
@@ -143,6 +144,9 @@
             const auto &id = workerCapacity->id;
             return !advice.plannedTasks.contains(id) || advice.allowed.at(id).expiresAt > answeredAt;
         });
+        if (step.isRepair() && !isAllOrNothing) {
+            addUnknownTargets(step, taskCount, allowed);
+        }
         return allowed;
     }
     const auto mostWorkers = isAllOrNothing ? std::numeric_limits<std::size_t>::max() : maxWorkersPerRequest;
@@ -156,6 +160,18 @@
     return chosen;
 }
 
+void TaskPlacer::addUnknownTargets(StepState &step, int taskCount, std::vector<WorkerCapacity *> &targets)
+{
+    const auto &planned = step.advice.plannedTasks;
+    const int plannedCount = std::accumulate(
+        planned.begin(), planned.end(), 0, [](int sum, const auto &entry) { return sum + entry.second; });
+    if (plannedCount >= taskCount || targets.size() >= maxWorkersPerRequest) {
+        return;
+    }
+    const auto unknown = findUnknownTargets(step, false, maxWorkersPerRequest - targets.size());
+    targets.insert(targets.end(), unknown.begin(), unknown.end());
+}
+
 int TaskPlacer::countTasksThatFit(const StepState &step, const WorkerCapacity &workerCapacity)
 {
     const auto need = JobManager::makeClaim(step).need;
--- a/tests/dispatch/ServiceRepairTests.cpp
+++ b/tests/dispatch/ServiceRepairTests.cpp
@@ -249,6 +249,36 @@
     CHECK(measureRepairOnFreedWorker(age, wait).count() <= (wait / delayDivisor + answerAndStart).count());
 }
 
+// Guards against lost tasks that are asked about one after the other: while one of them can be placed on a worker that an earlier
+// answer has allowed, no other workers are asked about for the rest.
+TEST_CASE("lost tasks of a service for which the allowed workers have no room are asked about together with the others")
+{
+    constexpr Milliseconds answerTime { 740 };
+    constexpr std::size_t tasks = 4;
+    OwnerFixture cell;
+    cell.plan = [](const TaskName &, std::int64_t) { return SimulatedWork { std::chrono::hours(1), RunOutcome::Done }; };
+    cell.addWorker("w1", 16);
+    cell.advisor.responseTime = answerTime;
+    cell.takeOver();
+    REQUIRE(cell.submit(serviceId, jobBody(tasks, 4000, R"(,"longRunning":true)"), "advised") == ClientResult::Outcome::Accepted);
+    cell.timers.advance(Milliseconds(10000));
+    REQUIRE(cell.starts.size() == tasks);
+    for (const auto *id : { "x1", "x2", "x3", "x4" }) {
+        cell.addWorker(id, 4);
+    }
+    cell.timers.advance(Milliseconds(2000));
+    // Of its four tasks, w1 has room for one when it is back.
+    auto &crashed = cell.fleet.worker("w1");
+    crashed.restart();
+    crashed.setCapacity({ 4000, 1 << 20, 0, 0, 0 });
+    cell.list("w1");
+    std::vector<TimePoint> startedAt;
+    cell.fleet.onStarted = [&](SimulatedWorker &, const StartCommand &) { startedAt.push_back(cell.timers.now()); };
+    cell.timers.advance(Milliseconds(10000));
+    REQUIRE(startedAt.size() == tasks);
+    CHECK(std::chrono::duration_cast<Milliseconds>(startedAt.back() - startedAt.front()).count() < answerTime.count() / 2);
+}
+
 // Guards against an occurrence that counts as lost by the age of its job, and waits behind less urgent work: its deadlines are
 // counted from the time it is due.
 TEST_CASE("an occurrence that is due late in the life of its job keeps its rank")
