--- a/modules/dispatch/JobState.cpp
+++ b/modules/dispatch/JobState.cpp
@@ -55,11 +55,19 @@
     return spec().isGang ? !isDone() && !hasRuns() : hasIdleTask();
 }
 
+TimePoint StepState::waitingSince() const
+{
+    auto since = readySince;
+    for (const auto &task : tasks) {
+        since = spec().isService && task.isIdle() ? std::max(since, task.idleSince) : since;
+    }
+    return since;
+}
+
 bool StepState::isRepair() const
 {
-    return spec().isService && job->hasBegun && std::any_of(tasks.begin(), tasks.end(), [](const Task &task) {
-               return task.isIdle() && task.idleSince != TimePoint();
-           });
+    return spec().isService && job->hasBegun
+           && std::any_of(tasks.begin(), tasks.end(), [](const Task &task) { return task.isIdle() && task.wasStarted(); });
 }
 
 void Task::eraseHostedRun(const RunPlace &place)
--- a/modules/dispatch/JobState.h
+++ b/modules/dispatch/JobState.h
@@ -69,6 +69,11 @@
     {
         return !isDone && runs.empty();
     }
+    /** True if a run of it was started before, by this owner or, as far as the store tells, by an earlier one. */
+    bool wasStarted() const
+    {
+        return lastAttempt > 0;
+    }
     bool hasRun(const RunPlace &place) const;
     void eraseHostedRun(const RunPlace &place);
     /** Adds a hosted run, or replaces what is known of it. */
@@ -154,6 +159,8 @@
     bool hasRuns() const;
     /** True if tasks of the step wait for a worker; those of a gang all do, or none. */
     bool hasTasksToPlace() const;
+    /** When it became ready or, for a service, when the last one of its waiting tasks stopped running. */
+    TimePoint waitingSince() const;
     /** True if it is a service that was at work before, so that its users miss each task that waits. */
     bool isRepair() const;
 };
--- a/modules/dispatch/TaskPlacer.cpp
+++ b/modules/dispatch/TaskPlacer.cpp
@@ -70,7 +70,7 @@
 
 Milliseconds TaskPlacer::computeSearchDelay(const StepState &step, Milliseconds shortest) const
 {
-    const auto waited = std::chrono::duration_cast<Milliseconds>(now_ - step.readySince);
+    const auto waited = std::chrono::duration_cast<Milliseconds>(now_ - step.waitingSince());
     return std::max(shortest, std::min(waited / searchDelayDivisor, maxSearchDelay));
 }
 
@@ -117,6 +117,9 @@
     if (step.job->stage == JobStage::Recording) {
         return requestAdvice(step, static_cast<int>(step.tasks.size()), isGang);
     }
+    if (hasJobsWaitingForReports_ && !mayStart(*step.job)) {
+        return mayRequestAdviceEarly(step) && requestAdvice(step, countIdleTasks(step), isGang);
+    }
     if (!fleet_.maySendStart() && mayUseSomeWorker(step)) {
         // The search waits as well: nothing that it finds could start.
         return false;
--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -85,6 +85,14 @@
         std::string worker;
     };
 
+    /** What the waiting tasks of a running service wait for; for the log. */
+    struct ServiceWait
+    {
+        const char *why = "";
+        /** The usable workers for which the step has a valid permit or needs none. */
+        int usableWorkers = 0;
+    };
+
     /** Places the steps in the order of their ranks. @return false if the round was interrupted */
     bool runRound();
     /** Places the steps from the first one on, until the end of the time. @return the first step that had no turn */
@@ -111,6 +119,11 @@
     bool mayUseSomeWorker(const StepState &step) const;
     /** True if tasks of the job may start now, once JobState::isServiceStored(). */
     bool mayStart(const JobState &job);
+    /**
+        True if advice may be requested for a service that has lost tasks while its job still waits for reports of workers: the
+        answer takes about as long. Only once, as a permit may expire before the wait is over.
+    */
+    bool mayRequestAdviceEarly(const StepState &step) const;
     /** True while the report of some worker is unread on which an earlier owner may have started tasks of the job. */
     bool mayHaveUnknownRuns(const JobState &job);
     /** As Fleet::hasUnreadWorkers, looked up once in a round. */
@@ -221,6 +234,13 @@
     std::vector<WorkerCapacity *> findAllowedTargets(StepState &step, bool isAllOrNothing);
     /** The workers without an answer so far, in the order in which to ask for them. @param limit the most workers to return */
     std::vector<WorkerCapacity *> findUnknownTargets(StepState &step, bool isAllOrNothing, std::size_t limit);
+    /**
+        Adds workers without an answer so far to a request, up to the most that one may name, if the plan has no room for all tasks.
+
+        @param taskCount the tasks that could not be placed
+        @param targets   the workers that the request names already
+    */
+    void addUnknownTargets(StepState &step, int taskCount, std::vector<WorkerCapacity *> &targets);
     /** Sorts by the dominant share in use, the least used worker first. */
     static void sortByUtilization(std::vector<WorkerCapacity *> &workerCapacities);
     /** Chooses the workers to name in an advice request and plans tasks for them; empty if no request should be sent now. */
@@ -251,7 +271,9 @@
     /** Starts a copy of each task whose only run is slow, or runs on a worker that does not answer polls. */
     void startSpeculativeCopies(StepState &step);
     /** Logs that a task of a running service has not been at work for long. */
-    void reportWaitingServiceTasks(const StepState &step) const;
+    void reportWaitingServiceTasks(StepState &step);
+    /** Finds out what the waiting tasks of a running service wait for. */
+    ServiceWait findServiceWait(StepState &step);
     /** Stops runs that can go on elsewhere, those of services and of steps that save their progress. */
     void stopRunsOnDrainingWorkers(StepState &step);
     /** Pauses best-effort runs while a latency-sensitive run is on the worker, and resumes them afterwards. */
@@ -277,6 +299,8 @@
     TimePoint readAllAt_;
     /** Some inherited job waits for reports of workers, of which changes of the job or of a worker do not tell. */
     bool hasJobsWaitingForReports_ = false;
+    /** As Fleet::hasReadMostWorkers(), at the last full reading. */
+    bool hasReadMostWorkers_ = false;
     /** The results of hasUnreadWorkers in this round, by service. */
     std::map<std::string, bool> unreadByService_;
     /** The services on whose workers room is held for a gang in this round. */
--- a/tests/dispatch/ServiceRepairTests.cpp
+++ b/tests/dispatch/ServiceRepairTests.cpp
@@ -88,6 +88,14 @@
         cell.list(*crashed);
     }
 
+    /** Stops the owner in order, so that it stores what ends but starts nothing more; the next one takes over after the delay. */
+    void replaceOwner(Milliseconds delay)
+    {
+        cell.owner->flush(std::chrono::hours(1), [](const Ownership &) {});
+        advance(delay);
+        cell.takeOver();
+    }
+
     /** The longest time within the duration in which the service was not whole, under load. */
     Milliseconds measureLongestAbsence(Milliseconds duration)
     {
@@ -119,6 +127,34 @@
     int nextJob_ = 1;
 };
 
+/**
+    The time from the end of the job that fills the only sound worker to the start of a task of a service that waits for room.
+
+    @param age  how long the service has run before its worker drains
+    @param wait how long its task has waited by then
+*/
+Milliseconds measureRepairOnFreedWorker(Milliseconds age, Milliseconds wait)
+{
+    OwnerFixture cell;
+    cell.plan = [](const TaskName &, std::int64_t) { return SimulatedWork { std::chrono::hours(1), RunOutcome::Done }; };
+    cell.addWorker("w1", 4);
+    cell.takeOver();
+    REQUIRE(cell.submit(serviceId, jobBody(1, 1000, R"(,"longRunning":true)"), "advised") == ClientResult::Outcome::Accepted);
+    cell.addWorker("w2", 4);
+    cell.timers.advance(Milliseconds(2000));
+    REQUIRE(cell.submit(jobIdOf(1), jobBody(1, 4000)) == ClientResult::Outcome::Accepted);
+    cell.timers.advance(age);
+    REQUIRE(cell.starts.size() == 2);
+    cell.list("w1", true);
+    cell.timers.advance(wait);
+    cell.cancel(jobIdOf(1));
+    const auto cancelledAt = cell.timers.now();
+    while (cell.starts.size() < 3 && cell.timers.now() - cancelledAt < std::chrono::minutes(1)) {
+        cell.timers.advance(Milliseconds(10));
+    }
+    return std::chrono::duration_cast<Milliseconds>(cell.timers.now() - cancelledAt);
+}
+
 } // namespace
 
 // Guards against a failed task of a service that waits behind all other work because its job was accepted long ago.
@@ -158,6 +194,91 @@
     CHECK(full.measureLongestAbsence(Milliseconds(10000)).count() <= maxRepairTime.count());
 }
 
+// Guards against more urgent work that takes the room of a repair each time while its advice is asked for: the request names the
+// one worker for which it has planned, and the next one is answered as late.
+TEST_CASE("a service whose worker crashes is whole again within seconds though its advice takes long and more urgent work waits")
+{
+    FullCell full("advised", "urgent");
+    full.cell.advisor.responseTime = Milliseconds(740);
+    full.advance(Milliseconds(50000));
+    full.advanceUnderLoad(Milliseconds(3000));
+    REQUIRE(full.countRunningTasks() == FullCell::serviceTasks);
+    full.crashWorkerOfService();
+    CHECK(full.measureLongestAbsence(Milliseconds(10000)).count() <= maxRepairTime.count());
+}
+
+// Guards against a failed task of a service that a new owner takes for one that has never run, since nothing but the former owner
+// knew that it had: it waits behind all more urgent work, at each takeover anew.
+TEST_CASE("a service whose task fails while its owner stops is whole again within seconds of the takeover")
+{
+    FullCell full("advised", "urgent");
+    full.cell.advisor.responseTime = Milliseconds(740);
+    full.advance(FullCell::firstRunDuration - Milliseconds(3000));
+    full.advanceUnderLoad(Milliseconds(2000));
+    REQUIRE(full.countRunningTasks() == FullCell::serviceTasks);
+    full.replaceOwner(Milliseconds(2000));
+    // The answer to a request for advice cannot be there.
+    REQUIRE(full.countRunningTasks() == FullCell::serviceTasks - 1);
+    const auto absence = full.measureLongestAbsence(Milliseconds(10000));
+    CHECK(absence.count() <= maxRepairTime.count());
+}
+
+// Guards against a task of a service that no record names as begun: its run is gone with its worker before the next owner reads it.
+TEST_CASE("a service whose worker crashes while there is no owner is whole again within seconds of the takeover")
+{
+    FullCell full("normal", "urgent");
+    full.advance(Milliseconds(50000));
+    full.advanceUnderLoad(Milliseconds(2000));
+    REQUIRE(full.countRunningTasks() == FullCell::serviceTasks);
+    full.cell.killOwner();
+    full.crashWorkerOfService();
+    REQUIRE(full.countRunningTasks() < FullCell::serviceTasks);
+    full.cell.takeOver();
+    CHECK(full.measureLongestAbsence(Milliseconds(10000)).count() <= maxRepairTime.count());
+}
+
+// Guards against searches that become rare with the age of the service: only the time for which a task has waited counts, and a
+// search may be delayed by an eighth of it.
+TEST_CASE("a service that has run for long is repaired soon after there is room")
+{
+    constexpr int delayDivisor = 8;
+    constexpr Milliseconds answerAndStart { 200 };
+    const Milliseconds age = GENERATE(Milliseconds(4000), Milliseconds(120000));
+    const Milliseconds wait = GENERATE(Milliseconds(1500), Milliseconds(1750), Milliseconds(2000), Milliseconds(2250));
+    CAPTURE(age.count(), wait.count());
+    CHECK(measureRepairOnFreedWorker(age, wait).count() <= (wait / delayDivisor + answerAndStart).count());
+}
+
+// Guards against lost tasks that are asked about one after the other: while one of them can be placed on a worker that an earlier
+// answer has allowed, no other workers are asked about for the rest.
+TEST_CASE("lost tasks of a service for which the allowed workers have no room are asked about together with the others")
+{
+    constexpr Milliseconds answerTime { 740 };
+    constexpr std::size_t tasks = 4;
+    OwnerFixture cell;
+    cell.plan = [](const TaskName &, std::int64_t) { return SimulatedWork { std::chrono::hours(1), RunOutcome::Done }; };
+    cell.addWorker("w1", 16);
+    cell.advisor.responseTime = answerTime;
+    cell.takeOver();
+    REQUIRE(cell.submit(serviceId, jobBody(tasks, 4000, R"(,"longRunning":true)"), "advised") == ClientResult::Outcome::Accepted);
+    cell.timers.advance(Milliseconds(10000));
+    REQUIRE(cell.starts.size() == tasks);
+    for (const auto *id : { "x1", "x2", "x3", "x4" }) {
+        cell.addWorker(id, 4);
+    }
+    cell.timers.advance(Milliseconds(2000));
+    // Of its four tasks, w1 has room for one when it is back.
+    auto &crashed = cell.fleet.worker("w1");
+    crashed.restart();
+    crashed.setCapacity({ 4000, 1 << 20, 0, 0, 0 });
+    cell.list("w1");
+    std::vector<TimePoint> startedAt;
+    cell.fleet.onStarted = [&](SimulatedWorker &, const StartCommand &) { startedAt.push_back(cell.timers.now()); };
+    cell.timers.advance(Milliseconds(10000));
+    REQUIRE(startedAt.size() == tasks);
+    CHECK(std::chrono::duration_cast<Milliseconds>(startedAt.back() - startedAt.front()).count() < answerTime.count() / 2);
+}
+
 // Guards against an occurrence that counts as lost by the age of its job, and waits behind less urgent work: its deadlines are
 // counted from the time it is due.
 TEST_CASE("an occurrence that is due late in the life of its job keeps its rank")
