--- a/tests/soak/SoakTests.cpp
+++ b/tests/soak/SoakTests.cpp
@@ -1,9 +1,9 @@
 #include "soak/SoakCell.h"
+#include "soak/SoakSeeds.h"
 
 #include <catch2/catch.hpp>
 
 #include <array>
-#include <cstdlib>
 #include <filesystem>
 #include <span>
 
@@ -13,12 +13,6 @@
 
 // To run seeds from the command line: SOAK_SEED=7 SOAK_SEEDS=1 test-soak, with SOAK_PARTITIONS=1 those of the test with partitions.
 // The logs of the processes stay in the folder soak-SEED or soak-partition-SEED.
-int readIntegerVariable(const char *variable, int fallback)
-{
-    const char *text = std::getenv(variable);
-    return text == nullptr ? fallback : std::atoi(text);
-}
-
 void runSeed(unsigned seed, const SoakSize &size)
 {
     INFO("seed " << seed);
@@ -41,19 +35,13 @@
 /** Runs the regression seeds, or the seeds from the command line if they are for tests of this kind. */
 void runSeeds(std::span<const unsigned> regressionSeeds, const SoakSize &size)
 {
-    const auto first = readIntegerVariable("SOAK_SEED", 0);
-    if (first == 0) {
-        for (const auto seed : regressionSeeds) {
-            runSeed(seed, size);
-        }
-        return;
-    }
-    if ((readIntegerVariable("SOAK_PARTITIONS", 0) != 0) != size.hasPartitions) {
+    const bool isFromCommandLine = readIntegerVariable("SOAK_SEED", 0) != 0;
+    if (isFromCommandLine && (readIntegerVariable("SOAK_PARTITIONS", 0) != 0) != size.hasPartitions) {
         WARN("no seed was run: SOAK_PARTITIONS selects the other test");
         return;
     }
-    for (auto seed = first; seed < first + readIntegerVariable("SOAK_SEEDS", 1); ++seed) {
-        runSeed(static_cast<unsigned>(seed), size);
+    for (const auto seed : selectSeeds(regressionSeeds)) {
+        runSeed(seed, size);
     }
 }
 
