--- a/tests/soak/SoakClients.cpp
+++ b/tests/soak/SoakClients.cpp
@@ -52,6 +52,9 @@
     auto &job = jobs_.at(id);
     if (result.hasStatus(200)) {
         job.isAccepted = true;
+        if (onAccepted) {
+            onAccepted(id);
+        }
         return;
     }
     const bool isRefused = result.hasStatus(503) || result.hasStatus(429);
@@ -63,6 +66,29 @@
     }
 }
 
+void SoakClients::cancel(const std::string &id)
+{
+    jobs_.at(id).mayBeCancelled = true;
+    sendCancel(id, 1);
+}
+
+void SoakClients::sendCancel(const std::string &id, int attempts)
+{
+    pickEntry().send(makeRequest("DELETE", id, {}), requestTimeout, [this, id, attempts](const SendResult &result) {
+        auto &job = jobs_.at(id);
+        if (result.hasStatus(200)) {
+            job.cancelledAt = job.cancelledAt.value_or(loop_.now());
+            if (onCancelled) {
+                onCancelled(id);
+            }
+        } else if (result.hasStatus(410) && job.isAccepted) {
+            violations.push_back(id + " was accepted, but its cancellation was answered with status 410 (no such job)");
+        } else if (attempts < maximumAttempts) {
+            loop_.after(retryDelay, [this, id, attempts] { sendCancel(id, attempts + 1); });
+        }
+    });
+}
+
 void SoakClients::query(const std::string &id)
 {
     pickEntry().send(
--- a/tests/soak/SoakClients.h
+++ b/tests/soak/SoakClients.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -26,6 +27,10 @@
         bool isAccepted = false;
         /** A submission was sent and not accepted, and its answer, if any, does not exclude that the job runs. */
         bool mayHaveBeenAccepted = false;
+        /** A cancellation was sent; it may have taken effect although its answer was lost. */
+        bool mayBeCancelled = false;
+        /** A cancellation was answered with success at this time. */
+        std::optional<TimePoint> cancelledAt;
         int attempts = 0;
         /** The state in the last successful query; empty before. */
         std::string lastState;
@@ -39,6 +44,9 @@
     /** Queries the state of an accepted job; records a violation if the job is said not to exist or its end state changes. */
     void query(const std::string &id);
 
+    /** Cancels a job; repeated at random processes until it is acknowledged or out of attempts. */
+    void cancel(const std::string &id);
+
     const std::map<std::string, Job> &jobs() const
     {
         return jobs_;
@@ -46,10 +54,16 @@
 
     std::vector<std::string> violations;
 
+    /** Called from within the handler of each answer that accepts a submission, if set. */
+    std::function<void(const std::string &id)> onAccepted;
+    /** Called from within the handler of each answer that acknowledges a cancellation, if set. */
+    std::function<void(const std::string &id)> onCancelled;
+
 private:
     HttpChannels &pickEntry();
     void send(const std::string &id);
     void onSubmitAnswered(const std::string &id, const SendResult &result);
+    void sendCancel(const std::string &id, int attempts);
     void onQueryAnswered(const std::string &id, const SendResult &result);
 
     EventLoop &loop_;
--- a/tests/soak/StopTests.cpp
+++ b/tests/soak/StopTests.cpp
@@ -12,6 +12,8 @@
 constexpr int entryCount = 4;
 constexpr int workerCount = 3;
 constexpr int clientCount = 48;
+constexpr Milliseconds sliceLength { 12 };
+constexpr Milliseconds pauseLength { 88 };
 
 /** Processes that are stopped in pairs while clients keep their connections. Logs stay in the folder soak-stops-SEED. */
 struct StopCell
@@ -72,8 +74,6 @@
     /** Holds a process to slices of 12 of each 100 ms until it has been stopped and started again. */
     void slice(EntryProcess &entry, bool hasBeenStopping = false)
     {
-        constexpr Milliseconds sliceLength { 12 };
-        constexpr Milliseconds pauseLength { 88 };
         if (hasBeenStopping && !entry.isStopping()) {
             return;
         }
