Soak: jobs are given up when all workers lose power several times

Callers saw accepted jobs as failed without cause (rule LOST: only runs that end as failed count as attempts). Several such losses within the time of one task add up, and the job is given up.

soak-losses-repeated ends all workers five times while 12 jobs with tasks of 3 s run; the entry processes stay. It wants each job completed.

--- a/tests/soak/LossTests.cpp
+++ b/tests/soak/LossTests.cpp
@@ -122,3 +122,28 @@
         return violation.starts_with(dropped) && violation.ends_with("(no such job)");
     }));
 }
+
+// Guards against a sound job that is shown as failed because all workers have lost power several times while it ran.
+TEST_CASE("a job is not given up when all workers lose power several times", "[losses][repeated]")
+{
+    constexpr int lossCount = 5;
+    constexpr Milliseconds taskTime { 3000 };
+    constexpr Milliseconds startLimit { 15000 };
+    constexpr Milliseconds outage { 1000 };
+    for (const auto seed : selectSeeds(std::array { 1U })) {
+        LossCell losses(seed, folderOf("repeated", seed), { taskTime, taskTime });
+        REQUIRE(losses.waitForOwner());
+        losses.submitJobs(jobsPerLoss);
+        for (int loss = 0; loss < lossCount; ++loss) {
+            const int startsBefore = losses.startCount;
+            losses.cell.runUntil([&] { return losses.startCount >= startsBefore + jobsPerLoss; }, startLimit);
+            losses.cell.runFor(Milliseconds(losses.cell.draw(200, 1500)));
+            losses.loseWorkers();
+            losses.cell.runFor(outage);
+            losses.returnWorkers();
+        }
+        losses.waitForEnds(endLimit);
+        CHECK(acceptedCount(losses) == jobsPerLoss);
+        checkViolations(losses);
+    }
+}
