Log and measure what the exit of an entry process leaves unanswered

Callers saw connections that ended without an answer at a stop, and the logs could not tell why: process.stopped counted only the requests that were read and not answered, neither replies still being written nor requests read in part or waiting in the socket.

HttpListener::load() counts these, and process.stopped and the metrics show them, with the age of the oldest.

Evidence: new test "the load of a listener tells apart open, partly read and unwritten requests and idle connections"; test-net and test-entry pass.

--- a/modules/entry/EntryInstance.cpp
+++ b/modules/entry/EntryInstance.cpp
@@ -57,6 +57,8 @@
     void flushLog();
     /** Periodically reads the desired state from the owner if the owner has a newer one. */
     void fetchDesiredState();
+    /** Logs what the exit of this process leaves without an answer. */
+    void logStopped() const;
     /** Calls back when no requests are open, but not before `earliest` and no later than `latest`. */
     void waitForOpenRequests(TimePoint earliest, TimePoint latest, std::function<void()> done);
 
@@ -214,7 +216,12 @@
     metrics.setGauge("desired_state_version", static_cast<double>(desiredState.version));
     metrics.setGauge("desired_state_age_milliseconds", static_cast<double>(operatorWatch.age().count()));
     metrics.setGauge("client_connections", static_cast<double>(clientListener.openConnections()));
-    metrics.setGauge("client_requests_open", static_cast<double>(clientListener.openRequests()));
+    const auto load = clientListener.load();
+    metrics.setGauge("client_requests_open", static_cast<double>(load.openRequests));
+    metrics.setGauge("client_replies_unwritten", static_cast<double>(load.unwrittenReplies));
+    metrics.setGauge("client_requests_partial", static_cast<double>(load.partialRequests));
+    metrics.setGauge("client_connections_idle", static_cast<double>(load.idleConnections));
+    metrics.setGauge("client_oldest_request_milliseconds", static_cast<double>(load.oldestAge.count()));
     workerRelay.updateMetrics(metrics);
     relayPool.updateMetrics(metrics);
     metrics.setGauge("log_lines_dropped", static_cast<double>(EventLog::droppedCount()));
@@ -303,12 +310,24 @@
     });
 }
 
+void EntryInstance::Impl::logStopped() const
+{
+    const auto load = clientListener.load();
+    EventLog::write("process.stopped",
+                    { { "open_requests", load.openRequests },
+                      { "unwritten_replies", load.unwrittenReplies },
+                      { "partial_requests", load.partialRequests },
+                      { "idle_connections", load.idleConnections },
+                      { "oldest_request_ms", load.oldestAge.count() },
+                      { "peer_requests", peerListener.openRequests() } });
+}
+
 void EntryInstance::Impl::waitForOpenRequests(TimePoint earliest, TimePoint latest, std::function<void()> done)
 {
     const auto now = loop.now();
     const bool isIdle = clientListener.openRequests() == 0 && peerListener.openRequests() == 0;
     if (now >= latest || (now >= earliest && isIdle)) {
-        EventLog::write("process.stopped", { { "open_requests", clientListener.openRequests() } });
+        logStopped();
         EventLog::flush();
         done();
         return;
--- a/modules/net/HttpListener.cpp
+++ b/modules/net/HttpListener.cpp
@@ -6,7 +6,9 @@
 #include "net/HttpStream.h"
 #include "net/HttpWriter.h"
 
+#include <algorithm>
 #include <optional>
+#include <unordered_set>
 
 namespace auburndoor {
 
@@ -36,7 +38,7 @@
     HttpListenerLimits limits;
     HttpHandler handler;
     asio::basic_socket_acceptor<asio::ip::tcp, asio::io_context::executor_type> acceptor;
-    std::size_t openConnections = 0;
+    std::unordered_set<Session *> sessions;
     std::size_t openRequests = 0;
 };
 
@@ -48,17 +50,19 @@
         : owner_(std::move(owner)), stream_(std::move(socket), owner_->loop, [this] { close(); })
     {
         stream_.configure();
-        ++owner_->openConnections;
+        owner_->sessions.insert(this);
     }
 
     ~Session() override
     {
-        --owner_->openConnections;
+        owner_->sessions.erase(this);
         finishRequest();
     }
 
     void read()
     {
+        isWriting_ = false;
+        busySince_ = owner_->loop.now();
         parser_.emplace(owner_->limits.maxHeaderBytes, owner_->limits.maxBodyBytes);
         stream_.deadline().set(owner_->loop.now() + owner_->limits.idleTimeout);
         if (stream_.hasInput()) {
@@ -75,6 +79,7 @@
             return;
         }
         finishRequest();
+        isWriting_ = true;
         auto &output = stream_.output();
         output.clear();
         appendReply(output, reply, keepAlive_);
@@ -88,6 +93,26 @@
         close();
     }
 
+    /** Adds this connection to the counts. */
+    void addTo(HttpListenerLoad &load)
+    {
+        error_code ignored;
+        if (!stream_.socket().is_open()) {
+            return;
+        }
+        if (isReplyPending_) {
+            ++load.openRequests;
+        } else if (isWriting_) {
+            ++load.unwrittenReplies;
+        } else if (parser_->got_some() || stream_.hasInput() || stream_.socket().available(ignored) > 0) {
+            ++load.partialRequests;
+        } else {
+            ++load.idleConnections;
+            return;
+        }
+        load.oldestAge = std::max(load.oldestAge, std::chrono::duration_cast<Milliseconds>(owner_->loop.now() - busySince_));
+    }
+
 private:
     void readRest()
     {
@@ -116,6 +141,7 @@
         keepAlive_ = parser_->keep_alive();
         isReplyPending_ = true;
         ++owner_->openRequests;
+        busySince_ = owner_->loop.now();
         stream_.deadline().clear();
         owner_->handler(std::move(parser_->message()), shared_from_this());
     }
@@ -150,6 +176,9 @@
     std::optional<HttpParser<true>> parser_;
     bool keepAlive_ = true;
     bool isReplyPending_ = false;
+    bool isWriting_ = false;
+    /** When the current request was read in full, or when the connection became ready for it. */
+    TimePoint busySince_;
 };
 
 void HttpListener::Impl::accept()
@@ -164,7 +193,7 @@
             self->loop.after(acceptRetryDelay, [self] { self->accept(); });
             return;
         }
-        if (self->openConnections < self->limits.maxConnections) {
+        if (self->sessions.size() < self->limits.maxConnections) {
             std::make_shared<Session>(self, std::move(socket))->read();
         }
         self->accept();
@@ -214,7 +243,7 @@
 
 std::size_t HttpListener::openConnections() const
 {
-    return impl_->openConnections;
+    return impl_->sessions.size();
 }
 
 std::size_t HttpListener::openRequests() const
@@ -222,4 +251,13 @@
     return impl_->openRequests;
 }
 
+HttpListenerLoad HttpListener::load() const
+{
+    HttpListenerLoad load;
+    for (auto *session : impl_->sessions) {
+        session->addTo(load);
+    }
+    return load;
+}
+
 } // namespace auburndoor
--- a/modules/net/HttpListener.h
+++ b/modules/net/HttpListener.h
@@ -3,6 +3,7 @@
 #include "core/Clock.h"
 #include "net/Address.h"
 #include "net/HttpExchange.h"
+#include "net/HttpListenerLoad.h"
 
 #include <functional>
 #include <memory>
@@ -60,6 +61,9 @@
     /** The number of requests that were received and are not yet answered. */
     std::size_t openRequests() const;
 
+    /** Counts what the connections are doing, with one system call for each that waits for a request. */
+    HttpListenerLoad load() const;
+
 private:
     struct Impl;
     std::shared_ptr<Impl> impl_;
--- a/tests/net/HttpTests.cpp
+++ b/tests/net/HttpTests.cpp
@@ -303,3 +303,30 @@
     CHECK(answered == 1);
     CHECK(listener.openConnections() == 0);
 }
+
+// Guards against a process whose last log line doesn't tell which requests its exit has left without an answer.
+TEST_CASE("the load of a listener tells apart open, partly read and unwritten requests and idle connections")
+{
+    std::vector<HttpResponderPointer> unansweredResponders;
+    Loopback loopback([&](const WebRequest &request, const HttpResponderPointer &responder) {
+        if (request.target == "/open") {
+            unansweredResponders.push_back(responder);
+            return;
+        }
+        responder->reply({ 200, std::string(request.target == "/large" ? std::size_t(32) << 20 : 0, 'r'), {} });
+    });
+    std::vector<Tcp::socket> clients;
+    for (const std::string sent : { "GET /open HTTP/1.1\r\n\r\n", "GET /large HTTP/1.1\r\n\r\n", "GET /par", "", "" }) {
+        auto &client = clients.emplace_back(loopback.loop.context());
+        client.connect({ boost::asio::ip::address_v4::loopback(), loopback.listener.port() });
+        boost::asio::write(client, boost::asio::buffer(sent));
+    }
+    loopback.loop.after(Milliseconds(100), [&] { loopback.loop.stop(); });
+    loopback.loop.run();
+    const auto load = loopback.listener.load();
+    CHECK(load.openRequests == 1);
+    CHECK(load.unwrittenReplies == 1);
+    CHECK(load.partialRequests == 1);
+    CHECK(load.idleConnections == 2);
+    CHECK(load.oldestAge >= Milliseconds(50));
+}
