--- a/modules/entry/EntryInstance.cpp
+++ b/modules/entry/EntryInstance.cpp
@@ -3,6 +3,7 @@
 #include "entry/AdvicePool.h"
 #include "entry/HttpRelayTransport.h"
 #include "entry/Leadership.h"
+#include "entry/ListenerDrain.h"
 #include "entry/Owner.h"
 #include "entry/OwnerCallForwarder.h"
 #include "entry/PeerCodec.h"
@@ -27,7 +28,6 @@
 constexpr WatchTiming operatorWatchTiming { Milliseconds(1000), Milliseconds(20), Milliseconds(150) };
 // The load balancer stops sending new connections after two failed readiness probes, which are a second apart.
 constexpr Milliseconds balancerDrainDelay { 2200 };
-constexpr Milliseconds shutdownCheckInterval { 50 };
 // Part of the shutdown grace that is kept for the exit itself.
 constexpr Milliseconds exitMargin { 700 };
 // Open calls get their final answer this long before the latest time for the exit, so that it can reach the clients.
@@ -59,8 +59,6 @@
     void fetchDesiredState();
     /** Logs what the exit of this process leaves without an answer. */
     void logStopped() const;
-    /** Calls back when no requests are open, but not before `earliest` and no later than `latest`. */
-    void waitForOpenRequests(TimePoint earliest, TimePoint latest, std::function<void()> done);
 
     EntryDependencies dependencies;
     EventLoop &loop;
@@ -84,6 +82,8 @@
     HttpListener readinessListener;
     HttpListener peerListener;
     HttpListener operatorListener;
+    /** Null unless this process is stopping. */
+    std::unique_ptr<ListenerDrain> drain;
     bool isStopping = false;
 };
 
@@ -322,21 +322,6 @@
                       { "peer_requests", peerListener.openRequests() } });
 }
 
-void EntryInstance::Impl::waitForOpenRequests(TimePoint earliest, TimePoint latest, std::function<void()> done)
-{
-    const auto now = loop.now();
-    const bool isIdle = clientListener.openRequests() == 0 && peerListener.openRequests() == 0;
-    if (now >= latest || (now >= earliest && isIdle)) {
-        logStopped();
-        EventLog::flush();
-        done();
-        return;
-    }
-    loop.after(shutdownCheckInterval, [self = shared_from_this(), earliest, latest, done = std::move(done)] {
-        self->waitForOpenRequests(earliest, latest, done);
-    });
-}
-
 EntryInstance::EntryInstance(const EntryDependencies &dependencies) : impl_(std::make_shared<Impl>(dependencies))
 {
 }
@@ -364,7 +349,6 @@
         return;
     }
     EventLog::write("process.stopping", { { "owner", impl_->owner != nullptr } });
-    const auto now = impl_->loop.now();
     impl_->leadership.disableTakeover();
     if (impl_->owner) {
         impl_->owner->flush(flushTimeout, [impl = impl_](const Ownership &ownership) {
@@ -374,10 +358,15 @@
             impl->leadership.release(ownership, [impl] { impl->owner.reset(); });
         });
     }
-    const auto latest = now + impl_->dependencies.settings.shutdownGrace - exitMargin;
-    impl_->loop.after(std::chrono::duration_cast<Milliseconds>(latest - finalReplyMargin - now),
-                      [impl = impl_] { impl->callForwarder.close(); });
-    impl_->waitForOpenRequests(std::min(now + balancerDrainDelay, latest), latest, std::move(done));
+    const auto maxDuration = impl_->dependencies.settings.shutdownGrace - exitMargin;
+    impl_->loop.after(maxDuration - finalReplyMargin, [impl = impl_] { impl->callForwarder.close(); });
+    const ListenerDrainTiming timing { .acceptDuration = std::min(balancerDrainDelay, maxDuration), .maxDuration = maxDuration };
+    impl_->drain = std::make_unique<ListenerDrain>(impl_->loop, impl_->clientListener, impl_->peerListener, timing);
+    impl_->drain->start([impl = impl_, done = std::move(done)] {
+        impl->logStopped();
+        EventLog::flush();
+        done();
+    });
 }
 
 } // namespace auburndoor
