Let clients read the whole answer to a request that is refused early

Callers saw: a client that was still sending a body over the limit got a broken pipe, and its system could discard the answer 413.

Cause: the connection was closed right after the answer, with unread input, on which the kernel sends a reset.

Change: after the last answer of a connection only the send side is shut down. Input is dropped until the client ends the connection, for at most 1 s (lingerTimeout), or 10 s (transferTimeout) after a refused request. A lingering connection has no buffers and counts in maxConnections. The connection of a listener is now a class of its own, HttpSession; a request that was read while its connection was closed is no longer handed out.

--- a/modules/net/HttpListener.h
+++ b/modules/net/HttpListener.h
@@ -41,6 +41,11 @@
     Milliseconds transferTimeout { 10000 };
     /** The longest time until the next request has arrived in full; a connection that is idle for so long is closed. */
     Milliseconds idleTimeout { 60000 };
+    /**
+        After the last reply of a connection, the longest time for the client to end it; input is dropped meanwhile. A client whose
+        request is refused before it was read in full has the transferTimeout.
+    */
+    Milliseconds lingerTimeout { 1000 };
 };
 
 /** HTTP/1.1 server on one address. All members are called from the loop's thread. */
--- /dev/null
+++ b/modules/net/HttpListenerContext.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "net/HttpListener.h"
+
+#include <unordered_set>
+
+namespace auburndoor {
+
+class EventLoop;
+class HttpSession;
+
+/** What the connections of an HttpListener share. They keep it alive. */
+struct HttpListenerContext
+{
+    EventLoop &loop;
+    HttpListenerLimits limits;
+    HttpHandler handler;
+    /** The open connections. */
+    std::unordered_set<HttpSession *> sessions;
+    /** Requests that were received and are not yet answered. */
+    std::size_t openRequests = 0;
+};
+
+} // namespace auburndoor
--- /dev/null
+++ b/modules/net/HttpSession.cpp
@@ -0,0 +1,150 @@
+#include "net/HttpSession.h"
+
+#include "net/HttpWriter.h"
+
+#include <algorithm>
+
+namespace auburndoor {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+HttpSession::HttpSession(std::shared_ptr<HttpListenerContext> context, LoopSocket socket)
+    : context_(std::move(context)), stream_(std::move(socket), context_->loop, [this] { close(); })
+{
+    stream_.configure();
+    context_->sessions.insert(this);
+}
+
+HttpSession::~HttpSession()
+{
+    context_->sessions.erase(this);
+    finishRequest();
+}
+
+void HttpSession::read()
+{
+    state_ = State::Reading;
+    busySince_ = context_->loop.now();
+    parser_.emplace(context_->limits.maxHeaderBytes, context_->limits.maxBodyBytes);
+    stream_.deadline().set(context_->loop.now() + context_->limits.idleTimeout);
+    if (stream_.hasInput()) {
+        // On the next turn, so that a series of requests that arrived together doesn't nest their handlers.
+        asio::post(context_->loop.context(), [self = shared_from_this()] { self->readRest(); });
+        return;
+    }
+    readRest();
+}
+
+void HttpSession::reply(WebReply reply)
+{
+    if (state_ != State::Handling) {
+        return;
+    }
+    finishRequest();
+    state_ = State::Writing;
+    auto &output = stream_.output();
+    output.clear();
+    appendReply(output, reply, keepAlive_);
+    stream_.deadline().set(context_->loop.now() + context_->limits.transferTimeout);
+    stream_.write([self = shared_from_this()](const ErrorCode &error) { self->onWritten(error); });
+}
+
+void HttpSession::abandon()
+{
+    close();
+}
+
+void HttpSession::addTo(HttpListenerLoad &load) const
+{
+    if (state_ == State::Lingering || state_ == State::Closed) {
+        return;
+    }
+    if (state_ == State::Handling) {
+        ++load.openRequests;
+    } else if (state_ == State::Writing) {
+        ++load.unwrittenReplies;
+    } else if (parser_->got_some() || stream_.hasUnreadInput()) {
+        ++load.partialRequests;
+    } else {
+        ++load.idleConnections;
+        return;
+    }
+    load.oldestAge = std::max(load.oldestAge, std::chrono::duration_cast<Milliseconds>(context_->loop.now() - busySince_));
+}
+
+void HttpSession::readRest()
+{
+    if (state_ != State::Reading) {
+        return;
+    }
+    ErrorCode error;
+    stream_.parse(*parser_, error);
+    if (error || parser_->is_done()) {
+        onRead(error);
+        return;
+    }
+    stream_.read(*parser_, [self = shared_from_this()](const ErrorCode &error) { self->onRead(error); });
+}
+
+void HttpSession::onRead(const ErrorCode &error)
+{
+    if (state_ != State::Reading) {
+        return;
+    }
+    const bool isTooLarge = error == http::error::body_limit || error == http::error::header_limit;
+    if (error && !isTooLarge) {
+        close();
+        return;
+    }
+    state_ = State::Handling;
+    isRequestOpen_ = true;
+    ++context_->openRequests;
+    busySince_ = context_->loop.now();
+    if (isTooLarge) {
+        keepAlive_ = false;
+        isRestExpected_ = true;
+        reply({ 413, "{\"error\":\"request too large\"}", {} });
+        return;
+    }
+    keepAlive_ = parser_->keep_alive();
+    stream_.deadline().clear();
+    context_->handler(std::move(parser_->message()), shared_from_this());
+}
+
+void HttpSession::onWritten(const ErrorCode &error)
+{
+    if (error || state_ != State::Writing) {
+        close();
+    } else if (keepAlive_) {
+        read();
+    } else {
+        linger(isRestExpected_ ? context_->limits.transferTimeout : context_->limits.lingerTimeout);
+    }
+}
+
+void HttpSession::linger(Milliseconds duration)
+{
+    state_ = State::Lingering;
+    parser_.reset();
+    stream_.shutDownSend();
+    stream_.deadline().set(context_->loop.now() + duration);
+    stream_.discardInput([self = shared_from_this()](const ErrorCode &, std::size_t) { self->close(); });
+}
+
+void HttpSession::finishRequest()
+{
+    if (isRequestOpen_) {
+        isRequestOpen_ = false;
+        --context_->openRequests;
+    }
+}
+
+void HttpSession::close()
+{
+    finishRequest();
+    state_ = State::Closed;
+    stream_.close();
+}
+
+} // namespace auburndoor
--- a/modules/net/HttpStream.h
+++ b/modules/net/HttpStream.h
@@ -11,6 +11,7 @@
 #include <boost/beast/http/error.hpp>
 
 #include <algorithm>
+#include <array>
 #include <string>
 
 namespace auburndoor {
@@ -139,6 +140,33 @@
         }
     }
 
+    /** Tells the peer that nothing more is sent. What was written before still arrives. */
+    void shutDownSend()
+    {
+        ErrorCode ignored;
+        socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    }
+
+    /** True if input waits to be parsed, here or in the operating system. */
+    bool hasUnreadInput() const
+    {
+        ErrorCode ignored;
+        return hasInput() || socket_.available(ignored) > 0;
+    }
+
+    /**
+        Reads until the connection ends and drops what arrives. Frees the memory of the messages.
+
+        @param handler called with the error that ended the connection and the number of bytes, never from within discardInput()
+    */
+    template<typename Handler>
+    void discardInput(Handler handler)
+    {
+        input_ = {};
+        output_ = {};
+        discardNext(0, std::move(handler));
+    }
+
     /** Closes the connection, which ends the current operation, and removes the deadline. */
     void close()
     {
@@ -148,6 +176,21 @@
     }
 
 private:
+    template<typename Handler>
+    void discardNext(std::size_t total, Handler handler)
+    {
+        socket_.async_wait(LoopSocket::wait_read, [this, total, handler = std::move(handler)](ErrorCode error) mutable {
+            // One read a turn, so that a fast sender doesn't hold up the loop.
+            std::array<char, 16384> dropped;
+            total += error ? 0 : socket_.read_some(boost::asio::buffer(dropped), error);
+            if (error && error != boost::asio::error::would_block) {
+                handler(error, total);
+                return;
+            }
+            discardNext(total, std::move(handler));
+        });
+    }
+
     // Most messages are smaller than this. Larger ones are read in steps that double up to the maximum.
     static constexpr std::size_t initialReadBytes = 1024;
     static constexpr std::size_t maxReadBytes = std::size_t(64) * 1024;
