Count a request as open until its answer has been written

Callers saw: a large answer, or one to a slow reader, was cut when the process stopped.

Cause: HttpListener counted a request as answered when its handler had replied, before the bytes were written, so a stop did not wait for them.

Change: openRequests() counts it until the socket has taken the last byte, or the connection has failed.

Evidence: test-entry "a stopping process waits until a slow reader has taken a large answer" (before: unwrittenReplies 1 == 0 at the end of the drain) and "a client that takes no byte of its answer does not hold up a stop for longer than its time" (before: 100ms >= 600ms) pass now.

--- a/modules/net/HttpListener.h
+++ b/modules/net/HttpListener.h
@@ -63,7 +63,7 @@
 
     std::size_t openConnections() const;
 
-    /** The number of requests that were received and are not yet answered. */
+    /** The number of requests that were received and whose reply has not been written to the socket in full. */
     std::size_t openRequests() const;
 
     /** Counts what the connections are doing, with one system call for each that waits for a request. */
--- a/modules/net/HttpListenerContext.h
+++ b/modules/net/HttpListenerContext.h
@@ -17,7 +17,7 @@
     HttpHandler handler;
     /** The open connections. */
     std::unordered_set<HttpSession *> sessions;
-    /** Requests that were received and are not yet answered. */
+    /** Requests that were received and whose reply is not yet written in full. */
     std::size_t openRequests = 0;
 };
 
--- a/modules/net/HttpSession.cpp
+++ b/modules/net/HttpSession.cpp
@@ -41,7 +41,6 @@
     if (state_ != State::Handling) {
         return;
     }
-    finishRequest();
     state_ = State::Writing;
     auto &output = stream_.output();
     output.clear();
@@ -114,6 +113,7 @@
 
 void HttpSession::onWritten(const ErrorCode &error)
 {
+    finishRequest();
     if (error || state_ != State::Writing) {
         close();
     } else if (keepAlive_) {
