Answer 503 on connections to a full listener

Callers saw: a process with 3,000 connections closed further ones without a word, which looks like a failed process.

Change: the first request of such a connection is answered with 503, Retry-After and Connection: close, without being read.

--- a/modules/net/HttpListener.cpp
+++ b/modules/net/HttpListener.cpp
@@ -21,12 +21,18 @@
 struct HttpListener::Impl : std::enable_shared_from_this<HttpListener::Impl>
 {
     Impl(EventLoop &loop, HttpListenerLimits limits, HttpHandler handler)
-        : context(std::make_shared<HttpListenerContext>(HttpListenerContext { loop, limits, std::move(handler), {}, 0 }))
+        : context(std::make_shared<HttpListenerContext>(HttpListenerContext { loop, limits, std::move(handler), {}, 0, 0 }))
         , acceptor(loop.context().get_executor())
     {
     }
 
     void accept();
+    /** Serves a connection, or rejects it if there are too many. */
+    void serve(LoopSocket socket);
+    std::size_t openConnections() const
+    {
+        return context->sessions.size() - context->rejectedSessions;
+    }
 
     std::shared_ptr<HttpListenerContext> context;
     asio::basic_socket_acceptor<asio::ip::tcp, asio::io_context::executor_type> acceptor;
@@ -44,13 +50,20 @@
             self->context->loop.after(acceptRetryDelay, [self] { self->accept(); });
             return;
         }
-        if (self->context->sessions.size() < self->context->limits.maxConnections) {
-            std::make_shared<HttpSession>(self->context, std::move(socket))->read();
-        }
+        self->serve(std::move(socket));
         self->accept();
     });
 }
 
+void HttpListener::Impl::serve(LoopSocket socket)
+{
+    if (openConnections() < context->limits.maxConnections) {
+        std::make_shared<HttpSession>(context, std::move(socket))->read();
+    } else if (context->rejectedSessions < context->limits.maxRejectedConnections) {
+        std::make_shared<HttpSession>(context, std::move(socket))->reject();
+    }
+}
+
 HttpListener::HttpListener(EventLoop &loop, HttpListenerLimits limits, HttpHandler handler)
     : impl_(std::make_shared<Impl>(loop, limits, std::move(handler)))
 {
@@ -94,7 +107,7 @@
 
 std::size_t HttpListener::openConnections() const
 {
-    return impl_->context->sessions.size();
+    return impl_->openConnections();
 }
 
 std::size_t HttpListener::openRequests() const
--- a/modules/net/HttpListener.h
+++ b/modules/net/HttpListener.h
@@ -32,8 +32,10 @@
 /** Limits of a listener and of each of its connections. */
 struct HttpListenerLimits
 {
-    /** Further connections are closed at once. */
+    /** Requests on further connections are answered with status 503. */
     std::size_t maxConnections = 3000;
+    /** Connections beyond maxConnections that may wait for this answer at a time; still further ones are closed at once. */
+    std::size_t maxRejectedConnections = 64;
     /** A request over one of the next two limits is answered with status 413, and its connection is closed. */
     std::size_t maxHeaderBytes = 16384;
     std::size_t maxBodyBytes = 1 << 20;
@@ -61,6 +63,7 @@
     /** The bound port, also if listen() was given port 0. */
     std::uint16_t port() const;
 
+    /** The number of connections, without those that are rejected because the listener is full. */
     std::size_t openConnections() const;
 
     /** The number of requests that were received and whose reply has not been written to the socket in full. */
--- a/modules/net/HttpListenerContext.h
+++ b/modules/net/HttpListenerContext.h
@@ -17,6 +17,8 @@
     HttpHandler handler;
     /** The open connections. */
     std::unordered_set<HttpSession *> sessions;
+    /** Those of them that are only told that the listener is full. */
+    std::size_t rejectedSessions = 0;
     /** Requests that were received and whose reply is not yet written in full. */
     std::size_t openRequests = 0;
 };
--- a/modules/net/HttpSession.cpp
+++ b/modules/net/HttpSession.cpp
@@ -19,6 +19,7 @@
 HttpSession::~HttpSession()
 {
     context_->sessions.erase(this);
+    context_->rejectedSessions -= isRejected_ ? 1 : 0;
     finishRequest();
 }
 
@@ -36,6 +37,24 @@
     readRest();
 }
 
+void HttpSession::reject()
+{
+    isRejected_ = true;
+    ++context_->rejectedSessions;
+    keepAlive_ = false;
+    busySince_ = context_->loop.now();
+    parser_.emplace(context_->limits.maxHeaderBytes, context_->limits.maxBodyBytes);
+    stream_.deadline().set(context_->loop.now() + context_->limits.lingerTimeout);
+    stream_.awaitInput([self = shared_from_this()](const ErrorCode &error) {
+        if (error || self->state_ != State::Reading) {
+            self->close();
+            return;
+        }
+        self->beginRequest();
+        self->reply({ 503, "{\"error\":\"too many connections\"}", { { "Retry-After", "1" } } });
+    });
+}
+
 void HttpSession::reply(WebReply reply)
 {
     if (state_ != State::Handling) {
@@ -96,10 +115,7 @@
         close();
         return;
     }
-    state_ = State::Handling;
-    isRequestOpen_ = true;
-    ++context_->openRequests;
-    busySince_ = context_->loop.now();
+    beginRequest();
     if (isTooLarge) {
         keepAlive_ = false;
         isRestExpected_ = true;
@@ -132,6 +148,14 @@
     stream_.discardInput([self = shared_from_this()](const ErrorCode &, std::size_t) { self->close(); });
 }
 
+void HttpSession::beginRequest()
+{
+    state_ = State::Handling;
+    isRequestOpen_ = true;
+    ++context_->openRequests;
+    busySince_ = context_->loop.now();
+}
+
 void HttpSession::finishRequest()
 {
     if (isRequestOpen_) {
--- a/modules/net/HttpSession.h
+++ b/modules/net/HttpSession.h
@@ -25,6 +25,10 @@
     /** Waits for a request. */
     void read();
 
+    /** Answers the first request with status 503, without reading it, since the listener is full. To be called instead of read().
+     */
+    void reject();
+
     void reply(WebReply reply) override;
     void abandon() override;
 
@@ -57,6 +61,8 @@
         @param duration for how long the client may take to end the connection
     */
     void linger(Milliseconds duration);
+    /** Counts the current request as open, and the connection as busy from now on. */
+    void beginRequest();
     void finishRequest();
     void close();
 
@@ -68,6 +74,8 @@
     bool keepAlive_ = true;
     /** The current request was refused before it was read in full, so the rest of it may still arrive. */
     bool isRestExpected_ = false;
+    /** The connection counts in HttpListenerContext::rejectedSessions. */
+    bool isRejected_ = false;
     /** The request counts in HttpListenerContext::openRequests. */
     bool isRequestOpen_ = false;
     /** When the current request was read in full, or when the connection became ready for it. */
--- a/modules/net/HttpStream.h
+++ b/modules/net/HttpStream.h
@@ -154,6 +154,14 @@
         return hasInput() || socket_.available(ignored) > 0;
     }
 
+    /** Waits until input or the end of the connection can be read. @param handler called with the error, never from within
+     * awaitInput() */
+    template<typename Handler>
+    void awaitInput(Handler handler)
+    {
+        socket_.async_wait(LoopSocket::wait_read, std::move(handler));
+    }
+
     /**
         Reads until the connection ends and drops what arrives. Frees the memory of the messages.
 
