--- a/modules/entry/EntryInstance.cpp
+++ b/modules/entry/EntryInstance.cpp
@@ -3,6 +3,7 @@
 #include "entry/AdvicePool.h"
 #include "entry/HttpRelayTransport.h"
 #include "entry/Leadership.h"
+#include "entry/ListenerDrain.h"
 #include "entry/Owner.h"
 #include "entry/OwnerCallForwarder.h"
 #include "entry/PeerCodec.h"
@@ -27,7 +28,6 @@
 constexpr WatchTiming operatorWatchTiming { Milliseconds(1000), Milliseconds(20), Milliseconds(150) };
 // The load balancer stops sending new connections after two failed readiness probes, which are a second apart.
 constexpr Milliseconds balancerDrainDelay { 2200 };
-constexpr Milliseconds shutdownCheckInterval { 50 };
 // Part of the shutdown grace that is kept for the exit itself.
 constexpr Milliseconds exitMargin { 700 };
 // Open calls get their final answer this long before the latest time for the exit, so that it can reach the clients.
@@ -57,8 +57,8 @@
     void flushLog();
     /** Periodically reads the desired state from the owner if the owner has a newer one. */
     void fetchDesiredState();
-    /** Calls back when no requests are open, but not before `earliest` and no later than `latest`. */
-    void waitForOpenRequests(TimePoint earliest, TimePoint latest, std::function<void()> done);
+    /** Logs what the exit of this process leaves without an answer. */
+    void logStopped() const;
 
     EntryDependencies dependencies;
     EventLoop &loop;
@@ -82,6 +82,8 @@
     HttpListener readinessListener;
     HttpListener peerListener;
     HttpListener operatorListener;
+    /** Null unless this process is stopping. */
+    std::unique_ptr<ListenerDrain> drain;
     bool isStopping = false;
 };
 
@@ -214,7 +216,13 @@
     metrics.setGauge("desired_state_version", static_cast<double>(desiredState.version));
     metrics.setGauge("desired_state_age_milliseconds", static_cast<double>(operatorWatch.age().count()));
     metrics.setGauge("client_connections", static_cast<double>(clientListener.openConnections()));
-    metrics.setGauge("client_requests_open", static_cast<double>(clientListener.openRequests()));
+    const auto load = clientListener.load();
+    metrics.setGauge("client_requests_open", static_cast<double>(load.openRequests));
+    metrics.setGauge("client_replies_unwritten", static_cast<double>(load.unwrittenReplies));
+    metrics.setGauge("client_requests_partial", static_cast<double>(load.partialRequests));
+    metrics.setGauge("client_requests_discarded", static_cast<double>(load.discardedRequests));
+    metrics.setGauge("client_connections_idle", static_cast<double>(load.idleConnections));
+    metrics.setGauge("client_oldest_request_milliseconds", static_cast<double>(load.oldestAge.count()));
     workerRelay.updateMetrics(metrics);
     relayPool.updateMetrics(metrics);
     metrics.setGauge("log_lines_dropped", static_cast<double>(EventLog::droppedCount()));
@@ -303,19 +311,17 @@
     });
 }
 
-void EntryInstance::Impl::waitForOpenRequests(TimePoint earliest, TimePoint latest, std::function<void()> done)
+void EntryInstance::Impl::logStopped() const
 {
-    const auto now = loop.now();
-    const bool isIdle = clientListener.openRequests() == 0 && peerListener.openRequests() == 0;
-    if (now >= latest || (now >= earliest && isIdle)) {
-        EventLog::write("process.stopped", { { "open_requests", clientListener.openRequests() } });
-        EventLog::flush();
-        done();
-        return;
-    }
-    loop.after(shutdownCheckInterval, [self = shared_from_this(), earliest, latest, done = std::move(done)] {
-        self->waitForOpenRequests(earliest, latest, done);
-    });
+    const auto load = clientListener.load();
+    EventLog::write("process.stopped",
+                    { { "open_requests", load.openRequests },
+                      { "unwritten_replies", load.unwrittenReplies },
+                      { "partial_requests", load.partialRequests },
+                      { "idle_connections", load.idleConnections },
+                      { "discarded_requests", load.discardedRequests },
+                      { "oldest_request_ms", load.oldestAge.count() },
+                      { "peer_requests", peerListener.openRequests() } });
 }
 
 EntryInstance::EntryInstance(const EntryDependencies &dependencies) : impl_(std::make_shared<Impl>(dependencies))
@@ -345,7 +351,6 @@
         return;
     }
     EventLog::write("process.stopping", { { "owner", impl_->owner != nullptr } });
-    const auto now = impl_->loop.now();
     impl_->leadership.disableTakeover();
     if (impl_->owner) {
         impl_->owner->flush(flushTimeout, [impl = impl_](const Ownership &ownership) {
@@ -355,10 +360,16 @@
             impl->leadership.release(ownership, [impl] { impl->owner.reset(); });
         });
     }
-    const auto latest = now + impl_->dependencies.settings.shutdownGrace - exitMargin;
-    impl_->loop.after(std::chrono::duration_cast<Milliseconds>(latest - finalReplyMargin - now),
-                      [impl = impl_] { impl->callForwarder.close(); });
-    impl_->waitForOpenRequests(std::min(now + balancerDrainDelay, latest), latest, std::move(done));
+    const auto maxDuration = impl_->dependencies.settings.shutdownGrace - exitMargin;
+    impl_->loop.after(maxDuration - finalReplyMargin, [impl = impl_] { impl->callForwarder.close(); });
+    const ListenerDrainTiming timing { .acceptDuration = std::min(balancerDrainDelay, maxDuration), .maxDuration = maxDuration };
+    impl_->drain = std::make_unique<ListenerDrain>(
+        impl_->loop, impl_->clientListener, impl_->peerListener, timing, [impl = impl_.get()] { return impl->owner != nullptr; });
+    impl_->drain->start([impl = impl_, done = std::move(done)] {
+        impl->logStopped();
+        EventLog::flush();
+        done();
+    });
 }
 
 } // namespace auburndoor
--- a/modules/net/HttpListener.cpp
+++ b/modules/net/HttpListener.cpp
@@ -3,15 +3,12 @@
 
 #include "net/EventLoop.h"
 #include "net/HttpListener.h"
-#include "net/HttpStream.h"
-#include "net/HttpWriter.h"
-
-#include <optional>
+#include "net/HttpListenerContext.h"
+#include "net/HttpSession.h"
 
 namespace auburndoor {
 
 namespace asio = boost::asio;
-namespace http = boost::beast::http;
 using boost::system::error_code;
 
 namespace {
@@ -23,154 +20,54 @@
 
 struct HttpListener::Impl : std::enable_shared_from_this<HttpListener::Impl>
 {
-    class Session;
-
     Impl(EventLoop &loop, HttpListenerLimits limits, HttpHandler handler)
-        : loop(loop), limits(limits), handler(std::move(handler)), acceptor(loop.context().get_executor())
+        : context(std::make_shared<HttpListenerContext>(HttpListenerContext { loop, limits, std::move(handler) }))
+        , acceptor(loop.context().get_executor())
     {
     }
 
     void accept();
-
-    EventLoop &loop;
-    HttpListenerLimits limits;
-    HttpHandler handler;
-    asio::basic_socket_acceptor<asio::ip::tcp, asio::io_context::executor_type> acceptor;
-    std::size_t openConnections = 0;
-    std::size_t openRequests = 0;
-};
-
-/** One client connection. A pending read or write, or the responder of an unanswered request, keeps it alive. */
-class HttpListener::Impl::Session : public HttpResponder, public std::enable_shared_from_this<Session>
-{
-public:
-    Session(std::shared_ptr<Impl> owner, LoopSocket socket)
-        : owner_(std::move(owner)), stream_(std::move(socket), owner_->loop, [this] { close(); })
-    {
-        stream_.configure();
-        ++owner_->openConnections;
-    }
-
-    ~Session() override
-    {
-        --owner_->openConnections;
-        finishRequest();
-    }
-
-    void read()
-    {
-        parser_.emplace(owner_->limits.maxHeaderBytes, owner_->limits.maxBodyBytes);
-        stream_.deadline().set(owner_->loop.now() + owner_->limits.idleTimeout);
-        if (stream_.hasInput()) {
-            // On the next turn, so that a series of requests that arrived together doesn't nest their handlers.
-            asio::post(owner_->loop.context(), [self = shared_from_this()] { self->readRest(); });
-            return;
-        }
-        readRest();
-    }
-
-    void reply(WebReply reply) override
+    /** Serves a connection, or rejects it if there are too many. */
+    void serve(LoopSocket socket);
+    std::size_t openConnections() const
     {
-        if (!isReplyPending_) {
-            return;
-        }
-        finishRequest();
-        auto &output = stream_.output();
-        output.clear();
-        appendReply(output, reply, keepAlive_);
-        stream_.deadline().set(owner_->loop.now() + owner_->limits.transferTimeout);
-        stream_.write([self = shared_from_this()](const error_code &error) { self->onWritten(error); });
-    }
-
-    void abandon() override
-    {
-        finishRequest();
-        close();
-    }
-
-private:
-    void readRest()
-    {
-        error_code error;
-        stream_.parse(*parser_, error);
-        if (error || parser_->is_done()) {
-            onRead(error);
-            return;
-        }
-        stream_.read(*parser_, [self = shared_from_this()](const error_code &error) { self->onRead(error); });
-    }
-
-    void onRead(const error_code &error)
-    {
-        if (error == http::error::body_limit || error == http::error::header_limit) {
-            isReplyPending_ = true;
-            ++owner_->openRequests;
-            keepAlive_ = false;
-            reply({ 413, "{\"error\":\"request too large\"}", {} });
-            return;
-        }
-        if (error) {
-            close();
-            return;
-        }
-        keepAlive_ = parser_->keep_alive();
-        isReplyPending_ = true;
-        ++owner_->openRequests;
-        stream_.deadline().clear();
-        owner_->handler(std::move(parser_->message()), shared_from_this());
+        return context->sessions.size() - context->rejectedSessions;
     }
 
-    void onWritten(const error_code &error)
-    {
-        if (error || !keepAlive_) {
-            close();
-            return;
-        }
-        read();
-    }
-
-    /** Counts the current request as answered. */
-    void finishRequest()
-    {
-        if (isReplyPending_) {
-            isReplyPending_ = false;
-            --owner_->openRequests;
-        }
-    }
-
-    void close()
-    {
-        error_code ignored;
-        stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
-        stream_.close();
-    }
-
-    std::shared_ptr<Impl> owner_;
-    HttpStream stream_;
-    std::optional<HttpParser<true>> parser_;
-    bool keepAlive_ = true;
-    bool isReplyPending_ = false;
+    std::shared_ptr<HttpListenerContext> context;
+    /** stopAccepting() was called: a connection that was accepted just before is still served. */
+    bool isAcceptingEnded = false;
+    asio::basic_socket_acceptor<asio::ip::tcp, asio::io_context::executor_type> acceptor;
 };
 
 void HttpListener::Impl::accept()
 {
     acceptor.async_accept([self = shared_from_this()](const error_code &error, LoopSocket socket) {
+        if (!error && (self->acceptor.is_open() || self->isAcceptingEnded)) {
+            self->serve(std::move(socket));
+        }
         if (!self->acceptor.is_open()) {
             return;
         }
         if (error) {
             // Usually the process is out of file descriptors; accepting again at once would busy-loop.
             constexpr Milliseconds acceptRetryDelay { 50 };
-            self->loop.after(acceptRetryDelay, [self] { self->accept(); });
+            self->context->loop.after(acceptRetryDelay, [self] { self->accept(); });
             return;
         }
-        if (self->openConnections < self->limits.maxConnections) {
-            std::make_shared<Session>(self, std::move(socket))->read();
-        }
         self->accept();
     });
 }
 
+void HttpListener::Impl::serve(LoopSocket socket)
+{
+    if (openConnections() < context->limits.maxConnections) {
+        std::make_shared<HttpSession>(context, std::move(socket))->read();
+    } else if (context->rejectedSessions < context->limits.maxRejectedConnections) {
+        std::make_shared<HttpSession>(context, std::move(socket))->reject();
+    }
+}
+
 HttpListener::HttpListener(EventLoop &loop, HttpListenerLimits limits, HttpHandler handler)
     : impl_(std::make_shared<Impl>(loop, limits, std::move(handler)))
 {
@@ -206,6 +103,39 @@
     return true;
 }
 
+void HttpListener::drain()
+{
+    impl_->context->isDraining = true;
+}
+
+void HttpListener::closeIdle(Milliseconds minimumIdle)
+{
+    for (auto *session : impl_->context->sessions) {
+        session->closeIfIdle(minimumIdle);
+    }
+}
+
+void HttpListener::stopAccepting()
+{
+    auto &acceptor = impl_->acceptor;
+    if (!acceptor.is_open()) {
+        return;
+    }
+    error_code error;
+    acceptor.non_blocking(true, error);
+    // Without this option accept() waits for another connection after one that its client has aborted.
+    acceptor.set_option(asio::socket_base::enable_connection_aborted(true), error);
+    for (int attempt = 0; attempt <= listenBacklog && (!error || error == asio::error::connection_aborted); ++attempt) {
+        LoopSocket socket(impl_->context->loop.context().get_executor());
+        acceptor.accept(socket, error);
+        if (!error) {
+            impl_->serve(std::move(socket));
+        }
+    }
+    impl_->isAcceptingEnded = true;
+    acceptor.close(error);
+}
+
 std::uint16_t HttpListener::port() const
 {
     error_code ignored;
@@ -214,12 +144,22 @@
 
 std::size_t HttpListener::openConnections() const
 {
-    return impl_->openConnections;
+    return impl_->openConnections();
 }
 
 std::size_t HttpListener::openRequests() const
 {
-    return impl_->openRequests;
+    return impl_->context->openRequests;
+}
+
+HttpListenerLoad HttpListener::load() const
+{
+    HttpListenerLoad load;
+    load.discardedRequests = impl_->context->discardedRequests;
+    for (const auto *session : impl_->context->sessions) {
+        session->addTo(load);
+    }
+    return load;
 }
 
 } // namespace auburndoor
--- a/modules/net/HttpListener.h
+++ b/modules/net/HttpListener.h
@@ -3,6 +3,7 @@
 #include "core/Clock.h"
 #include "net/Address.h"
 #include "net/HttpExchange.h"
+#include "net/HttpListenerLoad.h"
 
 #include <functional>
 #include <memory>
@@ -31,8 +32,10 @@
 /** Limits of a listener and of each of its connections. */
 struct HttpListenerLimits
 {
-    /** Further connections are closed at once. */
+    /** Requests on further connections are answered with status 503. */
     std::size_t maxConnections = 3000;
+    /** Connections beyond maxConnections that may wait for this answer at a time; still further ones are closed at once. */
+    std::size_t maxRejectedConnections = 64;
     /** A request over one of the next two limits is answered with status 413, and its connection is closed. */
     std::size_t maxHeaderBytes = 16384;
     std::size_t maxBodyBytes = 1 << 20;
@@ -40,6 +43,11 @@
     Milliseconds transferTimeout { 10000 };
     /** The longest time until the next request has arrived in full; a connection that is idle for so long is closed. */
     Milliseconds idleTimeout { 60000 };
+    /**
+        After the last reply of a connection, the longest time for the client to end it; input is dropped meanwhile. A client whose
+        request is refused before it was read in full has the transferTimeout.
+    */
+    Milliseconds lingerTimeout { 1000 };
 };
 
 /** HTTP/1.1 server on one address. All members are called from the loop's thread. */
@@ -52,14 +60,34 @@
     /** Binds the address and starts to accept connections. @return whether it succeeded; error says why not */
     bool listen(const Address &address, std::string &error);
 
+    /**
+        Announces the end of each connection, for a process that stops: each reply from now on carries "Connection: close", unless
+        further requests have arrived behind it, and its connection ends once the reply was written. New connections are accepted
+        and served in the same way.
+    */
+    void drain();
+
+    /**
+        Begins to end the connections that have waited for a request for so long: nothing more is sent, and the client has the
+        lingerTimeout to end the connection. A request that crosses with this is not carried out.
+    */
+    void closeIdle(Milliseconds minimumIdle);
+
+    /** Accepts the connections that wait and closes the listening socket, so that further ones are refused. */
+    void stopAccepting();
+
     /** The bound port, also if listen() was given port 0. */
     std::uint16_t port() const;
 
+    /** The number of connections, without those that are rejected because the listener is full. */
     std::size_t openConnections() const;
 
-    /** The number of requests that were received and are not yet answered. */
+    /** The number of requests that were received and whose reply has not been written to the socket in full. */
     std::size_t openRequests() const;
 
+    /** Counts what the connections are doing, with one system call for each that waits for a request. */
+    HttpListenerLoad load() const;
+
 private:
     struct Impl;
     std::shared_ptr<Impl> impl_;
