http: end connections only after an answer that announces it

What callers saw: when auburndoord stopped, requests on connections that waited for a connection thread were cut, and so were requests on kept connections of the operators' listener. Answers 404, 413 and 500 never announced the end of the connection.

Cause: once Server::stop() has been called, the loop of cpp-httplib ends a connection between two requests, and each connection that it had not begun to serve, without notice and without a look at its input. It also keeps a connection open after an answer with "Connection: close". The header was set by the routes only, before the answer was written.

Change: HttpServer has its own loop over the requests of a connection. While stopping, each answer carries "Connection: close" and the connection ends after it; accepted connections that wait for a thread are served first. Idle connections end at the keep-alive timeout, as before; while stopping, the wait for a thread counts towards it. Input read beyond a request is kept for the next one (cpp-httplib dropped it, so that a pipelined request got no answer). The connection ends after a request whose rest is not read: a malformed one, a body over the limit, or a GET with a body.

--- a/modules/http/HttpServer.cpp
+++ b/modules/http/HttpServer.cpp
@@ -1,8 +1,7 @@
 #include "http/HttpServer.h"
 
 #include "core/Failure.h"
-
-#include <httplib.h>
+#include "http/SocketStream.h"
 
 #include <algorithm>
 #include <deque>
@@ -22,6 +21,9 @@
 /** True on the threads that refuse the requests of connections over the limit. */
 thread_local bool isOverflowThread = false;
 
+/** True if the connection that this thread serves ends after the current answer, which announces it. */
+thread_local bool isLastAnswer = false;
+
 /**
     A thread pool with a limited queue of connections; further connections go to a few threads that refuse their requests at once.
 
@@ -98,14 +100,69 @@
     bool isShutDown_ = false;
 };
 
-/** A server that can enlarge the listen backlog, which cpp-httplib sets to 5. */
-class LargeBacklogServer : public httplib::Server
+/**
+    A server with its own loop over the requests of a connection, and a listen backlog larger than cpp-httplib's 5.
+
+    Once stopped, cpp-httplib ends connections between two requests and those that wait for a thread without notice or a look at
+    their input; and it does not end a connection after an answer with "Connection: close". This loop ends a connection only after
+    an answer that announces it, or when it has been idle.
+*/
+class ConnectionServer : public httplib::Server
 {
 public:
+    ConnectionServer(const HttpServerOptions &options, const std::atomic<bool> &isDraining)
+        : options_(options), isDraining_(isDraining)
+    {
+        set_post_routing_handler([this](const httplib::Request &request, httplib::Response &response) {
+            isLastAnswer = isLastAnswer || isDraining_ || isOverflowThread || hasUnreadBody(request);
+            if (isLastAnswer) {
+                response.headers.erase("Keep-Alive");
+                response.headers.erase("Connection");
+                response.set_header("Connection", "close");
+            }
+        });
+    }
+
     bool enlargeBacklog()
     {
         return ::listen(svr_sock_, listenBacklog) == 0;
     }
+
+private:
+    /** cpp-httplib reads the body of these methods only; that of another request would be taken for the next request. */
+    static bool hasUnreadBody(const httplib::Request &request)
+    {
+        const auto &method = request.method;
+        const bool isBodyRead = method == "POST" || method == "PUT" || method == "PATCH" || method == "DELETE";
+        const auto length = request.get_header_value("Content-Length");
+        return !isBodyRead && (request.has_header("Transfer-Encoding") || (!length.empty() && length != "0"));
+    }
+
+    bool process_and_close_socket(socket_t socket) override
+    {
+        SocketStream stream(socket, options_.readTimeout, options_.writeTimeout);
+        isLastAnswer = false;
+        bool isClosedByCaller = false;
+        auto idleTimeout = firstRequestTimeout();
+        while (!isLastAnswer && !isClosedByCaller && stream.waitForInput(idleTimeout)) {
+            if (!process_request(stream, false, isClosedByCaller, nullptr)) {
+                return false;
+            }
+            idleTimeout = options_.keepAliveTimeout;
+        }
+        return true;
+    }
+
+    /** While draining, the time that a connection without input has waited for its thread counts as idle, so that many such
+     * connections do not prolong the stop one after the other. */
+    std::chrono::milliseconds firstRequestTimeout() const
+    {
+        const std::chrono::milliseconds timeout = options_.keepAliveTimeout;
+        return isDraining_ ? std::max(std::chrono::milliseconds(0), timeout - connectionWaitTime) : timeout;
+    }
+
+    const HttpServerOptions &options_;
+    const std::atomic<bool> &isDraining_;
 };
 
 std::string toLower(std::string text)
@@ -147,19 +204,21 @@
 class HttpServer::Implementation
 {
 public:
-    explicit Implementation(const HttpServerOptions &options) : options_(options)
+    explicit Implementation(const HttpServerOptions &options) : options_(options), server_(options_, isDraining_)
     {
         server_.new_task_queue = [this] {
             return new BoundedConnectionQueue(options_.threadCount, options_.waitingConnectionLimit);
         };
+        // cpp-httplib names these two limits in the header "Keep-Alive" of an answer.
         server_.set_keep_alive_max_count(maxRequestsPerConnection);
         server_.set_keep_alive_timeout(options_.keepAliveTimeout.count());
         server_.set_tcp_nodelay(true);
-        server_.set_read_timeout(options_.readTimeout);
-        server_.set_write_timeout(options_.writeTimeout);
         server_.set_payload_max_length(options_.maxBodyBytes);
         server_.set_error_handler(httplib::Server::Handler([this](const httplib::Request &request, httplib::Response &response) {
-            if (errorHandler_ && response.body.empty()) {
+            const bool isRefusedUnrouted = response.body.empty();
+            // The rest of a request that could not be read would be taken for the next request.
+            isLastAnswer = isRefusedUnrouted && response.status != 404;
+            if (errorHandler_ && isRefusedUnrouted) {
                 fillResponse(response, errorHandler_(convertRequest(request), response.status));
             }
         }));
@@ -179,9 +238,6 @@
             } else {
                 fillResponse(response, handler(convertRequest(request)));
             }
-            if (isDraining_ || isOverflowThread) {
-                response.set_header("Connection", "close");
-            }
         };
         if (method == "GET") {
             server_.Get(pattern, handleRequest);
@@ -228,10 +284,10 @@
     }
 
     HttpServerOptions options_;
-    LargeBacklogServer server_;
+    std::atomic<bool> isDraining_ = false;
+    ConnectionServer server_;
     Handler overflowHandler_;
     std::function<HttpReply(const HttpRequest &, int)> errorHandler_;
-    std::atomic<bool> isDraining_ = false;
 
 private:
     std::thread listenerThread_;
--- a/modules/http/HttpServer.h
+++ b/modules/http/HttpServer.h
@@ -68,10 +68,12 @@
     /** Starts the threads that accept and serve connections until stop(). Call bind() first. */
     void start();
 
-    /** From now on closes each connection after its next reply, so that callers connect to another instance. */
+    /** From now on each answer carries "Connection: close" and its connection is closed after it, so that callers connect to
+     * another instance. Any thread. */
     void setDraining();
 
-    /** Stops accepting connections, finishes the requests in flight and joins all threads. */
+    /** Stops accepting connections, answers the requests on all accepted ones, those that wait for a thread included, and joins all
+     * threads. A connection without a request is closed once it has been idle for the keep-alive timeout. */
     void stop();
 
 private:
--- a/tests/http/RawConnection.cpp
+++ b/tests/fakes/RawConnection.cpp
@@ -1,4 +1,4 @@
-#include "http/RawConnection.h"
+#include "fakes/RawConnection.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -35,10 +35,16 @@
     return ::send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size());
 }
 
-bool RawConnection::sendRequest(const std::string &method, const std::string &path, const std::string &body) const
+bool RawConnection::sendRequest(const std::string &method,
+                                const std::string &path,
+                                const std::string &body,
+                                const std::map<std::string, std::string> &headers) const
 {
-    return send(method + " " + path + " HTTP/1.1\r\nHost: test\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
-                + body);
+    std::string request = method + " " + path + " HTTP/1.1\r\nHost: test\r\n";
+    for (const auto &[key, value] : headers) {
+        request += key + ": " + value + "\r\n";
+    }
+    return send(request + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
 }
 
 std::optional<std::string> RawConnection::readAnswer(std::chrono::milliseconds timeout)
--- a/tests/http/RawConnection.h
+++ b/tests/fakes/RawConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -22,7 +23,10 @@
     bool send(const std::string &bytes) const;
 
     /** Sends a request with this body. @return false if the connection was closed */
-    bool sendRequest(const std::string &method, const std::string &path, const std::string &body = {}) const;
+    bool sendRequest(const std::string &method,
+                     const std::string &path,
+                     const std::string &body = {},
+                     const std::map<std::string, std::string> &headers = {}) const;
 
     /** Reads one answer with its body. @return headers and body; empty if the connection ended or the time passed before the end */
     std::optional<std::string> readAnswer(std::chrono::milliseconds timeout);
--- a/tests/http/HttpServerStopTests.cpp
+++ b/tests/http/HttpServerStopTests.cpp
@@ -1,6 +1,6 @@
 #include "core/Failure.h"
+#include "fakes/RawConnection.h"
 #include "http/HttpServer.h"
-#include "http/RawConnection.h"
 
 #include <catch2/catch.hpp>
 
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds answerLimit { 10'000 };
+constexpr std::chrono::milliseconds answerLimit { 5000 };
 
 /** A server with routes that answer, fail, and wait until the test lets them answer. */
 struct StoppableServer
@@ -22,6 +22,7 @@
     explicit StoppableServer(const HttpServerOptions &options) : server(options)
     {
         server.route("POST", "/echo", [](const HttpRequest &request) { return HttpReply { 200, request.body, "text/plain", {} }; });
+        server.route("GET", "/value", [](const HttpRequest &) { return HttpReply { 200, "value", "text/plain", {} }; });
         server.route("POST", "/throw", [](const HttpRequest &) -> HttpReply { throw std::runtime_error("handler failed"); });
         server.route("POST", "/hold", [this](const HttpRequest &request) {
             ++heldRequests;
@@ -157,3 +158,34 @@
     INFO(answered << " requests answered in " << rounds << " stops");
     CHECK(cut == 0);
 }
+
+TEST_CASE("requests sent together on one connection are all answered", "[http]")
+{
+    // Guards against input that is read with one request and dropped: the request in it gets no answer.
+    StoppableServer stoppable { HttpServerOptions() };
+    RawConnection connection(stoppable.port);
+    const std::string request = "POST /echo HTTP/1.1\r\nHost: test\r\nContent-Length: 1\r\n\r\n";
+    REQUIRE(connection.send(request + "a" + request + "b" + request + "c"));
+    for (const std::string body : { "a", "b", "c" }) {
+        const auto answer = connection.readAnswer(answerLimit);
+        REQUIRE(answer);
+        CHECK(answer->ends_with("\r\n\r\n" + body));
+    }
+}
+
+TEST_CASE("input that is not read with its request is not taken for the next request", "[http]")
+{
+    // Guards against the execution of a request hidden in the body of a GET, or in the rest of a malformed message.
+    const std::string hidden = "POST /echo HTTP/1.1\r\nHost: test\r\nContent-Length: 6\r\n\r\nhidden";
+    const auto message = GENERATE_COPY("GET /value HTTP/1.1\r\nHost: test\r\nContent-Length: " + std::to_string(hidden.size())
+                                           + "\r\n\r\n" + hidden,
+                                       "malformed\r\n\r\n" + hidden);
+    StoppableServer stoppable { HttpServerOptions() };
+    RawConnection connection(stoppable.port);
+    REQUIRE(connection.send(message));
+    const auto answer = connection.readAnswer(answerLimit);
+    REQUIRE(answer);
+    INFO(*answer);
+    CHECK(RawConnection::announcesClose(*answer));
+    CHECK(connection.waitForClose(std::chrono::milliseconds(2500)));
+}
