http: accept the connections in the backlog before the listener is closed

What callers saw: connections opened while auburndoord stopped were reset after the request had been sent.

Cause: the kernel establishes connections and takes their requests before the listener's thread accepts them. Closing the listener resets those that are still in the backlog. On a busy machine that was nearly every client that was connecting at that moment.

Change: stop() attaches a socket filter to the listener that drops further SYNs, and closes it once no connection has been in the backlog for 20 ms, at the latest after 1 s. Senders of dropped SYNs repeat them after 1 s and are refused. A listen backlog of 0 was tried instead: it still admits one connection at a time.

--- a/modules/http/HttpServer.cpp
+++ b/modules/http/HttpServer.cpp
@@ -3,7 +3,12 @@
 #include "core/Failure.h"
 #include "http/SocketStream.h"
 
+#include <linux/filter.h>
+#include <poll.h>
+#include <sys/socket.h>
+
 #include <algorithm>
+#include <array>
 #include <deque>
 #include <utility>
 
@@ -14,6 +19,11 @@
 constexpr int listenBacklog = 1024;
 constexpr std::size_t maxRequestsPerConnection = 1'000'000;
 constexpr std::size_t overflowThreadCount = 2;
+/** Bound of the time in which a stopping server accepts the connections that are left in the listen backlog. */
+constexpr std::chrono::milliseconds backlogTimeout { 1000 };
+/** The backlog counts as empty after this time without a connection in it; longer than the round trip between failure domains, 8
+ * ms. */
+constexpr std::chrono::milliseconds backlogQuietTime { 20 };
 
 /** How long the connection that this thread serves waited for the thread; the first request takes the value and resets it. */
 thread_local std::chrono::milliseconds connectionWaitTime { 0 };
@@ -128,6 +138,18 @@
         return ::listen(svr_sock_, listenBacklog) == 0;
     }
 
+    /** Refuses new connections and waits until the listener's thread has accepted those in the backlog. The kernel resets the ones
+     * that are left in it when the listener is closed, although their callers may have sent requests. */
+    void emptyBacklog() const
+    {
+        const auto deadline = std::chrono::steady_clock::now() + backlogTimeout;
+        dropConnectionRequests();
+        pollfd entry { svr_sock_, POLLIN, 0 };
+        while (::poll(&entry, 1, static_cast<int>(backlogQuietTime.count())) > 0 && std::chrono::steady_clock::now() < deadline) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+    }
+
 private:
     /** cpp-httplib reads the body of these methods only; that of another request would be taken for the next request. */
     static bool hasUnreadBody(const httplib::Request &request)
@@ -138,6 +160,19 @@
         return !isBodyRead && (request.has_header("Transfer-Encoding") || (!length.empty() && length != "0"));
     }
 
+    /** Lets the kernel drop further SYNs at the listener. Their senders repeat them and are refused once the listener is closed. */
+    void dropConnectionRequests() const
+    {
+        constexpr unsigned flagsOffset = 13;
+        constexpr unsigned synFlag = 2;
+        std::array<sock_filter, 4> instructions { { BPF_STMT(BPF_LD | BPF_B | BPF_ABS, flagsOffset),
+                                                    BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, synFlag, 0, 1),
+                                                    BPF_STMT(BPF_RET | BPF_K, 0),
+                                                    BPF_STMT(BPF_RET | BPF_K, 0xffffffff) } };
+        const sock_fprog filter { static_cast<unsigned short>(instructions.size()), instructions.data() };
+        ::setsockopt(svr_sock_, SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof(filter));
+    }
+
     bool process_and_close_socket(socket_t socket) override
     {
         SocketStream stream(socket, options_.readTimeout, options_.writeTimeout);
@@ -279,6 +314,7 @@
             return;
         }
         isDraining_ = true;
+        server_.emptyBacklog();
         server_.stop();
         listenerThread_.join();
     }
--- a/tests/http/HttpServerStopTests.cpp
+++ b/tests/http/HttpServerStopTests.cpp
@@ -159,6 +159,41 @@
     CHECK(cut == 0);
 }
 
+TEST_CASE("connections opened all the time through a stop lose no request", "[http]")
+{
+    // Guards against the reset of connections that the kernel has established and the listener has not accepted when it is closed.
+    constexpr int rounds = 3;
+    constexpr int clientCount = 24;
+    std::atomic<int> answered = 0;
+    std::atomic<int> cut = 0;
+    for (int round = 0; round < rounds; ++round) {
+        StoppableServer stoppable { HttpServerOptions() };
+        const auto answeredBefore = answered.load();
+        std::vector<std::thread> clients;
+        for (int index = 0; index < clientCount; ++index) {
+            clients.emplace_back([&] {
+                for (auto isRefused = false; !isRefused;) {
+                    RawConnection connection(stoppable.port);
+                    isRefused = !connection.isOpen();
+                    if (!isRefused) {
+                        const auto isSent = connection.sendRequest("POST", "/echo", "text");
+                        ++(isSent && connection.readAnswer(answerLimit) ? answered : cut);
+                    }
+                }
+            });
+        }
+        while (answered < answeredBefore + 10 * clientCount) {
+            std::this_thread::yield();
+        }
+        stoppable.server.stop();
+        for (auto &client : clients) {
+            client.join();
+        }
+    }
+    INFO(answered << " requests answered in " << rounds << " stops");
+    CHECK(cut == 0);
+}
+
 TEST_CASE("requests sent together on one connection are all answered", "[http]")
 {
     // Guards against input that is read with one request and dropped: the request in it gets no answer.
