--- a/tests/fakes/RawConnection.cpp
+++ b/tests/fakes/RawConnection.cpp
@@ -42,7 +42,7 @@
 {
     std::string request = method + " " + path + " HTTP/1.1\r\nHost: test\r\n";
     for (const auto &[key, value] : headers) {
-        request += key + ": " + value + "\r\n";
+        request.append(key).append(": ").append(value).append("\r\n");
     }
     return send(request + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
 }
