http: ignore the ranges that a request names

What callers saw: nothing yet; found by reading. One request with 8 KB of "Range" header makes auburndoord hold the answer some 1,500 times in memory, on listeners of callers and operators, for routes without a token too (/metrics). Entry instances have 32 MB for the control plane.

Cause: cpp-httplib applies the header to each answer and does not merge or limit the ranges.

Change: the ranges of a request are cleared before it is routed, which HTTP allows; no client of the project sends the header.

Evidence: test-http "an answer is not multiplied by the ranges...", an answer of 1,000 bytes: before 1,482,347 bytes, after 1,000. Not measured with a real process.

--- a/modules/http/HttpServer.cpp
+++ b/modules/http/HttpServer.cpp
@@ -180,7 +180,10 @@
         bool isClosedByCaller = false;
         auto idleTimeout = firstRequestTimeout();
         while (!isLastAnswer && !isClosedByCaller && stream.waitForInput(idleTimeout)) {
-            if (!process_request(stream, false, isClosedByCaller, nullptr)) {
+            // Without this, each range of the header "Range" repeats its part of the answer in memory, as often as 8 KB of header
+            // name it.
+            const auto ignoreRanges = [](httplib::Request &request) { request.ranges.clear(); };
+            if (!process_request(stream, false, isClosedByCaller, ignoreRanges)) {
                 return false;
             }
             idleTimeout = options_.keepAliveTimeout;
--- a/tests/http/HttpServerTests.cpp
+++ b/tests/http/HttpServerTests.cpp
@@ -143,6 +143,27 @@
     CHECK(missing->body == "status 404");
 }
 
+TEST_CASE("an answer is not multiplied by the ranges that a request names", "[http]")
+{
+    // Guards against a process that runs out of memory: 8 KB of header name 2,000 ranges, each a copy of the answer.
+    HttpServer server { HttpServerOptions() };
+    server.route("GET", "/large", [](const HttpRequest &) { return HttpReply { 200, std::string(1000, 'x'), "text/plain", {} }; });
+    Failure failure;
+    const auto port = server.bind(failure);
+    REQUIRE(port);
+    server.start();
+    std::string ranges = "bytes=0-999";
+    while (ranges.size() < 8000) {
+        ranges += ",0-999";
+    }
+    HttpClient client("127.0.0.1:" + std::to_string(*port), 1);
+    Delivery delivery = Delivery::NotSent;
+    const auto reply = client.exchange("GET", "/large", {}, { { "Range", ranges } }, callTimeout, false, delivery, failure);
+    REQUIRE(reply);
+    CHECK(reply->status == 200);
+    CHECK(reply->body.size() == 1000);
+}
+
 namespace {
 
 /** A server that answers one request, reads a second one on the same connection, and closes its sockets without an answer. */
