peer: close the listener before the connections of peers

What callers saw: calls between instances that were sent while an instance stopped were lost, so that a forwarded request ended as unknown though it had not run.

Cause: PeerServer::stop() ended the thread that accepts connections, then the connections, and closed the listener last. A peer whose connection had ended opened a new one, which the kernel established and reset when the listener was closed. A peer also kept a connection after the refusal "shutting down" and sent its next call on it while the server closed it.

Change: the listener thread drops further SYNs, accepts what is left in the backlog and closes the listener; the time in which calls are still refused follows. ThriftPeer gives up a connection after that refusal. The socket filter moves from HttpServer to core.

An instance says that it is leaving at least 1 s before this stop, so that few forwarded requests are concerned in practice; how many was not measured.

--- a/modules/http/HttpServer.cpp
+++ b/modules/http/HttpServer.cpp
@@ -1,14 +1,13 @@
 #include "http/HttpServer.h"
 
 #include "core/Failure.h"
+#include "core/ListenerFilter.h"
 #include "http/SocketStream.h"
 
-#include <linux/filter.h>
 #include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
-#include <array>
 #include <deque>
 #include <utility>
 
@@ -143,7 +142,7 @@
     void emptyBacklog() const
     {
         const auto deadline = std::chrono::steady_clock::now() + backlogTimeout;
-        dropConnectionRequests();
+        dropConnectionRequests(svr_sock_);
         pollfd entry { svr_sock_, POLLIN, 0 };
         while (::poll(&entry, 1, static_cast<int>(backlogQuietTime.count())) > 0 && std::chrono::steady_clock::now() < deadline) {
             std::this_thread::sleep_for(std::chrono::milliseconds(1));
@@ -160,19 +159,6 @@
         return !isBodyRead && (request.has_header("Transfer-Encoding") || (!length.empty() && length != "0"));
     }
 
-    /** Lets the kernel drop further SYNs at the listener. Their senders repeat them and are refused once the listener is closed. */
-    void dropConnectionRequests() const
-    {
-        constexpr unsigned flagsOffset = 13;
-        constexpr unsigned synFlag = 2;
-        std::array<sock_filter, 4> instructions { { BPF_STMT(BPF_LD | BPF_B | BPF_ABS, flagsOffset),
-                                                    BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, synFlag, 0, 1),
-                                                    BPF_STMT(BPF_RET | BPF_K, 0),
-                                                    BPF_STMT(BPF_RET | BPF_K, 0xffffffff) } };
-        const sock_fprog filter { static_cast<unsigned short>(instructions.size()), instructions.data() };
-        ::setsockopt(svr_sock_, SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof(filter));
-    }
-
     bool process_and_close_socket(socket_t socket) override
     {
         SocketStream stream(socket, options_.readTimeout, options_.writeTimeout);
--- a/modules/peer/PeerServer.cpp
+++ b/modules/peer/PeerServer.cpp
@@ -1,6 +1,7 @@
 #include "peer/PeerServer.h"
 
 #include "core/Failure.h"
+#include "core/ListenerFilter.h"
 #include "observability/Log.h"
 #include "observability/Metrics.h"
 #include "observability/Traffic.h"
@@ -26,6 +27,8 @@
 
 // How often the listener thread removes ended connections and checks whether the server is stopping.
 constexpr Milliseconds listenerPollPeriod { 100 };
+// The backlog counts as empty after this time without a connection in it; longer than the round trip between failure domains, 8 ms.
+constexpr Milliseconds backlogQuietTime { 20 };
 
 /** One accepted connection. Its socket is closed only after its thread has been joined. */
 struct Connection
@@ -68,10 +71,11 @@
     {
         context_.callLimiter.close();
         if (listenerThread_.joinable()) {
-            // A call sent by a peer that does not know of the stop yet gets a definite refusal instead of a lost connection.
-            std::this_thread::sleep_for(options_.drainTime);
             isStopping_ = true;
             listenerThread_.join();
+            // A call sent by a peer that does not know of the stop yet gets a definite refusal instead of a lost connection. The
+            // peer then gives up the connection, and cannot open another one.
+            std::this_thread::sleep_for(options_.drainTime);
         }
         for (const auto &connection : connections_) {
             connection.socket.shutdownReading();
@@ -80,12 +84,17 @@
             connection.thread.join();
         }
         connections_.clear();
+        closeListener();
+    }
+
+private:
+    void closeListener()
+    {
         if (listener_ >= 0) {
             ::close(std::exchange(listener_, -1));
         }
     }
 
-private:
     void acceptConnections()
     {
         while (!isStopping_) {
@@ -95,6 +104,14 @@
             }
             removeEndedConnections();
         }
+        dropConnectionRequests(listener_);
+        const auto deadline = std::chrono::steady_clock::now() + listenerPollPeriod;
+        pollfd pollEntry { listener_, POLLIN, 0 };
+        while (::poll(&pollEntry, 1, static_cast<int>(backlogQuietTime.count())) > 0
+               && std::chrono::steady_clock::now() < deadline) {
+            acceptConnection();
+        }
+        closeListener();
     }
 
     void acceptConnection()
@@ -201,7 +218,7 @@
     SessionContext context_;
     int listener_ = -1;
     std::atomic<bool> isStopping_ { false };
-    /** Used by the listener thread, and by stop() once that thread has ended. */
+    /** Used, like the listener, by the listener thread, and by stop() once that thread has ended. */
     std::list<Connection> connections_;
     std::thread listenerThread_;
 };
--- a/modules/peer/PeerServer.h
+++ b/modules/peer/PeerServer.h
@@ -32,8 +32,8 @@
     std::size_t connectionLimit = 1024;
     /** Calls in flight at the same time, without heartbeats; further ones are refused before anything is done. */
     std::size_t callLimit = 512;
-    /** How long stop() still answers new calls, with a refusal, after the calls in flight have finished and before it closes the
-        connections. */
+    /** How long stop() still answers new calls, with a refusal, after the calls in flight have finished and the listener has been
+        closed, and before it closes the connections. */
     Milliseconds drainTime { 100 };
 };
 
--- a/modules/peer/ThriftPeer.cpp
+++ b/modules/peer/ThriftPeer.cpp
@@ -180,11 +180,9 @@
         countFrameBytes("peer_call_bytes_total", "received", *bytes);
         countTraffic(metrics_, "peer/" + readCallName(message), computeFrameSize(message) + computeFrameSize(*bytes));
         const auto exchangeStatus = decodeAnswer(*bytes, readAnswer, failure);
-        if (exchangeStatus == ExchangeStatus::MaybeExecuted) {
-            connectionPool_.discard();
-        } else {
-            connectionPool_.release(std::move(*socket));
-        }
+        // A peer that shuts down closes its connections; a call that it does not read has an unknown outcome.
+        const bool isReusable = exchangeStatus != ExchangeStatus::MaybeExecuted && failure.reason != FailureReason::ShuttingDown;
+        isReusable ? connectionPool_.release(std::move(*socket)) : connectionPool_.discard();
         return exchangeStatus;
     }
 
--- a/tests/peer/PeerTests.cpp
+++ b/tests/peer/PeerTests.cpp
@@ -8,7 +8,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <thread>
+#include <vector>
 
 using namespace auburndoor;
 using namespace std::chrono_literals;
@@ -278,6 +280,35 @@
     CHECK(fixture.handler.executions == 2);
 }
 
+TEST_CASE("calls sent all the time through a stop have a definite outcome", "[peer]")
+{
+    // Guards against connections that are reset in the listen backlog or closed after a refusal: the call's outcome is then
+    // Unknown.
+    constexpr int rounds = 4;
+    constexpr int clientCount = 24;
+    std::atomic<int> unknown = 0;
+    for (int round = 0; round < rounds; ++round) {
+        PeerFixture fixture;
+        std::vector<std::thread> clients;
+        for (int index = 0; index < clientCount; ++index) {
+            clients.emplace_back([&, index] {
+                const auto client = fixture.connect(fixture.secret);
+                Outcome outcome;
+                for (int number = 0; outcome.failure.reason != FailureReason::ConnectionFailed; ++number) {
+                    outcome = client->execute(fixture.request(std::to_string(index) + "-" + std::to_string(number)), timeout);
+                    unknown += outcome.status == OutcomeStatus::Unknown ? 1 : 0;
+                }
+            });
+        }
+        fixture.waitForExecutions(10 * clientCount);
+        fixture.server->stop();
+        for (auto &client : clients) {
+            client.join();
+        }
+    }
+    CHECK(unknown == 0);
+}
+
 TEST_CASE("calls succeed after the server was replaced on the same port", "[peer]")
 {
     // Guards against a client that keeps using connections to a process that has ended.
