http: an error handler that throws does not end the process

What callers saw: nothing; found by reading. A request without a route would have ended auburndoord with all its requests, had the error handler of a listener thrown. Those of today write their text with replacement of bytes that are not UTF-8, so only a lack of memory makes them throw.

Cause: cpp-httplib calls its error handler outside of the try block that protects routes, on a thread of its own.

Change: the exception is caught and logged; the answer keeps its status, with an empty body.

Evidence: a program with such a handler and one request: before, abort (exit status 134).

--- a/modules/http/HttpServer.cpp
+++ b/modules/http/HttpServer.cpp
@@ -3,6 +3,7 @@
 #include "core/Failure.h"
 #include "core/ListenerFilter.h"
 #include "http/SocketStream.h"
+#include "observability/Log.h"
 
 #include <poll.h>
 #include <sys/socket.h>
@@ -243,7 +244,7 @@
             // The rest of a request that could not be read would be taken for the next request.
             isLastAnswer = isRefusedUnrouted && response.status != 404;
             if (errorHandler_ && isRefusedUnrouted) {
-                fillResponse(response, errorHandler_(convertRequest(request), response.status));
+                fillWithError(request, response);
             }
         }));
         server_.set_exception_handler([](const httplib::Request &, httplib::Response &response, std::exception_ptr) {
@@ -315,6 +316,16 @@
     std::function<HttpReply(const HttpRequest &, int)> errorHandler_;
 
 private:
+    /** cpp-httplib catches the exceptions of routes, but not those of its error handler, which would end the process. */
+    void fillWithError(const httplib::Request &request, httplib::Response &response) const
+    {
+        try {
+            fillResponse(response, errorHandler_(convertRequest(request), response.status));
+        } catch (const std::exception &exception) {
+            Log::error("http-error-handler-failed", { { "error", exception.what() } });
+        }
+    }
+
     std::thread listenerThread_;
 };
 
--- a/tests/http/HttpServerTests.cpp
+++ b/tests/http/HttpServerTests.cpp
@@ -143,6 +143,21 @@
     CHECK(missing->body == "status 404");
 }
 
+TEST_CASE("an error handler that throws ends neither the process nor the answer", "[http]")
+{
+    // Guards against a request that ends the process: cpp-httplib calls the error handler outside of its own try block.
+    HttpServer server { HttpServerOptions() };
+    server.setErrorHandler([](const HttpRequest &, int) -> HttpReply { throw std::runtime_error("handler failed"); });
+    Failure failure;
+    const auto port = server.bind(failure);
+    REQUIRE(port);
+    server.start();
+    HttpClient client("127.0.0.1:" + std::to_string(*port), 1);
+    const auto reply = post(client, "/missing", "x", failure);
+    REQUIRE(reply);
+    CHECK(reply->status == 404);
+}
+
 TEST_CASE("an answer is not multiplied by the ranges that a request names", "[http]")
 {
     // Guards against a process that runs out of memory: 8 KB of header name 2,000 ranges, each a copy of the answer.
