--- a/tests/entry/AdvicePoolTests.cpp
+++ b/tests/entry/AdvicePoolTests.cpp
@@ -37,6 +37,7 @@
     AdvicePoolFixture()
         : listener(loop, HttpListenerLimits(), [this](const WebRequest &request, const HttpResponderPointer &responder) {
             const auto adviceRequest = PeerCodec::readAdviceRequest(request);
+            INFO(request.method << " " << request.target << " " << request.body);
             REQUIRE(adviceRequest);
             ++receivedByPeer;
             responder->reply(PeerCodec::adviceReply(
