--- a/tests/dispatch/OwnerStopTests.cpp
+++ b/tests/dispatch/OwnerStopTests.cpp
@@ -49,3 +49,39 @@
     REQUIRE(flushedAt);
     CHECK(std::chrono::duration_cast<Milliseconds>(*flushedAt - stoppedAt).count() <= flushTimeout.count() / 3);
 }
+
+// Guards against calls that an owner still takes while it stops and then drops unanswered: their rows wait behind those that the
+// stop waits for. The caller's process repeats such a call only after a second, though the runs of the job were stopped at once.
+TEST_CASE("a cancellation that a stopping owner takes is answered by this owner")
+{
+    OwnerFixture cell;
+    // The check of the starts knows only jobs of OwnerFixture::submit().
+    cell.fleet.onStarted = {};
+    cell.plan = [](const TaskName &, std::int64_t) { return SimulatedWork { std::chrono::hours(1), RunOutcome::Done }; };
+    cell.addWorker("w1", 4);
+    cell.takeOver();
+    REQUIRE(cell.submit(jobIdOf(1), jobBody(1, 1000)) == ClientResult::Outcome::Accepted);
+    cell.timers.advance(Milliseconds(1000));
+    cell.store.setAnswerTime(Milliseconds(100));
+    ClientCall submission;
+    submission.kind = ClientCall::Kind::Submit;
+    submission.queue = "normal";
+    submission.job = jobIdOf(2);
+    submission.body = jobBody(1, 1000);
+    cell.owner->call(submission, [](const ClientResult &) {});
+    cell.timers.advance(timeStep * 2);
+    bool isFlushed = false;
+    cell.owner->flush(flushTimeout, [&](const Ownership &) { isFlushed = true; });
+    cell.timers.advance(timeStep);
+    std::optional<ClientResult::Outcome> outcome;
+    ClientCall cancellation;
+    cancellation.kind = ClientCall::Kind::Cancel;
+    cancellation.job = jobIdOf(1);
+    cell.owner->call(cancellation, [&](const ClientResult &result) { outcome = result.outcome; });
+    while (!isFlushed) {
+        cell.timers.advance(timeStep);
+    }
+    // The next owner's row of the epoch fences off what the former one has not stored.
+    cell.takeOver();
+    CHECK(outcome.has_value());
+}
--- a/tests/dispatch/ServiceRepairTests.cpp
+++ b/tests/dispatch/ServiceRepairTests.cpp
@@ -237,6 +237,26 @@
     CHECK(full.measureLongestAbsence(Milliseconds(10000)).count() <= maxRepairTime.count());
 }
 
+// Guards against runs that an owner has adopted and that no record names, as those started by an earlier release: the owner after
+// it takes a lost task for one that has never run, however long the adopting owner has had it.
+TEST_CASE("a service whose runs were adopted is whole again within seconds of the next takeover")
+{
+    FullCell full("normal", "urgent");
+    while (full.countRunningTasks() < FullCell::serviceTasks) {
+        full.advance(Milliseconds(1));
+    }
+    // Before the record of the start is stored.
+    full.cell.killOwner();
+    full.cell.takeOver();
+    full.advance(Milliseconds(50000));
+    full.advanceUnderLoad(Milliseconds(2000));
+    REQUIRE(full.countRunningTasks() == FullCell::serviceTasks);
+    full.cell.killOwner();
+    full.crashWorkerOfService();
+    full.cell.takeOver();
+    CHECK(full.measureLongestAbsence(Milliseconds(10000)).count() <= maxRepairTime.count());
+}
+
 // Guards against searches that become rare with the age of the service: only the time for which a task has waited counts, and a
 // search may be delayed by an eighth of it.
 TEST_CASE("a service that has run for long is repaired soon after there is room")
