--- a/tests/dispatch/ServiceRepairTests.cpp
+++ b/tests/dispatch/ServiceRepairTests.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -257,6 +258,55 @@
     CHECK(full.measureLongestAbsence(Milliseconds(10000)).count() <= maxRepairTime.count());
 }
 
+// Guards against a service of which a new owner knows only that its run has ended: no record names the run, and none is left to
+// adopt, so that the service waits behind all more urgent work as one that has never run.
+TEST_CASE("a service whose only run ends before the next owner reads it is whole again within seconds")
+{
+    OwnerFixture cell;
+    // The check of the starts knows only jobs of OwnerFixture::submit().
+    cell.fleet.onStarted = {};
+    constexpr Milliseconds firstRunDuration { 300 };
+    cell.plan = [&](const TaskName &task, std::int64_t attempt) {
+        if (task.job != serviceId) {
+            return SimulatedWork {};
+        }
+        return attempt == 1 ? SimulatedWork { firstRunDuration, RunOutcome::Failed }
+                            : SimulatedWork { std::chrono::hours(1), RunOutcome::Done };
+    };
+    auto &worker = cell.addWorker("w1", 4);
+    cell.takeOver();
+    REQUIRE(cell.submit(serviceId, jobBody(1, 1000, R"(,"longRunning":true)")) == ClientResult::Outcome::Accepted);
+    while (worker.runs().empty()) {
+        cell.timers.advance(Milliseconds(1));
+    }
+    // Before the record of the start is stored.
+    cell.killOwner();
+    cell.timers.advance(firstRunDuration * 2);
+    // The backlog is there before the worker is read.
+    worker.isCutOff = true;
+    cell.takeOver();
+    for (int number = 1; number <= 100; ++number) {
+        ClientCall call;
+        call.kind = ClientCall::Kind::Submit;
+        call.queue = "urgent";
+        call.job = jobIdOf(number);
+        call.body = jobBody(1, 1000);
+        cell.owner->call(call, [](const ClientResult &) {});
+    }
+    cell.timers.advance(Milliseconds(200));
+    worker.isCutOff = false;
+    const auto readableAt = cell.timers.now();
+    std::optional<TimePoint> startedAt;
+    cell.fleet.onStarted = [&](SimulatedWorker &, const StartCommand &command) {
+        if (command.task.job == serviceId && !startedAt) {
+            startedAt = cell.timers.now();
+        }
+    };
+    cell.timers.advance(Milliseconds(30000));
+    REQUIRE(startedAt);
+    CHECK(std::chrono::duration_cast<Milliseconds>(*startedAt - readableAt).count() <= maxRepairTime.count());
+}
+
 // Guards against searches that become rare with the age of the service: only the time for which a task has waited counts, and a
 // search may be delayed by an eighth of it.
 TEST_CASE("a service that has run for long is repaired soon after there is room")
