End the connections of a stopping process in order

Callers saw: requests in flight on kept connections were cut at each stop, 25 to 39 ms after they were sent.

Cause: a stopping process read requests from kept connections until none was open and then exited. No answer announced the end, so clients had always sent their next request. The listening socket closed with connections in its queue.

Change: HttpListener::drain() lets each answer carry "Connection: close" (unless further requests have arrived behind it), after which the send side is shut down and input is dropped until the client ends the connection or for 1 s. closeIdle() ends connections without a request in the same way; ListenerDrain does that from 1.1 s after the stop signal for those idle for 0.5 s, and for all near the end. After the balancer's 2.2 s the queue of the listening socket is accepted before it closes. The process exits when all connections of clients have ended, or at the latest time as before. Other processes are served until then and until the ownership is handed over; their listener then refuses connections and ends idle ones. A request that arrives after the end of its connection has begun is not carried out; process.stopped and client_requests_discarded count it.

--- a/modules/entry/EntryInstance.cpp
+++ b/modules/entry/EntryInstance.cpp
@@ -220,6 +220,7 @@
     metrics.setGauge("client_requests_open", static_cast<double>(load.openRequests));
     metrics.setGauge("client_replies_unwritten", static_cast<double>(load.unwrittenReplies));
     metrics.setGauge("client_requests_partial", static_cast<double>(load.partialRequests));
+    metrics.setGauge("client_requests_discarded", static_cast<double>(load.discardedRequests));
     metrics.setGauge("client_connections_idle", static_cast<double>(load.idleConnections));
     metrics.setGauge("client_oldest_request_milliseconds", static_cast<double>(load.oldestAge.count()));
     workerRelay.updateMetrics(metrics);
@@ -318,6 +319,7 @@
                       { "unwritten_replies", load.unwrittenReplies },
                       { "partial_requests", load.partialRequests },
                       { "idle_connections", load.idleConnections },
+                      { "discarded_requests", load.discardedRequests },
                       { "oldest_request_ms", load.oldestAge.count() },
                       { "peer_requests", peerListener.openRequests() } });
 }
@@ -361,7 +363,8 @@
     const auto maxDuration = impl_->dependencies.settings.shutdownGrace - exitMargin;
     impl_->loop.after(maxDuration - finalReplyMargin, [impl = impl_] { impl->callForwarder.close(); });
     const ListenerDrainTiming timing { .acceptDuration = std::min(balancerDrainDelay, maxDuration), .maxDuration = maxDuration };
-    impl_->drain = std::make_unique<ListenerDrain>(impl_->loop, impl_->clientListener, impl_->peerListener, timing);
+    impl_->drain = std::make_unique<ListenerDrain>(
+        impl_->loop, impl_->clientListener, impl_->peerListener, timing, [impl = impl_.get()] { return impl->owner != nullptr; });
     impl_->drain->start([impl = impl_, done = std::move(done)] {
         impl->logStopped();
         EventLog::flush();
--- a/modules/entry/EntryInstance.h
+++ b/modules/entry/EntryInstance.h
@@ -39,10 +39,11 @@
     bool start(std::string &error);
 
     /**
-        Stops the process gracefully: reports it not ready, releases the ownership, and lets open requests finish.
+        Stops the process gracefully: reports it not ready, releases the ownership, lets open requests finish and ends the clients'
+        connections in order (ListenerDrain).
 
-        @param done called when no requests are open, or shortly before the end of EntrySettings::shutdownGrace; not called if
-                    shutDown() was called before
+        @param done called when that is done, or shortly before the end of EntrySettings::shutdownGrace; not called if shutDown()
+                    was called before
     */
     void shutDown(std::function<void()> done);
 
--- a/modules/net/HttpListener.cpp
+++ b/modules/net/HttpListener.cpp
@@ -21,7 +21,7 @@
 struct HttpListener::Impl : std::enable_shared_from_this<HttpListener::Impl>
 {
     Impl(EventLoop &loop, HttpListenerLimits limits, HttpHandler handler)
-        : context(std::make_shared<HttpListenerContext>(HttpListenerContext { loop, limits, std::move(handler), {}, 0, 0 }))
+        : context(std::make_shared<HttpListenerContext>(HttpListenerContext { loop, limits, std::move(handler) }))
         , acceptor(loop.context().get_executor())
     {
     }
@@ -35,12 +35,17 @@
     }
 
     std::shared_ptr<HttpListenerContext> context;
+    /** stopAccepting() was called: a connection that was accepted just before is still served. */
+    bool isAcceptingEnded = false;
     asio::basic_socket_acceptor<asio::ip::tcp, asio::io_context::executor_type> acceptor;
 };
 
 void HttpListener::Impl::accept()
 {
     acceptor.async_accept([self = shared_from_this()](const error_code &error, LoopSocket socket) {
+        if (!error && (self->acceptor.is_open() || self->isAcceptingEnded)) {
+            self->serve(std::move(socket));
+        }
         if (!self->acceptor.is_open()) {
             return;
         }
@@ -50,7 +55,6 @@
             self->context->loop.after(acceptRetryDelay, [self] { self->accept(); });
             return;
         }
-        self->serve(std::move(socket));
         self->accept();
     });
 }
@@ -99,6 +103,39 @@
     return true;
 }
 
+void HttpListener::drain()
+{
+    impl_->context->isDraining = true;
+}
+
+void HttpListener::closeIdle(Milliseconds minimumIdle)
+{
+    for (auto *session : impl_->context->sessions) {
+        session->closeIfIdle(minimumIdle);
+    }
+}
+
+void HttpListener::stopAccepting()
+{
+    auto &acceptor = impl_->acceptor;
+    if (!acceptor.is_open()) {
+        return;
+    }
+    error_code error;
+    acceptor.non_blocking(true, error);
+    // Without this option accept() waits for another connection after one that its client has aborted.
+    acceptor.set_option(asio::socket_base::enable_connection_aborted(true), error);
+    for (int attempt = 0; attempt <= listenBacklog && (!error || error == asio::error::connection_aborted); ++attempt) {
+        LoopSocket socket(impl_->context->loop.context().get_executor());
+        acceptor.accept(socket, error);
+        if (!error) {
+            impl_->serve(std::move(socket));
+        }
+    }
+    impl_->isAcceptingEnded = true;
+    acceptor.close(error);
+}
+
 std::uint16_t HttpListener::port() const
 {
     error_code ignored;
@@ -118,6 +155,7 @@
 HttpListenerLoad HttpListener::load() const
 {
     HttpListenerLoad load;
+    load.discardedRequests = impl_->context->discardedRequests;
     for (const auto *session : impl_->context->sessions) {
         session->addTo(load);
     }
--- a/modules/net/HttpListener.h
+++ b/modules/net/HttpListener.h
@@ -60,6 +60,22 @@
     /** Binds the address and starts to accept connections. @return whether it succeeded; error says why not */
     bool listen(const Address &address, std::string &error);
 
+    /**
+        Announces the end of each connection, for a process that stops: each reply from now on carries "Connection: close", unless
+        further requests have arrived behind it, and its connection ends once the reply was written. New connections are accepted
+        and served in the same way.
+    */
+    void drain();
+
+    /**
+        Begins to end the connections that have waited for a request for so long: nothing more is sent, and the client has the
+        lingerTimeout to end the connection. A request that crosses with this is not carried out.
+    */
+    void closeIdle(Milliseconds minimumIdle);
+
+    /** Accepts the connections that wait and closes the listening socket, so that further ones are refused. */
+    void stopAccepting();
+
     /** The bound port, also if listen() was given port 0. */
     std::uint16_t port() const;
 
--- a/modules/net/HttpListenerContext.h
+++ b/modules/net/HttpListenerContext.h
@@ -16,11 +16,15 @@
     HttpListenerLimits limits;
     HttpHandler handler;
     /** The open connections. */
-    std::unordered_set<HttpSession *> sessions;
+    std::unordered_set<HttpSession *> sessions {};
     /** Those of them that are only told that the listener is full. */
     std::size_t rejectedSessions = 0;
     /** Requests that were received and whose reply is not yet written in full. */
     std::size_t openRequests = 0;
+    /** Replies announce the end of their connection. */
+    bool isDraining = false;
+    /** Requests that arrived after the end of their connection was announced or begun, so that they were not carried out. */
+    std::size_t discardedRequests = 0;
 };
 
 } // namespace auburndoor
--- a/modules/net/HttpListenerLoad.h
+++ b/modules/net/HttpListenerLoad.h
@@ -17,6 +17,11 @@
     std::size_t partialRequests = 0;
     /** Connections that wait for a request. */
     std::size_t idleConnections = 0;
+    /**
+        Since the start: requests that arrived after the end of their connection was announced or begun, so that they were not
+       carried out. Requests that were cut off or came together count as one.
+    */
+    std::size_t discardedRequests = 0;
     /**
         The time since the oldest request of the first three counts arrived, or since its connection became ready for it if it was
         not read in full; zero if there is none.
--- a/modules/net/HttpSession.cpp
+++ b/modules/net/HttpSession.cpp
@@ -63,6 +63,10 @@
     state_ = State::Writing;
     auto &output = stream_.output();
     output.clear();
+    if (keepAlive_ && context_->isDraining && !stream_.hasUnreadInput()) {
+        keepAlive_ = false;
+        isEndAnnounced_ = true;
+    }
     appendReply(output, reply, keepAlive_);
     stream_.deadline().set(context_->loop.now() + context_->limits.transferTimeout);
     stream_.write([self = shared_from_this()](const ErrorCode &error) { self->onWritten(error); });
@@ -73,6 +77,22 @@
     close();
 }
 
+bool HttpSession::isIdle() const
+{
+    return state_ == State::Reading && !parser_->got_some() && !stream_.hasUnreadInput();
+}
+
+void HttpSession::closeIfIdle(Milliseconds minimumIdle)
+{
+    if (!isIdle() || context_->loop.now() - busySince_ < minimumIdle) {
+        return;
+    }
+    // The pending read notices the end of the connection.
+    state_ = State::Lingering;
+    stream_.shutDownSend();
+    stream_.deadline().set(context_->loop.now() + context_->limits.lingerTimeout);
+}
+
 void HttpSession::addTo(HttpListenerLoad &load) const
 {
     if (state_ == State::Lingering || state_ == State::Closed) {
@@ -82,11 +102,11 @@
         ++load.openRequests;
     } else if (state_ == State::Writing) {
         ++load.unwrittenReplies;
-    } else if (parser_->got_some() || stream_.hasUnreadInput()) {
-        ++load.partialRequests;
-    } else {
+    } else if (isIdle()) {
         ++load.idleConnections;
         return;
+    } else {
+        ++load.partialRequests;
     }
     load.oldestAge = std::max(load.oldestAge, std::chrono::duration_cast<Milliseconds>(context_->loop.now() - busySince_));
 }
@@ -107,6 +127,10 @@
 
 void HttpSession::onRead(const ErrorCode &error)
 {
+    if (state_ == State::Lingering) {
+        onReadWhileLingering(error);
+        return;
+    }
     if (state_ != State::Reading) {
         return;
     }
@@ -135,17 +159,36 @@
     } else if (keepAlive_) {
         read();
     } else {
-        linger(isRestExpected_ ? context_->limits.transferTimeout : context_->limits.lingerTimeout);
+        linger();
     }
 }
 
-void HttpSession::linger(Milliseconds duration)
+void HttpSession::onReadWhileLingering(const ErrorCode &error)
 {
+    if (error) {
+        close();
+        return;
+    }
+    ++context_->discardedRequests;
+    discardInput();
+}
+
+void HttpSession::linger()
+{
+    const auto &limits = context_->limits;
     state_ = State::Lingering;
-    parser_.reset();
     stream_.shutDownSend();
-    stream_.deadline().set(context_->loop.now() + duration);
-    stream_.discardInput([self = shared_from_this()](const ErrorCode &, std::size_t) { self->close(); });
+    stream_.deadline().set(context_->loop.now() + (isRestExpected_ ? limits.transferTimeout : limits.lingerTimeout));
+    discardInput();
+}
+
+void HttpSession::discardInput()
+{
+    parser_.reset();
+    stream_.discardInput([self = shared_from_this()](const ErrorCode &, std::size_t size) {
+        self->context_->discardedRequests += self->isEndAnnounced_ && size > 0 ? 1 : 0;
+        self->close();
+    });
 }
 
 void HttpSession::beginRequest()
--- a/modules/net/HttpSession.h
+++ b/modules/net/HttpSession.h
@@ -32,6 +32,9 @@
     void reply(WebReply reply) override;
     void abandon() override;
 
+    /** Begins to end the connection if it has waited for a request for so long. */
+    void closeIfIdle(Milliseconds minimumIdle);
+
     /** Adds this connection to the counts. */
     void addTo(HttpListenerLoad &load) const;
 
@@ -50,17 +53,19 @@
         Closed,
     };
 
+    bool isIdle() const;
     void readRest();
     void onRead(const ErrorCode &error);
     void handleRequest();
     void onWritten(const ErrorCode &error);
+    /** The end of a request that was still arriving when the connection began to end. */
+    void onReadWhileLingering(const ErrorCode &error);
     /**
         Ends the connection after a reply: closing it with unread input would reset it, on which the client's system may discard
         the reply.
-
-        @param duration for how long the client may take to end the connection
     */
-    void linger(Milliseconds duration);
+    void linger();
+    void discardInput();
     /** Counts the current request as open, and the connection as busy from now on. */
     void beginRequest();
     void finishRequest();
@@ -72,6 +77,8 @@
     State state_ = State::Reading;
     /** The connection may be used for another request after the current one. */
     bool keepAlive_ = true;
+    /** Set with the last reply of a connection that its client would have kept, so that further input may be a request. */
+    bool isEndAnnounced_ = false;
     /** The current request was refused before it was read in full, so the rest of it may still arrive. */
     bool isRestExpected_ = false;
     /** The connection counts in HttpListenerContext::rejectedSessions. */
--- a/tests/entry/ListenerDrainTests.cpp
+++ b/tests/entry/ListenerDrainTests.cpp
@@ -208,3 +208,47 @@
     }
     CHECK(process.duration < Milliseconds(2000));
 }
+
+// Guards against a request that crosses with the close of its connection, and against a stop that idle connections make longer.
+TEST_CASE("idle connections end in order before a stop ends, which they do not hold up")
+{
+    StoppingProcess process({ .acceptDuration = Milliseconds(1200), .maxDuration = Milliseconds(4000) },
+                            [](const WebRequest &, const HttpResponderPointer &responder) { responder->reply({}); });
+    auto client = process.connect();
+    process.runUntil([&] { return process.clients.openConnections() == 1; });
+    Received received(client);
+    process.startDrain();
+    process.runUntil([&] { return received.hasEnded; });
+    CHECK(received.error == boost::asio::error::eof);
+    CHECK_FALSE(process.isDone);
+    client.close();
+    process.runUntil([&] { return process.isDone; });
+    CHECK(process.loadAtEnd.idleConnections == 0);
+    CHECK(process.duration >= Milliseconds(1200));
+    CHECK(process.duration < Milliseconds(1800));
+}
+
+// Guards against an owner that stops while its successor is not yet elected, and against relayed commands that are refused early.
+TEST_CASE("other processes are served until the clients are done and the ownership is handed over")
+{
+    bool isOwner = true;
+    StoppingProcess process({}, [](const WebRequest &, const HttpResponderPointer &responder) { responder->reply({}); });
+    ListenerDrain drain(process.loop,
+                        process.clients,
+                        process.peers,
+                        { .acceptDuration = Milliseconds(100), .maxDuration = Milliseconds(4000) },
+                        [&isOwner] { return isOwner; });
+    bool isDone = false;
+    drain.start([&isDone] { isDone = true; });
+    auto peer = std::make_shared<KeepAliveClient>(process.loop, process.peers.port(), Milliseconds(10));
+    peer->connect();
+    const auto start = process.loop.now();
+    process.runUntil([&] { return process.loop.now() > start + Milliseconds(400); });
+    CHECK(peer->answered() > 5);
+    CHECK_FALSE(isDone);
+    isOwner = false;
+    process.runUntil([&] { return isDone; });
+    CHECK(peer->lost() == 0);
+    CHECK_FALSE(peer->isWaiting());
+    CHECK(process.loop.now() < start + Milliseconds(2000));
+}
--- a/tests/net/HttpListenerTests.cpp
+++ b/tests/net/HttpListenerTests.cpp
@@ -143,3 +143,69 @@
     CHECK(answered < 70);
     CHECK(fixture.listener.openConnections() == 1);
 }
+
+// Guards against requests that arrived with the one before and that an announced end would leave without an answer.
+TEST_CASE("a draining listener answers all requests that have arrived together, and announces the end with the last answer")
+{
+    ListenerFixture fixture({});
+    RawClient client(fixture.loop, fixture.listener);
+    fixture.runUntil([&] { return fixture.listener.openConnections() == 1; });
+    fixture.listener.drain();
+    client.send("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\nGET /3 HTTP/1.1\r\n\r\n");
+    fixture.runUntil([&] { return client.hasEnded; });
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    CHECK(client.received == answer + answer + "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+    CHECK(client.readError == boost::asio::error::eof);
+    CHECK(fixture.handled == 3);
+}
+
+// Guards against a request that takes effect although its client sees a connection that ended before an answer.
+TEST_CASE("a request that arrives after its idle connection was closed is not carried out, and is counted")
+{
+    ListenerFixture fixture({});
+    RawClient client(fixture.loop, fixture.listener);
+    fixture.runUntil([&] { return fixture.listener.openConnections() == 1; });
+    fixture.listener.closeIdle(Milliseconds(100000));
+    CHECK(fixture.listener.load().idleConnections == 1);
+    fixture.listener.closeIdle(Milliseconds(0));
+    client.send("POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc");
+    fixture.runUntil([&] { return client.hasEnded && fixture.listener.load().discardedRequests > 0; });
+    CHECK(client.received.empty());
+    CHECK(client.readError == boost::asio::error::eof);
+    CHECK(fixture.listener.load().discardedRequests == 1);
+    CHECK(fixture.handled == 0);
+    // Its client ends the connection.
+    client.socket.close();
+    fixture.runUntil([&] { return fixture.listener.openConnections() == 0; });
+    CHECK(fixture.listener.openConnections() == 0);
+}
+
+// Guards against connections that wait in the queue of a listening socket and are reset when it closes.
+TEST_CASE("connections that wait to be accepted when a listener stops to accept are served")
+{
+    ListenerFixture fixture({});
+    std::deque<RawClient> clients;
+    for (int index = 0; index < 40; ++index) {
+        clients.emplace_back(fixture.loop, fixture.listener).send("GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+    }
+    // The loop has not run yet, so all of them wait.
+    fixture.listener.stopAccepting();
+    fixture.runUntil([&] { return std::all_of(clients.begin(), clients.end(), [](const auto &each) { return each.hasEnded; }); });
+    for (const auto &client : clients) {
+        CHECK(client.received.starts_with("HTTP/1.1 200 "));
+        CHECK(client.readError == boost::asio::error::eof);
+    }
+}
+
+// Guards against descriptors and memory that a client holds by never ending its connection.
+TEST_CASE("a client that does not end its connection after the last answer is cut off after the linger timeout")
+{
+    ListenerFixture fixture({ .lingerTimeout = Milliseconds(100) });
+    RawClient client(fixture.loop, fixture.listener);
+    client.send("GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+    fixture.runUntil([&] { return client.hasEnded; });
+    CHECK(client.received.starts_with("HTTP/1.1 200 "));
+    CHECK(fixture.listener.openConnections() == 1);
+    fixture.runUntil([&] { return fixture.listener.openConnections() == 0; });
+    CHECK(fixture.listener.openConnections() == 0);
+}
