A stopping owner leaves cancellations to the next one

The caller's process asks again after a second, and the next owner starts the job once more meanwhile. Cause: a stopping owner refused new submissions only, and since "An owner that stops waits only for what it had to store by then" it does not wait for rows that are put later.

--- a/modules/entry/OwnerServing.cpp
+++ b/modules/entry/OwnerServing.cpp
@@ -12,6 +12,7 @@
 constexpr Milliseconds retryAfterStall { 1200 };
 // The number of pending jobs may be two seconds old.
 constexpr Milliseconds maxAgeOfCount { 1500 };
+constexpr const char *stoppingDetail = "the owner is stopping";
 
 ClientResult unconfirmedOwnerResult()
 {
@@ -32,6 +33,11 @@
         answerQuery(call.job, std::move(callback));
         return;
     case ClientCall::Kind::Cancel:
+        if (isStopping) {
+            // Its row would wait behind those that the stop waits for, and be lost with this owner.
+            callback({ .outcome = ClientResult::Outcome::OwnerChanged, .detail = stoppingDetail });
+            return;
+        }
         jobManager.cancel(call.job, [self = shared_from_this(), callback = std::move(callback)](bool isKnown) {
             if (isKnown) {
                 callback({ .outcome = ClientResult::Outcome::Cancelled });
@@ -80,7 +86,7 @@
     }
     const bool isKnown = jobManager.shownStage(call.job).has_value();
     if (!isKnown && isStopping) {
-        callback({ .outcome = ClientResult::Outcome::OwnerChanged, .detail = "the owner is stopping" });
+        callback({ .outcome = ClientResult::Outcome::OwnerChanged, .detail = stoppingDetail });
         return;
     }
     if (!isKnown && queue == nullptr) {
