The record of a service's run is put by the owner that adopts it, if none is stored

Cause: the record is put when a start is confirmed to the owner that has sent it. An owner that adopts the run put none. Change: it puts one if no earlier attempt of the task is known, so that a takeover writes no row for services that have their record. Evidence: ServiceRepairTests "a service whose runs were adopted is whole again within seconds of the next takeover" failed before (10000 <= 3000) and passes.

--- a/modules/dispatch/JobManagerRuns.cpp
+++ b/modules/dispatch/JobManagerRuns.cpp
@@ -31,8 +31,13 @@
     if (!task->runs.empty() && !step.spec().allowsCopies && !step.spec().isGang) {
         return std::nullopt;
     }
+    const bool isRecorded = task->wasStarted();
     task->lastAttempt = std::max(task->lastAttempt, running.attempt);
     task->runs.push_back({ worker, running.attempt });
+    if (step.spec().isService && !isRecorded) {
+        // The former owner ended before the record of the start was stored.
+        saveTask(*job, running.task, {}, CommitQueue::Urgency::Routine);
+    }
     changedJobs_.push_back(running.task.job);
     job->hasBegun = true;
     job->stage = JobStage::Running;
