The end of a run tells a new owner that the job has begun

Cause: without a record of the start and with no run left to adopt, the new owner learns of the run by its end alone, which did not mark the job as begun; a step of a job that has not begun is no repair. Change: the end of a run marks it. Evidence: ServiceRepairTests "a service whose only run ends before the next owner reads it is whole again within seconds" failed before (6196 <= 3000 ms) and passes.

--- a/modules/dispatch/JobManager.h
+++ b/modules/dispatch/JobManager.h
@@ -171,7 +171,7 @@
     std::function<void()> closeParts(JobState &job, const std::function<bool(const JobPart &)> &isClosed);
     /** The first text that fits into a row of the store, of those with less and less detail; the last one if none fits. */
     std::string fitRow(const std::string &id, const std::function<std::string(RecordDetail)> &text) const;
-    /** Notes that a task of the job runs. */
+    /** Notes that a task of the job runs or has run; a job that is still being recorded is left as it is. */
     void noteBegun(JobState &job);
     void onTaskDone(JobState &job, StepState &step, int index);
     void onStepDone(JobState &job, StepState &step);
--- a/modules/dispatch/JobManagerRuns.cpp
+++ b/modules/dispatch/JobManagerRuns.cpp
@@ -64,7 +64,7 @@
 
 void JobManager::noteBegun(JobState &job)
 {
-    if (job.hasBegun) {
+    if (job.hasBegun || job.stage == JobStage::Recording) {
         return;
     }
     job.hasBegun = true;
@@ -106,6 +106,7 @@
     task->idleSince = timers_.now();
     changedJobs_.push_back(ended.task.job);
     task->lastAttempt = std::max(task->lastAttempt, ended.attempt);
+    noteBegun(*job);
     if (!ended.checkpoint.empty() && !task->isDone) {
         task->checkpoint = ended.checkpoint;
     }
