Early advice for a service keeps no room while its job may not start

Cause: the early request for advice plans the tasks on the workers that it names and reserves that room until it is answered, though the job may wait for 6.5 s. Change: the plan of such a request is dropped when it has been sent. Evidence: EarlyAdviceTests failed before (2120 <= 230 ms) and passes; test-dispatch, 151 cases, passes.

--- a/modules/dispatch/TaskPlacer.cpp
+++ b/modules/dispatch/TaskPlacer.cpp
@@ -118,7 +118,10 @@
         return requestAdvice(step, static_cast<int>(step.tasks.size()), isGang);
     }
     if (hasJobsWaitingForReports_ && !mayStart(*step.job)) {
-        return mayRequestAdviceEarly(step) && requestAdvice(step, countIdleTasks(step), isGang);
+        const bool isRequested = mayRequestAdviceEarly(step) && requestAdvice(step, countIdleTasks(step), isGang);
+        // The wait may last for several seconds, in which other work can use the room.
+        releasePlannedCapacity(step);
+        return isRequested;
     }
     if (!fleet_.maySendStart() && mayUseSomeWorker(step)) {
         // The search waits as well: nothing that it finds could start.
