Advice for lost services is asked for early in small cells too

Cause: the request goes out early while at most a twentieth of the workers is unread, and one worker is more than that. Change: one unread worker of three or more does not hold it back.

--- a/modules/dispatch/Fleet.cpp
+++ b/modules/dispatch/Fleet.cpp
@@ -212,7 +212,9 @@
     constexpr std::size_t minReadPerUnread = 19;
     const auto read = static_cast<std::size_t>(
         std::count_if(impl_->workers.begin(), impl_->workers.end(), [](const auto &entry) { return entry.second->isReportRead; }));
-    return (impl_->workers.size() - read) * minReadPerUnread <= read;
+    const auto unread = impl_->workers.size() - read;
+    // In a small cell one worker is more than a twentieth.
+    return unread * minReadPerUnread <= read || (unread == 1 && read > 1);
 }
 
 const std::map<std::string, std::unique_ptr<WorkerState>> &Fleet::workers() const
--- a/modules/dispatch/Fleet.h
+++ b/modules/dispatch/Fleet.h
@@ -170,7 +170,7 @@
         extended.
     */
     bool hasUnreadWorkers(const std::string &service) const;
-    /** True if at most a twentieth of the workers is unread, so that few tasks may have runs that this owner does not know. */
+    /** True if at most a twentieth of the workers, or one of several, is unread: few tasks may have runs that are not known. */
     bool hasReadMostWorkers() const;
 
     const std::map<std::string, std::unique_ptr<WorkerState>> &workers() const;
