--- a/tests/dispatch/LeavingWorkerTests.cpp
+++ b/tests/dispatch/LeavingWorkerTests.cpp
@@ -74,6 +74,48 @@
     return std::chrono::duration_cast<Milliseconds>(*startedAt - takenOverAt);
 }
 
+/**
+    The time from a takeover to the first start of an inherited job that had no room before, while the new owner waits for a worker
+    that has drained and left.
+
+    @param queue  the queue of the job
+    @param fields further members of its step
+*/
+Milliseconds measureFirstStartAfterTakeover(const std::string &queue, const std::string &fields, Milliseconds answerTime)
+{
+    constexpr const char *waitingJob = "00000000000000bb";
+    OwnerFixture cell;
+    cell.plan = [](const TaskName &, std::int64_t) { return SimulatedWork { Milliseconds(600000), RunOutcome::Done }; };
+    cell.addWorker("w1", 4);
+    for (int number = 0; number < 20; ++number) {
+        cell.addWorker("s" + std::to_string(number), 2);
+    }
+    cell.advisor.responseTime = answerTime;
+    cell.takeOver();
+    REQUIRE(cell.submit(job, jobBody(1, 3000)) == ClientResult::Outcome::Accepted);
+    cell.timers.advance(Milliseconds(1000));
+    REQUIRE(cell.starts.size() == 1);
+    REQUIRE(cell.submit(waitingJob, jobBody(1, 3000, fields), queue) == ClientResult::Outcome::Accepted);
+    cell.list("w1", true);
+    cell.timers.advance(Milliseconds(600));
+    cell.killOwner();
+    cell.fleet.worker("w1").restart();
+    cell.fleet.worker("w1").hasExited = true;
+    cell.unlist("w1");
+    cell.addWorker("w2", 8);
+    const auto takenOverAt = cell.timers.now();
+    std::optional<TimePoint> startedAt;
+    cell.fleet.onStarted = [&](SimulatedWorker &, const StartCommand &command) {
+        if (command.task.job == waitingJob) {
+            startedAt = cell.timers.now();
+        }
+    };
+    cell.takeOver();
+    cell.timers.advance(Milliseconds(5000));
+    REQUIRE(startedAt);
+    return std::chrono::duration_cast<Milliseconds>(*startedAt - takenOverAt);
+}
+
 } // namespace
 
 // Guards against inherited work that waits at each takeover for the lease of workers that have left as planned.
@@ -121,3 +163,16 @@
     CHECK(waitWithoutAdvice.count() > 0);
     CHECK(waitWithAdvice.count() <= (waitWithoutAdvice + allowance).count());
 }
+
+// Guards against the two waits one after the other for the other jobs: with owners that are stopped soon after their takeover, a
+// job that has never run, or whose tasks do not last, gets no answer in time and has nothing running.
+TEST_CASE("a new owner asks for the advice of every inherited job while it waits for a worker that has left")
+{
+    constexpr Milliseconds answerTime { 740 };
+    constexpr Milliseconds allowance { 200 };
+    const std::string fields = GENERATE("", R"(,"longRunning":true)");
+    CAPTURE(fields);
+    const auto waitWithoutAdvice = measureFirstStartAfterTakeover("normal", fields, answerTime);
+    const auto waitWithAdvice = measureFirstStartAfterTakeover("advised", fields, answerTime);
+    CHECK(waitWithAdvice.count() <= (waitWithoutAdvice + allowance).count());
+}
