--- a/tests/dispatch/LeavingWorkerTests.cpp
+++ b/tests/dispatch/LeavingWorkerTests.cpp
@@ -43,14 +43,15 @@
 
     @param queue      the queue of the task's job
     @param answerTime how long the advisory service takes
+    @param others     the workers that the new owner reads at once
 */
-Milliseconds measureRepairAfterTakeover(const std::string &queue, Milliseconds answerTime)
+Milliseconds measureRepairAfterTakeover(const std::string &queue, Milliseconds answerTime, int others = 20)
 {
     OwnerFixture cell;
     cell.plan = [](const TaskName &, std::int64_t) { return SimulatedWork { Milliseconds(600000), RunOutcome::Done }; };
     // Only w1 has room for the task, until it leaves and w2 comes.
     cell.addWorker("w1", 4);
-    for (int number = 0; number < 20; ++number) {
+    for (int number = 0; number < others; ++number) {
         cell.addWorker("s" + std::to_string(number), 2);
     }
     cell.advisor.responseTime = answerTime;
@@ -176,3 +177,14 @@
     const auto waitWithAdvice = measureFirstStartAfterTakeover("advised", fields, answerTime);
     CHECK(waitWithAdvice.count() <= (waitWithoutAdvice + allowance).count());
 }
+
+// Guards against a share of unread workers that a small cell never reaches with one worker that has left.
+TEST_CASE("a new owner of a small cell asks for the advice of a lost service while it waits for a worker that has left")
+{
+    constexpr Milliseconds answerTime { 740 };
+    constexpr Milliseconds allowance { 200 };
+    constexpr int others = 12;
+    const auto waitWithoutAdvice = measureRepairAfterTakeover("normal", answerTime, others);
+    const auto waitWithAdvice = measureRepairAfterTakeover("advised", answerTime, others);
+    CHECK(waitWithAdvice.count() <= (waitWithoutAdvice + allowance).count());
+}
