--- a/tests/dispatch/LeavingWorkerTests.cpp
+++ b/tests/dispatch/LeavingWorkerTests.cpp
@@ -188,3 +188,21 @@
     const auto waitWithAdvice = measureRepairAfterTakeover("advised", answerTime, others);
     CHECK(waitWithAdvice.count() <= (waitWithoutAdvice + allowance).count());
 }
+
+// Guards against the wait for the leases of former owners that begins anew at each takeover: all of them are over a lease after the
+// first of these owners has read most of the workers, and none of them has granted another one to a worker that it has not read.
+TEST_CASE("an owner that is stopped as planned hands over how long it has waited for a silent worker")
+{
+    LeavingWorkerFixture cell(false);
+    cell.takeOver();
+    cell.timers.advance(Milliseconds(4000));
+    REQUIRE(cell.starts.size() == 1);
+    bool isFlushed = false;
+    cell.owner->flush(Milliseconds(600), [&](const Ownership &) { isFlushed = true; });
+    cell.timers.advance(Milliseconds(100));
+    REQUIRE(isFlushed);
+    cell.takeOver();
+    cell.timers.advance(Milliseconds(4000));
+    CHECK(cell.starts.size() == 2);
+    CHECK(cell.violations().empty());
+}
