--- a/tests/dispatch/LeavingWorkerTests.cpp
+++ b/tests/dispatch/LeavingWorkerTests.cpp
@@ -43,14 +43,15 @@
 
     @param queue      the queue of the task's job
     @param answerTime how long the advisory service takes
+    @param others     the workers that the new owner reads at once
 */
-Milliseconds measureRepairAfterTakeover(const std::string &queue, Milliseconds answerTime)
+Milliseconds measureRepairAfterTakeover(const std::string &queue, Milliseconds answerTime, int others = 20)
 {
     OwnerFixture cell;
     cell.plan = [](const TaskName &, std::int64_t) { return SimulatedWork { Milliseconds(600000), RunOutcome::Done }; };
     // Only w1 has room for the task, until it leaves and w2 comes.
     cell.addWorker("w1", 4);
-    for (int number = 0; number < 20; ++number) {
+    for (int number = 0; number < others; ++number) {
         cell.addWorker("s" + std::to_string(number), 2);
     }
     cell.advisor.responseTime = answerTime;
@@ -74,6 +75,48 @@
     return std::chrono::duration_cast<Milliseconds>(*startedAt - takenOverAt);
 }
 
+/**
+    The time from a takeover to the first start of an inherited job that had no room before, while the new owner waits for a worker
+    that has drained and left.
+
+    @param queue  the queue of the job
+    @param fields further members of its step
+*/
+Milliseconds measureFirstStartAfterTakeover(const std::string &queue, const std::string &fields, Milliseconds answerTime)
+{
+    constexpr const char *waitingJob = "00000000000000bb";
+    OwnerFixture cell;
+    cell.plan = [](const TaskName &, std::int64_t) { return SimulatedWork { Milliseconds(600000), RunOutcome::Done }; };
+    cell.addWorker("w1", 4);
+    for (int number = 0; number < 20; ++number) {
+        cell.addWorker("s" + std::to_string(number), 2);
+    }
+    cell.advisor.responseTime = answerTime;
+    cell.takeOver();
+    REQUIRE(cell.submit(job, jobBody(1, 3000)) == ClientResult::Outcome::Accepted);
+    cell.timers.advance(Milliseconds(1000));
+    REQUIRE(cell.starts.size() == 1);
+    REQUIRE(cell.submit(waitingJob, jobBody(1, 3000, fields), queue) == ClientResult::Outcome::Accepted);
+    cell.list("w1", true);
+    cell.timers.advance(Milliseconds(600));
+    cell.killOwner();
+    cell.fleet.worker("w1").restart();
+    cell.fleet.worker("w1").hasExited = true;
+    cell.unlist("w1");
+    cell.addWorker("w2", 8);
+    const auto takenOverAt = cell.timers.now();
+    std::optional<TimePoint> startedAt;
+    cell.fleet.onStarted = [&](SimulatedWorker &, const StartCommand &command) {
+        if (command.task.job == waitingJob) {
+            startedAt = cell.timers.now();
+        }
+    };
+    cell.takeOver();
+    cell.timers.advance(Milliseconds(5000));
+    REQUIRE(startedAt);
+    return std::chrono::duration_cast<Milliseconds>(*startedAt - takenOverAt);
+}
+
 } // namespace
 
 // Guards against inherited work that waits at each takeover for the lease of workers that have left as planned.
@@ -121,3 +164,45 @@
     CHECK(waitWithoutAdvice.count() > 0);
     CHECK(waitWithAdvice.count() <= (waitWithoutAdvice + allowance).count());
 }
+
+// Guards against the two waits one after the other for the other jobs: with owners that are stopped soon after their takeover, a
+// job that has never run, or whose tasks do not last, gets no answer in time and has nothing running.
+TEST_CASE("a new owner asks for the advice of every inherited job while it waits for a worker that has left")
+{
+    constexpr Milliseconds answerTime { 740 };
+    constexpr Milliseconds allowance { 200 };
+    const std::string fields = GENERATE("", R"(,"longRunning":true)");
+    CAPTURE(fields);
+    const auto waitWithoutAdvice = measureFirstStartAfterTakeover("normal", fields, answerTime);
+    const auto waitWithAdvice = measureFirstStartAfterTakeover("advised", fields, answerTime);
+    CHECK(waitWithAdvice.count() <= (waitWithoutAdvice + allowance).count());
+}
+
+// Guards against a share of unread workers that a small cell never reaches with one worker that has left.
+TEST_CASE("a new owner of a small cell asks for the advice of a lost service while it waits for a worker that has left")
+{
+    constexpr Milliseconds answerTime { 740 };
+    constexpr Milliseconds allowance { 200 };
+    constexpr int others = 12;
+    const auto waitWithoutAdvice = measureRepairAfterTakeover("normal", answerTime, others);
+    const auto waitWithAdvice = measureRepairAfterTakeover("advised", answerTime, others);
+    CHECK(waitWithAdvice.count() <= (waitWithoutAdvice + allowance).count());
+}
+
+// Guards against the wait for the leases of former owners that begins anew at each takeover: all of them are over a lease after the
+// first of these owners has read most of the workers, and none of them has granted another one to a worker that it has not read.
+TEST_CASE("an owner that is stopped as planned hands over how long it has waited for a silent worker")
+{
+    LeavingWorkerFixture cell(false);
+    cell.takeOver();
+    cell.timers.advance(Milliseconds(4000));
+    REQUIRE(cell.starts.size() == 1);
+    bool isFlushed = false;
+    cell.owner->flush(Milliseconds(600), [&](const Ownership &) { isFlushed = true; });
+    cell.timers.advance(Milliseconds(100));
+    REQUIRE(isFlushed);
+    cell.takeOver();
+    cell.timers.advance(Milliseconds(4000));
+    CHECK(cell.starts.size() == 2);
+    CHECK(cell.violations().empty());
+}
