http: a caller that sends its request byte by byte does not hold up a stop

Cause: the read timeout holds for each piece of a request, and HttpServer::stop() joins the threads of the connections. Change: from the first read after the stop has begun, the read timeout holds for all input of the connection together.

--- a/modules/http/HttpServer.cpp
+++ b/modules/http/HttpServer.cpp
@@ -162,7 +162,7 @@
 
     bool process_and_close_socket(socket_t socket) override
     {
-        SocketStream stream(socket, options_.readTimeout, options_.writeTimeout);
+        SocketStream stream(socket, options_.readTimeout, options_.writeTimeout, isDraining_);
         isLastAnswer = false;
         bool isClosedByCaller = false;
         auto idleTimeout = firstRequestTimeout();
--- a/modules/http/SocketStream.cpp
+++ b/modules/http/SocketStream.cpp
@@ -34,8 +34,11 @@
 
 } // namespace
 
-SocketStream::SocketStream(socket_t socket, std::chrono::milliseconds readTimeout, std::chrono::milliseconds writeTimeout)
-    : socket_(socket), readTimeout_(readTimeout), writeTimeout_(writeTimeout)
+SocketStream::SocketStream(socket_t socket,
+                           std::chrono::milliseconds readTimeout,
+                           std::chrono::milliseconds writeTimeout,
+                           const std::atomic<bool> &isDraining)
+    : socket_(socket), readTimeout_(readTimeout), writeTimeout_(writeTimeout), isDraining_(isDraining)
 {
 }
 
@@ -84,15 +87,29 @@
     return static_cast<ssize_t>(count);
 }
 
-ssize_t SocketStream::receive(char *bytes, std::size_t size) const
+std::chrono::milliseconds SocketStream::remainingReadTime()
+{
+    if (!isDraining_) {
+        return readTimeout_;
+    }
+    const auto now = std::chrono::steady_clock::now();
+    inputDeadline_ = inputDeadline_.value_or(now + readTimeout_);
+    return std::max(std::chrono::milliseconds(0), std::chrono::ceil<std::chrono::milliseconds>(*inputDeadline_ - now));
+}
+
+ssize_t SocketStream::receive(char *bytes, std::size_t size)
 {
     while (true) {
+        const auto timeout = remainingReadTime();
+        if (timeout == std::chrono::milliseconds(0)) {
+            return -1;
+        }
         const auto count = ::recv(socket_, bytes, size, MSG_DONTWAIT);
         const bool isWaitNeeded = count < 0 && errno == EAGAIN;
         if (count >= 0 || (!isWaitNeeded && errno != EINTR)) {
             return count;
         }
-        if (isWaitNeeded && !waitForEvent(POLLIN, readTimeout_)) {
+        if (isWaitNeeded && !waitForEvent(POLLIN, timeout)) {
             return -1;
         }
     }
--- a/modules/http/SocketStream.h
+++ b/modules/http/SocketStream.h
@@ -2,7 +2,9 @@
 
 #include <httplib.h>
 
+#include <atomic>
 #include <chrono>
+#include <optional>
 #include <string>
 
 namespace auburndoor {
@@ -15,9 +17,16 @@
 class SocketStream : public httplib::Stream
 {
 public:
-    /** @param socket a connected socket, owned by this object from now on @param readTimeout for each read of input
-        @param writeTimeout for each write of output that has to wait */
-    SocketStream(socket_t socket, std::chrono::milliseconds readTimeout, std::chrono::milliseconds writeTimeout);
+    /**
+        @param socket       a connected socket, owned by this object from now on
+        @param readTimeout  for each read of input; from the first read after isDraining is set, for all input together
+        @param writeTimeout for each write of output that has to wait
+        @param isDraining   set by another thread when the server is stopping; must outlive this object
+    */
+    SocketStream(socket_t socket,
+                 std::chrono::milliseconds readTimeout,
+                 std::chrono::milliseconds writeTimeout,
+                 const std::atomic<bool> &isDraining);
 
     /** Closes the connection. Unread input is discarded first: with it the kernel would send a reset, which can cost the peer an
         answer that it has not read yet. */
@@ -43,12 +52,17 @@
     socket_t socket() const override;
 
 private:
-    ssize_t receive(char *bytes, std::size_t size) const;
+    ssize_t receive(char *bytes, std::size_t size);
+    /** The longest time for the next read of input. */
+    std::chrono::milliseconds remainingReadTime();
     bool waitForEvent(short event, std::chrono::milliseconds timeout) const;
 
     const socket_t socket_;
     const std::chrono::milliseconds readTimeout_;
     const std::chrono::milliseconds writeTimeout_;
+    const std::atomic<bool> &isDraining_;
+    /** The end of all input while the server is stopping, so that a caller which sends a byte at a time does not hold it up. */
+    std::optional<std::chrono::steady_clock::time_point> inputDeadline_;
     /** Input that has been received and not been read, from position_ on. */
     std::string input_;
     std::size_t position_ = 0;
