--- a/modules/dispatch/JobState.cpp
+++ b/modules/dispatch/JobState.cpp
@@ -58,8 +58,11 @@
 TimePoint StepState::waitingSince() const
 {
     auto since = readySince;
+    if (!spec().isService) {
+        return since;
+    }
     for (const auto &task : tasks) {
-        since = spec().isService && task.isIdle() ? std::max(since, task.idleSince) : since;
+        since = task.isIdle() ? std::max(since, task.idleSince) : since;
     }
     return since;
 }
