--- a/tests/dispatch/LeavingWorkerTests.cpp
+++ b/tests/dispatch/LeavingWorkerTests.cpp
@@ -167,7 +167,7 @@
 
 // Guards against the two waits one after the other for the other jobs: with owners that are stopped soon after their takeover, a
 // job that has never run, or whose tasks do not last, gets no answer in time and has nothing running.
-TEST_CASE("a new owner asks for the advice of every inherited job while it waits for a worker that has left")
+TEST_CASE("a new owner asks for the advice of every inherited job while it waits for a worker that has left", "[inherited-advice]")
 {
     constexpr Milliseconds answerTime { 740 };
     constexpr Milliseconds allowance { 200 };
@@ -191,7 +191,7 @@
 
 // Guards against the wait for the leases of former owners that begins anew at each takeover: all of them are over a lease after the
 // first of these owners has read most of the workers, and none of them has granted another one to a worker that it has not read.
-TEST_CASE("an owner that is stopped as planned hands over how long it has waited for a silent worker")
+TEST_CASE("an owner that is stopped as planned hands over how long it has waited for a silent worker", "[handed-over-wait]")
 {
     LeavingWorkerFixture cell(false);
     cell.takeOver();
