--- a/modules/net/HttpSession.h
+++ b/modules/net/HttpSession.h
@@ -56,7 +56,6 @@
     bool isIdle() const;
     void readRest();
     void onRead(const ErrorCode &error);
-    void handleRequest();
     void onWritten(const ErrorCode &error);
     /** The end of a request that was still arriving when the connection began to end. */
     void onReadWhileLingering(const ErrorCode &error);
--- a/tests/dispatch/LeavingWorkerTests.cpp
+++ b/tests/dispatch/LeavingWorkerTests.cpp
@@ -38,6 +38,18 @@
     }
 };
 
+/** Kills the owner while w1 drains; before the next one, w1 leaves and w2 comes with this number of cores. */
+void replaceWorkerWithoutOwner(OwnerFixture &cell, int cores)
+{
+    cell.list("w1", true);
+    cell.timers.advance(Milliseconds(600));
+    cell.killOwner();
+    cell.fleet.worker("w1").restart();
+    cell.fleet.worker("w1").hasExited = true;
+    cell.unlist("w1");
+    cell.addWorker("w2", cores);
+}
+
 /**
     The time from a takeover to the next start of a task that lasts and whose worker has drained and left.
 
@@ -59,13 +71,7 @@
     REQUIRE(cell.submit(job, jobBody(1, 3000, R"(,"longRunning":true)"), queue) == ClientResult::Outcome::Accepted);
     cell.timers.advance(Milliseconds(2000));
     REQUIRE(cell.starts.size() == 1);
-    cell.list("w1", true);
-    cell.timers.advance(Milliseconds(600));
-    cell.killOwner();
-    cell.fleet.worker("w1").restart();
-    cell.fleet.worker("w1").hasExited = true;
-    cell.unlist("w1");
-    cell.addWorker("w2", 4);
+    replaceWorkerWithoutOwner(cell, 4);
     const auto takenOverAt = cell.timers.now();
     std::optional<TimePoint> startedAt;
     cell.fleet.onStarted = [&](SimulatedWorker &, const StartCommand &) { startedAt = cell.timers.now(); };
@@ -97,13 +103,7 @@
     cell.timers.advance(Milliseconds(1000));
     REQUIRE(cell.starts.size() == 1);
     REQUIRE(cell.submit(waitingJob, jobBody(1, 3000, fields), queue) == ClientResult::Outcome::Accepted);
-    cell.list("w1", true);
-    cell.timers.advance(Milliseconds(600));
-    cell.killOwner();
-    cell.fleet.worker("w1").restart();
-    cell.fleet.worker("w1").hasExited = true;
-    cell.unlist("w1");
-    cell.addWorker("w2", 8);
+    replaceWorkerWithoutOwner(cell, 8);
     const auto takenOverAt = cell.timers.now();
     std::optional<TimePoint> startedAt;
     cell.fleet.onStarted = [&](SimulatedWorker &, const StartCommand &command) {
