Logs tell apart why the process at the owner's address does not serve calls

Cause: every answer to a forwarded call that was no result was logged as "the process at the owner's address does not own the cell": no owner there, an owner that still reads its tables, one that was deposed, a full listener, an answer that cannot be read.

Change: the answer 421 has a reason, which the detail of call.failed repeats with the address; other answers are named by their status, and OwnerChanged by its own detail. The reading of the tables is a class of its own (TableReading). No decision has changed.

--- a/modules/entry/EntryInstance.cpp
+++ b/modules/entry/EntryInstance.cpp
@@ -191,7 +191,10 @@
     } else if (request.target == PeerCodec::callPath) {
         const auto call = PeerCodec::readCall(request);
         if (!owner || !owner->isReady() || !call) {
-            responder->reply({ PeerCodec::notOwnerStatus, {}, {} });
+            const auto why = !owner              ? leadership.describeElection()
+                             : !owner->isReady() ? owner->describeUnreadiness()
+                                                 : std::string("it cannot read the call");
+            responder->reply(PeerCodec::notOwnerReply(why));
             return;
         }
         owner->call(*call, [responder = std::move(responder)](const ClientResult &result) {
@@ -211,6 +214,7 @@
     auto &metrics = dependencies.metrics;
     metrics.setGauge("owner", owner ? 1 : 0);
     metrics.setGauge("owner_known", isReady() ? 1 : 0);
+    metrics.setGauge("owner_ready", owner && owner->isReady() ? 1 : 0);
     metrics.setGauge("fencing_token", owner ? static_cast<double>(owner->token()) : 0);
     metrics.setGauge("store_away_milliseconds", owner ? static_cast<double>(owner->storeStallDuration().count()) : 0);
     metrics.setGauge("desired_state_version", static_cast<double>(desiredState.version));
--- a/modules/entry/Leadership.cpp
+++ b/modules/entry/Leadership.cpp
@@ -96,6 +96,7 @@
     change.expected.push_back({ FencingRows::table, FencingRows::epochKey, version });
     change.writes.push_back({ FencingRows::table, FencingRows::epochKey, next.toText() });
     isFencingCallInFlight = true;
+    takeoverSentAt = takeoverSentAt.value_or(loop.now());
     store.commit(std::move(change),
                  [self = shared_from_this(), token = next.token, sentAt = CallTime::now(loop)](const StoreResult &result) {
                      if (!self->isClosed) {
@@ -111,6 +112,8 @@
         readSequence({ token, result.version, 0, sentAt });
         return;
     }
+    EventLog::write("owner.attempt_failed",
+                    { { "token", token }, { "outcome", name(result.outcome) }, { "detail", result.detail } });
     // If the answer was lost, the row shows whether the write was applied. If it names this process, it is replaced once more.
     runAfter(result.outcome == StoreOutcome::Conflict ? Milliseconds(0) : timing.retryDelay + jitter(), &Impl::findOwner);
 }
@@ -124,6 +127,9 @@
         }
         self->isFencingCallInFlight = false;
         if (result.outcome != StoreOutcome::Done) {
+            EventLog::writeRateLimited(
+                "owner.sequence_unread",
+                { { "token", won.token }, { "outcome", name(result.outcome) }, { "detail", result.detail } });
             self->loop.after(self->timing.retryDelay, [self, won] {
                 if (!self->isClosed) {
                     self->readSequence(won);
@@ -132,6 +138,7 @@
             return;
         }
         self->isOwner = true;
+        self->takeoverSentAt.reset();
         self->wonAt = self->loop.now();
         self->isOwnerResponding = false;
         ++self->heartbeatRound;
@@ -152,6 +159,7 @@
         runAfter(timing.retryDelay, &Impl::findOwner);
         return;
     }
+    takeoverSentAt.reset();
     if (row.token != owner.token || !heartbeatChannel) {
         EventLog::write("owner.followed", { { "owner", row.owner }, { "token", row.token } });
         owner = row;
@@ -326,6 +334,16 @@
     return impl_->isOwnerResponding ? Address::parse(impl_->owner.address) : std::nullopt;
 }
 
+std::string Leadership::describeElection() const
+{
+    if (impl_->takeoverSentAt) {
+        const auto waiting = std::chrono::duration_cast<Milliseconds>(impl_->loop.now() - *impl_->takeoverSentAt);
+        return "it does not know whether it owns the cell; the store has not answered its takeover for "
+               + std::to_string(waiting.count()) + " ms";
+    }
+    return "it does not own the cell; the last owner that it knows has the token " + std::to_string(impl_->owner.token);
+}
+
 void Leadership::answerHeartbeat(const WebRequest &request, HttpResponderPointer responder)
 {
     const auto from = PeerCodec::readHeartbeatRequest(request);
--- a/modules/entry/Leadership.h
+++ b/modules/entry/Leadership.h
@@ -91,6 +91,9 @@
     /** Tells another process which owner this process knows, and whether it reaches that owner. */
     void answerOwnerView(HttpResponderPointer responder) const;
 
+    /** Tells, for a person, what a process that is not the owner knows of the ownership. */
+    std::string describeElection() const;
+
     /** The peer addresses of the processes that have recently sent a heartbeat request to this process. */
     std::vector<Address> members() const;
 
--- a/modules/entry/LeadershipImpl.h
+++ b/modules/entry/LeadershipImpl.h
@@ -106,6 +106,8 @@
     std::optional<UnheardOwner> unheardOwner;
     /** The epoch row may be replaced if its token is not higher than this. */
     std::int64_t replaceableToken = -1;
+    /** When the first takeover was sent of which this process does not know whether it has won; empty if there is none. */
+    std::optional<TimePoint> takeoverSentAt;
     /** The token of the last owner for whose replacement this process, on a small machine, waited to let a larger one go first. */
     std::int64_t delayedTakeoverToken = -1;
     /** Increased when an owner is followed or this process becomes the owner; replies to requests of earlier rounds are ignored. */
--- a/modules/entry/Owner.cpp
+++ b/modules/entry/Owner.cpp
@@ -52,6 +52,10 @@
     , jobManager(dependencies.timers, commitQueue, ownership.token, { [this] { schedulePlacement(); }, [this] { depose(); } })
     , fleet(dependencies.timers, dependencies.workerClients, jobManager, timing, ownership.token, evidence)
     , placer(dependencies.timers, jobManager, fleet, dependencies.advisor)
+    , tableReading(dependencies.timers,
+                   dependencies.store,
+                   ownership.token,
+                   [this](const TableReading::Tables &tables) { restoreState(tables); })
     , workerWatch(dependencies.timers,
                   dependencies.store,
                   dependencies.protocol.workerTable(),
@@ -184,7 +188,7 @@
 
 void Owner::start()
 {
-    impl_->readTables();
+    impl_->tableReading.start({ JobTables::progress, JobTables::parts, JobTables::jobs, JobTables::roster });
     impl_->watchOwnership();
 }
 
@@ -193,6 +197,15 @@
     return impl_->isReady && !impl_->isClosed;
 }
 
+std::string Owner::describeUnreadiness() const
+{
+    if (impl_->isClosed) {
+        return "its ownership with the token " + std::to_string(token()) + " has ended";
+    }
+    return "it owns the cell with the token " + std::to_string(token()) + " and has been reading the stored jobs for "
+           + std::to_string(impl_->tableReading.age().count()) + " ms";
+}
+
 void Owner::call(const ClientCall &call, Callback callback)
 {
     impl_->guard.runWhenCertain([impl = impl_, call, callback = std::move(callback)]() mutable {
--- a/modules/entry/Owner.h
+++ b/modules/entry/Owner.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace auburndoor {
 
@@ -61,6 +62,9 @@
     /** True from the time at which the stored jobs are read until this owner is deposed. */
     bool isReady() const;
 
+    /** Tells, for a person, why this owner is not ready. */
+    std::string describeUnreadiness() const;
+
     /**
         Handles a client's call.
 
--- a/modules/entry/OwnerCallForwarder.cpp
+++ b/modules/entry/OwnerCallForwarder.cpp
@@ -60,7 +60,7 @@
     /** Passes the call to the owner that is known now, or schedules a retry. */
     void tryOwner(const OpenCallPointer &openCall);
     void sendToOwner(const Address &address, const OpenCallPointer &openCall);
-    void onReply(const SendResult &sent, const OpenCallPointer &openCall);
+    void onReply(const SendResult &sent, const Address &address, const OpenCallPointer &openCall);
     void scheduleRetry(const OpenCallPointer &openCall);
     void finish(const OpenCallPointer &openCall, const ClientResult &result);
     /** Answers the call without an owner's result. */
@@ -119,7 +119,7 @@
         sendToOwner(*address, openCall);
         return;
     }
-    openCall->lastFailure = "no owner is known";
+    openCall->lastFailure = localOwner() == nullptr ? "no owner is known" : localOwner()->describeUnreadiness();
     scheduleRetry(openCall);
 }
 
@@ -133,12 +133,13 @@
     auto call = openCall->call;
     call.timeout = remaining;
     openCall->isInFlight = true;
-    channels->send(PeerCodec::callRequest(call),
-                   isSubmission ? std::max(remaining, Milliseconds(1)) : std::clamp(remaining, Milliseconds(1), attemptTimeout),
-                   [self = shared_from_this(), openCall](const SendResult &sent) { self->onReply(sent, openCall); });
+    channels->send(
+        PeerCodec::callRequest(call),
+        isSubmission ? std::max(remaining, Milliseconds(1)) : std::clamp(remaining, Milliseconds(1), attemptTimeout),
+        [self = shared_from_this(), address, openCall](const SendResult &sent) { self->onReply(sent, address, openCall); });
 }
 
-void OwnerCallForwarder::Impl::onReply(const SendResult &sent, const OpenCallPointer &openCall)
+void OwnerCallForwarder::Impl::onReply(const SendResult &sent, const Address &address, const OpenCallPointer &openCall)
 {
     openCall->isInFlight = false;
     if (sent.hasStatus(200)) {
@@ -151,13 +152,18 @@
             return;
         }
         openCall->mayHaveBeenReceived = true;
+        openCall->lastFailure = result ? result->detail : "the owner's answer cannot be read";
+        scheduleRetry(openCall);
+        return;
     }
     if (sent.outcome == SendOutcome::Lost) {
         openCall->mayHaveBeenReceived = true;
         openCall->wasAttemptLost = true;
     }
-    openCall->lastFailure = sent.outcome == SendOutcome::Answered ? "the process at the owner's address does not own the cell"
-                                                                  : "the call to the owner failed: " + sent.error;
+    openCall->lastFailure = sent.outcome == SendOutcome::Answered
+                                ? "the process at the owner's address " + address.text()
+                                      + " does not serve calls: " + PeerCodec::describeRefusedCall(sent.reply)
+                                : "the call to the owner at " + address.text() + " failed: " + sent.error;
     scheduleRetry(openCall);
 }
 
--- a/modules/entry/OwnerImpl.h
+++ b/modules/entry/OwnerImpl.h
@@ -8,6 +8,7 @@
 #include "entry/Owner.h"
 #include "entry/OwnershipGuard.h"
 #include "entry/OwnershipReport.h"
+#include "entry/TableReading.h"
 #include "entry/TableWatch.h"
 
 #include <map>
@@ -24,10 +25,8 @@
     void depose();
     /** Runs one round of placement after placementDelay, unless a round is scheduled already. */
     void schedulePlacement();
-    void readTables();
-    void readTable(const std::string &table);
-    /** Restores the state from the stored tables once all are read, and starts to work. */
-    void restoreState();
+    /** Restores the state from the stored tables, and starts to work. */
+    void restoreState(const TableReading::Tables &tables);
     void restoreProgress(const std::vector<StoreRow> &rows);
     void restoreParts(const std::vector<StoreRow> &rows);
     void restoreJobs(const std::vector<StoreRow> &rows);
@@ -76,6 +75,7 @@
     JobManager jobManager;
     Fleet fleet;
     TaskPlacer placer;
+    TableReading tableReading;
     TableWatch workerWatch;
     OwnershipGuard guard;
     OwnershipReport ownershipReport;
@@ -93,8 +93,6 @@
     double beginRate = 100.0;
     /** New submissions refused under overload since the last report. */
     int shedSubmissions = 0;
-    /** The rows of the tables read so far, by table, until restoreState(). */
-    std::map<std::string, std::vector<StoreRow>> tablesRead;
     /** The progress records of jobs that have not ended, by job, until restoreJobs(). */
     std::map<std::string, std::string> storedProgress;
     /** The parts of wide jobs, by job, until restoreJobs(). */
--- a/modules/entry/OwnerRecovery.cpp
+++ b/modules/entry/OwnerRecovery.cpp
@@ -6,50 +6,15 @@
 
 namespace auburndoor {
 
-namespace {
-
-constexpr Milliseconds readRetryDelay { 150 };
-
-} // namespace
-
-void Owner::Impl::readTables()
-{
-    // No earlier owner can write any more, so the tables can be read in parallel.
-    for (const auto *table : { JobTables::progress, JobTables::parts, JobTables::jobs, JobTables::roster }) {
-        readTable(table);
-    }
-}
-
-void Owner::Impl::readTable(const std::string &table)
-{
-    dependencies.store.readAll(table, {}, [self = shared_from_this(), table](const StoreResult &result) {
-        if (self->isClosed) {
-            return;
-        }
-        if (result.outcome != StoreOutcome::Done) {
-            self->dependencies.timers.after(readRetryDelay, [self, table] {
-                if (!self->isClosed) {
-                    self->readTable(table);
-                }
-            });
-            return;
-        }
-        self->tablesRead[table] = result.rows;
-        self->restoreState();
-    });
-}
-
-void Owner::Impl::restoreState()
+void Owner::Impl::restoreState(const TableReading::Tables &tables)
 {
-    constexpr std::size_t tableCount = 4;
-    if (tablesRead.size() < tableCount) {
+    if (isClosed) {
         return;
     }
-    restoreProgress(tablesRead.at(JobTables::progress));
-    restoreParts(tablesRead.at(JobTables::parts));
-    restoreJobs(tablesRead.at(JobTables::jobs));
-    restoreRoster(tablesRead.at(JobTables::roster));
-    tablesRead.clear();
+    restoreProgress(tables.at(JobTables::progress));
+    restoreParts(tables.at(JobTables::parts));
+    restoreJobs(tables.at(JobTables::jobs));
+    restoreRoster(tables.at(JobTables::roster));
     isReady = true;
     EventLog::write("owner.ready",
                     { { "token", ownership.token }, { "jobs", jobManager.jobs().size() }, { "workers", fleet.workers().size() } });
--- a/modules/entry/PeerCodec.cpp
+++ b/modules/entry/PeerCodec.cpp
@@ -123,6 +123,21 @@
     });
 }
 
+WebReply PeerCodec::notOwnerReply(const std::string &why)
+{
+    return { notOwnerStatus, why, {} };
+}
+
+std::string PeerCodec::describeRefusedCall(const WebReply &reply)
+{
+    // Another process sends the text; log lines stay short whatever it is.
+    constexpr std::size_t maxReasonBytes = 200;
+    if (reply.status == notOwnerStatus && !reply.body.empty()) {
+        return reply.body.substr(0, maxReasonBytes);
+    }
+    return "it answered with status " + std::to_string(reply.status);
+}
+
 WebRequest PeerCodec::callRequest(const ClientCall &call)
 {
     // The body of the submission is sent unchanged and the other fields as headers, so that the body need not be escaped as JSON.
--- a/modules/entry/PeerCodec.h
+++ b/modules/entry/PeerCodec.h
@@ -73,6 +73,11 @@
     static WebReply ownerViewReply(const OwnerView &view);
     static std::optional<OwnerView> readOwnerView(const WebReply &reply);
 
+    /** Answers a call that this process does not serve. @param why for a person, with what is known of the ownership */
+    static WebReply notOwnerReply(const std::string &why);
+    /** Describes an answer that is no result of a call: its reason if it is a notOwnerReply(), else its status. */
+    static std::string describeRefusedCall(const WebReply &reply);
+
     static WebRequest callRequest(const ClientCall &call);
     static std::optional<ClientCall> readCall(const WebRequest &request);
     static WebReply callReply(const ClientResult &result);
--- a/tests/entry/OwnerCallForwarderTests.cpp
+++ b/tests/entry/OwnerCallForwarderTests.cpp
@@ -92,3 +92,35 @@
     }
     CHECK(outcomes == std::vector { ClientResult::Outcome::Unknown, ClientResult::Outcome::Refused });
 }
+
+// Guards against logs in which every refused call looks the same, whatever the process at the owner's address has answered.
+TEST_CASE("a call that an owner's process does not serve fails with what it answered and its address")
+{
+    EventLoop loop;
+    WebReply reply = PeerCodec::notOwnerReply("it still reads the stored jobs");
+    HttpListener process(
+        loop, {}, [&reply](const WebRequest &, const HttpResponderPointer &responder) { responder->reply(reply); });
+    std::string error;
+    REQUIRE(process.listen({ "127.0.0.1", 0 }, error));
+    const Address address { "127.0.0.1", process.port() };
+    OwnerCallForwarder forwarder(
+        loop, [] { return nullptr; }, [&address] { return std::optional(address); });
+    const auto failWith = [&](WebReply answer) {
+        reply = std::move(answer);
+        std::string detail;
+        ClientCall call;
+        call.kind = ClientCall::Kind::Query;
+        call.ownerWaitLimit = Milliseconds(100);
+        forwarder.call(call, [&](const ClientResult &result) {
+            detail = result.detail;
+            loop.stop();
+        });
+        loop.run();
+        return detail;
+    };
+    const auto prefix = "the process at the owner's address " + address.text() + " does not serve calls: ";
+    CHECK(failWith(PeerCodec::notOwnerReply("it still reads the stored jobs")) == prefix + "it still reads the stored jobs");
+    CHECK(failWith({ 503, {}, {} }) == prefix + "it answered with status 503");
+    CHECK(failWith(PeerCodec::callReply({ .outcome = ClientResult::Outcome::OwnerChanged, .detail = "the owner was deposed" }))
+          == "the owner was deposed");
+}
