--- /dev/null
+++ b/tests/entry/UnservingOwnerTests.cpp
@@ -0,0 +1,52 @@
+#include "entry/LeadershipFixture.h"
+
+using namespace auburndoor;
+
+namespace {
+
+/** A process that does not own the cell and does not know that the epoch row names it. */
+class UnawareProcess
+{
+public:
+    explicit UnawareProcess(EventLoop &loop)
+        : listener_(loop, HttpListenerLimits(), [](const WebRequest &, const HttpResponderPointer &responder) {
+            responder->reply(PeerCodec::notOwnerReply("it does not know whether it owns the cell"));
+        })
+    {
+        std::string error;
+        REQUIRE(listener_.listen({ "127.0.0.1", 0 }, error));
+    }
+
+    Address address() const
+    {
+        return { "127.0.0.1", listener_.port() };
+    }
+
+private:
+    HttpListener listener_;
+};
+
+} // namespace
+
+// Guards against a cell that nobody serves while the store names a process that has not learned that it has won: the answer to its
+// takeover was lost, and the store refuses it since.
+TEST_CASE("a process that the store names as the owner and that denies it is replaced", "[unaware]")
+{
+    constexpr Milliseconds limit { 3000 };
+    LeadershipFixture fixture {};
+    const UnawareProcess unaware(fixture.loop);
+    fixture.writeOwner(7, unaware.address());
+    fixture.addProcesses(3);
+    CHECK(fixture.waitForOwner(8, limit) != nullptr);
+}
+
+// Guards against a takeover while the store is slow for all: a winner learns that it has won later than others can read it.
+TEST_CASE("a winner that waits for a store that is slow for all is not replaced")
+{
+    LeadershipFixture fixture {};
+    fixture.store.setAnswerTime(Milliseconds(300));
+    fixture.addProcesses(4);
+    REQUIRE(fixture.waitForOwner(1) != nullptr);
+    fixture.runFor(Milliseconds(4000));
+    CHECK(fixture.highestToken() == 1);
+}
--- a/tests/soak/EntryProcess.cpp
+++ b/tests/soak/EntryProcess.cpp
@@ -33,7 +33,7 @@
 EntryProcess::EntryProcess(EventLoop &loop, int number, const Address &store, const std::string &folder)
     : loop_(loop)
     , ip_(makeLoopbackAddress(number))
-    , name_("entry-" + std::to_string(number))
+    , name_(nameOf(number))
     , settingsFile_(folder + "/" + name_ + ".json")
     , logFile_(folder + "/" + name_ + ".log")
     , storeLink_(loop, store)
@@ -130,6 +130,11 @@
     return stoppingSince_.has_value();
 }
 
+std::string EntryProcess::nameOf(int number)
+{
+    return "entry-" + std::to_string(number);
+}
+
 const std::string &EntryProcess::name() const
 {
     return name_;
--- a/tests/soak/EntryProcess.h
+++ b/tests/soak/EntryProcess.h
@@ -36,6 +36,8 @@
     bool isPaused() const;
     bool isStopping() const;
 
+    /** The node name of the process with this number. */
+    static std::string nameOf(int number);
     /** The node name, which the row of the epoch shows while the process owns the cell. */
     const std::string &name() const;
     Address clientAddress() const;
--- a/tests/soak/PlatformServer.cpp
+++ b/tests/soak/PlatformServer.cpp
@@ -3,9 +3,12 @@
 #include "JobCodec.h"
 #include "WireJson.h"
 #include "core/TextEncoding.h"
+#include "dispatch/CommitQueue.h"
+#include "entry/EpochRow.h"
 #include "net/EventLoop.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace auburndoor {
 
@@ -43,6 +46,29 @@
     return list;
 }
 
+/** Passes the reply to a function instead of sending it. */
+class InterceptedResponder : public HttpResponder
+{
+public:
+    InterceptedResponder(HttpResponderPointer responder, std::function<void(WebReply)> onReply)
+        : responder_(std::move(responder)), onReply_(std::move(onReply))
+    {
+    }
+
+    void reply(WebReply reply) override
+    {
+        onReply_(std::move(reply));
+    }
+    void abandon() override
+    {
+        responder_->abandon();
+    }
+
+private:
+    HttpResponderPointer responder_;
+    std::function<void(WebReply)> onReply_;
+};
+
 /** Sends the result of a store call; an unknown outcome closes the connection without an answer. */
 void reply(const StoreResult &result, const HttpResponderPointer &responder, std::size_t maximumRows = SIZE_MAX)
 {
@@ -74,6 +100,14 @@
     return rows;
 }
 
+/** The owner that a transaction names in the epoch row; empty if it names none. */
+std::string readNewOwner(const StoreChange &change)
+{
+    const auto isEpochRow = [](const StoreRow &row) { return row.table == FencingRows::table && row.key == FencingRows::epochKey; };
+    const auto row = std::find_if(change.writes.begin(), change.writes.end(), isEpochRow);
+    return row == change.writes.end() ? std::string() : EpochRow::read(*row).owner;
+}
+
 Milliseconds sinceEpoch(TimePoint time)
 {
     return std::chrono::duration_cast<Milliseconds>(time.time_since_epoch());
@@ -130,6 +164,59 @@
     return { "127.0.0.1", storeListener_->port() };
 }
 
+Address PlatformServer::addStoreClient(const std::string &process)
+{
+    auto &client = storeClients_[process];
+    client.listener = std::make_unique<HttpListener>(
+        loop_, HttpListenerLimits(), [this, &client](const WebRequest &request, const HttpResponderPointer &responder) {
+            serveStoreClient(client, request, responder);
+        });
+    std::string error;
+    if (!client.listener->listen({ "127.0.0.1", 0 }, error)) {
+        throw std::runtime_error(error);
+    }
+    return { "127.0.0.1", client.listener->port() };
+}
+
+void PlatformServer::setStoreFault(const std::string &process, const StoreFault &fault)
+{
+    auto &client = storeClients_.at(process);
+    client.fault = fault;
+    for (const auto &responder : std::exchange(client.held, {})) {
+        responder->abandon();
+    }
+}
+
+void PlatformServer::serveStoreClient(StoreClient &client, const WebRequest &request, const HttpResponderPointer &responder)
+{
+    const bool isWrite = request.target.starts_with("/api/rows-tx");
+    const auto activeKind = [&client, isWrite, table = readQueryParameter(request.target, "table")] {
+        const bool isTableAffected = client.fault.table.empty() || client.fault.table == table;
+        const bool isAffected = isWrite ? client.fault.affectsWrites : client.fault.affectsReads && isTableAffected;
+        return isAffected ? client.fault.kind : StoreFault::Kind::None;
+    };
+    switch (activeKind()) {
+    case StoreFault::Kind::Refuse:
+        responder->reply({ 503, {}, {} });
+        return;
+    case StoreFault::Kind::Silent:
+        client.held.push_back(responder);
+        return;
+    case StoreFault::Kind::LoseReplies:
+    case StoreFault::Kind::None:
+        break;
+    }
+    // The fault is looked up again when the call has been carried out: it may begin with this very call.
+    const auto reply = [&client, responder, activeKind](WebReply webReply) {
+        if (activeKind() == StoreFault::Kind::None || activeKind() == StoreFault::Kind::Refuse) {
+            responder->reply(std::move(webReply));
+        } else {
+            client.held.push_back(responder);
+        }
+    };
+    serveStore(request, std::make_shared<InterceptedResponder>(responder, reply));
+}
+
 void PlatformServer::addWorker(const std::string &id, int cores, SimulatedWorker::Plan plan)
 {
     auto &endpoint = workers_[id];
@@ -212,7 +299,15 @@
     }
     change.writes = readRows(root, "write");
     change.removals = readRows(root, "remove");
-    store.commit(std::move(change), [responder](const StoreResult &result) { reply(result, responder); });
+    const auto owner = readNewOwner(change);
+    store.commit(std::move(change), [this, responder, owner](const StoreResult &result) {
+        if (result.outcome == StoreOutcome::Done && !owner.empty() && onTakeover) {
+            // A copy, since the function may replace itself.
+            const auto callback = onTakeover;
+            callback(owner);
+        }
+        reply(result, responder);
+    });
 }
 
 void PlatformServer::serveWorker(const std::string &id, const WebRequest &request, const HttpResponderPointer &responder)
--- a/tests/soak/PlatformServer.h
+++ b/tests/soak/PlatformServer.h
@@ -4,12 +4,14 @@
 #include "fakes/StartChecker.h"
 #include "net/HttpListener.h"
 #include "soak/FaultyLink.h"
+#include "soak/StoreFault.h"
 
 #include <limits>
 #include <list>
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace auburndoor {
 
@@ -35,6 +37,15 @@
     /** The address on which the store listens, without a FaultyLink. */
     Address storeAddress() const;
 
+    /** Opens a further address of the store for one process, whose calls setStoreFault() disturbs. */
+    Address addStoreClient(const std::string &process);
+
+    /** Sets what the store does with the calls of a process; ends what its calls that are held back wait for. */
+    void setStoreFault(const std::string &process, const StoreFault &fault);
+
+    /** Called after each takeover that the store has applied, before it is answered, with the name of the new owner; if set. */
+    std::function<void(const std::string &owner)> onTakeover;
+
     /** Adds a worker and writes its row to the store. @param plan returns duration and outcome of each run */
     void addWorker(const std::string &id, int cores, SimulatedWorker::Plan plan);
 
@@ -76,7 +87,18 @@
         std::int64_t incarnation = 0;
     };
 
+    /** A process's way to the store. */
+    struct StoreClient
+    {
+        std::unique_ptr<HttpListener> listener;
+        StoreFault fault;
+        /** The responders of calls that get no answer. */
+        std::vector<HttpResponderPointer> held;
+    };
+
     void serveStore(const WebRequest &request, const HttpResponderPointer &responder);
+    /** Serves a call of one process under its fault. */
+    void serveStoreClient(StoreClient &client, const WebRequest &request, const HttpResponderPointer &responder);
     void serveTransaction(const std::string &body, const HttpResponderPointer &responder);
     void serveWorker(const std::string &id, const WebRequest &request, const HttpResponderPointer &responder);
     void serveCommand(const std::string &id, const WebRequest &request, const HttpResponderPointer &responder);
@@ -88,6 +110,7 @@
 
     EventLoop &loop_;
     std::unique_ptr<HttpListener> storeListener_;
+    std::map<std::string, StoreClient> storeClients_;
     std::map<std::string, WorkerEndpoint> workers_;
 };
 
--- a/tests/soak/ProcessCell.cpp
+++ b/tests/soak/ProcessCell.cpp
@@ -23,7 +23,8 @@
         platform.addWorker("w" + std::to_string(number), coresPerWorker, plan);
     }
     for (int number = 0; number < entryCount; ++number) {
-        entries.push_back(std::make_unique<EntryProcess>(loop, number, platform.storeAddress(), folder));
+        const auto storeAddress = platform.addStoreClient(EntryProcess::nameOf(number));
+        entries.push_back(std::make_unique<EntryProcess>(loop, number, storeAddress, folder));
         entries.back()->start();
     }
 }
