An owner that the store does not serve while it reads its tables is replaced

Cause: the heartbeats of an owner tell how long the store has not taken its writes. An owner that still reads its tables has nothing to write, so it reported no stall, answered heartbeats and stayed owner without end.

Change: the stall of the reading counts as well, from the last page that arrived, and the heartbeat names the table. A follower replaces the owner only if the store serves it reads of that same table, so that a table that is away for all moves nobody. A reading goes on at the page that failed, which a store that fails some calls would otherwise keep from ending.

--- a/modules/entry/EntryInstance.cpp
+++ b/modules/entry/EntryInstance.cpp
@@ -286,6 +286,7 @@
     heartbeat.owner = dependencies.settings.nodeName;
     heartbeat.token = owner->token();
     heartbeat.storeStallDuration = owner->storeStallDuration();
+    heartbeat.stalledTable = owner->stalledTable();
     heartbeat.isReady = owner->isReady();
     heartbeat.desiredStateVersion = desiredState.version;
     heartbeat.processorShare = dependencies.settings.processorShare;
--- a/modules/entry/Leadership.cpp
+++ b/modules/entry/Leadership.cpp
@@ -248,6 +248,10 @@
     knownMembers = heartbeat->members;
     desiredStateVersion = heartbeat->desiredStateVersion;
     ownerStoreStallDuration = heartbeat->storeStallDuration;
+    if (ownerStalledTable != heartbeat->stalledTable) {
+        successfulStoreProbes = 0;
+        ownerStalledTable = heartbeat->stalledTable;
+    }
     // A heartbeat that was late on its way tells as much as a busy owner: the next one may be later still.
     const auto lateness = std::chrono::duration_cast<Milliseconds>(loop.now() - sentAt) - expectedDelay;
     expectedHeartbeatDelay = HeartbeatPacing::limitAnnouncedDelay(heartbeat->nextDelay, timing.heartbeatDelay);
--- a/modules/entry/Leadership.h
+++ b/modules/entry/Leadership.h
@@ -22,7 +22,7 @@
     Milliseconds heartbeatDelay { 250 };
     /** A heartbeat of an owner that is not busy counts as lost if it has not arrived this long after its delay. */
     Milliseconds heartbeatGracePeriod { 350 };
-    /** An owner whose writes the store has not accepted for this long is replaced by a process whose reads the store answers. */
+    /** An owner that the store has not served for this long is replaced by a process whose reads the store answers. */
     Milliseconds storeStallLimit { 450 };
     /** Timeout of the requests that ask other entry processes whether they reach the owner. */
     Milliseconds peerQueryTimeout { 250 };
--- a/modules/entry/LeadershipFailureDetection.cpp
+++ b/modules/entry/LeadershipFailureDetection.cpp
@@ -20,8 +20,9 @@
 void Leadership::Impl::probeStore()
 {
     // If the store answers this process but still not the owner, only the owner has lost it. probesBeforeReplacement successive
-    // answers are required, since the store may just have recovered for all.
-    store.readRow(FencingRows::table,
+    // answers are required, since the store may just have recovered for all. A table that the owner cannot read may be away for all
+    // as well, so that reading another one would tell nothing.
+    store.readRow(ownerStalledTable.empty() ? FencingRows::table : ownerStalledTable,
                   FencingRows::epochKey,
                   [self = shared_from_this(), probedToken = owner.token, sentAt = loop.now()](const StoreResult &result) {
                       if (self->isClosed || self->isOwner || self->owner.token != probedToken) {
@@ -31,7 +32,11 @@
                       self->successfulStoreProbes = result.outcome == StoreOutcome::Done && isFast ? self->successfulStoreProbes + 1
                                                                                                    : 0;
                       if (self->successfulStoreProbes >= probesBeforeReplacement) {
-                          EventLog::write("owner.without_store", { { "owner", self->owner.owner }, { "token", probedToken } });
+                          EventLog::write("owner.without_store",
+                                          { { "owner", self->owner.owner },
+                                            { "token", probedToken },
+                                            { "stalled_ms", self->ownerStoreStallDuration.count() },
+                                            { "table", self->ownerStalledTable } });
                           self->successfulStoreProbes = 0;
                           self->replaceableToken = probedToken;
                           self->findOwner();
--- a/modules/entry/LeadershipImpl.h
+++ b/modules/entry/LeadershipImpl.h
@@ -60,7 +60,7 @@
         @param isRefused the owner's machine has answered that nothing listens at the owner's address
     */
     void verifyUnheardOwnerFailure(bool isRefused);
-    /** Reads from the store while the owner's writes stall, to find out whether the owner alone has lost it. */
+    /** Reads from the store while it does not serve the owner, to find out whether the owner alone has lost it. */
     void probeStore();
     /**
         @param isNotOwner the process answered that it does not own the cell
@@ -112,9 +112,10 @@
     std::int64_t delayedTakeoverToken = -1;
     /** Increased when an owner is followed or this process becomes the owner; replies to requests of earlier rounds are ignored. */
     std::uint64_t heartbeatRound = 0;
-    /** How long the store has not accepted the owner's writes, from the owner's last heartbeat. */
+    /** How long the store has not served the owner, and the table that it cannot read, from the owner's last heartbeat. */
     Milliseconds ownerStoreStallDuration { 0 };
-    /** Successive fast answers of the store to this process while the owner's writes stall. */
+    std::string ownerStalledTable;
+    /** Successive fast answers of the store to this process while it does not serve the owner. */
     int successfulStoreProbes = 0;
     /** The peer addresses of entry processes, from the owner's last heartbeat. */
     std::vector<Address> knownMembers;
--- a/modules/entry/Owner.cpp
+++ b/modules/entry/Owner.cpp
@@ -226,10 +226,15 @@
 
 Milliseconds Owner::storeStallDuration() const
 {
-    if (!impl_->commitQueue.isStalled()) {
-        return Milliseconds(0);
+    if (!impl_->isReady) {
+        return impl_->tableReading.stallDuration();
     }
-    return impl_->commitQueue.stallDuration();
+    return impl_->commitQueue.isStalled() ? impl_->commitQueue.stallDuration() : Milliseconds(0);
+}
+
+std::string Owner::stalledTable() const
+{
+    return impl_->tableReading.stalledTable();
 }
 
 std::int64_t Owner::token() const
--- a/modules/entry/Owner.h
+++ b/modules/entry/Owner.h
@@ -76,9 +76,12 @@
     /** Takes over a new version of the desired state. */
     void setDesiredState(const DesiredState &desiredState);
 
-    /** How long the store has not accepted this owner's writes; zero if it accepts them. */
+    /** How long the store has not served this owner, which reads its tables or writes; zero if it does. */
     Milliseconds storeStallDuration() const;
 
+    /** The table that this owner cannot read for storeStallDuration(); empty once it has read all. */
+    std::string stalledTable() const;
+
     std::int64_t token() const;
 
     /** Sets the gauges for queues, workers, lease renewals and store transactions. */
--- a/modules/entry/PeerCodec.cpp
+++ b/modules/entry/PeerCodec.cpp
@@ -72,6 +72,7 @@
              dump({ { "owner", heartbeat.owner },
                     { "token", heartbeat.token },
                     { "store_away", heartbeat.storeStallDuration.count() },
+                    { "stalled_table", heartbeat.stalledTable },
                     { "ready", heartbeat.isReady },
                     { "desired", heartbeat.desiredStateVersion },
                     { "share", heartbeat.processorShare },
@@ -94,6 +95,7 @@
         // Absent in the heartbeats of earlier releases, which may own the cell during a rolling restart.
         heartbeat.loopDelay = limitDuration(json.value("loop_delay", std::int64_t(0)));
         heartbeat.nextDelay = limitDuration(json.value("next_delay", std::int64_t(0)));
+        heartbeat.stalledTable = json.value("stalled_table", std::string());
         for (const auto &member : json.at("members")) {
             const auto address = member.is_string() ? Address::parse(member.get<std::string>()) : std::nullopt;
             if (address && address->hasPort()) {
--- a/modules/entry/PeerCodec.h
+++ b/modules/entry/PeerCodec.h
@@ -18,7 +18,7 @@
     std::string owner;
     /** The owner's fencing token. */
     std::int64_t token = 0;
-    /** How long the store has not accepted the owner's writes; zero if it accepts them. */
+    /** How long the store has not served the owner; zero if it does. */
     Milliseconds storeStallDuration { 0 };
     /** True if the owner has read the stored jobs and answers calls. */
     bool isReady = false;
@@ -32,6 +32,8 @@
     Milliseconds loopDelay { 0 };
     /** The delay after which the owner will answer the next heartbeat request; zero if it does not say. */
     Milliseconds nextDelay { 0 };
+    /** The table that the owner cannot read for storeStallDuration; empty if the store does not accept its writes. */
+    std::string stalledTable = {};
 };
 
 /** What an entry process knows of the owner, sent to another one that has lost contact with the owner or the store. */
--- a/modules/entry/TableReading.cpp
+++ b/modules/entry/TableReading.cpp
@@ -3,8 +3,8 @@
 #include "net/Timers.h"
 #include "observability/EventLog.h"
 
+#include <algorithm>
 #include <optional>
-#include <set>
 #include <utility>
 
 namespace auburndoor {
@@ -23,8 +23,19 @@
     {
     }
 
-    void read(const std::string &table);
-    void onResult(const std::string &table, const StoreResult &result);
+    /** A table that is not read to its end yet. */
+    struct UnreadTable
+    {
+        /** Where the next page begins; empty for the first one. */
+        std::string nextPageKey;
+        /** When the last page arrived, or when the reading was started. */
+        TimePoint lastPageAt;
+    };
+
+    void readPage(const std::string &table);
+    void onPage(const std::string &table, const StoreResult &page);
+    /** The unread table with the oldest last page; the end if all are read. */
+    std::map<std::string, UnreadTable>::const_iterator stalled() const;
     void report();
 
     Timers &timers;
@@ -32,7 +43,7 @@
     std::int64_t token;
     std::function<void(Tables)> done;
     std::optional<TimePoint> startedAt;
-    std::set<std::string> unread;
+    std::map<std::string, UnreadTable> unread;
     Tables tables;
     /** The outcome and the detail of the last reading that failed. */
     std::string lastOutcome;
@@ -40,33 +51,47 @@
     bool isClosed = false;
 };
 
-void TableReading::Impl::read(const std::string &table)
+void TableReading::Impl::readPage(const std::string &table)
 {
-    store.readAll(table, {}, [self = shared_from_this(), table](const StoreResult &result) { self->onResult(table, result); });
+    store.readPage(table, unread.at(table).nextPageKey, [self = shared_from_this(), table](const StoreResult &page) {
+        if (!self->isClosed) {
+            self->onPage(table, page);
+        }
+    });
 }
 
-void TableReading::Impl::onResult(const std::string &table, const StoreResult &result)
+void TableReading::Impl::onPage(const std::string &table, const StoreResult &page)
 {
-    if (isClosed) {
-        return;
-    }
-    if (result.outcome != StoreOutcome::Done) {
-        lastOutcome = name(result.outcome);
-        lastDetail = result.detail;
+    if (page.outcome != StoreOutcome::Done) {
+        lastOutcome = name(page.outcome);
+        lastDetail = page.detail;
         timers.after(readRetryDelay, [self = shared_from_this(), table] {
             if (!self->isClosed) {
-                self->read(table);
+                self->readPage(table);
             }
         });
         return;
     }
-    tables[table] = result.rows;
+    auto &rows = tables[table];
+    rows.insert(rows.end(), page.rows.begin(), page.rows.end());
+    if (!page.nextPageKey.empty()) {
+        unread.at(table) = { page.nextPageKey, timers.now() };
+        readPage(table);
+        return;
+    }
     unread.erase(table);
     if (unread.empty()) {
         done(std::move(tables));
     }
 }
 
+std::map<std::string, TableReading::Impl::UnreadTable>::const_iterator TableReading::Impl::stalled() const
+{
+    return std::min_element(unread.begin(), unread.end(), [](const auto &left, const auto &right) {
+        return left.second.lastPageAt < right.second.lastPageAt;
+    });
+}
+
 void TableReading::Impl::report()
 {
     timers.after(reportInterval, [self = shared_from_this()] {
@@ -74,7 +99,7 @@
             return;
         }
         std::string names;
-        for (const auto &table : self->unread) {
+        for (const auto &[table, position] : self->unread) {
             names += (names.empty() ? "" : ",") + table;
         }
         EventLog::write("owner.reading",
@@ -100,10 +125,11 @@
 void TableReading::start(const std::vector<std::string> &tables)
 {
     impl_->startedAt = impl_->timers.now();
-    impl_->unread.insert(tables.begin(), tables.end());
-    // No earlier owner can write any more, so the tables can be read in parallel.
     for (const auto &table : tables) {
-        impl_->read(table);
+        impl_->unread[table] = { {}, *impl_->startedAt };
+    }
+    for (const auto &table : tables) {
+        impl_->readPage(table);
     }
     impl_->report();
 }
@@ -113,4 +139,17 @@
     return impl_->startedAt ? std::chrono::duration_cast<Milliseconds>(impl_->timers.now() - *impl_->startedAt) : Milliseconds(0);
 }
 
+Milliseconds TableReading::stallDuration() const
+{
+    const auto table = impl_->stalled();
+    return table == impl_->unread.end() ? Milliseconds(0)
+                                        : std::chrono::duration_cast<Milliseconds>(impl_->timers.now() - table->second.lastPageAt);
+}
+
+std::string TableReading::stalledTable() const
+{
+    const auto table = impl_->stalled();
+    return table == impl_->unread.end() ? std::string() : table->first;
+}
+
 } // namespace auburndoor
--- a/modules/entry/TableReading.h
+++ b/modules/entry/TableReading.h
@@ -15,9 +15,10 @@
 class Timers;
 
 /**
-    Reads the tables from which a new owner restores its state, and repeats what fails until all are read.
+    Reads the tables from which a new owner restores its state, page by page, and repeats what fails until all are read.
 
-    While tables are unread it logs "owner.reading" once a second. All members are called from the loop's thread.
+    A reading goes on at the page that failed: no earlier owner can write any more, so the tables do not change meanwhile. While
+   tables are unread it logs "owner.reading" once a second. All members are called from the loop's thread.
 */
 class TableReading
 {
@@ -35,6 +36,12 @@
     /** How long ago the reading was started; zero before. */
     Milliseconds age() const;
 
+    /** How long the store has not answered the reading of stalledTable(); zero once all tables are read. */
+    Milliseconds stallDuration() const;
+
+    /** The unread table whose last page was read the longest time ago; empty once all are read. */
+    std::string stalledTable() const;
+
 private:
     struct Impl;
     std::shared_ptr<Impl> impl_;
--- a/modules/workload/StateStore.h
+++ b/modules/workload/StateStore.h
@@ -69,7 +69,9 @@
     /** The rows read, the changes, or, after a conflict, the current rows that the expectations name. */
     std::vector<StoreRow> rows;
     /** Describes a failure, for logs. */
-    std::string detail;
+    std::string detail = {};
+    /** Of StateStore::readPage(): the first key of the next page; empty after the last one. */
+    std::string nextPageKey = {};
 };
 
 /**
@@ -90,6 +92,9 @@
     /** Reads the rows of a table from firstKey on, in several requests if needed; an empty firstKey reads the whole table. */
     virtual void readAll(const std::string &table, const std::string &firstKey, Callback callback) = 0;
 
+    /** Reads rows of a table from firstKey on, as many as the store returns in one request. */
+    virtual void readPage(const std::string &table, const std::string &firstKey, Callback callback) = 0;
+
     /** Reads one row; the result has no rows if there is none. */
     virtual void readRow(const std::string &table, const std::string &key, Callback callback) = 0;
 
--- a/tests/dispatch/OwnerReadingTests.cpp
+++ b/tests/dispatch/OwnerReadingTests.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace auburndoor;
 
 namespace {
@@ -27,3 +29,55 @@
     CHECK(cell.owner->isReady());
     CHECK(cell.owner->storeStallDuration() == Milliseconds(0));
 }
+
+namespace {
+
+// Tables of 15 pages, each of which takes 240 ms to read.
+constexpr int pageCount = 15;
+constexpr Milliseconds pageTime { 240 };
+
+void fillTable(OwnerFixture &cell)
+{
+    constexpr int rowsPerPage = 2;
+    constexpr int firstNumber = 100;
+    for (int number = 0; number < pageCount * rowsPerPage; ++number) {
+        cell.store.write("roster", "w" + std::to_string(firstNumber + number), "not a roster entry");
+    }
+    cell.store.setPageSize(rowsPerPage);
+    cell.store.setAnswerTime(pageTime);
+}
+
+} // namespace
+
+// Guards against takeovers without end while the store is slow for all: each owner would be replaced before it has read its tables.
+TEST_CASE("an owner that reads many pages from a slow store reports no stall", "[unread-tables]")
+{
+    OwnerFixture cell;
+    fillTable(cell);
+    cell.takeOver();
+    Milliseconds longestStall { 0 };
+    for (int step = 0; step < pageCount * 4; ++step) {
+        longestStall = std::max(longestStall, cell.owner->storeStallDuration());
+        cell.timers.advance(pageTime / 4);
+    }
+    CHECK(longestStall < storeStallLimit);
+    cell.timers.advance(pageTime);
+    CHECK(cell.owner->isReady());
+}
+
+// Guards against a reading that starts again from the first page after each failure, and so never ends while some calls fail.
+TEST_CASE("an owner goes on reading a table at the page that failed", "[unread-tables]")
+{
+    constexpr int pagesBefore = 7;
+    constexpr Milliseconds outage { 1000 };
+    constexpr Milliseconds retryTime { 400 };
+    OwnerFixture cell;
+    fillTable(cell);
+    cell.takeOver();
+    cell.timers.advance(pageTime * pagesBefore);
+    cell.store.setDown(true);
+    cell.timers.advance(outage);
+    cell.store.setDown(false);
+    cell.timers.advance(pageTime * (pageCount - pagesBefore + 1) + retryTime);
+    CHECK(cell.owner->isReady());
+}
--- a/tests/fakes/FakeStore.cpp
+++ b/tests/fakes/FakeStore.cpp
@@ -73,17 +73,32 @@
     });
 }
 
-void FakeStore::readAll(const std::string &table, const std::string &from, Callback callback)
+StoreResult FakeStore::read(const std::string &table, const std::string &from, std::size_t maxRows) const
 {
     StoreResult result;
     result.outcome = isDown_ ? StoreOutcome::NotDone : StoreOutcome::Done;
     result.version = version_;
     for (const auto &[name, stored] : rows_) {
-        if (!isDown_ && name.first == table && name.second >= from) {
-            result.rows.push_back(stored);
+        if (isDown_ || name.first != table || name.second < from) {
+            continue;
+        }
+        if (result.rows.size() == maxRows) {
+            result.nextPageKey = name.second;
+            break;
         }
+        result.rows.push_back(stored);
     }
-    answer(std::move(result), std::move(callback), answerTime_);
+    return result;
+}
+
+void FakeStore::readAll(const std::string &table, const std::string &from, Callback callback)
+{
+    answer(read(table, from, SIZE_MAX), std::move(callback), answerTime_);
+}
+
+void FakeStore::readPage(const std::string &table, const std::string &firstKey, Callback callback)
+{
+    answer(read(table, firstKey, pageSize_), std::move(callback), answerTime_);
 }
 
 void FakeStore::readRow(const std::string &table, const std::string &key, Callback callback)
--- a/tests/fakes/FakeStore.h
+++ b/tests/fakes/FakeStore.h
@@ -21,6 +21,7 @@
 
     void commit(StoreChange change, Callback callback) override;
     void readAll(const std::string &table, const std::string &from, Callback callback) override;
+    void readPage(const std::string &table, const std::string &firstKey, Callback callback) override;
     void readRow(const std::string &table, const std::string &key, Callback callback) override;
     void changes(const std::string &table, std::int64_t after, Milliseconds wait, Callback callback) override;
 
@@ -30,6 +31,12 @@
         isDown_ = isDown;
     }
 
+    /** The most rows that readPage() returns. */
+    void setPageSize(std::size_t rows)
+    {
+        pageSize_ = rows;
+    }
+
     /** How long a call takes. */
     void setAnswerTime(Milliseconds time)
     {
@@ -68,6 +75,8 @@
 
 private:
     StoreResult apply(const StoreChange &change);
+    /** The rows of a table from a key on, at most maxRows of them. */
+    StoreResult read(const std::string &table, const std::string &from, std::size_t maxRows) const;
     void answer(StoreResult result, Callback callback, Milliseconds delay);
 
     Timers &timers_;
@@ -77,6 +86,7 @@
     int commits_ = 0;
     int rejected_ = 0;
     std::size_t maxRowBytes_ = SIZE_MAX;
+    std::size_t pageSize_ = SIZE_MAX;
     Milliseconds answerTime_ { 8 };
     int answersToLose_ = 0;
     Milliseconds applyAfter_ { 0 };
--- a/tests/fakes/PartitionedStore.cpp
+++ b/tests/fakes/PartitionedStore.cpp
@@ -38,6 +38,11 @@
     pass([&](Callback reply) { store_.readAll(table, firstKey, std::move(reply)); }, std::move(callback));
 }
 
+void PartitionedStore::readPage(const std::string &table, const std::string &firstKey, Callback callback)
+{
+    pass([&](Callback reply) { store_.readPage(table, firstKey, std::move(reply)); }, std::move(callback));
+}
+
 void PartitionedStore::readRow(const std::string &table, const std::string &key, Callback callback)
 {
     pass([&](Callback reply) { store_.readRow(table, key, std::move(reply)); }, std::move(callback));
--- a/tests/fakes/PartitionedStore.h
+++ b/tests/fakes/PartitionedStore.h
@@ -15,6 +15,7 @@
 
     void commit(StoreChange change, Callback callback) override;
     void readAll(const std::string &table, const std::string &firstKey, Callback callback) override;
+    void readPage(const std::string &table, const std::string &firstKey, Callback callback) override;
     void readRow(const std::string &table, const std::string &key, Callback callback) override;
     void changes(const std::string &table, std::int64_t afterVersion, Milliseconds maxWait, Callback callback) override;
 
