Tests: a test program that crashes leaves no process behind

Seen: after test-soak had crashed in a test under work, four of its entry processes ran on and connected to the ports that the stores of later tests had got; they took the ownership over, two tokens a millisecond apart under one name. Children now end with their test program.

--- a/tests/cell/ChildProcess.cpp
+++ b/tests/cell/ChildProcess.cpp
@@ -4,6 +4,7 @@
 #include <fcntl.h>
 #include <linux/close_range.h>
 #include <stdexcept>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -32,6 +33,8 @@
         throw std::runtime_error("cannot fork");
     }
     if (id_ == 0) {
+        // A test program that crashes must leave no process behind, which would call the ports of later tests.
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
         const auto file = open(logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
         dup2(file, STDOUT_FILENO);
         dup2(file, STDERR_FILENO);
