A process that does not learn that it has won is replaced

Cause: a takeover was two calls, the write of the epoch row and a reading of the sequence row, which was repeated without end. If the answer to the write is lost, or the reading is refused, the row names a process that denies to be the owner. Followers read the row again, found the same name and followed again, without end.

Change: a takeover is one call, which writes the sequence row as well, so that its version is known. A winner that waits for a store that is slow for all is not replaced (LeadershipTests, UnservingOwnerTests). The deposed owner no longer recognizes a last transaction whose answer was lost; its callers are sent to the next owner, where their calls are idempotent.

--- a/modules/dispatch/CommitQueue.h
+++ b/modules/dispatch/CommitQueue.h
@@ -19,7 +19,7 @@
     static constexpr const char *table = "cell";
     /** Written only when the ownership changes; each transaction of an owner expects the version that it wrote. */
     static constexpr const char *epochKey = "epoch";
-    /** Written with each transaction of the owner, with that transaction's number. */
+    /** Written with each takeover, and with each transaction of the owner, with that transaction's number. */
     static constexpr const char *sequenceKey = "sequence";
 };
 
--- a/modules/entry/Leadership.cpp
+++ b/modules/entry/Leadership.cpp
@@ -48,15 +48,16 @@
         return;
     }
     isFencingCallInFlight = true;
-    store.readRow(FencingRows::table, FencingRows::epochKey, [self = shared_from_this()](const StoreResult &result) {
-        if (!self->isClosed) {
-            self->isFencingCallInFlight = false;
-            self->onEpochRow(result);
-        }
-    });
+    store.readRow(
+        FencingRows::table, FencingRows::epochKey, [self = shared_from_this(), sentAt = loop.now()](const StoreResult &result) {
+            if (!self->isClosed) {
+                self->isFencingCallInFlight = false;
+                self->onEpochRow(result, sentAt);
+            }
+        });
 }
 
-void Leadership::Impl::onEpochRow(const StoreResult &result)
+void Leadership::Impl::onEpochRow(const StoreResult &result, TimePoint sentAt)
 {
     if (isOwner) {
         return;
@@ -73,6 +74,7 @@
     const auto row = result.rows.empty() ? EpochRow() : EpochRow::read(result.rows.front());
     const auto version = result.rows.empty() ? 0 : result.rows.front().version;
     const bool isVacant = row.owner.empty() || row.owner == settings.nodeName;
+    verifyDenial(row, sentAt);
     if (isVacant || row.token <= replaceableToken) {
         const bool isSmall = settings.processorShare < largeMachineShare;
         if (!isTakeoverDisabled && isSmall && std::exchange(delayedTakeoverToken, row.token) != row.token) {
@@ -95,6 +97,9 @@
     StoreChange change;
     change.expected.push_back({ FencingRows::table, FencingRows::epochKey, version });
     change.writes.push_back({ FencingRows::table, FencingRows::epochKey, next.toText() });
+    // The first transaction has to know the version of the sequence row. A reading of it could fail after the takeover is applied.
+    change.writes.push_back(
+        { FencingRows::table, FencingRows::sequenceKey, settings.nodeName + "#" + std::to_string(next.token) + " takeover" });
     isFencingCallInFlight = true;
     takeoverSentAt = takeoverSentAt.value_or(loop.now());
     store.commit(std::move(change),
@@ -109,7 +114,7 @@
 void Leadership::Impl::onTakeoverResult(const StoreResult &result, std::int64_t token, CallTime sentAt)
 {
     if (result.outcome == StoreOutcome::Done) {
-        readSequence({ token, result.version, 0, sentAt });
+        becomeOwner({ token, result.version, result.version, sentAt });
         return;
     }
     EventLog::write("owner.attempt_failed",
@@ -118,37 +123,17 @@
     runAfter(result.outcome == StoreOutcome::Conflict ? Milliseconds(0) : timing.retryDelay + jitter(), &Impl::findOwner);
 }
 
-void Leadership::Impl::readSequence(const Ownership &won)
+void Leadership::Impl::becomeOwner(const Ownership &won)
 {
-    isFencingCallInFlight = true;
-    store.readRow(FencingRows::table, FencingRows::sequenceKey, [self = shared_from_this(), won](const StoreResult &result) {
-        if (self->isClosed) {
-            return;
-        }
-        self->isFencingCallInFlight = false;
-        if (result.outcome != StoreOutcome::Done) {
-            EventLog::writeRateLimited(
-                "owner.sequence_unread",
-                { { "token", won.token }, { "outcome", name(result.outcome) }, { "detail", result.detail } });
-            self->loop.after(self->timing.retryDelay, [self, won] {
-                if (!self->isClosed) {
-                    self->readSequence(won);
-                }
-            });
-            return;
-        }
-        self->isOwner = true;
-        self->takeoverSentAt.reset();
-        self->wonAt = self->loop.now();
-        self->isOwnerResponding = false;
-        ++self->heartbeatRound;
-        self->owner = { won.token, self->settings.nodeName, self->settings.peers.text() };
-        self->heartbeatChannel.reset();
-        EventLog::write("owner.won", { { "token", won.token } });
-        auto ownership = won;
-        ownership.sequenceVersion = result.rows.empty() ? 0 : result.rows.front().version;
-        self->hooks.onOwnershipWon(ownership);
-    });
+    isOwner = true;
+    takeoverSentAt.reset();
+    wonAt = loop.now();
+    isOwnerResponding = false;
+    ++heartbeatRound;
+    owner = { won.token, settings.nodeName, settings.peers.text() };
+    heartbeatChannel.reset();
+    EventLog::write("owner.won", { { "token", won.token } });
+    hooks.onOwnershipWon(won);
 }
 
 void Leadership::Impl::follow(const EpochRow &row)
@@ -245,6 +230,7 @@
     isOwnerResponding = true;
     reconnections = 0;
     unheardOwner.reset();
+    deniedOwnership.reset();
     knownMembers = heartbeat->members;
     desiredStateVersion = heartbeat->desiredStateVersion;
     ownerStoreStallDuration = heartbeat->storeStallDuration;
@@ -278,7 +264,10 @@
         EventLog::write("owner.silent", { { "owner", owner.owner }, { "token", owner.token }, { "why", why } });
     }
     if (isNotOwner) {
-        // It has released or lost the ownership; the epoch row shows who is next.
+        // It has released or lost the ownership, and the epoch row shows who is next, or it does not know that the row names it.
+        if (!deniedOwnership || deniedOwnership->token != owner.token) {
+            deniedOwnership = DeniedOwnership { owner.token, loop.now(), 0 };
+        }
         runAfter(Milliseconds(10) + jitter(), &Impl::findOwner);
         return;
     }
--- a/modules/entry/LeadershipFailureDetection.cpp
+++ b/modules/entry/LeadershipFailureDetection.cpp
@@ -44,6 +44,27 @@
                   });
 }
 
+void Leadership::Impl::verifyDenial(const EpochRow &row, TimePoint sentAt)
+{
+    if (!deniedOwnership || deniedOwnership->token != row.token) {
+        return;
+    }
+    // While the store is slow for all, a winner learns late that it has won; others can read the row before.
+    const auto now = loop.now();
+    const auto denied = now - deniedOwnership->since;
+    if ((now - sentAt) * minStoreSpeedRatio >= denied) {
+        deniedOwnership->readings = 0;
+        return;
+    }
+    if (denied >= timing.storeStallLimit && ++deniedOwnership->readings >= probesBeforeReplacement) {
+        EventLog::write("owner.unaware",
+                        { { "owner", row.owner },
+                          { "token", row.token },
+                          { "denied_ms", std::chrono::duration_cast<Milliseconds>(denied).count() } });
+        replaceableToken = std::max(replaceableToken, row.token);
+    }
+}
+
 void Leadership::Impl::readOwnerProgress(std::function<void(const StoreResult &)> done)
 {
     store.readRow(FencingRows::table,
--- a/modules/entry/LeadershipImpl.h
+++ b/modules/entry/LeadershipImpl.h
@@ -29,12 +29,14 @@
 
     /** Reads the epoch row and follows its owner, or takes over if the owner may be replaced. */
     void findOwner();
-    void onEpochRow(const StoreResult &result);
+    /** @param sentAt when the row was requested */
+    void onEpochRow(const StoreResult &result, TimePoint sentAt);
+    /** Allows the takeover from a process that the row still names, though it has denied for long enough that it is the owner. */
+    void verifyDenial(const EpochRow &row, TimePoint sentAt);
     /** Tries to replace the epoch row. @param version the version that the row must still have */
     void takeOver(const EpochRow &row, std::int64_t version);
     void onTakeoverResult(const StoreResult &result, std::int64_t token, CallTime sentAt);
-    /** Reads the sequence row's version, which completes the takeover. @param won has no sequence version yet */
-    void readSequence(const Ownership &won);
+    void becomeOwner(const Ownership &won);
     /** Begins to request heartbeats from the owner that the row names. */
     void follow(const EpochRow &row);
     void requestHeartbeat();
@@ -104,6 +106,16 @@
     };
     /** Empty once a heartbeat of the owner has arrived. */
     std::optional<UnheardOwner> unheardOwner;
+    /** A process that denies to be the owner, while the epoch row names it: it has not learned that its takeover was applied. */
+    struct DeniedOwnership
+    {
+        std::int64_t token = 0;
+        TimePoint since;
+        /** Successive fast readings of the row that still named it. */
+        int readings = 0;
+    };
+    /** Empty once a heartbeat of the owner has arrived. */
+    std::optional<DeniedOwnership> deniedOwnership;
     /** The epoch row may be replaced if its token is not higher than this. */
     std::int64_t replaceableToken = -1;
     /** When the first takeover was sent of which this process does not know whether it has won; empty if there is none. */
@@ -141,7 +153,7 @@
     std::int64_t desiredStateVersion = 0;
     bool isOwner = false;
     bool isTakeoverDisabled = false;
-    /** A read or write of the epoch row, or the read of the sequence row after it, is in flight; findOwner() then does nothing. */
+    /** A read or write of the epoch row is in flight; findOwner() then does nothing. */
     bool isFencingCallInFlight = false;
     bool isClosed = false;
 };
