An owner that the store does not serve learns of its successor from other processes

Cause: only the store told an owner that it was replaced. What it judged of itself was weaker still once it was ready: with nothing to write it reported no stall at all, and failing reads or watches counted for nothing.

Change: while the store does not serve an owner, it asks other processes twice a second and ends when one knows a later owner. For a ready owner failed readings of the epoch row count as a stall, and a failing watch of the workers leads to such a reading.

--- a/modules/entry/EntryInstance.cpp
+++ b/modules/entry/EntryInstance.cpp
@@ -95,7 +95,13 @@
                  dependencies.store,
                  dependencies.settings,
                  {},
-                 { [this](const Ownership &ownership) { onOwnershipWon(ownership); }, [this] { return ownHeartbeat(); } })
+                 { [this](const Ownership &ownership) { onOwnershipWon(ownership); },
+                   [this] { return ownHeartbeat(); },
+                   [this] {
+                       if (owner) {
+                           owner->noteSuccessor();
+                       }
+                   } })
     , relayTransport(dependencies.loop)
     , relayPool(
           dependencies.loop,
--- a/modules/entry/Leadership.cpp
+++ b/modules/entry/Leadership.cpp
@@ -65,7 +65,7 @@
     if (result.outcome != StoreOutcome::Done) {
         // The store may refuse only this process; the other processes may know the owner.
         queryPeers([self = shared_from_this()](const std::vector<OwnerView> &views) {
-            if (!self->isOwnerResponding && !self->followNewestOwner(views)) {
+            if (!self->isOwner && !self->isOwnerResponding && !self->followNewestOwner(views)) {
                 self->runAfter(self->timing.retryDelay + self->jitter(), &Impl::findOwner);
             }
         });
@@ -134,6 +134,7 @@
     heartbeatChannel.reset();
     EventLog::write("owner.won", { { "token", won.token } });
     hooks.onOwnershipWon(won);
+    watchForSuccessor(won.token);
 }
 
 void Leadership::Impl::follow(const EpochRow &row)
@@ -202,6 +203,9 @@
         heartbeat->nextDelay = HeartbeatPacing::computeDelay(followers.size(), timing.heartbeatDelay);
         heartbeat->members = HeartbeatPacing::sampleMembers(recentMembers(), random);
         followers[follower].announcedDelay = heartbeat->nextDelay;
+        if (!heartbeat->members.empty()) {
+            knownMembers = heartbeat->members;
+        }
     }
     return heartbeat;
 }
--- a/modules/entry/Leadership.h
+++ b/modules/entry/Leadership.h
@@ -33,6 +33,8 @@
         store meanwhile. It fits several attempts to connect, of which some may be lost.
     */
     Milliseconds unheardOwnerTimeout { 2000 };
+    /** How often an owner that the store does not serve asks other processes for a successor. */
+    Milliseconds successorCheckInterval { 500 };
     /** Delay before the epoch row is read again, and before a failed store access is repeated. */
     Milliseconds retryDelay { 150 };
     /** Upper bound of the random delay that keeps several processes from trying at the same time. */
@@ -44,7 +46,8 @@
 
     The epoch row in the store names the owner. A process becomes the owner by replacing that row on the condition that its version
     is unchanged; the new row holds the next fencing token. Every other process keeps one heartbeat request open at the owner. It
-    tries to take over if that request fails and no other process reaches the owner, or if the owner alone has lost the store. A
+    tries to take over if that request fails and no other process reaches the owner, or if the owner alone has lost the store; the
+    owner then learns of its successor from other processes. A
     process with a large processor share also takes over from an owner with a small one. All members are called from the loop's
     thread.
 */
@@ -61,6 +64,8 @@
             Leadership adds the delays, and shortens the list of members.
         */
         std::function<std::optional<OwnerHeartbeat>()> ownHeartbeat;
+        /** Called when this process is the owner and another one knows a later owner; may be empty. */
+        std::function<void()> onSuccessorKnown = {};
     };
 
     Leadership(EventLoop &loop, StateStore &store, const EntrySettings &settings, LeadershipTiming timing, Hooks hooks);
--- a/modules/entry/LeadershipFailureDetection.cpp
+++ b/modules/entry/LeadershipFailureDetection.cpp
@@ -147,7 +147,7 @@
                 if (const auto view = sent.hasStatus(200) ? PeerCodec::readOwnerView(sent.reply) : std::nullopt) {
                     query->views.push_back(*view);
                 }
-                if (--query->openRequests == 0 && !self->isClosed && !self->isOwner) {
+                if (--query->openRequests == 0 && !self->isClosed) {
                     // Deferred, because destroying the query destroys the channels, and this runs in a callback of one of them.
                     self->loop.after(Milliseconds(0), [query, done] { done(query->views); });
                 }
@@ -155,6 +155,32 @@
     }
 }
 
+void Leadership::Impl::watchForSuccessor(std::int64_t token)
+{
+    if (isClosed || !isOwner || owner.token != token) {
+        return;
+    }
+    loop.after(timing.successorCheckInterval, [self = shared_from_this(), token] { self->watchForSuccessor(token); });
+    const auto heartbeat = hooks.ownHeartbeat();
+    if (!heartbeat || heartbeat->storeStallDuration < timing.storeStallLimit) {
+        return;
+    }
+    queryPeers([self = shared_from_this(), token](const std::vector<OwnerView> &views) {
+        const auto later = std::find_if(views.begin(), views.end(), [token](const auto &view) { return view.token > token; });
+        if (later == views.end() || !self->isOwner || self->owner.token != token) {
+            return;
+        }
+        EventLog::write("owner.deposed",
+                        { { "token", token },
+                          { "by", "another process" },
+                          { "successor", later->owner },
+                          { "successor_token", later->token } });
+        if (self->hooks.onSuccessorKnown) {
+            self->hooks.onSuccessorKnown();
+        }
+    });
+}
+
 bool Leadership::Impl::followNewestOwner(const std::vector<OwnerView> &views)
 {
     const OwnerView *newest = nullptr;
--- a/modules/entry/LeadershipImpl.h
+++ b/modules/entry/LeadershipImpl.h
@@ -37,6 +37,8 @@
     void takeOver(const EpochRow &row, std::int64_t version);
     void onTakeoverResult(const StoreResult &result, std::int64_t token, CallTime sentAt);
     void becomeOwner(const Ownership &won);
+    /** While this process owns the cell with this token and the store does not serve it, asks other processes for a later owner. */
+    void watchForSuccessor(std::int64_t token);
     /** Begins to request heartbeats from the owner that the row names. */
     void follow(const EpochRow &row);
     void requestHeartbeat();
@@ -129,7 +131,7 @@
     std::string ownerStalledTable;
     /** Successive fast answers of the store to this process while it does not serve the owner. */
     int successfulStoreProbes = 0;
-    /** The peer addresses of entry processes, from the owner's last heartbeat. */
+    /** The peer addresses of entry processes, from the last heartbeat that the owner, or this process as the owner, has sent. */
     std::vector<Address> knownMembers;
     /** A process that requests heartbeats of this process. */
     struct Follower
--- a/modules/entry/Owner.cpp
+++ b/modules/entry/Owner.cpp
@@ -140,6 +140,9 @@
     if (isClosed) {
         return;
     }
+    if (workerWatch.isFailing()) {
+        guard.requireReading();
+    }
     guard.tick();
     dependencies.timers.after(maintenanceInterval, [self = shared_from_this()] { self->watchOwnership(); });
 }
@@ -178,6 +181,11 @@
 {
 }
 
+void Owner::noteSuccessor()
+{
+    impl_->depose();
+}
+
 Owner::~Owner()
 {
     impl_->isClosed = true;
@@ -229,7 +237,8 @@
     if (!impl_->isReady) {
         return impl_->tableReading.stallDuration();
     }
-    return impl_->commitQueue.isStalled() ? impl_->commitQueue.stallDuration() : Milliseconds(0);
+    const auto writeStall = impl_->commitQueue.isStalled() ? impl_->commitQueue.stallDuration() : Milliseconds(0);
+    return std::max(writeStall, impl_->guard.stallDuration());
 }
 
 std::string Owner::stalledTable() const
--- a/modules/entry/Owner.h
+++ b/modules/entry/Owner.h
@@ -76,10 +76,13 @@
     /** Takes over a new version of the desired state. */
     void setDesiredState(const DesiredState &desiredState);
 
-    /** How long the store has not served this owner, which reads its tables or writes; zero if it does. */
+    /** Ends this owner, since another process has told that a later one has taken over. */
+    void noteSuccessor();
+
+    /** How long the store has not served this owner, which reads or writes; zero if it does. */
     Milliseconds storeStallDuration() const;
 
-    /** The table that this owner cannot read for storeStallDuration(); empty once it has read all. */
+    /** The table that this owner cannot read for storeStallDuration(); empty once it has read all tables. */
     std::string stalledTable() const;
 
     std::int64_t token() const;
--- a/modules/entry/OwnershipGuard.cpp
+++ b/modules/entry/OwnershipGuard.cpp
@@ -6,6 +6,7 @@
 #include "observability/EventLog.h"
 #include "workload/StateStore.h"
 
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -40,6 +41,8 @@
     OwnershipEvidence &evidence;
     std::function<void()> onReplaced;
     TimePoint lastSeenRunningAt;
+    /** When the first reading was sent that has failed since the last one that succeeded; empty if none has. */
+    std::optional<TimePoint> failingSince;
     /** The callers of confirmWithin() that wait for a reading. */
     std::vector<std::function<void(Status)>> confirmWaiters;
     bool isWatching = false;
@@ -47,6 +50,7 @@
     bool isClosed = false;
     /** A reading of tick() is pending. */
     bool isConfirming = false;
+    bool isReadingRequired = false;
     std::vector<std::function<void()>> waitingActions;
 };
 
@@ -59,6 +63,11 @@
                       const auto status = result.outcome != StoreOutcome::Done ? Status::Unknown
                                           : isSameVersion                      ? Status::IsOwner
                                                                                : Status::IsReplaced;
+                      if (status != Status::Unknown) {
+                          self->failingSince.reset();
+                      } else if (!self->failingSince) {
+                          self->failingSince = sentAt.steady;
+                      }
                       if (status == Status::IsOwner && !self->isClosed) {
                           self->evidence.noteStoreConfirmation(sentAt);
                       }
@@ -103,14 +112,27 @@
     impl_->isWatching = true;
 }
 
+void OwnershipGuard::requireReading()
+{
+    impl_->isReadingRequired = true;
+}
+
 void OwnershipGuard::tick()
 {
     isUncertain();
-    if (impl_->evidence.isConfirmationNeeded() && !std::exchange(impl_->isConfirming, true)) {
+    const bool isNeeded = impl_->evidence.isConfirmationNeeded() || impl_->failingSince || impl_->isReadingRequired;
+    if (isNeeded && !std::exchange(impl_->isConfirming, true)) {
+        impl_->isReadingRequired = false;
         impl_->confirm([impl = impl_](Status) { impl->isConfirming = false; });
     }
 }
 
+Milliseconds OwnershipGuard::stallDuration() const
+{
+    return impl_->failingSince ? std::chrono::duration_cast<Milliseconds>(impl_->timers.now() - *impl_->failingSince)
+                               : Milliseconds(0);
+}
+
 bool OwnershipGuard::isUncertain()
 {
     const auto now = impl_->timers.bootNow();
--- a/modules/entry/OwnershipGuard.h
+++ b/modules/entry/OwnershipGuard.h
@@ -44,11 +44,17 @@
     void start();
 
     /**
-        Records that the process is running, and asks the store whether this is still the owner if it has not confirmed that lately;
-        to be called about every 200 ms.
+        Records that the process is running, and asks the store whether this is still the owner if it has not confirmed that lately
+       or has failed to answer; to be called about every 200 ms.
     */
     void tick();
 
+    /** Lets the next tick() ask the store whatever it has confirmed: another reading of the owner has failed. */
+    void requireReading();
+
+    /** How long the store has not answered whether this is still the owner, since the first such failure; zero if it answers. */
+    Milliseconds stallDuration() const;
+
     /**
         True from a suspension that was long enough for a takeover until the store has answered whether there was one.
 
--- a/modules/entry/TableWatch.cpp
+++ b/modules/entry/TableWatch.cpp
@@ -118,6 +118,11 @@
     impl_->readTable();
 }
 
+bool TableWatch::isFailing() const
+{
+    return impl_->consecutiveFailures > 0;
+}
+
 Milliseconds TableWatch::age() const
 {
     return std::chrono::duration_cast<Milliseconds>(impl_->timers.now() - impl_->currentAsOf);
--- a/modules/entry/TableWatch.h
+++ b/modules/entry/TableWatch.h
@@ -39,6 +39,9 @@
     /** Begins to read; the callback is called after each read of the whole table, and after each answer that has changes. */
     void start();
 
+    /** True if the last request failed. */
+    bool isFailing() const;
+
     /** How long ago the last successful request was sent; changes since then may be missing. */
     Milliseconds age() const;
 
--- a/tests/dispatch/OwnerReadingTests.cpp
+++ b/tests/dispatch/OwnerReadingTests.cpp
@@ -15,7 +15,7 @@
 
 // Guards against an owner that serves nobody and is not replaced: the store does not answer it while it reads its tables, and it
 // has nothing to write that could stall.
-TEST_CASE("an owner that cannot read its tables reports that the store does not answer it", "[unread-tables]")
+TEST_CASE("an owner that cannot read its tables reports that the store does not answer it")
 {
     OwnerFixture cell;
     cell.cutOff(1, {}, true);
@@ -50,7 +50,7 @@
 } // namespace
 
 // Guards against takeovers without end while the store is slow for all: each owner would be replaced before it has read its tables.
-TEST_CASE("an owner that reads many pages from a slow store reports no stall", "[unread-tables]")
+TEST_CASE("an owner that reads many pages from a slow store reports no stall")
 {
     OwnerFixture cell;
     fillTable(cell);
@@ -66,7 +66,7 @@
 }
 
 // Guards against a reading that starts again from the first page after each failure, and so never ends while some calls fail.
-TEST_CASE("an owner goes on reading a table at the page that failed", "[unread-tables]")
+TEST_CASE("an owner goes on reading a table at the page that failed")
 {
     constexpr int pagesBefore = 7;
     constexpr Milliseconds outage { 1000 };
--- a/tests/entry/UnservingOwnerTests.cpp
+++ b/tests/entry/UnservingOwnerTests.cpp
@@ -30,7 +30,7 @@
 
 // Guards against a cell that nobody serves while the store names a process that has not learned that it has won: the answer to its
 // takeover was lost, and the store refuses it since.
-TEST_CASE("a process that the store names as the owner and that denies it is replaced", "[unaware]")
+TEST_CASE("a process that the store names as the owner and that denies it is replaced")
 {
     constexpr Milliseconds limit { 3000 };
     LeadershipFixture fixture {};
--- a/tests/soak/StoreLossTests.cpp
+++ b/tests/soak/StoreLossTests.cpp
@@ -178,7 +178,7 @@
 
 // Guards against an owner that holds the cell while it serves nobody: it has won, and then the store refuses it, so that it reads
 // no job and renews no lease.
-TEST_CASE("an owner that the store refuses before it has read its tables is replaced", "[store-loss][unread-tables]")
+TEST_CASE("an owner that the store refuses before it has read its tables is replaced", "[store-loss][takeover]")
 {
     loseSuccessor("refused", { .kind = StoreFault::Kind::Refuse });
     loseSuccessor("silent", { .kind = StoreFault::Kind::Silent, .affectsWrites = false });
@@ -187,13 +187,13 @@
 
 // Guards against a cell whose owner does not know that it is: its takeover was applied, and neither the answer to it nor a later
 // one arrives.
-TEST_CASE("a process that does not learn that it has won is replaced", "[store-loss][unaware]")
+TEST_CASE("a process that does not learn that it has won is replaced", "[store-loss][takeover]")
 {
     loseSuccessor("unaware", { .kind = StoreFault::Kind::LoseReplies });
 }
 
 // Guards against an owner that the store refuses after it has read its tables.
-TEST_CASE("an owner that the store stops to serve is replaced", "[store-loss][served-before]")
+TEST_CASE("an owner that the store stops to serve is replaced", "[store-loss]")
 {
     constexpr Milliseconds delay { 1500 };
     constexpr Milliseconds duration { 9000 };
@@ -211,7 +211,7 @@
 
 // Guards against takeovers without end, and against work that stops, while the store is away for all: one process may replace an
 // owner, but nobody can once the store serves none.
-TEST_CASE("the owner stays and its services run on while the store is away for all processes", "[store-loss][away]")
+TEST_CASE("the owner stays and its services run on while the store is away for all processes", "[store-loss]")
 {
     constexpr Milliseconds outage { 9000 };
     constexpr Milliseconds settleTime { 4000 };
