A process without the store goes back to an owner that answers again

Cause: such a process cannot read the epoch row, and asked others for a later owner only. An owner that was silent for a moment, and that it had given up, has no later token.

Change: if the row cannot be read and nobody knows a later owner, it requests a heartbeat of the last one again.

Before and after: the new test of UnservingOwnerTests failed before (no owner 4 s after the owner answers again) and passes.

--- a/modules/entry/Leadership.cpp
+++ b/modules/entry/Leadership.cpp
@@ -66,7 +66,7 @@
         // The store may refuse only this process; the other processes may know the owner.
         queryPeers([self = shared_from_this()](const std::vector<OwnerView> &views) {
             if (!self->isOwner && !self->isOwnerResponding && !self->followNewestOwner(views)) {
-                self->runAfter(self->timing.retryDelay + self->jitter(), &Impl::findOwner);
+                self->runAfter(self->timing.retryDelay + self->jitter(), &Impl::retryOwner);
             }
         });
         return;
@@ -90,6 +90,18 @@
     follow(row);
 }
 
+void Leadership::Impl::retryOwner()
+{
+    if (isOwner || isOwnerResponding) {
+        return;
+    }
+    if (heartbeatChannel) {
+        follow(EpochRow(owner));
+    } else {
+        findOwner();
+    }
+}
+
 void Leadership::Impl::takeOver(const EpochRow &row, std::int64_t version)
 {
     EventLog::write("owner.attempt", { { "token", row.token + 1 }, { "instead_of", row.owner } });
--- a/modules/entry/LeadershipImpl.h
+++ b/modules/entry/LeadershipImpl.h
@@ -33,6 +33,8 @@
     void onEpochRow(const StoreResult &result, TimePoint sentAt);
     /** Allows the takeover from a process that the row still names, though it has denied for long enough that it is the owner. */
     void verifyDenial(const EpochRow &row, TimePoint sentAt);
+    /** Goes back to the last known owner, which may answer again; for a process that the store does not serve. */
+    void retryOwner();
     /** Tries to replace the epoch row. @param version the version that the row must still have */
     void takeOver(const EpochRow &row, std::int64_t version);
     void onTakeoverResult(const StoreResult &result, std::int64_t token, CallTime sentAt);
--- a/tests/entry/UnservingOwnerTests.cpp
+++ b/tests/entry/UnservingOwnerTests.cpp
@@ -50,3 +50,25 @@
     fixture.runFor(Milliseconds(4000));
     CHECK(fixture.highestToken() == 1);
 }
+
+// Guards against a process that the store does not serve and that never goes back to an owner which was silent for a while: it
+// turns its callers away although the owner answers again.
+TEST_CASE("a process without the store goes back to an owner that answers again")
+{
+    constexpr Milliseconds silence { 2500 };
+    LeadershipFixture fixture { 1.0 };
+    auto *owner = fixture.waitForOwner(1);
+    REQUIRE(owner != nullptr);
+    fixture.addProcesses(1);
+    fixture.runFor(Milliseconds(800));
+    auto &follower = *fixture.processes.back();
+    REQUIRE(follower.leadership().ownerAddress());
+    follower.storeLink.isCut = true;
+    owner->heartbeatLateness = Milliseconds(60000);
+    fixture.runFor(silence);
+    CHECK_FALSE(follower.leadership().ownerAddress());
+    owner->heartbeatLateness = Milliseconds(0);
+    fixture.runFor(Milliseconds(4000));
+    CHECK(follower.leadership().ownerAddress());
+    CHECK(fixture.highestToken() == 1);
+}
