What a process has concluded about an owner goes out of date

Cause: a process that gives an owner up notes its token as replaceable for good. If the store does not serve the process at that moment it cannot take over; the owner recovers, and the process follows it again. Long after, a single lost heartbeat makes it read the epoch row, and it replaces an owner that others reach, on the old conclusion.

Change: the conclusion counts for 2 s, which fits one reading that ends without a reply.

--- a/modules/entry/Leadership.cpp
+++ b/modules/entry/Leadership.cpp
@@ -75,7 +75,7 @@
     const auto version = result.rows.empty() ? 0 : result.rows.front().version;
     const bool isVacant = row.owner.empty() || row.owner == settings.nodeName;
     verifyDenial(row, sentAt);
-    if (isVacant || row.token <= replaceableToken) {
+    if (isVacant || mayReplace(row)) {
         const bool isSmall = settings.processorShare < largeMachineShare;
         if (!isTakeoverDisabled && isSmall && std::exchange(delayedTakeoverToken, row.token) != row.token) {
             // The owner has most of the work, so a larger machine gets the first chance to take over.
@@ -153,7 +153,7 @@
 {
     const auto address = Address::parse(row.address);
     if (!address) {
-        replaceableToken = row.token;
+        allowTakeover(row.token);
         runAfter(timing.retryDelay, &Impl::findOwner);
         return;
     }
@@ -262,7 +262,7 @@
     const bool isOwnerSmall = heartbeat->processorShare < largeMachineShare && settings.processorShare >= largeMachineShare;
     if (isOwnerSmall && heartbeat->isReady && !isTakeoverDisabled) {
         // The owner runs on a small machine, because no larger one was available when it took over: take over from it.
-        replaceableToken = owner.token;
+        allowTakeover(owner.token);
         runAfter(jitter(), &Impl::findOwner);
     }
     if (heartbeat->storeStallDuration < timing.storeStallLimit) {
--- a/modules/entry/Leadership.h
+++ b/modules/entry/Leadership.h
@@ -37,6 +37,8 @@
     Milliseconds successorCheckInterval { 500 };
     /** Delay before the epoch row is read again, and before a failed store access is repeated. */
     Milliseconds retryDelay { 150 };
+    /** What a process has concluded about an owner no longer counts after this time, in which the owner may have recovered. */
+    Milliseconds judgementLifetime { 2000 };
     /** Upper bound of the random delay that keeps several processes from trying at the same time. */
     Milliseconds maxJitter { 60 };
 };
--- a/modules/entry/LeadershipFailureDetection.cpp
+++ b/modules/entry/LeadershipFailureDetection.cpp
@@ -38,7 +38,7 @@
                                             { "stalled_ms", self->ownerStoreStallDuration.count() },
                                             { "table", self->ownerStalledTable } });
                           self->successfulStoreProbes = 0;
-                          self->replaceableToken = probedToken;
+                          self->allowTakeover(probedToken);
                           self->findOwner();
                       }
                   });
@@ -61,7 +61,7 @@
                         { { "owner", row.owner },
                           { "token", row.token },
                           { "denied_ms", std::chrono::duration_cast<Milliseconds>(denied).count() } });
-        replaceableToken = std::max(replaceableToken, row.token);
+        allowTakeover(row.token);
     }
 }
 
@@ -218,9 +218,20 @@
 void Leadership::Impl::giveUpOwner()
 {
     if (!isOwnerResponding && !isOwner) {
-        replaceableToken = std::max(replaceableToken, owner.token);
+        allowTakeover(owner.token);
     }
     runAfter(jitter(), &Impl::findOwner);
 }
 
+void Leadership::Impl::allowTakeover(std::int64_t token)
+{
+    replaceableToken = std::max(replaceableToken, token);
+    replaceableSince = loop.now();
+}
+
+bool Leadership::Impl::mayReplace(const EpochRow &row) const
+{
+    return row.token <= replaceableToken && loop.now() - replaceableSince <= timing.judgementLifetime;
+}
+
 } // namespace auburndoor
--- a/modules/entry/LeadershipImpl.h
+++ b/modules/entry/LeadershipImpl.h
@@ -80,6 +80,9 @@
     /** Gives the owner up unless another process still reaches it. */
     void verifyOwnerFailure();
     void giveUpOwner();
+    /** Lets this process replace an epoch row with this token or a lower one, until the judgement is out of date. */
+    void allowTakeover(std::int64_t token);
+    bool mayReplace(const EpochRow &row) const;
     void runAfter(Milliseconds delay, void (Impl::*action)());
     /** A random delay from 0 to maxJitter. */
     Milliseconds jitter();
@@ -120,8 +123,9 @@
     };
     /** Empty once a heartbeat of the owner has arrived. */
     std::optional<DeniedOwnership> deniedOwnership;
-    /** The epoch row may be replaced if its token is not higher than this. */
+    /** The epoch row may be replaced if its token is not higher than this, for judgementLifetime from replaceableSince. */
     std::int64_t replaceableToken = -1;
+    TimePoint replaceableSince;
     /** When the first takeover was sent of which this process does not know whether it has won; empty if there is none. */
     std::optional<TimePoint> takeoverSentAt;
     /** The token of the last owner for whose replacement this process, on a small machine, waited to let a larger one go first. */
--- a/tests/entry/LeadershipFixture.h
+++ b/tests/entry/LeadershipFixture.h
@@ -68,6 +68,11 @@
         leadership_->stepDown();
     }
 
+    const Address &address() const
+    {
+        return settings_.peers;
+    }
+
     Leadership &leadership()
     {
         return *leadership_;
@@ -80,11 +85,14 @@
     Milliseconds storeStallDuration { 0 };
     /** How late this process handles heartbeat requests, as a busy one does. */
     Milliseconds heartbeatLateness { 0 };
+    /** If set, only the requests of this process are handled late. */
+    std::optional<Address> lateFollower;
 
 private:
     void answerHeartbeat(const WebRequest &request, const HttpResponderPointer &responder)
     {
-        if (heartbeatLateness == Milliseconds(0)) {
+        const bool isLate = !lateFollower || PeerCodec::readHeartbeatRequest(request) == lateFollower;
+        if (heartbeatLateness == Milliseconds(0) || !isLate) {
             leadership_->answerHeartbeat(request, responder);
             return;
         }
--- a/tests/entry/UnservingOwnerTests.cpp
+++ b/tests/entry/UnservingOwnerTests.cpp
@@ -72,3 +72,36 @@
     CHECK(follower.leadership().ownerAddress());
     CHECK(fixture.highestToken() == 1);
 }
+
+// Guards against a process that acts on an outdated conclusion: it gave an owner up while the store did not serve it, goes on to
+// follow it, and replaces it long after, when a single heartbeat to this process is lost.
+TEST_CASE("a process does not replace an owner because it gave that owner up seconds ago")
+{
+    constexpr Milliseconds silence { 4500 };
+    constexpr Milliseconds settleTime { 4000 };
+    constexpr Milliseconds lostHeartbeat { 2500 };
+    LeadershipFixture fixture { 1.0 };
+    auto *owner = fixture.waitForOwner(1);
+    REQUIRE(owner != nullptr);
+    fixture.addProcesses(2);
+    fixture.runFor(Milliseconds(1500));
+    const auto setStoreCut = [&](bool isCut) {
+        for (const auto &process : fixture.processes) {
+            process->storeLink.isCut = isCut && process.get() != owner;
+        }
+    };
+    setStoreCut(true);
+    owner->heartbeatLateness = Milliseconds(60000);
+    fixture.runFor(silence);
+    owner->heartbeatLateness = Milliseconds(0);
+    fixture.runFor(settleTime);
+    setStoreCut(false);
+    fixture.runFor(settleTime);
+    REQUIRE(fixture.highestToken() == 1);
+    owner->lateFollower = fixture.processes.back()->address();
+    owner->heartbeatLateness = Milliseconds(60000);
+    fixture.runFor(lostHeartbeat);
+    owner->heartbeatLateness = Milliseconds(0);
+    fixture.runFor(settleTime);
+    CHECK(fixture.highestToken() == 1);
+}
