A process that waits for the store asks others for the next owner meanwhile

Cause: it asked other processes only when its reading of the epoch row had failed, which takes 1.5 s if the store is silent.

Change: while a reading is not answered it asks them every 200 ms.

--- a/modules/entry/EntryInstance.cpp
+++ b/modules/entry/EntryInstance.cpp
@@ -146,7 +146,7 @@
 
 bool EntryInstance::Impl::isReady() const
 {
-    const bool hasOwner = (owner && owner->isReady()) || leadership.ownerAddress();
+    const bool hasOwner = (owner && owner->isReady()) || leadership.isOwnerReady();
     return !isStopping && desiredState.version > 0 && hasOwner;
 }
 
--- a/modules/entry/Leadership.cpp
+++ b/modules/entry/Leadership.cpp
@@ -48,6 +48,8 @@
         return;
     }
     isFencingCallInFlight = true;
+    loop.after(timing.epochReadingPatience,
+               [self = shared_from_this(), reading = ++epochReadings] { self->askPeersMeanwhile(reading); });
     store.readRow(
         FencingRows::table, FencingRows::epochKey, [self = shared_from_this(), sentAt = loop.now()](const StoreResult &result) {
             if (!self->isClosed) {
@@ -87,7 +89,25 @@
         }
         return;
     }
-    follow(row);
+    const bool isFollowed = isOwnerResponding && row.token == owner.token;
+    if (!isFollowed) {
+        follow(row);
+    }
+}
+
+void Leadership::Impl::askPeersMeanwhile(std::uint64_t reading)
+{
+    const auto isNeeded = [this, reading] {
+        return !isClosed && !isOwner && !isOwnerResponding && isFencingCallInFlight && epochReadings == reading;
+    };
+    if (!isNeeded()) {
+        return;
+    }
+    queryPeers([self = shared_from_this(), reading, isNeeded](const std::vector<OwnerView> &views) {
+        if (isNeeded() && !self->followNewestOwner(views)) {
+            self->loop.after(self->timing.epochReadingPatience, [self, reading] { self->askPeersMeanwhile(reading); });
+        }
+    });
 }
 
 void Leadership::Impl::retryOwner()
@@ -249,6 +269,7 @@
     deniedOwnership.reset();
     knownMembers = heartbeat->members;
     desiredStateVersion = heartbeat->desiredStateVersion;
+    isOwnerReady = heartbeat->isReady;
     ownerStoreStallDuration = heartbeat->storeStallDuration;
     if (ownerStalledTable != heartbeat->stalledTable) {
         successfulStoreProbes = 0;
@@ -343,6 +364,11 @@
     return impl_->isOwnerResponding ? Address::parse(impl_->owner.address) : std::nullopt;
 }
 
+bool Leadership::isOwnerReady() const
+{
+    return impl_->isOwnerResponding && impl_->isOwnerReady;
+}
+
 std::string Leadership::describeElection() const
 {
     if (impl_->takeoverSentAt) {
--- a/modules/entry/Leadership.h
+++ b/modules/entry/Leadership.h
@@ -35,6 +35,9 @@
     Milliseconds unheardOwnerTimeout { 2000 };
     /** How often an owner that the store does not serve asks other processes for a successor. */
     Milliseconds successorCheckInterval { 500 };
+    /** A process whose reading of the epoch row has not been answered for this long asks other processes for a later owner as well.
+     */
+    Milliseconds epochReadingPatience { 200 };
     /** Delay before the epoch row is read again, and before a failed store access is repeated. */
     Milliseconds retryDelay { 150 };
     /** What a process has concluded about an owner no longer counts after this time, in which the owner may have recovered. */
@@ -92,6 +95,9 @@
     /** The peer address of the owner; empty while no owner is known, while it does not answer, and if this process is the owner. */
     std::optional<Address> ownerAddress() const;
 
+    /** True if the owner in another process answers and, by its last heartbeat, serves calls. */
+    bool isOwnerReady() const;
+
     /** Answers a heartbeat request of another process: with a heartbeat, or with notOwnerStatus. */
     void answerHeartbeat(const WebRequest &request, HttpResponderPointer responder);
 
--- a/modules/entry/LeadershipImpl.h
+++ b/modules/entry/LeadershipImpl.h
@@ -33,6 +33,8 @@
     void onEpochRow(const StoreResult &result, TimePoint sentAt);
     /** Allows the takeover from a process that the row still names, though it has denied for long enough that it is the owner. */
     void verifyDenial(const EpochRow &row, TimePoint sentAt);
+    /** Follows a later owner that other processes know, if the reading of the epoch row with this number is still in flight. */
+    void askPeersMeanwhile(std::uint64_t reading);
     /** Goes back to the last known owner, which may answer again; for a process that the store does not serve. */
     void retryOwner();
     /** Tries to replace the epoch row. @param version the version that the row must still have */
@@ -99,6 +101,8 @@
     std::unique_ptr<HttpChannels> heartbeatChannel;
     /** True if the last heartbeat request to the owner was answered; false if this process is the owner. */
     bool isOwnerResponding = false;
+    /** True if the owner serves calls, from its last heartbeat. */
+    bool isOwnerReady = false;
     /** Successive connections to the owner that broke before a heartbeat arrived, each of which was followed by a new one. */
     int reconnections = 0;
     /** What is known of an owner before its first heartbeat. */
@@ -163,6 +167,8 @@
     bool isTakeoverDisabled = false;
     /** A read or write of the epoch row is in flight; findOwner() then does nothing. */
     bool isFencingCallInFlight = false;
+    /** The number of readings of the epoch row so far. */
+    std::uint64_t epochReadings = 0;
     bool isClosed = false;
 };
 
--- a/tests/entry/UnservingOwnerTests.cpp
+++ b/tests/entry/UnservingOwnerTests.cpp
@@ -105,3 +105,21 @@
     fixture.runFor(settleTime);
     CHECK(fixture.highestToken() == 1);
 }
+
+// Guards against a process that turns its callers away while a reading of the store takes its time to fail, though others know the
+// next owner: each takeover would cost it that time.
+TEST_CASE("a process that the store leaves without a reply learns of the next owner from other processes at once")
+{
+    constexpr Milliseconds limit { 900 };
+    LeadershipFixture fixture { 1.0 };
+    auto *first = fixture.waitForOwner(1);
+    REQUIRE(first != nullptr);
+    fixture.addProcesses(2);
+    fixture.runFor(Milliseconds(1500));
+    auto &cutOff = *fixture.processes.back();
+    cutOff.storeLink.isCut = true;
+    first->kill();
+    REQUIRE(fixture.waitForOwner(2) != nullptr);
+    fixture.runFor(limit);
+    CHECK(cutOff.leadership().ownerAddress());
+}
