A follower keeps the known pace of an owner that it goes back to

Cause: a process that loses the owner, while others still reach it, follows it again, and then waited for its heartbeat for 2.25 s, as for an owner of which nothing is known.

Change: the grace period of an owner that was heard before is kept.

--- a/modules/entry/Leadership.cpp
+++ b/modules/entry/Leadership.cpp
@@ -185,12 +185,12 @@
             loop, *address, HttpChannelLimits { .maxConnections = 1, .connectTimeout = heartbeatConnectTimeout });
         unheardOwner = UnheardOwner { std::nullopt, loop.now(), 0 };
         readOwnerProgress([this](const StoreResult &result) { noteOwnerProgress(result); });
+        // Nothing is known yet of how busy the owner is, nor of members that could be asked about it.
+        heartbeatGracePeriod = HeartbeatPacing::computeGracePeriod(Milliseconds::max(), timing.heartbeatGracePeriod);
     }
     ++heartbeatRound;
     reconnections = 0;
     expectedHeartbeatDelay = timing.heartbeatDelay;
-    // Nothing is known yet of how busy the owner is, nor of members that could be asked about it.
-    heartbeatGracePeriod = HeartbeatPacing::computeGracePeriod(Milliseconds::max(), timing.heartbeatGracePeriod);
     requestHeartbeat();
 }
 
--- a/tests/entry/UnservingOwnerTests.cpp
+++ b/tests/entry/UnservingOwnerTests.cpp
@@ -123,3 +123,24 @@
     fixture.runFor(limit);
     CHECK(cutOff.leadership().ownerAddress());
 }
+
+// Guards against a process that turns its callers away long after a takeover: it has gone back to an owner that others still
+// reached, and then waits for a heartbeat as if it knew nothing of that owner's pace.
+TEST_CASE("a process that goes back to a silent owner notices its successor in time")
+{
+    constexpr Milliseconds limit { 1000 };
+    LeadershipFixture fixture { 1.0 };
+    auto *first = fixture.waitForOwner(1);
+    REQUIRE(first != nullptr);
+    fixture.addProcesses(2);
+    // A new owner announces for 3 s that it may be late.
+    fixture.runFor(Milliseconds(4000));
+    auto &early = *fixture.processes.back();
+    first->lateFollower = early.address();
+    first->heartbeatLateness = Milliseconds(60000);
+    fixture.runFor(Milliseconds(700));
+    first->lateFollower.reset();
+    REQUIRE(fixture.waitForOwner(2) != nullptr);
+    fixture.runFor(limit);
+    CHECK((early.ownership || early.leadership().ownerAddress()));
+}
