An answer that says nothing of the ownership is no denial of it

Cause: a follower took every answer but a heartbeat for "not the owner", also the 503 of a full listener. Since a denial leads to a takeover, an owner whose listener is full for one process could be replaced while it serves all others; before it was followed again without end.

Change: only the status 421 is a denial. Any other answer counts as a lost heartbeat, so that other processes are asked.

--- a/modules/entry/Leadership.cpp
+++ b/modules/entry/Leadership.cpp
@@ -258,9 +258,14 @@
             return;
         }
         reconnections = 0;
-        const bool isNotOwner = sent.outcome == SendOutcome::Answered;
+        // Another status, as that of a full listener, says nothing of the ownership.
+        const bool isNotOwner = heartbeat || sent.hasStatus(PeerCodec::notOwnerStatus);
         const bool isRefused = sent.outcome == SendOutcome::NotSent && loop.now() - sentAt < heartbeatConnectTimeout;
-        onHeartbeatLost(isNotOwner, isRefused, isNotOwner ? "it is not the owner" : sent.error);
+        onHeartbeatLost(isNotOwner,
+                        isRefused,
+                        isNotOwner                              ? "it is not the owner"
+                        : sent.outcome == SendOutcome::Answered ? PeerCodec::describeRefusedCall(sent.reply)
+                                                                : sent.error);
         return;
     }
     isOwnerResponding = true;
