Tests: readiness with an owner that does not serve, and a full listener

A process is ready only if the owner's heartbeat says that it serves calls, as docs/OPERATIONS.md has it; before, an owner that answers heartbeats was enough, so that the balancer went on to send clients to processes that turn every call away.

--- a/tests/entry/LeadershipFixture.h
+++ b/tests/entry/LeadershipFixture.h
@@ -85,13 +85,21 @@
     Milliseconds storeStallDuration { 0 };
     /** How late this process handles heartbeat requests, as a busy one does. */
     Milliseconds heartbeatLateness { 0 };
-    /** If set, only the requests of this process are handled late. */
+    /** If set, only the requests of this process are handled late, or refused. */
     std::optional<Address> lateFollower;
+    /** Heartbeat requests are answered with status 503, as those on a connection over the limit of a listener. */
+    bool isListenerFull = false;
+    /** What this process reports in its heartbeats as the owner. */
+    bool isReady = true;
 
 private:
     void answerHeartbeat(const WebRequest &request, const HttpResponderPointer &responder)
     {
         const bool isLate = !lateFollower || PeerCodec::readHeartbeatRequest(request) == lateFollower;
+        if (isListenerFull && isLate) {
+            responder->reply({ 503, {}, {} });
+            return;
+        }
         if (heartbeatLateness == Milliseconds(0) || !isLate) {
             leadership_->answerHeartbeat(request, responder);
             return;
@@ -108,7 +116,7 @@
         if (!ownership) {
             return std::nullopt;
         }
-        OwnerHeartbeat heartbeat { settings_.nodeName,       ownership->token,      storeStallDuration, true, 1,
+        OwnerHeartbeat heartbeat { settings_.nodeName,       ownership->token,      storeStallDuration, isReady, 1,
                                    settings_.processorShare, leadership_->members() };
         return heartbeat;
     }
--- a/tests/entry/UnservingOwnerTests.cpp
+++ b/tests/entry/UnservingOwnerTests.cpp
@@ -144,3 +144,38 @@
     fixture.runFor(limit);
     CHECK((early.ownership || early.leadership().ownerAddress()));
 }
+
+// Guards against a takeover from an owner whose listener is full for a moment: an answer that says nothing of the ownership is no
+// denial.
+TEST_CASE("an owner whose listener is full for one process is not replaced while others reach it")
+{
+    LeadershipFixture fixture { 1.0 };
+    auto *owner = fixture.waitForOwner(1);
+    REQUIRE(owner != nullptr);
+    fixture.addProcesses(2);
+    fixture.runFor(Milliseconds(1500));
+    owner->lateFollower = fixture.processes.back()->address();
+    owner->isListenerFull = true;
+    fixture.runFor(Milliseconds(4000));
+    CHECK(fixture.highestToken() == 1);
+    owner->isListenerFull = false;
+    fixture.runFor(Milliseconds(1000));
+    CHECK(fixture.processes.back()->leadership().ownerAddress());
+}
+
+// Guards against a process that reports itself ready to the balancer while every call to the owner is turned away.
+TEST_CASE("an owner that does not serve calls yet is not taken for a ready one")
+{
+    LeadershipFixture fixture { 1.0 };
+    auto *owner = fixture.waitForOwner(1);
+    REQUIRE(owner != nullptr);
+    owner->isReady = false;
+    fixture.addProcesses(1);
+    fixture.runFor(Milliseconds(1000));
+    const auto &follower = fixture.processes.back()->leadership();
+    CHECK(follower.ownerAddress());
+    CHECK_FALSE(follower.isOwnerReady());
+    owner->isReady = true;
+    fixture.runFor(Milliseconds(1000));
+    CHECK(follower.isOwnerReady());
+}
