A gang of several parts that has ended does not run again

Cause: the end of one member stands for the whole gang, but only the part of the record with that member is stored as done.

Change: a gang of which a stored member is done is done. This also mends records that are stored already.

Before and after: the new test of InheritedKnowledgeTests fails without the change (201 tasks started twice) and passes.

--- a/modules/dispatch/JobState.cpp
+++ b/modules/dispatch/JobState.cpp
@@ -86,6 +86,12 @@
 
 void StepState::countDoneTasks()
 {
+    const bool hasDoneTask = std::any_of(tasks.begin(), tasks.end(), [](const Task &task) { return task.isDone; });
+    if (hasDoneTask && job != nullptr && spec().isGang) {
+        for (auto &task : tasks) {
+            task.isDone = true;
+        }
+    }
     doneCount = static_cast<int>(std::count_if(tasks.begin(), tasks.end(), [](const Task &task) { return task.isDone; }));
 }
 
--- /dev/null
+++ b/tests/dispatch/InheritedKnowledgeTests.cpp
@@ -0,0 +1,50 @@
+#include "dispatch/OwnerFixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+
+using namespace auburndoor;
+
+namespace {
+
+constexpr const char *job = "00000000000000aa";
+
+/** The number of tasks that were started more than once. */
+int countRepeatedTasks(const OwnerFixture &cell)
+{
+    std::map<TaskName, int> starts;
+    for (const auto &start : cell.starts) {
+        ++starts[start.task];
+    }
+    return static_cast<int>(std::count_if(starts.begin(), starts.end(), [](const auto &task) { return task.second > 1; }));
+}
+
+} // namespace
+
+// Guards against a gang that runs again: of one with more tasks than a part of the record holds, only the part with the listed end is
+// stored as done.
+TEST_CASE("a gang of several parts that has ended does not run again after a takeover", "[inherited]")
+{
+    OwnerFixture cell;
+    cell.addWorker("w1", 20);
+    cell.takeOver();
+    // The last member finds room on w2 only.
+    cell.addWorker("w2", 1);
+    REQUIRE(cell.submit(job,
+                        R"({"spec":"p","taskGroups":[{"count":201,"cpu":100,"memMb":1,"estimateMs":400,"gang":true},)"
+                        R"({"count":1,"cpu":100,"memMb":1,"estimateMs":400,"dependsOn":[0]}]})")
+            == ClientResult::Outcome::Accepted);
+    cell.timers.advance(Milliseconds(300));
+    REQUIRE(cell.starts.size() == 201);
+    cell.fleet.worker("w2").isCutOff = true;
+    cell.timers.advance(Milliseconds(3000));
+    cell.killOwner();
+    cell.fleet.worker("w2").restart();
+    cell.fleet.worker("w2").isCutOff = false;
+    cell.list("w2");
+    cell.takeOver();
+    CHECK(cell.runUntil(job, JobStage::Completed, Milliseconds(20000)));
+    CHECK(countRepeatedTasks(cell) == 0);
+}
