A job keeps its queue's policy for advice

Cause: the stored description of a job has its queue's service, priority and limits, but not the policy for advice, which only the owner that took the job remembers once the queue is gone.

Change: the description has the policy.

Before and after: the new test of InheritedKnowledgeTests fails without the change (no request, a start without a permit) and passes. A job that was accepted before this change has no policy in its row.

--- a/modules/dispatch/JobRecordCodec.cpp
+++ b/modules/dispatch/JobRecordCodec.cpp
@@ -102,6 +102,22 @@
     return step;
 }
 
+/** Decision time, time for each worker and validity of a permit, in milliseconds. */
+Json adviceJson(const AdvicePolicy &policy)
+{
+    return Json::array({ policy.decisionTime.count(), policy.timePerWorker.count(), policy.permitValidity.count() });
+}
+
+/** Reads what adviceJson() has returned; throws if it is malformed. */
+AdvicePolicy readAdvice(const Json &json)
+{
+    const auto readTime = [&json](std::size_t index) {
+        const auto limit = std::chrono::duration<double, std::milli>(maxDuration).count();
+        return std::chrono::duration<double, std::milli>(std::clamp(json.at(index).get<double>(), 0.0, limit));
+    };
+    return { readTime(0), readTime(1), std::chrono::duration_cast<Milliseconds>(readTime(2)) };
+}
+
 bool isUsableDuration(Milliseconds duration)
 {
     return duration >= Milliseconds(0) && duration <= maxDuration;
@@ -188,6 +204,9 @@
                 { "accepted", job.acceptedAt.count() },
                 { "payload", job.spec.payload },
                 { "steps", std::move(steps) } };
+    if (job.queue.advice) {
+        json["advice"] = adviceJson(*job.queue.advice);
+    }
     if (job.spec.isScheduled) {
         json["occurrences"] = job.spec.occurrences;
         json["first"] = job.spec.firstDue.count();
@@ -220,6 +239,9 @@
         job.queue.maxAttempts = readNumber(json, "attempts", 1);
         job.queue.slackFactor = json.value("slack", 1.0);
         job.queue.latencyAllowance = readMilliseconds(json, "allowance");
+        if (const auto advice = json.find("advice"); advice != json.end()) {
+            job.queue.advice = readAdvice(*advice);
+        }
         return isUsable(job);
     } catch (const std::exception &) {
         return false;
--- a/tests/dispatch/InheritedKnowledgeTests.cpp
+++ b/tests/dispatch/InheritedKnowledgeTests.cpp
@@ -48,3 +48,26 @@
     CHECK(cell.runUntil(job, JobStage::Completed, Milliseconds(20000)));
     CHECK(countRepeatedTasks(cell) == 0);
 }
+
+// Guards against a job that is stuck: the queue's policy for advice lived in the memory of the owner that accepted the job.
+TEST_CASE("a job of a removed queue asks for advice under a later owner", "[inherited]")
+{
+    OwnerFixture cell;
+    cell.addWorker("w1", 4);
+    cell.plan = [](const TaskName &, std::int64_t) { return SimulatedWork { Milliseconds(3000), RunOutcome::Done }; };
+    cell.takeOver();
+    REQUIRE(cell.submit(job,
+                        R"({"spec":"p","taskGroups":[{"count":1,"cpu":100,"memMb":1,"estimateMs":400},)"
+                        R"({"count":1,"cpu":100,"memMb":1,"estimateMs":400,"dependsOn":[0]}]})",
+                        "advised")
+            == ClientResult::Outcome::Accepted);
+    cell.timers.advance(Milliseconds(500));
+    REQUIRE(cell.starts.size() == 1);
+    cell.removeQueue("advised");
+    cell.takeOver();
+    const int requestsBefore = cell.advisor.requestCount;
+    cell.timers.advance(Milliseconds(4000));
+    CHECK(cell.advisor.requestCount > requestsBefore);
+    REQUIRE(cell.starts.size() == 2);
+    CHECK(cell.starts.back().permit == "ticket-w1");
+}
--- a/tests/dispatch/OwnerFixture.cpp
+++ b/tests/dispatch/OwnerFixture.cpp
@@ -110,6 +110,13 @@
     owner->setDesiredState(desiredState_);
 }
 
+void OwnerFixture::removeQueue(const std::string &queue)
+{
+    ++desiredState_.version;
+    std::erase_if(desiredState_.queues, [&queue](const auto &candidate) { return candidate.name == queue; });
+    owner->setDesiredState(desiredState_);
+}
+
 void OwnerFixture::takeOver(bool isFormerOwnerKilled)
 {
     if (isFormerOwnerKilled) {
--- a/tests/dispatch/OwnerFixture.h
+++ b/tests/dispatch/OwnerFixture.h
@@ -55,6 +55,9 @@
     /** Applies a new version of the desired state that sends a queue to another service. */
     void moveQueue(const std::string &queue, const std::string &service);
 
+    /** Applies a new version of the desired state without this queue. */
+    void removeQueue(const std::string &queue);
+
     /** A new owner takes over. @param isFormerOwnerKilled if false, the former owner goes on until it learns that it is deposed */
     void takeOver(bool isFormerOwnerKilled = true);
     /**
