Occurrences that workers report are added by a new owner

Cause: a job has at most 1,000 due occurrences at a time. While the store is away, some end in memory and later ones are added and run. The successor reads an older record, has no room for the later ones, and takes their ends for those of occurrences that are done: it acknowledges them. Runs of them are stopped as unwanted. A successor whose time of day is behind would do the same.

Change: an occurrence that a worker reports, and that is not done, is added whatever clock and room say: an earlier owner had added it. The next occurrence in order is counted apart from it, so that those in between are added in their turn.

WideJobTests adds its occurrences by the new member, which counts them as before.

--- a/modules/dispatch/JobManager.cpp
+++ b/modules/dispatch/JobManager.cpp
@@ -74,7 +74,7 @@
     job.objective = job.receivedAt + queue.latencyAllowance
                     + Milliseconds(static_cast<std::int64_t>(std::min(allowed, static_cast<double>(maxTimeToObjective.count()))));
     if (!job.spec.isScheduled && job.occurrences.empty() && job.doneOccurrences.empty()) {
-        job.addOccurrence(0, timers_.now());
+        job.addNextOccurrence(timers_.now());
     }
 }
 
@@ -252,9 +252,15 @@
     const auto now = timers_.now();
     const auto wallTime = timers_.wallNow();
     for (const auto &[id, job] : jobs_) {
-        while (job->spec.isScheduled && job->stage != JobStage::Recording && job->nextOccurrence < job->spec.occurrences
-               && job->hasRoomForOccurrence() && job->dueAt(job->nextOccurrence, now, wallTime) <= now + earlyStart / 2) {
-            job->addOccurrence(job->nextOccurrence, now);
+        while (job->spec.isScheduled && job->stage != JobStage::Recording && job->nextOccurrence < job->spec.occurrences) {
+            if (job->hasOccurrence(job->nextOccurrence)) {
+                ++job->nextOccurrence;
+                continue;
+            }
+            if (!job->hasRoomForOccurrence() || job->dueAt(job->nextOccurrence, now, wallTime) > now + earlyStart / 2) {
+                break;
+            }
+            job->addNextOccurrence(now);
             changedJobs_.push_back(id);
             hooks_.workChanged();
         }
--- a/modules/dispatch/JobManager.h
+++ b/modules/dispatch/JobManager.h
@@ -150,6 +150,13 @@
 private:
     /** Null if there is no such job, or if it has ended. */
     JobState *find(const std::string &id);
+    /**
+        The task that a worker reports; null if its job or its occurrence has ended, or if there is none.
+
+        The occurrence is added if this owner has not done so: the report shows that an earlier owner had, by its own clock and with
+        its own room, and what it tells may be stored nowhere else.
+    */
+    Task *findReportedTask(JobState *job, const TaskName &name);
     /** Sets the objective of a job, and adds the only occurrence of one without a schedule. */
     void initialize(JobState &job);
     /** Has the stored parts of a wide job applied, and stores anew what an earlier release has stored as one row. */
--- a/modules/dispatch/JobManagerRuns.cpp
+++ b/modules/dispatch/JobManagerRuns.cpp
@@ -20,10 +20,23 @@
     return claim;
 }
 
+Task *JobManager::findReportedTask(JobState *job, const TaskName &name)
+{
+    if (job == nullptr) {
+        return nullptr;
+    }
+    if (job->stage != JobStage::Recording && name.occurrence >= 0 && name.occurrence < job->spec.occurrences
+        && !job->hasOccurrence(name.occurrence)) {
+        job->addOccurrence(name.occurrence, timers_.now());
+        changedJobs_.push_back(name.job);
+    }
+    return job->task(name);
+}
+
 std::optional<RunClaim> JobManager::adoptRun(const std::string &worker, const RunningTask &running)
 {
     auto *job = find(running.task.job);
-    auto *task = job == nullptr ? nullptr : job->task(running.task);
+    auto *task = findReportedTask(job, running.task);
     if (task == nullptr || task->isDone || job->stage == JobStage::Recording) {
         return std::nullopt;
     }
@@ -81,7 +94,7 @@
 void JobManager::runEnded(const std::string &worker, const EndedTask &ended, std::function<void()> recorded)
 {
     auto *job = find(ended.task.job);
-    auto *task = job == nullptr ? nullptr : job->task(ended.task);
+    auto *task = findReportedTask(job, ended.task);
     if (task == nullptr) {
         // The job has ended, or its occurrence is done. The worker may forget the run's end once that is stored.
         const auto endedJob = ended_.find(ended.task.job);
--- a/modules/dispatch/JobRecordCodec.cpp
+++ b/modules/dispatch/JobRecordCodec.cpp
@@ -308,7 +308,7 @@
                 readOccurrence(steps, job.occurrences.at(number));
             }
         }
-        job.nextOccurrence = std::max(job.nextOccurrence, std::min(readNumber(json, "next", 0), job.spec.occurrences));
+        job.nextOccurrence = std::clamp(readNumber(json, "next", 0), 0, job.spec.occurrences);
     } catch (const std::exception &) {
         return false;
     }
--- a/modules/dispatch/JobState.cpp
+++ b/modules/dispatch/JobState.cpp
@@ -130,13 +130,22 @@
         step.readySince = now;
         occurrence.steps.push_back(std::move(step));
     }
-    nextOccurrence = std::max(nextOccurrence, number + 1);
+}
+
+void JobState::addNextOccurrence(TimePoint now)
+{
+    addOccurrence(nextOccurrence++, now);
+}
+
+bool JobState::hasOccurrence(int number) const
+{
+    return doneOccurrences.contains(number) || occurrences.contains(number);
 }
 
 void JobState::addMissingOccurrences(TimePoint now)
 {
     for (int number = 0; number < nextOccurrence; ++number) {
-        if (!doneOccurrences.contains(number) && !occurrences.contains(number)) {
+        if (!hasOccurrence(number)) {
             addOccurrence(number, now);
         }
     }
--- a/modules/dispatch/JobState.h
+++ b/modules/dispatch/JobState.h
@@ -202,7 +202,7 @@
     bool hasBegun = false;
     /** The occurrences that are due and not done, by number. */
     std::map<int, OccurrenceState> occurrences;
-    /** The number of the next occurrence to be added. */
+    /** The number of the next occurrence to be added in order. Later ones may be there: workers have shown that they were due. */
     int nextOccurrence = 0;
     std::set<int> doneOccurrences;
     /** Of a wide job: the parts that may be in the store. */
@@ -213,7 +213,12 @@
     /** What waits until unstoredParts is empty, for the row to be stored after that. */
     std::vector<std::function<void()>> waitingForParts;
 
+    /** Adds an occurrence that is not done; it need not be the next one. */
     void addOccurrence(int number, TimePoint now);
+    /** Adds nextOccurrence. */
+    void addNextOccurrence(TimePoint now);
+    /** True if the occurrence is done, or due and not done. */
+    bool hasOccurrence(int number) const;
     /** Adds the occurrences that are due but not done, and that no record names, since they had made no progress. */
     void addMissingOccurrences(TimePoint now);
     /** True if one more occurrence may be added: those that wait take memory, and one after the other gets its turn. */
--- a/tests/dispatch/InheritedKnowledgeTests.cpp
+++ b/tests/dispatch/InheritedKnowledgeTests.cpp
@@ -23,6 +23,31 @@
 
 } // namespace
 
+// Guards against ends that are acknowledged and forgotten: a successor whose record of the job is older has not yet added the
+// occurrence, as its predecessor had room for it while the store was away.
+TEST_CASE("occurrences that end after a takeover, before the successor has added them, do not run again", "[inherited]")
+{
+    constexpr Milliseconds outage { 3000 };
+    OwnerFixture cell;
+    cell.addWorker("w1", 40);
+    cell.addWorker("w2", 40);
+    cell.takeOver();
+    // More are due than a job may have open at a time.
+    REQUIRE(cell.submit(job,
+                        R"({"spec":"p","repeatCount":3000,"startAtMs":1699990000000,"intervalMs":1,)"
+                        R"("taskGroups":[{"count":1,"cpu":200,"memMb":1,"estimateMs":400}]})")
+            == ClientResult::Outcome::Accepted);
+    cell.timers.advance(Milliseconds(300));
+    cell.store.setDown(true);
+    cell.timers.advance(outage);
+    cell.killOwner();
+    cell.store.setDown(false);
+    cell.takeOver();
+    CHECK(cell.runUntil(job, JobStage::Completed, Milliseconds(60000)));
+    CHECK(countRepeatedTasks(cell) == 0);
+    CHECK(cell.violations().empty());
+}
+
 // Guards against a gang that runs again: of one with more tasks than a part of the record holds, only the part with the listed end is
 // stored as done.
 TEST_CASE("a gang of several parts that has ended does not run again after a takeover", "[inherited]")
--- a/tests/dispatch/WideJobTests.cpp
+++ b/tests/dispatch/WideJobTests.cpp
@@ -212,7 +212,7 @@
     job.spec.isScheduled = true;
     job.spec.occurrences = 10000;
     while (job.hasRoomForOccurrence()) {
-        job.addOccurrence(job.nextOccurrence, TimePoint());
+        job.addNextOccurrence(TimePoint());
     }
     CHECK(job.occurrences.size() == 1000);
     for (int number = 0; number < job.spec.occurrences; ++number) {
