--- a/modules/dispatch/JobState.h
+++ b/modules/dispatch/JobState.h
@@ -149,7 +149,8 @@
     TimePoint readySince;
 
     const StepSpec &spec() const;
-    /** Sets doneCount by the tasks. A gang ends as a whole: one member that is done stands for all, in whatever part it is stored. */
+    /** Sets doneCount by the tasks. A gang ends as a whole: one member that is done stands for all, in whatever part it is stored.
+     */
     void countDoneTasks();
     bool isDone() const
     {
--- a/tests/dispatch/InheritedKnowledgeTests.cpp
+++ b/tests/dispatch/InheritedKnowledgeTests.cpp
@@ -48,8 +48,8 @@
     CHECK(cell.violations().empty());
 }
 
-// Guards against a gang that runs again: of one with more tasks than a part of the record holds, only the part with the listed end is
-// stored as done.
+// Guards against a gang that runs again: of one with more tasks than a part of the record holds, only the part with the listed end
+// is stored as done.
 TEST_CASE("a gang of several parts that has ended does not run again after a takeover", "[inherited]")
 {
     OwnerFixture cell;
