--- a/modules/entry/Leadership.cpp
+++ b/modules/entry/Leadership.cpp
@@ -11,10 +11,6 @@
 
 namespace {
 
-// An entry process that has sent no heartbeat request for this long is no longer listed as a member.
-constexpr Milliseconds memberTimeout { 2000 };
-// The owner of a large cell sends hundreds of heartbeats a second, each with some of the members.
-constexpr Milliseconds memberListInterval { 100 };
 // From this processor share on a machine counts as large and is preferred as the owner: in a large cell the owner needs more than
 // the smallest machines have. If all machines are small, only the jitter decides between them.
 constexpr double largeMachineShare = 0.2;
@@ -22,10 +18,6 @@
 constexpr Milliseconds heartbeatConnectTimeout { 400 };
 // Connections may be reset several times in a row; a process that closes each of them answers nobody.
 constexpr int maxReconnections = 3;
-// A new owner reads the reports of all workers. Until that shows in the measured delay, its heartbeats report this one.
-constexpr Milliseconds recoveryDuration { 3000 };
-constexpr Milliseconds recoveryLoopDelay { 500 };
-
 } // namespace
 
 Milliseconds Leadership::Impl::jitter()
@@ -221,27 +213,6 @@
     return reconnections > 0 ? heartbeatGracePeriod : expectedHeartbeatDelay + heartbeatGracePeriod;
 }
 
-Milliseconds Leadership::Impl::reportedLoopDelay() const
-{
-    const bool isRecovering = loop.now() - wonAt < recoveryDuration;
-    return std::max(loopDelayMeter.recentDelay(), isRecovering ? recoveryLoopDelay : Milliseconds(0));
-}
-
-std::optional<OwnerHeartbeat> Leadership::Impl::makeHeartbeat(const Address &follower)
-{
-    auto heartbeat = hooks.ownHeartbeat();
-    if (heartbeat) {
-        heartbeat->loopDelay = reportedLoopDelay();
-        heartbeat->nextDelay = HeartbeatPacing::computeDelay(followers.size(), timing.heartbeatDelay);
-        heartbeat->members = HeartbeatPacing::sampleMembers(recentMembers(), random);
-        followers[follower].announcedDelay = heartbeat->nextDelay;
-        if (!heartbeat->members.empty()) {
-            knownMembers = heartbeat->members;
-        }
-    }
-    return heartbeat;
-}
-
 void Leadership::Impl::onHeartbeat(const SendResult &sent, std::uint64_t sentRound, TimePoint sentAt)
 {
     if (sentRound != heartbeatRound || isOwner) {
@@ -374,60 +345,6 @@
     return impl_->isOwnerResponding && impl_->isOwnerReady;
 }
 
-std::string Leadership::describeElection() const
-{
-    if (impl_->takeoverSentAt) {
-        const auto waiting = std::chrono::duration_cast<Milliseconds>(impl_->loop.now() - *impl_->takeoverSentAt);
-        return "it does not know whether it owns the cell; the store has not answered its takeover for "
-               + std::to_string(waiting.count()) + " ms";
-    }
-    return "it does not own the cell; the last owner that it knows has the token " + std::to_string(impl_->owner.token);
-}
-
-void Leadership::answerHeartbeat(const WebRequest &request, HttpResponderPointer responder)
-{
-    const auto from = PeerCodec::readHeartbeatRequest(request);
-    if (!impl_->hooks.ownHeartbeat() || !from) {
-        responder->reply({ PeerCodec::notOwnerStatus, {}, {} });
-        return;
-    }
-    auto &follower = impl_->followers[*from];
-    follower.requestedAt = impl_->loop.now();
-    // A process that has just begun to follow this owner is answered at once, so that it can forward calls.
-    const bool isNew = request.target.ends_with(PeerCodec::firstHeartbeatQuery);
-    const auto delay = isNew ? Milliseconds(0) : std::max(impl_->timing.heartbeatDelay, follower.announcedDelay);
-    impl_->loop.after(delay, [impl = impl_, responder = std::move(responder), from = *from] {
-        const auto heartbeat = impl->isClosed ? std::nullopt : impl->makeHeartbeat(from);
-        responder->reply(heartbeat ? PeerCodec::heartbeatReply(*heartbeat) : WebReply { PeerCodec::notOwnerStatus, {}, {} });
-    });
-}
-
-void Leadership::answerOwnerView(HttpResponderPointer responder) const
-{
-    const bool isReachable = impl_->isOwnerResponding || impl_->isOwner;
-    responder->reply(PeerCodec::ownerViewReply({ isReachable, impl_->owner.owner, impl_->owner.token, impl_->owner.address }));
-}
-
-const std::vector<Address> &Leadership::Impl::recentMembers()
-{
-    const auto now = loop.now();
-    if (now - membersListedAt < memberListInterval) {
-        return listedMembers;
-    }
-    membersListedAt = now;
-    std::erase_if(followers, [now](const auto &entry) { return now - entry.second.requestedAt > memberTimeout; });
-    listedMembers.clear();
-    for (const auto &[address, follower] : followers) {
-        listedMembers.push_back(address);
-    }
-    return listedMembers;
-}
-
-std::vector<Address> Leadership::members() const
-{
-    return impl_->recentMembers();
-}
-
 std::int64_t Leadership::desiredStateVersionOfOwner() const
 {
     return impl_->desiredStateVersion;
--- a/modules/entry/Leadership.h
+++ b/modules/entry/Leadership.h
@@ -35,8 +35,7 @@
     Milliseconds unheardOwnerTimeout { 2000 };
     /** How often an owner that the store does not serve asks other processes for a successor. */
     Milliseconds successorCheckInterval { 500 };
-    /** A process whose reading of the epoch row has not been answered for this long asks other processes for a later owner as well.
-     */
+    /** While its reading of the epoch row is not answered, a process asks others for a later owner at this interval. */
     Milliseconds epochReadingPatience { 200 };
     /** Delay before the epoch row is read again, and before a failed store access is repeated. */
     Milliseconds retryDelay { 150 };
