--- a/tests/entry/UnservingOwnerTests.cpp
+++ b/tests/entry/UnservingOwnerTests.cpp
@@ -26,6 +26,16 @@
     HttpListener listener_;
 };
 
+/** Waits for the only process of the fixture to become the owner, and then runs with so many followers. @return the owner */
+LeadershipProcess *startFollowers(LeadershipFixture &fixture, int count, Milliseconds duration)
+{
+    auto *owner = fixture.waitForOwner(1);
+    REQUIRE(owner != nullptr);
+    fixture.addProcesses(count);
+    fixture.runFor(duration);
+    return owner;
+}
+
 } // namespace
 
 // Guards against a cell that nobody serves while the store names a process that has not learned that it has won: the answer to its
@@ -57,10 +67,7 @@
 {
     constexpr Milliseconds silence { 2500 };
     LeadershipFixture fixture { 1.0 };
-    auto *owner = fixture.waitForOwner(1);
-    REQUIRE(owner != nullptr);
-    fixture.addProcesses(1);
-    fixture.runFor(Milliseconds(800));
+    auto *owner = startFollowers(fixture, 1, Milliseconds(800));
     auto &follower = *fixture.processes.back();
     REQUIRE(follower.leadership().ownerAddress());
     follower.storeLink.isCut = true;
@@ -81,10 +88,7 @@
     constexpr Milliseconds settleTime { 4000 };
     constexpr Milliseconds lostHeartbeat { 2500 };
     LeadershipFixture fixture { 1.0 };
-    auto *owner = fixture.waitForOwner(1);
-    REQUIRE(owner != nullptr);
-    fixture.addProcesses(2);
-    fixture.runFor(Milliseconds(1500));
+    auto *owner = startFollowers(fixture, 2, Milliseconds(1500));
     const auto setStoreCut = [&](bool isCut) {
         for (const auto &process : fixture.processes) {
             process->storeLink.isCut = isCut && process.get() != owner;
@@ -112,10 +116,7 @@
 {
     constexpr Milliseconds limit { 900 };
     LeadershipFixture fixture { 1.0 };
-    auto *first = fixture.waitForOwner(1);
-    REQUIRE(first != nullptr);
-    fixture.addProcesses(2);
-    fixture.runFor(Milliseconds(1500));
+    auto *first = startFollowers(fixture, 2, Milliseconds(1500));
     auto &cutOff = *fixture.processes.back();
     cutOff.storeLink.isCut = true;
     first->kill();
@@ -130,11 +131,8 @@
 {
     constexpr Milliseconds limit { 1000 };
     LeadershipFixture fixture { 1.0 };
-    auto *first = fixture.waitForOwner(1);
-    REQUIRE(first != nullptr);
-    fixture.addProcesses(2);
     // A new owner announces for 3 s that it may be late.
-    fixture.runFor(Milliseconds(4000));
+    auto *first = startFollowers(fixture, 2, Milliseconds(4000));
     auto &early = *fixture.processes.back();
     first->lateFollower = early.address();
     first->heartbeatLateness = Milliseconds(60000);
@@ -150,10 +148,7 @@
 TEST_CASE("an owner whose listener is full for one process is not replaced while others reach it")
 {
     LeadershipFixture fixture { 1.0 };
-    auto *owner = fixture.waitForOwner(1);
-    REQUIRE(owner != nullptr);
-    fixture.addProcesses(2);
-    fixture.runFor(Milliseconds(1500));
+    auto *owner = startFollowers(fixture, 2, Milliseconds(1500));
     owner->lateFollower = fixture.processes.back()->address();
     owner->isListenerFull = true;
     fixture.runFor(Milliseconds(4000));
