Failures of a gang of several parts count under later owners

A gang of over 200 tasks may run more often than its queue's attempts allow (rule BUDGET).

Cause: a failure of a gang is counted at its first member, but only the row of the part was stored that holds the member whose end was listed. If the owner ended before another end or a silent worker had the first part stored as well, the end was acknowledged and its count was gone.

Change: JobManager::saveEnd() stores the part of the first member, and acknowledges the end once that is stored.

--- a/modules/dispatch/JobManager.h
+++ b/modules/dispatch/JobManager.h
@@ -163,6 +163,8 @@
     void restoreParts(JobState &job, const StoredParts &parts);
     /** Writes the progress of a task: the row of its part, or of its job unless that is wide. @param durable as saveProgress() */
     void saveTask(JobState &job, const TaskName &task, std::function<void()> durable, CommitQueue::Urgency urgency);
+    /** Writes all progress that the end of a run changes. @param recorded called once what the end counts for is stored */
+    void saveEnd(JobState &job, const StepState &step, const EndedTask &ended, std::function<void()> recorded);
     /** Writes the row of a part of a job that has not ended. */
     void savePart(JobState &job, const JobPart &part, std::function<void()> durable, CommitQueue::Urgency urgency);
     /** Writes the progress row of a job, or its end. @param durable called once the row is stored */
--- a/modules/dispatch/JobManagerRuns.cpp
+++ b/modules/dispatch/JobManagerRuns.cpp
@@ -124,7 +124,7 @@
         task->checkpoint = ended.checkpoint;
     }
     // The end of the run is stored with the job's progress, or with the end of the job if this run leads to it.
-    saveTask(*job, ended.task, std::move(recorded), CommitQueue::Urgency::Routine);
+    saveEnd(*job, step, ended, std::move(recorded));
     if (!task->isDone && ended.end == RunOutcome::Done && !step.spec().isService) {
         onTaskDone(*job, step, ended.task.index);
     } else if (!task->isDone && ended.end == RunOutcome::Failed) {
@@ -135,6 +135,19 @@
     hooks_.workChanged();
 }
 
+void JobManager::saveEnd(JobState &job, const StepState &step, const EndedTask &ended, std::function<void()> recorded)
+{
+    auto counted = ended.task;
+    if (step.spec().isGang && ended.end == RunOutcome::Failed) {
+        // onTaskFailed() counts it at the first member, which may be in another part of a wide job.
+        counted.index = 0;
+    }
+    if (job.isWide() && JobPart::of(counted) != JobPart::of(ended.task)) {
+        saveTask(job, ended.task, {}, CommitQueue::Urgency::Routine);
+    }
+    saveTask(job, counted, std::move(recorded), CommitQueue::Urgency::Routine);
+}
+
 void JobManager::onTaskDone(JobState &job, StepState &step, int index)
 {
     const auto markDone = [&](Task &task, int number) {
--- a/tests/dispatch/InheritedKnowledgeTests.cpp
+++ b/tests/dispatch/InheritedKnowledgeTests.cpp
@@ -96,3 +96,137 @@
     REQUIRE(cell.starts.size() == 2);
     CHECK(cell.starts.back().permit == "ticket-w1");
 }
+
+// Guards against ends of occurrences that are not due yet by the successor's clock: they would be acknowledged and forgotten.
+TEST_CASE("occurrences that have run do not run again under an owner whose clock is behind", "[inherited]")
+{
+    OwnerFixture cell;
+    cell.addWorker("w1", 40);
+    cell.takeOver();
+    // An occurrence each 200 ms; the first one is due about now.
+    const auto firstDue = cell.timers.wallNow().count();
+    REQUIRE(cell.submit(job,
+                        R"({"spec":"p","repeatCount":40,"startAtMs":)" + std::to_string(firstDue)
+                            + R"(,"intervalMs":200,"taskGroups":[{"count":1,"cpu":200,"memMb":1,"estimateMs":400}]})")
+            == ClientResult::Outcome::Accepted);
+    cell.timers.advance(Milliseconds(2000));
+    // The last ends are not stored when the owner ends.
+    cell.store.setDown(true);
+    cell.timers.advance(Milliseconds(2000));
+    cell.killOwner();
+    cell.store.setDown(false);
+    cell.timers.wallClockOffset = Milliseconds(-5000);
+    cell.takeOver();
+    CHECK(cell.runUntil(job, JobStage::Completed, Milliseconds(30000)));
+    CHECK(countRepeatedTasks(cell) == 0);
+    CHECK(cell.violations().empty());
+}
+
+// Guards against ends that the second of two owners learns of, when neither of them has room for their occurrences.
+TEST_CASE("occurrences beyond the room of a job do not run again after two takeovers", "[inherited]")
+{
+    OwnerFixture cell;
+    cell.addWorker("w1", 40);
+    cell.addWorker("w2", 40);
+    cell.takeOver();
+    REQUIRE(cell.submit(job,
+                        R"({"spec":"p","repeatCount":3000,"startAtMs":1699990000000,"intervalMs":1,)"
+                        R"("taskGroups":[{"count":1,"cpu":200,"memMb":1,"estimateMs":400}]})")
+            == ClientResult::Outcome::Accepted);
+    for (int takeover = 0; takeover < 2; ++takeover) {
+        cell.timers.advance(Milliseconds(300));
+        cell.store.setDown(true);
+        cell.timers.advance(Milliseconds(2000));
+        cell.killOwner();
+        cell.store.setDown(false);
+        cell.takeOver();
+    }
+    CHECK(cell.runUntil(job, JobStage::Completed, Milliseconds(60000)));
+    CHECK(countRepeatedTasks(cell) == 0);
+    CHECK(cell.violations().empty());
+}
+
+// Guards against occurrences that are added by a report after the job was cancelled.
+TEST_CASE("a job with occurrences that is cancelled after a takeover starts nothing more", "[inherited]")
+{
+    OwnerFixture cell;
+    cell.addWorker("w1", 40);
+    cell.takeOver();
+    REQUIRE(cell.submit(job,
+                        R"({"spec":"p","repeatCount":3000,"startAtMs":1699990000000,"intervalMs":1,)"
+                        R"("taskGroups":[{"count":1,"cpu":200,"memMb":1,"estimateMs":400}]})")
+            == ClientResult::Outcome::Accepted);
+    cell.timers.advance(Milliseconds(300));
+    cell.store.setDown(true);
+    cell.timers.advance(Milliseconds(2000));
+    cell.killOwner();
+    cell.store.setDown(false);
+    cell.takeOver();
+    CHECK(cell.cancel(job) == ClientResult::Outcome::Cancelled);
+    const auto startsBefore = cell.starts.size();
+    cell.timers.advance(Milliseconds(3000));
+    CHECK(cell.starts.size() == startsBefore);
+    CHECK(cell.stage(job) == JobStage::Cancelled);
+    CHECK(countRepeatedTasks(cell) == 0);
+}
+
+// Guards against attempts that are counted anew: failures of a gang are counted at its first member, while the row of the part with
+// the member that has failed may be the only one that is stored.
+TEST_CASE("failures of a gang of several parts count under later owners", "[inherited]")
+{
+    constexpr int members = 201;
+    OwnerFixture cell;
+    cell.plan = [](const TaskName &task, std::int64_t) {
+        return task.index == members - 1 ? SimulatedWork { Milliseconds(300), RunOutcome::Failed }
+                                         : SimulatedWork { Milliseconds(5000), RunOutcome::Done };
+    };
+    cell.addWorker("w1", 20);
+    cell.takeOver();
+    // The last member, which fails, finds room on w2 only.
+    cell.addWorker("w2", 1);
+    REQUIRE(cell.submit(job, R"({"spec":"p","taskGroups":[{"count":201,"cpu":100,"memMb":1,"estimateMs":400,"gang":true}]})")
+            == ClientResult::Outcome::Accepted);
+    const auto failedRuns = [&cell] {
+        return std::count_if(
+            cell.starts.begin(), cell.starts.end(), [](const StartCommand &start) { return start.task.index == members - 1; });
+    };
+    for (int step = 0; step < 100 && failedRuns() < 1; ++step) {
+        cell.timers.advance(Milliseconds(20));
+    }
+    cell.timers.advance(Milliseconds(200));
+    // No other member ends before the owner is killed, which is right after the acknowledgement of the failure.
+    auto &lastWorker = cell.fleet.worker("w2");
+    cell.fleet.worker("w1").isCutOff = true;
+    cell.timers.advance(Milliseconds(120));
+    for (int step = 0; step < 100 && !(lastWorker.runs().empty() && lastWorker.listedEnds().empty()); ++step) {
+        cell.timers.advance(Milliseconds(10));
+    }
+    REQUIRE(lastWorker.listedEnds().empty());
+    cell.killOwner();
+    cell.fleet.worker("w1").restart();
+    cell.fleet.worker("w1").isCutOff = false;
+    cell.list("w1");
+    cell.takeOver();
+    CHECK(cell.runUntil(job, JobStage::Failed, Milliseconds(20000)));
+    CHECK(failedRuns() == 2);
+}
+
+// Guards against a cancelled gang of which a part is stored as open.
+TEST_CASE("a gang of several parts that is cancelled does not run after a takeover", "[inherited]")
+{
+    OwnerFixture cell;
+    cell.plan = [](const TaskName &, std::int64_t) { return SimulatedWork { Milliseconds(5000), RunOutcome::Done }; };
+    cell.addWorker("w1", 40);
+    cell.takeOver();
+    REQUIRE(cell.submit(job, R"({"spec":"p","taskGroups":[{"count":201,"cpu":100,"memMb":1,"estimateMs":400,"gang":true}]})")
+            == ClientResult::Outcome::Accepted);
+    cell.timers.advance(Milliseconds(1000));
+    const auto startsBefore = cell.starts.size();
+    REQUIRE(startsBefore >= 201);
+    CHECK(cell.cancel(job) == ClientResult::Outcome::Cancelled);
+    cell.takeOver();
+    cell.timers.advance(Milliseconds(10000));
+    CHECK(cell.starts.size() == startsBefore);
+    CHECK(cell.stage(job) == JobStage::Cancelled);
+    CHECK(cell.fleet.worker("w1").runs().empty());
+}
--- a/tests/fakes/ManualTimers.h
+++ b/tests/fakes/ManualTimers.h
@@ -19,7 +19,8 @@
 
     std::chrono::milliseconds wallNow() const override
     {
-        return std::chrono::milliseconds(1700000000000) + std::chrono::duration_cast<std::chrono::milliseconds>(now_ - TimePoint());
+        return std::chrono::milliseconds(1700000000000) + wallClockOffset
+               + std::chrono::duration_cast<std::chrono::milliseconds>(now_ - TimePoint());
     }
 
     void after(Milliseconds delay, std::function<void()> action) override
@@ -40,6 +41,9 @@
         now_ = std::max(now_, end);
     }
 
+    /** How far the time of day is ahead; a test may change it, as a clock that jumps. */
+    Milliseconds wallClockOffset { 0 };
+
     /** Lets time pass in which nothing runs, as while a process is suspended. */
     void suspend(Milliseconds duration)
     {
