A draining worker counts as gone only if it removed its entry itself

Cause: Fleet::Impl::hasLeft() took an absence of 0.7 s and a connection that did not open for the end of a draining worker. 0.7 s is right only if a worker that is cut off has just reported to the directory: its entry expires three report intervals after the last report, which may be 1.5 s before the cut. Two more forms of it: a worker that was cut off from the store first was given up at its first failed poll, and an entry that cannot be read counted as removed.

Ruled out: a longer absence.

Change: no time of absence shows that a worker has left; the cause of the removal does. Silence removes an entry three report intervals after a report, so an entry that is missing sooner was removed by the worker. Both times are read off the store's clock, which all owners share (StoreResult::time, TableUpdate). The roster holds the last report and the absence of draining workers, so that the next owner can tell as well. Without this evidence the lease decides, as for any other worker.

--- a/modules/dispatch/Fleet.cpp
+++ b/modules/dispatch/Fleet.cpp
@@ -64,28 +64,35 @@
     impl_->possibleCrashes.add({ id, Address(), incarnation, { run } }, impl_->timers.now());
 }
 
-void Fleet::removeEntry(const std::string &id)
-{
-    if (auto *found = worker(id); found != nullptr && found->isListed) {
-        found->isListed = false;
-        impl_->noteChange(*found);
-        found->unlistedAt = impl_->timers.now();
-        EventLog::write("worker.unlisted", { { "worker", id }, { "runs", found->runs.size() } });
-        impl_->removeIfGone(id);
+void Fleet::removeEntry(const std::string &id, std::optional<Milliseconds> missingAt)
+{
+    if (auto *found = worker(id)) {
+        auto &entry = found->entry;
+        entry.missingAt = entry.missingAt ? entry.missingAt : missingAt;
+        impl_->unlist(*found);
+    }
+}
+
+void Fleet::disregardEntry(const std::string &id)
+{
+    if (auto *found = worker(id)) {
+        found->entry.reportedAfter.reset();
+        found->entry.missingAt.reset();
+        impl_->unlist(*found);
     }
 }
 
-void Fleet::retainEntries(const std::set<std::string> &ids)
+void Fleet::retainEntries(const std::set<std::string> &ids, std::optional<Milliseconds> missingAt)
 {
     impl_->directoryReadAt = impl_->directoryReadAt.value_or(impl_->timers.now());
     std::vector<std::string> removed;
     for (const auto &[id, worker] : impl_->workers) {
-        if (worker->isListed && !ids.contains(id)) {
+        if (!ids.contains(id)) {
             removed.push_back(id);
         }
     }
     for (const auto &id : removed) {
-        removeEntry(id);
+        removeEntry(id, missingAt);
     }
 }
 
--- a/modules/dispatch/Fleet.h
+++ b/modules/dispatch/Fleet.h
@@ -64,6 +64,9 @@
         @param recorded to be called once the change is stored
     */
     virtual void rosterChanged(const WorkerEntry &entry, bool isMember, std::function<void()> recorded) = 0;
+
+    /** The roster's row of a member is to be written with its next changes; nothing waits for it. */
+    virtual void rosterEntryChanged(const WorkerEntry &entry) = 0;
 };
 
 /** Durations of the leases and polls of workers. */
@@ -78,10 +81,11 @@
     /** The delay from a failed poll to the next one. */
     Milliseconds pollRetryDelay { 250 };
     /**
-        For how long a worker that was draining is not listed before it counts as gone. A worker that is cut off disappears from the
-        directory sooner than its last lease ends, by less than this.
+        The directory does not remove the entry of a worker that has been silent for less than this. The worker itself has removed
+       an entry that is missing sooner after its last report. Less than EntrySettings::entryLifetime, since reports are only
+        approximately regular.
     */
-    Milliseconds minAbsence { 700 };
+    Milliseconds minSilenceBeforeRemoval { 3750 };
     /** Nothing is started on a worker with runs whose last report is older. */
     Milliseconds maxReportAge { 3500 };
     /** The view of the directory counts as stale when it is older; it is read about every two seconds. */
@@ -124,11 +128,19 @@
     */
     void expectRun(const std::string &worker, std::int64_t incarnation, const WorkerCrash::AffectedRun &run);
 
-    /** Follows the removal of a worker's entry from the directory. */
-    void removeEntry(const std::string &id);
+    /**
+        Follows the removal of a worker's entry from the directory.
+
+        @param missingAt a time of the store's clock at which the entry was missing; empty if that is not known
+    */
+    void removeEntry(const std::string &id, std::optional<Milliseconds> missingAt);
+
+    /** Follows the change of a worker's entry into one that cannot be read, which tells nothing of the worker. */
+    void disregardEntry(const std::string &id);
 
-    /** Follows a full read of the directory: workers whose ids are missing count as removed. */
-    void retainEntries(const std::set<std::string> &ids);
+    /** Follows a full read of the directory: workers whose ids are missing count as removed. @param missingAt as in removeEntry()
+     */
+    void retainEntries(const std::set<std::string> &ids, std::optional<Milliseconds> missingAt);
 
     /**
         Sets how old the view of the directory is.
--- a/modules/dispatch/FleetImpl.cpp
+++ b/modules/dispatch/FleetImpl.cpp
@@ -86,9 +86,13 @@
     const auto former = std::exchange(worker.entry, entry);
     if (!hasRestarted) {
         keepEarlierServices(worker, former);
+        worker.entry.reportedAfter = std::max(former.reportedAfter, entry.reportedAfter);
         if (former.isDraining != entry.isDraining) {
             // The next owner need not wait for a worker that was draining and is gone.
             listener.rosterChanged(worker.entry, true, [] {});
+        } else if (entry.isDraining && entry.reportedAfter && worker.isInRoster) {
+            // By the time of the last report the next owner can tell whether the worker has left.
+            listener.rosterEntryChanged(worker.entry);
         }
         return;
     }
@@ -116,6 +120,25 @@
     addToRoster(worker);
 }
 
+void Fleet::Impl::unlist(WorkerState &worker)
+{
+    if (!worker.isListed) {
+        return;
+    }
+    const auto id = worker.entry.id;
+    worker.isListed = false;
+    worker.unlistedAt = timers.now();
+    noteChange(worker);
+    EventLog::write(
+        "worker.unlisted",
+        { { "worker", id }, { "runs", worker.runs.size() }, { "silent_ms", silenceBeforeRemoval(worker.entry).count() } });
+    removeIfGone(id);
+    const auto *unlisted = find(id);
+    if (unlisted != nullptr && unlisted->isInRoster && unlisted->entry.isDraining && unlisted->entry.missingAt) {
+        listener.rosterEntryChanged(unlisted->entry);
+    }
+}
+
 void Fleet::Impl::keepEarlierServices(WorkerState &worker, const WorkerEntry &former)
 {
     worker.entry.earlierServices = former.earlierServices;
--- a/modules/dispatch/FleetImpl.h
+++ b/modules/dispatch/FleetImpl.h
@@ -30,6 +30,8 @@
 
     /** Takes over a changed entry. If the worker has restarted, all its runs become uncertain until a later report decides. */
     void updateEntry(WorkerState &worker, const WorkerEntry &entry);
+    /** The worker is not in the directory any more. */
+    void unlist(WorkerState &worker);
     /** Keeps the services of an incarnation whose entry now names another one. @param former the entry before */
     void keepEarlierServices(WorkerState &worker, const WorkerEntry &former);
     /** The runs that would end if the worker's present incarnation has crashed; none if it is draining. */
@@ -70,10 +72,12 @@
     /** True if no lease holds on the silent worker any more, and no successor can have extended one. */
     bool isLeaseOver(const WorkerState &worker) const;
     /**
-        True if the worker has left as planned: it was draining, the directory has not listed it for long enough, and no connection
-        to it can be opened. Its runs have ended with it, so that nothing has to wait for its lease.
+        True if the worker has left as planned: it was draining, and its entry was removed sooner than the silence of a worker that
+       is cut off or has crashed removes one. Its runs have ended with it, so that nothing has to wait for its lease.
     */
-    bool hasLeft(const WorkerState &worker, CommandOutcome pollOutcome) const;
+    bool hasLeft(const WorkerState &worker) const;
+    /** The longest time from the last report to the directory to the removal of the entry; -1 ms if it is not known. */
+    static Milliseconds silenceBeforeRemoval(const WorkerEntry &entry);
     void onReport(const std::string &id, const TaskReport &report, TimePoint pollSentAt);
     void processEnds(WorkerState &worker, const TaskReport &report);
     void processRunning(WorkerState &worker, const TaskReport &report, TimePoint pollSentAt);
--- a/modules/dispatch/FleetLeases.cpp
+++ b/modules/dispatch/FleetLeases.cpp
@@ -73,15 +73,20 @@
     return timers.now() > end && evidence.requireConfirmation(end);
 }
 
-bool Fleet::Impl::hasLeft(const WorkerState &worker, CommandOutcome pollOutcome) const
+Milliseconds Fleet::Impl::silenceBeforeRemoval(const WorkerEntry &entry)
 {
-    if (!worker.entry.isDraining || worker.isListed || pollOutcome != CommandOutcome::NotSent || !directoryReadAt) {
+    return entry.reportedAfter && entry.missingAt ? *entry.missingAt - *entry.reportedAfter : Milliseconds(-1);
+}
+
+bool Fleet::Impl::hasLeft(const WorkerState &worker) const
+{
+    if (!worker.entry.isDraining || worker.isListed || !directoryReadAt) {
         return false;
     }
-    // A worker whose entry vanished under this owner before its report was read may be cut off together with an earlier owner.
-    const bool mayBeHeld = !worker.isReportRead && worker.unlistedAt > *directoryReadAt;
-    const auto goneAt = std::max(*directoryReadAt, worker.unlistedAt) + timing.minAbsence;
-    return !mayBeHeld && !isDirectoryStale && timers.now() >= goneAt && evidence.requireConfirmation(goneAt);
+    const auto silence = silenceBeforeRemoval(worker.entry);
+    const bool isRemovedByWorker = silence >= Milliseconds(0) && silence < timing.minSilenceBeforeRemoval;
+    // A successor may have seen its runs end before it left.
+    return isRemovedByWorker && evidence.requireConfirmation(std::max(*directoryReadAt, worker.unlistedAt));
 }
 
 } // namespace auburndoor
--- a/modules/dispatch/FleetPolling.cpp
+++ b/modules/dispatch/FleetPolling.cpp
@@ -172,8 +172,11 @@
         // A successor may have seen the runs end before the worker did.
         isWrongWorker = evidence.requireConfirmation(*worker.replacedSince);
     }
-    if (hasLeft(worker, reply.outcome)) {
-        EventLog::write("worker.left", { { "worker", id }, { "runs", worker.runs.size() } });
+    const bool isUnanswered = reply.outcome == CommandOutcome::NotSent || reply.outcome == CommandOutcome::Unknown;
+    if (isUnanswered && hasLeft(worker)) {
+        EventLog::write(
+            "worker.left",
+            { { "worker", id }, { "runs", worker.runs.size() }, { "silent_ms", silenceBeforeRemoval(worker.entry).count() } });
         reportAllRunsLost(worker, RunLoss::WorkerRestarted);
         worker.isReportRead = true;
         worker.acknowledgedEnd = worker.lastSeenEnd;
@@ -204,6 +207,8 @@
     if (report.incarnation > worker.entry.incarnation) {
         auto entry = worker.entry;
         entry.incarnation = report.incarnation;
+        entry.reportedAfter.reset();
+        entry.missingAt.reset();
         worker.isEntryCurrent = false;
         updateEntry(worker, entry);
     } else if (report.incarnation != 0 && report.incarnation < worker.entry.incarnation) {
--- a/modules/dispatch/JobManager.h
+++ b/modules/dispatch/JobManager.h
@@ -146,6 +146,7 @@
     void fenced(const std::string &worker) override;
     void capacityChanged() override;
     void rosterChanged(const WorkerEntry &entry, bool isMember, std::function<void()> recorded) override;
+    void rosterEntryChanged(const WorkerEntry &entry) override;
 
 private:
     /** Null if there is no such job, or if it has ended. */
--- a/modules/dispatch/JobManagerRuns.cpp
+++ b/modules/dispatch/JobManagerRuns.cpp
@@ -329,4 +329,11 @@
         std::move(recorded));
 }
 
+void JobManager::rosterEntryChanged(const WorkerEntry &entry)
+{
+    const auto text = JobRecordCodec::rosterEntry(entry);
+    commitQueue_.put(
+        JobTables::roster, entry.id, [text] { return text; }, {}, CommitQueue::Urgency::Routine);
+}
+
 } // namespace auburndoor
--- a/modules/dispatch/JobRecordCodec.cpp
+++ b/modules/dispatch/JobRecordCodec.cpp
@@ -78,6 +78,20 @@
     return Milliseconds(readNumber(json, key, std::int64_t(0)));
 }
 
+/** Reads a time that may be absent. */
+std::optional<Milliseconds> readTime(const Json &json, const char *key)
+{
+    return json.contains(key) ? std::optional(readMilliseconds(json, key)) : std::nullopt;
+}
+
+/** Sets a key unless the time is unknown. */
+void putTime(Json &json, const char *key, const std::optional<Milliseconds> &time)
+{
+    if (time) {
+        json[key] = time->count();
+    }
+}
+
 StepSpec readStep(const Json &json)
 {
     StepSpec step;
@@ -363,6 +377,10 @@
 {
     Json json { { "service", entry.service }, { "address", entry.address.text() }, { "born", entry.incarnation } };
     putUnlessDefault(json, "draining", entry.isDraining, false);
+    if (entry.isDraining) {
+        putTime(json, "reported", entry.reportedAfter);
+        putTime(json, "missing", entry.missingAt);
+    }
     putUnlessDefault(json, "earlier", entry.earlierServices, std::set<std::string>());
     return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
@@ -380,6 +398,8 @@
         entry.service = json.at("service").get<std::string>();
         entry.earlierServices = json.value("earlier", std::set<std::string>());
         entry.isDraining = json.value("draining", false);
+        entry.reportedAfter = readTime(json, "reported");
+        entry.missingAt = readTime(json, "missing");
         entry.address = *address;
         entry.incarnation = readNumber(json, "born", std::int64_t(0));
         return entry;
--- a/modules/entry/EntryInstance.cpp
+++ b/modules/entry/EntryInstance.cpp
@@ -8,6 +8,7 @@
 #include "entry/OwnerCallForwarder.h"
 #include "entry/PeerCodec.h"
 #include "entry/RelayedWorkerClientFactory.h"
+#include "entry/TableUpdate.h"
 #include "entry/TableWatch.h"
 #include "entry/WorkerRelay.h"
 #include "entry/WorkerRelayAssignment.h"
@@ -122,7 +123,7 @@
                     dependencies.store,
                     dependencies.protocol.operatorTable(),
                     operatorWatchTiming,
-                    [this](const auto &rows, bool) { onOperatorRows(rows); })
+                    [this](const TableUpdate &update) { onOperatorRows(update.rows); })
     , clientListener(
           dependencies.loop,
           {},
--- a/modules/entry/Owner.cpp
+++ b/modules/entry/Owner.cpp
@@ -2,6 +2,7 @@
 
 #include "entry/OwnerImpl.h"
 #include "entry/PlacementPacing.h"
+#include "entry/TableUpdate.h"
 #include "observability/EventLog.h"
 #include "observability/Metrics.h"
 
@@ -21,15 +22,12 @@
 // Leases last as long as their evidence allows, or less: this much time may pass since the evidence before they become shorter.
 constexpr Milliseconds evidenceAllowance { 1000 };
 
-// Allows for the delay from a cut to the removal of a worker's entry.
-constexpr Milliseconds absenceMargin { 100 };
-
 FleetTiming fleetTiming(const EntrySettings &settings)
 {
     FleetTiming timing;
     timing.lease = std::min(preferredLease, settings.maxLease * 3 / 4);
     timing.evidence.validity = timing.lease + evidenceAllowance;
-    timing.minAbsence = std::max(Milliseconds(0), timing.lease * 51 / 50 - settings.entryLifetime) + absenceMargin;
+    timing.minSilenceBeforeRemoval = settings.entryLifetime * 5 / 6;
     return timing;
 }
 
@@ -60,7 +58,7 @@
                   dependencies.store,
                   dependencies.protocol.workerTable(),
                   workerWatchTiming,
-                  [this](const auto &rows, bool isWholeTable) { updateWorkers(rows, isWholeTable); })
+                  [this](const TableUpdate &update) { updateWorkers(update); })
     , guard(dependencies.timers, dependencies.store, ownership.epochVersion, evidence, [this] { depose(); })
     , ownershipReport(ownership.token)
     , admission(static_cast<std::uint_fast32_t>(ownership.token))
--- a/modules/entry/OwnerImpl.h
+++ b/modules/entry/OwnerImpl.h
@@ -31,8 +31,8 @@
     void restoreParts(const std::vector<StoreRow> &rows);
     void restoreJobs(const std::vector<StoreRow> &rows);
     void restoreRoster(const std::vector<StoreRow> &rows);
-    /** Passes rows of the platform's worker table to the fleet. @param isWholeTable false if the rows are changes */
-    void updateWorkers(const std::vector<StoreRow> &rows, bool isWholeTable);
+    /** Passes rows of the platform's worker table to the fleet. */
+    void updateWorkers(const TableUpdate &update);
     /** False while another owner may have taken over. */
     bool mayStartTasks();
     /** Detects suspensions and keeps the store's confirmation of the ownership recent, also while the tables are read. */
--- a/modules/entry/OwnerRecovery.cpp
+++ b/modules/entry/OwnerRecovery.cpp
@@ -1,5 +1,6 @@
 #include "dispatch/JobRecordCodec.h"
 #include "entry/OwnerImpl.h"
+#include "entry/TableUpdate.h"
 #include "observability/EventLog.h"
 
 #include <set>
@@ -86,20 +87,24 @@
     }
 }
 
-void Owner::Impl::updateWorkers(const std::vector<StoreRow> &rows, bool isWholeTable)
+void Owner::Impl::updateWorkers(const TableUpdate &update)
 {
     std::set<std::string> present;
-    for (const auto &row : rows) {
-        const auto entry = row.isRemoved ? std::nullopt : dependencies.protocol.readWorker(row);
-        if (entry) {
-            present.insert(row.key);
+    for (const auto &row : update.rows) {
+        if (row.isRemoved) {
+            fleet.removeEntry(row.key, update.readBy);
+            continue;
+        }
+        present.insert(row.key);
+        if (auto entry = dependencies.protocol.readWorker(row)) {
+            entry->reportedAfter = update.changedAfter;
             fleet.setEntry(*entry);
-        } else if (!isWholeTable) {
-            fleet.removeEntry(row.key);
+        } else {
+            fleet.disregardEntry(row.key);
         }
     }
-    if (isWholeTable) {
-        fleet.retainEntries(present);
+    if (update.isWholeTable) {
+        fleet.retainEntries(present, update.readBy);
     }
 }
 
--- a/modules/entry/TableWatch.cpp
+++ b/modules/entry/TableWatch.cpp
@@ -1,5 +1,6 @@
 #include "entry/TableWatch.h"
 
+#include "entry/TableUpdate.h"
 #include "observability/EventLog.h"
 
 namespace auburndoor {
@@ -37,6 +38,8 @@
     Callback callback;
     /** Changes up to this version have been passed to the callback. */
     std::int64_t version = 0;
+    /** All changes up to this time of the store's clock have been passed to the callback; empty before the first answer. */
+    std::optional<Milliseconds> completeUpTo;
     /** When the request of the last successful answer was sent. */
     TimePoint currentAsOf;
     int consecutiveFailures = 0;
@@ -60,7 +63,8 @@
         self->consecutiveFailures = 0;
         self->version = result.version;
         self->currentAsOf = sentAt;
-        self->callback(result.rows, true);
+        self->completeUpTo = result.time ? std::optional(result.time->earliest) : std::nullopt;
+        self->callback({ result.rows, true, std::nullopt, result.time ? std::optional(result.time->latest) : std::nullopt });
         self->runAfter(self->timing.pollDelay, &Impl::readChanges);
     });
 }
@@ -89,8 +93,13 @@
             self->consecutiveFailures = 0;
             self->version = std::max(self->version, result.version);
             self->currentAsOf = sentAt;
+            const auto changedAfter = self->completeUpTo;
+            if (result.time) {
+                self->completeUpTo = result.time->earliest;
+            }
             if (!result.rows.empty()) {
-                self->callback(result.rows, false);
+                const auto readBy = result.time ? std::optional(result.time->latest) : std::nullopt;
+                self->callback({ result.rows, false, changedAfter, readBy });
             }
             self->runAfter(self->timing.pollDelay, &Impl::readChanges);
         });
--- a/modules/entry/TableWatch.h
+++ b/modules/entry/TableWatch.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "net/Timers.h"
-#include "workload/StateStore.h"
 
 #include <functional>
 #include <memory>
@@ -9,6 +8,9 @@
 
 namespace auburndoor {
 
+class StateStore;
+struct TableUpdate;
+
 /** Delays and timeouts of the reads of a TableWatch. */
 struct WatchTiming
 {
@@ -30,8 +32,7 @@
 class TableWatch
 {
 public:
-    /** @param isWholeTable true if the rows are all rows of the table, false if they are changes */
-    using Callback = std::function<void(const std::vector<StoreRow> &rows, bool isWholeTable)>;
+    using Callback = std::function<void(const TableUpdate &update)>;
 
     TableWatch(Timers &timers, StateStore &store, std::string table, WatchTiming timing, Callback callback);
     ~TableWatch();
--- a/modules/workload/StateStore.h
+++ b/modules/workload/StateStore.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "core/Clock.h"
+#include "workload/StoreTimeSpan.h"
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -72,6 +74,8 @@
     std::string detail = {};
     /** Of StateStore::readPage(): the first key of the next page; empty after the last one. */
     std::string nextPageKey = {};
+    /** Of a read: the store's clock; empty if the replies do not tell. */
+    std::optional<StoreTimeSpan> time = {};
 };
 
 /**
--- a/modules/workload/WorkerEntry.h
+++ b/modules/workload/WorkerEntry.h
@@ -29,6 +29,10 @@
     std::optional<Milliseconds> remaining;
     /** When this incarnation of the worker started, since 1970; a restart under the same id gets a later one. */
     std::int64_t incarnation = 0;
+    /** The worker has last reported to the directory after this time of the store's clock; empty if that is not known. */
+    std::optional<Milliseconds> reportedAfter;
+    /** Its entry was missing at this time of the store's clock; empty while it is there, or if that is not known. */
+    std::optional<Milliseconds> missingAt;
 
     bool hasLabel(const std::string &label) const;
 
--- a/tests/fakes/FakeStore.cpp
+++ b/tests/fakes/FakeStore.cpp
@@ -15,6 +15,12 @@
     timers_.after(delay, [result = std::move(result), callback = std::move(callback)] { callback(result); });
 }
 
+StoreTimeSpan FakeStore::clock() const
+{
+    const auto now = std::chrono::duration_cast<Milliseconds>(timers_.now().time_since_epoch());
+    return { now, now };
+}
+
 StoreResult FakeStore::apply(const StoreChange &change)
 {
     StoreResult result;
@@ -78,6 +84,7 @@
     StoreResult result;
     result.outcome = isDown_ ? StoreOutcome::NotDone : StoreOutcome::Done;
     result.version = version_;
+    result.time = clock();
     for (const auto &[name, stored] : rows_) {
         if (isDown_ || name.first != table || name.second < from) {
             continue;
@@ -117,6 +124,7 @@
         StoreResult result;
         result.outcome = isDown_ ? StoreOutcome::NotDone : StoreOutcome::Done;
         result.version = version_;
+        result.time = clock();
         for (const auto &changed : history_) {
             if (!isDown_ && changed.table == table && changed.version > after) {
                 result.rows.push_back(changed);
--- a/tests/fakes/FakeStore.h
+++ b/tests/fakes/FakeStore.h
@@ -74,6 +74,8 @@
     std::vector<std::string> keys(const std::string &table) const;
 
 private:
+    /** The store's clock, as it tells it in replies to reads. */
+    StoreTimeSpan clock() const;
     StoreResult apply(const StoreChange &change);
     /** The rows of a table from a key on, at most maxRows of them. */
     StoreResult read(const std::string &table, const std::string &from, std::size_t maxRows) const;
