A planned handover tells when the leases of silent workers end

What callers saw: tasks of inherited jobs wait up to 6.5 s after each takeover while one worker is silent, and with owners that each live for less they wait without end (test dispatch-handed-over-wait, known red).

Cause: how long an owner has waited, and when the leases end that it granted itself, was in its memory only.

Change: a stopping owner stores for each worker that does not answer it the time of the store's clock by which all leases have ended, and extends none of them any more. The time holds for the owner with the next token only: that one may grant new leases, and hands over its own.

--- a/modules/dispatch/Fleet.cpp
+++ b/modules/dispatch/Fleet.cpp
@@ -96,6 +96,25 @@
     }
 }
 
+void Fleet::noteStoreTime(Milliseconds time, TimePoint requestedAt)
+{
+    impl_->storeClock.noteReading(time, requestedAt, impl_->timers.now());
+}
+
+void Fleet::handOverLeases()
+{
+    for (const auto &[id, worker] : impl_->workers) {
+        const bool isAnswering = worker->isReportRead && worker->failedPolls == 0;
+        const auto endsBy = impl_->leasesEndBy(*worker);
+        if (isAnswering || !worker->isInRoster || !endsBy) {
+            continue;
+        }
+        worker->isHandedOver = true;
+        worker->entry.handedOverLease = HandedOverLease { impl_->fencingToken, *endsBy };
+        impl_->listener.rosterChanged(worker->entry, true, [] {});
+    }
+}
+
 void Fleet::setDirectoryAge(Milliseconds age)
 {
     impl_->isDirectoryStale = age > impl_->timing.directoryStaleAfter;
@@ -197,8 +216,8 @@
 bool Fleet::isUsable(const WorkerState &worker) const
 {
     const auto now = impl_->timers.now();
-    return worker.isListed && worker.isEntryCurrent && !worker.entry.isDraining && worker.isReportRead && worker.isInRoster
-           && worker.unwantedRuns == 0 && worker.failedPolls == 0 && worker.avoidUntil <= now
+    return worker.isListed && worker.isEntryCurrent && !worker.entry.isDraining && !worker.isHandedOver && worker.isReportRead
+           && worker.isInRoster && worker.unwantedRuns == 0 && worker.failedPolls == 0 && worker.avoidUntil <= now
            && (impl_->isDirectoryStale ? now - worker.lastReportAt < impl_->timing.maxReportAgeWhenDirectoryStale
                                        : worker.runs.empty() || now - worker.lastReportAt < impl_->timing.maxReportAge);
 }
@@ -206,11 +225,12 @@
 bool Fleet::hasUnreadWorkers(const std::string &service) const
 {
     const auto now = impl_->timers.now();
-    const bool areInheritedOver = impl_->areInheritedLeasesOver();
     return std::any_of(impl_->workers.begin(), impl_->workers.end(), [&](const auto &entry) {
         const auto &worker = *entry.second;
-        const bool hasLease = !areInheritedOver || (worker.isReportCutOff && now <= worker.client->leaseEnd());
-        return !worker.isReportRead && hasLease && worker.entry.hasServed(service);
+        if (worker.isReportRead || !worker.entry.hasServed(service)) {
+            return false;
+        }
+        return !impl_->areInheritedLeasesOver(worker) || (worker.isReportCutOff && now <= worker.client->leaseEnd());
     });
 }
 
--- a/modules/dispatch/Fleet.h
+++ b/modules/dispatch/Fleet.h
@@ -142,6 +142,16 @@
      */
     void retainEntries(const std::set<std::string> &ids, std::optional<Milliseconds> missingAt);
 
+    /** The store's clock showed this time between the request and now. */
+    void noteStoreTime(Milliseconds time, TimePoint requestedAt);
+
+    /**
+        Tells the next owner, by the roster, until when leases may hold on workers that do not answer. Grants them none from now on.
+
+        To be called before a planned handover. Without it the next owner waits for as long as after any takeover.
+    */
+    void handOverLeases();
+
     /**
         Sets how old the view of the directory is.
 
--- a/modules/dispatch/FleetImpl.cpp
+++ b/modules/dispatch/FleetImpl.cpp
@@ -87,6 +87,7 @@
     if (!hasRestarted) {
         keepEarlierServices(worker, former);
         worker.entry.reportedAfter = std::max(former.reportedAfter, entry.reportedAfter);
+        worker.entry.handedOverLease = former.handedOverLease;
         if (former.isDraining != entry.isDraining) {
             // The next owner need not wait for a worker that was draining and is gone.
             listener.rosterChanged(worker.entry, true, [] {});
--- a/modules/dispatch/FleetImpl.h
+++ b/modules/dispatch/FleetImpl.h
@@ -4,6 +4,7 @@
 #include "dispatch/PossibleCrashes.h"
 #include "dispatch/RosterQuorum.h"
 #include "dispatch/StartWindow.h"
+#include "dispatch/StoreClock.h"
 
 #include <optional>
 
@@ -50,8 +51,14 @@
     Milliseconds permittedLease() const;
     /** When all leases that earlier owners granted have ended. */
     TimePoint inheritedLeasesEnd() const;
-    /** True if all leases of earlier owners have ended, and no successor can have extended one. */
-    bool areInheritedLeasesOver() const;
+    /** As above, for one worker: the former owner may have told an earlier time. */
+    TimePoint inheritedLeasesEnd(const WorkerState &worker) const;
+    /** True if all leases of earlier owners on the worker have ended, and no successor can have extended one. */
+    bool areInheritedLeasesOver(const WorkerState &worker) const;
+    /** When all leases on the worker have ended, on the store's clock; empty if that clock is not known. */
+    std::optional<Milliseconds> leasesEndBy(const WorkerState &worker) const;
+    /** The time that the former owner has handed over for the worker; null if it has not. */
+    const HandedOverLease *handedOverLease(const WorkerState &worker) const;
     /** Polls all workers that are not being polled. */
     void pollAll();
     /** Starts to poll a worker whose report is unread or that has runs or unacknowledged ends. */
@@ -130,6 +137,7 @@
     std::int64_t fencingToken;
     OwnershipEvidence &evidence;
     RosterQuorum quorum;
+    StoreClock storeClock;
     TimePoint createdAt;
     /** When the reports of more than half of the inherited roster's workers were read. */
     std::optional<TimePoint> majorityReadAt;
--- a/modules/dispatch/FleetLeases.cpp
+++ b/modules/dispatch/FleetLeases.cpp
@@ -17,12 +17,36 @@
     return createdAt + OwnershipEvidence::inheritedLeaseTimeWithoutMajority(timing.evidence);
 }
 
-bool Fleet::Impl::areInheritedLeasesOver() const
+const HandedOverLease *Fleet::Impl::handedOverLease(const WorkerState &worker) const
+{
+    const auto &lease = worker.entry.handedOverLease;
+    return lease && lease->fencingToken == fencingToken - 1 ? &*lease : nullptr;
+}
+
+TimePoint Fleet::Impl::inheritedLeasesEnd(const WorkerState &worker) const
 {
     const auto end = inheritedLeasesEnd();
+    const auto *lease = handedOverLease(worker);
+    return lease == nullptr ? end : std::min(end, storeClock.reachedBy(lease->endsBy).value_or(end));
+}
+
+bool Fleet::Impl::areInheritedLeasesOver(const WorkerState &worker) const
+{
+    const auto end = inheritedLeasesEnd(worker);
     return timers.now() > end && evidence.requireConfirmation(end);
 }
 
+std::optional<Milliseconds> Fleet::Impl::leasesEndBy(const WorkerState &worker) const
+{
+    const auto end = storeClock.latestTimeAt(leaseEnd(worker));
+    const auto *lease = worker.isReportRead ? nullptr : handedOverLease(worker);
+    if (lease == nullptr || !end) {
+        return end;
+    }
+    // The time is passed on as it was handed over: each conversion between the clocks makes it later.
+    return std::min(*end, std::max(lease->endsBy, *storeClock.latestTimeAt(worker.client->leaseEnd())));
+}
+
 bool Fleet::Impl::mayChangeRoster() const
 {
     // Without a majority, new workers would be out of use for as long as a former owner may go on without the store.
@@ -59,7 +83,7 @@
 
 TimePoint Fleet::Impl::leaseEnd(const WorkerState &worker) const
 {
-    return std::max(worker.client->leaseEnd(), worker.isReportRead ? worker.inheritedLeaseEnd : inheritedLeasesEnd());
+    return std::max(worker.client->leaseEnd(), worker.isReportRead ? worker.inheritedLeaseEnd : inheritedLeasesEnd(worker));
 }
 
 bool Fleet::Impl::isAbsenceConclusive(const WorkerState &worker, const Run &run) const
--- a/modules/dispatch/FleetPolling.cpp
+++ b/modules/dispatch/FleetPolling.cpp
@@ -53,7 +53,7 @@
     const auto wait = worker->isReportRead && worker->failedPolls == 0 ? timing.pollWait : Milliseconds(0);
     ++renewalsSent;
     // The lease of a worker that does not answer is not extended, so that its runs have ended by a known time.
-    const auto lease = worker->failedPolls == 0 ? permittedLease() : Milliseconds(0);
+    const auto lease = worker->failedPolls == 0 && !worker->isHandedOver ? permittedLease() : Milliseconds(0);
     // After a failed poll the worker may have restarted: its report is read before ends are acknowledged.
     const auto acknowledgement = worker->failedPolls == 0 ? worker->acknowledgementToSend() : 0;
     worker->client->renewLeases(
--- a/modules/dispatch/JobRecordCodec.cpp
+++ b/modules/dispatch/JobRecordCodec.cpp
@@ -381,6 +381,9 @@
         putTime(json, "reported", entry.reportedAfter);
         putTime(json, "missing", entry.missingAt);
     }
+    if (entry.handedOverLease) {
+        json["leases"] = Json::array({ entry.handedOverLease->fencingToken, entry.handedOverLease->endsBy.count() });
+    }
     putUnlessDefault(json, "earlier", entry.earlierServices, std::set<std::string>());
     return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
@@ -400,6 +403,10 @@
         entry.isDraining = json.value("draining", false);
         entry.reportedAfter = readTime(json, "reported");
         entry.missingAt = readTime(json, "missing");
+        if (json.contains("leases")) {
+            const auto [token, endsBy] = json.at("leases").get<std::array<std::int64_t, 2>>();
+            entry.handedOverLease = HandedOverLease { token, Milliseconds(endsBy) };
+        }
         entry.address = *address;
         entry.incarnation = readNumber(json, "born", std::int64_t(0));
         return entry;
--- /dev/null
+++ b/modules/dispatch/StoreClock.cpp
@@ -0,0 +1,38 @@
+#include "dispatch/StoreClock.h"
+
+#include <algorithm>
+
+namespace auburndoor {
+
+namespace {
+
+Milliseconds scaleForSlowClock(Milliseconds duration)
+{
+    return duration * 50 / 49 + Milliseconds(1);
+}
+
+} // namespace
+
+void StoreClock::noteReading(Milliseconds time, TimePoint requestedAt, TimePoint receivedAt)
+{
+    reading_ = Reading { time, requestedAt, receivedAt };
+}
+
+std::optional<Milliseconds> StoreClock::latestTimeAt(TimePoint moment) const
+{
+    if (!reading_) {
+        return std::nullopt;
+    }
+    const auto elapsed = std::chrono::ceil<Milliseconds>(moment - reading_->requestedAt);
+    return reading_->time + scaleForSlowClock(std::max(Milliseconds(0), elapsed));
+}
+
+std::optional<TimePoint> StoreClock::reachedBy(Milliseconds time) const
+{
+    if (!reading_) {
+        return std::nullopt;
+    }
+    return reading_->receivedAt + scaleForSlowClock(std::max(Milliseconds(0), time - reading_->time));
+}
+
+} // namespace auburndoor
--- a/modules/dispatch/WorkerState.h
+++ b/modules/dispatch/WorkerState.h
@@ -33,6 +33,8 @@
     TimePoint unlistedAt;
     /** Its current incarnation is stored in the roster, which the next owner reads. */
     bool isInRoster = false;
+    /** The next owner was told when the leases on it end, so that this one grants no further one. */
+    bool isHandedOver = false;
     /** A poll is scheduled or pending. */
     bool isPolling = false;
     TimePoint lastReportAt;
--- a/modules/entry/Owner.cpp
+++ b/modules/entry/Owner.cpp
@@ -284,6 +284,7 @@
 void Owner::flush(Milliseconds timeout, std::function<void(const Ownership &)> done)
 {
     impl_->isStopping = true;
+    impl_->fleet.handOverLeases();
     impl_->waitForFlush(impl_->commitQueue.mark(), impl_->dependencies.timers.now() + timeout, std::move(done));
 }
 
--- a/modules/entry/OwnerRecovery.cpp
+++ b/modules/entry/OwnerRecovery.cpp
@@ -89,6 +89,9 @@
 
 void Owner::Impl::updateWorkers(const TableUpdate &update)
 {
+    if (update.readBy) {
+        fleet.noteStoreTime(*update.readBy, update.requestedAt);
+    }
     std::set<std::string> present;
     for (const auto &row : update.rows) {
         if (row.isRemoved) {
--- a/modules/entry/TableUpdate.h
+++ b/modules/entry/TableUpdate.h
@@ -17,6 +17,8 @@
     std::optional<Milliseconds> changedAfter;
     /** The rows were read at this time of the store's clock, or before; empty if the store did not tell. */
     std::optional<Milliseconds> readBy;
+    /** When they were requested. */
+    TimePoint requestedAt;
 };
 
 } // namespace auburndoor
--- a/modules/entry/TableWatch.cpp
+++ b/modules/entry/TableWatch.cpp
@@ -64,7 +64,8 @@
         self->version = result.version;
         self->currentAsOf = sentAt;
         self->completeUpTo = result.time ? std::optional(result.time->earliest) : std::nullopt;
-        self->callback({ result.rows, true, std::nullopt, result.time ? std::optional(result.time->latest) : std::nullopt });
+        const auto readBy = result.time ? std::optional(result.time->latest) : std::nullopt;
+        self->callback({ result.rows, true, std::nullopt, readBy, sentAt });
         self->runAfter(self->timing.pollDelay, &Impl::readChanges);
     });
 }
@@ -99,7 +100,7 @@
             }
             if (!result.rows.empty()) {
                 const auto readBy = result.time ? std::optional(result.time->latest) : std::nullopt;
-                self->callback({ result.rows, false, changedAfter, readBy });
+                self->callback({ result.rows, false, changedAfter, readBy, sentAt });
             }
             self->runAfter(self->timing.pollDelay, &Impl::readChanges);
         });
--- a/modules/workload/WorkerEntry.h
+++ b/modules/workload/WorkerEntry.h
@@ -3,6 +3,7 @@
 #include "core/Clock.h"
 #include "core/Resources.h"
 #include "net/Address.h"
+#include "workload/HandedOverLease.h"
 
 #include <cstdint>
 #include <optional>
@@ -33,6 +34,8 @@
     std::optional<Milliseconds> reportedAfter;
     /** Its entry was missing at this time of the store's clock; empty while it is there, or if that is not known. */
     std::optional<Milliseconds> missingAt;
+    /** In the roster: until when an owner that has stopped may have granted leases; empty unless it told that. */
+    std::optional<HandedOverLease> handedOverLease;
 
     bool hasLabel(const std::string &label) const;
 
