A planned handover tells when the leases of draining workers end

Cause: a draining worker that leaves between two owners, seen by neither, answered the first one to the end, so that it handed nothing over; the second one waits for the leases of all former owners, from its own takeover on.

Evidence: "a planned handover tells when the lease of a draining worker ends" fails without the change (1 start instead of 2), passes with it.

--- a/modules/dispatch/Fleet.cpp
+++ b/modules/dispatch/Fleet.cpp
@@ -104,9 +104,10 @@
 void Fleet::handOverLeases()
 {
     for (const auto &[id, worker] : impl_->workers) {
-        const bool isAnswering = worker->isReportRead && worker->failedPolls == 0;
+        // A draining worker may leave before the next owner has read it.
+        const bool isExpectedToAnswer = worker->isReportRead && worker->failedPolls == 0 && !worker->entry.isDraining;
         const auto endsBy = impl_->leasesEndBy(*worker);
-        if (isAnswering || !worker->isInRoster || !endsBy) {
+        if (isExpectedToAnswer || !worker->isInRoster || !endsBy) {
             continue;
         }
         worker->isHandedOver = true;
--- a/modules/dispatch/Fleet.h
+++ b/modules/dispatch/Fleet.h
@@ -146,7 +146,8 @@
     void noteStoreTime(Milliseconds time, TimePoint requestedAt);
 
     /**
-        Tells the next owner, by the roster, until when leases may hold on workers that do not answer. Grants them none from now on.
+        Tells the next owner, by the roster, until when leases may hold on workers that drain or do not answer. Grants them none
+       from now on.
 
         To be called before a planned handover. Without it the next owner waits for as long as after any takeover.
     */
--- a/tests/dispatch/HandedOverLeaseTests.cpp
+++ b/tests/dispatch/HandedOverLeaseTests.cpp
@@ -56,6 +56,23 @@
     CHECK(cell.violations().empty());
 }
 
+// Guards against a wait for the leases of all former owners for a worker that leaves between two owners, neither of which sees it.
+TEST_CASE("a planned handover tells when the lease of a draining worker ends", "[handed-over]")
+{
+    SilentWorkerFixture cell;
+    cell.fleet.worker("w1").isCutOff = false;
+    cell.list("w1", true);
+    cell.timers.advance(Milliseconds(5000));
+    REQUIRE(cell.starts.size() == 1);
+    cell.stopOwner();
+    cell.fleet.worker("w1").isCutOff = true;
+    cell.unlist("w1");
+    cell.takeOver();
+    cell.timers.advance(leaseTime - Milliseconds(600));
+    CHECK(cell.starts.size() == 2);
+    CHECK(cell.violations().empty());
+}
+
 // Guards against the time that one owner has handed over being used by a later one: the owner between them has extended the lease.
 TEST_CASE("the handed-over end of a lease does not hold for the owner after the next", "[handed-over]")
 {
