The last report of a draining worker is dated by the version of its entry

Change: replies of the store tell its newest version and its clock together. StoreTimeline keeps these readings; a row with a higher version was written after them. Every process follows the operator's table, so a new owner can date the entries that it reads first. TableUpdate loses the time that only held for changes.

Evidence: "a series of short owners does not wait for a draining worker that has left" fails without the dating of whole readings and passes with it.

--- a/modules/dispatch/FleetImpl.cpp
+++ b/modules/dispatch/FleetImpl.cpp
@@ -91,7 +91,7 @@
         if (former.isDraining != entry.isDraining) {
             // The next owner need not wait for a worker that was draining and is gone.
             listener.rosterChanged(worker.entry, true, [] {});
-        } else if (entry.isDraining && entry.reportedAfter && worker.isInRoster) {
+        } else if (entry.isDraining && worker.entry.reportedAfter > former.reportedAfter && worker.isInRoster) {
             // By the time of the last report the next owner can tell whether the worker has left.
             listener.rosterEntryChanged(worker.entry);
         }
--- a/modules/entry/EntryInstance.cpp
+++ b/modules/entry/EntryInstance.cpp
@@ -17,6 +17,7 @@
 #include "net/HttpListener.h"
 #include "observability/EventLog.h"
 #include "observability/Metrics.h"
+#include "workload/StoreTimeline.h"
 
 #include <algorithm>
 
@@ -78,6 +79,8 @@
     /** Carries out the commands of another process that is the owner. */
     WorkerRelay workerRelay;
     OwnerCallForwarder callForwarder;
+    /** Known from the operator's table before this process becomes the owner. */
+    StoreTimeline storeTimeline;
     TableWatch operatorWatch;
     HttpListener clientListener;
     HttpListener readinessListener;
@@ -121,6 +124,7 @@
           [this] { return leadership.ownerAddress(); })
     , operatorWatch(dependencies.loop,
                     dependencies.store,
+                    storeTimeline,
                     dependencies.protocol.operatorTable(),
                     operatorWatchTiming,
                     [this](const TableUpdate &update) { onOperatorRows(update.rows); })
@@ -274,7 +278,7 @@
 
 void EntryInstance::Impl::onOwnershipWon(const Ownership &ownership)
 {
-    const OwnerDependencies ownerDependencies { loop,       dependencies.store,    workerClients,
+    const OwnerDependencies ownerDependencies { loop,       dependencies.store,    storeTimeline,        workerClients,
                                                 advicePool, dependencies.protocol, dependencies.settings };
     owner = std::make_unique<Owner>(ownerDependencies, ownership, [this] {
         owner.reset();
--- a/modules/entry/Owner.cpp
+++ b/modules/entry/Owner.cpp
@@ -56,6 +56,7 @@
                    [this](const TableReading::Tables &tables) { restoreState(tables); })
     , workerWatch(dependencies.timers,
                   dependencies.store,
+                  dependencies.storeTimeline,
                   dependencies.protocol.workerTable(),
                   workerWatchTiming,
                   [this](const TableUpdate &update) { updateWorkers(update); })
--- a/modules/entry/Owner.h
+++ b/modules/entry/Owner.h
@@ -14,6 +14,8 @@
 
 namespace auburndoor {
 
+class StoreTimeline;
+
 class Metrics;
 
 /**
@@ -35,6 +37,8 @@
 {
     Timers &timers;
     StateStore &store;
+    /** Learns from the owner's reads, and knows the readings of before its takeover. */
+    StoreTimeline &storeTimeline;
     WorkerClientFactory &workerClients;
     Advisor &advisor;
     const CellProtocol &protocol;
--- a/modules/entry/OwnerRecovery.cpp
+++ b/modules/entry/OwnerRecovery.cpp
@@ -2,6 +2,7 @@
 #include "entry/OwnerImpl.h"
 #include "entry/TableUpdate.h"
 #include "observability/EventLog.h"
+#include "workload/StoreTimeline.h"
 
 #include <set>
 
@@ -100,7 +101,7 @@
         }
         present.insert(row.key);
         if (auto entry = dependencies.protocol.readWorker(row)) {
-            entry->reportedAfter = update.changedAfter;
+            entry->reportedAfter = dependencies.storeTimeline.timeBefore(row.version);
             fleet.setEntry(*entry);
         } else {
             fleet.disregardEntry(row.key);
--- a/modules/entry/TableUpdate.h
+++ b/modules/entry/TableUpdate.h
@@ -13,8 +13,6 @@
     std::vector<StoreRow> rows;
     /** True if the rows are all rows of the table, false if they are changes. */
     bool isWholeTable = false;
-    /** The rows were written or removed after this time of the store's clock; empty if that is not known, as of a whole table. */
-    std::optional<Milliseconds> changedAfter;
     /** The rows were read at this time of the store's clock, or before; empty if the store did not tell. */
     std::optional<Milliseconds> readBy;
     /** When they were requested. */
--- a/modules/entry/TableWatch.cpp
+++ b/modules/entry/TableWatch.cpp
@@ -2,6 +2,7 @@
 
 #include "entry/TableUpdate.h"
 #include "observability/EventLog.h"
+#include "workload/StoreTimeline.h"
 
 namespace auburndoor {
 
@@ -14,14 +15,16 @@
 
 struct TableWatch::Impl : std::enable_shared_from_this<TableWatch::Impl>
 {
-    Impl(Timers &timers, StateStore &store, std::string table, WatchTiming timing, Callback callback)
-        : timers(timers), store(store), table(std::move(table)), timing(timing), callback(std::move(callback))
+    Impl(Timers &timers, StateStore &store, StoreTimeline &timeline, std::string table, WatchTiming timing, Callback callback)
+        : timers(timers), store(store), timeline(timeline), table(std::move(table)), timing(timing), callback(std::move(callback))
     {
     }
 
     void readTable();
     void readChanges();
     void onFailure(const StoreResult &result);
+    /** Calls the callback if there are rows to pass on. @param sentAt when the request was sent */
+    void passOn(const StoreResult &result, bool isWholeTable, TimePoint sentAt);
     void runAfter(Milliseconds delay, void (Impl::*action)())
     {
         timers.after(delay, [self = shared_from_this(), action] {
@@ -33,13 +36,12 @@
 
     Timers &timers;
     StateStore &store;
+    StoreTimeline &timeline;
     std::string table;
     WatchTiming timing;
     Callback callback;
     /** Changes up to this version have been passed to the callback. */
     std::int64_t version = 0;
-    /** All changes up to this time of the store's clock have been passed to the callback; empty before the first answer. */
-    std::optional<Milliseconds> completeUpTo;
     /** When the request of the last successful answer was sent. */
     TimePoint currentAsOf;
     int consecutiveFailures = 0;
@@ -63,9 +65,7 @@
         self->consecutiveFailures = 0;
         self->version = result.version;
         self->currentAsOf = sentAt;
-        self->completeUpTo = result.time ? std::optional(result.time->earliest) : std::nullopt;
-        const auto readBy = result.time ? std::optional(result.time->latest) : std::nullopt;
-        self->callback({ result.rows, true, std::nullopt, readBy, sentAt });
+        self->passOn(result, true, sentAt);
         self->runAfter(self->timing.pollDelay, &Impl::readChanges);
     });
 }
@@ -94,18 +94,22 @@
             self->consecutiveFailures = 0;
             self->version = std::max(self->version, result.version);
             self->currentAsOf = sentAt;
-            const auto changedAfter = self->completeUpTo;
-            if (result.time) {
-                self->completeUpTo = result.time->earliest;
-            }
-            if (!result.rows.empty()) {
-                const auto readBy = result.time ? std::optional(result.time->latest) : std::nullopt;
-                self->callback({ result.rows, false, changedAfter, readBy, sentAt });
-            }
+            self->passOn(result, false, sentAt);
             self->runAfter(self->timing.pollDelay, &Impl::readChanges);
         });
 }
 
+void TableWatch::Impl::passOn(const StoreResult &result, bool isWholeTable, TimePoint sentAt)
+{
+    if (isWholeTable || !result.rows.empty()) {
+        callback({ result.rows, isWholeTable, result.time ? std::optional(result.time->latest) : std::nullopt, sentAt });
+    }
+    // The rows are judged by earlier readings: this one shows them.
+    if (result.time) {
+        timeline.note(result.version, result.time->earliest);
+    }
+}
+
 void TableWatch::Impl::onFailure(const StoreResult &result)
 {
     if (++consecutiveFailures == 1) {
@@ -113,8 +117,13 @@
     }
 }
 
-TableWatch::TableWatch(Timers &timers, StateStore &store, std::string table, WatchTiming timing, Callback callback)
-    : impl_(std::make_shared<Impl>(timers, store, std::move(table), timing, std::move(callback)))
+TableWatch::TableWatch(Timers &timers,
+                       StateStore &store,
+                       StoreTimeline &timeline,
+                       std::string table,
+                       WatchTiming timing,
+                       Callback callback)
+    : impl_(std::make_shared<Impl>(timers, store, timeline, std::move(table), timing, std::move(callback)))
 {
 }
 
--- a/modules/entry/TableWatch.h
+++ b/modules/entry/TableWatch.h
@@ -9,6 +9,7 @@
 namespace auburndoor {
 
 class StateStore;
+class StoreTimeline;
 struct TableUpdate;
 
 /** Delays and timeouts of the reads of a TableWatch. */
@@ -34,7 +35,13 @@
 public:
     using Callback = std::function<void(const TableUpdate &update)>;
 
-    TableWatch(Timers &timers, StateStore &store, std::string table, WatchTiming timing, Callback callback);
+    /** @param timeline learns the versions and times of the replies */
+    TableWatch(Timers &timers,
+               StateStore &store,
+               StoreTimeline &timeline,
+               std::string table,
+               WatchTiming timing,
+               Callback callback);
     ~TableWatch();
 
     /** Begins to read; the callback is called after each read of the whole table, and after each answer that has changes. */
--- a/tests/dispatch/DrainingWorkerTests.cpp
+++ b/tests/dispatch/DrainingWorkerTests.cpp
@@ -1,4 +1,5 @@
 #include "dispatch/OwnerFixture.h"
+#include "workload/StoreTimeline.h"
 
 #include <catch2/catch.hpp>
 
@@ -155,3 +156,43 @@
     CHECK(cell.starts.size() == 2);
     CHECK(cell.violations().empty());
 }
+
+// Guards against owners that each live for less than a report interval, so that none of them sees a report being made.
+TEST_CASE("a series of short owners does not wait for a draining worker that has left", "[draining]")
+{
+    DrainingWorkerFixture cell;
+    cell.drain(1);
+    for (int owner = 0; owner < 4; ++owner) {
+        cell.timers.advance(Milliseconds(300));
+        cell.killOwner();
+        cell.timers.advance(Milliseconds(500));
+        cell.list("w1", true);
+        // The next one reads the directory after the report, and lives for 0.9 s.
+        cell.takeOver();
+    }
+    cell.killOwner();
+    cell.leave();
+    cell.takeOver();
+    cell.timers.advance(Milliseconds(1500));
+    CHECK(cell.starts.size() == 2);
+    CHECK(cell.violations().empty());
+}
+
+// Guards against a time that is later than the writing of the row.
+TEST_CASE("the version of a row tells when it was written at the earliest", "[draining]")
+{
+    StoreTimeline timeline;
+    CHECK_FALSE(timeline.timeBefore(1));
+    timeline.note(10, Milliseconds(1000));
+    timeline.note(10, Milliseconds(2000));
+    timeline.note(14, Milliseconds(3000));
+    CHECK_FALSE(timeline.timeBefore(10));
+    CHECK(timeline.timeBefore(11) == Milliseconds(2000));
+    CHECK(timeline.timeBefore(14) == Milliseconds(2000));
+    CHECK(timeline.timeBefore(15) == Milliseconds(3000));
+    // Readings that arrive out of order are left out, and old ones are forgotten.
+    timeline.note(12, Milliseconds(2500));
+    CHECK(timeline.timeBefore(13) == Milliseconds(2000));
+    timeline.note(20, Milliseconds(13500));
+    CHECK_FALSE(timeline.timeBefore(14));
+}
--- a/tests/dispatch/OwnerFixture.cpp
+++ b/tests/dispatch/OwnerFixture.cpp
@@ -132,7 +132,8 @@
                                 CallTime::now(timers) };
     auto &factory = clients == nullptr ? fleet : *clients;
     auto &link = links_.try_emplace(fencingToken_, timers, store).first->second;
-    owner = std::make_unique<Owner>(OwnerDependencies { timers, link, factory, advisor, protocol_, settings_ }, ownership, [] {});
+    owner = std::make_unique<Owner>(
+        OwnerDependencies { timers, link, storeTimeline_, factory, advisor, protocol_, settings_ }, ownership, [] {});
     owner->setDesiredState(desiredState_);
     owner->start();
     timers.advance(Milliseconds(600));
--- a/tests/dispatch/OwnerFixture.h
+++ b/tests/dispatch/OwnerFixture.h
@@ -7,6 +7,7 @@
 #include "fakes/PartitionedStore.h"
 #include "fakes/SimulatedWorker.h"
 #include "fakes/StartChecker.h"
+#include "workload/StoreTimeline.h"
 
 #include <map>
 #include <memory>
@@ -95,6 +96,7 @@
 
 private:
     platform::PlatformProtocol protocol_;
+    StoreTimeline storeTimeline_;
     EntrySettings settings_;
     DesiredState desiredState_;
     /** The owners' links to the store, by token. */
