Reviewed: suspensions, unreadable entries and comments of the handed-over times

The end of a lease was converted to the store's clock by the steady clock alone: after a suspension between the last reading of the store's clock and a grant, the handed-over end would be too early by the time of the suspension. StoreClock counts by the boot clock now; its test has a suspension. The roster kept the last report of a worker whose entry has become unreadable, for the next owner; it is written anew without it. The rest renames, merges two places that write a worker's row, and mends comments and a lint finding (a capture that could not be moved).

--- a/modules/dispatch/Fleet.cpp
+++ b/modules/dispatch/Fleet.cpp
@@ -80,6 +80,9 @@
         found->entry.missingAt.reset();
         impl_->unlist(*found);
     }
+    if (const auto *kept = worker(id)) {
+        impl_->recordPresence(*kept);
+    }
 }
 
 void Fleet::retainEntries(const std::set<std::string> &ids, std::optional<Milliseconds> missingAt)
@@ -96,7 +99,7 @@
     }
 }
 
-void Fleet::noteStoreTime(Milliseconds time, TimePoint requestedAt)
+void Fleet::noteStoreTime(Milliseconds time, CallTime requestedAt)
 {
     impl_->storeClock.noteReading(time, requestedAt, impl_->timers.now());
 }
--- a/modules/dispatch/Fleet.h
+++ b/modules/dispatch/Fleet.h
@@ -81,9 +81,8 @@
     /** The delay from a failed poll to the next one. */
     Milliseconds pollRetryDelay { 250 };
     /**
-        The directory does not remove the entry of a worker that has been silent for less than this. The worker itself has removed
-       an entry that is missing sooner after its last report. Less than EntrySettings::entryLifetime, since reports are only
-        approximately regular.
+        The directory does not remove the entry of a worker that has been silent for less than this: an entry that is missing
+        sooner was removed by its worker. Less than EntrySettings::entryLifetime, as reports are only approximately regular.
     */
     Milliseconds minSilenceBeforeRemoval { 3750 };
     /** Nothing is started on a worker with runs whose last report is older. */
@@ -138,16 +137,15 @@
     /** Follows the change of a worker's entry into one that cannot be read, which tells nothing of the worker. */
     void disregardEntry(const std::string &id);
 
-    /** Follows a full read of the directory: workers whose ids are missing count as removed. @param missingAt as in removeEntry()
-     */
+    /** Follows a full read of the directory: workers whose ids are missing count as removed, as by removeEntry(). */
     void retainEntries(const std::set<std::string> &ids, std::optional<Milliseconds> missingAt);
 
     /** The store's clock showed this time between the request and now. */
-    void noteStoreTime(Milliseconds time, TimePoint requestedAt);
+    void noteStoreTime(Milliseconds time, CallTime requestedAt);
 
     /**
-        Tells the next owner, by the roster, until when leases may hold on workers that drain or do not answer. Grants them none
-       from now on.
+        Tells the next owner, by the roster, until when leases may hold on workers that drain or do not answer, and grants these
+        workers none from now on.
 
         To be called before a planned handover. Without it the next owner waits for as long as after any takeover.
     */
--- a/modules/dispatch/FleetImpl.cpp
+++ b/modules/dispatch/FleetImpl.cpp
@@ -91,9 +91,8 @@
         if (former.isDraining != entry.isDraining) {
             // The next owner need not wait for a worker that was draining and is gone.
             listener.rosterChanged(worker.entry, true, [] {});
-        } else if (entry.isDraining && worker.entry.reportedAfter > former.reportedAfter && worker.isInRoster) {
-            // By the time of the last report the next owner can tell whether the worker has left.
-            listener.rosterEntryChanged(worker.entry);
+        } else if (worker.entry.reportedAfter > former.reportedAfter) {
+            recordPresence(worker);
         }
         return;
     }
@@ -134,9 +133,16 @@
         "worker.unlisted",
         { { "worker", id }, { "runs", worker.runs.size() }, { "silent_ms", silenceBeforeRemoval(worker.entry).count() } });
     removeIfGone(id);
-    const auto *unlisted = find(id);
-    if (unlisted != nullptr && unlisted->isInRoster && unlisted->entry.isDraining && unlisted->entry.missingAt) {
-        listener.rosterEntryChanged(unlisted->entry);
+    if (const auto *unlisted = find(id)) {
+        recordPresence(*unlisted);
+    }
+}
+
+void Fleet::Impl::recordPresence(const WorkerState &worker)
+{
+    // By this the next owner can tell whether the worker has left.
+    if (worker.entry.isDraining && worker.isInRoster) {
+        listener.rosterEntryChanged(worker.entry);
     }
 }
 
--- a/modules/dispatch/FleetImpl.h
+++ b/modules/dispatch/FleetImpl.h
@@ -33,6 +33,8 @@
     void updateEntry(WorkerState &worker, const WorkerEntry &entry);
     /** The worker is not in the directory any more. */
     void unlist(WorkerState &worker);
+    /** Has the roster's row of a draining worker written with its last report and absence, unless the worker is not there. */
+    void recordPresence(const WorkerState &worker);
     /** Keeps the services of an incarnation whose entry now names another one. @param former the entry before */
     void keepEarlierServices(WorkerState &worker, const WorkerEntry &former);
     /** The runs that would end if the worker's present incarnation has crashed; none if it is draining. */
@@ -79,8 +81,8 @@
     /** True if no lease holds on the silent worker any more, and no successor can have extended one. */
     bool isLeaseOver(const WorkerState &worker) const;
     /**
-        True if the worker has left as planned: it was draining, and its entry was removed sooner than the silence of a worker that
-       is cut off or has crashed removes one. Its runs have ended with it, so that nothing has to wait for its lease.
+        True if the worker has left as planned: it was draining, and its entry was removed sooner than the directory does it for
+        silence. Its runs have ended with it, so that nothing has to wait for its lease.
     */
     bool hasLeft(const WorkerState &worker) const;
     /** The longest time from the last report to the directory to the removal of the entry; -1 ms if it is not known. */
--- a/modules/dispatch/FleetLeases.cpp
+++ b/modules/dispatch/FleetLeases.cpp
@@ -38,13 +38,16 @@
 
 std::optional<Milliseconds> Fleet::Impl::leasesEndBy(const WorkerState &worker) const
 {
-    const auto end = storeClock.latestTimeAt(leaseEnd(worker));
+    const auto toStoreTime = [this](TimePoint end) {
+        return storeClock.latestTimeAfter(std::chrono::ceil<Milliseconds>(end - timers.now()), timers.bootNow());
+    };
+    const auto end = toStoreTime(leaseEnd(worker));
     const auto *lease = worker.isReportRead ? nullptr : handedOverLease(worker);
     if (lease == nullptr || !end) {
         return end;
     }
     // The time is passed on as it was handed over: each conversion between the clocks makes it later.
-    return std::min(*end, std::max(lease->endsBy, *storeClock.latestTimeAt(worker.client->leaseEnd())));
+    return std::min(*end, std::max(lease->endsBy, *toStoreTime(worker.client->leaseEnd())));
 }
 
 bool Fleet::Impl::mayChangeRoster() const
--- a/modules/dispatch/JobManagerRuns.cpp
+++ b/modules/dispatch/JobManagerRuns.cpp
@@ -331,9 +331,9 @@
 
 void JobManager::rosterEntryChanged(const WorkerEntry &entry)
 {
-    const auto text = JobRecordCodec::rosterEntry(entry);
+    auto text = JobRecordCodec::rosterEntry(entry);
     commitQueue_.put(
-        JobTables::roster, entry.id, [text] { return text; }, {}, CommitQueue::Urgency::Routine);
+        JobTables::roster, entry.id, [text = std::move(text)] { return text; }, {}, CommitQueue::Urgency::Routine);
 }
 
 } // namespace auburndoor
--- a/modules/dispatch/StoreClock.cpp
+++ b/modules/dispatch/StoreClock.cpp
@@ -13,18 +13,18 @@
 
 } // namespace
 
-void StoreClock::noteReading(Milliseconds time, TimePoint requestedAt, TimePoint receivedAt)
+void StoreClock::noteReading(Milliseconds time, CallTime requestedAt, TimePoint receivedAt)
 {
-    reading_ = Reading { time, requestedAt, receivedAt };
+    reading_ = Reading { time, requestedAt.boot, receivedAt };
 }
 
-std::optional<Milliseconds> StoreClock::latestTimeAt(TimePoint moment) const
+std::optional<Milliseconds> StoreClock::latestTimeAfter(Milliseconds duration, TimePoint bootNow) const
 {
     if (!reading_) {
         return std::nullopt;
     }
-    const auto elapsed = std::chrono::ceil<Milliseconds>(moment - reading_->requestedAt);
-    return reading_->time + scaleForSlowClock(std::max(Milliseconds(0), elapsed));
+    const auto elapsed = std::chrono::ceil<Milliseconds>(bootNow - reading_->requestedAt);
+    return reading_->time + scaleForSlowClock(elapsed + std::max(Milliseconds(0), duration));
 }
 
 std::optional<TimePoint> StoreClock::reachedBy(Milliseconds time) const
--- a/modules/dispatch/StoreClock.h
+++ b/modules/dispatch/StoreClock.h
@@ -1,28 +1,30 @@
 #pragma once
 
-#include "core/Clock.h"
+#include "dispatch/CallTime.h"
 
 #include <optional>
 
 namespace auburndoor {
 
-/** Converts between the steady clocks of this process and of the store, either of which may run 2% slow. */
+/** Converts between the clocks of this process and the steady clock of the store, either of which may run 2% slow. */
 class StoreClock
 {
 public:
-    /** The store's clock showed this time between two moments of this process's steady clock. */
-    void noteReading(Milliseconds time, TimePoint requestedAt, TimePoint receivedAt);
+    /** The store's clock showed this time between the request and a moment of the steady clock. */
+    void noteReading(Milliseconds time, CallTime requestedAt, TimePoint receivedAt);
 
-    /** The latest time that the store's clock can show at a moment after the reading; empty without a reading. */
-    std::optional<Milliseconds> latestTimeAt(TimePoint moment) const;
+    /** The latest time that the store's clock can show after this duration; empty without a reading. @param bootNow the boot clock
+     */
+    std::optional<Milliseconds> latestTimeAfter(Milliseconds duration, TimePoint bootNow) const;
 
-    /** The latest moment at which the store's clock reaches a time; empty without a reading. */
+    /** The latest moment of the steady clock at which the store's clock reaches a time; empty without a reading. */
     std::optional<TimePoint> reachedBy(Milliseconds time) const;
 
 private:
     struct Reading
     {
         Milliseconds time { 0 };
+        /** On the boot clock: the store's clock goes on while this process is suspended. */
         TimePoint requestedAt;
         TimePoint receivedAt;
     };
--- a/modules/entry/Owner.h
+++ b/modules/entry/Owner.h
@@ -14,9 +14,8 @@
 
 namespace auburndoor {
 
-class StoreTimeline;
-
 class Metrics;
+class StoreTimeline;
 
 /**
     An ownership that this process has won.
--- a/modules/entry/TableUpdate.h
+++ b/modules/entry/TableUpdate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dispatch/CallTime.h"
 #include "workload/StateStore.h"
 
 #include <optional>
@@ -16,7 +17,7 @@
     /** The rows were read at this time of the store's clock, or before; empty if the store did not tell. */
     std::optional<Milliseconds> readBy;
     /** When they were requested. */
-    TimePoint requestedAt;
+    CallTime requestedAt;
 };
 
 } // namespace auburndoor
--- a/modules/entry/TableWatch.cpp
+++ b/modules/entry/TableWatch.cpp
@@ -24,7 +24,7 @@
     void readChanges();
     void onFailure(const StoreResult &result);
     /** Calls the callback if there are rows to pass on. @param sentAt when the request was sent */
-    void passOn(const StoreResult &result, bool isWholeTable, TimePoint sentAt);
+    void passOn(const StoreResult &result, bool isWholeTable, CallTime sentAt);
     void runAfter(Milliseconds delay, void (Impl::*action)())
     {
         timers.after(delay, [self = shared_from_this(), action] {
@@ -50,7 +50,7 @@
 
 void TableWatch::Impl::readTable()
 {
-    store.readAll(table, {}, [self = shared_from_this(), sentAt = timers.now()](const StoreResult &result) {
+    store.readAll(table, {}, [self = shared_from_this(), sentAt = CallTime::now(timers)](const StoreResult &result) {
         if (self->isClosed) {
             return;
         }
@@ -64,7 +64,7 @@
         }
         self->consecutiveFailures = 0;
         self->version = result.version;
-        self->currentAsOf = sentAt;
+        self->currentAsOf = sentAt.steady;
         self->passOn(result, true, sentAt);
         self->runAfter(self->timing.pollDelay, &Impl::readChanges);
     });
@@ -72,34 +72,37 @@
 
 void TableWatch::Impl::readChanges()
 {
-    store.changes(
-        table, version, timing.changeTimeout, [self = shared_from_this(), sentAt = timers.now()](const StoreResult &result) {
-            if (self->isClosed) {
-                return;
-            }
-            if (result.outcome == StoreOutcome::HistoryCompacted) {
-                EventLog::write("watch.history_lost", { { "table", self->table }, { "version", self->version } });
-                self->readTable();
-                return;
-            }
-            if (result.outcome != StoreOutcome::Done) {
-                self->onFailure(result);
-                self->runAfter(self->timing.retryDelay,
-                               self->consecutiveFailures % failuresPerTableRead == 0 ? &Impl::readTable : &Impl::readChanges);
-                return;
-            }
-            if (self->consecutiveFailures > 0) {
-                EventLog::write("watch.regained", { { "table", self->table }, { "version", result.version } });
-            }
-            self->consecutiveFailures = 0;
-            self->version = std::max(self->version, result.version);
-            self->currentAsOf = sentAt;
-            self->passOn(result, false, sentAt);
-            self->runAfter(self->timing.pollDelay, &Impl::readChanges);
-        });
+    store.changes(table,
+                  version,
+                  timing.changeTimeout,
+                  [self = shared_from_this(), sentAt = CallTime::now(timers)](const StoreResult &result) {
+                      if (self->isClosed) {
+                          return;
+                      }
+                      if (result.outcome == StoreOutcome::HistoryCompacted) {
+                          EventLog::write("watch.history_lost", { { "table", self->table }, { "version", self->version } });
+                          self->readTable();
+                          return;
+                      }
+                      if (result.outcome != StoreOutcome::Done) {
+                          self->onFailure(result);
+                          self->runAfter(self->timing.retryDelay,
+                                         self->consecutiveFailures % failuresPerTableRead == 0 ? &Impl::readTable
+                                                                                               : &Impl::readChanges);
+                          return;
+                      }
+                      if (self->consecutiveFailures > 0) {
+                          EventLog::write("watch.regained", { { "table", self->table }, { "version", result.version } });
+                      }
+                      self->consecutiveFailures = 0;
+                      self->version = std::max(self->version, result.version);
+                      self->currentAsOf = sentAt.steady;
+                      self->passOn(result, false, sentAt);
+                      self->runAfter(self->timing.pollDelay, &Impl::readChanges);
+                  });
 }
 
-void TableWatch::Impl::passOn(const StoreResult &result, bool isWholeTable, TimePoint sentAt)
+void TableWatch::Impl::passOn(const StoreResult &result, bool isWholeTable, CallTime sentAt)
 {
     if (isWholeTable || !result.rows.empty()) {
         callback({ result.rows, isWholeTable, result.time ? std::optional(result.time->latest) : std::nullopt, sentAt });
--- a/tests/dispatch/HandedOverLeaseTests.cpp
+++ b/tests/dispatch/HandedOverLeaseTests.cpp
@@ -109,11 +109,16 @@
 {
     const auto requestedAt = TimePoint() + std::chrono::hours(1);
     const auto receivedAt = requestedAt + Milliseconds(100);
+    // The process was suspended for 2 s before the request: its boot clock is ahead of its steady clock.
+    const auto bootRequestedAt = requestedAt + Milliseconds(2000);
     StoreClock clock;
-    CHECK_FALSE(clock.latestTimeAt(receivedAt));
+    CHECK_FALSE(clock.latestTimeAfter(Milliseconds(0), bootRequestedAt));
     CHECK_FALSE(clock.reachedBy(Milliseconds(0)));
-    clock.noteReading(Milliseconds(50000), requestedAt, receivedAt);
-    CHECK(*clock.latestTimeAt(receivedAt + Milliseconds(4900)) >= Milliseconds(50000 + 5000 * 50 / 49));
+    clock.noteReading(Milliseconds(50000), CallTime { requestedAt, bootRequestedAt }, receivedAt);
+    CHECK(*clock.latestTimeAfter(Milliseconds(4900), bootRequestedAt + Milliseconds(100)) >= Milliseconds(50000 + 5000 * 50 / 49));
+    // Suspended again for 3 s.
+    CHECK(*clock.latestTimeAfter(Milliseconds(4900), bootRequestedAt + Milliseconds(3100)) >= Milliseconds(50000 + 8000 * 50 / 49));
+    CHECK(*clock.latestTimeAfter(Milliseconds(-4900), bootRequestedAt) >= Milliseconds(50000));
     CHECK(*clock.reachedBy(Milliseconds(55000)) >= receivedAt + Milliseconds(5000 * 50 / 49));
     CHECK(*clock.reachedBy(Milliseconds(40000)) >= receivedAt);
 }
