--- a/modules/dispatch/Fleet.cpp
+++ b/modules/dispatch/Fleet.cpp
@@ -28,28 +28,6 @@
     impl_->isClosed = true;
 }
 
-void Fleet::setEntry(const WorkerEntry &entry)
-{
-    auto &worker = impl_->findOrCreate(entry);
-    if (entry.incarnation < worker.entry.incarnation) {
-        return;
-    }
-    if (!worker.isListed) {
-        EventLog::write("worker.listed",
-                        { { "worker", entry.id }, { "service", entry.service }, { "draining", entry.isDraining } });
-    } else if (entry.isDraining && !worker.entry.isDraining) {
-        EventLog::write("worker.draining",
-                        { { "worker", entry.id }, { "remaining_ms", entry.remaining.value_or(Milliseconds(-1)).count() } });
-    }
-    worker.isListed = true;
-    worker.isEntryCurrent = true;
-    impl_->updateEntry(worker, entry);
-    impl_->reportReplacedWorkers(entry);
-    impl_->addToRoster(worker);
-    impl_->ensurePolling(worker);
-    impl_->listener.capacityChanged();
-}
-
 void Fleet::addFormerWorker(const WorkerEntry &entry)
 {
     auto &worker = impl_->findOrCreate(entry);
@@ -64,41 +42,6 @@
     impl_->possibleCrashes.add({ id, Address(), incarnation, { run } }, impl_->timers.now());
 }
 
-void Fleet::removeEntry(const std::string &id, std::optional<Milliseconds> missingAt)
-{
-    if (auto *found = worker(id)) {
-        auto &entry = found->entry;
-        entry.missingAt = entry.missingAt ? entry.missingAt : missingAt;
-        impl_->unlist(*found);
-    }
-}
-
-void Fleet::disregardEntry(const std::string &id)
-{
-    if (auto *found = worker(id)) {
-        found->entry.reportedAfter.reset();
-        found->entry.missingAt.reset();
-        impl_->unlist(*found);
-    }
-    if (const auto *kept = worker(id)) {
-        impl_->recordPresence(*kept);
-    }
-}
-
-void Fleet::retainEntries(const std::set<std::string> &ids, std::optional<Milliseconds> missingAt)
-{
-    impl_->directoryReadAt = impl_->directoryReadAt.value_or(impl_->timers.now());
-    std::vector<std::string> removed;
-    for (const auto &[id, worker] : impl_->workers) {
-        if (!ids.contains(id)) {
-            removed.push_back(id);
-        }
-    }
-    for (const auto &id : removed) {
-        removeEntry(id, missingAt);
-    }
-}
-
 void Fleet::noteStoreTime(Milliseconds time, CallTime requestedAt)
 {
     impl_->storeClock.noteReading(time, requestedAt, impl_->timers.now());
--- a/modules/dispatch/FleetLeases.cpp
+++ b/modules/dispatch/FleetLeases.cpp
@@ -100,11 +100,6 @@
     return timers.now() > end && evidence.requireConfirmation(end);
 }
 
-Milliseconds Fleet::Impl::silenceBeforeRemoval(const WorkerEntry &entry)
-{
-    return entry.reportedAfter && entry.missingAt ? *entry.missingAt - *entry.reportedAfter : Milliseconds(-1);
-}
-
 bool Fleet::Impl::hasLeft(const WorkerState &worker) const
 {
     if (!worker.entry.isDraining || worker.isListed || !directoryReadAt) {
--- a/modules/dispatch/JobManagerRuns.cpp
+++ b/modules/dispatch/JobManagerRuns.cpp
@@ -1,5 +1,5 @@
 #include "dispatch/JobManager.h"
-#include "dispatch/JobRecordCodec.h"
+#include "dispatch/RosterRecordCodec.h"
 #include "observability/EventLog.h"
 
 #include <algorithm>
@@ -321,7 +321,7 @@
 
 void JobManager::rosterChanged(const WorkerEntry &entry, bool isMember, std::function<void()> recorded)
 {
-    const auto text = JobRecordCodec::rosterEntry(entry);
+    const auto text = RosterRecordCodec::write(entry);
     commitQueue_.put(
         JobTables::roster,
         entry.id,
@@ -331,7 +331,7 @@
 
 void JobManager::rosterEntryChanged(const WorkerEntry &entry)
 {
-    auto text = JobRecordCodec::rosterEntry(entry);
+    auto text = RosterRecordCodec::write(entry);
     commitQueue_.put(
         JobTables::roster, entry.id, [text = std::move(text)] { return text; }, {}, CommitQueue::Urgency::Routine);
 }
--- a/modules/dispatch/JobRecordCodec.cpp
+++ b/modules/dispatch/JobRecordCodec.cpp
@@ -78,20 +78,6 @@
     return Milliseconds(readNumber(json, key, std::int64_t(0)));
 }
 
-/** Reads a time that may be absent. */
-std::optional<Milliseconds> readTime(const Json &json, const char *key)
-{
-    return json.contains(key) ? std::optional(readMilliseconds(json, key)) : std::nullopt;
-}
-
-/** Sets a key unless the time is unknown. */
-void putTime(Json &json, const char *key, const std::optional<Milliseconds> &time)
-{
-    if (time) {
-        json[key] = time->count();
-    }
-}
-
 StepSpec readStep(const Json &json)
 {
     StepSpec step;
@@ -373,46 +359,4 @@
     return *found;
 }
 
-std::string JobRecordCodec::rosterEntry(const WorkerEntry &entry)
-{
-    Json json { { "service", entry.service }, { "address", entry.address.text() }, { "born", entry.incarnation } };
-    putUnlessDefault(json, "draining", entry.isDraining, false);
-    if (entry.isDraining) {
-        putTime(json, "reported", entry.reportedAfter);
-        putTime(json, "missing", entry.missingAt);
-    }
-    if (entry.handedOverLease) {
-        json["leases"] = Json::array({ entry.handedOverLease->fencingToken, entry.handedOverLease->endsBy.count() });
-    }
-    putUnlessDefault(json, "earlier", entry.earlierServices, std::set<std::string>());
-    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
-}
-
-std::optional<WorkerEntry> JobRecordCodec::readRosterEntry(const std::string &id, const std::string &text)
-{
-    const auto json = parseBoundedJson(text);
-    try {
-        const auto address = Address::parse(json.at("address").get<std::string>());
-        if (!address || !address->hasPort()) {
-            return std::nullopt;
-        }
-        WorkerEntry entry;
-        entry.id = id;
-        entry.service = json.at("service").get<std::string>();
-        entry.earlierServices = json.value("earlier", std::set<std::string>());
-        entry.isDraining = json.value("draining", false);
-        entry.reportedAfter = readTime(json, "reported");
-        entry.missingAt = readTime(json, "missing");
-        if (json.contains("leases")) {
-            const auto [token, endsBy] = json.at("leases").get<std::array<std::int64_t, 2>>();
-            entry.handedOverLease = HandedOverLease { token, Milliseconds(endsBy) };
-        }
-        entry.address = *address;
-        entry.incarnation = readNumber(json, "born", std::int64_t(0));
-        return entry;
-    } catch (const std::exception &) {
-        return std::nullopt;
-    }
-}
-
 } // namespace auburndoor
--- a/modules/dispatch/JobRecordCodec.h
+++ b/modules/dispatch/JobRecordCodec.h
@@ -2,7 +2,6 @@
 
 #include "dispatch/JobState.h"
 #include "dispatch/TaskRecordCodec.h"
-#include "workload/WorkerEntry.h"
 
 #include <optional>
 #include <string>
@@ -10,7 +9,7 @@
 namespace auburndoor {
 
 /**
-    Converts jobs and roster entries to and from the texts in the store.
+    Converts jobs to and from the texts in the store.
 
     A job has two texts: its description, written once, and its progress, written after each end of a run. A wide job has a further
     one for each JobPart. All texts are JSON objects with keys of auburndoor's own, not the platform's.
@@ -40,11 +39,6 @@
 
     /** Returns the stage in a progress text, and sets endedAt if the text holds the time of an end. Empty if it cannot be read. */
     static std::optional<JobStage> stageOf(const std::string &text, std::chrono::milliseconds &endedAt);
-
-    /** Returns what the next owner needs to reach a worker: its services, address and incarnation, and whether it is draining. */
-    static std::string rosterEntry(const WorkerEntry &entry);
-    /** Empty if the text cannot be read. */
-    static std::optional<WorkerEntry> readRosterEntry(const std::string &id, const std::string &text);
 };
 
 } // namespace auburndoor
--- a/modules/entry/OwnerRecovery.cpp
+++ b/modules/entry/OwnerRecovery.cpp
@@ -1,4 +1,5 @@
 #include "dispatch/JobRecordCodec.h"
+#include "dispatch/RosterRecordCodec.h"
 #include "entry/OwnerImpl.h"
 #include "entry/TableUpdate.h"
 #include "observability/EventLog.h"
@@ -80,7 +81,7 @@
 void Owner::Impl::restoreRoster(const std::vector<StoreRow> &rows)
 {
     for (const auto &row : rows) {
-        if (const auto entry = JobRecordCodec::readRosterEntry(row.key, row.value)) {
+        if (const auto entry = RosterRecordCodec::read(row.key, row.value)) {
             fleet.addFormerWorker(*entry);
         } else {
             EventLog::write("record.unreadable", { { "worker", row.key }, { "table", JobTables::roster } });
--- a/tests/adapter/OddEntryTests.cpp
+++ b/tests/adapter/OddEntryTests.cpp
@@ -5,6 +5,7 @@
 #include "WorkerReportCodec.h"
 #include "core/BoundedJson.h"
 #include "dispatch/JobRecordCodec.h"
+#include "dispatch/RosterRecordCodec.h"
 #include "entry/PeerCodec.h"
 #include "entry/WorkerRelayCodec.h"
 #include "entry/WorkerRelayMessages.h"
@@ -138,7 +139,7 @@
         CHECK(step.doneCount <= 2);
     }
     for (const auto &text : withOddValues(R"({"service":"s","address":"10.0.0.1:80","born":5,"earlier":["t"]})")) {
-        const auto entry = JobRecordCodec::readRosterEntry("w", text);
+        const auto entry = RosterRecordCodec::read("w", text);
         CHECK((!entry || entry->address.hasPort()));
     }
 }
--- a/tests/dispatch/HandedOverLeaseTests.cpp
+++ b/tests/dispatch/HandedOverLeaseTests.cpp
@@ -1,5 +1,5 @@
-#include "dispatch/JobRecordCodec.h"
 #include "dispatch/OwnerFixture.h"
+#include "dispatch/RosterRecordCodec.h"
 #include "dispatch/StoreClock.h"
 
 #include <catch2/catch.hpp>
@@ -134,7 +134,7 @@
     entry.reportedAfter = Milliseconds(1000);
     entry.missingAt = Milliseconds(2000);
     entry.handedOverLease = HandedOverLease { 7, Milliseconds(9000) };
-    const auto read = JobRecordCodec::readRosterEntry("w1", JobRecordCodec::rosterEntry(entry));
+    const auto read = RosterRecordCodec::read("w1", RosterRecordCodec::write(entry));
     REQUIRE(read);
     CHECK(read->reportedAfter == entry.reportedAfter);
     CHECK(read->missingAt == entry.missingAt);
@@ -143,5 +143,5 @@
     CHECK(read->handedOverLease->endsBy == Milliseconds(9000));
     entry.isDraining = false;
     entry.handedOverLease.reset();
-    CHECK_FALSE(JobRecordCodec::readRosterEntry("w1", JobRecordCodec::rosterEntry(entry))->reportedAfter);
+    CHECK_FALSE(RosterRecordCodec::read("w1", RosterRecordCodec::write(entry))->reportedAfter);
 }
--- a/tests/dispatch/JobRecordCodecTests.cpp
+++ b/tests/dispatch/JobRecordCodecTests.cpp
@@ -1,4 +1,5 @@
 #include "dispatch/JobRecordCodec.h"
+#include "dispatch/RosterRecordCodec.h"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -126,5 +127,5 @@
     CHECK_FALSE(JobRecordCodec::readDescription(text, job));
     CHECK_FALSE(JobRecordCodec::readProgress(text, job, TimePoint()));
     CHECK_FALSE(JobRecordCodec::stageOf(text, endedAt));
-    CHECK_FALSE(JobRecordCodec::readRosterEntry("w", text));
+    CHECK_FALSE(RosterRecordCodec::read("w", text));
 }
--- a/tests/dispatch/MovedQueueTests.cpp
+++ b/tests/dispatch/MovedQueueTests.cpp
@@ -1,5 +1,6 @@
 #include "dispatch/JobRecordCodec.h"
 #include "dispatch/OwnerFixture.h"
+#include "dispatch/RosterRecordCodec.h"
 
 #include <catch2/catch.hpp>
 
@@ -162,7 +163,7 @@
     worker.service = "studio";
     worker.address = { "10.0.0.1", 80 };
     worker.earlierServices = { "desk" };
-    const auto readWorker = JobRecordCodec::readRosterEntry("w1", JobRecordCodec::rosterEntry(worker));
+    const auto readWorker = RosterRecordCodec::read("w1", RosterRecordCodec::write(worker));
     REQUIRE(readWorker);
     CHECK(readWorker->hasServed("desk"));
     CHECK(readWorker->hasServed("studio"));
