A draining worker was last heard when it reported, not when its entry was written

What callers see: a task of a draining worker that is cut off may start elsewhere while the worker runs it (rule TWICE), if another writer has written the worker's entry once more after its last report. Silence then removes the entry soon after that writing, which reads like a removal by the worker.

Cause: the last report was dated by the version of the row, whoever wrote it.

Change: only a row with a higher report number counts as a report (WorkerEntry::reportNumber, the entry's "seq"). The roster holds the number beside the time, so that the next owner can tell as well.

Evidence: "an entry that was written again without a report does not show when its worker was last heard" fails on the code before in 10 of 10 variants, with the same owner and after a takeover, and passes with the change. "a worker that came back under its id keeps its runs ..." held before and is kept.

Limit: an owner that sees a draining worker for the first time, without a number in the roster, takes the row for a report.

The fixture of the tests of draining workers has a header of its own.

--- a/modules/dispatch/FleetDirectory.cpp
+++ b/modules/dispatch/FleetDirectory.cpp
@@ -74,7 +74,10 @@
     const auto former = std::exchange(worker.entry, entry);
     if (!hasRestarted) {
         keepEarlierServices(worker, former);
-        worker.entry.reportedAfter = std::max(former.reportedAfter, entry.reportedAfter);
+        // Only a report counts: another writer may have written the entry again.
+        const bool isNewReport = entry.reportNumber > former.reportNumber;
+        worker.entry.reportedAfter = isNewReport ? std::max(former.reportedAfter, entry.reportedAfter) : former.reportedAfter;
+        worker.entry.reportNumber = std::max(former.reportNumber, entry.reportNumber);
         worker.entry.handedOverLease = former.handedOverLease;
         if (former.isDraining != entry.isDraining) {
             // The next owner need not wait for a worker that was draining and is gone.
--- a/modules/dispatch/FleetPolling.cpp
+++ b/modules/dispatch/FleetPolling.cpp
@@ -207,6 +207,7 @@
     if (report.incarnation > worker.entry.incarnation) {
         auto entry = worker.entry;
         entry.incarnation = report.incarnation;
+        entry.reportNumber.reset();
         entry.reportedAfter.reset();
         entry.missingAt.reset();
         worker.isEntryCurrent = false;
--- a/modules/dispatch/RosterRecordCodec.cpp
+++ b/modules/dispatch/RosterRecordCodec.cpp
@@ -55,6 +55,9 @@
     Json json { { "service", entry.service }, { "address", entry.address.text() }, { "born", entry.incarnation } };
     if (entry.isDraining) {
         json["draining"] = true;
+        if (entry.reportNumber) {
+            json["reports"] = *entry.reportNumber;
+        }
         putTime(json, "reported", entry.reportedAfter);
         putTime(json, "missing", entry.missingAt);
     }
@@ -80,6 +83,9 @@
         entry.service = json.at("service").get<std::string>();
         entry.earlierServices = json.value("earlier", std::set<std::string>());
         entry.isDraining = json.value("draining", false);
+        if (const auto reports = json.find("reports"); reports != json.end()) {
+            entry.reportNumber = toExactInteger(*reports);
+        }
         entry.reportedAfter = readTime(json, "reported");
         entry.missingAt = readTime(json, "missing");
         entry.handedOverLease = readHandedOverLease(json);
--- a/modules/workload/WorkerEntry.h
+++ b/modules/workload/WorkerEntry.h
@@ -30,6 +30,8 @@
     std::optional<Milliseconds> remaining;
     /** When this incarnation of the worker started, since 1970; a restart under the same id gets a later one. */
     std::int64_t incarnation = 0;
+    /** Counts the reports of this incarnation to the directory; empty if the entry does not tell. */
+    std::optional<std::int64_t> reportNumber;
     /** The worker has last reported to the directory after this time of the store's clock; empty if that is not known. */
     std::optional<Milliseconds> reportedAfter;
     /** Its entry was missing at this time of the store's clock; empty while it is there, or if that is not known. */
--- a/tests/dispatch/DrainingWorkerTests.cpp
+++ b/tests/dispatch/DrainingWorkerTests.cpp
@@ -1,65 +1,10 @@
-#include "dispatch/OwnerFixture.h"
+#include "dispatch/DrainingWorkerFixture.h"
 #include "workload/StoreTimeline.h"
 
 #include <catch2/catch.hpp>
 
-#include <string>
-
 using namespace auburndoor;
 
-namespace {
-
-constexpr const char *job = "00000000000000aa";
-constexpr Milliseconds heartbeatInterval { 1500 };
-constexpr Milliseconds entryLifetime { 4500 };
-// A lease of 5 s on a clock that is 2% slow, and the time until the next poll notices its end.
-constexpr Milliseconds leaseTime { 6000 };
-
-/** A long task runs on w1, which drains and reports at regular intervals; w2 has room for the task. */
-struct DrainingWorkerFixture : OwnerFixture
-{
-    DrainingWorkerFixture()
-    {
-        plan = [](const TaskName &, std::int64_t) { return SimulatedWork { Milliseconds(600000), RunOutcome::Done }; };
-        addWorker("w1", 4);
-        // More than half of the roster stays within reach of the next owner.
-        addWorker("s1", 4, "studio");
-        addWorker("s2", 4, "studio");
-        takeOver();
-        REQUIRE(submit(job, jobBody(1, 3000)) == ClientResult::Outcome::Accepted);
-        timers.advance(Milliseconds(500));
-        REQUIRE(starts.size() == 1);
-        addWorker("w2", 4);
-    }
-
-    /** w1 reports that it drains, this many times; the last report is made now. */
-    void drain(int reports = 2)
-    {
-        list("w1", true);
-        for (int report = 1; report < reports; ++report) {
-            timers.advance(heartbeatInterval);
-            list("w1", true);
-        }
-    }
-
-    /** The directory removes the entry of w1 after three intervals of silence. @param sinceReport the silence so far */
-    void expireEntry(Milliseconds sinceReport)
-    {
-        timers.advance(entryLifetime - sinceReport);
-        unlist("w1");
-    }
-
-    /** w1 ends as planned, and its entry with it. */
-    void leave()
-    {
-        fleet.worker("w1").restart();
-        fleet.worker("w1").hasExited = true;
-        unlist("w1");
-    }
-};
-
-} // namespace
-
 // Guards against a second run beside one on a draining worker that is cut off: its entry may be removed before its lease ends.
 TEST_CASE("a draining worker that is cut off keeps its runs until its lease has ended", "[draining]")
 {
@@ -70,7 +15,7 @@
     cell.timers.advance(sinceReport);
     cell.fleet.worker("w1").isCutOff = true;
     cell.expireEntry(sinceReport);
-    cell.timers.advance(leaseTime);
+    cell.timers.advance(DrainingWorkerFixture::leaseTime);
     CHECK(cell.violations().empty());
     CHECK(cell.starts.size() == 2);
 }
@@ -83,7 +28,7 @@
     cell.expireEntry(Milliseconds(0));
     cell.timers.advance(Milliseconds(2000));
     cell.fleet.worker("w1").isCutOff = true;
-    cell.timers.advance(leaseTime + Milliseconds(1000));
+    cell.timers.advance(DrainingWorkerFixture::leaseTime + Milliseconds(1000));
     CHECK(cell.violations().empty());
     CHECK(cell.starts.size() == 2);
 }
@@ -101,7 +46,7 @@
     if (isRemoved) {
         cell.unlist("w1");
     }
-    cell.timers.advance(leaseTime + Milliseconds(1000));
+    cell.timers.advance(DrainingWorkerFixture::leaseTime + Milliseconds(1000));
     CHECK(cell.violations().empty());
     CHECK(cell.starts.size() == 2);
 }
--- a/tests/dispatch/OwnerFixture.cpp
+++ b/tests/dispatch/OwnerFixture.cpp
@@ -92,6 +92,7 @@
                                { "capacity",
                                  { { "cpu", entry.capacity.milliCores }, { "memMb", entry.capacity.memoryMiB }, { "gpu", 0 } } },
                                { "labels", entry.labels },
+                               { "seq", ++reportCounts_[id] },
                                { "born", entry.incarnation } };
     store.write("servers", id, row.dump());
 }
--- a/tests/dispatch/OwnerFixture.h
+++ b/tests/dispatch/OwnerFixture.h
@@ -102,6 +102,8 @@
     /** The owners' links to the store, by token. */
     std::map<std::int64_t, PartitionedStore> links_;
     std::vector<std::unique_ptr<Owner>> formerOwners_;
+    /** How often each worker has reported to the directory. */
+    std::map<std::string, std::int64_t> reportCounts_;
     std::int64_t fencingToken_ = 0;
     StartChecker checker_;
 };
--- /dev/null
+++ b/tests/dispatch/RemovalEvidenceTests.cpp
@@ -0,0 +1,53 @@
+#include "dispatch/DrainingWorkerFixture.h"
+
+using namespace auburndoor;
+
+// Guards against a second run beside one on a worker that is cut off: another writer has written its entry again, so that the last
+// version of the row is no report, and silence removes the entry soon after it.
+TEST_CASE("an entry that was written again without a report does not show when its worker was last heard", "[draining]")
+{
+    const bool isTakenOver = GENERATE(false, true);
+    // The directory is read about every 1.5 s.
+    const auto phase = GENERATE(Milliseconds(0), Milliseconds(300), Milliseconds(600), Milliseconds(900), Milliseconds(1200));
+    CAPTURE(isTakenOver, phase.count());
+    DrainingWorkerFixture cell;
+    cell.timers.advance(phase);
+    cell.drain(3);
+    cell.timers.advance(Milliseconds(1400));
+    cell.fleet.worker("w1").isCutOff = true;
+    cell.timers.advance(Milliseconds(1600));
+    cell.rewriteEntry("w1");
+    if (isTakenOver) {
+        cell.takeOver();
+    } else {
+        cell.timers.advance(Milliseconds(600));
+    }
+    cell.timers.advance(Milliseconds(900));
+    cell.unlist("w1");
+    cell.timers.advance(DrainingWorkerFixture::leaseTime + Milliseconds(1000));
+    CHECK(cell.violations().empty());
+    CHECK(cell.starts.size() == 2);
+}
+
+// Guards against an absence that was seen of an earlier life of the worker under the same id.
+TEST_CASE("a worker that came back under its id keeps its runs until its lease has ended", "[draining]")
+{
+    DrainingWorkerFixture cell;
+    cell.drain(2);
+    cell.leave();
+    cell.timers.advance(Milliseconds(500));
+    cell.fleet.worker("w2").isCutOff = true;
+    cell.fleet.worker("w1").hasExited = false;
+    cell.list("w1");
+    cell.timers.advance(DrainingWorkerFixture::leaseTime + Milliseconds(1000));
+    REQUIRE(cell.fleet.worker("w1").runs().size() == 1);
+    cell.list("w1", true);
+    cell.timers.advance(Milliseconds(1430));
+    cell.fleet.worker("w1").isCutOff = true;
+    cell.fleet.worker("w2").isCutOff = false;
+    cell.list("w2");
+    cell.expireEntry(Milliseconds(1430));
+    cell.timers.advance(DrainingWorkerFixture::leaseTime);
+    CHECK(cell.violations().empty());
+    CHECK(cell.starts.size() == 3);
+}
