A changed report interval applies to the evidence that a worker has left

What callers see: a task of a draining worker that is cut off may start elsewhere while the worker runs it (rule TWICE), if the platform has shortened the report interval (heartbeatMs in the settings file) since the process started. Silence then removes entries sooner than the process expects of silence, so that the removal is taken for the worker's own. The change was neither applied nor reported as needing a restart.

Change: a shorter lifetime of entries applies at once, also to a running owner. A longer one needs a restart and is reported so: until workers and directory follow it, entries expire after the shorter time.

"a longer report interval ..." held before, since no change was applied, and keeps it so.

Limit: the file is looked at on SIGHUP and every 2 s; in between, the former time holds.

--- a/modules/dispatch/Fleet.cpp
+++ b/modules/dispatch/Fleet.cpp
@@ -62,6 +62,11 @@
     }
 }
 
+void Fleet::setMinSilenceBeforeRemoval(Milliseconds duration)
+{
+    impl_->timing.minSilenceBeforeRemoval = duration;
+}
+
 void Fleet::setDirectoryAge(Milliseconds age)
 {
     impl_->isDirectoryStale = age > impl_->timing.directoryStaleAfter;
--- a/modules/dispatch/Fleet.h
+++ b/modules/dispatch/Fleet.h
@@ -151,6 +151,9 @@
     */
     void handOverLeases();
 
+    /** Follows a change of the settings, see FleetTiming::minSilenceBeforeRemoval. */
+    void setMinSilenceBeforeRemoval(Milliseconds duration);
+
     /**
         Sets how old the view of the directory is.
 
--- a/modules/entry/Owner.cpp
+++ b/modules/entry/Owner.cpp
@@ -22,12 +22,18 @@
 // Leases last as long as their evidence allows, or less: this much time may pass since the evidence before they become shorter.
 constexpr Milliseconds evidenceAllowance { 1000 };
 
+// Reports are only approximately regular.
+Milliseconds minSilenceBeforeRemoval(const EntrySettings &settings)
+{
+    return settings.entryLifetime * 5 / 6;
+}
+
 FleetTiming fleetTiming(const EntrySettings &settings)
 {
     FleetTiming timing;
     timing.lease = std::min(preferredLease, settings.maxLease * 3 / 4);
     timing.evidence.validity = timing.lease + evidenceAllowance;
-    timing.minSilenceBeforeRemoval = settings.entryLifetime * 5 / 6;
+    timing.minSilenceBeforeRemoval = minSilenceBeforeRemoval(settings);
     return timing;
 }
 
@@ -152,6 +158,7 @@
         return;
     }
     jobManager.tick(dependencies.settings.statusRetention, dependencies.settings.earlyStart);
+    fleet.setMinSilenceBeforeRemoval(minSilenceBeforeRemoval(dependencies.settings));
     fleet.setDirectoryAge(workerWatch.age());
     fleet.collectEvidence();
     reportPlacement();
--- a/modules/entry/SettingsUpdate.cpp
+++ b/modules/entry/SettingsUpdate.cpp
@@ -2,6 +2,8 @@
 
 #include "entry/EntrySettings.h"
 
+#include <algorithm>
+
 namespace auburndoor {
 
 std::vector<std::string> updateSettings(EntrySettings &inForce, const EntrySettings &read)
@@ -10,6 +12,8 @@
     inForce.shutdownGrace = read.shutdownGrace;
     inForce.statusRetention = read.statusRetention;
     inForce.earlyStart = read.earlyStart;
+    // What rests on it holds for workers and a directory that follow the change later as well.
+    inForce.entryLifetime = std::min(inForce.entryLifetime, read.entryLifetime);
     std::vector<std::string> needRestart;
     const auto compare = [&needRestart](const char *name, bool isSame) {
         if (!isSame) {
@@ -25,6 +29,7 @@
     compare("advisor", inForce.advisor == read.advisor);
     compare("processorShare", inForce.processorShare == read.processorShare);
     compare("linkMbps", inForce.linkMbps == read.linkMbps);
+    compare("entryLifetime", inForce.entryLifetime == read.entryLifetime);
     return needRestart;
 }
 
--- a/tests/dispatch/OwnerFixture.cpp
+++ b/tests/dispatch/OwnerFixture.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/OwnerFixture.h"
 
 #include "dispatch/CommitQueue.h"
+#include "entry/SettingsUpdate.h"
 #include "observability/EventLog.h"
 
 #include <nlohmann/json.hpp>
@@ -160,6 +161,13 @@
     }
 }
 
+void OwnerFixture::changeEntryLifetime(Milliseconds entryLifetime)
+{
+    auto read = settings_;
+    read.entryLifetime = entryLifetime;
+    updateSettings(settings_, read);
+}
+
 void OwnerFixture::killOwner()
 {
     owner.reset();
--- a/tests/dispatch/OwnerFixture.h
+++ b/tests/dispatch/OwnerFixture.h
@@ -69,6 +69,8 @@
     void cutOff(std::int64_t token, const std::set<std::string> &workers, bool isStoreCut);
     /** Ends all cuts that cutOff() has made. */
     void heal();
+    /** Applies a settings file with another time after which the directory removes the entries of silent workers. */
+    void changeEntryLifetime(Milliseconds entryLifetime);
     /** Ends the owner without a successor. */
     void killOwner();
 
--- a/tests/dispatch/RemovalEvidenceTests.cpp
+++ b/tests/dispatch/RemovalEvidenceTests.cpp
@@ -29,6 +29,43 @@
     CHECK(cell.starts.size() == 2);
 }
 
+// Guards against a second run beside one on a worker that is cut off: workers report more often than the settings said at the start
+// of the process, so that silence removes their entries sooner.
+TEST_CASE("a changed report interval applies to a running owner", "[draining]")
+{
+    const auto phase = GENERATE(Milliseconds(0), Milliseconds(300), Milliseconds(600), Milliseconds(900), Milliseconds(1200));
+    CAPTURE(phase.count());
+    constexpr Milliseconds shortLifetime { 1500 };
+    DrainingWorkerFixture cell;
+    cell.timers.advance(phase);
+    cell.drain(3);
+    cell.changeEntryLifetime(shortLifetime);
+    cell.timers.advance(Milliseconds(500));
+    cell.list("w1", true);
+    cell.timers.advance(Milliseconds(400));
+    cell.fleet.worker("w1").isCutOff = true;
+    cell.timers.advance(shortLifetime - Milliseconds(400));
+    cell.unlist("w1");
+    cell.timers.advance(DrainingWorkerFixture::leaseTime);
+    CHECK(cell.violations().empty());
+    CHECK(cell.starts.size() == 2);
+}
+
+// Guards against a longer interval that is believed before the workers report by it: their entries would be removed sooner.
+TEST_CASE("a longer report interval applies after a restart only", "[draining]")
+{
+    DrainingWorkerFixture cell;
+    cell.drain(3);
+    cell.changeEntryLifetime(Milliseconds(9000));
+    cell.timers.advance(Milliseconds(1430));
+    cell.fleet.worker("w1").isCutOff = true;
+    cell.expireEntry(Milliseconds(1430));
+    cell.takeOver();
+    cell.timers.advance(DrainingWorkerFixture::leaseTime + Milliseconds(1000));
+    CHECK(cell.violations().empty());
+    CHECK(cell.starts.size() == 2);
+}
+
 // Guards against an absence that was seen of an earlier life of the worker under the same id.
 TEST_CASE("a worker that came back under its id keeps its runs until its lease has ended", "[draining]")
 {
