Times of the store's clock from before a restart of the store count no longer

What callers see: a task of a draining worker that is cut off may start elsewhere while the worker runs it (rule TWICE), if the store's clock goes back by some seconds between the worker's last report and the expiry of its entry: the silence then reads as shorter than it was. If the clock goes forward, the handed-over end of a lease counts as past at once.

Cause: times of the store's clock were compared without regard to whether it had run on between them.

Change: StoreTimeline checks each reading against the earlier ones: the store's time that has passed has to fit the time that has passed here, give or take 2%, and the versions have to rise with it. A contradiction drops the earlier readings, and the owner forgets the reports, absences and handed-over ends of leases that it knows (log event store.clock_restarted). A new owner also drops those in roster rows that were written before the contradiction. Without them the lease decides. A reading is noted before the rows that came with it are used.

Limits: a jump shorter than the calls that surround it is not seen, nor one from before the start of the process that takes over.

--- a/modules/dispatch/Fleet.cpp
+++ b/modules/dispatch/Fleet.cpp
@@ -47,6 +47,15 @@
     impl_->storeClock.noteReading(time, requestedAt, impl_->timers.now());
 }
 
+void Fleet::forgetStoreTimes()
+{
+    impl_->storeClock = {};
+    for (const auto &[id, worker] : impl_->workers) {
+        worker->entry.forgetStoreTimes();
+        impl_->recordPresence(*worker);
+    }
+}
+
 void Fleet::handOverLeases()
 {
     for (const auto &[id, worker] : impl_->workers) {
--- a/modules/dispatch/Fleet.h
+++ b/modules/dispatch/Fleet.h
@@ -143,6 +143,9 @@
     /** The store's clock showed this time between the request and now. */
     void noteStoreTime(Milliseconds time, CallTime requestedAt);
 
+    /** The store's clock has begun anew: what rests on its earlier times counts no longer, also for the next owner. */
+    void forgetStoreTimes();
+
     /**
         Tells the next owner, by the roster, until when leases may hold on workers that drain or do not answer, and grants these
         workers none from now on.
--- a/modules/entry/Owner.cpp
+++ b/modules/entry/Owner.cpp
@@ -5,6 +5,7 @@
 #include "entry/TableUpdate.h"
 #include "observability/EventLog.h"
 #include "observability/Metrics.h"
+#include "workload/StoreTimeline.h"
 
 #include <algorithm>
 
@@ -69,6 +70,7 @@
     , guard(dependencies.timers, dependencies.store, ownership.epochVersion, evidence, [this] { depose(); })
     , ownershipReport(ownership.token)
     , admission(static_cast<std::uint_fast32_t>(ownership.token))
+    , storeRestarts(dependencies.storeTimeline.restartCount())
     , placementDelay(PlacementPacing::minDelay)
 {
     jobManager.setFleet(fleet);
@@ -158,6 +160,7 @@
         return;
     }
     jobManager.tick(dependencies.settings.statusRetention, dependencies.settings.earlyStart);
+    followStoreClock();
     fleet.setMinSilenceBeforeRemoval(minSilenceBeforeRemoval(dependencies.settings));
     fleet.setDirectoryAge(workerWatch.age());
     fleet.collectEvidence();
@@ -292,6 +295,7 @@
 void Owner::flush(Milliseconds timeout, std::function<void(const Ownership &)> done)
 {
     impl_->isStopping = true;
+    impl_->followStoreClock();
     impl_->fleet.handOverLeases();
     impl_->waitForFlush(impl_->commitQueue.mark(), impl_->dependencies.timers.now() + timeout, std::move(done));
 }
--- a/modules/entry/OwnerImpl.h
+++ b/modules/entry/OwnerImpl.h
@@ -61,6 +61,8 @@
     AdmissionControl::Backlog backlogBefore(int priority) const;
     /** Answers with the result, or with OwnerChanged if the store names another owner; it is asked if maxAge has passed since. */
     void answerAsOwner(const ClientResult &result, Milliseconds maxAge, Callback callback);
+    /** Drops what rests on times of the store's clock if that has begun anew. */
+    void followStoreClock();
     /** Answers that there is no such job, once the store has confirmed that this is still the owner. */
     void confirmNoSuchJob(Callback callback);
     /** Calls done once the rows before the mark of the commit queue are stored, or at the deadline. */
@@ -98,6 +100,8 @@
     /** The parts of wide jobs, by job, until restoreJobs(). */
     std::map<std::string, JobManager::StoredParts> storedParts;
     DesiredState desiredState;
+    /** StoreTimeline::restartCount() as followed. */
+    int storeRestarts = 0;
     bool isReady = false;
     bool isClosed = false;
     bool isPlacementScheduled = false;
--- a/modules/entry/OwnerRecovery.cpp
+++ b/modules/entry/OwnerRecovery.cpp
@@ -81,7 +81,10 @@
 void Owner::Impl::restoreRoster(const std::vector<StoreRow> &rows)
 {
     for (const auto &row : rows) {
-        if (const auto entry = RosterRecordCodec::read(row.key, row.value)) {
+        if (auto entry = RosterRecordCodec::read(row.key, row.value)) {
+            if (!dependencies.storeTimeline.isComparable(row.version)) {
+                entry->forgetStoreTimes();
+            }
             fleet.addFormerWorker(*entry);
         } else {
             EventLog::write("record.unreadable", { { "worker", row.key }, { "table", JobTables::roster } });
@@ -89,8 +92,17 @@
     }
 }
 
+void Owner::Impl::followStoreClock()
+{
+    if (storeRestarts != dependencies.storeTimeline.restartCount()) {
+        storeRestarts = dependencies.storeTimeline.restartCount();
+        fleet.forgetStoreTimes();
+    }
+}
+
 void Owner::Impl::updateWorkers(const TableUpdate &update)
 {
+    followStoreClock();
     if (update.readBy) {
         fleet.noteStoreTime(*update.readBy, update.requestedAt);
     }
--- a/modules/entry/TableWatch.cpp
+++ b/modules/entry/TableWatch.cpp
@@ -104,13 +104,13 @@
 
 void TableWatch::Impl::passOn(const StoreResult &result, bool isWholeTable, CallTime sentAt)
 {
+    // Noted first, as it may show that earlier readings tell nothing of these rows.
+    if (result.time) {
+        timeline.note({ result.version, result.time->earliest, sentAt.boot, timers.bootNow() });
+    }
     if (isWholeTable || !result.rows.empty()) {
         callback({ result.rows, isWholeTable, result.time ? std::optional(result.time->latest) : std::nullopt, sentAt });
     }
-    // The rows are judged by earlier readings: this one shows them.
-    if (result.time) {
-        timeline.note(result.version, result.time->earliest);
-    }
 }
 
 void TableWatch::Impl::onFailure(const StoreResult &result)
--- a/modules/workload/WorkerEntry.cpp
+++ b/modules/workload/WorkerEntry.cpp
@@ -4,6 +4,13 @@
 
 namespace auburndoor {
 
+void WorkerEntry::forgetStoreTimes()
+{
+    reportedAfter.reset();
+    missingAt.reset();
+    handedOverLease.reset();
+}
+
 bool WorkerEntry::hasLabel(const std::string &label) const
 {
     return std::find(labels.begin(), labels.end(), label) != labels.end();
--- a/modules/workload/WorkerEntry.h
+++ b/modules/workload/WorkerEntry.h
@@ -39,6 +39,9 @@
     /** In the roster: until when an owner that has stopped may have granted leases; empty unless it told that. */
     std::optional<HandedOverLease> handedOverLease;
 
+    /** The store's clock has begun anew: drops the times that were taken from it. */
+    void forgetStoreTimes();
+
     bool hasLabel(const std::string &label) const;
 
     /** True if this incarnation is registered under the service, or was before. */
--- a/tests/dispatch/DrainingWorkerTests.cpp
+++ b/tests/dispatch/DrainingWorkerTests.cpp
@@ -127,17 +127,70 @@
 TEST_CASE("the version of a row tells when it was written at the earliest", "[draining]")
 {
     StoreTimeline timeline;
+    const auto note = [&timeline](std::int64_t version, Milliseconds time, Milliseconds delay = Milliseconds(0)) {
+        timeline.note({ version, time, TimePoint(time), TimePoint(time + delay) });
+    };
     CHECK_FALSE(timeline.timeBefore(1));
-    timeline.note(10, Milliseconds(1000));
-    timeline.note(10, Milliseconds(2000));
-    timeline.note(14, Milliseconds(3000));
+    note(10, Milliseconds(1000));
+    note(10, Milliseconds(2000));
+    note(14, Milliseconds(3000));
     CHECK_FALSE(timeline.timeBefore(10));
     CHECK(timeline.timeBefore(11) == Milliseconds(2000));
     CHECK(timeline.timeBefore(14) == Milliseconds(2000));
     CHECK(timeline.timeBefore(15) == Milliseconds(3000));
     // Readings that arrive out of order are left out, and old ones are forgotten.
-    timeline.note(12, Milliseconds(2500));
+    note(12, Milliseconds(2500), Milliseconds(600));
     CHECK(timeline.timeBefore(13) == Milliseconds(2000));
-    timeline.note(20, Milliseconds(13500));
+    note(20, Milliseconds(13500));
     CHECK_FALSE(timeline.timeBefore(14));
+    CHECK(timeline.restartCount() == 0);
+}
+
+// Guards against times from before a restart of the store that are compared with later ones.
+TEST_CASE("readings that contradict each other show that the store has begun anew", "[draining]")
+{
+    constexpr Milliseconds time { 60000 };
+    const auto localTime = TimePoint(std::chrono::hours(5));
+    StoreTimeline timeline;
+    timeline.note({ 100, time, localTime, localTime + Milliseconds(10) });
+    CHECK(timeline.isComparable(50));
+    SECTION("a clock that is 2% slow, and a reply that took long")
+    {
+        timeline.note({ 120, time + Milliseconds(4900), localTime + Milliseconds(5000), localTime + Milliseconds(5010) });
+        timeline.note({ 130, time + Milliseconds(5100), localTime + Milliseconds(5020), localTime + Milliseconds(8000) });
+        CHECK(timeline.restartCount() == 0);
+        CHECK(timeline.timeBefore(121) == time + Milliseconds(4900));
+    }
+    SECTION("the clock goes back")
+    {
+        timeline.note({ 120, time + Milliseconds(500), localTime + Milliseconds(1000), localTime + Milliseconds(1010) });
+        CHECK(timeline.restartCount() == 1);
+    }
+    SECTION("the clock starts anew")
+    {
+        timeline.note({ 120, Milliseconds(30), localTime + Milliseconds(1000), localTime + Milliseconds(1010) });
+        CHECK(timeline.restartCount() == 1);
+    }
+    SECTION("the clock goes forward")
+    {
+        timeline.note({ 120, time + Milliseconds(3000), localTime + Milliseconds(1000), localTime + Milliseconds(1010) });
+        CHECK(timeline.restartCount() == 1);
+    }
+    SECTION("the versions go back")
+    {
+        timeline.note({ 90, time + Milliseconds(1000), localTime + Milliseconds(1000), localTime + Milliseconds(1010) });
+        CHECK(timeline.restartCount() == 1);
+        CHECK_FALSE(timeline.timeBefore(85).has_value());
+    }
+    SECTION("a reading from before the restart arrives late")
+    {
+        timeline.note({ 120, time + Milliseconds(3000), localTime + Milliseconds(1000), localTime + Milliseconds(1010) });
+        timeline.note({ 110, time + Milliseconds(900), localTime + Milliseconds(900), localTime + Milliseconds(1020) });
+        CHECK(timeline.restartCount() == 2);
+    }
+    if (timeline.restartCount() > 0) {
+        CHECK_FALSE(timeline.timeBefore(1000) == time);
+        CHECK_FALSE(timeline.isComparable(80));
+        CHECK(timeline.isComparable(121));
+    }
 }
--- a/tests/dispatch/RemovalEvidenceTests.cpp
+++ b/tests/dispatch/RemovalEvidenceTests.cpp
@@ -66,6 +66,46 @@
     CHECK(cell.starts.size() == 2);
 }
 
+// Guards against a second run beside one on a worker that is cut off: times before and after a jump of the store's clock do not
+// compare.
+TEST_CASE("a jump of the store's clock leaves no evidence that a worker has left", "[draining]")
+{
+    const auto jump = GENERATE(Milliseconds(-4000), Milliseconds(-2500), Milliseconds(-1500), Milliseconds(40000));
+    const bool isTakenOver = GENERATE(false, true);
+    CAPTURE(jump.count(), isTakenOver);
+    DrainingWorkerFixture cell;
+    cell.drain(3);
+    cell.timers.advance(Milliseconds(1430));
+    cell.fleet.worker("w1").isCutOff = true;
+    cell.timers.advance(Milliseconds(1000));
+    cell.store.shiftClock(jump);
+    if (isTakenOver) {
+        cell.takeOver();
+        cell.timers.advance(Milliseconds(1470));
+    } else {
+        cell.timers.advance(Milliseconds(2070));
+    }
+    cell.unlist("w1");
+    cell.timers.advance(DrainingWorkerFixture::leaseTime + Milliseconds(1000));
+    CHECK(cell.violations().empty());
+    CHECK(cell.starts.size() == 2);
+}
+
+// Guards against a handed-over end of a lease that counts as past after a jump of the store's clock.
+TEST_CASE("a jump of the store's clock invalidates the handed-over ends of leases", "[draining]")
+{
+    DrainingWorkerFixture cell;
+    cell.drain(3);
+    cell.owner->flush(Milliseconds(600), [](const Ownership &) {});
+    cell.timers.advance(Milliseconds(100));
+    cell.fleet.worker("w1").isCutOff = true;
+    cell.store.shiftClock(Milliseconds(60000));
+    cell.takeOver();
+    cell.timers.advance(Milliseconds(8000));
+    CHECK(cell.violations().empty());
+    CHECK(cell.starts.size() == 2);
+}
+
 // Guards against an absence that was seen of an earlier life of the worker under the same id.
 TEST_CASE("a worker that came back under its id keeps its runs until its lease has ended", "[draining]")
 {
--- a/tests/fakes/FakeStore.cpp
+++ b/tests/fakes/FakeStore.cpp
@@ -17,7 +17,7 @@
 
 StoreTimeSpan FakeStore::clock() const
 {
-    const auto now = std::chrono::duration_cast<Milliseconds>(timers_.now().time_since_epoch());
+    const auto now = std::chrono::duration_cast<Milliseconds>(timers_.now().time_since_epoch()) + clockShift_;
     return { now, now };
 }
 
--- a/tests/fakes/FakeStore.h
+++ b/tests/fakes/FakeStore.h
@@ -56,6 +56,12 @@
         maxRowBytes_ = bytes;
     }
 
+    /** The store's clock jumps by this much, as after a restart of the store. */
+    void shiftClock(Milliseconds shift)
+    {
+        clockShift_ += shift;
+    }
+
     /** Writes a row as another writer would. */
     void write(const std::string &table, const std::string &key, const std::string &value);
     void remove(const std::string &table, const std::string &key);
@@ -90,6 +96,7 @@
     std::size_t maxRowBytes_ = SIZE_MAX;
     std::size_t pageSize_ = SIZE_MAX;
     Milliseconds answerTime_ { 8 };
+    Milliseconds clockShift_ { 0 };
     int answersToLose_ = 0;
     Milliseconds applyAfter_ { 0 };
     bool isDown_ = false;
