--- a/apps/auburndoor-entry/main.cpp
+++ b/apps/auburndoor-entry/main.cpp
@@ -3,6 +3,7 @@
 #include "PlatformProtocol.h"
 #include "PlatformStore.h"
 #include "PlatformWorkerChannel.h"
+#include "core/BuildVersion.h"
 #include "core/FlagNames.h"
 #include "core/TextFile.h"
 #include "entry/EntryInstance.h"
@@ -14,6 +15,7 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
+#include <absl/flags/usage_config.h>
 
 #include <csignal>
 #include <cstdlib>
@@ -144,6 +146,9 @@
     absl::SetProgramUsageMessage("auburndoor-entry [--settings=FILE] [--metrics-port=PORT] [--max-direct-workers=COUNT] "
                                  "[--check-settings]: one entry process on the platform.\n"
                                  "Exit codes: 0 stopped or settings are valid, 1 usage, 2 bad settings, 3 cannot start.");
+    absl::FlagsUsageConfig usage;
+    usage.version_string = [] { return "auburndoor-entry " + std::string(auburndoor::buildVersion()) + '\n'; };
+    absl::SetFlagsUsageConfig(usage);
     auburndoor::acceptHyphens(argc, argv);
     absl::ParseCommandLine(argc, argv);
     const auto fileName = settingsFile();
--- a/apps/auburndoor/main.cpp
+++ b/apps/auburndoor/main.cpp
@@ -1,4 +1,5 @@
 #include "client/OperatorCommand.h"
+#include "core/BuildVersion.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -76,6 +77,10 @@
         if (argument == "--help") {
             return showUsage(arguments);
         }
+        if (argument == "--version") {
+            std::cout << "auburndoor " << auburndoor::buildVersion() << '\n';
+            return static_cast<int>(ExitCode::Done);
+        }
     }
     if (arguments.size() < 2 || arguments[1].starts_with("-")) {
         std::cerr << OperatorCommand::usage();
--- a/apps/auburndoord/main.cpp
+++ b/apps/auburndoord/main.cpp
@@ -1,3 +1,4 @@
+#include "core/BuildVersion.h"
 #include "core/Failure.h"
 #include "core/FlagNames.h"
 #include "core/SystemClock.h"
@@ -10,6 +11,7 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
+#include <absl/flags/usage_config.h>
 
 #include <csignal>
 #include <fstream>
@@ -93,6 +95,9 @@
         "auburndoord --settings=FILE [--check-settings] [--port-file=FILE]: one entry instance of a cell.\n"
         "Exit codes: 0 stopped gracefully or settings are valid, 1 usage, 2 bad settings, 3 cannot start, "
         "4 the shutdown deadline passed with requests in flight.");
+    absl::FlagsUsageConfig usage;
+    usage.version_string = [] { return "auburndoord " + std::string(auburndoor::buildVersion()) + '\n'; };
+    absl::SetFlagsUsageConfig(usage);
     auburndoor::acceptHyphens(argc, argv);
     absl::ParseCommandLine(argc, argv);
     const auto fileName = absl::GetFlag(FLAGS_settings);
--- a/modules/entry/EntryInstance.cpp
+++ b/modules/entry/EntryInstance.cpp
@@ -1,5 +1,6 @@
 #include "entry/EntryInstance.h"
 
+#include "core/BuildVersion.h"
 #include "entry/AdvicePool.h"
 #include "entry/HttpRelayTransport.h"
 #include "entry/Leadership.h"
@@ -357,7 +358,9 @@
     impl_->leadership.start();
     impl_->flushLog();
     impl_->fetchDesiredState();
-    EventLog::write("process.started", { { "clients", settings.clients.text() }, { "domain", settings.failureDomain } });
+    EventLog::write(
+        "process.started",
+        { { "version", buildVersion() }, { "clients", settings.clients.text() }, { "domain", settings.failureDomain } });
     return true;
 }
 
--- a/modules/entry/SettingsUpdate.h
+++ b/modules/entry/SettingsUpdate.h
@@ -8,8 +8,8 @@
 struct EntrySettings;
 
 /**
-    Applies the lease, shutdown, retention and early-start times of newly read settings while the process runs, and a shorter lifetime
-    of directory entries.
+    Applies the lease, shutdown, retention and early-start times of newly read settings while the process runs, and a shorter
+   lifetime of directory entries.
 
     Open connections and calls are not interrupted. Addresses, node name, failure domain and processor share change only with a
     restart.
--- a/modules/instance/InstanceParts.cpp
+++ b/modules/instance/InstanceParts.cpp
@@ -1,5 +1,7 @@
 #include "instance/InstanceParts.h"
 
+#include "core/BuildVersion.h"
+
 namespace auburndoor {
 
 InstanceParts::InstanceParts(const Settings &settings, Clock &clock, Metrics &metrics)
@@ -69,7 +71,8 @@
     connectListeners();
     startThreads();
     Log::info("instance-started",
-              { { "callersPort", std::to_string(callersPort_) },
+              { { "version", std::string(buildVersion()) },
+                { "callersPort", std::to_string(callersPort_) },
                 { "operatorsPort", std::to_string(operatorsPort_) },
                 { "peersPort", std::to_string(peersPort_) } });
     return true;
