Each loss of a worker is one line with its inputs and their age

Cause: worker.left and worker.lost did not tell which poll failed, which lease decided, how old the last report, the view of the directory and the store's confirmation were; that more than half of an inherited roster was read was not logged at all. So no log could tell the ways apart by which a task counts as lost.

--- a/modules/dispatch/FleetImpl.cpp
+++ b/modules/dispatch/FleetImpl.cpp
@@ -165,24 +165,48 @@
     }
 }
 
-void Fleet::Impl::logLoss(const WorkerState &worker, bool isWrongWorker) const
+Milliseconds Fleet::Impl::elapsedSince(TimePoint time) const
+{
+    return std::chrono::duration_cast<Milliseconds>(timers.now() - time);
+}
+
+void Fleet::Impl::logLoss(const WorkerState &worker, CommandOutcome outcome) const
 {
     if (worker.runs.empty()) {
         return;
     }
-    if (isWrongWorker) {
-        EventLog::write("worker.lost", { { "worker", worker.entry.id }, { "runs", worker.runs.size() }, { "other", true } });
-        return;
-    }
-    const auto elapsedSince = [this](TimePoint time) {
-        return std::chrono::duration_cast<Milliseconds>(timers.now() - time).count();
-    };
+    const bool isOther = outcome == CommandOutcome::WrongWorker;
+    const auto end = leaseEnd(worker);
+    const auto *handedOver = worker.isReportRead ? nullptr : handedOverLease(worker);
     EventLog::write("worker.lost",
                     { { "worker", worker.entry.id },
                       { "runs", worker.runs.size() },
-                      { "other", false },
-                      { "lease_ended_ms", elapsedSince(leaseEnd(worker)) },
-                      { "silent_ms", elapsedSince(worker.silentSince) } });
+                      { "other", isOther },
+                      { "outcome", name(outcome) },
+                      { "lease",
+                        end == ownLeaseEnd(worker) ? "own"
+                        : handedOver != nullptr    ? "handed over"
+                                                   : "inherited" },
+                      { "lease_ended_ms", elapsedSince(end).count() },
+                      { "silent_ms", elapsedSince(worker.silentSince).count() },
+                      { "report_age_ms", elapsedSince(worker.lastReportAt).count() },
+                      { "listed", worker.isListed },
+                      { "store_age_ms", evidence.storeAge().count() } });
+}
+
+void Fleet::Impl::logLeft(const WorkerState &worker, CommandOutcome outcome) const
+{
+    EventLog::write("worker.left",
+                    { { "worker", worker.entry.id },
+                      { "runs", worker.runs.size() },
+                      { "outcome", name(outcome) },
+                      { "silent_ms", silenceBeforeRemoval(worker.entry).count() },
+                      { "limit_ms", timing.minSilenceBeforeRemoval.count() },
+                      { "reports", worker.entry.reportNumber.value_or(-1) },
+                      { "unlisted_ms", elapsedSince(worker.unlistedAt).count() },
+                      { "lease_ended_ms", elapsedSince(leaseEnd(worker)).count() },
+                      { "report_age_ms", elapsedSince(worker.lastReportAt).count() },
+                      { "store_age_ms", evidence.storeAge().count() } });
 }
 
 void Fleet::Impl::reportAllRunsLost(WorkerState &worker, RunLoss loss)
--- a/modules/dispatch/FleetImpl.h
+++ b/modules/dispatch/FleetImpl.h
@@ -126,8 +126,12 @@
         successor may have seen the run end before.
     */
     bool isAbsenceConclusive(const WorkerState &worker, const Run &run) const;
-    /** Logs that a worker is given up with its runs, if it has any. */
-    void logLoss(const WorkerState &worker, bool isWrongWorker) const;
+    /** Logs that a worker is given up with its runs, if it has any. @param outcome of the poll that failed */
+    void logLoss(const WorkerState &worker, CommandOutcome outcome) const;
+    /** Logs that a worker has left as planned. @param outcome of the poll that failed */
+    void logLeft(const WorkerState &worker, CommandOutcome outcome) const;
+    /** How long ago the time was; negative for one to come. */
+    Milliseconds elapsedSince(TimePoint time) const;
     void reportAllRunsLost(WorkerState &worker, RunLoss loss);
     /** Records how a run ended, and avoids the worker for a while if most of its last runs failed. */
     void recordOutcome(WorkerState &worker, bool hasFailed);
--- a/modules/dispatch/FleetLeases.cpp
+++ b/modules/dispatch/FleetLeases.cpp
@@ -1,5 +1,7 @@
 #include "dispatch/FleetImpl.h"
 
+#include "observability/EventLog.h"
+
 #include <algorithm>
 
 namespace auburndoor {
@@ -81,6 +83,11 @@
     quorum.noteReached(id);
     if (!majorityReadAt && quorum.hasReachedInheritedMajority()) {
         majorityReadAt = timers.now();
+        EventLog::write("takeover.majority_read",
+                        { { "token", fencingToken },
+                          { "roster", quorum.inheritedCount() },
+                          { "unreached", quorum.unreachedInheritedCount() },
+                          { "after_ms", elapsedSince(createdAt).count() } });
     }
 }
 
--- a/modules/dispatch/FleetPolling.cpp
+++ b/modules/dispatch/FleetPolling.cpp
@@ -175,15 +175,13 @@
     }
     const bool isUnanswered = reply.outcome == CommandOutcome::NotSent || reply.outcome == CommandOutcome::Unknown;
     if (isUnanswered && hasLeft(worker)) {
-        EventLog::write(
-            "worker.left",
-            { { "worker", id }, { "runs", worker.runs.size() }, { "silent_ms", silenceBeforeRemoval(worker.entry).count() } });
+        logLeft(worker, reply.outcome);
         reportAllRunsLost(worker, RunLoss::WorkerRestarted);
         worker.isReportRead = true;
         worker.acknowledgedEnd = worker.lastSeenEnd;
         removeIfGone(id);
     } else if (isWrongWorker || isLeaseOver(worker)) {
-        logLoss(worker, isWrongWorker);
+        logLoss(worker, reply.outcome);
         possibleCrashes.add(makePossibleCrash(worker), timers.now());
         reportAllRunsLost(worker, isWrongWorker ? RunLoss::WorkerRestarted : RunLoss::LeaseExpired);
         if (isWrongWorker) {
--- a/modules/dispatch/RosterQuorum.cpp
+++ b/modules/dispatch/RosterQuorum.cpp
@@ -33,6 +33,16 @@
     unreachedInherited_.erase(worker);
 }
 
+std::size_t RosterQuorum::inheritedCount() const
+{
+    return inheritedCount_;
+}
+
+std::size_t RosterQuorum::unreachedInheritedCount() const
+{
+    return unreachedInherited_.size();
+}
+
 bool RosterQuorum::hasReachedInheritedMajority() const
 {
     const auto reached = inheritedCount_ - unreachedInherited_.size();
--- a/modules/dispatch/RosterQuorum.h
+++ b/modules/dispatch/RosterQuorum.h
@@ -36,6 +36,12 @@
     /** The worker has accepted a command of this owner, or has ended. */
     void noteReached(const std::string &worker);
 
+    /** The number of workers that addInherited() has added. */
+    std::size_t inheritedCount() const;
+
+    /** The number of those that have not been reached. */
+    std::size_t unreachedInheritedCount() const;
+
     /** True if more than half of the inherited workers have been reached, or if none were inherited. */
     bool hasReachedInheritedMajority() const;
 
