A stopping owner names its successor, and hands over later

What callers saw: between the end of a stopping owner and the next takeover up to 0.9 s passed, and a process that was the next to be stopped, or a small one, might take over.

Cause: other processes learn of the end from their next heartbeat, and then the first one to write takes over, small ones half a second later.

Change: heartbeat requests tell the processor share and whether the process is stopping. A stopping owner names the large process that has begun to follow it last, in the vacant row and by a message; others leave that one 0.3 s. As the takeover is shorter, the owner goes on for 0.6 s longer after SIGTERM.

Evidence: "the process that was started last succeeds an owner that stops" fails without a name (chooseSuccessor() returning nothing) and passes with it.

--- a/modules/entry/EntryInstance.cpp
+++ b/modules/entry/EntryInstance.cpp
@@ -36,8 +36,9 @@
 // Open calls get their final answer this long before the latest time for the exit, so that it can reach the clients.
 constexpr Milliseconds finalReplyMargin { 400 };
 constexpr Milliseconds flushTimeout { 600 };
-// Before the latest time for the final replies, the time for a successor to take over and answer what was forwarded to this process.
-constexpr Milliseconds handOverDuration { 1500 };
+// Before the latest time for the final replies, the time for a successor to take over and answer what was forwarded to this
+// process.
+constexpr Milliseconds handOverDuration { 900 };
 constexpr Milliseconds desiredStateCheckInterval { 300 };
 constexpr Milliseconds desiredStateFetchTimeout { 280 };
 
@@ -194,6 +195,12 @@
 {
     if (request.target.starts_with(PeerCodec::heartbeatPath)) {
         leadership.answerHeartbeat(request, std::move(responder));
+    } else if (request.target == PeerCodec::successionPath) {
+        const auto token = PeerCodec::readSuccessionRequest(request);
+        responder->reply({ token ? 200 : 400, {}, {} });
+        if (token) {
+            leadership.succeed(*token);
+        }
     } else if (request.target == PeerCodec::ownerViewPath) {
         leadership.answerOwnerView(std::move(responder));
     } else if (request.target == PeerCodec::desiredStatePath) {
@@ -389,7 +396,8 @@
     impl_->leadership.disableTakeover();
     const auto maxDuration = impl_->dependencies.settings.shutdownGrace - exitMargin;
     // Where stops follow each other closely, each owner goes on for as long as it can: a successor has to read what runs first.
-    impl_->loop.after(std::max(Milliseconds(0), maxDuration - finalReplyMargin - handOverDuration), [impl = impl_] { impl->handOver(); });
+    impl_->loop.after(std::max(Milliseconds(0), maxDuration - finalReplyMargin - handOverDuration),
+                      [impl = impl_] { impl->handOver(); });
     impl_->loop.after(maxDuration - finalReplyMargin, [impl = impl_] { impl->callForwarder.close(); });
     const ListenerDrainTiming timing { .acceptDuration = std::min(balancerDrainDelay, maxDuration), .maxDuration = maxDuration };
     impl_->drain = std::make_unique<ListenerDrain>(
--- a/modules/entry/EpochRow.h
+++ b/modules/entry/EpochRow.h
@@ -14,7 +14,7 @@
     std::int64_t token = 0;
     /** The owner's node name; empty after a planned stop. */
     std::string owner;
-    /** The owner's peer address. */
+    /** The owner's peer address; after a planned stop that of the process that is to take over, empty for any. */
     std::string address;
 
     std::string toText() const;
--- a/modules/entry/Leadership.cpp
+++ b/modules/entry/Leadership.cpp
@@ -11,9 +11,6 @@
 
 namespace {
 
-// From this processor share on a machine counts as large and is preferred as the owner: in a large cell the owner needs more than
-// the smallest machines have. If all machines are small, only the jitter decides between them.
-constexpr double largeMachineShare = 0.2;
 constexpr Milliseconds smallMachineTakeoverDelay { 500 };
 constexpr Milliseconds heartbeatConnectTimeout { 400 };
 // Connections may be reset several times in a row; a process that closes each of them answers nobody.
@@ -70,10 +67,9 @@
     const bool isVacant = row.owner.empty() || row.owner == settings.nodeName;
     verifyDenial(row, sentAt);
     if (isVacant || mayReplace(row)) {
-        const bool isSmall = settings.processorShare < largeMachineShare;
-        if (!isTakeoverDisabled && isSmall && std::exchange(delayedTakeoverToken, row.token) != row.token) {
-            // The owner has most of the work, so a larger machine gets the first chance to take over.
-            runAfter(smallMachineTakeoverDelay, &Impl::findOwner);
+        const auto delay = takeoverDelay(row);
+        if (!isTakeoverDisabled && delay > Milliseconds(0) && std::exchange(delayedTakeoverToken, row.token) != row.token) {
+            runAfter(delay, &Impl::findOwner);
         } else if (!isTakeoverDisabled) {
             takeOver(row, version);
         } else {
@@ -87,6 +83,17 @@
     }
 }
 
+Milliseconds Leadership::Impl::takeoverDelay(const EpochRow &row) const
+{
+    const bool namesSuccessor = row.owner.empty() && !row.address.empty();
+    if (namesSuccessor && row.address == settings.peers.text()) {
+        return Milliseconds(0);
+    }
+    // The owner has most of the work, so a larger machine gets the first chance to take over.
+    const auto sizeDelay = settings.processorShare < largeMachineShare ? smallMachineTakeoverDelay : Milliseconds(0);
+    return std::max(sizeDelay, namesSuccessor ? timing.successorTakeoverTime : Milliseconds(0));
+}
+
 void Leadership::Impl::askPeersMeanwhile(std::uint64_t reading)
 {
     const auto isNeeded = [this, reading] {
@@ -191,7 +198,7 @@
     if (isOwner || !heartbeatChannel) {
         return;
     }
-    auto request = PeerCodec::heartbeatRequest(settings.peers);
+    auto request = PeerCodec::heartbeatRequest({ settings.peers, settings.processorShare, isTakeoverDisabled });
     // The channel would repeat it within the time of the first request, though the owner holds the repeated one for the whole
     // delay.
     request.isRepeatable = false;
@@ -317,17 +324,36 @@
 void Leadership::release(const Ownership &ownership, std::function<void()> done)
 {
     impl_->isTakeoverDisabled = true;
+    const auto successor = impl_->chooseSuccessor();
     StoreChange change;
     change.expected.push_back({ FencingRows::table, FencingRows::epochKey, ownership.epochVersion });
-    const EpochRow vacant { ownership.token, {}, {} };
+    const EpochRow vacant { ownership.token, {}, successor ? successor->text() : std::string() };
     change.writes.push_back({ FencingRows::table, FencingRows::epochKey, vacant.toText() });
-    impl_->store.commit(std::move(change), [impl = impl_, done = std::move(done)](const StoreResult &result) {
-        EventLog::write("owner.released", { { "outcome", name(result.outcome) } });
-        impl->isOwner = false;
-        impl->owner = {};
-        done();
-        impl->runAfter(impl->timing.retryDelay, &Impl::findOwner);
-    });
+    impl_->store.commit(std::move(change),
+                        [impl = impl_, token = ownership.token, successor, done = std::move(done)](const StoreResult &result) {
+                            EventLog::write("owner.released",
+                                            { { "outcome", name(result.outcome) },
+                                              { "successor", successor ? successor->text() : std::string() } });
+                            if (successor && result.outcome == StoreOutcome::Done) {
+                                impl->callSuccessor(*successor, token);
+                            }
+                            impl->isOwner = false;
+                            impl->owner = {};
+                            done();
+                            impl->runAfter(impl->timing.retryDelay, &Impl::findOwner);
+                        });
+}
+
+void Leadership::succeed(std::int64_t token)
+{
+    if (impl_->isOwner || impl_->isTakeoverDisabled || impl_->owner.token != token) {
+        return;
+    }
+    EventLog::write("owner.named", { { "token", token } });
+    impl_->isOwnerResponding = false;
+    // The answer to the open request comes from a process that is the owner no longer.
+    ++impl_->heartbeatRound;
+    impl_->findOwner();
 }
 
 void Leadership::disableTakeover()
--- a/modules/entry/Leadership.h
+++ b/modules/entry/Leadership.h
@@ -37,6 +37,8 @@
     Milliseconds successorCheckInterval { 500 };
     /** While its reading of the epoch row is not answered, a process asks others for a later owner at this interval. */
     Milliseconds epochReadingPatience { 200 };
+    /** How long other processes leave the takeover to a successor that the former owner has named. */
+    Milliseconds successorTakeoverTime { 300 };
     /** Delay before the epoch row is read again, and before a failed store access is repeated. */
     Milliseconds retryDelay { 150 };
     /** What a process has concluded about an owner no longer counts after this time, in which the owner may have recovered. */
@@ -82,12 +84,16 @@
     void stepDown();
 
     /**
-        Clears the owner's name in the epoch row for a planned stop, so that another process takes over at once.
+        Clears the owner's name in the epoch row for a planned stop, so that another process takes over at once: the one that is
+       named in its place, a large one that is not stopping itself and was started last, or after a moment any other.
 
         @param done called when the store has answered, whether or not it accepted the write
     */
     void release(const Ownership &ownership, std::function<void()> done);
 
+    /** The owner with this token has ended its ownership and named this process its successor. */
+    void succeed(std::int64_t token);
+
     /** This process no longer tries to become the owner. */
     void disableTakeover();
 
--- a/modules/entry/LeadershipImpl.h
+++ b/modules/entry/LeadershipImpl.h
@@ -13,6 +13,12 @@
 
 namespace auburndoor {
 
+/**
+    From this processor share on a machine counts as large and is preferred as the owner: in a large cell the owner needs more than
+    the smallest machines have. If all machines are small, only the jitter decides between them.
+*/
+constexpr double largeMachineShare = 0.2;
+
 /** The state of a Leadership, shared with the callbacks of calls in flight. */
 struct Leadership::Impl : std::enable_shared_from_this<Leadership::Impl>
 {
@@ -39,6 +45,12 @@
     void retryOwner();
     /** Tries to replace the epoch row. @param version the version that the row must still have */
     void takeOver(const EpochRow &row, std::int64_t version);
+    /** How long this process leaves the takeover from a row without an owner, or from a failed one, to others. */
+    Milliseconds takeoverDelay(const EpochRow &row) const;
+    /** The follower that is to take over when this process stops; empty if there is none. */
+    std::optional<Address> chooseSuccessor() const;
+    /** Tells the successor that this process has ended its ownership with this token. */
+    void callSuccessor(const Address &successor, std::int64_t token);
     void onTakeoverResult(const StoreResult &result, std::int64_t token, CallTime sentAt);
     void becomeOwner(const Ownership &won);
     /** While this process owns the cell with this token and the store does not serve it, asks other processes for a later owner. */
@@ -99,6 +111,8 @@
     EpochRow owner;
     /** The connection on which this process requests the owner's heartbeats; null if there is no owner to follow. */
     std::unique_ptr<HttpChannels> heartbeatChannel;
+    /** The connection to the process that succeeds this one. */
+    std::unique_ptr<HttpChannels> successorChannel;
     /** True if the last heartbeat request to the owner was answered; false if this process is the owner. */
     bool isOwnerResponding = false;
     /** True if the owner serves calls, from its last heartbeat. */
@@ -149,6 +163,11 @@
         TimePoint requestedAt;
         /** The delay of the next heartbeat that it was told; its timeout depends on it. */
         Milliseconds announcedDelay { 0 };
+        /** As in its last FollowerReport. */
+        double processorShare = 0.0;
+        bool isStopping = false;
+        /** When it began to follow this process. */
+        TimePoint followsSince;
     };
     /** The processes that have recently sent heartbeat requests to this process. */
     std::map<Address, Follower> followers;
--- a/modules/entry/LeadershipServing.cpp
+++ b/modules/entry/LeadershipServing.cpp
@@ -1,5 +1,6 @@
 #include "entry/HeartbeatPacing.h"
 #include "entry/LeadershipImpl.h"
+#include "observability/EventLog.h"
 
 #include <utility>
 
@@ -50,17 +51,22 @@
 
 void Leadership::answerHeartbeat(const WebRequest &request, HttpResponderPointer responder)
 {
-    const auto from = PeerCodec::readHeartbeatRequest(request);
-    if (!impl_->hooks.ownHeartbeat() || !from) {
+    const auto report = PeerCodec::readHeartbeatRequest(request);
+    if (!impl_->hooks.ownHeartbeat() || !report) {
         responder->reply({ PeerCodec::notOwnerStatus, {}, {} });
         return;
     }
-    auto &follower = impl_->followers[*from];
+    auto &follower = impl_->followers[report->address];
     follower.requestedAt = impl_->loop.now();
+    follower.processorShare = report->processorShare;
+    follower.isStopping = report->isStopping;
     // A process that has just begun to follow this owner is answered at once, so that it can forward calls.
     const bool isNew = request.target.ends_with(PeerCodec::firstHeartbeatQuery);
+    if (isNew) {
+        follower.followsSince = follower.requestedAt;
+    }
     const auto delay = isNew ? Milliseconds(0) : std::max(impl_->timing.heartbeatDelay, follower.announcedDelay);
-    impl_->loop.after(delay, [impl = impl_, responder = std::move(responder), from = *from] {
+    impl_->loop.after(delay, [impl = impl_, responder = std::move(responder), from = report->address] {
         const auto heartbeat = impl->isClosed ? std::nullopt : impl->makeHeartbeat(from);
         responder->reply(heartbeat ? PeerCodec::heartbeatReply(*heartbeat) : WebReply { PeerCodec::notOwnerStatus, {}, {} });
     });
@@ -72,6 +78,37 @@
     responder->reply(PeerCodec::ownerViewReply({ isReachable, impl_->owner.owner, impl_->owner.token, impl_->owner.address }));
 }
 
+std::optional<Address> Leadership::Impl::chooseSuccessor() const
+{
+    const Address *chosen = nullptr;
+    const Follower *best = nullptr;
+    const auto isLarge = [](const Follower &follower) { return follower.processorShare >= largeMachineShare; };
+    for (const auto &[address, follower] : followers) {
+        if (follower.isStopping || loop.now() - follower.requestedAt > memberTimeout) {
+            continue;
+        }
+        // While processes are restarted in turn, the one that has been restarted last is stopped last.
+        if (best == nullptr
+            || std::pair(isLarge(follower), follower.followsSince) > std::pair(isLarge(*best), best->followsSince)) {
+            chosen = &address;
+            best = &follower;
+        }
+    }
+    return chosen == nullptr ? std::nullopt : std::optional(*chosen);
+}
+
+void Leadership::Impl::callSuccessor(const Address &successor, std::int64_t token)
+{
+    successorChannel = std::make_unique<HttpChannels>(
+        loop, successor, HttpChannelLimits { .maxConnections = 1, .connectTimeout = timing.peerQueryTimeout });
+    successorChannel->send(PeerCodec::successionRequest(token), timing.peerQueryTimeout, [token](const SendResult &sent) {
+        if (!sent.hasStatus(200)) {
+            // It learns from its next heartbeat request.
+            EventLog::write("owner.successor_uninformed", { { "token", token }, { "detail", sent.error } });
+        }
+    });
+}
+
 const std::vector<Address> &Leadership::Impl::recentMembers()
 {
     const auto now = loop.now();
--- a/modules/entry/PeerCodec.cpp
+++ b/modules/entry/PeerCodec.cpp
@@ -50,16 +50,34 @@
 
 } // namespace
 
-WebRequest PeerCodec::heartbeatRequest(const Address &self)
+WebRequest PeerCodec::heartbeatRequest(const FollowerReport &report)
 {
-    return { "POST", heartbeatPath, {}, dump({ { "from", self.text() } }), true };
+    return { "POST",
+             heartbeatPath,
+             {},
+             dump({ { "from", report.address.text() }, { "share", report.processorShare }, { "stopping", report.isStopping } }),
+             true };
+}
+
+std::optional<FollowerReport> PeerCodec::readHeartbeatRequest(const WebRequest &request)
+{
+    return readJson(request.body, [](const Json &json) -> std::optional<FollowerReport> {
+        const auto address = Address::parse(json.at("from").get<std::string>());
+        if (!address || !address->hasPort()) {
+            return std::nullopt;
+        }
+        return FollowerReport { *address, json.value("share", 0.0), json.value("stopping", false) };
+    });
+}
+
+WebRequest PeerCodec::successionRequest(std::int64_t token)
+{
+    return { "POST", successionPath, {}, dump({ { "token", token } }), true };
 }
 
-std::optional<Address> PeerCodec::readHeartbeatRequest(const WebRequest &request)
+std::optional<std::int64_t> PeerCodec::readSuccessionRequest(const WebRequest &request)
 {
-    const auto text = readJson(request.body, [](const Json &json) { return json.at("from").get<std::string>(); });
-    const auto address = text ? Address::parse(*text) : std::nullopt;
-    return address && address->hasPort() ? address : std::nullopt;
+    return readJson(request.body, [](const Json &json) { return toExactInteger(json.at("token")); });
 }
 
 WebReply PeerCodec::heartbeatReply(const OwnerHeartbeat &heartbeat)
--- a/modules/entry/PeerCodec.h
+++ b/modules/entry/PeerCodec.h
@@ -36,6 +36,17 @@
     std::string stalledTable = {};
 };
 
+/** What an entry process tells the owner of itself when it requests a heartbeat. */
+struct FollowerReport
+{
+    /** Its peer address. */
+    Address address;
+    /** The share of a processor core that it may use; 0 if it does not say. */
+    double processorShare = 0.0;
+    /** True if it does not take over, as it has been told to stop. */
+    bool isStopping = false;
+};
+
 /** What an entry process knows of the owner, sent to another one that has lost contact with the owner or the store. */
 struct OwnerView
 {
@@ -56,6 +67,7 @@
     static constexpr const char *heartbeatPath = "/cell/pulse";
     /** Added to the path by a process that has no heartbeat of the owner yet; the owner answers it without delay. */
     static constexpr const char *firstHeartbeatQuery = "?first";
+    static constexpr const char *successionPath = "/cell/succeed";
     static constexpr const char *ownerViewPath = "/cell/owner";
     /** Serves the value of the row that holds the desired state, as the process has read it. */
     static constexpr const char *desiredStatePath = "/cell/desired";
@@ -66,12 +78,15 @@
     /** The HTTP status with which a process answers that it does not own the cell. */
     static constexpr int notOwnerStatus = 421;
 
-    /** @param self the peer address of the process that sends the request */
-    static WebRequest heartbeatRequest(const Address &self);
-    static std::optional<Address> readHeartbeatRequest(const WebRequest &request);
+    static WebRequest heartbeatRequest(const FollowerReport &report);
+    static std::optional<FollowerReport> readHeartbeatRequest(const WebRequest &request);
     static WebReply heartbeatReply(const OwnerHeartbeat &heartbeat);
     static std::optional<OwnerHeartbeat> readHeartbeat(const WebReply &reply);
 
+    /** Tells a process that it is to succeed the owner with this fencing token, which has ended its ownership. */
+    static WebRequest successionRequest(std::int64_t token);
+    static std::optional<std::int64_t> readSuccessionRequest(const WebRequest &request);
+
     static WebReply ownerViewReply(const OwnerView &view);
     static std::optional<OwnerView> readOwnerView(const WebReply &reply);
 
--- a/tests/adapter/MalformedMessageTests.cpp
+++ b/tests/adapter/MalformedMessageTests.cpp
@@ -37,9 +37,10 @@
     checkDecoder("heartbeat", PeerCodec::heartbeatReply(heartbeat).body, [](const std::string &text) {
         PeerCodec::readHeartbeat({ 200, text, {} });
     });
-    checkDecoder("heartbeat request", PeerCodec::heartbeatRequest({ "10.0.0.1", 80 }).body, [](const std::string &text) {
-        PeerCodec::readHeartbeatRequest({ "POST", PeerCodec::heartbeatPath, {}, text });
-    });
+    checkDecoder(
+        "heartbeat request", PeerCodec::heartbeatRequest({ { "10.0.0.1", 80 }, 0.5, true }).body, [](const std::string &text) {
+            PeerCodec::readHeartbeatRequest({ "POST", PeerCodec::heartbeatPath, {}, text });
+        });
     checkDecoder("owner view", PeerCodec::ownerViewReply({ true, "n", 3, "10.0.0.1:80" }).body, [](const std::string &text) {
         PeerCodec::readOwnerView({ 200, text, {} });
     });
--- a/tests/entry/HandOverTests.cpp
+++ b/tests/entry/HandOverTests.cpp
@@ -1,7 +1,5 @@
 #include "dispatch/CommitQueue.h"
-#include "entry/Leadership.h"
-#include "fakes/FakeStore.h"
-#include "net/EventLoop.h"
+#include "entry/LeadershipFixture.h"
 
 #include <catch2/catch.hpp>
 
@@ -99,3 +97,56 @@
     runFor(Milliseconds(4000));
     CHECK(won.has_value());
 }
+
+// Guards against a takeover that waits for the next heartbeat and for chance, and against a successor that is the next to be
+// stopped where processes are restarted in turn.
+TEST_CASE("the process that was started last succeeds an owner that stops")
+{
+    constexpr Milliseconds settleTime { 800 };
+    for (int round = 0; round < 3; ++round) {
+        LeadershipFixture cell { 0.5, 0.5, 0.5, 0.1 };
+        auto *former = cell.waitForOwner(1);
+        REQUIRE(former != nullptr);
+        cell.runFor(settleTime);
+        cell.addProcesses(1);
+        const auto &started = *cell.processes.back();
+        cell.runFor(settleTime);
+        former->release();
+        REQUIRE(cell.waitForOwner(2) == &started);
+        cell.runFor(settleTime);
+        CHECK(cell.highestToken() == 2);
+    }
+}
+
+// Guards against a stopping owner that names a process which is stopping as well, and would not take over.
+TEST_CASE("a process that is stopping does not succeed an owner that stops")
+{
+    constexpr Milliseconds settleTime { 800 };
+    LeadershipFixture cell { 0.5, 0.5 };
+    auto *former = cell.waitForOwner(1);
+    REQUIRE(former != nullptr);
+    cell.addProcesses(1);
+    cell.runFor(settleTime);
+    auto &stopping = *cell.processes.back();
+    stopping.leadership().disableTakeover();
+    cell.runFor(settleTime);
+    former->release();
+    auto *successor = cell.waitForOwner(2);
+    REQUIRE(successor != nullptr);
+    CHECK(successor != &stopping);
+    CHECK(successor != former);
+}
+
+// Guards against a cell without an owner: the process that was named the successor is gone.
+TEST_CASE("a successor that does not take over is replaced")
+{
+    LeadershipFixture cell { 0.5, 0.5 };
+    REQUIRE(cell.waitForOwner(1) != nullptr);
+    cell.store.write(FencingRows::table, FencingRows::epochKey, R"({"token":5,"owner":"","address":"127.0.0.1:1"})");
+    for (const auto &process : cell.processes) {
+        if (process->ownership) {
+            process->depose();
+        }
+    }
+    CHECK(cell.waitForOwner(6, Milliseconds(5000)) != nullptr);
+}
--- a/tests/entry/LeadershipFixture.h
+++ b/tests/entry/LeadershipFixture.h
@@ -32,6 +32,9 @@
                                                            responder->abandon();
                                                        } else if (request.target.starts_with(PeerCodec::heartbeatPath)) {
                                                            answerHeartbeat(request, responder);
+                                                       } else if (request.target == PeerCodec::successionPath) {
+                                                           leadership_->succeed(*PeerCodec::readSuccessionRequest(request));
+                                                           responder->reply({ 200, {}, {} });
                                                        } else {
                                                            leadership_->answerOwnerView(responder);
                                                        }
@@ -68,6 +71,12 @@
         leadership_->stepDown();
     }
 
+    /** Ends the ownership as a planned stop does. */
+    void release()
+    {
+        leadership_->release(*ownership, [this] { ownership.reset(); });
+    }
+
     const Address &address() const
     {
         return settings_.peers;
@@ -95,7 +104,7 @@
 private:
     void answerHeartbeat(const WebRequest &request, const HttpResponderPointer &responder)
     {
-        const bool isLate = !lateFollower || PeerCodec::readHeartbeatRequest(request) == lateFollower;
+        const bool isLate = !lateFollower || PeerCodec::readHeartbeatRequest(request)->address == lateFollower;
         if (isListenerFull && isLate) {
             responder->reply({ 503, {}, {} });
             return;
