--- a/tests/adapter/MalformedMessageTests.cpp
+++ b/tests/adapter/MalformedMessageTests.cpp
@@ -41,6 +41,9 @@
         "heartbeat request", PeerCodec::heartbeatRequest({ { "10.0.0.1", 80 }, 0.5, true }).body, [](const std::string &text) {
             PeerCodec::readHeartbeatRequest({ "POST", PeerCodec::heartbeatPath, {}, text });
         });
+    checkDecoder("succession request", PeerCodec::successionRequest(7).body, [](const std::string &text) {
+        PeerCodec::readSuccessionRequest({ "POST", PeerCodec::successionPath, {}, text });
+    });
     checkDecoder("owner view", PeerCodec::ownerViewReply({ true, "n", 3, "10.0.0.1:80" }).body, [](const std::string &text) {
         PeerCodec::readOwnerView({ 200, text, {} });
     });
