Times in the roster tell on which reading of the store's clock they rest

Change: a row of the roster tells the version of the store at the reading that its times rest on (as_of), and is judged by that.

--- a/modules/dispatch/Fleet.cpp
+++ b/modules/dispatch/Fleet.cpp
@@ -42,8 +42,9 @@
     impl_->possibleCrashes.add({ id, Address(), incarnation, { run } }, impl_->timers.now());
 }
 
-void Fleet::noteStoreTime(Milliseconds time, CallTime requestedAt)
+void Fleet::noteStoreTime(Milliseconds time, std::int64_t version, CallTime requestedAt)
 {
+    impl_->storeVersion = version;
     impl_->storeClock.noteReading(time, requestedAt, impl_->timers.now());
 }
 
@@ -67,6 +68,7 @@
         }
         worker->isHandedOver = true;
         worker->entry.handedOverLease = HandedOverLease { impl_->fencingToken, *endsBy };
+        worker->entry.timesAsOf = impl_->storeVersion;
         impl_->listener.rosterChanged(worker->entry, true, [] {});
     }
 }
--- a/modules/dispatch/Fleet.h
+++ b/modules/dispatch/Fleet.h
@@ -140,8 +140,8 @@
     /** Follows a full read of the directory: workers whose ids are missing count as removed, as by removeEntry(). */
     void retainEntries(const std::set<std::string> &ids, std::optional<Milliseconds> missingAt);
 
-    /** The store's clock showed this time between the request and now. */
-    void noteStoreTime(Milliseconds time, CallTime requestedAt);
+    /** The store had this version, and its clock showed this time, between the request and now. */
+    void noteStoreTime(Milliseconds time, std::int64_t version, CallTime requestedAt);
 
     /** The store's clock has begun anew: what rests on its earlier times counts no longer, also for the next owner. */
     void forgetStoreTimes();
--- a/modules/dispatch/FleetDirectory.cpp
+++ b/modules/dispatch/FleetDirectory.cpp
@@ -44,7 +44,7 @@
         found->entry.missingAt.reset();
         impl_->unlist(*found);
     }
-    if (const auto *kept = worker(id)) {
+    if (auto *kept = worker(id)) {
         impl_->recordPresence(*kept);
     }
 }
@@ -72,6 +72,7 @@
     }
     worker.client->update(entry);
     const auto former = std::exchange(worker.entry, entry);
+    worker.entry.timesAsOf = storeVersion;
     if (!hasRestarted) {
         keepEarlierServices(worker, former);
         // Only a report counts: another writer may have written the entry again.
@@ -124,15 +125,16 @@
         "worker.unlisted",
         { { "worker", id }, { "runs", worker.runs.size() }, { "silent_ms", silenceBeforeRemoval(worker.entry).count() } });
     removeIfGone(id);
-    if (const auto *unlisted = find(id)) {
+    if (auto *unlisted = find(id)) {
         recordPresence(*unlisted);
     }
 }
 
-void Fleet::Impl::recordPresence(const WorkerState &worker)
+void Fleet::Impl::recordPresence(WorkerState &worker)
 {
     // By this the next owner can tell whether the worker has left.
     if (worker.entry.isDraining && worker.isInRoster) {
+        worker.entry.timesAsOf = storeVersion;
         listener.rosterEntryChanged(worker.entry);
     }
 }
--- a/modules/dispatch/FleetImpl.h
+++ b/modules/dispatch/FleetImpl.h
@@ -34,7 +34,7 @@
     /** The worker is not in the directory any more. */
     void unlist(WorkerState &worker);
     /** Has the roster's row of a draining worker written with its last report and absence, unless the worker is not there. */
-    void recordPresence(const WorkerState &worker);
+    void recordPresence(WorkerState &worker);
     /** Keeps the services of an incarnation whose entry now names another one. @param former the entry before */
     void keepEarlierServices(WorkerState &worker, const WorkerEntry &former);
     /** The runs that would end if the worker's present incarnation has crashed; none if it is draining. */
@@ -146,6 +146,8 @@
     OwnershipEvidence &evidence;
     RosterQuorum quorum;
     StoreClock storeClock;
+    /** The store's version at the last reading of its clock. */
+    std::int64_t storeVersion = 0;
     TimePoint createdAt;
     /** When the reports of more than half of the inherited roster's workers were read. */
     std::optional<TimePoint> majorityReadAt;
--- a/modules/dispatch/RosterRecordCodec.cpp
+++ b/modules/dispatch/RosterRecordCodec.cpp
@@ -53,6 +53,9 @@
 std::string RosterRecordCodec::write(const WorkerEntry &entry)
 {
     Json json { { "service", entry.service }, { "address", entry.address.text() }, { "born", entry.incarnation } };
+    if (entry.isDraining || entry.handedOverLease) {
+        json["as_of"] = entry.timesAsOf;
+    }
     if (entry.isDraining) {
         json["draining"] = true;
         if (entry.reportNumber) {
@@ -83,6 +86,9 @@
         entry.service = json.at("service").get<std::string>();
         entry.earlierServices = json.value("earlier", std::set<std::string>());
         entry.isDraining = json.value("draining", false);
+        if (const auto asOf = json.find("as_of"); asOf != json.end()) {
+            entry.timesAsOf = toExactInteger(*asOf).value_or(0);
+        }
         if (const auto reports = json.find("reports"); reports != json.end()) {
             entry.reportNumber = toExactInteger(*reports);
         }
--- a/modules/entry/OwnerRecovery.cpp
+++ b/modules/entry/OwnerRecovery.cpp
@@ -82,7 +82,7 @@
 {
     for (const auto &row : rows) {
         if (auto entry = RosterRecordCodec::read(row.key, row.value)) {
-            if (!dependencies.storeTimeline.isComparable(row.version)) {
+            if (!dependencies.storeTimeline.isComparable(entry->timesAsOf)) {
                 entry->forgetStoreTimes();
             }
             fleet.addFormerWorker(*entry);
@@ -104,7 +104,7 @@
 {
     followStoreClock();
     if (update.readBy) {
-        fleet.noteStoreTime(*update.readBy, update.requestedAt);
+        fleet.noteStoreTime(*update.readBy, update.version, update.requestedAt);
     }
     std::set<std::string> present;
     for (const auto &row : update.rows) {
--- a/modules/entry/TableUpdate.h
+++ b/modules/entry/TableUpdate.h
@@ -16,6 +16,8 @@
     bool isWholeTable = false;
     /** The rows were read at this time of the store's clock, or before; empty if the store did not tell. */
     std::optional<Milliseconds> readBy;
+    /** The version of the store that they show. */
+    std::int64_t version = 0;
     /** When they were requested. */
     CallTime requestedAt;
 };
--- a/modules/entry/TableWatch.cpp
+++ b/modules/entry/TableWatch.cpp
@@ -109,7 +109,8 @@
         timeline.note({ result.version, result.time->earliest, sentAt.boot, timers.bootNow() });
     }
     if (isWholeTable || !result.rows.empty()) {
-        callback({ result.rows, isWholeTable, result.time ? std::optional(result.time->latest) : std::nullopt, sentAt });
+        callback(
+            { result.rows, isWholeTable, result.time ? std::optional(result.time->latest) : std::nullopt, result.version, sentAt });
     }
 }
 
--- a/modules/workload/StoreTimeline.h
+++ b/modules/workload/StoreTimeline.h
@@ -24,7 +24,7 @@
     /** The latest time at which the store is known not to have had a version yet; empty if no such time is known. */
     std::optional<Milliseconds> timeBefore(std::int64_t version) const;
 
-    /** True if times of the store's clock in a row of this version compare with later ones, as far as this process has seen. */
+    /** True if times from a reading of this version compare with those of now, as far as this process has seen. */
     bool isComparable(std::int64_t version) const;
 
     /** How often the store's clock or versions have begun anew. */
--- a/modules/workload/WorkerEntry.h
+++ b/modules/workload/WorkerEntry.h
@@ -34,6 +34,8 @@
     std::optional<std::int64_t> reportNumber;
     /** The worker has last reported to the directory after this time of the store's clock; empty if that is not known. */
     std::optional<Milliseconds> reportedAfter;
+    /** In the roster: the version of the store at the reading of its clock that the times rest on. */
+    std::int64_t timesAsOf = 0;
     /** Its entry was missing at this time of the store's clock; empty while it is there, or if that is not known. */
     std::optional<Milliseconds> missingAt;
     /** In the roster: until when an owner that has stopped may have granted leases; empty unless it told that. */
