--- a/modules/entry/EntryInstance.cpp
+++ b/modules/entry/EntryInstance.cpp
@@ -344,9 +344,9 @@
     if (!owner) {
         return;
     }
-    owner->flush(flushTimeout, [this](const Ownership &ownership) {
-        if (owner) {
-            leadership.release(ownership, [this] { owner.reset(); });
+    owner->flush(flushTimeout, [self = shared_from_this()](const Ownership &ownership) {
+        if (self->owner) {
+            self->leadership.release(ownership, [self] { self->owner.reset(); });
         }
     });
 }
--- a/modules/entry/Leadership.h
+++ b/modules/entry/Leadership.h
@@ -84,8 +84,10 @@
     void stepDown();
 
     /**
-        Clears the owner's name in the epoch row for a planned stop, so that another process takes over at once: the one that is
-       named in its place, a large one that is not stopping itself and was started last, or after a moment any other.
+        Clears the owner's name in the epoch row for a planned stop, so that another process takes over at once.
+
+        The row names a successor, to which the others leave the takeover for a moment: a large process that is not stopping, and of
+        these the one that has begun to follow this one last.
 
         @param done called when the store has answered, whether or not it accepted the write
     */
