Tests can begin the simulated steady clock at any time

A fault in lease arithmetic near the start of the clock, where a time that was never set and an early one are alike, could not be shown.

--- a/tests/dispatch/OwnerFixture.cpp
+++ b/tests/dispatch/OwnerFixture.cpp
@@ -46,7 +46,8 @@
     timers_.after(responseTime, [callback = std::move(callback), result] { callback(result); });
 }
 
-OwnerFixture::OwnerFixture() : store(timers), fleet(timers), advisor(timers), checker_(fleet)
+OwnerFixture::OwnerFixture(Milliseconds clockStart)
+    : timers(clockStart), store(timers), fleet(timers), advisor(timers), checker_(fleet)
 {
     if (std::getenv("OWNER_TRACE") != nullptr) {
         EventLog::configure("owner");
--- a/tests/dispatch/OwnerFixture.h
+++ b/tests/dispatch/OwnerFixture.h
@@ -43,7 +43,8 @@
 class OwnerFixture
 {
 public:
-    OwnerFixture();
+    /** @param clockStart the time that the steady clock shows first */
+    explicit OwnerFixture(Milliseconds clockStart = std::chrono::hours(1));
     ~OwnerFixture();
 
     /** Adds a worker with this many cores, and writes its directory entry. */
--- a/tests/fakes/ManualTimers.h
+++ b/tests/fakes/ManualTimers.h
@@ -11,6 +11,11 @@
 class ManualTimers : public Timers
 {
 public:
+    /** @param sinceEpoch the time that the steady clock shows first */
+    explicit ManualTimers(Milliseconds sinceEpoch = std::chrono::hours(1)) : now_(TimePoint() + sinceEpoch)
+    {
+    }
+
     TimePoint now() const override
     {
         now_ += costOfReading_;
@@ -58,7 +63,7 @@
 
 private:
     std::chrono::microseconds costOfReading_ { 0 };
-    mutable TimePoint now_ = TimePoint() + std::chrono::hours(1);
+    mutable TimePoint now_;
     std::multimap<TimePoint, std::function<void()>> actions_;
 };
 
