A run that goes on after it was given up no longer stays hidden

If the worker was forgotten meanwhile, the older run was stopped as "unwanted", without a word that this owner had given it up.

The owner now remembers for 60 s why, when and on which incarnation it gave a run up without a listed end. A report that was requested after the loss and lists the run on that incarnation proves the loss wrong. It is logged once as run.loss_contradicted and counted in events_total{event="run.loss_contradicted",reason=...}; the listed run is adopted again with its claim, and other runs of its task get a stop. A listed member of a gang is stopped instead: its attempt was stopped as a whole at the loss and cannot end done by itself. The end of a member now stops the other members of its own attempt only, so that a later attempt goes on. A report that was requested before the loss proves nothing, and neither does one that lists a run whose end is known.

--- a/modules/dispatch/Fleet.h
+++ b/modules/dispatch/Fleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/OwnershipEvidence.h"
+#include "dispatch/ReadoptedRun.h"
 #include "dispatch/WorkerCrash.h"
 #include "dispatch/WorkerState.h"
 #include "net/Timers.h"
@@ -26,6 +27,13 @@
     */
     virtual std::optional<RunClaim> adoptRun(const std::string &worker, const RunningTask &running) = 0;
 
+    /**
+        A worker goes on with a run that runLost() has named. The listener stops other runs of its task unless both may go on.
+
+        @return what becomes of the run; empty if it is not wanted, and the fleet stops it
+    */
+    virtual std::optional<ReadoptedRun> readoptRun(const std::string &worker, const RunningTask &running) = 0;
+
     /** A run that this fleet started is known to run. */
     virtual void runConfirmed(const std::string &worker, const Run &run) = 0;
 
--- a/modules/dispatch/FleetImpl.cpp
+++ b/modules/dispatch/FleetImpl.cpp
@@ -152,19 +152,6 @@
     listener.capacityChanged();
 }
 
-void Fleet::Impl::reportLostRun(WorkerState &worker, const RunKey &key, RunLoss loss, CommandOutcome outcome)
-{
-    const auto found = worker.runs.find(key);
-    if (found == worker.runs.end()) {
-        return;
-    }
-    const bool isUnwanted = found->second.isUnwanted;
-    removeRun(worker, key);
-    if (!isUnwanted) {
-        listener.runLost(worker.entry.id, key, loss, outcome);
-    }
-}
-
 Milliseconds Fleet::Impl::elapsedSince(TimePoint time) const
 {
     return std::chrono::duration_cast<Milliseconds>(timers.now() - time);
@@ -209,17 +196,6 @@
                       { "store_age_ms", evidence.storeAge().count() } });
 }
 
-void Fleet::Impl::reportAllRunsLost(WorkerState &worker, RunLoss loss)
-{
-    std::vector<RunKey> keys;
-    for (const auto &[key, run] : worker.runs) {
-        keys.push_back(key);
-    }
-    for (const auto &key : keys) {
-        reportLostRun(worker, key, loss);
-    }
-}
-
 void Fleet::Impl::recordOutcome(WorkerState &worker, bool hasFailed)
 {
     worker.recentFailures.push_back(hasFailed);
--- a/modules/dispatch/FleetImpl.h
+++ b/modules/dispatch/FleetImpl.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/Fleet.h"
+#include "dispatch/LostRuns.h"
 #include "dispatch/PossibleCrashes.h"
 #include "dispatch/RosterQuorum.h"
 #include "dispatch/StartWindow.h"
@@ -92,8 +93,22 @@
     void onReport(const std::string &id, const TaskReport &report, TimePoint pollSentAt);
     void processEnds(WorkerState &worker, const TaskReport &report);
     void processRunning(WorkerState &worker, const TaskReport &report, TimePoint pollSentAt);
-    /** Adopts a run that this fleet does not know, or stops it if the listener does not want it. */
-    void processUnknownRun(WorkerState &worker, const RunningTask &running);
+    /** Decides about a listed run that this fleet does not track: it may be unknown, over, or wrongly given up. */
+    void processUnknownRun(WorkerState &worker, const RunningTask &running, TimePoint pollSentAt);
+    /** Adopts a run, or stops it if the listener does not want it. @param stopReason why it is stopped in any case; may be empty */
+    void adoptRun(WorkerState &worker, const RunningTask &running, const std::string &stopReason = {});
+    /**
+        Has a listed run occupy the worker.
+
+        @param claim      what the run takes of the worker; empty if it is not wanted, and is to be stopped
+        @param stopReason why it is to be stopped; empty if a wanted run goes on
+    */
+    void insertReportedRun(WorkerState &worker,
+                           const RunningTask &running,
+                           const std::optional<RunClaim> &claim,
+                           const std::string &stopReason);
+    /** Logs that a report lists a run that was given up before the report was requested. */
+    void logContradiction(const WorkerState &worker, const RunKey &key, const LostRun &lost) const;
     /** Gives up runs that the report has to list and does not. @param listed the runs that the report lists */
     void reportMissingRuns(WorkerState &worker, const std::set<RunKey> &listed, TimePoint pollSentAt);
     /** Notes that the consequences of an end are stored. @param number that of the end, in this incarnation of the worker */
@@ -157,6 +172,7 @@
     long long renewalsSent = 0;
     StartWindow startWindow;
     PossibleCrashes possibleCrashes;
+    LostRuns lostRuns;
     bool isDirectoryStale = false;
     /** When the whole directory was first read under this owner. */
     std::optional<TimePoint> directoryReadAt;
--- a/modules/dispatch/FleetPolling.cpp
+++ b/modules/dispatch/FleetPolling.cpp
@@ -293,6 +293,10 @@
             recordOutcome(worker, end.end == RunOutcome::Failed);
         }
         removeRun(worker, key);
+        if (lostRuns.erase(id, key)) {
+            // A report that was overtaken by this one may still list it.
+            worker.recentlyEndedRuns[key] = timers.now();
+        }
         worker.unrecordedEnds.insert(end.number);
         listener.runEnded(id, end, [impl = shared_from_this(), id, incarnation, number = end.number] {
             impl->onEndRecorded(id, incarnation, number);
@@ -320,9 +324,7 @@
         listed.insert(key);
         const auto found = worker.runs.find(key);
         if (found == worker.runs.end()) {
-            if (!worker.recentlyEndedRuns.contains(key)) {
-                processUnknownRun(worker, running);
-            }
+            processUnknownRun(worker, running, pollSentAt);
             continue;
         }
         auto &run = found->second;
@@ -346,37 +348,6 @@
     reportMissingRuns(worker, listed, pollSentAt);
 }
 
-void Fleet::Impl::processUnknownRun(WorkerState &worker, const RunningTask &running)
-{
-    const RunKey key { running.task, running.attempt };
-    const auto now = timers.now();
-    Run run;
-    run.key = key;
-    run.phase = Run::Phase::Running;
-    run.startedAt = now;
-    run.confirmedAt = now;
-    run.incarnation = worker.entry.incarnation;
-    run.percent = running.percent;
-    run.percentChangedAt = now;
-    run.latencyOrProcessorUse = running.latencyOrProcessorUse;
-    const auto claim = listener.adoptRun(worker.entry.id, running);
-    run.isUnwanted = !claim;
-    run.claim = claim.value_or(RunClaim());
-    worker.used += run.claim.need;
-    worker.isolatedRuns += run.claim.isIsolated ? 1 : 0;
-    worker.unwantedRuns += run.isUnwanted ? 1 : 0;
-    worker.runs.emplace(key, run);
-    EventLog::write(
-        claim ? "run.adopted" : "run.unwanted",
-        { { "job", key.task.job }, { "worker", worker.entry.id }, { "attempt", key.attempt }, { "percent", running.percent } });
-    if (!claim) {
-        worker.runs.at(key).stopReason = "unwanted";
-        sendStop(worker.entry.id, key);
-    } else if (!running.checkpoint.empty()) {
-        listener.checkpointSeen(running);
-    }
-}
-
 void Fleet::Impl::reportMissingRuns(WorkerState &worker, const std::set<RunKey> &listed, TimePoint pollSentAt)
 {
     if (worker.isReportCutOff) {
--- a/modules/dispatch/JobManager.h
+++ b/modules/dispatch/JobManager.h
@@ -137,6 +137,7 @@
 
     // FleetListener.
     std::optional<RunClaim> adoptRun(const std::string &worker, const RunningTask &running) override;
+    std::optional<ReadoptedRun> readoptRun(const std::string &worker, const RunningTask &running) override;
     void runConfirmed(const std::string &worker, const Run &run) override;
     void runEnded(const std::string &worker, const EndedTask &ended, std::function<void()> recorded) override;
     void runLost(const std::string &worker, const RunKey &key, RunLoss loss, CommandOutcome outcome) override;
@@ -158,6 +159,8 @@
         its own room, and what it tells may be stored nowhere else.
     */
     Task *findReportedTask(JobState *job, const TaskName &name);
+    /** Counts a run that a worker reports among those of its task. @return what the run claims of its worker */
+    RunClaim addReportedRun(JobState &job, Task &task, const std::string &worker, const RunningTask &running);
     /** Sets the objective of a job, and adds the only occurrence of one without a schedule. */
     void initialize(JobState &job);
     /** Has the stored parts of a wide job applied, and stores anew what an earlier release has stored as one row. */
@@ -187,6 +190,8 @@
     void onStepDone(JobState &job, StepState &step);
     void onTaskFailed(JobState &job, StepState &step, Task &task, const RunPlace &place);
     void stopStepRuns(StepState &step, const std::string &reason);
+    /** Stops all members of one run of a gang. */
+    void stopAttemptRuns(StepState &step, std::int64_t attempt, const std::string &reason);
     /** Stops the runs of all steps that are not done. */
     void stopJobRuns(JobState &job, const std::string &reason);
     /** Ends a job with this stage, and stores the end. The reference to the job is invalid afterwards. */
--- a/modules/dispatch/JobManagerRuns.cpp
+++ b/modules/dispatch/JobManagerRuns.cpp
@@ -44,18 +44,46 @@
     if (!task->runs.empty() && !step.spec().allowsCopies && !step.spec().isGang) {
         return std::nullopt;
     }
-    const bool isRecorded = task->wasStarted();
-    task->lastAttempt = std::max(task->lastAttempt, running.attempt);
-    task->runs.push_back({ worker, running.attempt });
+    return addReportedRun(*job, *task, worker, running);
+}
+
+std::optional<ReadoptedRun> JobManager::readoptRun(const std::string &worker, const RunningTask &running)
+{
+    auto *job = find(running.task.job);
+    auto *task = findReportedTask(job, running.task);
+    if (task == nullptr || task->isDone || job->stage == JobStage::Recording) {
+        return std::nullopt;
+    }
+    const auto &step = job->step(running.task.occurrence, running.task.step)->spec();
+    const auto others = task->runs;
+    const auto claim = addReportedRun(*job, *task, worker, running);
+    if (step.isGang) {
+        // The other members of its attempt were stopped at the loss. Until it has ended, a gang without runs is not started again.
+        return ReadoptedRun { claim, "its gang was stopped" };
+    }
+    if (!step.allowsCopies) {
+        for (const auto &place : others) {
+            fleet_->stop(place.worker, { running.task, place.attempt }, "an earlier run goes on");
+        }
+    }
+    return ReadoptedRun { claim, {} };
+}
+
+RunClaim JobManager::addReportedRun(JobState &job, Task &task, const std::string &worker, const RunningTask &running)
+{
+    const auto &step = *job.step(running.task.occurrence, running.task.step);
+    const bool isRecorded = task.wasStarted();
+    task.lastAttempt = std::max(task.lastAttempt, running.attempt);
+    task.runs.push_back({ worker, running.attempt });
     if (step.spec().isService && !isRecorded) {
         // The former owner ended before the record of the start was stored.
-        saveTask(*job, running.task, {}, CommitQueue::Urgency::Routine);
+        saveTask(job, running.task, {}, CommitQueue::Urgency::Routine);
     }
     changedJobs_.push_back(running.task.job);
-    job->hasBegun = true;
-    job->stage = JobStage::Running;
-    job->shownStage = JobStage::Running;
-    return makeClaim(step, *task, worker);
+    job.hasBegun = true;
+    job.stage = JobStage::Running;
+    job.shownStage = JobStage::Running;
+    return makeClaim(step, task, worker);
 }
 
 void JobManager::runConfirmed(const std::string &worker, const Run &run)
@@ -130,7 +158,7 @@
     } else if (!task->isDone && ended.end == RunOutcome::Failed) {
         onTaskFailed(*job, step, *task, { worker, ended.attempt });
     } else if (!task->isDone && step.spec().isGang && ended.end != RunOutcome::GangMemberEnded) {
-        stopStepRuns(step, name(ended.end).data());
+        stopAttemptRuns(step, ended.attempt, name(ended.end).data());
     }
     hooks_.workChanged();
 }
@@ -208,7 +236,7 @@
     auto &counted = step.spec().isGang ? step.tasks.front() : task;
     counted.failedAttempts.insert(place.attempt);
     if (step.spec().isGang) {
-        stopStepRuns(step, "member failed");
+        stopAttemptRuns(step, place.attempt, "member failed");
     }
     if (static_cast<int>(counted.failedAttempts.size()) >= job.queue.maxAttempts) {
         endJob(job, JobStage::Failed);
@@ -227,6 +255,19 @@
     }
 }
 
+void JobManager::stopAttemptRuns(StepState &step, std::int64_t attempt, const std::string &reason)
+{
+    for (std::size_t index = 0; index < step.tasks.size(); ++index) {
+        const auto runs = step.tasks[index].runs;
+        for (const auto &place : runs) {
+            if (place.attempt == attempt) {
+                fleet_->stop(
+                    place.worker, { { step.job->spec.id, step.occurrence, step.index, static_cast<int>(index) }, attempt }, reason);
+            }
+        }
+    }
+}
+
 void JobManager::stopJobRuns(JobState &job, const std::string &reason)
 {
     for (auto &[number, occurrence] : job.occurrences) {
@@ -295,7 +336,7 @@
         step.advice.allowed.erase(worker);
     }
     if (step.spec().isGang && !task->isDone) {
-        stopStepRuns(step, "member lost");
+        stopAttemptRuns(step, key.attempt, "member lost");
     }
     hooks_.workChanged();
 }
--- a/tests/fakes/SimulatedWorker.cpp
+++ b/tests/fakes/SimulatedWorker.cpp
@@ -119,6 +119,9 @@
     }
     std::erase_if(ended_, [acknowledged](const EndedTask &ended) { return ended.number <= acknowledged; });
     for (const auto &[key, run] : runs_) {
+        if (unlistedTasks.contains(key.first)) {
+            continue;
+        }
         const auto elapsed = std::chrono::duration_cast<Milliseconds>(timers_.now() - run.startedAt);
         const auto percent = run.duration.count() == 0 ? 100 : static_cast<int>(elapsed * 100 / run.duration);
         report.running.push_back({ key.first, key.second, {}, std::min(percent, 99) });
--- a/tests/fakes/SimulatedWorker.h
+++ b/tests/fakes/SimulatedWorker.h
@@ -69,6 +69,9 @@
     /** How long its runs go on once the lease has ended. */
     Milliseconds killTime { 0 };
 
+    /** The tasks whose runs its reports do not list, though they go on. */
+    std::set<TaskName> unlistedTasks;
+
     /** The most ended runs that a report lists, those with the lowest numbers. */
     std::size_t maxListedEnds = 500;
 
