A row that cannot be read no longer counts as an absent run

A row of "running" that could not be read was left out of the report, and a report without that list counted as one without runs. The run became missing, and its task started a second time. The report now says what it leaves out (TaskReport::omission, also by way of a relay) and tells nothing of absences, as one that is cut off; worker.report_unreadable is logged once until a report can be read in full. A new owner does not count such a worker as read, and does not extend its leases: else the tasks that may run there could never start elsewhere.

A row of "finished" with an unknown outcome was acknowledged as an end without a task, so that its run was lost as missing. By the protocol a listed run is over and frees its room, and the outcomes that count, done and failed, have known words. So it is an end of its task, counted as stopped. CodecTests asked for an end without a task here; it now asks for the task and the outcome. Rows without a readable task or number are treated as before.

--- a/modules/dispatch/Fleet.cpp
+++ b/modules/dispatch/Fleet.cpp
@@ -193,7 +193,7 @@
         if (worker.isReportRead || !worker.entry.hasServed(service)) {
             return false;
         }
-        return !impl_->areInheritedLeasesOver(worker) || (worker.isReportCutOff && now <= impl_->ownLeaseEnd(worker));
+        return !impl_->areInheritedLeasesOver(worker) || (!worker.isReportComplete() && now <= impl_->ownLeaseEnd(worker));
     });
 }
 
--- a/modules/dispatch/FleetDirectory.cpp
+++ b/modules/dispatch/FleetDirectory.cpp
@@ -103,6 +103,7 @@
     worker.acknowledgedEnd = 0;
     worker.unrecordedEnds.clear();
     worker.isReportCutOff = false;
+    worker.isReportUnreadable = false;
     worker.deliveredAcknowledgement = 0;
     worker.recentFailures.clear();
     worker.recentlyEndedRuns.clear();
--- a/modules/dispatch/FleetImpl.cpp
+++ b/modules/dispatch/FleetImpl.cpp
@@ -218,7 +218,7 @@
     if (worker == nullptr || worker->isListed || !worker->runs.empty() || worker->hasUnacknowledgedEnds()) {
         return;
     }
-    if (worker->isReportCutOff && worker->failedPolls == 0) {
+    if (!worker->isReportComplete() && worker->failedPolls == 0) {
         return;
     }
     if (!worker->isReportRead && !isLeaseOver(*worker)) {
--- a/modules/dispatch/FleetPolling.cpp
+++ b/modules/dispatch/FleetPolling.cpp
@@ -2,6 +2,7 @@
 #include "observability/EventLog.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace auburndoor {
 
@@ -53,7 +54,10 @@
     const auto wait = worker->isReportRead && worker->failedPolls == 0 ? timing.pollWait : Milliseconds(0);
     ++renewalsSent;
     // The lease of a worker that does not answer is not extended, so that its runs have ended by a known time.
-    const auto lease = worker->failedPolls == 0 && !worker->isHandedOver ? permittedLease() : Milliseconds(0);
+    // Nor is that of one whose runs cannot be read since the takeover: the tasks that may run there could never start elsewhere.
+    const bool isRenewed = worker->failedPolls == 0 && !worker->isHandedOver
+                           && (worker->isReportRead || !worker->isReportUnreadable);
+    const auto lease = isRenewed ? permittedLease() : Milliseconds(0);
     // After a failed poll the worker may have restarted: its report is read before ends are acknowledged.
     const auto acknowledgement = worker->failedPolls == 0 ? worker->acknowledgementToSend() : 0;
     worker->client->renewLeases(
@@ -136,7 +140,7 @@
             run.confirmedAt = timers.now();
             run.percentChangedAt = timers.now();
             listener.runConfirmed(worker.entry.id, run);
-        } else if (worker.isReportCutOff || (!listed.contains(key) && !isAbsenceConclusive(worker, run))) {
+        } else if (!worker.isReportComplete() || (!listed.contains(key) && !isAbsenceConclusive(worker, run))) {
             continue;
         } else if (!listed.contains(key) && run.isStartAnswered) {
             lost.push_back(key);
@@ -225,14 +229,23 @@
     const auto lastSeenEndBefore = worker.lastSeenEnd;
     const bool wasReportRead = worker.isReportRead;
     const bool isNewlyCutOff = report.isCutOff && !worker.isReportCutOff;
+    const bool wasReportUnreadable = std::exchange(worker.isReportUnreadable, !report.omission.empty());
     worker.isReportCutOff = report.isCutOff;
     // Runs that have ended beyond the listed ends are unknown until these are acknowledged.
-    worker.isReportRead = wasReportRead || !report.isCutOff;
+    worker.isReportRead = wasReportRead || worker.isReportComplete();
     if (isNewlyCutOff) {
         EventLog::write(
             "worker.cut_off",
             { { "worker", id }, { "ends", report.ended.size() }, { "runs", worker.runs.size() }, { "read", wasReportRead } });
     }
+    if (worker.isReportUnreadable && !wasReportUnreadable) {
+        EventLog::write("worker.report_unreadable",
+                        { { "worker", id },
+                          { "detail", report.omission },
+                          { "running", report.running.size() },
+                          { "runs", worker.runs.size() },
+                          { "read", wasReportRead } });
+    }
     processEnds(worker, report);
     processRunning(worker, report, pollSentAt);
     reportCrashes(id, report, pollSentAt);
@@ -245,6 +258,8 @@
         schedulePoll(id, hasNewEnds ? timing.endBatchDelay : pollDelayWithUnrecordedEnds);
     } else if (worker.isReportCutOff) {
         schedulePoll(id, Milliseconds(0));
+    } else if (worker.isReportUnreadable) {
+        schedulePoll(id, timing.pollRetryDelay);
     } else if (!worker.runs.empty()) {
         schedulePoll(id, wasReportRead ? Milliseconds(2) : Milliseconds(0));
     }
@@ -255,7 +270,7 @@
 
 void Fleet::Impl::reportCrashes(const std::string &id, const TaskReport &report, TimePoint pollSentAt)
 {
-    if (report.isCutOff) {
+    if (report.isCutOff || !report.omission.empty()) {
         return;
     }
     for (auto &crash : possibleCrashes.take(id, report.incarnation, pollSentAt)) {
@@ -350,7 +365,7 @@
 
 void Fleet::Impl::reportMissingRuns(WorkerState &worker, const std::set<RunKey> &listed, TimePoint pollSentAt)
 {
-    if (worker.isReportCutOff) {
+    if (!worker.isReportComplete()) {
         return;
     }
     std::vector<std::pair<RunKey, RunLoss>> missing;
--- a/modules/dispatch/WorkerState.h
+++ b/modules/dispatch/WorkerState.h
@@ -25,6 +25,8 @@
     bool isReportRead = false;
     /** Its last report did not list all its ended runs, so that the absence of a run tells nothing. */
     bool isReportCutOff = false;
+    /** Its last report could not be read in full, so that the absence of a run tells nothing. */
+    bool isReportUnreadable = false;
     /** It is in the directory. */
     bool isListed = false;
     /** Its entry is that of its current incarnation, which may have another capacity and other labels than the one before. */
@@ -72,6 +74,11 @@
     /** It is listed in Fleet::takeChangedWorkers(). */
     bool isChangeNoted = false;
 
+    /** True if a run that its last report does not list is not on the worker. */
+    bool isReportComplete() const
+    {
+        return !isReportCutOff && !isReportUnreadable;
+    }
     /** True if a run of another job is on the worker. */
     bool hasOtherJobs(const std::string &job) const
     {
--- a/modules/entry/WorkerRelayCodec.cpp
+++ b/modules/entry/WorkerRelayCodec.cpp
@@ -231,11 +231,12 @@
         ended.emplace_back(std::move(row));
     }
     Json::array_t json;
-    json.reserve(4);
+    json.reserve(5);
     json.emplace_back(report.incarnation);
     json.emplace_back(std::move(running));
     json.emplace_back(std::move(ended));
     json.emplace_back(report.isCutOff ? 1 : 0);
+    json.emplace_back(report.omission);
     return json;
 }
 
@@ -261,6 +262,7 @@
     }
     // Absent in the reports of relays of earlier releases.
     report.isCutOff = json.size() > 3 && readInteger(json.at(3)) != 0;
+    report.omission = json.size() > 4 ? readText(json.at(4)) : std::string();
     return report;
 }
 
--- a/modules/workload/WorkerClient.h
+++ b/modules/workload/WorkerClient.h
@@ -90,6 +90,8 @@
     std::int64_t incarnation = 0;
     /** The worker may have finished more runs than it lists: one that is in neither list may have ended in any way. */
     bool isCutOff = false;
+    /** Why it may leave out runs that go on or have ended, such as a row that cannot be read; empty if nothing is left out. */
+    std::string omission;
 };
 
 /** The command to start one attempt of a task. */
--- a/tests/adapter/CodecTests.cpp
+++ b/tests/adapter/CodecTests.cpp
@@ -217,6 +217,26 @@
     REQUIRE(report.ended.size() == 4);
     for (std::size_t index = 0; index < report.ended.size(); ++index) {
         CHECK(report.ended[index].number == static_cast<std::int64_t>(index) + 1);
-        CHECK(report.ended[index].task.job.empty() == (index > 0));
+        // The row with the unknown outcome names its task.
+        CHECK(report.ended[index].task.job.empty() == (index > 1));
     }
+    CHECK(report.ended[0].end == RunOutcome::Done);
+    CHECK(report.ended[1].end == RunOutcome::Stopped);
+}
+
+// Guards against a run that is taken for absent, and started a second time, because its row or the list cannot be read.
+TEST_CASE("a report that may leave out runs says what is malformed")
+{
+    const auto read = [](const char *text) { return platform::readTaskReport(nlohmann::json::parse(text)).omission; };
+    CHECK(read(R"({"born":7,"running":[["00000000000000aa.0.0.1",1,"",40]],"finished":[]})").empty());
+    CHECK(read(R"({"born":7,"running":[["00000000000000aa.0.0.1",1,"",40],["x",1,"",40]],"finished":[]})")
+          == R"(malformed running task ["x",1,"",40])");
+    CHECK_FALSE(read(R"({"born":7,"running":[["00000000000000aa.0.0.1",null,"",40]],"finished":[]})").empty());
+    CHECK_FALSE(read(R"({"born":7,"running":[["00000000000000aa.0.0.1",1,"",null]],"finished":[]})").empty());
+    CHECK_FALSE(read(R"({"born":7,"running":[["00000000000000aa.0.0.1",1,""]],"finished":[]})").empty());
+    CHECK_FALSE(read(R"({"born":7,"running":[7],"finished":[]})").empty());
+    CHECK(read(R"({"born":7,"running":{},"finished":[]})") == "no list of running tasks");
+    CHECK(read(R"({"born":7,"finished":[]})") == "no list of running tasks");
+    CHECK(read(R"({"born":7,"running":[],"finished":7})") == "no list of ended tasks");
+    CHECK(read(R"({"born":7,"running":[]})") == "no list of ended tasks");
 }
--- a/tests/entry/WorkerRelayTests.cpp
+++ b/tests/entry/WorkerRelayTests.cpp
@@ -117,6 +117,7 @@
     TaskReport report;
     report.incarnation = 7;
     report.running = { { { "job", 1, 2, 3 }, 1001, "checkpoint", 42, 17 } };
+    report.omission = "no list of ended tasks";
     report.ended = { { 9, { "other", 0, 0, 0 }, 1002, RunOutcome::Failed, "" } };
     return report;
 }
@@ -175,6 +176,7 @@
     CHECK(reportRead.running[0].task == TaskName { "job", 1, 2, 3 });
     CHECK(reportRead.running[0].checkpoint == "checkpoint");
     CHECK(reportRead.running[0].percent == 42);
+    CHECK(reportRead.omission == "no list of ended tasks");
     CHECK(reportRead.running[0].latencyOrProcessorUse == 17);
     REQUIRE(reportRead.ended.size() == 1);
     CHECK(reportRead.ended[0].number == 9);
--- a/tests/fakes/SimulatedWorker.cpp
+++ b/tests/fakes/SimulatedWorker.cpp
@@ -129,6 +129,7 @@
     report.isCutOff = ended_.size() >= maxListedEnds;
     report.ended.assign(ended_.begin(), ended_.begin() + static_cast<std::ptrdiff_t>(std::min(ended_.size(), maxListedEnds)));
     report.incarnation = entry_.incarnation;
+    report.omission = omission;
     return CommandOutcome::Accepted;
 }
 
--- a/tests/fakes/SimulatedWorker.h
+++ b/tests/fakes/SimulatedWorker.h
@@ -72,6 +72,9 @@
     /** The tasks whose runs its reports do not list, though they go on. */
     std::set<TaskName> unlistedTasks;
 
+    /** As TaskReport::omission in its reports. */
+    std::string omission;
+
     /** The most ended runs that a report lists, those with the lowest numbers. */
     std::size_t maxListedEnds = 500;
 
