The longest lease counts for a start that a restarted worker may have accepted

A worker that restarts under its id begins its clock anew. A start sent before the restart is known carries a deadline on the former clock, which is far away on the new one; the worker shortens it to maxHoldMs, while the owner reckoned with its own, shorter lease. If the worker fell silent right after, its run was given up early (by 1.5 s with maxHoldMs 6000, by 5 s with 10000), and a second one started beside it.

Until a report has listed a run, or the clock in the reply to its start is too high for a worker that has restarted since the last reading, the run is given up after the longest lease from that reply, or from the time at which the start was found to have none. Other runs of the worker have ended with the restart and are given up as before. Once the restart is known, WorkerLease::resetClock() moves the end of the leases of the whole worker. A start before the first reading of the clock counts from the creation of the client, not from the epoch of the owner's clock.

The price: the task of a start without an answer whose worker stays silent waits for maxHoldMs in place of the lease.

Simulated workers now grant the longest lease for a deadline on a former clock.

--- a/modules/dispatch/FleetLosses.cpp
+++ b/modules/dispatch/FleetLosses.cpp
@@ -11,8 +11,9 @@
     }
     const auto &run = found->second;
     const bool isUnwanted = run.isUnwanted;
-    const LostRun lost { loss,           outcome,    timers.now(),     run.incarnation,
-                         run.stopReason, isUnwanted, leaseEnd(worker), worker.lastReportAt };
+    const LostRun lost {
+        loss, outcome, timers.now(), run.incarnation, run.stopReason, isUnwanted, runLeaseEnd(worker, run), worker.lastReportAt
+    };
     lostRuns.add(worker.entry.id, key, lost);
     removeRun(worker, key);
     if (!isUnwanted) {
@@ -31,6 +32,25 @@
     }
 }
 
+void Fleet::Impl::reportExpiredRuns(WorkerState &worker, CommandOutcome outcome)
+{
+    std::vector<RunKey> keys;
+    for (const auto &[key, run] : worker.runs) {
+        const auto end = runLeaseEnd(worker, run);
+        if (timers.now() > end && evidence.requireConfirmation(end)) {
+            keys.push_back(key);
+        }
+    }
+    if (keys.empty()) {
+        return;
+    }
+    logLoss(worker, outcome);
+    possibleCrashes.add(makePossibleCrash(worker), timers.now());
+    for (const auto &key : keys) {
+        reportLostRun(worker, key, RunLoss::LeaseExpired);
+    }
+}
+
 void Fleet::Impl::processUnknownRun(WorkerState &worker, const RunningTask &running, TimePoint pollSentAt)
 {
     const RunKey key { running.task, running.attempt };
@@ -99,6 +119,7 @@
     run.startedAt = now;
     run.confirmedAt = now;
     run.incarnation = worker.entry.incarnation;
+    run.isIncarnationKnown = true;
     run.percent = running.percent;
     run.percentChangedAt = now;
     run.latencyOrProcessorUse = running.latencyOrProcessorUse;
--- a/modules/dispatch/FleetPolling.cpp
+++ b/modules/dispatch/FleetPolling.cpp
@@ -185,10 +185,12 @@
         worker.acknowledgedEnd = worker.lastSeenEnd;
         removeIfGone(id);
     } else if (isWrongWorker || isLeaseOver(worker)) {
-        logLoss(worker, reply.outcome);
-        possibleCrashes.add(makePossibleCrash(worker), timers.now());
-        reportAllRunsLost(worker, isWrongWorker ? RunLoss::WorkerRestarted : RunLoss::LeaseExpired);
-        if (isWrongWorker) {
+        if (!isWrongWorker) {
+            reportExpiredRuns(worker, reply.outcome);
+        } else {
+            logLoss(worker, reply.outcome);
+            possibleCrashes.add(makePossibleCrash(worker), timers.now());
+            reportAllRunsLost(worker, RunLoss::WorkerRestarted);
             worker.isReportRead = true;
             worker.acknowledgedEnd = worker.lastSeenEnd;
             for (const auto &crash : possibleCrashes.takeReplaced(id)) {
@@ -344,6 +346,7 @@
         }
         auto &run = found->second;
         run.incarnation = worker.entry.incarnation;
+        run.isIncarnationKnown = true;
         if (run.percent != running.percent) {
             run.percent = running.percent;
             run.percentChangedAt = now;
--- a/modules/workload/LeasedWorkerClient.cpp
+++ b/modules/workload/LeasedWorkerClient.cpp
@@ -33,7 +33,9 @@
 
 WorkerClient::CommandCallback LeasedWorkerClient::recordClock(CommandCallback callback) const
 {
-    return [state = state_, incarnation = state_->incarnation, callback = std::move(callback)](const Reply &reply) {
+    return [state = state_, incarnation = state_->incarnation, callback = std::move(callback)](Reply reply) {
+        reply.isClockContinued = reply.workerClock && incarnation == state->incarnation
+                                 && state->lease.isClockContinued(*reply.workerClock);
         state->updateClock(reply, incarnation);
         callback(reply);
     };
--- /dev/null
+++ b/tests/dispatch/RestartedWorkerLeaseTests.cpp
@@ -0,0 +1,92 @@
+#include "dispatch/LossFixture.h"
+#include "workload/WorkerLease.h"
+
+using namespace auburndoor;
+
+// Guards against a second run beside one on a worker that has restarted just before its start: the deadline of the start is on the
+// clock of the former incarnation, so that the worker grants the longest lease that it knows.
+TEST_CASE("a run that a restarted worker may have accepted is given up after the longest lease", "[loss]")
+{
+    const bool isAnswered = GENERATE(true, false);
+    CAPTURE(isAnswered);
+    LossFixture cell;
+    auto &worker = cell.fleet.worker("w1");
+    worker.killTime = Milliseconds(0);
+    worker.restart();
+    cell.fleet.drawFault = [isAnswered] {
+        return CommandFault { isAnswered ? CommandFault::Kind::None : CommandFault::Kind::AnswerLost };
+    };
+    cell.fleet.onStarted = [&cell, before = cell.fleet.onStarted](SimulatedWorker &startedOn, const StartCommand &command) {
+        before(startedOn, command);
+        cell.timers.after(Milliseconds(4), [&startedOn] { startedOn.isCutOff = startedOn.entry().id == "w1"; });
+    };
+    REQUIRE(cell.submit(LossFixture::job, jobBody(1, 3000)) == ClientResult::Outcome::Accepted);
+    cell.timers.advance(Milliseconds(500));
+    REQUIRE(cell.starts.size() == 1);
+    REQUIRE(worker.runs().size() == 1);
+    cell.fleet.drawFault = {};
+    cell.addWorker("w2", 4);
+    cell.timers.advance(worker.maxLease + Milliseconds(2500));
+    CHECK(cell.starts.size() == 2);
+    CHECK(cell.violations().empty());
+}
+
+// Guards against a lease that is longer than known once the restart is: the worker keeps the longest one that it has granted.
+TEST_CASE("a restart that is noticed moves the end of the leases to that of the longest one", "[loss]")
+{
+    constexpr Milliseconds maxLease { 6000 };
+    ManualTimers timers;
+    WorkerLease lease(timers, maxLease);
+    lease.updateClock(Milliseconds(480000));
+    lease.grant(Milliseconds(4500));
+    timers.advance(Milliseconds(100));
+    lease.resetClock();
+    CHECK(lease.end() >= timers.now() + maxLease);
+    CHECK(lease.end() <= timers.now() + maxLease + Milliseconds(200));
+}
+
+// Guards against a start whose deadline counts on a clock that was never read: an entry machine that is up for long would give a
+// worker that has just started the longest lease.
+TEST_CASE("a lease that is granted before the first reading of the clock counts from the worker's earliest time", "[loss]")
+{
+    const auto upTime = GENERATE(Milliseconds(0), Milliseconds(20000), Milliseconds(std::chrono::hours(240)));
+    CAPTURE(upTime.count());
+    ManualTimers timers(upTime);
+    WorkerLease lease(timers, Milliseconds(6000));
+    timers.advance(Milliseconds(700));
+    CHECK(lease.grant(Milliseconds(4500)) == Milliseconds(5200));
+    CHECK(lease.end() <= timers.now() + Milliseconds(4500 + 200));
+}
+
+// Guards against a reading of a restarted worker that is taken for one of its former incarnation.
+TEST_CASE("a reading of a worker's clock tells that it has not restarted only if it is higher than any of a new incarnation",
+          "[loss]")
+{
+    ManualTimers timers;
+    WorkerLease lease(timers, Milliseconds(6000));
+    CHECK_FALSE(lease.isClockContinued(Milliseconds(480000)));
+    lease.updateClock(Milliseconds(480000));
+    timers.advance(Milliseconds(3000));
+    CHECK(lease.isClockContinued(Milliseconds(483000)));
+    // It may have restarted right after the last reading, whose reply was on its way for long.
+    CHECK_FALSE(lease.isClockContinued(Milliseconds(8000)));
+    CHECK_FALSE(lease.isClockContinued(Milliseconds(2900)));
+}
+
+// Guards against a successor that waits for the lease that its predecessor has granted, while the worker, which had restarted just
+// before the start, grants the longest one.
+TEST_CASE("a new owner waits for the longest lease of a worker that has restarted before its last start", "[inherited-restart]")
+{
+    LossFixture cell;
+    auto &worker = cell.fleet.worker("w1");
+    worker.killTime = Milliseconds(0);
+    worker.restart();
+    cell.begin(1, jobBody(1, 3000));
+    REQUIRE(worker.runs().size() == 1);
+    worker.isCutOff = true;
+    cell.addWorker("w2", 4);
+    cell.takeOver();
+    cell.timers.advance(worker.maxLease + Milliseconds(1000));
+    CHECK(cell.starts.size() == 2);
+    CHECK(cell.violations().empty());
+}
--- a/tests/fakes/SimulatedWorker.cpp
+++ b/tests/fakes/SimulatedWorker.cpp
@@ -173,6 +173,11 @@
     entry_.service = service;
 }
 
+TimePoint SimulatedWorker::now() const
+{
+    return timers_.now();
+}
+
 const WorkerEntry &SimulatedWorker::entry() const
 {
     return entry_;
@@ -198,7 +203,12 @@
 {
 public:
     Orders(SimulatedFleet &fleet, const WorkerEntry &entry, std::int64_t token)
-        : fleet_(fleet), id_(entry.id), token_(token), connectedLife_(fleet.worker(id_).entry().incarnation)
+        : fleet_(fleet)
+        , id_(entry.id)
+        , token_(token)
+        , connectedLife_(fleet.worker(id_).entry().incarnation)
+        , knownLife_(entry.incarnation)
+        , clockLife_(std::make_shared<std::int64_t>(connectedLife_))
     {
     }
 
@@ -206,10 +216,10 @@
     {
         const auto deadline = promise(lease);
         deliver(
-            [&fleet = fleet_, id = id_, token = token_, order, deadline] {
+            [&fleet = fleet_, id = id_, token = token_, order, deadline, life = *clockLife_] {
                 auto &worker = fleet.worker(id);
                 const auto before = worker.runs().size();
-                const auto outcome = worker.start(order, deadline, token);
+                const auto outcome = worker.start(order, deadlineOn(worker, deadline, life), token);
                 if (worker.runs().size() > before && fleet.onStarted) {
                     fleet.onStarted(worker, order);
                 }
@@ -248,6 +258,10 @@
             return;
         }
         isConnected_ = true;
+        callback = [callback = std::move(callback), clockLife = clockLife_](const Reply &reply, const TaskReport &report) {
+            *clockLife = reply.outcome == CommandOutcome::Accepted ? report.incarnation : *clockLife;
+            callback(reply, report);
+        };
         if (fleet_.worker(id_).hasExited) {
             timers.after(wayThere, [callback = std::move(callback)] {
                 callback({ CommandOutcome::NotSent, "no connection" }, {});
@@ -258,10 +272,14 @@
             timers.after(wayThere, [callback = std::move(callback)] { callback({ CommandOutcome::WrongWorker, {} }, {}); });
             return;
         }
-        timers.after(wayThere, [&timers, &fleet = fleet_, id = id_, token = token_, acknowledged, deadline, wait, callback] {
-            const auto incarnation = fleet.worker(id).entry().incarnation;
-            waitForEnd(fleet, timers, id, token, acknowledged, deadline, timers.now() + wait, incarnation, callback);
-        });
+        timers.after(
+            wayThere,
+            [&timers, &fleet = fleet_, id = id_, token = token_, acknowledged, deadline, wait, callback, life = *clockLife_] {
+                const auto &worker = fleet.worker(id);
+                const auto end = deadline ? std::optional(deadlineOn(worker, *deadline, life)) : std::nullopt;
+                const auto until = timers.now() + wait;
+                waitForEnd(fleet, timers, id, token, acknowledged, end, until, worker.entry().incarnation, callback);
+            });
     }
 
     TimePoint leaseEnd() const override
@@ -269,11 +287,20 @@
         return leaseEnd_;
     }
 
-    void update(const WorkerEntry &) override
+    void update(const WorkerEntry &entry) override
     {
+        if (std::exchange(knownLife_, entry.incarnation) != entry.incarnation) {
+            leaseEnd_ = std::max(leaseEnd_, fleet_.timers_.now() + fleet_.worker(id_).maxLease + Milliseconds(100));
+        }
     }
 
 private:
+    /** What a deadline on the clock of one incarnation means to the worker: after a restart it is far away. */
+    static TimePoint deadlineOn(const SimulatedWorker &worker, TimePoint deadline, std::int64_t clockLife)
+    {
+        return worker.entry().incarnation == clockLife ? deadline : worker.now() + worker.maxLease;
+    }
+
     TimePoint promise(Milliseconds lease)
     {
         const auto deadline = fleet_.timers_.now() + lease;
@@ -340,12 +367,14 @@
                       token = token_,
                       fault,
                       action = std::move(action),
+                      life = *clockLife_,
                       callback = std::move(callback)] {
+                         const bool isClockContinued = fleet.worker(id).entry().incarnation == life;
                          const auto outcome = fleet.worker(id).isReplaced ? CommandOutcome::WrongWorker : action();
                          const bool isLost = fault.kind == CommandFault::Kind::AnswerLost
                                              || fleet.worker(id).cutOffTokens.contains(token);
-                         timers.after(isLost ? givenUpAfter : wayThere, [callback, outcome, isLost] {
-                             callback({ isLost ? CommandOutcome::Unknown : outcome, {} });
+                         timers.after(isLost ? givenUpAfter : wayThere, [callback, outcome, isLost, isClockContinued] {
+                             callback({ isLost ? CommandOutcome::Unknown : outcome, {}, {}, isClockContinued });
                          });
                      });
     }
@@ -354,6 +383,10 @@
     std::string id_;
     std::int64_t token_;
     std::int64_t connectedLife_ = 0;
+    /** The incarnation in the last update. */
+    std::int64_t knownLife_ = 0;
+    /** The incarnation whose clock was read last; deadlines count on it. */
+    std::shared_ptr<std::int64_t> clockLife_;
     /** A connection to the worker is kept. */
     bool isConnected_ = true;
     TimePoint leaseEnd_;
--- a/tests/fakes/SimulatedWorker.h
+++ b/tests/fakes/SimulatedWorker.h
@@ -72,6 +72,9 @@
     /** The tasks whose runs its reports do not list, though they go on. */
     std::set<TaskName> unlistedTasks;
 
+    /** The longest lease that it grants. */
+    Milliseconds maxLease { 10000 };
+
     /** As TaskReport::omission in its reports. */
     std::string omission;
 
@@ -86,6 +89,8 @@
     /** Changes the service that its entry shows; what runs goes on. */
     void setService(const std::string &service);
 
+    /** The time on the clock of the test. */
+    TimePoint now() const;
     const WorkerEntry &entry() const;
     const std::map<std::pair<TaskName, std::int64_t>, LiveRun> &runs() const;
     const std::vector<EndedTask> &listedEnds() const;
