A worker whose report left a run out is read once more

A worker without known runs is not polled. One request for each missing run; such losses are rare.

Reports of simulated workers now leave out single runs. Before, they left out each attempt of a task, so that one started again on the same worker was missing too, and the tests depended on the time of the next poll.

--- a/modules/dispatch/FleetLosses.cpp
+++ b/modules/dispatch/FleetLosses.cpp
@@ -16,6 +16,14 @@
     };
     lostRuns.add(worker.entry.id, key, lost);
     removeRun(worker, key);
+    if (loss == RunLoss::Missing) {
+        // A worker without known runs is not polled: one more report shows whether the run goes on.
+        timers.after(timing.pollRetryDelay, [impl = shared_from_this(), id = worker.entry.id] {
+            if (!impl->isClosed) {
+                impl->probe(id);
+            }
+        });
+    }
     if (!isUnwanted) {
         listener.runLost(worker.entry.id, key, loss, outcome);
     }
--- a/tests/dispatch/ContradictedLossTests.cpp
+++ b/tests/dispatch/ContradictedLossTests.cpp
@@ -49,19 +49,38 @@
     LossFixture cell;
     cell.begin(2, jobBody(2, 1500));
     cell.addWorker("w2", 4);
-    const TaskName task { LossFixture::job, 0, 0, 0 };
-    cell.fleet.worker("w1").unlistedTasks = { task };
+    cell.fleet.worker("w1").unlistedRuns = { LossFixture::firstRun() };
     cell.timers.advance(Milliseconds(2500));
     REQUIRE(cell.starts.size() == 3);
     REQUIRE(cell.attempts().size() == 2);
     const auto first = cell.attempts().front();
-    cell.fleet.worker("w1").unlistedTasks.clear();
+    cell.fleet.worker("w1").unlistedRuns.clear();
     cell.timers.advance(Milliseconds(1000) + LossFixture::reactionTime);
     CHECK(cell.contradictions("missing") == 1);
     CHECK(cell.attempts() == std::vector<std::int64_t> { first });
     CHECK(cell.starts.size() == 3);
 }
 
+// Guards against a run that stays hidden because nobody reads the reports of a worker without known runs.
+TEST_CASE("a worker is read once more after a report that left out its only run", "[loss]")
+{
+    LossFixture cell;
+    cell.begin(1, jobBody(1, 3000));
+    cell.addWorker("w2", 4);
+    // Nothing is started on it any more.
+    cell.list("w1", true);
+    cell.fleet.worker("w1").unlistedRuns = { LossFixture::firstRun() };
+    for (int step = 0; step < 200 && cell.starts.size() < 2; ++step) {
+        cell.timers.advance(Milliseconds(20));
+    }
+    REQUIRE(cell.attemptsOn("w2").size() == 1);
+    cell.fleet.worker("w1").unlistedRuns.clear();
+    cell.timers.advance(LossFixture::reactionTime);
+    CHECK(cell.contradictions("missing") == 1);
+    CHECK(cell.attemptsOn("w1").size() == 1);
+    CHECK(cell.attemptsOn("w2").empty());
+}
+
 // Guards against copies that are stopped although the step allows them.
 TEST_CASE("a run that goes on after it was given up runs beside the later one if its step allows copies", "[loss]")
 {
--- a/tests/dispatch/LossFixture.h
+++ b/tests/dispatch/LossFixture.h
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace auburndoor {
 
@@ -57,6 +58,11 @@
     {
         fleet.worker("w1").isCutOff = false;
     }
+    /** The first attempt of the first task under the first owner. */
+    static std::pair<TaskName, std::int64_t> firstRun()
+    {
+        return { { job, 0, 0, 0 }, 1 };
+    }
     long long contradictions(const std::string &reason) const
     {
         return metrics.counter("events_total", "event=run.loss_contradicted,reason=" + reason);
--- a/tests/dispatch/UnreadableReportTests.cpp
+++ b/tests/dispatch/UnreadableReportTests.cpp
@@ -2,12 +2,6 @@
 
 using namespace auburndoor;
 
-namespace {
-
-const TaskName firstTask { LossFixture::job, 0, 0, 0 };
-
-} // namespace
-
 // Guards against a second run of a task whose row in a report cannot be read.
 TEST_CASE("a run that is missing from a report that cannot be read in full goes on", "[loss]")
 {
@@ -15,12 +9,12 @@
     cell.begin(2, jobBody(2, 1500));
     cell.addWorker("w2", 4);
     auto &worker = cell.fleet.worker("w1");
-    worker.unlistedTasks = { firstTask };
+    worker.unlistedRuns = { LossFixture::firstRun() };
     worker.omission = "malformed running task";
     cell.timers.advance(Milliseconds(5000));
     CHECK(cell.starts.size() == 2);
     CHECK(cell.metrics.counter("events_total", "event=worker.report_unreadable") == 1);
-    worker.unlistedTasks.clear();
+    worker.unlistedRuns.clear();
     worker.omission.clear();
     CHECK(cell.runUntil(LossFixture::job, JobStage::Completed, Milliseconds(20000)));
     CHECK(cell.starts.size() == 2);
@@ -34,7 +28,7 @@
     cell.begin(2, jobBody(2, 1500));
     cell.addWorker("w2", 4);
     auto &worker = cell.fleet.worker("w1");
-    worker.unlistedTasks = { firstTask };
+    worker.unlistedRuns = { LossFixture::firstRun() };
     worker.omission = "malformed running task";
     cell.timers.advance(Milliseconds(2000));
     worker.omission.clear();
@@ -52,7 +46,7 @@
     cell.timers.advance(Milliseconds(500));
     auto &worker = cell.fleet.worker("w1");
     worker.killTime = Milliseconds(0);
-    worker.unlistedTasks = { firstTask };
+    worker.unlistedRuns = { LossFixture::firstRun() };
     worker.omission = "malformed running task";
     cell.takeOver();
     cell.timers.advance(Milliseconds(3000));
--- a/tests/fakes/SimulatedWorker.cpp
+++ b/tests/fakes/SimulatedWorker.cpp
@@ -116,7 +116,7 @@
     }
     std::erase_if(ended_, [acknowledged](const EndedTask &ended) { return ended.number <= acknowledged; });
     for (const auto &[key, run] : runs_) {
-        if (unlistedTasks.contains(key.first)) {
+        if (unlistedRuns.contains(key)) {
             continue;
         }
         const auto elapsed = std::chrono::duration_cast<Milliseconds>(timers_.now() - run.startedAt);
--- a/tests/fakes/SimulatedWorker.h
+++ b/tests/fakes/SimulatedWorker.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace auburndoor {
@@ -69,8 +70,8 @@
     /** How long its runs go on once the lease has ended. */
     Milliseconds killTime { 0 };
 
-    /** The tasks whose runs its reports do not list, though they go on. */
-    std::set<TaskName> unlistedTasks;
+    /** The runs, by task and attempt, that its reports do not list though they go on. */
+    std::set<std::pair<TaskName, std::int64_t>> unlistedRuns;
 
     /** The longest lease that it grants. */
     Milliseconds maxLease { 10000 };
