--- a/modules/dispatch/FleetPolling.cpp
+++ b/modules/dispatch/FleetPolling.cpp
@@ -2,6 +2,7 @@
 #include "observability/EventLog.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace auburndoor {
 
@@ -53,7 +54,10 @@
     const auto wait = worker->isReportRead && worker->failedPolls == 0 ? timing.pollWait : Milliseconds(0);
     ++renewalsSent;
     // The lease of a worker that does not answer is not extended, so that its runs have ended by a known time.
-    const auto lease = worker->failedPolls == 0 && !worker->isHandedOver ? permittedLease() : Milliseconds(0);
+    // Nor is that of one whose runs cannot be read since the takeover: the tasks that may run there could never start elsewhere.
+    const bool isRenewed = worker->failedPolls == 0 && !worker->isHandedOver
+                           && (worker->isReportRead || !worker->isReportUnreadable);
+    const auto lease = isRenewed ? permittedLease() : Milliseconds(0);
     // After a failed poll the worker may have restarted: its report is read before ends are acknowledged.
     const auto acknowledgement = worker->failedPolls == 0 ? worker->acknowledgementToSend() : 0;
     worker->client->renewLeases(
@@ -136,7 +140,7 @@
             run.confirmedAt = timers.now();
             run.percentChangedAt = timers.now();
             listener.runConfirmed(worker.entry.id, run);
-        } else if (worker.isReportCutOff || (!listed.contains(key) && !isAbsenceConclusive(worker, run))) {
+        } else if (!worker.isReportComplete() || (!listed.contains(key) && !isAbsenceConclusive(worker, run))) {
             continue;
         } else if (!listed.contains(key) && run.isStartAnswered) {
             lost.push_back(key);
@@ -181,10 +185,12 @@
         worker.acknowledgedEnd = worker.lastSeenEnd;
         removeIfGone(id);
     } else if (isWrongWorker || isLeaseOver(worker)) {
-        logLoss(worker, reply.outcome);
-        possibleCrashes.add(makePossibleCrash(worker), timers.now());
-        reportAllRunsLost(worker, isWrongWorker ? RunLoss::WorkerRestarted : RunLoss::LeaseExpired);
-        if (isWrongWorker) {
+        if (!isWrongWorker) {
+            reportExpiredRuns(worker, reply.outcome);
+        } else {
+            logLoss(worker, reply.outcome);
+            possibleCrashes.add(makePossibleCrash(worker), timers.now());
+            reportAllRunsLost(worker, RunLoss::WorkerRestarted);
             worker.isReportRead = true;
             worker.acknowledgedEnd = worker.lastSeenEnd;
             for (const auto &crash : possibleCrashes.takeReplaced(id)) {
@@ -225,14 +231,23 @@
     const auto lastSeenEndBefore = worker.lastSeenEnd;
     const bool wasReportRead = worker.isReportRead;
     const bool isNewlyCutOff = report.isCutOff && !worker.isReportCutOff;
+    const bool wasReportUnreadable = std::exchange(worker.isReportUnreadable, !report.omission.empty());
     worker.isReportCutOff = report.isCutOff;
     // Runs that have ended beyond the listed ends are unknown until these are acknowledged.
-    worker.isReportRead = wasReportRead || !report.isCutOff;
+    worker.isReportRead = wasReportRead || worker.isReportComplete();
     if (isNewlyCutOff) {
         EventLog::write(
             "worker.cut_off",
             { { "worker", id }, { "ends", report.ended.size() }, { "runs", worker.runs.size() }, { "read", wasReportRead } });
     }
+    if (worker.isReportUnreadable && !wasReportUnreadable) {
+        EventLog::write("worker.report_unreadable",
+                        { { "worker", id },
+                          { "detail", report.omission },
+                          { "running", report.running.size() },
+                          { "runs", worker.runs.size() },
+                          { "read", wasReportRead } });
+    }
     processEnds(worker, report);
     processRunning(worker, report, pollSentAt);
     reportCrashes(id, report, pollSentAt);
@@ -245,6 +260,8 @@
         schedulePoll(id, hasNewEnds ? timing.endBatchDelay : pollDelayWithUnrecordedEnds);
     } else if (worker.isReportCutOff) {
         schedulePoll(id, Milliseconds(0));
+    } else if (worker.isReportUnreadable) {
+        schedulePoll(id, timing.pollRetryDelay);
     } else if (!worker.runs.empty()) {
         schedulePoll(id, wasReportRead ? Milliseconds(2) : Milliseconds(0));
     }
@@ -255,7 +272,7 @@
 
 void Fleet::Impl::reportCrashes(const std::string &id, const TaskReport &report, TimePoint pollSentAt)
 {
-    if (report.isCutOff) {
+    if (report.isCutOff || !report.omission.empty()) {
         return;
     }
     for (auto &crash : possibleCrashes.take(id, report.incarnation, pollSentAt)) {
@@ -293,6 +310,10 @@
             recordOutcome(worker, end.end == RunOutcome::Failed);
         }
         removeRun(worker, key);
+        if (lostRuns.erase(id, key)) {
+            // A report that was overtaken by this one may still list it.
+            worker.recentlyEndedRuns[key] = timers.now();
+        }
         worker.unrecordedEnds.insert(end.number);
         listener.runEnded(id, end, [impl = shared_from_this(), id, incarnation, number = end.number] {
             impl->onEndRecorded(id, incarnation, number);
@@ -320,13 +341,12 @@
         listed.insert(key);
         const auto found = worker.runs.find(key);
         if (found == worker.runs.end()) {
-            if (!worker.recentlyEndedRuns.contains(key)) {
-                processUnknownRun(worker, running);
-            }
+            processUnknownRun(worker, running, pollSentAt);
             continue;
         }
         auto &run = found->second;
         run.incarnation = worker.entry.incarnation;
+        run.isIncarnationKnown = true;
         if (run.percent != running.percent) {
             run.percent = running.percent;
             run.percentChangedAt = now;
@@ -346,40 +366,9 @@
     reportMissingRuns(worker, listed, pollSentAt);
 }
 
-void Fleet::Impl::processUnknownRun(WorkerState &worker, const RunningTask &running)
-{
-    const RunKey key { running.task, running.attempt };
-    const auto now = timers.now();
-    Run run;
-    run.key = key;
-    run.phase = Run::Phase::Running;
-    run.startedAt = now;
-    run.confirmedAt = now;
-    run.incarnation = worker.entry.incarnation;
-    run.percent = running.percent;
-    run.percentChangedAt = now;
-    run.latencyOrProcessorUse = running.latencyOrProcessorUse;
-    const auto claim = listener.adoptRun(worker.entry.id, running);
-    run.isUnwanted = !claim;
-    run.claim = claim.value_or(RunClaim());
-    worker.used += run.claim.need;
-    worker.isolatedRuns += run.claim.isIsolated ? 1 : 0;
-    worker.unwantedRuns += run.isUnwanted ? 1 : 0;
-    worker.runs.emplace(key, run);
-    EventLog::write(
-        claim ? "run.adopted" : "run.unwanted",
-        { { "job", key.task.job }, { "worker", worker.entry.id }, { "attempt", key.attempt }, { "percent", running.percent } });
-    if (!claim) {
-        worker.runs.at(key).stopReason = "unwanted";
-        sendStop(worker.entry.id, key);
-    } else if (!running.checkpoint.empty()) {
-        listener.checkpointSeen(running);
-    }
-}
-
 void Fleet::Impl::reportMissingRuns(WorkerState &worker, const std::set<RunKey> &listed, TimePoint pollSentAt)
 {
-    if (worker.isReportCutOff) {
+    if (!worker.isReportComplete()) {
         return;
     }
     std::vector<std::pair<RunKey, RunLoss>> missing;
--- a/modules/workload/WorkerClient.h
+++ b/modules/workload/WorkerClient.h
@@ -90,6 +90,8 @@
     std::int64_t incarnation = 0;
     /** The worker may have finished more runs than it lists: one that is in neither list may have ended in any way. */
     bool isCutOff = false;
+    /** Why it may leave out runs that go on or have ended, such as a row that cannot be read; empty if nothing is left out. */
+    std::string omission;
 };
 
 /** The command to start one attempt of a task. */
@@ -121,6 +123,11 @@
         std::string detail;
         /** The worker's clock when it replied; empty if the reply does not tell. */
         std::optional<Milliseconds> workerClock = {};
+        /**
+            The worker's clock continues its earlier readings, so that the worker has not restarted in between; false if that is
+            not known. Set by implementations of WorkerClient for the replies to starts.
+        */
+        bool isClockContinued = false;
     };
     using CommandCallback = std::function<void(const Reply &)>;
     using ReportCallback = std::function<void(const Reply &, const TaskReport &)>;
--- a/tests/fakes/SimulatedWorker.h
+++ b/tests/fakes/SimulatedWorker.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace auburndoor {
@@ -69,6 +70,15 @@
     /** How long its runs go on once the lease has ended. */
     Milliseconds killTime { 0 };
 
+    /** The runs, by task and attempt, that its reports do not list though they go on. */
+    std::set<std::pair<TaskName, std::int64_t>> unlistedRuns;
+
+    /** The longest lease that it grants. */
+    Milliseconds maxLease { 10000 };
+
+    /** As TaskReport::omission in its reports. */
+    std::string omission;
+
     /** The most ended runs that a report lists, those with the lowest numbers. */
     std::size_t maxListedEnds = 500;
 
@@ -80,6 +90,8 @@
     /** Changes the service that its entry shows; what runs goes on. */
     void setService(const std::string &service);
 
+    /** The time on the clock of the test. */
+    TimePoint now() const;
     const WorkerEntry &entry() const;
     const std::map<std::pair<TaskName, std::int64_t>, LiveRun> &runs() const;
     const std::vector<EndedTask> &listedEnds() const;
