Lines about each start no longer displace losses from the log

Engineers looked for the loss of a run in the log of an entry process and did not find it, though it had been counted.

Cause: run.lost shared the limit of 1,500 lines a second with the lines about each start and end. And when the reader of the log was slow, lines of all kinds were dropped alike once 1 MiB was buffered, which starts fill within seconds. log.dropped told of the first only, and only if a further routine line came.

Change: three kinds of lines with limits and shares of the buffer of their own. Routine lines as before; lines that come in bursts and tell of a loss or of changed knowledge of a task (EventLog::writeBurst(), 5,000 a second, 512 KiB beyond the room of routine lines); rare lines (no limit per second, further 256 KiB). The buffer is bounded by 1.75 MiB and a line. log.dropped tells of all dropped lines once there is room again, at most once a second; log_lines_dropped_total counts them by kind and reason. A reader that takes nothing is tried once in 16 KiB and not with each line.

An event with both "why" and "outcome", as run.lost, had the label "reason" twice in events_total, which monitoring cannot read. The first one counts.

--- a/modules/observability/EventLog.cpp
+++ b/modules/observability/EventLog.cpp
@@ -6,17 +6,56 @@
 #include <charconv>
 #include <chrono>
 #include <fcntl.h>
+#include <limits>
+#include <poll.h>
 #include <unistd.h>
+#include <utility>
 
 namespace auburndoor {
 
 namespace {
 
 // At a peak of 600 starts per second, the owner writes two lines for each start.
-constexpr int maxRateLimitedLinesPerSecond = 1500;
-// Further lines are dropped while the buffer holds more unwritten bytes than this.
-constexpr std::size_t maxBufferedBytes = 1 << 20;
+constexpr int maxRoutineLinesPerSecond = 1500;
+// The loss of a zone takes the runs of hundreds of workers at once, and a takeover finds all runs of the cell.
+constexpr int maxBurstLinesPerSecond = 5000;
+// Routine lines are dropped while more unwritten bytes than this are buffered.
+constexpr std::size_t maxRoutineBytes = 1 << 20;
+// Beyond that, room for lines that come in bursts: about 2,000 of them.
+constexpr std::size_t burstReserveBytes = 1 << 19;
+// Beyond both, room for rare lines only: about 1,000 of them.
+constexpr std::size_t rareReserveBytes = 1 << 18;
 constexpr std::size_t flushThresholdBytes = 1 << 14;
+// One line tells of all lines that were dropped in this time.
+constexpr std::chrono::seconds dropReportInterval { 1 };
+
+/** How many lines of a kind may be written in a second, and up to which number of unwritten bytes. */
+struct LineLimit
+{
+    std::string_view kind;
+    int linesPerSecond;
+    std::size_t unwrittenBytes;
+};
+
+constexpr LineLimit routineLimit { "routine", maxRoutineLinesPerSecond, maxRoutineBytes };
+constexpr LineLimit burstLimit { "burst", maxBurstLinesPerSecond, maxRoutineBytes + burstReserveBytes };
+constexpr LineLimit rareLimit { "rare", std::numeric_limits<int>::max(), maxRoutineBytes + burstReserveBytes + rareReserveBytes };
+
+/** Lines that were dropped and that no line tells of so far. */
+struct DroppedLines
+{
+    long long overLimit = 0;
+    long long noRoom = 0;
+    /** Those of both that were no routine lines. */
+    long long notRoutine = 0;
+};
+
+/** The present second of one limit. */
+struct LineWindow
+{
+    std::chrono::steady_clock::time_point startedAt;
+    int lines = 0;
+};
 
 struct State
 {
@@ -26,10 +65,15 @@
     std::string label;
     std::string durationLabel;
     std::string buffer;
-    std::chrono::steady_clock::time_point secondStart;
-    int linesInSecond = 0;
+    /** The buffer is flushed once it is larger than this, so that a reader that takes nothing is not tried with each line. */
+    std::size_t flushAtBytes = flushThresholdBytes;
+    LineWindow routineWindow;
+    LineWindow burstWindow;
+    LineWindow rareWindow;
+    DroppedLines unreported;
+    std::chrono::steady_clock::time_point dropReportedAt;
     long long dropped = 0;
-    long long droppedInSecond = 0;
+    int descriptor = STDOUT_FILENO;
     bool isEnabled = false;
     Metrics *metrics = nullptr;
 };
@@ -40,18 +84,26 @@
     return instance;
 }
 
+bool isReason(std::string_view key)
+{
+    return key == "outcome" || key == "why" || key == "how" || key == "stage";
+}
+
 /** Counts an event by its name and reason, and adds its durations to the histogram. */
-void countEvent(State &log, std::string_view event, std::initializer_list<EventField> fields)
+void countEvent(State &log, std::string_view event, std::span<const EventField> fields)
 {
     auto &label = log.label;
     label.assign("event=").append(event);
+    bool hasReason = false;
     for (const auto &field : fields) {
         if (const auto *number = std::get_if<std::int64_t>(&field.value)) {
             if (field.key.ends_with("_ms")) {
                 log.durationLabel.assign("event=").append(event).append(",field=").append(field.key);
                 log.metrics->observe("event_milliseconds", std::chrono::milliseconds(*number), log.durationLabel);
             }
-        } else if (field.key == "outcome" || field.key == "why" || field.key == "how" || field.key == "stage") {
+        } else if (isReason(field.key) && !hasReason) {
+            // A label may be given once only.
+            hasReason = true;
             label.append(",reason=").append(std::get<std::string_view>(field.value));
         }
     }
@@ -97,13 +149,9 @@
     line.append(digits, std::to_chars(std::begin(digits), std::end(digits), number).ptr);
 }
 
-/** Appends one line to the buffer, or counts it as dropped if the buffer is full. */
-void appendEvent(State &log, std::string_view event, std::initializer_list<EventField> fields)
+/** Appends one line to the buffer. */
+void appendLine(State &log, std::string_view event, std::span<const EventField> fields)
 {
-    if (log.buffer.size() > maxBufferedBytes) {
-        ++log.dropped;
-        return;
-    }
     using namespace std::chrono;
     auto &line = log.buffer;
     line += "{\"t\":";
@@ -125,70 +173,161 @@
         }
     }
     line += "}\n";
-    if (line.size() > flushThresholdBytes) {
-        EventLog::flush();
-    }
 }
 
-} // namespace
+/** Writes a line that tells of the lines dropped so far, if there are any. */
+void reportDroppedLines(State &log)
+{
+    const auto dropped = std::exchange(log.unreported, {});
+    if (dropped.overLimit + dropped.noRoom == 0) {
+        return;
+    }
+    const EventField fields[] = { { "lines", dropped.overLimit + dropped.noRoom },
+                                  { "over_limit", dropped.overLimit },
+                                  { "no_room", dropped.noRoom },
+                                  { "not_routine", dropped.notRoutine } };
+    if (log.metrics != nullptr) {
+        countEvent(log, "log.dropped", fields);
+    }
+    appendLine(log, "log.dropped", fields);
+    log.dropReportedAt = std::chrono::steady_clock::now();
+}
 
-void EventLog::configure(const std::string &processName)
+/** Calls reportDroppedLines() if the buffer has room for routine lines again and the last report is not too recent. */
+void reportDroppedLinesIfDue(State &log)
 {
-    state().process.clear();
-    appendJsonString(state().process, processName);
-    state().isEnabled = true;
-    const int flags = fcntl(STDOUT_FILENO, F_GETFL);
-    if (flags >= 0) {
-        fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+    const bool isDue = std::chrono::steady_clock::now() - log.dropReportedAt > dropReportInterval;
+    if (isDue && log.buffer.size() <= maxRoutineBytes) {
+        reportDroppedLines(log);
     }
 }
 
-void EventLog::write(std::string_view event, std::initializer_list<EventField> fields)
+/** Takes one line off the limit of the present second. @return false if the limit is reached */
+bool takeFromLimit(LineWindow &window, const LineLimit &limit)
 {
-    if (state().metrics != nullptr) {
-        countEvent(state(), event, fields);
+    const auto now = std::chrono::steady_clock::now();
+    if (now - window.startedAt > std::chrono::seconds(1)) {
+        window = { now, 0 };
     }
-    if (state().isEnabled) {
-        appendEvent(state(), event, fields);
+    return ++window.lines <= limit.linesPerSecond;
+}
+
+void countDroppedLine(State &log, const LineLimit &limit, bool isOverLimit)
+{
+    ++log.dropped;
+    ++(isOverLimit ? log.unreported.overLimit : log.unreported.noRoom);
+    log.unreported.notRoutine += &limit == &routineLimit ? 0 : 1;
+    if (log.metrics != nullptr) {
+        const auto labels = "kind=" + std::string(limit.kind) + ",reason=" + (isOverLimit ? "limit" : "no room");
+        log.metrics->count("log_lines_dropped_total", labels);
     }
 }
 
-void EventLog::writeRateLimited(std::string_view event, std::initializer_list<EventField> fields)
+/** Appends the line of an event within the limit of its kind, or counts it as dropped. */
+void writeEvent(State &log, LineWindow &window, const LineLimit &limit, std::string_view event, std::span<const EventField> fields)
 {
-    auto &log = state();
     if (log.metrics != nullptr) {
         countEvent(log, event, fields);
     }
     if (!log.isEnabled) {
         return;
     }
-    const auto now = std::chrono::steady_clock::now();
-    if (now - log.secondStart > std::chrono::seconds(1)) {
-        if (log.droppedInSecond > 0) {
-            appendEvent(log, "log.dropped", { { "lines", log.droppedInSecond } });
+    const bool isOverLimit = !takeFromLimit(window, limit);
+    if (isOverLimit || log.buffer.size() > limit.unwrittenBytes) {
+        countDroppedLine(log, limit, isOverLimit);
+        return;
+    }
+    appendLine(log, event, fields);
+    if (log.buffer.size() > log.flushAtBytes) {
+        EventLog::flush();
+    }
+}
+
+/** Writes as much of the buffer as the reader takes without blocking. */
+void writeBuffer(State &log)
+{
+    auto &buffer = log.buffer;
+    std::size_t writtenBytes = 0;
+    while (writtenBytes < buffer.size()) {
+        const auto written = ::write(log.descriptor, buffer.data() + writtenBytes, buffer.size() - writtenBytes);
+        if (written <= 0) {
+            break;
         }
-        log.secondStart = now;
-        log.linesInSecond = 0;
-        log.droppedInSecond = 0;
+        writtenBytes += static_cast<std::size_t>(written);
     }
-    if (++log.linesInSecond > maxRateLimitedLinesPerSecond) {
-        ++log.dropped;
-        ++log.droppedInSecond;
-        return;
+    buffer.erase(0, writtenBytes);
+    log.flushAtBytes = buffer.size() + flushThresholdBytes;
+}
+
+} // namespace
+
+void EventLog::configure(const std::string &processName, int descriptor)
+{
+    auto &log = state();
+    log.process.clear();
+    appendJsonString(log.process, processName);
+    log.descriptor = descriptor;
+    log.isEnabled = true;
+    const int flags = fcntl(descriptor, F_GETFL);
+    if (flags >= 0) {
+        fcntl(descriptor, F_SETFL, flags | O_NONBLOCK);
     }
-    appendEvent(log, event, fields);
+}
+
+void EventLog::write(std::string_view event, std::initializer_list<EventField> fields)
+{
+    writeEvent(state(), state().rareWindow, rareLimit, event, { fields.begin(), fields.size() });
+}
+
+void EventLog::writeBurst(std::string_view event, std::initializer_list<EventField> fields)
+{
+    writeEvent(state(), state().burstWindow, burstLimit, event, { fields.begin(), fields.size() });
+}
+
+void EventLog::writeBurst(std::string_view event, std::span<const EventField> fields)
+{
+    writeEvent(state(), state().burstWindow, burstLimit, event, fields);
+}
+
+void EventLog::writeRateLimited(std::string_view event, std::initializer_list<EventField> fields)
+{
+    writeEvent(state(), state().routineWindow, routineLimit, event, { fields.begin(), fields.size() });
+}
+
+void EventLog::writeRateLimited(std::string_view event, std::span<const EventField> fields)
+{
+    writeEvent(state(), state().routineWindow, routineLimit, event, fields);
 }
 
 void EventLog::flush()
 {
-    auto &buffer = state().buffer;
-    while (!buffer.empty()) {
-        const auto written = ::write(STDOUT_FILENO, buffer.data(), buffer.size());
-        if (written <= 0) {
-            return;
+    auto &log = state();
+    writeBuffer(log);
+    reportDroppedLinesIfDue(log);
+}
+
+bool EventLog::close(std::chrono::milliseconds maxDuration)
+{
+    using Clock = std::chrono::steady_clock;
+    auto &log = state();
+    const auto deadline = Clock::now() + maxDuration;
+    reportDroppedLines(log);
+    writeBuffer(log);
+    while (!log.buffer.empty() && Clock::now() < deadline) {
+        const auto remaining = std::chrono::ceil<std::chrono::milliseconds>(deadline - Clock::now());
+        pollfd reader { log.descriptor, POLLOUT, 0 };
+        if (poll(&reader, 1, static_cast<int>(remaining.count())) > 0 && (reader.revents & POLLOUT) == 0) {
+            // The reader is gone.
+            break;
         }
-        buffer.erase(0, static_cast<std::size_t>(written));
+        writeBuffer(log);
     }
+    const bool isComplete = log.buffer.empty();
+    log.buffer.clear();
+    log.routineWindow = {};
+    log.burstWindow = {};
+    log.isEnabled = false;
+    return isComplete;
 }
 
 void EventLog::setMetrics(Metrics *metrics)
