Lines about a run name its task as the users do, its attempt, its worker and the owner's token

Engineers searched the logs for a task that had run twice by its name, JOB.OCCURRENCE.STEP.INDEX, and found nothing. The lines held the parts of the name apart; run.lost, run.adopted, run.unwanted, run.copied, start.refused and start.unanswered left out some of them; none named the owner's fencing token, and no line showed both runs of a task.

Change: run.start, run.ended, run.lost, run.adopted, run.unwanted, run.copied, run.crashed, start.refused and start.unanswered have "task", "attempt", "worker" and "token"; run.preempted, task.cleared and job.given_up have "task". The start of a task that was started before tells what it follows: "after" (worker), "after_attempt" and "after_end" (how that run ended, why it was given up, "none, copied" or "under a former owner"). Such starts, losses, adoptions and refused or unanswered starts are burst lines, so that routine lines don't displace them.

--- a/modules/dispatch/FleetImpl.cpp
+++ b/modules/dispatch/FleetImpl.cpp
@@ -293,8 +293,12 @@
         return;
     case CommandOutcome::Unknown:
         run->phase = Run::Phase::Uncertain;
-        EventLog::write("start.unanswered",
-                        { { "job", key.task.job }, { "worker", id }, { "attempt", key.attempt }, { "detail", reply.detail } });
+        EventLog::writeBurst("start.unanswered",
+                             { { "task", key.task.text() },
+                               { "attempt", key.attempt },
+                               { "worker", id },
+                               { "token", fencingToken },
+                               { "detail", reply.detail } });
         run->uncertainSince = timers.now();
         probe(id);
         ensurePolling(worker);
@@ -310,8 +314,12 @@
     default:
         break;
     }
-    EventLog::write("start.refused",
-                    { { "job", key.task.job }, { "worker", id }, { "attempt", key.attempt }, { "outcome", name(reply.outcome) } });
+    EventLog::writeBurst("start.refused",
+                         { { "task", key.task.text() },
+                           { "attempt", key.attempt },
+                           { "worker", id },
+                           { "token", fencingToken },
+                           { "outcome", name(reply.outcome) } });
     reportLostRun(worker, key, RunLoss::Refused, reply.outcome);
     if (reply.outcome == CommandOutcome::WrongWorker || reply.outcome == CommandOutcome::NotSent) {
         worker.failedPolls = std::max(worker.failedPolls, 1);
--- a/modules/dispatch/FleetPolling.cpp
+++ b/modules/dispatch/FleetPolling.cpp
@@ -366,9 +366,12 @@
     worker.isolatedRuns += run.claim.isIsolated ? 1 : 0;
     worker.unwantedRuns += run.isUnwanted ? 1 : 0;
     worker.runs.emplace(key, run);
-    EventLog::write(
-        claim ? "run.adopted" : "run.unwanted",
-        { { "job", key.task.job }, { "worker", worker.entry.id }, { "attempt", key.attempt }, { "percent", running.percent } });
+    EventLog::writeBurst(claim ? "run.adopted" : "run.unwanted",
+                         { { "task", key.task.text() },
+                           { "attempt", key.attempt },
+                           { "worker", worker.entry.id },
+                           { "token", fencingToken },
+                           { "percent", running.percent } });
     if (!claim) {
         worker.runs.at(key).stopReason = "unwanted";
         sendStop(worker.entry.id, key);
--- a/modules/dispatch/JobManagerCrashes.cpp
+++ b/modules/dispatch/JobManagerCrashes.cpp
@@ -89,27 +89,21 @@
     task.failedOn = crash.worker;
     suspectedJobs_.insert(job.spec.id);
     changedJobs_.push_back(job.spec.id);
-    EventLog::writeRateLimited("run.crashed",
-                               { { "job", job.spec.id },
-                                 { "occurrence", key.task.occurrence },
-                                 { "step", key.task.step },
-                                 { "index", key.task.index },
-                                 { "attempt", key.attempt },
-                                 { "worker", crash.worker },
-                                 { "born", crash.incarnation },
-                                 { "alone", crash.isAlone ? 1 : 0 },
-                                 { "last", crash.isLast ? 1 : 0 },
-                                 { "crashes", task.crashes.crashes().size() } });
+    EventLog::writeBurst("run.crashed",
+                         { { "task", key.task.text() },
+                           { "attempt", key.attempt },
+                           { "worker", crash.worker },
+                           { "token", fencingToken_ },
+                           { "born", crash.incarnation },
+                           { "alone", crash.isAlone ? 1 : 0 },
+                           { "last", crash.isLast ? 1 : 0 },
+                           { "crashes", task.crashes.crashes().size() } });
     if (task.crashes.suspicion() != Suspicion::Proven) {
         // As urgent as the removal of the worker from the roster, after which a new owner could not find the crash.
         saveTask(job, key.task, {}, CommitQueue::Urgency::Urgent);
         return;
     }
-    EventLog::writeRateLimited("job.given_up",
-                               { { "job", job.spec.id },
-                                 { "step", key.task.step },
-                                 { "index", key.task.index },
-                                 { "crashes", task.crashes.crashes().size() } });
+    EventLog::writeBurst("job.given_up", { { "task", key.task.text() }, { "crashes", task.crashes.crashes().size() } });
     endJob(job, JobStage::Failed);
 }
 
@@ -147,11 +141,7 @@
         task.hostedRuns.clear();
         fleet_->clearSuspicion(place.worker, run->key);
         EventLog::writeRateLimited("task.cleared",
-                                   { { "job", step.job->spec.id },
-                                     { "step", step.index },
-                                     { "index", index },
-                                     { "attempt", place.attempt },
-                                     { "worker", place.worker } });
+                                   { { "task", run->key.task.text() }, { "attempt", place.attempt }, { "worker", place.worker } });
         saveTask(*step.job, run->key.task, {}, CommitQueue::Urgency::Routine);
         return false;
     }
--- a/modules/dispatch/JobManagerRuns.cpp
+++ b/modules/dispatch/JobManagerRuns.cpp
@@ -107,13 +107,12 @@
     }
     auto &step = *job->step(ended.task.occurrence, ended.task.step);
     EventLog::writeRateLimited("run.ended",
-                               { { "job", ended.task.job },
-                                 { "occurrence", ended.task.occurrence },
-                                 { "step", ended.task.step },
-                                 { "index", ended.task.index },
+                               { { "task", ended.task.text() },
                                  { "attempt", ended.attempt },
                                  { "worker", worker },
+                                 { "token", fencingToken_ },
                                  { "how", name(ended.end) } });
+    task->lastRun = { { worker, ended.attempt }, name(ended.end) };
     std::erase(task->runs, RunPlace { worker, ended.attempt });
     task->eraseHostedRun({ worker, ended.attempt });
     task->idleSince = timers_.now();
@@ -274,16 +273,17 @@
 {
     auto *job = find(key.task.job);
     auto *task = job == nullptr ? nullptr : job->task(key.task);
-    EventLog::writeRateLimited("run.lost",
-                               { { "job", key.task.job },
-                                 { "index", key.task.index },
-                                 { "attempt", key.attempt },
-                                 { "worker", worker },
-                                 { "why", name(loss) },
-                                 { "outcome", name(outcome) } });
+    EventLog::writeBurst("run.lost",
+                         { { "task", key.task.text() },
+                           { "attempt", key.attempt },
+                           { "worker", worker },
+                           { "token", fencingToken_ },
+                           { "why", name(loss) },
+                           { "outcome", name(outcome) } });
     if (task == nullptr) {
         return;
     }
+    task->lastRun = { { worker, key.attempt }, name(loss) };
     std::erase(task->runs, RunPlace { worker, key.attempt });
     if (loss != RunLoss::WorkerRestarted && loss != RunLoss::LeaseExpired) {
         task->eraseHostedRun({ worker, key.attempt });
--- a/modules/dispatch/JobState.h
+++ b/modules/dispatch/JobState.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace auburndoor {
@@ -39,6 +40,14 @@
     auto operator<=>(const RunPlace &other) const = default;
 };
 
+/** A run of a task that is over for its owner. */
+struct FormerRun
+{
+    RunPlace place;
+    /** The name of the RunOutcome or RunLoss; empty if there was no such run. */
+    std::string_view end;
+};
+
 /** One task of a step. */
 struct Task
 {
@@ -51,6 +60,8 @@
     std::string checkpoint;
     /** Its current runs, with copies. */
     std::vector<RunPlace> runs;
+    /** The run that was the last one to end or to be lost under this owner; for the log. */
+    FormerRun lastRun;
     /** How often one of its runs was stopped for more urgent work. */
     int preemptionCount = 0;
     /** When its last run ended or was lost; TimePoint() if none has. */
--- a/modules/dispatch/TaskPlacer.cpp
+++ b/modules/dispatch/TaskPlacer.cpp
@@ -146,6 +146,37 @@
     return true;
 }
 
+void TaskPlacer::logStart(const StepState &step, const Task &task, const StartCommand &command, const Candidate &candidate) const
+{
+    const auto name = command.task.text();
+    const EventField fields[] = { { "task", name },
+                                  { "attempt", command.attempt },
+                                  { "worker", candidate.workerCapacity->worker->entry.id },
+                                  { "token", jobManager_.fencingToken_ },
+                                  { "ready_ms", std::chrono::duration_cast<Milliseconds>(now_ - step.readySince).count() },
+                                  { "free_cores", candidate.free.milliCores } };
+    if (!task.wasStarted()) {
+        EventLog::writeRateLimited("run.start", fields);
+        return;
+    }
+    std::vector<EventField> allFields(std::begin(fields), std::end(fields));
+    if (!task.runs.empty()) {
+        const auto &copied = task.runs.back();
+        allFields.emplace_back("after", copied.worker);
+        allFields.emplace_back("after_attempt", copied.attempt);
+        allFields.emplace_back("after_end", "none, copied");
+    } else if (!task.lastRun.end.empty()) {
+        allFields.emplace_back("after", task.lastRun.place.worker);
+        allFields.emplace_back("after_attempt", task.lastRun.place.attempt);
+        allFields.emplace_back("after_end", task.lastRun.end);
+    } else {
+        // Its worker is not stored: the lines of the owner that started it name it.
+        allFields.emplace_back("after_attempt", task.lastAttempt);
+        allFields.emplace_back("after_end", "under a former owner");
+    }
+    EventLog::writeBurst("run.start", allFields);
+}
+
 void TaskPlacer::start(StepState &step, int index, Candidate &candidate, std::int64_t attempt)
 {
     const auto &job = *step.job;
@@ -159,15 +190,7 @@
     if (candidate.permit != nullptr) {
         command.permit = candidate.permit->ticket;
     }
-    EventLog::writeRateLimited("run.start",
-                               { { "job", job.spec.id },
-                                 { "occurrence", step.occurrence },
-                                 { "step", step.index },
-                                 { "index", index },
-                                 { "attempt", attempt },
-                                 { "worker", id },
-                                 { "ready_ms", std::chrono::duration_cast<Milliseconds>(now_ - step.readySince).count() },
-                                 { "free_cores", candidate.free.milliCores } });
+    logStart(step, task, command, candidate);
     const auto claim = jobManager_.makeClaim(step, task, id);
     candidate.free -= claim.need;
     --candidate.tasksLeft;
--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -171,6 +171,8 @@
     /** As chooseCandidate() for each of several tasks; a heap keeps the best candidate first. */
     class CandidateHeap;
     void start(StepState &step, int index, Candidate &candidate, std::int64_t attempt);
+    /** Logs a start. That of a task which was started before names the run that it follows; it is no routine line. */
+    void logStart(const StepState &step, const Task &task, const StartCommand &command, const Candidate &candidate) const;
     /** The capacity of the workers of the step's service. */
     ServiceCapacity &getServiceCapacity(const StepState &step);
     ServiceCapacity &getServiceCapacity(const std::string &service);
--- a/modules/dispatch/TaskPlacerMaintenance.cpp
+++ b/modules/dispatch/TaskPlacerMaintenance.cpp
@@ -82,8 +82,10 @@
         }
         if (auto *candidate = chooseCandidate(step, task, candidates, {})) {
             EventLog::writeRateLimited("run.copied",
-                                       { { "job", step.job->spec.id },
-                                         { "index", index },
+                                       { { "task", run->key.task.text() },
+                                         { "attempt", place.attempt },
+                                         { "worker", place.worker },
+                                         { "token", jobManager_.fencingToken_ },
                                          { "percent", run->percent },
                                          { "elapsed_ms", elapsed.count() } });
             start(step, static_cast<int>(index), *candidate, jobManager_.nextAttempt(task));
--- a/modules/dispatch/TaskPlacerPreemption.cpp
+++ b/modules/dispatch/TaskPlacerPreemption.cpp
@@ -190,7 +190,7 @@
     for (const auto &[id, key] : runsToStop) {
         EventLog::writeRateLimited(
             "run.preempted",
-            { { "job", key.task.job }, { "index", key.task.index }, { "worker", id }, { "for", step.job->spec.id } });
+            { { "task", key.task.text() }, { "attempt", key.attempt }, { "worker", id }, { "for", step.job->spec.id } });
         const auto job = jobManager_.jobs().find(key.task.job);
         if (auto *task = job == jobManager_.jobs().end() ? nullptr : job->second->task(key.task)) {
             ++task->preemptionCount;
--- a/modules/workload/JobSpec.cpp
+++ b/modules/workload/JobSpec.cpp
@@ -11,4 +11,9 @@
     return count;
 }
 
+std::string TaskName::text() const
+{
+    return job + "." + std::to_string(occurrence) + "." + std::to_string(step) + "." + std::to_string(index);
+}
+
 } // namespace auburndoor
--- a/modules/workload/JobSpec.h
+++ b/modules/workload/JobSpec.h
@@ -75,6 +75,9 @@
     int step = 0;
     int index = 0;
 
+    /** The name as operators and the platform's protocol write it: "JOB.OCCURRENCE.STEP.INDEX". */
+    std::string text() const;
+
     auto operator<=>(const TaskName &other) const = default;
 };
 
