The line of a refusal under overload names the job

A search for a refused submission found call.failed at the process that the client had asked, but nothing in the owner's log, which tells how busy the owner was.

Change: submission.shed has "job".

--- a/modules/entry/OwnerImpl.h
+++ b/modules/entry/OwnerImpl.h
@@ -48,7 +48,7 @@
     void answerQuery(const std::string &job, Callback callback);
     void submit(const ClientCall &call, Callback callback);
     /** Refuses a new submission if the owner is overloaded. Nothing of it is kept. @return true if it was refused */
-    bool refuseUnderOverload(const QueueSpec &queue, const Callback &callback);
+    bool refuseUnderOverload(const std::string &job, const QueueSpec &queue, const Callback &callback);
     /** Measures how far the loop and the placement are behind. */
     void sampleLoad();
     /** Calls sampleLoad() at intervals. */
--- a/modules/entry/OwnerLoad.cpp
+++ b/modules/entry/OwnerLoad.cpp
@@ -105,7 +105,7 @@
     return { std::max(wait, Milliseconds(0)), std::chrono::duration_cast<std::chrono::microseconds>(interval) };
 }
 
-bool Owner::Impl::refuseUnderOverload(const QueueSpec &queue, const Callback &callback)
+bool Owner::Impl::refuseUnderOverload(const std::string &job, const QueueSpec &queue, const Callback &callback)
 {
     const auto jobsBefore = backlogBefore(queue.priority);
     const auto retryAfter = admission.refuse(queue, jobsBefore);
@@ -114,7 +114,8 @@
     }
     ++shedSubmissions;
     EventLog::writeRateLimited("submission.shed",
-                               { { "queue", queue.name },
+                               { { "job", job },
+                                 { "queue", queue.name },
                                  { "expected_wait_ms", jobsBefore.expectedWait.count() },
                                  { "retry_after_ms", retryAfter->count() } });
     const auto detail = "the owner of the cell is overloaded: a job of this queue would wait for "
--- a/modules/entry/OwnerServing.cpp
+++ b/modules/entry/OwnerServing.cpp
@@ -75,7 +75,7 @@
     const auto *queue = desiredState.queue(call.queue);
     // A repeated submission of a job that is known, or that is being stored, is never refused: the first one may be accepted.
     const bool isNew = !jobManager.jobs().contains(call.job) && !jobManager.shownStage(call.job);
-    if (isNew && !isStopping && queue != nullptr && refuseUnderOverload(*queue, callback)) {
+    if (isNew && !isStopping && queue != nullptr && refuseUnderOverload(call.job, *queue, callback)) {
         return;
     }
     std::string error;
--- a/tests/dispatch/OwnerOverloadTests.cpp
+++ b/tests/dispatch/OwnerOverloadTests.cpp
@@ -1,5 +1,6 @@
 #include "dispatch/OwnerFixture.h"
 #include "entry/HeartbeatPacing.h"
+#include "fakes/CapturedLog.h"
 #include "fakes/JobIds.h"
 #include "net/LoopDelayMeter.h"
 
@@ -291,3 +292,18 @@
     }
     CHECK(refusedAgain == 0);
 }
+
+// Guards against refusals that a search for their job doesn't find in the owner's log.
+TEST_CASE("the line of a refusal under overload names the job")
+{
+    OverloadedOwner owner;
+    const double capacity = owner.measureCapacity();
+    CapturedLog log;
+    owner.submitAtRate(3.0 * capacity, Milliseconds(5000));
+    const auto refusals = log.lines("submission.shed");
+    REQUIRE_FALSE(refusals.empty());
+    CHECK(std::all_of(refusals.begin(), refusals.end(), [&owner](const auto &line) {
+        const auto fate = owner.fates.find(line.value("job", ""));
+        return fate != owner.fates.end() && fate->second.wasRefused;
+    }));
+}
