The end of an entry process waits up to 0.3 s for the reader of its log

The last lines of a process, which tell why it ended, were missing from the log when its reader was slow.

Cause: the end wrote what the reader took at once, and dropped the rest.

Change: the process closes its log, which waits for the reader for 0.3 s at the most, within the 0.7 s of the grace that are kept for the exit.

Measured with the program and a pipe of 4 KiB, not read until 2.35 s (or 2.45 s) after SIGTERM, which is after the loop has ended: before 48 of 64 lines in both runs, the last one not process.stopped; now 64 of 64 in both. A reader that comes later than 0.3 s (2.55 s, 9 s) gets 48 lines, and the process ends with code 0 after 2.57 s instead of 2.27 s. The waiting itself is tested by "closing the log waits for a slow reader, but not for one that takes nothing" in EventLogTests.cpp; no test runs the program with a slow reader.

--- a/apps/auburndoor-entry/main.cpp
+++ b/apps/auburndoor-entry/main.cpp
@@ -17,6 +17,7 @@
 #include <absl/flags/usage.h>
 #include <absl/flags/usage_config.h>
 
+#include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
@@ -39,6 +40,8 @@
 constexpr int exitBadSettings = 2;
 constexpr int exitCannotStart = 3;
 constexpr std::size_t maxSettingsBytes = 1 << 20;
+// How long the end waits for the reader of the log; the entry process keeps 0.7 s of its grace for the exit.
+constexpr std::chrono::milliseconds maxLogCloseDuration { 300 };
 
 std::string settingsFile()
 {
@@ -119,6 +122,7 @@
     std::string error;
     if (!instance.start(error)) {
         std::cerr << error << '\n';
+        EventLog::close(maxLogCloseDuration);
         return exitCannotStart;
     }
     loop.onSignals({ SIGTERM, SIGINT }, [&](int) { instance.shutDown([&loop] { loop.stop(); }); });
@@ -129,7 +133,7 @@
         watch.check();
     });
     loop.run();
-    EventLog::flush();
+    EventLog::close(maxLogCloseDuration);
     // Exits without running destructors, since pending handlers still refer to these objects. The operating system closes the
     // sockets.
     std::quick_exit(exitDone);
