auburndoor story takes the name of a task as well

With the task's name in the lines, a search for it leaves out what is logged for the job as a whole, and a search for the job's id shows all of its tasks, up to thousands.

Change: story TASK shows the lines that name the task and those that name the job without another task.

Test: "the timeline of a task has the events of the task and of its job, and none of the job's other tasks" in JobTimelineTests.cpp; the former code leaves out job.accepted and call.failed and takes task 170 for task 17. build/test-client: 10 test cases pass, 92 assertions.

--- a/modules/client/JobTimeline.cpp
+++ b/modules/client/JobTimeline.cpp
@@ -31,16 +31,33 @@
     return details;
 }
 
-bool namesJob(const nlohmann::json &line, const std::string &job)
+/** True if the text names the job, and not only a task of it other than the one wanted. @param task empty for all tasks */
+bool namesJobOrTask(const std::string &text, const std::string &job, const std::string &task)
 {
-    return std::any_of(line.begin(), line.end(), [&job](const auto &value) {
-        return value.is_string() && value.template get_ref<const std::string &>().find(job) != std::string::npos;
+    for (auto at = text.find(job); at != std::string::npos; at = text.find(job, at + 1)) {
+        auto end = std::min(text.size(), text.find_first_not_of("0123456789.", at + job.size()));
+        // A full stop ends a sentence, not a name.
+        while (end > at + job.size() && text[end - 1] == '.') {
+            --end;
+        }
+        const bool isTaskName = end > at + job.size() && text[at + job.size()] == '.';
+        if (task.empty() || !isTaskName || text.substr(at, end - at) == task) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool isNamedIn(const nlohmann::json &line, const std::string &job, const std::string &task)
+{
+    return std::any_of(line.begin(), line.end(), [&](const auto &value) {
+        return value.is_string() && namesJobOrTask(value.template get_ref<const std::string &>(), job, task);
     });
 }
 
 } // namespace
 
-JobTimeline::JobTimeline(std::string job) : job_(std::move(job))
+JobTimeline::JobTimeline(const std::string &name) : job_(name.substr(0, name.find('.'))), task_(name == job_ ? std::string() : name)
 {
 }
 
@@ -61,7 +78,7 @@
         const auto process = line["process"].get<std::string>();
         const auto steadyTime = line["t"].get<std::int64_t>();
         clockOffsets_[process].push_back(line["wall"].get<std::int64_t>() - steadyTime);
-        if (namesJob(line, job_)) {
+        if (isNamedIn(line, job_, task_)) {
             events_.push_back({ process, steadyTime, line["event"], detailsOf(line, job_) });
         }
     }
--- a/modules/client/JobTimeline.h
+++ b/modules/client/JobTimeline.h
@@ -9,7 +9,7 @@
 namespace auburndoor {
 
 /**
-    Collects the events of one job from the logs of entry processes and puts them in the order of time.
+    Collects the events of one job, or of one task and its job, from the logs of entry processes and puts them in the order of time.
 
     Each log line has the steady time of its machine and a wall time that may jump. The median difference of the two over all lines
     of a process makes the times of several machines comparable. One thread.
@@ -17,7 +17,8 @@
 class JobTimeline
 {
 public:
-    explicit JobTimeline(std::string job);
+    /** @param name the id of a job, or the name of a task, "JOB.OCCURRENCE.STEP.INDEX": events of other tasks are left out then */
+    explicit JobTimeline(const std::string &name);
 
     /** Reads a log. Lines that are not log lines are only counted. */
     void read(std::istream &log);
@@ -60,6 +61,8 @@
     static std::size_t findLongestWait(const std::vector<TimedEvent> &events);
 
     std::string job_;
+    /** The name of the only task whose events are of interest; empty for all tasks of the job. */
+    std::string task_;
     std::vector<Event> events_;
     /** The wall time minus the steady time of each log line in milliseconds, by process. */
     std::map<std::string, std::vector<std::int64_t>> clockOffsets_;
--- a/modules/client/OperatorUsage.cpp
+++ b/modules/client/OperatorUsage.cpp
@@ -35,9 +35,10 @@
     { "jobs", "", "lists the jobs", "" },
     { "explain", "ID", "tells why a request or job runs where it does, waits, or was refused", "" },
     { "story",
-      "JOB [FILE...]",
-      "tells from the logs of entry processes what happened to a job, in order",
-      "Reads the files, or standard input. Needs no --server. The longest wait is marked. Exit code 2: no line names the job.\n" },
+      "JOB|TASK [FILE...]",
+      "tells from the logs of entry processes what happened to a job or a task, in order",
+      "A task is named as JOB.OCCURRENCE.STEP.INDEX. Reads the files, or standard input. Needs no --server. The longest wait is "
+      "marked. Exit code 2: no line names the job.\n" },
     { "cancel", "JOB", "cancels a job", "A repeated cancel does no harm.\n" },
     { "drain", "", "asks the addressed instance to shut down gracefully", "A repeated drain does no harm.\n" },
     { "logbook", "", "shows who applied what and when, newest first", "  --limit N  entries to show; default 20\n" },
--- a/tests/client/JobTimelineTests.cpp
+++ b/tests/client/JobTimelineTests.cpp
@@ -48,3 +48,27 @@
     timeline.read(log);
     CHECK(timeline.isEmpty());
 }
+
+// Guards against a task's name that finds nothing, or that finds another task whose name begins alike.
+TEST_CASE("the timeline of a task has the events of the task and of its job, and none of the job's other tasks")
+{
+    const std::string job = "00000000000000aa";
+    const auto taskLine = [&](int time, const std::string &task) {
+        return line("a", time, time, "run.start", R"(,"task":")" + job + task + R"(","worker":"w)" + std::to_string(time) + "\"");
+    };
+    std::istringstream log(line("a", 1, 1, "job.accepted", R"(,"job":")" + job + "\"") + taskLine(2, ".0.1.1")
+                           + taskLine(3, ".0.1.17") + taskLine(4, ".0.1.170")
+                           + line("a", 5, 5, "call.failed", R"(,"detail":"no job )" + job + ".\"")
+                           + line("a", 6, 6, "job.ended", R"(,"job":"00000000000000bb")"));
+    const bool isTask = GENERATE(true, false);
+    JobTimeline timeline(isTask ? job + ".0.1.17" : job);
+    timeline.read(log);
+    const auto text = timeline.text();
+    INFO(text);
+    CHECK(text.find("job.accepted") != std::string::npos);
+    CHECK(text.find("task=" + job + ".0.1.17 worker=w3") != std::string::npos);
+    CHECK((text.find("worker=w2") != std::string::npos) == !isTask);
+    CHECK((text.find("worker=w4") != std::string::npos) == !isTask);
+    CHECK(text.find("call.failed") != std::string::npos);
+    CHECK(text.find("job.ended") == std::string::npos);
+}
