--- a/modules/dispatch/FleetLosses.cpp
+++ b/modules/dispatch/FleetLosses.cpp
@@ -95,12 +95,10 @@
 {
     const auto between = [](TimePoint from, TimePoint to) { return std::chrono::duration_cast<Milliseconds>(to - from).count(); };
     EventLog::write("run.loss_contradicted",
-                    { { "job", key.task.job },
-                      { "occurrence", key.task.occurrence },
-                      { "step", key.task.step },
-                      { "index", key.task.index },
+                    { { "task", key.task.text() },
                       { "attempt", key.attempt },
                       { "worker", worker.entry.id },
+                      { "token", fencingToken },
                       { "born", lost.incarnation },
                       { "why", name(lost.loss) },
                       { "detail", name(lost.outcome) },
@@ -138,9 +136,12 @@
     worker.isolatedRuns += run.claim.isIsolated ? 1 : 0;
     worker.unwantedRuns += run.isUnwanted ? 1 : 0;
     worker.runs.emplace(key, run);
-    EventLog::write(
-        claim ? "run.adopted" : "run.unwanted",
-        { { "job", key.task.job }, { "worker", worker.entry.id }, { "attempt", key.attempt }, { "percent", running.percent } });
+    EventLog::writeBurst(claim ? "run.adopted" : "run.unwanted",
+                         { { "task", key.task.text() },
+                           { "attempt", key.attempt },
+                           { "worker", worker.entry.id },
+                           { "token", fencingToken },
+                           { "percent", running.percent } });
     if (!run.stopReason.empty()) {
         sendStop(worker.entry.id, key);
     }
