Tests: a run that is stopped ends as stopped on a real clock too

The simulated worker read the clock twice to tell whether a run ends before its stop takes effect. With a real clock the second reading is later than the first, so that each stopped run ended with the outcome of its work, most often done: in the soak an owner that stopped a run never had to start the task again. Tests with a simulated clock are not affected: both readings are the same there.

--- a/tests/fakes/SimulatedWorker.cpp
+++ b/tests/fakes/SimulatedWorker.cpp
@@ -90,8 +90,11 @@
     highestToken_ = token;
     const auto found = runs_.find({ task, attempt });
     if (found != runs_.end()) {
-        found->second.endsAt = std::min(found->second.endsAt, timers_.now() + stopTime);
-        found->second.end = found->second.endsAt < timers_.now() + stopTime ? found->second.end : RunOutcome::Stopped;
+        const auto stopsAt = timers_.now() + stopTime;
+        if (found->second.endsAt >= stopsAt) {
+            found->second.endsAt = stopsAt;
+            found->second.end = RunOutcome::Stopped;
+        }
     } else {
         auto &over = overAttempts_[task];
         over = std::max(over, attempt);
