Soak: links deliver late what was sent before a cut, and connections that do not open

The links of the soak dropped a request that met a cut once its sender had given it up; TCP delivers it after the cut. Links can deliver such data now, each connection with a delay of its own, so that requests overtake each other. New modes: attempts to connect get no answer, with kept connections cut in both directions or in that of the replies only; and attempts to connect are refused. A connection that does not open is what an owner takes as a sign that a worker has left.

The modes and tests in use so far are not changed.

--- a/tests/soak/FaultyLink.cpp
+++ b/tests/soak/FaultyLink.cpp
@@ -9,7 +9,9 @@
 
 #include <array>
 #include <deque>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace auburndoor {
@@ -31,17 +33,34 @@
 {
     class Connection;
 
+    /** What becomes of new connections. */
+    enum class Listening {
+        Accepting,
+        /** Attempts to connect get no answer. */
+        Unanswered,
+        /** Attempts to connect are refused. */
+        Off,
+    };
+
     Impl(EventLoop &loop, Address target) : loop(loop), target(std::move(target)), acceptor(loop.context())
     {
     }
 
     void accept();
+    void setListening(Listening next);
+    /** Binds the acceptor. */
+    void open(const tcp::endpoint &local);
 
     EventLoop &loop;
     Address target;
     tcp::acceptor acceptor;
     Mode mode = Mode::Open;
     Milliseconds delay { 0 };
+    std::function<Milliseconds()> drawLateDelay;
+    Listening listening = Listening::Off;
+    tcp::endpoint endpoint;
+    /** Fills the queue of connections to accept while none is accepted. */
+    std::optional<tcp::socket> queued;
     std::vector<std::weak_ptr<Connection>> connections;
 };
 
@@ -80,8 +99,16 @@
     /** Forwards data that was held back, unless the mode still forbids it. */
     void resume()
     {
-        write(0);
-        write(1);
+        for (const std::size_t from : { std::size_t(0), std::size_t(1) }) {
+            auto &side = sides_.at(from);
+            if (link_->drawLateDelay && !side.isWriting && !isBlocked(from)) {
+                const auto time = link_->loop.now() + link_->drawLateDelay();
+                for (auto &data : side.pendingData) {
+                    data.first = std::max(data.first, time);
+                }
+            }
+            write(from);
+        }
     }
 
 private:
@@ -96,12 +123,40 @@
         std::array<char, 16384> buffer {};
         std::deque<std::pair<TimePoint, std::string>> pendingData;
         bool isWriting = false;
+        /** Nothing more arrives from the socket; the data that it has sent is still delivered. */
+        bool hasEnded = false;
     };
 
     bool isBlocked(std::size_t from) const
     {
         const auto mode = link_->mode;
-        return mode == Mode::Stalled || (mode == Mode::NoReplies && from == 1);
+        const bool isOneWay = mode == Mode::NoReplies || mode == Mode::OneWay;
+        return mode == Mode::Stalled || mode == Mode::Unreachable || (isOneWay && from == 1);
+    }
+
+    void onReadFailed(std::size_t from)
+    {
+        auto &side = sides_.at(from);
+        side.hasEnded = true;
+        if (!link_->drawLateDelay || side.pendingData.empty()) {
+            close(false);
+        }
+    }
+
+    void onWritten(std::size_t from, const error_code &error)
+    {
+        // The target reads what has arrived before it learns of the end.
+        constexpr Milliseconds closeDelay { 100 };
+        auto &side = sides_.at(from);
+        side.pendingData.pop_front();
+        side.isWriting = false;
+        if (error) {
+            close(false);
+        } else if (side.hasEnded && side.pendingData.empty()) {
+            link_->loop.after(closeDelay, [self = shared_from_this()] { self->close(false); });
+        } else {
+            write(from);
+        }
     }
 
     void read(std::size_t from)
@@ -110,7 +165,7 @@
         side.socket.async_read_some(
             asio::buffer(side.buffer), [self = shared_from_this(), from](const error_code &error, std::size_t count) {
                 if (error) {
-                    self->close(false);
+                    self->onReadFailed(from);
                     return;
                 }
                 auto &read = self->sides_.at(from);
@@ -137,16 +192,7 @@
             }
             asio::async_write(self->sides_.at(1 - from).socket,
                               asio::buffer(ready.pendingData.front().second),
-                              [self, from](const error_code &error, std::size_t) {
-                                  auto &written = self->sides_.at(from);
-                                  written.pendingData.pop_front();
-                                  written.isWriting = false;
-                                  if (error) {
-                                      self->close(false);
-                                      return;
-                                  }
-                                  self->write(from);
-                              });
+                              [self, from](const error_code &error, std::size_t) { self->onWritten(from, error); });
         });
     }
 
@@ -168,37 +214,74 @@
             self->connections.push_back(connection);
             connection->start();
         }
-        self->accept();
+        if (self->listening == Listening::Accepting) {
+            self->accept();
+        }
     });
 }
 
+void FaultyLink::Impl::setListening(Listening next)
+{
+    if (listening == next) {
+        return;
+    }
+    const auto former = std::exchange(listening, next);
+    error_code ignored;
+    queued.reset();
+    if (next == Listening::Off) {
+        acceptor.close(ignored);
+        return;
+    }
+    if (former == Listening::Off) {
+        open(endpoint);
+    }
+    if (next == Listening::Accepting) {
+        acceptor.listen(asio::socket_base::max_listen_connections, ignored);
+        accept();
+        return;
+    }
+    // Linux drops further attempts to connect once the queue holds more connections than the backlog.
+    acceptor.cancel(ignored);
+    acceptor.listen(0, ignored);
+    queued.emplace(loop.context());
+    queued->async_connect(endpoint, [](const error_code &) {});
+}
+
+void FaultyLink::Impl::open(const tcp::endpoint &local)
+{
+    acceptor.open(tcp::v4());
+    acceptor.set_option(tcp::acceptor::reuse_address(true));
+    acceptor.bind(local);
+    endpoint = acceptor.local_endpoint();
+}
+
 FaultyLink::FaultyLink(EventLoop &loop, Address target) : impl_(std::make_shared<Impl>(loop, std::move(target)))
 {
-    impl_->acceptor.open(tcp::v4());
-    impl_->acceptor.set_option(tcp::acceptor::reuse_address(true));
-    impl_->acceptor.bind({ asio::ip::make_address("127.0.0.1"), 0 });
-    impl_->acceptor.listen();
-    impl_->accept();
+    impl_->endpoint = { asio::ip::make_address("127.0.0.1"), 0 };
+    impl_->setListening(Impl::Listening::Accepting);
 }
 
 FaultyLink::~FaultyLink()
 {
-    impl_->acceptor.close();
-    setMode(Mode::Reset);
+    setMode(Mode::Refused);
 }
 
 Address FaultyLink::address() const
 {
-    return { "127.0.0.1", impl_->acceptor.local_endpoint().port() };
+    return { "127.0.0.1", impl_->endpoint.port() };
 }
 
 void FaultyLink::setMode(Mode mode, Milliseconds delay)
 {
     impl_->mode = mode;
     impl_->delay = delay;
+    const bool isUnanswered = mode == Mode::Unreachable || mode == Mode::OneWay;
+    impl_->setListening(mode == Mode::Refused ? Impl::Listening::Off
+                        : isUnanswered        ? Impl::Listening::Unanswered
+                                              : Impl::Listening::Accepting);
     for (const auto &known : impl_->connections) {
         if (const auto connection = known.lock()) {
-            if (mode == Mode::Reset) {
+            if (mode == Mode::Reset || mode == Mode::Refused) {
                 connection->close(true);
             } else {
                 connection->resume();
@@ -207,4 +290,9 @@
     }
 }
 
+void FaultyLink::deliverLate(std::function<Milliseconds()> drawDelay)
+{
+    impl_->drawLateDelay = std::move(drawDelay);
+}
+
 } // namespace auburndoor
--- a/tests/soak/FaultyLink.h
+++ b/tests/soak/FaultyLink.h
@@ -3,6 +3,7 @@
 #include "core/Clock.h"
 #include "net/Address.h"
 
+#include <functional>
 #include <memory>
 
 namespace auburndoor {
@@ -23,6 +24,12 @@
         NoReplies,
         /** Open connections are reset, and new ones as soon as they are accepted. */
         Reset,
+        /** Open connections are reset, and new ones refused. */
+        Refused,
+        /** As Stalled, and new connections do not open: the clients' attempts get no answer. */
+        Unreachable,
+        /** As NoReplies, and new connections do not open. */
+        OneWay,
     };
 
     FaultyLink(EventLoop &loop, Address target);
@@ -34,6 +41,12 @@
     /** Sets the mode of open and new connections. Data that was held back is forwarded once the mode allows it. */
     void setMode(Mode mode, Milliseconds delay = Milliseconds(0));
 
+    /**
+        Delivers data that was held back although its sender has closed the connection meanwhile, as TCP does; each connection takes
+        a delay that this function draws, so that connections overtake each other. Without it such data is dropped.
+    */
+    void deliverLate(std::function<Milliseconds()> drawDelay);
+
 private:
     struct Impl;
     std::shared_ptr<Impl> impl_;
