Soak: settings of the entry processes, an earlier version's program, and several queues

Failure domain, processor share, the longest lease, killGraceMs and heartbeatMs of the processes can be chosen; without a choice the settings file is as before. Clients submit to the queue of any path prefix.

--- a/tests/soak/EntryProcess.cpp
+++ b/tests/soak/EntryProcess.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <unistd.h>
 
@@ -28,9 +29,19 @@
            + std::to_string(10 + number);
 }
 
+std::string programFile()
+{
+    const char *selected = std::getenv("SOAK_ENTRY");
+    return selected == nullptr ? std::string(PROGRAM_FOLDER) + "/auburndoor-entry" : selected;
+}
+
 } // namespace
 
-EntryProcess::EntryProcess(EventLoop &loop, int number, const Address &store, const std::string &folder)
+EntryProcess::EntryProcess(EventLoop &loop,
+                           int number,
+                           const Address &store,
+                           const std::string &folder,
+                           const EntryOptions &options)
     : loop_(loop)
     , ip_(makeLoopbackAddress(number))
     , name_(nameOf(number))
@@ -38,31 +49,36 @@
     , logFile_(folder + "/" + name_ + ".log")
     , storeLink_(loop, store)
 {
-    writeSettings(storeLink_.address());
+    writeSettings(storeLink_.address(), options);
 }
 
-void EntryProcess::writeSettings(const Address &store) const
+void EntryProcess::writeSettings(const Address &store, const EntryOptions &options) const
 {
     const auto makeAddress = [this](int port) { return ip_ + ":" + std::to_string(port); };
-    const nlohmann::json settings {
+    nlohmann::json settings {
         { "nodeName", name_ },
         { "ip", ip_ },
-        { "zone", "z" },
+        { "zone", options.failureDomain },
         { "listen", { { "front", makeAddress(clientPort) }, { "ready", makeAddress(readinessPort) } } },
         { "portRange", { firstPeerPort, firstPeerPort + 15 } },
-        { "limits", { { "cpuShare", 1.0 } } },
-        { "bounds", { { "maxHoldMs", 10000 }, { "graceS", 6 }, { "status_s", 120 }, { "early_ms", 250 } } },
+        { "limits", { { "cpuShare", options.processorShare } } },
+        { "bounds", { { "maxHoldMs", options.maxLease.count() }, { "graceS", 6 }, { "status_s", 120 }, { "early_ms", 250 } } },
         { "platform", { { "address", store.text() } } },
     };
+    if (options.killGrace) {
+        settings["bounds"]["killGraceMs"] = options.killGrace->count();
+    }
+    if (options.reportInterval) {
+        settings["heartbeatMs"] = options.reportInterval->count();
+    }
     std::ofstream(settingsFile_) << settings.dump(2);
 }
 
 void EntryProcess::start()
 {
-    process_.emplace(std::vector<std::string> { std::string(PROGRAM_FOLDER) + "/auburndoor-entry",
-                                                "--settings=" + settingsFile_,
-                                                "--metrics-port=" + std::to_string(metricsPort) },
-                     logFile_);
+    process_.emplace(
+        std::vector<std::string> { programFile(), "--settings=" + settingsFile_, "--metrics-port=" + std::to_string(metricsPort) },
+        logFile_);
     stoppingSince_.reset();
     isPaused_ = false;
 }
@@ -145,6 +161,11 @@
     return { ip_, clientPort };
 }
 
+const std::string &EntryProcess::logFile() const
+{
+    return logFile_;
+}
+
 FaultyLink &EntryProcess::storeLink()
 {
     return storeLink_;
--- a/tests/soak/EntryProcess.h
+++ b/tests/soak/EntryProcess.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cell/ChildProcess.h"
+#include "soak/EntryOptions.h"
 #include "soak/FaultyLink.h"
 
 #include <optional>
@@ -8,12 +9,20 @@
 
 namespace auburndoor {
 
-/** Runs an auburndoor-entry process on a loopback address of its own; it reaches the store through a FaultyLink. */
+/**
+    Runs an auburndoor-entry process on a loopback address of its own; it reaches the store through a FaultyLink.
+
+    The environment variable SOAK_ENTRY selects another program than that of this build, such as that of an earlier version.
+*/
 class EntryProcess
 {
 public:
     /** @param number determines its address and its name @param folder receives its settings file and its log */
-    EntryProcess(EventLoop &loop, int number, const Address &store, const std::string &folder);
+    EntryProcess(EventLoop &loop,
+                 int number,
+                 const Address &store,
+                 const std::string &folder,
+                 const EntryOptions &options = EntryOptions());
 
     void start();
     /** Kills the process at once, as the loss of its machine does. */
@@ -41,10 +50,12 @@
     /** The node name, which the row of the epoch shows while the process owns the cell. */
     const std::string &name() const;
     Address clientAddress() const;
+    /** Receives its output. */
+    const std::string &logFile() const;
     FaultyLink &storeLink();
 
 private:
-    void writeSettings(const Address &store) const;
+    void writeSettings(const Address &store, const EntryOptions &options) const;
 
     EventLoop &loop_;
     std::string ip_;
--- a/tests/soak/ProcessCell.cpp
+++ b/tests/soak/ProcessCell.cpp
@@ -11,7 +11,8 @@
                          int entryCount,
                          int workerCount,
                          const std::string &folder,
-                         const SimulatedWorker::Plan &plan)
+                         const SimulatedWorker::Plan &plan,
+                         const std::function<EntryOptions(int)> &optionsOf)
     : random(seed), platform(loop), startedAt_(loop.now())
 {
     constexpr int coresPerWorker = 64;
@@ -24,7 +25,8 @@
     }
     for (int number = 0; number < entryCount; ++number) {
         const auto storeAddress = platform.addStoreClient(EntryProcess::nameOf(number));
-        entries.push_back(std::make_unique<EntryProcess>(loop, number, storeAddress, folder));
+        const auto options = optionsOf ? optionsOf(number) : EntryOptions();
+        entries.push_back(std::make_unique<EntryProcess>(loop, number, storeAddress, folder, options));
         entries.back()->start();
     }
 }
--- a/tests/soak/ProcessCell.h
+++ b/tests/soak/ProcessCell.h
@@ -16,8 +16,17 @@
 class ProcessCell
 {
 public:
-    /** @param folder is emptied, and receives the settings and logs of the processes @param plan the work of the workers' runs */
-    ProcessCell(unsigned seed, int entryCount, int workerCount, const std::string &folder, const SimulatedWorker::Plan &plan);
+    /**
+        @param folder is emptied, and receives the settings and logs of the processes
+        @param plan the work of the workers' runs
+        @param optionsOf returns the options of the process with this number; the default ones without it
+    */
+    ProcessCell(unsigned seed,
+                int entryCount,
+                int workerCount,
+                const std::string &folder,
+                const SimulatedWorker::Plan &plan,
+                const std::function<EntryOptions(int)> &optionsOf = {});
 
     /** Runs the loop for a time. */
     void runFor(Milliseconds duration);
--- a/tests/soak/SoakClients.cpp
+++ b/tests/soak/SoakClients.cpp
@@ -12,11 +12,9 @@
 constexpr Milliseconds requestTimeout { 3000 };
 constexpr Milliseconds retryDelay { 400 };
 
-WebRequest makeRequest(const std::string &method, const std::string &id, const std::string &body)
+WebRequest makeRequest(const std::string &method, const std::string &path, const std::string &body)
 {
-    return {
-        method, "/jobs/" + id, { { "Host", "cell.example" }, { "Deadline-Ms", std::to_string(requestTimeout.count()) } }, body
-    };
+    return { method, path, { { "Host", "cell.example" }, { "Deadline-Ms", std::to_string(requestTimeout.count()) } }, body };
 }
 
 } // namespace
@@ -33,9 +31,10 @@
     return *entries_.at(std::uniform_int_distribution<std::size_t>(0, entries_.size() - 1)(random_));
 }
 
-void SoakClients::submit(const std::string &id, const std::string &body)
+void SoakClients::submit(const std::string &id, const std::string &body, const std::string &prefix)
 {
     jobs_[id].body = body;
+    jobs_[id].prefix = prefix;
     send(id);
 }
 
@@ -43,8 +42,9 @@
 {
     auto &job = jobs_.at(id);
     ++job.attempts;
-    pickEntry().send(
-        makeRequest("POST", id, job.body), requestTimeout, [this, id](const SendResult &result) { onSubmitAnswered(id, result); });
+    pickEntry().send(makeRequest("POST", job.prefix + id, job.body), requestTimeout, [this, id](const SendResult &result) {
+        onSubmitAnswered(id, result);
+    });
 }
 
 void SoakClients::onSubmitAnswered(const std::string &id, const SendResult &result)
@@ -74,25 +74,27 @@
 
 void SoakClients::sendCancel(const std::string &id, int attempts)
 {
-    pickEntry().send(makeRequest("DELETE", id, {}), requestTimeout, [this, id, attempts](const SendResult &result) {
-        auto &job = jobs_.at(id);
-        if (result.hasStatus(200)) {
-            job.cancelledAt = job.cancelledAt.value_or(loop_.now());
-            if (onCancelled) {
-                onCancelled(id);
+    pickEntry().send(
+        makeRequest("DELETE", jobs_.at(id).prefix + id, {}), requestTimeout, [this, id, attempts](const SendResult &result) {
+            auto &job = jobs_.at(id);
+            if (result.hasStatus(200)) {
+                job.cancelledAt = job.cancelledAt.value_or(loop_.now());
+                if (onCancelled) {
+                    onCancelled(id);
+                }
+            } else if (result.hasStatus(410) && job.isAccepted) {
+                violations.push_back(id + " was accepted, but its cancellation was answered with status 410 (no such job)");
+            } else if (attempts < maximumAttempts) {
+                loop_.after(retryDelay, [this, id, attempts] { sendCancel(id, attempts + 1); });
             }
-        } else if (result.hasStatus(410) && job.isAccepted) {
-            violations.push_back(id + " was accepted, but its cancellation was answered with status 410 (no such job)");
-        } else if (attempts < maximumAttempts) {
-            loop_.after(retryDelay, [this, id, attempts] { sendCancel(id, attempts + 1); });
-        }
-    });
+        });
 }
 
 void SoakClients::query(const std::string &id)
 {
-    pickEntry().send(
-        makeRequest("GET", id, {}), requestTimeout, [this, id](const SendResult &result) { onQueryAnswered(id, result); });
+    pickEntry().send(makeRequest("GET", jobs_.at(id).prefix + id, {}), requestTimeout, [this, id](const SendResult &result) {
+        onQueryAnswered(id, result);
+    });
 }
 
 void SoakClients::onQueryAnswered(const std::string &id, const SendResult &result)
--- a/tests/soak/SoakClients.h
+++ b/tests/soak/SoakClients.h
@@ -23,6 +23,8 @@
     struct Job
     {
         std::string body;
+        /** The path prefix of its queue. */
+        std::string prefix;
         /** A submission was answered with success. */
         bool isAccepted = false;
         /** A submission was sent and not accepted, and its answer, if any, does not exclude that the job runs. */
@@ -39,7 +41,7 @@
     SoakClients(EventLoop &loop, const std::vector<Address> &entries, std::mt19937 &random);
 
     /** Submits a new job; repeated at random processes until it is accepted, answered with 400 or 404, or out of attempts. */
-    void submit(const std::string &id, const std::string &body);
+    void submit(const std::string &id, const std::string &body, const std::string &prefix = "/jobs/");
 
     /** Queries the state of an accepted job; records a violation if the job is said not to exist or its end state changes. */
     void query(const std::string &id);
