Soak: the store tells its clock, and workers have clocks and addresses of their own

Replies to reads carry nowMs, as the platform's do. Without it an owner could not date the reports of a worker, and never took a draining worker for gone. A worker's clock may begin at any time, another worker may get the address of one that has left, and a request that names another worker is answered with 421. Calls for changes can be answered as soon as there is a change. Hooks tell of starts, stops and ends.

--- a/tests/fakes/SimulatedWorker.cpp
+++ b/tests/fakes/SimulatedWorker.cpp
@@ -33,6 +33,9 @@
     over = std::max(over, key.second);
     endTimes_[nextEnd_] = at;
     ended_.push_back({ nextEnd_++, key.first, key.second, how, {} });
+    if (onEnded) {
+        onEnded(ended_.back(), at);
+    }
 }
 
 void SimulatedWorker::settle()
@@ -373,6 +376,11 @@
             onDoneAcknowledged(task, endedAt);
         }
     };
+    slot->onEnded = [this, worker = slot.get()](const EndedTask &ended, TimePoint endedAt) {
+        if (onEnded) {
+            onEnded(*worker, ended, endedAt);
+        }
+    };
     return *slot;
 }
 
--- a/tests/fakes/SimulatedWorker.h
+++ b/tests/fakes/SimulatedWorker.h
@@ -63,6 +63,9 @@
     /** Called when an end as done is acknowledged and the lease has not lapsed since the end. */
     std::function<void(const TaskName &, TimePoint endedAt)> onDoneAcknowledged;
 
+    /** Called for each run that has ended, with the time of its end, when the worker lists it. */
+    std::function<void(const EndedTask &, TimePoint endedAt)> onEnded;
+
     /** It is gone: no connection to it can be opened. */
     bool hasExited = false;
 
@@ -135,6 +138,8 @@
     std::function<CommandFault()> drawFault;
     /** Called after each start that a worker has begun. */
     std::function<void(SimulatedWorker &, const StartCommand &)> onStarted;
+    /** Called as SimulatedWorker::onEnded for all workers. */
+    std::function<void(const SimulatedWorker &, const EndedTask &, TimePoint endedAt)> onEnded;
     /** Called as SimulatedWorker::onDoneAcknowledged for all workers. */
     std::function<void(const TaskName &, TimePoint endedAt)> onDoneAcknowledged;
 
--- a/tests/soak/PlatformServer.cpp
+++ b/tests/soak/PlatformServer.cpp
@@ -65,6 +65,11 @@
 
 PlatformServer::~PlatformServer() = default;
 
+TimePoint PlatformServer::now() const
+{
+    return loop_.now();
+}
+
 Address PlatformServer::storeAddress() const
 {
     return { "127.0.0.1", storeListener_->port() };
@@ -72,57 +77,102 @@
 
 void PlatformServer::addWorker(const std::string &id, int cores, SimulatedWorker::Plan plan)
 {
-    auto &endpoint = workers_[id];
-    endpoint.listener = std::make_unique<HttpListener>(
-        loop_, HttpListenerLimits(), [this, id](const WebRequest &request, const HttpResponderPointer &responder) {
-            serveWorker(id, request, responder);
-        });
-    std::string error;
-    if (!endpoint.listener->listen({ "127.0.0.1", 0 }, error)) {
-        throw std::runtime_error(error);
-    }
-    endpoint.link = std::make_unique<FaultyLink>(loop_, Address { "127.0.0.1", endpoint.listener->port() });
     WorkerEntry entry;
     entry.id = id;
     entry.service = "desk";
-    entry.address = endpoint.link->address();
+    entry.failureDomain = "z";
     entry.labels = { "a", "r1" };
     entry.capacity = { std::int64_t(cores) * 1000, 1 << 20, 0, 0, 0 };
     entry.incarnation = 1;
-    fleet.add(entry, std::move(plan));
+    addWorker(std::move(entry), std::move(plan));
     registerWorker(id);
 }
 
-void PlatformServer::registerWorker(const std::string &id)
+SimulatedWorker &PlatformServer::addWorker(WorkerEntry entry, SimulatedWorker::Plan plan, const std::string &former)
+{
+    auto &endpoint = workers_[entry.id];
+    if (!former.empty()) {
+        endpoint = workers_.at(former);
+    } else {
+        endpoint = std::make_shared<WorkerEndpoint>();
+        auto &added = *endpoint;
+        added.listener = std::make_unique<HttpListener>(
+            loop_, HttpListenerLimits(), [this, &added](const WebRequest &request, const HttpResponderPointer &responder) {
+                serveWorker(added.worker, request, responder);
+            });
+        std::string error;
+        if (!added.listener->listen({ "127.0.0.1", 0 }, error)) {
+            throw std::runtime_error(error);
+        }
+        added.link = std::make_unique<FaultyLink>(loop_, Address { "127.0.0.1", added.listener->port() });
+    }
+    endpoint->worker = entry.id;
+    entry.address = endpoint->link->address();
+    return fleet.add(entry, std::move(plan));
+}
+
+Json PlatformServer::makeWorkerRow(const std::string &id)
 {
     const auto &entry = fleet.worker(id).entry();
     const Json capacity { { "cpu", entry.capacity.milliCores }, { "memMb", entry.capacity.memoryMiB }, { "gpu", 0 } };
-    const Json row { { "service", entry.service },
-                     { "address", entry.address.text() },
-                     { "zone", "z" },
-                     { "state", "ready" },
-                     { "capacity", capacity },
-                     { "labels", entry.labels },
-                     { "born", entry.incarnation } };
-    store.write("servers", id, row.dump());
+    return { { "service", entry.service },    { "address", entry.address.text() },
+             { "zone", entry.failureDomain }, { "state", "ready" },
+             { "capacity", capacity },        { "labels", entry.labels },
+             { "born", entry.incarnation } };
+}
+
+void PlatformServer::registerWorker(const std::string &id)
+{
+    store.write("servers", id, makeWorkerRow(id).dump());
 }
 
 void PlatformServer::restartWorker(const std::string &id)
 {
     fleet.worker(id).restart();
     // A restart closes the open connections of the worker.
-    workers_.at(id).link->setMode(FaultyLink::Mode::Reset);
-    workers_.at(id).link->setMode(FaultyLink::Mode::Open);
+    endpointOf(id).link->setMode(FaultyLink::Mode::Reset);
+    endpointOf(id).link->setMode(FaultyLink::Mode::Open);
     registerWorker(id);
 }
 
 FaultyLink &PlatformServer::workerLink(const std::string &id)
 {
-    return *workers_.at(id).link;
+    return *endpointOf(id).link;
+}
+
+void PlatformServer::setWorkerClock(const std::string &id, TimePoint start)
+{
+    workerClockStarts_[id] = start;
+}
+
+PlatformServer::WorkerEndpoint &PlatformServer::endpointOf(const std::string &id) const
+{
+    return *workers_.at(id);
+}
+
+TimePoint PlatformServer::workerNow(const std::string &id) const
+{
+    const auto start = workerClockStarts_.find(id);
+    return start == workerClockStarts_.end() ? loop_.now() : TimePoint() + (loop_.now() - start->second);
+}
+
+TimePoint PlatformServer::fromWorkerClock(const std::string &id, std::int64_t clock) const
+{
+    const auto start = workerClockStarts_.find(id);
+    return (start == workerClockStarts_.end() ? TimePoint() : start->second) + Milliseconds(clock);
+}
+
+bool PlatformServer::isServing(const std::string &id, std::int64_t incarnation)
+{
+    return endpointOf(id).worker == id && fleet.worker(id).entry().incarnation == incarnation;
 }
 
 void PlatformServer::serveWorker(const std::string &id, const WebRequest &request, const HttpResponderPointer &responder)
 {
+    if (request.header("target-instance") != id) {
+        responder->reply({ 421, Json { { "clockMs", sinceEpoch(workerNow(id)).count() } }.dump(), {} });
+        return;
+    }
     const auto body = Json::parse(request.body);
     const auto token = body.at("fencingToken").get<std::int64_t>();
     if (isCut(id, token)) {
@@ -136,7 +186,7 @@
                                       loop_.now() + Milliseconds(body.value("waitMs", 0)),
                                       fleet.worker(id).entry().incarnation };
         if (body.contains("deadlineMs")) {
-            reportRequest.deadline = TimePoint() + Milliseconds(body.at("deadlineMs").get<std::int64_t>());
+            reportRequest.deadline = fromWorkerClock(id, body.at("deadlineMs").get<std::int64_t>());
         }
         answerReportRequest(id, reportRequest, responder);
         return;
@@ -145,7 +195,7 @@
     if (fault.kind == CommandFault::Kind::Late) {
         // The worker carries out a delayed command later, unless it has been restarted by then.
         loop_.after(fault.late, [this, id, request, responder, incarnation = fleet.worker(id).entry().incarnation] {
-            if (fleet.worker(id).entry().incarnation == incarnation) {
+            if (isServing(id, incarnation)) {
                 serveCommand(id, request, responder);
             }
         });
@@ -178,18 +228,24 @@
     const auto token = body.at("fencingToken").get<std::int64_t>();
     const auto attempt = body.at("attempt").get<std::int64_t>();
     if (request.target == "/api/run-stop") {
-        responder->reply(makeCommandReply(worker.stop(*task, attempt, token), loop_.now()));
+        if (onStopped) {
+            onStopped(worker, *task, attempt, token);
+        }
+        responder->reply(makeCommandReply(worker.stop(*task, attempt, token), workerNow(id)));
         return;
     }
     const StartCommand command { *task, attempt, body.value("spec", std::string()), {}, {} };
     const auto runCountBefore = worker.runs().size();
-    const auto deadline = TimePoint() + Milliseconds(body.at("deadlineMs").get<std::int64_t>());
+    const auto deadline = fromWorkerClock(id, body.at("deadlineMs").get<std::int64_t>());
     const auto outcome = worker.start(command, deadline, token);
     if (worker.runs().size() > runCountBefore) {
+        if (onRunStarted) {
+            onRunStarted(worker, command, token);
+        }
         checker.check(worker, command);
         onStarted(command);
     }
-    responder->reply(makeCommandReply(outcome, loop_.now()));
+    responder->reply(makeCommandReply(outcome, workerNow(id)));
 }
 
 void PlatformServer::answerReportRequest(const std::string &id,
@@ -197,8 +253,8 @@
                                          const HttpResponderPointer &responder)
 {
     auto &worker = fleet.worker(id);
-    if (worker.entry().incarnation != reportRequest.incarnation) {
-        // The worker has been restarted, which closed the connection.
+    if (!isServing(id, reportRequest.incarnation)) {
+        // The worker has left or has been restarted, which closed the connection.
         responder->abandon();
         return;
     }
@@ -209,7 +265,7 @@
     TaskReport report;
     const auto outcome = worker.renewLeases(reportRequest.acknowledged, reportRequest.deadline, reportRequest.token, report);
     if (outcome != CommandOutcome::Accepted) {
-        responder->reply(makeCommandReply(outcome, loop_.now()));
+        responder->reply(makeCommandReply(outcome, workerNow(id)));
     } else if (report.ended.empty() && loop_.now() < reportRequest.pollDeadline) {
         loop_.after(reportPollInterval,
                     [this,
@@ -220,7 +276,7 @@
                         answerReportRequest(id, nextRequest, responder);
                     });
     } else {
-        responder->reply({ 200, makeReportJson(report, loop_.now()).dump(), {} });
+        responder->reply({ 200, makeReportJson(report, workerNow(id)).dump(), {} });
     }
 }
 
--- a/tests/soak/PlatformServer.h
+++ b/tests/soak/PlatformServer.h
@@ -6,6 +6,8 @@
 #include "soak/FaultyLink.h"
 #include "soak/StoreFault.h"
 
+#include <nlohmann/json.hpp>
+
 #include <limits>
 #include <list>
 #include <map>
@@ -49,12 +51,20 @@
     /** Adds a worker and writes its row to the store. @param plan returns duration and outcome of each run */
     void addWorker(const std::string &id, int cores, SimulatedWorker::Plan plan);
 
+    /** As above, without a row; the address of the entry is set, to that of a former worker if one is named. */
+    SimulatedWorker &addWorker(WorkerEntry entry, SimulatedWorker::Plan plan, const std::string &former = {});
+
     /** Writes a worker's row, with its current incarnation, to the store. */
     void registerWorker(const std::string &id);
+    /** The row of a worker that is ready, without the members that tell its state. */
+    nlohmann::json makeWorkerRow(const std::string &id);
 
     /** Restarts a worker under the same id with a new incarnation; its open connections are reset. */
     void restartWorker(const std::string &id);
 
+    /** The worker's clock shows zero at this time. */
+    void setWorkerClock(const std::string &id, TimePoint start);
+
     FaultyLink &workerLink(const std::string &id);
 
     /** The cuts in force. Requests and replies that meet one are lost; their connections are closed after its end. */
@@ -67,12 +77,24 @@
     /** Called for each start or stop command to draw its fault, if set. */
     std::function<CommandFault()> drawFault;
 
+    /** The time on the loop's clock. */
+    TimePoint now() const;
+
     /** Called after each start that a worker has carried out. */
     std::function<void(const StartCommand &)> onStarted;
+    /** Called after each start that a worker has carried out, before it is checked, if set. */
+    std::function<void(const SimulatedWorker &, const StartCommand &, std::int64_t token)> onRunStarted;
+    /** Called for each stop that reaches a worker, if set. */
+    std::function<void(const SimulatedWorker &, const TaskName &, std::int64_t attempt, std::int64_t token)> onStopped;
+
+    /** If above zero, calls for changes are answered as soon as there is one, which is looked for at this interval. */
+    Milliseconds feedInterval { 0 };
 
 private:
     struct WorkerEndpoint
     {
+        /** The worker that has the address now. */
+        std::string worker;
         std::unique_ptr<HttpListener> listener;
         std::unique_ptr<FaultyLink> link;
     };
@@ -99,7 +121,17 @@
     void serveStore(const WebRequest &request, const HttpResponderPointer &responder);
     /** Serves a call of one process under its fault. */
     void serveStoreClient(StoreClient &client, const WebRequest &request, const HttpResponderPointer &responder);
+    /** Serves a call for changes with the feedInterval. */
+    void serveFeed(const std::string &table, std::int64_t after, TimePoint deadline, const HttpResponderPointer &responder);
     void serveTransaction(const std::string &body, const HttpResponderPointer &responder);
+    WorkerEndpoint &endpointOf(const std::string &id) const;
+    /** The time on the worker's clock. */
+    TimePoint workerNow(const std::string &id) const;
+    /** The time of the loop at which the worker's clock shows this many milliseconds. */
+    TimePoint fromWorkerClock(const std::string &id, std::int64_t clock) const;
+    /** The address belongs to the worker, and it is still in the life in which a request has reached it. */
+    bool isServing(const std::string &id, std::int64_t incarnation);
+
     void serveWorker(const std::string &id, const WebRequest &request, const HttpResponderPointer &responder);
     void serveCommand(const std::string &id, const WebRequest &request, const HttpResponderPointer &responder);
     void answerReportRequest(const std::string &id, const ReportRequest &reportRequest, const HttpResponderPointer &responder);
@@ -111,7 +143,10 @@
     EventLoop &loop_;
     std::unique_ptr<HttpListener> storeListener_;
     std::map<std::string, StoreClient> storeClients_;
-    std::map<std::string, WorkerEndpoint> workers_;
+    /** By worker; a worker that has the address of a former one shares its endpoint. */
+    std::map<std::string, std::shared_ptr<WorkerEndpoint>> workers_;
+    /** When the clocks of workers showed zero, of those that do not show the loop's clock. */
+    std::map<std::string, TimePoint> workerClockStarts_;
 };
 
 } // namespace auburndoor
--- a/tests/soak/PlatformServerStore.cpp
+++ b/tests/soak/PlatformServerStore.cpp
@@ -81,8 +81,11 @@
                                                  { StoreOutcome::Rejected, 400 } };
     const auto found = statuses.find(result.outcome);
     const int status = found == statuses.end() ? 503 : found->second;
-    responder->reply(
-        { status, Json { { "rows", makeRowsJson(rows) }, { "schemaVer", result.version }, { "hasMore", hasMore } }.dump(), {} });
+    Json body { { "rows", makeRowsJson(rows) }, { "schemaVer", result.version }, { "hasMore", hasMore } };
+    if (result.time && status == 200) {
+        body["nowMs"] = result.time->earliest.count();
+    }
+    responder->reply({ status, body.dump(), {} });
 }
 
 std::vector<StoreRow> readRows(const Json &root, const char *name)
@@ -172,6 +175,11 @@
                       [responder, maximumRows = size.empty() ? 500 : std::stoul(size)](const StoreResult &result) {
                           reply(result, responder, maximumRows);
                       });
+    } else if (path == "/api/rows-feed" && feedInterval > Milliseconds(0)) {
+        serveFeed(readQueryParameter(request.target, "table"),
+                  std::stoll(readQueryParameter(request.target, "dependsOn")),
+                  loop_.now() + Milliseconds(std::stoll(readQueryParameter(request.target, "waitMs"))),
+                  responder);
     } else if (path == "/api/rows-feed") {
         store.changes(readQueryParameter(request.target, "table"),
                       std::stoll(readQueryParameter(request.target, "dependsOn")),
@@ -182,6 +190,20 @@
     }
 }
 
+void PlatformServer::serveFeed(const std::string &table,
+                               std::int64_t after,
+                               TimePoint deadline,
+                               const HttpResponderPointer &responder)
+{
+    store.changes(table, after, Milliseconds(0), [this, table, after, deadline, responder](const StoreResult &result) {
+        if (result.outcome != StoreOutcome::Done || !result.rows.empty() || loop_.now() >= deadline) {
+            reply(result, responder);
+            return;
+        }
+        loop_.after(feedInterval, [this, table, after, deadline, responder] { serveFeed(table, after, deadline, responder); });
+    });
+}
+
 void PlatformServer::serveTransaction(const std::string &body, const HttpResponderPointer &responder)
 {
     const auto root = Json::parse(body);
