Soak: a link that refuses connections keeps its port

A play ended with "bind: Address already in use": while a link refused connections its port was free, and another socket took it. The port stays bound now, without a listener, and the links have a loopback address of their own, so that the connections and listeners of other test programs cannot have their ports. makeLoopbackAddress() is moved to a header for it.

--- a/tests/soak/EntryProcess.cpp
+++ b/tests/soak/EntryProcess.cpp
@@ -1,18 +1,19 @@
 #include "soak/EntryProcess.h"
 
 #include "net/EventLoop.h"
+#include "soak/LoopbackAddress.h"
 
 #include <nlohmann/json.hpp>
 
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
-#include <unistd.h>
 
 namespace auburndoor {
 
 namespace {
 
+constexpr int firstAddressNumber = 10;
 constexpr int clientPort = 18149;
 constexpr int readinessPort = 18141;
 constexpr int firstPeerPort = 17380;
@@ -20,15 +21,6 @@
 // The grace period of the settings (graceS) and one second for a loaded machine.
 constexpr Milliseconds stopTimeout { 7000 };
 
-/** Returns a loopback address that is derived from the process id, so that several test processes can run side by side. */
-std::string makeLoopbackAddress(int number)
-{
-    constexpr int byteValues = 256;
-    const auto id = getpid();
-    return "127." + std::to_string(id / byteValues % byteValues) + "." + std::to_string(id % byteValues) + "."
-           + std::to_string(10 + number);
-}
-
 std::string programFile()
 {
     const char *selected = std::getenv("SOAK_ENTRY");
@@ -43,7 +35,7 @@
                            const std::string &folder,
                            const EntryOptions &options)
     : loop_(loop)
-    , ip_(makeLoopbackAddress(number))
+    , ip_(makeLoopbackAddress(firstAddressNumber + number))
     , name_(nameOf(number))
     , settingsFile_(folder + "/" + name_ + ".json")
     , logFile_(folder + "/" + name_ + ".log")
--- a/tests/soak/FaultyLink.cpp
+++ b/tests/soak/FaultyLink.cpp
@@ -3,6 +3,7 @@
 
 #include "net/EventLoop.h"
 #include "soak/FaultyLink.h"
+#include "soak/LoopbackAddress.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
@@ -22,6 +23,9 @@
 
 namespace {
 
+/** The number of the loopback address of all links of this test program; those of the entry processes begin with 10. */
+constexpr int linkAddressNumber = 9;
+
 tcp::endpoint makeEndpoint(const Address &address)
 {
     return { asio::ip::make_address(address.host), address.port };
@@ -225,15 +229,14 @@
     if (listening == next) {
         return;
     }
-    const auto former = std::exchange(listening, next);
+    listening = next;
     error_code ignored;
     queued.reset();
     if (next == Listening::Off) {
+        // A socket that is bound and does not listen keeps the port from others.
         acceptor.close(ignored);
-        return;
-    }
-    if (former == Listening::Off) {
         open(endpoint);
+        return;
     }
     if (next == Listening::Accepting) {
         acceptor.listen(asio::socket_base::max_listen_connections, ignored);
@@ -257,18 +260,20 @@
 
 FaultyLink::FaultyLink(EventLoop &loop, Address target) : impl_(std::make_shared<Impl>(loop, std::move(target)))
 {
-    impl_->endpoint = { asio::ip::make_address("127.0.0.1"), 0 };
+    impl_->open({ asio::ip::make_address(makeLoopbackAddress(linkAddressNumber)), 0 });
     impl_->setListening(Impl::Listening::Accepting);
 }
 
 FaultyLink::~FaultyLink()
 {
     setMode(Mode::Refused);
+    error_code ignored;
+    impl_->acceptor.close(ignored);
 }
 
 Address FaultyLink::address() const
 {
-    return { "127.0.0.1", impl_->endpoint.port() };
+    return { impl_->endpoint.address().to_string(), impl_->endpoint.port() };
 }
 
 void FaultyLink::setMode(Mode mode, Milliseconds delay)
--- a/tests/soak/SiteCell.cpp
+++ b/tests/soak/SiteCell.cpp
@@ -107,21 +107,25 @@
 std::vector<std::string> SiteCell::loseStoreWhileDraining()
 {
     constexpr int drainingCount = 14;
-    constexpr Milliseconds untilOutage { 300 };
-    constexpr Milliseconds outage { 5200 };
-    constexpr Milliseconds untilRefusal { 5000 };
-    constexpr Milliseconds refusal { 1200 };
-    constexpr Milliseconds untilGone { 3000 };
+    constexpr int ownerFaultOneIn = 3;
+    constexpr Milliseconds untilGone { 3500 };
+    const Milliseconds untilOutage { cell.draw(0, 800) };
+    const Milliseconds outage { cell.draw(4700, 5500) };
+    const Milliseconds untilFailures = outage - Milliseconds(cell.draw(0, 400));
+    const Milliseconds failures { cell.draw(500, 1500) };
     longTaskWeight_ = 3;
     if (!begin()) {
         return cell.violations;
     }
     drainWorkers(drainingCount);
     cell.runFor(untilOutage);
-    loseStore(outage, StoreFault::Kind::Refuse, true);
-    cell.runFor(untilRefusal);
+    loseStore(outage, cell.draw(0, 1) == 0 ? StoreFault::Kind::Refuse : StoreFault::Kind::Silent, true);
+    if (cell.draw(1, ownerFaultOneIn) == 1) {
+        cell.loop.after(outage - Milliseconds(cell.draw(-500, 2000)), [this] { injectOwnerFault(); });
+    }
+    cell.runFor(untilFailures);
     for (const auto &id : workers_.ids(true)) {
-        workers_.resetConnections(id, refusal, FaultyLink::Mode::Refused);
+        resetConnections(id, failures);
     }
     cell.runFor(untilGone);
     return finish();
@@ -349,15 +353,24 @@
 
 void SiteCell::injectProcessFault()
 {
-    auto *owner = cell.owner();
-    auto *entry = cell.entries.at(static_cast<std::size_t>(cell.draw(0, entryCount - 1))).get();
-    if (owner != nullptr && cell.draw(0, 1) == 0) {
-        entry = owner;
+    if (cell.draw(0, 1) == 0) {
+        injectOwnerFault();
+    } else {
+        disturb(cell.entries.at(static_cast<std::size_t>(cell.draw(0, entryCount - 1))).get());
     }
-    if (!entry->isRunning() || entry->isPaused() || entry->isStopping()) {
+}
+
+void SiteCell::injectOwnerFault()
+{
+    disturb(cell.owner());
+}
+
+void SiteCell::disturb(EntryProcess *entry)
+{
+    if (entry == nullptr || !entry->isRunning() || entry->isPaused() || entry->isStopping()) {
         return;
     }
-    const std::string role = entry == owner ? " (owner)" : "";
+    const std::string role = entry == cell.owner() ? " (owner)" : "";
     const Milliseconds duration { cell.draw(100, 4000) };
     switch (cell.draw(0, 3)) {
     case 0:
--- a/tests/soak/SiteCell.h
+++ b/tests/soak/SiteCell.h
@@ -27,8 +27,8 @@
     std::vector<std::string> run(Milliseconds faultDuration);
 
     /**
-        Lets workers drain with their tasks, and takes the store away for so long that their entries expire. When it returns, new
-        connections to these workers are refused for a moment. @return as run()
+        Lets workers drain with their tasks, and takes the store away for so long that their entries expire. When it returns,
+        connections to these workers fail for a moment; in a third of the cases the owner fails as well. @return as run()
     */
     std::vector<std::string> loseStoreWhileDraining();
 
@@ -41,6 +41,9 @@
     void submitNext();
     void injectNextFault();
     void injectProcessFault();
+    void injectOwnerFault();
+    /** Kills, stops or suspends a process that is running; null does nothing. */
+    void disturb(EntryProcess *entry);
     void injectStoreFault();
     void injectWorkerFault();
     void drainWorkersRegularly();
--- a/tests/soak/SiteTests.cpp
+++ b/tests/soak/SiteTests.cpp
@@ -17,6 +17,10 @@
     1U,
 };
 
+constexpr std::array drainSeeds {
+    1U,
+};
+
 /** Plays a cell. The logs, the faults and the explained violations stay in the folder soak-site-NAME. */
 void play(const std::string &name, unsigned seed, const std::function<std::vector<std::string>(SiteCell &)> &scenario)
 {
@@ -56,5 +60,7 @@
 // it does not open.
 TEST_CASE("workers that drain while the store is away are not given up", "[site][drain]")
 {
-    play("drain", 1, [](SiteCell &site) { return site.loseStoreWhileDraining(); });
+    for (const auto seed : selectSeeds(drainSeeds)) {
+        play("drain-" + std::to_string(seed), seed, [](SiteCell &site) { return site.loseStoreWhileDraining(); });
+    }
 }
