--- a/tests/fakes/StartChecker.h
+++ b/tests/fakes/StartChecker.h
@@ -29,10 +29,14 @@
     /** Checks a start that the worker has begun. */
     void check(SimulatedWorker &worker, const StartCommand &order);
 
+    /** If true, runs of a task may overlap and follow its end where its step allows copies. */
+    bool permitsCopies = false;
+
     /** What was found, for a person. */
     std::vector<std::string> violations;
 
 private:
+    bool mayRunAgain(const TaskName &task) const;
     void checkAcknowledged(const TaskName &task, TimePoint endedAt);
 
     SimulatedFleet &fleet_;
