--- a/tests/fakes/SimulatedFleet.cpp
+++ b/tests/fakes/SimulatedFleet.cpp
@@ -221,6 +221,11 @@
             onDoneAcknowledged(task, endedAt);
         }
     };
+    slot->onEnded = [this, worker = slot.get()](const EndedTask &ended, TimePoint endedAt) {
+        if (onEnded) {
+            onEnded(*worker, ended, endedAt);
+        }
+    };
     return *slot;
 }
 
