Tests: a late answer to a query writes into the stack of its caller

Cause: OwnerFixture::stage() hands the owner a callback that refers to a local variable. An owner that was suspended answers only after it has read the row of the epoch, when stage() has returned. Change: the callback shares the variable. The fixture ends its owners before the members that they use.

--- a/tests/dispatch/OwnerFixture.cpp
+++ b/tests/dispatch/OwnerFixture.cpp
@@ -66,6 +66,9 @@
 
 OwnerFixture::~OwnerFixture()
 {
+    // The owners use the members that are destroyed before them.
+    owner.reset();
+    formerOwners_.clear();
     EventLog::flush();
 }
 
@@ -215,13 +218,14 @@
     ClientCall call;
     call.kind = ClientCall::Kind::Query;
     call.job = id;
-    std::optional<JobStage> stage;
-    owner->call(call, [&stage](const ClientResult &result) {
+    // The owner may answer later, as after it has read the row of the epoch.
+    auto stage = std::make_shared<std::optional<JobStage>>();
+    owner->call(call, [stage](const ClientResult &result) {
         if (result.outcome == ClientResult::Outcome::Answered) {
-            stage = result.stage;
+            *stage = result.stage;
         }
     });
-    return stage;
+    return *stage;
 }
 
 bool OwnerFixture::runUntil(const std::string &id, JobStage wanted, Milliseconds limit)
