Test: the first renewal of a new owner outlasts the end of a lease that it was handed over

Cause: an owner that stops as planned hands over until when the leases of silent and draining workers hold (decision 0024). The next owner's first poll of such a worker renews the lease for 4.5 or 5 s (Fleet::Impl::pollWorker). If the worker carries the renewal out and the reply is lost, its runs go on; but the wait for reports ends at the time that was handed over (areInheritedLeasesOver), which does not count the owner's own renewal, and the tasks start elsewhere.

--- a/tests/dispatch/HandedOverLeaseTests.cpp
+++ b/tests/dispatch/HandedOverLeaseTests.cpp
@@ -104,6 +104,23 @@
     CHECK(cell.violations().empty());
 }
 
+// Guards against a new owner whose first renewal extends the lease beyond the time that it was handed over, while it does not get
+// the worker's reply: the task starts elsewhere at that time, and its first run goes on (seed 58 of the property test
+// [departures]).
+TEST_CASE("the first renewal of a new owner does not outlast the end of the lease that it was handed over",
+          "[handed-over][extended]")
+{
+    SilentWorkerFixture cell;
+    cell.stopOwner();
+    // Orders reach the worker again, and its replies are lost.
+    cell.fleet.worker("w1").isCutOff = false;
+    cell.fleet.worker("w1").losesReplies = true;
+    cell.takeOver();
+    cell.timers.advance(leaseTime + leaseTime);
+    CHECK(cell.starts.size() == 2);
+    CHECK(cell.violations().empty());
+}
+
 // Guards against a conversion that makes a lease end too early where either clock is slow.
 TEST_CASE("times of the store's clock allow for slow clocks", "[handed-over]")
 {
