--- a/tests/dispatch/OwnerFixture.cpp
+++ b/tests/dispatch/OwnerFixture.cpp
@@ -59,6 +59,7 @@
                                                         AdvicePolicy().timePerWorker,
                                                         Milliseconds(1500) };
     plan = [](const TaskName &, std::int64_t) { return SimulatedWork(); };
+    fleet.deliverReply = [this](std::int64_t token, std::function<void()> reply) { clock(token).deliver(std::move(reply)); };
     fleet.onStarted = [this](SimulatedWorker &worker, const StartCommand &command) {
         starts.push_back(command);
         checker_.check(worker, command);
@@ -67,6 +68,9 @@
 
 OwnerFixture::~OwnerFixture()
 {
+    // The owners use the members that are destroyed before them.
+    owner.reset();
+    formerOwners_.clear();
     EventLog::flush();
 }
 
@@ -94,7 +98,7 @@
                                { "capacity",
                                  { { "cpu", entry.capacity.milliCores }, { "memMb", entry.capacity.memoryMiB }, { "gpu", 0 } } },
                                { "labels", entry.labels },
-                               { "seq", ++reportCounts_[id] },
+                               { "seq", ++reportCounts_[{ id, entry.incarnation }] },
                                { "born", entry.incarnation } };
     store.write("servers", id, row.dump());
 }
@@ -134,9 +138,10 @@
                                 sequence == nullptr ? 0 : sequence->version,
                                 CallTime::now(timers) };
     auto &factory = clients == nullptr ? fleet : *clients;
-    auto &link = links_.try_emplace(fencingToken_, timers, store).first->second;
     owner = std::make_unique<Owner>(
-        OwnerDependencies { timers, link, storeTimeline_, factory, advisor, protocol_, settings_ }, ownership, [] {});
+        OwnerDependencies { clock(fencingToken_), link(fencingToken_), storeTimeline_, factory, advisor, protocol_, settings_ },
+        ownership,
+        [] {});
     owner->setDesiredState(desiredState_);
     owner->start();
     timers.advance(Milliseconds(600));
@@ -144,7 +149,7 @@
 
 void OwnerFixture::cutOff(std::int64_t token, const std::set<std::string> &workers, bool isStoreCut)
 {
-    links_.try_emplace(token, timers, store).first->second.isCut = isStoreCut;
+    link(token).isCut = isStoreCut;
     for (const auto &[id, worker] : fleet.workers()) {
         if (workers.contains(id)) {
             worker->cutOffTokens.insert(token);
@@ -152,10 +157,59 @@
     }
 }
 
+PausableTimers &OwnerFixture::clock(std::int64_t token)
+{
+    return clocks_.try_emplace(token, timers).first->second;
+}
+
+PartitionedStore &OwnerFixture::link(std::int64_t token)
+{
+    auto &timersOfOwner = clock(token);
+    auto &link = links_.try_emplace(token, timersOfOwner, store).first->second;
+    link.deliverReply = [&timersOfOwner](std::function<void()> reply) { timersOfOwner.deliver(std::move(reply)); };
+    return link;
+}
+
+PartitionedStore &OwnerFixture::storeLink()
+{
+    return link(owner->token());
+}
+
+void OwnerFixture::pauseOwner()
+{
+    clock(owner->token()).pause();
+}
+
+bool OwnerFixture::isOwnerServing()
+{
+    return owner && !clock(owner->token()).isPaused() && owner->isReady();
+}
+
+void OwnerFixture::resumeOwners()
+{
+    for (auto &[token, clock] : clocks_) {
+        clock.resume();
+    }
+}
+
+void OwnerFixture::setMaxLease(Milliseconds maxLease)
+{
+    settings_.maxLease = maxLease;
+}
+
+void OwnerFixture::heal(std::int64_t token)
+{
+    link(token).isCut = false;
+    for (const auto &[id, worker] : fleet.workers()) {
+        worker->cutOffTokens.erase(token);
+    }
+}
+
 void OwnerFixture::heal()
 {
     for (auto &[token, link] : links_) {
         link.isCut = false;
+        link.refusesReads = false;
     }
     for (const auto &[id, worker] : fleet.workers()) {
         worker->cutOffTokens.clear();
@@ -216,13 +270,14 @@
     ClientCall call;
     call.kind = ClientCall::Kind::Query;
     call.job = id;
-    std::optional<JobStage> stage;
-    owner->call(call, [&stage](const ClientResult &result) {
+    // The owner may answer later, as after it has read the row of the epoch.
+    auto stage = std::make_shared<std::optional<JobStage>>();
+    owner->call(call, [stage](const ClientResult &result) {
         if (result.outcome == ClientResult::Outcome::Answered) {
-            stage = result.stage;
+            *stage = result.stage;
         }
     });
-    return stage;
+    return *stage;
 }
 
 bool OwnerFixture::runUntil(const std::string &id, JobStage wanted, Milliseconds limit)
--- a/tests/fakes/SimulatedFleet.cpp
+++ b/tests/fakes/SimulatedFleet.cpp
@@ -1,5 +1,6 @@
 #include "fakes/SimulatedWorker.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace auburndoor {
@@ -9,6 +10,15 @@
 constexpr Milliseconds wayThere { 3 };
 constexpr Milliseconds givenUpAfter { 400 };
 constexpr Milliseconds waitStep { 10 };
+constexpr Milliseconds cutCheckInterval { 50 };
+// As WorkerLease: a lease may last this much longer on a clock that is 2% slow, and its deadline may be this much too late.
+constexpr Milliseconds clockMargin { 50 };
+constexpr Milliseconds maxClockError { 30 };
+
+Milliseconds onSlowClock(Milliseconds lease)
+{
+    return lease * 50 / 49;
+}
 
 } // namespace
 
@@ -34,6 +44,7 @@
                 auto &worker = fleet.worker(id);
                 const auto before = worker.runs().size();
                 const auto outcome = worker.start(order, deadlineOn(worker, deadline, life), token);
+                noteOutcome(fleet, worker, token, true, outcome);
                 if (worker.runs().size() > before && fleet.onStarted) {
                     fleet.onStarted(worker, order);
                 }
@@ -53,9 +64,10 @@
         deliver([] { return CommandOutcome::Accepted; }, std::move(callback));
     }
 
-    void renewLeases(std::int64_t acknowledged, Milliseconds lease, Milliseconds wait, ReportCallback callback) override
+    void renewLeases(std::int64_t acknowledged, Milliseconds lease, Milliseconds wait, ReportCallback reportCallback) override
     {
         auto &timers = fleet_.timers_;
+        auto callback = whenRunning(std::move(reportCallback));
         const auto deadline = lease > Milliseconds(0) ? std::optional(promise(lease)) : std::nullopt;
         if (const auto incarnation = fleet_.worker(id_).entry().incarnation;
             std::exchange(connectedLife_, incarnation) != incarnation) {
@@ -66,9 +78,18 @@
         if (fleet_.worker(id_).isCutOffFrom(token_)) {
             // The kept connection breaks with the first request; after that no connection can be opened.
             const bool isConnected = std::exchange(isConnected_, false);
-            timers.after(isConnected ? wait + givenUpAfter : givenUpAfter, [isConnected, callback = std::move(callback)] {
-                callback({ isConnected ? CommandOutcome::Unknown : CommandOutcome::NotSent, "cut" }, {});
-            });
+            if (isConnected) {
+                carryOutAfterCut(renewalWithoutReply(acknowledged, deadline));
+            }
+            giveUp(isConnected, wait, std::move(callback));
+            return;
+        }
+        if (fleet_.worker(id_).losesReplies && !fleet_.worker(id_).hasExited) {
+            const bool isConnected = std::exchange(isConnected_, false);
+            if (isConnected) {
+                timers.after(wayThere, renewalWithoutReply(acknowledged, deadline));
+            }
+            giveUp(isConnected, wait, std::move(callback));
             return;
         }
         isConnected_ = true;
@@ -104,7 +125,7 @@
     void update(const WorkerEntry &entry) override
     {
         if (std::exchange(knownLife_, entry.incarnation) != entry.incarnation) {
-            leaseEnd_ = std::max(leaseEnd_, fleet_.timers_.now() + fleet_.worker(id_).maxLease + Milliseconds(100));
+            leaseEnd_ = std::max(leaseEnd_, fleet_.timers_.now() + onSlowClock(fleet_.worker(id_).maxLease) + clockMargin);
         }
     }
 
@@ -112,14 +133,109 @@
     /** What a deadline on the clock of one incarnation means to the worker: after a restart it is far away. */
     static TimePoint deadlineOn(const SimulatedWorker &worker, TimePoint deadline, std::int64_t clockLife)
     {
-        return worker.entry().incarnation == clockLife ? deadline : worker.now() + worker.maxLease;
+        const auto longest = worker.isClockSlow ? onSlowClock(worker.maxLease) : worker.maxLease;
+        return worker.entry().incarnation == clockLife ? deadline : worker.now() + longest;
     }
 
     TimePoint promise(Milliseconds lease)
     {
-        const auto deadline = fleet_.timers_.now() + lease;
-        leaseEnd_ = std::max(leaseEnd_, deadline + Milliseconds(100));
-        return deadline;
+        const auto now = fleet_.timers_.now();
+        leaseEnd_ = std::max(leaseEnd_, now + onSlowClock(lease) + clockMargin);
+        return now + (fleet_.worker(id_).isClockSlow ? onSlowClock(lease) + maxClockError : lease);
+    }
+
+    static void noteOutcome(const SimulatedFleet &fleet,
+                            SimulatedWorker &worker,
+                            std::int64_t token,
+                            bool isStart,
+                            CommandOutcome outcome)
+    {
+        if (outcome == CommandOutcome::Accepted && fleet.onAccepted) {
+            fleet.onAccepted(worker, token, isStart);
+        }
+    }
+
+    static CommandOutcome renew(SimulatedFleet &fleet,
+                                const std::string &id,
+                                std::int64_t token,
+                                std::int64_t acknowledged,
+                                std::optional<TimePoint> deadline,
+                                TaskReport &report)
+    {
+        auto &worker = fleet.worker(id);
+        const auto outcome = worker.renewLeases(acknowledged, deadline, token, report);
+        if (deadline) {
+            noteOutcome(fleet, worker, token, false, outcome);
+        }
+        return outcome;
+    }
+
+    /** A renewal that the worker carries out, if it is still the same incarnation, and whose reply is lost. */
+    std::function<void()> renewalWithoutReply(std::int64_t acknowledged, std::optional<TimePoint> deadline) const
+    {
+        return [&fleet = fleet_,
+                id = id_,
+                token = token_,
+                incarnation = fleet_.worker(id_).entry().incarnation,
+                acknowledged,
+                deadline,
+                life = *clockLife_] {
+            TaskReport report;
+            if (const auto &worker = fleet.worker(id); worker.entry().incarnation == incarnation) {
+                const auto end = deadline ? std::optional(deadlineOn(worker, *deadline, life)) : std::nullopt;
+                renew(fleet, id, token, acknowledged, end, report);
+            }
+        };
+    }
+
+    void giveUp(bool isConnected, Milliseconds wait, ReportCallback callback)
+    {
+        fleet_.timers_.after(isConnected ? wait + givenUpAfter : givenUpAfter, [isConnected, callback = std::move(callback)] {
+            callback({ isConnected ? CommandOutcome::Unknown : CommandOutcome::NotSent, "cut" }, {});
+        });
+    }
+
+    /** Lets an order that was sent into a cut take effect once the cut has ended, unless it is lost or the worker has restarted. */
+    void carryOutAfterCut(std::function<void()> action) const
+    {
+        const auto delay = fleet_.drawDelayAfterCut ? fleet_.drawDelayAfterCut() : std::nullopt;
+        if (delay) {
+            awaitCutEnd(fleet_, id_, token_, fleet_.worker(id_).entry().incarnation, *delay, std::move(action));
+        }
+    }
+
+    static void awaitCutEnd(SimulatedFleet &fleet,
+                            const std::string &id,
+                            std::int64_t token,
+                            std::int64_t incarnation,
+                            Milliseconds delay,
+                            std::function<void()> action)
+    {
+        const bool isCutOff = fleet.worker(id).isCutOffFrom(token);
+        fleet.timers_.after(isCutOff ? cutCheckInterval : delay,
+                            [&fleet, id, token, incarnation, delay, isCutOff, action = std::move(action)] {
+                                if (fleet.worker(id).entry().incarnation != incarnation) {
+                                    return;
+                                }
+                                if (isCutOff) {
+                                    awaitCutEnd(fleet, id, token, incarnation, delay, action);
+                                } else {
+                                    action();
+                                }
+                            });
+    }
+
+    /** Lets a callback run when the process of this token runs. */
+    template<typename... Arguments>
+    std::function<void(Arguments...)> whenRunning(std::function<void(Arguments...)> callback) const
+    {
+        return [&fleet = fleet_, token = token_, callback = std::move(callback)](Arguments... arguments) {
+            if (fleet.deliverReply) {
+                fleet.deliverReply(token, [callback, arguments...] { callback(arguments...); });
+            } else {
+                callback(arguments...);
+            }
+        };
     }
 
     static void waitForEnd(SimulatedFleet &fleet,
@@ -143,23 +259,29 @@
             return;
         }
         TaskReport report;
-        const auto outcome = worker.renewLeases(acknowledged, deadline, token, report);
-        if (outcome == CommandOutcome::Accepted && report.ended.empty() && timers.now() < until && !worker.isCutOff) {
+        const bool isUnheard = worker.isCutOff || worker.losesReplies;
+        const auto outcome = renew(fleet, id, token, acknowledged, deadline, report);
+        if (outcome == CommandOutcome::Accepted && report.ended.empty() && timers.now() < until && !isUnheard) {
             timers.after(waitStep, [&fleet, &timers, id, token, until, incarnation, callback] {
                 waitForEnd(fleet, timers, id, token, 0, std::nullopt, until, incarnation, callback);
             });
             return;
         }
-        if (worker.isCutOff) {
+        if (isUnheard) {
             timers.after(givenUpAfter, [callback] { callback({ CommandOutcome::Unknown, "cut" }, {}); });
             return;
         }
         timers.after(wayThere, [callback, outcome, report] { callback({ outcome, {} }, report); });
     }
 
-    void deliver(std::function<CommandOutcome()> action, CommandCallback callback)
+    void deliver(std::function<CommandOutcome()> action, CommandCallback commandCallback)
     {
         auto &timers = fleet_.timers_;
+        auto callback = whenRunning(std::move(commandCallback));
+        if (fleet_.worker(id_).hasExited && !fleet_.worker(id_).isCutOffFrom(token_)) {
+            timers.after(wayThere, [callback = std::move(callback)] { callback({ CommandOutcome::NotSent, "no connection" }); });
+            return;
+        }
         const auto fault = fleet_.drawFault ? fleet_.drawFault() : CommandFault();
         const bool isCutOff = fleet_.worker(id_).isCutOffFrom(token_);
         if (isCutOff || fault.kind == CommandFault::Kind::Late) {
@@ -170,6 +292,8 @@
                         action();
                     }
                 });
+            } else {
+                carryOutAfterCut(action);
             }
             timers.after(givenUpAfter, [callback = std::move(callback)] { callback({ CommandOutcome::Unknown, "no answer" }); });
             return;
@@ -186,7 +310,7 @@
                          const bool isClockContinued = fleet.worker(id).entry().incarnation == life;
                          const auto outcome = fleet.worker(id).isReplaced ? CommandOutcome::WrongWorker : action();
                          const bool isLost = fault.kind == CommandFault::Kind::AnswerLost
-                                             || fleet.worker(id).cutOffTokens.contains(token);
+                                             || fleet.worker(id).cutOffTokens.contains(token) || fleet.worker(id).losesReplies;
                          timers.after(isLost ? givenUpAfter : wayThere, [callback, outcome, isLost, isClockContinued] {
                              callback({ isLost ? CommandOutcome::Unknown : outcome, {}, {}, isClockContinued });
                          });
