An owner extends the leases of a worker once it knows its runs

Cause: the former owner hands over until when the leases of a silent worker hold. The first poll of the next owner renewed them for 4.5 or 5 s; if the worker carries that out and the reply is lost, its runs go on, while the wait for its report ends at the time that was handed over. In the entry process the first poll carries no deadline, as the worker's clock is not known then (LeasedWorkerClient), so that only the simulated client reached this; the rule now stands where the wait is decided. Change: no lease until a report of the worker was read, except where the list of its ends is cut off.

--- a/modules/dispatch/FleetPolling.cpp
+++ b/modules/dispatch/FleetPolling.cpp
@@ -54,9 +54,9 @@
     const auto wait = worker->isReportRead && worker->failedPolls == 0 ? timing.pollWait : Milliseconds(0);
     ++renewalsSent;
     // The lease of a worker that does not answer is not extended, so that its runs have ended by a known time.
-    // Nor is that of one whose runs cannot be read since the takeover: the tasks that may run there could never start elsewhere.
-    const bool isRenewed = worker->failedPolls == 0 && !worker->isHandedOver
-                           && (worker->isReportRead || !worker->isReportUnreadable);
+    // Nor is that of one whose runs are not known since the takeover: inherited tasks wait for the former owner's leases only.
+    const bool areRunsKnown = worker->isReportRead || (worker->isReportCutOff && !worker->isReportUnreadable);
+    const bool isRenewed = worker->failedPolls == 0 && !worker->isHandedOver && areRunsKnown;
     const auto lease = isRenewed ? permittedLease() : Milliseconds(0);
     // After a failed poll the worker may have restarted: its report is read before ends are acknowledged.
     const auto acknowledgement = worker->failedPolls == 0 ? worker->acknowledgementToSend() : 0;
