--- a/modules/dispatch/FleetPolling.cpp
+++ b/modules/dispatch/FleetPolling.cpp
@@ -180,14 +180,14 @@
     const bool isUnanswered = reply.outcome == CommandOutcome::NotSent || reply.outcome == CommandOutcome::Unknown;
     if (isUnanswered && hasLeft(worker)) {
         logLeft(worker, reply.outcome);
-        reportAllRunsLost(worker, RunLoss::WorkerRestarted);
+        reportAllRunsLost(worker, RunLoss::WorkerLeft);
         worker.isReportRead = true;
         worker.acknowledgedEnd = worker.lastSeenEnd;
         removeIfGone(id);
     } else if (isWrongWorker || isLeaseOver(worker)) {
         logLoss(worker, reply.outcome);
         possibleCrashes.add(makePossibleCrash(worker), timers.now());
-        reportAllRunsLost(worker, isWrongWorker ? RunLoss::WorkerRestarted : RunLoss::LeaseExpired);
+        reportAllRunsLost(worker, isWrongWorker ? RunLoss::WorkerReplaced : RunLoss::LeaseExpired);
         if (isWrongWorker) {
             worker.isReportRead = true;
             worker.acknowledgedEnd = worker.lastSeenEnd;
--- a/modules/dispatch/JobManagerRuns.cpp
+++ b/modules/dispatch/JobManagerRuns.cpp
@@ -326,7 +326,8 @@
     }
     task->lastRun = { { worker, key.attempt }, name(loss) };
     std::erase(task->runs, RunPlace { worker, key.attempt });
-    if (loss != RunLoss::WorkerRestarted && loss != RunLoss::LeaseExpired) {
+    const bool hasWorkerEnded = loss == RunLoss::WorkerRestarted || loss == RunLoss::WorkerLeft || loss == RunLoss::WorkerReplaced;
+    if (!hasWorkerEnded && loss != RunLoss::LeaseExpired) {
         task->eraseHostedRun({ worker, key.attempt });
     }
     task->idleSince = timers_.now();
--- a/modules/dispatch/Run.cpp
+++ b/modules/dispatch/Run.cpp
@@ -7,6 +7,10 @@
     switch (loss) {
     case RunLoss::WorkerRestarted:
         return "worker-restarted";
+    case RunLoss::WorkerLeft:
+        return "worker-left";
+    case RunLoss::WorkerReplaced:
+        return "worker-replaced";
     case RunLoss::LeaseExpired:
         return "lease-passed";
     case RunLoss::NeverStarted:
--- a/modules/dispatch/Run.h
+++ b/modules/dispatch/Run.h
@@ -88,8 +88,12 @@
 
 /** Why a run is gone without a listed end. */
 enum class RunLoss {
-    /** The worker restarted. */
+    /** A later incarnation of the worker does not list it. */
     WorkerRestarted,
+    /** The worker drained and removed its entry itself. */
+    WorkerLeft,
+    /** Another worker answers at the address. */
+    WorkerReplaced,
     /** The worker did not answer until its lease had expired. */
     LeaseExpired,
     /** The worker acknowledged its stop and does not list it. */
