Client accounts in the desired state, in calls, jobs and runs

Cause: no process knew of client accounts, so that calls with withdrawn or unknown keys were served and nothing could be counted against an account.

--- a/modules/dispatch/JobManagerRuns.cpp
+++ b/modules/dispatch/JobManagerRuns.cpp
@@ -17,6 +17,8 @@
     } else if (step.isService && step.latencyTarget > Milliseconds(0)) {
         claim.kind = RunKind::LatencySensitive;
     }
+    claim.account = state.job->spec.account;
+    claim.accountNeed = step.need;
     return claim;
 }
 
--- a/modules/dispatch/JobRecordCodec.cpp
+++ b/modules/dispatch/JobRecordCodec.cpp
@@ -207,6 +207,7 @@
     if (job.queue.advice) {
         json["advice"] = adviceJson(*job.queue.advice);
     }
+    putUnlessDefault(json, "account", job.spec.account, std::string());
     if (job.spec.isScheduled) {
         json["occurrences"] = job.spec.occurrences;
         json["first"] = job.spec.firstDue.count();
@@ -224,6 +225,7 @@
     try {
         job.spec.queue = json.at("queue").get<std::string>();
         job.spec.payload = json.at("payload").get<std::string>();
+        job.spec.account = json.value("account", std::string());
         for (const auto &step : json.at("steps")) {
             job.spec.steps.push_back(readStep(step));
         }
--- a/modules/dispatch/Run.h
+++ b/modules/dispatch/Run.h
@@ -42,6 +42,10 @@
     bool isSuspected = false;
     /** It is to run alone: no run of another job is started beside it. */
     bool isIsolated = false;
+    /** The client account of its job; empty if it has none. */
+    std::string account;
+    /** What it takes of the account's limit: also the processor time that does not count on the worker. */
+    Resources accountNeed;
 };
 
 /** One start of a task on a worker, from the start command until its end is listed or it is certain that it will not run. */
--- a/modules/entry/CellProtocol.h
+++ b/modules/entry/CellProtocol.h
@@ -27,6 +27,8 @@
     std::string queue;
     /** The id of the job; empty for CountPending. */
     std::string job;
+    /** The name of the client account whose key the call carries; empty if the queue is anonymous or no keys are required. */
+    std::string account;
     /** The body of a submission, as received. */
     std::string body;
     /** How long the client waits for the answer, from the arrival of its request. */
@@ -54,8 +56,10 @@
         NoSuchQueue,
         /** The owner was deposed or is stopping: the call is to be sent to the next one. Never sent to a client. */
         OwnerChanged,
+        /** The call carries no valid key; it has no effect. */
+        Unauthorized,
     };
-    static constexpr Outcome lastOutcome = Outcome::OwnerChanged;
+    static constexpr Outcome lastOutcome = Outcome::Unauthorized;
     Outcome outcome = Outcome::Unknown;
     /** For an answered Query. */
     JobStage stage = JobStage::Queued;
--- a/modules/entry/OwnerServing.cpp
+++ b/modules/entry/OwnerServing.cpp
@@ -100,6 +100,7 @@
     }
     spec->id = call.job;
     spec->queue = call.queue;
+    spec->account = call.account;
     jobManager.submit(
         std::move(*spec), queue == nullptr ? QueueSpec() : *queue, [callback = std::move(callback)](SubmitOutcome outcome) {
             switch (outcome) {
--- a/modules/entry/PeerCodec.cpp
+++ b/modules/entry/PeerCodec.cpp
@@ -165,6 +165,7 @@
     request.headers = { { "Call-Kind", std::to_string(static_cast<int>(call.kind)) },
                         { "Call-Queue", call.queue },
                         { "Call-Job", call.job },
+                        { "Call-Account", call.account },
                         { "Call-Patience", std::to_string(call.timeout.count()) },
                         { "Call-Hold", std::to_string(call.ownerWaitLimit.count()) } };
     return request;
@@ -186,6 +187,7 @@
     }
     call.queue = request.header("call-queue");
     call.job = request.header("call-job");
+    call.account = request.header("call-account");
     call.body = request.body;
     return call;
 }
--- a/modules/workload/DesiredState.cpp
+++ b/modules/workload/DesiredState.cpp
@@ -1,5 +1,7 @@
 #include "workload/DesiredState.h"
 
+#include <openssl/crypto.h>
+
 #include <algorithm>
 
 namespace auburndoor {
@@ -22,4 +24,23 @@
     return found == queues.end() ? nullptr : &*found;
 }
 
+const ClientAccount *DesiredState::account(std::string_view name) const
+{
+    const auto hasName = [name](const ClientAccount &account) { return account.name == name; };
+    const auto found = std::find_if(accounts.begin(), accounts.end(), hasName);
+    return found == accounts.end() ? nullptr : &*found;
+}
+
+const ClientAccount *DesiredState::accountOfKey(std::string_view key) const
+{
+    const ClientAccount *result = nullptr;
+    for (const auto &account : accounts) {
+        for (const auto &known : account.keys) {
+            const bool isEqual = known.size() == key.size() && CRYPTO_memcmp(known.data(), key.data(), key.size()) == 0;
+            result = isEqual && !key.empty() ? &account : result;
+        }
+    }
+    return result;
+}
+
 } // namespace auburndoor
--- a/modules/workload/DesiredState.h
+++ b/modules/workload/DesiredState.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/Clock.h"
+#include "workload/ClientAccount.h"
 
 #include <cstdint>
 #include <optional>
@@ -38,6 +39,8 @@
     Milliseconds latencyAllowance { 0 };
     /** Empty if tasks of this queue need no permit. */
     std::optional<AdvicePolicy> advice;
+    /** Calls need no key, and its jobs belong to no account. */
+    bool isAnonymous = false;
 };
 
 /** A pool of workers. */
@@ -56,6 +59,9 @@
     std::int64_t version = 0;
     std::vector<QueueSpec> queues;
     std::vector<ServiceSpec> services;
+    std::vector<ClientAccount> accounts;
+    /** Calls to queues that are not anonymous need the key of an account. */
+    bool requiresKeys = false;
     /** The largest accepted body of a job submission, in bytes. */
     std::size_t maxBodyBytes = 1 << 18;
 
@@ -64,6 +70,16 @@
 
     /** Finds a queue by its name; null if there is none. */
     const QueueSpec *queue(std::string_view name) const;
+
+    /** Finds an account by its name; null if there is none. */
+    const ClientAccount *account(std::string_view name) const;
+
+    /**
+        Finds the account with this key; null if there is none.
+
+        All keys are compared, each in a time that does not depend on how much of it is right.
+    */
+    const ClientAccount *accountOfKey(std::string_view key) const;
 };
 
 } // namespace auburndoor
--- a/modules/workload/JobSpec.h
+++ b/modules/workload/JobSpec.h
@@ -52,6 +52,8 @@
     std::string id;
     /** The queue that it was submitted to. */
     std::string queue;
+    /** The name of the client account that submitted it; empty for a job without one. */
+    std::string account;
     /** Passed to the workers unchanged. */
     std::string payload;
     std::vector<StepSpec> steps;
