An owner tries the store again every 120 ms during an outage

Cause: the delay between two attempts grew to 500 ms. Other processes replace an owner that the store does not serve once the store has answered two of their calls, so that an owner whose next attempt was due later lost the cell at the end of an outage of the store, and all inherited work waited for the reports of the workers once more.

Change: the delay stays at 120 ms.

--- a/modules/dispatch/CommitQueue.cpp
+++ b/modules/dispatch/CommitQueue.cpp
@@ -21,8 +21,9 @@
 // Routine rows wait this long, so that the ends of a job's tasks that come close to each other are written as one row. Workers are
 // asked for the next ends after 120 ms, by when these should be stored.
 constexpr Milliseconds routineDelay { 40 };
-constexpr Milliseconds minRetryDelay { 120 };
-constexpr Milliseconds maxRetryDelay { 500 };
+// Other processes replace an owner that the store does not serve once it has answered two of their calls, some 250 ms apart. An
+// owner that tried again later than that would be replaced at the end of every outage.
+constexpr Milliseconds retryDelay { 120 };
 // A transaction without success for longer than this counts as stalled.
 constexpr Milliseconds stallThreshold { 300 };
 // A row that the store does not take may shrink, as when its job ends.
@@ -66,7 +67,7 @@
     void onConflict(const StoreResult &result);
     /** @param sequence the new version of the sequence row */
     void onApplied(std::int64_t sequence);
-    /** Sends the transaction in flight again after a growing delay. */
+    /** Sends the transaction in flight again after a delay. */
     void retry();
 
     Timers &timers;
@@ -84,7 +85,6 @@
     long long rejectedRows = 0;
     /** The most rows of the next transaction; fewer after one that the store has rejected. */
     std::size_t rowLimit = maxRowsInTransaction;
-    Milliseconds retryDelay = minRetryDelay;
     TimePoint lastSuccess;
     bool hasFailed = false;
     bool isScheduled = false;
@@ -236,7 +236,6 @@
             self->sendTransaction();
         }
     });
-    retryDelay = std::min(retryDelay * 2, maxRetryDelay);
 }
 
 void CommitQueue::Impl::onConflict(const StoreResult &result)
@@ -260,7 +259,6 @@
                         { { "away_ms", std::chrono::duration_cast<Milliseconds>(timers.now() - lastSuccess).count() } });
     }
     hasFailed = false;
-    retryDelay = minRetryDelay;
     lastSuccess = timers.now();
     sequenceVersion = sequence;
     rowLimit = std::min(rowLimit * 2, maxRowsInTransaction);
--- a/tests/dispatch/CommitQueueTests.cpp
+++ b/tests/dispatch/CommitQueueTests.cpp
@@ -56,6 +56,19 @@
     CHECK(fixture.durableCount == 3);
 }
 
+// Guards against an owner that is replaced at the end of each outage of the store, since others notice the end before it does.
+TEST_CASE("rows are stored soon after the end of an outage, however long it lasted")
+{
+    CommitQueueFixture fixture;
+    fixture.store.setDown(true);
+    fixture.put("a", "1");
+    fixture.timers.advance(Milliseconds(GENERATE(500, 1930, 4210)));
+    CHECK(fixture.durableCount == 0);
+    fixture.store.setDown(false);
+    fixture.timers.advance(Milliseconds(200));
+    CHECK(fixture.durableCount == 1);
+}
+
 // Guards against a record of progress for each single end of a task: the tasks of a step end within some tens of milliseconds, and
 // each record holds all tasks of the job.
 TEST_CASE("routine rows that are put shortly after each other share one write")
