A machine with a slow link counts as small for the ownership

Cause: a machine with 0.3 of a core and a link of 10 Mbit/s counted as large and took the cell over beside machines with 200 Mbit/s. It needed 0.9 s to read its tables (others 0.1 s) and kept the cell.

Change: ownerShare() is the smaller one of the processor share and the share that the link can carry, and decides about takeovers, heartbeats and successors.

Result: "a process with a fast link takes the ownership over" fails without the limit by the link, and passes.

--- a/modules/entry/EntryInstance.cpp
+++ b/modules/entry/EntryInstance.cpp
@@ -7,6 +7,7 @@
 #include "entry/ListenerDrain.h"
 #include "entry/Owner.h"
 #include "entry/OwnerCallForwarder.h"
+#include "entry/OwnerShare.h"
 #include "entry/PeerCodec.h"
 #include "entry/RelayedWorkerClientFactory.h"
 #include "entry/TableUpdate.h"
@@ -312,7 +313,7 @@
     heartbeat.stalledTable = owner->stalledTable();
     heartbeat.isReady = owner->isReady();
     heartbeat.desiredStateVersion = desiredState.version;
-    heartbeat.processorShare = dependencies.settings.processorShare;
+    heartbeat.processorShare = ownerShare(dependencies.settings);
     return heartbeat;
 }
 
--- a/modules/entry/Leadership.cpp
+++ b/modules/entry/Leadership.cpp
@@ -3,6 +3,7 @@
 #include "dispatch/CommitQueue.h"
 #include "entry/HeartbeatPacing.h"
 #include "entry/LeadershipImpl.h"
+#include "entry/OwnerShare.h"
 #include "observability/EventLog.h"
 
 #include <utility>
@@ -90,7 +91,7 @@
         return Milliseconds(0);
     }
     // The owner has most of the work, so a larger machine gets the first chance to take over.
-    const auto sizeDelay = settings.processorShare < largeMachineShare ? smallMachineTakeoverDelay : Milliseconds(0);
+    const auto sizeDelay = ownerShare(settings) < largeMachineShare ? smallMachineTakeoverDelay : Milliseconds(0);
     return std::max(sizeDelay, namesSuccessor ? timing.successorTakeoverTime : Milliseconds(0));
 }
 
@@ -198,7 +199,7 @@
     if (isOwner || !heartbeatChannel) {
         return;
     }
-    auto request = PeerCodec::heartbeatRequest({ settings.peers, settings.processorShare, isTakeoverDisabled });
+    auto request = PeerCodec::heartbeatRequest({ settings.peers, ownerShare(settings), isTakeoverDisabled });
     // The channel would repeat it within the time of the first request, though the owner holds the repeated one for the whole
     // delay.
     request.isRepeatable = false;
@@ -263,7 +264,7 @@
     expectedHeartbeatDelay = HeartbeatPacing::limitAnnouncedDelay(heartbeat->nextDelay, timing.heartbeatDelay);
     heartbeatGracePeriod = HeartbeatPacing::computeGracePeriod(std::max(heartbeat->loopDelay, lateness),
                                                                timing.heartbeatGracePeriod);
-    const bool isOwnerSmall = heartbeat->processorShare < largeMachineShare && settings.processorShare >= largeMachineShare;
+    const bool isOwnerSmall = heartbeat->processorShare < largeMachineShare && ownerShare(settings) >= largeMachineShare;
     if (isOwnerSmall && heartbeat->isReady && !isTakeoverDisabled) {
         // The owner runs on a small machine, because no larger one was available when it took over: take over from it.
         allowTakeover(owner.token);
--- a/modules/entry/LeadershipImpl.h
+++ b/modules/entry/LeadershipImpl.h
@@ -14,7 +14,7 @@
 namespace auburndoor {
 
 /**
-    From this processor share on a machine counts as large and is preferred as the owner: in a large cell the owner needs more than
+    From this ownerShare() on a machine counts as large and is preferred as the owner: in a large cell the owner needs more than
     the smallest machines have. If all machines are small, only the jitter decides between them.
 */
 constexpr double largeMachineShare = 0.2;
--- a/tests/entry/LeadershipFixture.h
+++ b/tests/entry/LeadershipFixture.h
@@ -2,6 +2,7 @@
 
 #include "dispatch/CommitQueue.h"
 #include "entry/Leadership.h"
+#include "entry/OwnerShare.h"
 #include "fakes/FakeStore.h"
 #include "fakes/PartitionedStore.h"
 #include "net/EventLoop.h"
@@ -22,7 +23,7 @@
 class LeadershipProcess
 {
 public:
-    LeadershipProcess(EventLoop &loop, StateStore &store, const std::string &name, double processorShare)
+    LeadershipProcess(EventLoop &loop, StateStore &store, const std::string &name, double processorShare, double linkMbps = 1000.0)
         : storeLink(loop, store)
         , loop_(loop)
         , listener_(std::make_unique<HttpListener>(loop,
@@ -42,6 +43,7 @@
     {
         settings_.nodeName = name;
         settings_.processorShare = processorShare;
+        settings_.linkMbps = linkMbps;
         std::string error;
         REQUIRE(listener_->listen({ "127.0.0.1", 0 }, error));
         settings_.peers = { "127.0.0.1", listener_->port() };
@@ -125,8 +127,8 @@
         if (!ownership) {
             return std::nullopt;
         }
-        OwnerHeartbeat heartbeat { settings_.nodeName,       ownership->token,      storeStallDuration, isReady, 1,
-                                   settings_.processorShare, leadership_->members() };
+        OwnerHeartbeat heartbeat { settings_.nodeName,    ownership->token,      storeStallDuration, isReady, 1,
+                                   ownerShare(settings_), leadership_->members() };
         return heartbeat;
     }
 
--- a/tests/entry/LeadershipTests.cpp
+++ b/tests/entry/LeadershipTests.cpp
@@ -239,3 +239,17 @@
     REQUIRE(large != nullptr);
     CHECK(large != small);
 }
+
+// Guards against an owner that needs a second to read its tables, and whose starts wait on its link, while machines with fast links
+// follow it.
+TEST_CASE("a process with a fast link takes the ownership over from one with a slow link and as much of a processor")
+{
+    LeadershipFixture fixture {};
+    fixture.processes.push_back(std::make_unique<LeadershipProcess>(fixture.loop, fixture.store, "slow", 0.3, 10.0));
+    auto *slow = fixture.waitForOwner(1);
+    REQUIRE(slow != nullptr);
+    fixture.processes.push_back(std::make_unique<LeadershipProcess>(fixture.loop, fixture.store, "fast", 0.3, 200.0));
+    auto *fast = fixture.waitForOwner(slow->ownership->token + 1);
+    REQUIRE(fast != nullptr);
+    CHECK(fast != slow);
+}
