Limits of client accounts: no start brings an account above its limit

Cause: the desired state gives accounts a limit on what their tasks have on all workers, and nothing held it.

Change: the fleet counts the use of each account run by run, where the use of the worker changes (AccountUsage). AccountLimits decides by use, limit and need; AccountQuotas knows the limits in force. The placer asks before it serves a step, before each start, before a gang and before a copy. A step at its limit is passed over: no search, no advice, no preemption, and its plans and holds are released. The results of its searches stay, since they tell of room only. Unwanted runs of jobs that ended under this owner after a takeover count until their end is listed.

--- a/modules/dispatch/Fleet.cpp
+++ b/modules/dispatch/Fleet.cpp
@@ -122,6 +122,7 @@
     run.startedAt = impl_->timers.now();
     run.incarnation = found->entry.incarnation;
     found->used += claim.need;
+    impl_->accountUsage.add(claim);
     found->isolatedRuns += claim.isIsolated ? 1 : 0;
     impl_->noteChange(*found);
     found->runs.emplace(key, run);
@@ -212,6 +213,11 @@
     return impl_->workers;
 }
 
+const AccountUsage &Fleet::accountUsage() const
+{
+    return impl_->accountUsage;
+}
+
 std::vector<std::string> Fleet::takeChangedWorkers()
 {
     for (const auto &id : impl_->changedWorkers) {
--- a/modules/dispatch/Fleet.h
+++ b/modules/dispatch/Fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dispatch/AccountUsage.h"
 #include "dispatch/OwnershipEvidence.h"
 #include "dispatch/ReadoptedRun.h"
 #include "dispatch/WorkerCrash.h"
@@ -34,6 +35,9 @@
     */
     virtual std::optional<ReadoptedRun> readoptRun(const std::string &worker, const RunningTask &running) = 0;
 
+    /** What a run that is not wanted takes of its account's limit until it has ended; no account if that is not known. */
+    virtual RunClaim claimOfUnwanted(const RunningTask &running) const = 0;
+
     /** A run that this fleet started is known to run. */
     virtual void runConfirmed(const std::string &worker, const Run &run) = 0;
 
@@ -209,6 +213,8 @@
     bool hasReadMostWorkers() const;
 
     const std::map<std::string, std::unique_ptr<WorkerState>> &workers() const;
+    /** What the client accounts have on all workers. */
+    const AccountUsage &accountUsage() const;
     /**
         The ids of the workers that were added or removed, or whose runs, report or usability changed since the last call. A worker
         also becomes unusable, or usable again, by the passing of time, which is not listed.
--- a/modules/dispatch/FleetImpl.h
+++ b/modules/dispatch/FleetImpl.h
@@ -168,6 +168,7 @@
     std::optional<TimePoint> majorityReadAt;
     bool isRosterChangeDelayed = false;
     std::map<std::string, std::unique_ptr<WorkerState>> workers;
+    AccountUsage accountUsage;
     std::vector<std::string> changedWorkers;
     long long renewalsSent = 0;
     StartWindow startWindow;
--- a/modules/dispatch/FleetLosses.cpp
+++ b/modules/dispatch/FleetLosses.cpp
@@ -113,9 +113,10 @@
     run.percentChangedAt = now;
     run.latencyOrProcessorUse = running.latencyOrProcessorUse;
     run.isUnwanted = !claim;
-    run.claim = claim.value_or(RunClaim());
+    run.claim = claim ? *claim : listener.claimOfUnwanted(running);
     run.stopReason = claim ? stopReason : "unwanted";
     worker.used += run.claim.need;
+    accountUsage.add(run.claim);
     worker.isolatedRuns += run.claim.isIsolated ? 1 : 0;
     worker.unwantedRuns += run.isUnwanted ? 1 : 0;
     worker.runs.emplace(key, run);
--- a/modules/dispatch/JobManager.h
+++ b/modules/dispatch/JobManager.h
@@ -2,6 +2,7 @@
 
 #include "dispatch/CommitQueue.h"
 #include "dispatch/Fleet.h"
+#include "dispatch/InheritedTasks.h"
 #include "dispatch/JobPart.h"
 #include "dispatch/JobState.h"
 #include "dispatch/TaskRecordCodec.h"
@@ -86,6 +87,8 @@
     /** Adds an ended job from its stored end. */
     void restoreEnded(const std::string &id, const EndedJob &ended);
 
+    /** Reads the stored description of a job that an earlier owner has ended: its runs may still be on their workers. */
+    void restoreEndedDescription(const std::string &id, const std::string &description);
     /** Removes the stored description of a job whose end is stored. */
     void dropDescription(const std::string &id);
     /** Removes a stored part of a job that has ended, or of an occurrence that is done. */
@@ -138,6 +141,7 @@
     // FleetListener.
     std::optional<RunClaim> adoptRun(const std::string &worker, const RunningTask &running) override;
     std::optional<ReadoptedRun> readoptRun(const std::string &worker, const RunningTask &running) override;
+    RunClaim claimOfUnwanted(const RunningTask &running) const override;
     void runConfirmed(const std::string &worker, const Run &run) override;
     void runEnded(const std::string &worker, const EndedTask &ended, std::function<void()> recorded) override;
     void runLost(const std::string &worker, const RunKey &key, RunLoss loss, CommandOutcome outcome) override;
@@ -222,6 +226,8 @@
     Fleet *fleet_ = nullptr;
     std::map<std::string, std::unique_ptr<JobState>> jobs_;
     std::map<std::string, EndedJob> ended_;
+    /** The inherited jobs of accounts that have ended, while workers may have runs of them that are not known; by job. */
+    std::map<std::string, InheritedTasks> endedInheritedTasks_;
     std::map<std::string, std::vector<SubmitCallback>> submitCallbacks_;
     std::vector<std::string> changedJobs_;
     /** The jobs with tasks under which workers have crashed. */
--- a/modules/dispatch/JobManagerRuns.cpp
+++ b/modules/dispatch/JobManagerRuns.cpp
@@ -291,6 +291,9 @@
                                  { "after_ms", std::chrono::duration_cast<Milliseconds>(timers_.now() - job.receivedAt).count() },
                                  { "late_ms", std::chrono::duration_cast<Milliseconds>(timers_.now() - job.objective).count() } });
     stopJobRuns(job, stage == JobStage::Cancelled ? "cancelled" : "job ended");
+    if (job.isInherited && !job.spec.account.empty()) {
+        endedInheritedTasks_[id] = InheritedTasks::of(job);
+    }
     ended_[id] = { stage, timers_.wallNow(), false };
     putProgressRow(
         id,
--- a/modules/dispatch/TaskPlacer.cpp
+++ b/modules/dispatch/TaskPlacer.cpp
@@ -33,7 +33,12 @@
 }
 
 TaskPlacer::TaskPlacer(Timers &timers, JobManager &jobManager, Fleet &fleet, Advisor &advisor)
-    : timers_(timers), jobManager_(jobManager), fleet_(fleet), advisor_(advisor), isAlive_(std::make_shared<bool>(true))
+    : timers_(timers)
+    , jobManager_(jobManager)
+    , fleet_(fleet)
+    , advisor_(advisor)
+    , quotas_(fleet.accountUsage())
+    , isAlive_(std::make_shared<bool>(true))
 {
 }
 
@@ -113,6 +118,9 @@
 
 bool TaskPlacer::placeStep(StepState &step)
 {
+    if (isHeldByLimit(step)) {
+        return false;
+    }
     const bool isGang = step.spec().isGang;
     if (step.job->stage == JobStage::Recording) {
         return requestAdvice(step, static_cast<int>(step.tasks.size()), isGang);
@@ -181,6 +189,11 @@
 {
     const auto &job = *step.job;
     auto &task = step.tasks[static_cast<std::size_t>(index)];
+    if (countStartable(step, 1) < 1) {
+        EventLog::write("start.over_limit",
+                        { { "job", job.spec.id }, { "step", step.index }, { "task", index }, { "account", job.spec.account } });
+        return;
+    }
     const auto &id = candidate.workerCapacity->worker->entry.id;
     StartCommand command;
     command.task = { job.spec.id, step.occurrence, step.index, index };
--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dispatch/AccountQuotas.h"
 #include "dispatch/AdviceShares.h"
 #include "dispatch/Fleet.h"
 #include "dispatch/JobManager.h"
@@ -52,6 +53,9 @@
     /** Starts copies of slow tasks, stops runs on draining workers and throttles best-effort runs. */
     void tend();
 
+    /** Takes over the limits of the accounts. */
+    void setDesiredState(const DesiredState &desiredState);
+
     /** Ignores answers to advice requests from now on. */
     void close();
 
@@ -160,6 +164,10 @@
                                const std::string &rack) const;
     /** The cost of placing a task of the step on the candidate; lower is better. */
     double computeCost(const StepState &step, const Candidate &candidate) const;
+    /** How many more tasks of the step, most at most, may start under the limit of its account. */
+    int countStartable(const StepState &step, int most) const;
+    /** True if the step waits for its account's limit; it keeps no room from others then. */
+    bool isHeldByLimit(StepState &step);
     /** Starts tasks of the step, or requests advice for it. @return false if nothing was searched */
     bool placeStep(StepState &step);
     /** Notes the result of a search for room. @return true if all workers were searched in vain, so that preemption may help */
@@ -170,6 +178,7 @@
     std::vector<Candidate *> fitGang(StepState &step, std::vector<Candidate> &candidates, const std::string &rack) const;
     /** As chooseCandidate() for each of several tasks; a heap keeps the best candidate first. */
     class CandidateHeap;
+    /** Sends a start, unless the limit of the account does not allow it. */
     void start(StepState &step, int index, Candidate &candidate, std::int64_t attempt);
     /** Logs a start. That of a task which was started before names the run that it follows; it is no routine line. */
     void logStart(const StepState &step, const Task &task, const StartCommand &command, const Candidate &candidate) const;
@@ -312,6 +321,7 @@
     /** Advice requests that are expected to take this long or longer cannot be sent in this round any more. */
     Milliseconds unsendableAdviceTime_ = Milliseconds::max();
     AdviceShares adviceShares_;
+    AccountQuotas quotas_;
     PlacementStatistics statistics_;
     std::shared_ptr<bool> isAlive_;
 };
--- a/modules/dispatch/TaskPlacerAdvice.cpp
+++ b/modules/dispatch/TaskPlacerAdvice.cpp
@@ -247,7 +247,8 @@
 {
     auto &advice = step.advice;
     const bool hasKeptPlan = isAllOrNothing && !advice.plannedTasks.empty() && now_ < advice.planExpiresAt;
-    if (!mayRequestAdvice(step) || hasKeptPlan) {
+    taskCount = isAllOrNothing ? taskCount : countStartable(step, taskCount);
+    if (!mayRequestAdvice(step) || hasKeptPlan || taskCount <= 0) {
         return false;
     }
     // A request that has to queue would reserve capacity for too long and be answered too late. It is left to the next round, which
--- a/modules/dispatch/TaskPlacerCandidates.cpp
+++ b/modules/dispatch/TaskPlacerCandidates.cpp
@@ -235,9 +235,14 @@
             unplaced += !candidates.empty() && jobManager_.isWaitingForIsolation(task) ? 0 : 1;
             continue;
         }
+        if (countStartable(step, 1) < 1) {
+            break;
+        }
         start(step, static_cast<int>(index), *candidate, jobManager_.nextAttempt(task));
         heap.update(*candidate);
     }
+    // Tasks beyond the account's limit are not short of room.
+    unplaced = countStartable(step, unplaced);
     if (noteSearch(step, unplaced == 0)) {
         unplaced -= preemptForTasks(step, unplaced, false);
     }
--- a/modules/dispatch/TaskPlacerGangs.cpp
+++ b/modules/dispatch/TaskPlacerGangs.cpp
@@ -70,7 +70,7 @@
         holdForGang(step);
         return;
     }
-    if (!fleet_.maySendStart()) {
+    if (!fleet_.maySendStart() || quotas_.isAtLimit(step, now_)) {
         return;
     }
     // All members start with the same attempt number and checkpoint.
--- a/modules/dispatch/TaskPlacerMaintenance.cpp
+++ b/modules/dispatch/TaskPlacerMaintenance.cpp
@@ -55,6 +55,9 @@
 {
     const auto estimate = step.spec().estimate;
     auto candidates = std::vector<Candidate>();
+    if (countStartable(step, 1) < 1) {
+        return;
+    }
     for (std::size_t index = 0; index < step.tasks.size(); ++index) {
         auto &task = step.tasks[index];
         if (task.isDone || task.runs.size() != 1 || task.crashes.suspicion() != Suspicion::None) {
@@ -80,6 +83,9 @@
                 return candidate.workerCapacity->worker->entry.id == place.worker;
             });
         }
+        if (countStartable(step, 1) < 1) {
+            return;
+        }
         if (auto *candidate = chooseCandidate(step, task, candidates, {})) {
             EventLog::writeRateLimited("run.copied",
                                        { { "task", run->key.task.text() },
@@ -126,7 +132,7 @@
 
 void TaskPlacer::reportWaitingServiceTasks(StepState &step)
 {
-    if (!step.spec().isService || !step.job->hasBegun) {
+    if (!step.spec().isService || !step.job->hasBegun || quotas_.isAtLimit(step, now_)) {
         return;
     }
     int waitingTasks = 0;
--- a/modules/entry/Owner.cpp
+++ b/modules/entry/Owner.cpp
@@ -239,6 +239,7 @@
 {
     impl_->desiredState = desiredState;
     impl_->jobManager.setDesiredState(desiredState);
+    impl_->placer.setDesiredState(desiredState);
     impl_->schedulePlacement();
 }
 
--- a/tests/dispatch/OwnerFixture.cpp
+++ b/tests/dispatch/OwnerFixture.cpp
@@ -117,6 +117,15 @@
     owner->setDesiredState(desiredState_);
 }
 
+void OwnerFixture::setAccounts(std::vector<ClientAccount> accounts)
+{
+    ++desiredState_.version;
+    desiredState_.accounts = std::move(accounts);
+    if (owner) {
+        owner->setDesiredState(desiredState_);
+    }
+}
+
 void OwnerFixture::removeQueue(const std::string &queue)
 {
     ++desiredState_.version;
@@ -243,6 +252,7 @@
     call.kind = ClientCall::Kind::Submit;
     call.queue = queue;
     call.job = id;
+    call.account = account;
     call.body = body;
     auto answer = std::make_shared<std::optional<ClientResult::Outcome>>();
     owner->call(call, [answer](const ClientResult &result) { *answer = result.outcome; });
--- a/tests/dispatch/OwnerFixture.h
+++ b/tests/dispatch/OwnerFixture.h
@@ -58,6 +58,9 @@
     /** Applies a new version of the desired state that sends a queue to another service. */
     void moveQueue(const std::string &queue, const std::string &service);
 
+    /** Applies a new version of the desired state with these accounts. */
+    void setAccounts(std::vector<ClientAccount> accounts);
+
     /** Applies a new version of the desired state without this queue. */
     void removeQueue(const std::string &queue);
 
@@ -107,6 +110,8 @@
     SimulatedFleet fleet;
     FakeAdvisor advisor;
     std::unique_ptr<Owner> owner;
+    /** The account of the submissions. */
+    std::string account;
     /** Creates the next owner's clients of workers; null for the fleet itself. */
     WorkerClientFactory *clients = nullptr;
 
--- a/tests/fakes/AdoptingFleetListener.h
+++ b/tests/fakes/AdoptingFleetListener.h
@@ -21,6 +21,10 @@
         readopted.push_back({ running.task, running.attempt });
         return ReadoptedRun();
     }
+    RunClaim claimOfUnwanted(const RunningTask &) const override
+    {
+        return {};
+    }
     void runConfirmed(const std::string &, const Run &) override
     {
     }
