A call with an unknown key is refused only by the newest desired state

Cause: a process refused a key that was missing in its own copy of the desired state, although the operator might have added it a moment ago; and refused calls could be counted by no cause.

Change: DesiredStateHolder holds the version in force (moved out of EntryInstance), DesiredStateRefresh reads the row of the store before an unknown key is answered with 401, and before a missing route is answered with 404 where keys are required. ClientCallReader decides which calls wait: those with a known key, without a key and to anonymous queues do not. The query of a target is no longer logged, since a client may put its key there.

--- a/modules/entry/CellProtocol.h
+++ b/modules/entry/CellProtocol.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/JobState.h"
+#include "entry/KeyRefusal.h"
 #include "net/HttpExchange.h"
 #include "workload/DesiredState.h"
 #include "workload/StateStore.h"
@@ -69,6 +70,8 @@
     Milliseconds retryAfter { 0 };
     /** Why the call was not carried out, for a person. */
     std::string detail = {};
+    /** Set if it was not carried out because of its key; for the counters, clients are not told. */
+    KeyRefusal keyRefusal = KeyRefusal::None;
 };
 
 /** Translates the platform's client requests and its rows of operators and workers to the types of this library. */
--- /dev/null
+++ b/modules/entry/ClientCallReader.cpp
@@ -0,0 +1,80 @@
+#include "entry/ClientCallReader.h"
+
+#include "entry/CellProtocol.h"
+#include "entry/DesiredStateHolder.h"
+#include "net/Timers.h"
+#include "observability/EventLog.h"
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+namespace auburndoor {
+
+namespace {
+
+// What a waiting request takes beside its body, roughly.
+constexpr std::size_t requestOverhead = 4096;
+
+} // namespace
+
+ClientCallReader::ClientCallReader(Timers &timers, const CellProtocol &protocol, DesiredStateHolder &desiredState, Metrics &metrics)
+    : timers_(timers), protocol_(protocol), desiredState_(desiredState), report_(timers, metrics)
+{
+}
+
+bool ClientCallReader::dependsOnNewerVersion(const ClientResult &result) const
+{
+    const bool hasNoRoute = result.outcome == ClientResult::Outcome::NoSuchQueue && desiredState_.current().requiresKeys;
+    return result.keyRefusal == KeyRefusal::UnknownKey || hasNoRoute;
+}
+
+void ClientCallReader::read(WebRequest request, Callback callback)
+{
+    std::optional<ClientResult> result;
+    const auto call = protocol_.readCall(request, desiredState_.current(), result);
+    if (!result) {
+        callback(call, result);
+        return;
+    }
+    if (!dependsOnNewerVersion(*result)) {
+        refuse(request, call, *result, callback);
+        return;
+    }
+    const auto bytes = requestOverhead + request.body.size();
+    desiredState_.runWhenFresh(bytes,
+                               [this, arrivedAt = timers_.now(), request = std::move(request), callback = std::move(callback)] {
+                                   std::optional<ClientResult> newResult;
+                                   auto newCall = protocol_.readCall(request, desiredState_.current(), newResult);
+                                   const auto waited = std::chrono::duration_cast<Milliseconds>(timers_.now() - arrivedAt);
+                                   newCall.timeout = std::max(Milliseconds(1), newCall.timeout - waited);
+                                   if (newResult) {
+                                       refuse(request, newCall, *newResult, callback);
+                                   } else {
+                                       callback(newCall, newResult);
+                                   }
+                               });
+}
+
+void ClientCallReader::refuse(const WebRequest &request,
+                              const ClientCall &call,
+                              const ClientResult &result,
+                              const Callback &callback)
+{
+    if (result.keyRefusal != KeyRefusal::None) {
+        noteResult(call, result);
+    } else {
+        // The query of a target has no meaning here, and a client may have put its key there.
+        const auto path = std::string_view(request.target).substr(0, request.target.find('?'));
+        EventLog::writeRateLimited(
+            "call.rejected", { { "target", path }, { "detail", result.detail }, { "desired", desiredState_.current().version } });
+    }
+    callback(call, result);
+}
+
+void ClientCallReader::noteResult(const ClientCall &call, const ClientResult &result)
+{
+    report_.note(result.keyRefusal, call, desiredState_.current().version);
+}
+
+} // namespace auburndoor
--- a/modules/entry/EntryInstance.cpp
+++ b/modules/entry/EntryInstance.cpp
@@ -2,6 +2,8 @@
 
 #include "core/BuildVersion.h"
 #include "entry/AdvicePool.h"
+#include "entry/ClientCallReader.h"
+#include "entry/DesiredStateHolder.h"
 #include "entry/HttpRelayTransport.h"
 #include "entry/Leadership.h"
 #include "entry/ListenerDrain.h"
@@ -9,8 +11,6 @@
 #include "entry/OwnerCallForwarder.h"
 #include "entry/PeerCodec.h"
 #include "entry/RelayedWorkerClientFactory.h"
-#include "entry/TableUpdate.h"
-#include "entry/TableWatch.h"
 #include "entry/WorkerRelay.h"
 #include "entry/WorkerRelayAssignment.h"
 #include "entry/WorkerRelayPool.h"
@@ -27,8 +27,6 @@
 namespace {
 
 constexpr Milliseconds logFlushInterval { 100 };
-// A new desired state must be in use about 2 s after it is written; a lost long poll delays it by less than 1 s.
-constexpr WatchTiming operatorWatchTiming { Milliseconds(1000), Milliseconds(20), Milliseconds(150) };
 // The load balancer stops sending new connections after two failed readiness probes, which are a second apart.
 constexpr Milliseconds balancerDrainDelay { 2200 };
 // Part of the shutdown grace that is kept for the exit itself.
@@ -49,10 +47,10 @@
     explicit Impl(const EntryDependencies &dependencies);
 
     void serveClient(WebRequest request, HttpResponderPointer responder);
+    /** Passes a call to the owner and its answer to the client. */
+    void forwardCall(const ClientCall &call, const HttpResponderPointer &responder);
     void servePeer(WebRequest request, HttpResponderPointer responder);
     void serveAdvice(const WebRequest &request, HttpResponderPointer responder);
-    /** Applies a newer desired state among rows of the operator table. */
-    void onOperatorRows(const std::vector<StoreRow> &rows);
     /** Starts an Owner. */
     void onOwnershipWon(const Ownership &ownership);
     /** The heartbeat of this process as the owner; empty if it is not the owner. */
@@ -70,9 +68,6 @@
 
     EntryDependencies dependencies;
     EventLoop &loop;
-    DesiredState desiredState;
-    /** The row that desiredState was read from. */
-    StoreRow desiredStateRow;
     /** The connection to the owner for fetchDesiredState(). */
     std::unique_ptr<HttpChannels> desiredStateChannel;
     /** Null unless this process is the owner. */
@@ -87,7 +82,8 @@
     OwnerCallForwarder callForwarder;
     /** Known from the operator's table before this process becomes the owner. */
     StoreTimeline storeTimeline;
-    TableWatch operatorWatch;
+    DesiredStateHolder desiredState;
+    ClientCallReader callReader;
     HttpListener clientListener;
     HttpListener readinessListener;
     HttpListener peerListener;
@@ -128,12 +124,16 @@
           dependencies.loop,
           [this] { return owner.get(); },
           [this] { return leadership.ownerAddress(); })
-    , operatorWatch(dependencies.loop,
-                    dependencies.store,
-                    storeTimeline,
-                    dependencies.protocol.operatorTable(),
-                    operatorWatchTiming,
-                    [this](const TableUpdate &update) { onOperatorRows(update.rows); })
+    , desiredState(dependencies.loop,
+                   dependencies.store,
+                   storeTimeline,
+                   dependencies.protocol,
+                   [this](const DesiredState &newState) {
+                       if (owner) {
+                           owner->setDesiredState(newState);
+                       }
+                   })
+    , callReader(dependencies.loop, dependencies.protocol, desiredState, dependencies.metrics)
     , clientListener(
           dependencies.loop,
           {},
@@ -158,28 +158,32 @@
 bool EntryInstance::Impl::isReady() const
 {
     const bool hasOwner = (owner && owner->isReady()) || leadership.isOwnerReady();
-    return !isStopping && desiredState.version > 0 && hasOwner;
+    return !isStopping && desiredState.current().version > 0 && hasOwner;
 }
 
 void EntryInstance::Impl::serveClient(WebRequest request, HttpResponderPointer responder)
 {
-    if (desiredState.version == 0) {
+    if (desiredState.current().version == 0) {
         const ClientResult result { .outcome = ClientResult::Outcome::Refused,
                                     .retryAfter = Milliseconds(500),
                                     .detail = "this process has not read a desired state yet" };
         responder->reply(dependencies.protocol.writeResult({}, result));
         return;
     }
-    std::optional<ClientResult> immediateResult;
-    const auto call = dependencies.protocol.readCall(request, desiredState, immediateResult);
-    if (immediateResult) {
-        EventLog::writeRateLimited(
-            "call.rejected",
-            { { "target", request.target }, { "detail", immediateResult->detail }, { "desired", desiredState.version } });
-        responder->reply(dependencies.protocol.writeResult(call, *immediateResult));
-        return;
-    }
-    callForwarder.call(call, [this, call, responder = std::move(responder)](const ClientResult &result) {
+    callReader.read(std::move(request),
+                    [this, responder = std::move(responder)](const ClientCall &call, const std::optional<ClientResult> &result) {
+                        if (result) {
+                            responder->reply(dependencies.protocol.writeResult(call, *result));
+                        } else {
+                            forwardCall(call, responder);
+                        }
+                    });
+}
+
+void EntryInstance::Impl::forwardCall(const ClientCall &call, const HttpResponderPointer &responder)
+{
+    callForwarder.call(call, [this, call, responder](const ClientResult &result) {
+        callReader.noteResult(call, result);
         if (result.outcome == ClientResult::Outcome::Refused || result.outcome == ClientResult::Outcome::Unknown) {
             EventLog::writeRateLimited("call.failed",
                                        { { "job", call.job },
@@ -204,7 +208,7 @@
     } else if (request.target == PeerCodec::ownerViewPath) {
         leadership.answerOwnerView(std::move(responder));
     } else if (request.target == PeerCodec::desiredStatePath) {
-        responder->reply({ 200, desiredStateRow.value, {} });
+        responder->reply({ 200, desiredState.text(), {} });
     } else if (request.target == PeerCodec::advicePath) {
         serveAdvice(request, std::move(responder));
     } else if (request.target == PeerCodec::relayPath) {
@@ -240,8 +244,8 @@
     metrics.setGauge("owner_ready", owner && owner->isReady() ? 1 : 0);
     metrics.setGauge("fencing_token", owner ? static_cast<double>(owner->token()) : 0);
     metrics.setGauge("store_away_milliseconds", owner ? static_cast<double>(owner->storeStallDuration().count()) : 0);
-    metrics.setGauge("desired_state_version", static_cast<double>(desiredState.version));
-    metrics.setGauge("desired_state_age_milliseconds", static_cast<double>(operatorWatch.age().count()));
+    metrics.setGauge("desired_state_version", static_cast<double>(desiredState.current().version));
+    metrics.setGauge("desired_state_age_milliseconds", static_cast<double>(desiredState.age().count()));
     metrics.setGauge("client_connections", static_cast<double>(clientListener.openConnections()));
     const auto load = clientListener.load();
     metrics.setGauge("client_requests_open", static_cast<double>(load.openRequests));
@@ -271,23 +275,6 @@
     });
 }
 
-void EntryInstance::Impl::onOperatorRows(const std::vector<StoreRow> &rows)
-{
-    for (const auto &row : rows) {
-        auto read = dependencies.protocol.readDesiredState(row);
-        // An older version never replaces a newer one, in whatever order the rows arrive.
-        if (!read || read->version <= desiredState.version) {
-            continue;
-        }
-        desiredState = std::move(*read);
-        desiredStateRow = row;
-        EventLog::write("desired.taken", { { "version", desiredState.version }, { "queues", desiredState.queues.size() } });
-        if (owner) {
-            owner->setDesiredState(desiredState);
-        }
-    }
-}
-
 void EntryInstance::Impl::onOwnershipWon(const Ownership &ownership)
 {
     const OwnerDependencies ownerDependencies { loop,       dependencies.store,    storeTimeline,        workerClients,
@@ -296,7 +283,7 @@
         owner.reset();
         leadership.stepDown();
     });
-    owner->setDesiredState(desiredState);
+    owner->setDesiredState(desiredState.current());
     owner->start();
 }
 
@@ -311,7 +298,7 @@
     heartbeat.storeStallDuration = owner->storeStallDuration();
     heartbeat.stalledTable = owner->stalledTable();
     heartbeat.isReady = owner->isReady();
-    heartbeat.desiredStateVersion = desiredState.version;
+    heartbeat.desiredStateVersion = desiredState.current().version;
     heartbeat.processorShare = dependencies.settings.processorShare;
     return heartbeat;
 }
@@ -326,7 +313,7 @@
 {
     loop.after(desiredStateCheckInterval, [self = shared_from_this()] { self->fetchDesiredState(); });
     const auto address = leadership.ownerAddress();
-    if (!address || leadership.desiredStateVersionOfOwner() <= desiredState.version) {
+    if (!address || leadership.desiredStateVersionOfOwner() <= desiredState.current().version) {
         return;
     }
     // The owner has a newer version, which the store has not delivered to this process: read it from the owner.
@@ -334,7 +321,7 @@
     WebRequest request { "GET", PeerCodec::desiredStatePath, {}, {}, true };
     desiredStateChannel->send(std::move(request), desiredStateFetchTimeout, [self = shared_from_this()](const SendResult &sent) {
         if (sent.hasStatus(200)) {
-            self->onOperatorRows({ { {}, self->dependencies.protocol.desiredStateKey(), sent.reply.body, 1, false } });
+            self->desiredState.takeCopy(sent.reply.body);
         }
     });
 }
@@ -377,7 +364,7 @@
         || !impl_->peerListener.listen(settings.peers, error) || !impl_->operatorListener.listen(settings.operators, error)) {
         return false;
     }
-    impl_->operatorWatch.start();
+    impl_->desiredState.start();
     impl_->leadership.start();
     impl_->flushLog();
     impl_->fetchDesiredState();
--- a/modules/entry/PeerCodec.cpp
+++ b/modules/entry/PeerCodec.cpp
@@ -194,13 +194,15 @@
 
 WebReply PeerCodec::callReply(const ClientResult &result)
 {
-    return { 200,
-             dump({ { "outcome", static_cast<int>(result.outcome) },
-                    { "stage", static_cast<int>(result.stage) },
-                    { "pending", result.pending },
-                    { "retry", result.retryAfter.count() },
-                    { "detail", result.detail } }),
-             {} };
+    Json json { { "outcome", static_cast<int>(result.outcome) },
+                { "stage", static_cast<int>(result.stage) },
+                { "pending", result.pending },
+                { "retry", result.retryAfter.count() },
+                { "detail", result.detail } };
+    if (result.keyRefusal != KeyRefusal::None) {
+        json["key_refusal"] = static_cast<int>(result.keyRefusal);
+    }
+    return { 200, dump(json), {} };
 }
 
 std::optional<ClientResult> PeerCodec::readCallReply(const WebReply &reply)
@@ -218,6 +220,10 @@
         result.pending = json.at("pending").get<int>();
         result.retryAfter = readDuration(json.at("retry"));
         result.detail = json.at("detail").get<std::string>();
+        // Absent in the replies of earlier releases. A cause that is not known here is not counted.
+        const int refusal = json.value("key_refusal", 0);
+        const bool isKnown = refusal > 0 && refusal <= static_cast<int>(KeyRefusal::OtherAccount);
+        result.keyRefusal = isKnown ? static_cast<KeyRefusal>(refusal) : KeyRefusal::None;
         return result;
     });
 }
