A job belongs to the account that submitted it

Cause: any client with a valid key could see, cancel or repeat the jobs of all accounts.

Change: the owner answers a query or cancellation by another account's key as for a job that does not exist, after the same check of the ownership, and its submission of the id with 400. Calls without an account and jobs without one are not checked. The row of an ended job holds the account (member "account"), so that it counts for as long as the job's state is kept, also under the next owner; owners of the earlier release read such rows, and rows without it are read here. The name of an account is encoded between processes, since it may have characters that a header does not carry.

--- a/modules/dispatch/JobManager.cpp
+++ b/modules/dispatch/JobManager.cpp
@@ -172,15 +172,7 @@
     }
     const auto &ended = ended_.at(id);
     commitQueue_.put(
-        JobTables::progress,
-        id,
-        [ended] {
-            JobState tombstone;
-            tombstone.stage = ended.stage;
-            tombstone.endedAt = ended.endedAt;
-            return JobRecordCodec::progress(tombstone);
-        },
-        [callback = std::move(callback)] { callback(true); });
+        JobTables::progress, id, [ended] { return endRecord(ended); }, [callback = std::move(callback)] { callback(true); });
 }
 
 std::optional<JobStage> JobManager::shownStage(const std::string &id) const
@@ -195,6 +187,15 @@
     return found->second->shownStage;
 }
 
+std::string JobManager::accountOf(const std::string &id) const
+{
+    if (const auto ended = ended_.find(id); ended != ended_.end()) {
+        return ended->second.account;
+    }
+    const auto found = jobs_.find(id);
+    return found == jobs_.end() ? std::string() : found->second->spec.account;
+}
+
 int JobManager::pendingCount(const std::string &queue) const
 {
     return static_cast<int>(std::count_if(jobs_.begin(), jobs_.end(), [&queue](const auto &entry) {
--- a/modules/dispatch/JobManager.h
+++ b/modules/dispatch/JobManager.h
@@ -49,6 +49,8 @@
     std::chrono::milliseconds endedAt { 0 };
     /** The end is stored, so that clients may be told. */
     bool isStored = false;
+    /** As JobSpec::account. */
+    std::string account;
 };
 
 /**
@@ -103,6 +105,8 @@
     void abandonSubmissions();
     /** The stage to show to clients; empty if there is no such job. */
     std::optional<JobStage> shownStage(const std::string &id) const;
+    /** The client account that a job belongs to, whatever its stage; empty if it has none or if there is no such job. */
+    std::string accountOf(const std::string &id) const;
     /** Accepted jobs of a queue of which no task has started. */
     int pendingCount(const std::string &queue) const;
 
@@ -182,6 +186,8 @@
         @return         to be called once that row is stored; calls what waited for the parts
     */
     std::function<void()> closeParts(JobState &job, const std::function<bool(const JobPart &)> &isClosed);
+    /** The progress row of a job that has ended. */
+    static std::string endRecord(const EndedJob &ended);
     /** The first text that fits into a row of the store, of those with less and less detail; the last one if none fits. */
     std::string fitRow(const std::string &id, const std::function<std::string(RecordDetail)> &text) const;
     /** Notes that a task of the job runs or has run; a job that is still being recorded is left as it is. */
--- a/modules/dispatch/JobManagerRecords.cpp
+++ b/modules/dispatch/JobManagerRecords.cpp
@@ -114,16 +114,22 @@
             if (const auto *live = find(id)) {
                 return fitRow(id, [live](RecordDetail detail) { return JobRecordCodec::progress(*live, detail); });
             }
-            JobState tombstone;
             const auto ended = ended_.find(id);
-            tombstone.stage = ended == ended_.end() ? JobStage::Cancelled : ended->second.stage;
-            tombstone.endedAt = ended == ended_.end() ? timers_.wallNow() : ended->second.endedAt;
-            return JobRecordCodec::progress(tombstone);
+            return endRecord(ended == ended_.end() ? EndedJob { JobStage::Cancelled, timers_.wallNow() } : ended->second);
         },
         std::move(durable),
         urgency);
 }
 
+std::string JobManager::endRecord(const EndedJob &ended)
+{
+    JobState tombstone;
+    tombstone.stage = ended.stage;
+    tombstone.endedAt = ended.endedAt;
+    tombstone.spec.account = ended.account;
+    return JobRecordCodec::progress(tombstone);
+}
+
 std::string JobManager::fitRow(const std::string &id, const std::function<std::string(RecordDetail)> &text) const
 {
     auto row = text(RecordDetail::Full);
--- a/modules/dispatch/JobManagerRuns.cpp
+++ b/modules/dispatch/JobManagerRuns.cpp
@@ -291,7 +291,7 @@
                                  { "after_ms", std::chrono::duration_cast<Milliseconds>(timers_.now() - job.receivedAt).count() },
                                  { "late_ms", std::chrono::duration_cast<Milliseconds>(timers_.now() - job.objective).count() } });
     stopJobRuns(job, stage == JobStage::Cancelled ? "cancelled" : "job ended");
-    ended_[id] = { stage, timers_.wallNow(), false };
+    ended_[id] = { stage, timers_.wallNow(), false, job.spec.account };
     putProgressRow(
         id,
         [this, id, onStored = closeParts(job, [](const JobPart &) { return true; })] {
--- a/modules/dispatch/JobRecordCodec.cpp
+++ b/modules/dispatch/JobRecordCodec.cpp
@@ -255,7 +255,8 @@
     Json json { { "stage", name(job.stage) } };
     if (isEnded(job.stage)) {
         json["ended"] = job.endedAt.count();
-        return json.dump();
+        putUnlessDefault(json, "account", job.spec.account, std::string());
+        return json.dump(-1, ' ', false, Json::error_handler_t::replace);
     }
     json["begun"] = job.hasBegun;
     json["next"] = job.nextOccurrence;
@@ -286,11 +287,12 @@
 
 bool JobRecordCodec::readProgress(const std::string &text, JobState &job, TimePoint now)
 {
-    const auto stage = stageOf(text, job.endedAt);
-    if (!stage) {
+    const auto stored = stageOf(text);
+    if (!stored) {
         return false;
     }
-    job.stage = *stage;
+    job.stage = stored->stage;
+    job.endedAt = stored->endedAt;
     if (isEnded(job.stage)) {
         return true;
     }
@@ -343,7 +345,7 @@
     return isValid;
 }
 
-std::optional<JobStage> JobRecordCodec::stageOf(const std::string &text, std::chrono::milliseconds &endedAt)
+std::optional<StoredStage> JobRecordCodec::stageOf(const std::string &text)
 {
     const auto json = parseBoundedJson(text);
     if (!json.is_object() || !json.contains("stage") || !json["stage"].is_string()) {
@@ -354,11 +356,15 @@
     if (found == allStages.end()) {
         return std::nullopt;
     }
-    const auto ended = json.find("ended");
-    if (ended != json.end()) {
-        endedAt = Milliseconds(toExactInteger(*ended).value_or(0));
+    StoredStage stored;
+    stored.stage = *found;
+    if (const auto ended = json.find("ended"); ended != json.end()) {
+        stored.endedAt = Milliseconds(toExactInteger(*ended).value_or(0));
     }
-    return *found;
+    if (const auto account = json.find("account"); account != json.end() && account->is_string()) {
+        stored.account = account->get<std::string>();
+    }
+    return stored;
 }
 
 } // namespace auburndoor
--- a/modules/dispatch/JobRecordCodec.h
+++ b/modules/dispatch/JobRecordCodec.h
@@ -8,6 +8,16 @@
 
 namespace auburndoor {
 
+/** What a progress text tells without the description of its job. */
+struct StoredStage
+{
+    JobStage stage = JobStage::Queued;
+    /** Of an ended job: when it ended, since 1970. */
+    std::chrono::milliseconds endedAt { 0 };
+    /** Of an ended job: as JobSpec::account; empty in the texts of earlier releases. */
+    std::string account;
+};
+
 /**
     Converts jobs to and from the texts in the store.
 
@@ -37,8 +47,8 @@
     /** Applies a stored part. @return false if it cannot be read as a whole; the readable tasks are applied */
     static bool readPart(const std::string &text, int firstTask, StepState &step);
 
-    /** Returns the stage in a progress text, and sets endedAt if the text holds the time of an end. Empty if it cannot be read. */
-    static std::optional<JobStage> stageOf(const std::string &text, std::chrono::milliseconds &endedAt);
+    /** Reads the stage in a progress text; empty if it cannot be read. */
+    static std::optional<StoredStage> stageOf(const std::string &text);
 };
 
 } // namespace auburndoor
--- a/modules/entry/OwnerImpl.h
+++ b/modules/entry/OwnerImpl.h
@@ -45,7 +45,9 @@
     void reportOwnership();
     OwnershipReport::Workers countWorkers() const;
     void handleCall(const ClientCall &call, Callback callback);
-    void answerQuery(const std::string &job, Callback callback);
+    void answerQuery(const ClientCall &call, Callback callback);
+    /** True if the call names a job of another account than that of its key. */
+    bool isJobOfOtherAccount(const ClientCall &call) const;
     void submit(const ClientCall &call, Callback callback);
     /** Refuses a new submission if the owner is overloaded. Nothing of it is kept. @return true if it was refused */
     bool refuseUnderOverload(const std::string &job, const QueueSpec &queue, const Callback &callback);
@@ -63,8 +65,12 @@
     void answerAsOwner(const ClientResult &result, Milliseconds maxAge, Callback callback);
     /** Drops what rests on times of the store's clock if that has begun anew. */
     void followStoreClock();
-    /** Answers that there is no such job, once the store has confirmed that this is still the owner. */
-    void confirmNoSuchJob(Callback callback);
+    /**
+        Answers that there is no such job, once the store has confirmed that this is still the owner.
+
+        @param refusal why the caller is not told of a job that there is
+    */
+    void confirmNoSuchJob(KeyRefusal refusal, Callback callback);
     /** Calls done once the rows before the mark of the commit queue are stored, or at the deadline. */
     void waitForFlush(std::uint64_t mark, TimePoint flushDeadline, std::function<void(const Ownership &)> done);
 
--- a/modules/entry/OwnerRecovery.cpp
+++ b/modules/entry/OwnerRecovery.cpp
@@ -33,12 +33,9 @@
 void Owner::Impl::restoreProgress(const std::vector<StoreRow> &rows)
 {
     for (const auto &row : rows) {
-        EndedJob ended;
-        const auto stage = JobRecordCodec::stageOf(row.value, ended.endedAt);
-        if (stage && isEnded(*stage)) {
-            ended.stage = *stage;
-            ended.isStored = true;
-            jobManager.restoreEnded(row.key, ended);
+        const auto stored = JobRecordCodec::stageOf(row.value);
+        if (stored && isEnded(stored->stage)) {
+            jobManager.restoreEnded(row.key, { stored->stage, stored->endedAt, true, stored->account });
         } else {
             storedProgress[row.key] = row.value;
         }
--- a/modules/entry/OwnerServing.cpp
+++ b/modules/entry/OwnerServing.cpp
@@ -30,7 +30,7 @@
         submit(call, std::move(callback));
         return;
     case ClientCall::Kind::Query:
-        answerQuery(call.job, std::move(callback));
+        answerQuery(call, std::move(callback));
         return;
     case ClientCall::Kind::Cancel:
         if (isStopping) {
@@ -38,11 +38,15 @@
             callback({ .outcome = ClientResult::Outcome::OwnerChanged, .detail = stoppingDetail });
             return;
         }
+        if (isJobOfOtherAccount(call)) {
+            confirmNoSuchJob(KeyRefusal::OtherAccount, std::move(callback));
+            return;
+        }
         jobManager.cancel(call.job, [self = shared_from_this(), callback = std::move(callback)](bool isKnown) {
             if (isKnown) {
                 callback({ .outcome = ClientResult::Outcome::Cancelled });
             } else {
-                self->confirmNoSuchJob(callback);
+                self->confirmNoSuchJob(KeyRefusal::None, callback);
             }
         });
         return;
@@ -57,11 +61,20 @@
     callback({ .outcome = ClientResult::Outcome::Malformed, .detail = "unknown call" });
 }
 
-void Owner::Impl::answerQuery(const std::string &job, Callback callback)
+bool Owner::Impl::isJobOfOtherAccount(const ClientCall &call) const
 {
-    const auto stage = jobManager.shownStage(job);
-    if (!stage) {
-        confirmNoSuchJob(std::move(callback));
+    const auto account = jobManager.accountOf(call.job);
+    return !account.empty() && !call.account.empty() && account != call.account;
+}
+
+void Owner::Impl::answerQuery(const ClientCall &call, Callback callback)
+{
+    const auto stage = jobManager.shownStage(call.job);
+    if (isJobOfOtherAccount(call)) {
+        // Answered after the same check as for a job that does not exist, so that its time tells nothing either.
+        confirmNoSuchJob(KeyRefusal::OtherAccount, std::move(callback));
+    } else if (!stage) {
+        confirmNoSuchJob(KeyRefusal::None, std::move(callback));
     } else if (isEnded(*stage) || evidence.isRecent()) {
         callback({ .outcome = ClientResult::Outcome::Answered, .stage = *stage });
     } else {
@@ -72,6 +85,12 @@
 
 void Owner::Impl::submit(const ClientCall &call, Callback callback)
 {
+    if (isJobOfOtherAccount(call)) {
+        callback({ .outcome = ClientResult::Outcome::Malformed,
+                   .detail = "the job id is in use",
+                   .keyRefusal = KeyRefusal::OtherAccount });
+        return;
+    }
     const auto *queue = desiredState.queue(call.queue);
     // A repeated submission of a job that is known, or that is being stored, is never refused: the first one may be accepted.
     const bool isNew = !jobManager.jobs().contains(call.job) && !jobManager.shownStage(call.job);
@@ -147,12 +166,12 @@
     });
 }
 
-void Owner::Impl::confirmNoSuchJob(Callback callback)
+void Owner::Impl::confirmNoSuchJob(KeyRefusal refusal, Callback callback)
 {
-    guard.confirm([self = shared_from_this(), callback = std::move(callback)](OwnershipGuard::Status status) {
+    guard.confirm([self = shared_from_this(), refusal, callback = std::move(callback)](OwnershipGuard::Status status) {
         switch (status) {
         case OwnershipGuard::Status::IsOwner:
-            callback({ .outcome = ClientResult::Outcome::NoSuchJob });
+            callback({ .outcome = ClientResult::Outcome::NoSuchJob, .keyRefusal = refusal });
             return;
         case OwnershipGuard::Status::IsReplaced:
             callback({ .outcome = ClientResult::Outcome::OwnerChanged, .detail = "the owner was deposed" });
--- a/modules/entry/PeerCodec.cpp
+++ b/modules/entry/PeerCodec.cpp
@@ -1,6 +1,7 @@
 #include "entry/PeerCodec.h"
 
 #include "core/BoundedJson.h"
+#include "core/TextEncoding.h"
 
 #include <nlohmann/json.hpp>
 
@@ -165,7 +166,7 @@
     request.headers = { { "Call-Kind", std::to_string(static_cast<int>(call.kind)) },
                         { "Call-Queue", call.queue },
                         { "Call-Job", call.job },
-                        { "Call-Account", call.account },
+                        { "Call-Account", toBase64(call.account) },
                         { "Call-Patience", std::to_string(call.timeout.count()) },
                         { "Call-Hold", std::to_string(call.ownerWaitLimit.count()) } };
     return request;
@@ -187,7 +188,12 @@
     }
     call.queue = request.header("call-queue");
     call.job = request.header("call-job");
-    call.account = request.header("call-account");
+    // Encoded, as the name may have characters that a header does not carry. Absent in the calls of earlier releases.
+    auto account = fromBase64(request.header("call-account"));
+    if (!account) {
+        return std::nullopt;
+    }
+    call.account = std::move(*account);
     call.body = request.body;
     return call;
 }
--- a/tests/dispatch/JobRecordCodecTests.cpp
+++ b/tests/dispatch/JobRecordCodecTests.cpp
@@ -123,9 +123,8 @@
                                R"({"address":7})",
                                R"({"address":"a:1","service":7,"born":"x"})");
     JobState job;
-    std::chrono::milliseconds endedAt { 0 };
     CHECK_FALSE(JobRecordCodec::readDescription(text, job));
     CHECK_FALSE(JobRecordCodec::readProgress(text, job, TimePoint()));
-    CHECK_FALSE(JobRecordCodec::stageOf(text, endedAt));
+    CHECK_FALSE(JobRecordCodec::stageOf(text));
     CHECK_FALSE(RosterRecordCodec::read("w", text));
 }
