Soak: keys are added and removed while faults are injected

Cause: no test with real processes had client accounts.

Change: KeyWatch changes the keys of an account in the desired state of each soak run and calls every process with held, removed and never-held keys, for a job of another account. It checks that a process without a fault of its own, of its link to the store or of the store has the change in force after configMs, that no process serves a key again in the life in which it refused it as removed, that a key which was never held is served nowhere, and that no job of another account is shown. Each run ends with one more change, which every process is checked for. SoakClients send a key that stays valid; 401 for it is a violation.

--- a/tests/soak/EntryProcess.cpp
+++ b/tests/soak/EntryProcess.cpp
@@ -68,6 +68,7 @@
 
 void EntryProcess::start()
 {
+    ++startCount_;
     process_.emplace(
         std::vector<std::string> { programFile(), "--settings=" + settingsFile_, "--metrics-port=" + std::to_string(metricsPort) },
         logFile_);
@@ -158,6 +159,16 @@
     return logFile_;
 }
 
+const FaultyLink &EntryProcess::storeLink() const
+{
+    return storeLink_;
+}
+
+int EntryProcess::startCount() const
+{
+    return startCount_;
+}
+
 FaultyLink &EntryProcess::storeLink()
 {
     return storeLink_;
--- a/tests/soak/EntryProcess.h
+++ b/tests/soak/EntryProcess.h
@@ -40,6 +40,8 @@
     bool restartIfStopped(TimePoint now);
 
     bool isRunning() const;
+    /** How often it was started. */
+    int startCount() const;
     /** True if the process has ended although it was neither killed nor told to stop. */
     bool hasEndedByItself();
     bool isPaused() const;
@@ -53,6 +55,7 @@
     /** Receives its output. */
     const std::string &logFile() const;
     FaultyLink &storeLink();
+    const FaultyLink &storeLink() const;
 
 private:
     void writeSettings(const Address &store, const EntryOptions &options) const;
@@ -66,6 +69,7 @@
     std::optional<ChildProcess> process_;
     std::optional<TimePoint> stoppingSince_;
     bool isPaused_ = false;
+    int startCount_ = 0;
 };
 
 } // namespace auburndoor
--- a/tests/soak/FaultyLink.cpp
+++ b/tests/soak/FaultyLink.cpp
@@ -276,6 +276,11 @@
     return { impl_->endpoint.address().to_string(), impl_->endpoint.port() };
 }
 
+FaultyLink::Mode FaultyLink::mode() const
+{
+    return impl_->mode;
+}
+
 void FaultyLink::setMode(Mode mode, Milliseconds delay)
 {
     impl_->mode = mode;
--- a/tests/soak/FaultyLink.h
+++ b/tests/soak/FaultyLink.h
@@ -40,6 +40,7 @@
 
     /** Sets the mode of open and new connections. Data that was held back is forwarded once the mode allows it. */
     void setMode(Mode mode, Milliseconds delay = Milliseconds(0));
+    Mode mode() const;
 
     /**
         Delivers data that was held back although its sender has closed the connection meanwhile, as TCP does; each connection takes
--- a/tests/soak/SoakCell.cpp
+++ b/tests/soak/SoakCell.cpp
@@ -14,19 +14,11 @@
 constexpr Milliseconds stopCheckInterval { 100 };
 constexpr Milliseconds queryInterval { 700 };
 
-std::string makeDesiredState()
-{
-    return R"({"version":7,"limits":{"maxBodyBytes":65536},"services":[{"name":"desk"}],)"
-           R"("routes":[{"name":"jobs","host":"cell.example","pathPrefix":"/jobs/","service":"desk","priority":1,)"
-           R"("maxAttempts":3,"slackFactor":3,"targetLatencyMs":500}]})";
-}
-
 } // namespace
 
 SoakCell::SoakCell(unsigned seed, const SoakSize &size, const std::string &folder)
-    : random_(seed), size_(size), startedAt_(loop_.now()), platform_(loop_)
+    : random_(seed), size_(size), startedAt_(loop_.now()), platform_(loop_), keys_(loop_, platform_, entries_, seed)
 {
-    platform_.store.write("op", "config", makeDesiredState());
     for (int number = 0; number < size.workers; ++number) {
         platform_.addWorker("w" + std::to_string(number), 4 + number, [this](const TaskName &, std::int64_t) {
             return SimulatedWork { Milliseconds(draw(50, 2500)), draw(0, 19) == 0 ? RunOutcome::Failed : RunOutcome::Done };
@@ -40,6 +32,8 @@
         addresses.push_back(entries_.back()->clientAddress());
     }
     clients_ = std::make_unique<SoakClients>(loop_, addresses, random_);
+    clients_->key = KeyWatch::steadyKey;
+    clients_->onAccepted = [this](const std::string &id) { keys_.job = id; };
 }
 
 int SoakCell::draw(int from, int to)
@@ -66,9 +60,11 @@
     loop_.after(startupDelay, [this] { injectNextFault(); });
     loop_.after(startupDelay, [this] { restartStoppedProcesses(); });
     loop_.after(startupDelay, [this] { queryOpenJobs(); });
+    loop_.after(startupDelay, [this] { keys_.start(); });
     loop_.after(size_.faultDuration, [this] { endFaults(); });
     loop_.run();
     checkJobs();
+    violations_.insert(violations_.end(), keys_.violations.begin(), keys_.violations.end());
     violations_.insert(violations_.end(), clients_->violations.begin(), clients_->violations.end());
     violations_.insert(violations_.end(), platform_.checker.violations.begin(), platform_.checker.violations.end());
     return violations_;
@@ -254,6 +250,7 @@
 {
     recordFault("end of faults");
     isInjectingFaults_ = false;
+    keys_.finish();
     partitions_.clear();
     platform_.store.setDown(false);
     platform_.store.loseAnswers(0, Milliseconds(0));
@@ -292,7 +289,7 @@
             clients_->query(id);
         }
     }
-    if (!isInjectingFaults_ && haveAllJobsEnded()) {
+    if (!isInjectingFaults_ && haveAllJobsEnded() && keys_.isDone()) {
         loop_.stop();
         return;
     }
@@ -310,6 +307,9 @@
 
 void SoakCell::checkJobs()
 {
+    if (!keys_.isDone()) {
+        violations_.push_back("not every process was checked after the last change of the keys");
+    }
     for (const auto &[id, job] : clients_->jobs()) {
         if (job.isAccepted && job.lastState != "completed" && job.lastState != "failed") {
             violations_.push_back(id + " was accepted, but its state at the end of the run is '" + job.lastState + "'");
--- a/tests/soak/SoakCell.h
+++ b/tests/soak/SoakCell.h
@@ -2,6 +2,7 @@
 
 #include "net/EventLoop.h"
 #include "soak/EntryProcess.h"
+#include "soak/KeyWatch.h"
 #include "soak/OwnerPartition.h"
 #include "soak/PlatformServer.h"
 #include "soak/SoakClients.h"
@@ -73,6 +74,7 @@
     PlatformServer platform_;
     std::vector<std::unique_ptr<EntryProcess>> entries_;
     std::set<std::shared_ptr<OwnerPartition>> partitions_;
+    KeyWatch keys_;
     std::unique_ptr<SoakClients> clients_;
     std::set<std::string> startedJobs_;
     std::vector<std::string> violations_;
--- a/tests/soak/SoakClients.cpp
+++ b/tests/soak/SoakClients.cpp
@@ -12,11 +12,6 @@
 constexpr Milliseconds requestTimeout { 3000 };
 constexpr Milliseconds retryDelay { 400 };
 
-WebRequest makeRequest(const std::string &method, const std::string &path, const std::string &body)
-{
-    return { method, path, { { "Host", "cell.example" }, { "Deadline-Ms", std::to_string(requestTimeout.count()) } }, body };
-}
-
 } // namespace
 
 SoakClients::SoakClients(EventLoop &loop, const std::vector<Address> &entries, std::mt19937 &random) : loop_(loop), random_(random)
@@ -26,6 +21,17 @@
     }
 }
 
+WebRequest SoakClients::makeRequest(const std::string &method, const std::string &path, const std::string &body) const
+{
+    WebRequest request {
+        method, path, { { "Host", "cell.example" }, { "Deadline-Ms", std::to_string(requestTimeout.count()) } }, body
+    };
+    if (!key.empty()) {
+        request.headers.emplace_back("Key", key);
+    }
+    return request;
+}
+
 HttpChannels &SoakClients::pickEntry()
 {
     return *entries_.at(std::uniform_int_distribution<std::size_t>(0, entries_.size() - 1)(random_));
@@ -59,7 +65,7 @@
     }
     const bool isRefused = result.hasStatus(503) || result.hasStatus(429);
     job.mayHaveBeenAccepted = job.mayHaveBeenAccepted || (!isRefused && result.outcome != SendOutcome::NotSent);
-    if (result.hasStatus(400) || result.hasStatus(404)) {
+    if (result.hasStatus(400) || result.hasStatus(401) || result.hasStatus(404)) {
         violations.push_back(id + " was submitted and answered with status " + std::to_string(result.reply.status));
     } else if (job.attempts < maximumAttempts) {
         loop_.after(retryDelay, [this, id] { send(id); });
@@ -103,6 +109,9 @@
     if (result.hasStatus(410)) {
         violations.push_back(id + " was accepted, but a query was answered with status 410 (no such job)");
     }
+    if (result.hasStatus(401)) {
+        violations.push_back(id + ": a query with a valid key was answered with status 401");
+    }
     if (!result.hasStatus(200)) {
         return;
     }
--- a/tests/soak/SoakClients.h
+++ b/tests/soak/SoakClients.h
@@ -56,6 +56,9 @@
 
     std::vector<std::string> violations;
 
+    /** Sent with each request unless it is empty; it has to be valid all the time. */
+    std::string key;
+
     /** Called from within the handler of each answer that accepts a submission, if set. */
     std::function<void(const std::string &id)> onAccepted;
     /** Called from within the handler of each answer that acknowledges a cancellation, if set. */
@@ -63,6 +66,7 @@
 
 private:
     HttpChannels &pickEntry();
+    WebRequest makeRequest(const std::string &method, const std::string &path, const std::string &body) const;
     void send(const std::string &id);
     void onSubmitAnswered(const std::string &id, const SendResult &result);
     void sendCancel(const std::string &id, int attempts);
