--- a/modules/dispatch/JobManagerRuns.cpp
+++ b/modules/dispatch/JobManagerRuns.cpp
@@ -294,7 +294,7 @@
     if (job.isInherited && !job.spec.account.empty()) {
         endedInheritedTasks_[id] = InheritedTasks::of(job);
     }
-    ended_[id] = { stage, timers_.wallNow(), false };
+    ended_[id] = { stage, timers_.wallNow(), false, job.spec.account };
     putProgressRow(
         id,
         [this, id, onStored = closeParts(job, [](const JobPart &) { return true; })] {
