Preemption only where the waiting task gains more than the stops lose

Cause: a step with the right to preempt stopped whatever runs made room for it, the least urgent and largest first. On an overloaded pool runs were stopped shortly before their ends, and several for one short task.

Change: PreemptionValue weighs the work of the waiting task against what its stops lose: the work of each run since its last checkpoint (the fleet notes when a report first shows it), the time without use of the room, and the whole task if its job becomes late. Each level of priority between them counts the gain once more. PreemptionPlan counts several stops for one task together, and those of a gang for all its members. Runs that lose least for the room that they free are stopped first. Work that could not be in time once the room is free stops nothing but runs past their final deadline. Repairs of services, and work without an estimate, keep their right. The statistics of placement count stops and refused searches; `preemption.refused` names the job.

--- a/modules/dispatch/Fleet.cpp
+++ b/modules/dispatch/Fleet.cpp
@@ -120,6 +120,7 @@
     run.key = key;
     run.claim = claim;
     run.startedAt = impl_->timers.now();
+    run.noteCheckpoint(command.checkpoint, TimePoint());
     run.incarnation = found->entry.incarnation;
     found->used += claim.need;
     found->isolatedRuns += claim.isIsolated ? 1 : 0;
--- a/modules/dispatch/FleetLosses.cpp
+++ b/modules/dispatch/FleetLosses.cpp
@@ -111,6 +111,7 @@
     run.incarnation = worker.entry.incarnation;
     run.percent = running.percent;
     run.percentChangedAt = now;
+    run.noteCheckpoint(running.checkpoint, now);
     run.latencyOrProcessorUse = running.latencyOrProcessorUse;
     run.isUnwanted = !claim;
     run.claim = claim.value_or(RunClaim());
--- a/modules/dispatch/FleetPolling.cpp
+++ b/modules/dispatch/FleetPolling.cpp
@@ -352,6 +352,7 @@
             run.percent = running.percent;
             run.percentChangedAt = now;
         }
+        run.noteCheckpoint(running.checkpoint, now);
         run.latencyOrProcessorUse = running.latencyOrProcessorUse;
         if (run.phase == Run::Phase::Starting) {
             run.phase = Run::Phase::Running;
--- a/modules/dispatch/PlacementStatistics.h
+++ b/modules/dispatch/PlacementStatistics.h
@@ -19,6 +19,10 @@
     /** The time spent in rounds. */
     std::chrono::microseconds duration { 0 };
     std::chrono::microseconds longestRound { 0 };
+    /** Runs stopped for more urgent work. */
+    long long preemptions = 0;
+    /** Searches for runs to stop that found only stops which lose more than they gain. */
+    long long refusedPreemptions = 0;
     /** The steps with tasks to place in the last round. */
     long long backlog = 0;
 };
--- /dev/null
+++ b/modules/dispatch/PreemptionPlan.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "dispatch/WorkerCapacity.h"
+
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace auburndoor {
+
+/**
+    The stops that make room for tasks of one step, which are sent only if they gain more than they lose.
+
+    Tasks of a gang count together, since none of them gains anything without the others. A plan that is not kept leaves the
+    capacities as they were.
+*/
+class PreemptionPlan
+{
+public:
+    /**
+        @param gain       what the start of one task gains
+        @param isTogether count all tasks together, in isWorthwhile()
+    */
+    PreemptionPlan(const Resources &need, const PreemptionRight &right, WorkAmount gain, bool isTogether);
+
+    /** True if the stops for one more task on the worker lose this little, or if the tasks count together. */
+    bool mayLose(WorkAmount loss) const;
+    /** Plans room for one task on the worker, on which it fits after stops. */
+    void addTask(WorkerCapacity &workerCapacity);
+    /** True if all stops together lose less than all tasks gain. */
+    bool isWorthwhile() const;
+    /** Restores the capacities. */
+    void rollBack();
+
+    /** The runs to stop, with the ids of their workers. */
+    const std::vector<std::pair<std::string, RunKey>> &stops() const
+    {
+        return stops_;
+    }
+    int taskCount() const
+    {
+        return taskCount_;
+    }
+
+private:
+    Resources need_;
+    PreemptionRight right_;
+    WorkAmount gain_;
+    bool isTogether_;
+    int taskCount_ = 0;
+    WorkAmount loss_ = 0;
+    std::vector<std::pair<std::string, RunKey>> stops_;
+    /** The capacities before the plan; only if the tasks count together. */
+    std::map<WorkerCapacity *, WorkerCapacity> savedCapacities_;
+};
+
+} // namespace auburndoor
--- /dev/null
+++ b/modules/dispatch/PreemptionRight.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <compare>
+
+namespace auburndoor {
+
+/** What a stop of a run for more urgent work would cost its job; the smallest is the cheapest. */
+enum class PreemptionCost {
+    /** Its job is past its final deadline, so that no delay matters. */
+    Nothing,
+    /** Its job would not become late by it. */
+    Tolerable,
+    /** Its job would become late. */
+    MakesLate,
+    /** It ends about as soon by itself, or has been preempted often enough: nothing may stop it. */
+    Excessive,
+};
+
+/** Which runs a step may preempt. */
+struct PreemptionRight
+{
+    /** Only runs of less urgent priorities; 0 is the most urgent. */
+    int priority = 0;
+    /** Only runs whose stop costs at most this. */
+    PreemptionCost maxCost = PreemptionCost::Nothing;
+
+    auto operator<=>(const PreemptionRight &other) const = default;
+};
+
+} // namespace auburndoor
--- a/modules/dispatch/Run.cpp
+++ b/modules/dispatch/Run.cpp
@@ -1,7 +1,18 @@
 #include "dispatch/Run.h"
 
+#include <functional>
+
 namespace auburndoor {
 
+void Run::noteCheckpoint(const std::string &checkpoint, TimePoint now)
+{
+    const auto hash = checkpoint.empty() ? checkpointHash : std::hash<std::string>()(checkpoint);
+    if (hash != checkpointHash) {
+        checkpointHash = hash;
+        checkpointedAt = now;
+    }
+}
+
 std::string_view name(RunLoss loss)
 {
     switch (loss) {
--- a/modules/dispatch/Run.h
+++ b/modules/dispatch/Run.h
@@ -73,6 +73,10 @@
     /** The progress of the task, from 0 to 100, as last reported. */
     int percent = 0;
     TimePoint percentChangedAt;
+    /** A hash of the checkpoint as last reported, or from which it was started; 0 if there is none. */
+    std::size_t checkpointHash = 0;
+    /** When a checkpoint of this run was first reported; TimePoint() before. */
+    TimePoint checkpointedAt;
     /** The share of its speed to which it was last throttled, in percent; -1 if the worker did not take the last command. */
     int speedPercent = 100;
     /** As in RunningTask. */
@@ -88,6 +92,9 @@
     bool isStartAnswered = false;
     /** The listener did not adopt it, and it is being stopped. */
     bool isUnwanted = false;
+
+    /** Notes the checkpoint that a report shows; empty if there is none. */
+    void noteCheckpoint(const std::string &checkpoint, TimePoint now);
 };
 
 /** Why a run is gone without a listed end. */
--- a/modules/dispatch/ServiceCapacity.cpp
+++ b/modules/dispatch/ServiceCapacity.cpp
@@ -185,7 +185,7 @@
 {
     workerCapacity.collectRuns();
     for (auto &run : workerCapacity.preemptibleRuns) {
-        run.cost = costOfPreemption_(workerCapacity.worker->runs.at(run.key));
+        run.stop = costOfPreemption_(workerCapacity.worker->runs.at(run.key));
     }
 }
 
--- a/modules/dispatch/ServiceCapacity.h
+++ b/modules/dispatch/ServiceCapacity.h
@@ -23,7 +23,7 @@
 {
 public:
     /** Returns what a stop of the run now would cost. */
-    using CostOfPreemption = std::function<PreemptionCost(const Run &run)>;
+    using CostOfPreemption = std::function<StopCost(const Run &run)>;
 
     explicit ServiceCapacity(CostOfPreemption costOfPreemption);
 
--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -20,6 +20,8 @@
 
 namespace auburndoor {
 
+class PreemptionPlan;
+
 /** True if the occurrence of a step that starts at this time can meet its objective, by the estimates of its remaining steps. */
 bool canBeInTime(const StepState &step, TimePoint now);
 
@@ -190,8 +192,14 @@
         worker that becomes free before the next one does. Bounded in time, and for one gang of a service at a time.
     */
     void holdForGang(StepState &step);
+    /** What a stop of the run now would cost the job of its task. */
+    PreemptionCost computePreemptionCost(const Run &run, const JobState &job, const Task &task) const;
     /** What a stop of the run now would cost. */
-    PreemptionCost computePreemptionCost(const Run &run);
+    StopCost computeStopCost(const Run &run) const;
+    /** What the start of one task of the step gains, see PreemptionValue. */
+    static WorkAmount computeGain(const StepState &step);
+    /** Counts and logs that tasks of the step wait, as the stops that would make room for them lose more than they gain. */
+    void notePreemptionRefused(const StepState &step);
     /** Which runs the step may preempt: the more it gains by its start, the more a stop may cost. Empty if it may preempt none. */
     std::optional<PreemptionRight> preemptionRight(const StepState &step) const;
     /** As preemptionRight(); empty also if preemption makes room for a task of the step on no worker. */
@@ -202,10 +210,11 @@
         @param includeFree also those on which a task fits without preemption
     */
     std::vector<WorkerCapacity *> findPreemptionTargets(StepState &step, const PreemptionRight &right, bool includeFree);
-    /** The worker on which the least has to be stopped to fit a task of the step; null if there is none. */
-    static WorkerCapacity *choosePreemptionTarget(const StepState &step,
-                                                  const PreemptionRight &right,
-                                                  const std::vector<WorkerCapacity *> &workerCapacities);
+    /** The worker on which stops that fit a task of the step lose least, and no more than they may; null if there is none. */
+    WorkerCapacity *choosePreemptionTarget(const StepState &step,
+                                           const PreemptionRight &right,
+                                           const PreemptionPlan &plan,
+                                           const std::vector<WorkerCapacity *> &workerCapacities);
     /** True if a task of the step fits into what is free on the worker, less what others have reserved or planned there. */
     static bool fitsWithoutPreemption(const StepState &step, const WorkerCapacity &workerCapacity);
     /**
--- a/modules/dispatch/TaskPlacerPreemption.cpp
+++ b/modules/dispatch/TaskPlacerPreemption.cpp
@@ -1,3 +1,5 @@
+#include "dispatch/PreemptionPlan.h"
+#include "dispatch/PreemptionValue.h"
 #include "dispatch/TaskPlacer.h"
 #include "observability/EventLog.h"
 
@@ -16,6 +18,7 @@
 constexpr int mostUrgentPriority = 0;
 // A stop takes up to half a second to free the capacity: a run that ends within about that time is left to end.
 constexpr Milliseconds minRemainingTime { 500 };
+constexpr WorkAmount milliCoresOfCore = 1000;
 
 /** True if the run's reported progress shows that it ends about as soon as a stop would free its capacity. */
 bool endsSoon(const Run &run, TimePoint now)
@@ -30,28 +33,44 @@
 
 } // namespace
 
-PreemptionCost TaskPlacer::computePreemptionCost(const Run &run)
+PreemptionCost TaskPlacer::computePreemptionCost(const Run &run, const JobState &job, const Task &task) const
 {
     const auto &name = run.key.task;
-    const auto job = jobManager_.jobs().find(name.job);
-    const auto *task = job == jobManager_.jobs().end() ? nullptr : job->second->task(name);
-    if (task == nullptr) {
-        return PreemptionCost::Nothing;
-    }
-    const auto &spec = job->second->spec.steps[static_cast<std::size_t>(name.step)];
-    if (task->preemptionCount >= maxPreemptionsOfTask || endsSoon(run, now_)) {
+    if (task.preemptionCount >= maxPreemptionsOfTask || endsSoon(run, now_)) {
         return PreemptionCost::Excessive;
     }
-    const auto remaining = spec.estimate * (100 - run.percent) / 100;
+    const auto remaining = job.spec.steps[static_cast<std::size_t>(name.step)].estimate * (100 - run.percent) / 100;
     // Past its objective a job still counts as late until its final deadline; after that no delay matters.
-    const auto objective = job->second->objectiveOf(name.occurrence);
-    const auto limit = now_ < objective ? objective : job->second->finalDeadlineOf(name.occurrence);
+    const auto objective = job.objectiveOf(name.occurrence);
+    const auto limit = now_ < objective ? objective : job.finalDeadlineOf(name.occurrence);
     if (now_ > limit) {
         return PreemptionCost::Nothing;
     }
     return limit - now_ - remaining > preemptionDelay ? PreemptionCost::Tolerable : PreemptionCost::MakesLate;
 }
 
+StopCost TaskPlacer::computeStopCost(const Run &run) const
+{
+    const auto &name = run.key.task;
+    const auto job = jobManager_.jobs().find(name.job);
+    const auto *task = job == jobManager_.jobs().end() ? nullptr : job->second->task(name);
+    if (task == nullptr) {
+        return { PreemptionCost::Nothing, 0 };
+    }
+    const auto cost = computePreemptionCost(run, *job->second, *task);
+    const auto savedAt = std::max({ run.startedAt, run.confirmedAt, run.checkpointedAt });
+    const auto sinceSaved = std::chrono::duration_cast<Milliseconds>(now_ - savedAt);
+    const auto estimate = job->second->spec.steps[static_cast<std::size_t>(name.step)].estimate;
+    return { cost, PreemptionValue::lossOf({ run.claim.need, estimate, std::max(sinceSaved, Milliseconds(0)), cost }) };
+}
+
+WorkAmount TaskPlacer::computeGain(const StepState &step)
+{
+    const bool isUnlimited = step.isRepair() || step.spec().isService;
+    return isUnlimited ? PreemptionValue::unlimited
+                       : PreemptionValue::gainOf(JobManager::makeClaim(step).need, step.spec().estimate);
+}
+
 std::optional<PreemptionRight> TaskPlacer::preemptionRight(const StepState &step) const
 {
     const auto priority = step.job->queue.priority;
@@ -61,7 +80,7 @@
     if (step.isRepair()) {
         return PreemptionRight { priority, PreemptionCost::MakesLate };
     }
-    if (!canBeInTime(step, now_)) {
+    if (!canBeInTime(step, now_ + PreemptionValue::stopTime)) {
         return PreemptionRight { priority, PreemptionCost::Nothing };
     }
     return PreemptionRight { priority, priority == mostUrgentPriority ? PreemptionCost::MakesLate : PreemptionCost::Tolerable };
@@ -114,20 +133,29 @@
 
 WorkerCapacity *TaskPlacer::choosePreemptionTarget(const StepState &step,
                                                    const PreemptionRight &right,
+                                                   const PreemptionPlan &plan,
                                                    const std::vector<WorkerCapacity *> &workerCapacities)
 {
     const auto need = JobManager::makeClaim(step).need;
     WorkerCapacity *best = nullptr;
-    double bestMissing = std::numeric_limits<double>::max();
+    auto lowest = std::pair(PreemptionValue::unlimited, std::numeric_limits<double>::max());
+    bool hasTarget = false;
     for (auto *workerCapacity : workerCapacities) {
-        // The share of the worker's capacity that preemption has to free for the task.
+        if (!fitsWithoutPreemption(step, *workerCapacity) && !workerCapacity->fitsAfterPreemption(need, right)) {
+            continue;
+        }
+        hasTarget = true;
+        const auto loss = workerCapacity->lossFor(need, right);
+        // Of stops that lose alike, those on the worker with the smallest share of its capacity to free.
         const auto missing = dominantShare(need - workerCapacity->expectedFree, workerCapacity->worker->entry.capacity);
-        if (missing < bestMissing
-            && (fitsWithoutPreemption(step, *workerCapacity) || workerCapacity->fitsAfterPreemption(need, right))) {
-            bestMissing = missing;
+        if (plan.mayLose(loss) && std::pair(loss, missing) < lowest) {
+            lowest = { loss, missing };
             best = workerCapacity;
         }
     }
+    if (best == nullptr && hasTarget) {
+        notePreemptionRefused(step);
+    }
     return best;
 }
 
@@ -139,30 +167,22 @@
     }
     // The members of a gang that fit without preemption count as well, since none of them has a worker yet.
     const auto workerCapacities = findPreemptionTargets(step, *right, isAllOrNothing);
-    std::map<WorkerCapacity *, WorkerCapacity> savedCapacities;
-    std::vector<std::pair<std::string, RunKey>> runsToStop;
-    const auto need = JobManager::makeClaim(step).need;
-    int plannedTasks = 0;
-    for (; plannedTasks < taskCount; ++plannedTasks) {
-        auto *workerCapacity = choosePreemptionTarget(step, *right, workerCapacities);
+    PreemptionPlan plan(JobManager::makeClaim(step).need, *right, computeGain(step), isAllOrNothing);
+    while (plan.taskCount() < taskCount) {
+        auto *workerCapacity = choosePreemptionTarget(step, *right, plan, workerCapacities);
         if (workerCapacity == nullptr) {
-            if (isAllOrNothing) {
-                for (const auto &[changed, before] : savedCapacities) {
-                    *changed = before;
-                }
-                return 0;
-            }
             break;
         }
-        if (isAllOrNothing) {
-            savedCapacities.try_emplace(workerCapacity, *workerCapacity);
-        }
-        for (const auto &key : workerCapacity->planTask(need, *right)) {
-            runsToStop.emplace_back(workerCapacity->worker->entry.id, key);
+        plan.addTask(*workerCapacity);
+    }
+    if (isAllOrNothing && (plan.taskCount() < taskCount || !plan.isWorthwhile())) {
+        if (plan.taskCount() == taskCount) {
+            notePreemptionRefused(step);
         }
+        plan.rollBack();
     }
-    preempt(step, runsToStop);
-    return plannedTasks;
+    preempt(step, plan.stops());
+    return plan.taskCount();
 }
 
 void TaskPlacer::preemptForPlannedTasks(StepState &step)
@@ -172,17 +192,36 @@
         return;
     }
     getServiceCapacity(step).collectPreemptibleRuns();
-    std::vector<std::pair<std::string, RunKey>> runsToStop;
     const auto need = JobManager::makeClaim(step).need;
+    const bool isGang = step.spec().isGang;
+    PreemptionPlan plan(need, *right, computeGain(step), isGang);
+    bool isRefused = false;
     for (const auto &[id, count] : step.advice.plannedTasks) {
         auto *workerCapacity = getServiceCapacity(step).find(id);
         for (int task = 0; workerCapacity != nullptr && task < count; ++task) {
-            for (const auto &key : workerCapacity->planTask(need, *right)) {
-                runsToStop.emplace_back(id, key);
+            const bool mayLose = plan.mayLose(workerCapacity->lossFor(need, *right));
+            isRefused = isRefused || !mayLose;
+            if (mayLose) {
+                plan.addTask(*workerCapacity);
             }
         }
     }
-    preempt(step, runsToStop);
+    if (isGang && !plan.isWorthwhile()) {
+        isRefused = true;
+        plan.rollBack();
+    }
+    if (isRefused) {
+        notePreemptionRefused(step);
+    }
+    preempt(step, plan.stops());
+}
+
+void TaskPlacer::notePreemptionRefused(const StepState &step)
+{
+    ++statistics_.refusedPreemptions;
+    EventLog::writeRateLimited(
+        "preemption.refused",
+        { { "job", step.job->spec.id }, { "step", step.index }, { "gain_core_ms", computeGain(step) / milliCoresOfCore } });
 }
 
 void TaskPlacer::preempt(const StepState &step, const std::vector<std::pair<std::string, RunKey>> &runsToStop)
@@ -195,6 +234,7 @@
         if (auto *task = job == jobManager_.jobs().end() ? nullptr : job->second->task(key.task)) {
             ++task->preemptionCount;
         }
+        ++statistics_.preemptions;
         fleet_.stop(id, key, "preempted");
     }
 }
--- a/modules/dispatch/TaskPlacerRounds.cpp
+++ b/modules/dispatch/TaskPlacerRounds.cpp
@@ -260,7 +260,7 @@
     if (found != serviceCapacities_.end()) {
         return found->second;
     }
-    ServiceCapacity capacity([this](const Run &run) { return computePreemptionCost(run); });
+    ServiceCapacity capacity([this](const Run &run) { return computeStopCost(run); });
     return serviceCapacities_.emplace(service, std::move(capacity)).first->second;
 }
 
--- a/modules/dispatch/WorkerCapacity.cpp
+++ b/modules/dispatch/WorkerCapacity.cpp
@@ -1,19 +1,11 @@
 #include "dispatch/WorkerCapacity.h"
 
+#include "dispatch/PreemptionValue.h"
+
 #include <algorithm>
-#include <tuple>
 
 namespace auburndoor {
 
-namespace {
-
-bool mayPreempt(const PreemptibleRun &run, const PreemptionRight &right)
-{
-    return run.priority > right.priority && run.cost <= right.maxCost;
-}
-
-} // namespace
-
 void WorkerCapacity::clearPlan()
 {
     planned = Resources();
@@ -54,22 +46,23 @@
             expectedFree += run.claim.need;
             hasStoppingRuns = true;
         } else if (run.phase == Run::Phase::Running && run.claim.isPreemptible) {
-            preemptibleRuns.push_back({ key, run.claim.need, run.claim.priority, PreemptionCost::Tolerable });
+            preemptibleRuns.push_back({ key, run.claim.need, run.claim.priority, StopCost() });
         }
     }
 }
 
 bool WorkerCapacity::hasPreemptibleRuns(const PreemptionRight &right) const
 {
-    return std::any_of(
-        preemptibleRuns.begin(), preemptibleRuns.end(), [&right](const auto &run) { return mayPreempt(run, right); });
+    return std::any_of(preemptibleRuns.begin(), preemptibleRuns.end(), [&right](const auto &run) {
+        return PreemptionValue::isAllowed(run, right);
+    });
 }
 
 Resources WorkerCapacity::freeAfterPreemption(const PreemptionRight &right) const
 {
     auto result = expectedFree;
     for (const auto &run : preemptibleRuns) {
-        if (mayPreempt(run, right)) {
+        if (PreemptionValue::isAllowed(run, right)) {
             result += run.need;
         }
     }
@@ -82,22 +75,25 @@
            && need.fitsIn(freeAfterPreemption(right));
 }
 
+WorkAmount WorkerCapacity::lossFor(const Resources &need, const PreemptionRight &right) const
+{
+    WorkAmount loss = 0;
+    for (const auto index : PreemptionValue::chooseStops(preemptibleRuns, need, expectedFree, right)) {
+        loss += PreemptionValue::weigh(preemptibleRuns[index], right);
+    }
+    return loss;
+}
+
 std::vector<RunKey> WorkerCapacity::planTask(const Resources &need, const PreemptionRight &right)
 {
     std::vector<RunKey> stopped;
-    // The least urgent runs first, and of equal priority the largest first, so that few runs are stopped.
-    std::stable_sort(preemptibleRuns.begin(), preemptibleRuns.end(), [](const PreemptibleRun &left, const PreemptibleRun &right) {
-        return std::tuple(left.priority, left.need.accelerators, left.need.milliCores)
-               > std::tuple(right.priority, right.need.accelerators, right.need.milliCores);
-    });
-    for (auto run = preemptibleRuns.begin(); run != preemptibleRuns.end() && !need.fitsIn(expectedFree);) {
-        if (!mayPreempt(*run, right)) {
-            ++run;
-            continue;
-        }
+    auto chosen = PreemptionValue::chooseStops(preemptibleRuns, need, expectedFree, right);
+    std::sort(chosen.begin(), chosen.end(), std::greater<>());
+    for (const auto index : chosen) {
+        const auto run = preemptibleRuns.begin() + static_cast<std::ptrdiff_t>(index);
         expectedFree += run->need;
         stopped.push_back(run->key);
-        run = preemptibleRuns.erase(run);
+        preemptibleRuns.erase(run);
     }
     expectedFree -= need;
     planned += need;
--- a/modules/dispatch/WorkerCapacity.h
+++ b/modules/dispatch/WorkerCapacity.h
@@ -1,46 +1,14 @@
 #pragma once
 
+#include "dispatch/PreemptibleRun.h"
 #include "dispatch/WorkerState.h"
 
-#include <compare>
 #include <limits>
 #include <string>
 #include <vector>
 
 namespace auburndoor {
 
-/** What a stop of a run for more urgent work would cost; the smallest is the cheapest. */
-enum class PreemptionCost {
-    /** Its job is past its final deadline, so that no delay matters. */
-    Nothing,
-    /** Its job would not become late by it. */
-    Tolerable,
-    /** Its job would become late. */
-    MakesLate,
-    /** It ends about as soon by itself, or has been preempted often enough: nothing may stop it. */
-    Excessive,
-};
-
-/** Which runs a step may preempt. */
-struct PreemptionRight
-{
-    /** Only runs of less urgent priorities; 0 is the most urgent. */
-    int priority = 0;
-    /** Only runs whose stop costs at most this. */
-    PreemptionCost maxCost = PreemptionCost::Nothing;
-
-    auto operator<=>(const PreemptionRight &other) const = default;
-};
-
-/** A run that may be stopped to make room for more urgent work. */
-struct PreemptibleRun
-{
-    RunKey key;
-    Resources need;
-    int priority = 0;
-    PreemptionCost cost = PreemptionCost::Tolerable;
-};
-
 /** Capacity reserved for one task: for the plan of a step's advice, or held for a gang. */
 struct CapacityReservation
 {
@@ -92,10 +60,13 @@
     /** True if this much would be free after all runs that may be preempted were stopped, and no more urgent work waits for it. */
     bool fitsAfterPreemption(const Resources &need, const PreemptionRight &right) const;
 
+    /** What the stops that make room for one task lose, weighed for the right; 0 if it fits without one or does not at all. */
+    WorkAmount lossFor(const Resources &need, const PreemptionRight &right) const;
+
     /**
         Plans room for one task: subtracts its need from expectedFree, and preempts runs until it fits.
 
-        @return the runs to stop, the least urgent first
+        @return the runs to stop, as PreemptionValue::chooseStops()
     */
     std::vector<RunKey> planTask(const Resources &need, const PreemptionRight &right);
 };
--- a/modules/entry/Owner.cpp
+++ b/modules/entry/Owner.cpp
@@ -135,6 +135,8 @@
                       { "workers_visited", statistics.workersVisited },
                       { "duration_us", statistics.duration.count() },
                       { "longest_us", statistics.longestRound.count() },
+                      { "preempted", statistics.preemptions },
+                      { "preemptions_refused", statistics.refusedPreemptions },
                       { "backlog", statistics.backlog } });
 }
 
