Order under scarce room: little work first, and a part for each priority

Cause: while more waits than a service has room for, priority alone decided, and within a priority the earliest objective: a less urgent kind starved under a flood of urgent work, and one large job made many small ones late.

Change: ScarcityOrder, a pure class for each service, decides by the full reading every 200 ms whether room is scarce: what waits does not fit into what is free, or work of over a hundredth of the service fits on no worker. While it is, a step goes first within its priority whose job needs little work, against the mean of its queue, for the slack that it has left. Each priority keeps 0.4 of the work that came to wait in the last 5 s, all together at most half of what was started; it goes before others until it has got that, and its runs are not stopped below 1.25 times that. Nothing is stopped for single tasks without permits that get their room in time by ends, at the rate at which room was taken lately. A task that was stopped waits for up to a second while more urgent work waits. Without scarcity all keys are zero and nothing is owed. The rank reads a few numbers of the job and its service. PreemptionRules holds what TaskPlacer decided itself.

--- a/modules/dispatch/JobState.h
+++ b/modules/dispatch/JobState.h
@@ -156,6 +156,8 @@
     StepAdvice advice;
     GangHold hold;
     StepSearch search;
+    /** Its work was noted in the order of its service, see ScarcityOrder::noteDemand(). */
+    bool isDemandNoted = false;
     /** When the step was created, or when another step of its occurrence was last done. */
     TimePoint readySince;
 
--- a/modules/dispatch/PlacementStatistics.h
+++ b/modules/dispatch/PlacementStatistics.h
@@ -23,6 +23,8 @@
     long long preemptions = 0;
     /** Searches for runs to stop that found only stops which lose more than they gain. */
     long long refusedPreemptions = 0;
+    /** Starts of work whose priority had got less of a scarce service than it keeps. */
+    long long guaranteedStarts = 0;
     /** The steps with tasks to place in the last round. */
     long long backlog = 0;
 };
--- a/modules/dispatch/PreemptionPlan.cpp
+++ b/modules/dispatch/PreemptionPlan.cpp
@@ -2,6 +2,9 @@
 
 #include "dispatch/PreemptionValue.h"
 
+#include <algorithm>
+#include <tuple>
+
 namespace auburndoor {
 
 PreemptionPlan::PreemptionPlan(const Resources &need, const PreemptionRight &right, WorkAmount gain, bool isTogether)
@@ -14,6 +17,43 @@
     return isTogether_ || loss <= gain_;
 }
 
+void PreemptionPlan::setTargets(const std::vector<WorkerCapacity *> &workerCapacities, const void *step)
+{
+    step_ = step;
+    targets_.clear();
+    for (auto *workerCapacity : workerCapacities) {
+        targets_.push_back({ workerCapacity });
+        updateTarget(targets_.back());
+    }
+}
+
+void PreemptionPlan::updateTarget(Target &target) const
+{
+    const auto &workerCapacity = *target.workerCapacity;
+    target.hasRoom = workerCapacity.fitsWithoutPreemption(step_, need_, right_.priority)
+                     || workerCapacity.fitsAfterPreemption(need_, right_);
+    if (target.hasRoom) {
+        target.loss = workerCapacity.lossFor(need_, right_);
+        target.missing = dominantShare(need_ - workerCapacity.expectedFree, workerCapacity.worker->entry.capacity);
+    }
+}
+
+WorkerCapacity *PreemptionPlan::chooseTarget(bool &isRefused) const
+{
+    const Target *best = nullptr;
+    bool hasRoom = false;
+    for (const auto &target : targets_) {
+        hasRoom = hasRoom || target.hasRoom;
+        // Of stops that lose alike, those on the worker with the smallest share of its capacity to free.
+        if (target.hasRoom && mayLose(target.loss)
+            && (best == nullptr || std::tie(target.loss, target.missing) < std::tie(best->loss, best->missing))) {
+            best = &target;
+        }
+    }
+    isRefused = best == nullptr && hasRoom;
+    return best == nullptr ? nullptr : best->workerCapacity;
+}
+
 void PreemptionPlan::addTask(WorkerCapacity &workerCapacity)
 {
     if (isTogether_) {
@@ -24,6 +64,11 @@
         stops_.emplace_back(workerCapacity.id, key);
     }
     ++taskCount_;
+    const auto target = std::find_if(
+        targets_.begin(), targets_.end(), [&](const Target &other) { return other.workerCapacity == &workerCapacity; });
+    if (target != targets_.end()) {
+        updateTarget(*target);
+    }
 }
 
 bool PreemptionPlan::isWorthwhile() const
--- a/modules/dispatch/ServiceCapacity.cpp
+++ b/modules/dispatch/ServiceCapacity.cpp
@@ -88,12 +88,22 @@
 void ServiceCapacity::tightenBounds()
 {
     largestFree_ = Resources();
+    totalFree_ = Resources();
+    totalCapacity_ = Resources();
     largestFreeAfterPreemption_.clear();
     for (auto &workerCapacity : workerCapacities_) {
         if (!workerCapacity.isUsable) {
             continue;
         }
-        raiseTo(largestFree_, roomOf(workerCapacity).free);
+        const auto &free = roomOf(workerCapacity).free;
+        raiseTo(largestFree_, free);
+        // A worker whose capacity has shrunk below its use has a negative amount free, which takes nothing of the others.
+        totalFree_ += { std::max<std::int64_t>(free.milliCores, 0),
+                        std::max<std::int64_t>(free.memoryMiB, 0),
+                        std::max<std::int64_t>(free.accelerators, 0),
+                        free.slots,
+                        free.connections };
+        totalCapacity_ += workerCapacity.worker->entry.capacity;
         if (!workerCapacity.reservations.empty() || workerCapacity.waitingPriority < WorkerCapacity::noPriority) {
             workerCapacity.reservations.clear();
             workerCapacity.clearPlan();
--- a/modules/dispatch/ServiceCapacity.h
+++ b/modules/dispatch/ServiceCapacity.h
@@ -72,6 +72,16 @@
     /** True if one of the workers of findGrownSince() has this much free and the step may use it, as isWanted tells. */
     bool hasGrownRoom(std::uint64_t since, const Resources &need, const std::function<bool(const WorkerCapacity &)> &isWanted);
 
+    /** What is free on usable workers and the capacity of these, at the last call of tightenBounds(). */
+    const Resources &totalFree() const
+    {
+        return totalFree_;
+    }
+    const Resources &totalCapacity() const
+    {
+        return totalCapacity_;
+    }
+
     /** False if no worker has this much free. True does not mean that one has, as the bound of each resource is separate. */
     bool mayHaveFree(const Resources &need) const
     {
@@ -112,6 +122,8 @@
     /** The ids of the workers whose runs have to be collected again. */
     std::vector<std::string> uncollected_;
     Resources largestFree_;
+    Resources totalFree_;
+    Resources totalCapacity_;
     /** The bound of what preemption could free on any worker, by the right of the work that needs it. */
     std::map<PreemptionRight, Resources> largestFreeAfterPreemption_;
 };
--- a/modules/dispatch/StepRank.h
+++ b/modules/dispatch/StepRank.h
@@ -2,6 +2,7 @@
 
 #include "core/Clock.h"
 
+#include <cstdint>
 #include <string>
 #include <tuple>
 
@@ -14,9 +15,13 @@
     bool isRepair = false;
     /** Its job is past its final deadline, so that it gains nothing from going before work that is not. */
     bool isLost = false;
+    /** Its priority has got less of a scarce service than it keeps, see ScarcityOrder. */
+    bool isOwed = false;
     int priority = 0;
     /** Its job cannot be in time any more, even if the step started now. */
     bool isLate = false;
+    /** As ScarcityOrder::keyOf(); zero while room is not scarce. */
+    std::int64_t scarcityKey = 0;
     TimePoint objective;
     std::string job;
     int occurrence = 0;
@@ -27,8 +32,17 @@
         if (isRepair != other.isRepair) {
             return isRepair;
         }
-        return std::tie(isLost, priority, isLate, objective, job, occurrence, step)
-               < std::tie(other.isLost, other.priority, other.isLate, other.objective, other.job, other.occurrence, other.step);
+        if (isOwed != other.isOwed && isLost == other.isLost) {
+            return isOwed;
+        }
+        return std::tie(isLost, priority, isLate, scarcityKey, objective, job, occurrence, step) < std::tie(other.isLost,
+                                                                                                            other.priority,
+                                                                                                            other.isLate,
+                                                                                                            other.scarcityKey,
+                                                                                                            other.objective,
+                                                                                                            other.job,
+                                                                                                            other.occurrence,
+                                                                                                            other.step);
     }
 };
 
--- a/modules/dispatch/TaskPlacer.cpp
+++ b/modules/dispatch/TaskPlacer.cpp
@@ -47,19 +47,6 @@
     *isAlive_ = false;
 }
 
-StepRank TaskPlacer::computeRank(const StepState &step, TimePoint now)
-{
-    const auto &job = *step.job;
-    return { step.isRepair(),
-             isPastFinalDeadline(step, now),
-             job.queue.priority,
-             !canBeInTime(step, now),
-             job.objectiveOf(step.occurrence),
-             job.spec.id,
-             step.occurrence,
-             step.index };
-}
-
 const StepAdvice::WorkerPermit *TaskPlacer::findPermit(const StepState &step, const WorkerCapacity &workerCapacity) const
 {
     const auto found = step.advice.allowed.find(workerCapacity.id);
@@ -195,6 +182,7 @@
     candidate.free -= claim.need;
     --candidate.tasksLeft;
     jobManager_.recordStart(step, index, { id, attempt });
+    noteWork(step, true);
     fleet_.start(id, command, claim);
     getServiceCapacity(step).recordStart(*candidate.workerCapacity, claim.need, claim.priority);
 }
--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -5,6 +5,7 @@
 #include "dispatch/JobManager.h"
 #include "dispatch/PlacementStatistics.h"
 #include "dispatch/ReadySteps.h"
+#include "dispatch/ScarcityOrder.h"
 #include "dispatch/ServiceCapacity.h"
 #include "workload/Advisor.h"
 
@@ -20,8 +21,6 @@
 
 namespace auburndoor {
 
-class PreemptionPlan;
-
 /** True if the occurrence of a step that starts at this time can meet its objective, by the estimates of its remaining steps. */
 bool canBeInTime(const StepState &step, TimePoint now);
 
@@ -99,7 +98,22 @@
     bool runRound();
     /** Places the steps from the first one on, until the end of the time. @return the first step that had no turn */
     ReadySteps::Entries::iterator placeSteps(ReadySteps::Entries::iterator first, TimePoint end);
-    static StepRank computeRank(const StepState &step, TimePoint now);
+    StepRank computeRank(const StepState &step);
+    /** The order of the waiting work of the step's service. */
+    ScarcityOrder &scarcityOf(const StepState &step);
+    /** Adds the step's waiting tasks to the present reading of all jobs. */
+    void addToReading(const StepState &step);
+    /** Ends the reading of all jobs: decides for each service whether its room is scarce. */
+    void updateScarcity();
+    /** Notes the start of a task of the step, or that one of its runs was stopped. */
+    void noteWork(const StepState &step, bool isStart);
+    /** Gives a step its rank by priority once its priority is owed nothing any more. @return the entry after it; empty if it keeps
+     * its rank */
+    std::optional<ReadySteps::Entries::iterator> demote(ReadySteps::Entries::iterator entry);
+    /** True if ends of runs will make room for the step in time, so that no run has to be stopped for it. */
+    bool willHaveRoom(const StepState &step);
+    /** True if the task was stopped a short time ago, and more urgent work that would stop it again waits. */
+    bool isHeldBack(const StepState &step, const Task &task);
     /** Reads all jobs and workers again, in place of the changes since the last round. */
     void readAll();
     /** Follows the jobs and workers that have changed since the last round. */
@@ -192,17 +206,11 @@
         worker that becomes free before the next one does. Bounded in time, and for one gang of a service at a time.
     */
     void holdForGang(StepState &step);
-    /** What a stop of the run now would cost the job of its task. */
-    PreemptionCost computePreemptionCost(const Run &run, const JobState &job, const Task &task) const;
     /** What a stop of the run now would cost. */
-    StopCost computeStopCost(const Run &run) const;
-    /** What the start of one task of the step gains, see PreemptionValue. */
-    static WorkAmount computeGain(const StepState &step);
+    StopCost computeStopCost(const Run &run);
     /** Counts and logs that tasks of the step wait, as the stops that would make room for them lose more than they gain. */
     void notePreemptionRefused(const StepState &step);
-    /** Which runs the step may preempt: the more it gains by its start, the more a stop may cost. Empty if it may preempt none. */
-    std::optional<PreemptionRight> preemptionRight(const StepState &step) const;
-    /** As preemptionRight(); empty also if preemption makes room for a task of the step on no worker. */
+    /** Which runs the step may preempt; empty also if preemption makes room for a task of the step on no worker. */
     std::optional<PreemptionRight> findPreemptionRight(StepState &step);
     /**
         The workers that the step may use now and on which a task of it would fit after preemption.
@@ -210,13 +218,6 @@
         @param includeFree also those on which a task fits without preemption
     */
     std::vector<WorkerCapacity *> findPreemptionTargets(StepState &step, const PreemptionRight &right, bool includeFree);
-    /** The worker on which stops that fit a task of the step lose least, and no more than they may; null if there is none. */
-    WorkerCapacity *choosePreemptionTarget(const StepState &step,
-                                           const PreemptionRight &right,
-                                           const PreemptionPlan &plan,
-                                           const std::vector<WorkerCapacity *> &workerCapacities);
-    /** True if a task of the step fits into what is free on the worker, less what others have reserved or planned there. */
-    static bool fitsWithoutPreemption(const StepState &step, const WorkerCapacity &workerCapacity);
     /**
         Stops less urgent preemptible runs, so that tasks of the step fit on workers that it may use now.
 
@@ -321,6 +322,10 @@
     /** Advice requests that are expected to take this long or longer cannot be sent in this round any more. */
     Milliseconds unsendableAdviceTime_ = Milliseconds::max();
     AdviceShares adviceShares_;
+    /** The order of the waiting work of each service, and what the present reading of all jobs has found for it. */
+    std::map<std::string, ScarcityOrder> scarcityByService_;
+    std::map<std::string, ScarcityOrder::Reading> scarcityReadings_;
+    bool isReadingAll_ = false;
     PlacementStatistics statistics_;
     std::shared_ptr<bool> isAlive_;
 };
--- a/modules/dispatch/TaskPlacerCandidates.cpp
+++ b/modules/dispatch/TaskPlacerCandidates.cpp
@@ -219,11 +219,16 @@
     auto candidates = findCandidates(step);
     CandidateHeap heap(*this, step, candidates);
     int unplaced = 0;
+    int heldBack = 0;
     for (std::size_t index = 0; index < step.tasks.size(); ++index) {
         auto &task = step.tasks[index];
         if (!task.isIdle()) {
             continue;
         }
+        if (isHeldBack(step, task)) {
+            ++heldBack;
+            continue;
+        }
         auto *candidate = heap.best(task);
         if (candidate != nullptr && isWindowFull()) {
             // There is capacity: the rest starts once starts on their way are answered.
@@ -238,7 +243,7 @@
         start(step, static_cast<int>(index), *candidate, jobManager_.nextAttempt(task));
         heap.update(*candidate);
     }
-    if (noteSearch(step, unplaced == 0)) {
+    if (noteSearch(step, unplaced + heldBack == 0)) {
         unplaced -= preemptForTasks(step, unplaced, false);
     }
     if (unplaced > 0 && step.job->queue.advice) {
--- a/modules/dispatch/TaskPlacerMaintenance.cpp
+++ b/modules/dispatch/TaskPlacerMaintenance.cpp
@@ -139,7 +139,7 @@
         }
     }
     if (waitingTasks > 0) {
-        const auto rank = computeRank(step, now_);
+        const auto rank = computeRank(step);
         const auto wait = findServiceWait(step);
         EventLog::writeRateLimited("service.waiting",
                                    { { "job", step.job->spec.id },
--- a/modules/dispatch/TaskPlacerRounds.cpp
+++ b/modules/dispatch/TaskPlacerRounds.cpp
@@ -1,3 +1,4 @@
+#include "dispatch/StepOrder.h"
 #include "dispatch/TaskPlacer.h"
 
 #include <algorithm>
@@ -76,6 +77,10 @@
     auto next = first;
     int passedOver = 0;
     while (next != entries.end() && now_ < end) {
+        if (const auto following = demote(next)) {
+            next = *following;
+            continue;
+        }
         auto &step = *next->second;
         ++statistics_.stepsPassed;
         if (!placeStep(step)) {
@@ -97,6 +102,7 @@
     readySteps_.clear();
     reservedRoom_.clear();
     servicesWithHold_.clear();
+    scarcityReadings_.clear();
     hasJobsWaitingForReports_ = false;
     hasReadMostWorkers_ = fleet_.hasReadMostWorkers();
     statistics_.workersVisited += static_cast<long long>(fleet_.workers().size());
@@ -106,9 +112,12 @@
     for (auto &[service, serviceCapacity] : serviceCapacities_) {
         serviceCapacity.tightenBounds();
     }
+    isReadingAll_ = true;
     for (const auto &[id, job] : jobManager_.jobs()) {
         addJob(*job);
     }
+    isReadingAll_ = false;
+    updateScarcity();
 }
 
 void TaskPlacer::applyChanges()
@@ -163,7 +172,9 @@
                 continue;
             }
             if (job.stage == JobStage::Recording || job.isServiceStored()) {
-                readySteps_.insert(computeRank(step, now_), step);
+                noteDemand(step, now_, scarcityOf(step));
+                addToReading(step);
+                readySteps_.insert(computeRank(step), step);
             } else {
                 jobManager_.storeService(job);
             }
--- a/modules/dispatch/WorkerCapacity.cpp
+++ b/modules/dispatch/WorkerCapacity.cpp
@@ -75,6 +75,11 @@
            && need.fitsIn(freeAfterPreemption(right));
 }
 
+bool WorkerCapacity::fitsWithoutPreemption(const void *step, const Resources &need, int priority) const
+{
+    return waitingPriority >= priority && need.fitsIn(expectedFree) && need.fitsIn(freeFor(step, priority));
+}
+
 WorkAmount WorkerCapacity::lossFor(const Resources &need, const PreemptionRight &right) const
 {
     WorkAmount loss = 0;
--- a/modules/dispatch/WorkerCapacity.h
+++ b/modules/dispatch/WorkerCapacity.h
@@ -63,6 +63,9 @@
     /** What the stops that make room for one task lose, weighed for the right; 0 if it fits without one or does not at all. */
     WorkAmount lossFor(const Resources &need, const PreemptionRight &right) const;
 
+    /** True if a task of the step fits into what is free, less what others have reserved or planned here. */
+    bool fitsWithoutPreemption(const void *step, const Resources &need, int priority) const;
+
     /**
         Plans room for one task: subtracts its need from expectedFree, and preempts runs until it fits.
 
--- a/modules/entry/Owner.cpp
+++ b/modules/entry/Owner.cpp
@@ -137,6 +137,7 @@
                       { "longest_us", statistics.longestRound.count() },
                       { "preempted", statistics.preemptions },
                       { "preemptions_refused", statistics.refusedPreemptions },
+                      { "guaranteed", statistics.guaranteedStarts },
                       { "backlog", statistics.backlog } });
 }
 
