--- a/modules/entry/Owner.cpp
+++ b/modules/entry/Owner.cpp
@@ -135,6 +135,9 @@
                       { "workers_visited", statistics.workersVisited },
                       { "duration_us", statistics.duration.count() },
                       { "longest_us", statistics.longestRound.count() },
+                      { "preempted", statistics.preemptions },
+                      { "preemptions_refused", statistics.refusedPreemptions },
+                      { "guaranteed", statistics.guaranteedStarts },
                       { "backlog", statistics.backlog } });
 }
 
