--- a/modules/dispatch/ScarcityOrder.cpp
+++ b/modules/dispatch/ScarcityOrder.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/ScarcityOrder.h"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 
 namespace auburndoor {
@@ -21,7 +22,11 @@
 constexpr double keyOfMeanJob = 1000;
 // Added to the part of the slack that is left: a job without slack goes before one of a fifth of its size that has just come, and
 // not before all others, since it may already be too large to be in time.
-constexpr double smallestAgeing = 0.25;
+constexpr double smallestAgeing = 0.1;
+// A late result is of much less use to its caller than one in time, but of some: work behind all that can be in time would never
+// end while the room stays scarce. One that will miss its final deadline as well is of none.
+constexpr double lateFactor = 5;
+constexpr double hopelessFactor = 100;
 constexpr double weightOfNewJob = 1.0 / 64;
 
 // Room that becomes free in small pieces on many workers is of use later than its sum tells.
@@ -142,7 +147,8 @@
     const auto size = isKnown ? static_cast<double>(waiting.remainingWork) / mean->second : 1.0;
     const auto first = std::max(waiting.slackAtFirst, Milliseconds(1));
     const auto left = std::clamp(static_cast<double>(waiting.slackLeft.count()) / static_cast<double>(first.count()), 0.0, 1.0);
-    return static_cast<std::int64_t>(keyOfMeanJob * size * (smallestAgeing + left));
+    const auto lateness = !waiting.isLate ? 1.0 : waiting.slackLeft < Milliseconds(0) ? hopelessFactor : lateFactor;
+    return static_cast<std::int64_t>(keyOfMeanJob * lateness * std::sqrt(size) * (smallestAgeing + left));
 }
 
 } // namespace auburndoor
--- a/modules/dispatch/ScarcityOrder.h
+++ b/modules/dispatch/ScarcityOrder.h
@@ -32,9 +32,13 @@
     {
         /** The work of its job that is not done. */
         WorkAmount remainingWork = 0;
-        /** How much later the job could start and be in time, and how much later it could when it came. */
+        /**
+            How much later the job could start and be in time, and how much later it could when it came. Of a late job: by its final
+            deadline, and from its objective on.
+        */
         Milliseconds slackLeft { 0 };
         Milliseconds slackAtFirst { 0 };
+        bool isLate = false;
     };
 
     /** What one reading of all jobs and workers has found. */
--- a/modules/dispatch/StepOrder.cpp
+++ b/modules/dispatch/StepOrder.cpp
@@ -15,11 +15,14 @@
     if (step.spec().isService || job.spec.isScheduled || occurrence == job.occurrences.end()) {
         return 0;
     }
+    const auto work = remainingWork(job, occurrence->second);
     const auto left = slackLeft(step, now);
-    const auto slackAtFirst = std::chrono::duration_cast<Milliseconds>(job.objective - job.receivedAt) - job.criticalPathTime();
-    // Of late work that with little left to do goes first; its time runs out later.
-    const bool isLate = left < Milliseconds(0);
-    return scarcity.keyOf(job.queue.name, { remainingWork(job, occurrence->second), isLate ? slackAtFirst : left, slackAtFirst });
+    if (left >= Milliseconds(0)) {
+        const auto allowed = std::chrono::duration_cast<Milliseconds>(job.objective - job.receivedAt) - job.criticalPathTime();
+        return scarcity.keyOf(job.queue.name, { work, left, allowed, false });
+    }
+    const auto extension = std::chrono::duration_cast<Milliseconds>(job.finalDeadlineOf(step.occurrence) - job.objective);
+    return scarcity.keyOf(job.queue.name, { work, left + extension, extension, true });
 }
 
 } // namespace
@@ -93,7 +96,7 @@
              isLost,
              !isLate && !isLost && scarcity.isOwed(priority),
              priority,
-             isLate,
+             isLate && !scarcity.isScarce(),
              scarcity.isScarce() ? scarcityKey(step, now, scarcity) : 0,
              job.objectiveOf(step.occurrence),
              job.spec.id,
