--- a/modules/dispatch/ScarcityOrder.cpp
+++ b/modules/dispatch/ScarcityOrder.cpp
@@ -20,9 +20,10 @@
 constexpr Milliseconds scarcityMemory { 1000 };
 // A key of this size is that of a job of the mean size with all its slack.
 constexpr double keyOfMeanJob = 1000;
-// Added to the part of the slack that is left: a job without slack goes before one of a fifth of its size that has just come, and
-// not before all others, since it may already be too large to be in time.
+// Added to the part of the slack that is left, so that the size still counts among jobs without slack.
 constexpr double smallestAgeing = 0.1;
+// Small jobs go first, so that few are late, but a job of many times the mean size has its turn before its time has run out.
+constexpr double sizeExponent = 0.25;
 // A late result is of much less use to its caller than one in time, but of some: work behind all that can be in time would never
 // end while the room stays scarce. One that will miss its final deadline as well is of none.
 constexpr double lateFactor = 5;
@@ -148,7 +149,7 @@
     const auto first = std::max(waiting.slackAtFirst, Milliseconds(1));
     const auto left = std::clamp(static_cast<double>(waiting.slackLeft.count()) / static_cast<double>(first.count()), 0.0, 1.0);
     const auto lateness = !waiting.isLate ? 1.0 : waiting.slackLeft < Milliseconds(0) ? hopelessFactor : lateFactor;
-    return static_cast<std::int64_t>(keyOfMeanJob * lateness * std::sqrt(size) * (smallestAgeing + left));
+    return static_cast<std::int64_t>(keyOfMeanJob * lateness * std::pow(size, sizeExponent) * (smallestAgeing + left));
 }
 
 } // namespace auburndoor
