--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -1,4 +1,5 @@
 #include "DecisionCost.h"
+#include "OverloadComparison.h"
 #include "Report.h"
 #include "Scenarios.h"
 
@@ -25,6 +26,7 @@
     measureFairness(report, seed, isQuick);
     measureUrgentStarts(report, seed, isQuick);
     measurePacking(report, seed, isQuick);
+    measureOverload(report, seed, isQuick);
     report.print();
     const auto json = absl::GetFlag(FLAGS_json);
     if (!json.empty() && !report.writeJson(json, seed)) {
--- a/modules/dispatch/ScarcityOrder.cpp
+++ b/modules/dispatch/ScarcityOrder.cpp
@@ -26,8 +26,8 @@
 
 // Room that becomes free in small pieces on many workers is of use later than its sum tells.
 constexpr double waitMargin = 2;
-// Until ends are reported and the tasks are started.
-constexpr Milliseconds minWaitForEnds { 300 };
+// With less slack a stop, which takes up to half a second, would come too late if the ends did not make the room.
+constexpr Milliseconds minWaitForEnds { 500 };
 
 WorkAmount sumOf(const auto &buckets)
 {
