--- a/modules/dispatch/TaskPlacerRounds.cpp
+++ b/modules/dispatch/TaskPlacerRounds.cpp
@@ -172,8 +172,7 @@
                 continue;
             }
             if (job.stage == JobStage::Recording || job.isServiceStored()) {
-                noteDemand(step, now_, scarcityOf(step));
-                addToReading(step);
+                followDemand(step);
                 readySteps_.insert(computeRank(step), step);
             } else {
                 jobManager_.storeService(job);
