--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -105,8 +105,8 @@
     StepRank computeRank(const StepState &step);
     /** The order of the waiting work of the step's service. */
     ScarcityOrder &scarcityOf(const StepState &step);
-    /** Adds the step's waiting tasks to the present reading of all jobs. */
-    void addToReading(const StepState &step);
+    /** Notes the work of a step that has come to wait, and adds its waiting tasks to the present reading of all jobs. */
+    void followDemand(StepState &step);
     /** Ends the reading of all jobs: decides for each service whether its room is scarce. */
     void updateScarcity();
     /** Notes the start of a task of the step, or that one of its runs was stopped. */
--- a/modules/dispatch/TaskPlacerScarcity.cpp
+++ b/modules/dispatch/TaskPlacerScarcity.cpp
@@ -24,14 +24,19 @@
     return rankStep(step, now_, scarcityOf(step));
 }
 
-void TaskPlacer::addToReading(const StepState &step)
+void TaskPlacer::followDemand(StepState &step)
 {
-    if (!isReadingAll_) {
+    // Tasks beyond the account's limit are not short of room.
+    const auto waitingTasks = countStartable(step, isReadingAll_ ? countIdleTasks(step) : 1);
+    if (waitingTasks <= 0) {
         return;
     }
-    const auto need = JobManager::makeClaim(step).need;
-    const bool hasRoom = getServiceCapacity(step).mayHaveFree(need);
-    addWaitingTasks(step, need * countIdleTasks(step), hasRoom, now_, scarcityReadings_[step.job->queue.service]);
+    noteDemand(step, now_, scarcityOf(step));
+    if (isReadingAll_) {
+        const auto need = JobManager::makeClaim(step).need;
+        const bool hasRoom = getServiceCapacity(step).mayHaveFree(need);
+        addWaitingTasks(step, need * waitingTasks, hasRoom, now_, scarcityReadings_[step.job->queue.service]);
+    }
 }
 
 void TaskPlacer::updateScarcity()
