A job that can never run under its account's limit is refused

Cause: a task or a gang larger than its account's limit would wait for good.

A job that is known already is never refused.

--- a/modules/entry/OwnerImpl.h
+++ b/modules/entry/OwnerImpl.h
@@ -49,6 +49,8 @@
     void submit(const ClientCall &call, Callback callback);
     /** Refuses a new submission if the owner is overloaded. Nothing of it is kept. @return true if it was refused */
     bool refuseUnderOverload(const std::string &job, const QueueSpec &queue, const Callback &callback);
+    /** Refuses a new job of which a task or a gang is larger than its account's limit. @return true if it was refused */
+    bool refuseAboveLimit(const ClientCall &call, const JobSpec &spec, const Callback &callback);
     /** Measures how far the loop and the placement are behind. */
     void sampleLoad();
     /** Calls sampleLoad() at intervals. */
@@ -95,6 +97,8 @@
     double beginRate = 100.0;
     /** New submissions refused under overload since the last report. */
     int shedSubmissions = 0;
+    /** New submissions refused since this owner has taken over, as a task or a gang of them is larger than its account's limit. */
+    long long submissionsAboveLimit = 0;
     /** The progress records of jobs that have not ended, by job, until restoreJobs(). */
     std::map<std::string, std::string> storedProgress;
     /** The parts of wide jobs, by job, until restoreJobs(). */
--- a/modules/entry/OwnerServing.cpp
+++ b/modules/entry/OwnerServing.cpp
@@ -95,6 +95,9 @@
                    .detail = "the queue is not known here yet" });
         return;
     }
+    if (isNew && refuseAboveLimit(call, *spec, callback)) {
+        return;
+    }
     if (isNew && queue != nullptr && !spec->isScheduled) {
         ++backlog[queue->priority];
     }
--- a/tests/dispatch/AccountLimitTests.cpp
+++ b/tests/dispatch/AccountLimitTests.cpp
@@ -145,6 +145,28 @@
     CHECK(cell.overuse().empty());
 }
 
+// Guards against an accepted job that never runs, a refusal that runs later, and one of a job that was accepted before.
+TEST_CASE("a job that can never run under its account's limit is refused, and accepted once the limit is raised",
+          "[account-limits]")
+{
+    AccountCell cell;
+    cell.addWorker("w1", 16);
+    cell.setLimit("a", 4000);
+    cell.takeOver();
+    REQUIRE(cell.submitFor("a", jobIdOf(0), 1, 4000) == ClientResult::Outcome::Accepted);
+    CHECK(cell.submitFor("a", jobIdOf(1), 1, 5000) == ClientResult::Outcome::Refused);
+    CHECK(cell.submitFor("a", jobIdOf(2), 3, 2000, R"(,"gang":true)") == ClientResult::Outcome::Refused);
+    CHECK(cell.submitFor("a", jobIdOf(3), 3, 2000) == ClientResult::Outcome::Accepted);
+    cell.setLimit("a", 2000);
+    CHECK(cell.submitFor("a", jobIdOf(0), 1, 4000) == ClientResult::Outcome::Accepted);
+    cell.timers.advance(Milliseconds(3000));
+    CHECK_FALSE(cell.stage(jobIdOf(1)));
+    cell.setLimit("a", 6000);
+    CHECK(cell.submitFor("a", jobIdOf(2), 3, 2000, R"(,"gang":true)") == ClientResult::Outcome::Accepted);
+    CHECK(cell.runUntil(jobIdOf(2), JobStage::Completed, Milliseconds(2000)));
+    CHECK(cell.overuse().empty());
+}
+
 // Guards against a refusal of work that the limit allows, and against the acceptance of work that can never run under it.
 TEST_CASE("a job with a task or a gang above the limit is recognized", "[account-limits]")
 {
