Accounts share a scarce service by their weights

Cause: priority and objective alone decide who is served, so that the burst of one account makes the others' work late.

Levels are computed at each full reading, and once a search in vain shows that a service has become scarce. A step of an account above its level is ranked behind those of accounts below theirs (StepRank::isAboveShare, between isLost and the priority), gets no hold for a gang and stops no run of an account below its level. The use of each account is followed start by start and end by end, so that a step loses or regains its place within a round. All room is still offered to all. Without accounts, and while everything fits, no step is above its level.

--- a/modules/dispatch/AccountQuotas.cpp
+++ b/modules/dispatch/AccountQuotas.cpp
@@ -46,6 +46,11 @@
 }
 
 int AccountQuotas::countStartable(const StepState &step, int most, TimePoint now) const
+{
+    return countStartable(step, most, now, Resources());
+}
+
+int AccountQuotas::countStartable(const StepState &step, int most, TimePoint now, const Resources &furtherUse) const
 {
     const auto &account = step.job->spec.account;
     if (account.empty()) {
@@ -56,7 +61,7 @@
         const bool mayBeNew = !isKnown_ || now - step.job->receivedAt < maxVersionDelay;
         return mayBeNew ? 0 : most;
     }
-    return AccountLimits::countFitting(use(account), found->second, step.spec().need, most);
+    return AccountLimits::countFitting(use(account) + furtherUse, found->second, step.spec().need, most);
 }
 
 bool AccountQuotas::isAtLimit(const StepState &step, TimePoint now) const
--- a/modules/dispatch/AccountQuotas.h
+++ b/modules/dispatch/AccountQuotas.h
@@ -39,6 +39,9 @@
     */
     int countStartable(const StepState &step, int most, TimePoint now) const;
 
+    /** As above, with more use of the account than that of its runs. */
+    int countStartable(const StepState &step, int most, TimePoint now, const Resources &furtherUse) const;
+
     /** True if the step has to wait for its account's limit: no task of it may start, or not all members of a gang. */
     bool isAtLimit(const StepState &step, TimePoint now) const;
 
--- a/modules/dispatch/ReadySteps.cpp
+++ b/modules/dispatch/ReadySteps.cpp
@@ -22,6 +22,15 @@
     ranksByJob_.erase(found);
 }
 
+ReadySteps::Entries::iterator ReadySteps::setRank(Entries::iterator entry, const StepRank &rank)
+{
+    const auto former = entry->first;
+    auto &step = *entry->second;
+    entries_.erase(entry);
+    insert(rank, step);
+    return entries_.upper_bound(former);
+}
+
 ReadySteps::Entries::iterator ReadySteps::erase(Entries::iterator entry)
 {
     return entries_.erase(entry);
--- a/modules/dispatch/ReadySteps.h
+++ b/modules/dispatch/ReadySteps.h
@@ -25,6 +25,8 @@
     void insert(const StepRank &rank, StepState &step);
     /** Removes all steps of a job; reads none of them. */
     void removeJob(const std::string &job);
+    /** Gives one step another rank. @return the first entry behind its former place */
+    Entries::iterator setRank(Entries::iterator entry, const StepRank &rank);
     /** Removes one step. @return the entry after it */
     Entries::iterator erase(Entries::iterator entry);
     void clear();
--- a/modules/dispatch/ServiceCapacity.cpp
+++ b/modules/dispatch/ServiceCapacity.cpp
@@ -19,7 +19,8 @@
 
 } // namespace
 
-ServiceCapacity::ServiceCapacity(CostOfPreemption costOfPreemption) : costOfPreemption_(std::move(costOfPreemption))
+ServiceCapacity::ServiceCapacity(CostOfPreemption costOfPreemption, IsBelowShare isBelowShare)
+    : costOfPreemption_(std::move(costOfPreemption)), isBelowShare_(std::move(isBelowShare))
 {
 }
 
@@ -185,7 +186,17 @@
 {
     workerCapacity.collectRuns();
     for (auto &run : workerCapacity.preemptibleRuns) {
-        run.cost = costOfPreemption_(workerCapacity.worker->runs.at(run.key));
+        const auto &started = workerCapacity.worker->runs.at(run.key);
+        run.cost = costOfPreemption_(started);
+        run.isBelowShare = isBelowShare_ && isBelowShare_(started);
+    }
+}
+
+void ServiceCapacity::forgetCollectedRuns()
+{
+    for (auto &workerCapacity : workerCapacities_) {
+        workerCapacity.isCollected = false;
+        uncollected_.push_back(workerCapacity.id);
     }
 }
 
--- a/modules/dispatch/ServiceCapacity.h
+++ b/modules/dispatch/ServiceCapacity.h
@@ -25,7 +25,10 @@
     /** Returns what a stop of the run now would cost. */
     using CostOfPreemption = std::function<PreemptionCost(const Run &run)>;
 
-    explicit ServiceCapacity(CostOfPreemption costOfPreemption);
+    /** Returns true if the run's account has less than its share of the scarce service. */
+    using IsBelowShare = std::function<bool(const Run &run)>;
+
+    explicit ServiceCapacity(CostOfPreemption costOfPreemption, IsBelowShare isBelowShare = {});
 
     /** Adds a worker, or follows a change of it. */
     void update(WorkerState &worker, bool isUsable);
@@ -78,6 +81,9 @@
         return need.fitsIn(largestFree_);
     }
 
+    /** Has the runs of all workers collected again, as other accounts are below their shares now. */
+    void forgetCollectedRuns();
+
     /** Collects the preemptible runs of all workers that have changed since the last call. */
     void collectPreemptibleRuns();
 
@@ -101,6 +107,7 @@
     void collect(WorkerCapacity &workerCapacity) const;
 
     CostOfPreemption costOfPreemption_;
+    IsBelowShare isBelowShare_;
     std::vector<WorkerCapacity> workerCapacities_;
     /** The room of each worker at the last update, in the order of workerCapacities_. */
     std::vector<Room> rooms_;
--- a/modules/dispatch/StepRank.h
+++ b/modules/dispatch/StepRank.h
@@ -21,14 +21,22 @@
     std::string job;
     int occurrence = 0;
     int step = 0;
+    /** Its account has its share of the scarce service already, see AccountShares. False for a repair. */
+    bool isAboveShare = false;
 
     bool operator<(const StepRank &other) const
     {
         if (isRepair != other.isRepair) {
             return isRepair;
         }
-        return std::tie(isLost, priority, isLate, objective, job, occurrence, step)
-               < std::tie(other.isLost, other.priority, other.isLate, other.objective, other.job, other.occurrence, other.step);
+        if (isLost != other.isLost) {
+            return other.isLost;
+        }
+        if (isAboveShare != other.isAboveShare) {
+            return other.isAboveShare;
+        }
+        return std::tie(priority, isLate, objective, job, occurrence, step)
+               < std::tie(other.priority, other.isLate, other.objective, other.job, other.occurrence, other.step);
     }
 };
 
--- a/modules/dispatch/TaskPlacer.cpp
+++ b/modules/dispatch/TaskPlacer.cpp
@@ -209,6 +209,7 @@
     --candidate.tasksLeft;
     jobManager_.recordStart(step, index, { id, attempt });
     fleet_.start(id, command, claim);
+    shares_.recordStart(id, claim.account, claim.need);
     getServiceCapacity(step).recordStart(*candidate.workerCapacity, claim.need, claim.priority);
 }
 
@@ -218,6 +219,7 @@
     step.search.isExhausted = !hasPlacedAll;
     if (isNewlyExhausted) {
         step.search.repeatAt = now_ + computeSearchDelay(step, searchInterval);
+        noteScarcity(step);
     }
     return isNewlyExhausted;
 }
--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/AccountQuotas.h"
+#include "dispatch/AccountShares.h"
 #include "dispatch/AdviceShares.h"
 #include "dispatch/Fleet.h"
 #include "dispatch/JobManager.h"
@@ -168,6 +169,20 @@
     int countStartable(const StepState &step, int most) const;
     /** Follows what tasks of earlier owners may have on workers that are not read, which counts for the accounts' limits. */
     void updateInheritedUse();
+    /** Computes the levels of the accounts from all that runs and waits. */
+    void updateShares();
+    /** Computes the levels without waiting for the next full reading, as a search for the step shows that its service is scarce. */
+    void noteScarcity(const StepState &step);
+    /** True if the step is not to go before steps of accounts below their levels. */
+    bool isAboveShare(const StepState &step) const;
+    /** Ranks steps that were above their accounts' levels before the others again, as far as the accounts have room below them. */
+    void advanceStepsBelowShare();
+    /** True if the step has its turn before those of accounts above their levels, and its account has reached its own meanwhile. */
+    bool hasUsedItsShare(const StepState &step) const;
+    /** Ranks a step behind those of accounts below their levels. @return the first entry behind its former place */
+    ReadySteps::Entries::iterator putBehindShares(ReadySteps::Entries::iterator entry);
+    /** As preemptionRight(), less what the step's account may not stop. */
+    std::optional<PreemptionRight> preemptionRightWithinShare(const StepState &step) const;
     /** True if the step waits for its account's limit; it keeps no room from others then. */
     bool isHeldByLimit(StepState &step);
     /** Starts tasks of the step, or requests advice for it. @return false if nothing was searched */
@@ -324,6 +339,11 @@
     Milliseconds unsendableAdviceTime_ = Milliseconds::max();
     AdviceShares adviceShares_;
     AccountQuotas quotas_;
+    AccountShares shares_;
+    /** When the levels of the accounts were computed last. */
+    TimePoint sharesUpdatedAt_;
+    /** The step that has its turn is ranked behind those of accounts below their levels. */
+    bool isTurnAboveShare_ = false;
     /** When the inherited use of the accounts is computed next. */
     TimePoint inheritedUseAt_;
     PlacementStatistics statistics_;
--- a/modules/dispatch/TaskPlacerAccounts.cpp
+++ b/modules/dispatch/TaskPlacerAccounts.cpp
@@ -17,6 +17,7 @@
 void TaskPlacer::setDesiredState(const DesiredState &desiredState)
 {
     quotas_.setDesiredState(desiredState);
+    shares_.setDesiredState(desiredState);
     inheritedUseAt_ = TimePoint();
 }
 
--- a/modules/dispatch/TaskPlacerCandidates.cpp
+++ b/modules/dispatch/TaskPlacerCandidates.cpp
@@ -238,6 +238,11 @@
         if (countStartable(step, 1) < 1) {
             break;
         }
+        if (hasUsedItsShare(step)) {
+            // The rest has another turn behind the steps of accounts below their levels.
+            step.search.isExhausted = false;
+            return;
+        }
         start(step, static_cast<int>(index), *candidate, jobManager_.nextAttempt(task));
         heap.update(*candidate);
     }
--- a/modules/dispatch/TaskPlacerGangs.cpp
+++ b/modules/dispatch/TaskPlacerGangs.cpp
@@ -107,7 +107,7 @@
 
 void TaskPlacer::holdForGang(StepState &step)
 {
-    if (servicesWithHold_.contains(step.job->queue.service) || now_ < step.hold.mayRepeatAt
+    if (servicesWithHold_.contains(step.job->queue.service) || isAboveShare(step) || now_ < step.hold.mayRepeatAt
         || now_ - step.readySince < minWaitBeforeHold) {
         return;
     }
--- a/modules/dispatch/TaskPlacerPreemption.cpp
+++ b/modules/dispatch/TaskPlacerPreemption.cpp
@@ -69,7 +69,7 @@
 
 std::optional<PreemptionRight> TaskPlacer::findPreemptionRight(StepState &step)
 {
-    const auto right = preemptionRight(step);
+    const auto right = preemptionRightWithinShare(step);
     if (!right) {
         return std::nullopt;
     }
@@ -167,7 +167,7 @@
 
 void TaskPlacer::preemptForPlannedTasks(StepState &step)
 {
-    const auto right = preemptionRight(step);
+    const auto right = preemptionRightWithinShare(step);
     if (!right) {
         return;
     }
--- a/modules/dispatch/TaskPlacerRounds.cpp
+++ b/modules/dispatch/TaskPlacerRounds.cpp
@@ -52,6 +52,7 @@
         applyChanges();
     }
     updateInheritedUse();
+    advanceStepsBelowShare();
     auto &entries = readySteps_.entries();
     statistics_.backlog = static_cast<long long>(entries.size());
     // The time for following the changes does not count, or it could use up all rounds under load.
@@ -79,6 +80,11 @@
     while (next != entries.end() && now_ < end) {
         auto &step = *next->second;
         ++statistics_.stepsPassed;
+        isTurnAboveShare_ = next->first.isAboveShare;
+        if (hasUsedItsShare(step)) {
+            next = putBehindShares(next);
+            continue;
+        }
         if (!placeStep(step)) {
             ++next;
             if (++passedOver % stepsForReadingOfClock == 0) {
@@ -86,7 +92,11 @@
             }
             continue;
         }
-        next = step.hasTasksToPlace() ? std::next(next) : readySteps_.erase(next);
+        if (!step.hasTasksToPlace()) {
+            next = readySteps_.erase(next);
+        } else {
+            next = hasUsedItsShare(step) ? putBehindShares(next) : std::next(next);
+        }
         now_ = timers_.now();
     }
     return next;
@@ -103,6 +113,7 @@
     statistics_.workersVisited += static_cast<long long>(fleet_.workers().size());
     for (const auto &[id, worker] : fleet_.workers()) {
         getServiceCapacity(worker->entry.service).update(*worker, fleet_.isUsable(*worker));
+        shares_.update(*worker, fleet_.isUsable(*worker));
     }
     for (auto &[service, serviceCapacity] : serviceCapacities_) {
         serviceCapacity.tightenBounds();
@@ -110,6 +121,7 @@
     for (const auto &[id, job] : jobManager_.jobs()) {
         addJob(*job);
     }
+    updateShares();
 }
 
 void TaskPlacer::applyChanges()
@@ -147,6 +159,9 @@
     if (worker != nullptr) {
         serviceOfWorker_[id] = worker->entry.service;
         getServiceCapacity(worker->entry.service).update(*worker, fleet_.isUsable(*worker));
+        shares_.update(*worker, fleet_.isUsable(*worker));
+    } else {
+        shares_.remove(id);
     }
 }
 
@@ -164,7 +179,9 @@
                 continue;
             }
             if (job.stage == JobStage::Recording || job.isServiceStored()) {
-                readySteps_.insert(computeRank(step, now_), step);
+                auto rank = computeRank(step, now_);
+                rank.isAboveShare = isAboveShare(step);
+                readySteps_.insert(rank, step);
             } else {
                 jobManager_.storeService(job);
             }
@@ -261,7 +278,11 @@
     if (found != serviceCapacities_.end()) {
         return found->second;
     }
-    ServiceCapacity capacity([this](const Run &run) { return computePreemptionCost(run); });
+    ServiceCapacity capacity([this](const Run &run) { return computePreemptionCost(run); },
+                             [this, service](const Run &run) {
+                                 const double room = shares_.roomBelowLevel(service, run.claim.account);
+                                 return room > 0 && shares_.hasLevels(service);
+                             });
     return serviceCapacities_.emplace(service, std::move(capacity)).first->second;
 }
 
--- a/modules/dispatch/WorkerCapacity.cpp
+++ b/modules/dispatch/WorkerCapacity.cpp
@@ -9,7 +9,7 @@
 
 bool mayPreempt(const PreemptibleRun &run, const PreemptionRight &right)
 {
-    return run.priority > right.priority && run.cost <= right.maxCost;
+    return run.priority > right.priority && run.cost <= right.maxCost && (right.mayStopBelowShare || !run.isBelowShare);
 }
 
 } // namespace
--- a/modules/dispatch/WorkerCapacity.h
+++ b/modules/dispatch/WorkerCapacity.h
@@ -28,8 +28,11 @@
     int priority = 0;
     /** Only runs whose stop costs at most this. */
     PreemptionCost maxCost = PreemptionCost::Nothing;
+    /** Also runs of accounts that have less than their share of the scarce service. */
+    bool mayStopBelowShare = true;
 
-    auto operator<=>(const PreemptionRight &other) const = default;
+    // clang-tidy 14 takes the zero in the generated comparison for a null pointer.
+    auto operator<=>(const PreemptionRight &other) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /** A run that may be stopped to make room for more urgent work. */
@@ -39,6 +42,8 @@
     Resources need;
     int priority = 0;
     PreemptionCost cost = PreemptionCost::Tolerable;
+    /** The service is scarce, and the run's account has less than its share of it. */
+    bool isBelowShare = false;
 };
 
 /** Capacity reserved for one task: for the plan of a step's advice, or held for a gang. */
--- a/tests/dispatch/AccountCell.h
+++ b/tests/dispatch/AccountCell.h
@@ -58,15 +58,13 @@
     /** What the runs of the account take on all workers, in thousandths of a core. */
     std::int64_t use(const std::string &name)
     {
-        std::int64_t sum = 0;
-        for (const auto &[id, worker] : fleet.workers()) {
-            worker->settle();
-            for (const auto &[key, run] : worker->runs()) {
-                const auto &job = jobs_[key.first.job];
-                sum += job.first == name ? job.second : 0;
-            }
-        }
-        return sum;
+        return useOf(name, true);
+    }
+
+    /** As use(), without the workers that are cut off. */
+    std::int64_t useOfReachable(const std::string &name)
+    {
+        return useOf(name, false);
     }
 
     /** Starts that brought an account above its limit. */
@@ -79,6 +77,22 @@
     std::map<std::string, std::int64_t> peaks;
 
 private:
+    std::int64_t useOf(const std::string &name, bool includesCutOff)
+    {
+        std::int64_t sum = 0;
+        for (const auto &[id, worker] : fleet.workers()) {
+            worker->settle();
+            if (worker->isCutOff && !includesCutOff) {
+                continue;
+            }
+            for (const auto &[key, run] : worker->runs()) {
+                const auto &job = jobs_[key.first.job];
+                sum += job.first == name ? job.second : 0;
+            }
+        }
+        return sum;
+    }
+
     /** The highest limit that the owner may have known at the send time of a start that arrives now. */
     std::int64_t limitInForce(const std::string &name) const
     {
