--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dispatch/AccountLimitReport.h"
 #include "dispatch/AccountQuotas.h"
 #include "dispatch/AccountShares.h"
 #include "dispatch/AdviceShares.h"
@@ -63,6 +64,13 @@
     /** True if in the last round some inherited job waited for reports of workers. */
     bool isWaitingForReports() const;
 
+    /** What the accounts may have and have; for metrics. */
+    const AccountQuotas &accountQuotas() const;
+    /** Which tasks wait for the limits of their accounts, as of the last full reading. */
+    const AccountLimitReport &accountLimitReport() const;
+    /** True if the job has not begun because its account is at its limit: it goes before no job of another account. */
+    bool waitsForLimit(const JobState &job) const;
+
     /** Returns what the rounds since the last call have cost. */
     PlacementStatistics takeStatistics();
 
@@ -169,6 +177,8 @@
     int countStartable(const StepState &step, int most) const;
     /** Follows what tasks of earlier owners may have on workers that are not read, which counts for the accounts' limits. */
     void updateInheritedUse();
+    /** Counts the tasks that wait for the limits of their accounts. */
+    void updateLimitReport();
     /** Computes the levels of the accounts from all that runs and waits. */
     void updateShares();
     /** Computes the levels without waiting for the next full reading, as a search for the step shows that its service is scarce. */
@@ -339,6 +349,7 @@
     Milliseconds unsendableAdviceTime_ = Milliseconds::max();
     AdviceShares adviceShares_;
     AccountQuotas quotas_;
+    AccountLimitReport limitReport_;
     AccountShares shares_;
     /** When the levels of the accounts were computed last. */
     TimePoint sharesUpdatedAt_;
--- a/modules/dispatch/TaskPlacerAccounts.cpp
+++ b/modules/dispatch/TaskPlacerAccounts.cpp
@@ -70,4 +70,40 @@
     return true;
 }
 
+const AccountQuotas &TaskPlacer::accountQuotas() const
+{
+    return quotas_;
+}
+
+const AccountLimitReport &TaskPlacer::accountLimitReport() const
+{
+    return limitReport_;
+}
+
+bool TaskPlacer::waitsForLimit(const JobState &job) const
+{
+    if (job.hasBegun || job.spec.account.empty() || !quotas_.hasLimits()) {
+        return false;
+    }
+    const auto isHeld = [this](const StepState &step) {
+        return step.hasTasksToPlace() && step.spec().dependsOn.empty() && quotas_.isAtLimit(step, now_);
+    };
+    return std::any_of(job.occurrences.begin(), job.occurrences.end(), [&isHeld](const auto &occurrence) {
+        return std::any_of(occurrence.second.steps.begin(), occurrence.second.steps.end(), isHeld);
+    });
+}
+
+void TaskPlacer::updateLimitReport()
+{
+    std::map<std::string, int> waitingTasks;
+    if (quotas_.hasLimits()) {
+        for (const auto &[rank, step] : readySteps_.entries()) {
+            if (quotas_.isAtLimit(*step, now_)) {
+                waitingTasks[step->job->spec.account] += countIdleTasks(*step);
+            }
+        }
+    }
+    limitReport_.update(now_, waitingTasks, quotas_);
+}
+
 } // namespace auburndoor
--- a/modules/dispatch/TaskPlacerRounds.cpp
+++ b/modules/dispatch/TaskPlacerRounds.cpp
@@ -121,6 +121,7 @@
     for (const auto &[id, job] : jobManager_.jobs()) {
         addJob(*job);
     }
+    updateLimitReport();
     updateShares();
 }
 
--- a/modules/entry/Owner.cpp
+++ b/modules/entry/Owner.cpp
@@ -288,6 +288,7 @@
     metrics.setGauge("worker_looks", static_cast<double>(impl_->fleet.renewalCount()));
     metrics.setGauge("store_transactions", static_cast<double>(impl_->commitQueue.sentCount()));
     metrics.setGauge("store_rows_rejected", static_cast<double>(impl_->commitQueue.rejectedRowCount()));
+    impl_->updateAccountMetrics(metrics);
     const auto workers = impl_->countWorkers();
     metrics.setGauge("owner_store_age_milliseconds", static_cast<double>(impl_->evidence.storeAge().count()));
     metrics.setGauge("workers_unread", workers.unread);
--- a/modules/entry/OwnerImpl.h
+++ b/modules/entry/OwnerImpl.h
@@ -16,6 +16,8 @@
 
 namespace auburndoor {
 
+class Metrics;
+
 /** The state of an Owner, shared with the callbacks of calls in flight. */
 struct Owner::Impl : std::enable_shared_from_this<Owner::Impl>
 {
@@ -51,6 +53,8 @@
     bool refuseUnderOverload(const std::string &job, const QueueSpec &queue, const Callback &callback);
     /** Refuses a new job of which a task or a gang is larger than its account's limit. @return true if it was refused */
     bool refuseAboveLimit(const ClientCall &call, const JobSpec &spec, const Callback &callback);
+    /** Sets the gauges of the accounts: what they have, their limits, and the tasks that wait for these. */
+    void updateAccountMetrics(Metrics &metrics) const;
     /** Measures how far the loop and the placement are behind. */
     void sampleLoad();
     /** Calls sampleLoad() at intervals. */
@@ -91,6 +95,8 @@
     TimePoint backlogCountedAt;
     /** The jobs without a schedule that have not begun, by priority: those at the last count, and those admitted since. */
     std::map<int, int> backlog;
+    /** Such jobs that wait for the limits of their accounts, and go before no other. */
+    int backlogAtLimit = 0;
     /** How many jobs have begun in a second lately. */
     double recentBeginRate = 0.0;
     /** How many can begin in a second; the first figure lets a new owner measure it before it refuses anything. */
--- a/modules/entry/OwnerLoad.cpp
+++ b/modules/entry/OwnerLoad.cpp
@@ -72,10 +72,11 @@
 {
     const int before = notBegunCount();
     backlog.clear();
+    backlogAtLimit = 0;
     for (const auto &[id, job] : jobManager.jobs()) {
         // A job past its final deadline is placed after all others.
         if (!job->hasBegun && !job->spec.isScheduled && now <= job->finalDeadlineOf(0)) {
-            ++backlog[job->queue.priority];
+            ++(placer.waitsForLimit(*job) ? backlogAtLimit : backlog[job->queue.priority]);
         }
     }
     const double begun = std::max(before - notBegunCount(), 0);
@@ -86,7 +87,7 @@
 
 int Owner::Impl::notBegunCount() const
 {
-    int count = 0;
+    int count = backlogAtLimit;
     for (const auto &[priority, jobs] : backlog) {
         count += jobs;
     }
--- a/tests/dispatch/AccountLimitTests.cpp
+++ b/tests/dispatch/AccountLimitTests.cpp
@@ -2,6 +2,7 @@
 #include "dispatch/AccountLimits.h"
 #include "fakes/CapturedLog.h"
 #include "fakes/JobIds.h"
+#include "observability/Metrics.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
@@ -44,6 +45,7 @@
 // Guards against an account that takes more than its limit, and against its waiting tasks that keep room from others.
 TEST_CASE("an account runs up to its limit, and what waits for it delays no other account", "[account-limits]")
 {
+    CapturedLog log;
     AccountCell cell;
     cell.addWorker("w1", 8);
     cell.addWorker("w2", 8);
@@ -60,6 +62,12 @@
     CHECK(cell.runUntil(jobIdOf(0), JobStage::Completed, Milliseconds(30 / 4 * 600 + 600)));
     CHECK(cell.peaks["small"] == 4000);
     CHECK(cell.overuse().empty());
+    cell.timers.advance(Milliseconds(1000));
+    CHECK(log.lines("account.at_limit").size() == 1);
+    CHECK(log.lines("account.below_limit").size() == 1);
+    Metrics metrics;
+    cell.owner->updateMetrics(metrics);
+    CHECK(metrics.text().find("auburndoor_account_limit_millicores{account=\"small\"} 4000") != std::string::npos);
     CHECK(cell.violations().empty());
 }
 
