--- a/modules/dispatch/AccountQuotas.cpp
+++ b/modules/dispatch/AccountQuotas.cpp
@@ -6,6 +6,7 @@
 #include "workload/DesiredState.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace auburndoor {
 
@@ -39,7 +40,17 @@
     return hasLimits_;
 }
 
+void AccountQuotas::setInheritedUse(std::map<std::string, Resources> uses)
+{
+    inheritedUses_ = std::move(uses);
+}
+
 int AccountQuotas::countStartable(const StepState &step, int most, TimePoint now) const
+{
+    return countStartable(step, most, now, Resources());
+}
+
+int AccountQuotas::countStartable(const StepState &step, int most, TimePoint now, const Resources &furtherUse) const
 {
     const auto &account = step.job->spec.account;
     if (account.empty()) {
@@ -50,7 +61,7 @@
         const bool mayBeNew = !isKnown_ || now - step.job->receivedAt < maxVersionDelay;
         return mayBeNew ? 0 : most;
     }
-    return AccountLimits::countFitting(use(account), found->second, step.spec().need, most);
+    return AccountLimits::countFitting(use(account) + furtherUse, found->second, step.spec().need, most);
 }
 
 bool AccountQuotas::isAtLimit(const StepState &step, TimePoint now) const
@@ -64,7 +75,8 @@
 
 Resources AccountQuotas::use(const std::string &account) const
 {
-    return usage_.of(account);
+    const auto inherited = inheritedUses_.find(account);
+    return inherited == inheritedUses_.end() ? usage_.of(account) : usage_.of(account) + inherited->second;
 }
 
 } // namespace auburndoor
--- a/modules/dispatch/AccountQuotas.h
+++ b/modules/dispatch/AccountQuotas.h
@@ -29,6 +29,9 @@
     /** True if some account has a limit, or the limits are not known. */
     bool hasLimits() const;
 
+    /** Sets what the accounts may have on workers that are not read since a takeover; it counts for their limits as well. */
+    void setInheritedUse(std::map<std::string, Resources> uses);
+
     /**
         How many more tasks of the step may start under the limit of its job's account; most for a job without an account.
 
@@ -36,6 +39,9 @@
     */
     int countStartable(const StepState &step, int most, TimePoint now) const;
 
+    /** As above, with more use of the account than that of its runs. */
+    int countStartable(const StepState &step, int most, TimePoint now, const Resources &furtherUse) const;
+
     /** True if the step has to wait for its account's limit: no task of it may start, or not all members of a gang. */
     bool isAtLimit(const StepState &step, TimePoint now) const;
 
@@ -51,6 +57,7 @@
 private:
     const AccountUsage &usage_;
     std::map<std::string, Resources> limits_;
+    std::map<std::string, Resources> inheritedUses_;
     bool isKnown_ = false;
     bool hasLimits_ = true;
 };
--- a/modules/dispatch/PreemptibleRun.h
+++ b/modules/dispatch/PreemptibleRun.h
@@ -21,6 +21,8 @@
     Resources need;
     int priority = 0;
     StopCost stop;
+    /** The service is scarce, and the run's account has less than its share of it. */
+    bool isBelowShare = false;
 };
 
 } // namespace auburndoor
--- a/modules/dispatch/PreemptionRight.h
+++ b/modules/dispatch/PreemptionRight.h
@@ -23,8 +23,11 @@
     int priority = 0;
     /** Only runs whose stop costs at most this. */
     PreemptionCost maxCost = PreemptionCost::Nothing;
+    /** Also runs of accounts that have less than their share of the scarce service. */
+    bool mayStopBelowShare = true;
 
-    auto operator<=>(const PreemptionRight &other) const = default;
+    // clang-tidy 14 takes the zero in the generated comparison for a null pointer.
+    auto operator<=>(const PreemptionRight &other) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 } // namespace auburndoor
--- a/modules/dispatch/PreemptionValue.cpp
+++ b/modules/dispatch/PreemptionValue.cpp
@@ -39,7 +39,7 @@
 
 bool PreemptionValue::isAllowed(const PreemptibleRun &run, const PreemptionRight &right)
 {
-    return run.priority > right.priority && run.stop.cost <= right.maxCost;
+    return run.priority > right.priority && run.stop.cost <= right.maxCost && (right.mayStopBelowShare || !run.isBelowShare);
 }
 
 std::vector<std::size_t> PreemptionValue::chooseStops(const std::vector<PreemptibleRun> &runs,
--- a/modules/dispatch/StepRank.h
+++ b/modules/dispatch/StepRank.h
@@ -26,23 +26,25 @@
     std::string job;
     int occurrence = 0;
     int step = 0;
+    /** Its account has its share of the scarce service already, see AccountShares. False for a repair. */
+    bool isAboveShare = false;
 
     bool operator<(const StepRank &other) const
     {
         if (isRepair != other.isRepair) {
             return isRepair;
         }
-        if (isOwed != other.isOwed && isLost == other.isLost) {
+        if (isLost != other.isLost) {
+            return other.isLost;
+        }
+        if (isAboveShare != other.isAboveShare) {
+            return other.isAboveShare;
+        }
+        if (isOwed != other.isOwed) {
             return isOwed;
         }
-        return std::tie(isLost, priority, isLate, scarcityKey, objective, job, occurrence, step) < std::tie(other.isLost,
-                                                                                                            other.priority,
-                                                                                                            other.isLate,
-                                                                                                            other.scarcityKey,
-                                                                                                            other.objective,
-                                                                                                            other.job,
-                                                                                                            other.occurrence,
-                                                                                                            other.step);
+        return std::tie(priority, isLate, scarcityKey, objective, job, occurrence, step) < std::tie(
+                   other.priority, other.isLate, other.scarcityKey, other.objective, other.job, other.occurrence, other.step);
     }
 };
 
--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "dispatch/AccountLimitReport.h"
 #include "dispatch/AccountQuotas.h"
+#include "dispatch/AccountShares.h"
 #include "dispatch/AdviceShares.h"
 #include "dispatch/Fleet.h"
 #include "dispatch/JobManager.h"
@@ -63,6 +65,13 @@
     /** True if in the last round some inherited job waited for reports of workers. */
     bool isWaitingForReports() const;
 
+    /** What the accounts may have and have; for metrics. */
+    const AccountQuotas &accountQuotas() const;
+    /** Which tasks wait for the limits of their accounts, as of the last full reading. */
+    const AccountLimitReport &accountLimitReport() const;
+    /** True if the job has not begun because its account is at its limit: it goes before no job of another account. */
+    bool waitsForLimit(const JobState &job) const;
+
     /** Returns what the rounds since the last call have cost. */
     PlacementStatistics takeStatistics();
 
@@ -182,6 +191,24 @@
     double computeCost(const StepState &step, const Candidate &candidate) const;
     /** How many more tasks of the step, most at most, may start under the limit of its account. */
     int countStartable(const StepState &step, int most) const;
+    /** Follows what tasks of earlier owners may have on workers that are not read, which counts for the accounts' limits. */
+    void updateInheritedUse();
+    /** Counts the tasks that wait for the limits of their accounts. */
+    void updateLimitReport();
+    /** Computes the levels of the accounts from all that runs and waits. */
+    void updateShares();
+    /** Computes the levels without waiting for the next full reading, as a search for the step shows that its service is scarce. */
+    void noteScarcity(const StepState &step);
+    /** True if the step is not to go before steps of accounts below their levels. */
+    bool isAboveShare(const StepState &step) const;
+    /** Ranks steps that were above their accounts' levels before the others again, as far as the accounts have room below them. */
+    void advanceStepsBelowShare();
+    /** True if the step has its turn before those of accounts above their levels, and its account has reached its own meanwhile. */
+    bool hasUsedItsShare(const StepState &step) const;
+    /** Ranks a step behind those of accounts below their levels. @return the first entry behind its former place */
+    ReadySteps::Entries::iterator putBehindShares(ReadySteps::Entries::iterator entry);
+    /** As preemptionRightOf(), less what the step's account may not stop. */
+    std::optional<PreemptionRight> preemptionRightWithinShare(const StepState &step) const;
     /** True if the step waits for its account's limit; it keeps no room from others then. */
     bool isHeldByLimit(StepState &step);
     /** Starts tasks of the step, or requests advice for it. @return false if nothing was searched */
@@ -336,6 +363,14 @@
     std::map<std::string, ScarcityOrder> scarcityByService_;
     std::map<std::string, ScarcityOrder::Reading> scarcityReadings_;
     bool isReadingAll_ = false;
+    AccountLimitReport limitReport_;
+    AccountShares shares_;
+    /** When the levels of the accounts were computed last. */
+    TimePoint sharesUpdatedAt_;
+    /** The step that has its turn is ranked behind those of accounts below their levels. */
+    bool isTurnAboveShare_ = false;
+    /** When the inherited use of the accounts is computed next. */
+    TimePoint inheritedUseAt_;
     PlacementStatistics statistics_;
     std::shared_ptr<bool> isAlive_;
 };
--- a/modules/dispatch/TaskPlacerPreemption.cpp
+++ b/modules/dispatch/TaskPlacerPreemption.cpp
@@ -28,7 +28,7 @@
 
 std::optional<PreemptionRight> TaskPlacer::findPreemptionRight(StepState &step)
 {
-    const auto right = preemptionRightOf(step, now_);
+    const auto right = preemptionRightWithinShare(step);
     if (!right || willHaveRoom(step)) {
         return std::nullopt;
     }
@@ -97,7 +97,7 @@
 
 void TaskPlacer::preemptForPlannedTasks(StepState &step)
 {
-    const auto right = preemptionRightOf(step, now_);
+    const auto right = preemptionRightWithinShare(step);
     if (!right || willHaveRoom(step)) {
         return;
     }
--- a/modules/dispatch/TaskPlacerRounds.cpp
+++ b/modules/dispatch/TaskPlacerRounds.cpp
@@ -52,6 +52,8 @@
     } else {
         applyChanges();
     }
+    updateInheritedUse();
+    advanceStepsBelowShare();
     auto &entries = readySteps_.entries();
     statistics_.backlog = static_cast<long long>(entries.size());
     // The time for following the changes does not count, or it could use up all rounds under load.
@@ -83,6 +85,11 @@
         }
         auto &step = *next->second;
         ++statistics_.stepsPassed;
+        isTurnAboveShare_ = next->first.isAboveShare;
+        if (hasUsedItsShare(step)) {
+            next = putBehindShares(next);
+            continue;
+        }
         if (!placeStep(step)) {
             ++next;
             if (++passedOver % stepsForReadingOfClock == 0) {
@@ -90,7 +97,11 @@
             }
             continue;
         }
-        next = step.hasTasksToPlace() ? std::next(next) : readySteps_.erase(next);
+        if (!step.hasTasksToPlace()) {
+            next = readySteps_.erase(next);
+        } else {
+            next = hasUsedItsShare(step) ? putBehindShares(next) : std::next(next);
+        }
         now_ = timers_.now();
     }
     return next;
@@ -108,6 +119,7 @@
     statistics_.workersVisited += static_cast<long long>(fleet_.workers().size());
     for (const auto &[id, worker] : fleet_.workers()) {
         getServiceCapacity(worker->entry.service).update(*worker, fleet_.isUsable(*worker));
+        shares_.update(*worker, fleet_.isUsable(*worker));
     }
     for (auto &[service, serviceCapacity] : serviceCapacities_) {
         serviceCapacity.tightenBounds();
@@ -118,6 +130,8 @@
     }
     isReadingAll_ = false;
     updateScarcity();
+    updateLimitReport();
+    updateShares();
 }
 
 void TaskPlacer::applyChanges()
@@ -155,6 +169,9 @@
     if (worker != nullptr) {
         serviceOfWorker_[id] = worker->entry.service;
         getServiceCapacity(worker->entry.service).update(*worker, fleet_.isUsable(*worker));
+        shares_.update(*worker, fleet_.isUsable(*worker));
+    } else {
+        shares_.remove(id);
     }
 }
 
@@ -173,7 +190,9 @@
             }
             if (job.stage == JobStage::Recording || job.isServiceStored()) {
                 followDemand(step);
-                readySteps_.insert(computeRank(step), step);
+                auto rank = computeRank(step);
+                rank.isAboveShare = isAboveShare(step);
+                readySteps_.insert(rank, step);
             } else {
                 jobManager_.storeService(job);
             }
@@ -270,7 +289,11 @@
     if (found != serviceCapacities_.end()) {
         return found->second;
     }
-    ServiceCapacity capacity([this](const Run &run) { return computeStopCost(run); });
+    ServiceCapacity capacity([this](const Run &run) { return computeStopCost(run); },
+                             [this, service](const Run &run) {
+                                 const double room = shares_.roomBelowLevel(service, run.claim.account);
+                                 return room > 0 && shares_.hasLevels(service);
+                             });
     return serviceCapacities_.emplace(service, std::move(capacity)).first->second;
 }
 
--- a/modules/dispatch/TaskPlacerScarcity.cpp
+++ b/modules/dispatch/TaskPlacerScarcity.cpp
@@ -92,8 +92,10 @@
     if (!entry->first.isOwed || scarcityOf(step).isOwed(step.job->queue.priority)) {
         return std::nullopt;
     }
+    auto rank = computeRank(step);
+    rank.isAboveShare = entry->first.isAboveShare;
     const auto following = readySteps_.erase(entry);
-    readySteps_.insert(computeRank(step), step);
+    readySteps_.insert(rank, step);
     return following;
 }
 
