Work that has begun goes before other work while room is scarce

Cause: large jobs of the least urgent kind still ended less often than half as often as others of it, and what was done for them was lost.

Change: the key of a job falls with the root of the part of its work that is not done.

--- a/modules/dispatch/ScarcityOrder.cpp
+++ b/modules/dispatch/ScarcityOrder.cpp
@@ -22,7 +22,9 @@
 constexpr double keyOfMeanJob = 1000;
 // Added to the part of the slack that is left, so that the size still counts among jobs without slack.
 constexpr double smallestAgeing = 0.1;
-// Small jobs go first, so that few are late, but a job of many times the mean size has its turn before its time has run out.
+// A job of which a part is done goes before one that has not begun, by the root of what is left: what was done is lost if it
+// never ends. Small jobs go first, so that few are late, but a job of many times the mean size has its turn before its time has run
+// out.
 constexpr double sizeExponent = 0.25;
 // A late result is of much less use to its caller than one in time, but of some: work behind all that can be in time would never
 // end while the room stays scarce. One that will miss its final deadline as well is of none.
@@ -146,10 +148,13 @@
     const auto mean = meanWorkByQueue_.find(queue);
     const bool isKnown = waiting.remainingWork > 0 && mean != meanWorkByQueue_.end() && mean->second > 0;
     const auto size = isKnown ? static_cast<double>(waiting.remainingWork) / mean->second : 1.0;
+    const auto undone = waiting.totalWork > 0 ? static_cast<double>(waiting.remainingWork) / static_cast<double>(waiting.totalWork)
+                                              : 1.0;
     const auto first = std::max(waiting.slackAtFirst, Milliseconds(1));
     const auto left = std::clamp(static_cast<double>(waiting.slackLeft.count()) / static_cast<double>(first.count()), 0.0, 1.0);
     const auto lateness = !waiting.isLate ? 1.0 : waiting.slackLeft < Milliseconds(0) ? hopelessFactor : lateFactor;
-    return static_cast<std::int64_t>(keyOfMeanJob * lateness * std::pow(size, sizeExponent) * (smallestAgeing + left));
+    return static_cast<std::int64_t>(keyOfMeanJob * lateness * std::pow(size, sizeExponent) * std::sqrt(undone)
+                                     * (smallestAgeing + left));
 }
 
 } // namespace auburndoor
--- a/modules/dispatch/ScarcityOrder.h
+++ b/modules/dispatch/ScarcityOrder.h
@@ -30,8 +30,9 @@
     /** What the rank of a step rests on. */
     struct Waiting
     {
-        /** The work of its job that is not done. */
+        /** The work of its job that is not done, and all its work. */
         WorkAmount remainingWork = 0;
+        WorkAmount totalWork = 0;
         /**
             How much later the job could start and be in time, and how much later it could when it came. Of a late job: by its final
             deadline, and from its objective on.
--- a/modules/dispatch/StepOrder.cpp
+++ b/modules/dispatch/StepOrder.cpp
@@ -8,6 +8,16 @@
 
 namespace {
 
+/** The work of all tasks of one occurrence, by their estimates. */
+WorkAmount totalWork(const JobState &job)
+{
+    WorkAmount work = 0;
+    for (const auto &step : job.spec.steps) {
+        work += workOfTask(step) * step.taskCount;
+    }
+    return work;
+}
+
 std::int64_t scarcityKey(const StepState &step, TimePoint now, const ScarcityOrder &scarcity)
 {
     const auto &job = *step.job;
@@ -16,13 +26,14 @@
         return 0;
     }
     const auto work = remainingWork(job, occurrence->second);
+    const auto total = totalWork(job);
     const auto left = slackLeft(step, now);
     if (left >= Milliseconds(0)) {
         const auto allowed = std::chrono::duration_cast<Milliseconds>(job.objective - job.receivedAt) - job.criticalPathTime();
-        return scarcity.keyOf(job.queue.name, { work, left, allowed, false });
+        return scarcity.keyOf(job.queue.name, { work, total, left, allowed, false });
     }
     const auto extension = std::chrono::duration_cast<Milliseconds>(job.finalDeadlineOf(step.occurrence) - job.objective);
-    return scarcity.keyOf(job.queue.name, { work, left + extension, extension, true });
+    return scarcity.keyOf(job.queue.name, { work, total, left + extension, extension, true });
 }
 
 } // namespace
--- a/tests/dispatch/ScarcityOrderTests.cpp
+++ b/tests/dispatch/ScarcityOrderTests.cpp
@@ -28,7 +28,7 @@
 
 std::int64_t keyOf(const ScarcityOrder &order, WorkAmount work, Milliseconds slackLeft)
 {
-    return order.keyOf("queue", { work, slackLeft, slack });
+    return order.keyOf("queue", { work, work, slackLeft, slack });
 }
 
 } // namespace
@@ -63,6 +63,20 @@
     CHECK(keyOf(order, 0, slack) == keyOf(order, 1000, slack));
 }
 
+// Guards against late work that never ends while room stays scarce, and against work that was done for nothing: a job that has
+// begun stands behind others until it can be of no use any more.
+TEST_CASE("late work keeps a turn until its final deadline, and work that has begun goes before other work")
+{
+    ScarcityOrder order;
+    order.noteJob("queue", 1000);
+    order.update(start, fullService());
+    const auto late = [&](Milliseconds left) { return order.keyOf("queue", { 1000, 1000, left, slack, true }); };
+    CHECK(late(slack) > keyOf(order, 1000, slack));
+    CHECK(late(slack / 50) < keyOf(order, 1000, slack));
+    CHECK(late(Milliseconds(-1)) > late(slack));
+    CHECK(order.keyOf("queue", { 500, 5000, slack, slack }) < keyOf(order, 500, slack));
+}
+
 // Guards against a priority that starves below more urgent ones, and against a part that takes most of the room.
 TEST_CASE("each priority is owed a part of the work that has come, until it was started")
 {
