--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -177,6 +177,13 @@
     int countStartable(const StepState &step, int most) const;
     /** Follows what tasks of earlier owners may have on workers that are not read, which counts for the accounts' limits. */
     void updateInheritedUse();
+    struct OwnRuns;
+    /** Stops less urgent runs of accounts at their limits for more urgent steps of the same accounts. */
+    void preemptForLimits();
+    /** Fills in the runs of these accounts. */
+    void collectOwnRuns(std::map<std::string, OwnRuns> &runsByAccount);
+    /** Stops runs of the step's account until its tasks fit under the limit, as far as the step may preempt them. */
+    void preemptOwnRuns(StepState &step, OwnRuns &runs);
     /** Counts the tasks that wait for the limits of their accounts. */
     void updateLimitReport();
     /** Computes the levels of the accounts from all that runs and waits. */
--- a/modules/dispatch/TaskPlacerRounds.cpp
+++ b/modules/dispatch/TaskPlacerRounds.cpp
@@ -122,6 +122,7 @@
         addJob(*job);
     }
     updateLimitReport();
+    preemptForLimits();
     updateShares();
 }
 
--- a/tests/dispatch/AccountLimitTests.cpp
+++ b/tests/dispatch/AccountLimitTests.cpp
@@ -116,6 +116,34 @@
     CHECK(cell.violations().empty());
 }
 
+// Guards against urgent work that waits for the limit behind the long work of its own account, and against stops of others' runs.
+TEST_CASE("urgent work at its account's limit stops less urgent runs of its own account only", "[account-limits]")
+{
+    AccountCell cell;
+    cell.addWorker("w1", 8);
+    cell.addWorker("w2", 8);
+    cell.setLimit("a", 6000);
+    cell.setLimit("b", 0);
+    cell.plan = [](const TaskName &task, std::int64_t) {
+        return SimulatedWork { Milliseconds(task.job == jobIdOf(2) ? 500 : 8000), RunOutcome::Done };
+    };
+    cell.takeOver();
+    REQUIRE(cell.submitFor("a", jobIdOf(0), 6, 1000, R"(,"checkpoints":true)") == ClientResult::Outcome::Accepted);
+    REQUIRE(cell.submitFor("b", jobIdOf(1), 4, 1000, R"(,"checkpoints":true)") == ClientResult::Outcome::Accepted);
+    cell.timers.advance(Milliseconds(300));
+    REQUIRE(cell.use("a") == 6000);
+    REQUIRE(cell.submitFor("a", jobIdOf(2), 2, 2000, {}, "urgent") == ClientResult::Outcome::Accepted);
+    CHECK(cell.runUntil(jobIdOf(2), JobStage::Completed, Milliseconds(1500)));
+    cell.timers.advance(Milliseconds(1000));
+    const auto startsOf = [&cell](const std::string &job) {
+        return std::count_if(cell.starts.begin(), cell.starts.end(), [&job](const auto &start) { return start.task.job == job; });
+    };
+    CHECK(startsOf(jobIdOf(0)) == 10);
+    CHECK(startsOf(jobIdOf(1)) == 4);
+    CHECK(cell.overuse().empty());
+    CHECK(cell.violations().empty());
+}
+
 // Guards against copies that take an account above its limit.
 TEST_CASE("a slow task of an account at its limit gets no copy", "[account-limits]")
 {
