Tests: runs of a job that a former owner has cancelled count for the limit

Change: a test of the kept descriptions, whose removal it checks as well. Without limits, the placer does not look for runs to stop for them.

--- a/modules/dispatch/TaskPlacerLimits.cpp
+++ b/modules/dispatch/TaskPlacerLimits.cpp
@@ -33,6 +33,9 @@
 
 void TaskPlacer::preemptForLimits()
 {
+    if (!quotas_.hasLimits()) {
+        return;
+    }
     std::vector<StepState *> steps;
     std::map<std::string, OwnRuns> runsByAccount;
     for (const auto &[rank, step] : readySteps_.entries()) {
--- a/tests/dispatch/AccountTakeoverTests.cpp
+++ b/tests/dispatch/AccountTakeoverTests.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/AccountCell.h"
 #include "dispatch/InheritedTasks.h"
 #include "dispatch/InheritedUse.h"
+#include "dispatch/JobManager.h"
 #include "dispatch/UnreadCapacity.h"
 #include "fakes/JobIds.h"
 
@@ -72,6 +73,29 @@
     CHECK(cell.overuse().empty());
 }
 
+// Guards against a new owner that knows nothing of runs whose job was ended before the takeover, and against descriptions that
+// stay.
+TEST_CASE("the runs of a job that a former owner has cancelled count until they are over", "[account-limits]")
+{
+    CutCell cell;
+    REQUIRE(cell.cancel(jobIdOf(0)) == ClientResult::Outcome::Cancelled);
+    cell.timers.advance(Milliseconds(500));
+    REQUIRE(cell.use("a") == 4000);
+    cell.takeOver();
+    REQUIRE(cell.submitFor("a", jobIdOf(1), 12, 1000) == ClientResult::Outcome::Accepted);
+    cell.timers.advance(Milliseconds(500));
+    CHECK(cell.use("a") == 8000);
+    const bool isReturning = GENERATE(false, true);
+    CAPTURE(isReturning);
+    cell.fleet.worker("far").isCutOff = !isReturning;
+    cell.timers.advance(Milliseconds(isReturning ? 2000 : 15000));
+    CHECK(cell.fleet.worker("far").runs().empty());
+    CHECK(cell.use("a") == 8000);
+    CHECK(cell.overuse().empty());
+    CHECK(cell.store.row(JobTables::jobs, jobIdOf(0)) == nullptr);
+    CHECK(cell.store.row(JobTables::jobs, jobIdOf(1)) != nullptr);
+}
+
 // Guards against an account at its limit whose accepted job is lost, or started twice, with the owner that has accepted it.
 TEST_CASE("an owner that is killed between acceptance and start leaves a job that runs within the limit", "[account-limits]")
 {
