FairShares: one function raises the levels

Nothing else changes.

Result: 5,000 random cases of the property of levels pass; test-dispatch "[account-limits],[account-shares]" passes (452 assertions in 23 cases).

--- a/modules/dispatch/FairShares.cpp
+++ b/modules/dispatch/FairShares.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <limits>
 
 namespace auburndoor {
@@ -71,25 +72,18 @@
     return low;
 }
 
-} // namespace
-
-ShareLevels FairShares::compute(const Resources &capacity, const std::vector<ShareDemand> &demands)
+/** Raises the level until each resource that is scarce is used up. @return the level per weight of the scarcest one; infinite if
+ * none is */
+double raiseLevels(std::vector<Filling> &fillings)
 {
-    std::vector<Filling> fillings;
-    for (const auto &demand : demands) {
-        Filling filling;
-        filling.weight = demand.weight;
-        filling.demand = sharesOf(demand.use + demand.waiting, capacity);
-        filling.dominant = *std::max_element(filling.demand.begin(), filling.demand.end());
-        fillings.push_back(filling);
-    }
-    ShareLevels result;
+    constexpr double infinite = std::numeric_limits<double>::infinity();
+    double first = infinite;
     std::array<bool, resourceCount> isUsedUp {};
     for (std::size_t round = 0; round < resourceCount; ++round) {
         std::size_t scarcest = resourceCount;
-        double level = std::numeric_limits<double>::infinity();
+        double level = infinite;
         for (std::size_t resource = 0; resource < resourceCount; ++resource) {
-            const double highest = isUsedUp[resource] ? level : highestLevel(resource, fillings);
+            const double highest = isUsedUp[resource] ? infinite : highestLevel(resource, fillings);
             if (highest < level) {
                 level = highest;
                 scarcest = resource;
@@ -99,14 +93,32 @@
             break;
         }
         isUsedUp[scarcest] = true;
-        result.unit = round == 0 ? level : result.unit;
+        first = std::min(first, level);
         for (auto &filling : fillings) {
             filling.level = filling.demand[scarcest] > 0 ? std::min(filling.level, level) : filling.level;
         }
     }
-    if (!isUsedUp[0] && !isUsedUp[1] && !isUsedUp[2] && !isUsedUp[3]) {
+    return first;
+}
+
+} // namespace
+
+ShareLevels FairShares::compute(const Resources &capacity, const std::vector<ShareDemand> &demands)
+{
+    std::vector<Filling> fillings;
+    for (const auto &demand : demands) {
+        Filling filling;
+        filling.weight = demand.weight;
+        filling.demand = sharesOf(demand.use + demand.waiting, capacity);
+        filling.dominant = *std::max_element(filling.demand.begin(), filling.demand.end());
+        fillings.push_back(filling);
+    }
+    ShareLevels result;
+    const double unit = raiseLevels(fillings);
+    if (std::isinf(unit)) {
         return result;
     }
+    result.unit = unit;
     for (const auto &filling : fillings) {
         result.levels.push_back(filling.weight * filling.level);
     }
