--- a/modules/dispatch/TaskPlacerRounds.cpp
+++ b/modules/dispatch/TaskPlacerRounds.cpp
@@ -131,6 +131,7 @@
     isReadingAll_ = false;
     updateScarcity();
     updateLimitReport();
+    preemptForLimits();
     updateShares();
 }
 
