An owner that lags behind the store takes a newer desired state from a follower

Cause: an owner that the store does not answer, and all that learn from it, kept a removed key until the owner was replaced, 2.25 s after the change in a run of KeyTests; where the store serves its writes alone it is not replaced.

Leadership::holderOfNewerState() names the process to read it from: the owner, or for the owner a follower that was heard within 2 s. DesiredStateHolder takes it as before.

--- a/modules/entry/EntryInstance.cpp
+++ b/modules/entry/EntryInstance.cpp
@@ -59,7 +59,7 @@
     bool isReady() const;
     void serveOperator(const WebRequest &request, HttpResponder &responder);
     void flushLog();
-    /** Periodically reads the desired state from the owner if the owner has a newer one. */
+    /** Periodically reads the desired state from the owner, or as the owner from another process, if that has a newer one. */
     void fetchDesiredState();
     /** Ends the ownership, if this process has it, so that another process takes over at once. */
     void handOver();
@@ -68,7 +68,7 @@
 
     EntryDependencies dependencies;
     EventLoop &loop;
-    /** The connection to the owner for fetchDesiredState(). */
+    /** The connection to the other process for fetchDesiredState(). */
     std::unique_ptr<HttpChannels> desiredStateChannel;
     /** Null unless this process is the owner. */
     std::unique_ptr<Owner> owner;
@@ -107,7 +107,8 @@
                        if (owner) {
                            owner->noteSuccessor();
                        }
-                   } })
+                   },
+                   [this] { return desiredState.current().version; } })
     , relayTransport(dependencies.loop)
     , relayPool(
           dependencies.loop,
@@ -312,11 +313,11 @@
 void EntryInstance::Impl::fetchDesiredState()
 {
     loop.after(desiredStateCheckInterval, [self = shared_from_this()] { self->fetchDesiredState(); });
-    const auto address = leadership.ownerAddress();
-    if (!address || leadership.desiredStateVersionOfOwner() <= desiredState.current().version) {
+    const auto address = leadership.holderOfNewerState(desiredState.current().version);
+    if (!address) {
         return;
     }
-    // The owner has a newer version, which the store has not delivered to this process: read it from the owner.
+    // Another process has a newer version, which the store has not delivered to this one.
     desiredStateChannel = std::make_unique<HttpChannels>(loop, *address, HttpChannelLimits { .maxConnections = 1 });
     WebRequest request { "GET", PeerCodec::desiredStatePath, {}, {}, true };
     desiredStateChannel->send(std::move(request), desiredStateFetchTimeout, [self = shared_from_this()](const SendResult &sent) {
--- a/modules/entry/Leadership.cpp
+++ b/modules/entry/Leadership.cpp
@@ -198,7 +198,8 @@
     if (isOwner || !heartbeatChannel) {
         return;
     }
-    auto request = PeerCodec::heartbeatRequest({ settings.peers, settings.processorShare, isTakeoverDisabled });
+    const auto version = hooks.desiredStateVersion ? hooks.desiredStateVersion() : 0;
+    auto request = PeerCodec::heartbeatRequest({ settings.peers, settings.processorShare, isTakeoverDisabled, version });
     // The channel would repeat it within the time of the first request, though the owner holds the repeated one for the whole
     // delay.
     request.isRepeatable = false;
@@ -371,9 +372,4 @@
     return impl_->isOwnerResponding && impl_->isOwnerReady;
 }
 
-std::int64_t Leadership::desiredStateVersionOfOwner() const
-{
-    return impl_->desiredStateVersion;
-}
-
 } // namespace auburndoor
--- a/modules/entry/Leadership.h
+++ b/modules/entry/Leadership.h
@@ -72,6 +72,8 @@
         std::function<std::optional<OwnerHeartbeat>()> ownHeartbeat;
         /** Called when this process is the owner and another one knows a later owner; may be empty. */
         std::function<void()> onSuccessorKnown = {};
+        /** The version of the desired state that this process has, for the owner; may be empty. */
+        std::function<std::int64_t()> desiredStateVersion = {};
     };
 
     Leadership(EventLoop &loop, StateStore &store, const EntrySettings &settings, LeadershipTiming timing, Hooks hooks);
@@ -117,8 +119,12 @@
     /** The peer addresses of the processes that have recently sent a heartbeat request to this process. */
     std::vector<Address> members() const;
 
-    /** The version of the desired state in the owner's last heartbeat; 0 before the first one. */
-    std::int64_t desiredStateVersionOfOwner() const;
+    /**
+        The peer address of a process that has told of a newer version of the desired state; empty if none has.
+
+        That is the owner, by its last heartbeat, or for the owner one of its followers.
+    */
+    std::optional<Address> holderOfNewerState(std::int64_t version) const;
 
 private:
     struct Impl;
--- a/modules/entry/LeadershipImpl.h
+++ b/modules/entry/LeadershipImpl.h
@@ -166,6 +166,7 @@
         /** As in its last FollowerReport. */
         double processorShare = 0.0;
         bool isStopping = false;
+        std::int64_t desiredStateVersion = 0;
         /** When it began to follow this process. */
         TimePoint followsSince;
     };
--- a/modules/entry/LeadershipServing.cpp
+++ b/modules/entry/LeadershipServing.cpp
@@ -60,6 +60,7 @@
     follower.requestedAt = impl_->loop.now();
     follower.processorShare = report->processorShare;
     follower.isStopping = report->isStopping;
+    follower.desiredStateVersion = report->desiredStateVersion;
     // A process that has just begun to follow this owner is answered at once, so that it can forward calls.
     const bool isNew = request.target.ends_with(PeerCodec::firstHeartbeatQuery);
     if (isNew) {
@@ -124,6 +125,19 @@
     return listedMembers;
 }
 
+std::optional<Address> Leadership::holderOfNewerState(std::int64_t version) const
+{
+    if (!impl_->isOwner) {
+        return impl_->desiredStateVersion > version ? ownerAddress() : std::nullopt;
+    }
+    for (const auto &[address, follower] : impl_->followers) {
+        if (follower.desiredStateVersion > version && impl_->loop.now() - follower.requestedAt <= memberTimeout) {
+            return address;
+        }
+    }
+    return std::nullopt;
+}
+
 std::vector<Address> Leadership::members() const
 {
     return impl_->recentMembers();
--- a/modules/entry/PeerCodec.cpp
+++ b/modules/entry/PeerCodec.cpp
@@ -56,7 +56,10 @@
     return { "POST",
              heartbeatPath,
              {},
-             dump({ { "from", report.address.text() }, { "share", report.processorShare }, { "stopping", report.isStopping } }),
+             dump({ { "from", report.address.text() },
+                    { "share", report.processorShare },
+                    { "stopping", report.isStopping },
+                    { "desired", report.desiredStateVersion } }),
              true };
 }
 
@@ -67,7 +70,9 @@
         if (!address || !address->hasPort()) {
             return std::nullopt;
         }
-        return FollowerReport { *address, json.value("share", 0.0), json.value("stopping", false) };
+        return FollowerReport {
+            *address, json.value("share", 0.0), json.value("stopping", false), json.value("desired", std::int64_t(0))
+        };
     });
 }
 
--- a/modules/entry/PeerCodec.h
+++ b/modules/entry/PeerCodec.h
@@ -45,6 +45,8 @@
     double processorShare = 0.0;
     /** True if it does not take over, as it has been told to stop. */
     bool isStopping = false;
+    /** The version of the desired state that it has; 0 if it does not say. */
+    std::int64_t desiredStateVersion = 0;
 };
 
 /** What an entry process knows of the owner, sent to another one that has lost contact with the owner or the store. */
--- a/tests/entry/LeadershipFixture.h
+++ b/tests/entry/LeadershipFixture.h
@@ -47,12 +47,14 @@
         settings_.peers = { "127.0.0.1", listener_->port() };
         LeadershipTiming timing;
         timing.isolationWait = Milliseconds(300);
-        leadership_ = std::make_unique<Leadership>(
-            loop,
-            storeLink,
-            settings_,
-            timing,
-            Leadership::Hooks { [this](const Ownership &won) { ownership = won; }, [this] { return ownHeartbeat(); } });
+        leadership_ = std::make_unique<Leadership>(loop,
+                                                   storeLink,
+                                                   settings_,
+                                                   timing,
+                                                   Leadership::Hooks { [this](const Ownership &won) { ownership = won; },
+                                                                       [this] { return ownHeartbeat(); },
+                                                                       {},
+                                                                       [this] { return desiredStateVersion; } });
         leadership_->start();
     }
 
@@ -100,6 +102,8 @@
     bool isListenerFull = false;
     /** What this process reports in its heartbeats as the owner. */
     bool isReady = true;
+    /** The version that this process tells of, as the owner or as a follower. */
+    std::int64_t desiredStateVersion = 1;
 
 private:
     void answerHeartbeat(const WebRequest &request, const HttpResponderPointer &responder)
@@ -125,8 +129,8 @@
         if (!ownership) {
             return std::nullopt;
         }
-        OwnerHeartbeat heartbeat { settings_.nodeName,       ownership->token,      storeStallDuration, isReady, 1,
-                                   settings_.processorShare, leadership_->members() };
+        OwnerHeartbeat heartbeat { settings_.nodeName,  ownership->token,         storeStallDuration,    isReady,
+                                   desiredStateVersion, settings_.processorShare, leadership_->members() };
         return heartbeat;
     }
 
--- a/tests/soak/KeyTests.cpp
+++ b/tests/soak/KeyTests.cpp
@@ -127,6 +127,16 @@
     CHECK(fixture.isRefused(cut, "removed"));
 }
 
+// Guards against an owner that the store does not answer and that serves a removed key until it is replaced.
+TEST_CASE("a key that is removed while the store is silent for the owner is refused by it", "[keys]")
+{
+    KeyFixture fixture;
+    const std::size_t owner = fixture.isOwner(0) ? 0 : fixture.isOwner(1) ? 1 : 2;
+    fixture.cell.entries[owner]->storeLink().setMode(FaultyLink::Mode::Unreachable);
+    fixture.write(R"("kept")");
+    CHECK(fixture.cell.runUntil([&] { return fixture.isRefused(owner, "removed"); }, configMs));
+}
+
 // Guards against a process that starts, takes the copy of an owner that lags behind the store, and serves a removed key by it.
 TEST_CASE("a process that starts under an owner that lags behind the store serves no removed key", "[keys]")
 {
