--- a/modules/entry/EntryInstance.cpp
+++ b/modules/entry/EntryInstance.cpp
@@ -9,6 +9,7 @@
 #include "entry/ListenerDrain.h"
 #include "entry/Owner.h"
 #include "entry/OwnerCallForwarder.h"
+#include "entry/OwnerShare.h"
 #include "entry/PeerCodec.h"
 #include "entry/RelayedWorkerClientFactory.h"
 #include "entry/WorkerRelay.h"
@@ -300,7 +301,7 @@
     heartbeat.stalledTable = owner->stalledTable();
     heartbeat.isReady = owner->isReady();
     heartbeat.desiredStateVersion = desiredState.current().version;
-    heartbeat.processorShare = dependencies.settings.processorShare;
+    heartbeat.processorShare = ownerShare(dependencies.settings);
     return heartbeat;
 }
 
