A process that was suspended reads the desired state before it serves a key

Cause: requests of clients and an answer of the store without a change may both wait in the sockets of a suspended process. When it goes on, it serves the requests by its old copy: KeyTests, "a key that is removed while a process is suspended", fails on the program without this change, 4.5 s after the suspension began and 3 s after the removal.

Change: DesiredStateHolder notices gaps of over 1 s in the running of the process. Until the store has answered a request that was sent after the gap, for 1 s at most, calls with known keys wait for a reading of the row, as calls with unknown keys do and within the same limits. Calls to anonymous queues, and deployments without accounts, do not wait.

--- a/modules/entry/ClientCallReader.cpp
+++ b/modules/entry/ClientCallReader.cpp
@@ -23,22 +23,21 @@
 {
 }
 
-bool ClientCallReader::dependsOnNewerVersion(const ClientResult &result) const
+bool ClientCallReader::dependsOnNewerVersion(const ClientCall &call, const std::optional<ClientResult> &result)
 {
-    const bool hasNoRoute = result.outcome == ClientResult::Outcome::NoSuchQueue && desiredState_.current().requiresKeys;
-    return result.keyRefusal == KeyRefusal::UnknownKey || hasNoRoute;
+    if (!call.account.empty()) {
+        return desiredState_.mayHaveMissedChange();
+    }
+    const bool hasNoRoute = result && result->outcome == ClientResult::Outcome::NoSuchQueue && desiredState_.current().requiresKeys;
+    return hasNoRoute || (result && result->keyRefusal == KeyRefusal::UnknownKey);
 }
 
 void ClientCallReader::read(WebRequest request, Callback callback)
 {
     std::optional<ClientResult> result;
     const auto call = protocol_.readCall(request, desiredState_.current(), result);
-    if (!result) {
-        callback(call, result);
-        return;
-    }
-    if (!dependsOnNewerVersion(*result)) {
-        refuse(request, call, *result, callback);
+    if (!dependsOnNewerVersion(call, result)) {
+        finish(request, call, result, callback);
         return;
     }
     const auto bytes = requestOverhead + request.body.size();
@@ -48,26 +47,22 @@
                                    auto newCall = protocol_.readCall(request, desiredState_.current(), newResult);
                                    const auto waited = std::chrono::duration_cast<Milliseconds>(timers_.now() - arrivedAt);
                                    newCall.timeout = std::max(Milliseconds(1), newCall.timeout - waited);
-                                   if (newResult) {
-                                       refuse(request, newCall, *newResult, callback);
-                                   } else {
-                                       callback(newCall, newResult);
-                                   }
+                                   finish(request, newCall, newResult, callback);
                                });
 }
 
-void ClientCallReader::refuse(const WebRequest &request,
+void ClientCallReader::finish(const WebRequest &request,
                               const ClientCall &call,
-                              const ClientResult &result,
+                              const std::optional<ClientResult> &result,
                               const Callback &callback)
 {
-    if (result.keyRefusal != KeyRefusal::None) {
-        noteResult(call, result);
-    } else {
+    if (result && result->keyRefusal != KeyRefusal::None) {
+        noteResult(call, *result);
+    } else if (result) {
         // The query of a target has no meaning here, and a client may have put its key there.
         const auto path = std::string_view(request.target).substr(0, request.target.find('?'));
         EventLog::writeRateLimited(
-            "call.rejected", { { "target", path }, { "detail", result.detail }, { "desired", desiredState_.current().version } });
+            "call.rejected", { { "target", path }, { "detail", result->detail }, { "desired", desiredState_.current().version } });
     }
     callback(call, result);
 }
--- a/modules/entry/ClientCallReader.h
+++ b/modules/entry/ClientCallReader.h
@@ -19,7 +19,8 @@
     Reads clients' requests by the desired state.
 
     A key that is unknown here may be in a newer version, and so may a route where keys are required: the store's row is read before
-    such a request is refused. All others are read at once. All members are called from the loop's thread.
+    such a request is refused. It is also read before a request with a key is served by a process that was suspended, as the key may
+    have been removed meanwhile. All others are read at once. All members are called from the loop's thread.
 */
 class ClientCallReader
 {
@@ -36,10 +37,13 @@
     void noteResult(const ClientCall &call, const ClientResult &result);
 
 private:
-    /** True if a newer desired state may allow the call. */
-    bool dependsOnNewerVersion(const ClientResult &result) const;
-    /** Logs a call that is refused here and passes it to the callback. */
-    void refuse(const WebRequest &request, const ClientCall &call, const ClientResult &result, const Callback &callback);
+    /** True if a newer desired state may allow the call, or refuse it. */
+    bool dependsOnNewerVersion(const ClientCall &call, const std::optional<ClientResult> &result);
+    /** Passes a call to the callback; logs it if it is refused here. */
+    void finish(const WebRequest &request,
+                const ClientCall &call,
+                const std::optional<ClientResult> &result,
+                const Callback &callback);
 
     Timers &timers_;
     const CellProtocol &protocol_;
--- a/modules/entry/DesiredStateHolder.cpp
+++ b/modules/entry/DesiredStateHolder.cpp
@@ -15,6 +15,10 @@
 constexpr WatchTiming watchTiming { Milliseconds(1000), Milliseconds(20), Milliseconds(150) };
 // A store that answers at all does so within milliseconds; a process that it does not answer is to serve soon all the same.
 constexpr Milliseconds firstAnswerTimeout { 1000 };
+// With the 1.2 s that the watch may take, a change is read within 3 s after a shorter gap in any case.
+constexpr Milliseconds minGap { 1000 };
+// Without an answer of the store by then, the copy stays in force as in any outage of the store.
+constexpr Milliseconds maxCheckDuration { 1000 };
 
 } // namespace
 
@@ -43,6 +47,7 @@
 void DesiredStateHolder::start()
 {
     startedAt_ = timers_.now();
+    runningAt_ = timers_.bootNow();
     watch_.start();
 }
 
@@ -78,6 +83,27 @@
     take(row);
 }
 
+void DesiredStateHolder::noteRunning()
+{
+    const auto now = timers_.bootNow();
+    if (now - std::exchange(runningAt_, now) > minGap) {
+        resumedAt_ = timers_.now();
+    }
+}
+
+bool DesiredStateHolder::mayHaveMissedChange()
+{
+    noteRunning();
+    if (!resumedAt_) {
+        return false;
+    }
+    const auto sinceResumed = timers_.now() - *resumedAt_;
+    if (sinceResumed > maxCheckDuration || watch_.age() < sinceResumed) {
+        resumedAt_.reset();
+    }
+    return resumedAt_.has_value();
+}
+
 void DesiredStateHolder::runWhenFresh(std::size_t bytes, std::function<void()> action)
 {
     refresh_.runWhenFresh(bytes, std::move(action));
--- a/modules/entry/DesiredStateHolder.h
+++ b/modules/entry/DesiredStateHolder.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace auburndoor {
@@ -54,6 +55,15 @@
     */
     void takeCopy(const std::string &text);
 
+    /** Has to be called at intervals of well under a second, so that gaps in the running of this process are noticed. */
+    void noteRunning();
+
+    /**
+        True just after a gap in the running of this process, as after a suspension, until the store has answered a request that was
+        sent since, for a second at most: a change that should be in force by now may be unread.
+    */
+    bool mayHaveMissedChange();
+
     /** Runs an action once the store's row was read, within the limits of DesiredStateRefresh. @param bytes that the action holds
      */
     void runWhenFresh(std::size_t bytes, std::function<void()> action);
@@ -70,6 +80,10 @@
     DesiredState desiredState_;
     std::string text_;
     TimePoint startedAt_;
+    /** The last call of noteRunning(), on the clock that advances while the machine is suspended. */
+    TimePoint runningAt_;
+    /** The end of the last gap in the running of this process. */
+    std::optional<TimePoint> resumedAt_;
     /** The version of the last row that could not be read, which is logged once. */
     std::int64_t unreadableVersion_ = -1;
     TableWatch watch_;
--- a/modules/entry/EntryInstance.cpp
+++ b/modules/entry/EntryInstance.cpp
@@ -314,6 +314,7 @@
 void EntryInstance::Impl::fetchDesiredState()
 {
     loop.after(desiredStateCheckInterval, [self = shared_from_this()] { self->fetchDesiredState(); });
+    desiredState.noteRunning();
     const auto address = leadership.holderOfNewerState(desiredState.current().version);
     if (!address) {
         return;
--- a/tests/entry/ClientCallReaderTests.cpp
+++ b/tests/entry/ClientCallReaderTests.cpp
@@ -88,6 +88,31 @@
     CHECK_FALSE(fixture.outcome);
 }
 
+// Guards against a process that was suspended while a key was removed, and that serves the calls which have waited in its sockets.
+TEST_CASE("after a suspension the store is read before a key is served", "[keys]")
+{
+    ReaderFixture fixture;
+    const bool isCut = GENERATE(false, true);
+    fixture.holder.noteRunning();
+    fixture.timers.suspend(Milliseconds(5000));
+    fixture.write(2, R"("second-key")");
+    fixture.link.isCut = isCut;
+    fixture.read("first-key");
+    CHECK_FALSE(fixture.isRead);
+    fixture.timers.advance(isCut ? Milliseconds(400) : Milliseconds(5));
+    REQUIRE(fixture.isRead);
+    CHECK(fixture.outcome.has_value() != isCut);
+
+    // A store that stays silent does not hold up calls for longer than a second.
+    fixture.read("first-key");
+    fixture.timers.advance(Milliseconds(900));
+    fixture.holder.noteRunning();
+    fixture.timers.advance(Milliseconds(200));
+    fixture.read(isCut ? "first-key" : "second-key");
+    CHECK(fixture.isRead);
+    CHECK_FALSE(fixture.outcome);
+}
+
 // Guards against an unknown key that is served or left without an answer while the store is silent.
 TEST_CASE("an unknown key is refused, at the latest after the timeout", "[keys]")
 {
--- a/tests/soak/KeyTests.cpp
+++ b/tests/soak/KeyTests.cpp
@@ -137,6 +137,22 @@
     CHECK(fixture.cell.runUntil([&] { return fixture.isRefused(owner, "removed"); }, configMs));
 }
 
+// Guards against calls that wait in the sockets of a suspended process and are served by its old copy when it goes on.
+TEST_CASE("a key that is removed while a process is suspended is refused by it", "[keys]")
+{
+    KeyFixture fixture;
+    const auto number = fixture.follower();
+    auto &process = *fixture.cell.entries[number];
+    process.pause();
+    // The store's answer to its open request for changes, which tells of none, waits in its socket as well.
+    fixture.cell.runFor(Milliseconds(1500));
+    fixture.write(R"("kept")");
+    fixture.cell.runFor(configMs);
+    fixture.cell.loop.after(Milliseconds(500), [&process] { process.resume(); });
+    CHECK(fixture.isRefused(number, "removed"));
+    CHECK(fixture.isServed(number, "kept"));
+}
+
 // Guards against a process that starts, takes the copy of an owner that lags behind the store, and serves a removed key by it.
 TEST_CASE("a process that starts under an owner that lags behind the store serves no removed key", "[keys]")
 {
