--- a/modules/entry/Leadership.cpp
+++ b/modules/entry/Leadership.cpp
@@ -199,7 +199,8 @@
     if (isOwner || !heartbeatChannel) {
         return;
     }
-    auto request = PeerCodec::heartbeatRequest({ settings.peers, ownerShare(settings), isTakeoverDisabled });
+    const auto version = hooks.desiredStateVersion ? hooks.desiredStateVersion() : 0;
+    auto request = PeerCodec::heartbeatRequest({ settings.peers, ownerShare(settings), isTakeoverDisabled, version });
     // The channel would repeat it within the time of the first request, though the owner holds the repeated one for the whole
     // delay.
     request.isRepeatable = false;
@@ -372,9 +373,4 @@
     return impl_->isOwnerResponding && impl_->isOwnerReady;
 }
 
-std::int64_t Leadership::desiredStateVersionOfOwner() const
-{
-    return impl_->desiredStateVersion;
-}
-
 } // namespace auburndoor
