Placement follows the learned speeds of workers and run times of images

Cause: best fit alone puts short work without slack on slow workers, where it ends too late, while work with much slack takes the fast ones.

Change: the fleet measures runs that this owner has started whole (no checkpoint, not throttled, start confirmed at once, report not overdue), and the job manager learns from them. The same order holds for workers that an advice request names. The expected time of remaining steps is the learned one if it differs from the estimate by more than a fifth and 0.2 s; the objective stays with the estimate. While all speeds are 1 the order is as before.

--- a/modules/dispatch/Fleet.cpp
+++ b/modules/dispatch/Fleet.cpp
@@ -121,6 +121,7 @@
     run.claim = claim;
     run.startedAt = impl_->timers.now();
     run.incarnation = found->entry.incarnation;
+    run.isMeasurable = command.checkpoint.empty();
     found->used += claim.need;
     found->isolatedRuns += claim.isIsolated ? 1 : 0;
     impl_->noteChange(*found);
@@ -165,6 +166,7 @@
         return;
     }
     found->speedPercent = percent;
+    found->isMeasurable = false;
     worker(id)->client->throttle(key.task, key.attempt, percent, [impl = impl_, id, key](const WorkerClient::Reply &reply) {
         if (impl->isClosed || reply.outcome == CommandOutcome::Accepted) {
             return;
--- a/modules/dispatch/Fleet.h
+++ b/modules/dispatch/Fleet.h
@@ -44,6 +44,9 @@
     */
     virtual void runEnded(const std::string &worker, const EndedTask &ended, std::function<void()> recorded) = 0;
 
+    /** A run was done that was measurable; runEnded() follows. @param runTime from its confirmed start to the report of its end */
+    virtual void runMeasured(const std::string &worker, const Run &run, Milliseconds runTime) = 0;
+
     /** A run is gone without a listed end. @param outcome why its start was refused or not sent; else Unknown */
     virtual void runLost(const std::string &worker, const RunKey &key, RunLoss loss, CommandOutcome outcome) = 0;
 
--- a/modules/dispatch/FleetImpl.h
+++ b/modules/dispatch/FleetImpl.h
@@ -92,6 +92,8 @@
     static Milliseconds silenceBeforeRemoval(const WorkerEntry &entry);
     void onReport(const std::string &id, const TaskReport &report, TimePoint pollSentAt);
     void processEnds(WorkerState &worker, const TaskReport &report);
+    /** Tells the listener the run time of a run that was done, unless it is not known. */
+    void reportRunTime(const WorkerState &worker, const EndedTask &ended);
     void processRunning(WorkerState &worker, const TaskReport &report, TimePoint pollSentAt);
     /** Decides about a listed run that this fleet does not track: it may be unknown, over, or wrongly given up. */
     void processUnknownRun(WorkerState &worker, const RunningTask &running, TimePoint pollSentAt);
--- a/modules/dispatch/FleetPolling.cpp
+++ b/modules/dispatch/FleetPolling.cpp
@@ -137,6 +137,7 @@
         }
         if (listed.contains(key) && run.stopReason.empty()) {
             run.phase = Run::Phase::Running;
+            run.isMeasurable = false;
             run.confirmedAt = timers.now();
             run.percentChangedAt = timers.now();
             listener.runConfirmed(worker.entry.id, run);
@@ -228,7 +229,7 @@
         EventLog::write("worker.heard", { { "worker", id }, { "failed_looks", worker.failedPolls } });
     }
     worker.failedPolls = 0;
-    worker.lastReportAt = timers.now();
+    worker.previousReportAt = std::exchange(worker.lastReportAt, timers.now());
     noteChange(worker);
     const auto lastSeenEndBefore = worker.lastSeenEnd;
     const bool wasReportRead = worker.isReportRead;
@@ -311,6 +312,7 @@
         if (end.end == RunOutcome::Done || end.end == RunOutcome::Failed) {
             recordOutcome(worker, end.end == RunOutcome::Failed);
         }
+        reportRunTime(worker, end);
         removeRun(worker, key);
         if (lostRuns.erase(id, key)) {
             // A report that was overtaken by this one may still list it.
--- a/modules/dispatch/JobManager.cpp
+++ b/modules/dispatch/JobManager.cpp
@@ -69,6 +69,7 @@
 
 void JobManager::initialize(JobState &job)
 {
+    followImageTimes(job);
     const auto &queue = job.queue;
     const auto allowed = static_cast<double>(job.criticalPathTime().count()) * queue.slackFactor;
     job.objective = job.receivedAt + queue.latencyAllowance
@@ -219,6 +220,7 @@
         // The jobs of a removed queue keep its last definition.
         if (const auto *queue = desiredState.queue(job->spec.queue)) {
             job->queue = *queue;
+            followImageTimes(*job);
             changedJobs_.push_back(id);
         }
     }
--- a/modules/dispatch/JobManager.h
+++ b/modules/dispatch/JobManager.h
@@ -5,6 +5,7 @@
 #include "dispatch/JobPart.h"
 #include "dispatch/JobState.h"
 #include "dispatch/TaskRecordCodec.h"
+#include "dispatch/WorkerSpeeds.h"
 
 #include <functional>
 #include <map>
@@ -135,11 +136,15 @@
     */
     void tick(Milliseconds endedJobRetention, Milliseconds earlyStart);
 
+    /** The speeds of the workers and the run times of images. */
+    WorkerSpeeds &speeds();
+
     // FleetListener.
     std::optional<RunClaim> adoptRun(const std::string &worker, const RunningTask &running) override;
     std::optional<ReadoptedRun> readoptRun(const std::string &worker, const RunningTask &running) override;
     void runConfirmed(const std::string &worker, const Run &run) override;
     void runEnded(const std::string &worker, const EndedTask &ended, std::function<void()> recorded) override;
+    void runMeasured(const std::string &worker, const Run &run, Milliseconds runTime) override;
     void runLost(const std::string &worker, const RunKey &key, RunLoss loss, CommandOutcome outcome) override;
     void workerSilent(const WorkerCrash &possibleCrash) override;
     void workerCrashed(const WorkerCrash &crash) override;
@@ -163,6 +168,10 @@
     RunClaim addReportedRun(JobState &job, Task &task, const std::string &worker, const RunningTask &running);
     /** Sets the objective of a job, and adds the only occurrence of one without a schedule. */
     void initialize(JobState &job);
+    /** Has the job's steps follow the learned run times of their images on the service of its queue. */
+    void followImageTimes(JobState &job);
+    /** Learns from a gang that was done, whose run time depends on its slowest worker. */
+    void learnFromGang(const JobState &job, const StepState &step, Milliseconds runTime);
     /** Has the stored parts of a wide job applied, and stores anew what an earlier release has stored as one row. */
     void restoreParts(JobState &job, const StoredParts &parts);
     /** Writes the progress of a task: the row of its part, or of its job unless that is wide. @param durable as saveProgress() */
@@ -226,6 +235,7 @@
     std::vector<std::string> changedJobs_;
     /** The jobs with tasks under which workers have crashed. */
     std::set<std::string> suspectedJobs_;
+    WorkerSpeeds speeds_;
 };
 
 } // namespace auburndoor
--- a/modules/dispatch/JobState.cpp
+++ b/modules/dispatch/JobState.cpp
@@ -12,6 +12,9 @@
 // Bounds of what the due occurrences of one job take of the memory of an entry machine and of a row of the store.
 constexpr std::size_t maxOpenOccurrences = 1000;
 constexpr std::int64_t maxOpenTasks = 20000;
+// Ends are seen up to 0.2 s late, so a learned run time that is as close to the estimate shows no error of the estimate.
+constexpr Milliseconds maxLearningError { 200 };
+constexpr double maxRelativeLearningError = 0.2;
 
 } // namespace
 
@@ -233,11 +236,24 @@
     return longestChain([this](std::size_t step) { return spec.steps[step].estimate; });
 }
 
+Milliseconds JobState::expectedTime(std::size_t step) const
+{
+    const auto estimate = spec.steps[step].estimate;
+    const auto *learned = step < imageTimes.size() ? imageTimes[step].get() : nullptr;
+    if (learned == nullptr || !learned->isLearned) {
+        return estimate;
+    }
+    const auto difference = std::chrono::abs(learned->time - estimate);
+    const bool isConfirmed = difference <= maxLearningError
+                             || static_cast<double>(difference.count())
+                                    <= static_cast<double>(estimate.count()) * maxRelativeLearningError;
+    return isConfirmed ? estimate : learned->time;
+}
+
 Milliseconds JobState::remainingPathTime(const OccurrenceState &occurrence) const
 {
-    return longestChain([this, &occurrence](std::size_t step) {
-        return occurrence.steps[step].isDone() ? Milliseconds(0) : spec.steps[step].estimate;
-    });
+    return longestChain(
+        [this, &occurrence](std::size_t step) { return occurrence.steps[step].isDone() ? Milliseconds(0) : expectedTime(step); });
 }
 
 } // namespace auburndoor
--- a/modules/dispatch/JobState.h
+++ b/modules/dispatch/JobState.h
@@ -2,6 +2,7 @@
 
 #include "core/Clock.h"
 #include "dispatch/CrashLedger.h"
+#include "dispatch/ImageTime.h"
 #include "dispatch/JobPart.h"
 #include "workload/DesiredState.h"
 #include "workload/JobSpec.h"
@@ -9,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -224,6 +226,8 @@
     std::set<JobPart> unstoredParts;
     /** What waits until unstoredParts is empty, for the row to be stored after that. */
     std::vector<std::function<void()>> waitingForParts;
+    /** The learned run times of the steps' images, by step; null for a step without an image. May be empty. */
+    std::vector<std::shared_ptr<const ImageTime>> imageTimes;
 
     /** Adds an occurrence that is not done; it need not be the next one. */
     void addOccurrence(int number, TimePoint now);
@@ -251,9 +255,11 @@
     TimePoint objectiveOf(int occurrence) const;
     /** The time after which completing an occurrence has no value: a fixed multiple of the time allowed by its objective. */
     TimePoint finalDeadlineOf(int occurrence) const;
-    /** The estimated run time of the longest chain of dependent steps. */
+    /** The submitter's estimate of the run time of the longest chain of dependent steps. */
     Milliseconds criticalPathTime() const;
-    /** The estimated run time of the longest chain of those steps of an occurrence that are not done. */
+    /** How long a task of the step takes on a worker of usual speed: as learned, or by the estimate if little is learned. */
+    Milliseconds expectedTime(std::size_t step) const;
+    /** The expected run time of the longest chain of those steps of an occurrence that are not done. */
     Milliseconds remainingPathTime(const OccurrenceState &occurrence) const;
 
 private:
--- a/modules/dispatch/Run.h
+++ b/modules/dispatch/Run.h
@@ -88,6 +88,9 @@
     bool isStartAnswered = false;
     /** The listener did not adopt it, and it is being stopped. */
     bool isUnwanted = false;
+    /** Its whole run time is seen: this owner started it without a checkpoint, knew at once that it ran, and did not throttle it.
+     */
+    bool isMeasurable = false;
 };
 
 /** Why a run is gone without a listed end. */
--- a/modules/dispatch/ServiceCapacity.cpp
+++ b/modules/dispatch/ServiceCapacity.cpp
@@ -47,7 +47,7 @@
     found->worker = &worker;
     found->isUsable = isUsable;
     found->isCollected = false;
-    room = { free, dominantShare(worker.used, worker.entry.capacity), isUsable };
+    room = { free, dominantShare(worker.used, worker.entry.capacity), worker.speed, isUsable };
     if (isUsable) {
         raiseTo(largestFree_, free);
         uncollected_.push_back(id);
@@ -107,13 +107,14 @@
 
 std::vector<WorkerCapacity *> ServiceCapacity::findLeastUtilized(const Resources &need,
                                                                  std::size_t limit,
-                                                                 const std::function<bool(const WorkerCapacity &)> &isWanted)
+                                                                 const std::function<bool(const WorkerCapacity &)> &isWanted,
+                                                                 const SpeedPreference &preference)
 {
     using Entry = std::pair<double, std::size_t>;
     std::vector<Entry> heap;
     for (std::size_t index = 0; index < rooms_.size(); ++index) {
         if (rooms_[index].isUsable && need.fitsIn(rooms_[index].free)) {
-            heap.emplace_back(rooms_[index].utilization, index);
+            heap.emplace_back(rooms_[index].utilization + preference.cost(rooms_[index].speed), index);
         }
     }
     std::make_heap(heap.begin(), heap.end(), std::greater<Entry>());
--- a/modules/dispatch/ServiceCapacity.h
+++ b/modules/dispatch/ServiceCapacity.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dispatch/SpeedPreference.h"
 #include "dispatch/WorkerCapacity.h"
 
 #include <cstdint>
@@ -48,12 +49,14 @@
     /**
         The usable workers that have this much free, the least utilized ones first.
 
-        @param limit    the most workers to return
-        @param isWanted called for workers in this order; false passes over the worker
+        @param limit      the most workers to return
+        @param isWanted   called for workers in this order; false passes over the worker
+        @param preference of the step; its cost of a worker's speed adds to the utilization
     */
     std::vector<WorkerCapacity *> findLeastUtilized(const Resources &need,
                                                     std::size_t limit,
-                                                    const std::function<bool(const WorkerCapacity &)> &isWanted);
+                                                    const std::function<bool(const WorkerCapacity &)> &isWanted,
+                                                    const SpeedPreference &preference = {});
 
     /** Notes that more of a worker may be used than before, as a reservation or plan has ended. */
     void noteGrowth(const std::string &worker);
@@ -91,6 +94,8 @@
         Resources free;
         /** The dominant share in use. */
         double utilization = 0;
+        /** As in WorkerState. */
+        double speed = 1;
         bool isUsable = false;
     };
 
--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -72,6 +72,8 @@
         int tasksLeft = 0;
         /** The advisory service's permit; null if the queue needs none. */
         const StepAdvice::WorkerPermit *permit = nullptr;
+        /** As SpeedPreference::cost(). */
+        double speedCost = 0;
         /** As computeCost(), without what depends on the task. */
         double cost = 0;
     };
@@ -243,8 +245,8 @@
         @param targets   the workers that the request names already
     */
     void addUnknownTargets(StepState &step, int taskCount, std::vector<WorkerCapacity *> &targets);
-    /** Sorts by the dominant share in use, the least used worker first. */
-    static void sortByUtilization(std::vector<WorkerCapacity *> &workerCapacities);
+    /** Sorts by the dominant share in use and the speed, the least used worker first. */
+    static void sortByUtilization(std::vector<WorkerCapacity *> &workerCapacities, const SpeedPreference &preference);
     /** Chooses the workers to name in an advice request and plans tasks for them; empty if no request should be sent now. */
     std::vector<WorkerCapacity *> chooseAdviceTargets(StepState &step, int taskCount, bool isAllOrNothing);
     /** How many more tasks of the step the worker could hold without its other work. */
--- a/modules/dispatch/TaskPlacerAdvice.cpp
+++ b/modules/dispatch/TaskPlacerAdvice.cpp
@@ -86,10 +86,12 @@
         return claim.need.fitsIn(workerCapacity.freeFor(&step, claim.priority));
     };
     auto &serviceCapacity = getServiceCapacity(step);
-    auto targets = serviceCapacity.findLeastUtilized(claim.need, limit, [&](const WorkerCapacity &workerCapacity) {
+    const auto preference = SpeedPreference::of(step, now_);
+    const auto isWanted = [&](const WorkerCapacity &workerCapacity) {
         ++statistics_.workersVisited;
         return hasRoom(workerCapacity) && isUnknown(workerCapacity);
-    });
+    };
+    auto targets = serviceCapacity.findLeastUtilized(claim.need, limit, isWanted, preference);
     // A gang needs several workers at the same time, so full workers are asked for too.
     const bool includesFull = !step.advice.wasRequested || isAllOrNothing;
     const auto right = findPreemptionRight(step);
@@ -109,19 +111,20 @@
         }
     }
     for (auto *others : { &preemptible, &full }) {
-        sortByUtilization(*others);
+        sortByUtilization(*others, preference);
         targets.insert(targets.end(), others->begin(), others->end());
     }
     targets.resize(std::min(targets.size(), limit));
     return targets;
 }
 
-void TaskPlacer::sortByUtilization(std::vector<WorkerCapacity *> &workerCapacities)
+void TaskPlacer::sortByUtilization(std::vector<WorkerCapacity *> &workerCapacities, const SpeedPreference &preference)
 {
     std::vector<std::pair<double, WorkerCapacity *>> ranked;
     ranked.reserve(workerCapacities.size());
     for (auto *workerCapacity : workerCapacities) {
-        ranked.emplace_back(dominantShare(workerCapacity->worker->used, workerCapacity->worker->entry.capacity), workerCapacity);
+        const auto &worker = *workerCapacity->worker;
+        ranked.emplace_back(dominantShare(worker.used, worker.entry.capacity) + preference.cost(worker.speed), workerCapacity);
     }
     std::stable_sort(ranked.begin(), ranked.end(), [](const auto &left, const auto &right) { return left.first < right.first; });
     std::transform(ranked.begin(), ranked.end(), workerCapacities.begin(), [](const auto &entry) { return entry.second; });
--- a/modules/dispatch/TaskPlacerCandidates.cpp
+++ b/modules/dispatch/TaskPlacerCandidates.cpp
@@ -67,10 +67,12 @@
     }
     ++statistics_.stepsSearched;
     const auto runsByWorker = countRunsByWorker(step);
+    const auto preference = SpeedPreference::of(step, now_);
     const auto addCandidate = [&](WorkerCapacity &workerCapacity, const StepAdvice::WorkerPermit *permit) {
         ++statistics_.workersVisited;
         if (auto candidate = makeCandidate(step, workerCapacity, runsByWorker)) {
             candidate->permit = permit;
+            candidate->speedCost = preference.cost(workerCapacity.worker->speed);
             candidates.push_back(*candidate);
         }
     };
@@ -106,7 +108,7 @@
     // Best fit: the base cost is the dominant share left free, at most 1; each preference outweighs it.
     constexpr double remoteDataCost = 10.0;
     constexpr double interferenceCost = 5.0;
-    double result = dominantShare(candidate.free - JobManager::makeClaim(step).need, entry.capacity);
+    double result = dominantShare(candidate.free - JobManager::makeClaim(step).need, entry.capacity) + candidate.speedCost;
     if (!spec.dataRack.empty() && entry.rack() != spec.dataRack) {
         result += remoteDataCost;
     }
--- a/modules/dispatch/TaskPlacerGangs.cpp
+++ b/modules/dispatch/TaskPlacerGangs.cpp
@@ -123,7 +123,7 @@
             usable.push_back(&workerCapacity);
         }
     }
-    sortByUtilization(usable);
+    sortByUtilization(usable, SpeedPreference());
     std::map<std::string, int> members;
     auto missing = static_cast<int>(step.tasks.size());
     for (auto next = usable.begin(); next != usable.end() && missing > 0; ++next) {
--- a/modules/dispatch/TaskPlacerRounds.cpp
+++ b/modules/dispatch/TaskPlacerRounds.cpp
@@ -101,6 +101,7 @@
     hasReadMostWorkers_ = fleet_.hasReadMostWorkers();
     statistics_.workersVisited += static_cast<long long>(fleet_.workers().size());
     for (const auto &[id, worker] : fleet_.workers()) {
+        worker->speed = jobManager_.speeds().speed(worker->entry);
         getServiceCapacity(worker->entry.service).update(*worker, fleet_.isUsable(*worker));
     }
     for (auto &[service, serviceCapacity] : serviceCapacities_) {
@@ -143,7 +144,9 @@
         getServiceCapacity(known->second).remove(id);
         serviceOfWorker_.erase(known);
     }
-    if (worker != nullptr) {
+    if (worker == nullptr) {
+        jobManager_.speeds().forget(id);
+    } else {
         serviceOfWorker_[id] = worker->entry.service;
         getServiceCapacity(worker->entry.service).update(*worker, fleet_.isUsable(*worker));
     }
--- a/modules/dispatch/WorkerState.h
+++ b/modules/dispatch/WorkerState.h
@@ -42,6 +42,8 @@
     /** A report beside the polls is to be requested after a report that has left out runs. */
     bool isProbeScheduled = false;
     TimePoint lastReportAt;
+    /** When the report before that was read. */
+    TimePoint previousReportAt;
     /** When the last restart of the worker was seen. */
     TimePoint restartSeenAt;
     /** Since when another worker answers at its address; empty if none does. */
@@ -73,6 +75,9 @@
     /** Runs that are over, with the time of their removal. Reports may overtake each other, so an older one may still list them. */
     std::map<RunKey, TimePoint> recentlyEndedRuns;
 
+    /** As WorkerSpeeds::speed() at the last full reading, or at the last end of a run on it. */
+    double speed = 1;
+
     /** It is listed in Fleet::takeChangedWorkers(). */
     bool isChangeNoted = false;
 
--- a/tests/fakes/AdoptingFleetListener.h
+++ b/tests/fakes/AdoptingFleetListener.h
@@ -28,6 +28,9 @@
     {
         recorded();
     }
+    void runMeasured(const std::string &, const Run &, Milliseconds) override
+    {
+    }
     void runLost(const std::string &, const RunKey &key, RunLoss loss, CommandOutcome) override
     {
         lost.emplace_back(key, loss);
