Runs on workers that have turned slow are moved, and copies follow learned times

Cause: a run that its worker makes late stayed there until its end unless its step allows copies, and copies were started by the submitter's estimate, whatever the worker and the image.

Copies compare the elapsed time with the expected one at the speed that the worker had when the run started.

--- a/modules/dispatch/Fleet.cpp
+++ b/modules/dispatch/Fleet.cpp
@@ -122,6 +122,7 @@
     run.startedAt = impl_->timers.now();
     run.incarnation = found->entry.incarnation;
     run.isMeasurable = command.checkpoint.empty();
+    run.startSpeed = found->speed;
     found->used += claim.need;
     found->isolatedRuns += claim.isIsolated ? 1 : 0;
     impl_->noteChange(*found);
--- a/modules/dispatch/JobState.cpp
+++ b/modules/dispatch/JobState.cpp
@@ -239,15 +239,20 @@
 Milliseconds JobState::expectedTime(std::size_t step) const
 {
     const auto estimate = spec.steps[step].estimate;
-    const auto *learned = step < imageTimes.size() ? imageTimes[step].get() : nullptr;
-    if (learned == nullptr || !learned->isLearned) {
+    if (!isTimeLearned(step)) {
         return estimate;
     }
-    const auto difference = std::chrono::abs(learned->time - estimate);
+    const auto learned = imageTimes[step]->time;
+    const auto difference = std::chrono::abs(learned - estimate);
     const bool isConfirmed = difference <= maxLearningError
                              || static_cast<double>(difference.count())
                                     <= static_cast<double>(estimate.count()) * maxRelativeLearningError;
-    return isConfirmed ? estimate : learned->time;
+    return isConfirmed ? estimate : learned;
+}
+
+bool JobState::isTimeLearned(std::size_t step) const
+{
+    return step < imageTimes.size() && imageTimes[step] && imageTimes[step]->isLearned;
 }
 
 Milliseconds JobState::remainingPathTime(const OccurrenceState &occurrence) const
--- a/modules/dispatch/JobState.h
+++ b/modules/dispatch/JobState.h
@@ -66,9 +66,11 @@
     FormerRun lastRun;
     /** How often one of its runs was stopped for more urgent work. */
     int preemptionCount = 0;
+    /** One of its runs was stopped since it was too slow to be in time where it ran. */
+    bool wasMoved = false;
     /** When its last run ended or was lost; TimePoint() if none has. */
     TimePoint idleSince;
-    /** The worker on which it last failed; placement prefers others. */
+    /** The worker on which it last failed or was too slow; placement prefers others. */
     std::string failedOn;
     /** The crashes of workers under its runs. */
     CrashLedger crashes;
@@ -259,6 +261,8 @@
     Milliseconds criticalPathTime() const;
     /** How long a task of the step takes on a worker of usual speed: as learned, or by the estimate if little is learned. */
     Milliseconds expectedTime(std::size_t step) const;
+    /** True if enough runs of the step's image have ended, so that its expected time does not rest on the estimate alone. */
+    bool isTimeLearned(std::size_t step) const;
     /** The expected run time of the longest chain of those steps of an occurrence that are not done. */
     Milliseconds remainingPathTime(const OccurrenceState &occurrence) const;
 
--- a/modules/dispatch/Run.h
+++ b/modules/dispatch/Run.h
@@ -91,6 +91,8 @@
     /** Its whole run time is seen: this owner started it without a checkpoint, knew at once that it ran, and did not throttle it.
      */
     bool isMeasurable = false;
+    /** The speed of its worker, as known when it started. */
+    double startSpeed = 1;
 };
 
 /** Why a run is gone without a listed end. */
--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -274,6 +274,13 @@
     void onAdvice(const TaskName &step, const std::vector<std::string> &askedWorkers, const AdviceResult &result);
     /** Starts a copy of each task whose only run is slow, or runs on a worker that does not answer polls. */
     void startSpeculativeCopies(StepState &step);
+    /**
+        Stops runs that save their progress and would miss their objective where they are, but meet it on another worker with room.
+        Once for each task, and few at a time.
+    */
+    void moveSlowRuns(StepState &step);
+    /** True if the run was stopped to go on elsewhere. */
+    bool moveIfSlow(StepState &step, int index, Milliseconds timeLeft);
     /** Logs that a task of a running service has not been at work for long. */
     void reportWaitingServiceTasks(StepState &step);
     /** Finds out what the waiting tasks of a running service wait for. */
@@ -285,6 +292,8 @@
 
     /** Time until a gang is searched for again after a search in vain: each visits several workers for several members. */
     static constexpr Milliseconds gangSearchDelay { 50 };
+    /** The most slow runs that one call of tend() stops, so that a wrong estimate does not stop many. */
+    static constexpr int maxMovesAtOnce = 2;
 
     Timers &timers_;
     JobManager &jobManager_;
@@ -314,6 +323,8 @@
     /** Advice requests that are expected to take this long or longer cannot be sent in this round any more. */
     Milliseconds unsendableAdviceTime_ = Milliseconds::max();
     AdviceShares adviceShares_;
+    /** How many more slow runs may be stopped in this call of tend(). */
+    int movesLeft_ = 0;
     PlacementStatistics statistics_;
     std::shared_ptr<bool> isAlive_;
 };
--- a/modules/dispatch/TaskPlacerMaintenance.cpp
+++ b/modules/dispatch/TaskPlacerMaintenance.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-// A run is slow once it has taken longer than this time and than this multiple of its estimate. It gets a copy if its remaining
-// time is at least the estimate of a new run.
+// A run is slow once it has taken longer than this time and than this multiple of its expected time on a worker of its worker's
+// speed at its start. It gets a copy if its remaining time is at least that of a new run on a worker of usual speed.
 constexpr Milliseconds minElapsedBeforeCopy { 500 };
 constexpr double slowTaskFactor = 1.3;
 // A task of a running service that has not been at work for longer is logged.
@@ -21,6 +21,7 @@
     now_ = timers_.now();
     unreadByService_.clear();
     applyChanges();
+    movesLeft_ = maxMovesAtOnce;
     for (const auto &[id, job] : jobManager_.jobs()) {
         const bool isStartable = mayStart(*job);
         for (auto &[number, occurrence] : job->occurrences) {
@@ -30,6 +31,7 @@
                     continue;
                 }
                 stopRunsOnDrainingWorkers(step);
+                moveSlowRuns(step);
                 if (!step.spec().allowsCopies || step.isDone()) {
                     continue;
                 }
@@ -53,7 +55,7 @@
 
 void TaskPlacer::startSpeculativeCopies(StepState &step)
 {
-    const auto estimate = step.spec().estimate;
+    const auto expected = step.job->expectedTime(static_cast<std::size_t>(step.index));
     auto candidates = std::vector<Candidate>();
     for (std::size_t index = 0; index < step.tasks.size(); ++index) {
         auto &task = step.tasks[index];
@@ -69,9 +71,10 @@
         }
         const auto elapsed = std::chrono::duration_cast<Milliseconds>(now_ - run->confirmedAt);
         const bool isSlow = elapsed > minElapsedBeforeCopy
-                            && static_cast<double>(elapsed.count()) > static_cast<double>(estimate.count()) * slowTaskFactor;
+                            && static_cast<double>(elapsed.count()) * run->startSpeed
+                                   > static_cast<double>(expected.count()) * slowTaskFactor;
         const auto remaining = run->percent <= 0 ? elapsed * 10 : elapsed * (100 - run->percent) / run->percent;
-        if (worker->failedPolls == 0 && (!isSlow || remaining < estimate)) {
+        if (worker->failedPolls == 0 && (!isSlow || remaining < expected)) {
             continue;
         }
         if (candidates.empty()) {
--- a/tests/dispatch/UnevenWorkersTests.cpp
+++ b/tests/dispatch/UnevenWorkersTests.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <map>
 
 using namespace auburndoor;
@@ -44,10 +45,11 @@
     }
 
     /** Runs jobs that fill all workers several times, so that the speeds are learned. */
-    void teach()
+    void teach(int rounds = 12, double time = 600)
     {
-        for (int round = 0; round < 12; ++round) {
+        for (int round = 0; round < rounds; ++round) {
             const auto id = jobIdOf(900 + round);
+            times[id] = time;
             REQUIRE(submit(id, jobBody(static_cast<int>(speeds.size()) * 2, 4000, R"(,"image":"known","estimateMs":600)"))
                     == ClientResult::Outcome::Accepted);
             REQUIRE(runUntil(id, JobStage::Completed, Milliseconds(6000)));
@@ -132,3 +134,53 @@
         CHECK(preference(timeLeft).cost(0.55) == preference(timeLeft).cost(1.2));
     }
 }
+
+// Guards against a job that is late since one of its workers has turned slow, and against moves of runs that gain nothing by them.
+TEST_CASE("a run that its worker makes late is moved once if it saves its progress", "[speeds]")
+{
+    constexpr const char *fields = R"(,"image":"known","estimateMs":3000,"checkpoints":true)";
+    UnevenFixture cell(4);
+    cell.speeds["w100"] = 1;
+    cell.teach(3, 3000);
+    cell.starts.clear();
+    const auto job = jobIdOf(1);
+    cell.times[job] = 3000;
+    cell.speeds["w100"] = 0.1;
+    SECTION("with room on other workers")
+    {
+        REQUIRE(cell.submit(job, jobBody(4, 6000, fields)) == ClientResult::Outcome::Accepted);
+        CHECK(cell.runUntil(job, JobStage::Completed, Milliseconds(9500)));
+        CHECK(cell.starts.size() == 5);
+    }
+    SECTION("not with an estimate alone")
+    {
+        REQUIRE(cell.submit(job, jobBody(4, 6000, R"(,"image":"other","estimateMs":3000,"checkpoints":true)"))
+                == ClientResult::Outcome::Accepted);
+        cell.timers.advance(Milliseconds(12000));
+        CHECK(cell.starts.size() == 4);
+    }
+    SECTION("not without room elsewhere, nor without progress that is saved")
+    {
+        const auto other = jobIdOf(2);
+        cell.times[other] = 60000;
+        const bool isFull = GENERATE(true, false);
+        REQUIRE(cell.submit(job, jobBody(4, 6000, isFull ? fields : R"(,"image":"known","estimateMs":3000)"))
+                == ClientResult::Outcome::Accepted);
+        if (isFull) {
+            REQUIRE(cell.submit(other, jobBody(3, 8000, R"(,"estimateMs":60000)")) == ClientResult::Outcome::Accepted);
+        }
+        cell.timers.advance(Milliseconds(12000));
+        CHECK(cell.stage(job) == JobStage::Running);
+        CHECK(std::count_if(cell.starts.begin(), cell.starts.end(), [&](const auto &start) { return start.task.job == job; }) == 4);
+    }
+    SECTION("not in crowds, and once only")
+    {
+        for (auto &[id, speed] : cell.speeds) {
+            speed = 0.1;
+        }
+        REQUIRE(cell.submit(job, jobBody(4, 4000, fields)) == ClientResult::Outcome::Accepted);
+        cell.timers.advance(Milliseconds(25000));
+        CHECK(cell.starts.size() <= 8);
+    }
+    CHECK(cell.violations().empty());
+}
