Gangs reserve no room on workers that are unlikely to be allowed, and ask for enough workers with room

Cause: in a load of gangs (4 members of 2, 4 or 8 accelerators, 30% of the workers allowed, 715 ms and 10 ms a worker) beside jobs of 16 tasks of one accelerator, gangs of 8 waited for 9.1 s on the average, with 33 of 98 workers empty; for about three quarters of the waiting ones, four empty workers were allowed. Each gang reserved four workers while its first request was pending. The plan held only if all four were allowed (0.3 to the power of 4), and kept the other gangs out for a second. Then 30 workers were named, of which too few were both allowed and free.

Change: a gang plans before the first answer only if the plan holds in half of the cases, by the share that answers have allowed.

--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -251,8 +251,16 @@
     std::vector<WorkerCapacity *> chooseAdviceTargets(StepState &step, int taskCount, bool isAllOrNothing);
     /** How many more tasks of the step the worker could hold without its other work. */
     static int countTasksThatFit(const StepState &step, const WorkerCapacity &workerCapacity);
+    /** How many more tasks of the step the worker has room for now. */
+    static int countTasksWithRoom(const StepState &step, const WorkerCapacity &workerCapacity);
     /**
-        How many workers to name in the next requests of a gang, so that enough of them can be expected to be allowed.
+        False if all the workers on which a gang would be planned are seldom allowed: the plan keeps others of its priority out
+       until the answer, and one worker that is not allowed ends it.
+    */
+    bool mayPlanBeforeAnswer(const StepState &step, const std::vector<WorkerCapacity *> &targets, int taskCount) const;
+    /**
+        How many workers to name in the next requests of a gang, so that enough of them can be expected to be allowed, and of those
+        with room as well.
 
         @param allowed the workers that are known to be allowed
         @param unknown the workers to name, in this order
@@ -292,6 +300,8 @@
 
     /** Time until a gang is searched for again after a search in vain: each visits several workers for several members. */
     static constexpr Milliseconds gangSearchDelay { 50 };
+    /** The chain of work from which a job's objective is derived counts one advice request about this many workers. */
+    static constexpr std::size_t maxWorkersPerRequest = 30;
     /** The most slow runs that one call of tend() stops, so that a wrong estimate does not stop many. */
     static constexpr int maxMovesAtOnce = 2;
 
--- a/modules/dispatch/TaskPlacerAdvice.cpp
+++ b/modules/dispatch/TaskPlacerAdvice.cpp
@@ -11,10 +11,6 @@
 
 // Permits are dropped this long before they expire, since the start command takes time to reach the worker.
 constexpr Milliseconds permitExpiryMargin { 80 };
-// The chain of work from which a job's objective is derived counts one advice request about this many workers.
-constexpr std::size_t maxWorkersPerRequest = 30;
-// The requests of a gang name this many times the workers that are expected to suffice.
-constexpr double gangRequestMargin = 1.3;
 constexpr Milliseconds adviceTimeout { 4000 };
 constexpr Milliseconds adviceRetryDelay { 150 };
 // Time until a step that has found no workers to ask for searches again.
@@ -157,7 +153,7 @@
     if (isAllOrNothing) {
         chosen.resize(std::min(chosen.size(), estimateWorkersToAsk(step, allowed, chosen, taskCount)));
     }
-    if (isFirstRequest || !isAllOrNothing) {
+    if (!isAllOrNothing || (isFirstRequest && mayPlanBeforeAnswer(step, chosen, taskCount))) {
         planTasks(step, chosen, taskCount, isAllOrNothing);
     }
     return chosen;
@@ -175,38 +171,6 @@
     targets.insert(targets.end(), unknown.begin(), unknown.end());
 }
 
-int TaskPlacer::countTasksThatFit(const StepState &step, const WorkerCapacity &workerCapacity)
-{
-    const auto need = JobManager::makeClaim(step).need;
-    const auto &entry = workerCapacity.worker->entry;
-    auto available = entry.capacity;
-    const int maxTasks = countTasksLeft(step, entry.id, countRunsByWorker(step));
-    int count = 0;
-    while (count < maxTasks && need.fitsIn(available)) {
-        available -= need;
-        ++count;
-    }
-    return count;
-}
-
-std::size_t TaskPlacer::estimateWorkersToAsk(const StepState &step,
-                                             const std::vector<WorkerCapacity *> &allowed,
-                                             const std::vector<WorkerCapacity *> &unknown,
-                                             int taskCount) const
-{
-    double missingTasks = taskCount;
-    for (auto next = allowed.begin(); next != allowed.end() && missingTasks > 0; ++next) {
-        missingTasks -= countTasksThatFit(step, **next);
-    }
-    missingTasks *= gangRequestMargin / adviceShares_.allowedShare(step.job->queue.name);
-    std::size_t count = 0;
-    while (count < unknown.size() && missingTasks > 0) {
-        missingTasks -= countTasksThatFit(step, *unknown[count]);
-        ++count;
-    }
-    return std::max(count, maxWorkersPerRequest);
-}
-
 bool TaskPlacer::planTasks(StepState &step,
                            const std::vector<WorkerCapacity *> &workerCapacities,
                            int taskCount,
--- a/tests/dispatch/OwnerFixture.cpp
+++ b/tests/dispatch/OwnerFixture.cpp
@@ -39,11 +39,20 @@
     result.outcome = AdviceResult::Outcome::Answered;
     result.validity = validity;
     for (const auto &worker : request.workers) {
-        if (!denied.contains(worker)) {
+        if (!denied.contains(worker) && (!mayUse || mayUse(request, worker))) {
             result.permits.push_back({ worker, "ticket-" + worker });
         }
     }
-    timers_.after(responseTime, [callback = std::move(callback), result] { callback(result); });
+    ++pending_;
+    timers_.after(takesExpectedTime ? request.expected : responseTime, [this, callback = std::move(callback), result] {
+        --pending_;
+        callback(result);
+    });
+}
+
+bool FakeAdvisor::canSendNow(Milliseconds expected) const
+{
+    return pending_ < maxPending - (expected > longRequest ? reservedForShort : 0);
 }
 
 OwnerFixture::OwnerFixture(Milliseconds clockStart)
@@ -91,15 +100,17 @@
 void OwnerFixture::list(const std::string &id, bool isDraining)
 {
     const auto &entry = fleet.worker(id).entry();
-    const nlohmann::json row { { "service", entry.service },
-                               { "address", entry.address.text() },
-                               { "zone", "z" },
-                               { "state", isDraining ? "draining" : "ready" },
-                               { "capacity",
-                                 { { "cpu", entry.capacity.milliCores }, { "memMb", entry.capacity.memoryMiB }, { "gpu", 0 } } },
-                               { "labels", entry.labels },
-                               { "seq", ++reportCounts_[{ id, entry.incarnation }] },
-                               { "born", entry.incarnation } };
+    const nlohmann::json row {
+        { "service", entry.service },
+        { "address", entry.address.text() },
+        { "zone", "z" },
+        { "state", isDraining ? "draining" : "ready" },
+        { "capacity",
+          { { "cpu", entry.capacity.milliCores }, { "memMb", entry.capacity.memoryMiB }, { "gpu", entry.capacity.accelerators } } },
+        { "labels", entry.labels },
+        { "seq", ++reportCounts_[{ id, entry.incarnation }] },
+        { "born", entry.incarnation }
+    };
     store.write("servers", id, row.dump());
 }
 
@@ -108,6 +119,11 @@
     store.remove("servers", id);
 }
 
+void OwnerFixture::addQueue(const QueueSpec &queue)
+{
+    desiredState_.queues.push_back(queue);
+}
+
 void OwnerFixture::moveQueue(const std::string &queue, const std::string &service)
 {
     ++desiredState_.version;
@@ -233,7 +249,10 @@
     return checker_.violations;
 }
 
-ClientResult::Outcome OwnerFixture::submit(const std::string &id, const std::string &body, const std::string &queue)
+void OwnerFixture::submitWithoutWaiting(const std::string &id,
+                                        const std::string &body,
+                                        const std::string &queue,
+                                        std::function<void(const ClientResult &)> onAnswer)
 {
     std::string error;
     if (auto spec = protocol_.readJob(body, error)) {
@@ -244,8 +263,13 @@
     call.queue = queue;
     call.job = id;
     call.body = body;
+    owner->call(call, std::move(onAnswer));
+}
+
+ClientResult::Outcome OwnerFixture::submit(const std::string &id, const std::string &body, const std::string &queue)
+{
     auto answer = std::make_shared<std::optional<ClientResult::Outcome>>();
-    owner->call(call, [answer](const ClientResult &result) { *answer = result.outcome; });
+    submitWithoutWaiting(id, body, queue, [answer](const ClientResult &result) { *answer = result.outcome; });
     for (int step = 0; step < 200 && !*answer; ++step) {
         timers.advance(timeStep);
     }
--- a/tests/dispatch/OwnerFixture.h
+++ b/tests/dispatch/OwnerFixture.h
@@ -10,6 +10,8 @@
 #include "fakes/StartChecker.h"
 #include "workload/StoreTimeline.h"
 
+#include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <set>
@@ -27,6 +29,7 @@
     }
 
     void ask(const AdviceRequest &request, Callback callback) override;
+    bool canSendNow(Milliseconds expected) const override;
 
     /** Workers that no step may use. */
     std::set<std::string> denied;
@@ -35,9 +38,19 @@
     Milliseconds responseTime { 20 };
     /** How long the permits of an answer are valid. */
     Milliseconds validity { 1500 };
+    /** Decides whether a step may use a worker, besides denied; may be empty. */
+    std::function<bool(const AdviceRequest &, const std::string &worker)> mayUse;
+    /** An answer takes the expected time of its request in place of responseTime. */
+    bool takesExpectedTime = false;
+    /** The most requests in flight: one for each process of the cell. */
+    int maxPending = std::numeric_limits<int>::max();
+    /** Requests that are expected to take longer than longRequest leave this many processes free. */
+    int reservedForShort = 0;
+    static constexpr Milliseconds longRequest { 500 };
 
 private:
     Timers &timers_;
+    int pending_ = 0;
 };
 
 /** A cell with one active owner and simulated workers, in simulated time. Each start on a worker is checked. */
@@ -55,6 +68,9 @@
     /** Removes the directory entry of a worker. */
     void unlist(const std::string &id);
 
+    /** Adds a queue before the first owner takes over. */
+    void addQueue(const QueueSpec &queue);
+
     /** Applies a new version of the desired state that sends a queue to another service. */
     void moveQueue(const std::string &queue, const std::string &service);
 
@@ -91,6 +107,11 @@
     /** Submits a job and advances the time until it is answered, for four seconds at most; Unknown if there is no answer by then.
      */
     ClientResult::Outcome submit(const std::string &id, const std::string &body, const std::string &queue = "normal");
+    /** Submits a job, and calls back with the answer, possibly before this call returns. */
+    void submitWithoutWaiting(const std::string &id,
+                              const std::string &body,
+                              const std::string &queue,
+                              std::function<void(const ClientResult &)> onAnswer);
     ClientResult::Outcome cancel(const std::string &id);
     std::optional<JobStage> stage(const std::string &id);
     /** Advances the time until the job has this stage. @return false if it does not have it within the limit */
