--- a/modules/dispatch/Fleet.cpp
+++ b/modules/dispatch/Fleet.cpp
@@ -124,6 +124,7 @@
     run.isMeasurable = command.checkpoint.empty();
     run.startSpeed = found->speed;
     found->used += claim.need;
+    impl_->accountUsage.add(claim);
     found->isolatedRuns += claim.isIsolated ? 1 : 0;
     impl_->noteChange(*found);
     found->runs.emplace(key, run);
@@ -215,6 +216,11 @@
     return impl_->workers;
 }
 
+const AccountUsage &Fleet::accountUsage() const
+{
+    return impl_->accountUsage;
+}
+
 std::vector<std::string> Fleet::takeChangedWorkers()
 {
     for (const auto &id : impl_->changedWorkers) {
--- a/modules/dispatch/JobManager.h
+++ b/modules/dispatch/JobManager.h
@@ -2,6 +2,7 @@
 
 #include "dispatch/CommitQueue.h"
 #include "dispatch/Fleet.h"
+#include "dispatch/InheritedTasks.h"
 #include "dispatch/JobPart.h"
 #include "dispatch/JobState.h"
 #include "dispatch/TaskRecordCodec.h"
@@ -50,6 +51,8 @@
     std::chrono::milliseconds endedAt { 0 };
     /** The end is stored, so that clients may be told. */
     bool isStored = false;
+    /** As JobSpec::account. */
+    std::string account;
 };
 
 /**
@@ -87,6 +90,8 @@
     /** Adds an ended job from its stored end. */
     void restoreEnded(const std::string &id, const EndedJob &ended);
 
+    /** Reads the stored description of a job that an earlier owner has ended: its runs may still be on their workers. */
+    void restoreEndedDescription(const std::string &id, const std::string &description);
     /** Removes the stored description of a job whose end is stored. */
     void dropDescription(const std::string &id);
     /** Removes a stored part of a job that has ended, or of an occurrence that is done. */
@@ -104,6 +109,8 @@
     void abandonSubmissions();
     /** The stage to show to clients; empty if there is no such job. */
     std::optional<JobStage> shownStage(const std::string &id) const;
+    /** The client account that a job belongs to, whatever its stage; empty if it has none or if there is no such job. */
+    std::string accountOf(const std::string &id) const;
     /** Accepted jobs of a queue of which no task has started. */
     int pendingCount(const std::string &queue) const;
 
@@ -142,6 +149,7 @@
     // FleetListener.
     std::optional<RunClaim> adoptRun(const std::string &worker, const RunningTask &running) override;
     std::optional<ReadoptedRun> readoptRun(const std::string &worker, const RunningTask &running) override;
+    RunClaim claimOfUnwanted(const RunningTask &running) const override;
     void runConfirmed(const std::string &worker, const Run &run) override;
     void runEnded(const std::string &worker, const EndedTask &ended, std::function<void()> recorded) override;
     void runMeasured(const std::string &worker, const Run &run, Milliseconds runTime) override;
@@ -191,6 +199,8 @@
         @return         to be called once that row is stored; calls what waited for the parts
     */
     std::function<void()> closeParts(JobState &job, const std::function<bool(const JobPart &)> &isClosed);
+    /** The progress row of a job that has ended. */
+    static std::string endRecord(const EndedJob &ended);
     /** The first text that fits into a row of the store, of those with less and less detail; the last one if none fits. */
     std::string fitRow(const std::string &id, const std::function<std::string(RecordDetail)> &text) const;
     /** Notes that a task of the job runs or has run; a job that is still being recorded is left as it is. */
@@ -231,6 +241,8 @@
     Fleet *fleet_ = nullptr;
     std::map<std::string, std::unique_ptr<JobState>> jobs_;
     std::map<std::string, EndedJob> ended_;
+    /** The inherited jobs of accounts that have ended, while workers may have runs of them that are not known; by job. */
+    std::map<std::string, InheritedTasks> endedInheritedTasks_;
     std::map<std::string, std::vector<SubmitCallback>> submitCallbacks_;
     std::vector<std::string> changedJobs_;
     /** The jobs with tasks under which workers have crashed. */
--- a/modules/dispatch/TaskPlacerStragglers.cpp
+++ b/modules/dispatch/TaskPlacerStragglers.cpp
@@ -23,6 +23,10 @@
         return;
     }
     const auto &job = *step.job;
+    // A run that is stopped while its account is at its limit, as after the limit was lowered, might not start again.
+    if (quotas_.isAtLimit(step, now_)) {
+        return;
+    }
     // By an estimate alone, a slow worker cannot be told from a task that takes longer than its submitter thought.
     if (!job.isTimeLearned(static_cast<std::size_t>(step.index))) {
         return;
--- a/modules/entry/PeerCodec.cpp
+++ b/modules/entry/PeerCodec.cpp
@@ -1,6 +1,7 @@
 #include "entry/PeerCodec.h"
 
 #include "core/BoundedJson.h"
+#include "core/TextEncoding.h"
 
 #include <nlohmann/json.hpp>
 
@@ -165,7 +166,7 @@
     request.headers = { { "Call-Kind", std::to_string(static_cast<int>(call.kind)) },
                         { "Call-Queue", call.queue },
                         { "Call-Job", call.job },
-                        { "Call-Account", call.account },
+                        { "Call-Account", toBase64(call.account) },
                         { "Call-Patience", std::to_string(call.timeout.count()) },
                         { "Call-Hold", std::to_string(call.ownerWaitLimit.count()) } };
     return request;
@@ -187,20 +188,27 @@
     }
     call.queue = request.header("call-queue");
     call.job = request.header("call-job");
-    call.account = request.header("call-account");
+    // Encoded, as the name may have characters that a header does not carry. Absent in the calls of earlier releases.
+    auto account = fromBase64(request.header("call-account"));
+    if (!account) {
+        return std::nullopt;
+    }
+    call.account = std::move(*account);
     call.body = request.body;
     return call;
 }
 
 WebReply PeerCodec::callReply(const ClientResult &result)
 {
-    return { 200,
-             dump({ { "outcome", static_cast<int>(result.outcome) },
-                    { "stage", static_cast<int>(result.stage) },
-                    { "pending", result.pending },
-                    { "retry", result.retryAfter.count() },
-                    { "detail", result.detail } }),
-             {} };
+    Json json { { "outcome", static_cast<int>(result.outcome) },
+                { "stage", static_cast<int>(result.stage) },
+                { "pending", result.pending },
+                { "retry", result.retryAfter.count() },
+                { "detail", result.detail } };
+    if (result.keyRefusal != KeyRefusal::None) {
+        json["key_refusal"] = static_cast<int>(result.keyRefusal);
+    }
+    return { 200, dump(json), {} };
 }
 
 std::optional<ClientResult> PeerCodec::readCallReply(const WebReply &reply)
@@ -218,6 +226,10 @@
         result.pending = json.at("pending").get<int>();
         result.retryAfter = readDuration(json.at("retry"));
         result.detail = json.at("detail").get<std::string>();
+        // Absent in the replies of earlier releases. A cause that is not known here is not counted.
+        const int refusal = json.value("key_refusal", 0);
+        const bool isKnown = refusal > 0 && refusal <= static_cast<int>(KeyRefusal::OtherAccount);
+        result.keyRefusal = isKnown ? static_cast<KeyRefusal>(refusal) : KeyRefusal::None;
         return result;
     });
 }
--- a/tests/dispatch/OwnerFixture.cpp
+++ b/tests/dispatch/OwnerFixture.cpp
@@ -133,6 +133,15 @@
     owner->setDesiredState(desiredState_);
 }
 
+void OwnerFixture::setAccounts(std::vector<ClientAccount> accounts)
+{
+    ++desiredState_.version;
+    desiredState_.accounts = std::move(accounts);
+    if (owner) {
+        owner->setDesiredState(desiredState_);
+    }
+}
+
 void OwnerFixture::removeQueue(const std::string &queue)
 {
     ++desiredState_.version;
@@ -262,6 +271,7 @@
     call.kind = ClientCall::Kind::Submit;
     call.queue = queue;
     call.job = id;
+    call.account = account;
     call.body = body;
     owner->call(call, std::move(onAnswer));
 }
