--- a/modules/dispatch/ImageTime.h
+++ b/modules/dispatch/ImageTime.h
@@ -12,6 +12,8 @@
     SampleWindow samples;
     /** On a worker of usual speed; valid if isLearned. */
     Milliseconds time { 0 };
+    /** The last time that was reported as a change; zero before. */
+    Milliseconds reportedTime { 0 };
     /** Enough runs have ended. */
     bool isLearned = false;
     /** When a job with the image was submitted last, or a run of it ended. */
--- a/modules/dispatch/JobManager.h
+++ b/modules/dispatch/JobManager.h
@@ -145,6 +145,7 @@
 
     /** The speeds of the workers and the run times of images. */
     WorkerSpeeds &speeds();
+    const WorkerSpeeds &speeds() const;
 
     // FleetListener.
     std::optional<RunClaim> adoptRun(const std::string &worker, const RunningTask &running) override;
--- a/modules/dispatch/JobManagerSpeeds.cpp
+++ b/modules/dispatch/JobManagerSpeeds.cpp
@@ -13,6 +13,8 @@
 // Speeds are logged in thousandths, as numbers in the log are integers.
 constexpr double loggedSpeedUnit = 0.001;
 
+// Longer names come from nobody who wants them learned, and would take memory.
+constexpr std::size_t maxImageName = 256;
 // The report of an end may be late by more than a run that is as short has taken.
 constexpr Milliseconds minMeasuredTime { 50 };
 
@@ -21,6 +23,11 @@
     return std::llround(speed / loggedSpeedUnit);
 }
 
+bool hasLearnableImage(const StepSpec &step)
+{
+    return !step.image.empty() && step.image.size() <= maxImageName;
+}
+
 /** True if tasks of the step run at the full speed of their worker, as far as the scheduler can tell. */
 bool isRepresentative(const StepSpec &step, const WorkerEntry &worker)
 {
@@ -28,6 +35,17 @@
     return isLocal && !step.isService && !step.fillsIdleCapacity;
 }
 
+void logImageTime(const std::string &service, const StepSpec &step, const WorkerSpeeds::Changes &changes)
+{
+    if (changes.imageTime) {
+        EventLog::writeRateLimited("image.time",
+                                   { { "image", step.image },
+                                     { "service", service },
+                                     { "time_ms", changes.imageTime->count() },
+                                     { "estimate_ms", step.estimate.count() } });
+    }
+}
+
 } // namespace
 
 WorkerSpeeds &JobManager::speeds()
@@ -35,11 +53,17 @@
     return speeds_;
 }
 
+const WorkerSpeeds &JobManager::speeds() const
+{
+    return speeds_;
+}
+
 void JobManager::followImageTimes(JobState &job)
 {
     job.imageTimes.clear();
     for (const auto &step : job.spec.steps) {
-        job.imageTimes.push_back(step.image.empty() ? nullptr : speeds_.imageTime(job.queue.service, step.image, timers_.now()));
+        job.imageTimes.push_back(hasLearnableImage(step) ? speeds_.imageTime(job.queue.service, step.image, timers_.now())
+                                                         : nullptr);
     }
 }
 
@@ -53,21 +77,22 @@
         return;
     }
     const auto &spec = step->spec();
-    if (spec.image.empty() || !isRepresentative(spec, worker->entry)) {
+    if (!hasLearnableImage(spec) || !isRepresentative(spec, worker->entry)) {
         return;
     }
     if (spec.isGang) {
         learnFromGang(*job, *step, runTime);
         return;
     }
-    const auto change = speeds_.addEnd(worker->entry, spec.image, runTime, timers_.now());
+    const auto changes = speeds_.addEnd(worker->entry, spec.image, runTime, timers_.now());
     worker->speed = speeds_.speed(worker->entry);
-    if (change) {
+    logImageTime(job->queue.service, spec, changes);
+    if (changes.speed) {
         EventLog::writeRateLimited("worker.speed",
                                    { { "worker", id },
                                      { "service", worker->entry.service },
-                                     { "before_thousandths", toLogged(change->before) },
-                                     { "after_thousandths", toLogged(change->after) } });
+                                     { "before_thousandths", toLogged(changes.speed->first) },
+                                     { "after_thousandths", toLogged(changes.speed->second) } });
     }
 }
 
@@ -90,7 +115,8 @@
     if (racks.empty() || (step.spec().prefersOneRack && racks.size() > 1)) {
         return;
     }
-    speeds_.addGangEnd(job.queue.service, step.spec().image, runTime, slowest, timers_.now());
+    const auto &service = job.queue.service;
+    logImageTime(service, step.spec(), speeds_.addGangEnd(service, step.spec().image, runTime, slowest, timers_.now()));
 }
 
 } // namespace auburndoor
--- a/modules/dispatch/WorkerSpeeds.cpp
+++ b/modules/dispatch/WorkerSpeeds.cpp
@@ -118,11 +118,17 @@
     return found == kinds_.end() || found->second.count == 0 ? meanOfService(service) : found->second.mean();
 }
 
-void WorkerSpeeds::addImageSample(ImageTime &image, const std::string &service, double logTime)
+std::optional<Milliseconds> WorkerSpeeds::addImageSample(ImageTime &image, const std::string &service, double logTime)
 {
     image.samples.add(logTime);
     image.isLearned = image.samples.size() >= minImageEnds;
     image.time = Milliseconds(std::llround(std::exp(image.samples.median(0, 0) - meanOfService(service))));
+    const bool isReported = image.reportedTime > Milliseconds(0);
+    if (!image.isLearned || (isReported && std::abs(logarithm(image.time) - logarithm(image.reportedTime)) < minLogReport)) {
+        return std::nullopt;
+    }
+    image.reportedTime = image.time;
+    return image.time;
 }
 
 void WorkerSpeeds::addWorkerSample(Worker &worker, double logSpeed)
@@ -145,10 +151,7 @@
     count(worker, 1);
 }
 
-std::optional<WorkerSpeeds::Change> WorkerSpeeds::addEnd(const WorkerEntry &entry,
-                                                         const std::string &image,
-                                                         Milliseconds runTime,
-                                                         TimePoint now)
+WorkerSpeeds::Changes WorkerSpeeds::addEnd(const WorkerEntry &entry, const std::string &image, Milliseconds runTime, TimePoint now)
 {
     auto &worker = findOrAddWorker(entry);
     auto &known = findOrAddImage({ entry.service, image }, now);
@@ -156,24 +159,24 @@
     if (known.isLearned) {
         addWorkerSample(worker, known.samples.median(0, 0) - logTime);
     }
-    addImageSample(known, entry.service, logTime + worker.logSpeed);
-    if (!worker.isLearned || std::abs(worker.logSpeed - worker.reportedLogSpeed) < minLogReport) {
-        return std::nullopt;
+    Changes changes;
+    changes.imageTime = addImageSample(known, entry.service, logTime + worker.logSpeed);
+    if (worker.isLearned && std::abs(worker.logSpeed - worker.reportedLogSpeed) >= minLogReport) {
+        const auto mean = meanOfService(entry.service);
+        changes.speed = { std::exp(worker.reportedLogSpeed - mean), std::exp(worker.logSpeed - mean) };
+        worker.reportedLogSpeed = worker.logSpeed;
     }
-    const auto mean = meanOfService(entry.service);
-    const Change change { std::exp(worker.reportedLogSpeed - mean), std::exp(worker.logSpeed - mean) };
-    worker.reportedLogSpeed = worker.logSpeed;
-    return change;
+    return changes;
 }
 
-void WorkerSpeeds::addGangEnd(const std::string &service,
-                              const std::string &image,
-                              Milliseconds runTime,
-                              double slowestSpeed,
-                              TimePoint now)
+WorkerSpeeds::Changes WorkerSpeeds::addGangEnd(const std::string &service,
+                                               const std::string &image,
+                                               Milliseconds runTime,
+                                               double slowestSpeed,
+                                               TimePoint now)
 {
     const auto logSpeed = std::log(slowestSpeed) + meanOfService(service);
-    addImageSample(findOrAddImage({ service, image }, now), service, logarithm(runTime) + logSpeed);
+    return { std::nullopt, addImageSample(findOrAddImage({ service, image }, now), service, logarithm(runTime) + logSpeed) };
 }
 
 double WorkerSpeeds::relativeLogSpeed(const std::string &service, const std::string &kind, const Worker *worker) const
@@ -192,10 +195,10 @@
     return logSpeed == 0.0 ? 1.0 : std::exp(std::clamp(logSpeed, -maxLogSpeed, maxLogSpeed));
 }
 
-std::pair<std::size_t, std::size_t> WorkerSpeeds::countImages() const
+std::size_t WorkerSpeeds::learnedImageCount() const
 {
-    const auto learned = std::count_if(images_.begin(), images_.end(), [](const auto &entry) { return entry.second->isLearned; });
-    return { images_.size(), static_cast<std::size_t>(learned) };
+    return static_cast<std::size_t>(
+        std::count_if(images_.begin(), images_.end(), [](const auto &entry) { return entry.second->isLearned; }));
 }
 
 } // namespace auburndoor
--- a/modules/dispatch/WorkerSpeeds.h
+++ b/modules/dispatch/WorkerSpeeds.h
@@ -33,11 +33,13 @@
     /** The ends after which a worker's own speed counts. */
     static constexpr std::size_t minWorkerEnds = 3;
 
-    /** A notable change of a worker's speed since the last one that was reported. */
-    struct Change
+    /** What an end has changed notably since the last change that was reported: each is worth a line in the log. */
+    struct Changes
     {
-        double before = 1;
-        double after = 1;
+        /** The speed of the worker, before and after. */
+        std::optional<std::pair<double, double>> speed;
+        /** The run time of the image, also once it is learned. */
+        std::optional<Milliseconds> imageTime;
     };
 
     /**
@@ -51,12 +53,15 @@
         Follows the end of a run that was done.
 
         @param runTime of the whole task, without a resumed part or throttled time
-        @return        a change of the worker's speed that is worth a line in the log
     */
-    std::optional<Change> addEnd(const WorkerEntry &worker, const std::string &image, Milliseconds runTime, TimePoint now);
+    Changes addEnd(const WorkerEntry &worker, const std::string &image, Milliseconds runTime, TimePoint now);
 
     /** As addEnd() for a gang, whose run time depends on its slowest worker. @param slowestSpeed of the workers of its members */
-    void addGangEnd(const std::string &service, const std::string &image, Milliseconds runTime, double slowestSpeed, TimePoint now);
+    Changes addGangEnd(const std::string &service,
+                       const std::string &image,
+                       Milliseconds runTime,
+                       double slowestSpeed,
+                       TimePoint now);
 
     /** The relative speed of a worker: the mean of its kind until enough runs have ended on this incarnation, else 1. */
     double speed(const WorkerEntry &worker) const;
@@ -64,8 +69,13 @@
     /** Forgets a worker that is gone. */
     void forget(const std::string &worker);
 
-    /** The number of images whose run times are kept, and the number of those that are learned. */
-    std::pair<std::size_t, std::size_t> countImages() const;
+    /** The number of images whose run times are kept. */
+    std::size_t imageCount() const
+    {
+        return images_.size();
+    }
+    /** The number of images whose run times are learned. */
+    std::size_t learnedImageCount() const;
 
 private:
     struct Worker
@@ -103,7 +113,8 @@
     /** The mean of a kind if some worker of it is learned, else that of the service; logarithmic. */
     double meanOfKind(const std::string &service, const std::string &kind) const;
     double meanOfService(const std::string &service) const;
-    void addImageSample(ImageTime &image, const std::string &service, double logTime);
+    /** @return the new time if it has changed notably */
+    std::optional<Milliseconds> addImageSample(ImageTime &image, const std::string &service, double logTime);
     void addWorkerSample(Worker &worker, double logSpeed);
     /** The logarithmic speed of a worker in relation to the service, once differences that noise can make are left out. */
     double relativeLogSpeed(const std::string &service, const std::string &kind, const Worker *worker) const;
--- a/modules/entry/Owner.cpp
+++ b/modules/entry/Owner.cpp
@@ -282,6 +282,7 @@
         metrics.setGauge("workers_usable", count, "service=" + service);
         metrics.setGauge("runs", running[service], "service=" + service);
     }
+    impl_->updateSpeedMetrics(metrics);
     metrics.setGauge("overloaded", impl_->admission.isOverloaded() ? 1 : 0);
     metrics.setGauge("jobs_not_begun", impl_->notBegunCount());
     metrics.setGauge("jobs_begun_per_second", impl_->beginRate);
--- a/modules/entry/OwnerImpl.h
+++ b/modules/entry/OwnerImpl.h
@@ -43,6 +43,8 @@
     void reportPlacement();
     /** Logs a lasting lack of confirmation by the store, and the wait of inherited jobs for unread workers. */
     void reportOwnership();
+    /** Sets the gauges for the speeds of workers and the run times of images. */
+    void updateSpeedMetrics(Metrics &metrics) const;
     OwnershipReport::Workers countWorkers() const;
     void handleCall(const ClientCall &call, Callback callback);
     void answerQuery(const ClientCall &call, Callback callback);
--- a/tests/dispatch/UnevenWorkersTests.cpp
+++ b/tests/dispatch/UnevenWorkersTests.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/OwnerFixture.h"
 #include "dispatch/SpeedPreference.h"
 #include "fakes/JobIds.h"
+#include "observability/Metrics.h"
 
 #include <catch2/catch.hpp>
 
@@ -184,3 +185,16 @@
     }
     CHECK(cell.violations().empty());
 }
+
+// Guards against names of images that a client sends to fill the owner's memory.
+TEST_CASE("images with very long names are not learned", "[speeds]")
+{
+    UnevenFixture cell(4);
+    const auto body = jobBody(16, 1000, R"(,"image":")" + std::string(300, 'x') + R"(")");
+    REQUIRE(cell.submit(jobIdOf(1), body) == ClientResult::Outcome::Accepted);
+    REQUIRE(cell.submit(jobIdOf(2), jobBody(16, 1000, R"(,"image":"known")")) == ClientResult::Outcome::Accepted);
+    REQUIRE(cell.runUntil(jobIdOf(1), JobStage::Completed, Milliseconds(6000)));
+    Metrics metrics;
+    cell.owner->updateMetrics(metrics);
+    CHECK(metrics.text().find("images 1\n") != std::string::npos);
+}
