--- a/modules/dispatch/Fleet.cpp
+++ b/modules/dispatch/Fleet.cpp
@@ -122,6 +122,8 @@
     run.startedAt = impl_->timers.now();
     run.noteCheckpoint(command.checkpoint, TimePoint());
     run.incarnation = found->entry.incarnation;
+    run.isMeasurable = command.checkpoint.empty();
+    run.startSpeed = found->speed;
     found->used += claim.need;
     impl_->accountUsage.add(key, claim);
     found->isolatedRuns += claim.isIsolated ? 1 : 0;
@@ -167,6 +169,7 @@
         return;
     }
     found->speedPercent = percent;
+    found->isMeasurable = false;
     worker(id)->client->throttle(key.task, key.attempt, percent, [impl = impl_, id, key](const WorkerClient::Reply &reply) {
         if (impl->isClosed || reply.outcome == CommandOutcome::Accepted) {
             return;
--- a/modules/dispatch/Run.h
+++ b/modules/dispatch/Run.h
@@ -92,6 +92,11 @@
     bool isStartAnswered = false;
     /** The listener did not adopt it, and it is being stopped. */
     bool isUnwanted = false;
+    /** Its whole run time is seen: this owner started it without a checkpoint, knew at once that it ran, and did not throttle it.
+     */
+    bool isMeasurable = false;
+    /** The speed of its worker, as known when it started. */
+    double startSpeed = 1;
 
     /** Notes the checkpoint that a report shows; empty if there is none. */
     void noteCheckpoint(const std::string &checkpoint, TimePoint now);
--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -86,6 +86,8 @@
         int tasksLeft = 0;
         /** The advisory service's permit; null if the queue needs none. */
         const StepAdvice::WorkerPermit *permit = nullptr;
+        /** As SpeedPreference::cost(). */
+        double speedCost = 0;
         /** As computeCost(), without what depends on the task. */
         double cost = 0;
     };
@@ -296,14 +298,22 @@
         @param targets   the workers that the request names already
     */
     void addUnknownTargets(StepState &step, int taskCount, std::vector<WorkerCapacity *> &targets);
-    /** Sorts by the dominant share in use, the least used worker first. */
-    static void sortByUtilization(std::vector<WorkerCapacity *> &workerCapacities);
+    /** Sorts by the dominant share in use and the speed, the least used worker first. */
+    static void sortByUtilization(std::vector<WorkerCapacity *> &workerCapacities, const SpeedPreference &preference);
     /** Chooses the workers to name in an advice request and plans tasks for them; empty if no request should be sent now. */
     std::vector<WorkerCapacity *> chooseAdviceTargets(StepState &step, int taskCount, bool isAllOrNothing);
     /** How many more tasks of the step the worker could hold without its other work. */
     static int countTasksThatFit(const StepState &step, const WorkerCapacity &workerCapacity);
+    /** How many more tasks of the step the worker has room for now. */
+    static int countTasksWithRoom(const StepState &step, const WorkerCapacity &workerCapacity);
     /**
-        How many workers to name in the next requests of a gang, so that enough of them can be expected to be allowed.
+        False if all the workers on which a gang would be planned are seldom allowed: the plan keeps others of its priority out
+       until the answer, and one worker that is not allowed ends it.
+    */
+    bool mayPlanBeforeAnswer(const StepState &step, const std::vector<WorkerCapacity *> &targets, int taskCount) const;
+    /**
+        How many workers to name in the next requests of a gang, so that enough of them can be expected to be allowed, and of those
+        with room as well.
 
         @param allowed the workers that are known to be allowed
         @param unknown the workers to name, in this order
@@ -325,6 +335,13 @@
     void onAdvice(const TaskName &step, const std::vector<std::string> &askedWorkers, const AdviceResult &result);
     /** Starts a copy of each task whose only run is slow, or runs on a worker that does not answer polls. */
     void startSpeculativeCopies(StepState &step);
+    /**
+        Stops runs that save their progress and would miss their objective where they are, but meet it on another worker with room.
+        Once for each task, and few at a time.
+    */
+    void moveSlowRuns(StepState &step);
+    /** True if the run was stopped to go on elsewhere. */
+    bool moveIfSlow(StepState &step, int index, Milliseconds timeLeft);
     /** Logs that a task of a running service has not been at work for long. */
     void reportWaitingServiceTasks(StepState &step);
     /** Finds out what the waiting tasks of a running service wait for. */
@@ -336,6 +353,10 @@
 
     /** Time until a gang is searched for again after a search in vain: each visits several workers for several members. */
     static constexpr Milliseconds gangSearchDelay { 50 };
+    /** The chain of work from which a job's objective is derived counts one advice request about this many workers. */
+    static constexpr std::size_t maxWorkersPerRequest = 30;
+    /** The most slow runs that one call of tend() stops, so that a wrong estimate does not stop many. */
+    static constexpr int maxMovesAtOnce = 2;
 
     Timers &timers_;
     JobManager &jobManager_;
@@ -365,6 +386,8 @@
     /** Advice requests that are expected to take this long or longer cannot be sent in this round any more. */
     Milliseconds unsendableAdviceTime_ = Milliseconds::max();
     AdviceShares adviceShares_;
+    /** How many more slow runs may be stopped in this call of tend(). */
+    int movesLeft_ = 0;
     AccountQuotas quotas_;
     /** The order of the waiting work of each service, and what the present reading of all jobs has found for it. */
     std::map<std::string, ScarcityOrder> scarcityByService_;
--- a/modules/dispatch/TaskPlacerLimits.cpp
+++ b/modules/dispatch/TaskPlacerLimits.cpp
@@ -1,3 +1,5 @@
+#include "dispatch/PreemptionRules.h"
+#include "dispatch/PreemptionValue.h"
 #include "dispatch/TaskPlacer.h"
 
 #include <algorithm>
@@ -18,11 +20,8 @@
     struct Candidate
     {
         std::string worker;
-        RunKey key;
-        /** What its end gives back of the limit. */
-        Resources need;
-        int priority = 0;
-        PreemptionCost cost = PreemptionCost::Excessive;
+        /** Its need is what its end gives back of the limit. */
+        PreemptibleRun run;
     };
 
     /** What the use will be more than now, once stops have taken effect and the work that they are for has started. */
@@ -41,7 +40,7 @@
     for (const auto &[rank, step] : readySteps_.entries()) {
         // With advice, a stop on some worker does not tell that the step may use that one.
         const bool mayStart = step->job->stage != JobStage::Recording && !rank.isLost && !step->job->queue.advice;
-        if (mayStart && quotas_.isAtLimit(*step, now_) && preemptionRight(*step) && steps.size() < maxStepsPerReading) {
+        if (mayStart && quotas_.isAtLimit(*step, now_) && preemptionRightOf(*step, now_) && steps.size() < maxStepsPerReading) {
             steps.push_back(step);
             runsByAccount.try_emplace(step->job->spec.account);
         }
@@ -67,42 +66,47 @@
                 found->second.expectedChange -= run.claim.accountNeed;
             } else if (run.phase == Run::Phase::Running && run.claim.isPreemptible) {
                 found->second.candidates.push_back(
-                    { id, key, run.claim.accountNeed, run.claim.priority, computePreemptionCost(run) });
+                    { id, { key, run.claim.accountNeed, run.claim.priority, computeStopCost(run) } });
             }
         }
     }
     for (auto &[account, runs] : runsByAccount) {
         std::stable_sort(runs.candidates.begin(), runs.candidates.end(), [](const auto &left, const auto &right) {
-            return std::tuple(left.priority, left.need.accelerators, left.need.milliCores)
-                   > std::tuple(right.priority, right.need.accelerators, right.need.milliCores);
+            const auto order = [](const PreemptibleRun &run) {
+                return std::tuple(run.priority, run.need.accelerators, run.need.milliCores);
+            };
+            return order(left.run) > order(right.run);
         });
     }
 }
 
 void TaskPlacer::preemptOwnRuns(StepState &step, OwnRuns &runs)
 {
-    const auto right = preemptionRight(step);
+    const auto right = preemptionRightOf(step, now_);
     const int wanted = countIdleTasks(step);
     const int fewest = step.spec().isGang ? wanted : 1;
     const auto &need = step.spec().need;
     auto change = runs.expectedChange;
     int fitting = quotas_.countStartable(step, wanted, now_, change);
     std::vector<std::pair<std::string, RunKey>> runsToStop;
-    for (const auto &run : runs.candidates) {
+    WorkAmount loss = 0;
+    for (const auto &[worker, run] : runs.candidates) {
         if (fitting == wanted) {
             break;
         }
-        if (run.priority > right->priority && run.cost <= right->maxCost) {
+        if (PreemptionValue::isAllowed(run, *right)) {
             change -= run.need;
-            runsToStop.emplace_back(run.worker, run.key);
+            loss += PreemptionValue::weigh(run, *right);
+            runsToStop.emplace_back(worker, run.key);
             fitting = quotas_.countStartable(step, wanted, now_, change);
         }
     }
-    if (fitting < fewest) {
+    if (fitting < fewest || loss / std::max(fitting, 1) >= startGainOf(step)) {
         return;
     }
-    std::erase_if(runs.candidates, [&runsToStop](const auto &run) {
-        return std::find(runsToStop.begin(), runsToStop.end(), std::pair(run.worker, run.key)) != runsToStop.end();
+    std::erase_if(runs.candidates, [&runsToStop](const auto &candidate) {
+        const auto isStopped = std::pair(candidate.worker, candidate.run.key);
+        return std::find(runsToStop.begin(), runsToStop.end(), isStopped) != runsToStop.end();
     });
     runs.expectedChange = change + need * fitting;
     preempt(step, runsToStop);
--- a/modules/dispatch/TaskPlacerRounds.cpp
+++ b/modules/dispatch/TaskPlacerRounds.cpp
@@ -118,6 +118,7 @@
     hasReadMostWorkers_ = fleet_.hasReadMostWorkers();
     statistics_.workersVisited += static_cast<long long>(fleet_.workers().size());
     for (const auto &[id, worker] : fleet_.workers()) {
+        worker->speed = jobManager_.speeds().speed(worker->entry);
         getServiceCapacity(worker->entry.service).update(*worker, fleet_.isUsable(*worker));
         shares_.update(*worker, fleet_.isUsable(*worker));
     }
@@ -167,13 +168,14 @@
         getServiceCapacity(known->second).remove(id);
         serviceOfWorker_.erase(known);
     }
-    if (worker != nullptr) {
-        serviceOfWorker_[id] = worker->entry.service;
-        getServiceCapacity(worker->entry.service).update(*worker, fleet_.isUsable(*worker));
-        shares_.update(*worker, fleet_.isUsable(*worker));
-    } else {
+    if (worker == nullptr) {
+        jobManager_.speeds().forget(id);
         shares_.remove(id);
+        return;
     }
+    serviceOfWorker_[id] = worker->entry.service;
+    getServiceCapacity(worker->entry.service).update(*worker, fleet_.isUsable(*worker));
+    shares_.update(*worker, fleet_.isUsable(*worker));
 }
 
 void TaskPlacer::addJob(JobState &job)
