Soak: the checks of keys hold for suspended processes as well

Cause: KeyWatch left out a process that was suspended until 3 s after its suspension.

Change: a suspension is no fault for these checks; a process that was started again since the last look has had one, by its count of starts.

--- a/tests/soak/KeyWatch.cpp
+++ b/tests/soak/KeyWatch.cpp
@@ -8,7 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <iterator>
+#include <utility>
 
 namespace auburndoor {
 
@@ -109,18 +109,23 @@
             + R"("priority":1,"maxAttempts":3,"slackFactor":3,"targetLatencyMs":500}],"tenants":)" + accounts.dump() + "}");
 }
 
-bool KeyWatch::isFaulty(const EntryProcess &entry) const
+void KeyWatch::noteFaults(std::size_t number)
 {
-    return !entry.isRunning() || entry.isPaused() || entry.isStopping() || entry.storeLink().mode() != FaultyLink::Mode::Open
-           || platform_.store.isDown();
+    const auto &entry = *entries_[number];
+    auto &probe = probes_[number];
+    // The end of the faults may restart a process within a probeInterval after its kill.
+    const bool isNewLife = std::exchange(probe.startCount, entry.startCount()) != entry.startCount();
+    // A suspended process counts as sound: what it answers when it goes on has to rest on the newest version.
+    if (isNewLife || !entry.isRunning() || entry.isStopping() || entry.storeLink().mode() != FaultyLink::Mode::Open
+        || platform_.store.isDown()) {
+        probe.faultyAt = loop_.now();
+    }
 }
 
 void KeyWatch::probeAll()
 {
     for (std::size_t number = 0; number < probes_.size(); ++number) {
-        if (isFaulty(*entries_[number])) {
-            probes_[number].faultyAt = loop_.now();
-        }
+        noteFaults(number);
         if (!probes_[number].isWaiting) {
             probe(number);
         }
@@ -188,9 +193,7 @@
     auto &probe = probes_[number];
     const auto &changes = keys_.at(key);
     const auto changedAt = changes.removedAt ? changes.removedAt : changes.addedAt;
-    if (isFaulty(*entries_[number])) {
-        probe.faultyAt = loop_.now();
-    }
+    noteFaults(number);
     if (!changedAt || sentAt < std::max(*changedAt, probe.faultyAt) + configMs) {
         return;
     }
--- a/tests/soak/KeyWatch.h
+++ b/tests/soak/KeyWatch.h
@@ -20,8 +20,9 @@
 /**
     Adds and removes keys of a client account in the desired state while faults are injected, and calls every process with them.
 
-    A process without a fault has to refuse a removed key, and serve an added one, from configMs after the change; no process may
-    serve a key again that it has refused as removed, serve one that no desired state ever held, or show a job of another account.
+    A process without a fault, a suspended one included, has to refuse a removed key, and serve an added one, from configMs after
+   the change; no process may serve a key again that it has refused as removed, serve one that no desired state ever held, or show a
+   job of another account.
 */
 class KeyWatch
 {
@@ -58,6 +59,8 @@
         bool isWaiting = false;
         /** When it last had a fault, or the store had. */
         TimePoint faultyAt;
+        /** EntryProcess::startCount() as last seen. */
+        int startCount = 0;
         /** EntryProcess::startCount() of the life that the sets below are about. */
         int life = 0;
         std::set<std::string> served;
@@ -72,7 +75,8 @@
     void writeDesiredState();
     void probeAll();
     void probe(std::size_t number);
-    bool isFaulty(const EntryProcess &entry) const;
+    /** Notes whether a process has a fault, or the store has. */
+    void noteFaults(std::size_t number);
     void onAnswered(std::size_t number, const std::string &key, TimePoint sentAt, int life, const SendResult &result);
     /** Checks an answer against the earlier ones of the same life of the process. */
     void checkLife(std::size_t number, const std::string &key, int life, int status);
