New jobs whose end can be of no value are turned away at once

Cause: while a service has no room for long, an owner accepted jobs behind work that takes the room for longer than the job has. Callers learned nothing until its time was over.

Change: ServiceOutlook, a pure class, adds up at each full reading the work that waits for a full service, by priority and by the magnitude of its key. A submission is answered with a true 503, before anything of it is kept, if what surely goes before it (more urgent work, bounded by the part that its priority keeps, and work of its priority that is ranked before it even when its time has run out) takes all usable workers for over 1.5 times three times its objective. The return times go one after another as with shedding. Never while a worker has room for a task of the job or is less than half used, while workers are unread, for a known job, for services or scheduled jobs. `submission.turned_away` and `turned_away` in `owner.load` tell of it.

--- a/modules/dispatch/JobManager.cpp
+++ b/modules/dispatch/JobManager.cpp
@@ -67,12 +67,17 @@
     return found == jobs_.end() ? nullptr : found->second.get();
 }
 
+Milliseconds JobManager::allowedTime(const QueueSpec &queue, Milliseconds pathTime)
+{
+    const auto allowed = static_cast<double>(pathTime.count()) * queue.slackFactor;
+    return queue.latencyAllowance
+           + Milliseconds(static_cast<std::int64_t>(std::min(allowed, static_cast<double>(maxTimeToObjective.count()))));
+}
+
 void JobManager::initialize(JobState &job)
 {
     const auto &queue = job.queue;
-    const auto allowed = static_cast<double>(job.criticalPathTime().count()) * queue.slackFactor;
-    job.objective = job.receivedAt + queue.latencyAllowance
-                    + Milliseconds(static_cast<std::int64_t>(std::min(allowed, static_cast<double>(maxTimeToObjective.count()))));
+    job.objective = job.receivedAt + allowedTime(queue, job.criticalPathTime());
     if (!job.spec.isScheduled && job.occurrences.empty() && job.doneOccurrences.empty()) {
         job.addNextOccurrence(timers_.now());
     }
--- a/modules/dispatch/JobManager.h
+++ b/modules/dispatch/JobManager.h
@@ -63,6 +63,9 @@
 class JobManager : public FleetListener
 {
 public:
+    /** The time from its submission until a job has to be completed. @param pathTime as JobState::criticalPathTime() */
+    static Milliseconds allowedTime(const QueueSpec &queue, Milliseconds pathTime);
+
     /** The texts of the stored parts of a job. */
     using StoredParts = std::map<JobPart, std::string>;
     using SubmitCallback = std::function<void(SubmitOutcome)>;
--- a/modules/dispatch/ScarcityOrder.h
+++ b/modules/dispatch/ScarcityOrder.h
@@ -27,6 +27,9 @@
     /** The time over which started work is compared with the work that has come. */
     static constexpr Milliseconds window { 5000 };
 
+    /** The parts that all priorities keep leave at least this share of the room to the order of priorities. */
+    static constexpr double maxKeptShareOfRoom = 0.5;
+
     /** What the rank of a step rests on. */
     struct Waiting
     {
--- a/modules/dispatch/ServiceCapacity.cpp
+++ b/modules/dispatch/ServiceCapacity.cpp
@@ -89,6 +89,7 @@
 {
     largestFree_ = Resources();
     totalFree_ = Resources();
+    lowestUtilization_ = 1;
     totalCapacity_ = Resources();
     largestFreeAfterPreemption_.clear();
     for (auto &workerCapacity : workerCapacities_) {
@@ -103,6 +104,7 @@
                         std::max<std::int64_t>(free.accelerators, 0),
                         free.slots,
                         free.connections };
+        lowestUtilization_ = std::min(lowestUtilization_, roomOf(workerCapacity).utilization);
         totalCapacity_ += workerCapacity.worker->entry.capacity;
         if (!workerCapacity.reservations.empty() || workerCapacity.waitingPriority < WorkerCapacity::noPriority) {
             workerCapacity.reservations.clear();
--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -8,6 +8,7 @@
 #include "dispatch/ReadySteps.h"
 #include "dispatch/ScarcityOrder.h"
 #include "dispatch/ServiceCapacity.h"
+#include "dispatch/ServiceOutlook.h"
 #include "workload/Advisor.h"
 
 #include <map>
@@ -51,6 +52,12 @@
     */
     bool place();
 
+    /**
+        When a new job can have ended at the earliest, in case the work that goes before it takes all room of its service for a
+       time; empty if some of the room is idle, or if that is not known.
+    */
+    std::optional<Milliseconds> findEarliestEnd(const std::vector<StepSpec> &steps, const QueueSpec &queue);
+
     /** Starts copies of slow tasks, stops runs on draining workers and throttles best-effort runs. */
     void tend();
 
@@ -106,7 +113,9 @@
     /** The order of the waiting work of the step's service. */
     ScarcityOrder &scarcityOf(const StepState &step);
     /** Notes the work of a step that has come to wait, and adds its waiting tasks to the present reading of all jobs. */
-    void followDemand(StepState &step);
+    void followDemand(StepState &step, const StepRank &rank);
+    /** True if all usable workers of a service are in use while work waits, and all of them are known. */
+    bool isFull(const std::string &service);
     /** Ends the reading of all jobs: decides for each service whether its room is scarce. */
     void updateScarcity();
     /** Notes the start of a task of the step, or that one of its runs was stopped. */
@@ -336,6 +345,8 @@
     std::map<std::string, ScarcityOrder> scarcityByService_;
     std::map<std::string, ScarcityOrder::Reading> scarcityReadings_;
     bool isReadingAll_ = false;
+    /** The work that waits for the services without room, at the last reading. */
+    std::map<std::string, ServiceOutlook> outlooks_;
     PlacementStatistics statistics_;
     std::shared_ptr<bool> isAlive_;
 };
--- a/modules/dispatch/TaskPlacerRounds.cpp
+++ b/modules/dispatch/TaskPlacerRounds.cpp
@@ -103,6 +103,7 @@
     reservedRoom_.clear();
     servicesWithHold_.clear();
     scarcityReadings_.clear();
+    outlooks_.clear();
     hasJobsWaitingForReports_ = false;
     hasReadMostWorkers_ = fleet_.hasReadMostWorkers();
     statistics_.workersVisited += static_cast<long long>(fleet_.workers().size());
@@ -172,8 +173,9 @@
                 continue;
             }
             if (job.stage == JobStage::Recording || job.isServiceStored()) {
-                followDemand(step);
-                readySteps_.insert(computeRank(step), step);
+                const auto rank = computeRank(step);
+                followDemand(step, rank);
+                readySteps_.insert(rank, step);
             } else {
                 jobManager_.storeService(job);
             }
--- a/modules/entry/OwnerImpl.h
+++ b/modules/entry/OwnerImpl.h
@@ -51,6 +51,11 @@
     void submit(const ClientCall &call, Callback callback);
     /** Refuses a new submission if the owner is overloaded. Nothing of it is kept. @return true if it was refused */
     bool refuseUnderOverload(const std::string &job, const QueueSpec &queue, const Callback &callback);
+    /**
+        Refuses a new submission whose end could be of no value, since work that goes before it takes the room of its service for
+        longer. Nothing of it is kept. @return true if it was refused
+    */
+    bool refuseWithoutValue(const std::string &job, const JobSpec &spec, const QueueSpec &queue, const Callback &callback);
     /** Measures how far the loop and the placement are behind. */
     void sampleLoad();
     /** Calls sampleLoad() at intervals. */
@@ -101,6 +106,8 @@
     double beginRate = 100.0;
     /** New submissions refused under overload since the last report. */
     int shedSubmissions = 0;
+    /** New submissions refused since the last report as their end could be of no value. */
+    int turnedAwaySubmissions = 0;
     /** The progress records of jobs that have not ended, by job, until restoreJobs(). */
     std::map<std::string, std::string> storedProgress;
     /** The parts of wide jobs, by job, until restoreJobs(). */
--- a/modules/entry/OwnerLoad.cpp
+++ b/modules/entry/OwnerLoad.cpp
@@ -65,7 +65,8 @@
                       { "placement_delay_ms", load.placementDelay.count() },
                       { "not_begun", notBegunCount() },
                       { "begin_rate", beginRate },
-                      { "shed", std::exchange(shedSubmissions, 0) } });
+                      { "shed", std::exchange(shedSubmissions, 0) },
+                      { "turned_away", std::exchange(turnedAwaySubmissions, 0) } });
 }
 
 void Owner::Impl::countBacklog(TimePoint now)
@@ -125,4 +126,32 @@
     return true;
 }
 
+bool Owner::Impl::refuseWithoutValue(const std::string &job, const JobSpec &spec, const QueueSpec &queue, const Callback &callback)
+{
+    const auto earliestEnd = spec.isScheduled ? std::nullopt : placer.findEarliestEnd(spec.steps, queue);
+    if (!earliestEnd) {
+        return false;
+    }
+    JobState candidate;
+    candidate.spec.steps = spec.steps;
+    const AdmissionControl::Outlook outlook { earliestEnd, JobManager::allowedTime(queue, candidate.criticalPathTime()) };
+    const auto retryAfter = admission.refuseWithoutValue(queue, outlook, backlogBefore(queue.priority));
+    if (!retryAfter) {
+        return false;
+    }
+    ++turnedAwaySubmissions;
+    EventLog::writeRateLimited("submission.turned_away",
+                               { { "job", job },
+                                 { "queue", queue.name },
+                                 { "earliest_end_ms", earliestEnd->count() },
+                                 { "allowed_ms", outlook.allowed.count() },
+                                 { "retry_after_ms", retryAfter->count() } });
+    const auto detail = "the job could end after " + std::to_string(earliestEnd->count())
+                        + " ms at the earliest, and its queue allows " + std::to_string(outlook.allowed.count())
+                        + " ms: its service has no room";
+    answerAsOwner(
+        { .outcome = ClientResult::Outcome::Refused, .retryAfter = *retryAfter, .detail = detail }, maxAgeOfRefusal, callback);
+    return true;
+}
+
 } // namespace auburndoor
--- a/modules/entry/OwnerServing.cpp
+++ b/modules/entry/OwnerServing.cpp
@@ -114,6 +114,9 @@
                    .detail = "the queue is not known here yet" });
         return;
     }
+    if (isNew && queue != nullptr && refuseWithoutValue(call.job, *spec, *queue, callback)) {
+        return;
+    }
     if (isNew && queue != nullptr && !spec->isScheduled) {
         ++backlog[queue->priority];
     }
