--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -34,7 +34,8 @@
 
     Services that have lost tasks come first. Steps are served by priority, then by their objective, earliest first. Under overload
     this order alone would make every job late, each by the ones before it: steps that can no longer be in time come after the
-    others of their priority, and jobs past their final deadline after all others. All members are called from the loop's thread.
+    others of their priority, and jobs past their final deadline after all others. While room is scarce, ScarcityOrder refines the
+    order. All members are called from the loop's thread.
 */
 class TaskPlacer
 {
