--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -10,6 +10,7 @@
 #include "dispatch/ReadySteps.h"
 #include "dispatch/ScarcityOrder.h"
 #include "dispatch/ServiceCapacity.h"
+#include "dispatch/ServiceOutlook.h"
 #include "workload/Advisor.h"
 
 #include <map>
@@ -35,7 +36,8 @@
 
     Services that have lost tasks come first. Steps are served by priority, then by their objective, earliest first. Under overload
     this order alone would make every job late, each by the ones before it: steps that can no longer be in time come after the
-    others of their priority, and jobs past their final deadline after all others. All members are called from the loop's thread.
+    others of their priority, and jobs past their final deadline after all others. While room is scarce, ScarcityOrder refines the
+    order. All members are called from the loop's thread.
 */
 class TaskPlacer
 {
@@ -53,6 +55,12 @@
     */
     bool place();
 
+    /**
+        When a new job can have ended at the earliest, in case the work that goes before it takes all room of its service for a
+       time; empty if some of the room is idle, or if that is not known.
+    */
+    std::optional<Milliseconds> findEarliestEnd(const std::vector<StepSpec> &steps, const QueueSpec &queue);
+
     /** Starts copies of slow tasks, stops runs on draining workers and throttles best-effort runs. */
     void tend();
 
@@ -117,7 +125,9 @@
     /** The order of the waiting work of the step's service. */
     ScarcityOrder &scarcityOf(const StepState &step);
     /** Notes the work of a step that has come to wait, and adds its waiting tasks to the present reading of all jobs. */
-    void followDemand(StepState &step);
+    void followDemand(StepState &step, const StepRank &rank);
+    /** True if all usable workers of a service are in use while work waits, and all of them are known. */
+    bool isFull(const std::string &service);
     /** Ends the reading of all jobs: decides for each service whether its room is scarce. */
     void updateScarcity();
     /** Notes the start of a task of the step, or that one of its runs was stopped. */
@@ -401,6 +411,8 @@
     bool isTurnAboveShare_ = false;
     /** When the inherited use of the accounts is computed next. */
     TimePoint inheritedUseAt_;
+    /** The work that waits for the services without room, at the last reading. */
+    std::map<std::string, ServiceOutlook> outlooks_;
     PlacementStatistics statistics_;
     std::shared_ptr<bool> isAlive_;
 };
--- a/modules/dispatch/TaskPlacerRounds.cpp
+++ b/modules/dispatch/TaskPlacerRounds.cpp
@@ -114,6 +114,7 @@
     reservedRoom_.clear();
     servicesWithHold_.clear();
     scarcityReadings_.clear();
+    outlooks_.clear();
     hasJobsWaitingForReports_ = false;
     hasReadMostWorkers_ = fleet_.hasReadMostWorkers();
     statistics_.workersVisited += static_cast<long long>(fleet_.workers().size());
@@ -192,8 +193,8 @@
                 continue;
             }
             if (job.stage == JobStage::Recording || job.isServiceStored()) {
-                followDemand(step);
                 auto rank = computeRank(step);
+                followDemand(step, rank);
                 rank.isAboveShare = isAboveShare(step);
                 readySteps_.insert(rank, step);
             } else {
