--- a/modules/dispatch/TaskPlacerScarcity.cpp
+++ b/modules/dispatch/TaskPlacerScarcity.cpp
@@ -42,7 +42,7 @@
         if (!rank.isLost && isFull(service)) {
             const auto capacity = workOf(getServiceCapacity(service).totalCapacity(), Milliseconds(1));
             const auto outlook = outlooks_.try_emplace(service, capacity).first;
-            outlook->second.add(rank.priority, rank.isLate, rank.scarcityKey, workOfTask(step.spec()) * waitingTasks);
+            outlook->second.add(rank.priority, !canBeInTime(step, now_), rank.scarcityKey, workOfTask(step.spec()) * waitingTasks);
         }
     }
 }
@@ -69,7 +69,7 @@
         }
         work += workOfTask(step) * step.taskCount;
     }
-    const auto smallestKey = scarcityByService_[queue.service].keyOf(queue.name, { work, Milliseconds(0), Milliseconds(1) });
+    const auto smallestKey = scarcityByService_[queue.service].keyOf(queue.name, { work, work, Milliseconds(0), Milliseconds(1) });
     return outlook->second.earliestEnd(queue.priority, smallestKey);
 }
 
