Repairs stop protected runs; only work with more slack counts when a job is turned away

Cause: found by reading. Runs of a priority that keeps a part of the room were stopped for nothing, so that a service which had lost tasks lost its right. And work that is ranked before a new job, but becomes late while the job is in time, goes behind it, so that the end of a job that was turned away was not sure.

Change: PreemptionCost has a value for protected runs, which only repairs may stop. ServiceOutlook counts work of the job's priority only if its slack is longer than the job's whole time. Jobs of one queue therefore hardly ever count against each other, and few jobs are turned away.

--- a/modules/dispatch/PreemptionRight.h
+++ b/modules/dispatch/PreemptionRight.h
@@ -12,6 +12,8 @@
     Tolerable,
     /** Its job would become late. */
     MakesLate,
+    /** As one of the two above, and its priority would have less of a scarce service than it keeps. */
+    Protected,
     /** It ends about as soon by itself, or has been preempted often enough: nothing may stop it. */
     Excessive,
 };
--- a/modules/dispatch/PreemptionRules.cpp
+++ b/modules/dispatch/PreemptionRules.cpp
@@ -47,13 +47,15 @@
 
 } // namespace
 
-StopCost stopCostOf(const Run &run, const JobState &job, const Task &task, TimePoint now)
+StopCost stopCostOf(const Run &run, const JobState &job, const Task &task, TimePoint now, bool isProtected)
 {
     const auto cost = computePreemptionCost(run, job, task, now);
     const auto savedAt = std::max({ run.startedAt, run.confirmedAt, run.checkpointedAt });
     const auto sinceSaved = std::chrono::duration_cast<Milliseconds>(now - savedAt);
     const auto estimate = job.spec.steps[static_cast<std::size_t>(run.key.task.step)].estimate;
-    return { cost, PreemptionValue::lossOf({ run.claim.need, estimate, std::max(sinceSaved, Milliseconds(0)), cost }) };
+    const bool isValuable = cost == PreemptionCost::Tolerable || cost == PreemptionCost::MakesLate;
+    return { isProtected && isValuable ? PreemptionCost::Protected : cost,
+             PreemptionValue::lossOf({ run.claim.need, estimate, std::max(sinceSaved, Milliseconds(0)), cost }) };
 }
 
 std::optional<PreemptionRight> preemptionRightOf(const StepState &step, TimePoint now)
@@ -63,7 +65,7 @@
         return std::nullopt;
     }
     if (step.isRepair()) {
-        return PreemptionRight { priority, PreemptionCost::MakesLate };
+        return PreemptionRight { priority, PreemptionCost::Protected };
     }
     if (!canBeInTime(step, now + PreemptionValue::stopTime)) {
         return PreemptionRight { priority, PreemptionCost::Nothing };
--- a/modules/dispatch/ServiceOutlook.cpp
+++ b/modules/dispatch/ServiceOutlook.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-std::size_t digitsOf(std::int64_t key)
+int digitsOf(std::int64_t number)
 {
-    return static_cast<std::size_t>(std::bit_width(static_cast<std::uint64_t>(std::max<std::int64_t>(key, 0))));
+    return static_cast<int>(std::bit_width(static_cast<std::uint64_t>(std::max<std::int64_t>(number, 0))));
 }
 
 } // namespace
@@ -20,16 +20,16 @@
 {
 }
 
-void ServiceOutlook::add(int priority, bool isLate, std::int64_t key, WorkAmount work)
+void ServiceOutlook::add(const Waiting &waiting)
 {
-    auto &level = levels_[priority];
-    level.all += work;
-    if (!isLate) {
-        level.byKey.at(std::min(digitsOf(key), bucketCount - 1)) += work;
+    auto &level = levels_[waiting.priority];
+    level.all += waiting.work;
+    if (waiting.slackLeft >= Milliseconds(0)) {
+        level.inTime[{ digitsOf(waiting.key), digitsOf(waiting.slackLeft.count()) }] += waiting.work;
     }
 }
 
-Milliseconds ServiceOutlook::earliestEnd(int priority, std::int64_t smallestKey) const
+Milliseconds ServiceOutlook::earliestEnd(int priority, std::int64_t smallestKey, Milliseconds allowed) const
 {
     if (capacity_ <= 0) {
         return Milliseconds(0);
@@ -40,10 +40,11 @@
         if (other < priority) {
             moreUrgent += level.all;
         } else if (other == priority) {
-            // Keys with fewer digits are smaller.
-            const auto end = std::min(digitsOf(smallestKey), bucketCount);
-            for (std::size_t digits = 0; digits < end; ++digits) {
-                before += level.byKey.at(digits);
+            // A number with fewer digits is smaller. Work with less slack than the job has time becomes late before the job does,
+            // and then goes behind it.
+            for (const auto &[digits, work] : level.inTime) {
+                const bool isBefore = digits.first < digitsOf(smallestKey) && digits.second > digitsOf(allowed.count());
+                before += isBefore ? work : 0;
             }
         }
     }
--- a/modules/dispatch/ServiceOutlook.h
+++ b/modules/dispatch/ServiceOutlook.h
@@ -3,9 +3,9 @@
 #include "core/Clock.h"
 #include "dispatch/WorkAmount.h"
 
-#include <array>
 #include <cstdint>
 #include <map>
+#include <utility>
 
 namespace auburndoor {
 
@@ -23,25 +23,34 @@
     /** @param capacity the work that the service's usable workers do in a millisecond, see workOf() */
     explicit ServiceOutlook(WorkAmount capacity = 0);
 
-    /** Adds work that waits. @param key as ScarcityOrder::keyOf() @param isLate its job cannot be in time */
-    void add(int priority, bool isLate, std::int64_t key, WorkAmount work);
+    /** Work that waits. */
+    struct Waiting
+    {
+        int priority = 0;
+        /** As ScarcityOrder::keyOf(). */
+        std::int64_t key = 0;
+        /** How much later it could start and be in time; negative if it cannot be. */
+        Milliseconds slackLeft { 0 };
+        WorkAmount work = 0;
+    };
+
+    void add(const Waiting &waiting);
 
     /**
         The time until the work that goes before a new job can have ended at the earliest, with which the job has not ended either;
         zero without any capacity, as nothing is known then.
 
         @param smallestKey the smallest key that the job will have while it can be in time
+        @param allowed     the time until its objective
     */
-    Milliseconds earliestEnd(int priority, std::int64_t smallestKey) const;
+    Milliseconds earliestEnd(int priority, std::int64_t smallestKey, Milliseconds allowed) const;
 
 private:
-    static constexpr std::size_t bucketCount = 48;
-
     struct Level
     {
         WorkAmount all = 0;
-        /** Work that can be in time, by the number of binary digits of its key. */
-        std::array<WorkAmount, bucketCount> byKey {};
+        /** Work that can be in time, by the numbers of binary digits of its key and of its slack in milliseconds. */
+        std::map<std::pair<int, int>, WorkAmount> inTime;
     };
 
     WorkAmount capacity_;
--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -56,8 +56,15 @@
     /**
         When a new job can have ended at the earliest, in case the work that goes before it takes all room of its service for a
        time; empty if some of the room is idle, or if that is not known.
+
+        @param allowed the time until the job's objective
     */
-    std::optional<Milliseconds> findEarliestEnd(const std::vector<StepSpec> &steps, const QueueSpec &queue);
+    std::optional<Milliseconds> findEarliestEnd(const std::vector<StepSpec> &steps, const QueueSpec &queue, Milliseconds allowed);
+    /** True while some service has no room for the work that waits for it, at the last full reading. */
+    bool hasFullService() const
+    {
+        return !outlooks_.empty();
+    }
 
     /** Starts copies of slow tasks, stops runs on draining workers and throttles best-effort runs. */
     void tend();
--- a/modules/dispatch/TaskPlacerPreemption.cpp
+++ b/modules/dispatch/TaskPlacerPreemption.cpp
@@ -20,10 +20,8 @@
     if (task == nullptr) {
         return { PreemptionCost::Nothing, 0 };
     }
-    if (scarcityOf(*job->second->step(run.key.task.occurrence, run.key.task.step)).isProtected(run.claim.priority)) {
-        return { PreemptionCost::Excessive, 0 };
-    }
-    return stopCostOf(run, *job->second, *task, now_);
+    const auto &step = *job->second->step(run.key.task.occurrence, run.key.task.step);
+    return stopCostOf(run, *job->second, *task, now_, scarcityOf(step).isProtected(run.claim.priority));
 }
 
 std::optional<PreemptionRight> TaskPlacer::findPreemptionRight(StepState &step)
@@ -66,7 +64,7 @@
 
 int TaskPlacer::preemptForTasks(StepState &step, int taskCount, bool isAllOrNothing)
 {
-    const auto right = findPreemptionRight(step);
+    const auto right = taskCount > 0 ? findPreemptionRight(step) : std::nullopt;
     if (!right) {
         return 0;
     }
--- a/modules/dispatch/TaskPlacerScarcity.cpp
+++ b/modules/dispatch/TaskPlacerScarcity.cpp
@@ -42,7 +42,7 @@
         if (!rank.isLost && isFull(service)) {
             const auto capacity = workOf(getServiceCapacity(service).totalCapacity(), Milliseconds(1));
             const auto outlook = outlooks_.try_emplace(service, capacity).first;
-            outlook->second.add(rank.priority, rank.isLate, rank.scarcityKey, workOfTask(step.spec()) * waitingTasks);
+            outlook->second.add({ rank.priority, rank.scarcityKey, slackLeft(step, now_), workOfTask(step.spec()) * waitingTasks });
         }
     }
 }
@@ -54,7 +54,9 @@
            && !hasUnreadWorkers(service);
 }
 
-std::optional<Milliseconds> TaskPlacer::findEarliestEnd(const std::vector<StepSpec> &steps, const QueueSpec &queue)
+std::optional<Milliseconds> TaskPlacer::findEarliestEnd(const std::vector<StepSpec> &steps,
+                                                        const QueueSpec &queue,
+                                                        Milliseconds allowed)
 {
     const auto outlook = outlooks_.find(queue.service);
     if (outlook == outlooks_.end()) {
@@ -70,7 +72,7 @@
         work += workOfTask(step) * step.taskCount;
     }
     const auto smallestKey = scarcityByService_[queue.service].keyOf(queue.name, { work, Milliseconds(0), Milliseconds(1) });
-    return outlook->second.earliestEnd(queue.priority, smallestKey);
+    return outlook->second.earliestEnd(queue.priority, smallestKey, allowed);
 }
 
 void TaskPlacer::updateScarcity()
--- a/modules/entry/OwnerLoad.cpp
+++ b/modules/entry/OwnerLoad.cpp
@@ -128,13 +128,13 @@
 
 bool Owner::Impl::refuseWithoutValue(const std::string &job, const JobSpec &spec, const QueueSpec &queue, const Callback &callback)
 {
-    const auto earliestEnd = spec.isScheduled ? std::nullopt : placer.findEarliestEnd(spec.steps, queue);
-    if (!earliestEnd) {
+    if (spec.isScheduled || !placer.hasFullService()) {
         return false;
     }
     JobState candidate;
     candidate.spec.steps = spec.steps;
-    const AdmissionControl::Outlook outlook { earliestEnd, JobManager::allowedTime(queue, candidate.criticalPathTime()) };
+    const auto allowed = JobManager::allowedTime(queue, candidate.criticalPathTime());
+    const AdmissionControl::Outlook outlook { placer.findEarliestEnd(spec.steps, queue, allowed), allowed };
     const auto retryAfter = admission.refuseWithoutValue(queue, outlook, backlogBefore(queue.priority));
     if (!retryAfter) {
         return false;
@@ -143,10 +143,10 @@
     EventLog::writeRateLimited("submission.turned_away",
                                { { "job", job },
                                  { "queue", queue.name },
-                                 { "earliest_end_ms", earliestEnd->count() },
+                                 { "earliest_end_ms", outlook.earliestEnd->count() },
                                  { "allowed_ms", outlook.allowed.count() },
                                  { "retry_after_ms", retryAfter->count() } });
-    const auto detail = "the job could end after " + std::to_string(earliestEnd->count())
+    const auto detail = "the job could end after " + std::to_string(outlook.earliestEnd->count())
                         + " ms at the earliest, and its queue allows " + std::to_string(outlook.allowed.count())
                         + " ms: its service has no room";
     answerAsOwner(
--- a/tests/dispatch/PreemptionValueTests.cpp
+++ b/tests/dispatch/PreemptionValueTests.cpp
@@ -1,5 +1,7 @@
+#include "dispatch/JobState.h"
 #include "dispatch/OwnerFixture.h"
 #include "dispatch/PreemptionPlan.h"
+#include "dispatch/PreemptionRules.h"
 #include "dispatch/PreemptionValue.h"
 
 #include <catch2/catch.hpp>
@@ -61,6 +63,29 @@
     CHECK(worker.preemptibleRuns.size() == 3);
 }
 
+// Guards against a service that misses tasks because the runs in its way belong to a priority that keeps a part of the room.
+TEST_CASE("only repairs of services stop runs whose priority has too little room")
+{
+    const TimePoint now { std::chrono::hours(1) };
+    JobState job;
+    job.spec.steps.resize(1);
+    job.receivedAt = now;
+    job.objective = now + Milliseconds(9000);
+    job.addNextOccurrence(now);
+    auto &step = *job.step(0, 0);
+    Run run;
+    run.claim.priority = 2;
+    const auto stop = stopCostOf(run, job, step.tasks.front(), now, true);
+    const PreemptibleRun running { run.key, cores(2), 2, stop };
+    CHECK(stop.cost == PreemptionCost::Protected);
+    CHECK_FALSE(PreemptionValue::isAllowed(running, preemptionRightOf(step, now).value()));
+    job.spec.steps.front().isService = true;
+    job.hasBegun = true;
+    step.tasks.front().lastAttempt = 1;
+    CHECK(PreemptionValue::isAllowed(running, preemptionRightOf(step, now).value()));
+    CHECK(startGainOf(step) == PreemptionValue::unlimited);
+}
+
 // Guards against thrown-away work: one short task that stops a long and wide run again and again.
 TEST_CASE("urgent work stops no run that loses more work than the urgent task has")
 {
