Size counts little in the order under scarce room, and nothing is turned away for its rank

And with late work and large jobs keeping a turn, no work that waits surely goes before a new job, so that the rule that turned jobs away by that never held.

Change: the eighth root of the size.

--- a/modules/dispatch/ScarcityOrder.cpp
+++ b/modules/dispatch/ScarcityOrder.cpp
@@ -21,9 +21,9 @@
 // Added to the part of the slack that is left, so that the size still counts among jobs without slack.
 constexpr double smallestAgeing = 0.1;
 // A job of which a part is done goes before one that has not begun, by the root of what is left: what was done is lost if it
-// never ends. Small jobs go first, so that few are late, but a job of many times the mean size has its turn before its time has run
-// out.
-constexpr double sizeExponent = 0.25;
+// never ends. Small jobs go first, so that few are late, but only by the eighth root of their size, or the largest jobs of a kind
+// would be served less than half as often as the others.
+constexpr double sizeExponent = 0.125;
 // A late result is of much less use to its caller than one in time, but of some: work behind all that can be in time would never
 // end while the room stays scarce. One that will miss its final deadline as well is of none.
 constexpr double lateFactor = 5;
--- a/modules/dispatch/ServiceCapacity.cpp
+++ b/modules/dispatch/ServiceCapacity.cpp
@@ -90,7 +90,6 @@
 {
     largestFree_ = Resources();
     totalFree_ = Resources();
-    lowestUtilization_ = 1;
     totalCapacity_ = Resources();
     largestFreeAfterPreemption_.clear();
     for (auto &workerCapacity : workerCapacities_) {
@@ -105,7 +104,6 @@
                         std::max<std::int64_t>(free.accelerators, 0),
                         free.slots,
                         free.connections };
-        lowestUtilization_ = std::min(lowestUtilization_, roomOf(workerCapacity).utilization);
         totalCapacity_ += workerCapacity.worker->entry.capacity;
         if (!workerCapacity.reservations.empty() || workerCapacity.waitingPriority < WorkerCapacity::noPriority) {
             workerCapacity.reservations.clear();
--- a/modules/dispatch/ServiceCapacity.h
+++ b/modules/dispatch/ServiceCapacity.h
@@ -88,12 +88,6 @@
         return totalCapacity_;
     }
 
-    /** The dominant share in use of the least used usable worker, at the last call of tightenBounds(); 1 if there is none. */
-    double lowestUtilization() const
-    {
-        return lowestUtilization_;
-    }
-
     /** False if no worker has this much free. True does not mean that one has, as the bound of each resource is separate. */
     bool mayHaveFree(const Resources &need) const
     {
@@ -141,7 +135,6 @@
     std::vector<std::string> uncollected_;
     Resources largestFree_;
     Resources totalFree_;
-    double lowestUtilization_ = 1;
     Resources totalCapacity_;
     /** The bound of what preemption could free on any worker, by the right of the work that needs it. */
     std::map<PreemptionRight, Resources> largestFreeAfterPreemption_;
--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -10,7 +10,6 @@
 #include "dispatch/ReadySteps.h"
 #include "dispatch/ScarcityOrder.h"
 #include "dispatch/ServiceCapacity.h"
-#include "dispatch/ServiceOutlook.h"
 #include "workload/Advisor.h"
 
 #include <map>
@@ -55,19 +54,6 @@
     */
     bool place();
 
-    /**
-        When a new job can have ended at the earliest, in case the work that goes before it takes all room of its service for a
-       time; empty if some of the room is idle, or if that is not known.
-
-        @param allowed the time until the job's objective
-    */
-    std::optional<Milliseconds> findEarliestEnd(const std::vector<StepSpec> &steps, const QueueSpec &queue, Milliseconds allowed);
-    /** True while some service has no room for the work that waits for it, at the last full reading. */
-    bool hasFullService() const
-    {
-        return !outlooks_.empty();
-    }
-
     /** Starts copies of slow tasks, stops runs on draining workers and throttles best-effort runs. */
     void tend();
 
@@ -132,9 +118,7 @@
     /** The order of the waiting work of the step's service. */
     ScarcityOrder &scarcityOf(const StepState &step);
     /** Notes the work of a step that has come to wait, and adds its waiting tasks to the present reading of all jobs. */
-    void followDemand(StepState &step, const StepRank &rank);
-    /** True if all usable workers of a service are in use while work waits, and all of them are known. */
-    bool isFull(const std::string &service);
+    void followDemand(StepState &step);
     /** Ends the reading of all jobs: decides for each service whether its room is scarce. */
     void updateScarcity();
     /** Notes the start of a task of the step, or that one of its runs was stopped. */
@@ -418,8 +402,6 @@
     bool isTurnAboveShare_ = false;
     /** When the inherited use of the accounts is computed next. */
     TimePoint inheritedUseAt_;
-    /** The work that waits for the services without room, at the last reading. */
-    std::map<std::string, ServiceOutlook> outlooks_;
     PlacementStatistics statistics_;
     std::shared_ptr<bool> isAlive_;
 };
--- a/modules/dispatch/TaskPlacerRounds.cpp
+++ b/modules/dispatch/TaskPlacerRounds.cpp
@@ -114,7 +114,6 @@
     reservedRoom_.clear();
     servicesWithHold_.clear();
     scarcityReadings_.clear();
-    outlooks_.clear();
     hasJobsWaitingForReports_ = false;
     hasReadMostWorkers_ = fleet_.hasReadMostWorkers();
     statistics_.workersVisited += static_cast<long long>(fleet_.workers().size());
@@ -194,7 +193,7 @@
             }
             if (job.stage == JobStage::Recording || job.isServiceStored()) {
                 auto rank = computeRank(step);
-                followDemand(step, rank);
+                followDemand(step);
                 rank.isAboveShare = isAboveShare(step);
                 readySteps_.insert(rank, step);
             } else {
--- a/modules/dispatch/TaskPlacerScarcity.cpp
+++ b/modules/dispatch/TaskPlacerScarcity.cpp
@@ -10,8 +10,6 @@
 
 // A task that was stopped for more urgent work starts again after this time at the latest, also while such work waits.
 constexpr Milliseconds maxHoldBack { 1000 };
-// While some worker is less used, the room of its service may be taken by other work than the waiting one.
-constexpr double minUtilizationOfFull = 0.5;
 constexpr std::int64_t milliCoresOfCore = 1000;
 
 } // namespace
@@ -26,7 +24,7 @@
     return rankStep(step, now_, scarcityOf(step));
 }
 
-void TaskPlacer::followDemand(StepState &step, const StepRank &rank)
+void TaskPlacer::followDemand(StepState &step)
 {
     // Tasks beyond the account's limit are not short of room.
     const auto waitingTasks = countStartable(step, isReadingAll_ ? countIdleTasks(step) : 1);
@@ -37,42 +35,8 @@
     if (isReadingAll_) {
         const auto need = JobManager::makeClaim(step).need;
         const bool hasRoom = getServiceCapacity(step).mayHaveFree(need);
-        const auto &service = step.job->queue.service;
-        addWaitingTasks(step, need * waitingTasks, hasRoom, now_, scarcityReadings_[service]);
-        if (!rank.isLost && isFull(service)) {
-            const auto capacity = workOf(getServiceCapacity(service).totalCapacity(), Milliseconds(1));
-            const auto outlook = outlooks_.try_emplace(service, capacity).first;
-            outlook->second.add({ rank.priority, rank.scarcityKey, slackLeft(step, now_), workOfTask(step.spec()) * waitingTasks });
-        }
-    }
-}
-
-bool TaskPlacer::isFull(const std::string &service)
-{
-    const auto &capacity = getServiceCapacity(service);
-    return scarcityByService_[service].isScarce() && capacity.lowestUtilization() >= minUtilizationOfFull
-           && !hasUnreadWorkers(service);
-}
-
-std::optional<Milliseconds> TaskPlacer::findEarliestEnd(const std::vector<StepSpec> &steps,
-                                                        const QueueSpec &queue,
-                                                        Milliseconds allowed)
-{
-    const auto outlook = outlooks_.find(queue.service);
-    if (outlook == outlooks_.end()) {
-        return std::nullopt;
-    }
-    WorkAmount work = 0;
-    for (const auto &step : steps) {
-        const auto isUsable = [](const WorkerCapacity &workerCapacity) { return workerCapacity.isUsable; };
-        const bool hasRoom = !getServiceCapacity(queue.service).findLeastUtilized(step.need, 1, isUsable).empty();
-        if (step.isService || step.fillsIdleCapacity || hasRoom) {
-            return std::nullopt;
-        }
-        work += workOfTask(step) * step.taskCount;
+        addWaitingTasks(step, need * waitingTasks, hasRoom, now_, scarcityReadings_[step.job->queue.service]);
     }
-    const auto smallestKey = scarcityByService_[queue.service].keyOf(queue.name, { work, work, Milliseconds(0), Milliseconds(1) });
-    return outlook->second.earliestEnd(queue.priority, smallestKey, allowed);
 }
 
 void TaskPlacer::updateScarcity()
--- a/modules/entry/AdmissionControl.cpp
+++ b/modules/entry/AdmissionControl.cpp
@@ -22,10 +22,6 @@
 constexpr Milliseconds maxWaitLimit { 1200 };
 // Each of the few round trips from a submission to a start waits for the loop.
 constexpr int loopDelaysBeforeStart = 2;
-// As JobState::finalDeadlineOf().
-constexpr int allowancesOfValue = 3;
-// Estimates of run times are rough, and workers may be added: the earliest end has to be later than the limit by a half.
-constexpr int certaintyPercent = 150;
 constexpr Milliseconds minRetryDelay { 700 };
 // A client has few retries, and after a multiple of what its queue allows the job is of little use to it.
 constexpr Milliseconds maxRetryDelay { 5000 };
@@ -67,17 +63,6 @@
     return reserveReturn(queue, wait, backlog.beginInterval);
 }
 
-std::optional<Milliseconds> AdmissionControl::refuseWithoutValue(const QueueSpec &queue,
-                                                                 const Outlook &outlook,
-                                                                 const Backlog &backlog)
-{
-    const auto limit = outlook.allowed * allowancesOfValue;
-    if (!outlook.earliestEnd || outlook.allowed <= Milliseconds(0) || *outlook.earliestEnd * 100 <= limit * certaintyPercent) {
-        return std::nullopt;
-    }
-    return reserveReturn(queue, *outlook.earliestEnd - limit, backlog.beginInterval);
-}
-
 Milliseconds AdmissionControl::reserveReturn(const QueueSpec &queue, Milliseconds wait, std::chrono::microseconds beginInterval)
 {
     // Clients return one after another, as fast as the owner can begin their jobs: together they would be refused again.
--- a/modules/entry/AdmissionControl.h
+++ b/modules/entry/AdmissionControl.h
@@ -50,22 +50,6 @@
     /** Decides about a new submission. @return when the client should retry if it is refused; empty if it is admitted */
     std::optional<Milliseconds> refuse(const QueueSpec &queue, const Backlog &backlog);
 
-    /** When a new submission can end, by the work that goes before it in its service. */
-    struct Outlook
-    {
-        /** Not before this time from now; empty if that is not known, or if room of the service is idle. */
-        std::optional<Milliseconds> earliestEnd;
-        /** The time that the queue allows the job; three times that after its submission its end has no value. */
-        Milliseconds allowed { 0 };
-    };
-
-    /**
-        Decides about a new submission whose end could be of no value, whether or not the owner is overloaded.
-
-        @return when the client should retry if it is refused; empty if it is admitted
-    */
-    std::optional<Milliseconds> refuseWithoutValue(const QueueSpec &queue, const Outlook &outlook, const Backlog &backlog);
-
     /** How often the load is to be measured. */
     static constexpr Milliseconds sampleInterval { 50 };
 
--- a/modules/entry/OwnerImpl.h
+++ b/modules/entry/OwnerImpl.h
@@ -59,11 +59,6 @@
     bool refuseAboveLimit(const ClientCall &call, const JobSpec &spec, const Callback &callback);
     /** Sets the gauges of the accounts: what they have, their limits, and the tasks that wait for these. */
     void updateAccountMetrics(Metrics &metrics) const;
-    /**
-        Refuses a new submission whose end could be of no value, since work that goes before it takes the room of its service for
-        longer. Nothing of it is kept. @return true if it was refused
-    */
-    bool refuseWithoutValue(const std::string &job, const JobSpec &spec, const QueueSpec &queue, const Callback &callback);
     /** Measures how far the loop and the placement are behind. */
     void sampleLoad();
     /** Calls sampleLoad() at intervals. */
@@ -118,8 +113,6 @@
     int shedSubmissions = 0;
     /** New submissions refused since this owner has taken over, as a task or a gang of them is larger than its account's limit. */
     long long submissionsAboveLimit = 0;
-    /** New submissions refused since the last report as their end could be of no value. */
-    int turnedAwaySubmissions = 0;
     /** The progress records of jobs that have not ended, by job, until restoreJobs(). */
     std::map<std::string, std::string> storedProgress;
     /** The parts of wide jobs, by job, until restoreJobs(). */
--- a/modules/entry/OwnerLoad.cpp
+++ b/modules/entry/OwnerLoad.cpp
@@ -65,8 +65,7 @@
                       { "placement_delay_ms", load.placementDelay.count() },
                       { "not_begun", notBegunCount() },
                       { "begin_rate", beginRate },
-                      { "shed", std::exchange(shedSubmissions, 0) },
-                      { "turned_away", std::exchange(turnedAwaySubmissions, 0) } });
+                      { "shed", std::exchange(shedSubmissions, 0) } });
 }
 
 void Owner::Impl::countBacklog(TimePoint now)
@@ -127,32 +126,4 @@
     return true;
 }
 
-bool Owner::Impl::refuseWithoutValue(const std::string &job, const JobSpec &spec, const QueueSpec &queue, const Callback &callback)
-{
-    if (spec.isScheduled || !placer.hasFullService()) {
-        return false;
-    }
-    JobState candidate;
-    candidate.spec.steps = spec.steps;
-    const auto allowed = JobManager::allowedTime(queue, candidate.criticalPathTime());
-    const AdmissionControl::Outlook outlook { placer.findEarliestEnd(spec.steps, queue, allowed), allowed };
-    const auto retryAfter = admission.refuseWithoutValue(queue, outlook, backlogBefore(queue.priority));
-    if (!retryAfter) {
-        return false;
-    }
-    ++turnedAwaySubmissions;
-    EventLog::writeRateLimited("submission.turned_away",
-                               { { "job", job },
-                                 { "queue", queue.name },
-                                 { "earliest_end_ms", outlook.earliestEnd->count() },
-                                 { "allowed_ms", outlook.allowed.count() },
-                                 { "retry_after_ms", retryAfter->count() } });
-    const auto detail = "the job could end after " + std::to_string(outlook.earliestEnd->count())
-                        + " ms at the earliest, and its queue allows " + std::to_string(outlook.allowed.count())
-                        + " ms: its service has no room";
-    answerAsOwner(
-        { .outcome = ClientResult::Outcome::Refused, .retryAfter = *retryAfter, .detail = detail }, maxAgeOfRefusal, callback);
-    return true;
-}
-
 } // namespace auburndoor
--- a/modules/entry/OwnerServing.cpp
+++ b/modules/entry/OwnerServing.cpp
@@ -117,9 +117,6 @@
     if (isNew && refuseAboveLimit(call, *spec, callback)) {
         return;
     }
-    if (isNew && queue != nullptr && refuseWithoutValue(call.job, *spec, *queue, callback)) {
-        return;
-    }
     if (isNew && queue != nullptr && !spec->isScheduled) {
         ++backlog[queue->priority];
     }
