Tests of crowds of clients, on the product as it is

Clients that nobody controls can make an entry process hold much memory. The new tests start an entry process on a loopback address with limits.memoryMb 24 (64 for the last kind) and limits.maxFds 4096 (500 for the last), and send a crowd of 600 connections (300 for requests sent ahead and slow readers, 60 for bodies over the limit) to each of its addresses in turn. They check that the process lives, that VmHWM stays under memoryMb and the descriptors under maxFds without the 200 for files, that a job is accepted and runs beside the crowd and after it, and that VmRSS is back at 4/3 of its start.

--- a/tests/soak/EntryOptions.h
+++ b/tests/soak/EntryOptions.h
@@ -19,6 +19,10 @@
     std::optional<Milliseconds> killGrace = {};
     /** The interval of the workers' reports to the directory; the settings do not tell without it. */
     std::optional<Milliseconds> reportInterval = {};
+    /** The memory of the machine, in MiB; the settings do not tell without it. */
+    std::optional<int> memoryMb = {};
+    /** The number of file descriptors that the process may use; the settings do not tell without it. */
+    std::optional<int> maxFds = {};
 };
 
 } // namespace auburndoor
--- a/tests/soak/EntryProcess.cpp
+++ b/tests/soak/EntryProcess.cpp
@@ -63,6 +63,12 @@
     if (options.reportInterval) {
         settings["heartbeatMs"] = options.reportInterval->count();
     }
+    if (options.memoryMb) {
+        settings["limits"]["memoryMb"] = *options.memoryMb;
+    }
+    if (options.maxFds) {
+        settings["limits"]["maxFds"] = *options.maxFds;
+    }
     std::ofstream(settingsFile_) << settings.dump(2);
 }
 
@@ -153,6 +159,26 @@
     return { ip_, clientPort };
 }
 
+Address EntryProcess::readinessAddress() const
+{
+    return { ip_, readinessPort };
+}
+
+Address EntryProcess::peerAddress() const
+{
+    return { ip_, firstPeerPort };
+}
+
+Address EntryProcess::operatorAddress() const
+{
+    return { ip_, metricsPort };
+}
+
+pid_t EntryProcess::processId() const
+{
+    return process_->id();
+}
+
 const std::string &EntryProcess::logFile() const
 {
     return logFile_;
--- a/tests/soak/EntryProcess.h
+++ b/tests/soak/EntryProcess.h
@@ -50,6 +50,11 @@
     /** The node name, which the row of the epoch shows while the process owns the cell. */
     const std::string &name() const;
     Address clientAddress() const;
+    Address readinessAddress() const;
+    Address peerAddress() const;
+    Address operatorAddress() const;
+    /** To be called while it runs. */
+    pid_t processId() const;
     /** Receives its output. */
     const std::string &logFile() const;
     FaultyLink &storeLink();
