A memory budget for the connections of an entry process

Cause: each connection could hold a body of 1 MiB, read buffers, thousands of header fields and an unread reply, 3,000 of them for each listener, so that a crowd of clients took more memory than the machine has. Freed memory was not given back: glibc raises its thresholds for good once a large block was freed.

Bodies take memory as they arrive. Requests that find no room are answered with 503 and Retry-After before a handler has them; small requests, peers and readiness have parts of their own. Connections whose request has been arriving for over a second make room for others, the largest first. Requests must make progress. Paths without a route, and unknown paths at the peers' address, are answered before their body is read. JSON is bounded in its number of values. Free memory is given back after a crowd. Counters and log lines name each cause.

--- a/apps/auburndoor-entry/main.cpp
+++ b/apps/auburndoor-entry/main.cpp
@@ -21,6 +21,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <malloc.h>
 
 ABSL_FLAG(std::string,
           settings,
@@ -43,6 +44,18 @@
 // How long the end waits for the reader of the log; the entry process keeps 0.7 s of its grace for the exit.
 constexpr std::chrono::milliseconds maxLogCloseDuration { 300 };
 
+/**
+    Keeps the heap small after a load. With the default of glibc, the first large block that is freed raises both thresholds for
+    the life of the process, up to 32 MiB, so that freed memory is not given back.
+*/
+void configureHeap()
+{
+    constexpr int mappedBlockBytes = 256 * 1024;
+    constexpr int maxFreeTopBytes = 1024 * 1024;
+    mallopt(M_MMAP_THRESHOLD, mappedBlockBytes);
+    mallopt(M_TRIM_THRESHOLD, maxFreeTopBytes);
+}
+
 std::string settingsFile()
 {
     auto flag = absl::GetFlag(FLAGS_settings);
@@ -143,6 +156,7 @@
 
 int main(int argc, char **argv)
 {
+    configureHeap();
     std::signal(SIGPIPE, SIG_IGN);
     // By default the signal ends a process that has not yet installed its handler. A change that it announces is found by the
     // periodic check.
--- a/modules/core/BoundedJson.h
+++ b/modules/core/BoundedJson.h
@@ -8,15 +8,22 @@
 
 namespace auburndoor {
 
+/** A message with more values than this, and names of members, is none that a program of the cell or its platform writes. */
+constexpr std::size_t maxJsonValues = std::size_t(4) << 20;
+/** As maxJsonValues, for MessagePack, which only other processes of the cell write. */
+constexpr std::size_t maxMessagePackValues = std::size_t(1) << 18;
+
 /**
     Parses JSON that another program may have written.
 
     Code that copies, compares or writes a value uses the stack for each of its levels, so text that is nested deeper than any
     message is rejected.
 
-    @return a discarded value if the text is not JSON, holds a number out of range or is nested deeper than 32 levels
+    @param maxValues the largest number of values and names of members, each of which takes up to some hundred bytes
+    @return a discarded value if the text is not JSON, holds a number out of range or more values, or is nested deeper than 32
+            levels
 */
-nlohmann::json parseBoundedJson(const std::string &text);
+nlohmann::json parseBoundedJson(const std::string &text, std::size_t maxValues = maxJsonValues);
 
 /** As parseBoundedJson(), for MessagePack, whose parser is itself recursive. */
 nlohmann::json parseBoundedMessagePack(const std::string &bytes);
--- a/modules/entry/EntryInstance.cpp
+++ b/modules/entry/EntryInstance.cpp
@@ -2,6 +2,8 @@
 
 #include "core/BuildVersion.h"
 #include "entry/AdvicePool.h"
+#include "entry/ConnectionBudget.h"
+#include "entry/EarlyRefusal.h"
 #include "entry/HttpRelayTransport.h"
 #include "entry/Leadership.h"
 #include "entry/ListenerDrain.h"
@@ -88,6 +90,7 @@
     /** Known from the operator's table before this process becomes the owner. */
     StoreTimeline storeTimeline;
     TableWatch operatorWatch;
+    ConnectionBudget connectionBudget;
     HttpListener clientListener;
     HttpListener readinessListener;
     HttpListener peerListener;
@@ -134,25 +137,38 @@
                     dependencies.protocol.operatorTable(),
                     operatorWatchTiming,
                     [this](const TableUpdate &update) { onOperatorRows(update.rows); })
+    , connectionBudget(dependencies.loop, dependencies.settings)
     , clientListener(
           dependencies.loop,
-          {},
-          [this](WebRequest request, HttpResponderPointer responder) { serveClient(std::move(request), std::move(responder)); })
-    , readinessListener(dependencies.loop,
-                        {},
-                        [this](const WebRequest &request, HttpResponderPointer responder) {
-                            const bool isKnown = this->dependencies.protocol.isReadinessRequest(request);
-                            responder->reply({ !isKnown ? 404 : isReady() ? 200 : 503, {}, {} });
-                        })
+          connectionBudget.limits().clients,
+          [this](WebRequest request, HttpResponderPointer responder) { serveClient(std::move(request), std::move(responder)); },
+          connectionBudget.memory(),
+          ConnectionPurpose::Clients)
+    , readinessListener(
+          dependencies.loop,
+          connectionBudget.limits().readiness,
+          [this](const WebRequest &request, HttpResponderPointer responder) {
+              const bool isKnown = this->dependencies.protocol.isReadinessRequest(request);
+              responder->reply({ !isKnown ? 404 : isReady() ? 200 : 503, {}, {} });
+          },
+          connectionBudget.memory(),
+          ConnectionPurpose::Control)
     , peerListener(
           dependencies.loop,
-          {},
-          [this](WebRequest request, HttpResponderPointer responder) { servePeer(std::move(request), std::move(responder)); })
+          connectionBudget.limits().peers,
+          [this](WebRequest request, HttpResponderPointer responder) { servePeer(std::move(request), std::move(responder)); },
+          connectionBudget.memory(),
+          ConnectionPurpose::Peers)
     , operatorListener(
           dependencies.loop,
-          { .maxConnections = 32 },
-          [this](const WebRequest &request, const HttpResponderPointer &responder) { serveOperator(request, *responder); })
+          connectionBudget.limits().operators,
+          [this](const WebRequest &request, const HttpResponderPointer &responder) { serveOperator(request, *responder); },
+          connectionBudget.memory(),
+          ConnectionPurpose::Control)
 {
+    clientListener.setHeaderCheck(
+        [this](const WebRequest &request) { return EarlyRefusal::ofClient(this->dependencies.protocol, desiredState, request); });
+    peerListener.setHeaderCheck(EarlyRefusal::ofPeer);
 }
 
 bool EntryInstance::Impl::isReady() const
@@ -250,6 +266,7 @@
     metrics.setGauge("client_requests_discarded", static_cast<double>(load.discardedRequests));
     metrics.setGauge("client_connections_idle", static_cast<double>(load.idleConnections));
     metrics.setGauge("client_oldest_request_milliseconds", static_cast<double>(load.oldestAge.count()));
+    connectionBudget.updateMetrics(metrics);
     workerRelay.updateMetrics(metrics);
     relayPool.updateMetrics(metrics);
     metrics.setGauge("log_lines_dropped", static_cast<double>(EventLog::droppedCount()));
@@ -281,6 +298,7 @@
         }
         desiredState = std::move(*read);
         desiredStateRow = row;
+        clientListener.setRequestTimeouts(desiredState.headerTimeout, desiredState.idleTimeout);
         EventLog::write("desired.taken", { { "version", desiredState.version }, { "queues", desiredState.queues.size() } });
         if (owner) {
             owner->setDesiredState(desiredState);
@@ -318,6 +336,7 @@
 
 void EntryInstance::Impl::flushLog()
 {
+    connectionBudget.report();
     EventLog::flush();
     loop.after(logFlushInterval, [self = shared_from_this()] { self->flushLog(); });
 }
--- a/modules/entry/EntrySettings.h
+++ b/modules/entry/EntrySettings.h
@@ -32,6 +32,10 @@
     double processorShare = 1.0;
     /** The bandwidth of this machine's link, in Mbit/s. */
     double linkMbps = 1000.0;
+    /** The memory of this machine, in MiB. By default that of the smallest machine. */
+    std::size_t memoryMiB = 120;
+    /** The number of file descriptors that this process may use, of which 200 are reserved for files. */
+    std::size_t maxDescriptors = 4096;
 
     /** Up to this number of workers, the owner sends all commands itself; with more, other entry processes are its relays. Fewer on
      * a slow link. */
--- a/modules/entry/PeerCodec.cpp
+++ b/modules/entry/PeerCodec.cpp
@@ -12,12 +12,15 @@
 
 namespace {
 
+// The largest messages name some thousands of workers for an advice request.
+constexpr std::size_t maxPeerValues = 65536;
+
 /** Parses a JSON object and applies a function to it. @return empty if the text is malformed or a field is missing or of another
  * type */
 template<typename Read>
 auto readJson(const std::string &text, Read read) -> decltype(std::optional(read(Json())))
 {
-    const auto json = parseBoundedJson(text);
+    const auto json = parseBoundedJson(text, maxPeerValues);
     if (!json.is_object()) {
         return std::nullopt;
     }
--- a/modules/entry/SettingsUpdate.cpp
+++ b/modules/entry/SettingsUpdate.cpp
@@ -30,6 +30,8 @@
     compare("advisor", inForce.advisor == read.advisor);
     compare("processorShare", inForce.processorShare == read.processorShare);
     compare("linkMbps", inForce.linkMbps == read.linkMbps);
+    compare("memoryMiB", inForce.memoryMiB == read.memoryMiB);
+    compare("maxDescriptors", inForce.maxDescriptors == read.maxDescriptors);
     compare("entryLifetime", inForce.entryLifetime == read.entryLifetime);
     return needRestart;
 }
--- a/modules/net/HttpListener.cpp
+++ b/modules/net/HttpListener.cpp
@@ -20,8 +20,13 @@
 
 struct HttpListener::Impl : std::enable_shared_from_this<HttpListener::Impl>
 {
-    Impl(EventLoop &loop, HttpListenerLimits limits, HttpHandler handler)
-        : context(std::make_shared<HttpListenerContext>(HttpListenerContext { loop, limits, std::move(handler) }))
+    Impl(EventLoop &loop,
+         HttpListenerLimits limits,
+         HttpHandler handler,
+         std::shared_ptr<ConnectionMemory> memory,
+         ConnectionPurpose purpose)
+        : context(std::make_shared<HttpListenerContext>(
+            HttpListenerContext { loop, limits, std::move(handler), std::move(memory), purpose }))
         , acceptor(loop.context().get_executor())
     {
     }
@@ -61,15 +66,29 @@
 
 void HttpListener::Impl::serve(LoopSocket socket)
 {
-    if (openConnections() < context->limits.maxConnections) {
-        std::make_shared<HttpSession>(context, std::move(socket))->read();
-    } else if (context->rejectedSessions < context->limits.maxRejectedConnections) {
+    const auto isFull = [this] { return openConnections() >= context->limits.maxConnections; };
+    if (isFull()) {
+        context->closeLongestOpen();
+    }
+    auto session = isFull() ? nullptr : HttpSession::open(context, socket);
+    if (session) {
+        session->read();
+        return;
+    }
+    if (context->memory) {
+        ++context->memory->refusals.connections;
+    }
+    if (socket.is_open() && context->rejectedSessions < context->limits.maxRejectedConnections) {
         std::make_shared<HttpSession>(context, std::move(socket))->reject();
     }
 }
 
-HttpListener::HttpListener(EventLoop &loop, HttpListenerLimits limits, HttpHandler handler)
-    : impl_(std::make_shared<Impl>(loop, limits, std::move(handler)))
+HttpListener::HttpListener(EventLoop &loop,
+                           HttpListenerLimits limits,
+                           HttpHandler handler,
+                           std::shared_ptr<ConnectionMemory> memory,
+                           ConnectionPurpose purpose)
+    : impl_(std::make_shared<Impl>(loop, limits, std::move(handler), std::move(memory), purpose))
 {
 }
 
@@ -79,6 +98,17 @@
     impl_->acceptor.close(ignored);
 }
 
+void HttpListener::setHeaderCheck(HttpHeaderCheck check)
+{
+    impl_->context->headerCheck = std::move(check);
+}
+
+void HttpListener::setRequestTimeouts(Milliseconds headerTimeout, Milliseconds stallTimeout)
+{
+    impl_->context->limits.headerTimeout = headerTimeout;
+    impl_->context->limits.stallTimeout = stallTimeout;
+}
+
 bool HttpListener::listen(const Address &address, std::string &error)
 {
     error_code code;
@@ -89,6 +119,11 @@
     if (!code) {
         impl_->acceptor.set_option(asio::socket_base::reuse_address(true), code);
     }
+    if (const auto bytes = impl_->context->limits.socketBufferBytes; !code && bytes > 0) {
+        // Accepted connections inherit the sizes, which limit what waits in the operating system for a client that doesn't read.
+        impl_->acceptor.set_option(asio::socket_base::receive_buffer_size(bytes), code);
+        impl_->acceptor.set_option(asio::socket_base::send_buffer_size(bytes), code);
+    }
     if (!code) {
         impl_->acceptor.bind({ ip, address.port }, code);
     }
--- a/modules/net/HttpListener.h
+++ b/modules/net/HttpListener.h
@@ -2,11 +2,13 @@
 
 #include "core/Clock.h"
 #include "net/Address.h"
+#include "net/ConnectionMemory.h"
 #include "net/HttpExchange.h"
 #include "net/HttpListenerLoad.h"
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace auburndoor {
 
@@ -29,6 +31,9 @@
 /** Called from the loop's thread for each request that has arrived. */
 using HttpHandler = std::function<void(WebRequest, HttpResponderPointer)>;
 
+/** Looks at the headers of a request whose body has not arrived in full. @return a reply that ends it at once, or empty */
+using HttpHeaderCheck = std::function<std::optional<WebReply>(const WebRequest &)>;
+
 /** Limits of a listener and of each of its connections. */
 struct HttpListenerLimits
 {
@@ -41,8 +46,16 @@
     std::size_t maxBodyBytes = 1 << 20;
     /** The longest time to send a reply. */
     Milliseconds transferTimeout { 10000 };
-    /** The longest time until the next request has arrived in full; a connection that is idle for so long is closed. */
+    /** A connection that is idle for so long is closed. */
     Milliseconds idleTimeout { 60000 };
+    /** From its first byte, the longest time until the headers of a request have arrived, and as long again for its body. */
+    Milliseconds headerTimeout { 3000 };
+    /** A request of which nothing arrives for so long is ended. */
+    Milliseconds stallTimeout { 15000 };
+    /** A request whose headers have arrived has a second more for each so many bytes of it that have arrived. */
+    std::size_t minBytesPerSecond = 16384;
+    /** The size of the operating system's buffers of a connection in each direction, in bytes; 0 for its default. */
+    int socketBufferBytes = 0;
     /**
         After the last reply of a connection, the longest time for the client to end it; input is dropped meanwhile. A client whose
         request is refused before it was read in full has the transferTimeout.
@@ -54,9 +67,20 @@
 class HttpListener
 {
 public:
-    HttpListener(EventLoop &loop, HttpListenerLimits limits, HttpHandler handler);
+    /** @param memory the budget that the connections take their memory from, as part of those with this purpose; null for none */
+    HttpListener(EventLoop &loop,
+                 HttpListenerLimits limits,
+                 HttpHandler handler,
+                 std::shared_ptr<ConnectionMemory> memory = nullptr,
+                 ConnectionPurpose purpose = ConnectionPurpose::Clients);
     ~HttpListener();
 
+    /** Sets a check of the headers of requests whose body takes more than one read, so that it need not be read. */
+    void setHeaderCheck(HttpHeaderCheck check);
+
+    /** Replaces the headerTimeout and the stallTimeout for what arrives from now on. */
+    void setRequestTimeouts(Milliseconds headerTimeout, Milliseconds stallTimeout);
+
     /** Binds the address and starts to accept connections. @return whether it succeeded; error says why not */
     bool listen(const Address &address, std::string &error);
 
--- a/modules/net/HttpListenerContext.h
+++ b/modules/net/HttpListenerContext.h
@@ -15,6 +15,11 @@
     EventLoop &loop;
     HttpListenerLimits limits;
     HttpHandler handler;
+    /** Null if the memory of the connections is not limited. */
+    std::shared_ptr<ConnectionMemory> memory = nullptr;
+    ConnectionPurpose purpose = ConnectionPurpose::Clients;
+    /** May be empty. */
+    HttpHeaderCheck headerCheck {};
     /** The open connections. */
     std::unordered_set<HttpSession *> sessions {};
     /** Those of them that are only told that the listener is full. */
@@ -25,6 +30,16 @@
     bool isDraining = false;
     /** Requests that arrived after the end of their connection was announced or begun, so that they were not carried out. */
     std::size_t discardedRequests = 0;
+    /** When connections were last closed to make room. */
+    TimePoint lastEvictionAt {};
+
+    /** Closes connections whose request has been arriving for long, those that hold most first, to free memory for others. */
+    void closeLargest();
+    /** Closes connections that wait for a request, or whose request has been arriving, for the longest time. */
+    void closeLongestOpen();
+
+private:
+    void evict(bool isForMemory);
 };
 
 } // namespace auburndoor
--- a/modules/net/HttpParser.h
+++ b/modules/net/HttpParser.h
@@ -31,12 +31,28 @@
         this->body_limit(maxBodyBytes);
     }
 
-    /** The message; valid once is_done() is true. */
+    /** The message; valid once is_done() is true, and without its body once is_header_done() is. */
     Message &message()
     {
         return message_;
     }
 
+    /** The memory that the message takes so far, in bytes. */
+    std::size_t heldBytes() const
+    {
+        if constexpr (isRequest) {
+            return message_.body.capacity() + message_.headers.capacity() * sizeof(HttpHeader) + headerBytes_;
+        } else {
+            return message_.body.capacity();
+        }
+    }
+
+    /** The length of the headers and the body so far, in bytes. */
+    std::size_t messageBytes() const
+    {
+        return headerBytes_ + message_.body.size();
+    }
+
 private:
     using Error = boost::beast::error_code;
     using Text = boost::beast::string_view;
@@ -46,6 +62,7 @@
         if constexpr (isRequest) {
             message_.method.assign(method.data(), method.size());
             message_.target.assign(target.data(), target.size());
+            headerBytes_ += target.size();
         }
     }
 
@@ -59,6 +76,7 @@
     void on_field_impl(boost::beast::http::field, Text name, Text value, Error &) override
     {
         if constexpr (isRequest) {
+            headerBytes_ += name.size() + value.size();
             auto &[lowerCaseName, text] = message_.headers.emplace_back(name, value);
             std::transform(lowerCaseName.begin(), lowerCaseName.end(), lowerCaseName.begin(), [](unsigned char character) {
                 return std::tolower(character);
@@ -72,14 +90,19 @@
 
     void on_body_init_impl(const boost::optional<std::uint64_t> &length, Error &) override
     {
-        if (length) {
-            // basic_parser has checked the length against the limit.
-            message_.body.reserve(static_cast<std::size_t>(*length));
+        // basic_parser has checked the length against the limit.
+        announcedBytes_ = static_cast<std::size_t>(length.value_or(0));
+        if constexpr (!isRequest) {
+            message_.body.reserve(announcedBytes_);
         }
     }
 
     std::size_t on_body_impl(Text part, Error &) override
     {
+        // The body of a request takes memory as it arrives, so that an announced length alone costs nothing.
+        if (const auto size = message_.body.size() + part.size(); size > message_.body.capacity() && size <= announcedBytes_) {
+            message_.body.reserve(std::min(announcedBytes_, std::max(size, 2 * message_.body.capacity())));
+        }
         message_.body.append(part.data(), part.size());
         return part.size();
     }
@@ -98,6 +121,9 @@
     }
 
     Message message_;
+    std::size_t announcedBytes_ = 0;
+    /** Of the target and of the names and values of the headers. */
+    std::size_t headerBytes_ = 0;
 };
 
 } // namespace auburndoor
--- a/modules/net/HttpSession.cpp
+++ b/modules/net/HttpSession.cpp
@@ -10,7 +10,9 @@
 namespace http = boost::beast::http;
 
 HttpSession::HttpSession(std::shared_ptr<HttpListenerContext> context, LoopSocket socket)
-    : context_(std::move(context)), stream_(std::move(socket), context_->loop, [this] { close(); })
+    : context_(std::move(context))
+    , share_(context_->memory, context_->purpose)
+    , stream_(std::move(socket), context_->loop, [this] { onDeadline(); })
 {
     stream_.configure();
     context_->sessions.insert(this);
@@ -27,8 +29,12 @@
 {
     state_ = State::Reading;
     busySince_ = context_->loop.now();
+    isArriving_ = false;
+    isHeaderChecked_ = false;
     parser_.emplace(context_->limits.maxHeaderBytes, context_->limits.maxBodyBytes);
-    stream_.deadline().set(context_->loop.now() + context_->limits.idleTimeout);
+    stream_.freeLargeBuffers();
+    holdBuffersOnly();
+    stream_.deadline().set(busySince_ + context_->limits.idleTimeout);
     if (stream_.hasInput()) {
         // On the next turn, so that a series of requests that arrived together doesn't nest their handlers.
         asio::post(context_->loop.context(), [self = shared_from_this()] { self->readRest(); });
@@ -68,6 +74,7 @@
         isEndAnnounced_ = true;
     }
     appendReply(output, reply, keepAlive_);
+    holdBuffersOnly();
     stream_.deadline().set(context_->loop.now() + context_->limits.transferTimeout);
     stream_.write([self = shared_from_this()](const ErrorCode &error) { self->onWritten(error); });
 }
@@ -111,20 +118,6 @@
     load.oldestAge = std::max(load.oldestAge, std::chrono::duration_cast<Milliseconds>(context_->loop.now() - busySince_));
 }
 
-void HttpSession::readRest()
-{
-    if (state_ != State::Reading) {
-        return;
-    }
-    ErrorCode error;
-    stream_.parse(*parser_, error);
-    if (error || parser_->is_done()) {
-        onRead(error);
-        return;
-    }
-    stream_.read(*parser_, [self = shared_from_this()](const ErrorCode &error) { self->onRead(error); });
-}
-
 void HttpSession::onRead(const ErrorCode &error)
 {
     if (state_ == State::Lingering) {
@@ -139,13 +132,14 @@
         close();
         return;
     }
-    beginRequest();
     if (isTooLarge) {
-        keepAlive_ = false;
-        isRestExpected_ = true;
-        reply({ 413, "{\"error\":\"request too large\"}", {} });
+        refuse({ 413, "{\"error\":\"request too large\"}", {} });
         return;
     }
+    if (!takeDecodedBytes()) {
+        return;
+    }
+    beginRequest();
     keepAlive_ = parser_->keep_alive();
     stream_.deadline().clear();
     context_->handler(std::move(parser_->message()), shared_from_this());
@@ -154,6 +148,7 @@
 void HttpSession::onWritten(const ErrorCode &error)
 {
     finishRequest();
+    wasAnswered_ = true;
     if (error || state_ != State::Writing) {
         close();
     } else if (keepAlive_) {
@@ -185,6 +180,7 @@
 void HttpSession::discardInput()
 {
     parser_.reset();
+    share_.resize(std::min(share_.bytes(), ConnectionMemory::connectionBytes));
     stream_.discardInput([self = shared_from_this()](const ErrorCode &, std::size_t size) {
         self->context_->discardedRequests += self->isEndAnnounced_ && size > 0 ? 1 : 0;
         self->close();
--- a/modules/net/HttpSession.h
+++ b/modules/net/HttpSession.h
@@ -3,8 +3,10 @@
 // Asio 1.74 uses std::exchange without including <utility>.
 #include <utility>
 
+#include "net/EvictionOrder.h"
 #include "net/HttpListenerContext.h"
 #include "net/HttpStream.h"
+#include "net/MemoryShare.h"
 
 #include <memory>
 #include <optional>
@@ -22,6 +24,9 @@
     HttpSession(std::shared_ptr<HttpListenerContext> context, LoopSocket socket);
     ~HttpSession() override;
 
+    /** Moves the socket into a connection if the budget has room for one. @return null, with the socket unchanged, if not */
+    static std::shared_ptr<HttpSession> open(const std::shared_ptr<HttpListenerContext> &context, LoopSocket &socket);
+
     /** Waits for a request. */
     void read();
 
@@ -35,6 +40,11 @@
     /** Begins to end the connection if it has waited for a request for so long. */
     void closeIfIdle(Milliseconds minimumIdle);
 
+    /** What is known of this connection if it may be closed to make room; without an index. */
+    std::optional<EvictionCandidate> evictionCandidate(TimePoint now) const;
+    /** Closes the connection, unless its request goes on to arrive. @return whether it was closed */
+    bool evict();
+
     /** Adds this connection to the counts. */
     void addTo(HttpListenerLoad &load) const;
 
@@ -55,6 +65,21 @@
 
     bool isIdle() const;
     void readRest();
+    /** Reads what arrives next, if the budget has room for it. */
+    void readNext();
+    void onPart(const ErrorCode &error);
+    /** Sets the deadline for the rest of a request of which a part has arrived. */
+    void setArrivalDeadline();
+    void onDeadline();
+    /** Takes what the request holds from the budget, or answers that it has no room. @return false if it was answered */
+    bool takeArrivingBytes();
+    /** As takeArrivingBytes(), for a request that has arrived and is decoded now. */
+    bool takeDecodedBytes();
+    bool takeBytes(std::size_t bytes);
+    /** Sets what the connection holds apart from a message, whether or not the budget has room. */
+    void holdBuffersOnly();
+    /** Answers a request that has not been read in full; its connection ends. */
+    void refuse(WebReply reply);
     void onRead(const ErrorCode &error);
     void onWritten(const ErrorCode &error);
     /** The end of a request that was still arriving when the connection began to end. */
@@ -71,6 +96,7 @@
     void close();
 
     std::shared_ptr<HttpListenerContext> context_;
+    MemoryShare share_;
     HttpStream stream_;
     std::optional<HttpParser<true>> parser_;
     State state_ = State::Reading;
@@ -84,6 +110,14 @@
     bool isRejected_ = false;
     /** The request counts in HttpListenerContext::openRequests. */
     bool isRequestOpen_ = false;
+    /** A part of the current request has arrived, but not all of it. */
+    bool isArriving_ = false;
+    /** The headers of the current request were checked before its body arrived. */
+    bool isHeaderChecked_ = false;
+    /** A request of the connection was answered. */
+    bool wasAnswered_ = false;
+    /** When the first bytes of the current request arrived. */
+    TimePoint arrivingSince_;
     /** When the current request was read in full, or when the connection became ready for it. */
     TimePoint busySince_;
 };
--- a/modules/net/HttpStream.h
+++ b/modules/net/HttpStream.h
@@ -99,6 +99,19 @@
     */
     template<bool isRequest, typename Handler>
     void read(HttpParser<isRequest> &parser, Handler handler)
+    {
+        readPart(parser, [this, &parser, handler = std::move(handler)](const ErrorCode &error) mutable {
+            if (error || parser.is_done()) {
+                handler(error);
+            } else {
+                read(parser, std::move(handler));
+            }
+        });
+    }
+
+    /** Reads what arrives next of a message; as read(), but the message may be unfinished when the handler is called. */
+    template<bool isRequest, typename Handler>
+    void readPart(HttpParser<isRequest> &parser, Handler handler)
     {
         const auto room = std::max(readBytes_, input_.capacity() - input_.size());
         socket_.async_read_some(input_.prepare(room),
@@ -108,14 +121,41 @@
                                         readBytes_ = std::min(readBytes_ * 2, maxReadBytes);
                                     }
                                     parse(parser, error);
-                                    if (error || parser.is_done()) {
-                                        handler(error);
-                                    } else {
-                                        read(parser, std::move(handler));
-                                    }
+                                    handler(error);
                                 });
     }
 
+    /** The memory of the buffers, with that for the next read, in bytes. */
+    std::size_t bufferBytes() const
+    {
+        return std::max(input_.capacity(), input_.size() + readBytes_) + output_.capacity();
+    }
+
+    /** Frees the buffers that are empty and larger than most messages. */
+    void freeLargeBuffers()
+    {
+        useSmallReads();
+        if (output_.capacity() > largeBufferBytes) {
+            output_ = {};
+        }
+    }
+
+    /** Reads in small steps from now on, with a small buffer if no input waits in it. */
+    void useSmallReads()
+    {
+        readBytes_ = initialReadBytes;
+        if (input_.size() == 0 && input_.capacity() > largeBufferBytes) {
+            input_ = {};
+        }
+    }
+
+    /** True if input waits in the operating system. */
+    bool hasUnreadSocketInput() const
+    {
+        ErrorCode ignored;
+        return socket_.available(ignored) > 0;
+    }
+
     /** Parses what has arrived. @param error of the read before; set to that of the message, which may end with the connection */
     template<bool isRequest>
     void parse(HttpParser<isRequest> &parser, ErrorCode &error)
@@ -150,8 +190,7 @@
     /** True if input waits to be parsed, here or in the operating system. */
     bool hasUnreadInput() const
     {
-        ErrorCode ignored;
-        return hasInput() || socket_.available(ignored) > 0;
+        return hasInput() || hasUnreadSocketInput();
     }
 
     /** Waits until input or the end of the connection can be read. @param handler called with the error, never from within
@@ -202,6 +241,7 @@
     // Most messages are smaller than this. Larger ones are read in steps that double up to the maximum.
     static constexpr std::size_t initialReadBytes = 1024;
     static constexpr std::size_t maxReadBytes = std::size_t(64) * 1024;
+    static constexpr std::size_t largeBufferBytes = 4096;
 
     LoopSocket socket_;
     Deadline deadline_;
--- a/modules/workload/DesiredState.h
+++ b/modules/workload/DesiredState.h
@@ -64,6 +64,10 @@
     bool requiresKeys = false;
     /** The largest accepted body of a job submission, in bytes. */
     std::size_t maxBodyBytes = 1 << 18;
+    /** The longest time for the headers of a client's request to arrive. */
+    Milliseconds headerTimeout { 3000 };
+    /** A client's request of which nothing arrives for so long is ended. */
+    Milliseconds idleTimeout { 15000 };
 
     /** Finds the queue of this host whose pathPrefix is the longest one that the path begins with; null if no queue matches. */
     const QueueSpec *route(std::string_view host, std::string_view path) const;
--- a/tests/adapter/CodecTests.cpp
+++ b/tests/adapter/CodecTests.cpp
@@ -125,13 +125,15 @@
     const auto desiredState = platform::readDesiredState(
         R"({"version":7,"routes":[{"name":"q","host":"h","pathPrefix":"/p/","service":"s","priority":2,"maxAttempts":3,)"
         R"("slackFactor":4.0,"targetLatencyMs":3000,"advisor":{"decisionMs":150.0,"periodMs":2.2,"validityMs":2000}},{"name":7}],)"
-        R"("services":[{"name":"s","enforceCapacity":false,"standby":true}],"limits":{"maxBodyBytes":1000}})");
+        R"("services":[{"name":"s","enforceCapacity":false,"standby":true}],"limits":{"maxBodyBytes":1000,"headerTimeoutMs":2000,"idleTimeoutMs":0}})");
     REQUIRE(desiredState);
     CHECK(desiredState->version == 7);
     REQUIRE(desiredState->queues.size() == 1);
     CHECK(desiredState->queues[0].advice->permitValidity == Milliseconds(2000));
     CHECK(desiredState->services.at(0).isStandby);
     CHECK(desiredState->maxBodyBytes == 1000);
+    CHECK(desiredState->headerTimeout == Milliseconds(2000));
+    CHECK(desiredState->idleTimeout == Milliseconds(15000));
     CHECK_FALSE(platform::readDesiredState("{}"));
     CHECK_FALSE(platform::readDesiredState("x"));
 }
--- a/tests/adapter/OddEntryTests.cpp
+++ b/tests/adapter/OddEntryTests.cpp
@@ -182,3 +182,38 @@
     CHECK(parseBoundedJson("[1").is_discarded());
     CHECK(parseBoundedJson("1e999").is_discarded());
 }
+
+// Guards against a message of legal size whose values take many times its memory.
+TEST_CASE("a text of more values than allowed is discarded")
+{
+    CHECK(parseBoundedJson(R"({"a":[1,null]})", 5).is_object());
+    CHECK(parseBoundedJson(R"({"a":[1,null]})", 4).is_discarded());
+    std::string error;
+    std::string manyValues = R"({"taskGroups":[{"count":1}],"x":[0)";
+    for (int number = 0; number < 70'000; ++number) {
+        manyValues += ",0";
+    }
+    CHECK_FALSE(platform::readJob(manyValues + "]}", error));
+    CHECK(error.find("65536 values") != std::string::npos);
+}
+
+// Guards against limits that would leave a process without connections.
+TEST_CASE("limits of the machine that are out of range are refused")
+{
+    const auto makeText = [](const std::string &limits) {
+        return R"({"nodeName":"n","zone":"z","ip":"10.0.0.1","listen":{"front":"10.0.0.1:1","ready":"10.0.0.1:2"},
+            "portRange":[7380,7395],"platform":{"address":"10.0.0.1:3"},"limits":)"
+               + limits + "}";
+    };
+    std::string error;
+    const auto read = platform::readNodeFile(makeText(R"({"memoryMb":160,"maxFds":1024})"), error);
+    REQUIRE(read);
+    CHECK(read->memoryMiB == 160);
+    CHECK(read->maxDescriptors == 1024);
+    CHECK(platform::readNodeFile(makeText("{}"), error)->memoryMiB == 120);
+    CHECK(platform::readNodeFile(makeText(R"({"memoryMb":0})"), error)->memoryMiB == 120);
+    CHECK_FALSE(platform::readNodeFile(makeText(R"({"memoryMb":15})"), error));
+    CHECK(error.find("limits.memoryMb") != std::string::npos);
+    CHECK_FALSE(platform::readNodeFile(makeText(R"({"maxFds":200})"), error));
+    CHECK_FALSE(platform::readNodeFile(makeText(R"({"maxFds":"x"})"), error));
+}
