--- a/modules/net/ConnectionMemory.cpp
+++ b/modules/net/ConnectionMemory.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t percents = 100;
 // A fall by less than this isn't worth a walk through the heap.
 constexpr std::size_t minimumFall = std::size_t(1) << 20;
+// Many requests one after the other leave a heap of small holes, although little is used at a time.
+constexpr std::size_t maxTurnover = std::size_t(8) << 20;
 
 std::size_t indexOf(ConnectionPurpose purpose)
 {
@@ -46,13 +48,15 @@
     used_[indexOf(purpose)] += bytes;
     totalUsed_ += bytes;
     peak_ = std::max(peak_, totalUsed_);
+    turnover_ += bytes;
 }
 
 void ConnectionMemory::release(ConnectionPurpose purpose, std::size_t bytes)
 {
     used_[indexOf(purpose)] -= bytes;
     totalUsed_ -= bytes;
-    if (!isFallReported_ && onFallen && peak_ - totalUsed_ >= std::max(minimumFall, peak_ / 2)) {
+    const bool hasFallen = totalUsed_ <= peak_ / 2 && (peak_ - totalUsed_ >= minimumFall || turnover_ >= maxTurnover);
+    if (!isFallReported_ && onFallen && hasFallen) {
         isFallReported_ = true;
         onFallen();
     }
@@ -76,6 +80,7 @@
 void ConnectionMemory::noteReleased()
 {
     peak_ = totalUsed_;
+    turnover_ = 0;
     isFallReported_ = false;
 }
 
--- a/modules/net/ConnectionMemory.h
+++ b/modules/net/ConnectionMemory.h
@@ -59,7 +59,7 @@
     std::size_t used(ConnectionPurpose purpose) const;
     std::size_t used() const;
 
-    /** Called once what is used has fallen far below its peak; noteReleased() makes it be called again. May be empty. */
+    /** Called once what is used has fallen by half after much was used; noteReleased() makes it be called again. May be empty. */
     std::function<void()> onFallen;
     /** The memory that was free has been given back to the operating system. */
     void noteReleased();
@@ -73,6 +73,8 @@
     std::array<std::size_t, purposeCount> used_ {};
     std::size_t totalUsed_ = 0;
     std::size_t peak_ = 0;
+    /** What was taken since noteReleased(), whether or not it was released again. */
+    std::size_t turnover_ = 0;
     bool isFallReported_ = false;
 };
 
--- a/tests/net/ConnectionMemoryTests.cpp
+++ b/tests/net/ConnectionMemoryTests.cpp
@@ -108,6 +108,12 @@
     memory.noteReleased();
     memory.release(ConnectionPurpose::Clients, 2 << 20);
     CHECK(falls == 2);
+    memory.noteReleased();
+    for (int number = 0; number < 100; ++number) {
+        memory.take(ConnectionPurpose::Clients, 100 << 10);
+        memory.release(ConnectionPurpose::Clients, 100 << 10);
+    }
+    CHECK(falls == 3);
 }
 
 // Guards against ordinary requests being closed for a crowd.
