Memory of answered calls and closed connections is given back

The timers of an answered call kept the call with its body for the timeout that the client had chosen, up to 10 minutes, and those of a closed connection kept a part of it for up to 60 s; the small blocks kept the pages around them. Which blocks they were was concluded from the code, not traced.

Change: timers hold calls weakly and run for at most 5 s at a time, and those of connections for 4 s. A call's body is freed with its answer, and is no longer copied for it.

--- a/modules/entry/ConnectionBudget.cpp
+++ b/modules/entry/ConnectionBudget.cpp
@@ -13,6 +13,8 @@
 
 // Walking through the heap takes about a millisecond, so that it follows the end of a crowd, not each of its connections.
 constexpr Milliseconds releaseDelay { 2000 };
+// By then the timers of connections and calls that have ended are gone as well.
+constexpr Milliseconds finalReleaseDelay { 8000 };
 constexpr Milliseconds reportInterval { 10000 };
 
 } // namespace
@@ -30,12 +32,14 @@
     : timers_(timers), limits_(ConnectionLimits::derive(settings)), memory_(std::make_shared<ConnectionMemory>(limits_.memoryBytes))
 {
     memory_->onFallen = [this] {
-        timers_.after(releaseDelay, [weakMemory = std::weak_ptr(memory_)] {
-            if (const auto memory = weakMemory.lock()) {
-                malloc_trim(0);
-                memory->noteReleased();
-            }
-        });
+        for (const auto delay : { releaseDelay, finalReleaseDelay }) {
+            timers_.after(delay, [weakMemory = std::weak_ptr(memory_)] {
+                if (const auto memory = weakMemory.lock()) {
+                    malloc_trim(0);
+                    memory->noteReleased();
+                }
+            });
+        }
     };
 }
 
--- a/modules/entry/EntryInstance.cpp
+++ b/modules/entry/EntryInstance.cpp
@@ -199,7 +199,10 @@
 
 void EntryInstance::Impl::forwardCall(const ClientCall &call, const HttpResponderPointer &responder)
 {
-    callForwarder.call(call, [this, call, responder](const ClientResult &result) {
+    auto answeredCall = call;
+    // The answer doesn't depend on it.
+    answeredCall.body = std::string();
+    callForwarder.call(call, [this, call = std::move(answeredCall), responder](const ClientResult &result) {
         callReader.noteResult(call, result);
         if (result.outcome == ClientResult::Outcome::Refused || result.outcome == ClientResult::Outcome::Unknown) {
             EventLog::writeRateLimited("call.failed",
--- a/modules/entry/OwnerCallForwarder.cpp
+++ b/modules/entry/OwnerCallForwarder.cpp
@@ -20,6 +20,7 @@
 constexpr Milliseconds retryAfterRefusal { 600 };
 // Timeout of one attempt to reach an owner; the next attempt may reach its successor.
 constexpr Milliseconds attemptTimeout { 1000 };
+constexpr Milliseconds maxWatchStep { 5000 };
 constexpr const char *stoppingMessage = "the entry process is stopping";
 
 bool changesState(const ClientCall &call)
@@ -63,6 +64,8 @@
     void onReply(const SendResult &sent, const Address &address, const OpenCallPointer &openCall);
     void scheduleRetry(const OpenCallPointer &openCall);
     void finish(const OpenCallPointer &openCall, const ClientResult &result);
+    /** Gives the call up at its deadline. */
+    void watchDeadline(const OpenCallPointer &openCall);
     /** Answers the call without an owner's result. */
     void giveUp(const OpenCallPointer &openCall);
 
@@ -78,7 +81,9 @@
 {
     if (!std::exchange(openCall->isAnswered, true)) {
         openCalls.erase(openCall);
-        openCall->callback(result);
+        // An owner that was deposed may keep the call; what it holds for the client must not wait for that.
+        openCall->call.body = std::string();
+        std::exchange(openCall->callback, nullptr)(result);
     }
 }
 
@@ -92,6 +97,24 @@
     }
 }
 
+void OwnerCallForwarder::Impl::watchDeadline(const OpenCallPointer &openCall)
+{
+    const auto remaining = std::chrono::duration_cast<Milliseconds>(openCall->deadline - loop.now());
+    // In steps, since timers can't be cancelled: those of answered calls would stay for the timeout that the client has chosen.
+    const bool isLast = remaining <= maxWatchStep;
+    loop.after(std::min(remaining, maxWatchStep), [self = shared_from_this(), weakCall = std::weak_ptr(openCall), isLast] {
+        const auto openCall = weakCall.lock();
+        if (!openCall || openCall->isAnswered) {
+            return;
+        }
+        if (isLast) {
+            self->giveUp(openCall);
+        } else {
+            self->watchDeadline(openCall);
+        }
+    });
+}
+
 void OwnerCallForwarder::Impl::tryOwner(const OpenCallPointer &openCall)
 {
     if (openCall->isAnswered) {
@@ -108,8 +131,9 @@
             }
         });
         // An owner that is deposed meanwhile may not call back; then the next owner is tried.
-        loop.after(attemptTimeout, [self = shared_from_this(), openCall, owner] {
-            if (self->localOwner() != owner) {
+        loop.after(attemptTimeout, [self = shared_from_this(), weakCall = std::weak_ptr(openCall), owner] {
+            const auto openCall = weakCall.lock();
+            if (openCall && self->localOwner() != owner) {
                 self->tryOwner(openCall);
             }
         });
@@ -188,7 +212,8 @@
 
 void OwnerCallForwarder::call(const ClientCall &call, Callback callback)
 {
-    auto openCall = std::make_shared<Impl::OpenCall>();
+    // Apart from its control block, so that timers of an answered call keep little.
+    const Impl::OpenCallPointer openCall(new Impl::OpenCall);
     openCall->call = call;
     openCall->callback = std::move(callback);
     openCall->deadline = impl_->loop.now() + call.timeout - std::min(answerMargin, call.timeout / 4);
@@ -199,8 +224,7 @@
         return;
     }
     impl_->openCalls.insert(openCall);
-    impl_->loop.after(std::chrono::duration_cast<Milliseconds>(openCall->deadline - impl_->loop.now()),
-                      [impl = impl_, openCall] { impl->giveUp(openCall); });
+    impl_->watchDeadline(openCall);
     impl_->tryOwner(openCall);
 }
 
--- a/modules/net/Deadline.cpp
+++ b/modules/net/Deadline.cpp
@@ -2,8 +2,18 @@
 
 #include "net/Timers.h"
 
+#include <algorithm>
+
 namespace auburndoor {
 
+namespace {
+
+// A timer and the state that it refers to stay until it ends, also if their connection has closed, and small blocks that stay keep
+// the operating system from getting back the pages around them.
+constexpr Milliseconds maxTimerDuration { 4000 };
+
+} // namespace
+
 struct Deadline::State
 {
     Timers &timers;
@@ -36,9 +46,9 @@
 
 void Deadline::startTimer(const std::shared_ptr<State> &state)
 {
-    state->timerEnd = state->deadline;
+    state->timerEnd = std::min(state->deadline, state->timers.now() + maxTimerDuration);
     // Rounded up, since a timer that ends too early would have to be started again.
-    const auto delay = std::chrono::ceil<Milliseconds>(state->deadline - state->timers.now());
+    const auto delay = std::chrono::ceil<Milliseconds>(state->timerEnd - state->timers.now());
     state->timers.after(delay, [weakState = std::weak_ptr(state), timerEnd = state->timerEnd] {
         if (const auto state = weakState.lock()) {
             onTimer(state, timerEnd);
