--- a/tests/crowd/CrowdTests.cpp
+++ b/tests/crowd/CrowdTests.cpp
@@ -150,3 +150,13 @@
     CrowdCell cell("descriptors", memoryMb, maxFds);
     cell.runEverywhere([](const std::string &path) { return CrowdPlan { .head = CrowdRequests::announcement(path, bodyBytes) }; });
 }
+
+// The size of a real crowd; hidden, since it adds nothing that the smaller crowds don't show.
+TEST_CASE("2,500 bodies that stop short, on the smallest machine", "[.][full-size]")
+{
+    constexpr int memoryMb = 120;
+    CrowdCell cell("full-size", memoryMb);
+    cell.runEverywhere([](const std::string &path) {
+        return CrowdPlan { .connections = 2500, .head = CrowdRequests::announcement(path, bodyBytes) + unfinishedBody() };
+    });
+}
