--- a/modules/entry/ClientCallReader.cpp
+++ b/modules/entry/ClientCallReader.cpp
@@ -51,6 +51,25 @@
                                });
 }
 
+std::optional<WebReply> ClientCallReader::refuseEarly(const WebRequest &request)
+{
+    if (desiredState_.current().version == 0) {
+        return std::nullopt;
+    }
+    std::optional<ClientResult> result;
+    const auto call = protocol_.readCall(request, desiredState_.current(), result);
+    const bool isDecided = result
+                           && (result->outcome == ClientResult::Outcome::NoSuchQueue || result->keyRefusal == KeyRefusal::NoKey);
+    if (!isDecided || dependsOnNewerVersion(call, result)) {
+        return std::nullopt;
+    }
+    std::optional<WebReply> reply;
+    finish(request, call, result, [this, &reply](const ClientCall &refused, const std::optional<ClientResult> &why) {
+        reply = protocol_.writeResult(refused, *why);
+    });
+    return reply;
+}
+
 void ClientCallReader::finish(const WebRequest &request,
                               const ClientCall &call,
                               const std::optional<ClientResult> &result,
--- a/modules/entry/ClientCallReader.h
+++ b/modules/entry/ClientCallReader.h
@@ -33,6 +33,13 @@
     /** Reads a request, whose client has the timeout of the call from now on. @param callback called once, maybe from within */
     void read(WebRequest request, Callback callback);
 
+    /**
+        Refuses a request by its headers, before its body is read.
+
+        @return empty if the body, or a newer desired state, may matter
+    */
+    std::optional<WebReply> refuseEarly(const WebRequest &request);
+
     /** Counts an owner's answer that refuses a call for its key. */
     void noteResult(const ClientCall &call, const ClientResult &result);
 
--- a/modules/entry/EntryInstance.cpp
+++ b/modules/entry/EntryInstance.cpp
@@ -3,6 +3,7 @@
 #include "core/BuildVersion.h"
 #include "entry/AdvicePool.h"
 #include "entry/ClientCallReader.h"
+#include "entry/ConnectionBudget.h"
 #include "entry/DesiredStateHolder.h"
 #include "entry/HttpRelayTransport.h"
 #include "entry/Leadership.h"
@@ -85,6 +86,7 @@
     StoreTimeline storeTimeline;
     DesiredStateHolder desiredState;
     ClientCallReader callReader;
+    ConnectionBudget connectionBudget;
     HttpListener clientListener;
     HttpListener readinessListener;
     HttpListener peerListener;
@@ -136,25 +138,39 @@
                        }
                    })
     , callReader(dependencies.loop, dependencies.protocol, desiredState, dependencies.metrics)
+    , connectionBudget(dependencies.loop, dependencies.settings)
     , clientListener(
           dependencies.loop,
-          {},
-          [this](WebRequest request, HttpResponderPointer responder) { serveClient(std::move(request), std::move(responder)); })
-    , readinessListener(dependencies.loop,
-                        {},
-                        [this](const WebRequest &request, HttpResponderPointer responder) {
-                            const bool isKnown = this->dependencies.protocol.isReadinessRequest(request);
-                            responder->reply({ !isKnown ? 404 : isReady() ? 200 : 503, {}, {} });
-                        })
+          connectionBudget.limits().clients,
+          [this](WebRequest request, HttpResponderPointer responder) { serveClient(std::move(request), std::move(responder)); },
+          connectionBudget.memory(),
+          ConnectionPurpose::Clients)
+    , readinessListener(
+          dependencies.loop,
+          connectionBudget.limits().readiness,
+          [this](const WebRequest &request, HttpResponderPointer responder) {
+              const bool isKnown = this->dependencies.protocol.isReadinessRequest(request);
+              responder->reply({ !isKnown ? 404 : isReady() ? 200 : 503, {}, {} });
+          },
+          connectionBudget.memory(),
+          ConnectionPurpose::Control)
     , peerListener(
           dependencies.loop,
-          {},
-          [this](WebRequest request, HttpResponderPointer responder) { servePeer(std::move(request), std::move(responder)); })
+          connectionBudget.limits().peers,
+          [this](WebRequest request, HttpResponderPointer responder) { servePeer(std::move(request), std::move(responder)); },
+          connectionBudget.memory(),
+          ConnectionPurpose::Peers)
     , operatorListener(
           dependencies.loop,
-          { .maxConnections = 32 },
-          [this](const WebRequest &request, const HttpResponderPointer &responder) { serveOperator(request, *responder); })
+          connectionBudget.limits().operators,
+          [this](const WebRequest &request, const HttpResponderPointer &responder) { serveOperator(request, *responder); },
+          connectionBudget.memory(),
+          ConnectionPurpose::Control)
 {
+    clientListener.setHeaderCheck([this](const WebRequest &request) { return callReader.refuseEarly(request); });
+    peerListener.setHeaderCheck([](const WebRequest &request) {
+        return PeerCodec::isPath(request.target) ? std::nullopt : std::optional(WebReply { 404, {}, {} });
+    });
 }
 
 bool EntryInstance::Impl::isReady() const
@@ -184,7 +200,10 @@
 
 void EntryInstance::Impl::forwardCall(const ClientCall &call, const HttpResponderPointer &responder)
 {
-    callForwarder.call(call, [this, call, responder](const ClientResult &result) {
+    auto answeredCall = call;
+    // The answer doesn't depend on it.
+    answeredCall.body = std::string();
+    callForwarder.call(call, [this, call = std::move(answeredCall), responder](const ClientResult &result) {
         callReader.noteResult(call, result);
         if (result.outcome == ClientResult::Outcome::Refused || result.outcome == ClientResult::Outcome::Unknown) {
             EventLog::writeRateLimited("call.failed",
@@ -256,6 +275,7 @@
     metrics.setGauge("client_requests_discarded", static_cast<double>(load.discardedRequests));
     metrics.setGauge("client_connections_idle", static_cast<double>(load.idleConnections));
     metrics.setGauge("client_oldest_request_milliseconds", static_cast<double>(load.oldestAge.count()));
+    connectionBudget.updateMetrics(metrics);
     workerRelay.updateMetrics(metrics);
     relayPool.updateMetrics(metrics);
     metrics.setGauge("log_lines_dropped", static_cast<double>(EventLog::droppedCount()));
@@ -307,6 +327,7 @@
 
 void EntryInstance::Impl::flushLog()
 {
+    connectionBudget.report();
     EventLog::flush();
     loop.after(logFlushInterval, [self = shared_from_this()] { self->flushLog(); });
 }
--- a/modules/entry/PeerCodec.cpp
+++ b/modules/entry/PeerCodec.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <array>
 
 namespace auburndoor {
 
@@ -13,12 +14,15 @@
 
 namespace {
 
+// The largest messages name some thousands of workers for an advice request.
+constexpr std::size_t maxPeerValues = 65536;
+
 /** Parses a JSON object and applies a function to it. @return empty if the text is malformed or a field is missing or of another
  * type */
 template<typename Read>
 auto readJson(const std::string &text, Read read) -> decltype(std::optional(read(Json())))
 {
-    const auto json = parseBoundedJson(text);
+    const auto json = parseBoundedJson(text, maxPeerValues);
     if (!json.is_object()) {
         return std::nullopt;
     }
@@ -51,6 +55,14 @@
 
 } // namespace
 
+bool PeerCodec::isPath(std::string_view target)
+{
+    static constexpr std::array<std::string_view, 7> paths {
+        heartbeatPath, successionPath, ownerViewPath, desiredStatePath, callPath, advicePath, relayPath,
+    };
+    return std::any_of(paths.begin(), paths.end(), [target](std::string_view path) { return target.starts_with(path); });
+}
+
 WebRequest PeerCodec::heartbeatRequest(const FollowerReport &report)
 {
     return { "POST",
--- a/modules/entry/PeerCodec.h
+++ b/modules/entry/PeerCodec.h
@@ -7,6 +7,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace auburndoor {
@@ -77,6 +78,9 @@
     static constexpr const char *advicePath = "/cell/advice";
     /** Takes messages of WorkerRelayCodec. */
     static constexpr const char *relayPath = "/cell/relay";
+    /** True if the target of a request begins with one of these paths. */
+    static bool isPath(std::string_view target);
+
     /** The HTTP status with which a process answers that it does not own the cell. */
     static constexpr int notOwnerStatus = 421;
 
--- a/tests/entry/ClientCallReaderTests.cpp
+++ b/tests/entry/ClientCallReaderTests.cpp
@@ -149,3 +149,21 @@
     CHECK(log.search("first-key").empty());
     CHECK(fixture.metrics.text().find("secret-guess") == std::string::npos);
 }
+
+// Guards against early refusals of calls that a newer desired state or the body may allow.
+TEST_CASE("only calls without a key are refused before their body is read", "[keys]")
+{
+    ReaderFixture fixture;
+    WebRequest request { "POST", "/jobs/0123456789abcdef", { { "host", "h" } }, {}, false };
+    const auto reply = fixture.reader.refuseEarly(request);
+    REQUIRE(reply);
+    CHECK(reply->status == 401);
+    CHECK(fixture.metrics.counter("client_key_refusals_total", "no key") == 1);
+    request.headers.emplace_back("key", "guess");
+    CHECK_FALSE(fixture.reader.refuseEarly(request));
+    request.headers.back().second = "first-key";
+    CHECK_FALSE(fixture.reader.refuseEarly(request));
+    // Where keys are required, a route may be in a newer version.
+    request.target = "/none/0123456789abcdef";
+    CHECK_FALSE(fixture.reader.refuseEarly(request));
+}
