A full crowd leaves less memory behind

Asio keeps the state of each connection that was open once, which keeps a page of the heap; the timers of the event loop kept the capacity of their peak. The first was concluded from the code, not traced.

Change: clients get at most 8 connections for each MiB of the machine, from 512 to 3,000.

--- a/modules/entry/ConnectionLimits.cpp
+++ b/modules/entry/ConnectionLimits.cpp
@@ -28,6 +28,9 @@
 constexpr std::size_t maxRejected = 64;
 constexpr std::size_t listenerCount = 4;
 constexpr std::size_t maxClients = 3000;
+// What Asio keeps of each connection that was open once leaves up to a page of the heap that can't be given back.
+constexpr std::size_t clientsPerMiB = 8;
+constexpr std::size_t minClients = 512;
 // A probe of readiness or a request for metrics has a few short headers and no body.
 constexpr std::size_t maxControlHeaderBytes = 4096;
 // Bounds what the operating system keeps for a client that sends ahead or doesn't read.
@@ -46,7 +49,8 @@
     limits.readiness.maxConnections = std::min(incoming / readinessPart, maxReadiness);
     limits.operators.maxConnections = std::min(incoming / operatorPart, maxOperators);
     const auto others = limits.peers.maxConnections + limits.readiness.maxConnections + limits.operators.maxConnections;
-    limits.clients.maxConnections = std::min(incoming - others - listenerCount * rejected, maxClients);
+    const auto maxByMemory = std::clamp(settings.memoryMiB * clientsPerMiB, minClients, maxClients);
+    limits.clients.maxConnections = std::min(incoming - others - listenerCount * rejected, maxByMemory);
     limits.clients.socketBufferBytes = clientSocketBufferBytes;
     for (auto *each : { &limits.clients, &limits.readiness, &limits.peers, &limits.operators }) {
         each->maxRejectedConnections = rejected;
