--- a/modules/dispatch/ScarcityOrder.cpp
+++ b/modules/dispatch/ScarcityOrder.cpp
@@ -14,6 +14,8 @@
 constexpr double protectedFactor = 1.25;
 // A few large tasks that fit nowhere do not make the room of a service scarce.
 constexpr double minScarceShare = 0.01;
+// More than a large service does in the window; without the bound a few steps with absurd estimates leave the type.
+constexpr WorkAmount maxDemandOfStep = 100'000'000'000;
 // The order does not change back and forth with each task that ends.
 constexpr Milliseconds scarcityMemory { 1000 };
 // A key of this size is that of a job of the mean size with all its slack.
@@ -85,7 +87,7 @@
 void ScarcityOrder::noteDemand(int priority, WorkAmount work, TimePoint now)
 {
     const auto bucket = advance(now);
-    levels_[priority].demanded.at(bucket) += work;
+    levels_[priority].demanded.at(bucket) += std::min(work, maxDemandOfStep);
 }
 
 void ScarcityOrder::noteJob(const std::string &queue, WorkAmount work)
--- a/modules/dispatch/ServiceCapacity.cpp
+++ b/modules/dispatch/ServiceCapacity.cpp
@@ -91,6 +91,7 @@
     largestFree_ = Resources();
     totalFree_ = Resources();
     totalCapacity_ = Resources();
+    largestCapacity_ = Resources();
     largestFreeAfterPreemption_.clear();
     for (auto &workerCapacity : workerCapacities_) {
         if (!workerCapacity.isUsable) {
@@ -104,7 +105,13 @@
                         std::max<std::int64_t>(free.accelerators, 0),
                         free.slots,
                         free.connections };
-        totalCapacity_ += workerCapacity.worker->entry.capacity;
+        const auto &capacity = workerCapacity.worker->entry.capacity;
+        totalCapacity_ += capacity;
+        largestCapacity_ = { std::max(largestCapacity_.milliCores, capacity.milliCores),
+                             std::max(largestCapacity_.memoryMiB, capacity.memoryMiB),
+                             std::max(largestCapacity_.accelerators, capacity.accelerators),
+                             std::max(largestCapacity_.slots, capacity.slots),
+                             std::max(largestCapacity_.connections, capacity.connections) };
         if (!workerCapacity.reservations.empty() || workerCapacity.waitingPriority < WorkerCapacity::noPriority) {
             workerCapacity.reservations.clear();
             workerCapacity.clearPlan();
--- a/modules/dispatch/ServiceCapacity.h
+++ b/modules/dispatch/ServiceCapacity.h
@@ -97,6 +97,12 @@
     /** Has the runs of all workers collected again, as other accounts are below their shares now. */
     void forgetCollectedRuns();
 
+    /** False if the need is larger than any usable worker, as of the last call of tightenBounds(). */
+    bool mayHold(const Resources &need) const
+    {
+        return need.fitsIn(largestCapacity_);
+    }
+
     /** Collects the preemptible runs of all workers that have changed since the last call. */
     void collectPreemptibleRuns();
 
@@ -136,6 +142,8 @@
     Resources largestFree_;
     Resources totalFree_;
     Resources totalCapacity_;
+    /** The largest amount of each resource that a usable worker has. */
+    Resources largestCapacity_;
     /** The bound of what preemption could free on any worker, by the right of the work that needs it. */
     std::map<PreemptionRight, Resources> largestFreeAfterPreemption_;
 };
--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -394,6 +394,8 @@
     std::map<std::string, ScarcityOrder> scarcityByService_;
     std::map<std::string, ScarcityOrder::Reading> scarcityReadings_;
     bool isReadingAll_ = false;
+    /** What the waiting tasks of each account that the present reading has counted take of its limit. */
+    std::unordered_map<std::string, Resources> promisedByAccount_;
     AccountLimitReport limitReport_;
     AccountShares shares_;
     /** When the levels of the accounts were computed last. */
--- a/modules/dispatch/TaskPlacerScarcity.cpp
+++ b/modules/dispatch/TaskPlacerScarcity.cpp
@@ -26,14 +26,19 @@
 
 void TaskPlacer::followDemand(StepState &step)
 {
-    // Tasks beyond the account's limit are not short of room.
-    const auto waitingTasks = countStartable(step, isReadingAll_ ? countIdleTasks(step) : 1);
+    const auto need = JobManager::makeClaim(step).need;
+    if (!getServiceCapacity(step).mayHold(need)) {
+        return;
+    }
+    // Tasks beyond the account's limit are not short of room, nor are those of other steps that use up the limit.
+    auto &promised = promisedByAccount_[step.job->spec.account];
+    const auto waitingTasks = quotas_.countStartable(step, isReadingAll_ ? countIdleTasks(step) : 1, now_, promised);
     if (waitingTasks <= 0) {
         return;
     }
     noteDemand(step, now_, scarcityOf(step));
     if (isReadingAll_) {
-        const auto need = JobManager::makeClaim(step).need;
+        promised += step.spec().need * waitingTasks;
         const bool hasRoom = getServiceCapacity(step).mayHaveFree(need);
         addWaitingTasks(step, need * waitingTasks, hasRoom, now_, scarcityReadings_[step.job->queue.service]);
     }
@@ -58,6 +63,7 @@
         }
     }
     scarcityReadings_.clear();
+    promisedByAccount_.clear();
 }
 
 bool TaskPlacer::isHeldBack(const StepState &step, const Task &task)
@@ -94,9 +100,7 @@
     }
     auto rank = computeRank(step);
     rank.isAboveShare = entry->first.isAboveShare;
-    const auto following = readySteps_.erase(entry);
-    readySteps_.insert(rank, step);
-    return following;
+    return readySteps_.setRank(entry, rank);
 }
 
 } // namespace auburndoor
--- a/modules/entry/ConnectionLimits.cpp
+++ b/modules/entry/ConnectionLimits.cpp
@@ -19,7 +19,8 @@
 constexpr std::size_t outgoingPart = 4;
 constexpr std::size_t maxOutgoing = 768;
 constexpr std::size_t peerPart = 4;
-constexpr std::size_t maxPeers = 768;
+// At its peak an owner has over ten connections from each of the other processes.
+constexpr std::size_t maxPeers = 3000;
 constexpr std::size_t readinessPart = 16;
 constexpr std::size_t maxReadiness = 64;
 constexpr std::size_t operatorPart = 32;
--- a/modules/entry/EntryInstance.cpp
+++ b/modules/entry/EntryInstance.cpp
@@ -133,6 +133,7 @@
                    storeTimeline,
                    dependencies.protocol,
                    [this](const DesiredState &newState) {
+                       clientListener.setRequestTimeouts(newState.headerTimeout, newState.idleTimeout);
                        if (owner) {
                            owner->setDesiredState(newState);
                        }
--- a/tests/dispatch/ScarcityOrderTests.cpp
+++ b/tests/dispatch/ScarcityOrderTests.cpp
@@ -142,3 +142,12 @@
     CHECK(completed * 4 >= static_cast<long>(normal.size()));
     CHECK(cell.violations().empty());
 }
+
+// Guards against amounts of work that leave their type, which clients can bring about by absurd estimates.
+TEST_CASE("the work of a task is bounded")
+{
+    const Resources huge { 1'000'000'000'000, 0, 1'000'000'000'000, 0, 0 };
+    CHECK(workOf(huge, std::chrono::hours(24 * 366)) == 1'000'000'000'000);
+    CHECK(workOf(huge, Milliseconds(0)) == 0);
+    CHECK(workOf({ 2000, 0, 1, 0, 0 }, Milliseconds(3)) == 30'000);
+}
