--- a/modules/dispatch/ScarcityOrder.cpp
+++ b/modules/dispatch/ScarcityOrder.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 // Callers need at least a third of the work of each kind; part of what is started ends late or is stopped.
-constexpr double keptShareOfDemand = 0.4;
+constexpr double keptShareOfDemand = 0.5;
 // Runs of a priority may be stopped while it has got this multiple of what it keeps.
 constexpr double protectedFactor = 1.25;
 // A few large tasks that fit nowhere do not make the room of a service scarce.
--- a/modules/dispatch/StepOrder.cpp
+++ b/modules/dispatch/StepOrder.cpp
@@ -8,6 +8,15 @@
 
 namespace {
 
+/** True if less than half of the slack is left that the job had when it came: work with time to spare can wait for a burst to end.
+ */
+bool isRunningOut(const StepState &step, TimePoint now)
+{
+    const auto &job = *step.job;
+    const auto allowed = std::chrono::duration_cast<Milliseconds>(job.objective - job.receivedAt) - job.criticalPathTime();
+    return job.spec.isScheduled || step.spec().isService || slackLeft(step, now) < allowed / 2;
+}
+
 /** The work of all tasks of one occurrence, by their estimates. */
 WorkAmount totalWork(const JobState &job)
 {
@@ -105,7 +114,7 @@
     const auto priority = job.queue.priority;
     return { step.isRepair(),
              isLost,
-             !isLate && !isLost && scarcity.isOwed(priority),
+             !isLate && !isLost && scarcity.isOwed(priority) && isRunningOut(step, now),
              priority,
              isLate && !scarcity.isScarce(),
              scarcity.isScarce() ? scarcityKey(step, now, scarcity) : 0,
