--- a/modules/dispatch/AccountLimits.cpp
+++ b/modules/dispatch/AccountLimits.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <array>
 #include <cstdint>
-#include <utility>
 
 namespace auburndoor {
 
--- a/modules/dispatch/ScarcityOrder.h
+++ b/modules/dispatch/ScarcityOrder.h
@@ -88,7 +88,7 @@
     }
     /**
         True if ends of runs will make the room in time, at the rate at which room was taken lately, so that no run has to be
-       stopped.
+        stopped.
 
         @param room      what the tasks of the step occupy that wait, as workOf() in a millisecond
         @param slackLeft how much later the step could start and be in time
--- a/modules/dispatch/TaskPlacer.h
+++ b/modules/dispatch/TaskPlacer.h
@@ -48,7 +48,7 @@
         Runs a round of placement: starts tasks on free workers, preempts less urgent runs and requests advice.
 
         A round that takes too long is interrupted. The next call begins with the first step again, as the order may have changed,
-       and spends half of its time on the steps that had no turn.
+        and spends half of its time on the steps that had no turn.
 
         @return false if this round was interrupted, so that the next call has to go on
     */
--- a/modules/dispatch/TaskPlacerGangAdvice.cpp
+++ b/modules/dispatch/TaskPlacerGangAdvice.cpp
@@ -9,7 +9,7 @@
 
 // The requests of a gang name this many times the workers that are expected to suffice.
 constexpr double gangRequestMargin = 1.3;
-// Three requests that are answered together. More would take too many of the processes that ask, and gained nothing.
+// Three requests that are answered together: more would keep too many processes from asking for other steps.
 constexpr std::size_t maxWorkersForRoom = 90;
 // A plan that holds less often than this keeps more work out than it lets in.
 constexpr double minChanceOfPlan = 0.5;
--- a/modules/entry/ConnectionBudget.cpp
+++ b/modules/entry/ConnectionBudget.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-// Walking through the heap takes about a millisecond, so that it follows the end of a crowd, not each of its connections.
+// Trimming the heap takes about a millisecond, so that it follows the end of a peak, not each of its connections.
 constexpr Milliseconds releaseDelay { 2000 };
 // By then the timers of connections and calls that have ended are gone as well.
 constexpr Milliseconds finalReleaseDelay { 8000 };
--- a/modules/entry/ConnectionBudget.h
+++ b/modules/entry/ConnectionBudget.h
@@ -13,7 +13,7 @@
 class Timers;
 
 /**
-    The memory of all connections of an entry process: gives free memory back to the operating system after a crowd, and reports
+    The memory of all connections of an entry process: gives free memory back to the operating system after a peak, and reports
     what was refused. Used on the loop's thread only.
 */
 class ConnectionBudget
--- a/modules/net/ConnectionMemory.cpp
+++ b/modules/net/ConnectionMemory.cpp
@@ -13,7 +13,7 @@
 // Requests that are not small leave a quarter of their part to small ones.
 constexpr std::size_t largePercent = 75;
 constexpr std::size_t percents = 100;
-// A fall by less than this isn't worth a walk through the heap.
+// A fall by less than this isn't worth trimming the heap.
 constexpr std::size_t minimumFall = std::size_t(256) << 10;
 // Many requests one after the other leave a heap of small holes, although little is used at a time.
 constexpr std::size_t maxTurnover = std::size_t(8) << 20;
--- a/modules/net/EventLoop.cpp
+++ b/modules/net/EventLoop.cpp
@@ -89,7 +89,7 @@
         timers.pop_back();
         action();
     }
-    // After a crowd of connections, each of which had timers.
+    // After a peak of connections, each of which had timers.
     constexpr std::size_t keptCapacity = 1024;
     if (timers.capacity() > keptCapacity && timers.size() < timers.capacity() / 8) {
         timers.shrink_to_fit();
--- a/modules/net/EvictionOrder.h
+++ b/modules/net/EvictionOrder.h
@@ -7,7 +7,7 @@
 
 namespace auburndoor {
 
-/** A connection that may be closed to make room for others: none of its requests is in the hands of a handler. */
+/** A connection that may be closed to make room for others: no handler has one of its requests. */
 struct EvictionCandidate
 {
     std::size_t index = 0;
--- a/modules/net/HttpListenerContext.cpp
+++ b/modules/net/HttpListenerContext.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-// Each search looks at all connections, so that crowds must not cause one for each of theirs.
+// Each search looks at all connections, so that a peak of connections must not cause one for each.
 constexpr Milliseconds evictionInterval { 100 };
 
 } // namespace
--- a/modules/net/HttpSessionArrival.cpp
+++ b/modules/net/HttpSessionArrival.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-// Of a request in the hands of a handler: a client's call that waits for the owner is held in up to three copies, and a decoded
-// value takes several times the memory of its text. The limits of what a job may hold bound the second. Other processes of the cell
-// send few values, and their messages are not passed on.
+// Of a request that a handler has not answered: a client's call that waits for the owner is held in up to three copies, and a
+// decoded value takes several times the memory of its text. The limits of what a job may hold bound the second. Other processes of
+// the cell send few values, and their messages are not passed on.
 constexpr std::size_t clientCopies = 3;
 constexpr std::size_t clientDecodedFactor = 8;
 constexpr std::size_t peerCopies = 2;
