--- a/modules/dispatch/FleetImpl.cpp
+++ b/modules/dispatch/FleetImpl.cpp
@@ -182,6 +182,22 @@
                       { "store_age_ms", evidence.storeAge().count() } });
 }
 
+void Fleet::Impl::logOutlivedLease(const WorkerState &worker, const TaskReport &report, TimePoint pollSentAt) const
+{
+    const auto end = leaseEnd(worker);
+    if (report.running.empty() || pollSentAt <= end) {
+        return;
+    }
+    EventLog::write("worker.lease_outlived",
+                    { { "worker", worker.entry.id },
+                      { "token", fencingToken },
+                      { "born", worker.entry.incarnation },
+                      { "runs", report.running.size() },
+                      { "lease_ended_ms", elapsedSince(end).count() },
+                      { "restart_seen_ms", worker.restartSeenAt == TimePoint() ? -1 : elapsedSince(worker.restartSeenAt).count() },
+                      { "read", worker.isReportRead } });
+}
+
 void Fleet::Impl::logLeft(const WorkerState &worker, CommandOutcome outcome) const
 {
     EventLog::write("worker.left",
--- a/modules/dispatch/FleetImpl.h
+++ b/modules/dispatch/FleetImpl.h
@@ -147,6 +147,8 @@
     bool isAbsenceConclusive(const WorkerState &worker, const Run &run) const;
     /** Logs that a worker is given up with its runs, if it has any. @param outcome of the poll that failed */
     void logLoss(const WorkerState &worker, CommandOutcome outcome) const;
+    /** Logs that a worker lists runs though the last lease that counts for it was over when the report was requested. */
+    void logOutlivedLease(const WorkerState &worker, const TaskReport &report, TimePoint pollSentAt) const;
     /** Logs that a worker has left as planned. @param outcome of the poll that failed */
     void logLeft(const WorkerState &worker, CommandOutcome outcome) const;
     /** How long ago the time was; negative for one to come. */
--- a/modules/dispatch/FleetPolling.cpp
+++ b/modules/dispatch/FleetPolling.cpp
@@ -225,6 +225,7 @@
         schedulePoll(id, Milliseconds(0));
         return;
     }
+    logOutlivedLease(worker, report, pollSentAt);
     if (worker.failedPolls > 0) {
         EventLog::write("worker.heard", { { "worker", id }, { "failed_looks", worker.failedPolls } });
     }
--- a/modules/workload/WorkerLease.cpp
+++ b/modules/workload/WorkerLease.cpp
@@ -56,6 +56,7 @@
 {
     lease = std::min(lease, maxLease_);
     const auto now = timers_.now();
+    lastGrantAt_ = now;
     const auto sinceReading = std::chrono::duration_cast<Milliseconds>(now - clockReceivedAt_);
     // The worker read its clock before its reply arrived here. The estimate of that clock is therefore behind by the delay of
     // the reply, which can only shorten the lease.
@@ -71,4 +72,9 @@
     return end_;
 }
 
+TimePoint WorkerLease::lastGrantAt() const
+{
+    return lastGrantAt_;
+}
+
 } // namespace auburndoor
--- a/modules/workload/WorkerLease.h
+++ b/modules/workload/WorkerLease.h
@@ -33,6 +33,9 @@
     /** The latest time, on this process's clock, at which a granted lease ends; allows for a slow worker clock. */
     TimePoint end() const;
 
+    /** When the last lease was granted; TimePoint() before the first one. */
+    TimePoint lastGrantAt() const;
+
 private:
     Timers &timers_;
     Milliseconds maxLease_;
@@ -41,6 +44,7 @@
     TimePoint clockReceivedAt_;
     bool isClockKnown_ = false;
     TimePoint end_;
+    TimePoint lastGrantAt_;
 };
 
 } // namespace auburndoor
