Deadlines and acknowledgements reach only the incarnation that they name

Cause: nothing tied a lease's deadline to the incarnation of the worker whose clock it is on. A start that was the first order on its connection, or a renewal that HttpChannels repeated on a new connection when the kept one broke with the restart, reached the new incarnation with a deadline of the former clock. The worker granted the longest lease; owner and successor counted their own. Change: a connection ends with the incarnation that it leads to. ConfirmedConnection sends a deadline or an acknowledgement only over a connection on which the worker has reported the incarnation that it is for; WebRequest::connection binds it to that connection. Relays get the incarnation with each command (messages of version 2). Simulated workers have a clock of their own for each incarnation, and are reached through the product's channel and lease code in place of a copy of it in the fakes.

--- a/apps/auburndoor-entry/main.cpp
+++ b/apps/auburndoor-entry/main.cpp
@@ -2,7 +2,7 @@
 #include "PlatformAdvisor.h"
 #include "PlatformProtocol.h"
 #include "PlatformStore.h"
-#include "PlatformWorkerChannel.h"
+#include "PlatformWorkerChannelFactory.h"
 #include "core/BuildVersion.h"
 #include "core/FlagNames.h"
 #include "core/TextFile.h"
--- a/modules/dispatch/FleetImpl.cpp
+++ b/modules/dispatch/FleetImpl.cpp
@@ -314,7 +314,8 @@
                            { "token", fencingToken },
                            { "outcome", name(reply.outcome) } });
     reportLostRun(worker, key, RunLoss::Refused, reply.outcome);
-    if (reply.outcome == CommandOutcome::WrongWorker || reply.outcome == CommandOutcome::NotSent) {
+    const bool isOtherIncarnation = reply.outcome == CommandOutcome::OtherIncarnation;
+    if (isOtherIncarnation || reply.outcome == CommandOutcome::WrongWorker || reply.outcome == CommandOutcome::NotSent) {
         worker.failedPolls = std::max(worker.failedPolls, 1);
         noteChange(worker);
         schedulePoll(id, Milliseconds(0));
--- a/modules/entry/RelayedWorkerClientFactory.cpp
+++ b/modules/entry/RelayedWorkerClientFactory.cpp
@@ -34,7 +34,7 @@
         state_->directChannel.reset();
     }
 
-    void start(const StartCommand &command, Milliseconds deadline, WorkerClient::CommandCallback callback) override
+    void start(const StartCommand &command, const LeaseDeadline &deadline, WorkerClient::CommandCallback callback) override
     {
         RelayCommand relayed;
         relayed.kind = RelayCommand::Kind::Start;
--- a/modules/entry/WorkerRelayCodec.cpp
+++ b/modules/entry/WorkerRelayCodec.cpp
@@ -19,7 +19,8 @@
     using std::runtime_error::runtime_error;
 };
 
-constexpr int formatVersion = 1;
+// Relays of version 1 send a deadline to any incarnation of the worker.
+constexpr int formatVersion = 2;
 // Stands for an absent time; a worker's clock and its deadlines are never negative.
 constexpr std::int64_t absentTime = -1;
 
@@ -143,16 +144,16 @@
     return task;
 }
 
-// A row of a command is [number, kind, position of the worker] and then, for a report, [acknowledged, deadline, maximum wait], and
-// for other commands the task; a start continues with [position of the payload, deadline, checkpoint, permit], a throttle with the
-// percentage.
+// A row of a command is [number, kind, position of the worker] and then, for a report, [acknowledged, deadline, maximum wait,
+// incarnation], and for other commands the task; a start continues with [position of the payload, deadline, checkpoint, permit,
+// incarnation], a throttle with the percentage.
 constexpr std::size_t commandFieldsAt = 3;
 constexpr std::size_t afterTaskAt = commandFieldsAt + taskFieldCount;
 
 Json encodeCommand(const RelayCommand &command, std::size_t worker, TextTable &jobs, TextTable &payloads)
 {
     Json::array_t row;
-    row.reserve(afterTaskAt + 4);
+    row.reserve(afterTaskAt + 5);
     row.emplace_back(command.number);
     row.emplace_back(static_cast<int>(command.kind));
     row.emplace_back(worker);
@@ -160,14 +161,16 @@
         row.emplace_back(command.report.acknowledged);
         row.emplace_back(timeNumber(command.report.deadline));
         row.emplace_back(command.report.maxWait.count());
+        row.emplace_back(command.report.incarnation);
         return row;
     }
     appendTask(row, command.task.task, command.task.attempt, jobs);
     if (command.kind == RelayCommand::Kind::Start) {
         row.emplace_back(payloads.position(command.task.payload));
-        row.emplace_back(command.deadline.count());
+        row.emplace_back(command.deadline.time.count());
         row.emplace_back(command.task.checkpoint);
         row.emplace_back(command.task.permit);
+        row.emplace_back(command.deadline.incarnation);
     } else if (command.kind == RelayCommand::Kind::Throttle) {
         row.emplace_back(command.percent);
     }
@@ -183,11 +186,10 @@
     if (position < 0 || static_cast<std::size_t>(position) >= workers.size()) {
         throw MalformedMessage("a command of a relay names an unknown worker");
     }
-    const auto &worker = workers[static_cast<std::size_t>(position)];
-    command.worker = worker.id;
+    command.worker = workers[static_cast<std::size_t>(position)].id;
     if (command.kind == RelayCommand::Kind::Report) {
         command.report = { readInteger(row.at(commandFieldsAt)),
-                           worker.incarnation,
+                           readInteger(row.at(commandFieldsAt + 3)),
                            readTime(row.at(commandFieldsAt + 1)),
                            Milliseconds(readInteger(row.at(commandFieldsAt + 2))) };
         return command;
@@ -195,7 +197,7 @@
     command.task.task = readTask(row, commandFieldsAt, jobs, command.task.attempt);
     if (command.kind == RelayCommand::Kind::Start) {
         command.task.payload = readText(readElement(payloads, row.at(afterTaskAt)));
-        command.deadline = Milliseconds(readInteger(row.at(afterTaskAt + 1)));
+        command.deadline = { readInteger(row.at(afterTaskAt + 4)), Milliseconds(readInteger(row.at(afterTaskAt + 1))) };
         command.task.checkpoint = readText(row.at(afterTaskAt + 2));
         command.task.permit = readText(row.at(afterTaskAt + 3));
     } else if (command.kind == RelayCommand::Kind::Throttle) {
--- a/modules/entry/WorkerRelayMessages.h
+++ b/modules/entry/WorkerRelayMessages.h
@@ -27,8 +27,8 @@
     std::string worker;
     /** The task and attempt of Start, Stop and Throttle; the other members for Start only. */
     StartCommand task;
-    /** For Start: the end of the lease on the worker's clock. */
-    Milliseconds deadline { 0 };
+    /** For Start: the end of the lease. */
+    LeaseDeadline deadline;
     /** For Throttle: the share of its full speed, from 0 to 100. */
     int percent = 0;
     /** For Report. */
@@ -44,7 +44,7 @@
     std::int64_t session = 0;
     /** When the batch was sent, on the owner's Timers::bootNow(). */
     Milliseconds sentAt { 0 };
-    /** Id, address and incarnation of each worker that a command names. */
+    /** Id, address and incarnation of each worker that a command names. A command may be for another incarnation. */
     std::vector<WorkerEntry> workers;
     std::vector<RelayCommand> commands;
 };
--- a/modules/net/HttpChannels.cpp
+++ b/modules/net/HttpChannels.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/core/error.hpp>
 
 #include <algorithm>
+#include <atomic>
 #include <deque>
 #include <optional>
 
@@ -24,6 +25,13 @@
 // The largest replies are pages of encoded rows from the store.
 constexpr std::size_t maxReplyBodyBytes = std::size_t(16) * 1024 * 1024;
 
+/** Numbers are not used again for another peer or by another HttpChannels, so that a request cannot be bound to the wrong connection. */
+std::uint64_t nextConnectionNumber()
+{
+    static std::atomic<std::uint64_t> last { 0 };
+    return ++last;
+}
+
 } // namespace
 
 struct HttpChannels::Impl : std::enable_shared_from_this<HttpChannels::Impl>
@@ -50,6 +58,9 @@
     /** Starts waiting requests in order while a connection is free or may be opened. A request past its deadline is ended. */
     void dispatch();
     void removeExpired();
+    /** The connection for a request: a new one if there is room for it; null if the request has to wait. */
+    std::shared_ptr<Connection> connectionFor(const WebRequest &request);
+    bool isOpen(std::uint64_t connection) const;
     void removeConnection(const Connection *connection);
     void closeIdleConnections();
     /** Ends a request without a reply. */
@@ -58,6 +69,13 @@
         const auto outcome = pending.maybeReceived ? SendOutcome::Lost : SendOutcome::NotSent;
         finish(std::move(pending), { outcome, {}, error });
     }
+    /** Ends a request whose connection is closed. */
+    void finishUnbound(PendingRequest pending)
+    {
+        SendResult result { SendOutcome::NotSent, {}, "the connection for the request is closed" };
+        result.isConnectionClosed = true;
+        finish(std::move(pending), std::move(result));
+    }
     /** Calls back on the next turn of the loop. */
     void finish(PendingRequest pending, SendResult result)
     {
@@ -77,10 +95,16 @@
 {
 public:
     explicit Connection(std::shared_ptr<Impl> owner)
-        : owner_(std::move(owner)), stream_(owner_->loop, [this] { fail(beast::error::timeout); })
+        : owner_(std::move(owner)), stream_(owner_->loop, [this] { fail(beast::error::timeout); }), number_(nextConnectionNumber())
     {
     }
 
+    /** SendResult::connection of its replies. */
+    std::uint64_t number() const
+    {
+        return number_;
+    }
+
     bool isIdle() const
     {
         return !currentRequest_;
@@ -119,7 +143,8 @@
             return;
         }
         const bool isInTime = owner_->loop.now() < currentRequest_->deadline && error != asio::error::operation_aborted;
-        if (isReused_ && isSent_ && isInTime && currentRequest_->request.isRepeatable) {
+        const bool isRepeatable = currentRequest_->request.isRepeatable && currentRequest_->request.connection == 0;
+        if (isReused_ && isSent_ && isInTime && isRepeatable) {
             // The peer may have closed the connection while it was idle, and the other idle connections as well.
             auto repeated = std::move(*currentRequest_);
             currentRequest_.reset();
@@ -183,12 +208,13 @@
             stream_.close();
             owner_->removeConnection(this);
         }
-        pending.callback({ SendOutcome::Answered, std::move(parser_->message()), {} });
+        pending.callback({ SendOutcome::Answered, std::move(parser_->message()), {}, number_ });
         owner_->dispatch();
     }
 
     std::shared_ptr<Impl> owner_;
     HttpStream stream_;
+    std::uint64_t number_;
     std::optional<HttpParser<false>> parser_;
     std::optional<PendingRequest> currentRequest_;
     bool isOpen_ = false;
@@ -208,6 +234,25 @@
     std::erase_if(connections, [](const auto &connection) { return connection->isIdle(); });
 }
 
+bool HttpChannels::Impl::isOpen(std::uint64_t connection) const
+{
+    return std::any_of(connections.begin(), connections.end(), [connection](const auto &open) { return open->number() == connection; });
+}
+
+std::shared_ptr<HttpChannels::Impl::Connection> HttpChannels::Impl::connectionFor(const WebRequest &request)
+{
+    const auto idle = std::find_if(connections.begin(), connections.end(), [&request](const auto &connection) {
+        return connection->isIdle() && (request.connection == 0 || request.connection == connection->number());
+    });
+    if (idle != connections.end()) {
+        return *idle;
+    }
+    if (request.connection != 0 || connections.size() >= limits.maxConnections) {
+        return nullptr;
+    }
+    return connections.emplace_back(std::make_shared<Connection>(shared_from_this()));
+}
+
 void HttpChannels::Impl::dispatch()
 {
     while (!waiting.empty()) {
@@ -216,14 +261,14 @@
             waiting.pop_front();
             continue;
         }
-        const auto idle = std::find_if(
-            connections.begin(), connections.end(), [](const auto &connection) { return connection->isIdle(); });
-        std::shared_ptr<Connection> connection;
-        if (idle != connections.end()) {
-            connection = *idle;
-        } else if (connections.size() < limits.maxConnections) {
-            connection = connections.emplace_back(std::make_shared<Connection>(shared_from_this()));
-        } else {
+        const auto bound = waiting.front().request.connection;
+        if (bound != 0 && !isOpen(bound)) {
+            finishUnbound(std::move(waiting.front()));
+            waiting.pop_front();
+            continue;
+        }
+        const auto connection = connectionFor(waiting.front().request);
+        if (!connection) {
             return;
         }
         auto pending = std::move(waiting.front());
--- a/modules/net/HttpChannels.h
+++ b/modules/net/HttpChannels.h
@@ -37,7 +37,8 @@
         Sends a request, at once or when a connection is free. The callback is called once, never from within send().
 
         @param timeout from now until the reply has arrived, including the wait for a connection. A request that still waits at its
-                       timeout is ended when a connection becomes free.
+                       timeout is ended when a connection becomes free. A request that is bound to a connection waits for it,
+                       and requests after it wait as well; it is never sent on another one.
     */
     void send(WebRequest request, Milliseconds timeout, SendCallback callback);
 
--- a/modules/net/HttpExchange.h
+++ b/modules/net/HttpExchange.h
@@ -21,6 +21,8 @@
     std::string body;
     /** If a kept connection breaks before the reply arrives, the client may send the request once more, on a new connection. */
     bool isRepeatable = false;
+    /** The only connection that may carry the request (SendResult::connection of an earlier reply); 0 permits any. */
+    std::uint64_t connection = 0;
 
     /** The value of the first header with this name, compared letter for letter; empty if there is none. */
     std::string header(std::string_view name) const;
@@ -52,6 +54,10 @@
     WebReply reply;
     /** If there is no reply: describes why, for logs. */
     std::string error;
+    /** The connection that carried the reply, by a number that is used once in this process; 0 if there is none. */
+    std::uint64_t connection = 0;
+    /** The request was not sent because the connection that it was bound to is closed. */
+    bool isConnectionClosed = false;
 
     /** True if a reply with this HTTP status arrived. */
     bool hasStatus(int status) const
--- a/modules/workload/ConfirmingWorkerChannel.cpp
+++ b/modules/workload/ConfirmingWorkerChannel.cpp
@@ -1,52 +1,38 @@
 #include "workload/ConfirmingWorkerChannel.h"
 
+#include "workload/ConfirmedConnection.h"
+
 #include <algorithm>
 
 namespace auburndoor {
 
-/** Shared with the callbacks of requests in flight. */
-struct ConfirmingWorkerChannel::State : std::enable_shared_from_this<ConfirmingWorkerChannel::State>
-{
-    /** Sends the request, and records which incarnation has replied. */
-    void send(const ReportRequest &request, WorkerClient::ReportCallback callback)
-    {
-        channel->readReport(request,
-                            [self = shared_from_this(), callback = std::move(callback)](const WorkerClient::Reply &reply,
-                                                                                        const TaskReport &report) {
-                                const bool isAccepted = reply.outcome == CommandOutcome::Accepted;
-                                self->confirmedIncarnation = isAccepted ? report.incarnation : unconfirmed;
-                                callback(reply, report);
-                            });
-    }
-
-    static constexpr std::int64_t unconfirmed = -1;
-
-    std::unique_ptr<WorkerChannel> channel;
-    /** The incarnation in the last report; unconfirmed if that request failed or there was none. */
-    std::int64_t confirmedIncarnation = unconfirmed;
-    bool isClosed = false;
-};
-
-ConfirmingWorkerChannel::ConfirmingWorkerChannel(std::unique_ptr<WorkerChannel> channel) : state_(std::make_shared<State>())
+ConfirmingWorkerChannel::ConfirmingWorkerChannel(WorkerConnectionFactory &connections,
+                                                 const WorkerEntry &entry,
+                                                 std::int64_t fencingToken)
 {
-    state_->channel = std::move(channel);
+    const auto create = [&] { return std::make_shared<ConfirmedConnection>(entry.id, connections.create(entry, fencingToken)); };
+    std::generate(commandConnections_.begin(), commandConnections_.end(), create);
+    reportConnection_ = create();
 }
 
 ConfirmingWorkerChannel::~ConfirmingWorkerChannel()
 {
-    // Callbacks of requests in flight keep the state, but the connections are closed now.
-    state_->isClosed = true;
-    state_->channel.reset();
+    for (const auto &connection : commandConnections_) {
+        connection->close();
+    }
+    reportConnection_->close();
 }
 
-void ConfirmingWorkerChannel::start(const StartCommand &command, Milliseconds deadline, WorkerClient::CommandCallback callback)
+void ConfirmingWorkerChannel::start(const StartCommand &command,
+                                    const LeaseDeadline &deadline,
+                                    WorkerClient::CommandCallback callback)
 {
-    state_->channel->start(command, deadline, std::move(callback));
+    commandConnectionFor(deadline.incarnation).start(command, deadline, std::move(callback));
 }
 
 void ConfirmingWorkerChannel::stop(const TaskName &task, std::int64_t attempt, WorkerClient::CommandCallback callback)
 {
-    state_->channel->stop(task, attempt, std::move(callback));
+    idlestCommandConnection().stop(task, attempt, std::move(callback));
 }
 
 void ConfirmingWorkerChannel::throttle(const TaskName &task,
@@ -54,34 +40,42 @@
                                        int percent,
                                        WorkerClient::CommandCallback callback)
 {
-    state_->channel->throttle(task, attempt, percent, std::move(callback));
+    idlestCommandConnection().throttle(task, attempt, percent, std::move(callback));
 }
 
 void ConfirmingWorkerChannel::readReport(const ReportRequest &request, WorkerClient::ReportCallback callback)
 {
-    if (request.acknowledged == 0 || state_->confirmedIncarnation == request.incarnation) {
-        state_->send(request, std::move(callback));
-        return;
-    }
-    // A request that waits at all uses the same connection as the one that follows it.
-    const ReportRequest probe { 0, request.incarnation, request.deadline, std::min(request.maxWait, Milliseconds(1)) };
-    state_->send(
-        probe,
-        [state = state_, request, callback = std::move(callback)](const WorkerClient::Reply &reply, const TaskReport &report) {
-            const bool isConfirmed = state->confirmedIncarnation == request.incarnation;
-            if (isConfirmed && !state->isClosed) {
-                state->send(request, callback);
-            } else if (state->isClosed) {
-                callback({ CommandOutcome::Unknown, "the channel was closed" }, {});
-            } else {
-                callback(reply, report);
-            }
-        });
+    // A request that waits would hold up commands on their connections.
+    auto &connection = request.maxWait > Milliseconds(0) ? *reportConnection_ : commandConnectionFor(request.incarnation);
+    connection.readReport(request, std::move(callback));
 }
 
 void ConfirmingWorkerChannel::update(const WorkerEntry &entry)
 {
-    state_->channel->update(entry);
+    for (const auto &connection : commandConnections_) {
+        connection->update(entry);
+    }
+    reportConnection_->update(entry);
+}
+
+ConfirmedConnection &ConfirmingWorkerChannel::idlestCommandConnection()
+{
+    return **std::min_element(commandConnections_.begin(), commandConnections_.end(), [](const auto &left, const auto &right) {
+        return left->pendingCount() < right->pendingCount();
+    });
+}
+
+ConfirmedConnection &ConfirmingWorkerChannel::commandConnectionFor(std::int64_t incarnation)
+{
+    // A connection that is not confirmed costs one more round trip.
+    const auto roundTripsBefore = [incarnation](const ConfirmedConnection &connection) {
+        return connection.pendingCount() + (connection.isConfirmedFor(incarnation) ? 0 : 1);
+    };
+    auto &first = *commandConnections_.front();
+    auto &second = *commandConnections_.back();
+    const auto difference = roundTripsBefore(first) - roundTripsBefore(second);
+    const bool isSecondBetter = difference > 0 || (difference == 0 && second.isConfirmedFor(incarnation) && !first.isConfirmedFor(incarnation));
+    return isSecondBetter ? second : first;
 }
 
 } // namespace auburndoor
--- a/modules/workload/LeasedWorkerClient.cpp
+++ b/modules/workload/LeasedWorkerClient.cpp
@@ -85,7 +85,7 @@
             callback(reply);
         }
     };
-    channel_->start(command, state_->lease.grant(lease), recordClock(std::move(onReply)));
+    channel_->start(command, { state_->incarnation, state_->lease.grant(lease) }, recordClock(std::move(onReply)));
 }
 
 void LeasedWorkerClient::stop(const TaskName &task, std::int64_t attempt, CommandCallback callback)
--- a/modules/workload/WorkerClient.cpp
+++ b/modules/workload/WorkerClient.cpp
@@ -25,6 +25,8 @@
         return "other-worker";
     case CommandOutcome::NotSent:
         return "not-sent";
+    case CommandOutcome::OtherIncarnation:
+        return "other-incarnation";
     case CommandOutcome::Unknown:
         break;
     }
--- a/modules/workload/WorkerClient.h
+++ b/modules/workload/WorkerClient.h
@@ -34,6 +34,8 @@
     WrongWorker,
     /** The command was not sent. */
     NotSent,
+    /** The command was not sent: another incarnation of the worker has answered than the one that it is for. */
+    OtherIncarnation,
     /** No reply: the command may have been carried out, or may still be carried out later. */
     Unknown,
 };
--- a/tests/dispatch/RelayedOwnerTests.cpp
+++ b/tests/dispatch/RelayedOwnerTests.cpp
@@ -81,12 +81,12 @@
 {
     RelayedCell relayed;
     relayed.begin();
-    const auto directBefore = relayed.directChannels.sentCount;
+    const auto directBefore = relayed.directChannels.connections.sentCount;
     const auto messagesBefore = relayed.relays.messageCount;
     REQUIRE(relayed.cell.submit(jobIdOf(1), jobBody(40, 1000)) == ClientResult::Outcome::Accepted);
     REQUIRE(relayed.cell.runUntil(jobIdOf(1), JobStage::Completed, Milliseconds(5000)));
     CHECK(relayed.cell.starts.size() == 40);
-    CHECK(relayed.directChannels.sentCount == directBefore);
+    CHECK(relayed.directChannels.connections.sentCount == directBefore);
     CHECK(relayed.relays.messageCount - messagesBefore < 40);
     CHECK(relayed.cell.violations().empty());
 }
@@ -151,8 +151,8 @@
     relayed.cell.plan = [](const TaskName &, std::int64_t) { return SimulatedWork { Milliseconds(12000) }; };
     REQUIRE(relayed.cell.submit(jobIdOf(1), jobBody(40, 1000)) == ClientResult::Outcome::Accepted);
     relayed.cell.timers.advance(Milliseconds(1000));
-    relayed.relays.channels(firstRelay).isCutOff = true;
-    relayed.relays.channels(secondRelay).isCutOff = true;
+    relayed.relays.channels(firstRelay).connections.isCutOff = true;
+    relayed.relays.channels(secondRelay).connections.isCutOff = true;
     REQUIRE(relayed.cell.runUntil(jobIdOf(1), JobStage::Completed, Milliseconds(16000)));
     CHECK(relayed.cell.starts.size() == 40);
     CHECK(relayed.cell.violations().empty());
--- a/tests/dispatch/RestartedWorkerLeaseTests.cpp
+++ b/tests/dispatch/RestartedWorkerLeaseTests.cpp
@@ -1,8 +1,21 @@
 #include "dispatch/LossFixture.h"
+#include "fakes/UnconfirmedChannel.h"
 #include "workload/WorkerLease.h"
 
 using namespace auburndoor;
 
+namespace {
+
+/** Lets the later clients of the cell send deadlines to any incarnation. */
+void sendUnconfirmed(LossFixture &cell)
+{
+    cell.fleet.createChannel = [](WorkerConnectionFactory &connections, const WorkerEntry &entry, std::int64_t token) {
+        return std::make_unique<UnconfirmedChannel>(connections, entry, token);
+    };
+}
+
+} // namespace
+
 // Guards against a second run beside one on a worker that has restarted just before its start: the deadline of the start is on the
 // clock of the former incarnation, so that the worker grants the longest lease that it knows.
 TEST_CASE("a run that a restarted worker may have accepted is given up after the longest lease", "[unknown-restart]")
@@ -75,3 +88,30 @@
     CHECK(cell.starts.size() == 2);
     CHECK(cell.violations().empty());
 }
+
+// Guards against a second run beside one that has inherited the longest lease: a renewal whose connection breaks with a restart is
+// repeated on a new connection, and its deadline is on the clock of the former incarnation. It applies to all runs on the worker,
+// also to those of later owners, who do not know of it.
+TEST_CASE("a renewal that meets a restart gives the later incarnation no lease", "[unknown-restart]")
+{
+    const bool isConfirmed = GENERATE(true, false);
+    CAPTURE(isConfirmed);
+    LossFixture cell;
+    if (!isConfirmed) {
+        sendUnconfirmed(cell);
+        cell.takeOver();
+    }
+    cell.begin(1, jobBody(1, 3000));
+    auto &worker = cell.fleet.worker("w1");
+    worker.killTime = Milliseconds(0);
+    worker.restart();
+    cell.timers.advance(Milliseconds(300));
+    cell.takeOver();
+    cell.timers.advance(Milliseconds(1000));
+    REQUIRE(cell.attemptsOn("w1").size() == 1);
+    worker.isCutOff = true;
+    cell.addWorker("w2", 4);
+    cell.timers.advance(worker.maxLease - Milliseconds(1500));
+    CHECK(cell.attemptsOn("w2").size() == 1);
+    CHECK(cell.violations().empty() == isConfirmed);
+}
--- a/tests/entry/WorkerLeaseTests.cpp
+++ b/tests/entry/WorkerLeaseTests.cpp
@@ -1,5 +1,6 @@
 #include "fakes/ManualTimers.h"
 #include "workload/ConfirmingWorkerChannel.h"
+#include "workload/WorkerConnection.h"
 #include "workload/WorkerLease.h"
 
 #include <catch2/catch.hpp>
@@ -13,39 +14,73 @@
     return std::chrono::duration_cast<Milliseconds>(timers.bootNow().time_since_epoch());
 }
 
-/** The channel of a worker that records the requests for reports, and answers with this incarnation. */
-class RecordingChannel : public WorkerChannel
+/** A worker that records the acknowledgements which reach it. */
+struct RecordingWorker
+{
+    std::vector<std::int64_t> acknowledgements;
+    std::int64_t incarnation = 1;
+    bool isFailing = false;
+    ConnectionNumber lastConnection = 0;
+};
+
+/** A connection to a RecordingWorker; a request that fails closes it. */
+class RecordingConnection : public WorkerConnection
 {
 public:
-    explicit RecordingChannel(std::vector<std::int64_t> &acknowledgements, std::int64_t &incarnation, bool &isFailing)
-        : acknowledgements_(acknowledgements), incarnation_(incarnation), isFailing_(isFailing)
+    explicit RecordingConnection(RecordingWorker &worker) : worker_(worker)
     {
     }
 
-    void start(const StartCommand &, Milliseconds, WorkerClient::CommandCallback) override
+    void start(const StartCommand &, Milliseconds, ConnectionNumber, CommandCallback) override
     {
     }
-    void stop(const TaskName &, std::int64_t, WorkerClient::CommandCallback) override
+    void stop(const TaskName &, std::int64_t, CommandCallback) override
     {
     }
-    void throttle(const TaskName &, std::int64_t, int, WorkerClient::CommandCallback) override
+    void throttle(const TaskName &, std::int64_t, int, CommandCallback) override
     {
     }
-    void readReport(const ReportRequest &request, WorkerClient::ReportCallback callback) override
+    void readReport(const ReportRequest &request, ConnectionNumber boundTo, ReportCallback callback) override
     {
-        acknowledgements_.push_back(request.acknowledged);
+        if (boundTo != 0 && boundTo != number_) {
+            callback({ { CommandOutcome::NotSent, {} }, 0, true }, {});
+            return;
+        }
+        number_ = number_ == 0 ? ++worker_.lastConnection : number_;
+        worker_.acknowledgements.push_back(request.acknowledged);
+        if (worker_.isFailing) {
+            number_ = 0;
+            callback({ { CommandOutcome::Unknown, {} } }, {});
+            return;
+        }
         TaskReport report;
-        report.incarnation = incarnation_;
-        callback({ isFailing_ ? CommandOutcome::Unknown : CommandOutcome::Accepted, {} }, report);
+        report.incarnation = worker_.incarnation;
+        callback({ { CommandOutcome::Accepted, {} }, number_ }, report);
     }
     void update(const WorkerEntry &) override
     {
     }
 
 private:
-    std::vector<std::int64_t> &acknowledgements_;
-    std::int64_t &incarnation_;
-    bool &isFailing_;
+    RecordingWorker &worker_;
+    ConnectionNumber number_ = 0;
+};
+
+/** Creates connections to a RecordingWorker. */
+class RecordingConnectionFactory : public WorkerConnectionFactory
+{
+public:
+    explicit RecordingConnectionFactory(RecordingWorker &worker) : worker_(worker)
+    {
+    }
+
+    std::unique_ptr<WorkerConnection> create(const WorkerEntry &, std::int64_t) override
+    {
+        return std::make_unique<RecordingConnection>(worker_);
+    }
+
+private:
+    RecordingWorker &worker_;
 };
 
 } // namespace
@@ -53,15 +88,12 @@
 // Guards against an acknowledgement that makes a restarted worker forget ends that no owner has read.
 TEST_CASE("a channel acknowledges only what is known to be of the worker's incarnation at its other end")
 {
-    std::vector<std::int64_t> sent;
-    struct
-    {
-        std::int64_t incarnation = 1;
-        bool isFailing = false;
-    } worker;
-    ConfirmingWorkerChannel channel(std::make_unique<RecordingChannel>(sent, worker.incarnation, worker.isFailing));
+    RecordingWorker worker;
+    RecordingConnectionFactory connections(worker);
+    ConfirmingWorkerChannel channel(connections, WorkerEntry(), 1);
+    const auto &sent = worker.acknowledgements;
     const auto acknowledge = [&channel](std::int64_t acknowledged, std::int64_t knownIncarnation) {
-        channel.readReport({ acknowledged, knownIncarnation, std::nullopt, Milliseconds(0) }, [](const auto &, const auto &) {});
+        channel.readReport({ acknowledged, knownIncarnation, std::nullopt, Milliseconds(1) }, [](const auto &, const auto &) {});
     };
     acknowledge(4, 1);
     CHECK(sent == std::vector<std::int64_t> { 0, 4 });
--- a/tests/entry/WorkerRelayCost.cpp
+++ b/tests/entry/WorkerRelayCost.cpp
@@ -1,4 +1,4 @@
-#include "PlatformWorkerChannel.h"
+#include "PlatformWorkerChannelFactory.h"
 #include "entry/HttpRelayTransport.h"
 #include "entry/PeerCodec.h"
 #include "entry/RelayedWorkerClientFactory.h"
--- a/tests/entry/WorkerRelayTests.cpp
+++ b/tests/entry/WorkerRelayTests.cpp
@@ -34,7 +34,7 @@
     command.kind = RelayCommand::Kind::Start;
     command.worker = worker;
     command.task = { { "job", 0, 0, index }, 1001, "payload", "", "permit" };
-    command.deadline = Milliseconds(1'000'000'000);
+    command.deadline = { 1, Milliseconds(1'000'000'000) };
     return command;
 }
 
@@ -205,7 +205,7 @@
     fixture.serve(batch.substr(0, batch.size() / 2));
     REQUIRE(fixture.answers.size() == 1);
     CHECK(fixture.answers.front().first == 400);
-    CHECK(fixture.channels.sentCount == 0);
+    CHECK(fixture.channels.connections.sentCount == 0);
 }
 
 // Guards the owner against one message for each reply.
@@ -348,7 +348,7 @@
     std::vector<CommandOutcome> outcomes;
     for (int index = 0; index < 20; ++index) {
         auto command = makeStart(0, "w1", index);
-        command.deadline = sinceEpoch(loop) + Milliseconds(5000);
+        command.deadline = { 1, fleet.worker("w1").clock() + Milliseconds(5000) };
         link.send(command, makeWorker("w1"), [&outcomes](RelayOutcome, const RelayReply &reply) {
             outcomes.push_back(reply.reply.outcome);
         });
--- a/tests/fakes/RelayedFleet.cpp
+++ b/tests/fakes/RelayedFleet.cpp
@@ -9,164 +9,17 @@
 namespace {
 
 constexpr Milliseconds wayThere { 2 };
-constexpr Milliseconds givenUpAfter { 400 };
-constexpr Milliseconds waitStep { 10 };
-
-Milliseconds workerClock(const Timers &timers)
-{
-    return std::chrono::duration_cast<Milliseconds>(timers.now().time_since_epoch());
-}
 
 } // namespace
 
-class SimulatedChannels::Channel : public WorkerChannel
-{
-public:
-    Channel(SimulatedChannels &factory, std::string id, std::int64_t token)
-        : factory_(factory), id_(std::move(id)), token_(token), connectedLife_(factory.fleet_.worker(id_).entry().incarnation)
-    {
-    }
-
-    void start(const StartCommand &command, Milliseconds deadline, WorkerClient::CommandCallback callback) override
-    {
-        deliver(
-            [&fleet = factory_.fleet_, id = id_, token = token_, command, deadline] {
-                auto &worker = fleet.worker(id);
-                const auto before = worker.runs().size();
-                const auto outcome = worker.start(command, TimePoint() + deadline, token);
-                if (worker.runs().size() > before && fleet.onStarted) {
-                    fleet.onStarted(worker, command);
-                }
-                return outcome;
-            },
-            std::move(callback));
-    }
-
-    void stop(const TaskName &task, std::int64_t attempt, WorkerClient::CommandCallback callback) override
-    {
-        deliver(
-            [&fleet = factory_.fleet_, id = id_, token = token_, task, attempt] {
-                return fleet.worker(id).stop(task, attempt, token);
-            },
-            std::move(callback));
-    }
-
-    void throttle(const TaskName &, std::int64_t, int, WorkerClient::CommandCallback callback) override
-    {
-        deliver([] { return CommandOutcome::Accepted; }, std::move(callback));
-    }
-
-    void readReport(const ReportRequest &request, WorkerClient::ReportCallback callback) override
-    {
-        ++factory_.sentCount;
-        auto &timers = factory_.timers_;
-        const auto incarnation = factory_.fleet_.worker(id_).entry().incarnation;
-        if (std::exchange(connectedLife_, incarnation) != incarnation) {
-            timers.after(wayThere, [callback = std::move(callback)] { callback({ CommandOutcome::Unknown, "reset" }, {}); });
-            return;
-        }
-        if (factory_.fleet_.worker(id_).isCutOff || factory_.isCutOff) {
-            timers.after(request.maxWait + givenUpAfter, [callback = std::move(callback)] {
-                callback({ CommandOutcome::Unknown, "cut" }, {});
-            });
-            return;
-        }
-        const auto until = timers.now() + request.maxWait;
-        timers.after(
-            wayThere,
-            [&timers, &factory = factory_, id = id_, token = token_, sentAt = timers.now(), request, until, incarnation, callback] {
-                if (timers.now() - sentAt >= request.maxWait + givenUpAfter) {
-                    timers.after(Milliseconds(0), [callback] { callback({ CommandOutcome::NotSent, "too late" }, {}); });
-                    return;
-                }
-                waitForEnd(factory, id, token, request, until, incarnation, callback);
-            });
-    }
-
-    void update(const WorkerEntry &) override
-    {
-    }
-
-private:
-    static void waitForEnd(SimulatedChannels &factory,
-                           const std::string &id,
-                           std::int64_t token,
-                           const ReportRequest &request,
-                           TimePoint until,
-                           std::int64_t incarnation,
-                           const WorkerClient::ReportCallback &callback)
-    {
-        auto &worker = factory.fleet_.worker(id);
-        auto &timers = factory.timers_;
-        if (worker.entry().incarnation != incarnation) {
-            callback({ CommandOutcome::Unknown, "reset" }, {});
-            return;
-        }
-        TaskReport report;
-        const auto deadline = request.deadline ? std::optional(TimePoint() + *request.deadline) : std::nullopt;
-        const auto outcome = worker.renewLeases(request.acknowledged, deadline, token, report);
-        const bool isSilent = worker.isCutOff || factory.isCutOff;
-        if (outcome == CommandOutcome::Accepted && report.ended.empty() && timers.now() < until && !isSilent) {
-            timers.after(waitStep, [&factory, id, token, until, incarnation, callback] {
-                waitForEnd(factory, id, token, {}, until, incarnation, callback);
-            });
-            return;
-        }
-        if (isSilent) {
-            timers.after(givenUpAfter, [callback] { callback({ CommandOutcome::Unknown, "cut" }, {}); });
-            return;
-        }
-        timers.after(wayThere, [callback, outcome, report, clock = workerClock(timers)] {
-            callback({ outcome, {}, clock }, report);
-        });
-    }
-
-    void deliver(std::function<CommandOutcome()> action, WorkerClient::CommandCallback callback)
-    {
-        ++factory_.sentCount;
-        auto &timers = factory_.timers_;
-        auto &fleet = factory_.fleet_;
-        const auto fault = fleet.drawFault ? fleet.drawFault() : CommandFault();
-        const bool isCutOff = fleet.worker(id_).isCutOff || factory_.isCutOff;
-        if (isCutOff || fault.kind == CommandFault::Kind::Late) {
-            if (!isCutOff) {
-                timers.after(fault.late, [&fleet, id = id_, incarnation = fleet.worker(id_).entry().incarnation, action] {
-                    if (fleet.worker(id).entry().incarnation == incarnation) {
-                        action();
-                    }
-                });
-            }
-            timers.after(givenUpAfter, [callback = std::move(callback)] { callback({ CommandOutcome::Unknown, "no answer" }); });
-            return;
-        }
-        timers.after(wayThere, [&timers, fault, sentAt = timers.now(), action = std::move(action), callback = std::move(callback)] {
-            if (timers.now() - sentAt >= givenUpAfter) {
-                // The process was suspended before the connection had opened: HttpChannels does not send the request any more.
-                timers.after(Milliseconds(0), [callback] { callback({ CommandOutcome::NotSent, "too late" }); });
-                return;
-            }
-            const auto outcome = action();
-            const bool isLost = fault.kind == CommandFault::Kind::AnswerLost;
-            const auto clock = isLost ? std::nullopt : std::optional(workerClock(timers));
-            timers.after(isLost ? givenUpAfter : wayThere, [callback, outcome, isLost, clock] {
-                callback({ isLost ? CommandOutcome::Unknown : outcome, {}, clock });
-            });
-        });
-    }
-
-    SimulatedChannels &factory_;
-    std::string id_;
-    std::int64_t token_;
-    std::int64_t connectedLife_ = 0;
-};
-
-SimulatedChannels::SimulatedChannels(Timers &timers, SimulatedFleet &fleet) : timers_(timers), fleet_(fleet)
+SimulatedChannels::SimulatedChannels(Timers &timers, SimulatedFleet &fleet) : connections(timers, fleet)
 {
+    connections.isSuspendable = true;
 }
 
 std::unique_ptr<WorkerChannel> SimulatedChannels::create(const WorkerEntry &entry, std::int64_t fencingToken)
 {
-    return std::make_unique<ConfirmingWorkerChannel>(std::make_unique<Channel>(*this, entry.id, fencingToken));
+    return std::make_unique<ConfirmingWorkerChannel>(connections, entry, fencingToken);
 }
 
 struct SimulatedRelays::Message
--- a/tests/fakes/RelayedFleet.h
+++ b/tests/fakes/RelayedFleet.h
@@ -3,8 +3,7 @@
 #include "entry/RelayTransport.h"
 #include "entry/WorkerRelay.h"
 #include "fakes/PausableTimers.h"
-#include "fakes/SimulatedWorker.h"
-#include "workload/WorkerChannel.h"
+#include "fakes/SimulatedConnections.h"
 
 #include <map>
 #include <memory>
@@ -12,12 +11,7 @@
 
 namespace auburndoor {
 
-/**
-    Channels to simulated workers, as one process opens them.
-
-    A new channel leads to the present incarnation of its worker. A restart breaks it: its next request for a report fails, and the
-    one after that leads to the new incarnation.
-*/
+/** Channels to simulated workers, as one process opens them. */
 class SimulatedChannels : public WorkerChannelFactory
 {
 public:
@@ -25,16 +19,7 @@
 
     std::unique_ptr<WorkerChannel> create(const WorkerEntry &entry, std::int64_t fencingToken) override;
 
-    /** The commands and requests sent so far. */
-    int sentCount = 0;
-    /** While true, nothing that is sent arrives, and nothing is answered. */
-    bool isCutOff = false;
-
-private:
-    class Channel;
-
-    Timers &timers_;
-    SimulatedFleet &fleet_;
+    SimulatedConnections connections;
 };
 
 /** Relays in memory and the network that leads to them. */
--- a/tests/fakes/SimulatedWorker.cpp
+++ b/tests/fakes/SimulatedWorker.cpp
@@ -10,14 +10,36 @@
 namespace {
 
 constexpr Milliseconds stopTime { 100 };
+constexpr double slowClockRate = 0.98;
+// Workers have run for a while when a test begins.
+constexpr Milliseconds firstUpTime { 480000 };
 
 } // namespace
 
 SimulatedWorker::SimulatedWorker(Timers &timers, WorkerEntry entry, Plan plan)
-    : timers_(timers), entry_(std::move(entry)), plan_(std::move(plan))
+    : timers_(timers), entry_(std::move(entry)), firstClock_(firstUpTime), firstSeenAt_(timers.now()), plan_(std::move(plan))
 {
 }
 
+double SimulatedWorker::clockRate() const
+{
+    return isClockSlow ? slowClockRate : 1.0;
+}
+
+Milliseconds SimulatedWorker::clock() const
+{
+    const auto elapsed = std::chrono::duration_cast<Milliseconds>(timers_.now() - firstSeenAt_);
+    return firstClock_ + Milliseconds(static_cast<std::int64_t>(static_cast<double>(elapsed.count()) * clockRate()));
+}
+
+TimePoint SimulatedWorker::leaseEndAt(Milliseconds deadline) const
+{
+    const auto onTestClock = [rate = clockRate()](Milliseconds duration) {
+        return Milliseconds(static_cast<std::int64_t>(static_cast<double>(duration.count()) / rate));
+    };
+    return std::min(firstSeenAt_ + onTestClock(deadline - firstClock_), timers_.now() + onTestClock(maxLease));
+}
+
 bool SimulatedWorker::isCutOffFrom(std::int64_t token) const
 {
     return isCutOff || cutOffTokens.contains(token);
@@ -163,6 +185,8 @@
     lapsedSince_.clear();
     endTimes_.clear();
     leaseEnd_ = {};
+    firstClock_ = Milliseconds(0);
+    firstSeenAt_ = timers_.now();
     ++entry_.incarnation;
 }
 
--- a/tests/fakes/SimulatedWorker.h
+++ b/tests/fakes/SimulatedWorker.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "net/Timers.h"
-#include "workload/WorkerClient.h"
+#include "workload/WorkerConnection.h"
 
 #include <functional>
 #include <map>
@@ -102,6 +102,10 @@
 
     /** The time on the clock of the test. */
     TimePoint now() const;
+    /** The time on its own clock, which begins at zero with each restart. */
+    Milliseconds clock() const;
+    /** When a lease with this deadline on its own clock ends, at most the longest lease from now. */
+    TimePoint leaseEndAt(Milliseconds deadline) const;
     const WorkerEntry &entry() const;
     const std::map<std::pair<TaskName, std::int64_t>, LiveRun> &runs() const;
     const std::vector<EndedTask> &listedEnds() const;
@@ -111,9 +115,14 @@
 private:
     void end(const std::pair<TaskName, std::int64_t> &key, RunOutcome how, TimePoint at);
     void acknowledge(const EndedTask &ended, std::int64_t token);
+    /** How much its clock advances in a millisecond. */
+    double clockRate() const;
 
     Timers &timers_;
     WorkerEntry entry_;
+    /** What its clock has shown when this incarnation was first seen. */
+    Milliseconds firstClock_;
+    TimePoint firstSeenAt_;
     Plan plan_;
     std::int64_t highestToken_ = 0;
     std::int64_t nextEnd_ = 1;
@@ -141,7 +150,9 @@
     Milliseconds late { 2000 };
 };
 
-/** Orders to simulated workers, with a way there and back that faults disturb. */
+class SimulatedConnections;
+
+/** Simulated workers and the product's clients of them, over connections that faults disturb. */
 class SimulatedFleet : public WorkerClientFactory
 {
 public:
@@ -153,6 +164,10 @@
     std::map<std::string, std::unique_ptr<SimulatedWorker>> &workers();
     std::unique_ptr<WorkerClient> create(const WorkerEntry &entry, std::int64_t fencingToken) override;
 
+    /** Creates the channels of later clients; null for ConfirmingWorkerChannel. */
+    std::function<std::unique_ptr<WorkerChannel>(WorkerConnectionFactory &, const WorkerEntry &, std::int64_t fencingToken)>
+        createChannel;
+
     /** Called for each start or stop to draw its fault. */
     std::function<CommandFault()> drawFault;
     /**
@@ -173,10 +188,9 @@
     std::function<void(const TaskName &, TimePoint endedAt)> onDoneAcknowledged;
 
 private:
-    class Orders;
-
     Timers &timers_;
     std::map<std::string, std::unique_ptr<SimulatedWorker>> workers_;
+    std::unique_ptr<SimulatedConnections> connections_;
 };
 
 } // namespace auburndoor
