--- a/modules/dispatch/FleetPolling.cpp
+++ b/modules/dispatch/FleetPolling.cpp
@@ -64,8 +64,8 @@
         acknowledgement,
         lease,
         wait,
-        [impl = shared_from_this(), id, sentAt = CallTime::now(timers), acknowledgement](const WorkerClient::Reply &reply,
-                                                                                         const TaskReport &report) {
+        [impl = shared_from_this(), id, sentAt = CallTime::now(timers), incarnation = worker->entry.incarnation, acknowledgement](
+            const WorkerClient::Reply &reply, const TaskReport &report) {
             auto *polledWorker = impl->isClosed ? nullptr : impl->find(id);
             if (polledWorker == nullptr) {
                 return;
@@ -80,7 +80,9 @@
                 polledWorker->replacedSince.reset();
                 if (report.incarnation == polledWorker->entry.incarnation) {
                     polledWorker->acceptedAt = std::max(polledWorker->acceptedAt, sentAt.boot);
-                    polledWorker->deliveredAcknowledgement = std::max(polledWorker->deliveredAcknowledgement, acknowledgement);
+                    // An acknowledgement for another incarnation was not delivered.
+                    const auto delivered = report.incarnation == incarnation ? acknowledgement : 0;
+                    polledWorker->deliveredAcknowledgement = std::max(polledWorker->deliveredAcknowledgement, delivered);
                 }
                 impl->onReport(id, report, sentAt.steady);
             } else {
@@ -222,7 +224,7 @@
         updateEntry(worker, entry);
     } else if (report.incarnation != 0 && report.incarnation < worker.entry.incarnation) {
         // A late answer of an earlier incarnation.
-        schedulePoll(id, Milliseconds(0));
+        schedulePoll(id, timing.pollRetryDelay);
         return;
     }
     logOutlivedLease(worker, report, pollSentAt);
@@ -267,7 +269,9 @@
     } else if (worker.isReportUnreadable) {
         schedulePoll(id, timing.pollRetryDelay);
     } else if (!worker.runs.empty()) {
-        schedulePoll(id, wasReportRead ? Milliseconds(2) : Milliseconds(0));
+        // A report of no incarnation does not wait for an end, since its lease was not renewed.
+        const bool isOfIncarnation = report.incarnation == worker.entry.incarnation;
+        schedulePoll(id, isOfIncarnation ? (wasReportRead ? Milliseconds(2) : Milliseconds(0)) : timing.pollRetryDelay);
     }
     if (!worker.isListed && timers.now() - worker.unlistedAt > unlistedGracePeriod) {
         removeIfGone(id);
--- a/modules/net/HttpChannels.cpp
+++ b/modules/net/HttpChannels.cpp
@@ -25,7 +25,8 @@
 // The largest replies are pages of encoded rows from the store.
 constexpr std::size_t maxReplyBodyBytes = std::size_t(16) * 1024 * 1024;
 
-/** Numbers are not used again for another peer or by another HttpChannels, so that a request cannot be bound to the wrong connection. */
+/** Numbers are not used again for another peer or by another HttpChannels, so that a request cannot be bound to the wrong
+ * connection. */
 std::uint64_t nextConnectionNumber()
 {
     static std::atomic<std::uint64_t> last { 0 };
@@ -236,7 +237,8 @@
 
 bool HttpChannels::Impl::isOpen(std::uint64_t connection) const
 {
-    return std::any_of(connections.begin(), connections.end(), [connection](const auto &open) { return open->number() == connection; });
+    return std::any_of(
+        connections.begin(), connections.end(), [connection](const auto &open) { return open->number() == connection; });
 }
 
 std::shared_ptr<HttpChannels::Impl::Connection> HttpChannels::Impl::connectionFor(const WebRequest &request)
--- a/modules/workload/ConfirmedConnection.h
+++ b/modules/workload/ConfirmedConnection.h
@@ -9,6 +9,8 @@
 
 namespace auburndoor {
 
+class Timers;
+
 /**
     A connection to a worker that knows which incarnation it leads to.
 
@@ -19,8 +21,13 @@
 class ConfirmedConnection : public std::enable_shared_from_this<ConfirmedConnection>
 {
 public:
+    /** Stands for no incarnation. */
+    static constexpr std::int64_t anyIncarnation = -1;
+    /** A command that could not be sent for longer ends as NotSent: the caller may have decided otherwise meanwhile. */
+    static constexpr Milliseconds maxDelayBeforeSending { 400 };
+
     /** @param worker the worker's id, for the log */
-    ConfirmedConnection(std::string worker, std::unique_ptr<WorkerConnection> connection);
+    ConfirmedConnection(Timers &timers, std::string worker, std::unique_ptr<WorkerConnection> connection);
 
     /** As WorkerChannel::start(). */
     void start(const StartCommand &command, const LeaseDeadline &deadline, WorkerClient::CommandCallback callback);
@@ -34,45 +41,49 @@
 
     /** True if the last report over the connection was that of this incarnation. */
     bool isConfirmedFor(std::int64_t incarnation) const;
-    /** The number of commands without a reply. */
-    int pendingCount() const;
+    /** True if no command waits for its reply. */
+    bool isIdle() const;
 
 private:
     /** A command that is sent or refused when the incarnation at the other end is known. */
     struct WaitingCommand
     {
         std::int64_t incarnation = 0;
+        /** On Timers::bootNow(), which advances while this machine is suspended. */
+        TimePoint sendBy;
         std::function<void(ConnectionNumber boundTo)> send;
         /** Ends the command without sending it; called with the reply that does not confirm its incarnation. */
         WorkerClient::ReportCallback refuse;
     };
 
-    /** @param isRepeated a connection that was confirmed has turned out to be closed, so that the command was not sent */
+    /** @param sendBy until when it is sent again if its connection turns out to be closed */
     void sendStart(const StartCommand &command,
                    const LeaseDeadline &deadline,
-                   bool isRepeated,
+                   TimePoint sendBy,
                    const WorkerClient::CommandCallback &callback);
+    /** @param isRepeated it is sent once more after its connection broke, and not again */
     void sendReportRequest(const ReportRequest &request, bool isRepeated, const WorkerClient::ReportCallback &callback);
+    /** True if a request for a report is to be sent once more over another connection: its connection broke. */
+    bool mayRepeat(const ConnectionReply &reply, TimePoint replyDueAt) const;
+    TimePoint newSendBy() const;
     /** Sends the command at once if its incarnation is confirmed, and otherwise after a report was read. */
     void sendConfirmed(WaitingCommand command);
     void onConfirmation(const ConnectionReply &reply, const TaskReport &report);
     /** Notes which incarnation has reported, and over which connection. */
     void noteReport(const ConnectionReply &reply, const TaskReport &report);
-    /** A command was not sent because its connection is closed. @return true if it is to be sent over another one */
-    bool mayRepeat(bool isRepeated);
     /** Counts the reply to a command that may go over any connection. */
     WorkerConnection::CommandCallback countReply(WorkerClient::CommandCallback callback);
     void logWithheld(const char *command, std::int64_t incarnation, std::int64_t reported) const;
 
     static constexpr ConnectionNumber anyConnection = 0;
-    static constexpr std::int64_t unconfirmed = -1;
 
+    Timers &timers_;
     std::string worker_;
     /** Null once closed. */
     std::unique_ptr<WorkerConnection> connection_;
-    /** The connection that carried the last report, and the incarnation in it. */
+    /** The connection that carried the last report, and the incarnation in it; none after a failure. */
     ConnectionNumber number_ = anyConnection;
-    std::int64_t incarnation_ = unconfirmed;
+    std::int64_t incarnation_ = anyIncarnation;
     std::vector<WaitingCommand> waiting_;
     /** A report is being read to confirm the incarnation. */
     bool isConfirming_ = false;
--- a/modules/workload/ConfirmingWorkerChannel.h
+++ b/modules/workload/ConfirmingWorkerChannel.h
@@ -2,12 +2,11 @@
 
 #include "workload/WorkerChannel.h"
 
-#include <array>
 #include <memory>
 
 namespace auburndoor {
 
-class ConfirmedConnection;
+class Timers;
 class WorkerConnectionFactory;
 
 /**
@@ -17,12 +16,21 @@
     has seen no fencing token, and its clock and the numbers of its ends begin anew. It would take a deadline for one far in the
     future, and grant the longest lease, and would forget ends that nobody has read. What tells the incarnations apart is the
     connection, which ends with the incarnation that it leads to (ConfirmedConnection).
+
+    Commands wait together for the first connection that is free. Reports that wait for an end have a connection of their own.
 */
 class ConfirmingWorkerChannel : public WorkerChannel
 {
 public:
-    /** @param connections must exist until the constructor has returned */
-    ConfirmingWorkerChannel(WorkerConnectionFactory &connections, const WorkerEntry &entry, std::int64_t fencingToken);
+    /** The number of connections for commands. */
+    static constexpr std::size_t defaultCommandConnections = 2;
+
+    /** @param connections must exist for as long as this does; connections are created when they are needed */
+    ConfirmingWorkerChannel(Timers &timers,
+                            WorkerConnectionFactory &connections,
+                            const WorkerEntry &entry,
+                            std::int64_t fencingToken,
+                            std::size_t maxCommandConnections = defaultCommandConnections);
     ~ConfirmingWorkerChannel() override;
 
     void start(const StartCommand &command, const LeaseDeadline &deadline, WorkerClient::CommandCallback callback) override;
@@ -32,15 +40,8 @@
     void update(const WorkerEntry &entry) override;
 
 private:
-    /** The connection for a command to any incarnation: the one with the fewest commands without a reply. */
-    ConfirmedConnection &idlestCommandConnection();
-    /** The connection on which a command to this incarnation is expected to be sent first. */
-    ConfirmedConnection &commandConnectionFor(std::int64_t incarnation);
-
-    /** For commands, and for reports that do not wait. */
-    std::array<std::shared_ptr<ConfirmedConnection>, 2> commandConnections_;
-    /** For reports that wait until a task ends. */
-    std::shared_ptr<ConfirmedConnection> reportConnection_;
+    struct State;
+    std::shared_ptr<State> state_;
 };
 
 } // namespace auburndoor
--- a/modules/workload/WorkerChannel.h
+++ b/modules/workload/WorkerChannel.h
@@ -34,9 +34,9 @@
     Carries commands to one worker, all with the same fencing token, and the replies back.
 
     Leases are given as deadlines on the worker's clock, so that a command that is late on its way cannot extend one; WorkerLease
-    computes them. The clock of a later incarnation begins anew, and a deadline of the former one would give it the longest lease that
-    it accepts: deadlines and acknowledgements reach the incarnation that they name, or no one. All members are called from the loop's thread. Callbacks are called from the same thread, never from within the
-    call, also after the channel was destroyed.
+    computes them. The clock of a later incarnation begins anew, and a deadline of the former one would give it the longest lease
+   that it accepts: deadlines and acknowledgements reach the incarnation that they name, or no one. All members are called from the
+   loop's thread. Callbacks are called from the same thread, never from within the call, also after the channel was destroyed.
 */
 class WorkerChannel
 {
@@ -49,7 +49,8 @@
     virtual void stop(const TaskName &task, std::int64_t attempt, WorkerClient::CommandCallback callback) = 0;
     /** Limits a running task to a share of its full speed. @param percent from 0 (paused) to 100 */
     virtual void throttle(const TaskName &task, std::int64_t attempt, int percent, WorkerClient::CommandCallback callback) = 0;
-    /** Reads the worker's report. That of another incarnation than the one of the request has neither extended a lease nor forgotten an end. */
+    /** Reads the worker's report. That of another incarnation than the one of the request has neither extended a lease nor
+     * forgotten an end. */
     virtual void readReport(const ReportRequest &request, WorkerClient::ReportCallback callback) = 0;
     /** Applies a changed address or incarnation of the worker. */
     virtual void update(const WorkerEntry &entry) = 0;
--- a/tests/entry/WorkerLeaseTests.cpp
+++ b/tests/entry/WorkerLeaseTests.cpp
@@ -90,7 +90,8 @@
 {
     RecordingWorker worker;
     RecordingConnectionFactory connections(worker);
-    ConfirmingWorkerChannel channel(connections, WorkerEntry(), 1);
+    ManualTimers timers;
+    ConfirmingWorkerChannel channel(timers, connections, WorkerEntry(), 1);
     const auto &sent = worker.acknowledgements;
     const auto acknowledge = [&channel](std::int64_t acknowledged, std::int64_t knownIncarnation) {
         channel.readReport({ acknowledged, knownIncarnation, std::nullopt, Milliseconds(1) }, [](const auto &, const auto &) {});
--- a/tests/fakes/RelayedFleet.cpp
+++ b/tests/fakes/RelayedFleet.cpp
@@ -9,17 +9,19 @@
 namespace {
 
 constexpr Milliseconds wayThere { 2 };
+// Few simulated workers stand for many, so that the connections to one of them do not bound the rate of starts.
+constexpr std::size_t maxCommandConnections = 1000;
 
 } // namespace
 
-SimulatedChannels::SimulatedChannels(Timers &timers, SimulatedFleet &fleet) : connections(timers, fleet)
+SimulatedChannels::SimulatedChannels(Timers &timers, SimulatedFleet &fleet) : connections(timers, fleet), timers_(timers)
 {
     connections.isSuspendable = true;
 }
 
 std::unique_ptr<WorkerChannel> SimulatedChannels::create(const WorkerEntry &entry, std::int64_t fencingToken)
 {
-    return std::make_unique<ConfirmingWorkerChannel>(connections, entry, fencingToken);
+    return std::make_unique<ConfirmingWorkerChannel>(timers_, connections, entry, fencingToken, maxCommandConnections);
 }
 
 struct SimulatedRelays::Message
--- a/tests/fakes/RelayedFleet.h
+++ b/tests/fakes/RelayedFleet.h
@@ -20,6 +20,9 @@
     std::unique_ptr<WorkerChannel> create(const WorkerEntry &entry, std::int64_t fencingToken) override;
 
     SimulatedConnections connections;
+
+private:
+    Timers &timers_;
 };
 
 /** Relays in memory and the network that leads to them. */
--- a/tests/fakes/SimulatedConnections.cpp
+++ b/tests/fakes/SimulatedConnections.cpp
@@ -42,7 +42,7 @@
                 }
                 return outcome;
             },
-            std::move(callback));
+            callback);
     }
 
     void stop(const TaskName &task, std::int64_t attempt, CommandCallback callback) override
@@ -53,18 +53,18 @@
             [&fleet = state_->factory.fleet_, id = state_->id, token = state_->token, task, attempt] {
                 return fleet.worker(id).stop(task, attempt, token);
             },
-            std::move(callback));
+            callback);
     }
 
     void throttle(const TaskName &, std::int64_t, int, CommandCallback callback) override
     {
         state_->sendCommand(
-            anyConnection, false, [] { return CommandOutcome::Accepted; }, std::move(callback));
+            anyConnection, false, [] { return CommandOutcome::Accepted; }, callback);
     }
 
     void readReport(const ReportRequest &request, ConnectionNumber boundTo, ReportCallback callback) override
     {
-        state_->sendReportRequest(request, boundTo, std::move(callback));
+        state_->sendReportRequest(request, boundTo, callback);
     }
 
     void update(const WorkerEntry &) override
@@ -79,8 +79,7 @@
     /** Shared with the callbacks of commands in flight. */
     struct State : std::enable_shared_from_this<State>
     {
-        State(SimulatedConnections &factory, std::string id, std::int64_t token)
-            : factory(factory), id(std::move(id)), token(token)
+        State(SimulatedConnections &factory, std::string id, std::int64_t token) : factory(factory), id(std::move(id)), token(token)
         {
         }
 
@@ -335,9 +334,7 @@
             return;
         }
         // As HttpChannels: a request that may be repeated is sent once more when its connection breaks.
-        const auto onReset = [self, request, callback] {
-            self->sendReportRequest(request, anyConnection, callback, true);
-        };
+        const auto onReset = [self, request, callback] { self->sendReportRequest(request, anyConnection, callback, true); };
         const auto until = self->factory.timers_.now() + request.maxWait;
         self->waitForEnd(request, sentOver, until, isRepeatable ? onReset : std::function<void()>(), callback);
     });
@@ -369,7 +366,8 @@
     const bool isUnheard = worker().isCutOff || factory.isCutOff || worker().losesReplies;
     const auto outcome = renew(request, report);
     if (outcome == CommandOutcome::Accepted && report.ended.empty() && timers.now() < until && !isUnheard) {
-        timers.after(waitStep, [self, sentOver, until, onReset, callback] { self->waitForEnd({}, sentOver, until, onReset, callback); });
+        timers.after(waitStep,
+                     [self, sentOver, until, onReset, callback] { self->waitForEnd({}, sentOver, until, onReset, callback); });
         return;
     }
     if (isUnheard) {
--- a/tests/fakes/SimulatedFleet.cpp
+++ b/tests/fakes/SimulatedFleet.cpp
@@ -7,7 +7,8 @@
 
 namespace auburndoor {
 
-SimulatedFleet::SimulatedFleet(Timers &timers) : timers_(timers), connections_(std::make_unique<SimulatedConnections>(timers, *this))
+SimulatedFleet::SimulatedFleet(Timers &timers)
+    : timers_(timers), connections_(std::make_unique<SimulatedConnections>(timers, *this))
 {
     connections_->deliverReply = [this](std::int64_t token, std::function<void()> reply) {
         if (deliverReply) {
@@ -49,8 +50,11 @@
 
 std::unique_ptr<WorkerClient> SimulatedFleet::create(const WorkerEntry &entry, std::int64_t fencingToken)
 {
+    // Few simulated workers stand for many, so that the connections to one of them do not bound the rate of starts.
+    constexpr std::size_t maxCommandConnections = 1000;
     auto channel = createChannel ? createChannel(*connections_, entry, fencingToken)
-                                 : std::make_unique<ConfirmingWorkerChannel>(*connections_, entry, fencingToken);
+                                 : std::make_unique<ConfirmingWorkerChannel>(
+                                     timers_, *connections_, entry, fencingToken, maxCommandConnections);
     return std::make_unique<LeasedWorkerClient>(timers_, entry, std::move(channel), worker(entry.id).maxLease);
 }
 
