Tests of workers that restart under their ids, over HTTP and through relays

The codec of the relays carries the incarnation of each command, and messages of version 1 are refused. The channels of SimulatedRelays are those of SimulatedFleet::createChannel, so that a negative control can use them.

--- a/tests/dispatch/RelayedOwnerTests.cpp
+++ b/tests/dispatch/RelayedOwnerTests.cpp
@@ -3,6 +3,7 @@
 #include "entry/WorkerRelayPool.h"
 #include "fakes/JobIds.h"
 #include "fakes/RelayedFleet.h"
+#include "fakes/UnconfirmedChannel.h"
 
 #include <catch2/catch.hpp>
 
@@ -158,6 +159,53 @@
     CHECK(relayed.cell.violations().empty());
 }
 
+// Guards against a second run beside one that has the longest lease: the owner computes deadlines on the clock of the incarnation
+// that it knows, and the relay's connection leads to the next one.
+TEST_CASE("workers that restart behind a relay get no deadline of their former clock")
+{
+    const bool isConfirmed = GENERATE(true, false);
+    CAPTURE(isConfirmed);
+    RelayedCell relayed;
+    auto &cell = relayed.cell;
+    if (!isConfirmed) {
+        cell.fleet.createChannel = [](WorkerConnectionFactory &connections, const WorkerEntry &entry, std::int64_t token) {
+            return std::make_unique<UnconfirmedChannel>(connections, entry, token);
+        };
+    }
+    cell.plan = [](const TaskName &, std::int64_t) { return SimulatedWork { Milliseconds(4000) }; };
+    relayed.begin();
+    REQUIRE(cell.submit(jobIdOf(1), jobBody(24, 1000)) == ClientResult::Outcome::Accepted);
+    cell.timers.advance(Milliseconds(1000));
+    REQUIRE(cell.starts.size() == 24);
+    bool isListed = false;
+    int unlistedStarts = 0;
+    int unlistedRenewals = 0;
+    cell.fleet.onAccepted = [&, before = cell.fleet.onAccepted](SimulatedWorker &worker, std::int64_t token, bool isStart) {
+        if (before) {
+            before(worker, token, isStart);
+        }
+        unlistedStarts += !isListed && isStart ? 1 : 0;
+        unlistedRenewals += !isListed && !isStart ? 1 : 0;
+    };
+    for (const auto &[id, worker] : cell.fleet.workers()) {
+        worker->restart();
+    }
+    REQUIRE(cell.submit(jobIdOf(2), jobBody(12, 1000)) == ClientResult::Outcome::Accepted);
+    cell.timers.advance(Milliseconds(2000));
+    CHECK((unlistedStarts == 0) == isConfirmed);
+    CHECK((unlistedRenewals == 0) == isConfirmed);
+    isListed = true;
+    for (const auto &[id, worker] : cell.fleet.workers()) {
+        cell.list(id);
+    }
+    for (int number = 1; number <= 2; ++number) {
+        CHECK(cell.runUntil(jobIdOf(number), JobStage::Completed, Milliseconds(30000)));
+    }
+    if (isConfirmed) {
+        CHECK(cell.violations().empty());
+    }
+}
+
 // Guards all rules about starts at once, in a cell where relays end, are suspended, lose answers and change.
 TEST_CASE("random failures of relays and workers break no rule", "[relay-property]")
 {
--- a/tests/entry/WorkerRelayTests.cpp
+++ b/tests/entry/WorkerRelayTests.cpp
@@ -9,8 +9,11 @@
 #include "net/HttpListener.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 #include <rapidcheck.h>
 
+#include <map>
+
 using namespace auburndoor;
 
 namespace {
@@ -112,6 +115,31 @@
     return message;
 }
 
+/** Rewrites a message as its sender of version 1 did: starts and report requests end before the incarnation. */
+std::string inFirstVersion(const std::string &batch)
+{
+    auto json = nlohmann::json::from_msgpack(batch);
+    json.at(0) = 1;
+    for (auto &row : json.at(7)) {
+        const auto kind = row.at(1).get<int>();
+        if (kind == static_cast<int>(RelayCommand::Kind::Start) || kind == static_cast<int>(RelayCommand::Kind::Report)) {
+            row.erase(row.size() - 1);
+        }
+    }
+    std::string message;
+    nlohmann::json::to_msgpack(json, nlohmann::detail::output_adapter<char>(message));
+    return message;
+}
+
+RelayCommand makeRenewal(std::int64_t number, std::int64_t incarnation, Milliseconds deadline)
+{
+    RelayCommand command;
+    command.number = number;
+    command.worker = "w1";
+    command.report = { 0, incarnation, deadline, Milliseconds(0) };
+    return command;
+}
+
 TaskReport makeReport()
 {
     TaskReport report;
@@ -186,6 +214,119 @@
     CHECK_FALSE(readReplies->replies[1].report);
 }
 
+// Guards against a command whose incarnation is taken from the list of workers, which names the latest one only.
+TEST_CASE("each command of a batch has its own incarnation of the worker")
+{
+    auto entry = makeWorker("w1");
+    entry.incarnation = 2;
+    RelayBatch batch { 5, 6, Milliseconds(77), { entry }, {} };
+    for (const std::int64_t incarnation : { 1, 2, 1 }) {
+        const auto number = static_cast<std::int64_t>(batch.commands.size());
+        auto start = makeStart(number, "w1", static_cast<int>(number));
+        start.deadline.incarnation = incarnation;
+        batch.commands.push_back(start);
+        batch.commands.push_back(makeRenewal(number + 1, incarnation, Milliseconds(400)));
+    }
+    std::string error;
+    const auto read = WorkerRelayCodec::decodeBatch(WorkerRelayCodec::encodeBatch(batch), error);
+    REQUIRE(read);
+    REQUIRE(read->workers.size() == 1);
+    CHECK(read->workers.front().incarnation == 2);
+    REQUIRE(read->commands.size() == batch.commands.size());
+    for (std::size_t index = 0; index < batch.commands.size(); ++index) {
+        CAPTURE(index);
+        CHECK(read->commands[index].deadline == batch.commands[index].deadline);
+        CHECK(read->commands[index].report.incarnation == batch.commands[index].report.incarnation);
+        CHECK(read->commands[index].report.deadline == batch.commands[index].report.deadline);
+    }
+}
+
+// Guards against a deadline of the former clock that takes effect on the restarted worker, since the relay has got it together with
+// the entry of the new incarnation.
+TEST_CASE("a relay carries out the commands of a batch only on the incarnation of each")
+{
+    const std::int64_t listed = GENERATE(1, 2);
+    CAPTURE(listed);
+    RelayFixture fixture;
+    fixture.introduce();
+    auto &worker = fixture.fleet.worker("w1");
+    const auto formerDeadline = worker.clock() + Milliseconds(5000);
+    worker.restart();
+    int renewals = 0;
+    fixture.fleet.onAccepted = [&renewals](SimulatedWorker &, std::int64_t, bool isStart) { renewals += isStart ? 0 : 1; };
+    auto formerStart = makeStart(1, "w1", 0);
+    formerStart.deadline = { 1, formerDeadline };
+    auto start = makeStart(2, "w1", 1);
+    start.deadline = { 2, worker.clock() + Milliseconds(5000) };
+    auto batch = makeBatch(fixture.timers,
+                           fixture.session,
+                           { formerStart, start, makeRenewal(3, 1, formerDeadline), makeRenewal(4, 2, Milliseconds(5000)) });
+    batch.workers.front().incarnation = listed;
+    fixture.serve(WorkerRelayCodec::encodeBatch(batch));
+    fixture.timers.advance(Milliseconds(300));
+    REQUIRE_FALSE(fixture.answers.empty());
+    std::map<std::int64_t, RelayReply> replies;
+    for (const auto &[status, answer] : fixture.answers) {
+        CHECK(status == 200);
+        for (const auto &reply : answer.replies) {
+            replies[reply.number] = reply;
+        }
+    }
+    REQUIRE(replies.size() == 4);
+    CHECK(replies[1].reply.outcome == CommandOutcome::OtherIncarnation);
+    CHECK(replies[2].reply.outcome == CommandOutcome::Accepted);
+    for (const std::int64_t number : { 3, 4 }) {
+        CAPTURE(number);
+        CHECK(replies[number].reply.outcome == CommandOutcome::Accepted);
+        REQUIRE(replies[number].report);
+        CHECK(replies[number].report->incarnation == 2);
+    }
+    CHECK(renewals == 1);
+    REQUIRE(worker.runs().size() == 1);
+    CHECK(worker.runs().begin()->first.first == start.task.task);
+}
+
+// Guards against a process of the former release, whose messages do not name the incarnation, that is obeyed during an upgrade.
+TEST_CASE("messages of version 1 are refused and their commands not carried out")
+{
+    RelayFixture fixture;
+    fixture.introduce();
+    const auto sentBefore = fixture.channels.connections.sentCount;
+    const std::vector<std::vector<RelayCommand>> batches {
+        { makeStart(1, "w1", 0) },
+        { makeRenewal(1, 1, Milliseconds(1'000'000'000)) },
+        { makeStart(1, "w1", 0), makeRenewal(2, 1, Milliseconds(1'000'000'000)) },
+    };
+    std::string error;
+    for (const auto &commands : batches) {
+        const auto message = WorkerRelayCodec::encodeBatch(makeBatch(fixture.timers, fixture.session, commands));
+        REQUIRE(WorkerRelayCodec::decodeBatch(message, error));
+        const auto former = inFirstVersion(message);
+        CHECK_FALSE(WorkerRelayCodec::decodeBatch(former, error));
+        CHECK(error == "not a message of version 2");
+        // The number of the version alone decides nothing: a row without the incarnation is malformed in the present one.
+        auto renumbered = nlohmann::json::from_msgpack(former);
+        renumbered.at(0) = 2;
+        std::string shortRows;
+        nlohmann::json::to_msgpack(renumbered, nlohmann::detail::output_adapter<char>(shortRows));
+        CHECK_FALSE(WorkerRelayCodec::decodeBatch(shortRows, error));
+        for (const auto &refused : { former, shortRows }) {
+            fixture.answers.clear();
+            fixture.serve(refused);
+            fixture.timers.advance(Milliseconds(300));
+            REQUIRE(fixture.answers.size() == 1);
+            CHECK(fixture.answers.front().first == 400);
+        }
+    }
+    CHECK(fixture.channels.connections.sentCount == sentBefore);
+    CHECK(fixture.fleet.worker("w1").runs().empty());
+    auto replies = nlohmann::json::from_msgpack(WorkerRelayCodec::encodeReplies({ 1, 0.5, "a", {} }));
+    replies.at(0) = 1;
+    std::string formerReplies;
+    nlohmann::json::to_msgpack(replies, nlohmann::detail::output_adapter<char>(formerReplies));
+    CHECK_FALSE(WorkerRelayCodec::decodeReplies(formerReplies, error));
+}
+
 // Guards against a message that ends the process: it costs only what it carries.
 TEST_CASE("malformed messages of a relay are refused")
 {
--- a/tests/fakes/RelayedFleet.cpp
+++ b/tests/fakes/RelayedFleet.cpp
@@ -12,13 +12,16 @@
 
 } // namespace
 
-SimulatedChannels::SimulatedChannels(Timers &timers, SimulatedFleet &fleet) : connections(timers, fleet)
+SimulatedChannels::SimulatedChannels(Timers &timers, SimulatedFleet &fleet) : connections(timers, fleet), fleet_(fleet)
 {
     connections.isSuspendable = true;
 }
 
 std::unique_ptr<WorkerChannel> SimulatedChannels::create(const WorkerEntry &entry, std::int64_t fencingToken)
 {
+    if (fleet_.createChannel) {
+        return fleet_.createChannel(connections, entry, fencingToken);
+    }
     return std::make_unique<ConfirmingWorkerChannel>(connections, entry, fencingToken);
 }
 
--- a/tests/fakes/RelayedFleet.h
+++ b/tests/fakes/RelayedFleet.h
@@ -11,7 +11,7 @@
 
 namespace auburndoor {
 
-/** Channels to simulated workers, as one process opens them. */
+/** Channels to simulated workers, as one process opens them; made by SimulatedFleet::createChannel if there is one. */
 class SimulatedChannels : public WorkerChannelFactory
 {
 public:
@@ -20,6 +20,9 @@
     std::unique_ptr<WorkerChannel> create(const WorkerEntry &entry, std::int64_t fencingToken) override;
 
     SimulatedConnections connections;
+
+private:
+    SimulatedFleet &fleet_;
 };
 
 /** Relays in memory and the network that leads to them. */
