The property of limits and shares cuts workers off at any time after a restart

Cause: cuts within 3 s of a restart were left out because of the fault of dispatch-unknown-restart, and so were restarts of workers that are cut off.

Change: both are drawn again, as before.

--- a/tests/dispatch/AccountPropertyTests.cpp
+++ b/tests/dispatch/AccountPropertyTests.cpp
@@ -99,14 +99,11 @@
             }
             return;
         case 1:
-            isCutOff = !isCutOff && cell.timers.now() >= heardAt_[worker];
+            isCutOff = !isCutOff;
             return;
         case 2:
-            if (!isCutOff) {
-                cell.fleet.worker(worker).restart();
-                cell.list(worker);
-                heardAt_[worker] = cell.timers.now() + Milliseconds(3000);
-            }
+            cell.fleet.worker(worker).restart();
+            cell.list(worker);
             return;
         case 3:
             changeLimit(account);
@@ -137,11 +134,6 @@
     bool hasCopies_;
     std::vector<std::string> open_;
     std::set<std::string> gangs_;
-    /**
-        When the owner has heard of the last restart of each worker. A cut before that is the fault of dispatch-unknown-restart in
-        KNOWN-RED.txt, which has tests of its own.
-    */
-    std::map<std::string, TimePoint> heardAt_;
     int jobs_ = 0;
 };
 
