--- a/tests/fakes/RelayedFleet.cpp
+++ b/tests/fakes/RelayedFleet.cpp
@@ -14,13 +14,17 @@
 
 } // namespace
 
-SimulatedChannels::SimulatedChannels(Timers &timers, SimulatedFleet &fleet) : connections(timers, fleet), timers_(timers)
+SimulatedChannels::SimulatedChannels(Timers &timers, SimulatedFleet &fleet)
+    : connections(timers, fleet), timers_(timers), fleet_(fleet)
 {
     connections.isSuspendable = true;
 }
 
 std::unique_ptr<WorkerChannel> SimulatedChannels::create(const WorkerEntry &entry, std::int64_t fencingToken)
 {
+    if (fleet_.createChannel) {
+        return fleet_.createChannel(connections, entry, fencingToken);
+    }
     return std::make_unique<ConfirmingWorkerChannel>(timers_, connections, entry, fencingToken, maxCommandConnections);
 }
 
--- a/tests/fakes/RelayedFleet.h
+++ b/tests/fakes/RelayedFleet.h
@@ -11,7 +11,7 @@
 
 namespace auburndoor {
 
-/** Channels to simulated workers, as one process opens them. */
+/** Channels to simulated workers, as one process opens them; made by SimulatedFleet::createChannel if there is one. */
 class SimulatedChannels : public WorkerChannelFactory
 {
 public:
@@ -23,6 +23,7 @@
 
 private:
     Timers &timers_;
+    SimulatedFleet &fleet_;
 };
 
 /** Relays in memory and the network that leads to them. */
