Commands to a relay have numbers that no later link uses again

Cause: each WorkerRelayLink numbered its commands from 1, but a relay keeps the session of an owner by its token. A link that is dropped and created again gets the late replies to the commands of the former one, and takes the report of one worker for that of another; if that worker started later, this looks like a restart. Change: numbers are unique in the process, as those of connections. Evidence: WorkerRelayTests "a link does not take replies to the commands of a former link for its own".

--- a/modules/entry/WorkerRelayLink.cpp
+++ b/modules/entry/WorkerRelayLink.cpp
@@ -7,6 +7,7 @@
 #include "observability/EventLog.h"
 
 #include <algorithm>
+#include <atomic>
 #include <map>
 #include <set>
 #include <utility>
@@ -35,6 +36,13 @@
 constexpr Milliseconds failureBackoff { 2000 };
 constexpr Milliseconds refusalBackoff { 30000 };
 
+/** Numbers are not used again: a relay sends replies to the commands of a former link with the answers to the next one. */
+std::int64_t nextCommandNumber()
+{
+    static std::atomic<std::int64_t> last { 0 };
+    return ++last;
+}
+
 } // namespace
 
 struct WorkerRelayLink::Impl : std::enable_shared_from_this<WorkerRelayLink::Impl>
@@ -84,7 +92,6 @@
     std::vector<WaitingCommand> waiting;
     /** By number, with those that wait. */
     std::map<std::int64_t, OpenCommand> openCommands;
-    std::int64_t nextNumber = 1;
     int openMessages = 0;
     /** When the next message is to be sent; TimePoint() if none is scheduled. */
     TimePoint flushAt;
@@ -286,7 +293,7 @@
 {
     const auto now = impl_->timers.now();
     const bool isReport = command.kind == RelayCommand::Kind::Report;
-    command.number = impl_->nextNumber++;
+    command.number = nextCommandNumber();
     command.worker = worker.id;
     const auto deadline = now + (isReport ? command.report.maxWait : Milliseconds(0)) + workerReplyTime + hopAllowance;
     impl_->openCommands.emplace(command.number, Impl::OpenCommand { std::move(callback), now, deadline, isReport });
--- a/tests/entry/WorkerRelayTests.cpp
+++ b/tests/entry/WorkerRelayTests.cpp
@@ -463,6 +463,46 @@
     }
 }
 
+// Guards against the report of one worker that is taken for that of another one: a link that is given up leaves commands at the
+// relay, whose replies come with the answers to the next link of the same owner.
+TEST_CASE("a link does not take replies to the commands of a former link for its own")
+{
+    const Address relayAddress { "10.0.0.9", 80 };
+    ManualTimers timers;
+    SimulatedFleet fleet(timers);
+    SimulatedRelays relays(timers, fleet);
+    relays.add(relayAddress);
+    for (const std::int64_t incarnation : { 1, 2 }) {
+        auto entry = makeWorker("w" + std::to_string(incarnation));
+        entry.incarnation = incarnation;
+        fleet.add(entry, [](const TaskName &, std::int64_t) { return SimulatedWork { Milliseconds(5000) }; });
+    }
+    const auto request = [&](WorkerRelayLink &link, std::int64_t incarnation, std::vector<std::int64_t> &incarnations) {
+        RelayCommand command;
+        command.report = { 0, incarnation, std::nullopt, Milliseconds(200) };
+        const auto &entry = fleet.worker("w" + std::to_string(incarnation)).entry();
+        link.send(command, entry, [&incarnations](RelayOutcome, const RelayReply &reply) {
+            incarnations.push_back(reply.report ? reply.report->incarnation : 0);
+        });
+    };
+    std::vector<std::int64_t> formerReports;
+    std::vector<std::int64_t> reports;
+    auto former = std::make_unique<WorkerRelayLink>(timers, relays, relayAddress, 5);
+    former->introduce();
+    timers.advance(Milliseconds(400));
+    REQUIRE(former->isUsable());
+    request(*former, 1, formerReports);
+    timers.advance(Milliseconds(50));
+    former.reset();
+    WorkerRelayLink link(timers, relays, relayAddress, 5);
+    link.introduce();
+    timers.advance(Milliseconds(20));
+    request(link, 2, reports);
+    timers.advance(Milliseconds(3000));
+    CHECK(reports == std::vector<std::int64_t> { 2 });
+    CHECK(formerReports.size() == 1);
+}
+
 // Guards the way over the network: path, status and body of the messages.
 TEST_CASE("a link exchanges messages with a relay over HTTP")
 {
