Soak: workers' clocks and leases as on the platform

The workers of the soak kept their clock over a restart under the same id, and took deadlines however far ahead.

PlatformServer uses the clock and the longest lease of SimulatedWorker, whose clock begins at zero with each restart. setWorkerClock() is no longer needed; SiteWorkers sets the first clock of a worker at the worker itself, and names the longest lease that it grants. SiteWorkers::crash() takes the time until the restarted worker reports, and a worker that is down isn't cut off.

--- a/tests/fakes/SimulatedWorker.cpp
+++ b/tests/fakes/SimulatedWorker.cpp
@@ -32,6 +32,12 @@
     return firstClock_ + Milliseconds(static_cast<std::int64_t>(static_cast<double>(elapsed.count()) * clockRate()));
 }
 
+void SimulatedWorker::setClock(Milliseconds time)
+{
+    firstClock_ = time;
+    firstSeenAt_ = timers_.now();
+}
+
 TimePoint SimulatedWorker::leaseEndAt(Milliseconds deadline) const
 {
     const auto onTestClock = [rate = clockRate()](Milliseconds duration) {
@@ -185,8 +191,7 @@
     lapsedSince_.clear();
     endTimes_.clear();
     leaseEnd_ = {};
-    firstClock_ = Milliseconds(0);
-    firstSeenAt_ = timers_.now();
+    setClock(Milliseconds(0));
     ++entry_.incarnation;
 }
 
--- a/tests/fakes/SimulatedWorker.h
+++ b/tests/fakes/SimulatedWorker.h
@@ -104,6 +104,8 @@
     TimePoint now() const;
     /** The time on its own clock, which begins at zero with each restart. */
     Milliseconds clock() const;
+    /** Sets its own clock, as if it had run for this long. */
+    void setClock(Milliseconds time);
     /** When a lease with this deadline on its own clock ends, at most the longest lease from now. */
     TimePoint leaseEndAt(Milliseconds deadline) const;
     const WorkerEntry &entry() const;
--- a/tests/soak/PlatformServer.cpp
+++ b/tests/soak/PlatformServer.cpp
@@ -14,26 +14,21 @@
 
 constexpr Milliseconds reportPollInterval { 20 };
 
-Milliseconds sinceEpoch(TimePoint time)
-{
-    return std::chrono::duration_cast<Milliseconds>(time.time_since_epoch());
-}
-
 const char *refusalReason(CommandOutcome outcome)
 {
     return outcome == CommandOutcome::Fenced ? "fence" : outcome == CommandOutcome::LeaseExpired ? "late" : "old";
 }
 
-WebReply makeCommandReply(CommandOutcome outcome, TimePoint now)
+WebReply makeCommandReply(CommandOutcome outcome, Milliseconds clock)
 {
-    Json body { { "clockMs", sinceEpoch(now).count() } };
+    Json body { { "clockMs", clock.count() } };
     if (outcome != CommandOutcome::Accepted) {
         body["reason"] = refusalReason(outcome);
     }
     return { outcome == CommandOutcome::Accepted ? 200 : 409, body.dump(), {} };
 }
 
-Json makeReportJson(const TaskReport &report, TimePoint now)
+Json makeReportJson(const TaskReport &report, Milliseconds clock)
 {
     Json running = Json::array();
     for (const auto &run : report.running) {
@@ -44,9 +39,7 @@
         ended.push_back(
             Json::array({ end.number, platform::taskText(end.task), end.attempt, std::string(name(end.end)), end.checkpoint }));
     }
-    return {
-        { "clockMs", sinceEpoch(now).count() }, { "running", running }, { "finished", ended }, { "born", report.incarnation }
-    };
+    return { { "clockMs", clock.count() }, { "running", running }, { "finished", ended }, { "born", report.incarnation } };
 }
 
 } // namespace
@@ -140,28 +133,11 @@
     return *endpointOf(id).link;
 }
 
-void PlatformServer::setWorkerClock(const std::string &id, TimePoint start)
-{
-    workerClockStarts_[id] = start;
-}
-
 PlatformServer::WorkerEndpoint &PlatformServer::endpointOf(const std::string &id) const
 {
     return *workers_.at(id);
 }
 
-TimePoint PlatformServer::workerNow(const std::string &id) const
-{
-    const auto start = workerClockStarts_.find(id);
-    return start == workerClockStarts_.end() ? loop_.now() : TimePoint() + (loop_.now() - start->second);
-}
-
-TimePoint PlatformServer::fromWorkerClock(const std::string &id, std::int64_t clock) const
-{
-    const auto start = workerClockStarts_.find(id);
-    return (start == workerClockStarts_.end() ? TimePoint() : start->second) + Milliseconds(clock);
-}
-
 bool PlatformServer::isServing(const std::string &id, std::int64_t incarnation)
 {
     return endpointOf(id).worker == id && fleet.worker(id).entry().incarnation == incarnation;
@@ -170,7 +146,7 @@
 void PlatformServer::serveWorker(const std::string &id, const WebRequest &request, const HttpResponderPointer &responder)
 {
     if (request.header("target-instance") != id) {
-        responder->reply({ 421, Json { { "clockMs", sinceEpoch(workerNow(id)).count() } }.dump(), {} });
+        responder->reply({ 421, Json { { "clockMs", fleet.worker(id).clock().count() } }.dump(), {} });
         return;
     }
     const auto body = Json::parse(request.body);
@@ -186,7 +162,7 @@
                                       loop_.now() + Milliseconds(body.value("waitMs", 0)),
                                       fleet.worker(id).entry().incarnation };
         if (body.contains("deadlineMs")) {
-            reportRequest.deadline = fromWorkerClock(id, body.at("deadlineMs").get<std::int64_t>());
+            reportRequest.deadline = fleet.worker(id).leaseEndAt(Milliseconds(body.at("deadlineMs").get<std::int64_t>()));
         }
         answerReportRequest(id, reportRequest, responder);
         return;
@@ -231,12 +207,12 @@
         if (onStopped) {
             onStopped(worker, *task, attempt, token);
         }
-        responder->reply(makeCommandReply(worker.stop(*task, attempt, token), workerNow(id)));
+        responder->reply(makeCommandReply(worker.stop(*task, attempt, token), worker.clock()));
         return;
     }
     const StartCommand command { *task, attempt, body.value("spec", std::string()), {}, {} };
     const auto runCountBefore = worker.runs().size();
-    const auto deadline = fromWorkerClock(id, body.at("deadlineMs").get<std::int64_t>());
+    const auto deadline = worker.leaseEndAt(Milliseconds(body.at("deadlineMs").get<std::int64_t>()));
     const auto outcome = worker.start(command, deadline, token);
     if (worker.runs().size() > runCountBefore) {
         if (onRunStarted) {
@@ -245,7 +221,7 @@
         checker.check(worker, command);
         onStarted(command);
     }
-    responder->reply(makeCommandReply(outcome, workerNow(id)));
+    responder->reply(makeCommandReply(outcome, worker.clock()));
 }
 
 void PlatformServer::answerReportRequest(const std::string &id,
@@ -265,7 +241,7 @@
     TaskReport report;
     const auto outcome = worker.renewLeases(reportRequest.acknowledged, reportRequest.deadline, reportRequest.token, report);
     if (outcome != CommandOutcome::Accepted) {
-        responder->reply(makeCommandReply(outcome, workerNow(id)));
+        responder->reply(makeCommandReply(outcome, worker.clock()));
     } else if (report.ended.empty() && loop_.now() < reportRequest.pollDeadline) {
         loop_.after(reportPollInterval,
                     [this,
@@ -276,7 +252,7 @@
                         answerReportRequest(id, nextRequest, responder);
                     });
     } else {
-        responder->reply({ 200, makeReportJson(report, workerNow(id)).dump(), {} });
+        responder->reply({ 200, makeReportJson(report, worker.clock()).dump(), {} });
     }
 }
 
--- a/tests/soak/PlatformServer.h
+++ b/tests/soak/PlatformServer.h
@@ -59,12 +59,10 @@
     /** The row of a worker that is ready, without the members that tell its state. */
     nlohmann::json makeWorkerRow(const std::string &id);
 
-    /** Restarts a worker under the same id with a new incarnation; its open connections are reset. */
+    /** Restarts a worker under the same id with a new incarnation and a clock that begins at zero; its open connections are reset.
+     */
     void restartWorker(const std::string &id);
 
-    /** The worker's clock shows zero at this time. */
-    void setWorkerClock(const std::string &id, TimePoint start);
-
     FaultyLink &workerLink(const std::string &id);
 
     /** The cuts in force. Requests and replies that meet one are lost; their connections are closed after its end. */
@@ -125,10 +123,6 @@
     void serveFeed(const std::string &table, std::int64_t after, TimePoint deadline, const HttpResponderPointer &responder);
     void serveTransaction(const std::string &body, const HttpResponderPointer &responder);
     WorkerEndpoint &endpointOf(const std::string &id) const;
-    /** The time on the worker's clock. */
-    TimePoint workerNow(const std::string &id) const;
-    /** The time of the loop at which the worker's clock shows this many milliseconds. */
-    TimePoint fromWorkerClock(const std::string &id, std::int64_t clock) const;
     /** The address belongs to the worker, and it is still in the life in which a request has reached it. */
     bool isServing(const std::string &id, std::int64_t incarnation);
 
@@ -145,8 +139,6 @@
     std::map<std::string, StoreClient> storeClients_;
     /** By worker; a worker that has the address of a former one shares its endpoint. */
     std::map<std::string, std::shared_ptr<WorkerEndpoint>> workers_;
-    /** When the clocks of workers showed zero, of those that do not show the loop's clock. */
-    std::map<std::string, TimePoint> workerClockStarts_;
 };
 
 } // namespace auburndoor
--- a/tests/soak/SiteCell.cpp
+++ b/tests/soak/SiteCell.cpp
@@ -14,6 +14,7 @@
 
 constexpr int entryCount = 8;
 constexpr int workerCount = 48;
+constexpr Milliseconds maxLease { 6000 };
 /** How long a call to the store takes. */
 constexpr Milliseconds usualAnswerTime { 8 };
 
@@ -24,7 +25,7 @@
     EntryOptions options;
     options.failureDomain = domains.at(static_cast<std::size_t>(number));
     options.processorShare = 0.25;
-    options.maxLease = Milliseconds(6000);
+    options.maxLease = maxLease;
     options.killGrace = SiteWorkers::killGrace;
     options.reportInterval = SiteWorkers::reportInterval;
     return options;
@@ -45,7 +46,7 @@
 SiteCell::SiteCell(unsigned seed, const std::string &folder)
     : cell(seed, entryCount, 0, folder, {}, makeOptions)
     , history_(cell.platform)
-    , workers_(cell, history_, [this](const TaskName &, std::int64_t) { return planWork(); })
+    , workers_(cell, history_, maxLease, [this](const TaskName &, std::int64_t) { return planWork(); })
     , clients_(cell.loop, cell.clientAddresses(), cell.random)
 {
     constexpr Milliseconds feedInterval { 10 };
--- a/tests/soak/SiteWorkers.cpp
+++ b/tests/soak/SiteWorkers.cpp
@@ -15,8 +15,8 @@
 
 } // namespace
 
-SiteWorkers::SiteWorkers(ProcessCell &cell, RunHistory &history, SimulatedWorker::Plan plan)
-    : cell_(cell), history_(history), plan_(std::move(plan))
+SiteWorkers::SiteWorkers(ProcessCell &cell, RunHistory &history, Milliseconds maxLease, SimulatedWorker::Plan plan)
+    : cell_(cell), history_(history), maxLease_(maxLease), plan_(std::move(plan))
 {
     removeSilentEntries();
 }
@@ -47,7 +47,8 @@
     const auto id = entry.id;
     auto &worker = cell_.platform.addWorker(std::move(entry), plan_, former);
     worker.killTime = killGrace;
-    cell_.platform.setWorkerClock(id, loop.now() - uptime);
+    worker.maxLease = maxLease_;
+    worker.setClock(uptime);
     cell_.platform.workerLink(id).setMode(FaultyLink::Mode::Open);
     cell_.platform.workerLink(id).deliverLate([this] {
         constexpr int shortDelay = 60;
@@ -178,30 +179,33 @@
     });
 }
 
-void SiteWorkers::crash(const std::string &id, Milliseconds outage)
+void SiteWorkers::crash(const std::string &id, Milliseconds outage, Milliseconds reportDelay)
 {
     if (members_.at(id).isDraining) {
         return;
     }
     cell_.record(id, "crashes for " + std::to_string(outage.count()));
     endLife(id, cell_.draw(0, 1) == 0 ? FaultyLink::Mode::Unreachable : FaultyLink::Mode::Refused);
-    cell_.loop.after(outage, [this, id] {
+    cell_.loop.after(outage, [this, id, reportDelay] {
         auto &member = members_.at(id);
         member.isUp = true;
         member.isConnected = true;
         member.reachesStore = true;
         member.seq = 0;
         cell_.platform.fleet.worker(id).restart();
-        cell_.platform.setWorkerClock(id, cell_.loop.now());
         cell_.platform.workerLink(id).setMode(FaultyLink::Mode::Open);
-        report(id);
+        if (reportDelay > Milliseconds(0)) {
+            cell_.loop.after(reportDelay, [this, id] { report(id); });
+        } else {
+            report(id);
+        }
     });
 }
 
 void SiteWorkers::cut(const std::string &id, Cut kind, Milliseconds duration)
 {
     auto &member = members_.at(id);
-    if (!member.isConnected || !member.reachesStore) {
+    if (!member.isUp || !member.isConnected || !member.reachesStore) {
         return;
     }
     cell_.record(id, nameOf(kind) + " for " + std::to_string(duration.count()));
--- a/tests/soak/SiteWorkers.h
+++ b/tests/soak/SiteWorkers.h
@@ -31,7 +31,8 @@
         Frozen,
     };
 
-    SiteWorkers(ProcessCell &cell, RunHistory &history, SimulatedWorker::Plan plan);
+    /** @param maxLease the longest lease that the workers grant */
+    SiteWorkers(ProcessCell &cell, RunHistory &history, Milliseconds maxLease, SimulatedWorker::Plan plan);
 
     void addWorkers(int count);
 
@@ -40,9 +41,9 @@
 
     /** Announces that the worker leaves, and lets it leave later. */
     void drain(const std::string &id);
-    /** Ends all that runs; the worker returns under its id after the outage. */
-    void crash(const std::string &id, Milliseconds outage);
-    /** A worker that is cut off already stays as it is. */
+    /** Ends all that runs; the worker returns under its id after the outage. @param reportDelay from then to its next report */
+    void crash(const std::string &id, Milliseconds outage, Milliseconds reportDelay = Milliseconds(0));
+    /** A worker that is down or cut off already stays as it is. */
     void cut(const std::string &id, Cut kind, Milliseconds duration);
     /** Resets the open connections. @param mode the mode of the link for the duration, which new connections meet */
     void resetConnections(const std::string &id, Milliseconds duration, FaultyLink::Mode mode);
@@ -81,6 +82,7 @@
 
     ProcessCell &cell_;
     RunHistory &history_;
+    Milliseconds maxLease_;
     SimulatedWorker::Plan plan_;
     std::map<std::string, Member> members_;
     int nextNumber_ = 0;
