Soak: check the deadlines that restarted workers get

PlatformServer notes each deadline that is further ahead than the worker's longest lease, which no owner grants, and [recut] fails on one. In a third of the rounds workers return at once, so that requests to their earlier incarnations still arrive; rounds follow each other faster, with 48 workers.

--- a/tests/soak/PlatformServer.cpp
+++ b/tests/soak/PlatformServer.cpp
@@ -138,6 +138,17 @@
     return *workers_.at(id);
 }
 
+TimePoint PlatformServer::readLeaseEnd(const SimulatedWorker &worker, const Json &body)
+{
+    const Milliseconds deadline(body.at("deadlineMs").get<std::int64_t>());
+    if (const auto ahead = deadline - worker.clock(); ahead > worker.maxLease) {
+        excessiveDeadlines.push_back(worker.entry().id + " got a deadline " + std::to_string(ahead.count())
+                                     + " ms ahead of its clock, which shows " + std::to_string(worker.clock().count())
+                                     + " ms; its longest lease is " + std::to_string(worker.maxLease.count()) + " ms");
+    }
+    return worker.leaseEndAt(deadline);
+}
+
 bool PlatformServer::isServing(const std::string &id, std::int64_t incarnation)
 {
     return endpointOf(id).worker == id && fleet.worker(id).entry().incarnation == incarnation;
@@ -162,7 +173,7 @@
                                       loop_.now() + Milliseconds(body.value("waitMs", 0)),
                                       fleet.worker(id).entry().incarnation };
         if (body.contains("deadlineMs")) {
-            reportRequest.deadline = fleet.worker(id).leaseEndAt(Milliseconds(body.at("deadlineMs").get<std::int64_t>()));
+            reportRequest.deadline = readLeaseEnd(fleet.worker(id), body);
         }
         answerReportRequest(id, reportRequest, responder);
         return;
@@ -212,7 +223,7 @@
     }
     const StartCommand command { *task, attempt, body.value("spec", std::string()), {}, {} };
     const auto runCountBefore = worker.runs().size();
-    const auto deadline = worker.leaseEndAt(Milliseconds(body.at("deadlineMs").get<std::int64_t>()));
+    const auto deadline = readLeaseEnd(worker, body);
     const auto outcome = worker.start(command, deadline, token);
     if (worker.runs().size() > runCountBefore) {
         if (onRunStarted) {
--- a/tests/soak/PlatformServer.h
+++ b/tests/soak/PlatformServer.h
@@ -72,6 +72,9 @@
     SimulatedFleet fleet;
     StartChecker checker;
 
+    /** A text for each deadline that was further ahead than the worker's longest lease, which no owner grants. */
+    std::vector<std::string> excessiveDeadlines;
+
     /** Called for each start or stop command to draw its fault, if set. */
     std::function<CommandFault()> drawFault;
 
@@ -123,6 +126,8 @@
     void serveFeed(const std::string &table, std::int64_t after, TimePoint deadline, const HttpResponderPointer &responder);
     void serveTransaction(const std::string &body, const HttpResponderPointer &responder);
     WorkerEndpoint &endpointOf(const std::string &id) const;
+    /** When the lease with the deadline in a request to the worker ends. */
+    TimePoint readLeaseEnd(const SimulatedWorker &worker, const nlohmann::json &body);
     /** The address belongs to the worker, and it is still in the life in which a request has reached it. */
     bool isServing(const std::string &id, std::int64_t incarnation);
 
--- a/tests/soak/RecutCell.cpp
+++ b/tests/soak/RecutCell.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr int entryCount = 8;
-constexpr int workerCount = 40;
+constexpr int workerCount = 48;
 constexpr Milliseconds maxLease { 10000 };
 constexpr Milliseconds cutDuration { 9000 };
 
@@ -98,6 +98,8 @@
     }
     auto violations = cell.violations;
     violations.insert(violations.end(), clients_.violations.begin(), clients_.violations.end());
+    const auto &deadlines = cell.platform.excessiveDeadlines;
+    violations.insert(violations.end(), deadlines.begin(), deadlines.end());
     for (const auto &violation : cell.platform.checker.violations) {
         violations.push_back(history_.explain(violation, logFiles));
     }
@@ -136,17 +138,20 @@
 
 void RecutCell::beginRound()
 {
-    constexpr Milliseconds outage { 600 };
     if (!isBeginningRounds_) {
         return;
     }
     ++roundCount;
     const auto ids = pickWorkers(cell.draw(3, 8));
-    // In a third of the rounds the directory learns late of the restart.
-    const int longestReportDelay = cell.draw(0, 2) == 0 ? 1200 : 200;
+    // In a third of the rounds the workers return so soon that requests to their earlier incarnations still arrive.
+    const Milliseconds outage { cell.draw(0, 2) == 0 ? 0 : 600 };
+    const int longestOutageChange = outage > Milliseconds(0) ? 200 : 0;
+    // In half of the rounds the directory learns late of the restart.
+    const int longestReportDelay = cell.draw(0, 1) == 0 ? 1200 : 200;
     for (const auto &id : ids) {
         ++restartCount;
-        workers_.crash(id, outage + Milliseconds(cell.draw(-200, 200)), Milliseconds(cell.draw(0, longestReportDelay)));
+        const auto change = cell.draw(-longestOutageChange, longestOutageChange);
+        workers_.crash(id, outage + Milliseconds(change), Milliseconds(cell.draw(0, longestReportDelay)));
     }
     const auto untilOwnerFault = outage + Milliseconds(cell.draw(1000, 2000));
     const auto untilCut = untilOwnerFault + Milliseconds(cell.draw(300, 1000));
@@ -157,7 +162,7 @@
             cutOff(id, cutKind);
         }
     });
-    cell.loop.after(Milliseconds(cell.draw(3000, 7000)), [this] { beginRound(); });
+    cell.loop.after(Milliseconds(cell.draw(2000, 5000)), [this] { beginRound(); });
 }
 
 void RecutCell::disturbOwner()
--- a/tests/soak/RecutCell.h
+++ b/tests/soak/RecutCell.h
@@ -11,7 +11,7 @@
 namespace auburndoor {
 
 /**
-    Eight entry processes and 40 workers that restart under their ids and are cut off soon after, while the owner changes.
+    Eight entry processes and 48 workers that restart under their ids and are cut off soon after, while the owner changes.
 
     A restarted worker takes what was meant for its earlier incarnation. If it has got a longer lease than its owners count, its
    runs go on when the successor starts their tasks elsewhere. The rounds of these faults overlap.
--- a/tests/soak/RecutTests.cpp
+++ b/tests/soak/RecutTests.cpp
@@ -25,7 +25,8 @@
     std::ofstream explanations(folder + "/violations.txt");
     WARN("seed " << seed << ", " << duration.count() << " ms of faults: " << recut.roundCount << " rounds, " << recut.restartCount
                  << " restarts, " << recut.acceptedJobCount() << " jobs accepted, " << recut.startCount << " starts, "
-                 << violations.size() << " violations");
+                 << violations.size() << " violations, of which " << recut.cell.platform.excessiveDeadlines.size()
+                 << " are deadlines beyond the longest lease");
     for (const auto &violation : violations) {
         explanations << violation << "\n";
         FAIL_CHECK("seed " << seed << ": " << violation);
