--- a/modules/workload/ConfirmedConnection.cpp
+++ b/modules/workload/ConfirmedConnection.cpp
@@ -115,12 +115,13 @@
         return;
     }
     const auto refuse = [self, request, isRepeated, callback](const WorkerClient::Reply &reply, const TaskReport &report) {
-        if (reply.outcome == CommandOutcome::Accepted) {
+        const bool isOtherIncarnation = reply.outcome == CommandOutcome::Accepted;
+        if (isOtherIncarnation) {
             self->logWithheld(request.deadline ? "renewal" : "acknowledgement", request.incarnation, report.incarnation);
         }
-        if (isRepeated) {
-            // The first connection broke with a restart, or the worker cannot be reached any more.
-            callback({ CommandOutcome::Unknown, "the connection broke" }, {});
+        if (isOtherIncarnation && isRepeated) {
+            // The request was lost with the incarnation that it was for.
+            callback({ CommandOutcome::Unknown, "the worker has restarted" }, {});
             return;
         }
         callback(reply, report);
