A reply of the store may take as long as it goes on arriving

Cause: the reads of the store had a time limit of fixed length for a reply whose length grows: 700 ms after the wait for a feed, 1.5 s for a row, a page or a table. Past it the connection was closed and the transfer began again from nothing, at each try.

What has arrived while the loop was busy counts. Reads that follow a table have connections of their own, which abandonReads() closes; TableWatch::skipTo() uses it. watch.lost tells how much had arrived, and in which time.

--- a/modules/entry/TableUpdate.h
+++ b/modules/entry/TableUpdate.h
@@ -3,6 +3,7 @@
 #include "dispatch/CallTime.h"
 #include "workload/StateStore.h"
 
+#include <cstddef>
 #include <optional>
 #include <vector>
 
@@ -20,6 +21,9 @@
     std::int64_t version = 0;
     /** When they were requested. */
     CallTime requestedAt;
+    /** The bytes of the replies, and the time from the first to the last of them. */
+    std::size_t receivedBytes = 0;
+    Milliseconds receiveDuration { 0 };
 };
 
 } // namespace auburndoor
--- a/modules/entry/TableWatch.cpp
+++ b/modules/entry/TableWatch.cpp
@@ -23,12 +23,17 @@
     void readTable();
     void readChanges();
     void onFailure(const StoreResult &result);
+    /** False if this was closed, or if the requests of this round were abandoned. */
+    bool isCurrent(std::uint64_t sentRound) const
+    {
+        return !isClosed && sentRound == round;
+    }
     /** Calls the callback if there are rows to pass on. @param sentAt when the request was sent */
     void passOn(const StoreResult &result, bool isWholeTable, CallTime sentAt);
     void runAfter(Milliseconds delay, void (Impl::*action)())
     {
-        timers.after(delay, [self = shared_from_this(), action] {
-            if (!self->isClosed) {
+        timers.after(delay, [self = shared_from_this(), action, sentRound = round] {
+            if (self->isCurrent(sentRound)) {
                 ((*self).*action)();
             }
         });
@@ -45,29 +50,32 @@
     /** When the request of the last successful answer was sent. */
     TimePoint currentAsOf;
     int consecutiveFailures = 0;
+    /** Increased when requests are abandoned; what belongs to earlier rounds is ignored. */
+    std::uint64_t round = 0;
     bool isClosed = false;
 };
 
 void TableWatch::Impl::readTable()
 {
-    store.readAll(table, {}, [self = shared_from_this(), sentAt = CallTime::now(timers)](const StoreResult &result) {
-        if (self->isClosed) {
-            return;
-        }
-        if (result.outcome != StoreOutcome::Done) {
-            self->onFailure(result);
-            self->runAfter(self->timing.retryDelay, &Impl::readTable);
-            return;
-        }
-        if (self->consecutiveFailures > 0) {
-            EventLog::write("watch.regained", { { "table", self->table }, { "version", result.version } });
-        }
-        self->consecutiveFailures = 0;
-        self->version = result.version;
-        self->currentAsOf = sentAt.steady;
-        self->passOn(result, true, sentAt);
-        self->runAfter(self->timing.pollDelay, &Impl::readChanges);
-    });
+    store.readAll(
+        table, {}, [self = shared_from_this(), sentRound = round, sentAt = CallTime::now(timers)](const StoreResult &result) {
+            if (!self->isCurrent(sentRound)) {
+                return;
+            }
+            if (result.outcome != StoreOutcome::Done) {
+                self->onFailure(result);
+                self->runAfter(self->timing.retryDelay, &Impl::readTable);
+                return;
+            }
+            if (self->consecutiveFailures > 0) {
+                EventLog::write("watch.regained", { { "table", self->table }, { "version", result.version } });
+            }
+            self->consecutiveFailures = 0;
+            self->version = result.version;
+            self->currentAsOf = sentAt.steady;
+            self->passOn(result, true, sentAt);
+            self->runAfter(self->timing.pollDelay, &Impl::readChanges);
+        });
 }
 
 void TableWatch::Impl::readChanges()
@@ -75,8 +83,8 @@
     store.changes(table,
                   version,
                   timing.changeTimeout,
-                  [self = shared_from_this(), sentAt = CallTime::now(timers)](const StoreResult &result) {
-                      if (self->isClosed) {
+                  [self = shared_from_this(), sentRound = round, sentAt = CallTime::now(timers)](const StoreResult &result) {
+                      if (!self->isCurrent(sentRound)) {
                           return;
                       }
                       if (result.outcome == StoreOutcome::HistoryCompacted) {
@@ -109,15 +117,25 @@
         timeline.note({ result.version, result.time->earliest, sentAt.boot, timers.bootNow() });
     }
     if (isWholeTable || !result.rows.empty()) {
-        callback(
-            { result.rows, isWholeTable, result.time ? std::optional(result.time->latest) : std::nullopt, result.version, sentAt });
+        callback({ result.rows,
+                   isWholeTable,
+                   result.time ? std::optional(result.time->latest) : std::nullopt,
+                   result.version,
+                   sentAt,
+                   result.receivedBytes,
+                   result.receiveDuration });
     }
 }
 
 void TableWatch::Impl::onFailure(const StoreResult &result)
 {
     if (++consecutiveFailures == 1) {
-        EventLog::write("watch.lost", { { "table", table }, { "outcome", name(result.outcome) }, { "detail", result.detail } });
+        EventLog::write("watch.lost",
+                        { { "table", table },
+                          { "outcome", name(result.outcome) },
+                          { "detail", result.detail },
+                          { "received_bytes", result.receivedBytes },
+                          { "receive_ms", result.receiveDuration.count() } });
     }
 }
 
@@ -151,4 +169,21 @@
     return std::chrono::duration_cast<Milliseconds>(impl_->timers.now() - impl_->currentAsOf);
 }
 
+std::int64_t TableWatch::version() const
+{
+    return impl_->version;
+}
+
+void TableWatch::skipTo(std::int64_t version)
+{
+    auto &impl = *impl_;
+    if (version <= impl.version) {
+        return;
+    }
+    impl.version = version;
+    ++impl.round;
+    impl.store.abandonReads(impl.table);
+    impl.runAfter(impl.timing.pollDelay, &Impl::readChanges);
+}
+
 } // namespace auburndoor
--- a/modules/entry/TableWatch.h
+++ b/modules/entry/TableWatch.h
@@ -2,6 +2,7 @@
 
 #include "net/Timers.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -53,6 +54,15 @@
     /** How long ago the last successful request was sent; changes since then may be missing. */
     Milliseconds age() const;
 
+    /** Changes up to this version of the store are known; 0 before the first read. */
+    std::int64_t version() const;
+
+    /**
+        Changes up to a version are known from elsewhere: a request that may still be reading them is abandoned, and the next one
+        asks for later changes. Does nothing if they have been read already.
+    */
+    void skipTo(std::int64_t version);
+
 private:
     struct Impl;
     std::shared_ptr<Impl> impl_;
--- a/modules/net/HttpChannels.h
+++ b/modules/net/HttpChannels.h
@@ -3,6 +3,7 @@
 #include "core/Clock.h"
 #include "net/Address.h"
 #include "net/HttpExchange.h"
+#include "net/HttpReplyTimeouts.h"
 
 #include <memory>
 
@@ -42,6 +43,14 @@
     */
     void send(WebRequest request, Milliseconds timeout, SendCallback callback);
 
+    /**
+        Sends a request whose reply may be long.
+
+        A reply that goes on arriving is not given up before HttpReplyTimeouts::total, on however slow a link, while a connection on
+        which nothing arrives is noticed as soon as with a short timeout.
+    */
+    void send(WebRequest request, const HttpReplyTimeouts &timeouts, SendCallback callback);
+
     /** Closes all connections. Requests that were sent end as SendOutcome::Lost, the others as NotSent. */
     void reset();
 
--- a/modules/net/HttpExchange.h
+++ b/modules/net/HttpExchange.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/Clock.h"
+
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -56,6 +58,10 @@
     std::string error;
     /** The connection that carried the reply, by a number that is used once in this process; 0 if there is none. */
     std::uint64_t connection = 0;
+    /** The time from the first bytes of the reply to the last ones; also of the part of a reply that was lost. */
+    Milliseconds receiveDuration { 0 };
+    /** The bytes of the reply's body that have arrived, also if the rest was lost. */
+    std::size_t receivedBytes = 0;
     /** The request was not sent because the connection that it was bound to is closed. */
     bool isConnectionClosed = false;
 
--- a/modules/workload/StateStore.h
+++ b/modules/workload/StateStore.h
@@ -76,6 +76,9 @@
     std::string nextPageKey = {};
     /** Of a read: the store's clock; empty if the replies do not tell. */
     std::optional<StoreTimeSpan> time = {};
+    /** Of a read: the bytes of the replies, and the time from the first to the last of them; also if a reply broke off. */
+    std::size_t receivedBytes = 0;
+    Milliseconds receiveDuration { 0 };
 };
 
 /**
@@ -104,6 +107,12 @@
 
     /** Reads the changes of a table after a version, in order; if there are none yet, waits up to maxWait for the first one. */
     virtual void changes(const std::string &table, std::int64_t afterVersion, Milliseconds maxWait, Callback callback) = 0;
+
+    /**
+        The replies of the readAll() and changes() of a table that are in flight are not needed any more, and are not to use the
+       link. These calls end, as Unknown or with their results.
+    */
+    virtual void abandonReads(const std::string &table) = 0;
 };
 
 } // namespace auburndoor
--- a/tests/fakes/FakeStore.h
+++ b/tests/fakes/FakeStore.h
@@ -24,6 +24,7 @@
     void readPage(const std::string &table, const std::string &firstKey, Callback callback) override;
     void readRow(const std::string &table, const std::string &key, Callback callback) override;
     void changes(const std::string &table, std::int64_t after, Milliseconds wait, Callback callback) override;
+    void abandonReads(const std::string &table) override;
 
     /** While down, every call is refused and nothing is done. */
     void setDown(bool isDown)
--- a/tests/fakes/PartitionedStore.cpp
+++ b/tests/fakes/PartitionedStore.cpp
@@ -65,4 +65,9 @@
     passRead([&](Callback reply) { store_.changes(table, afterVersion, maxWait, std::move(reply)); }, std::move(callback));
 }
 
+void PartitionedStore::abandonReads(const std::string &table)
+{
+    store_.abandonReads(table);
+}
+
 } // namespace auburndoor
--- a/tests/fakes/PartitionedStore.h
+++ b/tests/fakes/PartitionedStore.h
@@ -20,6 +20,7 @@
     void readPage(const std::string &table, const std::string &firstKey, Callback callback) override;
     void readRow(const std::string &table, const std::string &key, Callback callback) override;
     void changes(const std::string &table, std::int64_t afterVersion, Milliseconds maxWait, Callback callback) override;
+    void abandonReads(const std::string &table) override;
 
     /** While cut, calls end as Unknown after a timeout; calls that are in flight may be done, but their replies are lost. */
     bool isCut = false;
