Processes hand each other changes of the desired state as differences, and read no unchanged row again

Change: a refresh asks for changes after the version that is known, so that nothing comes back if there is none. The store remains a way for each process, and the first of both that delivers wins. Processes of earlier releases get the plain text. Logs and metrics tell the source, the bytes and the time of what was read, and how far a process is behind.

--- a/modules/entry/DesiredStateHolder.cpp
+++ b/modules/entry/DesiredStateHolder.cpp
@@ -4,6 +4,7 @@
 #include "entry/TableUpdate.h"
 #include "net/Timers.h"
 #include "observability/EventLog.h"
+#include "observability/Metrics.h"
 
 #include <utility>
 
@@ -19,6 +20,7 @@
 constexpr Milliseconds minGap { 1000 };
 // Without an answer of the store by then, the copy stays in force as in any outage of the store.
 constexpr Milliseconds maxCheckDuration { 1000 };
+constexpr std::size_t maxCopyBytes = std::size_t(16) * 1024 * 1024;
 
 } // namespace
 
@@ -26,21 +28,30 @@
                                        StateStore &store,
                                        StoreTimeline &timeline,
                                        const CellProtocol &protocol,
-                                       ChangeCallback changed)
+                                       ChangeCallback changed,
+                                       Metrics &metrics)
     : timers_(timers)
     , protocol_(protocol)
     , changed_(std::move(changed))
+    , metrics_(metrics)
     , watch_(timers,
              store,
              timeline,
              protocol.operatorTable(),
              watchTiming,
-             [this](const TableUpdate &update) {
-                 for (const auto &row : update.rows) {
-                     take(row);
-                 }
-             })
-    , refresh_(timers, store, protocol.operatorTable(), protocol.desiredStateKey(), [this](const StoreRow &row) { take(row); })
+             [this](const TableUpdate &update) { takeUpdate(update); })
+    , refresh_(
+          timers,
+          store,
+          { protocol.operatorTable(), protocol.desiredStateKey() },
+          [this] { return watch_.version(); },
+          [this](const StoreResult &result) {
+              const Reading reading { "refresh", result.receivedBytes, result.receiveDuration };
+              noteReading(reading);
+              for (const auto &row : result.rows) {
+                  take(row, reading);
+              }
+          })
 {
 }
 
@@ -56,9 +67,28 @@
     return desiredState_;
 }
 
-const std::string &DesiredStateHolder::text() const
+const std::string &DesiredStateHolder::copyFor(std::optional<std::int64_t> baseVersion)
 {
-    return text_;
+    if (!baseVersion) {
+        return copy_.text;
+    }
+    const std::string noText;
+    const bool isCurrent = *baseVersion == desiredState_.version;
+    const bool isFormer = *baseVersion == formerVersion_;
+    const DesiredStateCopy::Base base { isCurrent || isFormer ? *baseVersion : 0,
+                                        isCurrent  ? copy_.text
+                                        : isFormer ? formerText_
+                                                   : noText };
+    auto &message = encodedCopies_[base.version];
+    if (message.empty()) {
+        message = copy_.encode(base);
+    }
+    return message;
+}
+
+std::int64_t DesiredStateHolder::copyBase() const
+{
+    return isBaseUnusable_ ? 0 : desiredState_.version;
 }
 
 Milliseconds DesiredStateHolder::age() const
@@ -71,16 +101,28 @@
     return desiredState_.version == 0 && !watch_.isFailing() && timers_.now() - startedAt_ < firstAnswerTimeout;
 }
 
-void DesiredStateHolder::takeCopy(const std::string &text)
+void DesiredStateHolder::takeCopy(const std::string &message, Milliseconds receiveDuration)
 {
-    const StoreRow row { protocol_.operatorTable(), protocol_.desiredStateKey(), text, 0, false };
+    const Reading reading { "copy", message.size(), receiveDuration };
+    noteReading(reading);
+    const std::string noText;
+    auto copy = DesiredStateCopy::decode(message, { desiredState_.version, copy_.text }, maxCopyBytes);
+    if (!copy) {
+        copy = DesiredStateCopy::decode(message, { 0, noText }, maxCopyBytes);
+    }
+    isBaseUnusable_ = !copy;
+    if (!copy) {
+        EventLog::write("desired.copy_unreadable", { { "bytes", message.size() }, { "kept", desiredState_.version } });
+        return;
+    }
+    const StoreRow row { protocol_.operatorTable(), protocol_.desiredStateKey(), std::move(copy->text), copy->rowVersion, false };
     if (mayStoreAnswerFirst()) {
         const auto read = protocol_.readDesiredState(row);
         if (read && read->requiresKeys) {
             return;
         }
     }
-    take(row);
+    take(row, reading);
 }
 
 void DesiredStateHolder::noteRunning()
@@ -109,17 +151,35 @@
     refresh_.runWhenFresh(bytes, std::move(action));
 }
 
-void DesiredStateHolder::take(const StoreRow &row)
+void DesiredStateHolder::takeUpdate(const TableUpdate &update)
+{
+    const Reading reading { update.isWholeTable ? "table" : "feed", update.receivedBytes, update.receiveDuration };
+    noteReading(reading);
+    for (const auto &row : update.rows) {
+        take(row, reading);
+    }
+}
+
+void DesiredStateHolder::noteReading(const Reading &reading)
+{
+    metrics_.count("desired_state_bytes_total", reading.source, static_cast<long long>(reading.receivedBytes));
+}
+
+void DesiredStateHolder::take(const StoreRow &row, const Reading &reading)
 {
     if (row.key != protocol_.desiredStateKey() || row.isRemoved) {
         return;
     }
+    const auto startedAt = timers_.now();
     auto read = protocol_.readDesiredState(row);
     if (!read) {
         if (std::exchange(unreadableVersion_, row.version) != row.version) {
             // The text is left out, as it may hold keys.
             EventLog::write("desired.unreadable",
-                            { { "row_version", row.version }, { "bytes", row.value.size() }, { "kept", desiredState_.version } });
+                            { { "source", reading.source },
+                              { "row_version", row.version },
+                              { "bytes", row.value.size() },
+                              { "kept", desiredState_.version } });
         }
         return;
     }
@@ -127,13 +187,23 @@
     if (read->version <= desiredState_.version) {
         return;
     }
-    desiredState_ = std::move(*read);
-    text_ = row.value;
+    formerVersion_ = std::exchange(desiredState_, std::move(*read)).version;
+    formerText_ = std::exchange(copy_, { row.value, row.version }).text;
+    encodedCopies_.clear();
+    isBaseUnusable_ = false;
+    changed_(desiredState_);
+    watch_.skipTo(row.version);
     EventLog::write("desired.taken",
                     { { "version", desiredState_.version },
+                      { "former", formerVersion_ },
                       { "queues", desiredState_.queues.size() },
-                      { "accounts", desiredState_.accounts.size() } });
-    changed_(desiredState_);
+                      { "accounts", desiredState_.accounts.size() },
+                      { "source", reading.source },
+                      { "row_version", row.version },
+                      { "bytes", row.value.size() },
+                      { "received_bytes", reading.receivedBytes },
+                      { "receive_ms", reading.receiveDuration.count() },
+                      { "apply_ms", std::chrono::duration_cast<Milliseconds>(timers_.now() - startedAt).count() } });
 }
 
 } // namespace auburndoor
--- a/modules/entry/DesiredStateRefresh.cpp
+++ b/modules/entry/DesiredStateRefresh.cpp
@@ -30,14 +30,26 @@
         std::function<void()> action;
     };
 
-    Impl(Timers &timers, StateStore &store, std::string table, std::string key, RowCallback rowRead, RefreshLimits limits)
-        : timers(timers), store(store), table(std::move(table)), key(std::move(key)), rowRead(std::move(rowRead)), limits(limits)
+    Impl(Timers &timers,
+         StateStore &store,
+         Key key,
+         std::function<std::int64_t()> knownVersion,
+         ReadCallback read,
+         RefreshLimits limits)
+        : timers(timers)
+        , store(store)
+        , key(std::move(key))
+        , knownVersion(std::move(knownVersion))
+        , read(std::move(read))
+        , limits(limits)
     {
     }
 
     /** Schedules a request if actions wait for whom none is under way. */
     void scheduleRequest();
     void sendRequest();
+    /** Reads the row itself. @param requestedAt when the row was asked for first */
+    void readRow(TimePoint requestedAt);
     void onReply(const StoreResult &result, TimePoint requestedAt);
     /** Runs the actions that arrived until then. */
     void runUntil(TimePoint lastArrival);
@@ -47,9 +59,9 @@
 
     Timers &timers;
     StateStore &store;
-    std::string table;
-    std::string key;
-    RowCallback rowRead;
+    Key key;
+    std::function<std::int64_t()> knownVersion;
+    ReadCallback read;
     RefreshLimits limits;
     /** In the order of their arrival, by number. */
     std::map<std::uint64_t, Waiting> waiting;
@@ -91,7 +103,27 @@
 {
     sentAt = timers.now();
     ++unanswered;
-    store.readRow(table, key, [self = shared_from_this(), requestedAt = *sentAt](const StoreResult &result) {
+    const auto version = knownVersion();
+    if (version == 0) {
+        readRow(*sentAt);
+        return;
+    }
+    store.changes(
+        key.table, version, Milliseconds(0), [self = shared_from_this(), requestedAt = *sentAt](const StoreResult &result) {
+            if (self->isClosed) {
+                return;
+            }
+            if (result.outcome == StoreOutcome::HistoryCompacted) {
+                self->readRow(requestedAt);
+            } else {
+                self->onReply(result, requestedAt);
+            }
+        });
+}
+
+void DesiredStateRefresh::Impl::readRow(TimePoint requestedAt)
+{
+    store.readRow(key.table, key.key, [self = shared_from_this(), requestedAt](const StoreResult &result) {
         if (!self->isClosed) {
             self->onReply(result, requestedAt);
         }
@@ -102,9 +134,7 @@
 {
     --unanswered;
     if (result.outcome == StoreOutcome::Done) {
-        for (const auto &row : result.rows) {
-            rowRead(row);
-        }
+        read(result);
         freshAsOf = std::max(freshAsOf.value_or(requestedAt), requestedAt);
         lastFailure.clear();
         runUntil(requestedAt + limits.maxAge);
@@ -153,11 +183,11 @@
 
 DesiredStateRefresh::DesiredStateRefresh(Timers &timers,
                                          StateStore &store,
-                                         std::string table,
-                                         std::string key,
-                                         RowCallback rowRead,
+                                         Key key,
+                                         std::function<std::int64_t()> knownVersion,
+                                         ReadCallback read,
                                          RefreshLimits limits)
-    : impl_(std::make_shared<Impl>(timers, store, std::move(table), std::move(key), std::move(rowRead), limits))
+    : impl_(std::make_shared<Impl>(timers, store, std::move(key), std::move(knownVersion), std::move(read), limits))
 {
 }
 
--- a/modules/entry/DesiredStateRefresh.h
+++ b/modules/entry/DesiredStateRefresh.h
@@ -3,6 +3,7 @@
 #include "core/Clock.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -11,7 +12,7 @@
 
 class StateStore;
 class Timers;
-struct StoreRow;
+struct StoreResult;
 
 /** Limits of a DesiredStateRefresh. */
 struct RefreshLimits
@@ -29,7 +30,9 @@
 };
 
 /**
-    Reads one row of the store before actions that depend on its newest version.
+    Asks the store for changes of one row before actions that depend on its newest version.
+
+    A row that has not changed is not read again: its changes after the version that is known are requested, without a wait.
 
     Actions that arrive together share a request. An action that cannot wait, or for which the store does not answer in time, runs
     with what is known. All members are called from the loop's thread.
@@ -37,14 +40,24 @@
 class DesiredStateRefresh
 {
 public:
-    using RowCallback = std::function<void(const StoreRow &row)>;
+    using ReadCallback = std::function<void(const StoreResult &result)>;
+
+    /** The row. */
+    struct Key
+    {
+        std::string table;
+        std::string key;
+    };
 
-    /** @param rowRead called with each row that is read, before the actions that have waited for it */
+    /**
+        @param knownVersion the version of the store up to which the row is known; 0 if it was never read
+        @param read         called with the rows of each reply, maybe none, before the actions that have waited for it
+    */
     DesiredStateRefresh(Timers &timers,
                         StateStore &store,
-                        std::string table,
-                        std::string key,
-                        RowCallback rowRead,
+                        Key key,
+                        std::function<std::int64_t()> knownVersion,
+                        ReadCallback read,
                         RefreshLimits limits = {});
     ~DesiredStateRefresh();
     DesiredStateRefresh(const DesiredStateRefresh &) = delete;
--- a/modules/entry/EntryInstance.cpp
+++ b/modules/entry/EntryInstance.cpp
@@ -4,6 +4,7 @@
 #include "entry/AdvicePool.h"
 #include "entry/ClientCallReader.h"
 #include "entry/ConnectionBudget.h"
+#include "entry/DesiredStateExchange.h"
 #include "entry/DesiredStateHolder.h"
 #include "entry/HttpRelayTransport.h"
 #include "entry/Leadership.h"
@@ -39,8 +40,6 @@
 // Before the latest time for the final replies, the time for a successor to take over and answer what was forwarded to this
 // process.
 constexpr Milliseconds handOverDuration { 900 };
-constexpr Milliseconds desiredStateCheckInterval { 300 };
-constexpr Milliseconds desiredStateFetchTimeout { 280 };
 
 } // namespace
 
@@ -61,8 +60,6 @@
     bool isReady() const;
     void serveOperator(const WebRequest &request, HttpResponder &responder);
     void flushLog();
-    /** Periodically reads the desired state from the owner, or as the owner from another process, if that has a newer one. */
-    void fetchDesiredState();
     /** Ends the ownership, if this process has it, so that another process takes over at once. */
     void handOver();
     /** Logs what the exit of this process leaves without an answer. */
@@ -70,8 +67,6 @@
 
     EntryDependencies dependencies;
     EventLoop &loop;
-    /** The connection to the other process for fetchDesiredState(). */
-    std::unique_ptr<HttpChannels> desiredStateChannel;
     /** Null unless this process is the owner. */
     std::unique_ptr<Owner> owner;
     AdvicePool advicePool;
@@ -85,6 +80,7 @@
     /** Known from the operator's table before this process becomes the owner. */
     StoreTimeline storeTimeline;
     DesiredStateHolder desiredState;
+    DesiredStateExchange desiredStateExchange;
     ClientCallReader callReader;
     ConnectionBudget connectionBudget;
     HttpListener clientListener;
@@ -111,7 +107,8 @@
                            owner->noteSuccessor();
                        }
                    },
-                   [this] { return desiredState.current().version; } })
+                   [this] { return desiredState.current().version; },
+                   [this] { desiredStateExchange.fetchNewer(); } })
     , relayTransport(dependencies.loop)
     , relayPool(
           dependencies.loop,
@@ -128,16 +125,19 @@
           dependencies.loop,
           [this] { return owner.get(); },
           [this] { return leadership.ownerAddress(); })
-    , desiredState(dependencies.loop,
-                   dependencies.store,
-                   storeTimeline,
-                   dependencies.protocol,
-                   [this](const DesiredState &newState) {
-                       clientListener.setRequestTimeouts(newState.headerTimeout, newState.idleTimeout);
-                       if (owner) {
-                           owner->setDesiredState(newState);
-                       }
-                   })
+    , desiredState(
+          dependencies.loop,
+          dependencies.store,
+          storeTimeline,
+          dependencies.protocol,
+          [this](const DesiredState &newState) {
+              clientListener.setRequestTimeouts(newState.headerTimeout, newState.idleTimeout);
+              if (owner) {
+                  owner->setDesiredState(newState);
+              }
+          },
+          dependencies.metrics)
+    , desiredStateExchange(dependencies.loop, desiredState, leadership)
     , callReader(dependencies.loop, dependencies.protocol, desiredState, dependencies.metrics)
     , connectionBudget(dependencies.loop, dependencies.settings)
     , clientListener(
@@ -230,7 +230,7 @@
     } else if (request.target == PeerCodec::ownerViewPath) {
         leadership.answerOwnerView(std::move(responder));
     } else if (request.target == PeerCodec::desiredStatePath) {
-        responder->reply({ 200, desiredState.text(), {} });
+        responder->reply({ 200, desiredState.copyFor(PeerCodec::readDesiredStateBase(request)), {} });
     } else if (request.target == PeerCodec::advicePath) {
         serveAdvice(request, std::move(responder));
     } else if (request.target == PeerCodec::relayPath) {
@@ -266,8 +266,7 @@
     metrics.setGauge("owner_ready", owner && owner->isReady() ? 1 : 0);
     metrics.setGauge("fencing_token", owner ? static_cast<double>(owner->token()) : 0);
     metrics.setGauge("store_away_milliseconds", owner ? static_cast<double>(owner->storeStallDuration().count()) : 0);
-    metrics.setGauge("desired_state_version", static_cast<double>(desiredState.current().version));
-    metrics.setGauge("desired_state_age_milliseconds", static_cast<double>(desiredState.age().count()));
+    desiredStateExchange.updateMetrics(metrics);
     metrics.setGauge("client_connections", static_cast<double>(clientListener.openConnections()));
     const auto load = clientListener.load();
     metrics.setGauge("client_requests_open", static_cast<double>(load.openRequests));
@@ -333,24 +332,6 @@
     loop.after(logFlushInterval, [self = shared_from_this()] { self->flushLog(); });
 }
 
-void EntryInstance::Impl::fetchDesiredState()
-{
-    loop.after(desiredStateCheckInterval, [self = shared_from_this()] { self->fetchDesiredState(); });
-    desiredState.noteRunning();
-    const auto address = leadership.holderOfNewerState(desiredState.current().version);
-    if (!address) {
-        return;
-    }
-    // Another process has a newer version, which the store has not delivered to this one.
-    desiredStateChannel = std::make_unique<HttpChannels>(loop, *address, HttpChannelLimits { .maxConnections = 1 });
-    WebRequest request { "GET", PeerCodec::desiredStatePath, {}, {}, true };
-    desiredStateChannel->send(std::move(request), desiredStateFetchTimeout, [self = shared_from_this()](const SendResult &sent) {
-        if (sent.hasStatus(200)) {
-            self->desiredState.takeCopy(sent.reply.body);
-        }
-    });
-}
-
 void EntryInstance::Impl::handOver()
 {
     if (!owner) {
@@ -392,7 +373,7 @@
     impl_->desiredState.start();
     impl_->leadership.start();
     impl_->flushLog();
-    impl_->fetchDesiredState();
+    impl_->desiredStateExchange.start();
     EventLog::write(
         "process.started",
         { { "version", buildVersion() }, { "clients", settings.clients.text() }, { "domain", settings.failureDomain } });
--- a/modules/entry/Leadership.cpp
+++ b/modules/entry/Leadership.cpp
@@ -254,6 +254,7 @@
     deniedOwnership.reset();
     knownMembers = heartbeat->members;
     desiredStateVersion = heartbeat->desiredStateVersion;
+    reportNewerState(desiredStateVersion);
     isOwnerReady = heartbeat->isReady;
     ownerStoreStallDuration = heartbeat->storeStallDuration;
     if (ownerStalledTable != heartbeat->stalledTable) {
--- a/modules/entry/Leadership.h
+++ b/modules/entry/Leadership.h
@@ -74,6 +74,8 @@
         std::function<void()> onSuccessorKnown = {};
         /** The version of the desired state that this process has, for the owner; may be empty. */
         std::function<std::int64_t()> desiredStateVersion = {};
+        /** Called when a heartbeat has told of a newer version of the desired state than this process has; may be empty. */
+        std::function<void()> onNewerStateKnown = {};
     };
 
     Leadership(EventLoop &loop, StateStore &store, const EntrySettings &settings, LeadershipTiming timing, Hooks hooks);
@@ -126,6 +128,9 @@
     */
     std::optional<Address> holderOfNewerState(std::int64_t version) const;
 
+    /** The newest version of the desired state of which another process has recently told; 0 if none has. */
+    std::int64_t newestKnownState() const;
+
 private:
     struct Impl;
     std::shared_ptr<Impl> impl_;
--- a/modules/entry/LeadershipImpl.h
+++ b/modules/entry/LeadershipImpl.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <utility>
 
 namespace auburndoor {
 
@@ -60,6 +61,10 @@
     void requestHeartbeat();
     /** The heartbeat that this process sends to a follower as the owner; empty if it is not the owner. */
     std::optional<OwnerHeartbeat> makeHeartbeat(const Address &follower);
+    /** Calls Hooks::onNewerStateKnown if this process has an older version. */
+    void reportNewerState(std::int64_t version) const;
+    /** The newest version of the desired state of which another process has recently told, and that process. */
+    std::pair<std::int64_t, std::optional<Address>> newestState() const;
     /** The members as Leadership::members(), listed at most every 100 ms. */
     const std::vector<Address> &recentMembers();
     /** How busy a new owner has to expect to be, or how busy it was. */
--- a/modules/entry/LeadershipServing.cpp
+++ b/modules/entry/LeadershipServing.cpp
@@ -61,6 +61,7 @@
     follower.processorShare = report->processorShare;
     follower.isStopping = report->isStopping;
     follower.desiredStateVersion = report->desiredStateVersion;
+    impl_->reportNewerState(report->desiredStateVersion);
     // A process that has just begun to follow this owner is answered at once, so that it can forward calls.
     const bool isNew = request.target.ends_with(PeerCodec::firstHeartbeatQuery);
     if (isNew) {
@@ -125,17 +126,37 @@
     return listedMembers;
 }
 
-std::optional<Address> Leadership::holderOfNewerState(std::int64_t version) const
+void Leadership::Impl::reportNewerState(std::int64_t version) const
 {
-    if (!impl_->isOwner) {
-        return impl_->desiredStateVersion > version ? ownerAddress() : std::nullopt;
+    if (hooks.onNewerStateKnown && hooks.desiredStateVersion && version > hooks.desiredStateVersion()) {
+        hooks.onNewerStateKnown();
     }
-    for (const auto &[address, follower] : impl_->followers) {
-        if (follower.desiredStateVersion > version && impl_->loop.now() - follower.requestedAt <= memberTimeout) {
-            return address;
+}
+
+std::pair<std::int64_t, std::optional<Address>> Leadership::Impl::newestState() const
+{
+    if (!isOwner) {
+        return isOwnerResponding ? std::pair(desiredStateVersion, Address::parse(owner.address))
+                                 : std::pair(std::int64_t(0), std::optional<Address>());
+    }
+    std::pair<std::int64_t, std::optional<Address>> newest { 0, std::nullopt };
+    for (const auto &[address, follower] : followers) {
+        if (follower.desiredStateVersion > newest.first && loop.now() - follower.requestedAt <= memberTimeout) {
+            newest = { follower.desiredStateVersion, address };
         }
     }
-    return std::nullopt;
+    return newest;
+}
+
+std::optional<Address> Leadership::holderOfNewerState(std::int64_t version) const
+{
+    const auto newest = impl_->newestState();
+    return newest.first > version ? newest.second : std::nullopt;
+}
+
+std::int64_t Leadership::newestKnownState() const
+{
+    return impl_->newestState().first;
 }
 
 std::vector<Address> Leadership::members() const
--- a/modules/entry/PeerCodec.cpp
+++ b/modules/entry/PeerCodec.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 
 namespace auburndoor {
 
@@ -17,6 +18,8 @@
 // The largest messages name some thousands of workers for an advice request.
 constexpr std::size_t maxPeerValues = 65536;
 
+constexpr const char *baseHeader = "desired-base";
+
 /** Parses a JSON object and applies a function to it. @return empty if the text is malformed or a field is missing or of another
  * type */
 template<typename Read>
@@ -176,6 +179,19 @@
     return "it answered with status " + std::to_string(reply.status);
 }
 
+WebRequest PeerCodec::desiredStateRequest(std::int64_t baseVersion)
+{
+    return { "GET", desiredStatePath, { { baseHeader, std::to_string(baseVersion) } }, {}, true };
+}
+
+std::optional<std::int64_t> PeerCodec::readDesiredStateBase(const WebRequest &request)
+{
+    const auto text = request.header(baseHeader);
+    std::int64_t version = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), version);
+    return !text.empty() && error == std::errc() && end == text.data() + text.size() ? std::optional(version) : std::nullopt;
+}
+
 WebRequest PeerCodec::callRequest(const ClientCall &call)
 {
     // The body of the submission is sent unchanged and the other fields as headers, so that the body need not be escaped as JSON.
--- a/modules/entry/PeerCodec.h
+++ b/modules/entry/PeerCodec.h
@@ -72,7 +72,7 @@
     static constexpr const char *firstHeartbeatQuery = "?first";
     static constexpr const char *successionPath = "/cell/succeed";
     static constexpr const char *ownerViewPath = "/cell/owner";
-    /** Serves the value of the row that holds the desired state, as the process has read it. */
+    /** Serves a DesiredStateCopy of the state that the process has read. */
     static constexpr const char *desiredStatePath = "/cell/desired";
     static constexpr const char *callPath = "/cell/call";
     static constexpr const char *advicePath = "/cell/advice";
@@ -101,6 +101,11 @@
     /** Describes an answer that is no result of a call: its reason if it is a notOwnerReply(), else its status. */
     static std::string describeRefusedCall(const WebReply &reply);
 
+    /** @param baseVersion the version on which the copy may rest; 0 for none */
+    static WebRequest desiredStateRequest(std::int64_t baseVersion);
+    /** The version on which the copy may rest; empty in requests of earlier releases, which expect the plain text. */
+    static std::optional<std::int64_t> readDesiredStateBase(const WebRequest &request);
+
     static WebRequest callRequest(const ClientCall &call);
     static std::optional<ClientCall> readCall(const WebRequest &request);
     static WebReply callReply(const ClientResult &result);
--- a/tests/entry/ClientCallReaderTests.cpp
+++ b/tests/entry/ClientCallReaderTests.cpp
@@ -36,7 +36,6 @@
         });
     }
 
-    Metrics metrics;
     ClientCallReader reader { timers, protocol, holder, metrics };
     bool isRead = false;
     ClientCall call;
--- a/tests/entry/DesiredStateFixture.h
+++ b/tests/entry/DesiredStateFixture.h
@@ -5,6 +5,7 @@
 #include "fakes/FakeStore.h"
 #include "fakes/ManualTimers.h"
 #include "fakes/PartitionedStore.h"
+#include "observability/Metrics.h"
 #include "workload/StoreTimeline.h"
 
 #include <string>
@@ -21,7 +22,7 @@
            + keys + "]}]}";
 }
 
-/** A store that counts the readings of single rows. */
+/** A store that counts the readings of single rows, and of changes without a wait. */
 class RowCountingStore : public FakeStore
 {
 public:
@@ -33,6 +34,12 @@
         FakeStore::readRow(table, key, std::move(callback));
     }
 
+    void changes(const std::string &table, std::int64_t after, Milliseconds wait, Callback callback) override
+    {
+        readCount += wait == Milliseconds(0) ? 1 : 0;
+        FakeStore::changes(table, after, wait, std::move(callback));
+    }
+
     int readCount = 0;
 };
 
@@ -55,7 +62,8 @@
     PartitionedStore link { timers, store };
     StoreTimeline timeline;
     platform::PlatformProtocol protocol;
-    DesiredStateHolder holder { timers, link, timeline, protocol, [](const DesiredState &) {} };
+    Metrics metrics;
+    DesiredStateHolder holder { timers, link, timeline, protocol, [](const DesiredState &) {}, metrics };
 };
 
 } // namespace auburndoor
--- a/tests/entry/DesiredStateHolderTests.cpp
+++ b/tests/entry/DesiredStateHolderTests.cpp
@@ -44,7 +44,9 @@
     ForgetfulStore store(timers);
     StoreTimeline timeline;
     platform::PlatformProtocol protocol;
-    DesiredStateHolder holder(timers, store, timeline, protocol, [](const DesiredState &) {});
+    Metrics metrics;
+    DesiredStateHolder holder(
+        timers, store, timeline, protocol, [](const DesiredState &) {}, metrics);
     const auto write = [&](int version, const std::string &keys) {
         store.write(protocol.operatorTable(), protocol.desiredStateKey(), desiredStateText(version, keys));
     };
--- a/tests/entry/DesiredStateRefreshTests.cpp
+++ b/tests/entry/DesiredStateRefreshTests.cpp
@@ -15,9 +15,14 @@
         : refresh(
             timers,
             link,
-            "t",
-            "k",
-            [this](const StoreRow &row) { text = row.value; },
+            { "t", "k" },
+            [this] { return knownVersion; },
+            [this](const StoreResult &result) {
+                for (const auto &row : result.rows) {
+                    text = row.value;
+                    knownVersion = isFollowed ? row.version : 0;
+                }
+            },
             limits)
     {
         store.setAnswerTime(Milliseconds(4));
@@ -37,6 +42,9 @@
     ManualTimers timers;
     RowCountingStore store { timers };
     PartitionedStore link { timers, store };
+    /** The version after which changes are asked for; 0 reads the row itself. */
+    std::int64_t knownVersion = 0;
+    bool isFollowed = false;
     std::string text;
     std::string seen;
     int runCount = 0;
--- a/tests/entry/LargeStateTests.cpp
+++ b/tests/entry/LargeStateTests.cpp
@@ -1,11 +1,11 @@
 #include "PlatformProtocol.h"
 #include "PlatformStore.h"
 #include "core/TextEncoding.h"
+#include "entry/DesiredStateExchange.h"
 #include "entry/DesiredStateHolder.h"
+#include "entry/LeadershipFixture.h"
 #include "fakes/CapturedLog.h"
 #include "fakes/RatedLink.h"
-#include "net/EventLoop.h"
-#include "net/HttpListener.h"
 #include "observability/Metrics.h"
 #include "workload/StoreTimeline.h"
 
@@ -49,7 +49,8 @@
         REQUIRE(server.listen({ "127.0.0.1", 0 }, error));
         link = std::make_unique<RatedLink>(loop, Address { "127.0.0.1", server.port() }, slowLinkRate);
         store = std::make_unique<platform::PlatformStore>(loop, link->address());
-        holder = std::make_unique<DesiredStateHolder>(loop, *store, timeline, protocol, [](const DesiredState &) {});
+        holder = std::make_unique<DesiredStateHolder>(
+            loop, *store, timeline, protocol, [](const DesiredState &) {}, metrics);
     }
 
     void write(int version)
@@ -96,9 +97,47 @@
     std::unique_ptr<platform::PlatformStore> store;
     StoreTimeline timeline;
     platform::PlatformProtocol protocol;
+    Metrics metrics;
     std::unique_ptr<DesiredStateHolder> holder;
 };
 
+/** Another process, the owner of the cell, that has a version of the desired state. */
+struct HolderProcess
+{
+    HolderProcess(EventLoop &loop, int version)
+        : version(version), listener(loop, {}, [this](const WebRequest &request, const HttpResponderPointer &responder) {
+            serve(request, responder);
+        })
+    {
+        std::string error;
+        REQUIRE(listener.listen({ "127.0.0.1", 0 }, error));
+    }
+
+    void serve(const WebRequest &request, const HttpResponderPointer &responder)
+    {
+        if (request.target.starts_with(PeerCodec::heartbeatPath)) {
+            OwnerHeartbeat heartbeat;
+            heartbeat.owner = "outside";
+            heartbeat.token = 7;
+            heartbeat.isReady = true;
+            heartbeat.desiredStateVersion = version;
+            heartbeat.processorShare = 1.0;
+            responder->reply(PeerCodec::heartbeatReply(heartbeat));
+            return;
+        }
+        const auto base = PeerCodec::readDesiredStateBase(request).value_or(-1);
+        bases.push_back(base);
+        const std::string baseText = base == 2 && !refusesBase ? largeState(2) : std::string();
+        const DesiredStateCopy copy { largeState(version), 100 + version };
+        responder->reply({ 200, copy.encode({ baseText.empty() ? 0 : base, baseText }), {} });
+    }
+
+    int version;
+    bool refusesBase = false;
+    std::vector<std::int64_t> bases;
+    HttpListener listener;
+};
+
 } // namespace
 
 // Guards against a process with a slow link that never gets a desired state whose transfer takes longer than a time limit.
@@ -158,3 +197,54 @@
     CHECK(runCount == 5);
     CHECK(fixture.link->passedBytes() - before < 10000);
 }
+
+// Guards against a small change that costs each process the whole desired state, and against a transfer that goes on although its
+// version is known.
+TEST_CASE("a copy of another process brings a change and ends the transfer of the row", "[large-state]")
+{
+    LargeStateFixture fixture(2);
+    HolderProcess other(fixture.loop, 2);
+    EntrySettings settings;
+    settings.nodeName = "n";
+    FakeStore cellStore(fixture.loop);
+    cellStore.write(FencingRows::table,
+                    FencingRows::epochKey,
+                    R"({"token":7,"owner":"outside","address":"127.0.0.1:)" + std::to_string(other.listener.port()) + R"("})");
+    std::unique_ptr<DesiredStateExchange> exchange;
+    Leadership leadership(fixture.loop,
+                          cellStore,
+                          settings,
+                          {},
+                          { [](const Ownership &) {},
+                            [] { return std::nullopt; },
+                            {},
+                            [&] { return fixture.holder->current().version; },
+                            [&] { exchange->fetchNewer(); } });
+    exchange = std::make_unique<DesiredStateExchange>(fixture.loop, *fixture.holder, leadership);
+    fixture.holder->start();
+    leadership.start();
+    exchange->start();
+    REQUIRE(fixture.waitFor(2));
+
+    const auto before = fixture.link->passedBytes();
+    const auto copiedBefore = fixture.metrics.counter("desired_state_bytes_total", "copy");
+    const auto changedAt = fixture.loop.now();
+    fixture.write(3);
+    other.version = 3;
+    SECTION("as a difference")
+    {
+        REQUIRE(fixture.waitFor(3));
+        CHECK(other.bases.back() == 2);
+        CHECK(fixture.metrics.counter("desired_state_bytes_total", "copy") - copiedBefore < 2000);
+    }
+    SECTION("as a whole if the other process does not have its version")
+    {
+        other.refusesBase = true;
+        REQUIRE(fixture.waitFor(3));
+    }
+    CHECK(fixture.loop.now() - changedAt < Milliseconds(2400));
+    fixture.runFor(Milliseconds(1500));
+    CHECK(fixture.link->passedBytes() - before < fixture.row.size());
+    CHECK_FALSE(exchange->holderOfNewerState());
+    CHECK(fixture.holder->current().queues.size() == largeQueueCount + 1);
+}
