A request that a process with an older desired state cannot judge is decided by one with a newer one

It now passes clients' requests on to the process that has told of the newer version, until it has that version itself; being behind costs a hop, not a wrong answer.

Each such request leaves a line (call.passed_on) with both versions.

--- a/modules/entry/EntryInstance.cpp
+++ b/modules/entry/EntryInstance.cpp
@@ -9,6 +9,7 @@
 #include "entry/HttpRelayTransport.h"
 #include "entry/Leadership.h"
 #include "entry/ListenerDrain.h"
+#include "entry/NewerStateForwarder.h"
 #include "entry/Owner.h"
 #include "entry/OwnerCallForwarder.h"
 #include "entry/OwnerShare.h"
@@ -48,6 +49,12 @@
     explicit Impl(const EntryDependencies &dependencies);
 
     void serveClient(WebRequest request, HttpResponderPointer responder);
+    /** Decides a client's request by the desired state of this process. */
+    void decideRequest(WebRequest request, HttpResponderPointer responder);
+    /** Lets another process decide a client's request. @param holder the peer address of that process */
+    void passOn(WebRequest request, const Address &holder, HttpResponderPointer responder);
+    /** Decides a client's request that another process has passed on. */
+    void servePassedRequest(const WebRequest &message, HttpResponderPointer responder);
     /** Passes a call to the owner and its answer to the client. */
     void forwardCall(const ClientCall &call, const HttpResponderPointer &responder);
     void servePeer(WebRequest request, HttpResponderPointer responder);
@@ -81,6 +88,7 @@
     StoreTimeline storeTimeline;
     DesiredStateHolder desiredState;
     DesiredStateExchange desiredStateExchange;
+    NewerStateForwarder newerStateForwarder;
     ClientCallReader callReader;
     ConnectionBudget connectionBudget;
     HttpListener clientListener;
@@ -138,6 +146,7 @@
           },
           dependencies.metrics)
     , desiredStateExchange(dependencies.loop, desiredState, leadership)
+    , newerStateForwarder(dependencies.loop)
     , callReader(dependencies.loop, dependencies.protocol, desiredState, dependencies.metrics)
     , connectionBudget(dependencies.loop, dependencies.settings)
     , clientListener(
@@ -168,7 +177,9 @@
           connectionBudget.memory(),
           ConnectionPurpose::Control)
 {
-    clientListener.setHeaderCheck([this](const WebRequest &request) { return callReader.refuseEarly(request); });
+    clientListener.setHeaderCheck([this](const WebRequest &request) {
+        return desiredStateExchange.holderOfNewerState() ? std::nullopt : callReader.refuseEarly(request);
+    });
     peerListener.setHeaderCheck([](const WebRequest &request) {
         return PeerCodec::isPath(request.target) ? std::nullopt : std::optional(WebReply { 404, {}, {} });
     });
@@ -189,6 +200,62 @@
         responder->reply(dependencies.protocol.writeResult({}, result));
         return;
     }
+    if (const auto holder = desiredStateExchange.holderOfNewerState()) {
+        passOn(std::move(request), *holder, std::move(responder));
+        return;
+    }
+    decideRequest(std::move(request), std::move(responder));
+}
+
+void EntryInstance::Impl::passOn(WebRequest request, const Address &holder, HttpResponderPointer responder)
+{
+    std::optional<ClientResult> result;
+    const auto call = dependencies.protocol.readCall(request, desiredState.current(), result);
+    const auto sent = std::make_shared<WebRequest>(std::move(request));
+    newerStateForwarder.forward(*sent,
+                                holder,
+                                call.timeout,
+                                [this, sent, holder, startedAt = loop.now(), responder = std::move(responder)](
+                                    const std::optional<PassedRequestAnswer> &answer) {
+                                    EventLog::writeRateLimited(
+                                        "call.passed_on",
+                                        { { "target", std::string_view(sent->target).substr(0, sent->target.find('?')) },
+                                          { "to", holder.text() },
+                                          { "version", desiredState.current().version },
+                                          { "newest_known", leadership.newestKnownState() },
+                                          { "outcome", answer ? static_cast<int>(answer->result.outcome) : -1 } });
+                                    if (answer) {
+                                        ClientCall decided;
+                                        decided.kind = answer->kind;
+                                        responder->reply(dependencies.protocol.writeResult(decided, answer->result));
+                                        return;
+                                    }
+                                    decideRequest(std::move(*sent), responder);
+                                });
+}
+
+void EntryInstance::Impl::servePassedRequest(const WebRequest &message, HttpResponderPointer responder)
+{
+    auto request = PassedRequestCodec::decode(message);
+    if (!request || desiredState.current().version == 0) {
+        responder->reply({ !request ? 400 : 503, {}, {} });
+        return;
+    }
+    callReader.read(std::move(*request),
+                    [this, responder = std::move(responder)](const ClientCall &call, const std::optional<ClientResult> &result) {
+                        if (result) {
+                            responder->reply(PassedRequestCodec::encodeAnswer({ call.kind, *result }));
+                            return;
+                        }
+                        callForwarder.call(call, [this, call, responder](const ClientResult &answer) {
+                            callReader.noteResult(call, answer);
+                            responder->reply(PassedRequestCodec::encodeAnswer({ call.kind, answer }));
+                        });
+                    });
+}
+
+void EntryInstance::Impl::decideRequest(WebRequest request, HttpResponderPointer responder)
+{
     callReader.read(std::move(request),
                     [this, responder = std::move(responder)](const ClientCall &call, const std::optional<ClientResult> &result) {
                         if (result) {
@@ -231,6 +298,8 @@
         leadership.answerOwnerView(std::move(responder));
     } else if (request.target == PeerCodec::desiredStatePath) {
         responder->reply({ 200, desiredState.copyFor(PeerCodec::readDesiredStateBase(request)), {} });
+    } else if (request.target == PassedRequestCodec::path) {
+        servePassedRequest(request, std::move(responder));
     } else if (request.target == PeerCodec::advicePath) {
         serveAdvice(request, std::move(responder));
     } else if (request.target == PeerCodec::relayPath) {
--- a/modules/entry/PeerCodec.cpp
+++ b/modules/entry/PeerCodec.cpp
@@ -2,6 +2,7 @@
 
 #include "core/BoundedJson.h"
 #include "core/TextEncoding.h"
+#include "entry/PassedRequestCodec.h"
 
 #include <nlohmann/json.hpp>
 
@@ -60,8 +61,8 @@
 
 bool PeerCodec::isPath(std::string_view target)
 {
-    static constexpr std::array<std::string_view, 7> paths {
-        heartbeatPath, successionPath, ownerViewPath, desiredStatePath, callPath, advicePath, relayPath,
+    static constexpr std::array<std::string_view, 8> paths {
+        heartbeatPath, successionPath, ownerViewPath, desiredStatePath, callPath, advicePath, relayPath, PassedRequestCodec::path,
     };
     return std::any_of(paths.begin(), paths.end(), [target](std::string_view path) { return target.starts_with(path); });
 }
