Queues are found by an index, and a new desired state marks only the jobs whose queue it changes

With thousands of queues each call compared its host with all of them, up to three times, and each change of the desired state compared the queue of each open job with all and had all jobs placed anew. No rule was broken by it alone; it adds to the time until a change is in force on small processors.

A test compares the index with the comparison of all queues at random.

--- a/modules/dispatch/JobManager.cpp
+++ b/modules/dispatch/JobManager.cpp
@@ -224,7 +224,7 @@
 {
     for (const auto &[id, job] : jobs_) {
         // The jobs of a removed queue keep its last definition.
-        if (const auto *queue = desiredState.queue(job->spec.queue)) {
+        if (const auto *queue = desiredState.queue(job->spec.queue); queue != nullptr && *queue != job->queue) {
             job->queue = *queue;
             followImageTimes(*job);
             changedJobs_.push_back(id);
--- a/modules/workload/DesiredState.h
+++ b/modules/workload/DesiredState.h
@@ -20,6 +20,8 @@
     std::chrono::duration<double, std::milli> timePerWorker { 0 };
     /** How long a worker accepts a permit. */
     Milliseconds permitValidity { 0 };
+
+    bool operator==(const AdvicePolicy &) const = default;
 };
 
 /** A queue of jobs: the host and path at which clients reach it, the service that runs its tasks, and its scheduling parameters. */
@@ -41,6 +43,8 @@
     std::optional<AdvicePolicy> advice;
     /** Calls need no key, and its jobs belong to no account. */
     bool isAnonymous = false;
+
+    bool operator==(const QueueSpec &) const = default;
 };
 
 /** A pool of workers. */
@@ -68,6 +72,12 @@
     Milliseconds headerTimeout { 3000 };
     /** A client's request of which nothing arrives for so long is ended. */
     Milliseconds idleTimeout { 15000 };
+    /** Positions in queues in the order of names, and in that of hosts; without them all queues are compared. */
+    std::vector<std::uint32_t> queuesByName = {};
+    std::vector<std::uint32_t> queuesByHost = {};
+
+    /** Fills queuesByName and queuesByHost, so that route() and queue() need not compare all of thousands of queues. */
+    void indexQueues();
 
     /** Finds the queue of this host whose pathPrefix is the longest one that the path begins with; null if no queue matches. */
     const QueueSpec *route(std::string_view host, std::string_view path) const;
--- a/tests/adapter/CodecTests.cpp
+++ b/tests/adapter/CodecTests.cpp
@@ -5,7 +5,9 @@
 #include "WorkerReportCodec.h"
 
 #include <catch2/catch.hpp>
+
 #include <nlohmann/json.hpp>
+#include <random>
 
 using namespace auburndoor;
 
@@ -156,6 +158,32 @@
     CHECK(result->outcome == ClientResult::Outcome::Malformed);
 }
 
+// Guards against an index that finds another queue than a comparison with all of them.
+TEST_CASE("an index of the queues changes no decision")
+{
+    std::mt19937 random(1);
+    const auto letter = [&random] { return std::string(1, static_cast<char>('a' + random() % 5)); };
+    DesiredState state;
+    for (int i = 0; i < 60; ++i) {
+        QueueSpec queue;
+        queue.name = letter() + letter();
+        queue.host = letter();
+        queue.pathPrefix = "/" + letter() + "/" + (random() % 2 == 0 ? letter() + "/" : std::string());
+        queue.service = std::to_string(i);
+        state.queues.push_back(queue);
+    }
+    auto indexed = state;
+    indexed.indexQueues();
+    const auto serviceOf = [](const QueueSpec *queue) { return queue == nullptr ? std::string("none") : queue->service; };
+    for (int i = 0; i < 2000; ++i) {
+        const auto host = letter();
+        const auto path = "/" + letter() + "/" + letter() + "/x";
+        CHECK(serviceOf(indexed.route(host, path)) == serviceOf(state.route(host, path)));
+        const auto name = letter() + letter();
+        CHECK(serviceOf(indexed.queue(name)) == serviceOf(state.queue(name)));
+    }
+}
+
 TEST_CASE("a refusal tells the client when to retry")
 {
     const ClientResult refused { .outcome = ClientResult::Outcome::Refused, .retryAfter = Milliseconds(1200) };
