A process that is about to stop answers the requests that it has passed on

By reading, before a landing: requests that another process decides were not among those that a stopping process answers at the end of its grace period. They are now ended then, as lost at the other process. Bytes of the desired state are counted by a label of their own name (source).

--- a/modules/entry/DesiredStateHolder.cpp
+++ b/modules/entry/DesiredStateHolder.cpp
@@ -162,7 +162,8 @@
 
 void DesiredStateHolder::noteReading(const Reading &reading)
 {
-    metrics_.count("desired_state_bytes_total", reading.source, static_cast<long long>(reading.receivedBytes));
+    metrics_.count(
+        "desired_state_bytes_total", std::string("source=") + reading.source, static_cast<long long>(reading.receivedBytes));
 }
 
 void DesiredStateHolder::take(const StoreRow &row, const Reading &reading)
--- a/modules/entry/EntryInstance.cpp
+++ b/modules/entry/EntryInstance.cpp
@@ -460,7 +460,10 @@
     // Where stops follow each other closely, each owner goes on for as long as it can: a successor has to read what runs first.
     impl_->loop.after(std::max(Milliseconds(0), maxDuration - finalReplyMargin - handOverDuration),
                       [impl = impl_] { impl->handOver(); });
-    impl_->loop.after(maxDuration - finalReplyMargin, [impl = impl_] { impl->callForwarder.close(); });
+    impl_->loop.after(maxDuration - finalReplyMargin, [impl = impl_] {
+        impl->callForwarder.close();
+        impl->newerStateForwarder.close();
+    });
     const ListenerDrainTiming timing { .acceptDuration = std::min(balancerDrainDelay, maxDuration), .maxDuration = maxDuration };
     impl_->drain = std::make_unique<ListenerDrain>(
         impl_->loop, impl_->clientListener, impl_->peerListener, timing, [impl = impl_.get()] { return impl->owner != nullptr; });
--- a/modules/entry/NewerStateForwarder.cpp
+++ b/modules/entry/NewerStateForwarder.cpp
@@ -38,7 +38,7 @@
 
 void NewerStateForwarder::forward(const WebRequest &request, const Address &holder, Milliseconds timeout, Callback callback)
 {
-    auto message = PassedRequestCodec::encode(request);
+    auto message = isClosed_ ? std::nullopt : PassedRequestCodec::encode(request);
     if (!message) {
         callback(std::nullopt);
         return;
@@ -53,4 +53,12 @@
     });
 }
 
+void NewerStateForwarder::close()
+{
+    isClosed_ = true;
+    if (channels_) {
+        channels_->reset();
+    }
+}
+
 } // namespace auburndoor
--- a/modules/entry/NewerStateForwarder.h
+++ b/modules/entry/NewerStateForwarder.h
@@ -17,7 +17,7 @@
     Lets another process, which has a newer desired state, decide clients' requests.
 
     Used while this process knows that its own desired state is out of date: its routes, keys and limits may have changed since. All
-    members are called from the loop's thread.
+    members are called from the loop's thread, and it has to exist while the loop runs.
 */
 class NewerStateForwarder
 {
@@ -33,14 +33,18 @@
 
         @param holder   the peer address of the process with the newer state
         @param timeout  how long the client waits
-        @param callback called once with the answer, possibly before forward() returns; not called after the destruction
+        @param callback called once with the answer, possibly before forward() returns
     */
     void forward(const WebRequest &request, const Address &holder, Milliseconds timeout, Callback callback);
 
+    /** Ends all open requests without an answer and passes no further ones on; for a process that is about to stop. */
+    void close();
+
 private:
     EventLoop &loop_;
     /** To the process that was asked last. */
     std::unique_ptr<HttpChannels> channels_;
+    bool isClosed_ = false;
 };
 
 } // namespace auburndoor
--- a/tests/entry/LargeStateTests.cpp
+++ b/tests/entry/LargeStateTests.cpp
@@ -227,7 +227,7 @@
     REQUIRE(fixture.waitFor(2));
 
     const auto before = fixture.link->passedBytes();
-    const auto copiedBefore = fixture.metrics.counter("desired_state_bytes_total", "copy");
+    const auto copiedBefore = fixture.metrics.counter("desired_state_bytes_total", "source=copy");
     const auto changedAt = fixture.loop.now();
     fixture.write(3);
     other.version = 3;
@@ -235,7 +235,7 @@
     {
         REQUIRE(fixture.waitFor(3));
         CHECK(other.bases.back() == 2);
-        CHECK(fixture.metrics.counter("desired_state_bytes_total", "copy") - copiedBefore < 2000);
+        CHECK(fixture.metrics.counter("desired_state_bytes_total", "source=copy") - copiedBefore < 2000);
     }
     SECTION("as a whole if the other process does not have its version")
     {
--- a/tests/entry/PassedRequestTests.cpp
+++ b/tests/entry/PassedRequestTests.cpp
@@ -11,6 +11,7 @@
 #include <catch2/catch.hpp>
 
 #include <optional>
+#include <vector>
 
 using namespace auburndoor;
 
@@ -35,6 +36,10 @@
     {
         ++requestCount;
         auto request = PassedRequestCodec::decode(message);
+        if (holdsAnswers) {
+            held.push_back(responder);
+            return;
+        }
         if (isSilent || !request) {
             responder->abandon();
             return;
@@ -50,6 +55,8 @@
     DesiredStateFixture state;
     ClientCallReader reader { state.timers, state.protocol, state.holder, state.metrics };
     bool isSilent = false;
+    bool holdsAnswers = false;
+    std::vector<HttpResponderPointer> held;
     int requestCount = 0;
     ClientCall lastCall;
     HttpListener listener;
@@ -61,11 +68,15 @@
     std::optional<PassedRequestAnswer> pass(const WebRequest &request)
     {
         std::optional<PassedRequestAnswer> received;
+        bool isCalledBack = false;
         forwarder.forward(request, address, Milliseconds(2000), [&](const std::optional<PassedRequestAnswer> &answer) {
             received = answer;
+            isCalledBack = true;
             loop.stop();
         });
-        loop.run();
+        if (!isCalledBack) {
+            loop.run();
+        }
         return received;
     }
 
@@ -118,6 +129,19 @@
     CHECK_FALSE(fixture.pass(clientRequest("POST", "/jobs/0123456789abcdef")));
 }
 
+// Guards against a client of a stopping process that gets no answer, since another process has its request.
+TEST_CASE("a process that is about to stop answers what it has passed on", "[passed-request]")
+{
+    ForwarderFixture fixture;
+    fixture.other.holdsAnswers = true;
+    fixture.loop.after(Milliseconds(50), [&] { fixture.forwarder.close(); });
+    const auto submitted = fixture.pass(clientRequest("POST", "/jobs/0123456789abcdef"));
+    REQUIRE(submitted);
+    CHECK(submitted->result.outcome == ClientResult::Outcome::Unknown);
+    CHECK_FALSE(fixture.pass(clientRequest("GET", "/jobs/")));
+    CHECK(fixture.other.requestCount == 1);
+}
+
 // Guards against a process that ends, or guesses, when another one of another release sends what it cannot read.
 TEST_CASE("malformed passed requests and answers are refused", "[passed-request]")
 {
