--- a/modules/workload/DesiredState.cpp
+++ b/modules/workload/DesiredState.cpp
@@ -37,7 +37,7 @@
         return;
     }
     auto next = std::lower_bound(positions.begin(), positions.end(), value, [&](std::uint32_t position, std::string_view wanted) {
-        return queues[position].*member < wanted;
+        return (queues[position].*member).compare(wanted) < 0;
     });
     for (; next != positions.end() && queues[*next].*member == value; ++next) {
         visit(queues[*next]);
--- a/tests/entry/LargeStateTests.cpp
+++ b/tests/entry/LargeStateTests.cpp
@@ -31,9 +31,9 @@
         // Names that do not repeat each other.
         const auto name = toBase64(std::to_string(i * 7919L * 104729L));
         text += i == 0 ? "" : ",";
-        text += R"({"name":"q)" + name + R"(","host":"h)" + name
-                + R"(.example","pathPrefix":"/jobs/","service":"cpu","priority":2,)"
-                + R"("maxAttempts":3,"slackFactor":1.5,"targetLatencyMs":800})";
+        text.append(R"({"name":"q)").append(name).append(R"(","host":"h)").append(name);
+        text
+            += R"(.example","pathPrefix":"/jobs/","service":"cpu","priority":2,"maxAttempts":3,"slackFactor":1.5,"targetLatencyMs":800})";
     }
     return text + "]}";
 }
