--- /dev/null
+++ b/review/standins-3/Cases.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "ReviewCell.h"
+
+namespace auburndoor {
+
+// Each returns 0 if the rule held, 1 if it was broken, and 2 if the case could not run.
+
+/** The workers of one rack crash several times; their jobs are sound. */
+int playGivenUpJobs(ReviewCell &cell, bool hasTrouble);
+
+/** The workers of one rack crash twice, and then all is calm. */
+int playIsolatedTasks(ReviewCell &cell, bool hasTrouble);
+
+} // namespace auburndoor
