--- a/review/standins-3/Cases.h
+++ b/review/standins-3/Cases.h
@@ -12,4 +12,7 @@
 /** The workers of one rack crash twice, and then all is calm. */
 int playIsolatedTasks(ReviewCell &cell, bool hasTrouble);
 
+/** The store turns the owner away, and is down for a while when the next owner serves. */
+int playRefusedJobs(ReviewCell &cell, bool hasTrouble);
+
 } // namespace auburndoor
--- a/review/standins-3/ReviewCell.h
+++ b/review/standins-3/ReviewCell.h
@@ -45,6 +45,10 @@
 
     /** Hands a job in, with the retries that PROTOCOL.md allows. */
     void submit(const std::string &prefix, const std::string &id, const std::string &body);
+    /** Hands a job in at one process, and at the next ones after an attempt that was not accepted, as often as may be. */
+    void submitAt(std::size_t entry, const std::string &prefix, const std::string &id, const std::string &body, int retries);
+    /** The number of the process that the store names as the owner; empty if there is none. */
+    std::optional<std::size_t> owner() const;
     /** Asks for a job's state at any process. */
     void query(const std::string &prefix, const std::string &id);
     void crash(const std::vector<std::string> &workers);
@@ -58,6 +62,8 @@
     std::map<std::string, ReviewTask> tasks;
     /** The jobs that were answered with a 2xx. */
     std::set<std::string> accepted;
+    /** What each attempt to hand a job in was answered with; of submitAt(). */
+    std::map<std::string, std::vector<std::string>> answers;
     /** The last state of each job that was shown. */
     std::map<std::string, std::string> states;
     /** Returns the work of a task; to be set before the workers start anything. */
--- a/review/standins-3/main.cpp
+++ b/review/standins-3/main.cpp
@@ -14,6 +14,7 @@
     static const std::map<std::string, int (*)(ReviewCell &, bool)> cases {
         { "given-up", playGivenUpJobs },
         { "isolated", playIsolatedTasks },
+        { "refused", playRefusedJobs },
     };
     const auto found = argc == 5 ? cases.find(argv[1]) : cases.end();
     if (found == cases.end()) {
