--- a/review/standins-3/Cases.h
+++ b/review/standins-3/Cases.h
@@ -15,4 +15,7 @@
 /** The store turns the owner away, and is down for a while when the next owner serves. */
 int playRefusedJobs(ReviewCell &cell, bool hasTrouble);
 
+/** A rack crashes for a moment, and one of its workers is lost soon after it is back. */
+int playLostAfterRestart(ReviewCell &cell, bool hasTrouble);
+
 } // namespace auburndoor
--- a/review/standins-3/CrashCases.cpp
+++ b/review/standins-3/CrashCases.cpp
@@ -171,4 +171,76 @@
     return isBroken ? 1 : 0;
 }
 
+int playLostAfterRestart(ReviewCell &cell, bool hasTrouble)
+{
+    // From RULES.md, LOST, as in playIsolatedTasks().
+    constexpr Milliseconds afterLastRun { 6000 };
+    constexpr Milliseconds idleTime { 3000 };
+    constexpr Milliseconds calmBefore { 4000 };
+    constexpr Milliseconds shortOutage { 300 };
+    // From the restart of the tasks until one of their workers is lost.
+    constexpr Milliseconds timeUntilLoss { 500 };
+    // One task on each worker of the rack, so that each has a lease.
+    const std::vector<std::string> ids { "00000000000000c1", "00000000000000c2", "00000000000000c3" };
+    std::vector<std::string> tasks;
+    for (const auto &id : ids) {
+        tasks.push_back(id + ".0.0.0");
+    }
+    // Of the deployment with the longest leases.
+    cell.maxHold = Milliseconds(10000);
+    cell.killGrace = Milliseconds(400);
+    cell.plan = [](const std::string &) { return ReviewWork {}; };
+    const auto rack = buildDeployment(cell);
+    if (!cell.waitUntilReady(Milliseconds(15000))) {
+        return 2;
+    }
+    const std::string body = R"({"spec":"d","taskGroups":[{"count":1,"cpu":20000,"memMb":256,"estimateMs":500,)"
+                             R"("affinity":"r1","longRunning":true}]})";
+    for (const auto &id : ids) {
+        cell.submit(prefix, id, body);
+    }
+    if (!cell.runUntil([&] { return areAllRunning(cell, tasks); }, Milliseconds(10000))) {
+        return 2;
+    }
+    cell.runFor(Milliseconds(2000));
+    bool isBroken = false;
+    if (hasTrouble) {
+        cell.crash(rack);
+        cell.runFor(shortOutage);
+        cell.restart(rack);
+        if (!cell.runUntil([&] { return areAllRunning(cell, tasks); }, Milliseconds(10000))) {
+            return 2;
+        }
+        cell.runFor(timeUntilLoss);
+        const auto host = std::find_if(
+            rack.begin(), rack.end(), [&cell](const std::string &worker) { return !cell.workers.at(worker)->runs().empty(); });
+        if (host == rack.end()) {
+            return 2;
+        }
+        cell.lose(*host);
+    }
+    const auto calmSince = cell.loop.now();
+    cell.runUntil(
+        [&] {
+            const auto now = cell.loop.now();
+            for (const auto &task : tasks) {
+                const auto &seen = cell.tasks[task];
+                const bool isIdle = seen.runs == 0 && now - seen.lastOverAt >= afterLastRun + idleTime;
+                if (!isBroken && isIdle && now - calmSince >= calmBefore + idleTime) {
+                    cell.record("task " + task + " has had no run for "
+                                + std::to_string(std::chrono::duration_cast<Milliseconds>(now - seen.lastOverAt).count())
+                                + " ms; two other tasks run on 23 workers of 32 cores");
+                    isBroken = true;
+                }
+            }
+            return isBroken && areAllRunning(cell, tasks);
+        },
+        Milliseconds(16000));
+    for (const auto &task : tasks) {
+        cell.record("task " + task + ": " + std::to_string(cell.tasks[task].starts) + " starts, "
+                    + std::to_string(cell.tasks[task].runs) + " runs now");
+    }
+    return isBroken ? 1 : 0;
+}
+
 } // namespace auburndoor
--- a/review/standins-3/ReviewCell.cpp
+++ b/review/standins-3/ReviewCell.cpp
@@ -14,8 +14,6 @@
 constexpr int readinessPort = 18141;
 constexpr int firstPeerPort = 17380;
 constexpr int firstAddressNumber = 10;
-constexpr Milliseconds maxHold { 6000 };
-constexpr Milliseconds killGrace { 200 };
 constexpr Milliseconds heartbeatInterval { 1500 };
 constexpr Milliseconds timeBudget { 3000 };
 constexpr Milliseconds retryDelay { 400 };
@@ -247,6 +245,14 @@
     }
 }
 
+void ReviewCell::lose(const std::string &worker)
+{
+    record("worker " + worker + " is lost for good");
+    workers.at(worker)->crash();
+    workers.at(worker)->link().setMode(FaultyLink::Mode::Unreachable);
+    loop.after(3 * heartbeatInterval, [this, worker] { platform.store.remove("servers", worker); });
+}
+
 void ReviewCell::restart(const std::vector<std::string> &names)
 {
     for (const auto &name : names) {
--- a/review/standins-3/ReviewCell.h
+++ b/review/standins-3/ReviewCell.h
@@ -32,6 +32,10 @@
     /** @param folder receives settings and logs @param recordFile what was sent, answered and run */
     ReviewCell(const std::string &program, const std::string &folder, const std::string &recordFile);
 
+    /** As in the settings; to be set before workers and entries are added. */
+    Milliseconds maxHold { 6000 };
+    Milliseconds killGrace { 200 };
+
     /** Writes the first desired state; routes as JSON. */
     void writeDesiredState(const std::string &routes, const std::string &services);
     void addEntries(int count);
@@ -53,6 +57,9 @@
     void query(const std::string &prefix, const std::string &id);
     void crash(const std::vector<std::string> &workers);
     void restart(const std::vector<std::string> &workers);
+    /** The worker's machine is lost for good: it answers nothing, and its entry is removed after three reports that fail to come.
+     */
+    void lose(const std::string &worker);
     void record(const std::string &text);
     Milliseconds sinceStart() const;
 
--- a/review/standins-3/main.cpp
+++ b/review/standins-3/main.cpp
@@ -15,6 +15,7 @@
         { "given-up", playGivenUpJobs },
         { "isolated", playIsolatedTasks },
         { "refused", playRefusedJobs },
+        { "restarted", playLostAfterRestart },
     };
     const auto found = argc == 5 ? cases.find(argv[1]) : cases.end();
     if (found == cases.end()) {
